--- /dev/null
+++ b/clementinepick/src/event.rs
@@ -0,0 +1,191 @@
+//! The numbered events that the system logs; `docs/EVENTS.md` is their catalogue.
+//!
+//! The decisions emit an [`Event`]; the daemon writes it as one structured log line and counts it
+//! in the metric `clementinepick_events_total{event="..."}`.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// How urgent an event is to an operator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Severity {
+    /// Normal operation.
+    Info,
+    /// Something failed and is being handled.
+    Warning,
+    /// Something needs an operator, or an invariant did not hold.
+    Error,
+}
+
+macro_rules! event_kinds {
+    ($($(#[$doc:meta])* $kind:ident = $number:literal, $name:literal, $severity:ident;)*) => {
+        /// Every event, with its stable number.
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        pub enum EventKind {
+            $($(#[$doc])* $kind = $number,)*
+        }
+
+        impl EventKind {
+            /// All kinds, by number.
+            pub const ALL: &'static [Self] = &[$(Self::$kind),*];
+
+            /// The event's number, which never changes its meaning.
+            #[must_use]
+            pub const fn number(self) -> u16 {
+                self as u16
+            }
+
+            /// The event's name in log lines and metrics.
+            #[must_use]
+            pub const fn name(self) -> &'static str {
+                match self {
+                    $(Self::$kind => $name,)*
+                }
+            }
+
+            /// How urgent the event is.
+            #[must_use]
+            pub const fn severity(self) -> Severity {
+                match self {
+                    $(Self::$kind => Severity::$severity,)*
+                }
+            }
+        }
+    };
+}
+
+// 1xx process, 2xx links and membership, 3xx log and configuration, 4xx ownership and calls,
+// 5xx gate, cache and engines, 9xx broken invariants.
+event_kinds! {
+    /// The process has read its settings and starts.
+    ProcessStarted = 101, "process_started", Info;
+    /// The process can serve.
+    ProcessReady = 102, "process_ready", Info;
+    /// A graceful shutdown began.
+    ShutdownStarted = 103, "shutdown_started", Info;
+    /// Everything that ran has finished; the process exits.
+    ShutdownFinished = 104, "shutdown_finished", Info;
+    /// The shutdown limit passed or a second signal came; what was unfinished got a truthful answer.
+    ShutdownForced = 105, "shutdown_forced", Warning;
+    /// A link came up.
+    LinkUp = 201, "link_up", Info;
+    /// A link went down.
+    LinkDown = 202, "link_down", Warning;
+    /// A peer's proof of the link key was wrong.
+    LinkRefused = 203, "link_refused", Error;
+    /// A backend server is leaving and gets no new work.
+    BackendLeaving = 204, "backend_leaving", Info;
+    /// A backend server is slow or failing and gets less work.
+    BackendSuspect = 205, "backend_suspect", Warning;
+    /// A backend server is trusted again.
+    BackendTrusted = 206, "backend_trusted", Info;
+    /// The list of VMs can't be read; the last one stays in use.
+    VmListUnavailable = 207, "vm_list_unavailable", Warning;
+    /// The log can't be written or read.
+    LogDown = 301, "log_down", Warning;
+    /// The log answers again.
+    LogUp = 302, "log_up", Info;
+    /// An append's answer was lost; the stream is read on to learn what happened.
+    AppendUnknown = 303, "append_unknown", Warning;
+    /// Records that this reader needs are past their retention; it can't start.
+    RetentionPassed = 304, "retention_passed", Error;
+    /// A snapshot was carried forward.
+    SnapshotWritten = 305, "snapshot_written", Info;
+    /// A document is in force.
+    DocumentInForce = 306, "document_in_force", Info;
+    /// A publication was rejected.
+    DocumentRejected = 307, "document_rejected", Warning;
+    /// This entry owns a partition.
+    PartitionOwned = 401, "partition_owned", Info;
+    /// This entry no longer owns a partition.
+    PartitionLost = 402, "partition_lost", Warning;
+    /// A record of a deposed owner was ignored.
+    StaleRecord = 403, "stale_record", Warning;
+    /// An open non-idempotent call of an earlier owner is being fenced.
+    FenceStarted = 404, "fence_started", Info;
+    /// A fence was answered.
+    FenceAnswered = 405, "fence_answered", Info;
+    /// The outcome of a non-idempotent call can't be learned.
+    OutcomeUnknown = 406, "outcome_unknown", Error;
+    /// A call is tried again elsewhere.
+    CallRetried = 407, "call_retried", Warning;
+    /// A call was refused.
+    CallRefused = 408, "call_refused", Info;
+    /// A program ended.
+    ProgramEnded = 409, "program_ended", Info;
+    /// The loop guard ended a program.
+    LoopStopped = 410, "loop_stopped", Warning;
+    /// A turn waits for the log.
+    TurnPending = 411, "turn_pending", Warning;
+    /// A caller's transcript does not match the history.
+    HistoryMismatch = 412, "history_mismatch", Warning;
+    /// A call of an old epoch was refused.
+    StaleEpoch = 501, "stale_epoch", Warning;
+    /// The engine failed or closed a stream.
+    EngineFailed = 502, "engine_failed", Warning;
+    /// Cache events have a gap; what was known of the engine's cache is doubtful.
+    CacheEventGap = 503, "cache_event_gap", Info;
+    /// Engine memory of an ended program was released.
+    CacheReleased = 504, "cache_released", Info;
+    /// A cache lease lapsed, since no owner renewed it.
+    CacheLeaseLapsed = 505, "cache_lease_lapsed", Warning;
+    /// An order was passed to the engine.
+    OrderPassed = 506, "order_passed", Info;
+    /// An order with an old fencing number was refused.
+    OrderFenced = 507, "order_fenced", Warning;
+    /// An order failed at the engine.
+    OrderFailed = 508, "order_failed", Warning;
+    /// An invariant did not hold; the work at fault was refused.
+    InvariantBroken = 901, "invariant_broken", Error;
+}
+
+/// One event with its fields.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// What happened.
+    pub kind: EventKind,
+    /// Its particulars, by name.
+    pub fields: BTreeMap<String, String>,
+}
+
+impl Event {
+    /// An event without fields.
+    #[must_use]
+    pub const fn new(kind: EventKind) -> Self {
+        Self {
+            kind,
+            fields: BTreeMap::new(),
+        }
+    }
+
+    /// The same event with one more field.
+    #[must_use]
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "ids and numbers read best by value"
+    )]
+    pub fn with(mut self, name: &str, value: impl ToString) -> Self {
+        self.fields.insert(name.to_owned(), value.to_string());
+        self
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn numbers_rise_and_names_are_unique() {
+        for pair in EventKind::ALL.windows(2) {
+            assert!(pair[0].number() < pair[1].number(), "{pair:?}");
+        }
+        let mut names: Vec<_> = EventKind::ALL.iter().map(|kind| kind.name()).collect();
+        names.sort_unstable();
+        names.dedup();
+        assert_eq!(names.len(), EventKind::ALL.len());
+    }
+}
--- /dev/null
+++ b/standins/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
