--- /dev/null
+++ b/standins/src/chaos_backend.rs
@@ -0,0 +1,332 @@
+//! A backend server of a chaos run: the model engine or the plain service, and what it was seen to
+//! do for whom.
+
+use std::collections::BTreeMap;
+
+use clementinepick::call::{Payload, PlainAnswer, PlainCall, Request};
+use clementinepick::ids::{AttemptId, CallSeq, ProgramId};
+use clementinepick::platform::{CacheEvent, GenerateBody, GenerateLine, LoadReport};
+use clementinepick::prompt::ChainHash;
+use clementinepick::sidecar::BackendEvent;
+use clementinepick::units::{Percent, SpanUs, TimeUs, Tokens};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha12Rng;
+
+use crate::answer::{answer_text, wanted_tokens};
+use crate::chaos_callers::{body_program, body_seq};
+use crate::chaos_checks::BodyId;
+use crate::engine::{Engine, EngineSettings};
+use crate::plain_service::{PlainRequest, PlainService};
+
+/// How long a hold takes, at random between the two.
+const HOLD_US: (u64, u64) = (1_000, 900_000);
+
+/// A call that a backend server has begun.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Started {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Its program.
+    pub program: ProgramId,
+    /// Its place in the program.
+    pub seq: CallSeq,
+    /// Its body.
+    pub body: BodyId,
+}
+
+/// What has happened since the last look.
+#[derive(Debug, Default)]
+pub struct Happened {
+    /// What the sidecar hears.
+    pub events: Vec<(AttemptId, BackendEvent)>,
+    /// Holds that were carried out.
+    pub executed: Vec<(ProgramId, BodyId)>,
+    /// Tokens that were processed.
+    pub spent: Vec<(ProgramId, Tokens)>,
+}
+
+/// A backend server.
+pub enum Backend {
+    /// A model engine.
+    Engine(Box<EngineServer>),
+    /// A server of the plain service.
+    Plain(Box<PlainServer>),
+}
+
+/// A model engine with its books.
+pub struct EngineServer {
+    engine: Engine,
+    next_cache_event: u64,
+    running: BTreeMap<AttemptId, (ProgramId, Tokens)>,
+    /// The prefixes that were ever cached for a program alone.
+    prefixes: BTreeMap<ProgramId, BTreeMap<ChainHash, Tokens>>,
+    spent: Vec<(ProgramId, Tokens)>,
+    slow_until_us: TimeUs,
+}
+
+/// A server of the plain service with its books.
+pub struct PlainServer {
+    service: PlainService,
+    pending: BTreeMap<(TimeUs, AttemptId), PlainCall>,
+    rng: ChaCha12Rng,
+}
+
+impl Backend {
+    /// A backend server that has just started.
+    #[must_use]
+    pub fn new(is_engine: bool, seed: u64) -> Self {
+        if !is_engine {
+            return Self::Plain(Box::new(PlainServer {
+                service: PlainService::default(),
+                pending: BTreeMap::new(),
+                rng: ChaCha12Rng::seed_from_u64(seed),
+            }));
+        }
+        let settings = EngineSettings {
+            seed,
+            event_loss: Percent::new(5).unwrap_or_default(),
+            cache_size_tokens: Tokens(20_000),
+            prefill_tokens_per_s: 2_000,
+            step_base_us: SpanUs::from_ms(20),
+            ..EngineSettings::default()
+        };
+        Self::Engine(Box::new(EngineServer {
+            engine: Engine::new(settings),
+            next_cache_event: 0,
+            running: BTreeMap::new(),
+            prefixes: BTreeMap::new(),
+            spent: Vec::new(),
+            slow_until_us: TimeUs(0),
+        }))
+    }
+
+    /// The VM was replaced: everything that ran or was cached is gone.
+    pub fn restart(&mut self, now: TimeUs) {
+        match self {
+            Self::Engine(server) => {
+                server.book_all();
+                server.engine.crash(now);
+                server.engine.restart(now);
+                server.next_cache_event = 0;
+                server.prefixes.clear();
+            }
+            Self::Plain(server) => server.pending.clear(),
+        }
+    }
+
+    /// Slows the server down.
+    pub fn slow_until(&mut self, now: TimeUs, until: TimeUs) {
+        if let Self::Engine(server) = self {
+            server.slow_until_us = until;
+            server.engine.set_speed(now, Percent::new(10).unwrap_or_default());
+        }
+    }
+
+    /// Takes a turn; `None` when it was refused.
+    pub fn generate(&mut self, now: TimeUs, body: GenerateBody) -> Option<Started> {
+        let Self::Engine(server) = self else { return None };
+        let text = &body.messages.last()?.content;
+        let number: BodyId = text.strip_prefix("body ")?.parse().ok()?;
+        let started = Started {
+            attempt: body.attempt,
+            program: body.program.clone(),
+            seq: body_seq(number),
+            body: number,
+        };
+        let prompt_tokens = body.prompt.length_tokens();
+        let prefixes = server.prefixes.entry(body.program.clone()).or_default();
+        // The first segment is the system prompt, which all programs share.
+        for segment in body.prompt.segments.iter().skip(1) {
+            prefixes.insert(segment.chain, segment.length_tokens);
+        }
+        server.running.insert(body.attempt, (body.program.clone(), prompt_tokens));
+        server.engine.submit(now, body).ok()?;
+        Some(started)
+    }
+
+    /// Takes a call of the plain service.
+    pub fn call(&mut self, now: TimeUs, attempt: AttemptId, call: &PlainCall) -> Option<Started> {
+        let Self::Plain(server) = self else { return None };
+        let body = hold_body(&call.body)?;
+        let takes = SpanUs(server.rng.random_range(HOLD_US.0..HOLD_US.1));
+        server.pending.insert((now.after(takes), attempt), call.clone());
+        let (program, seq) = (body_program(body), body_seq(body));
+        Some(Started { attempt, program, seq, body })
+    }
+
+    /// Stops a turn; a hold that has begun can't be stopped.
+    pub fn cancel(&mut self, now: TimeUs, attempt: AttemptId) {
+        if let Self::Engine(server) = self {
+            server.engine.cancel(now, attempt);
+            server.book(attempt);
+        }
+    }
+
+    /// Frees prefixes.
+    pub fn release(&mut self, now: TimeUs, chains: &[ChainHash]) -> Option<Tokens> {
+        match self {
+            Self::Engine(server) => Some(server.engine.release(now, chains)),
+            Self::Plain(_) => Some(Tokens(0)),
+        }
+    }
+
+    /// The engine's load report.
+    pub fn load(&mut self, now: TimeUs) -> Option<LoadReport> {
+        match self {
+            Self::Engine(server) => {
+                if server.slow_until_us <= now && server.slow_until_us.0 > 0 {
+                    server.slow_until_us = TimeUs(0);
+                    server.engine.set_speed(now, Percent::new(100).unwrap_or_default());
+                }
+                Some(server.engine.load(now))
+            }
+            Self::Plain(_) => None,
+        }
+    }
+
+    /// The cache events that can be read by now, if there are any.
+    pub fn cache_events(&mut self, now: TimeUs) -> Option<(u64, Vec<CacheEvent>)> {
+        let Self::Engine(server) = self else { return None };
+        let answer = server.engine.cache_events(now, server.next_cache_event);
+        if answer.events.is_empty() {
+            return None;
+        }
+        server.next_cache_event = answer.first + answer.events.len() as u64;
+        Some((answer.first, answer.events))
+    }
+
+    /// When something will happen by itself next.
+    #[must_use]
+    pub fn next_event_at(&self) -> Option<TimeUs> {
+        match self {
+            Self::Engine(server) => server.engine.next_event_at(),
+            Self::Plain(server) => server.pending.keys().next().map(|(at, _)| *at),
+        }
+    }
+
+    /// Whether anything runs.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        match self {
+            Self::Engine(server) => !server.running.is_empty(),
+            Self::Plain(server) => !server.pending.is_empty(),
+        }
+    }
+
+    /// Moves on to `now`.
+    pub fn advance(&mut self, now: TimeUs) -> Happened {
+        match self {
+            Self::Engine(server) => server.advance(now),
+            Self::Plain(server) => server.advance(now),
+        }
+    }
+
+    /// The tokens that lie cached for each program alone.
+    #[must_use]
+    pub fn held(&self) -> Vec<(ProgramId, Tokens)> {
+        let Self::Engine(server) = self else { return Vec::new() };
+        let cached = |chain: &ChainHash| !server.engine.export(*chain).segments.is_empty();
+        let held = server.prefixes.iter().map(|(program, prefixes)| {
+            let held = prefixes.iter().filter(|(chain, _)| cached(chain));
+            (program.clone(), held.map(|(_, tokens)| *tokens).sum::<Tokens>())
+        });
+        held.filter(|(_, tokens)| tokens.0 > 0).collect()
+    }
+
+    /// The text that an engine answers to a request.
+    #[must_use]
+    pub fn expected_text(request: &Request) -> String {
+        let Payload::Chat(chat) = &request.payload else { return String::new() };
+        let chain = chat.prompt.chain();
+        let wanted = wanted_tokens(chain, &chat.extra);
+        answer_text(chain, chat.max_output_tokens.map_or(wanted, |most| most.min(wanted)))
+    }
+
+    /// The body with which the plain service answers a hold.
+    #[must_use]
+    pub fn expected_plain(body: BodyId) -> Vec<u8> {
+        let request = plain_request(hold_json(body));
+        PlainService::default().handle(TimeUs(0), &request).body.into_bytes()
+    }
+}
+
+impl EngineServer {
+    /// Books what an attempt has processed.
+    fn book(&mut self, attempt: AttemptId) {
+        self.spent.extend(self.running.remove(&attempt));
+    }
+
+    fn book_all(&mut self) {
+        self.spent.extend(std::mem::take(&mut self.running).into_values());
+    }
+
+    fn advance(&mut self, now: TimeUs) -> Happened {
+        let mut happened = Happened::default();
+        for (attempt, line) in self.engine.advance(now) {
+            let event = match line {
+                GenerateLine::Text { position, text, count_tokens } => {
+                    if let Some((_, tokens)) = self.running.get_mut(&attempt) {
+                        *tokens += count_tokens;
+                    }
+                    BackendEvent::Text { position, text }
+                }
+                GenerateLine::Done { usage, finish, cached } => {
+                    self.note_cached(attempt, cached.last().map(|s| (s.chain, s.length_tokens)));
+                    self.book(attempt);
+                    BackendEvent::Done { usage, finish, cached }
+                }
+                GenerateLine::Failed { detail } => {
+                    self.book(attempt);
+                    BackendEvent::Failed { detail, not_run: false }
+                }
+            };
+            happened.events.push((attempt, event));
+        }
+        happened.spent = std::mem::take(&mut self.spent);
+        happened
+    }
+
+    fn note_cached(&mut self, attempt: AttemptId, last: Option<(ChainHash, Tokens)>) {
+        let (Some((program, _)), Some((chain, tokens))) = (self.running.get(&attempt), last) else {
+            return;
+        };
+        self.prefixes.entry(program.clone()).or_default().insert(chain, tokens);
+    }
+}
+
+impl PlainServer {
+    fn advance(&mut self, now: TimeUs) -> Happened {
+        let mut happened = Happened::default();
+        while let Some(entry) = self.pending.first_entry().filter(|entry| entry.key().0 <= now) {
+            let ((_, attempt), call) = entry.remove_entry();
+            if let Some(body) = hold_body(&call.body) {
+                happened.executed.push((body_program(body), body));
+            }
+            let reply = self.service.handle(now, &plain_request(call.body));
+            let answer = PlainAnswer {
+                status: reply.status,
+                headers: Vec::new(),
+                body: reply.body.into_bytes(),
+            };
+            happened.events.push((attempt, BackendEvent::Plain(answer)));
+        }
+        happened
+    }
+}
+
+fn plain_request(body: Vec<u8>) -> PlainRequest {
+    PlainRequest { method: "POST".to_owned(), path: "/holds".to_owned(), key: None, body }
+}
+
+/// The JSON body of a hold.
+#[must_use]
+pub fn hold_json(body: BodyId) -> Vec<u8> {
+    serde_json::json!({ "id": body.to_string(), "slot": format!("slot-{body}") })
+        .to_string()
+        .into_bytes()
+}
+
+fn hold_body(json: &[u8]) -> Option<BodyId> {
+    let value: serde_json::Value = serde_json::from_slice(json).ok()?;
+    value.get("id")?.as_str()?.parse().ok()
+}
--- /dev/null
+++ b/standins/src/chaos_faults.rs
@@ -0,0 +1,176 @@
+//! The faults of a chaos run, drawn at random from a seed.
+
+use clementinepick::ids::{VmId, ZoneName};
+use clementinepick::units::{SpanUs, TimeUs};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha12Rng;
+
+use crate::chaos_world::{World, WorldSettings};
+
+/// Faults strike from here on, once the processes have found one another.
+const FIRST_US: u64 = 3_000_000;
+/// Sets the faults' random numbers apart from the world's.
+const FAULT_SEED: u64 = 0x5fau64 << 40;
+
+/// One fault.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// A process dies and is started again; its backend server lives on.
+    Kill {
+        /// The VM.
+        vm: VmId,
+        /// How long until it is started again.
+        back_us: SpanUs,
+    },
+    /// A VM dies with all it runs, and is replaced.
+    KillVm {
+        /// The VM.
+        vm: VmId,
+        /// How long until it is replaced.
+        back_us: SpanUs,
+    },
+    /// A process stands still, unaware.
+    Pause {
+        /// The VM.
+        vm: VmId,
+        /// For how long.
+        span_us: SpanUs,
+    },
+    /// The log answers nothing and takes nothing.
+    LogDown {
+        /// For how long.
+        span_us: SpanUs,
+    },
+    /// The log takes appends, and some answers get lost.
+    LogLosesAnswers {
+        /// How many of the next appends it may strike.
+        appends: u32,
+    },
+    /// Nothing passes from one VM to another.
+    Cut {
+        /// The sender.
+        from: VmId,
+        /// The receiver.
+        to: VmId,
+        /// Whether nothing passes the other way either.
+        both: bool,
+        /// For how long.
+        span_us: SpanUs,
+    },
+    /// A link that was cut for too long is closed.
+    LinkReset {
+        /// One end.
+        from: VmId,
+        /// The other end.
+        to: VmId,
+    },
+    /// An availability zone is lost with all its VMs.
+    ZoneLost {
+        /// The zone.
+        zone: ZoneName,
+        /// How long until they are replaced.
+        span_us: SpanUs,
+    },
+    /// A process is shut down gracefully and replaced.
+    Shutdown {
+        /// The VM.
+        vm: VmId,
+    },
+    /// An operator publishes a new version.
+    Publish,
+    /// Two operators publish at once.
+    PublishRace,
+    /// A backend server slows down.
+    BackendSlow {
+        /// The VM.
+        vm: VmId,
+        /// For how long.
+        span_us: SpanUs,
+    },
+}
+
+impl Fault {
+    /// The fault's name in counts and in `--faults`.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Kill { .. } => "kill",
+            Self::KillVm { .. } => "kill-vm",
+            Self::Pause { .. } => "pause",
+            Self::LogDown { .. } => "log-down",
+            Self::LogLosesAnswers { .. } => "log-loses-answers",
+            Self::Cut { both: true, .. } => "cut",
+            Self::Cut { both: false, .. } => "cut-one-way",
+            Self::LinkReset { .. } => "link-reset",
+            Self::ZoneLost { .. } => "zone",
+            Self::Shutdown { .. } => "shutdown",
+            Self::Publish => "publish",
+            Self::PublishRace => "publish-race",
+            Self::BackendSlow { .. } => "slow",
+        }
+    }
+}
+
+/// The faults that can be asked for.
+pub const NAMES: &[&str] = &[
+    "kill",
+    "kill-vm",
+    "pause",
+    "log-down",
+    "log-loses-answers",
+    "cut",
+    "cut-one-way",
+    "zone",
+    "shutdown",
+    "publish",
+    "publish-race",
+    "slow",
+];
+
+/// Draws the faults of a run, of the kinds in `names`.
+#[must_use]
+pub fn draw(settings: &WorldSettings, names: &[&str]) -> Vec<(TimeUs, Fault)> {
+    let mut rng = ChaCha12Rng::seed_from_u64(settings.seed ^ FAULT_SEED);
+    let (entries, sidecars) = World::vms(settings);
+    if names.is_empty() {
+        return Vec::new();
+    }
+    let count = rng.random_range(2..=12);
+    let mut faults: Vec<(TimeUs, Fault)> = (0..count)
+        .map(|_| {
+            let at = TimeUs(rng.random_range(FIRST_US..settings.busy_us.0));
+            let name = names[rng.random_range(0..names.len())];
+            (at, draw_one(name, &entries, &sidecars, &mut rng))
+        })
+        .collect();
+    faults.sort_by_key(|(at, _)| *at);
+    faults
+}
+
+fn draw_one(name: &str, entries: &[VmId], sidecars: &[VmId], rng: &mut ChaCha12Rng) -> Fault {
+    let entry = entries[rng.random_range(0..entries.len())].clone();
+    let sidecar = sidecars[rng.random_range(0..sidecars.len())].clone();
+    let vm = if rng.random_bool(0.6) { entry.clone() } else { sidecar.clone() };
+    let short_us = SpanUs::from_ms(rng.random_range(100..8_000));
+    match name {
+        "kill" => Fault::Kill { vm, back_us: short_us },
+        "kill-vm" => Fault::KillVm { vm, back_us: short_us },
+        "pause" => Fault::Pause { vm, span_us: short_us },
+        "log-down" => Fault::LogDown { span_us: SpanUs::from_ms(rng.random_range(500..30_000)) },
+        "log-loses-answers" => Fault::LogLosesAnswers { appends: rng.random_range(1..30) },
+        "cut" | "cut-one-way" => {
+            let other = entries.iter().find(|other| **other != entry).unwrap_or(&entry);
+            let peer = if rng.random_bool(0.5) { sidecar } else { other.clone() };
+            let (from, to) = if rng.random_bool(0.5) { (entry, peer) } else { (peer, entry) };
+            Fault::Cut { from, to, both: name == "cut", span_us: short_us }
+        }
+        "zone" => {
+            let zone = ["zone-a", "zone-b", "zone-c"][rng.random_range(0..3)];
+            Fault::ZoneLost { zone: zone.parse().expect("a name"), span_us: short_us }
+        }
+        "shutdown" => Fault::Shutdown { vm },
+        "publish" => Fault::Publish,
+        "publish-race" => Fault::PublishRace,
+        _ => Fault::BackendSlow { vm: sidecar, span_us: short_us },
+    }
+}
