--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -9,7 +9,8 @@
 
 use crate::budget::{Amount, Grant};
 use crate::call::{AnswerPart, CallDone, Payload, Request, TurnState, Usage};
-use crate::config::{Config, InForce, Verdict};
+use crate::config::{Config, InForce};
+use crate::config_replay::{Change, Publication, Verdict};
 use crate::error::{CallError, ErrorKind};
 use crate::event::{Event, EventKind};
 use crate::ids::{
@@ -1242,6 +1243,12 @@
         out: &mut Vec<EntryAction>,
     ) {
         let was_ready = self.is_caught_up();
+        if stream == StreamName::Config
+            && let Some(answer) = &answer
+            && answer.earliest > self.config_journal.position()
+        {
+            self.config.on_gap(answer.earliest);
+        }
         let mut events = Vec::new();
         let fresh = self.journal_of(stream).on_read(now, answer, &mut events);
         out.extend(events.into_iter().map(EntryAction::Event));
@@ -1265,29 +1272,25 @@
         record: &Record,
         out: &mut Vec<EntryAction>,
     ) {
-        let RecordBody::Publish {
-            operation,
-            service,
-            base,
-            document,
-        } = &record.body
-        else {
-            return;
-        };
-        let verdict =
-            self.config
-                .publish(offset, &record.writer, *operation, service, *base, document);
-        let event = match &verdict {
+        for change in self.config.apply(offset, record) {
+            if let Change::Published(publication) = change {
+                self.on_publication(&publication, out);
+            }
+        }
+    }
+
+    fn on_publication(&self, publication: &Publication, out: &mut Vec<EntryAction>) {
+        let service = &publication.service;
+        let event = match &publication.verdict {
             Verdict::Accepted { revision } => {
                 Event::new(EventKind::DocumentInForce).with("revision", revision)
             }
-            Verdict::Outrun { .. } | Verdict::Wrong { .. } => {
+            verdict @ (Verdict::Outrun { .. } | Verdict::Wrong { .. }) => {
                 Event::new(EventKind::DocumentRejected).with("verdict", format!("{verdict:?}"))
             }
         };
-        out.push(EntryAction::Event(
-            event.with("service", service).with("operation", operation),
-        ));
+        let event = event.with("operation", publication.operation);
+        out.push(EntryAction::Event(event.with("service", service)));
         // Sidecars learn at once rather than with the next heartbeat.
         for (vm, peer) in &self.peers {
             if peer.peer.role == VmRole::Sidecar
@@ -1514,7 +1517,7 @@
     /// Whether both streams have been read to their end once.
     #[must_use]
     pub const fn is_caught_up(&self) -> bool {
-        self.config_journal.caught_up() && self.journal.caught_up()
+        self.config.is_complete() && self.config_journal.caught_up() && self.journal.caught_up()
     }
 
     /// Whether the balancer should send callers here.
--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod budget;
 pub mod call;
 pub mod config;
+pub mod config_replay;
 pub mod document;
 pub mod entry;
 pub mod error;
--- a/clementinepick/src/record.rs
+++ b/clementinepick/src/record.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::call::{ChatMessage, PlainAnswer, Usage};
+use crate::config_replay::ConfigState;
 use crate::error::CallError;
 use crate::ids::{
     CallKey, CallSeq, ClassName, Epoch, FencingNumber, IdempotencyKey, Incarnation, Offset,
@@ -60,12 +61,12 @@
         /// What to do.
         order: EngineOrder,
     },
-    /// The documents in force, carried forward before retention ends.
+    /// The configuration, carried forward before retention ends.
     ConfigSnapshot {
         /// The snapshot holds all records before this offset.
         up_to: Offset,
-        /// The documents with their revisions.
-        documents: Vec<PublishedDocument>,
+        /// What those records come to.
+        state: Box<ConfigState>,
     },
     /// An entry claims a partition. Effective if `over` is in force; its offset is the epoch.
     Claim {
