Add the in-memory cores of the stand-ins

Cause: the virtual-time runs, the daemons and the demo need fakes of the engine, the log and the rest of the platform.

Change: cores without socket, thread or clock: model engine (continuous batching, prefix cache with its spend by reuse, late events with gaps, lagging load, orders with a switch for fencing numbers, crash, hang and slowness), log, plain service, tools, VM list, weight store. An answer is a function of its prompt's chain, so that a caller can check it.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! Small fakes of what lies outside clementinepick, and the tools that drive it.
+//!
+//! Each fake is a core without socket, thread or clock, so that a virtual-time run can hold it in
+//! memory; the same cores stand behind HTTP for the daemons.
+
+pub mod answer;
+pub mod cache;
+pub mod engine;
+pub mod engine_memory;
+pub mod engine_orders;
+mod engine_reports;
+pub mod log_service;
+pub mod plain_service;
+mod sequence;
+mod step_clock;
+pub mod tool_service;
+pub mod vm_list;
+pub mod weight_store;
