Give operators a command line

Cause: documents could be published by hand-written records only. Kinds of events and errors explain themselves by their doc comments. Not yet shown: a run over sockets; drain needs POST /admin/drain at the daemon.

--- a/clementinepick/src/error.rs
+++ b/clementinepick/src/error.rs
@@ -37,20 +37,28 @@
 }
 
 macro_rules! error_kinds {
-    ($($(#[$doc:meta])* $kind:ident = $code:literal, $status:literal, $not_run:ident, $repeat:literal, $retry:expr;)*) => {
+    ($($(#[doc = $doc:literal])+ $kind:ident = $code:literal, $status:literal, $not_run:ident, $repeat:literal, $retry:expr;)*) => {
         /// Every way in which a call can fail.
         #[derive(
             Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
         )]
         #[serde(rename_all = "snake_case")]
         pub enum ErrorKind {
-            $($(#[$doc])* $kind,)*
+            $($(#[doc = $doc])+ $kind,)*
         }
 
         impl ErrorKind {
             /// All kinds, in the order of the catalogue.
             pub const ALL: &'static [Self] = &[$(Self::$kind),*];
 
+            /// Why the call failed, in one sentence.
+            #[must_use]
+            pub fn meaning(self) -> &'static str {
+                match self {
+                    $(Self::$kind => concat!($($doc),+).trim(),)*
+                }
+            }
+
             /// The answer that goes with this kind.
             #[must_use]
             pub const fn answer(self) -> ErrorAnswer {
--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -20,13 +20,13 @@
 }
 
 macro_rules! event_kinds {
-    ($($(#[$doc:meta])* $kind:ident = $number:literal, $name:literal, $severity:ident;)*) => {
+    ($($(#[doc = $doc:literal])+ $kind:ident = $number:literal, $name:literal, $severity:ident;)*) => {
         /// Every event, with its stable number.
         #[derive(
             Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
         )]
         pub enum EventKind {
-            $($(#[$doc])* $kind = $number,)*
+            $($(#[doc = $doc])+ $kind = $number,)*
         }
 
         impl EventKind {
@@ -47,6 +47,14 @@
                 }
             }
 
+            /// What happened, in one sentence.
+            #[must_use]
+            pub fn meaning(self) -> &'static str {
+                match self {
+                    $(Self::$kind => concat!($($doc),+).trim(),)*
+                }
+            }
+
             /// How urgent the event is.
             #[must_use]
             pub const fn severity(self) -> Severity {
--- /dev/null
+++ b/clementinepickctl/src/exit.rs
@@ -0,0 +1,107 @@
+//! What a command answers, and the exit code that goes with it.
+
+use serde_json::Value;
+use thiserror::Error;
+
+/// How a command ended; `docs/OPERATING.md` lists the codes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExitCode {
+    /// It did what was asked.
+    Done,
+    /// The question has the answer no: documents differ, or not all processes are up to date.
+    No,
+    /// The command line is wrong; `argh` ends the process with the same code itself.
+    Usage,
+    /// The document is wrong; nothing was published.
+    WrongDocument,
+    /// Another publication was first; nothing was published.
+    Outrun,
+    /// Nobody can tell yet whether it was published: ask again with `--resume`.
+    Unknown,
+    /// A process or the log can't be reached; nothing was changed.
+    Unreachable,
+    /// What was asked for does not exist.
+    NotFound,
+}
+
+impl ExitCode {
+    /// All codes.
+    pub const ALL: &'static [Self] = &[
+        Self::Done,
+        Self::Usage,
+        Self::No,
+        Self::WrongDocument,
+        Self::Outrun,
+        Self::Unknown,
+        Self::Unreachable,
+        Self::NotFound,
+    ];
+
+    /// The code that the process exits with.
+    #[must_use]
+    pub const fn number(self) -> u8 {
+        match self {
+            Self::Done => 0,
+            Self::Usage => 1,
+            Self::No => 2,
+            Self::WrongDocument => 3,
+            Self::Outrun => 4,
+            Self::Unknown => 5,
+            Self::Unreachable => 6,
+            Self::NotFound => 7,
+        }
+    }
+}
+
+/// What a command found.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Report {
+    /// For people.
+    pub text: String,
+    /// For programs, with `--json`.
+    pub json: Value,
+    /// How the command ended.
+    pub exit: ExitCode,
+}
+
+/// Why a command could not find anything out.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum CtlError {
+    /// A file can't be read.
+    #[error("{path}: {detail}")]
+    File {
+        /// The file.
+        path: String,
+        /// Why.
+        detail: String,
+    },
+    /// A process or the log does not answer.
+    #[error("{address}: {detail}")]
+    Unreachable {
+        /// Who was asked.
+        address: String,
+        /// Why.
+        detail: String,
+    },
+    /// The log has dropped records without carrying the configuration forward.
+    #[error(
+        "the log has dropped records and holds no snapshot that covers them; \
+         ask an entry with `status` instead"
+    )]
+    Incomplete,
+    /// The command line is wrong.
+    #[error("{0}")]
+    Usage(String),
+}
+
+impl CtlError {
+    /// The exit code that goes with it.
+    #[must_use]
+    pub const fn exit(&self) -> ExitCode {
+        match self {
+            Self::File { .. } => ExitCode::NotFound,
+            Self::Usage(_) => ExitCode::Usage,
+            Self::Unreachable { .. } | Self::Incomplete => ExitCode::Unreachable,
+        }
+    }
+}
--- /dev/null
+++ b/clementinepickctl/src/lib.rs
@@ -0,0 +1,13 @@
+//! The operator's command line of clementinepick, as a library for its tests.
+//!
+//! [`publish`] decides what a publication does next and knows no socket; [`client`] speaks HTTP;
+//! [`run`] joins the two, command by command.
+
+pub mod args;
+pub mod client;
+pub mod diff;
+pub mod exit;
+pub mod history;
+pub mod publish;
+pub mod run;
+pub mod status;
--- /dev/null
+++ b/clementinepickctl/src/run.rs
@@ -0,0 +1,421 @@
+//! Carries out one command.
+
+use std::env;
+use std::fmt::Write;
+use std::fs;
+use std::time::Duration;
+
+use clementinepick::document::Document;
+use clementinepick::error::ErrorKind;
+use clementinepick::event::EventKind;
+use clementinepick::ids::{OperationId, VmId};
+use clementinepick::units::SpanUs;
+use serde_json::{Value, json};
+
+use crate::args::{self, Args, Command};
+use crate::client::{Ctl, Readiness};
+use crate::diff::diff;
+use crate::exit::{CtlError, ExitCode, Report};
+use crate::history::History;
+use crate::publish::{Ended, Publish, PublishSettings, Step, describe};
+use crate::status::{ProcessDump, Status};
+
+/// Carries out a command.
+///
+/// # Errors
+///
+/// When nothing could be found out.
+pub async fn run(args: Args) -> Result<Report, CtlError> {
+    let ctl = Ctl::new(Duration::from_secs(args.timeout_s));
+    match args.command {
+        Command::Check(check) => run_check(&check.files),
+        Command::Diff(diff) => run_diff(&ctl, diff).await,
+        Command::Publish(publish) => run_publish(&ctl, publish).await,
+        Command::History(history) => run_history(&ctl, history).await,
+        Command::Status(status) => run_status(&ctl, status).await,
+        Command::Dump(dump) => run_dump(&ctl, &entries(dump.entry)?).await,
+        Command::Programs(programs) => run_programs(&ctl, &entries(programs.entry)?).await,
+        Command::Drain(drain) => run_drain(&ctl, &drain.entry).await,
+        Command::Events(events) => Ok(run_events(events.what.as_deref())),
+    }
+}
+
+fn read_file(path: &str) -> Result<String, CtlError> {
+    fs::read_to_string(path).map_err(|err| CtlError::File {
+        path: path.to_owned(),
+        detail: err.to_string(),
+    })
+}
+
+fn address(given: Option<String>, variable: &str, option: &str) -> Result<String, CtlError> {
+    let address = given.or_else(|| env::var(variable).ok());
+    address.ok_or_else(|| CtlError::Usage(format!("give {option}, or set {variable}")))
+}
+
+fn log_address(given: Option<String>) -> Result<String, CtlError> {
+    address(given, "CLEMENTINEPICK_LOG", "--log")
+}
+
+fn entries(given: Vec<String>) -> Result<Vec<String>, CtlError> {
+    if !given.is_empty() {
+        return Ok(given);
+    }
+    let listed = address(None, "CLEMENTINEPICK_ENTRIES", "--entry")?;
+    Ok(listed
+        .split(',')
+        .map(|entry| entry.trim().to_owned())
+        .collect())
+}
+
+fn run_check(files: &[String]) -> Result<Report, CtlError> {
+    if files.is_empty() {
+        return Err(CtlError::Usage("give at least one document".to_owned()));
+    }
+    let mut exit = ExitCode::Done;
+    let mut text = String::new();
+    let mut answers = Vec::new();
+    for path in files {
+        match Document::parse(&read_file(path)?) {
+            Ok(document) => {
+                let _ = writeln!(text, "{path}: right, for `{}`", document.service);
+                answers.push(json!({ "file": path, "service": document.service }));
+            }
+            Err(err) => {
+                exit = ExitCode::WrongDocument;
+                let _ = writeln!(text, "{path}: {err}");
+                answers.push(json!({ "file": path, "wrong": err.to_string() }));
+            }
+        }
+    }
+    Ok(Report {
+        text: text.trim_end().to_owned(),
+        json: json!({ "documents": answers }),
+        exit,
+    })
+}
+
+async fn read_history(ctl: &Ctl, log: &str) -> Result<History, CtlError> {
+    let mut history = History::default();
+    loop {
+        let Some(answer) = ctl.read(log, history.position()).await else {
+            return Err(CtlError::Unreachable {
+                address: log.to_owned(),
+                detail: "the log gives no answer".to_owned(),
+            });
+        };
+        if !history.take(&answer) {
+            break;
+        }
+    }
+    if history.replay().is_complete() {
+        Ok(history)
+    } else {
+        Err(CtlError::Incomplete)
+    }
+}
+
+async fn run_diff(ctl: &Ctl, args: args::Diff) -> Result<Report, CtlError> {
+    let new = read_file(&args.file)?;
+    let document = match Document::parse(&new) {
+        Ok(document) => document,
+        Err(err) => return Ok(wrong(&err.to_string())),
+    };
+    let history = read_history(ctl, &log_address(args.log)?).await?;
+    let current = history.replay().state().documents.get(&document.service);
+    let (revision, old) = current.map_or((0, ""), |c| (c.revision.0, c.text.as_str()));
+    let changes = diff(old, &new);
+    let exit = if changes.is_empty() {
+        ExitCode::Done
+    } else {
+        ExitCode::No
+    };
+    Ok(Report {
+        json: json!({ "service": document.service, "base": revision, "changes": changes }),
+        text: format!(
+            "{}: against revision {revision}\n{changes}",
+            document.service
+        )
+        .trim_end()
+        .to_owned(),
+        exit,
+    })
+}
+
+fn wrong(detail: &str) -> Report {
+    Report {
+        text: format!("wrong: {detail}; nothing was published"),
+        json: json!({ "wrong": detail }),
+        exit: ExitCode::WrongDocument,
+    }
+}
+
+fn author(given: Option<VmId>) -> Result<VmId, CtlError> {
+    if let Some(author) = given {
+        return Ok(author);
+    }
+    let user = env::var("USER").unwrap_or_else(|_| "operator".to_owned());
+    let bad = |_| CtlError::Usage("the user's name is no name here: give --author".to_owned());
+    user.parse().map_err(bad)
+}
+
+async fn run_publish(ctl: &Ctl, args: args::Publish) -> Result<Report, CtlError> {
+    let log = log_address(args.log)?;
+    if args.file.is_none() && args.resume.is_none() {
+        return Err(CtlError::Usage("give the document to publish".to_owned()));
+    }
+    if args.file.is_some() && args.resume.is_some() && args.base.is_none() {
+        let detail = "give --base with --resume, as the earlier run printed it";
+        return Err(CtlError::Usage(detail.to_owned()));
+    }
+    let text = args.file.as_deref().map(read_file).transpose()?;
+    let operation = args
+        .resume
+        .unwrap_or_else(|| OperationId::draw(&mut rand::rng()));
+    let mut publish = Publish::new(PublishSettings {
+        operation,
+        author: author(args.author)?,
+        base: args.base,
+        resumes: args.resume.is_some(),
+        text,
+        max_failures: args.max_failures,
+        backoff_us: SpanUs::from_ms(200),
+    });
+    let mut step = publish.start();
+    let ended = loop {
+        step = match step {
+            Step::Ended(ended) => break ended,
+            Step::Read { from, after_us } => {
+                wait(after_us).await;
+                publish.on_read(ctl.read(&log, from).await.as_ref())
+            }
+            Step::Append { record, after_us } => {
+                wait(after_us).await;
+                publish.on_append(ctl.append(&log, &record).await)
+            }
+        };
+    };
+    Ok(report_publish(operation, &ended))
+}
+
+async fn wait(span: SpanUs) {
+    if span > SpanUs(0) {
+        actix_rt::time::sleep(Duration::from_micros(span.0)).await;
+    }
+}
+
+/// What `publish` prints, and its exit code.
+#[must_use]
+pub fn report_publish(operation: OperationId, ended: &Ended) -> Report {
+    use clementinepick::config_replay::Verdict;
+    let (text, outcome, exit) = match ended {
+        Ended::Judged(publication) => {
+            let (outcome, exit) = match &publication.verdict {
+                Verdict::Accepted { .. } => ("accepted", ExitCode::Done),
+                Verdict::Outrun { .. } => ("outrun", ExitCode::Outrun),
+                Verdict::Wrong { .. } => ("wrong", ExitCode::WrongDocument),
+            };
+            let verdict = describe(&publication.verdict);
+            let text = format!("{}: {verdict}", publication.service);
+            return Report {
+                text: format!("{text} (operation {operation})"),
+                json: json!({
+                    "outcome": outcome, "operation": operation, "publication": publication,
+                }),
+                exit,
+            };
+        }
+        Ended::Wrong { detail } => return wrong(detail),
+        Ended::Unchanged { service, revision } => (
+            format!("{service}: revision {revision} is this document already"),
+            "unchanged",
+            ExitCode::Done,
+        ),
+        Ended::NotStarted => (
+            "the log can't be read; nothing was published".to_owned(),
+            "not_published",
+            ExitCode::Unreachable,
+        ),
+        Ended::Refused => (
+            "the log refused the record; nothing was published".to_owned(),
+            "not_published",
+            ExitCode::Unreachable,
+        ),
+        Ended::Incomplete => (
+            CtlError::Incomplete.to_string(),
+            "not_published",
+            ExitCode::Unreachable,
+        ),
+        Ended::NotFound { end } => (
+            format!(
+                "the log does not hold operation {operation} up to offset {end}; it may still \
+                 arrive. Ask again, or give the document and --base to append it again: it \
+                 counts once"
+            ),
+            "not_found",
+            ExitCode::NotFound,
+        ),
+        Ended::Unknown { base } => (
+            format!(
+                "unknown: the log gave no answer after the record was sent. Find out with \
+                 --resume {operation}, or go on with the document and --resume {operation} \
+                 --base {base}"
+            ),
+            "unknown",
+            ExitCode::Unknown,
+        ),
+    };
+    let base = match ended {
+        Ended::Unknown { base } => Some(*base),
+        _ => None,
+    };
+    Report {
+        text,
+        json: json!({ "outcome": outcome, "operation": operation, "base": base }),
+        exit,
+    }
+}
+
+async fn run_history(ctl: &Ctl, args: args::History) -> Result<Report, CtlError> {
+    let history = read_history(ctl, &log_address(args.log)?).await?;
+    let Some(operation) = args.show else {
+        return Ok(history.report(args.service.as_ref()));
+    };
+    Ok(match history.text(operation) {
+        Some(text) => Report {
+            text: text.to_owned(),
+            json: json!({ "operation": operation, "document": text }),
+            exit: ExitCode::Done,
+        },
+        None => Report {
+            text: format!("the log keeps no document of operation {operation}"),
+            json: json!({ "operation": operation, "document": Value::Null }),
+            exit: ExitCode::NotFound,
+        },
+    })
+}
+
+async fn run_status(ctl: &Ctl, args: args::Status) -> Result<Report, CtlError> {
+    let mut status = Status::default();
+    for entry in entries(args.entry)? {
+        let dump = ctl.dump(&entry).await;
+        let dump = dump.ok().and_then(|d| serde_json::from_value(d).ok());
+        match dump {
+            Some(dump) => {
+                let dump: ProcessDump = dump;
+                status.add_dump(dump);
+            }
+            None => status.add_unreachable(entry),
+        }
+    }
+    let vms = address(args.vms, "CLEMENTINEPICK_VMS", "--vms");
+    if let Ok(vms) = vms {
+        match ctl.vms(&vms).await {
+            Ok(list) => status.add_vms(list),
+            Err(_) => status.add_unreachable(vms),
+        }
+    }
+    Ok(status.report())
+}
+
+async fn run_dump(ctl: &Ctl, entries: &[String]) -> Result<Report, CtlError> {
+    let mut dumps = Vec::new();
+    for entry in entries {
+        let ready = ctl.readiness(entry).await? == Readiness::Ready;
+        let state = ctl.dump(entry).await?;
+        dumps.push(json!({ "address": entry, "ready": ready, "state": state }));
+    }
+    let json = json!({ "processes": dumps });
+    Ok(Report {
+        text: format!("{json:#}"),
+        json,
+        exit: ExitCode::Done,
+    })
+}
+
+async fn run_programs(ctl: &Ctl, entries: &[String]) -> Result<Report, CtlError> {
+    let mut text = String::new();
+    let mut owners = Vec::new();
+    for entry in entries {
+        let dump = ctl.dump(entry).await?;
+        let programs = dump.get("programs").cloned().unwrap_or(json!([]));
+        for program in programs.as_array().into_iter().flatten() {
+            let name = program.as_str().map_or(program.to_string(), str::to_owned);
+            let _ = writeln!(text, "{name}  at {entry}");
+        }
+        owners.push(json!({ "address": entry, "programs": programs }));
+    }
+    Ok(Report {
+        text: text.trim_end().to_owned(),
+        json: json!({ "entries": owners }),
+        exit: ExitCode::Done,
+    })
+}
+
+async fn run_drain(ctl: &Ctl, entries: &[String]) -> Result<Report, CtlError> {
+    // No default from the environment: it names all entries, and those must not leave at once.
+    let [entry] = entries else {
+        return Err(CtlError::Usage("give one --entry to drain".to_owned()));
+    };
+    ctl.drain(entry).await?;
+    Ok(Report {
+        text: format!("{entry} takes no new work and exits when all has finished"),
+        json: json!({ "address": entry, "leaving": true }),
+        exit: ExitCode::Done,
+    })
+}
+
+fn run_events(what: Option<&str>) -> Report {
+    let events: Vec<&EventKind> = EventKind::ALL
+        .iter()
+        .filter(|k| what.is_none_or(|w| w == k.name() || w == k.number().to_string()))
+        .collect();
+    let errors: Vec<&ErrorKind> = ErrorKind::ALL
+        .iter()
+        .filter(|k| what.is_none_or(|w| w == k.answer().code))
+        .collect();
+    let mut text = String::new();
+    for kind in &events {
+        let (number, name, severity) = (kind.number(), kind.name(), kind.severity());
+        let _ = writeln!(text, "{number} {name} ({severity:?}): {}", kind.meaning());
+    }
+    for kind in &errors {
+        let answer = kind.answer();
+        let _ = writeln!(
+            text,
+            "{} (status {}, not_run {}, repeat safe {}): {}",
+            answer.code,
+            answer.status,
+            answer.not_run,
+            answer.repeat_safe,
+            kind.meaning()
+        );
+    }
+    let exit = if events.is_empty() && errors.is_empty() {
+        text.push_str("there is no such event or error");
+        ExitCode::NotFound
+    } else {
+        ExitCode::Done
+    };
+    let events: Vec<Value> = events.iter().map(|kind| event_json(**kind)).collect();
+    let errors: Vec<Value> = errors.iter().map(|kind| error_json(**kind)).collect();
+    Report {
+        text: text.trim_end().to_owned(),
+        json: json!({ "events": events, "errors": errors }),
+        exit,
+    }
+}
+
+fn event_json(kind: EventKind) -> Value {
+    json!({
+        "number": kind.number(), "name": kind.name(), "severity": kind.severity(),
+        "meaning": kind.meaning(),
+    })
+}
+
+fn error_json(kind: ErrorKind) -> Value {
+    let answer = kind.answer();
+    json!({
+        "code": answer.code, "status": answer.status, "not_run": answer.not_run,
+        "repeat_safe": answer.repeat_safe, "meaning": kind.meaning(),
+    })
+}
