Build the daemon: settings, links, HTTP, platform clients

Cause: the decisions had no sockets, threads or clocks around them. In the decisions: Disconnect for a silent peer, Force for a shutdown past its limit, counts for gauges, event 208 for a peer that sends no message.

--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -111,6 +111,8 @@
     Tick,
     /// Take no new work, finish what runs.
     Shutdown,
+    /// The process ends now: answer what is unfinished as it stands.
+    Force,
 }
 
 /// What an entry does.
@@ -125,6 +127,8 @@
     },
     /// Keep links to exactly these VMs.
     Connect(Vec<Vm>),
+    /// Close the link to this VM, which is silent; it is opened anew.
+    Disconnect(VmId),
     /// Give a caller a part of its answer.
     Answer {
         /// The request.
@@ -322,6 +326,7 @@
                 out.push(EntryAction::Event(Event::new(EventKind::ShutdownStarted)));
                 self.next_heartbeat_us = now;
             }
+            EntryInput::Force => self.force(now, out),
         }
         self.poll_log(now, out);
     }
@@ -1440,6 +1445,32 @@
             .collect();
         for vm in silent {
             self.on_link_down(now, &vm, out);
+            out.push(EntryAction::Disconnect(vm));
+        }
+    }
+
+    /// Answers every call as it stands: what was sent on has an outcome that nobody here will learn.
+    fn force(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        self.leaving = true;
+        let ids: Vec<RequestId> = self.calls.keys().copied().collect();
+        for id in ids {
+            let Some(call) = self.calls.get(&id) else {
+                continue;
+            };
+            let kind = match &call.step {
+                Step::Record { .. } => {
+                    self.finish(now, id, TurnState::Pending, out);
+                    continue;
+                }
+                Step::Own | Step::Order | Step::Route => ErrorKind::ShuttingDown,
+                Step::Claim if call.claimed.is_none() => ErrorKind::ShuttingDown,
+                Step::Running { .. } if call.idempotent => ErrorKind::BackendFailed,
+                Step::Claim | Step::Forwarded(_) | Step::Running { .. } => {
+                    ErrorKind::OutcomeUnknown
+                }
+            };
+            let error = CallError::new(kind, "this entry was forced to end");
+            self.refuse(now, id, error, out);
         }
     }
 
@@ -1538,6 +1569,24 @@
         }
     }
 
+    /// The sizes of the state, by name, for gauges.
+    #[must_use]
+    pub fn counts(&self) -> BTreeMap<&'static str, usize> {
+        let owned = self.partitions.iter().filter(|(_, state)| {
+            state.owner.as_ref().is_some_and(|owner| {
+                owner.vm == self.settings.vm && owner.incarnation == self.settings.incarnation
+            })
+        });
+        BTreeMap::from([
+            ("owned_partitions", owned.count()),
+            ("peers", self.peers.len()),
+            ("calls", self.calls.len()),
+            ("programs", self.programs.len()),
+            ("releasing_programs", self.releasing.len()),
+            ("unconfirmed_records", self.journal.unconfirmed()),
+        ])
+    }
+
     /// The whole state, for operators.
     #[must_use]
     pub fn dump(&self, now: TimeUs) -> Value {
--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -85,6 +85,8 @@
     BackendTrusted = 206, "backend_trusted", Info;
     /// The list of VMs can't be read; the last one stays in use.
     VmListUnavailable = 207, "vm_list_unavailable", Warning;
+    /// A peer sent what is no message; its link was closed.
+    LinkFault = 208, "link_fault", Error;
     /// The log can't be written or read.
     LogDown = 301, "log_down", Warning;
     /// The log answers again.
--- a/clementinepick/src/parse.rs
+++ b/clementinepick/src/parse.rs
@@ -47,6 +47,12 @@
     "upgrade",
 ];
 
+/// Whether a header, named in lower case, belongs to one hop and is not passed on.
+#[must_use]
+pub fn is_hop_header(name: &str) -> bool {
+    HOP_HEADERS.contains(&name)
+}
+
 /// What an entry accepts.
 #[derive(Debug, Clone)]
 pub struct ParseSettings {
@@ -163,11 +169,10 @@
     } else {
         format!("/{path}")
     };
-    let passed_on = |name: &str| !HOP_HEADERS.contains(&name);
     let headers = http
         .headers
         .iter()
-        .filter(|(name, _)| passed_on(name))
+        .filter(|(name, _)| !is_hop_header(name))
         .cloned()
         .collect();
     let call = PlainCall {
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -141,6 +141,8 @@
     Tick,
     /// Take no new work, finish what runs.
     Shutdown,
+    /// The process ends now: tell the owners of what is unfinished.
+    Force,
 }
 
 /// What a sidecar does.
@@ -290,6 +292,7 @@
                 out.push(SidecarAction::Log(Event::new(EventKind::ShutdownStarted)));
                 self.next_heartbeat_us = now;
             }
+            SidecarInput::Force => self.force(now, out),
         }
         self.admit(now, out);
     }
@@ -869,6 +872,26 @@
         }
     }
 
+    /// Ends every attempt: what waits has not run, and the outcome of what runs will not be learned.
+    fn force(&mut self, now: TimeUs, out: &mut Vec<SidecarAction>) {
+        self.leaving = true;
+        let open: Vec<(AttemptId, Phase, bool)> = self
+            .attempts
+            .iter()
+            .map(|(id, attempt)| (*id, attempt.phase, attempt.dispatch.idempotent))
+            .collect();
+        for (id, phase, idempotent) in open {
+            let (kind, started) = match (phase, idempotent) {
+                (Phase::Waiting, _) => (ErrorKind::ShuttingDown, false),
+                (Phase::Running, true) => (ErrorKind::BackendFailed, true),
+                (Phase::Running, false) => (ErrorKind::OutcomeUnknown, true),
+                (Phase::Ended { .. }, _) => continue,
+            };
+            let error = CallError::new(kind, "this sidecar was forced to end");
+            self.end(now, id, AnswerPart::Failed(error), started, out);
+        }
+    }
+
     fn expire(&mut self, now: TimeUs, out: &mut Vec<SidecarAction>) {
         for id in self.gate.expired(now) {
             let detail = "the deadline passed while the call waited at the gate";
@@ -933,6 +956,18 @@
         self.config.service(&self.settings.service).is_some() && !self.leaving
     }
 
+    /// The sizes of the state, by name, for gauges.
+    #[must_use]
+    pub fn counts(&self) -> BTreeMap<&'static str, usize> {
+        BTreeMap::from([
+            ("entries", self.entries.len()),
+            ("waiting", self.gate.waiting()),
+            ("running", self.gate.running()),
+            ("kept_answers", self.attempts.len()),
+            ("cache_leases", self.leases.len()),
+        ])
+    }
+
     /// The whole state, for operators.
     #[must_use]
     pub fn dump(&self, now: TimeUs) -> Value {
--- /dev/null
+++ b/clementinepickd/src/answer.rs
@@ -0,0 +1,220 @@
+//! A caller's answer on its way out: the parts that arrive, in order and complete, and the news
+//! that the caller is gone.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use actix_http::body::{BodySize, MessageBody};
+use bytes::Bytes;
+use clementinepick::call::{AnswerPart, CallDone, PlainAnswer};
+use clementinepick::error::{CallError, ErrorKind};
+use clementinepick::ids::RequestId;
+use thiserror::Error;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
+
+use crate::body::{ChatShape, error_event};
+
+/// The parts of one answer, and the caller's hold on it.
+///
+/// Dropped before the last part, it tells the control thread that the caller is gone.
+pub(crate) struct Answer {
+    request: RequestId,
+    parts: mpsc::Receiver<AnswerPart>,
+    gone: mpsc::UnboundedSender<RequestId>,
+    /// The characters of text so far.
+    position: u64,
+    complete: bool,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Answer {
+    /// The answer to `request`, whose parts come over `parts`.
+    pub(crate) fn new(
+        request: RequestId,
+        parts: mpsc::Receiver<AnswerPart>,
+        gone: mpsc::UnboundedSender<RequestId>,
+        permit: OwnedSemaphorePermit,
+    ) -> Self {
+        Self {
+            request,
+            parts,
+            gone,
+            position: 0,
+            complete: false,
+            _permit: permit,
+        }
+    }
+
+    /// Waits for the next part.
+    pub(crate) async fn next(&mut self) -> AnswerPart {
+        std::future::poll_fn(|cx| self.poll_part(cx)).await
+    }
+
+    fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<AnswerPart> {
+        loop {
+            let part = match self.parts.poll_recv(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Some(part)) => part,
+                Poll::Ready(None) => AnswerPart::Failed(broken_off()),
+            };
+            if let Some(part) = self.check(part) {
+                self.complete |= part.is_last();
+                return Poll::Ready(part);
+            }
+        }
+    }
+
+    /// Leaves out text that was sent already, and refuses to go on after a hole.
+    ///
+    /// After a retry or a take-over the same text may come twice. With a hole the caller would take
+    /// a part of an answer for the whole.
+    fn check(&mut self, part: AnswerPart) -> Option<AnswerPart> {
+        let AnswerPart::Text { position, text } = part else {
+            return Some(part);
+        };
+        let Some(known) = self.position.checked_sub(position) else {
+            let detail = "a part of the answer is missing";
+            return Some(AnswerPart::Failed(CallError::new(
+                ErrorKind::Internal,
+                detail,
+            )));
+        };
+        let skipped = usize::try_from(known).unwrap_or(usize::MAX);
+        let text: String = text.chars().skip(skipped).collect();
+        if text.is_empty() {
+            return None;
+        }
+        let position = self.position;
+        self.position += text.chars().count() as u64;
+        Some(AnswerPart::Text { position, text })
+    }
+
+    /// Collects a turn that is not streamed.
+    pub(crate) async fn whole_turn(&mut self) -> Result<(String, CallDone), CallError> {
+        let mut answer = String::new();
+        loop {
+            match self.next().await {
+                AnswerPart::Text { text, .. } => answer += &text,
+                AnswerPart::Done(done) => return Ok((answer, done)),
+                AnswerPart::Failed(error) => return Err(error),
+                AnswerPart::Plain(_) => return Err(mixed()),
+            }
+        }
+    }
+
+    /// Collects the answer of a plain service.
+    pub(crate) async fn plain(&mut self) -> Result<(PlainAnswer, CallDone), CallError> {
+        let mut answer = None;
+        loop {
+            match self.next().await {
+                AnswerPart::Plain(plain) => answer = Some(plain),
+                AnswerPart::Done(done) => {
+                    return answer.map(|plain| (plain, done)).ok_or_else(mixed);
+                }
+                AnswerPart::Failed(error) => return Err(error),
+                AnswerPart::Text { .. } => return Err(mixed()),
+            }
+        }
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        if !self.complete {
+            let _ = self.gone.send(self.request);
+        }
+    }
+}
+
+/// The parts ended without a last one: this process ends, or the caller did not read.
+fn broken_off() -> CallError {
+    CallError::new(ErrorKind::OutcomeUnknown, "the answer broke off here")
+}
+
+fn mixed() -> CallError {
+    CallError::new(ErrorKind::Internal, "the answer is of the wrong kind")
+}
+
+/// A stream that ends before the answer does, which closes the connection.
+#[derive(Debug, Clone, Copy, Error)]
+#[error("the answer broke off")]
+pub(crate) struct BrokenOff;
+
+/// A turn as server-sent events.
+pub(crate) struct EventStream {
+    answer: Answer,
+    shape: ChatShape,
+    /// The part that came before the status was known.
+    first: Option<AnswerPart>,
+    stage: StreamStage,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StreamStage {
+    Opening,
+    Open,
+    Failed,
+    Ended,
+}
+
+impl EventStream {
+    /// A stream that begins with `first`.
+    pub(crate) const fn new(answer: Answer, shape: ChatShape, first: AnswerPart) -> Self {
+        Self {
+            answer,
+            shape,
+            first: Some(first),
+            stage: StreamStage::Opening,
+        }
+    }
+
+    fn next_events(&mut self, part: &AnswerPart) -> String {
+        match part {
+            AnswerPart::Text { text, .. } => self.shape.text(text),
+            AnswerPart::Done(done) => {
+                self.stage = StreamStage::Ended;
+                self.shape.closing(done)
+            }
+            AnswerPart::Failed(error) => {
+                self.stage = StreamStage::Failed;
+                error_event(error)
+            }
+            AnswerPart::Plain(_) => {
+                self.stage = StreamStage::Failed;
+                error_event(&mixed())
+            }
+        }
+    }
+}
+
+impl MessageBody for EventStream {
+    type Error = BrokenOff;
+
+    fn size(&self) -> BodySize {
+        BodySize::Stream
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, BrokenOff>>> {
+        let this = &mut *self;
+        match this.stage {
+            StreamStage::Opening => {
+                this.stage = StreamStage::Open;
+                return Poll::Ready(Some(Ok(this.shape.opening().into())));
+            }
+            StreamStage::Open => {}
+            StreamStage::Failed => return Poll::Ready(Some(Err(BrokenOff))),
+            StreamStage::Ended => return Poll::Ready(None),
+        }
+        let part = match this.first.take() {
+            Some(part) => part,
+            None => match this.answer.poll_part(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(part) => part,
+            },
+        };
+        Poll::Ready(Some(Ok(this.next_events(&part).into())))
+    }
+}
--- /dev/null
+++ b/clementinepickd/src/clients.rs
@@ -0,0 +1,97 @@
+//! The thread of the clients: the platform for an entry, the backend server for a sidecar.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::{Client, Connector};
+use clementinepick::units::SpanUs;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::engine_client::EngineClient;
+use crate::input::{ClientOrder, ControlSender};
+use crate::link::duration;
+use crate::log_client::LogClient;
+use crate::plain_client::PlainClient;
+use crate::settings::{BackendKind, Limits, Role};
+use crate::tasks::Tasks;
+use crate::vms_client;
+
+/// How long requests that are under way may take when the process ends.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+
+/// A client that carries out orders, each in its own task.
+pub(crate) trait OrderClient {
+    /// Starts on an order.
+    fn start(&mut self, order: ClientOrder, tasks: &mut Tasks);
+}
+
+/// Runs until the control thread has ended and what it ordered is done.
+pub(crate) async fn run(
+    role: Role,
+    limits: Limits,
+    control: ControlSender,
+    mut orders: mpsc::UnboundedReceiver<ClientOrder>,
+) {
+    let mut tasks = Tasks::default();
+    let mut polls = Vec::new();
+    let mut client: Box<dyn OrderClient> = match role {
+        Role::Entry(role) => {
+            polls.push(actix_rt::spawn(vms_client::poll(
+                role.clone(),
+                control.clone(),
+            )));
+            Box::new(LogClient::new(&role, control))
+        }
+        Role::Sidecar(role) => match role.backend_kind {
+            BackendKind::Engine => {
+                let engine = EngineClient::new(&role, control);
+                polls.push(actix_rt::spawn(engine.poller(&role)));
+                Box::new(engine)
+            }
+            BackendKind::Plain => Box::new(PlainClient::new(&role, &limits, control)),
+        },
+    };
+    while let Some(order) = orders.recv().await {
+        client.start(order, &mut tasks);
+    }
+    for poll in polls {
+        poll.abort();
+        let _ = poll.await;
+    }
+    let _ = timeout(DRAIN_LIMIT, tasks.join()).await;
+}
+
+/// A client whose connections are kept for the next request.
+pub(crate) fn pooled(request_limit: SpanUs) -> Client {
+    Client::builder()
+        .disable_redirects()
+        .timeout(duration(request_limit))
+        .finish()
+}
+
+/// A client without a limit of time, for streams.
+pub(crate) fn streaming() -> Client {
+    Client::builder()
+        .disable_redirects()
+        .disable_timeout()
+        .finish()
+}
+
+/// A client that makes a new connection for each request.
+///
+/// On a kept connection that the server has just closed, a request fails in a way that can't be
+/// told from one that was taken. On a new one, a failure to connect proves that nothing was sent.
+pub(crate) fn unpooled() -> Client {
+    Client::builder()
+        .connector(Connector::new().conn_keep_alive(Duration::ZERO))
+        .disable_redirects()
+        .no_default_headers()
+        .disable_timeout()
+        .finish()
+}
+
+/// The URL of `path` at `address`.
+pub(crate) fn url(address: SocketAddr, path: &str) -> String {
+    format!("http://{address}{path}")
+}
--- /dev/null
+++ b/clementinepickd/src/control.rs
@@ -0,0 +1,447 @@
+//! The control thread: it owns the decisions, feeds them inputs and the time, and hands out what
+//! they want done. It never waits for a peer or a caller.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use clementinepick::call::{AnswerPart, Payload, Request};
+use clementinepick::event::{Event, EventKind};
+use clementinepick::ids::{Incarnation, RequestId, VmId};
+use clementinepick::message::{Message, Peer};
+use clementinepick::platform::Vm;
+use clementinepick::units::TimeUs;
+use serde_json::{Value, json};
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time::MissedTickBehavior;
+
+use crate::daemon::Ended;
+use crate::input::{ClientOrder, ControlInput, DialOrder, LinkId};
+use crate::logging::write_event;
+use crate::role::{Action, Decisions};
+use crate::settings::{Role, Settings};
+use crate::telemetry::Telemetry;
+
+/// The time between two ticks of the decisions.
+const TICK: Duration = Duration::from_millis(5);
+/// The most inputs that are taken between two looks at the clock.
+const MAX_BURST: usize = 256;
+/// How long answers may take to reach callers after a shutdown was forced.
+const FLUSH_LIMIT: Duration = Duration::from_secs(1);
+
+/// What the control thread reads.
+pub(crate) struct Inputs {
+    /// All inputs.
+    pub(crate) inputs: mpsc::Receiver<ControlInput>,
+    /// Callers that are gone.
+    pub(crate) gone: mpsc::UnboundedReceiver<RequestId>,
+}
+
+/// How the process is told to end, from any thread and without waiting.
+#[derive(Debug, Default)]
+pub(crate) struct Wishes {
+    /// Leave gracefully.
+    pub(crate) leave: AtomicBool,
+    /// Leave at once, with truthful answers for what is unfinished.
+    pub(crate) force: AtomicBool,
+}
+
+/// Where the control thread hands work out, and what it shares.
+pub(crate) struct Outputs {
+    /// The thread of the links.
+    pub(crate) links: mpsc::UnboundedSender<DialOrder>,
+    /// The thread of the platform clients.
+    pub(crate) clients: mpsc::UnboundedSender<ClientOrder>,
+    /// How the process is told to end.
+    pub(crate) wishes: Arc<Wishes>,
+    /// What `/readyz` says.
+    pub(crate) ready: Arc<AtomicBool>,
+    /// One permit for each answer that may be under way.
+    pub(crate) streams: Arc<Semaphore>,
+    /// The log of the process.
+    pub(crate) logger: slog::Logger,
+}
+
+struct OpenLink {
+    link: LinkId,
+    peer: Peer,
+    queue: mpsc::Sender<Message>,
+}
+
+struct OpenCall {
+    answers: mpsc::Sender<AnswerPart>,
+    since_us: TimeUs,
+    route: &'static str,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Serving,
+    /// Not ready any more, but serving, until the balancer knows.
+    Notice {
+        until_us: TimeUs,
+        limit_us: TimeUs,
+    },
+    Leaving {
+        limit_us: TimeUs,
+    },
+    Forced {
+        at_us: TimeUs,
+    },
+}
+
+/// The state of the control thread.
+pub(crate) struct Control {
+    settings: Settings,
+    incarnation: Incarnation,
+    started: Instant,
+    decisions: Box<dyn Decisions + Send>,
+    outputs: Outputs,
+    telemetry: Telemetry,
+    links: BTreeMap<VmId, OpenLink>,
+    dialled: BTreeMap<VmId, Vm>,
+    calls: BTreeMap<RequestId, OpenCall>,
+    stage: Stage,
+    finished: bool,
+}
+
+impl Control {
+    /// Control over `decisions`.
+    pub(crate) fn new(
+        settings: Settings,
+        incarnation: Incarnation,
+        decisions: Box<dyn Decisions + Send>,
+        outputs: Outputs,
+        telemetry: Telemetry,
+    ) -> Self {
+        Self {
+            settings,
+            incarnation,
+            started: Instant::now(),
+            decisions,
+            outputs,
+            telemetry,
+            links: BTreeMap::new(),
+            dialled: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            stage: Stage::Serving,
+            finished: false,
+        }
+    }
+
+    /// Runs until everything has finished or was forced to.
+    pub(crate) async fn run(mut self, mut from: Inputs) -> Ended {
+        let started = Event::new(EventKind::ProcessStarted);
+        self.on_event(&started.with("incarnation", self.incarnation));
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut burst = Vec::with_capacity(MAX_BURST);
+        let mut ticked = false;
+        loop {
+            // Requests come before callers that are gone, so that a caller who leaves at once is
+            // not forgotten before its request is known.
+            tokio::select! {
+                biased;
+                _ = ticks.tick() => ticked = true,
+                count = from.inputs.recv_many(&mut burst, MAX_BURST) => {
+                    if count == 0 {
+                        break;
+                    }
+                }
+                Some(request) = from.gone.recv() => self.on_gone(request),
+            }
+            for input in burst.drain(..) {
+                self.on_input(input);
+            }
+            if std::mem::take(&mut ticked) {
+                self.on_tick();
+            }
+            let ready = self.decisions.is_ready() && self.stage == Stage::Serving;
+            self.outputs.ready.store(ready, Ordering::Relaxed);
+            if self.is_over() {
+                break;
+            }
+        }
+        self.on_event(&Event::new(EventKind::ShutdownFinished));
+        match self.stage {
+            Stage::Forced { .. } => Ended::Forced,
+            Stage::Serving | Stage::Notice { .. } | Stage::Leaving { .. } => Ended::Gracefully,
+        }
+    }
+
+    fn now(&self) -> TimeUs {
+        TimeUs(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+
+    fn is_over(&self) -> bool {
+        let answered = self.outputs.streams.available_permits() >= self.settings.limits.streams;
+        match self.stage {
+            Stage::Serving | Stage::Notice { .. } => false,
+            Stage::Leaving { .. } => self.finished && answered,
+            Stage::Forced { at_us } => {
+                answered || u128::from(self.now().since(at_us).0) >= FLUSH_LIMIT.as_micros()
+            }
+        }
+    }
+
+    fn on_input(&mut self, input: ControlInput) {
+        let now = self.now();
+        let mut out = Vec::new();
+        match input {
+            ControlInput::Request { request, answers } => {
+                self.on_request(now, request, answers, &mut out);
+            }
+            ControlInput::Refused(kind) => self.telemetry.on_refused(kind),
+            ControlInput::EndProgram(program) => {
+                self.decisions.end_program(now, program, &mut out);
+            }
+            ControlInput::LinkUp { link, peer, queue } => {
+                self.on_link_up(now, OpenLink { link, peer, queue }, &mut out);
+            }
+            ControlInput::LinkDown { link, vm } => {
+                if self.links.get(&vm).is_some_and(|open| open.link == link) {
+                    self.close_link(now, &vm, &mut out);
+                }
+            }
+            ControlInput::LinkMessage { link, vm, message } => {
+                if self.links.get(&vm).is_some_and(|open| open.link == link) {
+                    self.decisions.link(now, vm, message, &mut out);
+                }
+            }
+            input @ (ControlInput::Entry(_) | ControlInput::Sidecar(_)) => {
+                self.decisions.client(now, input, &mut out);
+            }
+            ControlInput::Event(event) => self.on_event(&event),
+            ControlInput::Dump(answer) => self.on_dump(now, answer),
+            ControlInput::Gauges(answer) => self.on_gauges(answer),
+        }
+        self.carry_out(now, out);
+    }
+
+    fn on_request(
+        &mut self,
+        now: TimeUs,
+        request: Box<Request>,
+        answers: mpsc::Sender<AnswerPart>,
+        out: &mut Vec<Action>,
+    ) {
+        if answers.is_closed() {
+            return;
+        }
+        let route = match &request.payload {
+            Payload::Chat(_) => "chat",
+            Payload::Plain(_) => "plain",
+        };
+        let call = OpenCall {
+            answers,
+            since_us: now,
+            route,
+        };
+        self.calls.insert(request.id, call);
+        self.decisions.request(now, request, out);
+    }
+
+    fn on_gone(&mut self, request: RequestId) {
+        let Some(call) = self.calls.remove(&request) else {
+            return;
+        };
+        let now = self.now();
+        self.telemetry
+            .on_answered(call.route, "caller_gone", now.since(call.since_us));
+        let mut out = Vec::new();
+        self.decisions.caller_gone(now, request, &mut out);
+        self.carry_out(now, out);
+    }
+
+    fn on_link_up(&mut self, now: TimeUs, open: OpenLink, out: &mut Vec<Action>) {
+        let vm = open.peer.vm.clone();
+        if let Some(known) = self.links.get(&vm) {
+            // A process that was replaced may wake up and connect again. Its link would push out
+            // its successor's, so only the same life or a later one may.
+            if open.peer.incarnation < known.peer.incarnation {
+                return;
+            }
+            self.close_link(now, &vm, out);
+        }
+        let peer = open.peer.clone();
+        self.links.insert(vm, open);
+        self.decisions.link_up(now, peer, out);
+    }
+
+    /// Forgets a link, which closes it once what waits is sent, and tells the decisions.
+    fn close_link(&mut self, now: TimeUs, vm: &VmId, out: &mut Vec<Action>) {
+        if self.links.remove(vm).is_some() {
+            self.decisions.link_down(now, vm.clone(), out);
+        }
+    }
+
+    fn on_shutdown(&mut self, now: TimeUs, out: &mut Vec<Action>) {
+        if self.stage != Stage::Serving {
+            return;
+        }
+        let limit_us = now.after(self.settings.shutdown.limit_us);
+        match self.settings.role {
+            Role::Entry(_) => {
+                let until_us = now.after(self.settings.shutdown.notice_us);
+                self.stage = Stage::Notice { until_us, limit_us };
+            }
+            // Entries learn over the links at once, and what is on its way is refused as not run.
+            Role::Sidecar(_) => {
+                self.stage = Stage::Leaving { limit_us };
+                self.decisions.shutdown(now, out);
+            }
+        }
+    }
+
+    fn force(&mut self, now: TimeUs, out: &mut Vec<Action>) {
+        if matches!(self.stage, Stage::Forced { .. }) {
+            return;
+        }
+        self.stage = Stage::Forced { at_us: now };
+        self.on_event(&Event::new(EventKind::ShutdownForced).with("open_calls", self.calls.len()));
+        self.decisions.force(now, out);
+    }
+
+    fn on_tick(&mut self) {
+        let now = self.now();
+        let mut out = Vec::new();
+        self.finished = false;
+        self.decisions.tick(now, &mut out);
+        if self.outputs.wishes.leave.load(Ordering::Relaxed) {
+            self.on_shutdown(now, &mut out);
+        }
+        if self.outputs.wishes.force.load(Ordering::Relaxed) {
+            self.force(now, &mut out);
+        }
+        match self.stage {
+            Stage::Notice { until_us, limit_us } if now >= until_us => {
+                self.stage = Stage::Leaving { limit_us };
+                self.decisions.shutdown(now, &mut out);
+            }
+            Stage::Leaving { limit_us } if now >= limit_us => self.force(now, &mut out),
+            Stage::Serving
+            | Stage::Notice { .. }
+            | Stage::Leaving { .. }
+            | Stage::Forced { .. } => {}
+        }
+        self.carry_out(now, out);
+    }
+
+    fn carry_out(&mut self, now: TimeUs, actions: Vec<Action>) {
+        let mut actions = std::collections::VecDeque::from(actions);
+        while let Some(action) = actions.pop_front() {
+            let mut more = Vec::new();
+            match action {
+                Action::Send { to, message } => self.send(now, &to, message, &mut more),
+                Action::Dial(vms) => self.dial(now, vms, &mut more),
+                Action::Disconnect(vm) => {
+                    self.links.remove(&vm);
+                }
+                Action::Answer { request, part } => self.answer(now, request, part, &mut more),
+                Action::Client(order) => {
+                    // The clients' thread ends after this one, so the order is always taken.
+                    let _ = self.outputs.clients.send(order);
+                }
+                Action::Event(event) => self.on_event(&event),
+                Action::Finished => self.finished = true,
+            }
+            actions.extend(more);
+        }
+    }
+
+    fn send(&mut self, now: TimeUs, to: &VmId, message: Message, out: &mut Vec<Action>) {
+        let Some(open) = self.links.get(to) else {
+            return;
+        };
+        // A full queue means that the peer does not read. Waiting would stop all other peers, and
+        // leaving messages out would break the order that the decisions rely on, so the link goes.
+        if open.queue.try_send(message).is_err() {
+            self.close_link(now, to, out);
+        }
+    }
+
+    fn dial(&mut self, now: TimeUs, vms: BTreeMap<VmId, Vm>, out: &mut Vec<Action>) {
+        let left: Vec<VmId> = self
+            .dialled
+            .keys()
+            .filter(|vm| !vms.contains_key(vm))
+            .cloned()
+            .collect();
+        for vm in left {
+            self.close_link(now, &vm, out);
+        }
+        if vms != self.dialled {
+            self.dialled.clone_from(&vms);
+            let _ = self.outputs.links.send(DialOrder(vms));
+        }
+    }
+
+    fn answer(&mut self, now: TimeUs, request: RequestId, part: AnswerPart, out: &mut Vec<Action>) {
+        let Some(call) = self.calls.get(&request) else {
+            return;
+        };
+        let last = part.is_last();
+        let outcome = match &part {
+            AnswerPart::Failed(error) => error.kind.answer().code,
+            AnswerPart::Text { .. } | AnswerPart::Plain(_) | AnswerPart::Done(_) => "done",
+        };
+        match call.answers.try_send(part) {
+            Ok(()) if !last => {}
+            Ok(()) => self.close_call(now, request, outcome),
+            // The caller does not read: it would hold memory here for as long as it likes.
+            Err(TrySendError::Full(_)) => {
+                self.close_call(now, request, "caller_slow");
+                self.decisions.caller_gone(now, request, out);
+            }
+            Err(TrySendError::Closed(_)) => {
+                self.close_call(now, request, "caller_gone");
+                self.decisions.caller_gone(now, request, out);
+            }
+        }
+    }
+
+    fn close_call(&mut self, now: TimeUs, request: RequestId, outcome: &'static str) {
+        if let Some(call) = self.calls.remove(&request) {
+            let took = now.since(call.since_us);
+            self.telemetry.on_answered(call.route, outcome, took);
+        }
+    }
+
+    fn on_event(&self, event: &Event) {
+        write_event(&self.outputs.logger, event);
+        self.telemetry.on_event(event.kind);
+    }
+
+    fn on_dump(&self, now: TimeUs, answer: oneshot::Sender<Value>) {
+        let links: Vec<Value> = self
+            .links
+            .values()
+            .map(|open| {
+                let waiting = open.queue.max_capacity() - open.queue.capacity();
+                json!({"peer": open.peer, "waiting_messages": waiting})
+            })
+            .collect();
+        let process = json!({
+            "version": env!("CARGO_PKG_VERSION"),
+            "incarnation": self.incarnation,
+            "uptime_ms": now.0 / 1_000,
+            "stage": format!("{:?}", self.stage),
+            "ready": self.outputs.ready.load(Ordering::Relaxed),
+            "open_calls": self.calls.len(),
+            "links": links,
+            "dialled": self.dialled.keys().collect::<Vec<_>>(),
+        });
+        let _ = answer.send(json!({"process": process, "state": self.decisions.dump(now)}));
+    }
+
+    fn on_gauges(&self, answer: oneshot::Sender<()>) {
+        self.telemetry.set_gauge("open_calls", self.calls.len());
+        self.telemetry.set_gauge("links", self.links.len());
+        for (name, count) in self.decisions.counts() {
+            self.telemetry.set_gauge(name, count);
+        }
+        let _ = answer.send(());
+    }
+}
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -1,1 +1,29 @@
-//! Placeholder.
+//! The daemon of clementinepick: sockets, threads and clocks around the decisions of the crate
+//! [`clementinepick`], in the roles entry and sidecar.
+//!
+//! One thread owns the control state ([`Daemon::start`] spawns it); others carry links, callers'
+//! connections and requests to the platform. They speak by typed messages.
+
+mod answer;
+mod body;
+mod clients;
+mod control;
+mod daemon;
+mod engine_client;
+pub mod handshake;
+mod http;
+mod input;
+mod lines;
+mod link;
+mod links;
+mod log_client;
+mod logging;
+mod plain_client;
+mod role;
+pub mod settings;
+pub mod settings_file;
+mod tasks;
+mod telemetry;
+mod vms_client;
+
+pub use daemon::{Daemon, Ended, StartError};
--- a/clementinepickd/src/main.rs
+++ b/clementinepickd/src/main.rs
@@ -1,3 +1,95 @@
-//! Placeholder.
+//! The daemon: one process of clementinepick, in the role that its settings give it.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use actix_rt::System;
+use argh::FromArgs;
+use clementinepickd::{Daemon, Ended, settings_file};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// The exit code for wrong settings.
+const WRONG_SETTINGS: u8 = 2;
+/// The time between two looks at whether the process has ended.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Run one process of clementinepick: an entry, which takes callers' requests, or a sidecar, which
+/// stands beside a backend server.
+///
+/// SIGTERM and SIGINT begin a graceful shutdown; a second one ends the process at once, with
+/// everything unfinished answered as it stands.
+#[derive(FromArgs)]
+#[argh(
+    example = "{command_name} --settings examples/entry-a.ini",
+    example = "{command_name} --settings examples/sidecar-0.ini --check",
+    error_code(1, "the process was forced to end, or could not start"),
+    error_code(2, "the settings are wrong; file, section and key are named")
+)]
+struct Arguments {
+    /// the settings file (INI); docs/SETTINGS.md lists every key
+    #[argh(option)]
+    settings: PathBuf,
+    /// check the settings file and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let settings = match settings_file::load(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("{err}");
+            return ExitCode::from(WRONG_SETTINGS);
+        }
+    };
+    if arguments.check {
+        println!("{}: right", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    let daemon = match Daemon::start(settings) {
+        Ok(daemon) => daemon,
+        Err(err) => {
+            eprintln!("{err}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match run(daemon) {
+        Ok(Ended::Gracefully) => ExitCode::SUCCESS,
+        Ok(Ended::Forced) => ExitCode::FAILURE,
+        Err(err) => {
+            eprintln!("signals can't be taken: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Waits for the end of the process, which signals bring about.
+fn run(daemon: Daemon) -> std::io::Result<Ended> {
+    System::new().block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut leaving = false;
+        while !daemon.is_finished() {
+            if !any_signal(&mut terminate, &mut interrupt).await {
+                continue;
+            }
+            if std::mem::replace(&mut leaving, true) {
+                daemon.force();
+            } else {
+                daemon.shutdown();
+            }
+        }
+        Ok(daemon.join())
+    })
+}
+
+/// Whether a signal came before it is time to look again.
+async fn any_signal(terminate: &mut Signal, interrupt: &mut Signal) -> bool {
+    tokio::select! {
+        _ = terminate.recv() => true,
+        _ = interrupt.recv() => true,
+        () = actix_rt::time::sleep(LOOK) => false,
+    }
+}
--- /dev/null
+++ b/clementinepickd/src/telemetry.rs
@@ -0,0 +1,70 @@
+//! The metrics of one process.
+//!
+//! The recorder belongs to the process's control thread and is no global, since several processes
+//! may run as threads of one program in tests and demonstrations.
+
+use clementinepick::error::ErrorKind;
+use clementinepick::event::EventKind;
+use clementinepick::units::SpanUs;
+use metrics::{counter, gauge, histogram, with_local_recorder};
+use metrics_exporter_prometheus::{
+    BuildError, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
+};
+
+/// The bounds of the latency histogram, in seconds.
+const LATENCY_BUCKETS_S: &[f64] = &[
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0,
+];
+
+/// The recorder of one process.
+pub(crate) struct Telemetry {
+    recorder: PrometheusRecorder,
+}
+
+impl Telemetry {
+    /// A recorder with all counters at zero.
+    pub(crate) fn new() -> Result<Self, BuildError> {
+        let builder = PrometheusBuilder::new().set_buckets(LATENCY_BUCKETS_S)?;
+        Ok(Self {
+            recorder: builder.build_recorder(),
+        })
+    }
+
+    /// Renders the metrics, from any thread.
+    pub(crate) fn handle(&self) -> PrometheusHandle {
+        self.recorder.handle()
+    }
+
+    /// Counts an event.
+    pub(crate) fn on_event(&self, kind: EventKind) {
+        with_local_recorder(&self.recorder, || {
+            counter!("clementinepick_events_total", "event" => kind.name()).increment(1);
+        });
+    }
+
+    /// Counts an answered call.
+    pub(crate) fn on_answered(&self, route: &'static str, outcome: &'static str, took: SpanUs) {
+        with_local_recorder(&self.recorder, || {
+            counter!("clementinepick_calls_total", "route" => route, "outcome" => outcome)
+                .increment(1);
+            histogram!("clementinepick_call_seconds", "route" => route).record(took.as_s_f64());
+        });
+    }
+
+    /// Counts a request that was refused before it reached the decisions.
+    pub(crate) fn on_refused(&self, kind: ErrorKind) {
+        with_local_recorder(&self.recorder, || {
+            let outcome = kind.answer().code;
+            counter!("clementinepick_calls_total", "route" => "none", "outcome" => outcome)
+                .increment(1);
+        });
+    }
+
+    /// Sets a gauge.
+    #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^53")]
+    pub(crate) fn set_gauge(&self, name: &'static str, count: usize) {
+        with_local_recorder(&self.recorder, || {
+            gauge!("clementinepick_state", "of" => name).set(count as f64);
+        });
+    }
+}
