--- a/standins/src/chaos_callers.rs
+++ b/standins/src/chaos_callers.rs
@@ -102,13 +102,14 @@
     #[must_use]
     pub fn draw(number: u64, rng: &mut ChaCha12Rng) -> Self {
         let turns = rng.random_range(1..=7);
-        let script =
-            (0..turns).map(|_| if rng.random_bool(0.4) { Turn::Hold } else { Turn::Chat });
+        let script = (0..turns)
+            .map(|_| if rng.random_bool(0.4) { Turn::Hold } else { Turn::Chat })
+            .collect();
         let tight = rng.random_bool(0.1);
         Self {
             program: format!("p{number}").parse().expect("a name"),
             budget: Tokens(if tight { rng.random_range(40..400) } else { 100_000 }),
-            script: script.collect(),
+            script,
             at: 0,
             transcript: vec![ChatMessage::new("system", "You plan night-sky visits.")],
             open: None,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,12 @@
 
 pub mod answer;
 pub mod cache;
+pub mod chaos;
+pub mod chaos_backend;
+pub mod chaos_callers;
+pub mod chaos_checks;
+pub mod chaos_faults;
+pub mod chaos_world;
 pub mod engine;
 pub mod engine_memory;
 pub mod engine_orders;
