Put the stand-ins behind HTTP, and add `standins serve`

Cause: daemons meet the platform, the engines and plain services over HTTP.

Change: one server for all stand-ins with the paths of the platform's table; faults are made by POST to /control/...; `serve` runs them on loopback ports until interrupted.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,14 +5,24 @@
 
 pub mod answer;
 pub mod cache;
+pub mod clock;
 pub mod engine;
 pub mod engine_memory;
 pub mod engine_orders;
 mod engine_reports;
+mod failure;
+mod http;
+pub mod http_engine;
+pub mod http_plain;
+pub mod http_platform;
 pub mod log_service;
 pub mod plain_service;
 mod sequence;
+pub mod serve;
+pub mod servers;
 mod step_clock;
 pub mod tool_service;
 pub mod vm_list;
 pub mod weight_store;
+
+pub use failure::Failure;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -1,3 +1,41 @@
-//! Placeholder.
+//! The stand-ins and the tools that drive the daemons.
 
-fn main() {}
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use standins::Failure;
+use standins::serve::Serve;
+
+/// Stand-ins for what lies outside clementinepick, and tools that drive it.
+#[derive(FromArgs, Debug)]
+#[argh(
+    example = "{command_name} serve --engines 4",
+    error_code(1, "something failed, or did not come out as it must")
+)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+enum Command {
+    Serve(Serve),
+}
+
+fn run(command: &Command) -> Result<(), Failure> {
+    match command {
+        Command::Serve(serve) => serve.run(),
+    }
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    match run(&arguments.command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{failure}");
+            ExitCode::FAILURE
+        }
+    }
+}
