Stay on the links until peers know that the process leaves

Cause: a call that a peer had sent before it learned of the leaving was lost with the link, and the peer could not tell whether it ran. Change: setting [shutdown] linger for both roles; JSON of the platform is read whatever its content type; refusals are counted once; log lines name the process apart from the event's own fields.

--- a/clementinepickd/src/clients.rs
+++ b/clementinepickd/src/clients.rs
@@ -3,8 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::{Client, Connector};
+use awc::error::PayloadError;
+use awc::http::StatusCode;
+use awc::{Client, ClientResponse, Connector};
+use bytes::Bytes;
 use clementinepick::units::SpanUs;
+use futures_util::Stream;
+use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -95,3 +100,16 @@
 pub(crate) fn url(address: SocketAddr, path: &str) -> String {
     format!("http://{address}{path}")
 }
+
+/// The JSON of an answer with status 200, whatever type the server says it is.
+pub(crate) async fn read_json<T, S>(response: &mut ClientResponse<S>, limit: usize) -> Option<T>
+where
+    T: DeserializeOwned,
+    S: Stream<Item = Result<Bytes, PayloadError>>,
+{
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let body = response.body().limit(limit).await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
--- a/clementinepickd/src/control.rs
+++ b/clementinepickd/src/control.rs
@@ -85,6 +85,7 @@
         limit_us: TimeUs,
     },
     Leaving {
+        stay_until_us: TimeUs,
         limit_us: TimeUs,
     },
     Forced {
@@ -133,8 +134,7 @@
 
     /// Runs until everything has finished or was forced to.
     pub(crate) async fn run(mut self, mut from: Inputs) -> Ended {
-        let started = Event::new(EventKind::ProcessStarted);
-        self.on_event(&started.with("incarnation", self.incarnation));
+        self.on_event(&Event::new(EventKind::ProcessStarted));
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut burst = Vec::with_capacity(MAX_BURST);
@@ -179,7 +179,11 @@
         let answered = self.outputs.streams.available_permits() >= self.settings.limits.streams;
         match self.stage {
             Stage::Serving | Stage::Notice { .. } => false,
-            Stage::Leaving { .. } => self.finished && answered,
+            // A call that a peer had sent before it learned would be lost with the link: the peer
+            // could not tell whether it ran. So the process stays to refuse it.
+            Stage::Leaving { stay_until_us, .. } => {
+                self.finished && answered && self.now() >= stay_until_us
+            }
             Stage::Forced { at_us } => {
                 answered || u128::from(self.now().since(at_us).0) >= FLUSH_LIMIT.as_micros()
             }
@@ -288,13 +292,19 @@
                 self.stage = Stage::Notice { until_us, limit_us };
             }
             // Entries learn over the links at once, and what is on its way is refused as not run.
-            Role::Sidecar(_) => {
-                self.stage = Stage::Leaving { limit_us };
-                self.decisions.shutdown(now, out);
-            }
+            Role::Sidecar(_) => self.leave(now, limit_us, out),
         }
     }
 
+    fn leave(&mut self, now: TimeUs, limit_us: TimeUs, out: &mut Vec<Action>) {
+        let stay_until_us = now.after(self.settings.shutdown.linger_us);
+        self.stage = Stage::Leaving {
+            stay_until_us,
+            limit_us,
+        };
+        self.decisions.shutdown(now, out);
+    }
+
     fn force(&mut self, now: TimeUs, out: &mut Vec<Action>) {
         if matches!(self.stage, Stage::Forced { .. }) {
             return;
@@ -317,10 +327,9 @@
         }
         match self.stage {
             Stage::Notice { until_us, limit_us } if now >= until_us => {
-                self.stage = Stage::Leaving { limit_us };
-                self.decisions.shutdown(now, &mut out);
+                self.leave(now, limit_us, &mut out);
             }
-            Stage::Leaving { limit_us } if now >= limit_us => self.force(now, &mut out),
+            Stage::Leaving { limit_us, .. } if now >= limit_us => self.force(now, &mut out),
             Stage::Serving
             | Stage::Notice { .. }
             | Stage::Leaving { .. }
--- a/clementinepickd/src/engine_client.rs
+++ b/clementinepickd/src/engine_client.rs
@@ -18,7 +18,7 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::oneshot;
 
-use crate::clients::{OrderClient, pooled, streaming, url};
+use crate::clients::{OrderClient, pooled, read_json, streaming, url};
 use crate::input::{ClientOrder, ControlInput, ControlSender};
 use crate::lines::Lines;
 use crate::link::duration;
@@ -136,15 +136,13 @@
 
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Option<T> {
         let sent = self.requests.get(url(self.address, path)).send().await;
-        let mut response = sent.ok().filter(|r| r.status() == StatusCode::OK)?;
-        response.json().limit(MAX_ANSWER_BYTES).await.ok()
+        read_json(&mut sent.ok()?, MAX_ANSWER_BYTES).await
     }
 
     async fn post<T: DeserializeOwned>(&self, path: &str, body: &impl Serialize) -> Option<T> {
         let request = self.requests.post(url(self.address, path));
         let sent = request.send_json(body).await;
-        let mut response = sent.ok().filter(|r| r.status() == StatusCode::OK)?;
-        response.json().limit(MAX_ANSWER_BYTES).await.ok()
+        read_json(&mut sent.ok()?, MAX_ANSWER_BYTES).await
     }
 
     /// Stops an attempt; an engine that can't be reached has nothing left to stop or ends the turn
@@ -158,7 +156,7 @@
         let request = self.requests.post(url(self.address, "/v1/orders"));
         let (state, refused) = match request.send_json(&order).await {
             Ok(mut response) if response.status() == StatusCode::OK => {
-                let state: Option<EngineState> = response.json().await.ok();
+                let state: Option<EngineState> = read_json(&mut response, MAX_ANSWER_BYTES).await;
                 (state, None)
             }
             Ok(mut response) => {
--- a/clementinepickd/src/http.rs
+++ b/clementinepickd/src/http.rs
@@ -119,27 +119,43 @@
         (Method::GET, "/readyz") => Ok(readiness(&shared)),
         (Method::GET, "/metrics") => metrics(&shared).await,
         (Method::GET, "/debug/dump") => dump(&shared).await,
-        _ if !shared.is_entry => Err(no_such_path("this sidecar takes calls over links only")),
+        _ if !shared.is_entry => no_such_path("this sidecar takes calls over links only"),
         (Method::POST, "/v1/chat/completions") => chat(&shared, &mut request).await,
         (method, path) if path.starts_with("/v1/programs/") => {
             program(&shared, &method, path).await
         }
         (_, path) if path.starts_with("/services/") => plain(&shared, &mut request).await,
-        (_, "/v1/chat/completions") => Err(no_such_path("must be POST")),
-        _ => Err(no_such_path("no such path")),
+        (_, "/v1/chat/completions") => no_such_path("must be POST"),
+        _ => no_such_path("no such path"),
     };
     Ok(match answer {
         Ok(answer) => answer,
-        Err(error) => {
+        Err(Refusal::Here(error)) => {
             let refused = ControlInput::Refused(error.kind);
             let _ = shared.control.inputs.try_send(refused);
             error_answer(&error)
         }
+        Err(Refusal::Decided(error)) => error_answer(&error),
     })
 }
 
-fn no_such_path(detail: &str) -> CallError {
-    CallError::at(ErrorKind::UnknownService, "path", detail)
+/// Where a request failed.
+enum Refusal {
+    /// Before the decisions have seen it.
+    Here(CallError),
+    /// By the decisions, which have counted it.
+    Decided(CallError),
+}
+
+impl From<CallError> for Refusal {
+    fn from(error: CallError) -> Self {
+        Self::Here(error)
+    }
+}
+
+fn no_such_path(detail: &str) -> Result<Response<BoxBody>, Refusal> {
+    let error = CallError::at(ErrorKind::UnknownService, "path", detail);
+    Err(Refusal::Here(error))
 }
 
 fn readiness(shared: &Shared) -> Response<BoxBody> {
@@ -152,7 +168,7 @@
     json_answer(status, &json!({"ready": ready}))
 }
 
-async fn metrics(shared: &Shared) -> Result<Response<BoxBody>, CallError> {
+async fn metrics(shared: &Shared) -> Result<Response<BoxBody>, Refusal> {
     let (answer, done) = oneshot::channel();
     shared.control.send(ControlInput::Gauges(answer)).await;
     done.await.map_err(|_| ending())?;
@@ -162,7 +178,7 @@
     Ok(response.body(shared.metrics.render()).map_into_boxed_body())
 }
 
-async fn dump(shared: &Shared) -> Result<Response<BoxBody>, CallError> {
+async fn dump(shared: &Shared) -> Result<Response<BoxBody>, Refusal> {
     let (answer, state) = oneshot::channel();
     shared.control.send(ControlInput::Dump(answer)).await;
     let state = state.await.map_err(|_| ending())?;
@@ -173,17 +189,17 @@
     CallError::new(ErrorKind::ShuttingDown, "this process ends")
 }
 
-async fn chat(shared: &Shared, request: &mut Request) -> Result<Response<BoxBody>, CallError> {
+async fn chat(shared: &Shared, request: &mut Request) -> Result<Response<BoxBody>, Refusal> {
     let http = read(shared, request).await?;
     let id = RequestId::draw(&mut rand::rng());
     let request = parse_chat(&shared.parse, id, &http)?;
     let Payload::Chat(call) = &request.payload else {
-        return Err(CallError::new(ErrorKind::Internal, "no chat call"));
+        return Err(CallError::new(ErrorKind::Internal, "no chat call").into());
     };
     let (shape, stream) = (chat_shape(id, call)?, call.stream);
     let mut answer = submit(shared, request).await?;
     if !stream {
-        let (text, done) = answer.whole_turn().await?;
+        let (text, done) = answer.whole_turn().await.map_err(Refusal::Decided)?;
         let mut response = Response::build(StatusCode::OK);
         add_call(&mut response, &done);
         return Ok(with_json(response, &shape.whole(&text, &done)));
@@ -191,7 +207,7 @@
     // The status goes out with the first part, so a call that is refused has its own.
     let first = answer.next().await;
     if let AnswerPart::Failed(error) = first {
-        return Err(error);
+        return Err(Refusal::Decided(error));
     }
     let mut response = Response::build(StatusCode::OK);
     response.insert_header((CONTENT_TYPE, EVENT_STREAM));
@@ -225,11 +241,12 @@
     })
 }
 
-async fn plain(shared: &Shared, request: &mut Request) -> Result<Response<BoxBody>, CallError> {
+async fn plain(shared: &Shared, request: &mut Request) -> Result<Response<BoxBody>, Refusal> {
     let http = read(shared, request).await?;
     let id = RequestId::draw(&mut rand::rng());
     let request = parse_plain(&shared.parse, id, &http)?;
-    let (plain, done) = submit(shared, request).await?.plain().await?;
+    let answered = submit(shared, request).await?.plain().await;
+    let (plain, done) = answered.map_err(Refusal::Decided)?;
     let status = StatusCode::from_u16(plain.status).map_err(|_| {
         CallError::new(ErrorKind::BackendFailed, "the service gave no valid status")
     })?;
@@ -246,26 +263,24 @@
     shared: &Shared,
     method: &Method,
     path: &str,
-) -> Result<Response<BoxBody>, CallError> {
+) -> Result<Response<BoxBody>, Refusal> {
     let rest = path.strip_prefix("/v1/programs/").unwrap_or_default();
     let Some((program, "end")) = rest.split_once('/') else {
-        return Err(no_such_path("must be /v1/programs/{program}/end"));
+        return no_such_path("must be /v1/programs/{program}/end");
     };
     if *method != Method::POST {
-        return Err(no_such_path("must be POST"));
+        return no_such_path("must be POST");
     }
     let program: ProgramId = program
         .parse()
         .map_err(|_| CallError::at(ErrorKind::UnknownCall, "path", "is no program"))?;
     if !shared.ready.load(Ordering::Relaxed) {
-        return Err(CallError::new(
-            ErrorKind::NotReady,
-            "this entry is not ready",
-        ));
+        let error = CallError::new(ErrorKind::NotReady, "this entry is not ready");
+        return Err(error.into());
     }
     let input = ControlInput::EndProgram(program.clone());
     if !shared.control.send(input).await {
-        return Err(ending());
+        return Err(ending().into());
     }
     let body = json!({"program": program, "ending": true});
     Ok(json_answer(StatusCode::ACCEPTED, &body))
--- a/clementinepickd/src/log_client.rs
+++ b/clementinepickd/src/log_client.rs
@@ -10,13 +10,15 @@
 use clementinepick::platform::{AppendAnswer, AppendBody, ReadAnswer, StreamName};
 use clementinepick::record::Record;
 
-use crate::clients::{OrderClient, pooled, url};
+use crate::clients::{OrderClient, pooled, read_json, url};
 use crate::input::{ClientOrder, ControlInput, ControlSender};
 use crate::settings::EntryRole;
 use crate::tasks::Tasks;
 
 /// The most records that one read brings.
 const MAX_READ_RECORDS: u32 = 512;
+/// The largest answer to an append.
+const MAX_ANSWER_BYTES: usize = 64_000;
 /// The largest answer to a read.
 const MAX_READ_BYTES: usize = 256_000_000;
 
@@ -88,12 +90,13 @@
         return AppendOutcome::Unknown;
     };
     match response.status() {
-        StatusCode::OK | StatusCode::CREATED => match response.json::<AppendAnswer>().await {
-            Ok(answer) => AppendOutcome::Appended(answer.first_offset),
-            Err(_) => AppendOutcome::Unknown,
-        },
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => AppendOutcome::Refused,
-        _ => AppendOutcome::Unknown,
+        _ => {
+            let answer: Option<AppendAnswer> = read_json(&mut response, MAX_ANSWER_BYTES).await;
+            answer.map_or(AppendOutcome::Unknown, |answer| {
+                AppendOutcome::Appended(answer.first_offset)
+            })
+        }
     }
 }
 
@@ -105,6 +108,5 @@
 ) -> Option<ReadAnswer> {
     let path = format!("/v1/streams/{stream}?from={from}&max={MAX_READ_RECORDS}");
     let sent = client.get(url(address, &path)).send().await;
-    let mut response = sent.ok().filter(|r| r.status() == StatusCode::OK)?;
-    response.json().limit(MAX_READ_BYTES).await.ok()
+    read_json(&mut sent.ok()?, MAX_READ_BYTES).await
 }
--- a/clementinepickd/src/logging.rs
+++ b/clementinepickd/src/logging.rs
@@ -26,7 +26,7 @@
     let drain = LevelFilter::new(waiting, lowest).fuse();
     Logger::root(
         drain,
-        o!("vm" => vm.to_string(), "incarnation" => incarnation.0),
+        o!("process" => vm.to_string(), "process_incarnation" => incarnation.0),
     )
 }
 
--- a/clementinepickd/src/settings.rs
+++ b/clementinepickd/src/settings.rs
@@ -213,6 +213,9 @@
     /// How long an entry goes on as before once it says that it is not ready, so that the balancer
     /// and idle connections are gone before it refuses calls.
     pub notice_us: SpanUs,
+    /// How long the process stays on its links once its peers are told that it leaves, so that what
+    /// they had already sent is answered rather than lost.
+    pub linger_us: SpanUs,
     /// The time after which what is unfinished is answered as it stands.
     pub limit_us: SpanUs,
 }
@@ -221,6 +224,7 @@
     fn default() -> Self {
         Self {
             notice_us: SpanUs::from_s(6),
+            linger_us: SpanUs::from_s(1),
             limit_us: SpanUs::from_s(60),
         }
     }
--- a/clementinepickd/src/settings_file.rs
+++ b/clementinepickd/src/settings_file.rs
@@ -294,6 +294,7 @@
 fn read_shutdown(source: &mut Source<'_>) -> Result<ShutdownSettings, SettingsError> {
     let mut shutdown = ShutdownSettings::default();
     source.set("shutdown", "notice", &mut shutdown.notice_us)?;
+    source.set("shutdown", "linger", &mut shutdown.linger_us)?;
     source.set("shutdown", "limit", &mut shutdown.limit_us)?;
     Ok(shutdown)
 }
--- a/clementinepickd/src/vms_client.rs
+++ b/clementinepickd/src/vms_client.rs
@@ -1,12 +1,11 @@
 //! Reads the platform's list of VMs again and again.
 
 use awc::Client;
-use awc::http::StatusCode;
 use clementinepick::entry::EntryInput;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::platform::Vm;
 
-use crate::clients::{pooled, url};
+use crate::clients::{pooled, read_json, url};
 use crate::input::{ControlInput, ControlSender};
 use crate::link::duration;
 use crate::settings::EntryRole;
@@ -41,6 +40,5 @@
 
 async fn read(client: &Client, role: &EntryRole) -> Option<Vec<Vm>> {
     let sent = client.get(url(role.vms_address, "/v1/vms")).send().await;
-    let mut response = sent.ok().filter(|r| r.status() == StatusCode::OK)?;
-    response.json().limit(MAX_LIST_BYTES).await.ok()
+    read_json(&mut sent.ok()?, MAX_LIST_BYTES).await
 }
--- a/clementinepickd/tests/settings.rs
+++ b/clementinepickd/tests/settings.rs
@@ -75,7 +75,7 @@
     );
     check(
         &format!("{ENTRY}[shutdown]\nlimits = 3 s\n"),
-        &expect!["a.ini: [shutdown] limits: unknown key; the section has limit, notice"],
+        &expect!["a.ini: [shutdown] limits: unknown key; the section has limit, linger, notice"],
     );
     check(
         &format!("{ENTRY}[sidecar]\nservice = book-app\n"),
