--- a/standins/src/chaos.rs
+++ b/standins/src/chaos.rs
@@ -12,6 +12,7 @@
 use crate::chaos_checks::Violation;
 use crate::chaos_faults::{NAMES, draw};
 use crate::chaos_world::{Counts, World, WorldSettings};
+use crate::failure::Failure;
 
 /// After the last fault every program must have ended within this time.
 const SETTLE_US: SpanUs = SpanUs::from_s(180);
@@ -25,7 +26,7 @@
 /// prints the seed, the step and the trace that led there.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "chaos")]
-pub struct ChaosArgs {
+pub struct Chaos {
     /// one seed to run
     #[argh(option)]
     pub seed: Option<u64>,
@@ -126,7 +127,7 @@
     Ok(from.parse().map_err(|_| bad())?..to.parse().map_err(|_| bad())?)
 }
 
-fn fault_names(args: &ChaosArgs) -> Result<Vec<&'static str>, String> {
+fn fault_names(args: &Chaos) -> Result<Vec<&'static str>, String> {
     let Some(list) = &args.faults else { return Ok(NAMES.to_vec()) };
     if list == "none" {
         return Ok(Vec::new());
@@ -138,35 +139,37 @@
     names.collect()
 }
 
-/// Runs the command and returns its exit code.
-#[must_use]
-pub fn run(args: &ChaosArgs) -> i32 {
-    match try_run(args) {
-        Ok(code) => code,
-        Err(message) => {
-            eprintln!("standins chaos: {message}");
-            2
+impl Chaos {
+    /// Runs the command.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Check`] when a promise was broken or an argument is wrong.
+    pub fn run(&self) -> Result<(), Failure> {
+        let (template, seeds, names) = self.read().map_err(Failure::Check)?;
+        let ends = run_seeds(&template, seeds, &names, self);
+        match report(self, &ends) {
+            0 => Ok(()),
+            broken => Err(Failure::Check(format!("{broken} seeds with a broken promise"))),
         }
     }
-}
 
-fn try_run(args: &ChaosArgs) -> Result<i32, String> {
-    let seeds = match (&args.seeds, args.seed) {
-        (Some(range), None) => parse_seeds(range)?,
-        (None, Some(seed)) => seed..seed + 1,
-        _ => return Err("give one of --seed and --seeds".to_owned()),
-    };
-    let names = fault_names(args)?;
-    let safeguards = match &args.without {
-        None => Safeguards::default(),
-        Some(name) => Safeguards::without(name).ok_or_else(|| {
-            format!("no safeguard `{name}`; there are {}", Safeguards::NAMES.join(", "))
-        })?,
-    };
-    let template =
-        WorldSettings { programs: args.programs, safeguards, ..WorldSettings::default() };
-    let ends = run_seeds(&template, seeds, &names, args);
-    Ok(report(args, &ends))
+    fn read(&self) -> Result<(WorldSettings, std::ops::Range<u64>, Vec<&'static str>), String> {
+        let seeds = match (&self.seeds, self.seed) {
+            (Some(range), None) => parse_seeds(range)?,
+            (None, Some(seed)) => seed..seed + 1,
+            _ => return Err("give one of --seed and --seeds".to_owned()),
+        };
+        let safeguards = match &self.without {
+            None => Safeguards::default(),
+            Some(name) => Safeguards::without(name).ok_or_else(|| {
+                format!("no safeguard `{name}`; there are {}", Safeguards::NAMES.join(", "))
+            })?,
+        };
+        let template =
+            WorldSettings { programs: self.programs, safeguards, ..WorldSettings::default() };
+        Ok((template, seeds, fault_names(self)?))
+    }
 }
 
 /// Runs the seeds on a few threads; the ends come back in the order of the seeds.
@@ -174,7 +177,7 @@
     template: &WorldSettings,
     seeds: std::ops::Range<u64>,
     names: &[&str],
-    args: &ChaosArgs,
+    args: &Chaos,
 ) -> Vec<RunEnd> {
     let next = AtomicU64::new(seeds.start);
     let ends = Mutex::new(BTreeMap::new());
@@ -201,7 +204,7 @@
     ends.into_inner().map(|ends| ends.into_values().collect()).unwrap_or_default()
 }
 
-fn report(args: &ChaosArgs, ends: &[RunEnd]) -> i32 {
+fn report(args: &Chaos, ends: &[RunEnd]) -> usize {
     let failed: Vec<&RunEnd> = ends.iter().filter(|end| end.violation.is_some()).collect();
     if let Some(end) = failed.first().copied().or(ends.first().filter(|_| args.trace)) {
         for line in &end.trace {
@@ -236,5 +239,5 @@
         );
     }
     println!("{} seeds, {} with a broken promise", ends.len(), failed.len());
-    i32::from(!failed.is_empty())
+    failed.len()
 }
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use standins::Failure;
+use standins::chaos::Chaos;
 use standins::serve::Serve;
 
 /// Stand-ins for what lies outside clementinepick, and tools that drive it.
@@ -21,11 +22,13 @@
 #[argh(subcommand)]
 enum Command {
     Serve(Serve),
+    Chaos(Chaos),
 }
 
 fn run(command: &Command) -> Result<(), Failure> {
     match command {
         Command::Serve(serve) => serve.run(),
+        Command::Chaos(chaos) => chaos.run(),
     }
 }
 
