--- a/clementinepickd/tests/settings.rs
+++ b/clementinepickd/tests/settings.rs
@@ -1,7 +1,9 @@
 //! Settings files that are wrong name the file, the section and the key.
 
+use std::collections::BTreeSet;
+
 use clementinepickd::settings::{Role, Settings};
-use clementinepickd::settings_file::parse;
+use clementinepickd::settings_file::{load, parse};
 use expect_test::{Expect, expect};
 
 const ENTRY: &str = "\
@@ -148,3 +150,51 @@
     let settings = format!("{:?}", right(ENTRY));
     assert!(!settings.contains("0123456789abcdef"), "{settings}");
 }
+
+/// The keys of docs/SETTINGS.md, as `[section] key`.
+fn documented_keys() -> BTreeSet<String> {
+    let page = include_str!("../../docs/SETTINGS.md");
+    let mut section = "";
+    let mut keys = BTreeSet::new();
+    for line in page.lines() {
+        if let Some(heading) = line.strip_prefix("## `") {
+            section = heading.trim_end_matches('`');
+        } else if let Some(row) = line.strip_prefix("| `") {
+            let (key, _) = row.split_once('`').expect("a key in backquotes");
+            keys.insert(format!("{section} {key}"));
+        }
+    }
+    keys
+}
+
+/// The keys that the code knows in a section, which it lists when it meets another.
+fn known_keys(text: &str, section: &str) -> BTreeSet<String> {
+    let err = parse("a.ini", &format!("{text}[{section}]\nno-such-key = 1\n"));
+    let err = err.expect_err("an unknown key").to_string();
+    let (_, keys) = err.split_once("the section has ").expect("a list of keys");
+    let keys = keys.split(", ");
+    keys.map(|key| format!("[{section}] {key}")).collect()
+}
+
+#[test]
+fn every_key_stands_on_its_page_and_the_reverse() {
+    let mut known = known_keys(SIDECAR, "sidecar");
+    for section in ["process", "entry", "links", "limits", "shutdown"] {
+        known.extend(known_keys(ENTRY, section));
+    }
+    assert_eq!(documented_keys(), known);
+}
+
+#[test]
+fn the_examples_are_right() {
+    let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/../examples");
+    let mut count = 0;
+    for entry in std::fs::read_dir(examples).expect("examples") {
+        let path = entry.expect("a file").path();
+        if path.extension().is_some_and(|extension| extension == "ini") {
+            load(&path).unwrap_or_else(|err| panic!("{err}"));
+            count += 1;
+        }
+    }
+    assert!(count >= 5, "{count} examples");
+}
