Show the daemons whole: streams, callers that leave, processes that leave

Cause: shutdown, slow callers and cancellation were tried by hand only. Change: tests of real daemons beside the stand-ins; the error of a broken stream is its last event, where it was lost with the connection before; an engine's server error no longer counts as not run.

--- a/clementinepickd/src/answer.rs
+++ b/clementinepickd/src/answer.rs
@@ -1,6 +1,7 @@
 //! A caller's answer on its way out: the parts that arrive, in order and complete, and the news
 //! that the caller is gone.
 
+use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -9,7 +10,6 @@
 use clementinepick::call::{AnswerPart, CallDone, PlainAnswer};
 use clementinepick::error::{CallError, ErrorKind};
 use clementinepick::ids::RequestId;
-use thiserror::Error;
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
 use crate::body::{ChatShape, error_event};
@@ -135,12 +135,8 @@
     CallError::new(ErrorKind::Internal, "the answer is of the wrong kind")
 }
 
-/// A stream that ends before the answer does, which closes the connection.
-#[derive(Debug, Clone, Copy, Error)]
-#[error("the answer broke off")]
-pub(crate) struct BrokenOff;
-
-/// A turn as server-sent events.
+/// A turn as server-sent events. The line `[DONE]` comes only after a whole answer; a failure is the
+/// last event otherwise.
 pub(crate) struct EventStream {
     answer: Answer,
     shape: ChatShape,
@@ -153,7 +149,6 @@
 enum StreamStage {
     Opening,
     Open,
-    Failed,
     Ended,
 }
 
@@ -176,11 +171,11 @@
                 self.shape.closing(done)
             }
             AnswerPart::Failed(error) => {
-                self.stage = StreamStage::Failed;
+                self.stage = StreamStage::Ended;
                 error_event(error)
             }
             AnswerPart::Plain(_) => {
-                self.stage = StreamStage::Failed;
+                self.stage = StreamStage::Ended;
                 error_event(&mixed())
             }
         }
@@ -188,7 +183,7 @@
 }
 
 impl MessageBody for EventStream {
-    type Error = BrokenOff;
+    type Error = Infallible;
 
     fn size(&self) -> BodySize {
         BodySize::Stream
@@ -197,7 +192,7 @@
     fn poll_next(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, BrokenOff>>> {
+    ) -> Poll<Option<Result<Bytes, Infallible>>> {
         let this = &mut *self;
         match this.stage {
             StreamStage::Opening => {
@@ -205,7 +200,6 @@
                 return Poll::Ready(Some(Ok(this.shape.opening().into())));
             }
             StreamStage::Open => {}
-            StreamStage::Failed => return Poll::Ready(Some(Err(BrokenOff))),
             StreamStage::Ended => return Poll::Ready(None),
         }
         let part = match this.first.take() {
--- a/clementinepickd/src/engine_client.rs
+++ b/clementinepickd/src/engine_client.rs
@@ -205,8 +205,10 @@
             }
         }
         Ok(response) => {
-            let detail = format!("the engine refused with {}", response.status());
-            fail(engine, attempt, detail, true).await;
+            let status = response.status();
+            let not_run = status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE;
+            let detail = format!("the engine refused with {status}");
+            fail(engine, attempt, detail, not_run).await;
             return;
         }
         Err(SendRequestError::Connect(err)) => {
--- /dev/null
+++ b/standins/tests/deployment/mod.rs
@@ -0,0 +1,380 @@
+//! A small deployment for tests: stand-ins and real daemons, on loopback ports, in one process.
+
+use std::io::{Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use clementinepick::ids::{Incarnation, OperationId, RecordId, Revision, VmId};
+use clementinepick::platform::{Vm, VmRole, VmState};
+use clementinepick::record::{Record, RecordBody};
+use clementinepick::units::SpanUs;
+use clementinepickd::Daemon;
+use clementinepickd::settings::{
+    BackendKind, EntryRole, Limits, LinkKey, LinkKeys, LinkSettings, LogLevel, Role, Settings,
+    ShutdownSettings, SidecarRole,
+};
+use serde_json::{Value, json};
+use standins::engine::EngineSettings;
+use standins::log_service::LogSettings;
+use standins::plain_service::PlainSettings;
+use standins::servers::{ServerSettings, Servers};
+use standins::weight_store::WeightSettings;
+
+/// Guards against hanging; no test waits for it to pass.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// Lets the system choose the port.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+const ENGINE_DOCUMENT: &str = "\
+[service]
+name = agent-llm
+kind = engine
+default_class = drafts
+
+[class drafts]
+rank = 1
+deadline = 60 s
+max_output = 200000 tokens
+";
+
+const PLAIN_DOCUMENT: &str = "\
+[service]
+name = book-app
+kind = plain
+default_class = seat-holds
+
+[class seat-holds]
+rank = 1
+deadline = 60 s
+";
+
+/// Stand-ins, two entries, a sidecar for each of two engines and one for a plain service.
+pub struct Deployment {
+    pub servers: Servers,
+    pub entries: Vec<Daemon>,
+    pub engine_sidecars: Vec<Daemon>,
+    pub plain_sidecar: Daemon,
+}
+
+/// What tests set.
+#[derive(Clone)]
+pub struct Shape {
+    pub engine: EngineSettings,
+    pub plain: PlainSettings,
+    pub limits: Limits,
+    pub shutdown: ShutdownSettings,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            engine: EngineSettings {
+                step_base_us: SpanUs::from_ms(2),
+                ..EngineSettings::default()
+            },
+            plain: PlainSettings::default(),
+            limits: Limits::default(),
+            shutdown: ShutdownSettings {
+                notice_us: SpanUs::from_ms(100),
+                linger_us: SpanUs::from_ms(100),
+                limit_us: SpanUs::from_s(30),
+            },
+        }
+    }
+}
+
+impl Deployment {
+    /// Starts everything and waits until both entries can serve both services.
+    pub fn start(shape: &Shape) -> Self {
+        let servers = Servers::start(&ServerSettings {
+            log: (ANY_PORT, LogSettings::default()),
+            vms: (ANY_PORT, SpanUs(0)),
+            weights: (ANY_PORT, WeightSettings::default()),
+            tools: ANY_PORT,
+            engines: vec![(ANY_PORT, shape.engine.clone()); 2],
+            plains: vec![(ANY_PORT, shape.plain.clone())],
+            workers: 1,
+            takes_signals: false,
+        })
+        .expect("free ports");
+        publish(servers.addresses.log, "agent-llm", ENGINE_DOCUMENT);
+        publish(servers.addresses.log, "book-app", PLAIN_DOCUMENT);
+        let addresses = servers.addresses.clone();
+        let sidecar = |vm: &str, service: &str, kind, backend| {
+            let role = Role::Sidecar(SidecarRole {
+                service: name(service),
+                backend_kind: kind,
+                backend_address: backend,
+                ..SidecarRole::default()
+            });
+            start(&servers, shape, vm, role)
+        };
+        let engine_sidecars = (0..2)
+            .map(|n| {
+                let vm = format!("sidecar-{n}");
+                sidecar(&vm, "agent-llm", BackendKind::Engine, addresses.engines[n])
+            })
+            .collect();
+        let plain_sidecar = sidecar(
+            "sidecar-2",
+            "book-app",
+            BackendKind::Plain,
+            addresses.plains[0],
+        );
+        let entries: Vec<Daemon> = ["entry-a", "entry-b"]
+            .map(|vm| {
+                let role = Role::Entry(EntryRole {
+                    log_address: addresses.log,
+                    vms_address: addresses.vms,
+                    default_service: Some(name("agent-llm")),
+                    vms_poll_us: SpanUs::from_ms(50),
+                    ..EntryRole::default()
+                });
+                start(&servers, shape, vm, role)
+            })
+            .into();
+        let deployment = Self {
+            servers,
+            entries,
+            engine_sidecars,
+            plain_sidecar,
+        };
+        for entry in &deployment.entries {
+            wait_for(|| {
+                state(entry)["peers"]
+                    .as_array()
+                    .is_some_and(|peers| peers.len() == 4)
+            });
+        }
+        deployment
+    }
+
+    /// Ends everything that was not ended before, and joins it.
+    pub fn end(self) {
+        let sidecars = self.engine_sidecars.into_iter().chain([self.plain_sidecar]);
+        let daemons: Vec<Daemon> = self.entries.into_iter().chain(sidecars).collect();
+        for daemon in &daemons {
+            daemon.force();
+        }
+        for daemon in daemons {
+            let _ = daemon.join();
+        }
+        self.servers.stop().expect("no server failed");
+    }
+}
+
+/// A name that stands in the test.
+pub fn name<T: TryFrom<String>>(text: &str) -> T {
+    T::try_from(text.to_owned()).ok().expect("a name")
+}
+
+/// Starts a daemon and puts it into the list of VMs.
+fn start(servers: &Servers, shape: &Shape, vm: &str, role: Role) -> Daemon {
+    let vm: VmId = name(vm);
+    let (listed, service) = match &role {
+        Role::Entry(_) => (VmRole::Entry, None),
+        Role::Sidecar(role) => (VmRole::Sidecar, Some(role.service.clone())),
+    };
+    let daemon = Daemon::start(Settings {
+        vm: vm.clone(),
+        zone: name("kinigi-room"),
+        role,
+        http_workers: 1,
+        log_level: LogLevel::Off,
+        links: LinkSettings {
+            keys: LinkKeys {
+                current: LinkKey::new("the key of this deployment").expect("long enough"),
+                previous: None,
+            },
+            ..LinkSettings::default()
+        },
+        limits: shape.limits.clone(),
+        shutdown: shape.shutdown.clone(),
+        ..Settings::default()
+    })
+    .expect("it starts");
+    servers.vms.set(Vm {
+        id: vm,
+        role: listed,
+        service,
+        zone: name("kinigi-room"),
+        link_address: daemon.link_address().to_string(),
+        state: VmState::Live,
+    });
+    daemon
+}
+
+fn publish(log: SocketAddr, service: &str, document: &str) {
+    let id = u128::from(
+        clementinepick::prompt::ChainHash::default()
+            .extend(service.as_bytes())
+            .0,
+    );
+    let record = Record {
+        id: RecordId(id),
+        writer: name("operator"),
+        incarnation: Incarnation(1),
+        body: RecordBody::Publish {
+            operation: OperationId(id),
+            service: name(service),
+            base: Revision(0),
+            document: document.to_owned(),
+        },
+    };
+    let text = serde_json::to_string(&record).expect("JSON");
+    let body = json!({"records": [text]}).to_string();
+    let answer = Call::new("POST", "/v1/streams/config")
+        .body(&body)
+        .send(log);
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
+
+/// Waits until `done`, which asks again and again.
+pub fn wait_for(mut done: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !done() {
+        assert!(started.elapsed() < PATIENCE, "this takes too long");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// The decisions' part of a daemon's dump.
+pub fn state(daemon: &Daemon) -> Value {
+    let answer = Call::new("GET", "/debug/dump").send(daemon.http_address());
+    serde_json::from_str::<Value>(&answer.body).expect("JSON")["state"].clone()
+}
+
+/// A request of a caller.
+pub struct Call {
+    head: String,
+    body: String,
+}
+
+/// An answer, with the chunks of its body joined.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    pub status: u16,
+    pub body: String,
+    /// Whether the body came to its end.
+    pub whole: bool,
+}
+
+impl Call {
+    pub fn new(method: &str, path: &str) -> Self {
+        Self {
+            head: format!("{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n"),
+            body: String::new(),
+        }
+    }
+
+    /// A turn of `tokens` tokens.
+    pub fn chat(program: &str, tokens: u64, stream: bool) -> Self {
+        let body = json!({
+            "model": "stargazer", "stream": stream, "max_tokens": tokens,
+            "standin_output_tokens": tokens,
+            "messages": [{"role": "user", "content": format!("plan a night for {program}")}],
+        });
+        Self::new("POST", "/v1/chat/completions")
+            .header("clementinepick-program", program)
+            .body(&body.to_string())
+    }
+
+    /// A seat hold that must not run twice.
+    pub fn hold(program: &str) -> Self {
+        let body = json!({"id": program, "slot": "dome-1"});
+        Self::new("POST", "/services/book-app/holds")
+            .header("clementinepick-program", program)
+            .header("clementinepick-non-idempotent", "yes")
+            .header("content-type", "application/json")
+            .body(&body.to_string())
+    }
+
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        for part in [name, ": ", value, "\r\n"] {
+            self.head.push_str(part);
+        }
+        self
+    }
+
+    pub fn body(mut self, body: &str) -> Self {
+        body.clone_into(&mut self.body);
+        self
+    }
+
+    /// Sends it and leaves the answer unread.
+    pub fn open(&self, address: SocketAddr) -> TcpStream {
+        let mut stream = TcpStream::connect(address).expect("it listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        let length = self.body.len();
+        let text = format!("{}content-length: {length}\r\n\r\n{}", self.head, self.body);
+        stream.write_all(text.as_bytes()).expect("it reads");
+        stream
+    }
+
+    /// Sends it and reads the whole answer.
+    pub fn send(&self, address: SocketAddr) -> Answer {
+        read(self.open(address))
+    }
+}
+
+/// Reads the rest of an answer.
+pub fn read(mut stream: TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    // A connection that is reset gives what came before.
+    let _ = stream.read_to_end(&mut bytes);
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
+    let head = head.to_ascii_lowercase();
+    let (body, whole) = if head.contains("transfer-encoding: chunked") {
+        join_chunks(body)
+    } else {
+        let length = head.split("content-length: ").nth(1);
+        let length = length.and_then(|rest| rest.lines().next()?.trim().parse().ok());
+        (body.to_owned(), length == Some(body.len()))
+    };
+    Answer {
+        status: status.unwrap_or(0),
+        body,
+        whole,
+    }
+}
+
+fn join_chunks(mut rest: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size, 16) else {
+            break;
+        };
+        if size == 0 {
+            return (body, true);
+        }
+        let Some(chunk) = after.get(..size) else {
+            break;
+        };
+        body += chunk;
+        rest = after.get(size + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
+
+/// The text of a streamed answer, and whether its end line came.
+pub fn streamed_text(answer: &Answer) -> (String, bool) {
+    let mut text = String::new();
+    for event in answer.body.split("\n\n") {
+        let Some(data) = event.strip_prefix("data: ") else {
+            continue;
+        };
+        if data == "[DONE]" {
+            return (text, answer.whole);
+        }
+        let chunk: Value = serde_json::from_str(data).expect("JSON");
+        text += chunk["choices"][0]["delta"]["content"]
+            .as_str()
+            .unwrap_or_default();
+    }
+    (text, false)
+}
