--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -1119,8 +1119,9 @@
             | Message::Committed { .. }
             | Message::Lease { .. }
             | Message::Release { .. }
-            | Message::Order(_)
-            | Message::OrderReply { .. } => {}
+            | Message::Order { .. }
+            | Message::OrderReply { .. }
+            | Message::Engine(_) => {}
         }
     }
 
--- a/clementinepick/src/message.rs
+++ b/clementinepick/src/message.rs
@@ -9,8 +9,8 @@
 
 use crate::call::{AnswerPart, Payload, Request};
 use crate::ids::{
-    AttemptId, CallKey, ClassName, Epoch, Incarnation, Offset, PartitionId, ProgramId, RequestId,
-    Revision, ServiceName, VmId, ZoneName,
+    AttemptId, CallKey, ClassName, Epoch, Incarnation, Offset, OrderId, PartitionId, ProgramId,
+    RequestId, Revision, ServiceName, VmId, ZoneName,
 };
 use crate::platform::{CacheEvent, EngineState, LoadReport, OrderBody, VmRole};
 use crate::record::PublishedDocument;
@@ -145,14 +145,21 @@
         events: Vec<CacheEvent>,
     },
     /// Decider to sidecar: an order for the engine.
-    Order(OrderBody),
-    /// Sidecar to decider: the engine's state after an order, or why it was refused.
+    Order {
+        /// The life of the sidecar that the decider means.
+        target: Incarnation,
+        /// The order.
+        order: OrderBody,
+    },
+    /// Sidecar to decider: what became of an order.
     OrderReply {
-        /// The engine's state.
-        state: EngineState,
-        /// Why the order was refused, if it was.
-        refused: Option<String>,
+        /// The order.
+        id: OrderId,
+        /// What became of it.
+        outcome: OrderOutcome,
     },
+    /// Sidecar to entries: what the engine serves.
+    Engine(EngineState),
 }
 
 /// Says that a process lives, and what it knows.
@@ -197,6 +204,15 @@
     pub payload: Payload,
 }
 
+/// What became of an engine order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderOutcome {
+    /// The engine's state shows its effect.
+    Done,
+    /// It has no effect, and why.
+    Refused(String),
+}
+
 /// What became of a fenced call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FenceVerdict {
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -22,6 +22,7 @@
 use crate::message::{BackendLoad, Dispatch, FenceVerdict, Heartbeat, Message, Peer};
 use crate::platform::{CacheEvent, EngineState, GenerateBody, LoadReport, OrderBody, VmRole};
 use crate::prompt::{ChainHash, Segment};
+use crate::sidecar_orders::OrderSlot;
 use crate::units::{SpanUs, TimeUs, Tokens};
 
 /// How a sidecar is set up.
@@ -128,6 +129,8 @@
         /// The tokens freed; absent when the engine did not answer.
         freed_tokens: Option<Tokens>,
     },
+    /// What the engine says that it serves.
+    Engine(EngineState),
     /// The engine has answered an order.
     OrderDone {
         /// The entry that gave it.
@@ -221,18 +224,20 @@
 #[derive(Debug)]
 pub struct Sidecar {
     settings: SidecarSettings,
-    config: Config,
-    gate: Gate,
+    pub(crate) config: Config,
+    pub(crate) gate: Gate,
     load: LoadReport,
-    entries: BTreeMap<VmId, Peer>,
+    pub(crate) entries: BTreeMap<VmId, Peer>,
     epochs: BTreeMap<PartitionId, Epoch>,
     attempts: BTreeMap<AttemptId, Attempt>,
     /// Non-idempotent calls that must not start here (again).
     fenced: BTreeMap<CallKey, Option<AttemptId>>,
     leases: BTreeMap<ProgramId, Lease>,
-    order_fencing: Option<crate::ids::FencingNumber>,
+    pub(crate) orders: OrderSlot,
+    /// Whether entries were told that new work must stay away for an order.
+    pub(crate) told_blocked: bool,
     next_cache_event: u64,
-    next_heartbeat_us: TimeUs,
+    pub(crate) next_heartbeat_us: TimeUs,
     leaving: bool,
 }
 
@@ -241,6 +246,7 @@
     #[must_use]
     pub fn new(settings: SidecarSettings) -> Self {
         Self {
+            orders: OrderSlot::new(settings.incarnation),
             settings,
             config: Config::default(),
             gate: Gate::default(),
@@ -250,7 +256,7 @@
             attempts: BTreeMap::new(),
             fenced: BTreeMap::new(),
             leases: BTreeMap::new(),
-            order_fencing: None,
+            told_blocked: false,
             next_cache_event: 0,
             next_heartbeat_us: TimeUs(0),
             leaving: false,
@@ -263,6 +269,9 @@
             SidecarInput::LinkUp(peer) => {
                 out.push(log(EventKind::LinkUp, &peer.vm));
                 out.push(send(&peer.vm, Message::Heartbeat(self.heartbeat())));
+                if let Some(state) = self.orders.engine() {
+                    out.push(send(&peer.vm, Message::Engine(state.clone())));
+                }
                 self.entries.insert(peer.vm.clone(), peer);
             }
             SidecarInput::LinkDown(vm) => {
@@ -279,12 +288,9 @@
             } => {
                 self.on_released(program, freed_tokens, out);
             }
-            SidecarInput::OrderDone {
-                from,
-                state,
-                refused,
-            } => {
-                out.push(send(&from, Message::OrderReply { state, refused }));
+            SidecarInput::Engine(state) => self.on_engine(now, state, None, out),
+            SidecarInput::OrderDone { state, refused, .. } => {
+                self.on_engine(now, state, refused, out);
             }
             SidecarInput::Tick => self.on_tick(now, out),
             SidecarInput::Shutdown => {
@@ -295,13 +301,14 @@
             SidecarInput::Force => self.force(now, out),
         }
         self.admit(now, out);
+        self.poll_orders(now, out);
     }
 
-    fn heartbeat(&self) -> Heartbeat {
+    pub(crate) fn heartbeat(&self) -> Heartbeat {
         Heartbeat {
             revisions: self.config.revisions(),
             config_offset: Offset(0),
-            leaving: self.leaving,
+            leaving: self.leaving || self.orders.blocks_new_work(),
         }
     }
 
@@ -363,7 +370,7 @@
                     self.release(now, program, Some(from), out);
                 }
             }
-            Message::Order(order) => self.on_order(from, order, out),
+            Message::Order { target, order } => self.on_order(from, target, order, out),
             Message::Heartbeat(_)
             | Message::Forward { .. }
             | Message::ForwardReply { .. }
@@ -374,7 +381,8 @@
             | Message::Released { .. }
             | Message::Load(_)
             | Message::Cache { .. }
-            | Message::OrderReply { .. } => {}
+            | Message::OrderReply { .. }
+            | Message::Engine(_) => {}
         }
     }
 
@@ -486,6 +494,10 @@
                 "this backend server is leaving",
             ));
         }
+        if self.orders.blocks_new_work() {
+            let detail = "this backend server is about to change what it serves";
+            return Err(CallError::new(ErrorKind::ShuttingDown, detail));
+        }
         if dispatch.service != self.settings.service {
             return Err(CallError::new(
                 ErrorKind::NoBackend,
@@ -839,21 +851,6 @@
         }
     }
 
-    fn on_order(&mut self, from: VmId, order: OrderBody, out: &mut Vec<SidecarAction>) {
-        // Some engines ignore fencing numbers, so a deposed decider's late order would undo its
-        // successor's. The sidecar is the only one that reaches the engine, so its check holds.
-        if self
-            .order_fencing
-            .is_some_and(|known| order.fencing < known)
-        {
-            out.push(log(EventKind::OrderFenced, order.id));
-            return;
-        }
-        self.order_fencing = Some(order.fencing);
-        out.push(log(EventKind::OrderPassed, order.id));
-        out.push(SidecarAction::Order { from, order });
-    }
-
     fn on_tick(&mut self, now: TimeUs, out: &mut Vec<SidecarAction>) {
         self.set_gate();
         self.expire(now, out);
@@ -998,11 +995,12 @@
             "attempts": attempts,
             "lease_left_ms": leases,
             "fenced_calls": self.fenced.len(),
+            "orders": self.orders.dump(),
         })
     }
 }
 
-fn send(to: &VmId, message: Message) -> SidecarAction {
+pub(crate) fn send(to: &VmId, message: Message) -> SidecarAction {
     SidecarAction::Send {
         to: to.clone(),
         message,
--- a/clementinepickd/src/engine_client.rs
+++ b/clementinepickd/src/engine_client.rs
@@ -314,6 +314,10 @@
         if let Some(load) = load {
             engine.report(SidecarInput::Load(load)).await;
         }
+        let state: Option<EngineState> = engine.get("/v1/state").await;
+        if let Some(state) = state {
+            engine.report(SidecarInput::Engine(state)).await;
+        }
         let path = format!("/v1/cache/events?after={after}");
         let cache: Option<CacheEventsAnswer> = engine.get(&path).await;
         if let Some(CacheEventsAnswer { first, events }) = cache {
