--- a/clementinepickd/src/engine_client.rs
+++ b/clementinepickd/src/engine_client.rs
@@ -205,8 +205,10 @@
             }
         }
         Ok(response) => {
-            let detail = format!("the engine refused with {}", response.status());
-            fail(engine, attempt, detail, true).await;
+            let status = response.status();
+            let not_run = status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE;
+            let detail = format!("the engine refused with {status}");
+            fail(engine, attempt, detail, not_run).await;
             return;
         }
         Err(SendRequestError::Connect(err)) => {
@@ -312,6 +314,10 @@
         if let Some(load) = load {
             engine.report(SidecarInput::Load(load)).await;
         }
+        let state: Option<EngineState> = engine.get("/v1/state").await;
+        if let Some(state) = state {
+            engine.report(SidecarInput::Engine(state)).await;
+        }
         let path = format!("/v1/cache/events?after={after}");
         let cache: Option<CacheEventsAnswer> = engine.get(&path).await;
         if let Some(CacheEventsAnswer { first, events }) = cache {
