--- /dev/null
+++ b/clementinepick/src/admission.rs
@@ -0,0 +1,152 @@
+//! First filter after parsing: checks a request against the document in force.
+
+use std::collections::BTreeSet;
+
+use crate::answer::answer;
+use crate::call::{AnswerPart, Payload, Request};
+use crate::call_state::{Call, ReplyTo, Step};
+use crate::config::InForce;
+use crate::document::Document;
+use crate::entry::{Entry, EntryAction};
+use crate::error::{CallError, ErrorKind};
+use crate::ids::ClassName;
+use crate::step_claim::digest;
+use crate::units::TimeUs;
+
+impl Entry {
+    pub(crate) fn on_request(
+        &mut self,
+        now: TimeUs,
+        request: Request,
+        reply_to: &ReplyTo,
+        hops: u8,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let id = request.id;
+        if self.calls.contains_key(&id) {
+            self.on_request_again(now, id, reply_to, out);
+            return;
+        }
+        let call = match self.check(now, request, reply_to, hops) {
+            Ok(call) => call,
+            Err(refused) => {
+                answer(reply_to, id, AnswerPart::Failed(refused), out);
+                return;
+            }
+        };
+        self.calls.insert(id, call);
+        self.step_own(now, id, out);
+    }
+
+    /// The same request has come another way, after the entry before this one lost its link.
+    fn on_request_again(
+        &mut self,
+        now: TimeUs,
+        id: crate::ids::RequestId,
+        reply_to: &ReplyTo,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        // An entry that sent the request on and gets it back must not become its own owner's
+        // caller: the answer would go round between the two.
+        if let Step::Forwarded(to) = &call.step
+            && *reply_to == ReplyTo::Entry(to.clone())
+        {
+            call.step = Step::Own;
+            self.step_own(now, id, out);
+            return;
+        }
+        if call.reply_to == ReplyTo::Caller {
+            return;
+        }
+        call.reply_to = reply_to.clone();
+        if !call.answer.is_empty() {
+            let part = AnswerPart::Text {
+                position: 0,
+                text: call.answer.clone(),
+            };
+            answer(reply_to, id, part, out);
+        }
+    }
+
+    fn check(
+        &self,
+        now: TimeUs,
+        request: Request,
+        reply_to: &ReplyTo,
+        hops: u8,
+    ) -> Result<Call, CallError> {
+        if !self.is_caught_up() {
+            let detail = "this entry still reads the log";
+            return Err(CallError::new(ErrorKind::NotReady, detail));
+        }
+        if self.leaving && *reply_to == ReplyTo::Caller {
+            let detail = "this entry is leaving";
+            return Err(CallError::new(ErrorKind::ShuttingDown, detail));
+        }
+        let Some(in_force) = self.config.service(&request.service) else {
+            let detail = format!("no document for `{}` is in force", request.service);
+            return Err(CallError::at(ErrorKind::UnknownService, "service", detail));
+        };
+        let idempotent = is_idempotent(&in_force.document, &request)?;
+        let class = class_of(in_force, &request);
+        let Some(rules) = in_force.document.class(&class) else {
+            let detail = format!(
+                "the document of `{}` has no class `{class}`",
+                request.service
+            );
+            let field = crate::parse::CLASS_HEADER;
+            return Err(CallError::at(ErrorKind::UnknownClass, field, detail));
+        };
+        let left_us = request
+            .deadline_left_us
+            .map_or(rules.deadline_us, |left| left.min(rules.deadline_us));
+        Ok(Call {
+            digest: digest(&request.payload),
+            partition: self.home_of(&request.program, request.home()),
+            idempotent: idempotent && !request.non_idempotent,
+            reply_to: reply_to.clone(),
+            hops,
+            step: Step::Own,
+            deadline_us: now.after(left_us),
+            class,
+            in_force: in_force.clone(),
+            seq: None,
+            full: None,
+            held_tokens: None,
+            claim: None,
+            tried: BTreeSet::new(),
+            answer: String::new(),
+            plain: None,
+            done: None,
+            request,
+        })
+    }
+}
+
+fn is_idempotent(document: &Document, request: &Request) -> Result<bool, CallError> {
+    match &request.payload {
+        Payload::Chat(chat) => {
+            if !document.models.is_empty() && !document.models.contains(&chat.model) {
+                let detail = format!("`{}` is not served here", chat.model);
+                return Err(CallError::at(ErrorKind::UnknownModel, "model", detail));
+            }
+            Ok(true)
+        }
+        Payload::Plain(call) => Ok(document.is_idempotent(&call.method, &call.path)),
+    }
+}
+
+fn class_of(in_force: &InForce, request: &Request) -> ClassName {
+    let document = &in_force.document;
+    let route_class = match &request.payload {
+        Payload::Chat(_) => None,
+        Payload::Plain(call) => document
+            .route(&call.method, &call.path)
+            .and_then(|route| route.class.clone()),
+    };
+    let class = request.class.clone().or(route_class);
+    class.unwrap_or_else(|| document.default_class.clone())
+}
--- /dev/null
+++ b/clementinepick/src/answer.rs
@@ -0,0 +1,419 @@
+//! Takes the parts of an answer from sidecars and gives them to callers.
+
+use crate::call::{AnswerPart, Usage};
+use crate::call_state::{Leader, ReplyTo, Step};
+use crate::entry::{Entry, EntryAction};
+use crate::error::{CallError, ErrorKind, NotRun};
+use crate::event::{Event, EventKind};
+use crate::ids::{AttemptId, RequestId, VmId};
+use crate::message::Message;
+use crate::record::{CallOutcome, EndReason};
+use crate::sidecar::skip_chars;
+use crate::step_record::tell_committed;
+use crate::units::TimeUs;
+
+/// A part of an answer as a sidecar sends it.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) attempt: AttemptId,
+    pub(crate) part: AnswerPart,
+    pub(crate) started: bool,
+    pub(crate) used: Usage,
+}
+
+impl Entry {
+    pub(crate) fn on_reply(
+        &mut self,
+        now: TimeUs,
+        from: &VmId,
+        reply: Reply,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let attempt = reply.attempt;
+        let Some(id) = self.attempts.get(&attempt).copied() else {
+            self.on_open_reply(now, from, reply, out);
+            return;
+        };
+        match reply.part {
+            AnswerPart::Text { position, text } => self.on_text(id, position, &text, out),
+            AnswerPart::Plain(plain) => {
+                let Some(call) = self.calls.get_mut(&id) else {
+                    return;
+                };
+                call.plain = Some(plain.clone());
+                self.answer_all(id, &AnswerPart::Plain(plain), out);
+            }
+            AnswerPart::Done(done) => self.on_done(now, id, attempt, done, out),
+            AnswerPart::Failed(error) => {
+                self.on_failed(now, id, attempt, (error, reply.started, reply.used), out);
+            }
+        }
+    }
+
+    fn on_text(&mut self, id: RequestId, position: u64, text: &str, out: &mut Vec<EntryAction>) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let known = call.answer.chars().count() as u64;
+        if position > known {
+            // Text is missing in between; the sidecar has it all and sends it when the call is
+            // attached to again.
+            let partition = call.partition;
+            if let Step::Running { attempt, target } = call.step.clone() {
+                self.attach(partition, attempt, &target, known, out);
+            }
+            return;
+        }
+        let fresh = skip_chars(text, known - position);
+        if fresh.is_empty() {
+            return;
+        }
+        call.answer.push_str(&fresh);
+        let part = AnswerPart::Text {
+            position: known,
+            text: fresh,
+        };
+        self.answer_all(id, &part, out);
+    }
+
+    pub(crate) fn attach(
+        &self,
+        partition: crate::ids::PartitionId,
+        attempt: AttemptId,
+        target: &VmId,
+        position: u64,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if let Some(epoch) = self.own_epoch(partition) {
+            let message = Message::Attach {
+                attempt,
+                epoch,
+                position,
+            };
+            let to = target.clone();
+            out.push(EntryAction::Send { to, message });
+        }
+    }
+
+    /// Gives a part to the caller and to all that asked for the same call later.
+    fn answer_all(&self, id: RequestId, part: &AnswerPart, out: &mut Vec<EntryAction>) {
+        for id in std::iter::once(id).chain(self.followers_of(id)) {
+            if let Some(call) = self.calls.get(&id) {
+                answer(&call.reply_to, id, part.clone(), out);
+            }
+        }
+    }
+
+    pub(crate) fn followers_of(&self, leader: RequestId) -> Vec<RequestId> {
+        let leader = Step::Follow(Leader::Request(leader));
+        let following = self.calls.iter().filter(|(_, call)| call.step == leader);
+        following.map(|(id, _)| *id).collect()
+    }
+
+    pub(crate) fn leave_backend(&mut self, attempt: AttemptId, failed: bool) {
+        let Some(id) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        if let Step::Running { target, .. } | Step::Lost { target, .. } = &call.step {
+            self.router.on_ended(target, call.work_tokens(), failed);
+        }
+    }
+
+    /// An attempt has failed; `failure` holds the error, whether it was sent to the backend
+    /// server, and what it used.
+    pub(crate) fn on_failed(
+        &mut self,
+        now: TimeUs,
+        id: RequestId,
+        attempt: AttemptId,
+        failure: (CallError, bool, Usage),
+        out: &mut Vec<EntryAction>,
+    ) {
+        let (error, started, used) = failure;
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let target = match &call.step {
+            Step::Running { target, .. } | Step::Lost { target, .. } => target.clone(),
+            _ => return,
+        };
+        let (idempotent, is_claimed) = (call.idempotent, call.claim.is_some());
+        self.leave_backend(attempt, started);
+        // A failed attempt has spent what the engine counted, or all that was held for it where
+        // nobody counted.
+        self.settle_failed(id, started, used);
+        if !idempotent && started && self.settings.safeguards.retry_only_idempotent {
+            self.end_ran(now, id, (attempt, target), error, out);
+            return;
+        }
+        tell_committed(&target, attempt, out);
+        let error = if started { error } else { as_not_run(error) };
+        if is_claimed {
+            self.release_claim(id, &error);
+        }
+        if self.is_worth_retrying(id, &error, started) {
+            let event = Event::new(EventKind::CallRetried).with("request", id);
+            out.push(EntryAction::Event(event.with("error", &error)));
+            self.step_budget(now, id, out);
+            return;
+        }
+        self.refuse(now, id, error, out);
+    }
+
+    fn settle_failed(&mut self, id: RequestId, started: bool, used: Usage) {
+        let unknown = started && used == Usage::default();
+        let prompt_tokens = self
+            .calls
+            .get(&id)
+            .and_then(|call| call.prompt().map(crate::prompt::Prompt::length_tokens));
+        let held_tokens = self.calls.get(&id).and_then(|call| call.held_tokens);
+        let used = match (started, unknown) {
+            (false, _) => Usage::default(),
+            (true, true) => Usage {
+                prompt_tokens: held_tokens.unwrap_or_default(),
+                ..Usage::default()
+            },
+            (true, false) => Usage {
+                prompt_tokens: used.prompt_tokens.max(prompt_tokens.unwrap_or_default()),
+                ..used
+            },
+        };
+        self.settle(id, used, u64::from(started));
+    }
+
+    fn is_worth_retrying(&self, id: RequestId, error: &CallError, started: bool) -> bool {
+        let Some(call) = self.calls.get(&id) else {
+            return false;
+        };
+        let max_attempts = call.in_force.document.retry.max_attempts as usize;
+        let kind = matches!(
+            error.kind,
+            ErrorKind::NoBackend
+                | ErrorKind::BackendFailed
+                | ErrorKind::ShuttingDown
+                | ErrorKind::NotReady
+                | ErrorKind::Overloaded
+        );
+        let may_repeat =
+            call.idempotent || !started || !self.settings.safeguards.retry_only_idempotent;
+        kind && may_repeat && call.answer.is_empty() && call.tried.len() < max_attempts
+    }
+
+    /// A call that may not run twice was sent on and failed: its end goes on record.
+    fn end_ran(
+        &mut self,
+        now: TimeUs,
+        id: RequestId,
+        ran: (AttemptId, VmId),
+        error: CallError,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let (attempt, target) = ran;
+        // That its backend server failed says nothing of what it had done by then.
+        let error = match error.kind {
+            ErrorKind::DeadlineExceeded | ErrorKind::Cancelled | ErrorKind::OutcomeUnknown => error,
+            _ => CallError::new(ErrorKind::OutcomeUnknown, error.detail),
+        };
+        let outcome = match error.kind {
+            ErrorKind::OutcomeUnknown => CallOutcome::Unknown,
+            _ => CallOutcome::Failed(error.clone()),
+        };
+        if let Some(call) = self.calls.get(&id)
+            && let Some(seq) = call.seq
+        {
+            let (key, partition) = (call.request.key(seq), call.partition);
+            self.write_ended(&key, partition, attempt, outcome, Some((id, target)));
+        }
+        if error.kind == ErrorKind::OutcomeUnknown {
+            let event = Event::new(EventKind::OutcomeUnknown).with("request", id);
+            out.push(EntryAction::Event(event));
+        }
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.claim = None;
+        }
+        self.refuse(now, id, error, out);
+    }
+
+    /// Answers a call with an error and takes it out of its program's order.
+    pub(crate) fn refuse(
+        &mut self,
+        now: TimeUs,
+        id: RequestId,
+        error: CallError,
+        out: &mut Vec<EntryAction>,
+    ) {
+        self.settle(id, Usage::default(), 0);
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let is_not_run = error.kind.answer().not_run == NotRun::Yes;
+        if is_not_run && call.claim.is_some() {
+            self.release_claim(id, &error);
+        }
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let (program, seq) = (call.request.program.clone(), call.seq);
+        // The place of a call that may be sent again stays open for it; without the caller's own
+        // number nobody would come back for that place, and later calls would wait in vain.
+        let may_return = is_not_run || (call.idempotent && error.kind.answer().repeat_safe);
+        let reopens = may_return && call.request.seq.is_some();
+        let single_call = call.request.single_call;
+        let last = AnswerPart::Failed(error.clone());
+        self.end_followers(id, &last, out);
+        self.drop_call(id, error, out);
+        if let Some(live) = self.programs.get_mut(&program) {
+            live.order.remove(id);
+            match seq {
+                Some(seq) if reopens => live.order.reopen(seq),
+                Some(seq) => live.order.finish(seq),
+                None => {}
+            }
+        }
+        if single_call {
+            self.end_program(now, program, EndReason::SingleCall, out);
+        } else {
+            self.start_next(now, &program, out);
+        }
+    }
+
+    /// Answers a call with an error; it had no place in its program's order.
+    pub(crate) fn drop_call(
+        &mut self,
+        id: RequestId,
+        error: CallError,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        let event = Event::new(EventKind::CallRefused)
+            .with("request", id)
+            .with("error", &error);
+        out.push(EntryAction::Event(event));
+        answer(&call.reply_to, id, AnswerPart::Failed(error), out);
+    }
+
+    /// The caller is gone: what has not started is dropped; what runs goes on if its program may
+    /// come back for the answer, and is stopped otherwise.
+    pub(crate) fn on_gone(&mut self, now: TimeUs, id: RequestId, out: &mut Vec<EntryAction>) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.reply_to = ReplyTo::Nobody;
+        match call.step.clone() {
+            Step::Forwarded(to) => {
+                out.push(EntryAction::Send {
+                    to,
+                    message: Message::ForwardCancel { request: id },
+                });
+                self.calls.remove(&id);
+            }
+            Step::Follow(_) => {
+                self.calls.remove(&id);
+            }
+            Step::Own | Step::Order | Step::Slice | Step::Route | Step::Claim => {
+                if !self.is_wanted(id) {
+                    let error =
+                        CallError::new(ErrorKind::DeadlineBeforeStart, "the caller is gone");
+                    self.refuse(now, id, error, out);
+                }
+            }
+            Step::Running { attempt, target } => {
+                let may_stop = call.idempotent && call.request.single_call;
+                if may_stop && !self.is_wanted(id) {
+                    let message = Message::Cancel { attempt };
+                    out.push(EntryAction::Send {
+                        to: target,
+                        message,
+                    });
+                }
+            }
+            Step::Lost { .. } | Step::Record { .. } => {}
+        }
+    }
+
+    /// A part of the answer to a request that was passed on.
+    pub(crate) fn on_forward_reply(
+        &mut self,
+        from: &VmId,
+        id: RequestId,
+        part: AnswerPart,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        // An owner that was replaced may still answer, from a state that is no longer in force.
+        if call.step != Step::Forwarded(from.clone()) {
+            return;
+        }
+        let reply_to = call.reply_to.clone();
+        let part = match part {
+            AnswerPart::Text { position, text } => {
+                match fresh_text(&call.answer, position, &text) {
+                    Ok(fresh) if fresh.is_empty() => return,
+                    Ok(fresh) => {
+                        let position = call.answer.chars().count() as u64;
+                        call.answer.push_str(&fresh);
+                        AnswerPart::Text {
+                            position,
+                            text: fresh,
+                        }
+                    }
+                    Err(error) => {
+                        let message = Message::ForwardCancel { request: id };
+                        let to = from.clone();
+                        out.push(EntryAction::Send { to, message });
+                        AnswerPart::Failed(error)
+                    }
+                }
+            }
+            part @ (AnswerPart::Plain(_) | AnswerPart::Done(_) | AnswerPart::Failed(_)) => part,
+        };
+        if part.is_last() {
+            self.calls.remove(&id);
+        }
+        answer(&reply_to, id, part, out);
+    }
+}
+
+/// The part of `text` that the caller lacks.
+///
+/// After a take-over the call may have been run anew and come out otherwise. Half of one answer
+/// and half of another would look whole to the caller; so the answer is broken off instead.
+fn fresh_text(known: &str, position: u64, text: &str) -> Result<String, CallError> {
+    let known_chars = known.chars().count() as u64;
+    let overlap = skip_chars(known, position);
+    let overlap_chars = overlap.chars().count() as u64;
+    let differs =
+        position > known_chars || !(text.starts_with(&overlap) || overlap.starts_with(text));
+    if differs {
+        let detail = "the call was run anew after its owner was lost, and came out otherwise";
+        return Err(CallError::new(ErrorKind::BackendFailed, detail));
+    }
+    Ok(skip_chars(text, overlap_chars))
+}
+
+/// An error of a call that surely did not run, whatever its kind says of calls in general.
+fn as_not_run(error: CallError) -> CallError {
+    if error.kind.answer().not_run == NotRun::Yes {
+        return error;
+    }
+    CallError::new(ErrorKind::NoBackend, error.detail)
+}
+
+/// Gives one part of an answer to whoever passed the request on.
+pub(crate) fn answer(to: &ReplyTo, id: RequestId, part: AnswerPart, out: &mut Vec<EntryAction>) {
+    match to {
+        ReplyTo::Caller => out.push(EntryAction::Answer { request: id, part }),
+        ReplyTo::Entry(vm) => out.push(EntryAction::Send {
+            to: vm.clone(),
+            message: Message::ForwardReply { request: id, part },
+        }),
+        ReplyTo::Nobody => {}
+    }
+}
--- a/clementinepick/src/call.rs
+++ b/clementinepick/src/call.rs
@@ -10,7 +10,7 @@
     CallKey, CallSeq, ClassName, IdempotencyKey, ModelName, ProgramId, RequestId, ServiceName,
     ToolName,
 };
-use crate::prompt::Prompt;
+use crate::prompt::{ChainHash, Prompt};
 use crate::units::{SpanUs, Tokens};
 
 /// One request of a caller.
@@ -28,6 +28,13 @@
     pub seq: Option<CallSeq>,
     /// The program whose sub-agent this program is.
     pub parent: Option<ProgramId>,
+    /// The program at the root of the sub-agents, whose account is spent from and beside which
+    /// this program is kept; absent: the parent.
+    pub root: Option<ProgramId>,
+    /// Whether a chat call brings only the messages that the history on record lacks.
+    pub append: bool,
+    /// The chain of the history that the caller builds on, as its last answer gave it.
+    pub history_chain: Option<ChainHash>,
     /// The class; absent: the route's or the document's default.
     pub class: Option<ClassName>,
     /// The time left until the caller gives up.
@@ -53,6 +60,30 @@
             seq,
         }
     }
+
+    /// The program by which the partition is chosen: a sub-agent lies with its root.
+    #[must_use]
+    pub fn home(&self) -> &ProgramId {
+        self.root
+            .as_ref()
+            .or(self.parent.as_ref())
+            .unwrap_or(&self.program)
+    }
+}
+
+/// A caller asks for the answer of an earlier call, or for the rest of one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fetch {
+    /// Drawn at the entry where the request came in.
+    pub id: RequestId,
+    /// The program.
+    pub program: ProgramId,
+    /// The root of its sub-agents, where it is one; absent: the program itself.
+    pub root: Option<ProgramId>,
+    /// The call's place in the program.
+    pub seq: CallSeq,
+    /// The count of characters that the caller already has.
+    pub position: u64,
 }
 
 /// What a call runs.
@@ -173,6 +204,8 @@
     pub finish: Option<FinishReason>,
     /// Whether the turn is on record.
     pub turn: TurnState,
+    /// The chain of the program's history up to and with this turn, for callers that append.
+    pub chain: Option<ChainHash>,
 }
 
 /// One part of an answer, in the order in which the caller gets them.
--- /dev/null
+++ b/clementinepick/src/dump.rs
@@ -0,0 +1,62 @@
+//! The whole state of an entry, for operators.
+
+use std::collections::BTreeMap;
+
+use serde_json::{Value, json};
+
+use crate::entry::Entry;
+use crate::ids::PartitionId;
+use crate::units::TimeUs;
+
+impl Entry {
+    /// The whole state, for operators.
+    #[must_use]
+    pub fn dump(&self, now: TimeUs) -> Value {
+        let owned: Vec<PartitionId> = self
+            .partitions
+            .iter()
+            .map(|(partition, _)| partition)
+            .filter(|partition| self.own_epoch(*partition).is_some())
+            .collect();
+        let calls: Vec<Value> = self
+            .calls
+            .iter()
+            .map(|(id, call)| {
+                json!({
+                    "request": id, "program": call.request.program, "seq": call.seq,
+                    "class": call.class, "step": format!("{:?}", call.step),
+                    "deadline_left_ms": call.deadline_us.since(now).as_ms(),
+                })
+            })
+            .collect();
+        let releasing: BTreeMap<_, _> = self
+            .releasing
+            .iter()
+            .map(|(program, releasing)| (program, &releasing.holders))
+            .collect();
+        let open_calls: BTreeMap<String, _> = self
+            .open_calls
+            .iter()
+            .map(|(call, open)| (call.to_string(), &open.target))
+            .collect();
+        json!({
+            "peer": self.peer(),
+            "leaving": self.leaving,
+            "caught_up": self.is_caught_up(),
+            "log_down": self.journal.is_down() || self.config_journal.is_down(),
+            "config_offset": self.config_journal.position(),
+            "journal_offset": self.journal.position(),
+            "unconfirmed_records": self.journal.unconfirmed(),
+            "revisions": self.config.revisions(),
+            "publications": self.config.publications(),
+            "peers": self.peers.values().map(|p| &p.peer).collect::<Vec<_>>(),
+            "owned_partitions": owned,
+            "calls": calls,
+            "programs": self.programs.keys().collect::<Vec<_>>(),
+            "releasing": releasing,
+            "open_calls": open_calls,
+            "yielding": self.yielding,
+            "unsure": self.is_unsure,
+        })
+    }
+}
--- /dev/null
+++ b/clementinepick/src/entry_log.rs
@@ -0,0 +1,206 @@
+//! What an entry writes to the log and reads from it.
+
+use crate::call_state::Awaited;
+use crate::config::Verdict;
+use crate::entry::{Entry, EntryAction};
+use crate::event::{Event, EventKind};
+use crate::ids::{Offset, PartitionId, RecordId};
+use crate::message::Message;
+use crate::platform::{ReadAnswer, StreamName, VmRole};
+use crate::record::{OwnedRecord, Record, RecordBody};
+use crate::replay::{Applied, Partitions};
+use crate::step_record::tell_committed;
+use crate::units::TimeUs;
+
+impl Entry {
+    pub(crate) fn poll_log(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        let mut actions = Vec::new();
+        self.config_journal.poll(now, &mut actions);
+        self.journal.poll(now, &mut actions);
+        out.extend(actions.into_iter().map(EntryAction::Log));
+    }
+
+    pub(crate) fn write(&mut self, body: RecordBody) -> RecordId {
+        let id = RecordId::draw(&mut self.rng);
+        let (writer, incarnation) = (self.settings.vm.clone(), self.settings.incarnation);
+        self.journal.push(Record {
+            id,
+            writer,
+            incarnation,
+            body,
+        });
+        id
+    }
+
+    /// Writes a record of a partition that this entry owns; `None` when it does not, or has
+    /// already written that it leaves.
+    pub(crate) fn write_owned(
+        &mut self,
+        partition: PartitionId,
+        entry: OwnedRecord,
+    ) -> Option<RecordId> {
+        if self.yield_written.contains(&partition) {
+            return None;
+        }
+        let epoch = self.own_epoch(partition)?;
+        Some(self.write(RecordBody::Owned {
+            partition,
+            epoch,
+            entry,
+        }))
+    }
+
+    pub(crate) fn on_log_read(
+        &mut self,
+        now: TimeUs,
+        stream: StreamName,
+        answer: Option<ReadAnswer>,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let was_ready = self.is_caught_up();
+        let mut events = Vec::new();
+        let fresh = self.journal_of(stream).on_read(now, answer, &mut events);
+        out.extend(events.into_iter().map(EntryAction::Event));
+        if stream == StreamName::Journal
+            && let Some(earliest) = self.journal.take_jump()
+        {
+            self.start_late(now, earliest, out);
+        }
+        for (offset, record) in fresh {
+            match stream {
+                StreamName::Config => self.replay_config(offset, &record, out),
+                StreamName::Journal => {
+                    let applied = self.partitions.apply(offset, &record);
+                    self.on_applied(now, &record, &applied, out);
+                }
+            }
+        }
+        if self.is_unsure && self.journal.reads_done() >= self.sure_at_read && self.journal.at_end()
+        {
+            self.is_unsure = false;
+        }
+        if !was_ready && self.is_caught_up() {
+            out.push(EntryAction::Event(Event::new(EventKind::ProcessReady)));
+        }
+    }
+
+    /// The oldest records that this entry needs are gone: it starts anew from the oldest that is
+    /// kept, and serves only when snapshots have filled what is missing.
+    fn start_late(&mut self, now: TimeUs, earliest: Offset, out: &mut Vec<EntryAction>) {
+        let owned = self.own_partitions();
+        self.partitions = Partitions::starting_at(earliest, self.settings.safeguards.clone());
+        for partition in owned {
+            self.leave_partition(now, partition, out);
+        }
+    }
+
+    fn replay_config(&mut self, offset: Offset, record: &Record, out: &mut Vec<EntryAction>) {
+        let RecordBody::Publish {
+            operation,
+            service,
+            base,
+            document,
+        } = &record.body
+        else {
+            return;
+        };
+        let verdict =
+            self.config
+                .publish(offset, &record.writer, *operation, service, *base, document);
+        let event = match &verdict {
+            Verdict::Accepted { revision } => {
+                Event::new(EventKind::DocumentInForce).with("revision", revision)
+            }
+            Verdict::Outrun { .. } | Verdict::Wrong { .. } => {
+                Event::new(EventKind::DocumentRejected).with("verdict", format!("{verdict:?}"))
+            }
+        };
+        out.push(EntryAction::Event(
+            event.with("service", service).with("operation", operation),
+        ));
+        // Sidecars learn at once rather than with the next heartbeat.
+        for (vm, peer) in &self.peers {
+            if peer.peer.role == VmRole::Sidecar
+                && let Some(in_force) = self.config.service(service)
+            {
+                let message = Message::Documents(vec![in_force.published.clone()]);
+                out.push(EntryAction::Send {
+                    to: vm.clone(),
+                    message,
+                });
+            }
+        }
+    }
+
+    fn on_applied(
+        &mut self,
+        now: TimeUs,
+        record: &Record,
+        applied: &Applied,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let awaited = self.awaited.remove(&record.id);
+        match (applied, awaited) {
+            (Applied::Claimed(partition), _) => self.on_claimed(now, *partition, out),
+            (Applied::Outrun(partition), Some(_)) => self.retry_own(now, *partition, out),
+            (Applied::Owned(_), Some(awaited)) => self.on_own_record(now, record, awaited, out),
+            (Applied::Owned(partition), None) => self.on_other_record(now, *partition, record),
+            (Applied::Stale(partition), Some(_)) => {
+                // The claim that made the record stale was read before it, so its call is on its
+                // way to the new owner already.
+                let event = Event::new(EventKind::StaleRecord).with("partition", partition);
+                out.push(EntryAction::Event(event));
+            }
+            (Applied::Outrun(_) | Applied::Stale(_) | Applied::Other, _) => {}
+        }
+    }
+
+    fn on_own_record(
+        &mut self,
+        now: TimeUs,
+        record: &Record,
+        awaited: Awaited,
+        out: &mut Vec<EntryAction>,
+    ) {
+        match awaited {
+            Awaited::Opened(program) => self.on_opened(now, &program, out),
+            Awaited::Slice(program) => self.on_slice(now, &program, out),
+            Awaited::Started(id) => self.on_started(now, id, out),
+            Awaited::Ended {
+                request,
+                target,
+                attempt,
+            } => {
+                tell_committed(&target, attempt, out);
+                self.finish(now, request, crate::call::TurnState::Committed, out);
+            }
+            Awaited::Turn { request, program } => {
+                self.on_turn_recorded(now, record.id, request, &program, out);
+            }
+            Awaited::Yield(partition) => {
+                self.yield_written.remove(&partition);
+                self.leave_partition(now, partition, out);
+            }
+            Awaited::Snapshot(partition) => {
+                let event = Event::new(EventKind::SnapshotWritten).with("partition", partition);
+                out.push(EntryAction::Event(event));
+            }
+            Awaited::Claim(_) | Awaited::Other(_) => {}
+        }
+    }
+
+    /// A record of another owner, or one whose call is gone.
+    fn on_other_record(&mut self, now: TimeUs, partition: PartitionId, record: &Record) {
+        let is_yield = matches!(
+            record.body,
+            RecordBody::Owned {
+                entry: OwnedRecord::Yielded,
+                ..
+            }
+        );
+        // The successor claims at once: calls wait at the owner that leaves.
+        if is_yield && self.target_owner(now, partition).as_ref() == Some(&self.settings.vm) {
+            self.claim_partition(now, partition);
+        }
+    }
+}
--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -139,6 +139,8 @@
     OrderFenced = 507, "order_fenced", Warning;
     /// An order failed at the engine.
     OrderFailed = 508, "order_failed", Warning;
+    /// A turn ran over the tokens reserved for it and was ended.
+    OutputCut = 509, "output_cut", Warning;
     /// An invariant did not hold; the work at fault was refused.
     InvariantBroken = 901, "invariant_broken", Error;
 }
--- /dev/null
+++ b/clementinepick/src/handover.rs
@@ -0,0 +1,116 @@
+//! Hands partitions over: all of them when this entry leaves, idle ones to an entry that joined.
+
+use crate::call_state::Awaited;
+use crate::entry::Entry;
+use crate::ids::PartitionId;
+use crate::record::OwnedRecord;
+use crate::units::{SpanUs, TimeUs};
+
+/// How long an entry must be linked before idle partitions are handed to it.
+const JOINED_US: SpanUs = SpanUs::from_s(20);
+
+impl Entry {
+    /// Starts and ends the hand-over of partitions.
+    pub(crate) fn hand_over(&mut self, now: TimeUs) {
+        if self.leaving {
+            self.yielding = self.own_partitions().into_iter().collect();
+        } else {
+            self.offer_partition(now);
+        }
+        let ready: Vec<PartitionId> = self
+            .yielding
+            .iter()
+            .filter(|partition| !self.yield_written.contains(*partition))
+            .filter(|partition| !self.is_busy(**partition))
+            .copied()
+            .collect();
+        for partition in ready {
+            self.write_yield(now, partition);
+        }
+    }
+
+    /// Whether calls of a partition are under way, or records of its calls are on theirs.
+    fn is_busy(&self, partition: PartitionId) -> bool {
+        let calls = self.calls.values().filter(|c| c.partition == partition);
+        let open = self.open_calls.values().any(|o| o.partition == partition);
+        let pending = self
+            .programs
+            .values()
+            .any(|live| live.partition == partition && (!live.tail.is_empty() || live.opening));
+        open || pending || calls.into_iter().any(crate::call_state::Call::is_under_way)
+    }
+
+    /// Hands one idle partition at a time to the entry that should own it.
+    ///
+    /// Entries come and go every day. Without this the partitions would gather at those that
+    /// stayed longest, and an entry that just started would own none.
+    fn offer_partition(&mut self, now: TimeUs) {
+        if !self.yielding.is_empty() || self.journal.is_down() || !self.is_caught_up() {
+            return;
+        }
+        let offered = self.own_partitions().into_iter().find(|partition| {
+            let heir = self.claimant(*partition);
+            heir.is_some_and(|vm| self.joined_before(now, &vm))
+                && !self.calls.values().any(|c| c.partition == *partition)
+                && !self.is_busy(*partition)
+                && self
+                    .claim_pace
+                    .get(partition)
+                    .is_none_or(|pace| now.since(pace.last_change_us) >= JOINED_US)
+        });
+        self.yielding.extend(offered);
+    }
+
+    fn joined_before(&self, now: TimeUs, vm: &crate::ids::VmId) -> bool {
+        let peer = self.peers.get(vm);
+        peer.is_some_and(|peer| now.since(peer.up_us) >= JOINED_US)
+    }
+
+    fn write_yield(&mut self, now: TimeUs, partition: PartitionId) {
+        self.return_slices(now, partition);
+        let Some(record) = self.write_owned(partition, OwnedRecord::Yielded) else {
+            return;
+        };
+        self.awaited.insert(record, Awaited::Yield(partition));
+        self.yield_written.insert(partition);
+    }
+
+    /// Gives back what is left of the slices, so that the successor need not count it as spent.
+    fn return_slices(&mut self, now: TimeUs, partition: PartitionId) {
+        let mut returned = Vec::new();
+        let Some(state) = self.partitions.get(partition) else {
+            return;
+        };
+        for (program, live) in &mut self.programs {
+            let Some(state) = state.programs.get(program) else {
+                continue;
+            };
+            if state.root.is_some() || state.ended.is_some() || live.slicing {
+                continue;
+            }
+            live.spending.set_time(now.since(live.since_us));
+            let unused = state.account.unused(&live.spending);
+            let before = state.account.reserved();
+            returned.push((program.clone(), before, unused));
+        }
+        for (program, before, unused) in returned {
+            let entry = OwnedRecord::SliceReturned {
+                program,
+                before,
+                unused,
+            };
+            if let Some(record) = self.write_owned(partition, entry) {
+                self.awaited.insert(record, Awaited::Other(partition));
+            }
+        }
+    }
+
+    /// Whether everything is finished and handed over, so that the process may exit.
+    pub(crate) fn is_finished(&self) -> bool {
+        self.leaving
+            && self.calls.is_empty()
+            && self.fetches.is_empty()
+            && self.journal.unconfirmed() == 0
+            && self.own_partitions().is_empty()
+    }
+}
--- a/clementinepick/src/journal.rs
+++ b/clementinepick/src/journal.rs
@@ -19,7 +19,8 @@
 /// How the journal uses the log.
 #[derive(Debug, Clone)]
 pub struct JournalSettings {
-    /// The least time between two appends: this process's part of the log's append rate.
+    /// The least time between two appends of all entries together; a process that shares the log
+    /// with others waits as many times longer.
     pub append_interval_us: SpanUs,
     /// The time between two reads while nothing is awaited.
     pub idle_read_us: SpanUs,
@@ -32,7 +33,7 @@
 impl Default for JournalSettings {
     fn default() -> Self {
         Self {
-            append_interval_us: SpanUs::from_ms(20),
+            append_interval_us: SpanUs::from_ms(5),
             idle_read_us: SpanUs::from_ms(100),
             busy_read_us: SpanUs::from_ms(10),
             backoff_us: SpanUs::from_ms(200),
@@ -96,6 +97,11 @@
     next_read_us: TimeUs,
     reading: bool,
     reads_started: u64,
+    reads_done: u64,
+    /// Records of which an append may have taken effect without an answer.
+    tried: BTreeSet<RecordId>,
+    writers: u64,
+    jumped_to: Option<Offset>,
     seen: BTreeMap<RecordId, Offset>,
     seen_order: VecDeque<RecordId>,
     down: bool,
@@ -118,6 +124,10 @@
             next_read_us: TimeUs(0),
             reading: false,
             reads_started: 0,
+            reads_done: 0,
+            tried: BTreeSet::new(),
+            writers: 1,
+            jumped_to: None,
             seen: BTreeMap::new(),
             seen_order: VecDeque::new(),
             down: false,
@@ -157,9 +167,42 @@
         self.waiting.push_back(record);
     }
 
-    /// Drops own records that are not yet on their way, where `unwanted` says so.
-    pub fn retract(&mut self, unwanted: impl Fn(&Record) -> bool) {
-        self.waiting.retain(|record| !unwanted(record));
+    /// Takes back an own record that was never sent to the log; false when it may be there.
+    pub fn retract(&mut self, id: RecordId) -> bool {
+        if self.tried.contains(&id) {
+            return false;
+        }
+        let count = self.waiting.len();
+        self.waiting.retain(|record| record.id != id);
+        self.waiting.len() < count
+    }
+
+    /// Shares the log's append rate between `writers`.
+    pub fn share_between(&mut self, writers: usize) {
+        self.writers = writers.max(1) as u64;
+    }
+
+    /// Whether the last read came to the stream's end.
+    #[must_use]
+    pub fn at_end(&self) -> bool {
+        self.position >= self.end
+    }
+
+    /// Makes a read due at once; the number of the first read that starts from now on.
+    pub fn read_now(&mut self, now: TimeUs) -> u64 {
+        self.next_read_us = now;
+        self.reads_started + 1
+    }
+
+    /// The number of the last read that was answered.
+    #[must_use]
+    pub const fn reads_done(&self) -> u64 {
+        self.reads_done
+    }
+
+    /// The oldest offset that is kept, once after records that were not read had gone.
+    pub fn take_jump(&mut self) -> Option<Offset> {
+        self.jumped_to.take()
     }
 
     /// Starts what is due.
@@ -181,7 +224,8 @@
         let count = self.waiting.len().min(MAX_BATCH);
         let records: Vec<Record> = self.waiting.drain(..count).collect();
         self.next_batch += 1;
-        self.next_append_us = now.after(self.settings.append_interval_us);
+        let interval_us = self.settings.append_interval_us.0 * self.writers;
+        self.next_append_us = now.after(SpanUs(interval_us));
         let batch = self.next_batch;
         out.push(JournalAction::Append {
             stream: self.stream,
@@ -216,6 +260,8 @@
                 // them if so; appending anew first would only waste the log's rate, and dropping
                 // them could lose a call that others already see as started.
                 batch.settled_by_read = Some(self.reads_started + 1);
+                self.tried
+                    .extend(batch.records.iter().map(|record| record.id));
                 self.next_read_us = now;
                 let event = Event::new(EventKind::AppendUnknown).with("stream", self.stream);
                 Some(event.with("batch", number))
@@ -249,10 +295,12 @@
     ) -> Vec<(Offset, Record)> {
         self.reading = false;
         let Some(answer) = answer else {
+            self.reads_done = self.reads_started;
             self.next_read_us = now.after(self.settings.backoff_us);
             events.extend(self.went_down());
             return Vec::new();
         };
+        self.reads_done = self.reads_started;
         if std::mem::take(&mut self.down) {
             events.push(Event::new(EventKind::LogUp).with("stream", self.stream));
         }
@@ -284,6 +332,7 @@
                     .with("earliest", answer.earliest),
             );
             self.position = answer.earliest;
+            self.jumped_to = Some(answer.earliest);
         }
         let mut fresh = Vec::new();
         for stored in &answer.records {
@@ -307,6 +356,7 @@
             return false;
         }
         self.seen.insert(id, offset);
+        self.tried.remove(&id);
         self.seen_order.push_back(id);
         if self.seen_order.len() > MAX_SEEN
             && let Some(oldest) = self.seen_order.pop_front()
--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -17,24 +17,48 @@
 //! # Ok::<(), clementinepick::document::DocumentError>(())
 //! ```
 
+mod admission;
+mod answer;
 pub mod budget;
 pub mod call;
+mod call_state;
 pub mod config;
 pub mod document;
+mod dump;
 pub mod entry;
+mod entry_log;
 pub mod error;
 pub mod event;
+mod fetch;
 pub mod gate;
+mod handover;
+mod history;
 pub mod ids;
 pub mod journal;
+mod links;
 pub mod message;
 pub mod order;
 pub mod own;
 pub mod parse;
 pub mod platform;
+mod program_end;
 pub mod prompt;
 pub mod record;
+mod recovery;
+mod repeat;
 pub mod replay;
 pub mod route;
+pub mod safeguards;
 pub mod sidecar;
+mod sidecar_cache;
+mod sidecar_calls;
+mod sidecar_fence;
+mod snapshot;
+mod step_budget;
+mod step_claim;
+mod step_order;
+mod step_own;
+mod step_record;
+mod step_route;
+mod sweep;
 pub mod units;
--- /dev/null
+++ b/clementinepick/src/links.rs
@@ -0,0 +1,230 @@
+//! What an entry makes of its links and of the list of VMs.
+
+use crate::answer::Reply;
+use crate::call::Usage;
+use crate::call_state::{PeerState, ReplyTo, Step};
+use crate::entry::{Entry, EntryAction};
+use crate::error::{CallError, ErrorKind};
+use crate::event::{Event, EventKind};
+use crate::ids::{AttemptId, RequestId, VmId};
+use crate::message::{Heartbeat, Message, Peer};
+use crate::platform::{Vm, VmRole, VmState};
+use crate::units::TimeUs;
+
+impl Entry {
+    pub(crate) fn on_message(
+        &mut self,
+        now: TimeUs,
+        from: VmId,
+        message: Message,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if let Some(peer) = self.silent.remove(&from) {
+            // It was taken for dead while its link stayed up.
+            self.on_link_up(now, &peer, out);
+        }
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.heard_us = now;
+        }
+        match message {
+            Message::Heartbeat(heartbeat) => self.on_heartbeat(&from, &heartbeat, out),
+            Message::Forward { request, hops } => {
+                self.on_request(now, *request, &ReplyTo::Entry(from), hops, out);
+            }
+            Message::ForwardReply { request, part } => {
+                if !self.on_fetch_reply(&from, request, &part, out) {
+                    self.on_forward_reply(&from, request, part, out);
+                }
+            }
+            Message::ForwardCancel { request } => self.on_gone(now, request, out),
+            Message::ForwardFetch { fetch, hops } => {
+                self.on_fetch(now, &fetch, &ReplyTo::Entry(from), hops, out);
+            }
+            Message::EndProgram { program, reason } => {
+                self.end_program(now, program, reason, out);
+            }
+            Message::DispatchReply {
+                attempt,
+                part,
+                started,
+                used,
+            } => {
+                let reply = Reply {
+                    attempt,
+                    part,
+                    started,
+                    used,
+                };
+                self.on_reply(now, &from, reply, out);
+            }
+            Message::Kept {
+                partition,
+                epoch,
+                calls,
+            } => {
+                if self.own_epoch(partition) == Some(epoch) {
+                    self.on_kept(now, &from, partition, calls, out);
+                }
+            }
+            Message::FenceReply {
+                attempt, verdict, ..
+            } => self.on_fence_reply(now, &from, attempt, verdict, out),
+            Message::Load(load) => self.router.on_load(now, &from, load),
+            Message::Cache { first, events } => {
+                if self.router.on_cache(&from, first, &events) {
+                    let event = Event::new(EventKind::CacheEventGap).with("vm", &from);
+                    out.push(EntryAction::Event(event));
+                }
+            }
+            Message::Released { program, .. } => self.on_released(&program, &from),
+            Message::Documents(_)
+            | Message::Dispatch(_)
+            | Message::Cancel { .. }
+            | Message::TakeOver { .. }
+            | Message::Fence { .. }
+            | Message::Attach { .. }
+            | Message::Committed { .. }
+            | Message::Lease { .. }
+            | Message::Release { .. }
+            | Message::Order(_)
+            | Message::OrderReply { .. } => {}
+        }
+    }
+
+    pub(crate) fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            revisions: self.config.revisions(),
+            config_offset: self.config_journal.position(),
+            leaving: self.leaving,
+        }
+    }
+
+    fn on_heartbeat(&mut self, from: &VmId, heartbeat: &Heartbeat, out: &mut Vec<EntryAction>) {
+        let Some(peer) = self.peers.get_mut(from) else {
+            return;
+        };
+        peer.leaving = heartbeat.leaving;
+        if peer.peer.role == VmRole::Sidecar {
+            let listed = self
+                .vms
+                .get(from)
+                .is_some_and(|vm| vm.state == VmState::Leaving);
+            self.router.set_leaving(from, heartbeat.leaving || listed);
+            let lacking = self.config.lacking(&heartbeat.revisions);
+            if !lacking.is_empty() {
+                let message = Message::Documents(lacking);
+                out.push(EntryAction::Send {
+                    to: from.clone(),
+                    message,
+                });
+            }
+        }
+    }
+
+    pub(crate) fn on_link_up(&mut self, now: TimeUs, peer: &Peer, out: &mut Vec<EntryAction>) {
+        let event = Event::new(EventKind::LinkUp).with("vm", &peer.vm);
+        out.push(EntryAction::Event(
+            event.with("incarnation", peer.incarnation),
+        ));
+        let vm = peer.vm.clone();
+        if self.peers.contains_key(&vm) {
+            // The link came up anew before its end was noticed: what was sent over it may be lost.
+            self.on_link_down(now, &vm, out);
+        }
+        if let Some(service) = peer.service.clone() {
+            self.router.add(vm.clone(), service, peer.zone.clone());
+        }
+        let role = peer.role;
+        let state = PeerState {
+            peer: peer.clone(),
+            up_us: now,
+            heard_us: now,
+            leaving: false,
+        };
+        self.peers.insert(vm.clone(), state);
+        self.lost_us.remove(&vm);
+        let message = Message::Heartbeat(self.heartbeat());
+        out.push(EntryAction::Send {
+            to: vm.clone(),
+            message,
+        });
+        match role {
+            VmRole::Sidecar => {
+                for partition in self.own_partitions() {
+                    self.tell_take_over(&vm, partition, out);
+                }
+                self.ask_lost_calls(now, peer, out);
+                self.ask_open_calls(now, out);
+            }
+            VmRole::Entry => self.recover_partitions(now),
+        }
+    }
+
+    pub(crate) fn on_link_down(&mut self, now: TimeUs, vm: &VmId, out: &mut Vec<EntryAction>) {
+        self.silent.remove(vm);
+        let Some(peer) = self.peers.remove(vm) else {
+            return;
+        };
+        out.push(EntryAction::Event(
+            Event::new(EventKind::LinkDown).with("vm", vm),
+        ));
+        self.lost_us.insert(vm.clone(), peer.heard_us);
+        self.router.remove(vm);
+        for open in self.open_calls.values_mut().filter(|o| o.target == *vm) {
+            open.is_attached = false;
+            open.asked_us = None;
+            open.since_us = now;
+        }
+        let running: Vec<(RequestId, AttemptId)> = self
+            .calls
+            .iter()
+            .filter_map(|(id, call)| match &call.step {
+                Step::Running { attempt, target } if target == vm => Some((*id, *attempt)),
+                _ => None,
+            })
+            .collect();
+        for (id, attempt) in running {
+            let waits = self
+                .calls
+                .get(&id)
+                .is_some_and(|call| !call.idempotent && call.claim.is_some());
+            if waits {
+                self.wait_for_link(id);
+                continue;
+            }
+            let detail = format!("the link to {vm} went down");
+            let error = CallError::new(ErrorKind::BackendFailed, detail);
+            self.on_failed(now, id, attempt, (error, true, Usage::default()), out);
+        }
+        if peer.peer.role == VmRole::Entry {
+            self.on_owner_lost(now, vm, out);
+            self.fail_fetches(vm, out);
+        }
+    }
+
+    pub(crate) fn on_vms(&mut self, vms: Vec<Vm>, out: &mut Vec<EntryAction>) {
+        self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
+        for (id, vm) in &self.vms {
+            if vm.state == VmState::Leaving {
+                self.router.set_leaving(id, true);
+            }
+        }
+        let others = self.vms.values().filter(|vm| vm.id != self.settings.vm);
+        out.push(EntryAction::Connect(others.cloned().collect()));
+    }
+
+    pub(crate) fn drop_silent_peers(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        let timeout = self.settings.peer_timeout_us;
+        let silent: Vec<VmId> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.since(peer.heard_us) >= timeout)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in silent {
+            let peer = self.peers.get(&vm).map(|state| state.peer.clone());
+            self.on_link_down(now, &vm, out);
+            self.silent.extend(peer.map(|peer| (vm, peer)));
+        }
+    }
+}
--- a/clementinepick/src/message.rs
+++ b/clementinepick/src/message.rs
@@ -7,13 +7,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::call::{AnswerPart, Payload, Request};
+use crate::call::{AnswerPart, ChatMessage, Fetch, Payload, Request, Usage};
 use crate::ids::{
     AttemptId, CallKey, ClassName, Epoch, Incarnation, Offset, PartitionId, ProgramId, RequestId,
     Revision, ServiceName, VmId, ZoneName,
 };
 use crate::platform::{CacheEvent, EngineState, LoadReport, OrderBody, VmRole};
-use crate::record::PublishedDocument;
+use crate::prompt::ChainHash;
+use crate::record::{EndReason, PublishedDocument};
 use crate::units::{SpanUs, Tokens};
 
 /// Who is at the other end of a link, as proved when it came up.
@@ -57,10 +58,19 @@
         /// The request.
         request: RequestId,
     },
+    /// Entry to owner: a caller asks for the answer of an earlier call.
+    ForwardFetch {
+        /// What it asks for.
+        fetch: Box<Fetch>,
+        /// How often it was passed on already.
+        hops: u8,
+    },
     /// Entry to owner: the caller or an operator ends a program.
     EndProgram {
         /// The program.
         program: ProgramId,
+        /// Who ends it.
+        reason: EndReason,
     },
     /// Owner to sidecar: run a call.
     Dispatch(Box<Dispatch>),
@@ -72,24 +82,51 @@
         part: AnswerPart,
         /// Whether the call was sent to the backend server; false with a failure means not run.
         started: bool,
+        /// What was counted so far.
+        used: Usage,
     },
     /// Owner to sidecar: stop a call.
     Cancel {
         /// The attempt.
         attempt: AttemptId,
     },
-    /// New owner to sidecar: never start this call from now on, and say what became of it.
+    /// New owner to sidecar: take no more from earlier owners of this partition, and say what is
+    /// kept of their calls.
+    TakeOver {
+        /// The partition.
+        partition: PartitionId,
+        /// The new owner's epoch.
+        epoch: Epoch,
+    },
+    /// Sidecar to new owner: the calls of a partition that no owner has said to be on record.
+    Kept {
+        /// The partition.
+        partition: PartitionId,
+        /// The epoch of the owner that asked.
+        epoch: Epoch,
+        /// The calls.
+        calls: Vec<KeptCall>,
+    },
+    /// Owner to sidecar: never start this attempt from now on, and say what became of it.
     Fence {
-        /// The call.
+        /// The attempt.
+        attempt: AttemptId,
+        /// Its call.
         call: CallKey,
         /// Its partition.
         partition: PartitionId,
-        /// The new owner's epoch.
+        /// The owner's epoch.
         epoch: Epoch,
+        /// The epoch under which the attempt was put on record.
+        started_epoch: Epoch,
+        /// The life of the sidecar to which the attempt was sent.
+        incarnation: Incarnation,
     },
-    /// Sidecar to owner: what became of a call.
+    /// Sidecar to owner: what became of an attempt.
     FenceReply {
-        /// The call.
+        /// The attempt.
+        attempt: AttemptId,
+        /// Its call.
         call: CallKey,
         /// What is known.
         verdict: FenceVerdict,
@@ -171,6 +208,10 @@
 pub struct Dispatch {
     /// This attempt.
     pub attempt: AttemptId,
+    /// The request that the caller's entry drew for the call.
+    pub request: RequestId,
+    /// The digest of the request.
+    pub digest: ChainHash,
     /// The call.
     pub call: CallKey,
     /// The program's partition.
@@ -197,15 +238,40 @@
     pub payload: Payload,
 }
 
+/// A call that a sidecar keeps until its owner says that it is on record.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct KeptCall {
+    /// The attempt, to attach to.
+    pub attempt: AttemptId,
+    /// The caller's request.
+    pub request: RequestId,
+    /// The digest of the request.
+    pub digest: ChainHash,
+    /// The call.
+    pub call: CallKey,
+    /// Whether it may be run again.
+    pub idempotent: bool,
+    /// Whether it has ended with an answer.
+    pub answered: bool,
+    /// Whether it has ended at all.
+    pub ended: bool,
+    /// What was counted so far.
+    pub used: Usage,
+    /// The transcript that it was given; empty for plain calls.
+    pub messages: Vec<ChatMessage>,
+    /// The text of its answer so far.
+    pub answer: String,
+}
+
 /// What became of a fenced call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FenceVerdict {
     /// It was never sent to the backend server, and never will be.
     NeverRan,
     /// It runs; attach to it.
-    Running(AttemptId),
+    Running,
     /// It has ended; attach to get the answer.
-    Ended(AttemptId),
+    Ended,
     /// The sidecar has restarted since, or keeps nothing of it.
     Unknown,
 }
--- a/clementinepick/src/order.rs
+++ b/clementinepick/src/order.rs
@@ -17,20 +17,46 @@
 #[derive(Debug, Clone, Default)]
 pub struct Sequencer {
     next: CallSeq,
+    /// Whether calls may have run past `next` that left no record with an earlier owner.
+    is_lower_bound: bool,
     running: Option<CallSeq>,
     waiting: BTreeMap<CallSeq, Waiting>,
 }
 
 impl Sequencer {
-    /// A sequencer that goes on after the calls on record.
+    /// A sequencer that goes on after the calls on record; `is_lower_bound` where an earlier owner
+    /// may have run idempotent calls past them.
     #[must_use]
-    pub fn starting_at(next: CallSeq) -> Self {
+    pub fn taking_over_at(next: CallSeq, is_lower_bound: bool) -> Self {
         Self {
             next,
+            is_lower_bound,
             ..Self::default()
         }
     }
 
+    /// The place of the next call.
+    #[must_use]
+    pub const fn next(&self) -> CallSeq {
+        self.next
+    }
+
+    /// A call of an earlier owner runs on here.
+    pub fn run(&mut self, seq: CallSeq) {
+        self.running = Some(seq);
+        self.next = self.next.max(seq.next());
+    }
+
+    /// A call of an earlier owner has ended.
+    pub fn pass(&mut self, seq: CallSeq) {
+        self.next = self.next.max(seq.next());
+    }
+
+    /// Lets calls run beside each other; only for test runs without the safeguard.
+    pub(crate) fn run_beside(&mut self) {
+        self.running = None;
+    }
+
     /// Gives a call its place; absent `seq` means after all that have come.
     ///
     /// # Errors
@@ -96,17 +122,39 @@
         }
     }
 
+    /// A call of an earlier owner turned out never to have run: its place is open again.
+    ///
+    /// Where nobody comes back for it, the calls behind it go on after the wait for a gap.
+    pub fn reopen_recorded(&mut self, seq: CallSeq) {
+        if self.running.is_none() && self.next == seq.next() {
+            self.next = seq;
+            self.is_lower_bound = true;
+        }
+    }
+
     /// Takes back a call that still waits.
     pub fn remove(&mut self, request: RequestId) {
         self.waiting.retain(|_, waiting| waiting.request != request);
     }
 
     /// Takes out the calls that have waited `gap` for an earlier one that did not come.
+    ///
+    /// After a take-over the earlier one may have run without a record. Then the first call that
+    /// waits is let go on instead; one that comes for an earlier place later is out of order.
     pub fn overdue(&mut self, now: TimeUs, gap_us: SpanUs) -> Vec<RequestId> {
-        if self.running.is_some() {
+        if self.running.is_some() || self.waiting.contains_key(&self.next) {
             return Vec::new();
         }
         let late = |waiting: &Waiting| now.since(waiting.since_us) >= gap_us;
+        if self.is_lower_bound {
+            if let Some((seq, waiting)) = self.waiting.first_key_value()
+                && late(waiting)
+            {
+                self.next = *seq;
+                self.is_lower_bound = false;
+            }
+            return Vec::new();
+        }
         let overdue: Vec<_> = self
             .waiting
             .values()
--- a/clementinepick/src/parse.rs
+++ b/clementinepick/src/parse.rs
@@ -4,10 +4,11 @@
 use std::str::FromStr;
 
 use serde_json::{Map, Value};
+use xxhash_rust::xxh3::xxh3_128;
 
-use crate::call::{ChatCall, ChatMessage, Payload, PlainCall, Request};
+use crate::call::{ChatCall, ChatMessage, Fetch, Payload, PlainCall, Request};
 use crate::error::{CallError, ErrorKind};
-use crate::ids::{ProgramId, RequestId, ServiceName};
+use crate::ids::{IdempotencyKey, ProgramId, RequestId, ServiceName};
 use crate::prompt::Prompt;
 use crate::units::{Bytes, SpanUs, Tokens};
 
@@ -19,6 +20,12 @@
 pub const CALL_HEADER: &str = "clementinepick-call";
 /// Names the parent program of a sub-agent.
 pub const PARENT_HEADER: &str = "clementinepick-parent";
+/// Names the root program of a sub-agent's sub-agent; absent: the parent is the root.
+pub const ROOT_HEADER: &str = "clementinepick-root";
+/// `append` when a chat call brings only messages that the history on record lacks.
+pub const HISTORY_HEADER: &str = "clementinepick-history";
+/// The chain of the history that an appending call builds on, from the last answer.
+pub const HISTORY_CHAIN_HEADER: &str = "clementinepick-history-chain";
 /// Names the class.
 pub const CLASS_HEADER: &str = "clementinepick-class";
 /// The milliseconds until the caller gives up.
@@ -179,6 +186,33 @@
     read_request(id, service, Payload::Plain(call), http)
 }
 
+/// Reads `GET /v1/programs/{program}/calls/{call}?position={characters}`.
+///
+/// # Errors
+///
+/// Which part of the path is wrong.
+pub fn parse_fetch(id: RequestId, http: &HttpRequest) -> Result<Fetch, CallError> {
+    let bad = |field: &str, detail: &str| CallError::at(ErrorKind::BadHeader, field, detail);
+    let (path, query) = http.path.split_once('?').unwrap_or((&http.path, ""));
+    let parts: Vec<&str> = path.split('/').collect();
+    let ["", "v1", "programs", program, "calls", call] = parts[..] else {
+        let detail = "must be /v1/programs/{program}/calls/{call}";
+        return Err(CallError::at(ErrorKind::UnknownCall, "path", detail));
+    };
+    let position = query
+        .split('&')
+        .find_map(|part| part.strip_prefix("position="));
+    Ok(Fetch {
+        id,
+        program: program.parse().map_err(|_| bad("program", "is no name"))?,
+        root: http.read(ROOT_HEADER)?,
+        seq: call.parse().map_err(|_| bad("call", "is no number"))?,
+        position: position
+            .map_or(Ok(0), str::parse)
+            .map_err(|_| bad("position", "is no number"))?,
+    })
+}
+
 fn check_size(settings: &ParseSettings, http: &HttpRequest) -> Result<(), CallError> {
     if http.body.len() as u64 > settings.max_body_bytes.0 {
         let detail = format!("the limit is {}", settings.max_body_bytes);
@@ -196,6 +230,24 @@
     let program: Option<ProgramId> = http.read(PROGRAM_HEADER)?;
     let single_call = program.is_none();
     let parent = http.read(PARENT_HEADER)?;
+    let root = http.read(ROOT_HEADER)?;
+    let key: Option<IdempotencyKey> = http.read(KEY_HEADER)?;
+    if parent.is_none() && root.is_some() {
+        let detail = format!("needs `{PARENT_HEADER}` as well");
+        return Err(CallError::at(ErrorKind::BadHeader, ROOT_HEADER, detail));
+    }
+    let append = match http.header(HISTORY_HEADER).map(str::trim) {
+        None => false,
+        Some("append") => true,
+        Some(_) => {
+            let detail = "must be `append`";
+            return Err(CallError::at(ErrorKind::BadHeader, HISTORY_HEADER, detail));
+        }
+    };
+    if single_call && append {
+        let detail = format!("needs `{PROGRAM_HEADER}` as well");
+        return Err(CallError::at(ErrorKind::BadHeader, HISTORY_HEADER, detail));
+    }
     if single_call && parent.is_some() {
         let detail = format!("needs `{PROGRAM_HEADER}` as well");
         return Err(CallError::at(ErrorKind::BadHeader, PARENT_HEADER, detail));
@@ -204,15 +256,18 @@
     let budget: Option<u64> = http.read(BUDGET_HEADER)?;
     Ok(Request {
         id,
+        program: program.map_or_else(|| single_program(id, &service, key.as_ref()), Ok)?,
         service,
-        program: program.map_or_else(|| single_program(id), Ok)?,
         single_call,
         seq: http.read(CALL_HEADER)?,
         parent,
+        root,
+        append,
+        history_chain: http.read(HISTORY_CHAIN_HEADER)?,
         class: http.read(CLASS_HEADER)?,
         deadline_left_us: deadline_ms.map(SpanUs::from_ms),
         budget_tokens: budget.map(Tokens),
-        idempotency_key: http.read(KEY_HEADER)?,
+        idempotency_key: key,
         non_idempotent: http.read_flag(NON_IDEMPOTENT_HEADER)?,
         next_tool: http.read(TOOL_HEADER)?,
         payload,
@@ -220,8 +275,22 @@
 }
 
 /// The program of a request that names none.
-fn single_program(id: RequestId) -> Result<ProgramId, CallError> {
-    let program = format!("call-{id}").parse();
+///
+/// A repeat under the same idempotency key must find the first one's record, at whichever entry it
+/// comes in; so the key gives the program, where there is one.
+fn single_program(
+    id: RequestId,
+    service: &ServiceName,
+    key: Option<&IdempotencyKey>,
+) -> Result<ProgramId, CallError> {
+    let name = key.map_or_else(
+        || format!("call-{id}"),
+        |key| {
+            let text = format!("{service}/{key}");
+            format!("key-{:032x}", xxh3_128(text.as_bytes()))
+        },
+    );
+    let program = name.parse();
     program.map_err(|err| CallError::new(ErrorKind::Internal, format!("{err}")))
 }
 
--- /dev/null
+++ b/clementinepick/src/program_end.rs
@@ -0,0 +1,308 @@
+//! Ends programs and frees the engine memory that they hold.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::call_state::{Awaited, Releasing, Step};
+use crate::entry::{Entry, EntryAction};
+use crate::error::{CallError, ErrorKind};
+use crate::event::{Event, EventKind};
+use crate::ids::{CallSeq, PartitionId, ProgramId, RequestId, VmId};
+use crate::message::Message;
+use crate::platform::VmRole;
+use crate::record::{EndReason, OwnedRecord};
+use crate::units::{SpanUs, TimeUs};
+
+/// The time between two releases of the same program's memory while one is not confirmed.
+const RELEASE_AGAIN_US: SpanUs = SpanUs::from_s(2);
+/// The most programs that one record forgets.
+const MAX_FORGOTTEN: usize = 256;
+
+impl Entry {
+    /// Ends a program with its sub-agents.
+    pub(crate) fn end_program(
+        &mut self,
+        now: TimeUs,
+        program: ProgramId,
+        reason: EndReason,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let partition = self.home_of(&program, &program);
+        if self.own_epoch(partition).is_none() {
+            self.pass_end_on(now, program, reason, partition, out);
+            return;
+        }
+        for child in self.children_of(partition, &program) {
+            self.end_program(now, child, EndReason::Parent, out);
+        }
+        let state = self.partitions.program(partition, &program);
+        let is_recorded = state.is_some();
+        let is_open = state.is_some_and(|state| state.ended.is_none());
+        let last = state
+            .and_then(|state| state.next.0.checked_sub(1))
+            .map(CallSeq);
+        if !is_recorded && !self.programs.contains_key(&program) {
+            return;
+        }
+        if is_open {
+            let entry = OwnedRecord::ProgramEnded {
+                program: program.clone(),
+                last,
+                reason,
+            };
+            if let Some(record) = self.write_owned(partition, entry) {
+                self.awaited.insert(record, Awaited::Other(partition));
+            }
+            self.ended_us.insert(program.clone(), now);
+        }
+        let live = self.programs.remove(&program);
+        self.refuse_waiting(now, &program, reason, out);
+        if is_open || live.is_some() {
+            let event = Event::new(EventKind::ProgramEnded).with("program", &program);
+            let event = event.with("reason", format!("{reason:?}"));
+            out.push(EntryAction::Event(event));
+        }
+        let holders = live.map(|live| live.holders).unwrap_or_default();
+        self.release(now, partition, program, holders, out);
+    }
+
+    fn pass_end_on(
+        &mut self,
+        now: TimeUs,
+        program: ProgramId,
+        reason: EndReason,
+        partition: PartitionId,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let owner = self.target_owner(now, partition);
+        if let Some(to) = owner.filter(|vm| *vm != self.settings.vm) {
+            let message = Message::EndProgram { program, reason };
+            out.push(EntryAction::Send { to, message });
+        }
+    }
+
+    fn children_of(&self, partition: PartitionId, program: &ProgramId) -> Vec<ProgramId> {
+        let Some(state) = self.partitions.get(partition) else {
+            return Vec::new();
+        };
+        let open = state.programs.iter().filter(|(_, p)| p.ended.is_none());
+        open.filter(|(_, p)| p.parent.as_ref() == Some(program))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// Refuses the calls of an ended program that have not been sent on; what runs and may run
+    /// again is cancelled by the release, and what may not is let finish.
+    fn refuse_waiting(
+        &mut self,
+        now: TimeUs,
+        program: &ProgramId,
+        reason: EndReason,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let ids: Vec<RequestId> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.request.program == *program)
+            .filter(|(_, call)| {
+                matches!(
+                    call.step,
+                    Step::Order | Step::Slice | Step::Claim | Step::Route
+                )
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            let detail = format!("the program has ended ({reason:?})");
+            self.refuse(
+                now,
+                id,
+                CallError::new(ErrorKind::ProgramEnded, detail),
+                out,
+            );
+        }
+    }
+
+    /// Asks all sidecars that may hold a program's cache to free it.
+    ///
+    /// A release that was lost would leave the memory held for as long as the engine lives; so it
+    /// is repeated until each sidecar has confirmed, and a new owner releases anew.
+    pub(crate) fn release(
+        &mut self,
+        now: TimeUs,
+        partition: PartitionId,
+        program: ProgramId,
+        holders: BTreeSet<VmId>,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if holders.is_empty() {
+            return;
+        }
+        let releasing = Releasing {
+            partition,
+            holders,
+            next_us: now,
+        };
+        self.releasing.insert(program, releasing);
+        self.send_releases(now, out);
+    }
+
+    pub(crate) fn send_releases(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        let mut due = Vec::new();
+        for (program, releasing) in &mut self.releasing {
+            if now < releasing.next_us {
+                continue;
+            }
+            releasing.next_us = if self.settings.safeguards.release_repeat {
+                now.after(RELEASE_AGAIN_US)
+            } else {
+                TimeUs(u64::MAX)
+            };
+            for vm in &releasing.holders {
+                due.push((vm.clone(), program.clone(), releasing.partition));
+            }
+        }
+        for (to, program, partition) in due {
+            let Some(epoch) = self.own_epoch(partition) else {
+                continue;
+            };
+            let message = Message::Release {
+                program,
+                partition,
+                epoch,
+            };
+            out.push(EntryAction::Send { to, message });
+        }
+    }
+
+    pub(crate) fn on_released(&mut self, program: &ProgramId, from: &VmId) {
+        if let Some(releasing) = self.releasing.get_mut(program) {
+            releasing.holders.remove(from);
+            if releasing.holders.is_empty() {
+                self.releasing.remove(program);
+            }
+        }
+    }
+
+    /// The sidecars that this entry has a link to.
+    pub(crate) fn sidecars(&self) -> impl Iterator<Item = &VmId> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| peer.peer.role == VmRole::Sidecar)
+            .map(|(vm, _)| vm)
+    }
+
+    /// Tells sidecars which programs live, so that their cache stays.
+    pub(crate) fn renew_leases(&self, out: &mut Vec<EntryAction>) {
+        let mut leases: BTreeMap<(&VmId, PartitionId), (SpanUs, Vec<ProgramId>)> = BTreeMap::new();
+        for (program, live) in &self.programs {
+            for vm in &live.holders {
+                let ttl_us = self.lease_us(live.partition, program);
+                let lease = leases.entry((vm, live.partition)).or_default();
+                lease.0 = lease.0.max(ttl_us);
+                lease.1.push(program.clone());
+            }
+        }
+        for ((vm, partition), (ttl_us, programs)) in leases {
+            let Some(epoch) = self.own_epoch(partition) else {
+                continue;
+            };
+            let message = Message::Lease {
+                partition,
+                epoch,
+                programs,
+                ttl_us,
+            };
+            let to = vm.clone();
+            out.push(EntryAction::Send { to, message });
+        }
+    }
+
+    fn lease_us(&self, partition: PartitionId, program: &ProgramId) -> SpanUs {
+        let state = self.partitions.program(partition, program);
+        let in_force = state.and_then(|state| self.config.service(&state.service));
+        in_force.map_or(SpanUs::from_s(30), |s| s.document.retention.lease_us)
+    }
+
+    /// Ends programs that are idle, out of time or out of budget.
+    pub(crate) fn sweep_programs(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        let mut over: Vec<(ProgramId, EndReason)> = Vec::new();
+        let mut overdue = Vec::new();
+        let mut moved = Vec::new();
+        for (program, live) in &mut self.programs {
+            let Some(state) = self.partitions.program(live.partition, program) else {
+                continue;
+            };
+            let Some(in_force) = self.config.service(&state.service) else {
+                continue;
+            };
+            let rules = &in_force.document.program;
+            let late = live.order.overdue(now, rules.gap_us);
+            if late.is_empty() {
+                moved.push(program.clone());
+            }
+            overdue.extend(late);
+            live.spending.set_time(now.since(live.since_us));
+            let is_root = state.root.is_none();
+            if is_root && state.account.is_overdue(&live.spending) {
+                over.push((program.clone(), EndReason::Deadline));
+            } else if live.is_spent && live.order.is_idle() {
+                over.push((program.clone(), EndReason::Budget));
+            } else if live.order.is_idle()
+                && live.tail.is_empty()
+                && now.since(live.last_used_us) >= rules.idle_us
+            {
+                over.push((program.clone(), EndReason::Idle));
+            }
+        }
+        for id in overdue {
+            let detail = "an earlier call did not come in time";
+            self.refuse(now, id, CallError::new(ErrorKind::OutOfOrder, detail), out);
+        }
+        for program in moved {
+            self.start_next(now, &program, out);
+        }
+        for (program, reason) in over {
+            // A parent that only waits for its sub-agents is not idle.
+            let waits = reason == EndReason::Idle && self.has_busy_children(now, &program);
+            if !waits {
+                self.end_program(now, program, reason, out);
+            }
+        }
+    }
+
+    fn has_busy_children(&self, now: TimeUs, program: &ProgramId) -> bool {
+        let Some(live) = self.programs.get(program) else {
+            return false;
+        };
+        let children = self.children_of(live.partition, program);
+        children.iter().any(|child| {
+            let live = self.programs.get(child);
+            live.is_some_and(|live| now.since(live.last_used_us) < SpanUs::from_s(60))
+                || self.has_busy_children(now, child)
+        })
+    }
+
+    /// Drops programs that ended a while ago, so that neither memory nor snapshots grow for ever.
+    pub(crate) fn forget_programs(&mut self, now: TimeUs) {
+        let keep_us = self.settings.keep_ended_us;
+        let mut old: BTreeMap<PartitionId, Vec<ProgramId>> = BTreeMap::new();
+        for (program, at_us) in &self.ended_us {
+            if now.since(*at_us) >= keep_us && !self.releasing.contains_key(program) {
+                let partition = self.home_of(program, program);
+                let programs = old.entry(partition).or_default();
+                if programs.len() < MAX_FORGOTTEN {
+                    programs.push(program.clone());
+                }
+            }
+        }
+        for (partition, programs) in old {
+            for program in &programs {
+                self.ended_us.remove(program);
+            }
+            let entry = OwnedRecord::ProgramsForgotten { programs };
+            if let Some(record) = self.write_owned(partition, entry) {
+                self.awaited.insert(record, Awaited::Other(partition));
+            }
+        }
+    }
+}
--- a/clementinepick/src/prompt.rs
+++ b/clementinepick/src/prompt.rs
@@ -1,10 +1,13 @@
 //! The shape of a prompt: a chain of segments that engines can cache and the router can compare.
 
+use std::str::FromStr;
+
 use derive_more::{Display, From, Into};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::call::ChatMessage;
+use crate::ids::{BadId, MAX_NAME_BYTES};
 use crate::units::Tokens;
 
 /// Bytes of text that make about one token, for estimates before an engine has counted.
@@ -32,6 +35,21 @@
 #[display("{_0:016x}")]
 pub struct ChainHash(pub u64);
 
+impl FromStr for ChainHash {
+    type Err = BadId;
+
+    fn from_str(text: &str) -> Result<Self, BadId> {
+        let bad = || BadId {
+            text: text.chars().take(MAX_NAME_BYTES).collect(),
+            expected: "a chain of 16 hexadecimal digits",
+        };
+        if text.len() != 16 || text.starts_with('+') {
+            return Err(bad());
+        }
+        u64::from_str_radix(text, 16).map(Self).map_err(|_| bad())
+    }
+}
+
 impl ChainHash {
     /// The chain extended by `content`.
     #[must_use]
--- a/clementinepick/src/record.rs
+++ b/clementinepick/src/record.rs
@@ -2,11 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::call::{ChatMessage, PlainAnswer, Usage};
+use crate::budget::Amount;
+use crate::call::{ChatMessage, FinishReason, PlainAnswer, Usage};
 use crate::error::CallError;
 use crate::ids::{
-    CallKey, CallSeq, ClassName, Epoch, FencingNumber, IdempotencyKey, Incarnation, Offset,
-    OperationId, OrderId, PartitionId, ProgramId, RecordId, Revision, ServiceName, VmId,
+    AttemptId, CallKey, CallSeq, ClassName, Epoch, FencingNumber, IdempotencyKey, Incarnation,
+    Offset, OperationId, OrderId, PartitionId, ProgramId, RecordId, RequestId, Revision,
+    ServiceName, VmId,
 };
 use crate::platform::EngineOrder;
 use crate::prompt::ChainHash;
@@ -118,28 +120,45 @@
     ProgramOpened {
         /// The program.
         program: ProgramId,
-        /// The program whose sub-agent it is and whose account it spends from.
+        /// The program whose sub-agent it is.
         parent: Option<ProgramId>,
+        /// The program at the root of the sub-agents, whose account it spends from.
+        root: Option<ProgramId>,
         /// The service of its first call.
         service: ServiceName,
         /// Its class.
         class: ClassName,
         /// What it may spend.
         budget: Budget,
+        /// The first slice of its budget.
+        slice: Amount,
     },
     /// A slice of an account's budget is set aside, to be spent without further records.
     SliceReserved {
         /// The account.
         program: ProgramId,
-        /// Tokens set aside.
-        tokens: Tokens,
-        /// Calls set aside.
-        calls: u64,
+        /// What was set aside before; where it differs, the record changes nothing.
+        before: Amount,
+        /// What is set aside in addition.
+        slice: Amount,
+    },
+    /// An owner that leaves gives back what it did not spend of an account's slices.
+    SliceReturned {
+        /// The account.
+        program: ProgramId,
+        /// What was set aside before; where it differs, the record changes nothing.
+        before: Amount,
+        /// What is given back.
+        unused: Amount,
     },
     /// A non-idempotent call is about to be sent to `target`.
     CallStarted {
         /// The call.
         call: CallKey,
+        /// The attempt.
+        attempt: AttemptId,
+        /// The caller's request.
+        request: RequestId,
         /// The digest of the request, to tell a repeat from another request.
         digest: ChainHash,
         /// The caller's key.
@@ -153,6 +172,8 @@
     CallEnded {
         /// The call.
         call: CallKey,
+        /// The attempt.
+        attempt: AttemptId,
         /// How it ended.
         outcome: CallOutcome,
     },
@@ -160,6 +181,12 @@
     TurnAdded {
         /// The call.
         call: CallKey,
+        /// The caller's request.
+        request: RequestId,
+        /// The digest of the request, to tell a repeat from another request.
+        digest: ChainHash,
+        /// The caller's key.
+        key: Option<IdempotencyKey>,
         /// The chain before the turn.
         before: ChainHash,
         /// The chain after it.
@@ -170,6 +197,8 @@
         answer: String,
         /// What it cost.
         usage: Usage,
+        /// Why the engine stopped.
+        finish: Option<FinishReason>,
     },
     /// A program has ended.
     ProgramEnded {
@@ -180,7 +209,12 @@
         /// Why.
         reason: EndReason,
     },
-    /// The owner leaves the partition to whoever claims it next.
+    /// Programs that ended a while ago are dropped, with the answers to their repeats.
+    ProgramsForgotten {
+        /// The programs.
+        programs: Vec<ProgramId>,
+    },
+    /// The owner leaves the partition to whoever claims it next; its later records do not count.
     Yielded,
     /// The partition's state, carried forward before retention ends.
     Snapshot {
--- /dev/null
+++ b/clementinepick/src/repeat.rs
@@ -0,0 +1,351 @@
+//! Tells a repeat of a call from a new one, and gives it the first one's answer or the truth.
+
+use crate::call::{AnswerPart, CallDone, Payload, Request, TurnState, Usage};
+use crate::call_state::{Call, Leader, Step};
+use crate::entry::{Entry, EntryAction};
+use crate::error::{CallError, ErrorKind};
+use crate::ids::{CallKey, CallSeq, IdempotencyKey, RequestId};
+use crate::message::Message;
+use crate::prompt::ChainHash;
+use crate::record::CallOutcome;
+use crate::replay::{ProgramState, RecordedCall};
+use crate::units::TimeUs;
+
+/// What a call turned out to repeat.
+#[derive(Debug, Clone, PartialEq)]
+enum Repeat {
+    /// A call under way.
+    Of(Leader),
+    /// A call that has its outcome.
+    Ended(CallSeq, CallOutcome),
+    /// A turn on record or on its way there.
+    Turn(CallDone, String),
+    /// The key belongs to another request.
+    KeyReused,
+}
+
+/// How a known call compares with a new one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Match {
+    Same,
+    OtherBody,
+    No,
+}
+
+/// What identifies a known call.
+struct Known<'a> {
+    request: RequestId,
+    digest: ChainHash,
+    key: Option<&'a IdempotencyKey>,
+    seq: CallSeq,
+}
+
+fn compare(call: &Call, known: &Known<'_>) -> Match {
+    let new = &call.request;
+    if known.request == new.id {
+        return Match::Same;
+    }
+    let same_body = known.digest == call.digest;
+    if new.idempotency_key.is_some() && new.idempotency_key.as_ref() == known.key {
+        return if same_body {
+            Match::Same
+        } else {
+            Match::OtherBody
+        };
+    }
+    // Without a key the place in the program tells a repeat; another body there is another call,
+    // which is out of order.
+    let keyless = new.idempotency_key.is_none() || known.key.is_none();
+    if keyless && new.seq == Some(known.seq) && same_body {
+        return Match::Same;
+    }
+    Match::No
+}
+
+impl Entry {
+    /// Goes on with a call whose partition is owned here.
+    pub(crate) fn step_repeat(&mut self, now: TimeUs, id: RequestId, out: &mut Vec<EntryAction>) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let repeat = if self.settings.safeguards.dedup {
+            self.find_repeat(id, call)
+        } else {
+            None
+        };
+        match repeat {
+            None => {
+                if !self.adopt(now, id, out) {
+                    self.step_order(now, id, out);
+                }
+            }
+            Some(Repeat::Of(leader)) => self.follow(id, leader, 0, out),
+            Some(Repeat::Ended(seq, outcome)) => {
+                let key = call.request.key(seq);
+                self.answer_outcome(id, &key, outcome, 0, out);
+            }
+            Some(Repeat::Turn(done, text)) => self.answer_turn(id, done, &text, 0, out),
+            Some(Repeat::KeyReused) => {
+                let detail = "this idempotency key was used with another request";
+                let field = crate::parse::KEY_HEADER;
+                let error = CallError::at(ErrorKind::KeyReused, field, detail);
+                self.drop_call(id, error, out);
+            }
+        }
+    }
+
+    fn find_repeat(&self, id: RequestId, call: &Call) -> Option<Repeat> {
+        self.find_live(id, call)
+            .or_else(|| self.find_pending(call))
+            .or_else(|| self.find_recorded(call))
+    }
+
+    fn find_live(&self, id: RequestId, call: &Call) -> Option<Repeat> {
+        let others = self.calls.iter().filter(|(other, known)| {
+            **other != id
+                && known.request.program == call.request.program
+                && !matches!(known.step, Step::Own | Step::Forwarded(_) | Step::Follow(_))
+        });
+        for (other, known) in others {
+            let Some(seq) = known.seq else { continue };
+            let matched = compare(
+                call,
+                &Known {
+                    request: *other,
+                    digest: known.digest,
+                    key: known.request.idempotency_key.as_ref(),
+                    seq,
+                },
+            );
+            match matched {
+                Match::Same => return Some(Repeat::Of(Leader::Request(*other))),
+                Match::OtherBody => return Some(Repeat::KeyReused),
+                Match::No => {}
+            }
+        }
+        None
+    }
+
+    fn find_pending(&self, call: &Call) -> Option<Repeat> {
+        let live = self.programs.get(&call.request.program)?;
+        for turn in &live.tail {
+            let known = Known {
+                request: turn.request,
+                digest: turn.digest,
+                key: turn.key.as_ref(),
+                seq: turn.call.seq,
+            };
+            match compare(call, &known) {
+                Match::Same => {
+                    let done = CallDone {
+                        finish: turn.finish,
+                        ..done(&turn.call, turn.usage, TurnState::Pending, Some(turn.after))
+                    };
+                    return Some(Repeat::Turn(done, turn.answer.clone()));
+                }
+                Match::OtherBody => return Some(Repeat::KeyReused),
+                Match::No => {}
+            }
+        }
+        None
+    }
+
+    fn find_recorded(&self, call: &Call) -> Option<Repeat> {
+        let state = self
+            .partitions
+            .program(call.partition, &call.request.program)?;
+        // The turn has more of the answer than the outcome of its call, so it is looked at first.
+        if let Some(repeat) = find_turn(state, call) {
+            return Some(repeat);
+        }
+        for (seq, recorded) in &state.calls {
+            if matches!(recorded.outcome, Some(CallOutcome::NeverRan(_))) {
+                continue;
+            }
+            match compare(call, &known_call(*seq, recorded)) {
+                Match::Same => return Some(Self::recorded_repeat(&call.request, *seq, recorded)),
+                Match::OtherBody => return Some(Repeat::KeyReused),
+                Match::No => {}
+            }
+        }
+        None
+    }
+
+    fn recorded_repeat(request: &Request, seq: CallSeq, recorded: &RecordedCall) -> Repeat {
+        match &recorded.outcome {
+            Some(outcome) => Repeat::Ended(seq, outcome.clone()),
+            None => Repeat::Of(Leader::Recorded(request.key(seq))),
+        }
+    }
+
+    /// Makes a call wait for another's answer; it gets the text so far at once.
+    pub(crate) fn follow(
+        &mut self,
+        id: RequestId,
+        leader: Leader,
+        position: u64,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let text = match &leader {
+            Leader::Request(leader) => self.calls.get(leader).map(|call| call.answer.clone()),
+            Leader::Recorded(key) => self.open_calls.get(key).map(|open| open.answer.clone()),
+        };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.step = Step::Follow(leader);
+        let reply_to = call.reply_to.clone();
+        let text = crate::sidecar::skip_chars(&text.unwrap_or_default(), position);
+        if !text.is_empty() {
+            crate::answer::answer(&reply_to, id, AnswerPart::Text { position, text }, out);
+        }
+    }
+
+    /// Takes over a running or ended attempt of an earlier owner, instead of running it again.
+    fn adopt(&mut self, now: TimeUs, id: RequestId, out: &mut Vec<EntryAction>) -> bool {
+        let Some((target, kept)) = self.kept.remove(&id) else {
+            return false;
+        };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return false;
+        };
+        let Some(epoch) = self.partitions.owner(call.partition).map(|o| o.epoch) else {
+            return false;
+        };
+        if kept.digest != call.digest || !self.peers.contains_key(&target) {
+            return false;
+        }
+        call.seq = Some(kept.call.seq);
+        if call.request.append
+            && let Payload::Chat(chat) = &call.request.payload
+        {
+            let mut chat = chat.clone();
+            chat.messages.clone_from(&kept.messages);
+            chat.prompt = crate::prompt::Prompt::of_messages(&chat.messages);
+            call.full = Some(Payload::Chat(chat));
+        }
+        call.step = Step::Running {
+            attempt: kept.attempt,
+            target: target.clone(),
+        };
+        call.tried.insert(target.clone());
+        let (partition, program) = (call.partition, call.request.program.clone());
+        self.router.on_sent(&target, call.work_tokens());
+        self.attempts.insert(kept.attempt, id);
+        let live = self.live_program(now, partition, &program);
+        live.order.run(kept.call.seq);
+        live.holders.insert(target.clone());
+        live.last_backend = Some(target.clone());
+        let message = Message::Attach {
+            attempt: kept.attempt,
+            epoch,
+            position: 0,
+        };
+        let to = target;
+        out.push(EntryAction::Send { to, message });
+        true
+    }
+
+    /// Answers with the outcome of a call that has ended.
+    pub(crate) fn answer_outcome(
+        &mut self,
+        id: RequestId,
+        key: &CallKey,
+        outcome: CallOutcome,
+        position: u64,
+        out: &mut Vec<EntryAction>,
+    ) {
+        match outcome {
+            CallOutcome::Plain(plain) => {
+                let Some(call) = self.calls.remove(&id) else {
+                    return;
+                };
+                let to = call.reply_to;
+                crate::answer::answer(&to, id, AnswerPart::Plain(plain), out);
+                let done = done(key, Usage::default(), TurnState::Committed, None);
+                crate::answer::answer(&to, id, AnswerPart::Done(done), out);
+            }
+            CallOutcome::Chat { answer, usage } => {
+                let done = done(key, usage, TurnState::Committed, None);
+                self.answer_turn(id, done, &answer, position, out);
+            }
+            CallOutcome::NeverRan(error) | CallOutcome::Failed(error) => {
+                self.drop_call(id, error, out);
+            }
+            CallOutcome::Unknown => {
+                let detail = "the call was sent on and its outcome can't be learned";
+                let error = CallError::new(ErrorKind::OutcomeUnknown, detail);
+                self.drop_call(id, error, out);
+            }
+        }
+    }
+
+    /// Answers with a turn that has ended.
+    pub(crate) fn answer_turn(
+        &mut self,
+        id: RequestId,
+        done: CallDone,
+        text: &str,
+        position: u64,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        let text = crate::sidecar::skip_chars(text, position);
+        if !text.is_empty() {
+            let part = AnswerPart::Text { position, text };
+            crate::answer::answer(&call.reply_to, id, part, out);
+        }
+        crate::answer::answer(&call.reply_to, id, AnswerPart::Done(done), out);
+    }
+}
+
+fn known_call(seq: CallSeq, recorded: &RecordedCall) -> Known<'_> {
+    Known {
+        request: recorded.request,
+        digest: recorded.digest,
+        key: recorded.key.as_ref(),
+        seq,
+    }
+}
+
+fn find_turn(state: &ProgramState, call: &Call) -> Option<Repeat> {
+    for (seq, turn) in &state.turns {
+        let known = Known {
+            request: turn.request,
+            digest: turn.digest,
+            key: turn.key.as_ref(),
+            seq: *seq,
+        };
+        match compare(call, &known) {
+            Match::Same => {
+                let key = call.request.key(*seq);
+                let done = CallDone {
+                    finish: turn.finish,
+                    ..done(&key, turn.usage, TurnState::Committed, Some(turn.chain))
+                };
+                let text = state.history.get(turn.answer_at)?.content.clone();
+                return Some(Repeat::Turn(done, text));
+            }
+            Match::OtherBody => return Some(Repeat::KeyReused),
+            Match::No => {}
+        }
+    }
+    None
+}
+
+pub(crate) fn done(
+    call: &CallKey,
+    usage: Usage,
+    turn: TurnState,
+    chain: Option<ChainHash>,
+) -> CallDone {
+    CallDone {
+        call: call.clone(),
+        usage,
+        finish: None,
+        turn,
+        chain,
+    }
+}
--- a/clementinepick/src/replay.rs
+++ b/clementinepick/src/replay.rs
@@ -1,17 +1,18 @@
 //! The state of the partitions, replayed from the log by one deterministic function.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
 use crate::budget::{Account, Amount};
-use crate::call::ChatMessage;
+use crate::call::{ChatMessage, FinishReason, Usage};
 use crate::ids::{
-    CallKey, CallSeq, ClassName, Epoch, IdempotencyKey, Incarnation, Offset, PartitionId,
-    ProgramId, ServiceName, VmId,
+    AttemptId, CallKey, CallSeq, ClassName, Epoch, IdempotencyKey, Incarnation, Offset,
+    PartitionId, ProgramId, RequestId, ServiceName, VmId,
 };
 use crate::prompt::ChainHash;
 use crate::record::{CallOutcome, EndReason, OwnedRecord, Record, RecordBody};
+use crate::safeguards::Safeguards;
 
 /// The entry that owns a partition.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,6 +28,10 @@
 /// A non-idempotent call on record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordedCall {
+    /// The attempt that was put on record last.
+    pub attempt: AttemptId,
+    /// The caller's request.
+    pub request: RequestId,
     /// The digest of its request.
     pub digest: ChainHash,
     /// The caller's key.
@@ -35,15 +40,38 @@
     pub target: VmId,
     /// That sidecar's life.
     pub target_incarnation: Incarnation,
+    /// The epoch under which the attempt was put on record.
+    pub epoch: Epoch,
     /// How it ended; absent while it is open.
     pub outcome: Option<CallOutcome>,
 }
 
+/// A turn on record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordedTurn {
+    /// The caller's request.
+    pub request: RequestId,
+    /// The digest of the request.
+    pub digest: ChainHash,
+    /// The caller's key.
+    pub key: Option<IdempotencyKey>,
+    /// The place of the answer in the history.
+    pub answer_at: usize,
+    /// What it cost.
+    pub usage: Usage,
+    /// Why the engine stopped.
+    pub finish: Option<FinishReason>,
+    /// The chain of the history up to and with the turn.
+    pub chain: ChainHash,
+}
+
 /// A program as the log tells it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ProgramState {
     /// The program whose sub-agent it is.
     pub parent: Option<ProgramId>,
+    /// The program whose account it spends from, where that is another.
+    pub root: Option<ProgramId>,
     /// The service of its first call.
     pub service: ServiceName,
     /// Its class.
@@ -52,12 +80,14 @@
     pub account: Account,
     /// The transcript on record.
     pub history: Vec<ChatMessage>,
-    /// The chain over the transcript.
+    /// The chain over the program and its transcript.
     pub chain: ChainHash,
     /// The place of the next call.
     pub next: CallSeq,
     /// The non-idempotent calls.
     pub calls: BTreeMap<CallSeq, RecordedCall>,
+    /// The turns.
+    pub turns: BTreeMap<CallSeq, RecordedTurn>,
     /// Why it ended, once it has.
     pub ended: Option<EndReason>,
 }
@@ -88,22 +118,80 @@
     Other,
 }
 
+/// A record that came before its partition's state was whole.
+#[derive(Debug, Clone, PartialEq)]
+struct Early {
+    offset: Offset,
+    record: Record,
+}
+
 /// All partitions.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Partitions {
-    partitions: BTreeMap<PartitionId, PartitionState>,
+    states: BTreeMap<PartitionId, PartitionState>,
+    /// The partitions of sub-agents, which lie with their root.
+    homes: BTreeMap<ProgramId, PartitionId>,
+    /// The first offset that was read.
+    started_at: Offset,
+    /// The records of partitions that are not whole yet.
+    early: BTreeMap<PartitionId, Vec<Early>>,
+    whole: BTreeSet<PartitionId>,
+    safeguards: Safeguards,
+}
+
+impl Default for Partitions {
+    fn default() -> Self {
+        Self::starting_at(Offset(0), Safeguards::default())
+    }
+}
+
+/// The chain over a program's transcript, from its beginning.
+#[must_use]
+pub fn history_chain(program: &ProgramId, messages: &[ChatMessage]) -> ChainHash {
+    let start = ChainHash::default().extend(program.as_str().as_bytes());
+    extend_chain(start, messages)
+}
+
+/// The chain extended by messages.
+#[must_use]
+pub fn extend_chain(chain: ChainHash, messages: &[ChatMessage]) -> ChainHash {
+    messages.iter().fold(chain, |chain, message| {
+        chain
+            .extend(message.role.as_bytes())
+            .extend(message.content.as_bytes())
+    })
 }
 
 impl Partitions {
+    /// Partitions whose records are read from `offset` on; what came before must come with
+    /// snapshots.
+    #[must_use]
+    pub fn starting_at(offset: Offset, safeguards: Safeguards) -> Self {
+        Self {
+            states: BTreeMap::new(),
+            homes: BTreeMap::new(),
+            started_at: offset,
+            early: BTreeMap::new(),
+            whole: BTreeSet::new(),
+            safeguards,
+        }
+    }
+
+    /// Whether all records of a partition are known, from the log or from a snapshot.
+    #[must_use]
+    pub fn is_whole(&self, partition: PartitionId) -> bool {
+        self.started_at == Offset(0) || self.whole.contains(&partition)
+    }
+
     /// A partition's state, once a record has named it.
     #[must_use]
     pub fn get(&self, partition: PartitionId) -> Option<&PartitionState> {
-        self.partitions.get(&partition)
+        self.states.get(&partition)
     }
 
     /// All partitions that a record has named.
     pub fn iter(&self) -> impl Iterator<Item = (PartitionId, &PartitionState)> {
-        self.partitions.iter().map(|(id, state)| (*id, state))
+        self.states.iter().map(|(id, state)| (*id, state))
     }
 
     /// A partition's owner.
@@ -118,29 +206,31 @@
         self.get(partition)?.programs.get(program)
     }
 
-    /// A program's account, for holding and settling between records.
-    pub fn account_mut(
-        &mut self,
-        partition: PartitionId,
-        program: &ProgramId,
-    ) -> Option<&mut Account> {
-        let state = self
-            .partitions
-            .get_mut(&partition)?
-            .programs
-            .get_mut(program)?;
-        Some(&mut state.account)
+    /// The partition of a sub-agent, which lies with its root.
+    #[must_use]
+    pub fn home(&self, program: &ProgramId) -> Option<PartitionId> {
+        self.homes.get(program).copied()
     }
 
     /// Replays one record.
     pub fn apply(&mut self, offset: Offset, record: &Record) -> Applied {
+        let partition = match &record.body {
+            RecordBody::Claim { partition, .. } | RecordBody::Owned { partition, .. } => *partition,
+            RecordBody::Publish { .. }
+            | RecordBody::DeciderClaim { .. }
+            | RecordBody::OrderIssued { .. }
+            | RecordBody::ConfigSnapshot { .. } => return Applied::Other,
+        };
+        if self.is_whole(partition) {
+            return self.apply_whole(offset, record, partition);
+        }
+        self.apply_early(offset, record, partition)
+    }
+
+    fn apply_whole(&mut self, offset: Offset, record: &Record, partition: PartitionId) -> Applied {
         match &record.body {
-            RecordBody::Claim { partition, over } => self.claim(offset, record, *partition, *over),
-            RecordBody::Owned {
-                partition,
-                epoch,
-                entry,
-            } => self.owned(record, *partition, *epoch, entry),
+            RecordBody::Claim { over, .. } => self.claim(offset, record, partition, *over),
+            RecordBody::Owned { epoch, entry, .. } => self.owned(record, partition, *epoch, entry),
             RecordBody::Publish { .. }
             | RecordBody::DeciderClaim { .. }
             | RecordBody::OrderIssued { .. }
@@ -148,6 +238,47 @@
         }
     }
 
+    /// Keeps the records of a partition until a snapshot joins them without a hole.
+    ///
+    /// A reader that began after the oldest records went could take a snapshot that is older than
+    /// its first record, and miss what lies between: a call would look as if it had never been
+    /// started. So the snapshot must reach up to the first record that was read.
+    fn apply_early(&mut self, offset: Offset, record: &Record, partition: PartitionId) -> Applied {
+        let snapshot = match &record.body {
+            RecordBody::Owned {
+                epoch,
+                entry: OwnedRecord::Snapshot { up_to, state },
+                ..
+            } if *up_to >= self.started_at
+                && state.owner.as_ref().is_some_and(|o| o.epoch == *epoch) =>
+            {
+                (*up_to, state.as_ref().clone())
+            }
+            _ => {
+                let early = Early {
+                    offset,
+                    record: record.clone(),
+                };
+                self.early.entry(partition).or_default().push(early);
+                return Applied::Other;
+            }
+        };
+        let (up_to, state) = snapshot;
+        for (id, program) in &state.programs {
+            if program.root.is_some() {
+                self.homes.insert(id.clone(), partition);
+            }
+        }
+        self.states.insert(partition, state);
+        self.whole.insert(partition);
+        for early in self.early.remove(&partition).unwrap_or_default() {
+            if early.offset >= up_to {
+                self.apply_whole(early.offset, &early.record, partition);
+            }
+        }
+        self.apply_whole(offset, record, partition)
+    }
+
     fn claim(
         &mut self,
         offset: Offset,
@@ -155,10 +286,11 @@
         partition: PartitionId,
         over: Option<Epoch>,
     ) -> Applied {
-        let state = self.partitions.entry(partition).or_default();
+        let state = self.states.entry(partition).or_default();
         // Two entries may claim at once. Each names the claim it replaces, so only the first in
         // the log matches; the other sees that it was outrun and does not act as owner.
-        if state.owner.as_ref().map(|owner| owner.epoch) != over {
+        let in_force = state.owner.as_ref().map(|owner| owner.epoch);
+        if in_force != over && self.safeguards.claim_cas {
             return Applied::Outrun(partition);
         }
         state.owner = Some(Owner {
@@ -180,103 +312,102 @@
         epoch: Epoch,
         entry: &OwnedRecord,
     ) -> Applied {
-        let state = self.partitions.entry(partition).or_default();
+        let state = self.states.entry(partition).or_default();
         // A paused owner may write after another took over. Its calls would then run beside those
         // of the new owner; since its epoch is not in force, no reader takes the record, and the
         // writer learns so when it reads its own record back.
-        let in_force = state.owner.as_ref().is_some_and(|owner| {
-            owner.epoch == epoch
-                && owner.vm == record.writer
-                && owner.incarnation == record.incarnation
-        });
+        let in_force = !state.yielded
+            && state.owner.as_ref().is_some_and(|owner| {
+                owner.epoch == epoch
+                    && owner.vm == record.writer
+                    && owner.incarnation == record.incarnation
+            });
         if !in_force {
             return Applied::Stale(partition);
         }
-        state.apply(entry);
+        if let OwnedRecord::ProgramOpened { program, root, .. } = entry
+            && !self.take_home(partition, program, root.as_ref())
+        {
+            return Applied::Owned(partition);
+        }
+        if let OwnedRecord::ProgramsForgotten { programs } = entry {
+            for program in programs {
+                self.homes.remove(program);
+            }
+        }
+        let digest_check = self.safeguards.digest_check;
+        if let Some(state) = self.states.get_mut(&partition) {
+            state.apply(epoch, entry, digest_check);
+        }
         Applied::Owned(partition)
     }
+
+    /// Settles where a program lies; false when it lies in another partition already.
+    ///
+    /// A caller that leaves out the parent of a sub-agent would otherwise get a second program of
+    /// that name, with a budget and an order of its own. The first one on record decides.
+    fn take_home(
+        &mut self,
+        partition: PartitionId,
+        program: &ProgramId,
+        root: Option<&ProgramId>,
+    ) -> bool {
+        if self.home(program).is_some_and(|home| home != partition) {
+            return false;
+        }
+        if root.is_some() {
+            let elsewhere = self
+                .states
+                .iter()
+                .any(|(id, state)| *id != partition && state.programs.contains_key(program));
+            if elsewhere {
+                return false;
+            }
+            self.homes.insert(program.clone(), partition);
+        }
+        true
+    }
 }
 
 impl PartitionState {
-    fn apply(&mut self, entry: &OwnedRecord) {
+    fn apply(&mut self, epoch: Epoch, entry: &OwnedRecord, digest_check: bool) {
         match entry {
-            OwnedRecord::ProgramOpened {
-                program,
-                parent,
-                service,
-                class,
-                budget,
-            } => {
-                let state = ProgramState {
-                    parent: parent.clone(),
-                    service: service.clone(),
-                    class: class.clone(),
-                    account: Account::new(*budget),
-                    history: Vec::new(),
-                    chain: ChainHash::default(),
-                    next: CallSeq(0),
-                    calls: BTreeMap::new(),
-                    ended: None,
-                };
-                self.programs.entry(program.clone()).or_insert(state);
-            }
+            OwnedRecord::ProgramOpened { .. } => self.open(entry),
             OwnedRecord::SliceReserved {
                 program,
-                tokens,
-                calls,
+                before,
+                slice,
             } => {
                 if let Some(state) = self.programs.get_mut(program) {
-                    state.account.reserve(Amount {
-                        tokens: *tokens,
-                        calls: *calls,
-                    });
+                    state.account.reserve(*before, *slice);
                 }
             }
-            OwnedRecord::CallStarted {
-                call,
-                digest,
-                key,
-                target,
-                target_incarnation,
-            } => {
-                let recorded = RecordedCall {
-                    digest: *digest,
-                    key: key.clone(),
-                    target: target.clone(),
-                    target_incarnation: *target_incarnation,
-                    outcome: None,
-                };
-                self.on_call(call, |state| {
-                    state.calls.entry(call.seq).or_insert(recorded);
-                });
-            }
-            OwnedRecord::CallEnded { call, outcome } => self.on_call(call, |state| {
-                if let Some(recorded) = state.calls.get_mut(&call.seq) {
-                    recorded.outcome.get_or_insert_with(|| outcome.clone());
-                }
-            }),
-            OwnedRecord::TurnAdded {
-                call,
+            OwnedRecord::SliceReturned {
+                program,
                 before,
-                after,
-                messages,
-                answer,
-                ..
+                unused,
             } => {
-                self.on_call(call, |state| {
-                    if state.chain == *before {
-                        state.history.extend(messages.iter().cloned());
-                        state.history.push(ChatMessage::new("assistant", answer));
-                        state.chain = *after;
-                    }
-                });
+                if let Some(state) = self.programs.get_mut(program) {
+                    state.account.give_back(*before, *unused);
+                }
             }
+            OwnedRecord::CallStarted { .. } => self.start_call(epoch, entry),
+            OwnedRecord::CallEnded {
+                call,
+                attempt,
+                outcome,
+            } => self.end_call(call, *attempt, outcome),
+            OwnedRecord::TurnAdded { .. } => self.add_turn(entry, digest_check),
             OwnedRecord::ProgramEnded {
                 program, reason, ..
             } => {
                 if let Some(state) = self.programs.get_mut(program) {
                     state.ended.get_or_insert(*reason);
-                    state.history.clear();
+                }
+            }
+            OwnedRecord::ProgramsForgotten { programs } => {
+                for program in programs {
+                    self.programs.remove(program);
                 }
             }
             OwnedRecord::Yielded => self.yielded = true,
@@ -284,10 +415,140 @@
         }
     }
 
-    fn on_call(&mut self, call: &CallKey, change: impl FnOnce(&mut ProgramState)) {
-        if let Some(state) = self.programs.get_mut(&call.program) {
-            state.next = state.next.max(call.seq.next());
-            change(state);
+    fn open(&mut self, entry: &OwnedRecord) {
+        let OwnedRecord::ProgramOpened {
+            program,
+            parent,
+            root,
+            service,
+            class,
+            budget,
+            slice,
+        } = entry
+        else {
+            return;
+        };
+        let mut account = Account::new(*budget);
+        account.reserve(Amount::default(), *slice);
+        let state = ProgramState {
+            parent: parent.clone(),
+            root: root.clone(),
+            service: service.clone(),
+            class: class.clone(),
+            account,
+            history: Vec::new(),
+            chain: history_chain(program, &[]),
+            next: CallSeq(0),
+            calls: BTreeMap::new(),
+            turns: BTreeMap::new(),
+            ended: None,
+        };
+        self.programs.entry(program.clone()).or_insert(state);
+    }
+
+    fn start_call(&mut self, epoch: Epoch, entry: &OwnedRecord) {
+        let OwnedRecord::CallStarted {
+            call,
+            attempt,
+            request,
+            digest,
+            key,
+            target,
+            target_incarnation,
+        } = entry
+        else {
+            return;
+        };
+        let Some(state) = self.programs.get_mut(&call.program) else {
+            return;
+        };
+        // Only a call that surely did not run may be started once more.
+        let open = state.calls.get(&call.seq).is_none_or(|known| {
+            matches!(known.outcome, Some(CallOutcome::NeverRan(_))) && known.attempt != *attempt
+        });
+        if !open {
+            return;
+        }
+        state.next = state.next.max(call.seq.next());
+        let recorded = RecordedCall {
+            attempt: *attempt,
+            request: *request,
+            digest: *digest,
+            key: key.clone(),
+            target: target.clone(),
+            target_incarnation: *target_incarnation,
+            epoch,
+            outcome: None,
+        };
+        state.calls.insert(call.seq, recorded);
+    }
+
+    fn end_call(&mut self, call: &CallKey, attempt: AttemptId, outcome: &CallOutcome) {
+        let Some(state) = self.programs.get_mut(&call.program) else {
+            return;
+        };
+        let Some(recorded) = state.calls.get_mut(&call.seq) else {
+            return;
+        };
+        if recorded.attempt != attempt || recorded.outcome.is_some() {
+            return;
+        }
+        recorded.outcome = Some(outcome.clone());
+        // The place of a call that did not run is open again, as at the owner.
+        if matches!(outcome, CallOutcome::NeverRan(_)) && state.next == call.seq.next() {
+            state.next = call.seq;
+        }
+    }
+
+    fn add_turn(&mut self, entry: &OwnedRecord, digest_check: bool) {
+        let OwnedRecord::TurnAdded {
+            call,
+            request,
+            digest,
+            key,
+            before,
+            after,
+            messages,
+            answer,
+            usage,
+            finish,
+        } = entry
+        else {
+            return;
+        };
+        let Some(state) = self.programs.get_mut(&call.program) else {
+            return;
+        };
+        state.next = state.next.max(call.seq.next());
+        let answer_message = ChatMessage::new("assistant", answer);
+        let chain = extend_chain(state.chain, messages);
+        let chain = extend_chain(chain, std::slice::from_ref(&answer_message));
+        // A turn that does not follow on the recorded ones would leave a hole or bring another
+        // program's words; the chain covers program, order and content, so it can't fit by chance.
+        if digest_check && (state.chain != *before || chain != *after) {
+            return;
+        }
+        state.history.extend(messages.iter().cloned());
+        state.history.push(answer_message);
+        state.chain = chain;
+        let turn = RecordedTurn {
+            request: *request,
+            digest: *digest,
+            key: key.clone(),
+            answer_at: state.history.len() - 1,
+            usage: *usage,
+            finish: *finish,
+            chain,
+        };
+        state.turns.insert(call.seq, turn);
+        // A turn that may not run twice has its outcome with the turn itself.
+        if let Some(recorded) = state.calls.get_mut(&call.seq)
+            && recorded.outcome.is_none()
+        {
+            recorded.outcome = Some(CallOutcome::Chat {
+                answer: answer.clone(),
+                usage: *usage,
+            });
         }
     }
 }
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -3,25 +3,24 @@
 //! Only the sidecar sends to its backend server. It keeps each answer until the owner has it on
 //! record, refuses owners of an old epoch, and frees cache that no owner renews.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde_json::{Value, json};
 
-use crate::call::{
-    AnswerPart, CallDone, FinishReason, Payload, PlainAnswer, PlainCall, TurnState, Usage,
-};
+use crate::call::{AnswerPart, FinishReason, Payload, PlainAnswer, PlainCall, Usage};
 use crate::config::Config;
 use crate::document::ServiceKind;
-use crate::error::{CallError, ErrorKind};
+use crate::error::CallError;
 use crate::event::{Event, EventKind};
-use crate::gate::{Gate, GateCall, GateSettings};
+use crate::gate::{Gate, GateSettings};
 use crate::ids::{
-    AttemptId, CallKey, Epoch, Incarnation, Offset, PartitionId, ProgramId, ServiceName, VmId,
-    ZoneName,
+    AttemptId, Epoch, Incarnation, Offset, PartitionId, ProgramId, ServiceName, VmId, ZoneName,
 };
-use crate::message::{BackendLoad, Dispatch, FenceVerdict, Heartbeat, Message, Peer};
+use crate::message::{BackendLoad, Dispatch, Heartbeat, Message, Peer};
 use crate::platform::{CacheEvent, EngineState, GenerateBody, LoadReport, OrderBody, VmRole};
 use crate::prompt::{ChainHash, Segment};
+use crate::safeguards::Safeguards;
+use crate::sidecar_fence::Fence;
 use crate::units::{SpanUs, TimeUs, Tokens};
 
 /// How a sidecar is set up.
@@ -39,17 +38,14 @@
     pub heartbeat_us: SpanUs,
     /// How long an ended call's answer is kept when no owner says that it is on record.
     pub keep_answers_us: SpanUs,
+    /// The safeguards in force; all but in test runs.
+    pub safeguards: Safeguards,
 }
 
 impl SidecarSettings {
     /// Settings for the sidecar of `service` on `vm`, with the usual times.
     #[must_use]
-    pub const fn new(
-        vm: VmId,
-        incarnation: Incarnation,
-        zone: ZoneName,
-        service: ServiceName,
-    ) -> Self {
+    pub fn new(vm: VmId, incarnation: Incarnation, zone: ZoneName, service: ServiceName) -> Self {
         Self {
             vm,
             incarnation,
@@ -57,6 +53,7 @@
             service,
             heartbeat_us: SpanUs::from_ms(500),
             keep_answers_us: SpanUs::from_s(600),
+            safeguards: Safeguards::default(),
         }
     }
 }
@@ -70,6 +67,8 @@
         position: u64,
         /// The text.
         text: String,
+        /// The tokens that the text stands for.
+        count_tokens: Tokens,
     },
     /// The engine has ended the turn.
     Done {
@@ -187,51 +186,91 @@
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
+pub(crate) enum Phase {
     Waiting,
     Running,
     Ended { at_us: TimeUs },
 }
 
 #[derive(Debug, Clone)]
-struct Attempt {
-    dispatch: Dispatch,
-    owner: VmId,
-    phase: Phase,
-    text: String,
-    characters: u64,
+pub(crate) struct Attempt {
+    pub(crate) dispatch: Dispatch,
+    /// Whom to tell; nobody between a take-over and the new owner's attaching.
+    pub(crate) owner: Option<VmId>,
+    pub(crate) phase: Phase,
+    /// Whether it was sent to the backend server.
+    pub(crate) started: bool,
+    pub(crate) used: Usage,
+    pub(crate) text: String,
+    pub(crate) characters: u64,
     /// What the owner was sent last, kept for one that attaches later.
-    last: Option<AnswerPart>,
-    plain: Option<PlainAnswer>,
-    deadline_us: TimeUs,
+    pub(crate) last: Option<AnswerPart>,
+    pub(crate) plain: Option<PlainAnswer>,
+    pub(crate) deadline_us: TimeUs,
+}
+
+impl Attempt {
+    /// The message that gives the owner a part of the answer, where there is an owner to tell.
+    pub(crate) fn reply(&self, part: AnswerPart) -> Option<SidecarAction> {
+        let owner = self.owner.as_ref()?;
+        let message = Message::DispatchReply {
+            attempt: self.dispatch.attempt,
+            part,
+            started: self.started,
+            used: self.used,
+        };
+        Some(send(owner, message))
+    }
+
+    /// The whole transcript and answer as far as they are cached after an end without a report.
+    pub(crate) fn prompt_chains(&self) -> Vec<ChainHash> {
+        match &self.dispatch.payload {
+            Payload::Chat(chat) => chat.prompt.segments.iter().map(|s| s.chain).collect(),
+            Payload::Plain(_) => Vec::new(),
+        }
+    }
+}
+
+/// An attempt that must not start here (again).
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Closed {
+    pub(crate) partition: PartitionId,
+    pub(crate) epoch: Epoch,
+    /// Whether it was sent to the backend server and its answer is kept no more.
+    pub(crate) ran: bool,
 }
 
 #[derive(Debug, Clone, Default)]
-struct Lease {
-    until_us: TimeUs,
-    chains: Vec<ChainHash>,
-    releasing: bool,
+pub(crate) struct Lease {
+    pub(crate) until_us: TimeUs,
+    pub(crate) chains: BTreeSet<ChainHash>,
+    pub(crate) releasing: bool,
     /// The owner that waits to hear that the cache is free.
-    notify: Option<VmId>,
+    pub(crate) notify: Option<VmId>,
 }
 
+/// How long a leaving sidecar waits for an answer to be put on record.
+const LEAVING_KEEP_US: SpanUs = SpanUs::from_s(10);
+
 /// The state of a sidecar.
 #[derive(Debug)]
 pub struct Sidecar {
-    settings: SidecarSettings,
-    config: Config,
-    gate: Gate,
-    load: LoadReport,
-    entries: BTreeMap<VmId, Peer>,
-    epochs: BTreeMap<PartitionId, Epoch>,
-    attempts: BTreeMap<AttemptId, Attempt>,
-    /// Non-idempotent calls that must not start here (again).
-    fenced: BTreeMap<CallKey, Option<AttemptId>>,
-    leases: BTreeMap<ProgramId, Lease>,
-    order_fencing: Option<crate::ids::FencingNumber>,
-    next_cache_event: u64,
-    next_heartbeat_us: TimeUs,
-    leaving: bool,
+    pub(crate) settings: SidecarSettings,
+    pub(crate) config: Config,
+    pub(crate) gate: Gate,
+    pub(crate) load: LoadReport,
+    pub(crate) entries: BTreeMap<VmId, Peer>,
+    pub(crate) epochs: BTreeMap<PartitionId, Epoch>,
+    pub(crate) attempts: BTreeMap<AttemptId, Attempt>,
+    /// Attempts of non-idempotent calls that must not start here (again).
+    pub(crate) closed: BTreeMap<AttemptId, Closed>,
+    /// The highest epoch of which closed attempts were dropped, by partition.
+    pub(crate) forgotten: BTreeMap<PartitionId, Epoch>,
+    pub(crate) leases: BTreeMap<ProgramId, Lease>,
+    pub(crate) order_fencing: Option<crate::ids::FencingNumber>,
+    pub(crate) next_cache_event: u64,
+    pub(crate) next_heartbeat_us: TimeUs,
+    pub(crate) leaving: bool,
 }
 
 impl Sidecar {
@@ -246,7 +285,8 @@
             entries: BTreeMap::new(),
             epochs: BTreeMap::new(),
             attempts: BTreeMap::new(),
-            fenced: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            forgotten: BTreeMap::new(),
             leases: BTreeMap::new(),
             order_fencing: None,
             next_cache_event: 0,
@@ -313,13 +353,26 @@
             Message::Documents(documents) => self.on_documents(documents, out),
             Message::Dispatch(dispatch) => self.on_dispatch(now, from, *dispatch, out),
             Message::Cancel { attempt } => self.on_cancel(now, attempt, out),
+            Message::TakeOver { partition, epoch } => {
+                self.on_take_over(&from, partition, epoch, out);
+            }
             Message::Fence {
+                attempt,
                 call,
                 partition,
                 epoch,
+                started_epoch,
+                incarnation,
             } => {
-                let verdict = self.fence(now, &call, partition, epoch, &from, out);
-                out.push(send(&from, Message::FenceReply { call, verdict }));
+                let fence = Fence {
+                    attempt,
+                    call,
+                    partition,
+                    epoch,
+                    started_epoch,
+                    incarnation,
+                };
+                self.on_fence(&from, fence, out);
             }
             Message::Attach {
                 attempt,
@@ -365,6 +418,8 @@
             | Message::Forward { .. }
             | Message::ForwardReply { .. }
             | Message::ForwardCancel { .. }
+            | Message::ForwardFetch { .. }
+            | Message::Kept { .. }
             | Message::EndProgram { .. }
             | Message::DispatchReply { .. }
             | Message::FenceReply { .. }
@@ -408,434 +463,6 @@
         });
     }
 
-    /// Takes note of an epoch; false when a newer one is known.
-    ///
-    /// An owner that was paused over a take-over may still send. Without this check its call would
-    /// run beside the new owner's.
-    fn accept_epoch(
-        &mut self,
-        partition: PartitionId,
-        epoch: Epoch,
-        out: &mut Vec<SidecarAction>,
-    ) -> bool {
-        let known = self.epochs.entry(partition).or_insert(epoch);
-        if epoch < *known {
-            let event = Event::new(EventKind::StaleEpoch).with("partition", partition);
-            out.push(SidecarAction::Log(
-                event.with("epoch", epoch).with("known", *known),
-            ));
-            return false;
-        }
-        *known = epoch;
-        true
-    }
-
-    fn on_dispatch(
-        &mut self,
-        now: TimeUs,
-        from: VmId,
-        dispatch: Dispatch,
-        out: &mut Vec<SidecarAction>,
-    ) {
-        let attempt = dispatch.attempt;
-        if let Err(refused) = self.check_dispatch(&dispatch, out) {
-            out.push(refuse(&from, attempt, refused));
-            return;
-        }
-        let Some(call) = self.gate_call(now, &dispatch) else {
-            let detail = "the document in force here has no such class";
-            out.push(refuse(
-                &from,
-                attempt,
-                CallError::new(ErrorKind::NotReady, detail),
-            ));
-            return;
-        };
-        let deadline_us = call.deadline_us;
-        if let Err(refused) = self.gate.push(call) {
-            out.push(refuse(&from, attempt, refused));
-            return;
-        }
-        if !dispatch.idempotent {
-            self.fenced.insert(dispatch.call.clone(), Some(attempt));
-        }
-        let state = Attempt {
-            dispatch,
-            owner: from,
-            phase: Phase::Waiting,
-            text: String::new(),
-            characters: 0,
-            last: None,
-            plain: None,
-            deadline_us,
-        };
-        self.attempts.insert(attempt, state);
-    }
-
-    fn check_dispatch(
-        &mut self,
-        dispatch: &Dispatch,
-        out: &mut Vec<SidecarAction>,
-    ) -> Result<(), CallError> {
-        if self.leaving {
-            return Err(CallError::new(
-                ErrorKind::ShuttingDown,
-                "this backend server is leaving",
-            ));
-        }
-        if dispatch.service != self.settings.service {
-            return Err(CallError::new(
-                ErrorKind::NoBackend,
-                "this is another service's",
-            ));
-        }
-        if !self.accept_epoch(dispatch.partition, dispatch.epoch, out) {
-            return Err(CallError::new(
-                ErrorKind::OwnerUnknown,
-                "a newer owner is known",
-            ));
-        }
-        if !dispatch.idempotent && self.fenced.contains_key(&dispatch.call) {
-            return Err(CallError::new(
-                ErrorKind::OutOfOrder,
-                "this call came here before",
-            ));
-        }
-        Ok(())
-    }
-
-    fn gate_call(&self, now: TimeUs, dispatch: &Dispatch) -> Option<GateCall> {
-        let in_force = self.config.service(&self.settings.service)?;
-        let rules = in_force.document.class(&dispatch.class)?;
-        let prompt_tokens = match &dispatch.payload {
-            Payload::Chat(call) => call.prompt.length_tokens(),
-            Payload::Plain(_) => Tokens(0),
-        };
-        Some(GateCall {
-            attempt: dispatch.attempt,
-            program: dispatch.call.program.clone(),
-            class: dispatch.class.clone(),
-            rank: rules.rank,
-            weight: rules.weight,
-            arrived_us: now,
-            deadline_us: now.after(dispatch.deadline_left_us),
-            max_wait_us: rules.max_wait_us,
-            attained_tokens: dispatch.attained_tokens,
-            memory_tokens: prompt_tokens + dispatch.max_output_tokens,
-        })
-    }
-
-    fn admit(&mut self, now: TimeUs, out: &mut Vec<SidecarAction>) {
-        for id in self.gate.admit(now) {
-            let Some(attempt) = self.attempts.get_mut(&id) else {
-                continue;
-            };
-            attempt.phase = Phase::Running;
-            let dispatch = &attempt.dispatch;
-            out.push(match &dispatch.payload {
-                Payload::Chat(chat) => SidecarAction::Generate(Box::new(GenerateBody {
-                    attempt: id,
-                    program: dispatch.call.program.clone(),
-                    model: chat.model.clone(),
-                    messages: chat.messages.clone(),
-                    prompt: chat.prompt.clone(),
-                    max_output_tokens: dispatch.max_output_tokens,
-                    extra: chat.extra.clone(),
-                })),
-                Payload::Plain(call) => SidecarAction::Call {
-                    attempt: id,
-                    call: call.clone(),
-                    deadline_left_us: attempt.deadline_us.since(now),
-                },
-            });
-        }
-    }
-
-    fn on_backend(
-        &mut self,
-        now: TimeUs,
-        id: AttemptId,
-        event: BackendEvent,
-        out: &mut Vec<SidecarAction>,
-    ) {
-        let Some(attempt) = self.attempts.get_mut(&id) else {
-            return;
-        };
-        if attempt.phase != Phase::Running {
-            return;
-        }
-        match event {
-            BackendEvent::Text { position, text } => {
-                // A resumed stream may repeat text; only what follows the known end is new.
-                let known = attempt.characters.saturating_sub(position);
-                let fresh: String = skip_chars(&text, known);
-                if fresh.is_empty() {
-                    return;
-                }
-                let part = AnswerPart::Text {
-                    position: attempt.characters,
-                    text: fresh.clone(),
-                };
-                attempt.characters += fresh.chars().count() as u64;
-                attempt.text.push_str(&fresh);
-                out.push(reply(attempt, part, true));
-            }
-            BackendEvent::Done {
-                usage,
-                finish,
-                cached,
-            } => {
-                self.hold_cache(now, id, &cached);
-                let done = self.done(id, usage, Some(finish));
-                self.end(now, id, done, true, out);
-            }
-            BackendEvent::Plain(answer) => {
-                attempt.plain = Some(answer.clone());
-                out.push(reply(attempt, AnswerPart::Plain(answer), true));
-                let done = self.done(id, Usage::default(), None);
-                self.end(now, id, done, true, out);
-            }
-            BackendEvent::Failed { detail, not_run } => {
-                out.push(log(EventKind::EngineFailed, id));
-                let kind = if not_run {
-                    ErrorKind::NoBackend
-                } else {
-                    ErrorKind::BackendFailed
-                };
-                let failed = AnswerPart::Failed(CallError::new(kind, detail));
-                self.end(now, id, failed, !not_run, out);
-            }
-        }
-    }
-
-    fn done(&self, id: AttemptId, usage: Usage, finish: Option<FinishReason>) -> AnswerPart {
-        let call = self.attempts[&id].dispatch.call.clone();
-        AnswerPart::Done(CallDone {
-            call,
-            usage,
-            finish,
-            turn: TurnState::NotKept,
-        })
-    }
-
-    fn end(
-        &mut self,
-        now: TimeUs,
-        id: AttemptId,
-        last: AnswerPart,
-        started: bool,
-        out: &mut Vec<SidecarAction>,
-    ) {
-        self.gate.remove(id);
-        let Some(attempt) = self.attempts.get_mut(&id) else {
-            return;
-        };
-        attempt.phase = Phase::Ended { at_us: now };
-        attempt.last = Some(last.clone());
-        out.push(reply(attempt, last, started));
-    }
-
-    fn hold_cache(&mut self, now: TimeUs, id: AttemptId, cached: &[Segment]) {
-        let Some(attempt) = self.attempts.get(&id) else {
-            return;
-        };
-        let lease_us = self
-            .config
-            .service(&self.settings.service)
-            .map_or(SpanUs::from_s(30), |s| s.document.retention.lease_us);
-        let lease = self
-            .leases
-            .entry(attempt.dispatch.call.program.clone())
-            .or_default();
-        lease.until_us = lease.until_us.max(now.after(lease_us));
-        lease.chains = cached.iter().map(|segment| segment.chain).collect();
-    }
-
-    fn on_cancel(&mut self, now: TimeUs, id: AttemptId, out: &mut Vec<SidecarAction>) {
-        let Some(attempt) = self.attempts.get(&id) else {
-            return;
-        };
-        let (kind, started) = match attempt.phase {
-            Phase::Waiting => (ErrorKind::DeadlineBeforeStart, false),
-            Phase::Running => (ErrorKind::Cancelled, true),
-            Phase::Ended { .. } => return,
-        };
-        if started {
-            out.push(SidecarAction::Cancel(id));
-        }
-        let failed = AnswerPart::Failed(CallError::new(kind, "cancelled by the owner"));
-        self.end(now, id, failed, started, out);
-    }
-
-    /// Makes sure that a call does not start from now on, and says what became of it.
-    fn fence(
-        &mut self,
-        now: TimeUs,
-        call: &CallKey,
-        partition: PartitionId,
-        epoch: Epoch,
-        from: &VmId,
-        out: &mut Vec<SidecarAction>,
-    ) -> FenceVerdict {
-        if !self.accept_epoch(partition, epoch, out) {
-            return FenceVerdict::Unknown;
-        }
-        let known = self.fenced.get(call).copied();
-        let Some(id) = known else {
-            self.fenced.insert(call.clone(), None);
-            return FenceVerdict::NeverRan;
-        };
-        let Some(attempt) = id.and_then(|id| self.attempts.get_mut(&id)) else {
-            return if id.is_some() {
-                FenceVerdict::Unknown
-            } else {
-                FenceVerdict::NeverRan
-            };
-        };
-        let id = attempt.dispatch.attempt;
-        match attempt.phase {
-            Phase::Waiting => {
-                attempt.owner = from.clone();
-                self.gate.remove(id);
-                self.attempts.remove(&id);
-                self.fenced.insert(call.clone(), None);
-                out.push(log(EventKind::FenceAnswered, now));
-                FenceVerdict::NeverRan
-            }
-            Phase::Running => FenceVerdict::Running(id),
-            Phase::Ended { .. } => FenceVerdict::Ended(id),
-        }
-    }
-
-    fn on_attach(
-        &mut self,
-        from: VmId,
-        id: AttemptId,
-        epoch: Epoch,
-        position: u64,
-        out: &mut Vec<SidecarAction>,
-    ) {
-        let Some(attempt) = self.attempts.get_mut(&id) else {
-            let detail = "the answer is not kept here any more";
-            out.push(refuse(
-                &from,
-                id,
-                CallError::new(ErrorKind::OutcomeUnknown, detail),
-            ));
-            return;
-        };
-        if self
-            .epochs
-            .get(&attempt.dispatch.partition)
-            .is_some_and(|known| epoch < *known)
-        {
-            return;
-        }
-        attempt.owner = from;
-        let rest: String = skip_chars(&attempt.text, position);
-        if !rest.is_empty() {
-            out.push(reply(
-                attempt,
-                AnswerPart::Text {
-                    position,
-                    text: rest,
-                },
-                true,
-            ));
-        }
-        if let Some(plain) = attempt.plain.clone() {
-            out.push(reply(attempt, AnswerPart::Plain(plain), true));
-        }
-        if let Some(last) = attempt.last.clone() {
-            out.push(reply(attempt, last, true));
-        }
-    }
-
-    fn release(
-        &mut self,
-        now: TimeUs,
-        program: ProgramId,
-        notify: Option<VmId>,
-        out: &mut Vec<SidecarAction>,
-    ) {
-        let running: Vec<AttemptId> = self
-            .attempts
-            .values()
-            .filter(|a| a.dispatch.call.program == program)
-            .map(|a| a.dispatch.attempt)
-            .collect();
-        for id in running {
-            self.on_cancel(now, id, out);
-        }
-        let Some(lease) = self.leases.get_mut(&program) else {
-            if let Some(to) = notify {
-                out.push(send(
-                    &to,
-                    Message::Released {
-                        program,
-                        freed_tokens: Tokens(0),
-                    },
-                ));
-            }
-            return;
-        };
-        lease.notify = notify.or(lease.notify.take());
-        if !std::mem::replace(&mut lease.releasing, true) {
-            out.push(SidecarAction::Release {
-                program,
-                chains: lease.chains.clone(),
-            });
-        }
-    }
-
-    fn on_released(
-        &mut self,
-        program: ProgramId,
-        freed_tokens: Option<Tokens>,
-        out: &mut Vec<SidecarAction>,
-    ) {
-        let Some(freed_tokens) = freed_tokens else {
-            // Without the engine's word the memory may still be held: the next tick asks again.
-            if let Some(lease) = self.leases.get_mut(&program) {
-                lease.releasing = false;
-                lease.until_us = TimeUs(0);
-            }
-            return;
-        };
-        let Some(lease) = self.leases.remove(&program) else {
-            return;
-        };
-        let event = Event::new(EventKind::CacheReleased).with("program", &program);
-        out.push(SidecarAction::Log(
-            event.with("freed_tokens", freed_tokens.0),
-        ));
-        if let Some(to) = lease.notify {
-            out.push(send(
-                &to,
-                Message::Released {
-                    program,
-                    freed_tokens,
-                },
-            ));
-        }
-    }
-
-    fn on_cache(&mut self, first: u64, events: &[CacheEvent], out: &mut Vec<SidecarAction>) {
-        if first != self.next_cache_event {
-            out.push(log(EventKind::CacheEventGap, first));
-        }
-        self.next_cache_event = first + events.len() as u64;
-        for vm in self.entries.keys() {
-            out.push(send(
-                vm,
-                Message::Cache {
-                    first,
-                    events: events.to_vec(),
-                },
-            ));
-        }
-    }
-
     fn on_order(&mut self, from: VmId, order: OrderBody, out: &mut Vec<SidecarAction>) {
         // Some engines ignore fencing numbers, so a deposed decider's late order would undo its
         // successor's. The sidecar is the only one that reaches the engine, so its check holds.
@@ -855,54 +482,17 @@
         self.set_gate();
         self.expire(now, out);
         self.lapse_leases(now, out);
-        let keep = self.settings.keep_answers_us;
-        self.attempts.retain(|_, attempt| match attempt.phase {
-            Phase::Ended { at_us } => now.since(at_us) < keep,
-            Phase::Waiting | Phase::Running => true,
-        });
+        self.drop_old_answers(now);
+        self.prune_closed();
         if now >= self.next_heartbeat_us {
             self.next_heartbeat_us = now.after(self.settings.heartbeat_us);
             self.tell_entries(out);
         }
-        if self.leaving && self.gate.waiting() == 0 && self.gate.running() == 0 {
+        if self.leaving && self.is_settled(now) {
             out.push(SidecarAction::Finished);
         }
     }
 
-    fn expire(&mut self, now: TimeUs, out: &mut Vec<SidecarAction>) {
-        for id in self.gate.expired(now) {
-            let detail = "the deadline passed while the call waited at the gate";
-            let failed = CallError::new(ErrorKind::DeadlineBeforeStart, detail);
-            self.end(now, id, AnswerPart::Failed(failed), false, out);
-        }
-        let late: Vec<AttemptId> = self
-            .attempts
-            .iter()
-            .filter(|(_, a)| a.phase == Phase::Running && a.deadline_us <= now)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in late {
-            out.push(SidecarAction::Cancel(id));
-            let failed = CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed");
-            self.end(now, id, AnswerPart::Failed(failed), true, out);
-        }
-    }
-
-    /// Frees the cache of programs whose owner has not been heard of: it died, and nobody else
-    /// knows what its programs hold here.
-    fn lapse_leases(&mut self, now: TimeUs, out: &mut Vec<SidecarAction>) {
-        let lapsed: Vec<ProgramId> = self
-            .leases
-            .iter()
-            .filter(|(_, lease)| !lease.releasing && lease.until_us <= now)
-            .map(|(program, _)| program.clone())
-            .collect();
-        for program in lapsed {
-            out.push(log(EventKind::CacheLeaseLapsed, &program));
-            self.release(now, program, None, out);
-        }
-    }
-
     fn tell_entries(&self, out: &mut Vec<SidecarAction>) {
         let load = BackendLoad {
             engine: self.load,
@@ -915,6 +505,14 @@
         }
     }
 
+    /// Whether nothing runs, and each answer is on record or was kept long enough for it.
+    fn is_settled(&self, now: TimeUs) -> bool {
+        self.attempts.values().all(|attempt| match attempt.phase {
+            Phase::Waiting | Phase::Running => false,
+            Phase::Ended { at_us } => now.since(at_us) >= LEAVING_KEEP_US,
+        })
+    }
+
     /// Who this process is, for the links.
     #[must_use]
     pub fn peer(&self) -> Peer {
@@ -962,47 +560,36 @@
             "engine_load": self.load,
             "attempts": attempts,
             "lease_left_ms": leases,
-            "fenced_calls": self.fenced.len(),
+            "closed_attempts": self.closed.len(),
         })
     }
 }
 
-fn send(to: &VmId, message: Message) -> SidecarAction {
+pub(crate) fn send(to: &VmId, message: Message) -> SidecarAction {
     SidecarAction::Send {
         to: to.clone(),
         message,
     }
 }
 
-fn log(kind: EventKind, subject: impl ToString) -> SidecarAction {
+pub(crate) fn log(kind: EventKind, subject: impl ToString) -> SidecarAction {
     SidecarAction::Log(Event::new(kind).with("subject", subject))
 }
 
-fn reply(attempt: &Attempt, part: AnswerPart, started: bool) -> SidecarAction {
-    let id = attempt.dispatch.attempt;
-    send(
-        &attempt.owner,
-        Message::DispatchReply {
-            attempt: id,
-            part,
-            started,
-        },
-    )
-}
-
-fn refuse(to: &VmId, attempt: AttemptId, error: CallError) -> SidecarAction {
+pub(crate) fn refuse(to: &VmId, attempt: AttemptId, error: CallError) -> SidecarAction {
     send(
         to,
         Message::DispatchReply {
             attempt,
             part: AnswerPart::Failed(error),
             started: false,
+            used: Usage::default(),
         },
     )
 }
 
 /// What remains of `text` after its first `count` characters.
-fn skip_chars(text: &str, count: u64) -> String {
+pub(crate) fn skip_chars(text: &str, count: u64) -> String {
     text.chars()
         .skip(usize::try_from(count).unwrap_or(usize::MAX))
         .collect()
--- /dev/null
+++ b/clementinepick/src/step_order.rs
@@ -0,0 +1,251 @@
+//! Holds a call until the earlier calls of its program have ended.
+
+use crate::budget::Account;
+use crate::call_state::{Awaited, LiveProgram, Step};
+use crate::entry::{Entry, EntryAction};
+use crate::error::{CallError, ErrorKind};
+use crate::event::{Event, EventKind};
+use crate::ids::{CallSeq, PartitionId, ProgramId, RequestId};
+use crate::order::Sequencer;
+use crate::record::{Budget, EndReason, OwnedRecord};
+use crate::units::TimeUs;
+
+impl Entry {
+    pub(crate) fn step_order(&mut self, now: TimeUs, id: RequestId, out: &mut Vec<EntryAction>) {
+        if let Err(refused) = self.check_program(id) {
+            self.drop_call(id, refused, out);
+            return;
+        }
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let (program, partition) = (call.request.program.clone(), call.partition);
+        let (wanted, unrecorded) = (call.request.seq, call.is_unrecorded());
+        let known = self.partitions.program(partition, &program).is_some();
+        let order_on = self.settings.safeguards.order;
+        let live = self.live_program(now, partition, &program);
+        if !order_on {
+            live.order.run_beside();
+        }
+        let seq = match live.order.push(now, id, wanted) {
+            Ok(seq) => seq,
+            Err(refused) => {
+                self.drop_call(id, refused, out);
+                return;
+            }
+        };
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.seq = Some(seq);
+            call.step = Step::Order;
+        }
+        if known || unrecorded {
+            self.start_next(now, &program, out);
+        } else {
+            self.open_program(id);
+        }
+    }
+
+    /// What the owner keeps of a program, made at its first call here.
+    pub(crate) fn live_program(
+        &mut self,
+        now: TimeUs,
+        partition: PartitionId,
+        program: &ProgramId,
+    ) -> &mut LiveProgram {
+        let recorded = self.partitions.program(partition, program);
+        let next = recorded.map_or(CallSeq(0), |state| state.next);
+        let is_known = recorded.is_some();
+        let live = self
+            .programs
+            .entry(program.clone())
+            .or_insert_with(|| LiveProgram {
+                partition,
+                order: Sequencer::taking_over_at(next, is_known),
+                since_us: now,
+                // An earlier owner may have had turns that never came on record.
+                is_uncertain: is_known,
+                ..LiveProgram::default()
+            });
+        live.last_used_us = now;
+        live
+    }
+
+    /// Refuses calls of ended programs, and of sub-agents whose parent is not there.
+    fn check_program(&self, id: RequestId) -> Result<(), CallError> {
+        let Some(call) = self.calls.get(&id) else {
+            return Ok(());
+        };
+        let request = &call.request;
+        let recorded = self.partitions.program(call.partition, &request.program);
+        if let Some(state) = recorded {
+            return check_live(state.ended, "the program");
+        }
+        let Some(parent) = &request.parent else {
+            return Ok(());
+        };
+        let Some(parent_state) = self.partitions.program(call.partition, parent) else {
+            let detail = format!("the parent program `{parent}` is not known beside its root");
+            let field = crate::parse::PARENT_HEADER;
+            return Err(CallError::at(ErrorKind::UnknownCall, field, detail));
+        };
+        let root = parent_state.root.as_ref().unwrap_or(parent);
+        if request.home() != root {
+            let detail = format!("the root of `{parent}` is `{root}`");
+            let field = crate::parse::ROOT_HEADER;
+            return Err(CallError::at(ErrorKind::BadHeader, field, detail));
+        }
+        check_live(parent_state.ended, "the parent program")
+    }
+
+    fn open_program(&mut self, id: RequestId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let (program, partition) = (call.request.program.clone(), call.partition);
+        let rules = &call.in_force.document.program;
+        let tokens = call.request.budget_tokens.unwrap_or(rules.budget_tokens);
+        let budget = Budget {
+            tokens: tokens.min(rules.budget_tokens),
+            calls: rules.budget_calls,
+            time_us: rules.budget_time_us,
+        };
+        let root = call.request.parent.as_ref().map(|_| call.request.home());
+        // A sub-agent spends from its root's account, so it gets no slice of its own.
+        let slice = match root {
+            Some(_) => crate::budget::Amount::default(),
+            None => Account::first_slice(budget, call.work_tokens()),
+        };
+        let entry = OwnedRecord::ProgramOpened {
+            program: program.clone(),
+            parent: call.request.parent.clone(),
+            root: root.cloned(),
+            service: call.request.service.clone(),
+            class: call.class.clone(),
+            budget,
+            slice,
+        };
+        let Some(live) = self.programs.get_mut(&program) else {
+            return;
+        };
+        if std::mem::replace(&mut live.opening, true) {
+            return;
+        }
+        if let Some(record) = self.write_owned(partition, entry) {
+            self.awaited.insert(record, Awaited::Opened(program));
+        }
+    }
+
+    /// The record that opens a program has come back.
+    pub(crate) fn on_opened(
+        &mut self,
+        now: TimeUs,
+        program: &ProgramId,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let partition = self.programs.get(program).map(|live| live.partition);
+        let is_here = partition.is_some_and(|p| self.partitions.program(p, program).is_some());
+        if is_here {
+            if let Some(live) = self.programs.get_mut(program) {
+                live.opening = false;
+            }
+            self.start_next(now, program, out);
+            return;
+        }
+        // The program was opened elsewhere first, as a sub-agent: its calls go to its root.
+        self.programs.remove(program);
+        let ids: Vec<RequestId> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.request.program == *program && call.step == Step::Order)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            self.reset_call(id);
+            self.step_own(now, id, out);
+        }
+    }
+
+    pub(crate) fn start_next(
+        &mut self,
+        now: TimeUs,
+        program: &ProgramId,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(live) = self.programs.get_mut(program) else {
+            return;
+        };
+        let partition = live.partition;
+        // A call of the earlier owner may still run; its outcome comes first.
+        let blocked = self.open_calls.keys().any(|call| call.program == *program);
+        if blocked || live.opening || self.yielding.contains(&partition) {
+            return;
+        }
+        let Some((_, id)) = live.order.start_next() else {
+            return;
+        };
+        if self.is_looping(id) {
+            self.stop_loop(now, id, out);
+            return;
+        }
+        if let Err(refused) = self.check_history(id) {
+            note_mismatch(id, &refused, out);
+            self.refuse(now, id, refused, out);
+            return;
+        }
+        self.step_budget(now, id, out);
+    }
+
+    /// Counts identical calls in a row; an agent that sends the same call again and again makes no
+    /// progress, and would go on until its whole budget is spent.
+    fn is_looping(&mut self, id: RequestId) -> bool {
+        let Some(call) = self.calls.get(&id) else {
+            return false;
+        };
+        let max_repeats = call.in_force.document.program.max_repeats;
+        let news = crate::step_claim::digest_of_news(&call.request.payload);
+        let Some(live) = self.programs.get_mut(&call.request.program) else {
+            return false;
+        };
+        let (last, count) = live.repeats;
+        live.repeats = if last == news {
+            (last, count + 1)
+        } else {
+            (news, 1)
+        };
+        live.repeats.1 > max_repeats
+    }
+
+    fn stop_loop(&mut self, now: TimeUs, id: RequestId, out: &mut Vec<EntryAction>) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let program = call.request.program.clone();
+        let event = Event::new(EventKind::LoopStopped).with("program", &program);
+        out.push(EntryAction::Event(event));
+        let detail = "the program sent the same call too often in a row";
+        let error = CallError::new(ErrorKind::LoopStopped, detail);
+        self.refuse(now, id, error, out);
+        self.end_program(now, program, EndReason::Loop, out);
+    }
+}
+
+fn check_live(ended: Option<EndReason>, whose: &str) -> Result<(), CallError> {
+    match ended {
+        None => Ok(()),
+        Some(EndReason::Loop) => {
+            let detail = format!("{whose} was ended by the loop guard");
+            Err(CallError::new(ErrorKind::LoopStopped, detail))
+        }
+        Some(reason) => {
+            let detail = format!("{whose} has ended ({reason:?})");
+            Err(CallError::new(ErrorKind::ProgramEnded, detail))
+        }
+    }
+}
+
+fn note_mismatch(id: RequestId, refused: &CallError, out: &mut Vec<EntryAction>) {
+    if refused.kind == ErrorKind::HistoryMismatch {
+        let event = Event::new(EventKind::HistoryMismatch).with("request", id);
+        out.push(EntryAction::Event(event));
+    }
+}
--- /dev/null
+++ b/clementinepick/src/step_route.rs
@@ -0,0 +1,106 @@
+//! Chooses a backend server for a call and sends it there.
+
+use crate::call_state::{Call, Step};
+use crate::entry::{Entry, EntryAction};
+use crate::error::{CallError, ErrorKind};
+use crate::ids::{AttemptId, RequestId, VmId};
+use crate::message::{Dispatch, Message};
+use crate::route::RouteQuery;
+use crate::units::TimeUs;
+
+impl Entry {
+    pub(crate) fn step_route(&mut self, now: TimeUs, id: RequestId, out: &mut Vec<EntryAction>) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let last = self
+            .programs
+            .get(&call.request.program)
+            .and_then(|p| p.last_backend.as_ref());
+        let query = RouteQuery {
+            service: &call.request.service,
+            prompt: call.prompt(),
+            last,
+            tried: &call.tried,
+        };
+        let Some(target) = self.router.pick(now, &query) else {
+            self.no_backend(now, id, out);
+            return;
+        };
+        if call.idempotent || !self.settings.safeguards.call_started_record {
+            let attempt = AttemptId::draw(&mut self.rng);
+            self.dispatch(now, id, &target, attempt, out);
+        } else {
+            self.step_claim(now, id, &target, out);
+        }
+    }
+
+    fn no_backend(&mut self, now: TimeUs, id: RequestId, out: &mut Vec<EntryAction>) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if call.tried.is_empty() {
+            call.step = Step::Route;
+            return;
+        }
+        let detail = "every backend server of the service has refused or failed";
+        self.refuse(now, id, CallError::new(ErrorKind::NoBackend, detail), out);
+    }
+
+    pub(crate) fn dispatch(
+        &mut self,
+        now: TimeUs,
+        id: RequestId,
+        target: &VmId,
+        attempt: AttemptId,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(message) = self
+            .calls
+            .get(&id)
+            .and_then(|call| self.dispatch_message(now, call, attempt))
+        else {
+            return;
+        };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.step = Step::Running {
+            attempt,
+            target: target.clone(),
+        };
+        call.tried.insert(target.clone());
+        self.router.on_sent(target, call.work_tokens());
+        self.attempts.insert(attempt, id);
+        if let Some(live) = self.programs.get_mut(&call.request.program) {
+            live.last_backend = Some(target.clone());
+            live.holders.insert(target.clone());
+        }
+        out.push(EntryAction::Send {
+            to: target.clone(),
+            message: Message::Dispatch(Box::new(message)),
+        });
+    }
+
+    fn dispatch_message(&self, now: TimeUs, call: &Call, attempt: AttemptId) -> Option<Dispatch> {
+        let epoch = self.own_epoch(call.partition)?;
+        let program = &call.request.program;
+        Some(Dispatch {
+            attempt,
+            request: call.request.id,
+            digest: call.digest,
+            call: call.request.key(call.seq?),
+            partition: call.partition,
+            epoch,
+            service: call.request.service.clone(),
+            revision: call.in_force.published.revision,
+            class: call.class.clone(),
+            idempotent: call.idempotent,
+            deadline_left_us: call.deadline_us.since(now),
+            attained_tokens: self.attained_tokens(call.partition, program),
+            max_output_tokens: call.max_output_tokens(),
+            expected_output_tokens: call.max_output_tokens(),
+            payload: call.payload().clone(),
+        })
+    }
+}
--- /dev/null
+++ b/clementinepick/src/sweep.rs
@@ -0,0 +1,141 @@
+//! What an entry does because time has passed.
+
+use crate::call_state::Step;
+use crate::entry::{Entry, EntryAction};
+use crate::error::{CallError, ErrorKind};
+use crate::ids::RequestId;
+use crate::message::Message;
+use crate::step_record::tell_committed;
+use crate::units::{SpanUs, TimeUs};
+
+/// How long after a deadline the answer of whoever runs the call is waited for.
+const ANSWER_GRACE_US: SpanUs = SpanUs::from_s(1);
+
+impl Entry {
+    pub(crate) fn on_tick(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        if now >= self.next_heartbeat_us {
+            self.next_heartbeat_us = now.after(self.settings.heartbeat_us);
+            self.send_heartbeats(out);
+            self.renew_leases(out);
+        }
+        self.drop_silent_peers(now, out);
+        // After a pause others may have taken over: nothing is decided before the log is read.
+        if self.is_unsure && !self.journal.is_down() {
+            return;
+        }
+        self.end_take_overs(now, out);
+        self.sweep_calls(now, out);
+        self.sweep_programs(now, out);
+        self.reserve_ahead(now);
+        self.ask_open_calls(now, out);
+        self.send_releases(now, out);
+        self.forget_programs(now);
+        self.drop_kept(now, out);
+        self.recover_partitions(now);
+        self.hand_over(now);
+        self.write_snapshots(now);
+        self.scale_appends();
+        if self.is_finished() {
+            out.push(EntryAction::Finished);
+        }
+    }
+
+    fn send_heartbeats(&self, out: &mut Vec<EntryAction>) {
+        let heartbeat = self.heartbeat();
+        for vm in self.peers.keys() {
+            let message = Message::Heartbeat(heartbeat.clone());
+            out.push(EntryAction::Send {
+                to: vm.clone(),
+                message,
+            });
+        }
+    }
+
+    /// The log's append rate is shared by the entries that live.
+    fn scale_appends(&mut self) {
+        let others = self.live_entries();
+        self.journal.share_between(others + 1);
+    }
+
+    /// Answers kept by sidecars whose callers did not come back are let go.
+    fn drop_kept(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        if now < self.kept_until_us {
+            return;
+        }
+        for (vm, kept) in std::mem::take(&mut self.kept).into_values() {
+            tell_committed(&vm, kept.attempt, out);
+        }
+    }
+
+    fn sweep_calls(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        let ids: Vec<RequestId> = self.calls.keys().copied().collect();
+        for id in ids {
+            self.sweep_call(now, id, out);
+        }
+    }
+
+    fn sweep_call(&mut self, now: TimeUs, id: RequestId, out: &mut Vec<EntryAction>) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let late = now >= call.deadline_us;
+        let overdue = now >= call.deadline_us.after(ANSWER_GRACE_US);
+        match call.step.clone() {
+            Step::Record { since_us } if now.since(since_us) >= self.settings.commit_wait_us => {
+                self.finish_pending(now, id, out);
+            }
+            Step::Own if late => self.refuse_late(now, id, ErrorKind::OwnerUnknown, out),
+            Step::Own => self.step_own(now, id, out),
+            Step::Route if late => self.refuse_late(now, id, ErrorKind::NoBackend, out),
+            Step::Route => self.step_route(now, id, out),
+            Step::Order if late => {
+                self.refuse_late(now, id, ErrorKind::DeadlineBeforeStart, out);
+            }
+            Step::Claim | Step::Slice if late => {
+                self.refuse_late(now, id, ErrorKind::LogUnavailable, out);
+            }
+            Step::Lost { .. } if late => self.leave_open(now, id, out),
+            Step::Running { .. } if overdue && call.claim.is_some() => {
+                self.leave_open(now, id, out);
+            }
+            Step::Running { .. } | Step::Forwarded(_) | Step::Follow(_) if overdue => {
+                self.give_up(now, id, out);
+            }
+            Step::Order
+            | Step::Claim
+            | Step::Slice
+            | Step::Forwarded(_)
+            | Step::Running { .. }
+            | Step::Lost { .. }
+            | Step::Follow(_)
+            | Step::Record { .. } => {}
+        }
+    }
+
+    /// Whoever runs the call has said nothing even after the deadline.
+    fn give_up(&mut self, now: TimeUs, id: RequestId, out: &mut Vec<EntryAction>) {
+        let idempotent = self.calls.get(&id).is_some_and(|call| call.idempotent);
+        let kind = if idempotent {
+            ErrorKind::DeadlineExceeded
+        } else {
+            ErrorKind::OutcomeUnknown
+        };
+        if let Some(Step::Running { attempt, .. }) = self.calls.get(&id).map(|c| c.step.clone()) {
+            self.leave_backend(attempt, true);
+            self.settle_whole(id);
+        }
+        let error = CallError::new(kind, "the deadline passed without an answer");
+        self.refuse(now, id, error, out);
+    }
+
+    fn refuse_late(
+        &mut self,
+        now: TimeUs,
+        id: RequestId,
+        kind: ErrorKind,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let error = CallError::new(kind, "the deadline passed before the call could start");
+        self.refuse(now, id, error, out);
+    }
+}
