--- a/clementinepick/src/dump.rs
+++ b/clementinepick/src/dump.rs
@@ -9,6 +9,20 @@
 use crate::units::TimeUs;
 
 impl Entry {
+    /// The sizes of the state, by name, for gauges.
+    #[must_use]
+    pub fn counts(&self) -> BTreeMap<&'static str, usize> {
+        BTreeMap::from([
+            ("owned_partitions", self.own_partitions().len()),
+            ("peers", self.peers.len()),
+            ("calls", self.calls.len()),
+            ("programs", self.programs.len()),
+            ("releasing_programs", self.releasing.len()),
+            ("open_calls", self.open_calls.len()),
+            ("unconfirmed_records", self.journal.unconfirmed()),
+        ])
+    }
+
     /// The whole state, for operators.
     #[must_use]
     pub fn dump(&self, now: TimeUs) -> Value {
--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -131,6 +131,8 @@
     Tick,
     /// Take no new work, finish what runs.
     Shutdown,
+    /// The process ends now: answer what is unfinished as it stands.
+    Force,
 }
 
 /// What an entry does.
@@ -145,6 +147,8 @@
     },
     /// Keep links to exactly these VMs.
     Connect(Vec<Vm>),
+    /// Close the link to this VM, which is silent; it is opened anew.
+    Disconnect(VmId),
     /// Give a caller a part of its answer.
     Answer {
         /// The request.
@@ -187,8 +191,6 @@
     pub(crate) ended_us: BTreeMap<ProgramId, TimeUs>,
     /// When peers without a link were heard last.
     pub(crate) lost_us: BTreeMap<VmId, TimeUs>,
-    /// Peers that fell silent while their link stayed up.
-    pub(crate) silent: BTreeMap<VmId, Peer>,
     pub(crate) claim_pace: BTreeMap<PartitionId, ClaimPace>,
     pub(crate) taking_over: BTreeMap<PartitionId, TakingOver>,
     /// Partitions that are being handed over, and those whose record of it is written.
@@ -232,7 +234,6 @@
             fetches: BTreeMap::new(),
             ended_us: BTreeMap::new(),
             lost_us: BTreeMap::new(),
-            silent: BTreeMap::new(),
             claim_pace: BTreeMap::new(),
             taking_over: BTreeMap::new(),
             yielding: BTreeSet::new(),
@@ -262,10 +263,7 @@
                 self.end_program(now, program, reason, out);
             }
             EntryInput::LinkUp(peer) => self.on_link_up(now, &peer, out),
-            EntryInput::LinkDown(vm) => {
-                self.silent.remove(&vm);
-                self.on_link_down(now, &vm, out);
-            }
+            EntryInput::LinkDown(vm) => self.on_link_down(now, &vm, out),
             EntryInput::Link { from, message } => self.on_message(now, from, message, out),
             EntryInput::LogRead { stream, answer } => self.on_log_read(now, stream, answer, out),
             EntryInput::LogAppended {
@@ -283,6 +281,7 @@
                 out.push(EntryAction::Event(Event::new(EventKind::ShutdownStarted)));
                 self.next_heartbeat_us = now;
             }
+            EntryInput::Force => self.force(now, out),
         }
         self.poll_log(now, out);
     }
@@ -315,7 +314,8 @@
     /// Whether both streams have been read to their end once, and no record is missing.
     #[must_use]
     pub fn is_caught_up(&self) -> bool {
-        self.config_journal.caught_up()
+        self.config.is_complete()
+            && self.config_journal.caught_up()
             && self.journal.caught_up()
             && (0..self.settings.partition_count)
                 .all(|partition| self.partitions.is_whole(PartitionId(partition)))
--- a/clementinepick/src/entry_log.rs
+++ b/clementinepick/src/entry_log.rs
@@ -1,7 +1,7 @@
 //! What an entry writes to the log and reads from it.
 
 use crate::call_state::Awaited;
-use crate::config::Verdict;
+use crate::config_replay::{Change, Publication, Verdict};
 use crate::entry::{Entry, EntryAction};
 use crate::event::{Event, EventKind};
 use crate::ids::{Offset, PartitionId, RecordId};
@@ -58,6 +58,12 @@
         out: &mut Vec<EntryAction>,
     ) {
         let was_ready = self.is_caught_up();
+        if stream == StreamName::Config
+            && let Some(answer) = &answer
+            && answer.earliest > self.config_journal.position()
+        {
+            self.config.on_gap(answer.earliest);
+        }
         let mut events = Vec::new();
         let fresh = self.journal_of(stream).on_read(now, answer, &mut events);
         out.extend(events.into_iter().map(EntryAction::Event));
@@ -95,29 +101,25 @@
     }
 
     fn replay_config(&mut self, offset: Offset, record: &Record, out: &mut Vec<EntryAction>) {
-        let RecordBody::Publish {
-            operation,
-            service,
-            base,
-            document,
-        } = &record.body
-        else {
-            return;
-        };
-        let verdict =
-            self.config
-                .publish(offset, &record.writer, *operation, service, *base, document);
-        let event = match &verdict {
+        for change in self.config.apply(offset, record) {
+            if let Change::Published(publication) = change {
+                self.on_publication(&publication, out);
+            }
+        }
+    }
+
+    fn on_publication(&self, publication: &Publication, out: &mut Vec<EntryAction>) {
+        let service = &publication.service;
+        let event = match &publication.verdict {
             Verdict::Accepted { revision } => {
                 Event::new(EventKind::DocumentInForce).with("revision", revision)
             }
-            Verdict::Outrun { .. } | Verdict::Wrong { .. } => {
+            verdict @ (Verdict::Outrun { .. } | Verdict::Wrong { .. }) => {
                 Event::new(EventKind::DocumentRejected).with("verdict", format!("{verdict:?}"))
             }
         };
-        out.push(EntryAction::Event(
-            event.with("service", service).with("operation", operation),
-        ));
+        let event = event.with("operation", publication.operation);
+        out.push(EntryAction::Event(event.with("service", service)));
         // Sidecars learn at once rather than with the next heartbeat.
         for (vm, peer) in &self.peers {
             if peer.peer.role == VmRole::Sidecar
--- a/clementinepick/src/handover.rs
+++ b/clementinepick/src/handover.rs
@@ -1,8 +1,10 @@
 //! Hands partitions over: all of them when this entry leaves, idle ones to an entry that joined.
 
-use crate::call_state::Awaited;
-use crate::entry::Entry;
-use crate::ids::PartitionId;
+use crate::call::TurnState;
+use crate::call_state::{Awaited, Step};
+use crate::entry::{Entry, EntryAction};
+use crate::error::{CallError, ErrorKind};
+use crate::ids::{PartitionId, RequestId};
 use crate::record::OwnedRecord;
 use crate::units::{SpanUs, TimeUs};
 
@@ -105,6 +107,36 @@
         }
     }
 
+    /// Answers every call as it stands: of what was sent on nobody here will learn the outcome, and
+    /// whoever owns its partition next learns it from the sidecar.
+    pub(crate) fn force(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        self.leaving = true;
+        let ids: Vec<RequestId> = self.calls.keys().copied().collect();
+        for id in ids {
+            let Some(call) = self.calls.get_mut(&id) else {
+                continue;
+            };
+            let kind = match &call.step {
+                Step::Record { .. } => {
+                    self.finish(now, id, TurnState::Pending, out);
+                    continue;
+                }
+                Step::Own | Step::Order | Step::Route | Step::Slice | Step::Claim => {
+                    ErrorKind::ShuttingDown
+                }
+                Step::Running { .. } if call.idempotent => ErrorKind::BackendFailed,
+                Step::Forwarded(_) | Step::Running { .. } | Step::Lost { .. } | Step::Follow(_) => {
+                    ErrorKind::OutcomeUnknown
+                }
+            };
+            if kind == ErrorKind::OutcomeUnknown {
+                call.claim = None;
+            }
+            let error = CallError::new(kind, "this entry was forced to end");
+            self.refuse(now, id, error, out);
+        }
+    }
+
     /// Whether everything is finished and handed over, so that the process may exit.
     pub(crate) fn is_finished(&self) -> bool {
         self.leaving
--- a/clementinepick/src/links.rs
+++ b/clementinepick/src/links.rs
@@ -19,10 +19,6 @@
         message: Message,
         out: &mut Vec<EntryAction>,
     ) {
-        if let Some(peer) = self.silent.remove(&from) {
-            // It was taken for dead while its link stayed up.
-            self.on_link_up(now, &peer, out);
-        }
         if let Some(peer) = self.peers.get_mut(&from) {
             peer.heard_us = now;
         }
@@ -161,7 +157,6 @@
     }
 
     pub(crate) fn on_link_down(&mut self, now: TimeUs, vm: &VmId, out: &mut Vec<EntryAction>) {
-        self.silent.remove(vm);
         let Some(peer) = self.peers.remove(vm) else {
             return;
         };
@@ -222,9 +217,8 @@
             .map(|(vm, _)| vm.clone())
             .collect();
         for vm in silent {
-            let peer = self.peers.get(&vm).map(|state| state.peer.clone());
             self.on_link_down(now, &vm, out);
-            self.silent.extend(peer.map(|peer| (vm, peer)));
+            out.push(EntryAction::Disconnect(vm));
         }
     }
 }
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -140,6 +140,8 @@
     Tick,
     /// Take no new work, finish what runs.
     Shutdown,
+    /// The process ends now: tell the owners of what is unfinished.
+    Force,
 }
 
 /// What a sidecar does.
@@ -330,6 +332,7 @@
                 out.push(SidecarAction::Log(Event::new(EventKind::ShutdownStarted)));
                 self.next_heartbeat_us = now;
             }
+            SidecarInput::Force => self.force(now, out),
         }
         self.admit(now, out);
     }
@@ -531,6 +534,19 @@
         self.config.service(&self.settings.service).is_some() && !self.leaving
     }
 
+    /// The sizes of the state, by name, for gauges.
+    #[must_use]
+    pub fn counts(&self) -> BTreeMap<&'static str, usize> {
+        BTreeMap::from([
+            ("entries", self.entries.len()),
+            ("waiting", self.gate.waiting()),
+            ("running", self.gate.running()),
+            ("kept_answers", self.attempts.len()),
+            ("closed_attempts", self.closed.len()),
+            ("cache_leases", self.leases.len()),
+        ])
+    }
+
     /// The whole state, for operators.
     #[must_use]
     pub fn dump(&self, now: TimeUs) -> Value {
--- a/clementinepick/src/sidecar_calls.rs
+++ b/clementinepick/src/sidecar_calls.rs
@@ -320,6 +320,26 @@
         self.end(now, id, failed, out);
     }
 
+    /// Ends every attempt: what waits has not run, and the outcome of what runs will not be learned.
+    pub(crate) fn force(&mut self, now: TimeUs, out: &mut Vec<SidecarAction>) {
+        self.leaving = true;
+        let open: Vec<(AttemptId, Phase, bool)> = self
+            .attempts
+            .iter()
+            .map(|(id, attempt)| (*id, attempt.phase, attempt.dispatch.idempotent))
+            .collect();
+        for (id, phase, idempotent) in open {
+            let kind = match (phase, idempotent) {
+                (Phase::Waiting, _) => ErrorKind::ShuttingDown,
+                (Phase::Running, true) => ErrorKind::BackendFailed,
+                (Phase::Running, false) => ErrorKind::OutcomeUnknown,
+                (Phase::Ended { .. }, _) => continue,
+            };
+            let error = CallError::new(kind, "this sidecar was forced to end");
+            self.end(now, id, AnswerPart::Failed(error), out);
+        }
+    }
+
     pub(crate) fn expire(&mut self, now: TimeUs, out: &mut Vec<SidecarAction>) {
         for id in self.gate.expired(now) {
             let detail = "the deadline passed while the call waited at the gate";
