--- a/clementinepick/src/message.rs
+++ b/clementinepick/src/message.rs
@@ -9,8 +9,8 @@
 
 use crate::call::{AnswerPart, ChatMessage, Fetch, Payload, Request, Usage};
 use crate::ids::{
-    AttemptId, CallKey, ClassName, Epoch, Incarnation, Offset, PartitionId, ProgramId, RequestId,
-    Revision, ServiceName, VmId, ZoneName,
+    AttemptId, CallKey, ClassName, Epoch, Incarnation, Offset, OrderId, PartitionId, ProgramId,
+    RequestId, Revision, ServiceName, VmId, ZoneName,
 };
 use crate::platform::{CacheEvent, EngineState, LoadReport, OrderBody, VmRole};
 use crate::prompt::ChainHash;
@@ -182,14 +182,21 @@
         events: Vec<CacheEvent>,
     },
     /// Decider to sidecar: an order for the engine.
-    Order(OrderBody),
-    /// Sidecar to decider: the engine's state after an order, or why it was refused.
+    Order {
+        /// The life of the sidecar that the decider means.
+        target: Incarnation,
+        /// The order.
+        order: OrderBody,
+    },
+    /// Sidecar to decider: what became of an order.
     OrderReply {
-        /// The engine's state.
-        state: EngineState,
-        /// Why the order was refused, if it was.
-        refused: Option<String>,
+        /// The order.
+        id: OrderId,
+        /// What became of it.
+        outcome: OrderOutcome,
     },
+    /// Sidecar to entries: what the engine serves.
+    Engine(EngineState),
 }
 
 /// Says that a process lives, and what it knows.
@@ -238,6 +245,15 @@
     pub payload: Payload,
 }
 
+/// What became of an engine order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderOutcome {
+    /// The engine's state shows its effect.
+    Done,
+    /// It has no effect, and why.
+    Refused(String),
+}
+
 /// A call that a sidecar keeps until its owner says that it is on record.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct KeptCall {
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -21,6 +21,7 @@
 use crate::prompt::{ChainHash, Segment};
 use crate::safeguards::Safeguards;
 use crate::sidecar_fence::Fence;
+use crate::sidecar_orders::OrderSlot;
 use crate::units::{SpanUs, TimeUs, Tokens};
 
 /// How a sidecar is set up.
@@ -127,6 +128,8 @@
         /// The tokens freed; absent when the engine did not answer.
         freed_tokens: Option<Tokens>,
     },
+    /// What the engine says that it serves.
+    Engine(EngineState),
     /// The engine has answered an order.
     OrderDone {
         /// The entry that gave it.
@@ -269,7 +272,9 @@
     /// The highest epoch of which closed attempts were dropped, by partition.
     pub(crate) forgotten: BTreeMap<PartitionId, Epoch>,
     pub(crate) leases: BTreeMap<ProgramId, Lease>,
-    pub(crate) order_fencing: Option<crate::ids::FencingNumber>,
+    pub(crate) orders: OrderSlot,
+    /// Whether entries were told that new work must stay away for an order.
+    pub(crate) told_blocked: bool,
     pub(crate) next_cache_event: u64,
     pub(crate) next_heartbeat_us: TimeUs,
     pub(crate) leaving: bool,
@@ -280,6 +285,7 @@
     #[must_use]
     pub fn new(settings: SidecarSettings) -> Self {
         Self {
+            orders: OrderSlot::new(settings.incarnation),
             settings,
             config: Config::default(),
             gate: Gate::default(),
@@ -290,7 +296,7 @@
             closed: BTreeMap::new(),
             forgotten: BTreeMap::new(),
             leases: BTreeMap::new(),
-            order_fencing: None,
+            told_blocked: false,
             next_cache_event: 0,
             next_heartbeat_us: TimeUs(0),
             leaving: false,
@@ -303,6 +309,9 @@
             SidecarInput::LinkUp(peer) => {
                 out.push(log(EventKind::LinkUp, &peer.vm));
                 out.push(send(&peer.vm, Message::Heartbeat(self.heartbeat())));
+                if let Some(state) = self.orders.engine() {
+                    out.push(send(&peer.vm, Message::Engine(state.clone())));
+                }
                 self.entries.insert(peer.vm.clone(), peer);
             }
             SidecarInput::LinkDown(vm) => {
@@ -319,12 +328,9 @@
             } => {
                 self.on_released(program, freed_tokens, out);
             }
-            SidecarInput::OrderDone {
-                from,
-                state,
-                refused,
-            } => {
-                out.push(send(&from, Message::OrderReply { state, refused }));
+            SidecarInput::Engine(state) => self.on_engine(now, state, None, out),
+            SidecarInput::OrderDone { state, refused, .. } => {
+                self.on_engine(now, state, refused, out);
             }
             SidecarInput::Tick => self.on_tick(now, out),
             SidecarInput::Shutdown => {
@@ -335,13 +341,14 @@
             SidecarInput::Force => self.force(now, out),
         }
         self.admit(now, out);
+        self.poll_orders(now, out);
     }
 
-    fn heartbeat(&self) -> Heartbeat {
+    pub(crate) fn heartbeat(&self) -> Heartbeat {
         Heartbeat {
             revisions: self.config.revisions(),
             config_offset: Offset(0),
-            leaving: self.leaving,
+            leaving: self.leaving || self.orders.blocks_new_work(),
         }
     }
 
@@ -416,7 +423,7 @@
                     self.release(now, program, Some(from), out);
                 }
             }
-            Message::Order(order) => self.on_order(from, order, out),
+            Message::Order { target, order } => self.on_order(from, target, order, out),
             Message::Heartbeat(_)
             | Message::Forward { .. }
             | Message::ForwardReply { .. }
@@ -429,7 +436,8 @@
             | Message::Released { .. }
             | Message::Load(_)
             | Message::Cache { .. }
-            | Message::OrderReply { .. } => {}
+            | Message::OrderReply { .. }
+            | Message::Engine(_) => {}
         }
     }
 
@@ -466,21 +474,6 @@
         });
     }
 
-    fn on_order(&mut self, from: VmId, order: OrderBody, out: &mut Vec<SidecarAction>) {
-        // Some engines ignore fencing numbers, so a deposed decider's late order would undo its
-        // successor's. The sidecar is the only one that reaches the engine, so its check holds.
-        if self
-            .order_fencing
-            .is_some_and(|known| order.fencing < known)
-        {
-            out.push(log(EventKind::OrderFenced, order.id));
-            return;
-        }
-        self.order_fencing = Some(order.fencing);
-        out.push(log(EventKind::OrderPassed, order.id));
-        out.push(SidecarAction::Order { from, order });
-    }
-
     fn on_tick(&mut self, now: TimeUs, out: &mut Vec<SidecarAction>) {
         self.set_gate();
         self.expire(now, out);
@@ -577,6 +570,7 @@
             "attempts": attempts,
             "lease_left_ms": leases,
             "closed_attempts": self.closed.len(),
+            "orders": self.orders.dump(),
         })
     }
 }
--- a/clementinepick/src/sidecar_calls.rs
+++ b/clementinepick/src/sidecar_calls.rs
@@ -69,6 +69,10 @@
                 "this backend server is leaving",
             ));
         }
+        if self.orders.blocks_new_work() {
+            let detail = "this backend server is about to change what it serves";
+            return Err(CallError::new(ErrorKind::ShuttingDown, detail));
+        }
         if dispatch.service != self.settings.service {
             return Err(CallError::new(
                 ErrorKind::NoBackend,
--- a/clementinepick/tests/common/mod.rs
+++ b/clementinepick/tests/common/mod.rs
@@ -437,12 +437,12 @@
         }
     }
 
-    fn send(&mut self, from: &VmId, to: &VmId, message: Message) {
-        if !self.links.contains(&order(from, to)) || (self.lose)(&message) {
+    fn send(&mut self, from: &VmId, to: &VmId, message: &Message) {
+        if !self.links.contains(&order(from, to)) || (self.lose)(message) {
             return;
         }
         let mut bytes = Vec::new();
-        ciborium::into_writer(&message, &mut bytes).expect("encodable");
+        ciborium::into_writer(message, &mut bytes).expect("encodable");
         let message: Message = ciborium::from_reader(&bytes[..]).expect("decodable");
         let from = from.clone();
         let input = if to.as_str().starts_with('e') {
@@ -455,7 +455,7 @@
 
     fn on_entry_action(&mut self, id: &VmId, action: EntryAction) {
         match action {
-            EntryAction::Send { to, message } => self.send(id, &to, message),
+            EntryAction::Send { to, message } => self.send(id, &to, &message),
             EntryAction::Disconnect(other) => self.disconnect(id, &other),
             EntryAction::Answer { request, part } => self.on_answer(request, part),
             EntryAction::Log(action) => self.on_log(id, action),
@@ -557,7 +557,7 @@
 
     fn on_sidecar_action(&mut self, id: &VmId, action: SidecarAction) {
         match action {
-            SidecarAction::Send { to, message } => self.send(id, &to, message),
+            SidecarAction::Send { to, message } => self.send(id, &to, &message),
             SidecarAction::Generate(body) => self.start_work(id, Started::Turn(body)),
             SidecarAction::Call { attempt, call, .. } => {
                 self.start_work(id, Started::Call(attempt, call));
