--- a/clementinepickd/src/engine_client.rs
+++ b/clementinepickd/src/engine_client.rs
@@ -283,10 +283,17 @@
 fn read_line(line: GenerateLine, position: &mut u64) -> (BackendEvent, bool) {
     match line {
         GenerateLine::Text {
-            position: at, text, ..
+            position: at,
+            text,
+            count_tokens,
         } => {
             *position = (*position).max(at + text.chars().count() as u64);
-            (BackendEvent::Text { position: at, text }, false)
+            let event = BackendEvent::Text {
+                position: at,
+                text,
+                count_tokens,
+            };
+            (event, false)
         }
         GenerateLine::Done {
             usage,
--- a/clementinepickd/src/role.rs
+++ b/clementinepickd/src/role.rs
@@ -8,6 +8,7 @@
 use clementinepick::ids::{Incarnation, ProgramId, RequestId, VmId};
 use clementinepick::message::{Message, Peer};
 use clementinepick::platform::{Vm, VmRole};
+use clementinepick::record::EndReason;
 use clementinepick::sidecar::{Sidecar, SidecarAction, SidecarInput, SidecarSettings};
 use clementinepick::units::TimeUs;
 use serde_json::Value;
@@ -132,7 +133,8 @@
     }
 
     fn end_program(&mut self, now: TimeUs, program: ProgramId, out: &mut Vec<Action>) {
-        self.handle(now, EntryInput::EndProgram(program), out);
+        let reason = EndReason::Caller;
+        self.handle(now, EntryInput::EndProgram { program, reason }, out);
     }
 
     fn link_up(&mut self, now: TimeUs, peer: Peer, out: &mut Vec<Action>) {
