Bound a link's queue by bytes, and show links cut in one direction

Cause: a queue bounded by count alone let gigabytes wait for a slow peer; a sidecar took links of any peer with the key; kept connections were closed under the next request when an entry left.

--- a/clementinepickd/src/control.rs
+++ b/clementinepickd/src/control.rs
@@ -20,6 +20,7 @@
 use crate::daemon::Ended;
 use crate::input::{ClientOrder, ControlInput, DialOrder, LinkId};
 use crate::logging::write_event;
+use crate::queue::QueueSender;
 use crate::role::{Action, Decisions};
 use crate::settings::{Role, Settings};
 use crate::telemetry::Telemetry;
@@ -67,7 +68,7 @@
 struct OpenLink {
     link: LinkId,
     peer: Peer,
-    queue: mpsc::Sender<Message>,
+    queue: QueueSender,
 }
 
 struct OpenCall {
@@ -366,7 +367,7 @@
         };
         // A full queue means that the peer does not read. Waiting would stop all other peers, and
         // leaving messages out would break the order that the decisions rely on, so the link goes.
-        if open.queue.try_send(message).is_err() {
+        if open.queue.push(message).is_err() {
             self.close_link(now, to, out);
         }
     }
@@ -427,10 +428,7 @@
         let links: Vec<Value> = self
             .links
             .values()
-            .map(|open| {
-                let waiting = open.queue.max_capacity() - open.queue.capacity();
-                json!({"peer": open.peer, "waiting_messages": waiting})
-            })
+            .map(|open| json!({"peer": open.peer, "waiting_messages": open.queue.waiting()}))
             .collect();
         let process = json!({
             "version": env!("CARGO_PKG_VERSION"),
--- a/clementinepickd/src/handshake.rs
+++ b/clementinepickd/src/handshake.rs
@@ -106,6 +106,9 @@
     /// Another VM answered at this address.
     #[error("`{0}` answered at this address")]
     OtherVm(clementinepick::ids::VmId),
+    /// A sidecar takes links of entries only.
+    #[error("`{0}` is no entry")]
+    NoEntry(clementinepick::ids::VmId),
     /// The peer sent no frame of the handshake.
     #[error("no frame of the handshake: {0}")]
     BadFrame(String),
@@ -122,7 +125,11 @@
     #[must_use]
     pub const fn is_refusal(&self) -> bool {
         match self {
-            Self::WrongKey | Self::OtherVersion(_) | Self::OtherVm(_) | Self::BadFrame(_) => true,
+            Self::WrongKey
+            | Self::OtherVersion(_)
+            | Self::OtherVm(_)
+            | Self::NoEntry(_)
+            | Self::BadFrame(_) => true,
             Self::Broken(_) | Self::Timeout => false,
         }
     }
--- a/clementinepickd/src/http.rs
+++ b/clementinepickd/src/http.rs
@@ -9,7 +9,8 @@
 use actix_http::body::BoxBody;
 use actix_http::header::{CONTENT_TYPE, RETRY_AFTER};
 use actix_http::{
-    HttpMessage, HttpService, KeepAlive, Method, Request, Response, ResponseBuilder, StatusCode,
+    ConnectionType, HttpMessage, HttpService, KeepAlive, Method, Request, Response,
+    ResponseBuilder, StatusCode,
 };
 use actix_server::{Server, ServerHandle};
 use bytes::BytesMut;
@@ -25,7 +26,7 @@
 
 use crate::answer::{Answer, EventStream};
 use crate::body::{ChatShape, error_body, status, turn_name};
-use crate::control::Outputs;
+use crate::control::{Outputs, Wishes};
 use crate::input::{ControlInput, ControlSender};
 use crate::link::duration;
 use crate::settings::{Limits, Role, Settings};
@@ -47,6 +48,7 @@
     pub(crate) limits: Limits,
     pub(crate) control: ControlSender,
     pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) wishes: Arc<Wishes>,
     pub(crate) streams: Arc<Semaphore>,
     pub(crate) metrics: PrometheusHandle,
 }
@@ -72,6 +74,7 @@
             limits: settings.limits.clone(),
             control,
             ready: Arc::clone(&outputs.ready),
+            wishes: Arc::clone(&outputs.wishes),
             streams: Arc::clone(&outputs.streams),
             metrics,
         }
@@ -128,7 +131,7 @@
         (_, "/v1/chat/completions") => no_such_path("must be POST"),
         _ => no_such_path("no such path"),
     };
-    Ok(match answer {
+    let mut response = match answer {
         Ok(answer) => answer,
         Err(Refusal::Here(error)) => {
             let refused = ControlInput::Refused(error.kind);
@@ -136,7 +139,13 @@
             error_answer(&error)
         }
         Err(Refusal::Decided(error)) => error_answer(&error),
-    })
+    };
+    // A connection kept for the next request would be closed under it when the process ends.
+    if shared.wishes.leave.load(Ordering::Relaxed) {
+        let head = response.head_mut();
+        head.set_connection_type(ConnectionType::Close);
+    }
+    Ok(response)
 }
 
 /// Where a request failed.
--- a/clementinepickd/src/input.rs
+++ b/clementinepickd/src/input.rs
@@ -14,6 +14,8 @@
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::queue::QueueSender;
+
 /// The most inputs that wait for the control thread before their senders wait.
 pub(crate) const MAX_INPUTS: usize = 16_384;
 
@@ -42,7 +44,7 @@
         /// The peer.
         peer: Peer,
         /// What is sent to it; dropping the sender closes the link.
-        queue: mpsc::Sender<Message>,
+        queue: QueueSender,
     },
     /// A link is closed.
     LinkDown {
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -19,6 +19,7 @@
 mod log_client;
 mod logging;
 mod plain_client;
+mod queue;
 mod role;
 pub mod settings;
 pub mod settings_file;
--- a/clementinepickd/src/link.rs
+++ b/clementinepickd/src/link.rs
@@ -4,12 +4,12 @@
 
 use clementinepick::ids::VmId;
 use clementinepick::message::{Message, Peer};
+use clementinepick::platform::VmRole;
 use clementinepick::units::SpanUs;
 use futures_util::future::{Either, select};
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_tungstenite::tungstenite::protocol::{Role, WebSocketConfig};
 use tokio_tungstenite::tungstenite::{Bytes, Error as SocketError, Message as Frame};
@@ -20,6 +20,7 @@
     decode, encode, prove, verify,
 };
 use crate::input::{ControlInput, ControlSender, LinkId};
+use crate::queue::{QueueReader, queue};
 use crate::settings::LinkSettings;
 
 /// The largest frame before the peer has proved itself.
@@ -98,6 +99,9 @@
         send(&mut socket, encode(&challenge)).await?;
         let proof: Proof = receive(&mut socket).await?;
         verify(&settings.keys, Side::Connecting, &transcript, &proof)?;
+        if own.role == VmRole::Sidecar && hello.peer.role != VmRole::Entry {
+            return Err(HandshakeError::NoEntry(hello.peer.vm));
+        }
         send(&mut socket, encode(&Welcome)).await?;
         Ok(ProvedLink {
             peer: hello.peer,
@@ -197,7 +201,7 @@
     proved: ProvedLink,
     control: &ControlSender,
 ) -> LinkEnd {
-    let (queue, messages) = mpsc::channel(settings.queue_messages);
+    let (queue, messages) = queue(settings.queue_messages, settings.queue_bytes);
     let ProvedLink { peer, socket } = proved;
     let vm = peer.vm.clone();
     if !control
@@ -254,16 +258,16 @@
 async fn write(
     mut sink: SplitSink<Socket, Frame>,
     silence: Duration,
-    mut messages: mpsc::Receiver<Message>,
+    mut messages: QueueReader,
 ) -> LinkEnd {
-    let mut burst = Vec::with_capacity(MAX_WRITE_BURST);
     loop {
-        if messages.recv_many(&mut burst, MAX_WRITE_BURST).await == 0 {
+        let burst = messages.take(MAX_WRITE_BURST).await;
+        if burst.is_empty() {
             let _ = timeout(silence, sink.close()).await;
             return LinkEnd::Released;
         }
         let sending = async {
-            for message in burst.drain(..) {
+            for message in burst {
                 let frame = Frame::Binary(Bytes::from(encode(&message)));
                 sink.feed(frame).await?;
             }
--- a/clementinepickd/src/settings.rs
+++ b/clementinepickd/src/settings.rs
@@ -150,6 +150,8 @@
     pub max_frame_bytes: Bytes,
     /// The most messages that wait for one peer; a peer that lags further loses its link.
     pub queue_messages: usize,
+    /// About the most bytes that wait for one peer.
+    pub queue_bytes: Bytes,
     /// The silence after which a link is closed.
     pub silence_us: SpanUs,
     /// How long connecting and proving may take.
@@ -166,6 +168,7 @@
             keys: LinkKeys::default(),
             max_frame_bytes: Bytes(32_000_000),
             queue_messages: 8_192,
+            queue_bytes: Bytes(64_000_000),
             silence_us: SpanUs::from_s(5),
             handshake_us: SpanUs::from_s(3),
             max_backoff_us: SpanUs::from_s(2),
--- a/clementinepickd/src/settings_file.rs
+++ b/clementinepickd/src/settings_file.rs
@@ -272,6 +272,7 @@
     };
     source.set("links", "max_frame", &mut links.max_frame_bytes)?;
     source.set("links", "queue_messages", &mut links.queue_messages)?;
+    source.set("links", "queue", &mut links.queue_bytes)?;
     source.set("links", "silence", &mut links.silence_us)?;
     source.set("links", "handshake", &mut links.handshake_us)?;
     source.set("links", "max_backoff", &mut links.max_backoff_us)?;
--- a/clementinepickd/tests/http.rs
+++ b/clementinepickd/tests/http.rs
@@ -1,13 +1,15 @@
 //! What callers get for input that is wrong, too large or too slow: a typed error that names the
 //! field and says that nothing ran.
 
+mod exchange;
 mod support;
 
 use clementinepick::units::{Bytes, SpanUs};
 use clementinepickd::Daemon;
 use clementinepickd::settings::{Limits, Settings};
+use exchange::{exchange, get};
 use expect_test::{Expect, expect};
-use support::{end, entry_settings, exchange, get, sidecar_settings};
+use support::{end, entry_settings, sidecar_settings};
 
 const CHAT: &str = "POST /v1/chat/completions HTTP/1.1\r\nhost: test\r\nconnection: close\r\n";
 
--- a/clementinepickd/tests/links.rs
+++ b/clementinepickd/tests/links.rs
@@ -1,5 +1,6 @@
 //! What a process does with peers on its link port: those that hold the key, and hostile ones.
 
+mod exchange;
 mod support;
 
 use std::net::SocketAddr;
@@ -14,8 +15,9 @@
     Challenge, Hello, Nonce, Proof, Side, Transcript, Welcome, decode, encode, prove, verify,
 };
 use clementinepickd::settings::{Limits, LinkKeys, LinkSettings, Settings};
+use exchange::{PATIENCE, get};
 use futures_util::{SinkExt, StreamExt};
-use support::{KEY, PATIENCE, end, get, keys, sidecar_settings};
+use support::{KEY, end, keys, sidecar_settings};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_tungstenite::tungstenite::{Bytes as FrameBytes, Message as Frame};
--- a/clementinepickd/tests/support/mod.rs
+++ b/clementinepickd/tests/support/mod.rs
@@ -1,8 +1,4 @@
-//! Daemons on loopback ports for tests, and a plain HTTP exchange with them.
-
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+//! Daemons on loopback ports for tests.
 
 use clementinepick::units::SpanUs;
 use clementinepickd::Daemon;
@@ -10,8 +6,6 @@
     LinkKey, LinkKeys, LinkSettings, LogLevel, Role, Settings, ShutdownSettings, SidecarRole,
 };
 
-/// Guards against hanging; no test waits for it to pass.
-pub const PATIENCE: Duration = Duration::from_secs(20);
 /// The key of the daemons here.
 pub const KEY: &str = "a key for the daemons of this test";
 
@@ -60,22 +54,3 @@
     daemon.shutdown();
     assert_eq!(daemon.join(), clementinepickd::Ended::Gracefully);
 }
-
-/// Sends bytes as they are, and gives back all that comes until the connection is closed.
-pub fn exchange(address: SocketAddr, request: &[u8]) -> String {
-    let mut stream = TcpStream::connect(address).expect("it listens");
-    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
-    // The server may answer and close before it has read everything.
-    let _ = stream.write_all(request);
-    let mut answer = Vec::new();
-    let _ = stream.read_to_end(&mut answer);
-    String::from_utf8_lossy(&answer).into_owned()
-}
-
-/// The body of a `GET`.
-pub fn get(address: SocketAddr, path: &str) -> String {
-    let request = format!("GET {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n");
-    let answer = exchange(address, request.as_bytes());
-    let (_, body) = answer.split_once("\r\n\r\n").expect("a header");
-    body.to_owned()
-}
--- a/standins/tests/daemons.rs
+++ b/standins/tests/daemons.rs
@@ -1,6 +1,7 @@
 //! Daemons as callers meet them: whole and streamed answers, callers that leave or do not read, and
 //! processes that leave while calls are under way.
 
+mod cut_path;
 mod deployment;
 
 use std::thread;
@@ -8,6 +9,7 @@
 use clementinepick::units::SpanUs;
 use clementinepickd::Ended;
 use clementinepickd::settings::{Limits, ShutdownSettings};
+use cut_path::{CutPath, Direction};
 use deployment::{Answer, Call, Deployment, Shape, read, state, streamed_text, wait_for};
 use serde_json::Value;
 use standins::engine::EngineSettings;
@@ -225,3 +227,32 @@
     assert_eq!(error["error"]["code"], "backend_failed", "{error}");
     deployment.end();
 }
+
+// The paths from the entries to one sidecar, and from another sidecar to the entries, are cut in
+// one direction: what is sent still seems to arrive. Each end closes a link on which it hears
+// nothing, so the other learns of it; both connect anew and calls go through again.
+#[test]
+fn a_link_cut_in_one_direction_is_closed_and_opened_anew() {
+    let deployment = Deployment::start(&Shape::default());
+    let directions = [Direction::ToSidecar, Direction::ToEntry];
+    let paths: Vec<CutPath> = deployment
+        .engine_sidecars
+        .iter()
+        .map(|sidecar| CutPath::to(sidecar.link_address()))
+        .collect();
+    for (n, path) in paths.iter().enumerate() {
+        deployment.reach_sidecar_by(n, path.address());
+    }
+    wait_for(|| paths.iter().all(|path| path.connections() >= 2));
+    deployment.wait_for_links();
+    for (path, direction) in paths.iter().zip(directions) {
+        path.cut(direction);
+    }
+    wait_for(|| paths.iter().all(|path| path.connections() >= 4));
+    deployment.wait_for_links();
+    let address = deployment.entries[0].http_address();
+    for n in 0..8 {
+        assert_streamed(&Call::chat(&format!("plan-{n}"), 8, true).send(address), 8);
+    }
+    deployment.end();
+}
--- a/standins/tests/deployment/mod.rs
+++ b/standins/tests/deployment/mod.rs
@@ -139,14 +139,30 @@
             engine_sidecars,
             plain_sidecar,
         };
-        for entry in &deployment.entries {
+        deployment.wait_for_links();
+        deployment
+    }
+
+    /// Waits until each entry has links to all others.
+    pub fn wait_for_links(&self) {
+        for entry in &self.entries {
             wait_for(|| {
-                state(entry)["peers"]
-                    .as_array()
-                    .is_some_and(|peers| peers.len() == 4)
+                let peers = state(entry)["peers"].as_array().map(Vec::len);
+                peers == Some(4)
             });
         }
-        deployment
+    }
+
+    /// Lists another address for the sidecar of an engine.
+    pub fn reach_sidecar_by(&self, number: usize, address: SocketAddr) {
+        self.servers.vms.set(Vm {
+            id: name(&format!("sidecar-{number}")),
+            role: VmRole::Sidecar,
+            service: Some(name("agent-llm")),
+            zone: name("kinigi-room"),
+            link_address: address.to_string(),
+            state: VmState::Live,
+        });
     }
 
     /// Ends everything that was not ended before, and joins it.
