--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -14,8 +14,8 @@
 use crate::config::Config;
 use crate::event::{Event, EventKind};
 use crate::ids::{
-    AttemptId, CallKey, Incarnation, Offset, PartitionId, ProgramId, RecordId, RequestId, VmId,
-    ZoneName,
+    AttemptId, CallKey, Incarnation, Offset, PartitionId, ProgramId, RecordId, RequestId, Revision,
+    ServiceName, VmId, ZoneName,
 };
 use crate::journal::{AppendOutcome, Journal, JournalAction, JournalSettings};
 use crate::message::{Message, Peer};
@@ -327,6 +327,12 @@
         self.is_caught_up() && !self.leaving
     }
 
+    /// The revisions by which this process serves.
+    #[must_use]
+    pub fn revisions(&self) -> BTreeMap<ServiceName, Revision> {
+        self.config.revisions()
+    }
+
     /// Who this process is, for the links.
     #[must_use]
     pub fn peer(&self) -> Peer {
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -14,7 +14,8 @@
 use crate::event::{Event, EventKind};
 use crate::gate::{Gate, GateSettings};
 use crate::ids::{
-    AttemptId, Epoch, Incarnation, Offset, PartitionId, ProgramId, ServiceName, VmId, ZoneName,
+    AttemptId, Epoch, Incarnation, Offset, PartitionId, ProgramId, Revision, ServiceName, VmId,
+    ZoneName,
 };
 use crate::message::{BackendLoad, Dispatch, Heartbeat, Message, Peer};
 use crate::platform::{CacheEvent, EngineState, GenerateBody, LoadReport, OrderBody, VmRole};
@@ -509,6 +510,12 @@
         })
     }
 
+    /// The revisions by which this process serves.
+    #[must_use]
+    pub fn revisions(&self) -> BTreeMap<ServiceName, Revision> {
+        self.config.revisions()
+    }
+
     /// Who this process is, for the links.
     #[must_use]
     pub fn peer(&self) -> Peer {
--- a/standins/src/chaos.rs
+++ b/standins/src/chaos.rs
@@ -89,9 +89,16 @@
             break;
         }
         if quiet_at.is_none() && world.now() > TimeUs(busy_us.0).after(SETTLE_US) {
-            let stuck = world.callers().iter().find(|caller| caller.ending.is_none());
-            let stuck = stuck.map(|caller| caller.program.to_string()).unwrap_or_default();
-            world.checks.fail("an end in time", format!("{stuck} has not ended"));
+            let stuck = world
+                .callers()
+                .iter()
+                .find(|caller| caller.ending.is_none());
+            let stuck = stuck
+                .map(|caller| caller.program.to_string())
+                .unwrap_or_default();
+            world
+                .checks
+                .fail("an end in time", format!("{stuck} has not ended"));
             break;
         }
     }
@@ -128,7 +135,9 @@
 }
 
 fn fault_names(args: &Chaos) -> Result<Vec<&'static str>, String> {
-    let Some(list) = &args.faults else { return Ok(NAMES.to_vec()) };
+    let Some(list) = &args.faults else {
+        return Ok(NAMES.to_vec());
+    };
     if list == "none" {
         return Ok(Vec::new());
     }
@@ -150,7 +159,9 @@
         let ends = run_seeds(&template, seeds, &names, self);
         match report(self, &ends) {
             0 => Ok(()),
-            broken => Err(Failure::Check(format!("{broken} seeds with a broken promise"))),
+            broken => Err(Failure::Check(format!(
+                "{broken} seeds with a broken promise"
+            ))),
         }
     }
 
@@ -163,11 +174,17 @@
         let safeguards = match &self.without {
             None => Safeguards::default(),
             Some(name) => Safeguards::without(name).ok_or_else(|| {
-                format!("no safeguard `{name}`; there are {}", Safeguards::NAMES.join(", "))
+                format!(
+                    "no safeguard `{name}`; there are {}",
+                    Safeguards::NAMES.join(", ")
+                )
             })?,
         };
-        let template =
-            WorldSettings { programs: self.programs, safeguards, ..WorldSettings::default() };
+        let template = WorldSettings {
+            programs: self.programs,
+            safeguards,
+            ..WorldSettings::default()
+        };
         Ok((template, seeds, fault_names(self)?))
     }
 }
@@ -189,7 +206,10 @@
                     if seed >= seeds.end {
                         return;
                     }
-                    let settings = WorldSettings { seed, ..template.clone() };
+                    let settings = WorldSettings {
+                        seed,
+                        ..template.clone()
+                    };
                     let mut end = run_seed(settings, names, args.steps);
                     if end.violation.is_none() && !args.trace {
                         end.trace.clear();
@@ -201,12 +221,18 @@
             });
         }
     });
-    ends.into_inner().map(|ends| ends.into_values().collect()).unwrap_or_default()
+    ends.into_inner()
+        .map(|ends| ends.into_values().collect())
+        .unwrap_or_default()
 }
 
 fn report(args: &Chaos, ends: &[RunEnd]) -> usize {
     let failed: Vec<&RunEnd> = ends.iter().filter(|end| end.violation.is_some()).collect();
-    if let Some(end) = failed.first().copied().or(ends.first().filter(|_| args.trace)) {
+    if let Some(end) = failed
+        .first()
+        .copied()
+        .or(ends.first().filter(|_| args.trace))
+    {
         for line in &end.trace {
             println!("{line}");
         }
@@ -228,16 +254,24 @@
         println!("programs {name:<19} {count:>10}");
     }
     let steps: u64 = ends.iter().map(|end| end.steps).sum();
-    let digest = ends.iter().fold(0u64, |sum, end| sum.rotate_left(1) ^ end.digest);
+    let digest = ends
+        .iter()
+        .fold(0u64, |sum, end| sum.rotate_left(1) ^ end.digest);
     println!("{:<28} {steps:>10}", "steps");
     println!("trace digest {digest:016x}");
     for end in &failed {
-        let Some(violation) = &end.violation else { continue };
+        let Some(violation) = &end.violation else {
+            continue;
+        };
         println!(
             "seed {} step {}: {} broken: {}",
             end.seed, end.steps, violation.promise, violation.detail
         );
     }
-    println!("{} seeds, {} with a broken promise", ends.len(), failed.len());
+    println!(
+        "{} seeds, {} with a broken promise",
+        ends.len(),
+        failed.len()
+    );
     failed.len()
 }
--- a/standins/src/chaos_backend.rs
+++ b/standins/src/chaos_backend.rs
@@ -118,13 +118,17 @@
     pub fn slow_until(&mut self, now: TimeUs, until: TimeUs) {
         if let Self::Engine(server) = self {
             server.slow_until_us = until;
-            server.engine.set_speed(now, Percent::new(10).unwrap_or_default());
+            server
+                .engine
+                .set_speed(now, Percent::new(10).unwrap_or_default());
         }
     }
 
     /// Takes a turn; `None` when it was refused.
     pub fn generate(&mut self, now: TimeUs, body: GenerateBody) -> Option<Started> {
-        let Self::Engine(server) = self else { return None };
+        let Self::Engine(server) = self else {
+            return None;
+        };
         let text = &body.messages.last()?.content;
         let number: BodyId = text.strip_prefix("body ")?.parse().ok()?;
         let started = Started {
@@ -139,19 +143,30 @@
         for segment in body.prompt.segments.iter().skip(1) {
             prefixes.insert(segment.chain, segment.length_tokens);
         }
-        server.running.insert(body.attempt, (body.program.clone(), prompt_tokens));
+        server
+            .running
+            .insert(body.attempt, (body.program.clone(), prompt_tokens));
         server.engine.submit(now, body).ok()?;
         Some(started)
     }
 
     /// Takes a call of the plain service.
     pub fn call(&mut self, now: TimeUs, attempt: AttemptId, call: &PlainCall) -> Option<Started> {
-        let Self::Plain(server) = self else { return None };
+        let Self::Plain(server) = self else {
+            return None;
+        };
         let body = hold_body(&call.body)?;
         let takes = SpanUs(server.rng.random_range(HOLD_US.0..HOLD_US.1));
-        server.pending.insert((now.after(takes), attempt), call.clone());
+        server
+            .pending
+            .insert((now.after(takes), attempt), call.clone());
         let (program, seq) = (body_program(body), body_seq(body));
-        Some(Started { attempt, program, seq, body })
+        Some(Started {
+            attempt,
+            program,
+            seq,
+            body,
+        })
     }
 
     /// Stops a turn; a hold that has begun can't be stopped.
@@ -176,7 +191,9 @@
             Self::Engine(server) => {
                 if server.slow_until_us <= now && server.slow_until_us.0 > 0 {
                     server.slow_until_us = TimeUs(0);
-                    server.engine.set_speed(now, Percent::new(100).unwrap_or_default());
+                    server
+                        .engine
+                        .set_speed(now, Percent::new(100).unwrap_or_default());
                 }
                 Some(server.engine.load(now))
             }
@@ -186,7 +203,9 @@
 
     /// The cache events that can be read by now, if there are any.
     pub fn cache_events(&mut self, now: TimeUs) -> Option<(u64, Vec<CacheEvent>)> {
-        let Self::Engine(server) = self else { return None };
+        let Self::Engine(server) = self else {
+            return None;
+        };
         let answer = server.engine.cache_events(now, server.next_cache_event);
         if answer.events.is_empty() {
             return None;
@@ -224,11 +243,16 @@
     /// The tokens that lie cached for each program alone.
     #[must_use]
     pub fn held(&self) -> Vec<(ProgramId, Tokens)> {
-        let Self::Engine(server) = self else { return Vec::new() };
+        let Self::Engine(server) = self else {
+            return Vec::new();
+        };
         let cached = |chain: &ChainHash| !server.engine.export(*chain).segments.is_empty();
         let held = server.prefixes.iter().map(|(program, prefixes)| {
             let held = prefixes.iter().filter(|(chain, _)| cached(chain));
-            (program.clone(), held.map(|(_, tokens)| *tokens).sum::<Tokens>())
+            (
+                program.clone(),
+                held.map(|(_, tokens)| *tokens).sum::<Tokens>(),
+            )
         });
         held.filter(|(_, tokens)| tokens.0 > 0).collect()
     }
@@ -236,17 +260,26 @@
     /// The text that an engine answers to a request.
     #[must_use]
     pub fn expected_text(request: &Request) -> String {
-        let Payload::Chat(chat) = &request.payload else { return String::new() };
+        let Payload::Chat(chat) = &request.payload else {
+            return String::new();
+        };
         let chain = chat.prompt.chain();
         let wanted = wanted_tokens(chain, &chat.extra);
-        answer_text(chain, chat.max_output_tokens.map_or(wanted, |most| most.min(wanted)))
+        answer_text(
+            chain,
+            chat.max_output_tokens
+                .map_or(wanted, |most| most.min(wanted)),
+        )
     }
 
     /// The body with which the plain service answers a hold.
     #[must_use]
     pub fn expected_plain(body: BodyId) -> Vec<u8> {
         let request = plain_request(hold_json(body));
-        PlainService::default().handle(TimeUs(0), &request).body.into_bytes()
+        PlainService::default()
+            .handle(TimeUs(0), &request)
+            .body
+            .into_bytes()
     }
 }
 
@@ -257,27 +290,47 @@
     }
 
     fn book_all(&mut self) {
-        self.spent.extend(std::mem::take(&mut self.running).into_values());
+        self.spent
+            .extend(std::mem::take(&mut self.running).into_values());
     }
 
     fn advance(&mut self, now: TimeUs) -> Happened {
         let mut happened = Happened::default();
         for (attempt, line) in self.engine.advance(now) {
             let event = match line {
-                GenerateLine::Text { position, text, count_tokens } => {
+                GenerateLine::Text {
+                    position,
+                    text,
+                    count_tokens,
+                } => {
                     if let Some((_, tokens)) = self.running.get_mut(&attempt) {
                         *tokens += count_tokens;
                     }
-                    BackendEvent::Text { position, text }
+                    BackendEvent::Text {
+                        position,
+                        text,
+                        count_tokens,
+                    }
                 }
-                GenerateLine::Done { usage, finish, cached } => {
+                GenerateLine::Done {
+                    usage,
+                    finish,
+                    cached,
+                } => {
                     self.note_cached(attempt, cached.last().map(|s| (s.chain, s.length_tokens)));
                     self.book(attempt);
-                    BackendEvent::Done { usage, finish, cached }
+                    BackendEvent::Done {
+                        usage,
+                        finish,
+                        cached,
+                    }
                 }
                 GenerateLine::Failed { detail } => {
                     self.book(attempt);
-                    BackendEvent::Failed { detail, not_run: false }
+                    BackendEvent::Failed {
+                        detail,
+                        not_run: false,
+                    }
                 }
             };
             happened.events.push((attempt, event));
@@ -290,14 +343,21 @@
         let (Some((program, _)), Some((chain, tokens))) = (self.running.get(&attempt), last) else {
             return;
         };
-        self.prefixes.entry(program.clone()).or_default().insert(chain, tokens);
+        self.prefixes
+            .entry(program.clone())
+            .or_default()
+            .insert(chain, tokens);
     }
 }
 
 impl PlainServer {
     fn advance(&mut self, now: TimeUs) -> Happened {
         let mut happened = Happened::default();
-        while let Some(entry) = self.pending.first_entry().filter(|entry| entry.key().0 <= now) {
+        while let Some(entry) = self
+            .pending
+            .first_entry()
+            .filter(|entry| entry.key().0 <= now)
+        {
             let ((_, attempt), call) = entry.remove_entry();
             if let Some(body) = hold_body(&call.body) {
                 happened.executed.push((body_program(body), body));
@@ -315,7 +375,12 @@
 }
 
 fn plain_request(body: Vec<u8>) -> PlainRequest {
-    PlainRequest { method: "POST".to_owned(), path: "/holds".to_owned(), key: None, body }
+    PlainRequest {
+        method: "POST".to_owned(),
+        path: "/holds".to_owned(),
+        key: None,
+        body,
+    }
 }
 
 /// The JSON body of a hold.
--- a/standins/src/chaos_callers.rs
+++ b/standins/src/chaos_callers.rs
@@ -99,16 +99,30 @@
 
 impl Caller {
     /// A program with a script drawn at random.
+    ///
+    /// # Panics
+    ///
+    /// Never: a number makes a name.
     #[must_use]
     pub fn draw(number: u64, rng: &mut ChaCha12Rng) -> Self {
         let turns = rng.random_range(1..=7);
         let script = (0..turns)
-            .map(|_| if rng.random_bool(0.4) { Turn::Hold } else { Turn::Chat })
+            .map(|_| {
+                if rng.random_bool(0.4) {
+                    Turn::Hold
+                } else {
+                    Turn::Chat
+                }
+            })
             .collect();
         let tight = rng.random_bool(0.1);
         Self {
             program: format!("p{number}").parse().expect("a name"),
-            budget: Tokens(if tight { rng.random_range(40..400) } else { 100_000 }),
+            budget: Tokens(if tight {
+                rng.random_range(40..400)
+            } else {
+                100_000
+            }),
             script,
             at: 0,
             transcript: vec![ChatMessage::new("system", "You plan night-sky visits.")],
@@ -150,6 +164,9 @@
             single_call: false,
             seq: Some(CallSeq(self.at as u64)),
             parent: None,
+            root: None,
+            append: false,
+            history_chain: None,
             class: None,
             deadline_left_us: Some(DEADLINE_US),
             budget_tokens: Some(self.budget),
@@ -191,10 +208,13 @@
 
     /// Takes the end of the answer to a chat turn or a hold.
     pub fn on_done(&mut self, think_us: SpanUs) -> Next {
-        let Some(open) = self.open.take() else { return Next::Wait };
+        let Some(open) = self.open.take() else {
+            return Next::Wait;
+        };
         if self.turn() == Turn::Chat {
             self.transcript = self.messages();
-            self.transcript.push(ChatMessage::new("assistant", &open.text));
+            self.transcript
+                .push(ChatMessage::new("assistant", &open.text));
         }
         self.repeats = 0;
         self.at += 1;
@@ -223,7 +243,11 @@
             return Next::SendAfter(after.max(REPEAT_AFTER_US));
         }
         let unknown = answer.not_run == NotRun::Unknown;
-        self.ending = Some(if unknown { Ending::Unknown } else { Ending::Refused });
+        self.ending = Some(if unknown {
+            Ending::Unknown
+        } else {
+            Ending::Refused
+        });
         Next::End
     }
 
@@ -240,9 +264,15 @@
 }
 
 /// The program that a body belongs to.
+///
+/// # Panics
+///
+/// Never: a number makes a name.
 #[must_use]
 pub fn body_program(body: BodyId) -> ProgramId {
-    format!("p{}", body / BODIES_PER_PROGRAM).parse().expect("a name")
+    format!("p{}", body / BODIES_PER_PROGRAM)
+        .parse()
+        .expect("a name")
 }
 
 /// The place of the call that a body belongs to.
@@ -252,6 +282,10 @@
 }
 
 /// The name of a service that the run knows.
+///
+/// # Panics
+///
+/// When `name` is no name.
 #[must_use]
 pub fn service_name(name: &str) -> ServiceName {
     name.parse().expect("a name")
@@ -263,7 +297,9 @@
         AnswerPart::Text { position, text } => {
             let known = open.text.chars().count() as u64;
             if *position != known {
-                return Some(format!("text at {position}, but {known} characters have come"));
+                return Some(format!(
+                    "text at {position}, but {known} characters have come"
+                ));
             }
             open.text.push_str(text);
         }
--- a/standins/src/chaos_checks.rs
+++ b/standins/src/chaos_checks.rs
@@ -74,13 +74,19 @@
         }
         self.ran.insert(body);
         if self.given_up.contains(&body) {
-            self.fail("not run", format!("{program}/{seq} was refused as not run, and now runs"));
+            self.fail(
+                "not run",
+                format!("{program}/{seq} was refused as not run, and now runs"),
+            );
         }
         if let Some(since) = self.leaving.get(vm)
             && now.since(*since) > LEAVING_GRACE_US
         {
             let late = now.since(*since);
-            self.fail("leaving", format!("{vm} got {program}/{seq} {late} after it began to leave"));
+            self.fail(
+                "leaving",
+                format!("{vm} got {program}/{seq} {late} after it began to leave"),
+            );
         }
     }
 
@@ -150,7 +156,10 @@
     /// An engine holds memory for a program at the end of a run, when all should be free.
     pub fn on_held(&mut self, vm: &VmId, program: &ProgramId, held: Tokens) {
         if self.ended.contains_key(program) {
-            self.fail("engine memory", format!("{vm} holds {held} for {program}, which has ended"));
+            self.fail(
+                "engine memory",
+                format!("{vm} holds {held} for {program}, which has ended"),
+            );
         }
     }
 }
--- a/standins/src/chaos_faults.rs
+++ b/standins/src/chaos_faults.rs
@@ -150,27 +150,66 @@
 fn draw_one(name: &str, entries: &[VmId], sidecars: &[VmId], rng: &mut ChaCha12Rng) -> Fault {
     let entry = entries[rng.random_range(0..entries.len())].clone();
     let sidecar = sidecars[rng.random_range(0..sidecars.len())].clone();
-    let vm = if rng.random_bool(0.6) { entry.clone() } else { sidecar.clone() };
+    let vm = if rng.random_bool(0.6) {
+        entry.clone()
+    } else {
+        sidecar.clone()
+    };
     let short_us = SpanUs::from_ms(rng.random_range(100..8_000));
     match name {
-        "kill" => Fault::Kill { vm, back_us: short_us },
-        "kill-vm" => Fault::KillVm { vm, back_us: short_us },
-        "pause" => Fault::Pause { vm, span_us: short_us },
-        "log-down" => Fault::LogDown { span_us: SpanUs::from_ms(rng.random_range(500..30_000)) },
-        "log-loses-answers" => Fault::LogLosesAnswers { appends: rng.random_range(1..30) },
+        "kill" => Fault::Kill {
+            vm,
+            back_us: short_us,
+        },
+        "kill-vm" => Fault::KillVm {
+            vm,
+            back_us: short_us,
+        },
+        "pause" => Fault::Pause {
+            vm,
+            span_us: short_us,
+        },
+        "log-down" => Fault::LogDown {
+            span_us: SpanUs::from_ms(rng.random_range(500..30_000)),
+        },
+        "log-loses-answers" => Fault::LogLosesAnswers {
+            appends: rng.random_range(1..30),
+        },
         "cut" | "cut-one-way" => {
-            let other = entries.iter().find(|other| **other != entry).unwrap_or(&entry);
-            let peer = if rng.random_bool(0.5) { sidecar } else { other.clone() };
-            let (from, to) = if rng.random_bool(0.5) { (entry, peer) } else { (peer, entry) };
-            Fault::Cut { from, to, both: name == "cut", span_us: short_us }
+            let other = entries
+                .iter()
+                .find(|other| **other != entry)
+                .unwrap_or(&entry);
+            let peer = if rng.random_bool(0.5) {
+                sidecar
+            } else {
+                other.clone()
+            };
+            let (from, to) = if rng.random_bool(0.5) {
+                (entry, peer)
+            } else {
+                (peer, entry)
+            };
+            Fault::Cut {
+                from,
+                to,
+                both: name == "cut",
+                span_us: short_us,
+            }
         }
         "zone" => {
             let zone = ["zone-a", "zone-b", "zone-c"][rng.random_range(0..3)];
-            Fault::ZoneLost { zone: zone.parse().expect("a name"), span_us: short_us }
+            Fault::ZoneLost {
+                zone: zone.parse().expect("a name"),
+                span_us: short_us,
+            }
         }
         "shutdown" => Fault::Shutdown { vm },
         "publish" => Fault::Publish,
         "publish-race" => Fault::PublishRace,
-        _ => Fault::BackendSlow { vm: sidecar, span_us: short_us },
+        _ => Fault::BackendSlow {
+            vm: sidecar,
+            span_us: short_us,
+        },
     }
 }
--- /dev/null
+++ b/standins/src/chaos_serve.rs
@@ -0,0 +1,58 @@
+//! The backend servers of a chaos run at work.
+
+use clementinepick::ids::VmId;
+use clementinepick::sidecar::SidecarInput;
+
+use crate::chaos_backend::{Backend, Started};
+use crate::chaos_world::{Due, Input, World};
+
+impl World {
+    pub(crate) fn on_started(&mut self, vm: &VmId, started: Option<Started>) {
+        if let Some(started) = started {
+            let Started {
+                attempt,
+                program,
+                seq,
+                body,
+            } = started;
+            self.note(|| format!("{vm} starts {program}/{seq} body {body} attempt {attempt}"));
+            self.counts.add("calls started");
+            self.checks
+                .on_start(self.now, vm, &program, seq, body, attempt);
+        }
+        self.wake_backend(vm);
+    }
+
+    pub(crate) fn wake_backend(&mut self, vm: &VmId) {
+        let Some(at) = self.backends.get(vm).and_then(Backend::next_event_at) else {
+            return;
+        };
+        self.schedule(at.max(self.now), Due::Backend { vm: vm.clone() });
+    }
+
+    pub(crate) fn on_backend(&mut self, vm: &VmId) {
+        let Some(backend) = self.backends.get_mut(vm) else {
+            return;
+        };
+        if backend.next_event_at().is_none_or(|at| at > self.now) {
+            return;
+        }
+        let happened = backend.advance(self.now);
+        let life = self.nodes.get(vm).map_or(0, |node| node.life);
+        for (program, body) in happened.executed {
+            self.note(|| format!("{vm} has executed body {body} of {program}"));
+            self.checks.on_executed(&program, body);
+        }
+        for (program, tokens) in happened.spent {
+            self.checks.on_spent(&program, tokens);
+        }
+        for (attempt, event) in happened.events {
+            self.give(
+                vm,
+                life,
+                Input::Sidecar(SidecarInput::Backend { attempt, event }),
+            );
+        }
+        self.wake_backend(vm);
+    }
+}
