--- a/standins/src/chaos_links.rs
+++ b/standins/src/chaos_links.rs
@@ -34,12 +34,8 @@
         self.schedule(at, due);
     }
 
-    pub(crate) fn on_deliver(&mut self, from: &VmId, to: VmId, generation: u64, message: Message) {
-        let link = self
-            .links
-            .get(&pair(from, &to))
-            .copied()
-            .unwrap_or_default();
+    pub(crate) fn on_deliver(&mut self, from: &VmId, to: &VmId, generation: u64, message: Message) {
+        let link = self.links.get(&pair(from, to)).copied().unwrap_or_default();
         if !link.up || link.generation != generation {
             return;
         }
@@ -51,7 +47,7 @@
                 .push_back((generation, message));
             return;
         }
-        let Some(node) = self.nodes.get(&to) else {
+        let Some(node) = self.nodes.get(to) else {
             return;
         };
         let life = node.life;
@@ -65,7 +61,7 @@
                 message,
             }),
         };
-        self.give(&to, life, input);
+        self.give(to, life, input);
     }
 
     pub(crate) fn is_cut(&self, a: &VmId, b: &VmId) -> bool {
--- a/standins/src/chaos_strike.rs
+++ b/standins/src/chaos_strike.rs
@@ -142,7 +142,7 @@
         let direction = (from.clone(), to.clone());
         self.cuts.remove(&direction);
         for (generation, message) in self.stalled.remove(&direction).unwrap_or_default() {
-            self.on_deliver(from, to.clone(), generation, message);
+            self.on_deliver(from, to, generation, message);
         }
     }
 
--- a/standins/src/chaos_world.rs
+++ b/standins/src/chaos_world.rs
@@ -404,7 +404,7 @@
                 generation,
                 message,
             } => {
-                self.on_deliver(&from, to, generation, *message);
+                self.on_deliver(&from, &to, generation, *message);
             }
             Due::LinkUp { a, b, generation } => self.on_link_up(&a, &b, generation),
             Due::Connect => self.on_connect(),
