Show each safeguard by the failure without it; tests of calls that may not run twice

Cause: repeats that waited for a call whose end was on its way to the log were never answered; found by the scenario without the fence.

--- a/clementinepick/src/config.rs
+++ b/clementinepick/src/config.rs
@@ -22,6 +22,8 @@
 pub struct Config {
     services: BTreeMap<ServiceName, InForce>,
     replay: ConfigReplay,
+    /// Set in test runs that show what an older revision would do.
+    takes_older: bool,
 }
 
 impl Config {
@@ -98,10 +100,17 @@
         }
     }
 
+    /// Lets older revisions in; for test runs only, see [`crate::safeguards`].
+    pub fn take_older(&mut self) {
+        self.takes_older = true;
+    }
+
     fn is_news(&self, published: &PublishedDocument) -> bool {
-        self.services
-            .get(&published.service)
-            .is_none_or(|current| current.published.revision < published.revision)
+        let current = self.services.get(&published.service);
+        current.is_none_or(|current| {
+            let (known, new) = (current.published.revision, published.revision);
+            known < new || (self.takes_older && known != new)
+        })
     }
 
     /// Takes over a document that is in force elsewhere; says whether it was news.
--- a/clementinepick/src/entry_log.rs
+++ b/clementinepick/src/entry_log.rs
@@ -142,6 +142,16 @@
         out: &mut Vec<EntryAction>,
     ) {
         let awaited = self.awaited.remove(&record.id);
+        let ended = match (applied, &record.body) {
+            (
+                Applied::Owned(partition),
+                RecordBody::Owned {
+                    entry: OwnedRecord::CallEnded { call, .. },
+                    ..
+                },
+            ) => Some((*partition, call)),
+            _ => None,
+        };
         match (applied, awaited) {
             (Applied::Claimed(partition), _) => self.on_claimed(now, *partition, out),
             (Applied::Outrun(partition), Some(_)) => self.retry_own(now, *partition, out),
@@ -155,6 +165,9 @@
             }
             (Applied::Outrun(_) | Applied::Stale(_) | Applied::Other, _) => {}
         }
+        if let Some((partition, call)) = ended {
+            self.answer_recorded(now, partition, call, out);
+        }
     }
 
     fn on_own_record(
--- a/clementinepick/src/recovery.rs
+++ b/clementinepick/src/recovery.rs
@@ -285,6 +285,29 @@
         self.start_next(now, &call.program, out);
     }
 
+    /// The end of a call has come on record: repeats that waited for it get it.
+    pub(crate) fn answer_recorded(
+        &mut self,
+        now: TimeUs,
+        partition: PartitionId,
+        call: &CallKey,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let followers = self.recorded_followers(call);
+        let state = self.partitions.program(partition, &call.program);
+        let recorded = state.and_then(|state| state.calls.get(&call.seq));
+        let Some(outcome) = recorded.and_then(|recorded| recorded.outcome.clone()) else {
+            return;
+        };
+        for id in followers {
+            if matches!(outcome, CallOutcome::NeverRan(_)) {
+                self.step_order(now, id, out);
+            } else {
+                self.answer_outcome(id, call, outcome.clone(), 0, out);
+            }
+        }
+    }
+
     /// What a sidecar keeps of the calls of earlier owners.
     pub(crate) fn on_kept(
         &mut self,
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -284,10 +284,14 @@
     /// A sidecar that has just started.
     #[must_use]
     pub fn new(settings: SidecarSettings) -> Self {
+        let mut config = Config::default();
+        if !settings.safeguards.revision_monotonic {
+            config.take_older();
+        }
         Self {
             orders: OrderSlot::new(settings.incarnation),
             settings,
-            config: Config::default(),
+            config,
             gate: Gate::default(),
             load: LoadReport::default(),
             entries: BTreeMap::new(),
--- a/clementinepick/tests/common/mod.rs
+++ b/clementinepick/tests/common/mod.rs
@@ -35,7 +35,7 @@
     deadline = 20 s\nmax_output = 100\n[program]\nbudget_tokens = 16000\nbudget_calls = 160\n\
     gap = 2 s\nidle = 600 s\n";
 pub const PLAIN: &str = "[service]\nname = book\nkind = plain\n[class c]\nrank = 1\n\
-    deadline = 20 s\n[route POST /]\nidempotent = no\n[route POST /check]\nidempotent = yes\n";
+    deadline = 20 s\n[program]\nbudget_calls = 50\n[route POST /]\nidempotent = no\n[route POST /check]\nidempotent = yes\n";
 
 /// What the log does with appends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,6 +52,8 @@
     pub records: BTreeMap<StreamName, Vec<String>>,
     pub earliest: BTreeMap<StreamName, u64>,
     pub mode: LogMode,
+    /// Reads fail, whatever becomes of appends.
+    pub reads_down: bool,
     pub append_us: u64,
     pub appends: u64,
     pub appended_records: u64,
@@ -66,6 +68,8 @@
     pub delay_us: Option<u64>,
     /// The tokens that a turn generates, whatever was asked for.
     pub tokens: Option<u64>,
+    /// How many of the next calls fail after they were started.
+    pub failures: u32,
     /// The calls that were started, in order: a path with its body, or the last message.
     pub runs: Vec<String>,
     /// Attempts that are held.
@@ -182,6 +186,7 @@
                     .collect(),
                 earliest: StreamName::ALL.into_iter().map(|s| (s, 0)).collect(),
                 mode: LogMode::Up,
+                reads_down: false,
                 append_us: 5_000,
                 appends: 0,
                 appended_records: 0,
@@ -245,6 +250,7 @@
             self.backends.entry(id.clone()).or_insert(Backend {
                 delay_us: Some(20_000),
                 tokens: None,
+                failures: 0,
                 runs: Vec::new(),
                 held: Vec::new(),
                 cached: BTreeSet::new(),
@@ -526,7 +532,7 @@
                 self.push(self.log.append_us, id, Input::Entry(input));
             }
             JournalAction::Read { stream, from } => {
-                let down = cut_off || matches!(self.log.mode, LogMode::Down);
+                let down = cut_off || self.log.reads_down || matches!(self.log.mode, LogMode::Down);
                 let answer = (!down).then(|| self.read(stream, from));
                 let input = EntryInput::LogRead { stream, answer };
                 self.push(2_000, id, Input::Entry(input));
@@ -592,6 +598,20 @@
                 backend.runs.push(format!("{} {body}", call.path));
             }
         }
+        if backend.failures > 0 {
+            backend.failures -= 1;
+            let attempt = match &started {
+                Started::Turn(body) => body.attempt,
+                Started::Call(attempt, _) => *attempt,
+            };
+            let event = BackendEvent::Failed {
+                detail: "it broke".to_owned(),
+                not_run: false,
+            };
+            let input = SidecarInput::Backend { attempt, event };
+            self.push(1_000, id, Input::Sidecar(input));
+            return;
+        }
         match backend.delay_us {
             Some(delay_us) => self.end_work(id, delay_us, &started),
             None => backend.held.push(started),
