--- a/standins/src/chaos.rs
+++ b/standins/src/chaos.rs
@@ -48,6 +48,9 @@
     /// threads over the seeds (default 6)
     #[argh(option, default = "6")]
     pub threads: usize,
+    /// lines of the trace that are kept (default 400)
+    #[argh(option, default = "400")]
+    pub lines: usize,
     /// print the last lines of the trace also when nothing is wrong
     #[argh(switch)]
     pub trace: bool,
@@ -182,6 +185,7 @@
         };
         let template = WorldSettings {
             programs: self.programs,
+            trace_lines: self.lines,
             safeguards,
             ..WorldSettings::default()
         };
--- a/standins/src/chaos_calls.rs
+++ b/standins/src/chaos_calls.rs
@@ -86,7 +86,8 @@
         self.give(entry, life, Input::Entry(EntryInput::Request(request)));
     }
 
-    pub(crate) fn on_answer(&mut self, id: RequestId, part: &AnswerPart) {
+    pub(crate) fn on_answer(&mut self, vm: &VmId, id: RequestId, part: &AnswerPart) {
+        self.note(|| format!("{vm} answers {id}: {}", brief(part)));
         let Some(caller) = self.open.get(&id).copied() else {
             return;
         };
@@ -197,3 +198,13 @@
         self.give(&entry, life, Input::Entry(input));
     }
 }
+
+/// A part of an answer in a few words.
+fn brief(part: &AnswerPart) -> String {
+    match part {
+        AnswerPart::Text { position, text } => format!("text at {position}, {} bytes", text.len()),
+        AnswerPart::Plain(answer) => format!("plain {}", answer.status),
+        AnswerPart::Done(done) => format!("done {:?}", done.turn),
+        AnswerPart::Failed(error) => format!("failed, {error}"),
+    }
+}
--- a/standins/src/chaos_process.rs
+++ b/standins/src/chaos_process.rs
@@ -182,7 +182,7 @@
                     .insert(vm.clone(), wanted.map(|other| other.id).collect());
             }
             EntryAction::Disconnect(other) => self.link_down(vm, &other),
-            EntryAction::Answer { request, part } => self.on_answer(request, &part),
+            EntryAction::Answer { request, part } => self.on_answer(vm, request, &part),
             EntryAction::Log(action) => self.do_log(vm, life, action),
             EntryAction::Event(event) => self.on_event(vm, &event),
             EntryAction::Finished => self.on_finished(vm),
--- a/standins/src/chaos_world.rs
+++ b/standins/src/chaos_world.rs
@@ -38,8 +38,6 @@
 pub(crate) const CUT_LINK_US: SpanUs = SpanUs::from_s(5);
 /// The most records that one read returns.
 pub(crate) const READ_MAX: usize = 500;
-/// The lines of the trace that are kept.
-pub(crate) const TRACE_LINES: usize = 400;
 /// A caller that hears nothing this long after its deadline was forgotten.
 pub(crate) const FORGOTTEN_US: SpanUs = SpanUs::from_s(30);
 
@@ -173,6 +171,8 @@
     pub programs: usize,
     /// When the last program starts and the last fault strikes.
     pub busy_us: SpanUs,
+    /// The lines of the trace that are kept.
+    pub trace_lines: usize,
     /// The safeguards in force.
     pub safeguards: Safeguards,
 }
@@ -186,6 +186,7 @@
             plains: 2,
             programs: 40,
             busy_us: SpanUs::from_s(60),
+            trace_lines: 400,
             safeguards: Safeguards::default(),
         }
     }
@@ -343,7 +344,7 @@
     pub(crate) fn note(&mut self, line: impl FnOnce() -> String) {
         let line = format!("{:>10} {}", self.now.0, line());
         self.trace_digest = xxh3_64_with_seed(line.as_bytes(), self.trace_digest);
-        if self.trace.len() == TRACE_LINES {
+        if self.trace.len() >= self.settings.trace_lines {
             self.trace.pop_front();
         }
         self.trace.push_back(line);
