--- a/clementinepick/src/answer.rs
+++ b/clementinepick/src/answer.rs
@@ -263,7 +263,9 @@
         let repeat_safe = error.kind.answer().repeat_safe || stopped;
         let may_return = is_not_run || (call.idempotent && repeat_safe);
         let reopens = may_return && call.request.seq.is_some();
-        let single_call = call.request.single_call;
+        // A keyed call that did not run may come again, and then finds its program still there.
+        let may_come_again = is_not_run && call.request.idempotency_key.is_some();
+        let single_call = call.request.single_call && !may_come_again;
         let last = AnswerPart::Failed(error.clone());
         self.end_followers(id, &last, out);
         self.drop_call(id, error, out);
--- a/clementinepick/src/call_state.rs
+++ b/clementinepick/src/call_state.rs
@@ -12,6 +12,7 @@
 use crate::message::{KeptCall, Peer};
 use crate::order::Sequencer;
 use crate::prompt::{ChainHash, Prompt};
+use crate::record::EndReason;
 use crate::units::{TimeUs, Tokens};
 
 /// Where the parts of an answer go.
@@ -238,6 +239,14 @@
     pub(crate) next_us: TimeUs,
 }
 
+/// A program that has ended and is still remembered.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EndedProgram {
+    pub(crate) partition: PartitionId,
+    pub(crate) reason: EndReason,
+    pub(crate) at_us: TimeUs,
+}
+
 /// A partition that was taken over and whose sidecars have not all reported yet.
 #[derive(Debug, Clone)]
 pub(crate) struct TakingOver {
--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -8,8 +8,8 @@
 
 use crate::call::{AnswerPart, Fetch, Request};
 use crate::call_state::{
-    Awaited, Call, ClaimPace, KeptAnswers, LiveProgram, OpenCall, PeerState, Releasing, ReplyTo,
-    TakingOver,
+    Awaited, Call, ClaimPace, EndedProgram, KeptAnswers, LiveProgram, OpenCall, PeerState,
+    Releasing, ReplyTo, TakingOver,
 };
 use crate::config::Config;
 use crate::event::{Event, EventKind};
@@ -190,8 +190,8 @@
     pub(crate) kept_until_us: TimeUs,
     /// Fetches that were passed on, with their owner and whom to answer.
     pub(crate) fetches: BTreeMap<RequestId, (VmId, ReplyTo)>,
-    /// When programs ended that are still remembered.
-    pub(crate) ended_us: BTreeMap<ProgramId, TimeUs>,
+    /// Programs that have ended and are still remembered.
+    pub(crate) ended: BTreeMap<ProgramId, EndedProgram>,
     /// When peers without a link were heard last.
     pub(crate) lost_us: BTreeMap<VmId, TimeUs>,
     pub(crate) claim_pace: BTreeMap<PartitionId, ClaimPace>,
@@ -235,7 +235,7 @@
             kept: BTreeMap::new(),
             kept_until_us: TimeUs(0),
             fetches: BTreeMap::new(),
-            ended_us: BTreeMap::new(),
+            ended: BTreeMap::new(),
             lost_us: BTreeMap::new(),
             claim_pace: BTreeMap::new(),
             taking_over: BTreeMap::new(),
--- a/clementinepick/src/program_end.rs
+++ b/clementinepick/src/program_end.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::call_state::{Awaited, Releasing, Step};
+use crate::call_state::{Awaited, EndedProgram, Releasing, Step};
 use crate::entry::{Entry, EntryAction};
 use crate::error::{CallError, ErrorKind};
 use crate::event::{Event, EventKind};
@@ -52,7 +52,12 @@
             if let Some(record) = self.write_owned(partition, entry) {
                 self.awaited.insert(record, Awaited::Other(partition));
             }
-            self.ended_us.insert(program.clone(), now);
+            let ended = EndedProgram {
+                partition,
+                reason,
+                at_us: now,
+            };
+            self.ended.insert(program.clone(), ended);
         }
         let live = self.programs.remove(&program);
         self.refuse_waiting(now, &program, reason, out);
@@ -286,10 +291,9 @@
     pub(crate) fn forget_programs(&mut self, now: TimeUs) {
         let keep_us = self.settings.keep_ended_us;
         let mut old: BTreeMap<PartitionId, Vec<ProgramId>> = BTreeMap::new();
-        for (program, at_us) in &self.ended_us {
-            if now.since(*at_us) >= keep_us && !self.releasing.contains_key(program) {
-                let partition = self.home_of(program, program);
-                let programs = old.entry(partition).or_default();
+        for (program, ended) in &self.ended {
+            if now.since(ended.at_us) >= keep_us && !self.releasing.contains_key(program) {
+                let programs = old.entry(ended.partition).or_default();
                 if programs.len() < MAX_FORGOTTEN {
                     programs.push(program.clone());
                 }
@@ -297,7 +301,7 @@
         }
         for (partition, programs) in old {
             for program in &programs {
-                self.ended_us.remove(program);
+                self.ended.remove(program);
             }
             let entry = OwnedRecord::ProgramsForgotten { programs };
             if let Some(record) = self.write_owned(partition, entry) {
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -53,7 +53,7 @@
             zone,
             service,
             heartbeat_us: SpanUs::from_ms(500),
-            keep_answers_us: SpanUs::from_s(600),
+            keep_answers_us: SpanUs::from_s(3_600),
             safeguards: Safeguards::default(),
         }
     }
--- a/clementinepick/src/step_order.rs
+++ b/clementinepick/src/step_order.rs
@@ -77,6 +77,9 @@
         };
         let request = &call.request;
         let recorded = self.partitions.program(call.partition, &request.program);
+        // The record of the end may be on its way yet.
+        let ended = self.ended.get(&request.program).map(|ended| ended.reason);
+        check_live(ended, "the program")?;
         if let Some(state) = recorded {
             return check_live(state.ended, "the program");
         }
--- a/clementinepick/src/step_own.rs
+++ b/clementinepick/src/step_own.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng;
 
-use crate::call_state::{Awaited, ClaimPace, Step, TakingOver};
+use crate::call_state::{Awaited, ClaimPace, EndedProgram, Step, TakingOver};
 use crate::entry::{Entry, EntryAction};
 use crate::event::{Event, EventKind};
 use crate::ids::{Epoch, PartitionId, ProgramId, RequestId, VmId};
@@ -257,16 +257,22 @@
         let Some(state) = self.partitions.get(partition) else {
             return;
         };
-        let (ended, open): (Vec<_>, Vec<_>) = state
-            .programs
-            .iter()
-            .map(|(id, program)| (id.clone(), program.ended.is_some()))
-            .partition(|(_, is_ended)| *is_ended);
-        for (program, _) in open {
-            self.live_program(now, partition, &program);
+        let mut open = Vec::new();
+        for (id, program) in &state.programs {
+            match program.ended {
+                None => open.push(id.clone()),
+                Some(reason) => {
+                    let ended = EndedProgram {
+                        partition,
+                        reason,
+                        at_us: now,
+                    };
+                    self.ended.insert(id.clone(), ended);
+                }
+            }
         }
-        for (program, _) in ended {
-            self.ended_us.insert(program, now);
+        for program in open {
+            self.live_program(now, partition, &program);
         }
     }
 
@@ -307,6 +313,7 @@
         self.open_calls
             .retain(|_, open| open.partition != partition);
         self.releasing.retain(|_, r| r.partition != partition);
+        self.ended.retain(|_, ended| ended.partition != partition);
         self.taking_over.remove(&partition);
         self.yielding.remove(&partition);
         let ids: Vec<RequestId> = self
--- a/clementinepick/src/sweep.rs
+++ b/clementinepick/src/sweep.rs
@@ -89,7 +89,13 @@
             Step::Route if late => self.refuse_late(now, id, ErrorKind::NoBackend, out),
             Step::Route => self.step_route(now, id, out),
             Step::Order if late => {
-                self.refuse_late(now, id, ErrorKind::DeadlineBeforeStart, out);
+                let live = self.programs.get(&call.request.program);
+                let kind = if live.is_some_and(|live| live.opening) {
+                    ErrorKind::LogUnavailable
+                } else {
+                    ErrorKind::DeadlineBeforeStart
+                };
+                self.refuse_late(now, id, kind, out);
             }
             Step::Claim | Step::Slice if late => {
                 self.refuse_late(now, id, ErrorKind::LogUnavailable, out);
--- a/clementinepick/tests/at_most_once.rs
+++ b/clementinepick/tests/at_most_once.rs
@@ -219,6 +219,25 @@
     assert_eq!(world.runs(), ["/hold seat 7"]);
 }
 
+// A caller without a program is refused as not run during an outage; its repeat runs afterwards.
+#[test]
+fn a_refused_call_without_a_program_may_come_again() {
+    let (mut world, _) = with_owner();
+    world.log.mode = LogMode::Down;
+    let single = |id| clementinepick::call::Request {
+        single_call: true,
+        ..hold("key-of-this-call")(id)
+    };
+    let id = world.call("e0", within_ms(1_000, single));
+    let refused = world.wait(id);
+    assert!(["log_unavailable", "owner_unknown"].contains(&refused.code()));
+    world.log.mode = LogMode::Up;
+    world.run_ms(2_000);
+    let id = world.call("e2", single);
+    assert_eq!(world.wait(id).code(), "done");
+    assert_eq!(world.runs(), ["/hold seat 7"]);
+}
+
 // The caller sees its answer from the second backend server. The first one is leaving and refuses
 // the call unsent, since its entries have not heard of it yet; that the call did not run goes on
 // record before it is tried elsewhere under a new start.
