--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,18 @@
 
 pub mod answer;
 pub mod cache;
+pub mod chaos;
+pub mod chaos_backend;
+pub mod chaos_callers;
+pub mod chaos_calls;
+pub mod chaos_checks;
+pub mod chaos_faults;
+pub mod chaos_links;
+pub mod chaos_platform;
+pub mod chaos_process;
+pub mod chaos_serve;
+pub mod chaos_strike;
+pub mod chaos_world;
 pub mod clock;
 pub mod engine;
 pub mod engine_memory;
