--- a/clementinepickctl/src/args.rs
+++ b/clementinepickctl/src/args.rs
@@ -192,16 +192,22 @@
 }
 
 /// Ask a process to take no new work, to finish what runs and to exit.
+///
+/// The key is `[process] admin_key` of that process. It is read from a file, or from the environment
+/// variable `CLEMENTINEPICK_ADMIN_KEY`, since others can see the command line.
 #[derive(FromArgs, Debug)]
 #[argh(
     subcommand,
     name = "drain",
-    example = "{command_name} --entry 10.0.1.1:8080"
+    example = "{command_name} --entry 10.0.1.1:8080 --key-file /run/secrets/admin-key"
 )]
 pub struct Drain {
     /// the HTTP address of the entry or sidecar
     #[argh(option)]
     pub entry: Vec<String>,
+    /// a file with the admin key
+    #[argh(option)]
+    pub key_file: Option<String>,
 }
 
 /// Explain an event by its number or name, or an error by its code; without one, list all.
--- a/clementinepickctl/src/client.rs
+++ b/clementinepickctl/src/client.rs
@@ -17,6 +17,8 @@
 const MAX_ANSWER_BYTES: usize = 256_000_000;
 /// The records asked for in one read.
 const READ_COUNT: u32 = 1_000;
+/// Carries the key of an operator.
+const ADMIN_KEY_HEADER: &str = "clementinepick-admin-key";
 /// The statuses by which the log says that nothing was appended.
 const NOT_APPENDED: [u16; 2] = [429, 503];
 
@@ -111,9 +113,9 @@
     /// # Errors
     ///
     /// When it does not answer, or does not take the request.
-    pub async fn drain(&self, address: &str) -> Result<(), CtlError> {
-        let sent = self.client.post(format!("http://{address}/admin/drain"));
-        let sent = sent.send().await;
+    pub async fn drain(&self, address: &str, key: &str) -> Result<(), CtlError> {
+        let request = self.client.post(format!("http://{address}/admin/drain"));
+        let sent = request.insert_header((ADMIN_KEY_HEADER, key)).send().await;
         expect_success(address, sent).map(|_| ())
     }
 
--- a/clementinepickctl/src/run.rs
+++ b/clementinepickctl/src/run.rs
@@ -35,7 +35,7 @@
         Command::Status(status) => run_status(&ctl, status).await,
         Command::Dump(dump) => run_dump(&ctl, &entries(dump.entry)?).await,
         Command::Programs(programs) => run_programs(&ctl, &entries(programs.entry)?).await,
-        Command::Drain(drain) => run_drain(&ctl, &drain.entry).await,
+        Command::Drain(drain) => run_drain(&ctl, drain).await,
         Command::Events(events) => Ok(run_events(events.what.as_deref())),
     }
 }
@@ -351,12 +351,16 @@
     })
 }
 
-async fn run_drain(ctl: &Ctl, entries: &[String]) -> Result<Report, CtlError> {
+async fn run_drain(ctl: &Ctl, args: args::Drain) -> Result<Report, CtlError> {
     // No default from the environment: it names all entries, and those must not leave at once.
-    let [entry] = entries else {
+    let [entry] = &args.entry[..] else {
         return Err(CtlError::Usage("give one --entry to drain".to_owned()));
     };
-    ctl.drain(entry).await?;
+    let key = match args.key_file {
+        Some(path) => read_file(&path)?,
+        None => address(None, "CLEMENTINEPICK_ADMIN_KEY", "--key-file")?,
+    };
+    ctl.drain(entry, key.trim()).await?;
     Ok(Report {
         text: format!("{entry} takes no new work and exits when all has finished"),
         json: json!({ "address": entry, "leaving": true }),
--- a/clementinepickd/src/http.rs
+++ b/clementinepickd/src/http.rs
@@ -20,21 +20,25 @@
 use futures_util::StreamExt;
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::timeout;
 
 use crate::answer::{Answer, EventStream};
 use crate::body::{ChatShape, error_body, status, turn_name};
-use crate::control::Outputs;
+use crate::control::{Outputs, Wishes};
 use crate::input::{ControlInput, ControlSender};
 use crate::link::duration;
-use crate::settings::{Limits, Role, Settings};
+use crate::settings::{Limits, LinkKey, Role, Settings};
 
 /// How long connections may take to close once all answers are out.
 const CLOSE_LIMIT_S: u64 = 1;
 /// The most connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// Carries the key of an operator.
+const ADMIN_KEY_HEADER: &str = "clementinepick-admin-key";
+
 const JSON: &str = "application/json";
 const EVENT_STREAM: &str = "text/event-stream";
 const PLAIN_TEXT: &str = "text/plain; version=0.0.4; charset=utf-8";
@@ -49,6 +53,8 @@
     pub(crate) ready: Arc<AtomicBool>,
     pub(crate) streams: Arc<Semaphore>,
     pub(crate) metrics: PrometheusHandle,
+    pub(crate) admin_key: Option<LinkKey>,
+    pub(crate) wishes: Arc<Wishes>,
 }
 
 impl Shared {
@@ -74,6 +80,8 @@
             ready: Arc::clone(&outputs.ready),
             streams: Arc::clone(&outputs.streams),
             metrics,
+            admin_key: settings.admin_key.clone(),
+            wishes: Arc::clone(&outputs.wishes),
         }
     }
 }
@@ -119,6 +127,7 @@
         (Method::GET, "/readyz") => Ok(readiness(&shared)),
         (Method::GET, "/metrics") => metrics(&shared).await,
         (Method::GET, "/debug/dump") => dump(&shared).await,
+        (Method::POST, "/admin/drain") => drain(&shared, &request),
         _ if !shared.is_entry => no_such_path("this sidecar takes calls over links only"),
         (Method::POST, "/v1/chat/completions") => chat(&shared, &mut request).await,
         (method, path) if path.starts_with("/v1/programs/") => {
@@ -168,6 +177,24 @@
     json_answer(status, &json!({"ready": ready}))
 }
 
+/// Begins to leave, for an operator who has the key.
+///
+/// Callers reach this port as well, and one of them could empty the deployment, entry by entry.
+fn drain(shared: &Shared, request: &Request) -> Result<Response<BoxBody>, Refusal> {
+    let Some(key) = &shared.admin_key else {
+        return no_such_path("this process has no admin key");
+    };
+    let given = request.headers().get(ADMIN_KEY_HEADER);
+    let given = given.map_or(&[][..], |value| value.as_bytes());
+    // Digests are compared, so that the time taken says nothing of the key.
+    if Sha256::digest(given) != Sha256::digest(key.as_bytes()) {
+        let refused = json!({"leaving": false, "detail": "wrong admin key"});
+        return Ok(json_answer(StatusCode::FORBIDDEN, &refused));
+    }
+    shared.wishes.leave.store(true, Ordering::Relaxed);
+    Ok(json_answer(StatusCode::OK, &json!({"leaving": true})))
+}
+
 async fn metrics(shared: &Shared) -> Result<Response<BoxBody>, Refusal> {
     let (answer, done) = oneshot::channel();
     shared.control.send(ControlInput::Gauges(answer)).await;
--- a/clementinepickd/src/settings.rs
+++ b/clementinepickd/src/settings.rs
@@ -249,6 +249,8 @@
     pub http_workers: usize,
     /// How much is logged.
     pub log_level: LogLevel,
+    /// The key by which an operator may ask the process to leave; absent: nobody may over HTTP.
+    pub admin_key: Option<LinkKey>,
     /// Links to other processes.
     pub links: LinkSettings,
     /// What callers may use.
@@ -268,6 +270,7 @@
             link_address: ANY_PORT,
             http_workers: 2,
             log_level: LogLevel::Info,
+            admin_key: None,
             links: LinkSettings::default(),
             limits: Limits::default(),
             shutdown: ShutdownSettings::default(),
--- a/clementinepickd/src/settings_file.rs
+++ b/clementinepickd/src/settings_file.rs
@@ -214,6 +214,7 @@
         http_address: source.need("process", "http")?,
         link_address: source.need("process", "link")?,
         role: read_role(source)?,
+        admin_key: source.key("process", "admin_key")?,
         links: read_links(source)?,
         limits: read_limits(source)?,
         shutdown: read_shutdown(source)?,
