Wire membership, documents and engine orders into entries and sidecars

Cause: membership.rs and placement.rs were called by nobody; documents went to sidecars only, from every entry, and the configuration was never carried forward. Heartbeats tell for how long the receiver was silent and, to sidecars, the decider's number. A sidecar hears of its own service only. Calls avoid engines that do not serve their model.

--- a/clementinepick/src/call_state.rs
+++ b/clementinepick/src/call_state.rs
@@ -7,7 +7,7 @@
 use crate::config::InForce;
 use crate::ids::{
     AttemptId, CallKey, CallSeq, ClassName, Epoch, IdempotencyKey, Incarnation, PartitionId,
-    ProgramId, RecordId, RequestId, VmId,
+    ProgramId, RecordId, RequestId, Revision, ServiceName, VmId,
 };
 use crate::message::{KeptCall, Peer};
 use crate::order::Sequencer;
@@ -258,6 +258,12 @@
     pub(crate) up_us: TimeUs,
     pub(crate) heard_us: TimeUs,
     pub(crate) leaving: bool,
+    /// What its last heartbeat said; absent before the first.
+    pub(crate) revisions: Option<BTreeMap<ServiceName, Revision>>,
+    /// Whether that heartbeat lacked a document.
+    pub(crate) lags: bool,
+    /// The number of the first read of the configuration that began after its link came up.
+    pub(crate) confirmed_by_read: u64,
 }
 
 /// Answers that sidecars keep of an earlier owner's idempotent calls, by the caller's request.
--- a/clementinepick/src/config.rs
+++ b/clementinepick/src/config.rs
@@ -63,6 +63,16 @@
             .collect()
     }
 
+    /// The revisions in force of one service, or of all.
+    #[must_use]
+    pub fn revisions_for(&self, service: Option<&ServiceName>) -> BTreeMap<ServiceName, Revision> {
+        let mut revisions = self.revisions();
+        if let Some(service) = service {
+            revisions.retain(|name, _| name == service);
+        }
+        revisions
+    }
+
     /// Replays a record of the configuration stream.
     pub fn apply(&mut self, offset: Offset, record: &Record) -> Vec<Change> {
         let changes = self.replay.apply(offset, record);
@@ -126,13 +136,17 @@
         Ok(true)
     }
 
-    /// The documents that a peer with these revisions lacks.
+    /// The documents that a peer with these revisions lacks, of one service or of all.
     #[must_use]
-    pub fn lacking(&self, known: &BTreeMap<ServiceName, Revision>) -> Vec<PublishedDocument> {
+    pub fn lacking(
+        &self,
+        service: Option<&ServiceName>,
+        known: &BTreeMap<ServiceName, Revision>,
+    ) -> Vec<PublishedDocument> {
         let newer = self.services.iter().filter(|(name, s)| {
-            known
-                .get(*name)
-                .is_none_or(|revision| *revision < s.published.revision)
+            let wanted = service.is_none_or(|service| service == *name);
+            let known = known.get(*name);
+            wanted && known.is_none_or(|revision| *revision < s.published.revision)
         });
         newer.map(|(_, s)| s.published.clone()).collect()
     }
--- a/clementinepick/src/dump.rs
+++ b/clementinepick/src/dump.rs
@@ -6,9 +6,24 @@
 
 use crate::entry::Entry;
 use crate::ids::PartitionId;
+use crate::platform::VmRole;
 use crate::units::TimeUs;
 
 impl Entry {
+    /// The peers, with what their last heartbeat said.
+    fn dump_peers(&self, now: TimeUs) -> Vec<Value> {
+        let peers = self.peers.iter().map(|(vm, state)| {
+            let peer = &state.peer;
+            json!({
+                "vm": vm, "incarnation": peer.incarnation, "role": peer.role, "zone": peer.zone,
+                "service": peer.service, "revisions": state.revisions, "leaving": state.leaving,
+                "standing": self.membership.standing(vm),
+                "silence_ms": self.membership.silence(now, vm).as_ms(),
+            })
+        });
+        peers.collect()
+    }
+
     /// The sizes of the state, by name, for gauges.
     #[must_use]
     pub fn counts(&self) -> BTreeMap<&'static str, usize> {
@@ -63,7 +78,9 @@
             "unconfirmed_records": self.journal.unconfirmed(),
             "revisions": self.config.revisions(),
             "publications": self.config.publications(),
-            "peers": self.peers.values().map(|p| &p.peer).collect::<Vec<_>>(),
+            "peers": self.dump_peers(now),
+            "serving_zones": self.membership.zones(VmRole::Sidecar),
+            "placements": self.dump_placements(),
             "owned_partitions": owned,
             "calls": calls,
             "programs": self.programs.keys().collect::<Vec<_>>(),
--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -12,13 +12,16 @@
     TakingOver,
 };
 use crate::config::Config;
+use crate::entry_orders::EngineWord;
 use crate::event::{Event, EventKind};
 use crate::ids::{
-    AttemptId, CallKey, Incarnation, Offset, PartitionId, ProgramId, RecordId, RequestId, VmId,
-    ZoneName,
+    AttemptId, CallKey, Incarnation, Offset, PartitionId, ProgramId, RecordId, RequestId,
+    ServiceName, VmId, ZoneName,
 };
 use crate::journal::{AppendOutcome, Journal, JournalAction, JournalSettings};
+use crate::membership::{Membership, MembershipSettings};
 use crate::message::{Message, Peer};
+use crate::placement::Placement;
 use crate::platform::{ReadAnswer, StreamName, Vm, VmRole};
 use crate::record::EndReason;
 use crate::replay::Partitions;
@@ -49,7 +52,8 @@
     pub settle_us: SpanUs,
     /// How long ended programs are remembered, for repeats and late questions.
     pub keep_ended_us: SpanUs,
-    /// The time between two snapshots of a partition; well below the log's retention.
+    /// The time between two snapshots of a partition, and of the configuration; well below the
+    /// log's retention.
     pub snapshot_us: SpanUs,
     /// How long the end of an answer waits for its record before it goes out as pending.
     pub commit_wait_us: SpanUs,
@@ -175,6 +179,16 @@
     pub(crate) partitions: Partitions,
     pub(crate) vms: BTreeMap<VmId, Vm>,
     pub(crate) peers: BTreeMap<VmId, PeerState>,
+    pub(crate) membership: Membership,
+    pub(crate) engines: BTreeMap<VmId, EngineWord>,
+    /// The services on which this entry decides.
+    pub(crate) placements: BTreeMap<ServiceName, Placement>,
+    /// Own claims to decide that were not yet read back.
+    pub(crate) decider_claims: BTreeMap<ServiceName, RecordId>,
+    /// When the last snapshot of the configuration was read or written here.
+    pub(crate) config_snapshot_us: Option<TimeUs>,
+    /// Whether it was said that records of the configuration are missing.
+    pub(crate) has_config_gap: bool,
     pub(crate) router: Router,
     pub(crate) calls: BTreeMap<RequestId, Call>,
     pub(crate) attempts: BTreeMap<AttemptId, RequestId>,
@@ -219,6 +233,15 @@
             partitions: Partitions::starting_at(Offset(0), settings.safeguards.clone()),
             vms: BTreeMap::new(),
             peers: BTreeMap::new(),
+            membership: Membership::new(MembershipSettings {
+                silence_us: settings.peer_timeout_us,
+                ..MembershipSettings::default()
+            }),
+            engines: BTreeMap::new(),
+            placements: BTreeMap::new(),
+            decider_claims: BTreeMap::new(),
+            config_snapshot_us: None,
+            has_config_gap: false,
             router: Router::new(RouteSettings {
                 zone,
                 ..Default::default()
@@ -274,7 +297,7 @@
                 let event = self.journal_of(stream).on_append(now, batch, outcome);
                 out.extend(event.map(EntryAction::Event));
             }
-            EntryInput::Vms(vms) => self.on_vms(vms, out),
+            EntryInput::Vms(vms) => self.on_vms(now, vms, out),
             EntryInput::Tick => self.on_tick(now, out),
             EntryInput::Shutdown => {
                 self.leaving = true;
@@ -302,6 +325,7 @@
         for peer in self.peers.values_mut() {
             peer.heard_us = now;
         }
+        self.membership.on_pause(now);
     }
 
     pub(crate) fn journal_of(&mut self, stream: StreamName) -> &mut Journal {
--- a/clementinepick/src/entry_log.rs
+++ b/clementinepick/src/entry_log.rs
@@ -1,12 +1,10 @@
 //! What an entry writes to the log and reads from it.
 
 use crate::call_state::Awaited;
-use crate::config_replay::{Change, Publication, Verdict};
 use crate::entry::{Entry, EntryAction};
 use crate::event::{Event, EventKind};
 use crate::ids::{Offset, PartitionId, RecordId};
-use crate::message::Message;
-use crate::platform::{ReadAnswer, StreamName, VmRole};
+use crate::platform::{ReadAnswer, StreamName};
 use crate::record::{OwnedRecord, Record, RecordBody};
 use crate::replay::{Applied, Partitions};
 use crate::step_record::tell_committed;
@@ -66,6 +64,10 @@
         }
         let mut events = Vec::new();
         let fresh = self.journal_of(stream).on_read(now, answer, &mut events);
+        if stream == StreamName::Config {
+            // A snapshot that is read next closes the gap; only then is it known.
+            events.retain(|event| event.kind != EventKind::RetentionPassed);
+        }
         out.extend(events.into_iter().map(EntryAction::Event));
         if stream == StreamName::Journal
             && let Some(earliest) = self.journal.take_jump()
@@ -74,13 +76,16 @@
         }
         for (offset, record) in fresh {
             match stream {
-                StreamName::Config => self.replay_config(offset, &record, out),
+                StreamName::Config => self.replay_config(now, offset, &record, out),
                 StreamName::Journal => {
                     let applied = self.partitions.apply(offset, &record);
                     self.on_applied(now, &record, &applied, out);
                 }
             }
         }
+        if stream == StreamName::Config {
+            self.report_config_gap(out);
+        }
         if self.is_unsure && self.journal.reads_done() >= self.sure_at_read && self.journal.at_end()
         {
             self.is_unsure = false;
@@ -100,40 +105,6 @@
         }
     }
 
-    fn replay_config(&mut self, offset: Offset, record: &Record, out: &mut Vec<EntryAction>) {
-        for change in self.config.apply(offset, record) {
-            if let Change::Published(publication) = change {
-                self.on_publication(&publication, out);
-            }
-        }
-    }
-
-    fn on_publication(&self, publication: &Publication, out: &mut Vec<EntryAction>) {
-        let service = &publication.service;
-        let event = match &publication.verdict {
-            Verdict::Accepted { revision } => {
-                Event::new(EventKind::DocumentInForce).with("revision", revision)
-            }
-            verdict @ (Verdict::Outrun { .. } | Verdict::Wrong { .. }) => {
-                Event::new(EventKind::DocumentRejected).with("verdict", format!("{verdict:?}"))
-            }
-        };
-        let event = event.with("operation", publication.operation);
-        out.push(EntryAction::Event(event.with("service", service)));
-        // Sidecars learn at once rather than with the next heartbeat.
-        for (vm, peer) in &self.peers {
-            if peer.peer.role == VmRole::Sidecar
-                && let Some(in_force) = self.config.service(service)
-            {
-                let message = Message::Documents(vec![in_force.published.clone()]);
-                out.push(EntryAction::Send {
-                    to: vm.clone(),
-                    message,
-                });
-            }
-        }
-    }
-
     fn on_applied(
         &mut self,
         now: TimeUs,
--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -95,6 +95,10 @@
     VmListUnavailable = 207, "vm_list_unavailable", Warning;
     /// A peer sent what is no message; its link was closed.
     LinkFault = 208, "link_fault", Error;
+    /// A peer lost its link again and again; it gets work only where nobody else is left.
+    PeerFlapping = 209, "peer_flapping", Warning;
+    /// A peer is heard and hears nothing: the network is cut in one direction.
+    PeerDeaf = 210, "peer_deaf", Warning;
     /// The log can't be written or read.
     LogDown = 301, "log_down", Warning;
     /// The log answers again.
--- a/clementinepick/src/links.rs
+++ b/clementinepick/src/links.rs
@@ -7,8 +7,8 @@
 use crate::error::{CallError, ErrorKind};
 use crate::event::{Event, EventKind};
 use crate::ids::{AttemptId, RequestId, VmId};
-use crate::message::{Heartbeat, Message, Peer};
-use crate::platform::{Vm, VmRole, VmState};
+use crate::message::{Message, Peer};
+use crate::platform::{Vm, VmRole};
 use crate::units::TimeUs;
 
 impl Entry {
@@ -22,8 +22,9 @@
         if let Some(peer) = self.peers.get_mut(&from) {
             peer.heard_us = now;
         }
+        self.membership.on_heard(now, &from);
         match message {
-            Message::Heartbeat(heartbeat) => self.on_heartbeat(&from, &heartbeat, out),
+            Message::Heartbeat(heartbeat) => self.on_heartbeat(now, &from, heartbeat, out),
             Message::Forward { request, hops } => {
                 self.on_request(now, *request, &ReplyTo::Entry(from), hops, out);
             }
@@ -65,7 +66,15 @@
             Message::FenceReply {
                 attempt, verdict, ..
             } => self.on_fence_reply(now, &from, attempt, verdict, out),
-            Message::Load(load) => self.router.on_load(now, &from, load),
+            Message::Load(load) => {
+                self.on_engine_load(&from, load);
+                self.router.on_load(now, &from, load);
+            }
+            Message::Engine(state) => self.on_engine_state(&from, state),
+            Message::OrderReply { id, outcome } => {
+                self.on_order_reply(now, &from, id, &outcome, out);
+            }
+            Message::Documents(documents) => self.on_documents(documents, out),
             Message::Cache { first, events } => {
                 if self.router.on_cache(&from, first, &events) {
                     let event = Event::new(EventKind::CacheEventGap).with("vm", &from);
@@ -73,8 +82,7 @@
                 }
             }
             Message::Released { program, .. } => self.on_released(&program, &from),
-            Message::Documents(_)
-            | Message::Dispatch(_)
+            Message::Dispatch(_)
             | Message::Cancel { .. }
             | Message::TakeOver { .. }
             | Message::Fence { .. }
@@ -82,39 +90,7 @@
             | Message::Committed { .. }
             | Message::Lease { .. }
             | Message::Release { .. }
-            | Message::Order { .. }
-            | Message::OrderReply { .. }
-            | Message::Engine(_) => {}
-        }
-    }
-
-    pub(crate) fn heartbeat(&self) -> Heartbeat {
-        Heartbeat {
-            revisions: self.config.revisions(),
-            config_offset: self.config_journal.position(),
-            leaving: self.leaving,
-        }
-    }
-
-    fn on_heartbeat(&mut self, from: &VmId, heartbeat: &Heartbeat, out: &mut Vec<EntryAction>) {
-        let Some(peer) = self.peers.get_mut(from) else {
-            return;
-        };
-        peer.leaving = heartbeat.leaving;
-        if peer.peer.role == VmRole::Sidecar {
-            let listed = self
-                .vms
-                .get(from)
-                .is_some_and(|vm| vm.state == VmState::Leaving);
-            self.router.set_leaving(from, heartbeat.leaving || listed);
-            let lacking = self.config.lacking(&heartbeat.revisions);
-            if !lacking.is_empty() {
-                let message = Message::Documents(lacking);
-                out.push(EntryAction::Send {
-                    to: from.clone(),
-                    message,
-                });
-            }
+            | Message::Order { .. } => {}
         }
     }
 
@@ -137,14 +113,22 @@
             up_us: now,
             heard_us: now,
             leaving: false,
+            revisions: None,
+            lags: true,
+            confirmed_by_read: self.config_journal.read_now(now),
         };
-        self.peers.insert(vm.clone(), state);
-        self.lost_us.remove(&vm);
-        let message = Message::Heartbeat(self.heartbeat());
+        let message = Message::Heartbeat(self.heartbeat_to(now, &state));
         out.push(EntryAction::Send {
             to: vm.clone(),
             message,
         });
+        self.peers.insert(vm.clone(), state);
+        self.lost_us.remove(&vm);
+        self.membership.on_link_up(now, peer.clone());
+        self.judge_members(now, out);
+        if let Some(service) = &peer.service {
+            self.steer_work(service);
+        }
         match role {
             VmRole::Sidecar => {
                 for partition in self.own_partitions() {
@@ -166,6 +150,12 @@
         ));
         self.lost_us.insert(vm.clone(), peer.heard_us);
         self.router.remove(vm);
+        self.on_engine_gone(vm);
+        self.membership.on_link_down(now, vm);
+        self.judge_members(now, out);
+        if let Some(service) = &peer.peer.service {
+            self.steer_work(service);
+        }
         for open in self.open_calls.values_mut().filter(|o| o.target == *vm) {
             open.is_attached = false;
             open.asked_us = None;
@@ -198,13 +188,10 @@
         }
     }
 
-    pub(crate) fn on_vms(&mut self, vms: Vec<Vm>, out: &mut Vec<EntryAction>) {
+    pub(crate) fn on_vms(&mut self, now: TimeUs, vms: Vec<Vm>, out: &mut Vec<EntryAction>) {
+        self.membership.on_list(vms.clone());
+        self.judge_members(now, out);
         self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
-        for (id, vm) in &self.vms {
-            if vm.state == VmState::Leaving {
-                self.router.set_leaving(id, true);
-            }
-        }
         let others = self.vms.values().filter(|vm| vm.id != self.settings.vm);
         out.push(EntryAction::Connect(others.cloned().collect()));
     }
--- /dev/null
+++ b/clementinepick/src/members.rs
@@ -0,0 +1,123 @@
+//! What an entry makes of who lives, leaves and lags.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::call_state::PeerState;
+use crate::entry::{Entry, EntryAction};
+use crate::event::{Event, EventKind};
+use crate::ids::{Revision, ServiceName, VmId};
+use crate::membership::{Standing, StandingChange};
+use crate::message::{Heartbeat, Message};
+use crate::platform::VmRole;
+use crate::units::TimeUs;
+
+impl Entry {
+    /// What this entry tells a peer of itself; a sidecar hears of its own service only.
+    pub(crate) fn heartbeat_to(&self, now: TimeUs, peer: &PeerState) -> Heartbeat {
+        let service = peer.peer.service.as_ref();
+        let decider = service.and_then(|service| self.config.decider(service));
+        Heartbeat {
+            revisions: self.config.revisions_for(service),
+            config_offset: self.config_journal.position(),
+            leaving: self.leaving,
+            silence_us: now.since(peer.heard_us),
+            decider: decider.map(|decider| decider.fencing),
+        }
+    }
+
+    pub(crate) fn send_heartbeats(&self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        for (vm, peer) in &self.peers {
+            let message = Message::Heartbeat(self.heartbeat_to(now, peer));
+            let to = vm.clone();
+            out.push(EntryAction::Send { to, message });
+        }
+    }
+
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        now: TimeUs,
+        from: &VmId,
+        heartbeat: Heartbeat,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Heartbeat {
+            leaving,
+            silence_us,
+            revisions,
+            ..
+        } = heartbeat;
+        self.membership.on_heartbeat(now, from, leaving, silence_us);
+        self.judge_members(now, out);
+        self.pass_documents(from, revisions, out);
+    }
+
+    /// Passes on what a peer lacks: sidecars do not read the log, and another entry may be cut off
+    /// from it.
+    fn pass_documents(
+        &mut self,
+        to: &VmId,
+        revisions: BTreeMap<ServiceName, Revision>,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(peer) = self.peers.get_mut(to) else {
+            return;
+        };
+        let lacking = self.config.lacking(peer.peer.service.as_ref(), &revisions);
+        peer.revisions = Some(revisions);
+        // A heartbeat that crossed the document on its way does not lag. Only the second one in a
+        // row does, or each entry would send each document to each other.
+        let lagged = std::mem::replace(&mut peer.lags, !lacking.is_empty());
+        if lagged && !lacking.is_empty() {
+            let (to, message) = (to.clone(), Message::Documents(lacking));
+            out.push(EntryAction::Send { to, message });
+        }
+    }
+
+    /// Judges the peers anew and acts on what has changed.
+    pub(crate) fn judge_members(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        let changes = self.membership.judge(now);
+        let mut services = BTreeSet::new();
+        for change in &changes {
+            out.extend(event_of(change).map(EntryAction::Event));
+            if let Some(peer) = self.peers.get_mut(&change.vm) {
+                peer.leaving = matches!(change.to, Standing::Leaving | Standing::Deaf);
+                services.extend(peer.peer.service.clone());
+            }
+        }
+        for service in services {
+            self.steer_work(&service);
+        }
+    }
+
+    /// Tells the router which backend servers of a service may get new work.
+    ///
+    /// Where only flapping ones are left they get it: a call that may be lost is better off than
+    /// one that is surely refused.
+    pub(crate) fn steer_work(&mut self, service: &ServiceName) {
+        let of_service: Vec<(VmId, Standing)> = self
+            .membership
+            .of_role(VmRole::Sidecar)
+            .filter(|(peer, _)| peer.service.as_ref() == Some(service))
+            .map(|(peer, standing)| (peer.vm.clone(), standing))
+            .collect();
+        let any_serving = of_service.iter().any(|(_, s)| *s == Standing::Serving);
+        for (vm, standing) in of_service {
+            let may = match standing {
+                Standing::Serving => true,
+                Standing::Flapping => !any_serving,
+                Standing::Deaf | Standing::Leaving | Standing::Gone => false,
+            };
+            self.router.set_leaving(&vm, !may);
+        }
+    }
+}
+
+fn event_of(change: &StandingChange) -> Option<Event> {
+    let kind = match change.to {
+        Standing::Leaving => EventKind::BackendLeaving,
+        Standing::Flapping => EventKind::PeerFlapping,
+        Standing::Deaf => EventKind::PeerDeaf,
+        Standing::Serving | Standing::Gone => return None,
+    };
+    Some(Event::new(kind).with("vm", &change.vm))
+}
--- a/clementinepick/src/membership.rs
+++ b/clementinepick/src/membership.rs
@@ -156,6 +156,13 @@
         }
     }
 
+    /// Takes note that this process stood still: the silence of all others was its own.
+    pub fn on_pause(&mut self, now: TimeUs) {
+        for member in self.members.values_mut() {
+            member.heard_us = now;
+        }
+    }
+
     /// Takes a heartbeat: whether the sender leaves, and for how long it has not heard this
     /// process.
     pub fn on_heartbeat(&mut self, now: TimeUs, vm: &VmId, leaving: bool, deaf_for: SpanUs) {
--- a/clementinepick/src/message.rs
+++ b/clementinepick/src/message.rs
@@ -9,8 +9,8 @@
 
 use crate::call::{AnswerPart, ChatMessage, Fetch, Payload, Request, Usage};
 use crate::ids::{
-    AttemptId, CallKey, ClassName, Epoch, Incarnation, Offset, OrderId, PartitionId, ProgramId,
-    RequestId, Revision, ServiceName, VmId, ZoneName,
+    AttemptId, CallKey, ClassName, Epoch, FencingNumber, Incarnation, Offset, OrderId, PartitionId,
+    ProgramId, RequestId, Revision, ServiceName, VmId, ZoneName,
 };
 use crate::platform::{CacheEvent, EngineState, LoadReport, OrderBody, VmRole};
 use crate::prompt::ChainHash;
@@ -208,6 +208,10 @@
     pub config_offset: Offset,
     /// Whether the sender takes no new work.
     pub leaving: bool,
+    /// How long the sender has not heard the receiver.
+    pub silence_us: SpanUs,
+    /// Entry to sidecar: the number of the decider for its service.
+    pub decider: Option<FencingNumber>,
 }
 
 /// A call on its way to a backend server.
@@ -250,8 +254,10 @@
 pub enum OrderOutcome {
     /// The engine's state shows its effect.
     Done,
-    /// It has no effect, and why.
+    /// It was not passed to the engine, and why.
     Refused(String),
+    /// The engine did not carry it out, and why.
+    Failed(String),
 }
 
 /// A call that a sidecar keeps until its owner says that it is on record.
--- a/clementinepick/src/placement.rs
+++ b/clementinepick/src/placement.rs
@@ -9,6 +9,7 @@
 use crate::config::InForce;
 use crate::document::Document;
 use crate::ids::{FencingNumber, ModelName, OrderId, Revision, VersionName, VmId, ZoneName};
+use crate::message::OrderOutcome;
 use crate::placement_target::{next_order, targets};
 use crate::platform::{EngineOrder, EngineState};
 use crate::units::{SpanUs, TimeUs};
@@ -70,21 +71,23 @@
     outstanding: BTreeMap<VmId, Outstanding>,
     failures: BTreeMap<VmId, Failures>,
     failed_versions: BTreeMap<(ModelName, VersionName), BTreeSet<VmId>>,
+    start_us: TimeUs,
     next_load_us: TimeUs,
 }
 
 impl Placement {
-    /// The decisions from a claim on; the first load waits one interval, since the former decider
-    /// may have started one just before.
+    /// The decisions from a claim on. The first order waits for `settle`: until then all sidecars
+    /// know the new number, and a load that the former decider started last is an interval old.
     #[must_use]
-    pub const fn new(now: TimeUs, fencing: FencingNumber, load_interval: SpanUs) -> Self {
+    pub const fn new(now: TimeUs, fencing: FencingNumber, settle: SpanUs) -> Self {
         Self {
             fencing,
             revision: Revision(0),
             outstanding: BTreeMap::new(),
             failures: BTreeMap::new(),
             failed_versions: BTreeMap::new(),
-            next_load_us: now.after(load_interval),
+            start_us: now.after(settle),
+            next_load_us: now.after(settle),
         }
     }
 
@@ -101,6 +104,9 @@
         in_force: &InForce,
         engines: &BTreeMap<VmId, Engine>,
     ) -> Vec<Planned> {
+        if now < self.start_us {
+            return Vec::new();
+        }
         self.take_revision(in_force.published.revision);
         self.outstanding.retain(|vm, order| {
             engines.contains_key(vm) && now.since(order.since_us) < ORDER_LIMIT
@@ -178,7 +184,7 @@
         now: TimeUs,
         vm: &VmId,
         id: OrderId,
-        failed: bool,
+        outcome: &OrderOutcome,
         retry_after: SpanUs,
     ) -> bool {
         let Some(order) = self.outstanding.get(vm).filter(|order| order.id == id) else {
@@ -186,7 +192,7 @@
         };
         let version = version_of(&order.order);
         self.outstanding.remove(vm);
-        if !failed {
+        if *outcome == OrderOutcome::Done {
             self.failures.remove(vm);
             return false;
         }
@@ -197,7 +203,8 @@
         let wait = SpanUs(retry_after.0 << failures.in_a_row.min(MAX_DOUBLINGS));
         failures.in_a_row += 1;
         failures.until_us = now.after(wait);
-        if let Some(version) = version {
+        // An order that was not passed on says nothing of the version.
+        if let (Some(version), OrderOutcome::Failed(_)) = (version, outcome) {
             let vms = self.failed_versions.entry(version).or_default();
             vms.insert(vm.clone());
         }
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -265,6 +265,7 @@
     pub(crate) gate: Gate,
     pub(crate) load: LoadReport,
     pub(crate) entries: BTreeMap<VmId, Peer>,
+    pub(crate) heard_us: BTreeMap<VmId, TimeUs>,
     pub(crate) epochs: BTreeMap<PartitionId, Epoch>,
     pub(crate) attempts: BTreeMap<AttemptId, Attempt>,
     /// Attempts of non-idempotent calls that must not start here (again).
@@ -291,6 +292,7 @@
             gate: Gate::default(),
             load: LoadReport::default(),
             entries: BTreeMap::new(),
+            heard_us: BTreeMap::new(),
             epochs: BTreeMap::new(),
             attempts: BTreeMap::new(),
             closed: BTreeMap::new(),
@@ -308,7 +310,9 @@
         match input {
             SidecarInput::LinkUp(peer) => {
                 out.push(log(EventKind::LinkUp, &peer.vm));
-                out.push(send(&peer.vm, Message::Heartbeat(self.heartbeat())));
+                self.heard_us.insert(peer.vm.clone(), now);
+                let heartbeat = self.heartbeat_to(now, &peer.vm);
+                out.push(send(&peer.vm, Message::Heartbeat(heartbeat)));
                 if let Some(state) = self.orders.engine() {
                     out.push(send(&peer.vm, Message::Engine(state.clone())));
                 }
@@ -317,6 +321,7 @@
             SidecarInput::LinkDown(vm) => {
                 out.push(log(EventKind::LinkDown, &vm));
                 self.entries.remove(&vm);
+                self.heard_us.remove(&vm);
             }
             SidecarInput::Link { from, message } => self.on_message(now, from, message, out),
             SidecarInput::Backend { attempt, event } => self.on_backend(now, attempt, event, out),
@@ -344,11 +349,14 @@
         self.poll_orders(now, out);
     }
 
-    pub(crate) fn heartbeat(&self) -> Heartbeat {
+    pub(crate) fn heartbeat_to(&self, now: TimeUs, entry: &VmId) -> Heartbeat {
+        let heard_us = self.heard_us.get(entry).copied();
         Heartbeat {
             revisions: self.config.revisions(),
             config_offset: Offset(0),
             leaving: self.leaving || self.orders.blocks_new_work(),
+            silence_us: heard_us.map_or(SpanUs(0), |heard_us| now.since(heard_us)),
+            decider: None,
         }
     }
 
@@ -359,7 +367,11 @@
         message: Message,
         out: &mut Vec<SidecarAction>,
     ) {
+        if let Some(heard_us) = self.heard_us.get_mut(&from) {
+            *heard_us = now;
+        }
         match message {
+            Message::Heartbeat(heartbeat) => self.orders.on_decider(heartbeat.decider),
             Message::Documents(documents) => self.on_documents(documents, out),
             Message::Dispatch(dispatch) => self.on_dispatch(now, from, *dispatch, out),
             Message::Cancel { attempt } => self.on_cancel(now, attempt, out),
@@ -424,8 +436,7 @@
                 }
             }
             Message::Order { target, order } => self.on_order(from, target, order, out),
-            Message::Heartbeat(_)
-            | Message::Forward { .. }
+            Message::Forward { .. }
             | Message::ForwardReply { .. }
             | Message::ForwardCancel { .. }
             | Message::ForwardFetch { .. }
@@ -482,21 +493,21 @@
         self.prune_closed();
         if now >= self.next_heartbeat_us {
             self.next_heartbeat_us = now.after(self.settings.heartbeat_us);
-            self.tell_entries(out);
+            self.tell_entries(now, out);
         }
         if self.leaving && self.is_settled(now) {
             out.push(SidecarAction::Finished);
         }
     }
 
-    fn tell_entries(&self, out: &mut Vec<SidecarAction>) {
+    fn tell_entries(&self, now: TimeUs, out: &mut Vec<SidecarAction>) {
         let load = BackendLoad {
             engine: self.load,
             waiting: u32::try_from(self.gate.waiting()).unwrap_or(u32::MAX),
             waiting_tokens: self.gate.waiting_tokens(),
         };
         for vm in self.entries.keys() {
-            out.push(send(vm, Message::Heartbeat(self.heartbeat())));
+            out.push(send(vm, Message::Heartbeat(self.heartbeat_to(now, vm))));
             out.push(send(vm, Message::Load(load)));
         }
     }
--- a/clementinepick/src/sidecar_engine.rs
+++ b/clementinepick/src/sidecar_engine.rs
@@ -41,7 +41,7 @@
         let blocked = self.orders.blocks_new_work();
         if std::mem::replace(&mut self.told_blocked, blocked) != blocked {
             for vm in self.entries.keys() {
-                out.push(send(vm, Message::Heartbeat(self.heartbeat())));
+                out.push(send(vm, Message::Heartbeat(self.heartbeat_to(now, vm))));
             }
         }
     }
--- a/clementinepick/src/sidecar_orders.rs
+++ b/clementinepick/src/sidecar_orders.rs
@@ -76,6 +76,11 @@
         self.current.as_ref().is_some_and(|c| c.interrupts)
     }
 
+    /// Takes note of a decider's claim, as an entry has read it in the log.
+    pub(crate) fn on_decider(&mut self, number: Option<FencingNumber>) {
+        self.highest = self.highest.max(number);
+    }
+
     /// Takes an order.
     pub(crate) fn on_order(
         &mut self,
@@ -151,7 +156,7 @@
             && let Some(outcome) = current.advance(now, &state, refused)
         {
             let (id, from) = (current.body.id, current.from.clone());
-            if let OrderOutcome::Refused(detail) = &outcome {
+            if let OrderOutcome::Failed(detail) = &outcome {
                 let event = Event::new(EventKind::OrderFailed).with("order", id);
                 out.push(SlotAction::Log(event.with("detail", detail)));
             }
@@ -204,7 +209,7 @@
             Stage::Passed { .. } | Stage::Begun if has_taken_effect(&self.body.order, state) => {
                 Some(OrderOutcome::Done)
             }
-            Stage::Begun => Some(OrderOutcome::Refused(
+            Stage::Begun => Some(OrderOutcome::Failed(
                 "the engine has ended the order without effect".to_owned(),
             )),
             Stage::Passed { at_us } => refused
@@ -212,7 +217,7 @@
                     let late = now.since(at_us) >= ANSWER_LIMIT;
                     late.then(|| "the engine does not show the order".to_owned())
                 })
-                .map(OrderOutcome::Refused),
+                .map(OrderOutcome::Failed),
         }
     }
 }
--- a/clementinepick/src/step_route.rs
+++ b/clementinepick/src/step_route.rs
@@ -1,5 +1,8 @@
 //! Chooses a backend server for a call and sends it there.
 
+use std::collections::BTreeSet;
+
+use crate::call::Payload;
 use crate::call_state::{Call, Step};
 use crate::entry::{Entry, EntryAction};
 use crate::error::{CallError, ErrorKind};
@@ -17,11 +20,17 @@
             .programs
             .get(&call.request.program)
             .and_then(|p| p.last_backend.as_ref());
+        // An engine that does not serve the model would fail the call after it was sent.
+        let mut excluded = match &call.request.payload {
+            Payload::Chat(chat) => self.without_model(&chat.model),
+            Payload::Plain(_) => BTreeSet::new(),
+        };
+        excluded.extend(call.tried.iter().cloned());
         let query = RouteQuery {
             service: &call.request.service,
             prompt: call.prompt(),
             last,
-            tried: &call.tried,
+            tried: &excluded,
         };
         let Some(target) = self.router.pick(now, &query) else {
             self.no_backend(now, id, out);
--- a/clementinepick/src/sweep.rs
+++ b/clementinepick/src/sweep.rs
@@ -4,7 +4,6 @@
 use crate::entry::{Entry, EntryAction};
 use crate::error::{CallError, ErrorKind};
 use crate::ids::RequestId;
-use crate::message::Message;
 use crate::step_record::tell_committed;
 use crate::units::{SpanUs, TimeUs};
 
@@ -15,10 +14,11 @@
     pub(crate) fn on_tick(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
         if now >= self.next_heartbeat_us {
             self.next_heartbeat_us = now.after(self.settings.heartbeat_us);
-            self.send_heartbeats(out);
+            self.send_heartbeats(now, out);
             self.renew_leases(out);
         }
         self.drop_silent_peers(now, out);
+        self.judge_members(now, out);
         // After a pause others may have taken over: nothing is decided before the log is read.
         if self.is_unsure && !self.journal.is_down() {
             return;
@@ -34,23 +34,14 @@
         self.recover_partitions(now);
         self.hand_over(now);
         self.write_snapshots(now);
+        self.carry_config_forward(now);
+        self.decide_orders(now, out);
         self.scale_appends();
         if self.is_finished() {
             out.push(EntryAction::Finished);
         }
     }
 
-    fn send_heartbeats(&self, out: &mut Vec<EntryAction>) {
-        let heartbeat = self.heartbeat();
-        for vm in self.peers.keys() {
-            let message = Message::Heartbeat(heartbeat.clone());
-            out.push(EntryAction::Send {
-                to: vm.clone(),
-                message,
-            });
-        }
-    }
-
     /// The log's append rate is shared by the entries that live.
     fn scale_appends(&mut self) {
         let others = self.live_entries();
--- a/clementinepick/tests/config.rs
+++ b/clementinepick/tests/config.rs
@@ -107,10 +107,10 @@
         publish(1, "ana", 0, &text(1)),
         publish(2, "bo", 1, &text(2)),
     ]);
-    let brought = old.lacking(&std::collections::BTreeMap::new());
+    let brought = old.lacking(None, &std::collections::BTreeMap::new());
     assert_eq!(config.adopt(brought[0].clone()), Ok(false));
     assert_eq!(rank(&config), 2);
-    assert_eq!(config.lacking(&old.revisions()).len(), 1);
+    assert_eq!(config.lacking(None, &old.revisions()).len(), 1);
 }
 
 // A peer passes revision 2 to a process that has only read revision 1, since its log reads fail.
@@ -125,7 +125,10 @@
     let ahead = replay(&records);
     let mut config = replay(&records[..1]);
     let known = config.revisions();
-    assert_eq!(config.adopt(ahead.lacking(&known)[0].clone()), Ok(true));
+    assert_eq!(
+        config.adopt(ahead.lacking(None, &known)[0].clone()),
+        Ok(true)
+    );
     assert_eq!(rank(&config), 2);
     config.apply(Offset(1), &records[1]);
     assert_eq!(verdicts(&config), [accepted(1), accepted(2)]);
--- a/clementinepick/tests/placement.rs
+++ b/clementinepick/tests/placement.rs
@@ -8,6 +8,7 @@
 use clementinepick::ids::{
     FencingNumber, ModelName, OperationId, OrderId, Revision, VersionName, VmId,
 };
+use clementinepick::message::OrderOutcome;
 use clementinepick::placement::{Engine, Placement, Planned};
 use clementinepick::platform::{EngineOrder, EngineRole, EngineState};
 use clementinepick::record::PublishedDocument;
@@ -157,8 +158,13 @@
                 EngineOrder::SetRole { role } => engine.state.role = role,
             }
             let retry_after = SpanUs::from_s(20);
+            let outcome = if failed {
+                OrderOutcome::Failed("bad".to_owned())
+            } else {
+                OrderOutcome::Done
+            };
             self.placement
-                .on_reply(self.now, &vm, id, failed, retry_after);
+                .on_reply(self.now, &vm, id, &outcome, retry_after);
         }
     }
 
@@ -266,10 +272,11 @@
             let engine = bench.engines.get_mut(&vm).expect("known");
             (engine.state.busy, engine.serving) = (None, true);
             let retry_after = SpanUs::from_s(20);
+            let failed = OrderOutcome::Failed("bad".to_owned());
             assert!(
                 bench
                     .placement
-                    .on_reply(bench.now, &vm, id, true, retry_after)
+                    .on_reply(bench.now, &vm, id, &failed, retry_after)
             );
             failures += 1;
             bench.bad = None;
