Read the daemon's dump as it is

Cause: status looked for the decisions' state at the top of the dump; it stands under state, beside the process.

--- a/clementinepickctl/src/run.rs
+++ b/clementinepickctl/src/run.rs
@@ -298,7 +298,9 @@
     let mut status = Status::default();
     for entry in entries(args.entry)? {
         let dump = ctl.dump(&entry).await;
-        let dump = dump.ok().and_then(|d| serde_json::from_value(d).ok());
+        let dump = dump
+            .ok()
+            .and_then(|d| serde_json::from_value(d["state"].clone()).ok());
         match dump {
             Some(dump) => {
                 let dump: ProcessDump = dump;
@@ -321,8 +323,10 @@
     let mut dumps = Vec::new();
     for entry in entries {
         let ready = ctl.readiness(entry).await? == Readiness::Ready;
-        let state = ctl.dump(entry).await?;
-        dumps.push(json!({ "address": entry, "ready": ready, "state": state }));
+        let mut dump = ctl.dump(entry).await?;
+        dump["address"] = json!(entry);
+        dump["ready"] = json!(ready);
+        dumps.push(dump);
     }
     let json = json!({ "processes": dumps });
     Ok(Report {
@@ -337,7 +341,7 @@
     let mut owners = Vec::new();
     for entry in entries {
         let dump = ctl.dump(entry).await?;
-        let programs = dump.get("programs").cloned().unwrap_or(json!([]));
+        let programs = dump["state"]["programs"].clone();
         for program in programs.as_array().into_iter().flatten() {
             let name = program.as_str().map_or(program.to_string(), str::to_owned);
             let _ = writeln!(text, "{name}  at {entry}");
--- a/clementinepickd/src/http.rs
+++ b/clementinepickd/src/http.rs
@@ -56,7 +56,6 @@
     pub(crate) streams: Arc<Semaphore>,
     pub(crate) metrics: PrometheusHandle,
     pub(crate) admin_key: Option<LinkKey>,
-    pub(crate) wishes: Arc<Wishes>,
 }
 
 impl Shared {
@@ -84,7 +83,6 @@
             streams: Arc::clone(&outputs.streams),
             metrics,
             admin_key: settings.admin_key.clone(),
-            wishes: Arc::clone(&outputs.wishes),
         }
     }
 }
