Free what no program holds; give no caller a part of its answer twice

Ruled out: orders lost on the way (releases are repeated until confirmed). Change: a call keeps what its caller has in hand, and an answer that came out otherwise is broken off.

--- a/clementinepick/src/fetch.rs
+++ b/clementinepick/src/fetch.rs
@@ -186,6 +186,7 @@
         call.claim = None;
         call.held_tokens = None;
         call.answer = String::new();
+        call.plain = None;
         self.calls.insert(fetch.id, call);
         self.follow(fetch.id, leader, fetch.position, out);
     }
--- a/clementinepick/src/repeat.rs
+++ b/clementinepick/src/repeat.rs
@@ -186,18 +186,26 @@
         position: u64,
         out: &mut Vec<EntryAction>,
     ) {
-        let text = match &leader {
-            Leader::Request(leader) => self.calls.get(leader).map(|call| call.answer.clone()),
-            Leader::Recorded(key) => self.open_calls.get(key).map(|open| open.answer.clone()),
+        let so_far = match &leader {
+            Leader::Request(leader) => {
+                let leader = self.calls.get(leader);
+                leader.map(|call| (call.answer.clone(), call.plain.clone()))
+            }
+            Leader::Recorded(key) => {
+                let open = self.open_calls.get(key);
+                open.map(|open| (open.answer.clone(), open.plain.clone()))
+            }
         };
+        let (text, plain) = so_far.unwrap_or_default();
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
         call.step = Step::Follow(leader);
-        let reply_to = call.reply_to.clone();
-        let text = crate::sidecar::skip_chars(&text.unwrap_or_default(), position);
-        if !text.is_empty() {
-            crate::answer::answer(&reply_to, id, AnswerPart::Text { position, text }, out);
+        if let Some(part) = call.lacking_text(&text, position) {
+            call.give(id, part, out);
+        }
+        if let Some(plain) = plain.filter(|_| call.plain.is_none()) {
+            call.give(id, AnswerPart::Plain(plain), out);
         }
     }
 
@@ -257,13 +265,14 @@
     ) {
         match outcome {
             CallOutcome::Plain(plain) => {
-                let Some(call) = self.calls.remove(&id) else {
+                let Some(mut call) = self.calls.remove(&id) else {
                     return;
                 };
-                let to = call.reply_to;
-                crate::answer::answer(&to, id, AnswerPart::Plain(plain), out);
+                if call.plain.is_none() {
+                    call.give(id, AnswerPart::Plain(plain), out);
+                }
                 let done = done(key, Usage::default(), TurnState::Committed, None);
-                crate::answer::answer(&to, id, AnswerPart::Done(done), out);
+                call.give(id, AnswerPart::Done(done), out);
             }
             CallOutcome::Chat { answer, usage } => {
                 let done = done(key, usage, TurnState::Committed, None);
@@ -289,15 +298,18 @@
         position: u64,
         out: &mut Vec<EntryAction>,
     ) {
-        let Some(call) = self.calls.remove(&id) else {
+        let Some(mut call) = self.calls.remove(&id) else {
             return;
         };
-        let text = crate::sidecar::skip_chars(text, position);
-        if !text.is_empty() {
-            let part = AnswerPart::Text { position, text };
-            crate::answer::answer(&call.reply_to, id, part, out);
+        if !crate::sidecar::skip_chars(text, position).starts_with(&call.answer) {
+            let error = CallError::new(ErrorKind::BackendFailed, crate::answer::RUN_ANEW);
+            call.give(id, AnswerPart::Failed(error), out);
+            return;
+        }
+        if let Some(part) = call.lacking_text(text, position) {
+            call.give(id, part, out);
         }
-        crate::answer::answer(&call.reply_to, id, AnswerPart::Done(done), out);
+        call.give(id, AnswerPart::Done(done), out);
     }
 }
 
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -23,6 +23,7 @@
 use crate::safeguards::Safeguards;
 use crate::sidecar_fence::Fence;
 use crate::sidecar_orders::OrderSlot;
+use crate::sidecar_retain::RetainClock;
 use crate::units::{SpanUs, TimeUs, Tokens};
 
 /// How a sidecar is set up.
@@ -131,6 +132,11 @@
     },
     /// What the engine says that it serves.
     Engine(EngineState),
+    /// The engine keeps only what it was told to.
+    Retained {
+        /// The tokens freed; absent when the engine did not answer.
+        freed_tokens: Option<Tokens>,
+    },
     /// The engine has answered an order.
     OrderDone {
         /// The entry that gave it.
@@ -178,6 +184,11 @@
         /// The chains of its prefixes.
         chains: Vec<ChainHash>,
     },
+    /// Free all cached prefixes but these and report with [`SidecarInput::Retained`].
+    Retain {
+        /// The chains, each of which stands for the whole prefix that ends with it.
+        chains: Vec<ChainHash>,
+    },
     /// Pass an order to the engine and report with [`SidecarInput::OrderDone`].
     Order {
         /// The entry that gave it.
@@ -251,6 +262,8 @@
     pub(crate) until_us: TimeUs,
     pub(crate) chains: BTreeSet<ChainHash>,
     pub(crate) releasing: bool,
+    /// Whether an earlier life of the sidecar held the cache, so that only its end is known.
+    pub(crate) is_adopted: bool,
     /// The owner that waits to hear that the cache is free.
     pub(crate) notify: Option<VmId>,
 }
@@ -277,6 +290,7 @@
     pub(crate) orders: OrderSlot,
     /// Whether entries were told that new work must stay away for an order.
     pub(crate) told_blocked: bool,
+    pub(crate) retain: RetainClock,
     pub(crate) next_cache_event: u64,
     pub(crate) next_heartbeat_us: TimeUs,
     pub(crate) leaving: bool,
@@ -304,6 +318,7 @@
             forgotten: BTreeMap::new(),
             leases: BTreeMap::new(),
             told_blocked: false,
+            retain: RetainClock::default(),
             next_cache_event: 0,
             next_heartbeat_us: TimeUs(0),
             leaving: false,
@@ -336,8 +351,9 @@
                 program,
                 freed_tokens,
             } => {
-                self.on_released(program, freed_tokens, out);
+                self.on_released(now, program, freed_tokens, out);
             }
+            SidecarInput::Retained { freed_tokens } => self.on_retained(freed_tokens),
             SidecarInput::Engine(state) => self.on_engine(now, state, None, out),
             SidecarInput::OrderDone { state, refused, .. } => {
                 self.on_engine(now, state, refused, out);
@@ -424,11 +440,7 @@
                 ttl_us,
             } => {
                 if self.accept_epoch(partition, epoch, out) {
-                    for program in programs {
-                        if let Some(lease) = self.leases.get_mut(&program) {
-                            lease.until_us = now.after(ttl_us);
-                        }
-                    }
+                    self.renew_leases(now, programs, ttl_us);
                 }
             }
             Message::Release {
@@ -494,6 +506,7 @@
         self.set_gate();
         self.expire(now, out);
         self.lapse_leases(now, out);
+        self.poll_retain(now, out);
         self.drop_old_answers(now);
         self.prune_closed();
         if now >= self.next_heartbeat_us {
