--- a/clementinepick/src/answer.rs
+++ b/clementinepick/src/answer.rs
@@ -35,14 +35,12 @@
             return;
         };
         match reply.part {
-            AnswerPart::Text { position, text } => self.on_text(now, id, (position, &text), out),
+            AnswerPart::Text { position, text } => self.on_text(id, position, &text, out),
             AnswerPart::Plain(plain) => {
                 let Some(call) = self.calls.get_mut(&id) else {
                     return;
                 };
-                if call.plain.replace(plain.clone()).is_some() {
-                    return;
-                }
+                call.plain = Some(plain.clone());
                 self.answer_all(id, &AnswerPart::Plain(plain), out);
             }
             AnswerPart::Done(done) => self.on_done(now, id, attempt, done, out),
@@ -52,13 +50,7 @@
         }
     }
 
-    fn on_text(
-        &mut self,
-        now: TimeUs,
-        id: RequestId,
-        (position, text): (u64, &str),
-        out: &mut Vec<EntryAction>,
-    ) {
+    fn on_text(&mut self, id: RequestId, position: u64, text: &str, out: &mut Vec<EntryAction>) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -72,10 +64,7 @@
             }
             return;
         }
-        let Ok(fresh) = fresh_text(&call.answer, position, text) else {
-            self.break_off(now, id, out);
-            return;
-        };
+        let fresh = skip_chars(text, known - position);
         if fresh.is_empty() {
             return;
         }
@@ -87,24 +76,6 @@
         self.answer_all(id, &part, out);
     }
 
-    /// Ends a call that was run anew and came out otherwise than what its caller has in hand.
-    fn break_off(&mut self, now: TimeUs, id: RequestId, out: &mut Vec<EntryAction>) {
-        let Some(call) = self.calls.get(&id) else {
-            return;
-        };
-        if let Step::Running { attempt, target } = call.step.clone() {
-            let message = Message::Cancel { attempt };
-            out.push(EntryAction::Send {
-                to: target,
-                message,
-            });
-            self.leave_backend(attempt, false);
-            self.settle_failed(id, true, Usage::default());
-        }
-        let error = CallError::new(ErrorKind::BackendFailed, RUN_ANEW);
-        self.refuse(now, id, error, out);
-    }
-
     pub(crate) fn attach(
         &self,
         partition: crate::ids::PartitionId,
@@ -125,13 +96,10 @@
     }
 
     /// Gives a part to the caller and to all that asked for the same call later.
-    fn answer_all(&mut self, id: RequestId, part: &AnswerPart, out: &mut Vec<EntryAction>) {
-        if let Some(call) = self.calls.get(&id) {
-            answer(&call.reply_to, id, part.clone(), out);
-        }
-        for id in self.followers_of(id) {
-            if let Some(call) = self.calls.get_mut(&id) {
-                call.give(id, part.clone(), out);
+    fn answer_all(&self, id: RequestId, part: &AnswerPart, out: &mut Vec<EntryAction>) {
+        for id in std::iter::once(id).chain(self.followers_of(id)) {
+            if let Some(call) = self.calls.get(&id) {
+                answer(&call.reply_to, id, part.clone(), out);
             }
         }
     }
@@ -444,13 +412,7 @@
                     }
                 }
             }
-            AnswerPart::Plain(plain) => {
-                if call.plain.replace(plain.clone()).is_some() {
-                    return;
-                }
-                AnswerPart::Plain(plain)
-            }
-            part @ (AnswerPart::Done(_) | AnswerPart::Failed(_)) => part,
+            part @ (AnswerPart::Plain(_) | AnswerPart::Done(_) | AnswerPart::Failed(_)) => part,
         };
         if part.is_last() {
             self.calls.remove(&id);
@@ -459,22 +421,19 @@
     }
 }
 
-/// Said when an answer can't go on as it began.
-pub(crate) const RUN_ANEW: &str =
-    "the call was run anew after its owner was lost, and came out otherwise";
-
 /// The part of `text` that the caller lacks.
 ///
 /// After a take-over the call may have been run anew and come out otherwise. Half of one answer
 /// and half of another would look whole to the caller; so the answer is broken off instead.
-pub(crate) fn fresh_text(known: &str, position: u64, text: &str) -> Result<String, CallError> {
+fn fresh_text(known: &str, position: u64, text: &str) -> Result<String, CallError> {
     let known_chars = known.chars().count() as u64;
     let overlap = skip_chars(known, position);
     let overlap_chars = overlap.chars().count() as u64;
     let differs =
         position > known_chars || !(text.starts_with(&overlap) || overlap.starts_with(text));
     if differs {
-        return Err(CallError::new(ErrorKind::BackendFailed, RUN_ANEW));
+        let detail = "the call was run anew after its owner was lost, and came out otherwise";
+        return Err(CallError::new(ErrorKind::BackendFailed, detail));
     }
     Ok(skip_chars(text, overlap_chars))
 }
--- a/clementinepick/src/call_state.rs
+++ b/clementinepick/src/call_state.rs
@@ -2,13 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::answer::answer;
 use crate::budget::Spending;
-use crate::call::{
-    AnswerPart, CallDone, ChatMessage, FinishReason, Payload, PlainAnswer, Request, Usage,
-};
+use crate::call::{CallDone, ChatMessage, FinishReason, Payload, PlainAnswer, Request, Usage};
 use crate::config::InForce;
-use crate::entry::EntryAction;
 use crate::ids::{
     AttemptId, CallKey, CallSeq, ClassName, Epoch, IdempotencyKey, Incarnation, PartitionId,
     ProgramId, RecordId, RequestId, Revision, ServiceName, VmId,
@@ -17,7 +13,6 @@
 use crate::order::Sequencer;
 use crate::prompt::{ChainHash, Prompt};
 use crate::record::EndReason;
-use crate::sidecar::skip_chars;
 use crate::units::{TimeUs, Tokens};
 
 /// Where the parts of an answer go.
@@ -98,24 +93,6 @@
 }
 
 impl Call {
-    /// Gives the caller a part and notes it, so that it does not get it twice when the call's
-    /// owner changes.
-    pub(crate) fn give(&mut self, id: RequestId, part: AnswerPart, out: &mut Vec<EntryAction>) {
-        match &part {
-            AnswerPart::Text { text, .. } => self.answer.push_str(text),
-            AnswerPart::Plain(plain) => self.plain = Some(plain.clone()),
-            AnswerPart::Done(_) | AnswerPart::Failed(_) => {}
-        }
-        answer(&self.reply_to, id, part, out);
-    }
-
-    /// What the caller, who reads from `position` on, lacks of `text`.
-    pub(crate) fn lacking_text(&self, text: &str, position: u64) -> Option<AnswerPart> {
-        let position = position + self.answer.chars().count() as u64;
-        let text = skip_chars(text, position);
-        (!text.is_empty()).then_some(AnswerPart::Text { position, text })
-    }
-
     /// What is run: the caller's payload, with the history before it where the caller appends.
     pub(crate) fn payload(&self) -> &Payload {
         self.full.as_ref().unwrap_or(&self.request.payload)
@@ -197,8 +174,6 @@
     pub(crate) order: Sequencer,
     pub(crate) spending: Spending,
     pub(crate) last_backend: Option<VmId>,
-    /// The chain over its transcript as engines cache it.
-    pub(crate) cache_chain: ChainHash,
     /// Sidecars that may hold its cache.
     pub(crate) holders: BTreeSet<VmId>,
     pub(crate) since_us: TimeUs,
--- a/clementinepick/src/fetch.rs
+++ b/clementinepick/src/fetch.rs
@@ -186,7 +186,6 @@
         call.claim = None;
         call.held_tokens = None;
         call.answer = String::new();
-        call.plain = None;
         self.calls.insert(fetch.id, call);
         self.follow(fetch.id, leader, fetch.position, out);
     }
--- a/clementinepick/src/message.rs
+++ b/clementinepick/src/message.rs
@@ -152,7 +152,7 @@
         /// The owner's epoch.
         epoch: Epoch,
         /// The programs.
-        programs: Vec<LeasedProgram>,
+        programs: Vec<ProgramId>,
         /// How long the lease lasts.
         ttl_us: SpanUs,
     },
@@ -199,15 +199,6 @@
     Engine(EngineState),
 }
 
-/// A program whose cache is to be kept.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeasedProgram {
-    /// The program.
-    pub program: ProgramId,
-    /// The chain over its transcript, by which a sidecar that has restarted knows its prefix.
-    pub chain: ChainHash,
-}
-
 /// Says that a process lives, and what it knows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
--- a/clementinepick/src/program_end.rs
+++ b/clementinepick/src/program_end.rs
@@ -7,7 +7,7 @@
 use crate::error::{CallError, ErrorKind};
 use crate::event::{Event, EventKind};
 use crate::ids::{CallSeq, PartitionId, ProgramId, RequestId, VmId};
-use crate::message::{LeasedProgram, Message};
+use crate::message::Message;
 use crate::platform::VmRole;
 use crate::record::{EndReason, OwnedRecord};
 use crate::units::{SpanUs, TimeUs};
@@ -198,17 +198,13 @@
 
     /// Tells sidecars which programs live, so that their cache stays.
     pub(crate) fn renew_leases(&self, out: &mut Vec<EntryAction>) {
-        let mut leases: BTreeMap<(&VmId, PartitionId), (SpanUs, Vec<LeasedProgram>)> =
-            BTreeMap::new();
+        let mut leases: BTreeMap<(&VmId, PartitionId), (SpanUs, Vec<ProgramId>)> = BTreeMap::new();
         for (program, live) in &self.programs {
             for vm in &live.holders {
                 let ttl_us = self.lease_us(live.partition, program);
                 let lease = leases.entry((vm, live.partition)).or_default();
                 lease.0 = lease.0.max(ttl_us);
-                lease.1.push(LeasedProgram {
-                    program: program.clone(),
-                    chain: live.cache_chain,
-                });
+                lease.1.push(program.clone());
             }
         }
         for ((vm, partition), (ttl_us, programs)) in leases {
--- a/clementinepick/src/repeat.rs
+++ b/clementinepick/src/repeat.rs
@@ -186,26 +186,18 @@
         position: u64,
         out: &mut Vec<EntryAction>,
     ) {
-        let so_far = match &leader {
-            Leader::Request(leader) => {
-                let leader = self.calls.get(leader);
-                leader.map(|call| (call.answer.clone(), call.plain.clone()))
-            }
-            Leader::Recorded(key) => {
-                let open = self.open_calls.get(key);
-                open.map(|open| (open.answer.clone(), open.plain.clone()))
-            }
+        let text = match &leader {
+            Leader::Request(leader) => self.calls.get(leader).map(|call| call.answer.clone()),
+            Leader::Recorded(key) => self.open_calls.get(key).map(|open| open.answer.clone()),
         };
-        let (text, plain) = so_far.unwrap_or_default();
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
         call.step = Step::Follow(leader);
-        if let Some(part) = call.lacking_text(&text, position) {
-            call.give(id, part, out);
-        }
-        if let Some(plain) = plain.filter(|_| call.plain.is_none()) {
-            call.give(id, AnswerPart::Plain(plain), out);
+        let reply_to = call.reply_to.clone();
+        let text = crate::sidecar::skip_chars(&text.unwrap_or_default(), position);
+        if !text.is_empty() {
+            crate::answer::answer(&reply_to, id, AnswerPart::Text { position, text }, out);
         }
     }
 
@@ -265,14 +257,13 @@
     ) {
         match outcome {
             CallOutcome::Plain(plain) => {
-                let Some(mut call) = self.calls.remove(&id) else {
+                let Some(call) = self.calls.remove(&id) else {
                     return;
                 };
-                if call.plain.is_none() {
-                    call.give(id, AnswerPart::Plain(plain), out);
-                }
+                let to = call.reply_to;
+                crate::answer::answer(&to, id, AnswerPart::Plain(plain), out);
                 let done = done(key, Usage::default(), TurnState::Committed, None);
-                call.give(id, AnswerPart::Done(done), out);
+                crate::answer::answer(&to, id, AnswerPart::Done(done), out);
             }
             CallOutcome::Chat { answer, usage } => {
                 let done = done(key, usage, TurnState::Committed, None);
@@ -298,18 +289,15 @@
         position: u64,
         out: &mut Vec<EntryAction>,
     ) {
-        let Some(mut call) = self.calls.remove(&id) else {
+        let Some(call) = self.calls.remove(&id) else {
             return;
         };
-        if !crate::sidecar::skip_chars(text, position).starts_with(&call.answer) {
-            let error = CallError::new(ErrorKind::BackendFailed, crate::answer::RUN_ANEW);
-            call.give(id, AnswerPart::Failed(error), out);
-            return;
-        }
-        if let Some(part) = call.lacking_text(text, position) {
-            call.give(id, part, out);
+        let text = crate::sidecar::skip_chars(text, position);
+        if !text.is_empty() {
+            let part = AnswerPart::Text { position, text };
+            crate::answer::answer(&call.reply_to, id, part, out);
         }
-        call.give(id, AnswerPart::Done(done), out);
+        crate::answer::answer(&call.reply_to, id, AnswerPart::Done(done), out);
     }
 }
 
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -23,7 +23,6 @@
 use crate::safeguards::Safeguards;
 use crate::sidecar_fence::Fence;
 use crate::sidecar_orders::OrderSlot;
-use crate::sidecar_retain::RetainClock;
 use crate::units::{SpanUs, TimeUs, Tokens};
 
 /// How a sidecar is set up.
@@ -132,11 +131,6 @@
     },
     /// What the engine says that it serves.
     Engine(EngineState),
-    /// The engine keeps only what it was told to.
-    Retained {
-        /// The tokens freed; absent when the engine did not answer.
-        freed_tokens: Option<Tokens>,
-    },
     /// The engine has answered an order.
     OrderDone {
         /// The entry that gave it.
@@ -184,11 +178,6 @@
         /// The chains of its prefixes.
         chains: Vec<ChainHash>,
     },
-    /// Free all cached prefixes but these and report with [`SidecarInput::Retained`].
-    Retain {
-        /// The chains, each of which stands for the whole prefix that ends with it.
-        chains: Vec<ChainHash>,
-    },
     /// Pass an order to the engine and report with [`SidecarInput::OrderDone`].
     Order {
         /// The entry that gave it.
@@ -262,8 +251,6 @@
     pub(crate) until_us: TimeUs,
     pub(crate) chains: BTreeSet<ChainHash>,
     pub(crate) releasing: bool,
-    /// Whether an earlier life of the sidecar held the cache, so that only its end is known.
-    pub(crate) is_adopted: bool,
     /// The owner that waits to hear that the cache is free.
     pub(crate) notify: Option<VmId>,
 }
@@ -290,7 +277,6 @@
     pub(crate) orders: OrderSlot,
     /// Whether entries were told that new work must stay away for an order.
     pub(crate) told_blocked: bool,
-    pub(crate) retain: RetainClock,
     pub(crate) next_cache_event: u64,
     pub(crate) next_heartbeat_us: TimeUs,
     pub(crate) leaving: bool,
@@ -318,7 +304,6 @@
             forgotten: BTreeMap::new(),
             leases: BTreeMap::new(),
             told_blocked: false,
-            retain: RetainClock::default(),
             next_cache_event: 0,
             next_heartbeat_us: TimeUs(0),
             leaving: false,
@@ -351,9 +336,8 @@
                 program,
                 freed_tokens,
             } => {
-                self.on_released(now, program, freed_tokens, out);
+                self.on_released(program, freed_tokens, out);
             }
-            SidecarInput::Retained { freed_tokens } => self.on_retained(freed_tokens),
             SidecarInput::Engine(state) => self.on_engine(now, state, None, out),
             SidecarInput::OrderDone { state, refused, .. } => {
                 self.on_engine(now, state, refused, out);
@@ -440,7 +424,11 @@
                 ttl_us,
             } => {
                 if self.accept_epoch(partition, epoch, out) {
-                    self.renew_leases(now, programs, ttl_us);
+                    for program in programs {
+                        if let Some(lease) = self.leases.get_mut(&program) {
+                            lease.until_us = now.after(ttl_us);
+                        }
+                    }
                 }
             }
             Message::Release {
@@ -506,7 +494,6 @@
         self.set_gate();
         self.expire(now, out);
         self.lapse_leases(now, out);
-        self.poll_retain(now, out);
         self.drop_old_answers(now);
         self.prune_closed();
         if now >= self.next_heartbeat_us {
--- a/clementinepick/src/sidecar_cache.rs
+++ b/clementinepick/src/sidecar_cache.rs
@@ -85,7 +85,6 @@
 
     pub(crate) fn on_released(
         &mut self,
-        now: TimeUs,
         program: ProgramId,
         freed_tokens: Option<Tokens>,
         out: &mut Vec<SidecarAction>,
@@ -101,9 +100,6 @@
         let Some(lease) = self.leases.remove(&program) else {
             return;
         };
-        if lease.is_adopted {
-            self.retain.hurry(now);
-        }
         let event = Event::new(EventKind::CacheReleased).with("program", &program);
         out.push(SidecarAction::Log(
             event.with("freed_tokens", freed_tokens.0),
--- a/clementinepick/src/step_record.rs
+++ b/clementinepick/src/step_record.rs
@@ -35,7 +35,6 @@
         };
         self.leave_backend(attempt, false);
         self.settle(id, done.usage, 1);
-        self.note_cached(id);
         if let Some(call) = self.calls.get_mut(&id) {
             call.step = Step::Record { since_us: now };
             call.done = Some(done);
@@ -51,18 +50,6 @@
         }
     }
 
-    /// Keeps the chain by which the engine has cached a turn.
-    fn note_cached(&mut self, id: RequestId) {
-        let Some(call) = self.calls.get(&id) else {
-            return;
-        };
-        let Some(prompt) = call.prompt() else { return };
-        let chain = prompt.chain().extend_message("assistant", &call.answer);
-        if let Some(live) = self.programs.get_mut(&call.request.program) {
-            live.cache_chain = chain;
-        }
-    }
-
     /// Writes the record of an answer; false when the call leaves none.
     fn write_answer(&mut self, answered: &Answered) -> bool {
         let Some(call) = self.calls.get(&answered.request) else {
--- a/clementinepick/tests/common/mod.rs
+++ b/clementinepick/tests/common/mod.rs
@@ -584,10 +584,7 @@
                 self.push(1_000, id, Input::Sidecar(input));
             }
             SidecarAction::Log(event) => self.events.push((self.now_us, id.clone(), event.kind)),
-            SidecarAction::Cancel(_)
-            | SidecarAction::Order { .. }
-            | SidecarAction::Retain { .. }
-            | SidecarAction::Finished => {}
+            SidecarAction::Cancel(_) | SidecarAction::Order { .. } | SidecarAction::Finished => {}
         }
     }
 
--- a/clementinepickd/src/engine_client.rs
+++ b/clementinepickd/src/engine_client.rs
@@ -10,7 +10,7 @@
 use clementinepick::ids::{AttemptId, VmId};
 use clementinepick::platform::{
     CacheEventsAnswer, CancelBody, EngineState, GenerateBody, GenerateLine, LoadReport, OrderBody,
-    ReleaseAnswer, ReleaseBody, ResumeBody, RetainBody,
+    ReleaseAnswer, ReleaseBody, ResumeBody,
 };
 use clementinepick::sidecar::{BackendEvent, SidecarAction, SidecarInput};
 use futures_util::StreamExt;
@@ -112,12 +112,6 @@
                     })
                     .await;
             }),
-            SidecarAction::Retain { chains } => tasks.spawn(async move {
-                let body = RetainBody { chains };
-                let freed: Option<ReleaseAnswer> = engine.post("/v1/cache/retain", &body).await;
-                let freed_tokens = freed.map(|answer| answer.freed_tokens);
-                engine.report(SidecarInput::Retained { freed_tokens }).await;
-            }),
             SidecarAction::Order { from, order } => {
                 tasks.spawn(async move { engine.order(from, order).await });
             }
--- a/clementinepickd/src/plain_client.rs
+++ b/clementinepickd/src/plain_client.rs
@@ -111,7 +111,6 @@
                 });
             }
             SidecarAction::Order { .. }
-            | SidecarAction::Retain { .. }
             | SidecarAction::Send { .. }
             | SidecarAction::Log(_)
             | SidecarAction::Finished => {}
--- a/standins/src/chaos_backend.rs
+++ b/standins/src/chaos_backend.rs
@@ -185,14 +185,6 @@
         }
     }
 
-    /// Frees all prefixes but these.
-    pub fn retain(&mut self, now: TimeUs, chains: &[ChainHash]) -> Option<Tokens> {
-        match self {
-            Self::Engine(server) => Some(server.engine.retain(now, chains)),
-            Self::Plain(_) => None,
-        }
-    }
-
     /// The engine's load report.
     pub fn load(&mut self, now: TimeUs) -> Option<LoadReport> {
         match self {
--- a/standins/src/chaos_world.rs
+++ b/standins/src/chaos_world.rs
@@ -82,10 +82,11 @@
         input: Box<EntryInput>,
     },
     VmList,
-    Answered {
+    Released {
         vm: VmId,
         life: u64,
-        input: Box<SidecarInput>,
+        program: ProgramId,
+        freed: Option<Tokens>,
     },
     Send {
         caller: usize,
@@ -426,7 +427,18 @@
             }
             Due::LogAnswer { vm, life, input } => self.give(&vm, life, Input::Entry(*input)),
             Due::VmList => self.on_vm_list(),
-            Due::Answered { vm, life, input } => self.give(&vm, life, Input::Sidecar(*input)),
+            Due::Released {
+                vm,
+                life,
+                program,
+                freed,
+            } => {
+                let input = SidecarInput::Released {
+                    program,
+                    freed_tokens: freed,
+                };
+                self.give(&vm, life, Input::Sidecar(input));
+            }
             Due::Send { caller } => self.on_send(caller),
             Due::Arrive {
                 caller,
