--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,8 +4,12 @@
 //! memory; the same cores stand behind HTTP for the daemons.
 
 pub mod answer;
+pub mod balancer;
 pub mod cache;
+pub mod caller;
 pub mod clock;
+pub mod demo;
+pub mod deployment;
 pub mod engine;
 pub mod engine_memory;
 pub mod engine_orders;
@@ -17,6 +21,9 @@
 pub mod http_platform;
 pub mod log_service;
 pub mod plain_service;
+pub mod report;
+pub mod run_program;
+pub mod script;
 mod sequence;
 pub mod serve;
 pub mod servers;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -4,11 +4,13 @@
 
 use argh::FromArgs;
 use standins::Failure;
+use standins::demo::Demo;
 use standins::serve::Serve;
 
 /// Stand-ins for what lies outside clementinepick, and tools that drive it.
 #[derive(FromArgs, Debug)]
 #[argh(
+    example = "{command_name} demo",
     example = "{command_name} serve --engines 4",
     error_code(1, "something failed, or did not come out as it must")
 )]
@@ -20,11 +22,13 @@
 #[derive(FromArgs, Debug)]
 #[argh(subcommand)]
 enum Command {
+    Demo(Demo),
     Serve(Serve),
 }
 
 fn run(command: &Command) -> Result<(), Failure> {
     match command {
+        Command::Demo(demo) => demo.run(),
         Command::Serve(serve) => serve.run(),
     }
 }
