--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -224,6 +224,7 @@
             shutdown: ShutdownSettings {
                 notice_us: SpanUs::from_s(1),
                 limit_us: SpanUs::from_s(60),
+                ..ShutdownSettings::default()
             },
             ..Settings::default()
         })
