--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -14,7 +14,8 @@
 use crate::event::{Event, EventKind};
 use crate::gate::{Gate, GateSettings};
 use crate::ids::{
-    AttemptId, Epoch, Incarnation, Offset, PartitionId, ProgramId, ServiceName, VmId, ZoneName,
+    AttemptId, Epoch, Incarnation, Offset, PartitionId, ProgramId, Revision, ServiceName, VmId,
+    ZoneName,
 };
 use crate::message::{BackendLoad, Dispatch, Heartbeat, Message, Peer};
 use crate::platform::{CacheEvent, EngineState, GenerateBody, LoadReport, OrderBody, VmRole};
@@ -284,10 +285,14 @@
     /// A sidecar that has just started.
     #[must_use]
     pub fn new(settings: SidecarSettings) -> Self {
+        let mut config = Config::default();
+        if !settings.safeguards.revision_monotonic {
+            config.take_older();
+        }
         Self {
             orders: OrderSlot::new(settings.incarnation),
             settings,
-            config: Config::default(),
+            config,
             gate: Gate::default(),
             load: LoadReport::default(),
             entries: BTreeMap::new(),
@@ -509,6 +514,12 @@
         })
     }
 
+    /// The revisions by which this process serves.
+    #[must_use]
+    pub fn revisions(&self) -> BTreeMap<ServiceName, Revision> {
+        self.config.revisions()
+    }
+
     /// Who this process is, for the links.
     #[must_use]
     pub fn peer(&self) -> Peer {
--- a/standins/src/demo.rs
+++ b/standins/src/demo.rs
@@ -164,11 +164,16 @@
         let rolling = || roll.as_ref().is_some_and(|roll| !roll.is_finished());
         let (report, scripts) = self.run_programs(&caller, rolling).await;
         let took = begun.elapsed();
-        let replaced = match roll.map(thread::JoinHandle::join) {
-            Some(Ok(replaced)) => replaced?,
-            Some(Err(_)) => return Err(Failure::Check("the roll panicked".to_owned())),
-            None => 0,
+        let mut report = report;
+        let rolled = match roll.map(thread::JoinHandle::join) {
+            Some(Ok(rolled)) => rolled,
+            Some(Err(_)) => Err(Failure::Check("the roll panicked".to_owned())),
+            None => Ok(0),
         };
+        let replaced = rolled.unwrap_or_else(|failure| {
+            report.faults.push(format!("the replacement: {failure}"));
+            0
+        });
         let held_tokens = deployment.wait_released(RELEASE_LIMIT).await;
         let plains = deployment.servers.plains.iter();
         let executions: Vec<_> = plains.map(PlainHost::executions).collect();
--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -17,6 +17,7 @@
     ShutdownSettings, SidecarRole,
 };
 use clementinepickd::{Daemon, Ended};
+use serde_json::Value;
 
 use crate::Failure;
 use crate::balancer::Balancer;
@@ -265,24 +266,42 @@
         Ok(())
     }
 
-    /// Waits until all entries are ready.
+    /// Waits until all entries are ready and have the documents in force.
     ///
     /// # Errors
     ///
     /// When one of them takes too long.
     pub async fn wait_ready(&self, client: &Client) -> Result<(), Failure> {
         let begun = Instant::now();
-        loop {
-            self.balancer.look(client).await;
-            if self.balancer.ready().len() >= ZONES.len() {
-                return Ok(());
-            }
+        while !self.is_ready(client).await {
             if begun.elapsed() > START_LIMIT {
                 let text = format!("the entries were not ready within {START_LIMIT:?}");
                 return Err(Failure::Check(text));
             }
             actix_rt::time::sleep(LOOK).await;
         }
+        Ok(())
+    }
+
+    async fn is_ready(&self, client: &Client) -> bool {
+        self.balancer.look(client).await;
+        let ready = self.balancer.ready();
+        if ready.len() < ZONES.len() {
+            return false;
+        }
+        for entry in ready {
+            let url = format!("http://{entry}/debug/dump");
+            let Ok(mut response) = client.get(url).send().await else {
+                return false;
+            };
+            let dump: Value = response.json().await.unwrap_or_default();
+            let in_force =
+                |(service, _): &(&str, &str)| dump["state"]["revisions"][service].is_u64();
+            if !DOCUMENTS.iter().all(in_force) {
+                return false;
+            }
+        }
+        true
     }
 
     /// Replaces all processes, one after the other, and waits for each to end by itself; it blocks.
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use standins::Failure;
+use standins::chaos::Chaos;
 use standins::demo::Demo;
 use standins::serve::Serve;
 
@@ -24,12 +25,14 @@
 enum Command {
     Demo(Demo),
     Serve(Serve),
+    Chaos(Chaos),
 }
 
 fn run(command: &Command) -> Result<(), Failure> {
     match command {
         Command::Demo(demo) => demo.run(),
         Command::Serve(serve) => serve.run(),
+        Command::Chaos(chaos) => chaos.run(),
     }
 }
 
