--- a/clementinepickctl/src/run.rs
+++ b/clementinepickctl/src/run.rs
@@ -35,7 +35,7 @@
         Command::Status(status) => run_status(&ctl, status).await,
         Command::Dump(dump) => run_dump(&ctl, &entries(dump.entry)?).await,
         Command::Programs(programs) => run_programs(&ctl, &entries(programs.entry)?).await,
-        Command::Drain(drain) => run_drain(&ctl, &drain.entry).await,
+        Command::Drain(drain) => run_drain(&ctl, drain).await,
         Command::Events(events) => Ok(run_events(events.what.as_deref())),
     }
 }
@@ -298,7 +298,9 @@
     let mut status = Status::default();
     for entry in entries(args.entry)? {
         let dump = ctl.dump(&entry).await;
-        let dump = dump.ok().and_then(|d| serde_json::from_value(d).ok());
+        let dump = dump
+            .ok()
+            .and_then(|d| serde_json::from_value(d["state"].clone()).ok());
         match dump {
             Some(dump) => {
                 let dump: ProcessDump = dump;
@@ -321,8 +323,10 @@
     let mut dumps = Vec::new();
     for entry in entries {
         let ready = ctl.readiness(entry).await? == Readiness::Ready;
-        let state = ctl.dump(entry).await?;
-        dumps.push(json!({ "address": entry, "ready": ready, "state": state }));
+        let mut dump = ctl.dump(entry).await?;
+        dump["address"] = json!(entry);
+        dump["ready"] = json!(ready);
+        dumps.push(dump);
     }
     let json = json!({ "processes": dumps });
     Ok(Report {
@@ -337,7 +341,7 @@
     let mut owners = Vec::new();
     for entry in entries {
         let dump = ctl.dump(entry).await?;
-        let programs = dump.get("programs").cloned().unwrap_or(json!([]));
+        let programs = dump["state"]["programs"].clone();
         for program in programs.as_array().into_iter().flatten() {
             let name = program.as_str().map_or(program.to_string(), str::to_owned);
             let _ = writeln!(text, "{name}  at {entry}");
@@ -351,12 +355,16 @@
     })
 }
 
-async fn run_drain(ctl: &Ctl, entries: &[String]) -> Result<Report, CtlError> {
+async fn run_drain(ctl: &Ctl, args: args::Drain) -> Result<Report, CtlError> {
     // No default from the environment: it names all entries, and those must not leave at once.
-    let [entry] = entries else {
+    let [entry] = &args.entry[..] else {
         return Err(CtlError::Usage("give one --entry to drain".to_owned()));
     };
-    ctl.drain(entry).await?;
+    let key = match args.key_file {
+        Some(path) => read_file(&path)?,
+        None => address(None, "CLEMENTINEPICK_ADMIN_KEY", "--key-file")?,
+    };
+    ctl.drain(entry, key.trim()).await?;
     Ok(Report {
         text: format!("{entry} takes no new work and exits when all has finished"),
         json: json!({ "address": entry, "leaving": true }),
