Put the example documents with the daemons' examples

Cause: the test of example settings reads all of examples/*.ini, and two documents stood there twice. Change: the documents live in examples/documents, named by their service, and the demo publishes from there.

--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -35,8 +35,14 @@
 const LINK_KEY: &str = "only-for-the-demo-on-loopback";
 /// The documents that are published, which are the examples.
 const DOCUMENTS: [(&str, &str); 2] = [
-    (CHAT_SERVICE, include_str!("../../examples/agent-llm.ini")),
-    (PLAIN_SERVICE, include_str!("../../examples/book-app.ini")),
+    (
+        CHAT_SERVICE,
+        include_str!("../../examples/documents/agent-llm.ini"),
+    ),
+    (
+        PLAIN_SERVICE,
+        include_str!("../../examples/documents/book-app.ini"),
+    ),
 ];
 /// The availability zones of the entries.
 const ZONES: [&str; 2] = ["musanze-hall", "kinigi-room"];
--- a/standins/tests/examples.rs
+++ b/standins/tests/examples.rs
@@ -6,7 +6,7 @@
 use clementinepick::document::Document;
 
 fn examples() -> PathBuf {
-    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../examples")
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../examples/documents")
 }
 
 #[test]
