--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -6,6 +6,7 @@
 use standins::Failure;
 use standins::chaos::Chaos;
 use standins::demo::Demo;
+use standins::load::Load;
 use standins::serve::Serve;
 
 /// Stand-ins for what lies outside clementinepick, and tools that drive it.
@@ -24,6 +25,7 @@
 #[argh(subcommand)]
 enum Command {
     Demo(Demo),
+    Load(Load),
     Serve(Serve),
     Chaos(Chaos),
 }
@@ -31,6 +33,7 @@
 fn run(command: &Command) -> Result<(), Failure> {
     match command {
         Command::Demo(demo) => demo.run(),
+        Command::Load(load) => load.run(),
         Command::Serve(serve) => serve.run(),
         Command::Chaos(chaos) => chaos.run(),
     }
--- a/standins/src/run_program.rs
+++ b/standins/src/run_program.rs
@@ -68,9 +68,15 @@
     record: ProgramRecord,
 }
 
-/// Runs a program to its end, and ends it.
-pub async fn run_program(caller: &Caller, script: &Script) -> ProgramRecord {
-    run(caller, script, None).await
+/// Runs a program to its end, and ends it; its latency and that of its first call count from `due`.
+pub async fn run_program(caller: &Caller, script: &Script, due: Instant) -> ProgramRecord {
+    let late = due.elapsed();
+    let mut record = run(caller, script, None).await;
+    record.took += late;
+    if let Some(first) = record.calls.first_mut() {
+        first.took += late;
+    }
+    record
 }
 
 /// A program may run others, so its future is boxed.
