--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -8,17 +8,20 @@
 
 use crate::call::{AnswerPart, Fetch, Request};
 use crate::call_state::{
-    Awaited, Call, ClaimPace, KeptAnswers, LiveProgram, OpenCall, PeerState, Releasing, ReplyTo,
-    TakingOver,
+    Awaited, Call, ClaimPace, EndedProgram, KeptAnswers, LiveProgram, OpenCall, PeerState,
+    Releasing, ReplyTo, TakingOver,
 };
 use crate::config::Config;
+use crate::entry_orders::EngineWord;
 use crate::event::{Event, EventKind};
 use crate::ids::{
-    AttemptId, CallKey, Incarnation, Offset, PartitionId, ProgramId, RecordId, RequestId, VmId,
-    ZoneName,
+    AttemptId, CallKey, Incarnation, Offset, PartitionId, ProgramId, RecordId, RequestId, Revision,
+    ServiceName, VmId, ZoneName,
 };
 use crate::journal::{AppendOutcome, Journal, JournalAction, JournalSettings};
+use crate::membership::{Membership, MembershipSettings};
 use crate::message::{Message, Peer};
+use crate::placement::Placement;
 use crate::platform::{ReadAnswer, StreamName, Vm, VmRole};
 use crate::record::EndReason;
 use crate::replay::Partitions;
@@ -47,9 +50,12 @@
     pub takeover_us: SpanUs,
     /// How long after its start an entry waits before it claims what nobody owns.
     pub settle_us: SpanUs,
+    /// How long a running call whose caller left goes on for the caller to resume it.
+    pub resume_wait_us: SpanUs,
     /// How long ended programs are remembered, for repeats and late questions.
     pub keep_ended_us: SpanUs,
-    /// The time between two snapshots of a partition; well below the log's retention.
+    /// The time between two snapshots of a partition, and of the configuration; well below the
+    /// log's retention.
     pub snapshot_us: SpanUs,
     /// How long the end of an answer waits for its record before it goes out as pending.
     pub commit_wait_us: SpanUs,
@@ -73,6 +79,7 @@
             peer_timeout_us: SpanUs::from_s(3),
             takeover_us: SpanUs::from_ms(1_500),
             settle_us: SpanUs::from_s(10),
+            resume_wait_us: SpanUs::from_s(5),
             keep_ended_us: SpanUs::from_s(600),
             snapshot_us: SpanUs::from_s(600),
             commit_wait_us: SpanUs::from_ms(250),
@@ -175,6 +182,16 @@
     pub(crate) partitions: Partitions,
     pub(crate) vms: BTreeMap<VmId, Vm>,
     pub(crate) peers: BTreeMap<VmId, PeerState>,
+    pub(crate) membership: Membership,
+    pub(crate) engines: BTreeMap<VmId, EngineWord>,
+    /// The services on which this entry decides.
+    pub(crate) placements: BTreeMap<ServiceName, Placement>,
+    /// Own claims to decide that were not yet read back.
+    pub(crate) decider_claims: BTreeMap<ServiceName, RecordId>,
+    /// When the last snapshot of the configuration was read or written here.
+    pub(crate) config_snapshot_us: Option<TimeUs>,
+    /// Whether it was said that records of the configuration are missing.
+    pub(crate) has_config_gap: bool,
     pub(crate) router: Router,
     pub(crate) calls: BTreeMap<RequestId, Call>,
     pub(crate) attempts: BTreeMap<AttemptId, RequestId>,
@@ -187,8 +204,8 @@
     pub(crate) kept_until_us: TimeUs,
     /// Fetches that were passed on, with their owner and whom to answer.
     pub(crate) fetches: BTreeMap<RequestId, (VmId, ReplyTo)>,
-    /// When programs ended that are still remembered.
-    pub(crate) ended_us: BTreeMap<ProgramId, TimeUs>,
+    /// Programs that have ended and are still remembered.
+    pub(crate) ended: BTreeMap<ProgramId, EndedProgram>,
     /// When peers without a link were heard last.
     pub(crate) lost_us: BTreeMap<VmId, TimeUs>,
     pub(crate) claim_pace: BTreeMap<PartitionId, ClaimPace>,
@@ -219,6 +236,15 @@
             partitions: Partitions::starting_at(Offset(0), settings.safeguards.clone()),
             vms: BTreeMap::new(),
             peers: BTreeMap::new(),
+            membership: Membership::new(MembershipSettings {
+                silence_us: settings.peer_timeout_us,
+                ..MembershipSettings::default()
+            }),
+            engines: BTreeMap::new(),
+            placements: BTreeMap::new(),
+            decider_claims: BTreeMap::new(),
+            config_snapshot_us: None,
+            has_config_gap: false,
             router: Router::new(RouteSettings {
                 zone,
                 ..Default::default()
@@ -232,7 +258,7 @@
             kept: BTreeMap::new(),
             kept_until_us: TimeUs(0),
             fetches: BTreeMap::new(),
-            ended_us: BTreeMap::new(),
+            ended: BTreeMap::new(),
             lost_us: BTreeMap::new(),
             claim_pace: BTreeMap::new(),
             taking_over: BTreeMap::new(),
@@ -274,7 +300,7 @@
                 let event = self.journal_of(stream).on_append(now, batch, outcome);
                 out.extend(event.map(EntryAction::Event));
             }
-            EntryInput::Vms(vms) => self.on_vms(vms, out),
+            EntryInput::Vms(vms) => self.on_vms(now, vms, out),
             EntryInput::Tick => self.on_tick(now, out),
             EntryInput::Shutdown => {
                 self.leaving = true;
@@ -302,6 +328,7 @@
         for peer in self.peers.values_mut() {
             peer.heard_us = now;
         }
+        self.membership.on_pause(now);
     }
 
     pub(crate) fn journal_of(&mut self, stream: StreamName) -> &mut Journal {
@@ -327,6 +354,12 @@
         self.is_caught_up() && !self.leaving
     }
 
+    /// The revisions by which this process serves.
+    #[must_use]
+    pub fn revisions(&self) -> BTreeMap<ServiceName, Revision> {
+        self.config.revisions()
+    }
+
     /// Who this process is, for the links.
     #[must_use]
     pub fn peer(&self) -> Peer {
