Fetch earlier answers, and judge slow callers by time

Cause: a queue of so many parts took a caller that kept up for a slow one whenever the control thread worked through a burst; nobody could come back for an answer; a header given twice was read as its first value. Each part of an answer passed on between entries cost a walk over all of it: with an answer of 40 MB an entry answered nothing for 27 s. Change: text that waits is joined, and a caller is slow when it takes nothing for [limits] answer_stall; GET /v1/programs/{program}/calls/{call}; own headers given twice are refused; the length of an answer is kept with it.

--- a/clementinepick/src/admission.rs
+++ b/clementinepick/src/admission.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::answer::answer;
+use crate::answer_text::AnswerText;
 use crate::call::{AnswerPart, Payload, Request};
 use crate::call_state::{Call, ReplyTo, Step};
 use crate::config::InForce;
@@ -69,7 +70,7 @@
         if !call.answer.is_empty() {
             let part = AnswerPart::Text {
                 position: 0,
-                text: call.answer.clone(),
+                text: call.answer.to_string(),
             };
             answer(reply_to, id, part, out);
         }
@@ -122,7 +123,7 @@
             held_tokens: None,
             claim: None,
             tried: BTreeSet::new(),
-            answer: String::new(),
+            answer: AnswerText::default(),
             plain: None,
             done: None,
             left_us: None,
--- a/clementinepick/src/answer.rs
+++ b/clementinepick/src/answer.rs
@@ -1,5 +1,6 @@
 //! Takes the parts of an answer from sidecars and gives them to callers.
 
+use crate::answer_text::AnswerText;
 use crate::call::{AnswerPart, Usage};
 use crate::call_state::{Leader, ReplyTo, Step};
 use crate::entry::{Entry, EntryAction};
@@ -54,7 +55,7 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        let known = call.answer.chars().count() as u64;
+        let known = call.answer.characters();
         if position > known {
             // Text is missing in between; the sidecar has it all and sends it when the call is
             // attached to again.
@@ -397,7 +398,7 @@
                 match fresh_text(&call.answer, position, &text) {
                     Ok(fresh) if fresh.is_empty() => return,
                     Ok(fresh) => {
-                        let position = call.answer.chars().count() as u64;
+                        let position = call.answer.characters();
                         call.answer.push_str(&fresh);
                         AnswerPart::Text {
                             position,
@@ -425,8 +426,11 @@
 ///
 /// After a take-over the call may have been run anew and come out otherwise. Half of one answer
 /// and half of another would look whole to the caller; so the answer is broken off instead.
-fn fresh_text(known: &str, position: u64, text: &str) -> Result<String, CallError> {
-    let known_chars = known.chars().count() as u64;
+fn fresh_text(known: &AnswerText, position: u64, text: &str) -> Result<String, CallError> {
+    let known_chars = known.characters();
+    if position == known_chars {
+        return Ok(text.to_owned());
+    }
     let overlap = skip_chars(known, position);
     let overlap_chars = overlap.chars().count() as u64;
     let differs =
--- a/clementinepick/src/call_state.rs
+++ b/clementinepick/src/call_state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::answer_text::AnswerText;
 use crate::budget::Spending;
 use crate::call::{CallDone, ChatMessage, FinishReason, Payload, PlainAnswer, Request, Usage};
 use crate::config::InForce;
@@ -85,7 +86,7 @@
     pub(crate) held_tokens: Option<Tokens>,
     pub(crate) claim: Option<Claim>,
     pub(crate) tried: BTreeSet<VmId>,
-    pub(crate) answer: String,
+    pub(crate) answer: AnswerText,
     pub(crate) plain: Option<PlainAnswer>,
     pub(crate) done: Option<CallDone>,
     /// When the caller left, until the call was told to stop.
@@ -225,7 +226,7 @@
     /// When the sidecar was asked last.
     pub(crate) asked_us: Option<TimeUs>,
     pub(crate) is_attached: bool,
-    pub(crate) answer: String,
+    pub(crate) answer: AnswerText,
     pub(crate) plain: Option<PlainAnswer>,
     /// The transcript that the call was given, where its sidecar has reported it.
     pub(crate) kept: Option<KeptCall>,
--- a/clementinepick/src/fetch.rs
+++ b/clementinepick/src/fetch.rs
@@ -1,6 +1,7 @@
 //! Answers fetched later, out of order, or from a position on.
 
 use crate::answer::answer;
+use crate::answer_text::AnswerText;
 use crate::call::{AnswerPart, CallDone, Fetch, TurnState};
 use crate::call_state::{Leader, ReplyTo, Step};
 use crate::entry::{Entry, EntryAction};
@@ -185,7 +186,7 @@
         call.reply_to = reply_to.clone();
         call.claim = None;
         call.held_tokens = None;
-        call.answer = String::new();
+        call.answer = AnswerText::default();
         self.calls.insert(fetch.id, call);
         self.follow(fetch.id, leader, fetch.position, out);
     }
--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod admission;
 mod answer;
+mod answer_text;
 pub mod budget;
 pub mod call;
 mod call_state;
--- a/clementinepick/src/recovery.rs
+++ b/clementinepick/src/recovery.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::answer::Reply;
+use crate::answer_text::AnswerText;
 use crate::call::{AnswerPart, Usage};
 use crate::call_state::{Leader, OpenCall, PendingTurn, Step};
 use crate::entry::{Entry, EntryAction};
@@ -57,7 +58,7 @@
                     since_us: now,
                     asked_us: None,
                     is_attached: false,
-                    answer: String::new(),
+                    answer: AnswerText::default(),
                     plain: None,
                     kept: None,
                 };
@@ -165,7 +166,7 @@
             }
             FenceVerdict::Running | FenceVerdict::Ended => {
                 open.is_attached = true;
-                let position = open.answer.chars().count() as u64;
+                let position = open.answer.characters();
                 self.attach(partition, attempt, from, position, out);
             }
             FenceVerdict::Unknown => self.resolve(now, &call, &CallOutcome::Unknown, out),
@@ -190,7 +191,7 @@
         let call = call.clone();
         let outcome = match reply.part {
             AnswerPart::Text { position, text } => {
-                let known = open.answer.chars().count() as u64;
+                let known = open.answer.characters();
                 let fresh = crate::sidecar::skip_chars(&text, known.saturating_sub(position));
                 open.answer.push_str(&fresh);
                 let part = AnswerPart::Text {
@@ -207,7 +208,7 @@
             AnswerPart::Done(done) => match open.plain.take() {
                 Some(plain) => CallOutcome::Plain(plain),
                 None => CallOutcome::Chat {
-                    answer: open.answer.clone(),
+                    answer: open.answer.to_string(),
                     usage: done.usage,
                 },
             },
@@ -471,7 +472,7 @@
         let Step::Lost { target, .. } = call.step.clone() else {
             return;
         };
-        let (partition, position) = (call.partition, call.answer.chars().count() as u64);
+        let (partition, position) = (call.partition, call.answer.characters());
         let failure = |kind, started| {
             let error = CallError::new(kind, "the link to the backend server was lost");
             (error, started, Usage::default())
--- a/clementinepick/src/repeat.rs
+++ b/clementinepick/src/repeat.rs
@@ -187,8 +187,8 @@
         out: &mut Vec<EntryAction>,
     ) {
         let text = match &leader {
-            Leader::Request(leader) => self.calls.get(leader).map(|call| call.answer.clone()),
-            Leader::Recorded(key) => self.open_calls.get(key).map(|open| open.answer.clone()),
+            Leader::Request(leader) => self.calls.get(leader).map(|call| call.answer.to_string()),
+            Leader::Recorded(key) => self.open_calls.get(key).map(|open| open.answer.to_string()),
         };
         let Some(call) = self.calls.get_mut(&id) else {
             return;
--- a/clementinepick/src/step_record.rs
+++ b/clementinepick/src/step_record.rs
@@ -65,7 +65,7 @@
         let outcome = match (&call.plain, &call.done) {
             (Some(plain), _) => CallOutcome::Plain(plain.clone()),
             (None, done) => CallOutcome::Chat {
-                answer: call.answer.clone(),
+                answer: call.answer.to_string(),
                 usage: done.as_ref().map_or_else(Usage::default, |done| done.usage),
             },
         };
@@ -100,7 +100,7 @@
             digest: call.digest,
             key: call.request.idempotency_key.clone(),
             messages,
-            answer: call.answer.clone(),
+            answer: call.answer.to_string(),
             usage: done.usage,
             finish: done.finish,
             after,
--- a/clementinepickd/src/answer.rs
+++ b/clementinepickd/src/answer.rs
@@ -12,6 +12,7 @@
 use clementinepick::ids::RequestId;
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
+use crate::answer_queue::AnswerReader;
 use crate::body::{ChatShape, error_event};
 
 /// The parts of one answer, and the caller's hold on it.
@@ -19,7 +20,7 @@
 /// Dropped before the last part, it tells the control thread that the caller is gone.
 pub(crate) struct Answer {
     request: RequestId,
-    parts: mpsc::Receiver<AnswerPart>,
+    parts: AnswerReader,
     gone: mpsc::UnboundedSender<RequestId>,
     /// The characters of text so far.
     position: u64,
@@ -28,18 +29,19 @@
 }
 
 impl Answer {
-    /// The answer to `request`, whose parts come over `parts`.
+    /// The answer to `request`, whose parts come over `parts`, from the character at `position` on.
     pub(crate) fn new(
         request: RequestId,
-        parts: mpsc::Receiver<AnswerPart>,
+        parts: AnswerReader,
         gone: mpsc::UnboundedSender<RequestId>,
+        position: u64,
         permit: OwnedSemaphorePermit,
     ) -> Self {
         Self {
             request,
             parts,
             gone,
-            position: 0,
+            position,
             complete: false,
             _permit: permit,
         }
@@ -52,7 +54,7 @@
 
     fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<AnswerPart> {
         loop {
-            let part = match self.parts.poll_recv(cx) {
+            let part = match self.parts.poll_part(cx) {
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(Some(part)) => part,
                 Poll::Ready(None) => AnswerPart::Failed(broken_off()),
@@ -89,35 +91,42 @@
         Some(AnswerPart::Text { position, text })
     }
 
-    /// Collects a turn that is not streamed.
-    pub(crate) async fn whole_turn(&mut self) -> Result<(String, CallDone), CallError> {
-        let mut answer = String::new();
-        loop {
-            match self.next().await {
-                AnswerPart::Text { text, .. } => answer += &text,
-                AnswerPart::Done(done) => return Ok((answer, done)),
-                AnswerPart::Failed(error) => return Err(error),
-                AnswerPart::Plain(_) => return Err(mixed()),
-            }
-        }
+    /// Collects an answer that is not streamed.
+    pub(crate) async fn whole(&mut self) -> Result<WholeAnswer, CallError> {
+        let first = self.next().await;
+        self.whole_from(first).await
     }
 
-    /// Collects the answer of a plain service.
-    pub(crate) async fn plain(&mut self) -> Result<(PlainAnswer, CallDone), CallError> {
-        let mut answer = None;
+    /// Collects an answer whose first part has come.
+    pub(crate) async fn whole_from(&mut self, first: AnswerPart) -> Result<WholeAnswer, CallError> {
+        let mut text = String::new();
+        let mut plain = None;
+        let mut part = first;
         loop {
-            match self.next().await {
-                AnswerPart::Plain(plain) => answer = Some(plain),
+            match part {
+                AnswerPart::Text { text: more, .. } => text += &more,
+                AnswerPart::Plain(answer) => plain = Some(answer),
+                AnswerPart::Failed(error) => return Err(error),
                 AnswerPart::Done(done) => {
-                    return answer.map(|plain| (plain, done)).ok_or_else(mixed);
+                    return Ok(match plain {
+                        Some(answer) => WholeAnswer::Plain(answer, done),
+                        None => WholeAnswer::Turn(text, done),
+                    });
                 }
-                AnswerPart::Failed(error) => return Err(error),
-                AnswerPart::Text { .. } => return Err(mixed()),
             }
+            part = self.next().await;
         }
     }
 }
 
+/// An answer that is complete.
+pub(crate) enum WholeAnswer {
+    /// A turn's text.
+    Turn(String, CallDone),
+    /// What a plain service answered.
+    Plain(PlainAnswer, CallDone),
+}
+
 impl Drop for Answer {
     fn drop(&mut self) {
         if !self.complete {
--- a/clementinepickd/src/body.rs
+++ b/clementinepickd/src/body.rs
@@ -13,7 +13,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct ChatShape {
     pub(crate) request: RequestId,
-    pub(crate) model: ModelName,
+    /// Absent where an answer is fetched later.
+    pub(crate) model: Option<ModelName>,
     /// Seconds since 1970.
     pub(crate) created_s: u64,
     /// Whether a stream ends with the usage.
@@ -22,12 +23,15 @@
 
 impl ChatShape {
     fn base(&self, object: &str) -> Value {
-        json!({
+        let mut base = json!({
             "id": format!("chatcmpl-{}", self.request),
             "object": object,
             "created": self.created_s,
-            "model": self.model,
-        })
+        });
+        if let Some(model) = &self.model {
+            base["model"] = json!(model);
+        }
+        base
     }
 
     fn chunk(&self, delta: &Value, finish: Option<&str>) -> Value {
--- a/clementinepickd/src/control.rs
+++ b/clementinepickd/src/control.rs
@@ -11,12 +11,12 @@
 use clementinepick::ids::{Incarnation, RequestId, VmId};
 use clementinepick::message::{Message, Peer};
 use clementinepick::platform::Vm;
-use clementinepick::units::TimeUs;
+use clementinepick::units::{SpanUs, TimeUs};
 use serde_json::{Value, json};
-use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
 
+use crate::answer_queue::{AnswerSender, Stopped};
 use crate::daemon::Ended;
 use crate::input::{ClientOrder, ControlInput, DialOrder, LinkId};
 use crate::logging::write_event;
@@ -27,6 +27,8 @@
 
 /// The time between two ticks of the decisions.
 const TICK: Duration = Duration::from_millis(5);
+/// The time between two looks for callers that do not read.
+const SWEEP: SpanUs = SpanUs::from_ms(100);
 /// The most inputs that are taken between two looks at the clock.
 const MAX_BURST: usize = 256;
 /// How long answers may take to reach callers after a shutdown was forced.
@@ -72,7 +74,7 @@
 }
 
 struct OpenCall {
-    answers: mpsc::Sender<AnswerPart>,
+    answers: AnswerSender,
     since_us: TimeUs,
     route: &'static str,
 }
@@ -107,6 +109,7 @@
     calls: BTreeMap<RequestId, OpenCall>,
     stage: Stage,
     finished: bool,
+    next_sweep_us: TimeUs,
 }
 
 impl Control {
@@ -130,6 +133,7 @@
             calls: BTreeMap::new(),
             stage: Stage::Serving,
             finished: false,
+            next_sweep_us: TimeUs(0),
         }
     }
 
@@ -198,6 +202,11 @@
             ControlInput::Request { request, answers } => {
                 self.on_request(now, request, answers, &mut out);
             }
+            ControlInput::Fetch { fetch, answers } => {
+                if self.open_call(now, fetch.id, answers, "fetch") {
+                    self.decisions.fetch(now, fetch, &mut out);
+                }
+            }
             ControlInput::Refused(kind) => self.telemetry.on_refused(kind),
             ControlInput::EndProgram(program) => {
                 self.decisions.end_program(now, program, &mut out);
@@ -229,23 +238,36 @@
         &mut self,
         now: TimeUs,
         request: Box<Request>,
-        answers: mpsc::Sender<AnswerPart>,
+        answers: AnswerSender,
         out: &mut Vec<Action>,
     ) {
-        if answers.is_closed() {
-            return;
-        }
         let route = match &request.payload {
             Payload::Chat(_) => "chat",
             Payload::Plain(_) => "plain",
         };
+        if self.open_call(now, request.id, answers, route) {
+            self.decisions.request(now, request, out);
+        }
+    }
+
+    /// Takes note of where an answer goes; false when the caller has left already.
+    fn open_call(
+        &mut self,
+        now: TimeUs,
+        request: RequestId,
+        answers: AnswerSender,
+        route: &'static str,
+    ) -> bool {
+        if answers.check(Instant::now()).is_err() {
+            return false;
+        }
         let call = OpenCall {
             answers,
             since_us: now,
             route,
         };
-        self.calls.insert(request.id, call);
-        self.decisions.request(now, request, out);
+        self.calls.insert(request, call);
+        true
     }
 
     fn on_gone(&mut self, request: RequestId) {
@@ -311,7 +333,9 @@
             return;
         }
         self.stage = Stage::Forced { at_us: now };
-        self.on_event(&Event::new(EventKind::ShutdownForced).with("open_calls", self.calls.len()));
+        self.on_event(
+            &Event::new(EventKind::ShutdownForced).with("open_answers", self.calls.len()),
+        );
         self.decisions.force(now, out);
     }
 
@@ -320,6 +344,10 @@
         let mut out = Vec::new();
         self.finished = false;
         self.decisions.tick(now, &mut out);
+        if now >= self.next_sweep_us {
+            self.next_sweep_us = now.after(SWEEP);
+            self.stop_slow_callers(now, &mut out);
+        }
         if self.outputs.wishes.leave.load(Ordering::Relaxed) {
             self.on_shutdown(now, &mut out);
         }
@@ -397,18 +425,38 @@
             AnswerPart::Failed(error) => error.kind.answer().code,
             AnswerPart::Text { .. } | AnswerPart::Plain(_) | AnswerPart::Done(_) => "done",
         };
-        match call.answers.try_send(part) {
+        match call.answers.push(Instant::now(), part) {
             Ok(()) if !last => {}
             Ok(()) => self.close_call(now, request, outcome),
-            // The caller does not read: it would hold memory here for as long as it likes.
-            Err(TrySendError::Full(_)) => {
-                self.close_call(now, request, "caller_slow");
-                self.decisions.caller_gone(now, request, out);
-            }
-            Err(TrySendError::Closed(_)) => {
-                self.close_call(now, request, "caller_gone");
-                self.decisions.caller_gone(now, request, out);
-            }
+            Err(stopped) => self.stop_call(now, request, stopped, out),
+        }
+    }
+
+    fn stop_call(
+        &mut self,
+        now: TimeUs,
+        request: RequestId,
+        stopped: Stopped,
+        out: &mut Vec<Action>,
+    ) {
+        let outcome = match stopped {
+            Stopped::Gone => "caller_gone",
+            Stopped::Slow => "caller_slow",
+        };
+        self.close_call(now, request, outcome);
+        self.decisions.caller_gone(now, request, out);
+    }
+
+    /// Cuts off callers that do not read: they would hold memory here for as long as they like.
+    fn stop_slow_callers(&mut self, now: TimeUs, out: &mut Vec<Action>) {
+        let at = Instant::now();
+        let stopped: Vec<(RequestId, Stopped)> = self
+            .calls
+            .iter()
+            .filter_map(|(id, call)| Some((*id, call.answers.check(at).err()?)))
+            .collect();
+        for (request, stopped) in stopped {
+            self.stop_call(now, request, stopped, out);
         }
     }
 
@@ -436,7 +484,7 @@
             "uptime_ms": now.0 / 1_000,
             "stage": format!("{:?}", self.stage),
             "ready": self.outputs.ready.load(Ordering::Relaxed),
-            "open_calls": self.calls.len(),
+            "open_answers": self.calls.len(),
             "links": links,
             "dialled": self.dialled.keys().collect::<Vec<_>>(),
         });
@@ -444,7 +492,7 @@
     }
 
     fn on_gauges(&self, answer: oneshot::Sender<()>) {
-        self.telemetry.set_gauge("open_calls", self.calls.len());
+        self.telemetry.set_gauge("open_answers", self.calls.len());
         self.telemetry.set_gauge("links", self.links.len());
         for (name, count) in self.decisions.counts() {
             self.telemetry.set_gauge(name, count);
--- a/clementinepickd/src/http.rs
+++ b/clementinepickd/src/http.rs
@@ -14,18 +14,23 @@
 };
 use actix_server::{Server, ServerHandle};
 use bytes::BytesMut;
-use clementinepick::call::{AnswerPart, CallDone, ChatCall, Payload};
+use clementinepick::call::{
+    AnswerPart, CallDone, ChatCall, Fetch, Payload, PlainAnswer, Request as CallRequest,
+};
 use clementinepick::error::{CallError, ErrorKind};
 use clementinepick::ids::{ProgramId, RequestId};
-use clementinepick::parse::{HttpRequest, ParseSettings, parse_chat, parse_plain};
+use clementinepick::parse::{
+    HttpRequest, KEY_HEADER, ParseSettings, parse_chat, parse_fetch, parse_plain,
+};
 use futures_util::StreamExt;
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{Semaphore, oneshot};
 use tokio::time::timeout;
 
-use crate::answer::{Answer, EventStream};
+use crate::answer::{Answer, EventStream, WholeAnswer};
+use crate::answer_queue::{Patience, answer_queue};
 use crate::body::{ChatShape, error_body, status, turn_name};
 use crate::control::{Outputs, Wishes};
 use crate::input::{ControlInput, ControlSender};
@@ -37,6 +42,8 @@
 /// The most connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// How the names of the headers begin that the system itself reads.
+const OWN_HEADERS: &str = "clementinepick-";
 /// Carries the key of an operator.
 const ADMIN_KEY_HEADER: &str = "clementinepick-admin-key";
 
@@ -132,7 +139,7 @@
         _ if !shared.is_entry => no_such_path("this sidecar takes calls over links only"),
         (Method::POST, "/v1/chat/completions") => chat(&shared, &mut request).await,
         (method, path) if path.starts_with("/v1/programs/") => {
-            program(&shared, &method, path).await
+            program(&shared, &method, path, &mut request).await
         }
         (_, path) if path.starts_with("/services/") => plain(&shared, &mut request).await,
         (_, "/v1/chat/completions") => no_such_path("must be POST"),
@@ -231,23 +238,8 @@
         return Err(CallError::new(ErrorKind::Internal, "no chat call").into());
     };
     let (shape, stream) = (chat_shape(id, call)?, call.stream);
-    let mut answer = submit(shared, request).await?;
-    if !stream {
-        let (text, done) = answer.whole_turn().await.map_err(Refusal::Decided)?;
-        let mut response = Response::build(StatusCode::OK);
-        add_call(&mut response, &done);
-        return Ok(with_json(response, &shape.whole(&text, &done)));
-    }
-    // The status goes out with the first part, so a call that is refused has its own.
-    let first = answer.next().await;
-    if let AnswerPart::Failed(error) = first {
-        return Err(Refusal::Decided(error));
-    }
-    let mut response = Response::build(StatusCode::OK);
-    response.insert_header((CONTENT_TYPE, EVENT_STREAM));
-    response.insert_header(("cache-control", "no-cache"));
-    let stream = EventStream::new(answer, shape, first);
-    Ok(response.body(stream).map_into_boxed_body())
+    let answer = submit(shared, Asked::Call(Box::new(request))).await?;
+    give(answer, shape, stream).await
 }
 
 fn chat_shape(request: RequestId, call: &ChatCall) -> Result<ChatShape, CallError> {
@@ -263,24 +255,87 @@
         },
         Some(_) => return Err(bad("stream_options", "must be an object")),
     };
-    if !matches!(call.extra.get("n").and_then(Value::as_u64), None | Some(1)) {
+    if !matches!(call.extra.get("n"), None | Some(Value::Null))
+        && call.extra.get("n").and_then(Value::as_u64) != Some(1)
+    {
         return Err(bad("n", "one answer a call is given: must be 1"));
     }
-    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
     Ok(ChatShape {
         request,
-        model: call.model.clone(),
-        created_s: since_1970.map_or(0, |since| since.as_secs()),
+        model: Some(call.model.clone()),
+        created_s: seconds_since_1970(),
         include_usage,
     })
 }
 
+fn seconds_since_1970() -> u64 {
+    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_1970.map_or(0, |since| since.as_secs())
+}
+
 async fn plain(shared: &Shared, request: &mut Request) -> Result<Response<BoxBody>, Refusal> {
     let http = read(shared, request).await?;
     let id = RequestId::draw(&mut rand::rng());
     let request = parse_plain(&shared.parse, id, &http)?;
-    let answered = submit(shared, request).await?.plain().await;
-    let (plain, done) = answered.map_err(Refusal::Decided)?;
+    let mut answer = submit(shared, Asked::Call(Box::new(request))).await?;
+    match answer.whole().await.map_err(Refusal::Decided)? {
+        WholeAnswer::Plain(plain, done) => plain_answer(plain, &done),
+        WholeAnswer::Turn(..) => {
+            Err(CallError::new(ErrorKind::Internal, "a turn in place of an answer").into())
+        }
+    }
+}
+
+/// `GET /v1/programs/{program}/calls/{call}`: an earlier answer, or the rest of one.
+///
+/// A turn comes as a stream when the caller accepts one.
+async fn fetch(shared: &Shared, request: &mut Request) -> Result<Response<BoxBody>, Refusal> {
+    let http = read(shared, request).await?;
+    let id = RequestId::draw(&mut rand::rng());
+    let fetch = parse_fetch(id, &http)?;
+    let accept = http.headers.iter().find(|(name, _)| name == "accept");
+    let stream = accept.is_some_and(|(_, value)| value.contains(EVENT_STREAM));
+    let shape = ChatShape {
+        request: id,
+        model: None,
+        created_s: seconds_since_1970(),
+        include_usage: true,
+    };
+    let answer = submit(shared, Asked::Fetch(Box::new(fetch))).await?;
+    give(answer, shape, stream).await
+}
+
+/// Gives an answer of either kind, a turn as a stream if so wanted.
+async fn give(
+    mut answer: Answer,
+    shape: ChatShape,
+    stream: bool,
+) -> Result<Response<BoxBody>, Refusal> {
+    // The status goes out with the first part, so a call that is refused has its own.
+    let first = answer.next().await;
+    let streamed = match &first {
+        AnswerPart::Text { .. } | AnswerPart::Done(_) => stream,
+        AnswerPart::Plain(_) | AnswerPart::Failed(_) => false,
+    };
+    if streamed {
+        let mut response = Response::build(StatusCode::OK);
+        response.insert_header((CONTENT_TYPE, EVENT_STREAM));
+        response.insert_header(("cache-control", "no-cache"));
+        let events = EventStream::new(answer, shape, first);
+        return Ok(response.body(events).map_into_boxed_body());
+    }
+    let whole = answer.whole_from(first).await;
+    match whole.map_err(Refusal::Decided)? {
+        WholeAnswer::Turn(text, done) => {
+            let mut response = Response::build(StatusCode::OK);
+            add_call(&mut response, &done);
+            Ok(with_json(response, &shape.whole(&text, &done)))
+        }
+        WholeAnswer::Plain(plain, done) => plain_answer(plain, &done),
+    }
+}
+
+fn plain_answer(plain: PlainAnswer, done: &CallDone) -> Result<Response<BoxBody>, Refusal> {
     let status = StatusCode::from_u16(plain.status).map_err(|_| {
         CallError::new(ErrorKind::BackendFailed, "the service gave no valid status")
     })?;
@@ -288,23 +343,12 @@
     for header in plain.headers {
         response.append_header(header);
     }
-    add_call(&mut response, &done);
+    add_call(&mut response, done);
     Ok(response.body(plain.body).map_into_boxed_body())
 }
 
 /// `POST /v1/programs/{program}/end`.
-async fn program(
-    shared: &Shared,
-    method: &Method,
-    path: &str,
-) -> Result<Response<BoxBody>, Refusal> {
-    let rest = path.strip_prefix("/v1/programs/").unwrap_or_default();
-    let Some((program, "end")) = rest.split_once('/') else {
-        return no_such_path("must be /v1/programs/{program}/end");
-    };
-    if *method != Method::POST {
-        return no_such_path("must be POST");
-    }
+async fn end_program(shared: &Shared, program: &str) -> Result<Response<BoxBody>, Refusal> {
     let program: ProgramId = program
         .parse()
         .map_err(|_| CallError::at(ErrorKind::UnknownCall, "path", "is no program"))?;
@@ -320,11 +364,32 @@
     Ok(json_answer(StatusCode::ACCEPTED, &body))
 }
 
-/// Hands a request to the control thread.
-async fn submit(
+async fn program(
     shared: &Shared,
-    request: clementinepick::call::Request,
-) -> Result<Answer, CallError> {
+    method: &Method,
+    path: &str,
+    request: &mut Request,
+) -> Result<Response<BoxBody>, Refusal> {
+    let rest = path.strip_prefix("/v1/programs/").unwrap_or_default();
+    match (method, rest.split_once('/')) {
+        (&Method::POST, Some((program, "end"))) => end_program(shared, program).await,
+        (&Method::GET, Some((_, rest))) if rest.starts_with("calls/") => {
+            fetch(shared, request).await
+        }
+        _ => no_such_path(
+            "must be POST /v1/programs/{program}/end or GET /v1/programs/{program}/calls/{call}",
+        ),
+    }
+}
+
+/// What a caller asks for.
+enum Asked {
+    Call(Box<CallRequest>),
+    Fetch(Box<Fetch>),
+}
+
+/// Hands a request to the control thread.
+async fn submit(shared: &Shared, asked: Asked) -> Result<Answer, CallError> {
     let permit = Arc::clone(&shared.streams).try_acquire_owned();
     let permit = permit.map_err(|_| {
         CallError::new(
@@ -332,11 +397,19 @@
             "this entry has as many calls as it takes",
         )
     })?;
-    let (sender, parts) = mpsc::channel(shared.limits.answer_parts);
-    let answer = Answer::new(request.id, parts, shared.control.gone.clone(), permit);
-    let input = ControlInput::Request {
-        request: Box::new(request),
-        answers: sender,
+    let (answers, parts) = answer_queue(Patience {
+        max_bytes: usize::try_from(shared.limits.answer_bytes.0).unwrap_or(usize::MAX),
+        max_stall: duration(shared.limits.answer_stall_us),
+    });
+    let (id, position) = match &asked {
+        Asked::Call(request) => (request.id, 0),
+        Asked::Fetch(fetch) => (fetch.id, fetch.position),
+    };
+    let gone = shared.control.gone.clone();
+    let answer = Answer::new(id, parts, gone, position, permit);
+    let input = match asked {
+        Asked::Call(request) => ControlInput::Request { request, answers },
+        Asked::Fetch(fetch) => ControlInput::Fetch { fetch, answers },
     };
     if shared.control.send(input).await {
         Ok(answer)
@@ -380,6 +453,12 @@
         let value = value.to_str().map_err(|_| {
             CallError::at(ErrorKind::BadHeader, name.as_str(), "must be visible ASCII")
         })?;
+        // Two values for a program or a key are two different calls to different readers.
+        let is_own = name.as_str().starts_with(OWN_HEADERS) || name.as_str() == KEY_HEADER;
+        if is_own && headers.iter().any(|(known, _)| known == name.as_str()) {
+            let error = CallError::at(ErrorKind::BadHeader, name.as_str(), "is given twice");
+            return Err(error);
+        }
         headers.push((name.as_str().to_owned(), value.to_owned()));
     }
     Ok(headers)
--- a/clementinepickd/src/input.rs
+++ b/clementinepickd/src/input.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use clementinepick::call::{AnswerPart, Request};
+use clementinepick::call::{Fetch, Request};
 use clementinepick::entry::EntryInput;
 use clementinepick::error::ErrorKind;
 use clementinepick::event::Event;
@@ -14,6 +14,7 @@
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::answer_queue::AnswerSender;
 use crate::queue::QueueSender;
 
 /// The most inputs that wait for the control thread before their senders wait.
@@ -31,7 +32,14 @@
         /// The request, parsed.
         request: Box<Request>,
         /// Where the parts of its answer go.
-        answers: mpsc::Sender<AnswerPart>,
+        answers: AnswerSender,
+    },
+    /// A caller asks for the answer of an earlier call.
+    Fetch {
+        /// What it asks for.
+        fetch: Box<Fetch>,
+        /// Where the parts of the answer go.
+        answers: AnswerSender,
     },
     /// A request that the parser refused.
     Refused(ErrorKind),
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -5,6 +5,7 @@
 //! connections and requests to the platform. They speak by typed messages.
 
 mod answer;
+mod answer_queue;
 mod body;
 mod clients;
 mod control;
--- a/clementinepickd/src/role.rs
+++ b/clementinepickd/src/role.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use clementinepick::call::{AnswerPart, Request};
+use clementinepick::call::{AnswerPart, Fetch, Request};
 use clementinepick::entry::{Entry, EntryAction, EntryInput, EntrySettings};
 use clementinepick::event::Event;
 use clementinepick::ids::{Incarnation, ProgramId, RequestId, VmId};
@@ -42,6 +42,8 @@
 pub(crate) trait Decisions {
     /// Takes a caller's request.
     fn request(&mut self, now: TimeUs, request: Box<Request>, out: &mut Vec<Action>);
+    /// Takes a caller's question for an earlier answer.
+    fn fetch(&mut self, now: TimeUs, fetch: Box<Fetch>, out: &mut Vec<Action>);
     /// Learns that a caller is gone.
     fn caller_gone(&mut self, now: TimeUs, request: RequestId, out: &mut Vec<Action>);
     /// Ends a program.
@@ -128,6 +130,10 @@
         self.handle(now, EntryInput::Request(request), out);
     }
 
+    fn fetch(&mut self, now: TimeUs, fetch: Box<Fetch>, out: &mut Vec<Action>) {
+        self.handle(now, EntryInput::Fetch(fetch), out);
+    }
+
     fn caller_gone(&mut self, now: TimeUs, request: RequestId, out: &mut Vec<Action>) {
         self.handle(now, EntryInput::CallerGone(request), out);
     }
@@ -200,6 +206,8 @@
 impl Decisions for SidecarDecisions {
     fn request(&mut self, _: TimeUs, _: Box<Request>, _: &mut Vec<Action>) {}
 
+    fn fetch(&mut self, _: TimeUs, _: Box<Fetch>, _: &mut Vec<Action>) {}
+
     fn caller_gone(&mut self, _: TimeUs, _: RequestId, _: &mut Vec<Action>) {}
 
     fn end_program(&mut self, _: TimeUs, _: ProgramId, _: &mut Vec<Action>) {}
--- a/clementinepickd/src/settings.rs
+++ b/clementinepickd/src/settings.rs
@@ -192,8 +192,10 @@
     pub receive_us: SpanUs,
     /// How long an idle connection of a caller is kept.
     pub keep_alive_us: SpanUs,
-    /// The most parts of an answer that wait for a slow caller; one that lags further is cut off.
-    pub answer_parts: usize,
+    /// How long parts of an answer may wait for a caller that takes nothing, before it is cut off.
+    pub answer_stall_us: SpanUs,
+    /// The most text of an answer that waits for a slow caller, before it is cut off.
+    pub answer_bytes: Bytes,
 }
 
 impl Default for Limits {
@@ -205,7 +207,8 @@
             streams: 4_096,
             receive_us: SpanUs::from_s(10),
             keep_alive_us: SpanUs::from_s(5),
-            answer_parts: 1_024,
+            answer_stall_us: SpanUs::from_s(10),
+            answer_bytes: Bytes(4_000_000),
         }
     }
 }
@@ -322,7 +325,6 @@
             ("links", "max_links", self.links.max_links),
             ("limits", "connections", self.limits.connections),
             ("limits", "streams", self.limits.streams),
-            ("limits", "answer_parts", self.limits.answer_parts),
         ];
         for (section, key, count) in counts {
             if count == 0 {
--- a/clementinepickd/src/settings_file.rs
+++ b/clementinepickd/src/settings_file.rs
@@ -289,7 +289,8 @@
     source.set("limits", "streams", &mut limits.streams)?;
     source.set("limits", "receive", &mut limits.receive_us)?;
     source.set("limits", "keep_alive", &mut limits.keep_alive_us)?;
-    source.set("limits", "answer_parts", &mut limits.answer_parts)?;
+    source.set("limits", "answer_stall", &mut limits.answer_stall_us)?;
+    source.set("limits", "answer", &mut limits.answer_bytes)?;
     Ok(limits)
 }
 
--- a/clementinepickd/tests/http.rs
+++ b/clementinepickd/tests/http.rs
@@ -79,6 +79,16 @@
     );
 }
 
+#[test]
+fn a_header_given_twice() {
+    let headers = "clementinepick-program: a\r\nclementinepick-program: b\r\n";
+    check(
+        small_limits(),
+        &chat(headers, RIGHT),
+        &expect![[r#"400 "bad_header" "clementinepick-program" not_run=true "is given twice""#]],
+    );
+}
+
 #[test]
 fn a_header_over_the_limit() {
     let headers = format!("x-long: {}\r\n", "x".repeat(600));
