Let slow callers read to the end while an entry leaves

Cause: once an entry had nothing more to do, a slow caller had one second for what lay in its connection's buffers; clients of the platform shared at most 100 connections, and kept them longer than servers do. Change: ten seconds, and none when the end is forced; no bound of connections beside the gate's; tests of a slow caller at a leaving entry and of the limit of streams.

--- a/clementinepickd/src/clients.rs
+++ b/clementinepickd/src/clients.rs
@@ -67,9 +67,16 @@
     let _ = timeout(DRAIN_LIMIT, tasks.join()).await;
 }
 
+/// How long an idle connection is kept: less than servers usually do, since a request on one that
+/// the server closes at that moment fails.
+const KEEP_ALIVE: Duration = Duration::from_secs(3);
+/// The gate bounds what runs, so connections need no bound of their own.
+const NO_LIMIT: usize = 0;
+
 /// A client whose connections are kept for the next request.
 pub(crate) fn pooled(request_limit: SpanUs) -> Client {
     Client::builder()
+        .connector(Connector::new().limit(NO_LIMIT).conn_keep_alive(KEEP_ALIVE))
         .disable_redirects()
         .timeout(duration(request_limit))
         .finish()
@@ -78,6 +85,7 @@
 /// A client without a limit of time, for streams.
 pub(crate) fn streaming() -> Client {
     Client::builder()
+        .connector(Connector::new().limit(NO_LIMIT).conn_keep_alive(KEEP_ALIVE))
         .disable_redirects()
         .disable_timeout()
         .finish()
@@ -89,7 +97,11 @@
 /// told from one that was taken. On a new one, a failure to connect proves that nothing was sent.
 pub(crate) fn unpooled() -> Client {
     Client::builder()
-        .connector(Connector::new().conn_keep_alive(Duration::ZERO))
+        .connector(
+            Connector::new()
+                .limit(NO_LIMIT)
+                .conn_keep_alive(Duration::ZERO),
+        )
         .disable_redirects()
         .no_default_headers()
         .disable_timeout()
--- a/clementinepickd/src/daemon.rs
+++ b/clementinepickd/src/daemon.rs
@@ -186,7 +186,7 @@
 fn run_control(control: Control, inputs: Inputs, threads: Threads) -> Ended {
     let ended = System::new().block_on(async {
         let ended = control.run(inputs).await;
-        http::stop(&threads.server).await;
+        http::stop(&threads.server, ended).await;
         ended
     });
     joined(threads.http.join());
--- a/clementinepickd/src/http.rs
+++ b/clementinepickd/src/http.rs
@@ -33,12 +33,14 @@
 use crate::answer_queue::{Patience, answer_queue};
 use crate::body::{ChatShape, error_body, status, turn_name};
 use crate::control::{Outputs, Wishes};
+use crate::daemon::Ended;
 use crate::input::{ControlInput, ControlSender};
 use crate::link::duration;
 use crate::settings::{Limits, LinkKey, Role, Settings};
 
-/// How long connections may take to close once all answers are out.
-const CLOSE_LIMIT_S: u64 = 1;
+/// How long a slow caller may take to read what is in its connection's buffers once the process has
+/// nothing more to do.
+const CLOSE_LIMIT_S: u64 = 10;
 /// The most connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
@@ -122,9 +124,9 @@
     Ok(server)
 }
 
-/// Stops the server once all connections are closed or the limit has passed.
-pub(crate) async fn stop(server: &ServerHandle) {
-    server.stop(true).await;
+/// Stops the server: at once, or when all connections are closed or the limit has passed.
+pub(crate) async fn stop(server: &ServerHandle, ended: Ended) {
+    server.stop(ended == Ended::Gracefully).await;
 }
 
 async fn handle(shared: Shared, mut request: Request) -> Result<Response<BoxBody>, Infallible> {
--- a/standins/tests/daemons.rs
+++ b/standins/tests/daemons.rs
@@ -6,7 +6,7 @@
 
 use std::thread;
 
-use clementinepick::units::{SpanUs, Tokens};
+use clementinepick::units::{Bytes, SpanUs, Tokens};
 use clementinepickd::Ended;
 use clementinepickd::settings::{Limits, ShutdownSettings};
 use cut_path::{CutPath, Direction};
@@ -152,6 +152,62 @@
     deployment.end();
 }
 
+// A caller reads slowly while its entry leaves: the engine is done, but most of the answer still
+// waits at the entry. The entry stays until the caller has it all.
+#[test]
+fn an_entry_leaves_after_a_slow_caller_has_read_its_answer() {
+    let shape = Shape {
+        engine: EngineSettings {
+            step_base_us: SpanUs(1),
+            step_per_sequence_us: SpanUs(0),
+            chunk_tokens: Tokens(1_000),
+            cache_size_tokens: Tokens(100_000_000),
+            ..EngineSettings::default()
+        },
+        limits: Limits {
+            answer_bytes: Bytes(100_000_000),
+            ..Limits::default()
+        },
+        ..Shape::default()
+    };
+    let mut deployment = Deployment::start(&shape);
+    let entry = deployment.entries.remove(0);
+    let tokens = 2_500_000;
+    let slow = Call::single("a long plan", tokens, true).open(entry.http_address());
+    wait_for(|| running(&deployment) == 1);
+    wait_for(|| running(&deployment) == 0);
+    entry.shutdown();
+    wait_for(|| state(&entry)["leaving"] == true);
+    assert!(!entry.is_finished());
+    assert_streamed(&read(slow), tokens);
+    assert_eq!(entry.join(), Ended::Gracefully);
+    deployment.end();
+}
+
+// An entry has as many calls as it takes. The next one is refused before it ran, and is taken once
+// there is room.
+#[test]
+fn a_call_over_the_limit_of_streams_is_refused_as_not_run() {
+    let shape = Shape {
+        limits: Limits {
+            streams: 1,
+            ..Limits::default()
+        },
+        ..Shape::default()
+    };
+    let deployment = Deployment::start(&shape);
+    let address = deployment.entries[0].http_address();
+    let first = Call::chat("plan-1", 200, true).open(address);
+    wait_for(|| running(&deployment) == 1);
+    let refused = Call::chat("plan-2", 8, true).send(address);
+    assert_eq!(refused.status, 503);
+    assert_eq!(json(&refused)["error"]["code"], "overloaded");
+    assert_eq!(json(&refused)["error"]["not_run"], true);
+    assert_streamed(&read(first), 200);
+    wait_for(|| Call::chat("plan-2", 8, true).send(address).status == 200);
+    deployment.end();
+}
+
 // The sidecars of one engine and of the plain service are told to leave with calls under way. Those
 // end where they run; new turns go to the other engine.
 #[test]
