Walk over all programs ten times a second, not at each tick

Cause: with some thousands of programs under way an idle entry spent 55% of a core on ticks: each tick looked at every program and tried to start its next call. Change: programs are walked every 100 ms, and only those with calls are asked for their next one.

--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -219,6 +219,8 @@
     pub(crate) is_unsure: bool,
     pub(crate) sure_at_read: u64,
     pub(crate) next_heartbeat_us: TimeUs,
+    /// When all programs are looked at next.
+    pub(crate) next_walk_us: TimeUs,
     pub(crate) started_us: Option<TimeUs>,
     pub(crate) leaving: bool,
 }
@@ -269,6 +271,7 @@
             is_unsure: false,
             sure_at_read: 0,
             next_heartbeat_us: TimeUs(0),
+            next_walk_us: TimeUs(0),
             started_us: None,
             leaving: false,
             settings,
--- a/clementinepick/src/program_end.rs
+++ b/clementinepick/src/program_end.rs
@@ -242,7 +242,7 @@
             };
             let rules = &in_force.document.program;
             let late = live.order.overdue(now, rules.gap_us);
-            if late.is_empty() {
+            if late.is_empty() && !live.order.is_idle() {
                 moved.push(program.clone());
             }
             overdue.extend(late);
--- a/clementinepick/src/sweep.rs
+++ b/clementinepick/src/sweep.rs
@@ -10,6 +10,9 @@
 /// How long after a deadline the answer of whoever runs the call is waited for.
 const ANSWER_GRACE_US: SpanUs = SpanUs::from_s(1);
 
+/// The time between two walks over all programs.
+const WALK_US: SpanUs = SpanUs::from_ms(100);
+
 impl Entry {
     pub(crate) fn on_tick(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
         if now >= self.next_heartbeat_us {
@@ -25,11 +28,10 @@
         }
         self.end_take_overs(now, out);
         self.sweep_calls(now, out);
-        self.sweep_programs(now, out);
         self.reserve_ahead(now);
         self.ask_open_calls(now, out);
         self.send_releases(now, out);
-        self.forget_programs(now);
+        self.walk_programs(now, out);
         self.drop_kept(now, out);
         self.recover_partitions(now);
         self.hand_over(now);
@@ -42,6 +44,17 @@
         }
     }
 
+    /// Looks at every program, which is too much for each tick: with thousands of them under way an
+    /// entry would do nothing else. What is looked for here has seconds of time.
+    fn walk_programs(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        if now < self.next_walk_us {
+            return;
+        }
+        self.next_walk_us = now.after(WALK_US);
+        self.sweep_programs(now, out);
+        self.forget_programs(now);
+    }
+
     /// The log's append rate is shared by the entries that live.
     fn scale_appends(&mut self) {
         let others = self.live_entries();
