--- a/standins/tests/deployment/mod.rs
+++ b/standins/tests/deployment/mod.rs
@@ -146,7 +146,7 @@
         deployment
     }
 
-    /// Waits until each entry has links to all others.
+    /// Waits until each entry has links to all others and every process is ready.
     pub fn wait_for_links(&self) {
         for entry in &self.entries {
             wait_for(|| {
@@ -154,6 +154,11 @@
                 peers == Some(4)
             });
         }
+        let sidecars = self.engine_sidecars.iter().chain([&self.plain_sidecar]);
+        for daemon in self.entries.iter().chain(sidecars) {
+            let ready = Call::new("GET", "/readyz");
+            wait_for(|| ready.send(daemon.http_address()).status == 200);
+        }
     }
 
     /// Lists another address for the sidecar of an engine.
