--- a/clementinepick/src/call_state.rs
+++ b/clementinepick/src/call_state.rs
@@ -11,6 +11,7 @@
 };
 use crate::message::{KeptCall, Peer};
 use crate::order::Sequencer;
+use crate::platform::VmRole;
 use crate::prompt::{ChainHash, Prompt};
 use crate::units::{TimeUs, Tokens};
 
@@ -266,6 +267,31 @@
     pub(crate) lags: bool,
     /// The number of the first read of the configuration that began after its link came up.
     pub(crate) confirmed_by_read: u64,
+    /// The documents that were sent over its link.
+    pub(crate) sent_documents: BTreeSet<(ServiceName, Revision)>,
+}
+
+/// The documents sent to a peer that are remembered; one that is forgotten is sent again.
+const MAX_SENT: usize = 256;
+
+impl PeerState {
+    pub(crate) fn note_sent(&mut self, key: (ServiceName, Revision)) {
+        self.sent_documents.insert(key);
+        if self.sent_documents.len() > MAX_SENT {
+            self.sent_documents.pop_first();
+        }
+    }
+
+    /// Whether a peer has a document, or will have it before what is sent next.
+    pub(crate) fn has_document(&self, key: &(ServiceName, Revision)) -> bool {
+        let said = self.revisions.as_ref().and_then(|all| all.get(&key.0));
+        // A sidecar runs the call by this very revision; an owner judges it by its newest one.
+        let has = match self.peer.role {
+            VmRole::Sidecar => said == Some(&key.1),
+            VmRole::Entry => said >= Some(&key.1),
+        };
+        has || self.sent_documents.contains(key)
+    }
 }
 
 /// Answers that sidecars keep of an earlier owner's idempotent calls, by the caller's request.
--- a/clementinepick/src/config.rs
+++ b/clementinepick/src/config.rs
@@ -17,16 +17,28 @@
     pub document: Arc<Document>,
 }
 
+/// The revisions of a service that are kept for calls that began under them.
+const MAX_KEPT: usize = 16;
+
 /// The configuration in force at one process.
 #[derive(Debug, Clone, Default)]
 pub struct Config {
     services: BTreeMap<ServiceName, InForce>,
+    /// The last revisions of each service, for calls that began under an earlier one.
+    kept: BTreeMap<ServiceName, BTreeMap<Revision, InForce>>,
     replay: ConfigReplay,
     /// Set in test runs that show what an older revision would do.
     takes_older: bool,
 }
 
 impl Config {
+    /// A document by its revision, for a call that began under it; `None` when it is not known
+    /// here, or no more.
+    #[must_use]
+    pub fn at(&self, service: &ServiceName, revision: Revision) -> Option<&InForce> {
+        self.kept.get(service)?.get(&revision)
+    }
+
     /// The document in force for a service.
     #[must_use]
     pub fn service(&self, service: &ServiceName) -> Option<&InForce> {
@@ -133,16 +145,26 @@
     /// What is wrong with the document.
     pub fn adopt(&mut self, published: PublishedDocument) -> Result<bool, String> {
         let document = check_document(&published.service, &published.text)?;
-        if !self.is_news(&published) {
-            return Ok(false);
-        }
+        let is_news = self.is_news(&published);
         let in_force = InForce {
             document: Arc::new(document),
             published,
         };
-        self.services
-            .insert(in_force.published.service.clone(), in_force);
-        Ok(true)
+        self.keep(&in_force);
+        if is_news {
+            let service = in_force.published.service.clone();
+            self.services.insert(service, in_force);
+        }
+        Ok(is_news)
+    }
+
+    fn keep(&mut self, in_force: &InForce) {
+        let published = &in_force.published;
+        let kept = self.kept.entry(published.service.clone()).or_default();
+        kept.insert(published.revision, in_force.clone());
+        while kept.len() > MAX_KEPT {
+            kept.pop_first();
+        }
     }
 
     /// The documents that a peer with these revisions lacks, of one service or of all.
--- a/clementinepick/src/entry_config.rs
+++ b/clementinepick/src/entry_config.rs
@@ -7,7 +7,7 @@
 use crate::config_replay::{Change, Publication, Verdict};
 use crate::entry::{Entry, EntryAction};
 use crate::event::{Event, EventKind};
-use crate::ids::{Offset, RecordId, VmId};
+use crate::ids::{Offset, RecordId, RequestId, VmId};
 use crate::message::Message;
 use crate::platform::VmRole;
 use crate::record::{PublishedDocument, Record, RecordBody};
@@ -52,7 +52,7 @@
         }
     }
 
-    fn on_publication(&self, publication: &Publication, out: &mut Vec<EntryAction>) {
+    fn on_publication(&mut self, publication: &Publication, out: &mut Vec<EntryAction>) {
         let service = &publication.service;
         let event = match &publication.verdict {
             Verdict::Accepted { revision } => {
@@ -72,11 +72,19 @@
         let sidecars = self.peers.iter().filter(|(vm, peer)| {
             peer.peer.service.as_ref() == Some(service) && self.passes_first(vm)
         });
+        let mut told = Vec::new();
         for (vm, _) in sidecars {
+            told.push(vm.clone());
             let message = Message::Documents(vec![in_force.published.clone()]);
             let to = vm.clone();
             out.push(EntryAction::Send { to, message });
         }
+        let key = (service.clone(), in_force.published.revision);
+        for vm in told {
+            if let Some(peer) = self.peers.get_mut(&vm) {
+                peer.note_sent(key.clone());
+            }
+        }
     }
 
     /// Whether this entry is among those that pass documents to a sidecar at once.
@@ -93,6 +101,24 @@
         ahead.count() < FIRST_PASSERS
     }
 
+    /// Sends a sidecar or an owner the document that a call runs by, unless it has it.
+    ///
+    /// The call goes over the same link behind it. Without this, a call that comes in right after a
+    /// publication would be refused where the document has not come yet.
+    pub(crate) fn send_document(&mut self, to: &VmId, call: RequestId, out: &mut Vec<EntryAction>) {
+        let (Some(peer), Some(call)) = (self.peers.get_mut(to), self.calls.get(&call)) else {
+            return;
+        };
+        let published = &call.in_force.published;
+        let key = (published.service.clone(), published.revision);
+        if !peer.has_document(&key) {
+            let message = Message::Documents(vec![published.clone()]);
+            let to = to.clone();
+            out.push(EntryAction::Send { to, message });
+            peer.note_sent(key);
+        }
+    }
+
     /// Takes documents that another entry has in force.
     pub(crate) fn on_documents(
         &mut self,
--- a/clementinepick/src/links.rs
+++ b/clementinepick/src/links.rs
@@ -1,5 +1,7 @@
 //! What an entry makes of its links and of the list of VMs.
 
+use std::collections::BTreeSet;
+
 use crate::answer::Reply;
 use crate::call::Usage;
 use crate::call_state::{PeerState, ReplyTo, Step};
@@ -118,6 +120,7 @@
             revisions: None,
             lags: true,
             confirmed_by_read: self.config_journal.read_now(now),
+            sent_documents: BTreeSet::new(),
         };
         let message = Message::Heartbeat(self.heartbeat_to(now, &state));
         out.push(EntryAction::Send {
--- a/clementinepick/src/members.rs
+++ b/clementinepick/src/members.rs
@@ -68,6 +68,9 @@
         // row does, or each entry would send each document to each other.
         let lagged = std::mem::replace(&mut peer.lags, !lacking.is_empty());
         if lagged && !lacking.is_empty() {
+            for document in &lacking {
+                peer.note_sent((document.service.clone(), document.revision));
+            }
             let (to, message) = (to.clone(), Message::Documents(lacking));
             out.push(EntryAction::Send { to, message });
         }
@@ -87,6 +90,13 @@
         for service in services {
             self.steer_work(&service);
         }
+        // What was sent to a peer that hears nothing will never be answered: its calls go elsewhere
+        // now, not at their deadlines, and the link is opened anew.
+        let deaf = changes.into_iter().filter(|c| c.to == Standing::Deaf);
+        for StandingChange { vm, .. } in deaf {
+            self.on_link_down(now, &vm, out);
+            out.push(EntryAction::Disconnect(vm));
+        }
     }
 
     /// Tells the router which backend servers of a service may get new work.
--- a/clementinepick/src/sidecar_calls.rs
+++ b/clementinepick/src/sidecar_calls.rs
@@ -30,7 +30,7 @@
             return;
         }
         let Some(call) = self.gate_call(now, &dispatch) else {
-            let detail = "the document in force here has no such class";
+            let detail = "the document of this call is not known here yet";
             out.push(refuse(
                 &from,
                 attempt,
@@ -131,7 +131,9 @@
     }
 
     pub(crate) fn gate_call(&self, now: TimeUs, dispatch: &Dispatch) -> Option<GateCall> {
-        let in_force = self.config.service(&self.settings.service)?;
+        // A call runs to its end by the revision that its owner saw when it came in. By the newest
+        // one, a call whose class was dropped meanwhile would be refused half way.
+        let in_force = self.config.at(&self.settings.service, dispatch.revision)?;
         let rules = in_force.document.class(&dispatch.class)?;
         let prompt_tokens = match &dispatch.payload {
             Payload::Chat(call) => call.prompt.length_tokens(),
--- a/clementinepick/src/step_own.rs
+++ b/clementinepick/src/step_own.rs
@@ -210,6 +210,7 @@
             request: Box::new(request),
             hops: call.hops + 1,
         };
+        self.send_document(&to, id, out);
         out.push(EntryAction::Send { to, message });
     }
 
--- a/clementinepick/src/step_route.rs
+++ b/clementinepick/src/step_route.rs
@@ -85,6 +85,7 @@
             live.last_backend = Some(target.clone());
             live.holders.insert(target.clone());
         }
+        self.send_document(target, id, out);
         out.push(EntryAction::Send {
             to: target.clone(),
             message: Message::Dispatch(Box::new(message)),
--- a/clementinepick/tests/common/mod.rs
+++ b/clementinepick/tests/common/mod.rs
@@ -18,7 +18,9 @@
 };
 use clementinepick::journal::{AppendOutcome, JournalAction};
 use clementinepick::message::{Message, Peer};
-use clementinepick::platform::{GenerateBody, ReadAnswer, StoredRecord, StreamName};
+use clementinepick::platform::{
+    EngineOrder, EngineState, GenerateBody, OrderBody, ReadAnswer, StoredRecord, StreamName,
+};
 use clementinepick::prompt::{Prompt, Segment};
 use clementinepick::record::{EndReason, OwnedRecord, Record, RecordBody};
 use clementinepick::replay::{Applied, Partitions};
@@ -79,6 +81,12 @@
     pub cached: BTreeSet<ProgramId>,
     /// Whether releases are answered.
     pub releases: bool,
+    /// What the engine serves, where it takes orders.
+    pub engine: Option<EngineState>,
+    /// The time that an order takes.
+    pub order_us: u64,
+    /// The orders that the engine has carried out.
+    pub orders: Vec<EngineOrder>,
 }
 
 #[derive(Debug, Clone)]
@@ -145,6 +153,10 @@
     pub tune: fn(&mut EntrySettings),
     /// Drops matching messages instead of delivering them.
     pub lose: fn(&Message) -> bool,
+    /// Drops everything from the first to the second, while their link stays up.
+    pub deaf: BTreeSet<(VmId, VmId)>,
+    /// The bytes and messages that each process has sent over its links.
+    pub sent_bytes: BTreeMap<VmId, (u64, u64)>,
 }
 
 pub fn vm(name: &str) -> VmId {
@@ -201,9 +213,11 @@
             safeguards,
             tune,
             lose: |_| false,
+            deaf: BTreeSet::new(),
+            sent_bytes: BTreeMap::new(),
         };
         for (operation, text) in [(1, ENGINES), (2, PLAIN)] {
-            world.publish(operation, text);
+            world.publish(operation, 0, text);
         }
         let names = (0..engines).map(|n| format!("g{n}"));
         let names = names.chain((0..plain).map(|n| format!("b{n}")));
@@ -214,7 +228,8 @@
         world
     }
 
-    fn publish(&mut self, operation: u128, text: &str) {
+    /// Appends a publication over the revision `base`.
+    pub fn publish(&mut self, operation: u128, base: u64, text: &str) {
         let document = clementinepick::document::Document::parse(text).expect("right");
         let record = Record {
             id: RecordId(operation),
@@ -223,7 +238,7 @@
             body: RecordBody::Publish {
                 operation: OperationId(operation),
                 service: document.service,
-                base: Revision(0),
+                base: Revision(base),
                 document: text.to_owned(),
             },
         };
@@ -258,6 +273,9 @@
                 held: Vec::new(),
                 cached: BTreeSet::new(),
                 releases: true,
+                engine: None,
+                order_us: 2_000_000,
+                orders: Vec::new(),
             });
             Process::Sidecar(Box::new(Sidecar::new(settings)))
         };
@@ -268,6 +286,9 @@
             waiting: Vec::new(),
         };
         self.hosts.insert(id.clone(), host);
+        if name.starts_with('g') {
+            self.tell_engine(&id, LINK_US);
+        }
         self.connect_all(&id);
     }
 
@@ -452,6 +473,11 @@
         }
         let mut bytes = Vec::new();
         ciborium::into_writer(message, &mut bytes).expect("encodable");
+        let sent = self.sent_bytes.entry(from.clone()).or_default();
+        *sent = (sent.0 + bytes.len() as u64, sent.1 + 1);
+        if self.deaf.contains(&(from.clone(), to.clone())) {
+            return;
+        }
         let message: Message = ciborium::from_reader(&bytes[..]).expect("decodable");
         let from = from.clone();
         let input = if to.as_str().starts_with('e') {
@@ -584,8 +610,60 @@
                 self.push(1_000, id, Input::Sidecar(input));
             }
             SidecarAction::Log(event) => self.events.push((self.now_us, id.clone(), event.kind)),
-            SidecarAction::Cancel(_) | SidecarAction::Order { .. } | SidecarAction::Finished => {}
+            SidecarAction::Order { order, .. } => self.start_order(id, &order),
+            SidecarAction::Cancel(_) | SidecarAction::Finished => {}
+        }
+    }
+
+    /// Makes engines take orders, with what they serve at first.
+    pub fn take_orders(&mut self, state: &EngineState) {
+        let ids: Vec<VmId> = self.backends.keys().cloned().collect();
+        for id in ids {
+            if id.as_str().starts_with('g') {
+                self.backends.get_mut(&id).expect("a backend").engine = Some(state.clone());
+                self.tell_engine(&id, 0);
+            }
+        }
+    }
+
+    /// Lets the sidecar read the engine's state.
+    pub fn tell_engine(&mut self, id: &VmId, delay_us: u64) {
+        if let Some(state) = self.backends[id].engine.clone() {
+            self.push(delay_us, id, Input::Sidecar(SidecarInput::Engine(state)));
+        }
+    }
+
+    fn start_order(&mut self, id: &VmId, body: &OrderBody) {
+        let backend = self.backends.get_mut(id).expect("a backend");
+        assert!(
+            backend.held.is_empty(),
+            "{id}: an order came over running calls"
+        );
+        let Some(state) = &mut backend.engine else {
+            return;
+        };
+        backend.orders.push(body.order.clone());
+        state.busy = Some(body.id);
+        self.tell_engine(id, 1_000);
+        let state = self.backends.get_mut(id).and_then(|b| b.engine.as_mut());
+        let state = state.expect("it takes orders");
+        state.busy = None;
+        match body.order.clone() {
+            EngineOrder::LoadModel { model, version } => {
+                state.models.insert(model, version);
+            }
+            EngineOrder::LoadAdapter {
+                adapter, version, ..
+            } => {
+                state.adapters.insert(adapter, version);
+            }
+            EngineOrder::Unload { model } => {
+                state.models.remove(&model);
+            }
+            EngineOrder::SetRole { role } => state.role = role,
         }
+        let order_us = self.backends[id].order_us;
+        self.tell_engine(id, order_us);
     }
 
     fn start_work(&mut self, id: &VmId, started: Started) {
