--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -15,8 +15,8 @@
 use crate::entry_orders::EngineWord;
 use crate::event::{Event, EventKind};
 use crate::ids::{
-    AttemptId, CallKey, Incarnation, Offset, PartitionId, ProgramId, RecordId, RequestId, Revision,
-    ServiceName, VmId, ZoneName,
+    AttemptId, CallKey, Incarnation, ModelName, Offset, PartitionId, ProgramId, RecordId,
+    RequestId, Revision, ServiceName, VmId, ZoneName,
 };
 use crate::journal::{AppendOutcome, Journal, JournalAction, JournalSettings};
 use crate::membership::{Membership, MembershipSettings};
@@ -183,7 +183,11 @@
     pub(crate) vms: BTreeMap<VmId, Vm>,
     pub(crate) peers: BTreeMap<VmId, PeerState>,
     pub(crate) membership: Membership,
+    pub(crate) next_judge_us: TimeUs,
     pub(crate) engines: BTreeMap<VmId, EngineWord>,
+    /// The engines of a service that do not serve a model; emptied when any engine changes.
+    pub(crate) model_gaps: BTreeMap<(ServiceName, ModelName), BTreeSet<VmId>>,
+    pub(crate) next_orders_us: TimeUs,
     /// The services on which this entry decides.
     pub(crate) placements: BTreeMap<ServiceName, Placement>,
     /// Own claims to decide that were not yet read back.
@@ -240,7 +244,10 @@
                 silence_us: settings.peer_timeout_us,
                 ..MembershipSettings::default()
             }),
+            next_judge_us: TimeUs(0),
             engines: BTreeMap::new(),
+            model_gaps: BTreeMap::new(),
+            next_orders_us: TimeUs(0),
             placements: BTreeMap::new(),
             decider_claims: BTreeMap::new(),
             config_snapshot_us: None,
--- a/clementinepick/src/entry_orders.rs
+++ b/clementinepick/src/entry_orders.rs
@@ -20,6 +20,11 @@
 /// The heartbeats by which all sidecars know a new decider's number before it gives orders.
 const SETTLE_HEARTBEATS: u64 = 3;
 
+/// The time between two looks at what is to be ordered.
+const DECIDE_INTERVAL: SpanUs = SpanUs::from_ms(200);
+/// The models whose gaps are remembered; callers choose the names where a document lists none.
+const MAX_MODEL_GAPS: usize = 256;
+
 /// What an engine said last, by its sidecar.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct EngineWord {
@@ -30,6 +35,7 @@
 impl Entry {
     pub(crate) fn on_engine_state(&mut self, from: &VmId, state: EngineState) {
         self.engines.entry(from.clone()).or_default().state = Some(state);
+        self.model_gaps.clear();
     }
 
     pub(crate) fn on_engine_load(&mut self, from: &VmId, load: BackendLoad) {
@@ -38,28 +44,47 @@
 
     pub(crate) fn on_engine_gone(&mut self, vm: &VmId) {
         self.engines.remove(vm);
+        self.model_gaps.clear();
         for placement in self.placements.values_mut() {
             placement.on_gone(vm);
         }
     }
 
-    /// The engines that surely do not serve a model.
-    pub(crate) fn without_model(&self, model: &ModelName) -> BTreeSet<VmId> {
-        let states = self.engines.iter().filter_map(|(vm, word)| {
-            let state = word.state.as_ref()?;
-            Some((vm, state))
-        });
+    /// The engines of a service that surely do not serve a model.
+    pub(crate) fn without_model(
+        &mut self,
+        service: &ServiceName,
+        model: &ModelName,
+    ) -> BTreeSet<VmId> {
+        let key = (service.clone(), model.clone());
+        if let Some(known) = self.model_gaps.get(&key) {
+            return known.clone();
+        }
         // An engine that names no models serves whatever it was started with.
-        let without = states.filter(|(_, state)| {
+        let lacks = |state: &EngineState| {
             !state.models.is_empty()
                 && !state.models.contains_key(model)
                 && !state.adapters.contains_key(model)
+        };
+        let of_service = self.engines.iter().filter(|(vm, word)| {
+            let peer = self.peers.get(*vm);
+            peer.is_some_and(|peer| peer.peer.service.as_ref() == Some(service))
+                && word.state.as_ref().is_some_and(lacks)
         });
-        without.map(|(vm, _)| vm.clone()).collect()
+        let gap: BTreeSet<VmId> = of_service.map(|(vm, _)| vm.clone()).collect();
+        if self.model_gaps.len() >= MAX_MODEL_GAPS {
+            self.model_gaps.clear();
+        }
+        self.model_gaps.insert(key, gap.clone());
+        gap
     }
 
     /// Claims what nobody decides on, and gives the orders that are due where this entry decides.
     pub(crate) fn decide_orders(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        if now < self.next_orders_us {
+            return;
+        }
+        self.next_orders_us = now.after(DECIDE_INTERVAL);
         // Without the log this entry can't know whether it was deposed.
         if !self.is_caught_up() || self.leaving || self.config_journal.is_down() {
             self.placements.clear();
--- a/clementinepick/src/links.rs
+++ b/clementinepick/src/links.rs
@@ -130,7 +130,7 @@
         self.peers.insert(vm.clone(), state);
         self.lost_us.remove(&vm);
         self.membership.on_link_up(now, peer.clone());
-        self.judge_members(now, out);
+        self.judge_member(now, &vm, out);
         if let Some(service) = &peer.service {
             self.steer_work(service);
         }
@@ -157,7 +157,7 @@
         self.router.remove(vm);
         self.on_engine_gone(vm);
         self.membership.on_link_down(now, vm);
-        self.judge_members(now, out);
+        self.judge_member(now, vm, out);
         if let Some(service) = &peer.peer.service {
             self.steer_work(service);
         }
@@ -195,6 +195,7 @@
 
     pub(crate) fn on_vms(&mut self, now: TimeUs, vms: Vec<Vm>, out: &mut Vec<EntryAction>) {
         self.membership.on_list(vms.clone());
+        self.next_judge_us = now;
         self.judge_members(now, out);
         self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
         let others = self.vms.values().filter(|vm| vm.id != self.settings.vm);
--- a/clementinepick/src/members.rs
+++ b/clementinepick/src/members.rs
@@ -9,7 +9,10 @@
 use crate::membership::{Standing, StandingChange};
 use crate::message::{Heartbeat, Message};
 use crate::platform::VmRole;
-use crate::units::TimeUs;
+use crate::units::{SpanUs, TimeUs};
+
+/// The time between two judgements of all peers.
+const JUDGE_INTERVAL: SpanUs = SpanUs::from_ms(100);
 
 impl Entry {
     /// What this entry tells a peer of itself; a sidecar hears of its own service only.
@@ -47,7 +50,7 @@
             ..
         } = heartbeat;
         self.membership.on_heartbeat(now, from, leaving, silence_us);
-        self.judge_members(now, out);
+        self.judge_member(now, from, out);
         self.pass_documents(from, revisions, out);
     }
 
@@ -76,9 +79,27 @@
         }
     }
 
-    /// Judges the peers anew and acts on what has changed.
+    /// Judges all peers anew, a few times a second: silence and held links show with time only.
     pub(crate) fn judge_members(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
-        let changes = self.membership.judge(now);
+        if now >= self.next_judge_us {
+            self.next_judge_us = now.after(JUDGE_INTERVAL);
+            let changes = self.membership.judge(now);
+            self.on_standings(now, changes, out);
+        }
+    }
+
+    pub(crate) fn judge_member(&mut self, now: TimeUs, vm: &VmId, out: &mut Vec<EntryAction>) {
+        let change = self.membership.judge_one(now, vm);
+        self.on_standings(now, change.into_iter().collect(), out);
+    }
+
+    /// Acts on what has changed.
+    fn on_standings(
+        &mut self,
+        now: TimeUs,
+        changes: Vec<StandingChange>,
+        out: &mut Vec<EntryAction>,
+    ) {
         let mut services = BTreeSet::new();
         for change in &changes {
             out.extend(event_of(change).map(EntryAction::Event));
--- a/clementinepick/src/membership.rs
+++ b/clementinepick/src/membership.rs
@@ -188,6 +188,16 @@
         changes
     }
 
+    /// Judges one peer anew; its change, if there is one.
+    pub fn judge_one(&mut self, now: TimeUs, vm: &VmId) -> Option<StandingChange> {
+        let listed = self.listed.get(vm).map(|vm| vm.state);
+        let member = self.members.get_mut(vm)?;
+        let to = member.judge(now, &self.settings, listed);
+        let from = std::mem::replace(&mut member.standing, to);
+        let vm = vm.clone();
+        (from != to).then_some(StandingChange { vm, from, to })
+    }
+
     /// A peer's standing as last judged.
     #[must_use]
     pub fn standing(&self, vm: &VmId) -> Standing {
--- a/clementinepick/src/step_route.rs
+++ b/clementinepick/src/step_route.rs
@@ -16,15 +16,22 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        let last = self
-            .programs
-            .get(&call.request.program)
-            .and_then(|p| p.last_backend.as_ref());
         // An engine that does not serve the model would fail the call after it was sent.
+        let service = call.request.service.clone();
         let mut excluded = match &call.request.payload {
-            Payload::Chat(chat) => self.without_model(&chat.model),
+            Payload::Chat(chat) => {
+                let model = chat.model.clone();
+                self.without_model(&service, &model)
+            }
             Payload::Plain(_) => BTreeSet::new(),
         };
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let last = self
+            .programs
+            .get(&call.request.program)
+            .and_then(|p| p.last_backend.as_ref());
         excluded.extend(call.tried.iter().cloned());
         let query = RouteQuery {
             service: &call.request.service,
