--- a/clementinepick/src/config_replay.rs
+++ b/clementinepick/src/config_replay.rs
@@ -191,9 +191,7 @@
                 Some(self.claim(offset, record, service, *over))
             }
             RecordBody::ConfigSnapshot { up_to, .. } => Some(Change::Snapshot { up_to: *up_to }),
-            RecordBody::OrderIssued { .. }
-            | RecordBody::Claim { .. }
-            | RecordBody::Owned { .. } => None,
+            RecordBody::Claim { .. } | RecordBody::Owned { .. } => None,
         }
     }
 
--- a/clementinepick/src/members.rs
+++ b/clementinepick/src/members.rs
@@ -102,8 +102,9 @@
     ) {
         let mut services = BTreeSet::new();
         for change in &changes {
-            out.extend(event_of(change).map(EntryAction::Event));
             if let Some(peer) = self.peers.get_mut(&change.vm) {
+                let event = event_of(change, peer.peer.role);
+                out.extend(event.map(EntryAction::Event));
                 peer.leaving = matches!(change.to, Standing::Leaving | Standing::Deaf);
                 services.extend(peer.peer.service.clone());
             }
@@ -143,12 +144,12 @@
     }
 }
 
-fn event_of(change: &StandingChange) -> Option<Event> {
+fn event_of(change: &StandingChange, role: VmRole) -> Option<Event> {
     let kind = match change.to {
-        Standing::Leaving => EventKind::BackendLeaving,
+        Standing::Leaving if role == VmRole::Sidecar => EventKind::BackendLeaving,
         Standing::Flapping => EventKind::PeerFlapping,
         Standing::Deaf => EventKind::PeerDeaf,
-        Standing::Serving | Standing::Gone => return None,
+        Standing::Leaving | Standing::Serving | Standing::Gone => return None,
     };
     Some(Event::new(kind).with("vm", &change.vm))
 }
--- a/clementinepick/src/record.rs
+++ b/clementinepick/src/record.rs
@@ -8,10 +8,8 @@
 use crate::error::CallError;
 use crate::ids::{
     AttemptId, CallKey, CallSeq, ClassName, Epoch, FencingNumber, IdempotencyKey, Incarnation,
-    Offset, OperationId, OrderId, PartitionId, ProgramId, RecordId, RequestId, Revision,
-    ServiceName, VmId,
+    Offset, OperationId, PartitionId, ProgramId, RecordId, RequestId, Revision, ServiceName, VmId,
 };
-use crate::platform::EngineOrder;
 use crate::prompt::ChainHash;
 use crate::replay::PartitionState;
 use crate::units::{SpanUs, Tokens};
@@ -50,19 +48,6 @@
         /// The claim that this one replaces.
         over: Option<FencingNumber>,
     },
-    /// The decider gives an order to an engine.
-    OrderIssued {
-        /// The order.
-        id: OrderId,
-        /// The service.
-        service: ServiceName,
-        /// The decider's claim.
-        fencing: FencingNumber,
-        /// The sidecar of the engine.
-        target: VmId,
-        /// What to do.
-        order: EngineOrder,
-    },
     /// The configuration, carried forward before retention ends.
     ConfigSnapshot {
         /// The snapshot holds all records before this offset.
--- a/clementinepick/src/replay.rs
+++ b/clementinepick/src/replay.rs
@@ -218,7 +218,6 @@
             RecordBody::Claim { partition, .. } | RecordBody::Owned { partition, .. } => *partition,
             RecordBody::Publish { .. }
             | RecordBody::DeciderClaim { .. }
-            | RecordBody::OrderIssued { .. }
             | RecordBody::ConfigSnapshot { .. } => return Applied::Other,
         };
         if self.is_whole(partition) {
@@ -233,7 +232,6 @@
             RecordBody::Owned { epoch, entry, .. } => self.owned(record, partition, *epoch, entry),
             RecordBody::Publish { .. }
             | RecordBody::DeciderClaim { .. }
-            | RecordBody::OrderIssued { .. }
             | RecordBody::ConfigSnapshot { .. } => Applied::Other,
         }
     }
--- a/clementinepick/tests/common/mod.rs
+++ b/clementinepick/tests/common/mod.rs
@@ -87,6 +87,9 @@
     pub order_us: u64,
     /// The orders that the engine has carried out.
     pub orders: Vec<EngineOrder>,
+    /// When the last call that was started ends, and when the order that was started does.
+    calls_until_us: u64,
+    order_until_us: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -276,6 +279,8 @@
                 engine: None,
                 order_us: 2_000_000,
                 orders: Vec::new(),
+                calls_until_us: 0,
+                order_until_us: 0,
             });
             Process::Sidecar(Box::new(Sidecar::new(settings)))
         };
@@ -635,10 +640,9 @@
 
     fn start_order(&mut self, id: &VmId, body: &OrderBody) {
         let backend = self.backends.get_mut(id).expect("a backend");
-        assert!(
-            backend.held.is_empty(),
-            "{id}: an order came over running calls"
-        );
+        let idle = backend.held.is_empty() && backend.calls_until_us <= self.now_us;
+        assert!(idle, "{id}: an order came over running calls");
+        backend.order_until_us = self.now_us + backend.order_us;
         let Some(state) = &mut backend.engine else {
             return;
         };
@@ -668,6 +672,8 @@
 
     fn start_work(&mut self, id: &VmId, started: Started) {
         let backend = self.backends.get_mut(id).expect("a backend");
+        let idle = backend.order_until_us <= self.now_us;
+        assert!(idle, "{id}: a call came over a running order");
         match &started {
             Started::Turn(body) => {
                 let last = body.messages.last().expect("a message");
@@ -700,7 +706,9 @@
     }
 
     fn end_work(&mut self, id: &VmId, delay_us: u64, started: &Started) {
-        let tokens = self.backends[id].tokens;
+        let backend = self.backends.get_mut(id).expect("a backend");
+        backend.calls_until_us = backend.calls_until_us.max(self.now_us + delay_us);
+        let tokens = backend.tokens;
         match started {
             Started::Turn(body) => {
                 let last = &body.messages.last().expect("a message").content;
--- a/clementinepick/tests/operations.rs
+++ b/clementinepick/tests/operations.rs
@@ -209,6 +209,9 @@
 #[test]
 fn a_new_version_cuts_no_call_off() {
     let mut world = World::new(2, 4, 0);
+    for backend in world.backends.values_mut() {
+        backend.delay_us = Some(400_000);
+    }
     world.take_orders(&serving("v1"));
     world.publish(10, 1, &placed("v2"));
     let mut ids = Vec::new();
