Space the claims of deciders that can't see each other

Cause: two entries without a link took each other's decider for dead and claimed in turns, several times a second, so that neither came to give orders; an order that waited for calls to end was passed on after its decider was deposed. Change: claims are spaced ever further with each change of decider; the sidecar looks at the fencing number again when it passes an order on. Shown: tests/operations.rs, 15 tests; without the spacing the new one fails, with it there are 2 to 7 claims in two minutes and the version comes everywhere. sidecar_orders.rs has a test of the dropped order.

--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -12,7 +12,7 @@
     Releasing, ReplyTo, TakingOver,
 };
 use crate::config::Config;
-use crate::entry_orders::EngineWord;
+use crate::entry_orders::{DeciderPace, EngineWord};
 use crate::event::{Event, EventKind};
 use crate::ids::{
     AttemptId, CallKey, Incarnation, ModelName, Offset, PartitionId, ProgramId, RecordId,
@@ -192,6 +192,7 @@
     pub(crate) placements: BTreeMap<ServiceName, Placement>,
     /// Own claims to decide that were not yet read back.
     pub(crate) decider_claims: BTreeMap<ServiceName, RecordId>,
+    pub(crate) decider_paces: BTreeMap<ServiceName, DeciderPace>,
     /// When the last snapshot of the configuration was read or written here.
     pub(crate) config_snapshot_us: Option<TimeUs>,
     /// Whether it was said that records of the configuration are missing.
@@ -250,6 +251,7 @@
             next_orders_us: TimeUs(0),
             placements: BTreeMap::new(),
             decider_claims: BTreeMap::new(),
+            decider_paces: BTreeMap::new(),
             config_snapshot_us: None,
             has_config_gap: false,
             router: Router::new(RouteSettings {
--- a/clementinepick/src/entry_config.rs
+++ b/clementinepick/src/entry_config.rs
@@ -29,7 +29,14 @@
         for change in self.config.apply(offset, record) {
             match change {
                 Change::Published(publication) => self.on_publication(&publication, out),
-                Change::Decided { service, .. } | Change::DeciderOutrun { service, .. } => {
+                Change::Decided { service, .. } => {
+                    self.decider_claims.remove(&service);
+                    self.decider_paces
+                        .entry(service)
+                        .or_default()
+                        .on_change(now);
+                }
+                Change::DeciderOutrun { service, .. } => {
                     self.decider_claims.remove(&service);
                 }
                 Change::Snapshot { .. } => self.config_snapshot_us = Some(now),
--- a/clementinepick/src/entry_orders.rs
+++ b/clementinepick/src/entry_orders.rs
@@ -32,6 +32,38 @@
     pub(crate) load: BackendLoad,
 }
 
+/// The changes of a service's decider after which claims are no longer spaced further.
+const MAX_PACED_CHANGES: u32 = 6;
+/// The time without a change after which all is forgotten.
+const QUIET: SpanUs = SpanUs::from_s(600);
+
+/// How claims to decide for one service are spaced.
+///
+/// Two entries that can't see each other each take the other's decider for dead. Both reach the
+/// log, and without ever longer waits they would depose each other several times a second.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct DeciderPace {
+    changes: u32,
+    last_us: Option<TimeUs>,
+}
+
+impl DeciderPace {
+    pub(crate) fn on_change(&mut self, now: TimeUs) {
+        let quiet = self
+            .last_us
+            .is_none_or(|last_us| now.since(last_us) >= QUIET);
+        self.changes = if quiet { 0 } else { self.changes + 1 };
+        self.last_us = Some(now);
+    }
+
+    fn not_before(self, timeout: SpanUs) -> TimeUs {
+        let Some(last_us) = self.last_us else {
+            return TimeUs(0);
+        };
+        last_us.after(SpanUs(timeout.0 << self.changes.min(MAX_PACED_CHANGES)))
+    }
+}
+
 impl Entry {
     pub(crate) fn on_engine_state(&mut self, from: &VmId, state: EngineState) {
         self.engines.entry(from.clone()).or_default().state = Some(state);
@@ -121,6 +153,10 @@
         {
             return;
         }
+        let pace = self.decider_paces.get(service).copied().unwrap_or_default();
+        if now < pace.not_before(self.settings.peer_timeout_us) {
+            return;
+        }
         // The same choice as for partitions, spread over the entries by the service's name.
         let slot =
             PartitionId(u16::try_from(xxh3_64(service.as_str().as_bytes()) >> 48).unwrap_or(0));
--- a/clementinepick/src/sidecar_orders.rs
+++ b/clementinepick/src/sidecar_orders.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 
 use crate::event::{Event, EventKind};
-use crate::ids::{FencingNumber, Incarnation, VmId};
+use crate::ids::{FencingNumber, Incarnation, OrderId, VmId};
 use crate::message::{Message, OrderOutcome};
 use crate::placement::interrupts;
 use crate::platform::{EngineOrder, EngineState, OrderBody};
@@ -102,13 +102,7 @@
                     stage: Stage::Draining,
                 });
             }
-            Err((kind, detail)) => {
-                let event = Event::new(kind).with("order", body.id);
-                out.push(SlotAction::Log(event.with("detail", detail)));
-                let id = body.id;
-                let outcome = OrderOutcome::Refused(detail.to_owned());
-                out.push(SlotAction::Tell(from, Message::OrderReply { id, outcome }));
-            }
+            Err((kind, detail)) => refuse(from, body.id, kind, detail, out),
         }
     }
 
@@ -168,12 +162,23 @@
 
     /// Passes the order on once nothing runs that it would interrupt.
     pub(crate) fn poll(&mut self, now: TimeUs, is_idle: bool, out: &mut Vec<SlotAction>) {
-        let Some(current) = &mut self.current else {
+        let waits = |c: &&mut Current| c.stage == Stage::Draining;
+        let Some(current) = self.current.as_mut().filter(waits) else {
             return;
         };
-        if current.stage == Stage::Draining && (is_idle || !current.interrupts) {
+        let (from, body) = (current.from.clone(), current.body.clone());
+        // Its decider may have been deposed while the last calls ran.
+        if self.highest.is_some_and(|known| body.fencing < known) {
+            self.current = None;
+            refuse(
+                from,
+                body.id,
+                EventKind::OrderFenced,
+                "a newer decider is known",
+                out,
+            );
+        } else if is_idle || !current.interrupts {
             current.stage = Stage::Passed { at_us: now };
-            let (from, body) = (current.from.clone(), current.body.clone());
             let event = Event::new(EventKind::OrderPassed).with("order", body.id);
             out.push(SlotAction::Log(event));
             out.push(SlotAction::Pass(from, body));
@@ -191,6 +196,13 @@
     }
 }
 
+fn refuse(to: VmId, id: OrderId, kind: EventKind, detail: &'static str, out: &mut Vec<SlotAction>) {
+    let event = Event::new(kind).with("order", id);
+    out.push(SlotAction::Log(event.with("detail", detail)));
+    let outcome = OrderOutcome::Refused(detail.to_owned());
+    out.push(SlotAction::Tell(to, Message::OrderReply { id, outcome }));
+}
+
 impl Current {
     /// The outcome, once the engine's state shows it.
     fn advance(
@@ -232,3 +244,43 @@
         EngineOrder::SetRole { role } => state.role == *role,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::collections::BTreeMap;
+
+    use super::*;
+    use crate::platform::EngineRole;
+
+    // A decider orders a load; the engine's last calls take a while. Meanwhile another entry claims
+    // the decision, as a heartbeat tells. The order is dropped, or it would undo the newer ones.
+    #[test]
+    fn an_order_whose_decider_is_deposed_while_calls_end_is_dropped() {
+        let mut slot = OrderSlot::new(Incarnation(1));
+        let (model, version): (_, _) = ("m".parse(), "v1".parse());
+        let state = EngineState {
+            models: BTreeMap::from([(model.expect("a name"), version.expect("a name"))]),
+            adapters: BTreeMap::new(),
+            role: EngineRole::Mixed,
+            fencing: None,
+            busy: None,
+        };
+        let mut out = Vec::new();
+        slot.on_engine(TimeUs(0), state, None, &mut out);
+        let body = OrderBody {
+            id: OrderId(1),
+            fencing: FencingNumber(5),
+            order: EngineOrder::SetRole {
+                role: EngineRole::Decode,
+            },
+        };
+        let from: VmId = "entry-a".parse().expect("a name");
+        slot.on_order(from, Incarnation(1), body, &mut out);
+        slot.poll(TimeUs(1), false, &mut out);
+        assert!(slot.blocks_new_work());
+        slot.on_decider(Some(FencingNumber(9)));
+        slot.poll(TimeUs(2), true, &mut out);
+        assert!(!out.iter().any(|a| matches!(a, SlotAction::Pass(..))));
+        assert!(!slot.blocks_new_work());
+    }
+}
--- a/clementinepick/tests/operations.rs
+++ b/clementinepick/tests/operations.rs
@@ -269,6 +269,25 @@
     assert!(second.is_some_and(|second| second != first));
 }
 
+// Two entries lose each other for good; both reach the log and all sidecars. Each takes the other's
+// decider for dead and claims over it, ever more rarely, and the version still comes everywhere.
+#[test]
+fn entries_that_cannot_see_each_other_do_not_depose_each_other_all_the_time() {
+    let mut world = World::new(2, 4, 0);
+    world.take_orders(&serving("v1"));
+    world.cut("e0", "e1");
+    world.run_ms(4_000);
+    world.publish(10, 1, &placed("v2"));
+    world.run_ms(120_000);
+    assert_eq!(with_version(&world, "v2"), 4);
+    let records = &world.log.records[&StreamName::Config];
+    let claims = records
+        .iter()
+        .filter(|r| r.contains("DeciderClaim"))
+        .count();
+    assert!((2..=7).contains(&claims), "{claims} claims in two minutes");
+}
+
 // A sidecar restarts and has forgotten the decider's number; the engine keeps none. The decider
 // reads the log anew before it names the new life, so that it would know if it were deposed.
 #[test]
