--- a/clementinepick/src/links.rs
+++ b/clementinepick/src/links.rs
@@ -1,5 +1,7 @@
 //! What an entry makes of its links and of the list of VMs.
 
+use std::collections::BTreeSet;
+
 use crate::answer::Reply;
 use crate::call::Usage;
 use crate::call_state::{PeerState, ReplyTo, Step};
@@ -118,6 +120,7 @@
             revisions: None,
             lags: true,
             confirmed_by_read: self.config_journal.read_now(now),
+            sent_documents: BTreeSet::new(),
         };
         let message = Message::Heartbeat(self.heartbeat_to(now, &state));
         out.push(EntryAction::Send {
@@ -127,7 +130,7 @@
         self.peers.insert(vm.clone(), state);
         self.lost_us.remove(&vm);
         self.membership.on_link_up(now, peer.clone());
-        self.judge_members(now, out);
+        self.judge_member(now, &vm, out);
         if let Some(service) = &peer.service {
             self.steer_work(service);
         }
@@ -154,7 +157,7 @@
         self.router.remove(vm);
         self.on_engine_gone(vm);
         self.membership.on_link_down(now, vm);
-        self.judge_members(now, out);
+        self.judge_member(now, vm, out);
         if let Some(service) = &peer.peer.service {
             self.steer_work(service);
         }
@@ -192,6 +195,7 @@
 
     pub(crate) fn on_vms(&mut self, now: TimeUs, vms: Vec<Vm>, out: &mut Vec<EntryAction>) {
         self.membership.on_list(vms.clone());
+        self.next_judge_us = now;
         self.judge_members(now, out);
         self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
         let others = self.vms.values().filter(|vm| vm.id != self.settings.vm);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,7 +4,9 @@
 //! memory; the same cores stand behind HTTP for the daemons.
 
 pub mod answer;
+pub mod balancer;
 pub mod cache;
+pub mod caller;
 pub mod chaos;
 pub mod chaos_backend;
 pub mod chaos_callers;
@@ -18,6 +20,8 @@
 pub mod chaos_strike;
 pub mod chaos_world;
 pub mod clock;
+pub mod demo;
+pub mod deployment;
 pub mod engine;
 pub mod engine_memory;
 pub mod engine_orders;
@@ -27,8 +31,13 @@
 pub mod http_engine;
 pub mod http_plain;
 pub mod http_platform;
+pub mod load;
 pub mod log_service;
 pub mod plain_service;
+pub mod plot;
+pub mod report;
+pub mod run_program;
+pub mod script;
 mod sequence;
 pub mod serve;
 pub mod servers;
