Split the HTTP side and the callers off into modules of one job

Change: http is the server and what operators ask, http_calls what callers ask, http_receive the limits, http_reply what answers are made of; callers keeps the answers that the control thread has open. No behaviour changes.

--- a/clementinepickd/src/control.rs
+++ b/clementinepickd/src/control.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use clementinepick::call::{AnswerPart, Payload, Request};
+use clementinepick::call::{Payload, Request};
 use clementinepick::event::{Event, EventKind};
 use clementinepick::ids::{Incarnation, RequestId, VmId};
 use clementinepick::message::{Message, Peer};
@@ -16,7 +16,8 @@
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
 
-use crate::answer_queue::{AnswerSender, Stopped};
+use crate::answer_queue::AnswerSender;
+use crate::callers::Callers;
 use crate::daemon::Ended;
 use crate::input::{ClientOrder, ControlInput, DialOrder, LinkId};
 use crate::logging::write_event;
@@ -73,12 +74,6 @@
     queue: QueueSender,
 }
 
-struct OpenCall {
-    answers: AnswerSender,
-    since_us: TimeUs,
-    route: &'static str,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
     Serving,
@@ -106,7 +101,7 @@
     telemetry: Telemetry,
     links: BTreeMap<VmId, OpenLink>,
     dialled: BTreeMap<VmId, Vm>,
-    calls: BTreeMap<RequestId, OpenCall>,
+    callers: Callers,
     stage: Stage,
     finished: bool,
     next_sweep_us: TimeUs,
@@ -130,7 +125,7 @@
             telemetry,
             links: BTreeMap::new(),
             dialled: BTreeMap::new(),
-            calls: BTreeMap::new(),
+            callers: Callers::default(),
             stage: Stage::Serving,
             finished: false,
             next_sweep_us: TimeUs(0),
@@ -203,7 +198,7 @@
                 self.on_request(now, request, answers, &mut out);
             }
             ControlInput::Fetch { fetch, answers } => {
-                if self.open_call(now, fetch.id, answers, "fetch") {
+                if self.callers.add(now, fetch.id, answers, "fetch") {
                     self.decisions.fetch(now, fetch, &mut out);
                 }
             }
@@ -245,41 +240,18 @@
             Payload::Chat(_) => "chat",
             Payload::Plain(_) => "plain",
         };
-        if self.open_call(now, request.id, answers, route) {
+        if self.callers.add(now, request.id, answers, route) {
             self.decisions.request(now, request, out);
         }
     }
 
-    /// Takes note of where an answer goes; false when the caller has left already.
-    fn open_call(
-        &mut self,
-        now: TimeUs,
-        request: RequestId,
-        answers: AnswerSender,
-        route: &'static str,
-    ) -> bool {
-        if answers.check(Instant::now()).is_err() {
-            return false;
-        }
-        let call = OpenCall {
-            answers,
-            since_us: now,
-            route,
-        };
-        self.calls.insert(request, call);
-        true
-    }
-
     fn on_gone(&mut self, request: RequestId) {
-        let Some(call) = self.calls.remove(&request) else {
-            return;
-        };
         let now = self.now();
-        self.telemetry
-            .on_answered(call.route, "caller_gone", now.since(call.since_us));
-        let mut out = Vec::new();
-        self.decisions.caller_gone(now, request, &mut out);
-        self.carry_out(now, out);
+        if self.callers.leave(now, request, &self.telemetry) {
+            let mut out = Vec::new();
+            self.decisions.caller_gone(now, request, &mut out);
+            self.carry_out(now, out);
+        }
     }
 
     fn on_link_up(&mut self, now: TimeUs, open: OpenLink, out: &mut Vec<Action>) {
@@ -334,7 +306,7 @@
         }
         self.stage = Stage::Forced { at_us: now };
         self.on_event(
-            &Event::new(EventKind::ShutdownForced).with("open_answers", self.calls.len()),
+            &Event::new(EventKind::ShutdownForced).with("open_answers", self.callers.len()),
         );
         self.decisions.force(now, out);
     }
@@ -377,7 +349,12 @@
                 Action::Disconnect(vm) => {
                     self.links.remove(&vm);
                 }
-                Action::Answer { request, part } => self.answer(now, request, part, &mut more),
+                Action::Answer { request, part } => {
+                    let given = self.callers.give(now, request, part, &self.telemetry);
+                    if given.is_err() {
+                        self.decisions.caller_gone(now, request, &mut more);
+                    }
+                }
                 Action::Client(order) => {
                     // The clients' thread ends after this one, so the order is always taken.
                     let _ = self.outputs.clients.send(order);
@@ -416,54 +393,10 @@
         }
     }
 
-    fn answer(&mut self, now: TimeUs, request: RequestId, part: AnswerPart, out: &mut Vec<Action>) {
-        let Some(call) = self.calls.get(&request) else {
-            return;
-        };
-        let last = part.is_last();
-        let outcome = match &part {
-            AnswerPart::Failed(error) => error.kind.answer().code,
-            AnswerPart::Text { .. } | AnswerPart::Plain(_) | AnswerPart::Done(_) => "done",
-        };
-        match call.answers.push(Instant::now(), part) {
-            Ok(()) if !last => {}
-            Ok(()) => self.close_call(now, request, outcome),
-            Err(stopped) => self.stop_call(now, request, stopped, out),
-        }
-    }
-
-    fn stop_call(
-        &mut self,
-        now: TimeUs,
-        request: RequestId,
-        stopped: Stopped,
-        out: &mut Vec<Action>,
-    ) {
-        let outcome = match stopped {
-            Stopped::Gone => "caller_gone",
-            Stopped::Slow => "caller_slow",
-        };
-        self.close_call(now, request, outcome);
-        self.decisions.caller_gone(now, request, out);
-    }
-
     /// Cuts off callers that do not read: they would hold memory here for as long as they like.
     fn stop_slow_callers(&mut self, now: TimeUs, out: &mut Vec<Action>) {
-        let at = Instant::now();
-        let stopped: Vec<(RequestId, Stopped)> = self
-            .calls
-            .iter()
-            .filter_map(|(id, call)| Some((*id, call.answers.check(at).err()?)))
-            .collect();
-        for (request, stopped) in stopped {
-            self.stop_call(now, request, stopped, out);
-        }
-    }
-
-    fn close_call(&mut self, now: TimeUs, request: RequestId, outcome: &'static str) {
-        if let Some(call) = self.calls.remove(&request) {
-            let took = now.since(call.since_us);
-            self.telemetry.on_answered(call.route, outcome, took);
+        for request in self.callers.stop_slow(now, &self.telemetry) {
+            self.decisions.caller_gone(now, request, out);
         }
     }
 
@@ -484,7 +417,7 @@
             "uptime_ms": now.0 / 1_000,
             "stage": format!("{:?}", self.stage),
             "ready": self.outputs.ready.load(Ordering::Relaxed),
-            "open_answers": self.calls.len(),
+            "open_answers": self.callers.len(),
             "links": links,
             "dialled": self.dialled.keys().collect::<Vec<_>>(),
         });
@@ -492,7 +425,7 @@
     }
 
     fn on_gauges(&self, answer: oneshot::Sender<()>) {
-        self.telemetry.set_gauge("open_answers", self.calls.len());
+        self.telemetry.set_gauge("open_answers", self.callers.len());
         self.telemetry.set_gauge("links", self.links.len());
         for (name, count) in self.decisions.counts() {
             self.telemetry.set_gauge(name, count);
--- /dev/null
+++ b/clementinepickd/src/http_receive.rs
@@ -0,0 +1,76 @@
+//! Receives a caller's request with its body, within the limits.
+
+use actix_http::{HttpMessage, Request};
+use bytes::BytesMut;
+use clementinepick::error::{CallError, ErrorKind};
+use clementinepick::parse::{HttpRequest, KEY_HEADER};
+use futures_util::StreamExt;
+use tokio::time::timeout;
+
+use crate::http::Shared;
+use crate::link::duration;
+
+/// How the names of the headers begin that the system itself reads.
+const OWN_HEADERS: &str = "clementinepick-";
+
+/// Reads a request with its body, within the limits.
+pub(crate) async fn read(shared: &Shared, request: &mut Request) -> Result<HttpRequest, CallError> {
+    let headers = read_headers(shared, request)?;
+    let path = request.uri().path_and_query();
+    let path = path.map_or_else(|| request.path().to_owned(), ToString::to_string);
+    let method = request.method().as_str().to_owned();
+    let body = timeout(
+        duration(shared.limits.receive_us),
+        read_body(shared, request),
+    )
+    .await
+    .map_err(|_| {
+        let detail = format!("did not arrive within {}", shared.limits.receive_us);
+        CallError::at(ErrorKind::BadBody, "body", detail)
+    })??;
+    Ok(HttpRequest {
+        method,
+        path,
+        headers,
+        body,
+    })
+}
+
+fn read_headers(shared: &Shared, request: &Request) -> Result<Vec<(String, String)>, CallError> {
+    let mut left = shared.limits.header_bytes.0;
+    let mut headers = Vec::new();
+    for (name, value) in request.headers() {
+        let size = (name.as_str().len() + value.len()) as u64;
+        left = left.checked_sub(size).ok_or_else(|| {
+            let detail = format!("the limit of all is {}", shared.limits.header_bytes);
+            CallError::at(ErrorKind::BadHeader, name.as_str(), detail)
+        })?;
+        let value = value.to_str().map_err(|_| {
+            CallError::at(ErrorKind::BadHeader, name.as_str(), "must be visible ASCII")
+        })?;
+        // Two values for a program or a key are two different calls to different readers.
+        let is_own = name.as_str().starts_with(OWN_HEADERS) || name.as_str() == KEY_HEADER;
+        if is_own && headers.iter().any(|(known, _)| known == name.as_str()) {
+            let error = CallError::at(ErrorKind::BadHeader, name.as_str(), "is given twice");
+            return Err(error);
+        }
+        headers.push((name.as_str().to_owned(), value.to_owned()));
+    }
+    Ok(headers)
+}
+
+async fn read_body(shared: &Shared, request: &mut Request) -> Result<Vec<u8>, CallError> {
+    let limit = usize::try_from(shared.limits.body_bytes.0).unwrap_or(usize::MAX);
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk =
+            chunk.map_err(|err| CallError::at(ErrorKind::BadBody, "body", err.to_string()))?;
+        if body.len() + chunk.len() > limit {
+            let detail = format!("the limit is {}", shared.limits.body_bytes);
+            return Err(CallError::at(ErrorKind::BodyTooLarge, "body", detail));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.into())
+}
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -7,12 +7,16 @@
 mod answer;
 mod answer_queue;
 mod body;
+mod callers;
 mod clients;
 mod control;
 mod daemon;
 mod engine_client;
 pub mod handshake;
 mod http;
+mod http_calls;
+mod http_receive;
+mod http_reply;
 mod input;
 mod lines;
 mod link;
