--- a/clementinepickctl/src/exit.rs
+++ b/clementinepickctl/src/exit.rs
@@ -37,6 +37,23 @@
         Self::NotFound,
     ];
 
+    /// What it means, in a sentence.
+    #[must_use]
+    pub const fn meaning(self) -> &'static str {
+        match self {
+            Self::Done => "Done.",
+            Self::Usage => "The command line is wrong.",
+            Self::No => "The answer is no: documents differ, or a process is not up to date.",
+            Self::WrongDocument => "The document is wrong; nothing was published.",
+            Self::Outrun => "Another publication was first; nothing was published.",
+            Self::Unknown => {
+                "Nobody can tell yet whether it was published; ask again with `--resume`."
+            }
+            Self::Unreachable => "A process or the log can't be reached; nothing was changed.",
+            Self::NotFound => "What was asked for does not exist.",
+        }
+    }
+
     /// The code that the process exits with.
     #[must_use]
     pub const fn number(self) -> u8 {
--- /dev/null
+++ b/clementinepickctl/tests/exit_codes.rs
@@ -0,0 +1,25 @@
+//! The page for operators lists the exit codes as they are.
+
+use std::fs;
+use std::path::Path;
+
+use clementinepickctl::exit::ExitCode;
+
+#[test]
+fn every_exit_code_stands_on_the_operators_page_and_the_reverse() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATING.md");
+    let page = fs::read_to_string(page).expect("the page");
+    let (_, table) = page
+        .split_once("| exit code | what it means |")
+        .expect("a table");
+    let rows = table
+        .lines()
+        .skip(2)
+        .take_while(|line| line.starts_with('|'));
+    let written: Vec<String> = rows.map(str::to_owned).collect();
+    let codes = ExitCode::ALL.iter();
+    let in_code: Vec<String> = codes
+        .map(|code| format!("| {} | {} |", code.number(), code.meaning()))
+        .collect();
+    assert_eq!(written, in_code);
+}
