--- a/clementinepick/src/config.rs
+++ b/clementinepick/src/config.rs
@@ -80,11 +80,15 @@
     /// The revisions in force of one service, or of all.
     #[must_use]
     pub fn revisions_for(&self, service: Option<&ServiceName>) -> BTreeMap<ServiceName, Revision> {
-        let mut revisions = self.revisions();
-        if let Some(service) = service {
-            revisions.retain(|name, _| name == service);
-        }
-        revisions
+        let Some(service) = service else {
+            return self.revisions();
+        };
+        // Sidecars are many and services are too: this is sent to each of them all the time.
+        let in_force = self.services.get_key_value(service);
+        in_force
+            .map(|(name, s)| (name.clone(), s.published.revision))
+            .into_iter()
+            .collect()
     }
 
     /// Replays a record of the configuration stream.
--- a/clementinepick/tests/membership.rs
+++ b/clementinepick/tests/membership.rs
@@ -5,6 +5,7 @@
 use clementinepick::message::Peer;
 use clementinepick::platform::{Vm, VmRole, VmState};
 use clementinepick::units::{SpanUs, TimeUs};
+use proptest::prelude::*;
 
 const HEARTBEAT: SpanUs = SpanUs::from_ms(500);
 
@@ -171,3 +172,72 @@
     let life = bench.membership.link(&car()).map(|(life, _)| life);
     assert_eq!(life, Some(Incarnation(2)));
 }
+
+/// What happens to the one peer.
+#[derive(Debug, Clone)]
+enum Step {
+    Up(u64),
+    Down,
+    Beat { leaving: bool, deaf_s: u64 },
+    Listed(bool),
+    Wait(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let beat =
+        (any::<bool>(), 0..5_u64).prop_map(|(leaving, deaf_s)| Step::Beat { leaving, deaf_s });
+    let step = prop_oneof![
+        1 => (1..4_u64).prop_map(Step::Up),
+        1 => Just(Step::Down),
+        4 => beat,
+        1 => any::<bool>().prop_map(Step::Listed),
+        2 => (1..3_000_u64).prop_map(Step::Wait),
+    ];
+    prop::collection::vec(step, 1..60)
+}
+
+proptest! {
+    // Whatever comes in whatever order: a peer gets work only while its link is up, it was heard in
+    // time and hears this process, and neither its living process nor the list says that it leaves.
+    #[test]
+    fn nobody_gets_work_against_what_is_known(steps in steps()) {
+        let settings = MembershipSettings::default();
+        let silence = settings.silence_us;
+        let mut membership = Membership::new(settings);
+        let mut now = TimeUs(1_000_000);
+        let (mut life, mut linked, mut listed_leaving) = (0, false, false);
+        let (mut left, mut heard, mut deaf) = (false, now, SpanUs(0));
+        for step in steps {
+            now = now.after(SpanUs(1));
+            match step {
+                Step::Up(up) => {
+                    membership.on_link_up(now, peer(up));
+                    if !linked || up >= life {
+                        left &= up == life;
+                        (life, linked, heard, deaf) = (up, true, now, SpanUs(0));
+                    }
+                }
+                Step::Down => {
+                    membership.on_link_down(now, &car());
+                    linked = false;
+                }
+                Step::Beat { leaving, deaf_s } if linked => {
+                    (left, heard, deaf) = (leaving, now, SpanUs::from_s(deaf_s));
+                    membership.on_heartbeat(now, &car(), left, deaf);
+                }
+                Step::Beat { .. } => {}
+                Step::Listed(leaving) => {
+                    listed_leaving = leaving;
+                    let state = if leaving { VmState::Leaving } else { VmState::Live };
+                    membership.on_list(list(state));
+                }
+                Step::Wait(ms) => now = now.after(SpanUs::from_ms(ms)),
+            }
+            membership.judge(now);
+            let may = linked && now.since(heard) < silence && deaf < silence && !left && !listed_leaving;
+            let standing = membership.standing(&car());
+            prop_assert!(may || standing > Standing::Flapping, "{standing}");
+            prop_assert!(!may || standing <= Standing::Flapping, "{standing}");
+        }
+    }
+}
