--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -5,11 +5,14 @@
 use argh::FromArgs;
 use standins::Failure;
 use standins::chaos::Chaos;
+use standins::demo::Demo;
+use standins::load::Load;
 use standins::serve::Serve;
 
 /// Stand-ins for what lies outside clementinepick, and tools that drive it.
 #[derive(FromArgs, Debug)]
 #[argh(
+    example = "{command_name} demo",
     example = "{command_name} serve --engines 4",
     error_code(1, "something failed, or did not come out as it must")
 )]
@@ -21,12 +24,16 @@
 #[derive(FromArgs, Debug)]
 #[argh(subcommand)]
 enum Command {
+    Demo(Demo),
+    Load(Load),
     Serve(Serve),
     Chaos(Chaos),
 }
 
 fn run(command: &Command) -> Result<(), Failure> {
     match command {
+        Command::Demo(demo) => demo.run(),
+        Command::Load(load) => load.run(),
         Command::Serve(serve) => serve.run(),
         Command::Chaos(chaos) => chaos.run(),
     }
