Keep a sidecar's VM when its process is replaced

Cause: in the demo's replacement a restarted sidecar got a new VM, though its engine stayed: no owner could know what it held there. Change: entries come on new VMs, sidecars stay on their backend server's. Conclusion: the replacement still leaves engine memory held until releases name the chains.

--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -98,7 +98,8 @@
     /// The balancer before the entries.
     pub balancer: Balancer,
     daemons: Mutex<Vec<Running>>,
-    generation: Mutex<u64>,
+    /// Numbers the entries: a new one comes on a new VM, a sidecar stays on its backend server's.
+    next_entry: Mutex<u64>,
 }
 
 impl Deployment {
@@ -128,7 +129,7 @@
             servers,
             balancer: Balancer::default(),
             daemons: Mutex::default(),
-            generation: Mutex::new(0),
+            next_entry: Mutex::new(0),
         };
         let entries = ZONES.into_iter().map(|zone| Place::Entry { zone });
         let engines = (0..settings.engines).map(|number| Place::Engine { number });
@@ -140,12 +141,7 @@
 
     /// Starts a process and puts its VM on the list.
     fn launch(&self, place: Place) -> Result<SocketAddr, Failure> {
-        let generation = {
-            let mut generation = lock(&self.generation);
-            *generation += 1;
-            *generation
-        };
-        let settings = self.process_settings(&place, generation)?;
+        let settings = self.process_settings(&place)?;
         let role = match settings.role {
             Role::Entry(_) => VmRole::Entry,
             Role::Sidecar(_) => VmRole::Sidecar,
@@ -173,7 +169,7 @@
         Ok(address)
     }
 
-    fn process_settings(&self, place: &Place, generation: u64) -> Result<Settings, Failure> {
+    fn process_settings(&self, place: &Place) -> Result<Settings, Failure> {
         let addresses = &self.servers.addresses;
         let (vm, zone, role) = match place {
             Place::Entry { zone } => {
@@ -184,7 +180,7 @@
                     vms_poll_us: SpanUs::from_ms(100),
                     ..EntryRole::default()
                 };
-                (format!("entry-{generation}"), *zone, Role::Entry(role))
+                (self.entry_name(), *zone, Role::Entry(role))
             }
             Place::Engine { number } => {
                 let role = SidecarRole {
@@ -194,11 +190,7 @@
                     ..SidecarRole::default()
                 };
                 let zone = ZONES[number % ZONES.len()];
-                (
-                    format!("engine-{number}-{generation}"),
-                    zone,
-                    Role::Sidecar(role),
-                )
+                (format!("engine-{number}"), zone, Role::Sidecar(role))
             }
             Place::Plain => {
                 let role = SidecarRole {
@@ -207,11 +199,7 @@
                     backend_address: addresses.plains[0],
                     ..SidecarRole::default()
                 };
-                (
-                    format!("book-{generation}"),
-                    "rubavu-hall",
-                    Role::Sidecar(role),
-                )
+                ("book-0".to_owned(), "rubavu-hall", Role::Sidecar(role))
             }
         };
         let current = LinkKey::new(LINK_KEY);
@@ -237,6 +225,12 @@
         })
     }
 
+    fn entry_name(&self) -> String {
+        let mut next = lock(&self.next_entry);
+        *next += 1;
+        format!("entry-{next}")
+    }
+
     /// Publishes the example documents.
     ///
     /// # Errors
