--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -12,11 +12,11 @@
     Releasing, ReplyTo, TakingOver,
 };
 use crate::config::Config;
-use crate::entry_orders::EngineWord;
+use crate::entry_orders::{DeciderPace, EngineWord};
 use crate::event::{Event, EventKind};
 use crate::ids::{
-    AttemptId, CallKey, Incarnation, Offset, PartitionId, ProgramId, RecordId, RequestId, Revision,
-    ServiceName, VmId, ZoneName,
+    AttemptId, CallKey, Incarnation, ModelName, Offset, PartitionId, ProgramId, RecordId,
+    RequestId, Revision, ServiceName, VmId, ZoneName,
 };
 use crate::journal::{AppendOutcome, Journal, JournalAction, JournalSettings};
 use crate::membership::{Membership, MembershipSettings};
@@ -183,11 +183,16 @@
     pub(crate) vms: BTreeMap<VmId, Vm>,
     pub(crate) peers: BTreeMap<VmId, PeerState>,
     pub(crate) membership: Membership,
+    pub(crate) next_judge_us: TimeUs,
     pub(crate) engines: BTreeMap<VmId, EngineWord>,
+    /// The engines of a service that do not serve a model; emptied when any engine changes.
+    pub(crate) model_gaps: BTreeMap<(ServiceName, ModelName), BTreeSet<VmId>>,
+    pub(crate) next_orders_us: TimeUs,
     /// The services on which this entry decides.
     pub(crate) placements: BTreeMap<ServiceName, Placement>,
     /// Own claims to decide that were not yet read back.
     pub(crate) decider_claims: BTreeMap<ServiceName, RecordId>,
+    pub(crate) decider_paces: BTreeMap<ServiceName, DeciderPace>,
     /// When the last snapshot of the configuration was read or written here.
     pub(crate) config_snapshot_us: Option<TimeUs>,
     /// Whether it was said that records of the configuration are missing.
@@ -242,9 +247,13 @@
                 silence_us: settings.peer_timeout_us,
                 ..MembershipSettings::default()
             }),
+            next_judge_us: TimeUs(0),
             engines: BTreeMap::new(),
+            model_gaps: BTreeMap::new(),
+            next_orders_us: TimeUs(0),
             placements: BTreeMap::new(),
             decider_claims: BTreeMap::new(),
+            decider_paces: BTreeMap::new(),
             config_snapshot_us: None,
             has_config_gap: false,
             router: Router::new(RouteSettings {
