--- a/standins/tests/daemons.rs
+++ b/standins/tests/daemons.rs
@@ -4,6 +4,7 @@
 mod cut_path;
 mod deployment;
 
+use std::collections::BTreeSet;
 use std::thread;
 
 use clementinepick::units::{Bytes, SpanUs, Tokens};
@@ -350,3 +351,32 @@
     assert_eq!(deployment.servers.plains[0].executions()["hold-1"], 1);
     deployment.end();
 }
+
+/// The parts of the state that a process counts.
+fn counted(address: std::net::SocketAddr) -> BTreeSet<String> {
+    let metrics = Call::new("GET", "/metrics").send(address).body;
+    let gauges = metrics.lines();
+    let labels = gauges.filter_map(|line| {
+        line.strip_prefix("clementinepick_state{of=\"")?
+            .split('"')
+            .next()
+    });
+    labels.map(str::to_owned).collect()
+}
+
+#[test]
+fn every_part_of_the_state_stands_on_the_page_of_metrics_and_the_reverse() {
+    let page = include_str!("../../docs/METRICS.md");
+    let documented = |role: &str| -> BTreeSet<String> {
+        let rows = page.lines().filter_map(|line| line.strip_prefix("| `"));
+        let rows = rows.filter_map(|row| row.split_once("` | "));
+        let in_role = rows.filter(|(_, rest)| rest.starts_with(role) || rest.starts_with("both"));
+        in_role.map(|(name, _)| name.to_owned()).collect()
+    };
+    let deployment = Deployment::start(&Shape::default());
+    let entry = counted(deployment.entries[0].http_address());
+    let sidecar = counted(deployment.engine_sidecars[0].http_address());
+    deployment.end();
+    assert_eq!(entry, documented("entry"));
+    assert_eq!(sidecar, documented("sidecar"));
+}
