--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod balancer;
 pub mod cache;
 pub mod caller;
+pub mod capacity;
 pub mod chaos;
 pub mod chaos_backend;
 pub mod chaos_callers;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use standins::Failure;
+use standins::capacity::Capacity;
 use standins::chaos::Chaos;
 use standins::demo::Demo;
 use standins::load::Load;
@@ -28,6 +29,7 @@
     Load(Load),
     Serve(Serve),
     Chaos(Chaos),
+    Capacity(Capacity),
 }
 
 fn run(command: &Command) -> Result<(), Failure> {
@@ -36,6 +38,7 @@
         Command::Load(load) => load.run(),
         Command::Serve(serve) => serve.run(),
         Command::Chaos(chaos) => chaos.run(),
+        Command::Capacity(capacity) => capacity.run(),
     }
 }
 
