Let a model's last calls end before it is dropped

Cause: an order to drop a model, or to replace an adapter, was passed over calls that used it. Change: both count as interrupting, so that they wait for running calls and for capacity. Shown: tests/operations.rs, 16 tests; the new one fails without the change.

--- a/clementinepick/src/placement.rs
+++ b/clementinepick/src/placement.rs
@@ -305,12 +305,13 @@
     }
 }
 
-/// Whether an engine stops serving while it carries out an order.
+/// Whether an order takes something away that calls may be using, so that they must end before it.
 #[must_use]
 pub fn interrupts(order: &EngineOrder, state: &EngineState) -> bool {
     match order {
         EngineOrder::LoadModel { .. } | EngineOrder::SetRole { .. } => !state.models.is_empty(),
-        EngineOrder::LoadAdapter { .. } | EngineOrder::Unload { .. } => false,
+        EngineOrder::LoadAdapter { adapter, .. } => state.adapters.contains_key(adapter),
+        EngineOrder::Unload { model } => state.models.contains_key(model),
     }
 }
 
--- a/clementinepick/tests/operations.rs
+++ b/clementinepick/tests/operations.rs
@@ -228,6 +228,31 @@
     assert_eq!(loads(&world), 4);
 }
 
+// A document drops one of two models while calls of it run. Each engine finishes them before the
+// model is taken from it, and goes on with the other model.
+#[test]
+fn a_model_is_dropped_after_its_last_call() {
+    let mut world = World::new(2, 2, 0);
+    for backend in world.backends.values_mut() {
+        backend.delay_us = Some(400_000);
+    }
+    let mut state = serving("v1");
+    let old = "old".parse().expect("a name");
+    state.models.insert(old, "v1".parse().expect("a name"));
+    world.take_orders(&state);
+    world.publish(10, 1, &placed("v1"));
+    let mut ids = Vec::new();
+    for n in 0..200 {
+        ids.push(world.call(["e0", "e1"][n % 2], chat(&format!("p{n}"), &["hi"])));
+        world.run_ms(50);
+    }
+    world.run_until(20_000, "dropped", |world| with_version(world, "v1") == 2);
+    for id in ids {
+        assert_eq!(world.wait(id).code(), "done");
+    }
+    assert_eq!(loads(&world), 0);
+}
+
 // The decider dies after its first orders. The other entry claims over it, learns from the engines
 // how far the version has come, and orders the rest once each.
 #[test]
