--- a/clementinepickctl/src/run.rs
+++ b/clementinepickctl/src/run.rs
@@ -5,6 +5,7 @@
 use std::fs;
 use std::time::Duration;
 
+use clementinepick::config_replay::Verdict;
 use clementinepick::document::Document;
 use clementinepick::error::ErrorKind;
 use clementinepick::event::EventKind;
@@ -206,72 +207,58 @@
 /// What `publish` prints, and its exit code.
 #[must_use]
 pub fn report_publish(operation: OperationId, ended: &Ended) -> Report {
-    use clementinepick::config_replay::Verdict;
-    let (text, outcome, exit) = match ended {
+    let (outcome, exit) = outcome_of(ended);
+    let (base, publication) = match ended {
+        Ended::Unknown { base } => (Some(*base), None),
+        Ended::Judged(publication) => (None, Some(publication)),
+        _ => (None, None),
+    };
+    let text = sentence(operation, ended);
+    let json = json!({
+        "outcome": outcome, "operation": operation, "base": base, "publication": publication,
+        "message": text,
+    });
+    Report { text, json, exit }
+}
+
+const fn outcome_of(ended: &Ended) -> (&'static str, ExitCode) {
+    match ended {
+        Ended::Judged(publication) => match publication.verdict {
+            Verdict::Accepted { .. } => ("accepted", ExitCode::Done),
+            Verdict::Outrun { .. } => ("outrun", ExitCode::Outrun),
+            Verdict::Wrong { .. } => ("wrong", ExitCode::WrongDocument),
+        },
+        Ended::Wrong { .. } => ("wrong", ExitCode::WrongDocument),
+        Ended::Unchanged { .. } => ("unchanged", ExitCode::Done),
+        Ended::NotStarted | Ended::Refused | Ended::Incomplete => {
+            ("not_published", ExitCode::Unreachable)
+        }
+        Ended::NotFound { .. } => ("not_found", ExitCode::NotFound),
+        Ended::Unknown { .. } => ("unknown", ExitCode::Unknown),
+    }
+}
+
+fn sentence(operation: OperationId, ended: &Ended) -> String {
+    match ended {
         Ended::Judged(publication) => {
-            let (outcome, exit) = match &publication.verdict {
-                Verdict::Accepted { .. } => ("accepted", ExitCode::Done),
-                Verdict::Outrun { .. } => ("outrun", ExitCode::Outrun),
-                Verdict::Wrong { .. } => ("wrong", ExitCode::WrongDocument),
-            };
             let verdict = describe(&publication.verdict);
-            let text = format!("{}: {verdict}", publication.service);
-            return Report {
-                text: format!("{text} (operation {operation})"),
-                json: json!({
-                    "outcome": outcome, "operation": operation, "publication": publication,
-                }),
-                exit,
-            };
+            format!("{}: {verdict} (operation {operation})", publication.service)
         }
-        Ended::Wrong { detail } => return wrong(detail),
-        Ended::Unchanged { service, revision } => (
-            format!("{service}: revision {revision} is this document already"),
-            "unchanged",
-            ExitCode::Done,
-        ),
-        Ended::NotStarted => (
-            "the log can't be read; nothing was published".to_owned(),
-            "not_published",
-            ExitCode::Unreachable,
-        ),
-        Ended::Refused => (
-            "the log refused the record; nothing was published".to_owned(),
-            "not_published",
-            ExitCode::Unreachable,
-        ),
-        Ended::Incomplete => (
-            CtlError::Incomplete.to_string(),
-            "not_published",
-            ExitCode::Unreachable,
-        ),
-        Ended::NotFound { end } => (
-            format!(
-                "the log does not hold operation {operation} up to offset {end}; it may still \
-                 arrive. Ask again, or give the document and --base to append it again: it \
-                 counts once"
-            ),
-            "not_found",
-            ExitCode::NotFound,
+        Ended::Wrong { detail } => wrong(detail).text,
+        Ended::Unchanged { service, revision } => {
+            format!("{service}: revision {revision} is this document already")
+        }
+        Ended::NotStarted => "the log can't be read; nothing was published".to_owned(),
+        Ended::Refused => "the log refused the record; nothing was published".to_owned(),
+        Ended::Incomplete => CtlError::Incomplete.to_string(),
+        Ended::NotFound { end } => format!(
+            "the log does not hold operation {operation} up to offset {end}; it may still arrive. \
+             Ask again, or give the document and --base to append it again: it counts once"
         ),
-        Ended::Unknown { base } => (
-            format!(
-                "unknown: the log gave no answer after the record was sent. Find out with \
-                 --resume {operation}, or go on with the document and --resume {operation} \
-                 --base {base}"
-            ),
-            "unknown",
-            ExitCode::Unknown,
+        Ended::Unknown { base } => format!(
+            "unknown: the log gave no answer after the record was sent. Find out with --resume \
+             {operation}, or go on with the document and --resume {operation} --base {base}"
         ),
-    };
-    let base = match ended {
-        Ended::Unknown { base } => Some(*base),
-        _ => None,
-    };
-    Report {
-        text,
-        json: json!({ "outcome": outcome, "operation": operation, "base": base }),
-        exit,
     }
 }
 
