--- a/clementinepick/src/admission.rs
+++ b/clementinepick/src/admission.rs
@@ -122,6 +122,7 @@
             held_tokens: None,
             claim: None,
             tried: BTreeSet::new(),
+            from: 0,
             answer: String::new(),
             plain: None,
             done: None,
--- a/clementinepick/src/answer.rs
+++ b/clementinepick/src/answer.rs
@@ -1,6 +1,6 @@
 //! Takes the parts of an answer from sidecars and gives them to callers.
 
-use crate::call::{AnswerPart, Usage};
+use crate::call::{AnswerPart, PlainAnswer, Usage};
 use crate::call_state::{Leader, ReplyTo, Step};
 use crate::entry::{Entry, EntryAction};
 use crate::error::{CallError, ErrorKind, NotRun};
@@ -35,13 +35,13 @@
             return;
         };
         match reply.part {
-            AnswerPart::Text { position, text } => self.on_text(id, position, &text, out),
+            AnswerPart::Text { position, text } => {
+                self.on_text(now, id, position, &text, out);
+            }
             AnswerPart::Plain(plain) => {
-                let Some(call) = self.calls.get_mut(&id) else {
-                    return;
-                };
-                call.plain = Some(plain.clone());
-                self.answer_all(id, &AnswerPart::Plain(plain), out);
+                for id in std::iter::once(id).chain(self.followers_of(id)) {
+                    self.give_plain(id, &plain, out);
+                }
             }
             AnswerPart::Done(done) => self.on_done(now, id, attempt, done, out),
             AnswerPart::Failed(error) => {
@@ -50,30 +50,106 @@
         }
     }
 
-    fn on_text(&mut self, id: RequestId, position: u64, text: &str, out: &mut Vec<EntryAction>) {
-        let Some(call) = self.calls.get_mut(&id) else {
+    fn on_text(
+        &mut self,
+        now: TimeUs,
+        id: RequestId,
+        position: u64,
+        text: &str,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(call) = self.calls.get(&id) else {
             return;
         };
         let known = call.answer.chars().count() as u64;
         if position > known {
             // Text is missing in between; the sidecar has it all and sends it when the call is
             // attached to again.
-            let partition = call.partition;
-            if let Step::Running { attempt, target } = call.step.clone() {
-                self.attach(partition, attempt, &target, known, out);
+            if let Step::Running { attempt, target } = &call.step {
+                self.attach(call.partition, *attempt, target, known, out);
             }
             return;
         }
-        let fresh = skip_chars(text, known - position);
+        for follower in self.followers_of(id) {
+            if let Err(error) = self.give_text(follower, position, text, out) {
+                self.drop_call(follower, error, out);
+            }
+        }
+        if let Err(error) = self.give_text(id, position, text, out) {
+            self.break_off(now, id, error, out);
+        }
+    }
+
+    /// Ends a running call whose answer does not go on where its caller's text ended.
+    fn break_off(
+        &mut self,
+        now: TimeUs,
+        id: RequestId,
+        error: CallError,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if let Some(call) = self.calls.get(&id)
+            && let Step::Running { attempt, target } = call.step.clone()
+        {
+            self.leave_backend(attempt, false);
+            self.settle_whole(id);
+            out.push(EntryAction::Send {
+                to: target,
+                message: Message::Cancel { attempt },
+            });
+        }
+        self.refuse(now, id, error, out);
+    }
+
+    /// Gives a caller the part of a text that it lacks.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BackendFailed`] when the text does not go on where the caller's text ended.
+    pub(crate) fn give_text(
+        &mut self,
+        id: RequestId,
+        position: u64,
+        text: &str,
+        out: &mut Vec<EntryAction>,
+    ) -> Result<(), CallError> {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Ok(());
+        };
+        let skipped = call.from.saturating_sub(position);
+        let text = skip_chars(text, skipped);
+        let position = (position + skipped).saturating_sub(call.from);
+        if text.is_empty() {
+            return Ok(());
+        }
+        let fresh = fresh_text(&call.answer, position, &text)?;
         if fresh.is_empty() {
-            return;
+            return Ok(());
         }
-        call.answer.push_str(&fresh);
         let part = AnswerPart::Text {
-            position: known,
-            text: fresh,
+            position: call.from + call.answer.chars().count() as u64,
+            text: fresh.clone(),
         };
-        self.answer_all(id, &part, out);
+        call.answer.push_str(&fresh);
+        answer(&call.reply_to, id, part, out);
+        Ok(())
+    }
+
+    /// Gives a caller the answer of a plain service, unless it has it already.
+    pub(crate) fn give_plain(
+        &mut self,
+        id: RequestId,
+        plain: &PlainAnswer,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if call.plain.is_some() {
+            return;
+        }
+        call.plain = Some(plain.clone());
+        answer(&call.reply_to, id, AnswerPart::Plain(plain.clone()), out);
     }
 
     pub(crate) fn attach(
@@ -95,15 +171,6 @@
         }
     }
 
-    /// Gives a part to the caller and to all that asked for the same call later.
-    fn answer_all(&self, id: RequestId, part: &AnswerPart, out: &mut Vec<EntryAction>) {
-        for id in std::iter::once(id).chain(self.followers_of(id)) {
-            if let Some(call) = self.calls.get(&id) {
-                answer(&call.reply_to, id, part.clone(), out);
-            }
-        }
-    }
-
     pub(crate) fn followers_of(&self, leader: RequestId) -> Vec<RequestId> {
         let leader = Step::Follow(Leader::Request(leader));
         let following = self.calls.iter().filter(|(_, call)| call.step == leader);
@@ -391,33 +458,22 @@
         if call.step != Step::Forwarded(from.clone()) {
             return;
         }
-        let reply_to = call.reply_to.clone();
-        let part = match part {
+        match part {
             AnswerPart::Text { position, text } => {
-                match fresh_text(&call.answer, position, &text) {
-                    Ok(fresh) if fresh.is_empty() => return,
-                    Ok(fresh) => {
-                        let position = call.answer.chars().count() as u64;
-                        call.answer.push_str(&fresh);
-                        AnswerPart::Text {
-                            position,
-                            text: fresh,
-                        }
-                    }
-                    Err(error) => {
-                        let message = Message::ForwardCancel { request: id };
-                        let to = from.clone();
-                        out.push(EntryAction::Send { to, message });
-                        AnswerPart::Failed(error)
-                    }
+                if let Err(error) = self.give_text(id, position, &text, out) {
+                    let message = Message::ForwardCancel { request: id };
+                    let to = from.clone();
+                    out.push(EntryAction::Send { to, message });
+                    self.drop_call(id, error, out);
                 }
             }
-            part @ (AnswerPart::Plain(_) | AnswerPart::Done(_) | AnswerPart::Failed(_)) => part,
-        };
-        if part.is_last() {
-            self.calls.remove(&id);
+            AnswerPart::Plain(plain) => self.give_plain(id, &plain, out),
+            last @ (AnswerPart::Done(_) | AnswerPart::Failed(_)) => {
+                let reply_to = call.reply_to.clone();
+                self.calls.remove(&id);
+                answer(&reply_to, id, last, out);
+            }
         }
-        answer(&reply_to, id, part, out);
     }
 }
 
--- a/clementinepick/src/call_state.rs
+++ b/clementinepick/src/call_state.rs
@@ -85,6 +85,9 @@
     pub(crate) held_tokens: Option<Tokens>,
     pub(crate) claim: Option<Claim>,
     pub(crate) tried: BTreeSet<VmId>,
+    /// The characters that the caller had before this request.
+    pub(crate) from: u64,
+    /// The text that has come and was given to the caller.
     pub(crate) answer: String,
     pub(crate) plain: Option<PlainAnswer>,
     pub(crate) done: Option<CallDone>,
@@ -176,6 +179,8 @@
     pub(crate) last_backend: Option<VmId>,
     /// Sidecars that may hold its cache.
     pub(crate) holders: BTreeSet<VmId>,
+    /// The chains of the prompts that were sent there.
+    pub(crate) chains: BTreeSet<ChainHash>,
     pub(crate) since_us: TimeUs,
     pub(crate) last_used_us: TimeUs,
     pub(crate) opening: bool,
@@ -185,6 +190,8 @@
     pub(crate) tail: Vec<PendingTurn>,
     /// Whether an earlier owner may have had turns that never came on record.
     pub(crate) is_uncertain: bool,
+    /// Whether an earlier owner served it.
+    pub(crate) is_inherited: bool,
     /// The last call's digest, and how often it came in a row.
     pub(crate) repeats: (ChainHash, u32),
     /// Set when the budget is spent: the program ends when nothing of it runs.
@@ -236,9 +243,18 @@
 pub(crate) struct Releasing {
     pub(crate) partition: PartitionId,
     pub(crate) holders: BTreeSet<VmId>,
+    pub(crate) chains: Vec<ChainHash>,
     pub(crate) next_us: TimeUs,
 }
 
+/// The end of a program that was asked for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Ending {
+    pub(crate) reason: EndReason,
+    pub(crate) next_us: TimeUs,
+    pub(crate) until_us: TimeUs,
+}
+
 /// A program that has ended and is still remembered.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct EndedProgram {
--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -8,7 +8,7 @@
 
 use crate::call::{AnswerPart, Fetch, Request};
 use crate::call_state::{
-    Awaited, Call, ClaimPace, EndedProgram, KeptAnswers, LiveProgram, OpenCall, PeerState,
+    Awaited, Call, ClaimPace, EndedProgram, Ending, KeptAnswers, LiveProgram, OpenCall, PeerState,
     Releasing, ReplyTo, TakingOver,
 };
 use crate::config::Config;
@@ -190,6 +190,9 @@
     pub(crate) kept_until_us: TimeUs,
     /// Fetches that were passed on, with their owner and whom to answer.
     pub(crate) fetches: BTreeMap<RequestId, (VmId, ReplyTo)>,
+    /// Programs whose end was asked for here and is not yet on record, with when it is asked for
+    /// again and until when.
+    pub(crate) ending: BTreeMap<ProgramId, Ending>,
     /// Programs that have ended and are still remembered.
     pub(crate) ended: BTreeMap<ProgramId, EndedProgram>,
     /// When peers without a link were heard last.
@@ -235,6 +238,7 @@
             kept: BTreeMap::new(),
             kept_until_us: TimeUs(0),
             fetches: BTreeMap::new(),
+            ending: BTreeMap::new(),
             ended: BTreeMap::new(),
             lost_us: BTreeMap::new(),
             claim_pace: BTreeMap::new(),
@@ -263,7 +267,7 @@
             EntryInput::CallerGone(request) => self.on_gone(now, request, out),
             EntryInput::Fetch(fetch) => self.on_fetch(now, &fetch, &ReplyTo::Caller, 0, out),
             EntryInput::EndProgram { program, reason } => {
-                self.end_program(now, program, reason, out);
+                self.ask_end(now, program, reason, out);
             }
             EntryInput::LinkUp(peer) => self.on_link_up(now, &peer, out),
             EntryInput::LinkDown(vm) => self.on_link_down(now, &vm, out),
--- a/clementinepick/src/fetch.rs
+++ b/clementinepick/src/fetch.rs
@@ -185,9 +185,12 @@
         call.reply_to = reply_to.clone();
         call.claim = None;
         call.held_tokens = None;
+        call.from = fetch.position;
         call.answer = String::new();
+        call.plain = None;
+        call.done = None;
         self.calls.insert(fetch.id, call);
-        self.follow(fetch.id, leader, fetch.position, out);
+        self.follow(fetch.id, leader, out);
     }
 
     fn watched_call(&self, leader: &Leader) -> Option<crate::call_state::Call> {
--- a/clementinepick/src/handover.rs
+++ b/clementinepick/src/handover.rs
@@ -142,6 +142,10 @@
         self.leaving
             && self.calls.is_empty()
             && self.fetches.is_empty()
+            && self
+                .ending
+                .values()
+                .all(|ending| ending.next_us > self.last_handled_us)
             && self.journal.unconfirmed() == 0
             && self.own_partitions().is_empty()
     }
--- a/clementinepick/src/message.rs
+++ b/clementinepick/src/message.rs
@@ -160,6 +160,9 @@
     Release {
         /// The program.
         program: ProgramId,
+        /// The chains of its prompts and answers as far as the owner knows them; the sidecar may
+        /// have lost its own list with an earlier life.
+        chains: Vec<ChainHash>,
         /// Its partition.
         partition: PartitionId,
         /// The owner's epoch.
--- a/clementinepick/src/program_end.rs
+++ b/clementinepick/src/program_end.rs
@@ -2,22 +2,78 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::call_state::{Awaited, EndedProgram, Releasing, Step};
+use crate::call_state::{Awaited, EndedProgram, Ending, LiveProgram, Releasing, Step};
 use crate::entry::{Entry, EntryAction};
 use crate::error::{CallError, ErrorKind};
 use crate::event::{Event, EventKind};
+use crate::history::History;
 use crate::ids::{CallSeq, PartitionId, ProgramId, RequestId, VmId};
 use crate::message::Message;
 use crate::platform::VmRole;
+use crate::prompt::{ChainHash, Prompt};
 use crate::record::{EndReason, OwnedRecord};
 use crate::units::{SpanUs, TimeUs};
 
 /// The time between two releases of the same program's memory while one is not confirmed.
 const RELEASE_AGAIN_US: SpanUs = SpanUs::from_s(2);
+/// The time between two requests for a program's end while it is not on record.
+const END_AGAIN_US: SpanUs = SpanUs::from_s(1);
+/// How long a program's end is asked for; past it the program is idle at its owner.
+const END_ASKED_US: SpanUs = SpanUs::from_s(900);
 /// The most programs that one record forgets.
 const MAX_FORGOTTEN: usize = 256;
 
 impl Entry {
+    /// A caller or an operator ends a program.
+    ///
+    /// The owner may be lost with the request for it, and the program would hold memory until it
+    /// counts as idle. So the request is repeated until the end is read from the log.
+    pub(crate) fn ask_end(
+        &mut self,
+        now: TimeUs,
+        program: ProgramId,
+        reason: EndReason,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let ending = Ending {
+            reason,
+            next_us: now,
+            until_us: now.after(END_ASKED_US),
+        };
+        self.ending.insert(program, ending);
+        self.repeat_ends(now, out);
+    }
+
+    pub(crate) fn repeat_ends(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        let due: Vec<ProgramId> = self
+            .ending
+            .iter()
+            .filter(|(_, ending)| now >= ending.next_us)
+            .map(|(program, _)| program.clone())
+            .collect();
+        for program in due {
+            let partition = self.home_of(&program, &program);
+            let state = self.partitions.program(partition, &program);
+            let is_ended = state.is_some_and(|state| state.ended.is_some());
+            // The owner has read all there is of a program that it does not know.
+            let is_unknown = state.is_none()
+                && self.own_epoch(partition).is_some()
+                && !self.programs.contains_key(&program);
+            let Some(ending) = self.ending.get_mut(&program) else {
+                continue;
+            };
+            if is_ended || is_unknown || now >= ending.until_us {
+                self.ending.remove(&program);
+                continue;
+            }
+            ending.next_us = now.after(END_AGAIN_US);
+            let reason = ending.reason;
+            if self.is_caught_up() {
+                self.end_program(now, program, reason, out);
+            }
+        }
+    }
+
     /// Ends a program with its sub-agents.
     pub(crate) fn end_program(
         &mut self,
@@ -59,6 +115,7 @@
             };
             self.ended.insert(program.clone(), ended);
         }
+        let (holders, chains) = self.held_memory(partition, &program);
         let live = self.programs.remove(&program);
         self.refuse_waiting(now, &program, reason, out);
         if is_open || live.is_some() {
@@ -66,8 +123,48 @@
             let event = event.with("reason", format!("{reason:?}"));
             out.push(EntryAction::Event(event));
         }
-        let holders = live.map(|live| live.holders).unwrap_or_default();
-        self.release(now, partition, program, holders, out);
+        self.release(now, partition, program, (holders, chains), out);
+    }
+
+    /// The sidecars that may hold cache of a program, and the chains of what they may hold.
+    ///
+    /// A program that an earlier owner served may have cache anywhere.
+    fn held_memory(
+        &self,
+        partition: PartitionId,
+        program: &ProgramId,
+    ) -> (BTreeSet<VmId>, BTreeSet<ChainHash>) {
+        let live = self.programs.get(program);
+        let mut holders = live.map(|l| l.holders.clone()).unwrap_or_default();
+        let mut chains = live.map(|l| l.chains.clone()).unwrap_or_default();
+        if let Some(state) = self.partitions.program(partition, program) {
+            let none = LiveProgram::default();
+            let history = History::of(state, live.unwrap_or(&none));
+            let prompt = Prompt::of_messages(&history.messages);
+            chains.extend(prompt.segments.iter().map(|segment| segment.chain));
+            if live.is_none_or(|live| live.is_inherited) && !chains.is_empty() {
+                holders.extend(self.sidecars().cloned());
+            }
+        }
+        (holders, chains)
+    }
+
+    /// Releases anew what an earlier owner may have been releasing when it was lost.
+    pub(crate) fn release_recorded(
+        &mut self,
+        now: TimeUs,
+        partition: PartitionId,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(state) = self.partitions.get(partition) else {
+            return;
+        };
+        let ended = state.programs.iter().filter(|(_, p)| p.ended.is_some());
+        let ended: Vec<ProgramId> = ended.map(|(id, _)| id.clone()).collect();
+        for program in ended {
+            let held = self.held_memory(partition, &program);
+            self.release(now, partition, program, held, out);
+        }
     }
 
     fn pass_end_on(
@@ -136,15 +233,17 @@
         now: TimeUs,
         partition: PartitionId,
         program: ProgramId,
-        holders: BTreeSet<VmId>,
+        held: (BTreeSet<VmId>, BTreeSet<ChainHash>),
         out: &mut Vec<EntryAction>,
     ) {
+        let (holders, chains) = held;
         if holders.is_empty() {
             return;
         }
         let releasing = Releasing {
             partition,
             holders,
+            chains: chains.into_iter().collect(),
             next_us: now,
         };
         self.releasing.insert(program, releasing);
@@ -163,15 +262,17 @@
                 TimeUs(u64::MAX)
             };
             for vm in &releasing.holders {
-                due.push((vm.clone(), program.clone(), releasing.partition));
+                let chains = releasing.chains.clone();
+                due.push((vm.clone(), program.clone(), chains, releasing.partition));
             }
         }
-        for (to, program, partition) in due {
+        for (to, program, chains, partition) in due {
             let Some(epoch) = self.own_epoch(partition) else {
                 continue;
             };
             let message = Message::Release {
                 program,
+                chains,
                 partition,
                 epoch,
             };
--- a/clementinepick/src/recovery.rs
+++ b/clementinepick/src/recovery.rs
@@ -193,11 +193,11 @@
                 let known = open.answer.chars().count() as u64;
                 let fresh = crate::sidecar::skip_chars(&text, known.saturating_sub(position));
                 open.answer.push_str(&fresh);
-                let part = AnswerPart::Text {
-                    position: known,
-                    text: fresh,
-                };
-                self.answer_recorded_followers(&call, &part, out);
+                for id in self.recorded_followers(&call) {
+                    if let Err(error) = self.give_text(id, known, &fresh, out) {
+                        self.drop_call(id, error, out);
+                    }
+                }
                 return;
             }
             AnswerPart::Plain(plain) => {
@@ -220,19 +220,6 @@
         self.resolve(now, &call, &outcome, out);
     }
 
-    fn answer_recorded_followers(
-        &self,
-        call: &CallKey,
-        part: &AnswerPart,
-        out: &mut Vec<EntryAction>,
-    ) {
-        for id in self.recorded_followers(call) {
-            if let Some(call) = self.calls.get(&id) {
-                crate::answer::answer(&call.reply_to, id, part.clone(), out);
-            }
-        }
-    }
-
     fn recorded_followers(&self, call: &CallKey) -> Vec<RequestId> {
         let step = Step::Follow(Leader::Recorded(call.clone()));
         let following = self.calls.iter().filter(|(_, call)| call.step == step);
@@ -278,9 +265,7 @@
                 self.step_order(now, id, out);
                 continue;
             }
-            let position = u64::MAX;
-            let position = if open.answer.is_empty() { 0 } else { position };
-            self.answer_outcome(id, call, outcome.clone(), position, out);
+            self.answer_outcome(id, call, outcome.clone(), out);
         }
         self.start_next(now, &call.program, out);
     }
@@ -303,7 +288,7 @@
             if matches!(outcome, CallOutcome::NeverRan(_)) {
                 self.step_order(now, id, out);
             } else {
-                self.answer_outcome(id, call, outcome.clone(), 0, out);
+                self.answer_outcome(id, call, outcome.clone(), out);
             }
         }
     }
--- a/clementinepick/src/repeat.rs
+++ b/clementinepick/src/repeat.rs
@@ -1,5 +1,6 @@
 //! Tells a repeat of a call from a new one, and gives it the first one's answer or the truth.
 
+use crate::answer::answer;
 use crate::call::{AnswerPart, CallDone, Payload, Request, TurnState, Usage};
 use crate::call_state::{Call, Leader, Step};
 use crate::entry::{Entry, EntryAction};
@@ -79,12 +80,12 @@
                     self.step_order(now, id, out);
                 }
             }
-            Some(Repeat::Of(leader)) => self.follow(id, leader, 0, out),
+            Some(Repeat::Of(leader)) => self.follow(id, leader, out),
             Some(Repeat::Ended(seq, outcome)) => {
                 let key = call.request.key(seq);
-                self.answer_outcome(id, &key, outcome, 0, out);
+                self.answer_outcome(id, &key, outcome, out);
             }
-            Some(Repeat::Turn(done, text)) => self.answer_turn(id, done, &text, 0, out),
+            Some(Repeat::Turn(done, text)) => self.answer_turn(id, done, &text, out),
             Some(Repeat::KeyReused) => {
                 let detail = "this idempotency key was used with another request";
                 let field = crate::parse::KEY_HEADER;
@@ -178,26 +179,28 @@
         }
     }
 
-    /// Makes a call wait for another's answer; it gets the text so far at once.
-    pub(crate) fn follow(
-        &mut self,
-        id: RequestId,
-        leader: Leader,
-        position: u64,
-        out: &mut Vec<EntryAction>,
-    ) {
-        let text = match &leader {
-            Leader::Request(leader) => self.calls.get(leader).map(|call| call.answer.clone()),
-            Leader::Recorded(key) => self.open_calls.get(key).map(|open| open.answer.clone()),
-        };
+    /// Makes a call wait for another's answer; it gets what has come so far at once.
+    pub(crate) fn follow(&mut self, id: RequestId, leader: Leader, out: &mut Vec<EntryAction>) {
+        let (text, plain) = match &leader {
+            Leader::Request(leader) => {
+                let call = self.calls.get(leader);
+                call.map(|call| (call.answer.clone(), call.plain.clone()))
+            }
+            Leader::Recorded(key) => {
+                let open = self.open_calls.get(key);
+                open.map(|open| (open.answer.clone(), open.plain.clone()))
+            }
+        }
+        .unwrap_or_default();
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
         call.step = Step::Follow(leader);
-        let reply_to = call.reply_to.clone();
-        let text = crate::sidecar::skip_chars(&text.unwrap_or_default(), position);
-        if !text.is_empty() {
-            crate::answer::answer(&reply_to, id, AnswerPart::Text { position, text }, out);
+        if let Some(plain) = plain {
+            self.give_plain(id, &plain, out);
+        }
+        if let Err(error) = self.give_text(id, 0, &text, out) {
+            self.drop_call(id, error, out);
         }
     }
 
@@ -252,22 +255,22 @@
         id: RequestId,
         key: &CallKey,
         outcome: CallOutcome,
-        position: u64,
         out: &mut Vec<EntryAction>,
     ) {
         match outcome {
             CallOutcome::Plain(plain) => {
-                let Some(call) = self.calls.remove(&id) else {
-                    return;
-                };
-                let to = call.reply_to;
-                crate::answer::answer(&to, id, AnswerPart::Plain(plain), out);
+                self.give_plain(id, &plain, out);
                 let done = done(key, Usage::default(), TurnState::Committed, None);
-                crate::answer::answer(&to, id, AnswerPart::Done(done), out);
+                if let Some(call) = self.calls.remove(&id) {
+                    answer(&call.reply_to, id, AnswerPart::Done(done), out);
+                }
             }
-            CallOutcome::Chat { answer, usage } => {
+            CallOutcome::Chat {
+                answer: text,
+                usage,
+            } => {
                 let done = done(key, usage, TurnState::Committed, None);
-                self.answer_turn(id, done, &answer, position, out);
+                self.answer_turn(id, done, &text, out);
             }
             CallOutcome::NeverRan(error) | CallOutcome::Failed(error) => {
                 self.drop_call(id, error, out);
@@ -286,18 +289,15 @@
         id: RequestId,
         done: CallDone,
         text: &str,
-        position: u64,
         out: &mut Vec<EntryAction>,
     ) {
-        let Some(call) = self.calls.remove(&id) else {
+        if let Err(error) = self.give_text(id, 0, text, out) {
+            self.drop_call(id, error, out);
             return;
-        };
-        let text = crate::sidecar::skip_chars(text, position);
-        if !text.is_empty() {
-            let part = AnswerPart::Text { position, text };
-            crate::answer::answer(&call.reply_to, id, part, out);
         }
-        crate::answer::answer(&call.reply_to, id, AnswerPart::Done(done), out);
+        if let Some(call) = self.calls.remove(&id) {
+            answer(&call.reply_to, id, AnswerPart::Done(done), out);
+        }
     }
 }
 
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -266,6 +266,11 @@
     pub(crate) gate: Gate,
     pub(crate) load: LoadReport,
     pub(crate) entries: BTreeMap<VmId, Peer>,
+    /// When entries were heard last.
+    pub(crate) heard_us: BTreeMap<VmId, TimeUs>,
+    pub(crate) last_handled_us: Option<TimeUs>,
+    /// Nothing is admitted before this time.
+    pub(crate) admits_from_us: TimeUs,
     pub(crate) epochs: BTreeMap<PartitionId, Epoch>,
     pub(crate) attempts: BTreeMap<AttemptId, Attempt>,
     /// Attempts of non-idempotent calls that must not start here (again).
@@ -296,6 +301,9 @@
             gate: Gate::default(),
             load: LoadReport::default(),
             entries: BTreeMap::new(),
+            heard_us: BTreeMap::new(),
+            last_handled_us: None,
+            admits_from_us: TimeUs(0),
             epochs: BTreeMap::new(),
             attempts: BTreeMap::new(),
             closed: BTreeMap::new(),
@@ -310,6 +318,7 @@
 
     /// Reacts to one input.
     pub fn handle(&mut self, now: TimeUs, input: SidecarInput, out: &mut Vec<SidecarAction>) {
+        self.note_pause(now);
         match input {
             SidecarInput::LinkUp(peer) => {
                 out.push(log(EventKind::LinkUp, &peer.vm));
@@ -317,11 +326,14 @@
                 if let Some(state) = self.orders.engine() {
                     out.push(send(&peer.vm, Message::Engine(state.clone())));
                 }
+                self.heard_us.insert(peer.vm.clone(), now);
                 self.entries.insert(peer.vm.clone(), peer);
             }
             SidecarInput::LinkDown(vm) => {
                 out.push(log(EventKind::LinkDown, &vm));
                 self.entries.remove(&vm);
+                self.heard_us.remove(&vm);
+                self.drop_waiting_of(now, &vm, out);
             }
             SidecarInput::Link { from, message } => self.on_message(now, from, message, out),
             SidecarInput::Backend { attempt, event } => self.on_backend(now, attempt, event, out),
@@ -364,6 +376,9 @@
         message: Message,
         out: &mut Vec<SidecarAction>,
     ) {
+        if let Some(heard_us) = self.heard_us.get_mut(&from) {
+            *heard_us = now;
+        }
         match message {
             Message::Documents(documents) => self.on_documents(documents, out),
             Message::Dispatch(dispatch) => self.on_dispatch(now, from, *dispatch, out),
@@ -421,10 +436,15 @@
             }
             Message::Release {
                 program,
+                chains,
                 partition,
                 epoch,
             } => {
                 if self.accept_epoch(partition, epoch, out) {
+                    if !chains.is_empty() {
+                        let lease = self.leases.entry(program.clone()).or_default();
+                        lease.chains.extend(chains);
+                    }
                     self.release(now, program, Some(from), out);
                 }
             }
@@ -483,6 +503,7 @@
         self.set_gate();
         self.expire(now, out);
         self.lapse_leases(now, out);
+        self.drop_waiting_of_silent(now, out);
         self.drop_old_answers(now);
         self.prune_closed();
         if now >= self.next_heartbeat_us {
--- a/clementinepick/src/sidecar_calls.rs
+++ b/clementinepick/src/sidecar_calls.rs
@@ -7,12 +7,18 @@
 use crate::ids::{AttemptId, VmId};
 use crate::message::Dispatch;
 use crate::platform::GenerateBody;
-use crate::units::{TimeUs, Tokens};
+use crate::units::{SpanUs, TimeUs, Tokens};
 
 use crate::sidecar::{
     Attempt, BackendEvent, Phase, Sidecar, SidecarAction, log, refuse, skip_chars,
 };
 
+/// The silence after which an owner's waiting calls are dropped; less than the time after which
+/// an owner gives a sidecar up.
+const OWNER_SILENT_US: SpanUs = SpanUs::from_s(2);
+/// How long after a pause nothing is admitted.
+const CATCH_UP_US: SpanUs = SpanUs::from_ms(200);
+
 impl Sidecar {
     pub(crate) fn on_dispatch(
         &mut self,
@@ -151,7 +157,57 @@
         })
     }
 
+    /// Notices that this process stood still for long.
+    ///
+    /// Calls that came before may have been sent elsewhere by owners that heard nothing, and be
+    /// over by now; to start them would overtake the program's later calls. Behind them stand the
+    /// ends of the links they came by, which drop them. So nothing starts before all that has
+    /// come meanwhile is read.
+    pub(crate) fn note_pause(&mut self, now: TimeUs) {
+        let last_us = self.last_handled_us.replace(now);
+        if last_us.is_some_and(|last_us| now.since(last_us) >= OWNER_SILENT_US) {
+            self.admits_from_us = now.after(CATCH_UP_US);
+        }
+    }
+
+    /// Drops the waiting calls of an owner whose link is gone: it sends them elsewhere. A call that
+    /// may not run twice stays, since its owner waits for the link and asks.
+    pub(crate) fn drop_waiting_of(
+        &mut self,
+        now: TimeUs,
+        owner: &VmId,
+        out: &mut Vec<SidecarAction>,
+    ) {
+        let waiting: Vec<AttemptId> = self
+            .attempts
+            .iter()
+            .filter(|(_, a)| a.phase == Phase::Waiting && a.dispatch.idempotent)
+            .filter(|(_, a)| a.owner.as_ref() == Some(owner))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in waiting {
+            let error = CallError::new(ErrorKind::NoBackend, "the link to the owner was lost");
+            self.end(now, id, AnswerPart::Failed(error), out);
+        }
+    }
+
+    /// Drops the waiting calls of owners that are not heard, before these give up on this sidecar.
+    pub(crate) fn drop_waiting_of_silent(&mut self, now: TimeUs, out: &mut Vec<SidecarAction>) {
+        let silent: Vec<VmId> = self
+            .heard_us
+            .iter()
+            .filter(|(_, heard_us)| now.since(**heard_us) >= OWNER_SILENT_US)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in silent {
+            self.drop_waiting_of(now, &vm, out);
+        }
+    }
+
     pub(crate) fn admit(&mut self, now: TimeUs, out: &mut Vec<SidecarAction>) {
+        if now < self.admits_from_us {
+            return;
+        }
         for id in self.gate.admit(now) {
             let Some(attempt) = self.attempts.get_mut(&id) else {
                 continue;
--- a/clementinepick/src/step_order.rs
+++ b/clementinepick/src/step_order.rs
@@ -64,6 +64,7 @@
                 since_us: now,
                 // An earlier owner may have had turns that never came on record.
                 is_uncertain: is_known,
+                is_inherited: is_known,
                 ..LiveProgram::default()
             });
         live.last_used_us = now;
--- a/clementinepick/src/step_route.rs
+++ b/clementinepick/src/step_route.rs
@@ -72,9 +72,12 @@
         call.tried.insert(target.clone());
         self.router.on_sent(target, call.work_tokens());
         self.attempts.insert(attempt, id);
+        let prompt = call.prompt().cloned().unwrap_or_default();
         if let Some(live) = self.programs.get_mut(&call.request.program) {
             live.last_backend = Some(target.clone());
             live.holders.insert(target.clone());
+            live.chains
+                .extend(prompt.segments.iter().map(|segment| segment.chain));
         }
         out.push(EntryAction::Send {
             to: target.clone(),
--- a/clementinepick/src/sweep.rs
+++ b/clementinepick/src/sweep.rs
@@ -29,6 +29,7 @@
         self.reserve_ahead(now);
         self.ask_open_calls(now, out);
         self.send_releases(now, out);
+        self.repeat_ends(now, out);
         self.forget_programs(now);
         self.drop_kept(now, out);
         self.recover_partitions(now);
--- a/clementinepick/tests/ownership.rs
+++ b/clementinepick/tests/ownership.rs
@@ -240,3 +240,27 @@
     let partition = program(&names[0]).partition(8);
     assert!(partition.0 < 8 && world.is_alive(vm("e2").as_str()));
 }
+
+// The caller sees its calls run in order. A sidecar is paused with a call in its hands; the owner
+// sends the call elsewhere and goes on with later ones; the sidecar wakes and must not start it.
+#[test]
+fn a_paused_sidecar_does_not_start_what_went_elsewhere() {
+    let mut world = World::new(2, 2, 1);
+    let first = world.call("e0", chat("p", &["a"]));
+    world.wait(first);
+    let used = if world.backend("g0").runs.is_empty() {
+        "g1"
+    } else {
+        "g0"
+    };
+    world.pause(used);
+    let second = world.call("e0", chat("p", &["a", "re: a", "b"]));
+    assert_eq!(world.wait(second).code(), "done");
+    let third = world.call("e0", chat("p", &["a", "re: a", "b", "re: b", "c"]));
+    assert_eq!(world.wait(third).code(), "done");
+    world.resume(used);
+    world.run_ms(3_000);
+    let mut runs = world.runs();
+    runs.sort();
+    assert_eq!(runs, ["a", "b", "c"]);
+}
