--- a/clementinepick/src/safeguards.rs
+++ b/clementinepick/src/safeguards.rs
@@ -15,7 +15,7 @@
     pub call_started_record: bool,
     /// Open calls of an earlier owner are fenced at their sidecar before anything else is done.
     pub fence: bool,
-    /// A repeat of a call is given the first one's answer; a record with a known id is ignored.
+    /// A repeat of a call is given the first one's answer.
     pub dedup: bool,
     /// A claim is in force only over the claim that it names.
     pub claim_cas: bool,
