--- a/clementinepick/src/admission.rs
+++ b/clementinepick/src/admission.rs
@@ -122,6 +122,7 @@
             held_tokens: None,
             claim: None,
             tried: BTreeSet::new(),
+            may_have_run: false,
             from: 0,
             answer: String::new(),
             plain: None,
--- a/clementinepick/src/answer.rs
+++ b/clementinepick/src/answer.rs
@@ -1,7 +1,7 @@
 //! Takes the parts of an answer from sidecars and gives them to callers.
 
 use crate::call::{AnswerPart, PlainAnswer, Usage};
-use crate::call_state::{Leader, ReplyTo, Step};
+use crate::call_state::{Call, Leader, ReplyTo, Step};
 use crate::entry::{Entry, EntryAction};
 use crate::error::{CallError, ErrorKind, NotRun};
 use crate::event::{Event, EventKind};
@@ -208,6 +208,9 @@
             _ => return,
         };
         let (idempotent, is_claimed) = (call.idempotent, call.claim.is_some());
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.may_have_run |= started;
+        }
         self.leave_backend(attempt, started);
         // A failed attempt has spent what the engine counted, or all that was held for it where
         // nobody counted.
@@ -316,6 +319,7 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
+        let error = truthful(call, error);
         let is_not_run = error.kind.answer().not_run == NotRun::Yes;
         if is_not_run && call.claim.is_some() {
             self.release_claim(id, &error);
@@ -361,6 +365,7 @@
         let Some(call) = self.calls.remove(&id) else {
             return;
         };
+        let error = truthful(&call, error);
         let event = Event::new(EventKind::CallRefused)
             .with("request", id)
             .with("error", &error);
@@ -469,6 +474,10 @@
             }
             AnswerPart::Plain(plain) => self.give_plain(id, &plain, out),
             last @ (AnswerPart::Done(_) | AnswerPart::Failed(_)) => {
+                let last = match last {
+                    AnswerPart::Failed(error) => AnswerPart::Failed(truthful(call, error)),
+                    other => other,
+                };
                 let reply_to = call.reply_to.clone();
                 self.calls.remove(&id);
                 answer(&reply_to, id, last, out);
@@ -494,6 +503,25 @@
     Ok(skip_chars(text, overlap_chars))
 }
 
+/// The error that is true of a call of which an earlier attempt may have run.
+///
+/// A call that was sent again after its owner was lost, or after a failed attempt, may be refused
+/// by whoever gets it last as not run; that would be true of the last attempt only. What may not
+/// run twice is refused by its record, except by one who has not looked there.
+fn truthful(call: &Call, error: CallError) -> CallError {
+    if !call.may_have_run || error.kind.answer().not_run != NotRun::Yes {
+        return error;
+    }
+    let kind = match error.kind {
+        _ if call.idempotent => ErrorKind::BackendFailed,
+        ErrorKind::NotReady | ErrorKind::ShuttingDown | ErrorKind::OwnerUnknown => {
+            ErrorKind::OutcomeUnknown
+        }
+        _ => return error,
+    };
+    CallError::new(kind, error.detail)
+}
+
 /// An error of a call that surely did not run, whatever its kind says of calls in general.
 fn as_not_run(error: CallError) -> CallError {
     if error.kind.answer().not_run == NotRun::Yes {
--- a/clementinepick/src/call_state.rs
+++ b/clementinepick/src/call_state.rs
@@ -85,6 +85,8 @@
     pub(crate) held_tokens: Option<Tokens>,
     pub(crate) claim: Option<Claim>,
     pub(crate) tried: BTreeSet<VmId>,
+    /// Whether an attempt of it may have been sent to a backend server, here or at a lost owner.
+    pub(crate) may_have_run: bool,
     /// The characters that the caller had before this request.
     pub(crate) from: u64,
     /// The text that has come and was given to the caller.
@@ -283,6 +285,8 @@
 pub(crate) struct PeerState {
     pub(crate) peer: Peer,
     pub(crate) up_us: TimeUs,
+    /// Whether it has read all that it must know.
+    pub(crate) is_ready: bool,
     pub(crate) heard_us: TimeUs,
     pub(crate) leaving: bool,
     /// What its last heartbeat said; absent before the first.
--- a/clementinepick/src/entry_log.rs
+++ b/clementinepick/src/entry_log.rs
@@ -92,6 +92,8 @@
         }
         if !was_ready && self.is_caught_up() {
             out.push(EntryAction::Event(Event::new(EventKind::ProcessReady)));
+            // The others pass calls on to this entry only when they know.
+            self.send_heartbeats(now, out);
         }
     }
 
--- a/clementinepick/src/links.rs
+++ b/clementinepick/src/links.rs
@@ -113,6 +113,7 @@
         let state = PeerState {
             peer: peer.clone(),
             up_us: now,
+            is_ready: false,
             heard_us: now,
             leaving: false,
             revisions: None,
--- a/clementinepick/src/members.rs
+++ b/clementinepick/src/members.rs
@@ -20,6 +20,7 @@
             revisions: self.config.revisions_for(service),
             config_offset: self.config_journal.position(),
             leaving: self.leaving,
+            is_ready: self.is_caught_up(),
             silence_us: now.since(peer.heard_us),
             decider: decider.map(|decider| decider.fencing),
         }
@@ -44,8 +45,12 @@
             leaving,
             silence_us,
             revisions,
+            is_ready,
             ..
         } = heartbeat;
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.is_ready = is_ready;
+        }
         self.membership.on_heartbeat(now, from, leaving, silence_us);
         self.judge_members(now, out);
         self.pass_documents(from, revisions, out);
--- a/clementinepick/src/message.rs
+++ b/clementinepick/src/message.rs
@@ -211,6 +211,8 @@
     pub config_offset: Offset,
     /// Whether the sender takes no new work.
     pub leaving: bool,
+    /// Whether the sender has read all that it must know.
+    pub is_ready: bool,
     /// How long the sender has not heard the receiver.
     pub silence_us: SpanUs,
     /// Entry to sidecar: the number of the decider for its service.
--- a/clementinepick/src/program_end.rs
+++ b/clementinepick/src/program_end.rs
@@ -143,6 +143,9 @@
             let prompt = Prompt::of_messages(&history.messages);
             chains.extend(prompt.segments.iter().map(|segment| segment.chain));
             if live.is_none_or(|live| live.is_inherited) && !chains.is_empty() {
+                // Also where a sidecar is just down, its engine may hold on.
+                let listed = self.vms.values().filter(|vm| vm.role == VmRole::Sidecar);
+                holders.extend(listed.map(|vm| vm.id.clone()));
                 holders.extend(self.sidecars().cloned());
             }
         }
@@ -251,6 +254,7 @@
     }
 
     pub(crate) fn send_releases(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
+        self.drop_gone_holders();
         let mut due = Vec::new();
         for (program, releasing) in &mut self.releasing {
             if now < releasing.next_us {
@@ -280,6 +284,19 @@
         }
     }
 
+    /// Forgets holders whose VM is gone, and with it its engine's memory.
+    fn drop_gone_holders(&mut self) {
+        if self.vms.is_empty() {
+            return;
+        }
+        let (vms, peers) = (&self.vms, &self.peers);
+        for releasing in self.releasing.values_mut() {
+            let holders = &mut releasing.holders;
+            holders.retain(|vm| vms.contains_key(vm) || peers.contains_key(vm));
+        }
+        self.releasing.retain(|_, r| !r.holders.is_empty());
+    }
+
     pub(crate) fn on_released(&mut self, program: &ProgramId, from: &VmId) {
         if let Some(releasing) = self.releasing.get_mut(program) {
             releasing.holders.remove(from);
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -367,6 +367,7 @@
         Heartbeat {
             revisions: self.config.revisions(),
             config_offset: Offset(0),
+            is_ready: self.is_ready(),
             leaving: self.leaving || self.orders.blocks_new_work(),
             silence_us: heard_us.map_or(SpanUs(0), |heard_us| now.since(heard_us)),
             decider: None,
--- a/clementinepick/src/step_own.rs
+++ b/clementinepick/src/step_own.rs
@@ -44,7 +44,7 @@
     fn is_live_entry(&self, vm: &VmId) -> bool {
         self.peers
             .get(vm)
-            .is_some_and(|p| p.peer.role == VmRole::Entry && !p.leaving)
+            .is_some_and(|p| p.peer.role == VmRole::Entry && p.is_ready && !p.leaving)
     }
 
     /// The count of the other entries that live.
@@ -341,6 +341,7 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
+        call.may_have_run |= call.is_running() || matches!(call.step, Step::Record { .. });
         call.step = Step::Own;
         call.hops = 0;
         call.seq = None;
@@ -382,6 +383,7 @@
         for id in ids {
             if let Some(call) = self.calls.get_mut(&id) {
                 call.step = Step::Own;
+                call.may_have_run = true;
             }
             self.step_own(now, id, out);
         }
--- a/clementinepick/tests/ownership.rs
+++ b/clementinepick/tests/ownership.rs
@@ -183,17 +183,20 @@
     );
 }
 
-// The caller is told in time. Both the owner and the log are gone: nobody can claim, so the call
-// waits to its deadline and is refused as not run.
+// The callers are told in time. Both the owner and the log are gone, and nobody can claim. A call
+// that had been passed on to the owner may have run for all that anyone can tell; one that came
+// later waits to its deadline and is refused as not run.
 #[test]
 fn without_owner_and_log_a_call_is_refused_at_its_deadline() {
     let mut world = World::new(3, 1, 1);
     let name = owned_by(&mut world, "e1");
     world.log.mode = LogMode::Down;
     world.kill("e1");
-    let id = world.call("e0", common::within_ms(3_000, post(&name, "/hold", "x")));
-    let answer = world.wait(id);
-    assert_eq!(answer.code(), "owner_unknown");
+    let passed_on = world.call("e0", common::within_ms(3_000, post(&name, "/hold", "w")));
+    world.run_ms(10);
+    let late = world.call("e0", common::within_ms(3_000, post(&name, "/hold", "x")));
+    assert_eq!(world.wait(passed_on).code(), "outcome_unknown");
+    assert_eq!(world.wait(late).code(), "owner_unknown");
     world.log.mode = LogMode::Up;
     world.run_ms(5_000);
     assert!(!world.runs().contains(&"/hold x".to_owned()));
