--- a/clementinepick/src/answer.rs
+++ b/clementinepick/src/answer.rs
@@ -1,5 +1,6 @@
 //! Takes the parts of an answer from sidecars and gives them to callers.
 
+use crate::answer_text::AnswerText;
 use crate::call::{AnswerPart, PlainAnswer, Usage};
 use crate::call_state::{Call, Leader, ReplyTo, Step};
 use crate::entry::{Entry, EntryAction};
@@ -61,7 +62,7 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        let known = call.answer.chars().count() as u64;
+        let known = call.answer.characters();
         if position > known {
             // Text is missing in between; the sidecar has it all and sends it when the call is
             // attached to again.
@@ -127,7 +128,7 @@
             return Ok(());
         }
         let part = AnswerPart::Text {
-            position: call.from + call.answer.chars().count() as u64,
+            position: call.from + call.answer.characters(),
             text: fresh.clone(),
         };
         call.answer.push_str(&fresh);
@@ -490,8 +491,11 @@
 ///
 /// After a take-over the call may have been run anew and come out otherwise. Half of one answer
 /// and half of another would look whole to the caller; so the answer is broken off instead.
-fn fresh_text(known: &str, position: u64, text: &str) -> Result<String, CallError> {
-    let known_chars = known.chars().count() as u64;
+fn fresh_text(known: &AnswerText, position: u64, text: &str) -> Result<String, CallError> {
+    let known_chars = known.characters();
+    if position == known_chars {
+        return Ok(text.to_owned());
+    }
     let overlap = skip_chars(known, position);
     let overlap_chars = overlap.chars().count() as u64;
     let differs =
--- a/clementinepick/src/call_state.rs
+++ b/clementinepick/src/call_state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::answer_text::AnswerText;
 use crate::budget::Spending;
 use crate::call::{CallDone, ChatMessage, FinishReason, Payload, PlainAnswer, Request, Usage};
 use crate::config::InForce;
@@ -11,6 +12,7 @@
 };
 use crate::message::{KeptCall, Peer};
 use crate::order::Sequencer;
+use crate::platform::VmRole;
 use crate::prompt::{ChainHash, Prompt};
 use crate::record::EndReason;
 use crate::units::{TimeUs, Tokens};
@@ -90,7 +92,7 @@
     /// The characters that the caller had before this request.
     pub(crate) from: u64,
     /// The text that has come and was given to the caller.
-    pub(crate) answer: String,
+    pub(crate) answer: AnswerText,
     pub(crate) plain: Option<PlainAnswer>,
     pub(crate) done: Option<CallDone>,
     /// When the caller left, until the call was told to stop.
@@ -234,7 +236,7 @@
     /// When the sidecar was asked last.
     pub(crate) asked_us: Option<TimeUs>,
     pub(crate) is_attached: bool,
-    pub(crate) answer: String,
+    pub(crate) answer: AnswerText,
     pub(crate) plain: Option<PlainAnswer>,
     /// The transcript that the call was given, where its sidecar has reported it.
     pub(crate) kept: Option<KeptCall>,
@@ -295,6 +297,31 @@
     pub(crate) lags: bool,
     /// The number of the first read of the configuration that began after its link came up.
     pub(crate) confirmed_by_read: u64,
+    /// The documents that were sent over its link.
+    pub(crate) sent_documents: BTreeSet<(ServiceName, Revision)>,
+}
+
+/// The documents sent to a peer that are remembered; one that is forgotten is sent again.
+const MAX_SENT: usize = 256;
+
+impl PeerState {
+    pub(crate) fn note_sent(&mut self, key: (ServiceName, Revision)) {
+        self.sent_documents.insert(key);
+        if self.sent_documents.len() > MAX_SENT {
+            self.sent_documents.pop_first();
+        }
+    }
+
+    /// Whether a peer has a document, or will have it before what is sent next.
+    pub(crate) fn has_document(&self, key: &(ServiceName, Revision)) -> bool {
+        let said = self.revisions.as_ref().and_then(|all| all.get(&key.0));
+        // A sidecar runs the call by this very revision; an owner judges it by its newest one.
+        let has = match self.peer.role {
+            VmRole::Sidecar => said == Some(&key.1),
+            VmRole::Entry => said >= Some(&key.1),
+        };
+        has || self.sent_documents.contains(key)
+    }
 }
 
 /// Answers that sidecars keep of an earlier owner's idempotent calls, by the caller's request.
--- a/clementinepick/src/fetch.rs
+++ b/clementinepick/src/fetch.rs
@@ -1,6 +1,7 @@
 //! Answers fetched later, out of order, or from a position on.
 
 use crate::answer::answer;
+use crate::answer_text::AnswerText;
 use crate::call::{AnswerPart, CallDone, Fetch, TurnState};
 use crate::call_state::{Leader, ReplyTo, Step};
 use crate::entry::{Entry, EntryAction};
@@ -186,7 +187,7 @@
         call.claim = None;
         call.held_tokens = None;
         call.from = fetch.position;
-        call.answer = String::new();
+        call.answer = AnswerText::default();
         call.plain = None;
         call.done = None;
         self.calls.insert(fetch.id, call);
--- a/clementinepick/src/members.rs
+++ b/clementinepick/src/members.rs
@@ -9,7 +9,10 @@
 use crate::membership::{Standing, StandingChange};
 use crate::message::{Heartbeat, Message};
 use crate::platform::VmRole;
-use crate::units::TimeUs;
+use crate::units::{SpanUs, TimeUs};
+
+/// The time between two judgements of all peers.
+const JUDGE_INTERVAL: SpanUs = SpanUs::from_ms(100);
 
 impl Entry {
     /// What this entry tells a peer of itself; a sidecar hears of its own service only.
@@ -52,7 +55,7 @@
             peer.is_ready = is_ready;
         }
         self.membership.on_heartbeat(now, from, leaving, silence_us);
-        self.judge_members(now, out);
+        self.judge_member(now, from, out);
         self.pass_documents(from, revisions, out);
     }
 
@@ -73,18 +76,40 @@
         // row does, or each entry would send each document to each other.
         let lagged = std::mem::replace(&mut peer.lags, !lacking.is_empty());
         if lagged && !lacking.is_empty() {
+            for document in &lacking {
+                peer.note_sent((document.service.clone(), document.revision));
+            }
             let (to, message) = (to.clone(), Message::Documents(lacking));
             out.push(EntryAction::Send { to, message });
         }
     }
 
-    /// Judges the peers anew and acts on what has changed.
+    /// Judges all peers anew, a few times a second: silence and held links show with time only.
     pub(crate) fn judge_members(&mut self, now: TimeUs, out: &mut Vec<EntryAction>) {
-        let changes = self.membership.judge(now);
+        if now >= self.next_judge_us {
+            self.next_judge_us = now.after(JUDGE_INTERVAL);
+            let changes = self.membership.judge(now);
+            self.on_standings(now, changes, out);
+        }
+    }
+
+    pub(crate) fn judge_member(&mut self, now: TimeUs, vm: &VmId, out: &mut Vec<EntryAction>) {
+        let change = self.membership.judge_one(now, vm);
+        self.on_standings(now, change.into_iter().collect(), out);
+    }
+
+    /// Acts on what has changed.
+    fn on_standings(
+        &mut self,
+        now: TimeUs,
+        changes: Vec<StandingChange>,
+        out: &mut Vec<EntryAction>,
+    ) {
         let mut services = BTreeSet::new();
         for change in &changes {
-            out.extend(event_of(change).map(EntryAction::Event));
             if let Some(peer) = self.peers.get_mut(&change.vm) {
+                let event = event_of(change, peer.peer.role);
+                out.extend(event.map(EntryAction::Event));
                 peer.leaving = matches!(change.to, Standing::Leaving | Standing::Deaf);
                 services.extend(peer.peer.service.clone());
             }
@@ -92,6 +117,13 @@
         for service in services {
             self.steer_work(&service);
         }
+        // What was sent to a peer that hears nothing will never be answered: its calls go elsewhere
+        // now, not at their deadlines, and the link is opened anew.
+        let deaf = changes.into_iter().filter(|c| c.to == Standing::Deaf);
+        for StandingChange { vm, .. } in deaf {
+            self.on_link_down(now, &vm, out);
+            out.push(EntryAction::Disconnect(vm));
+        }
     }
 
     /// Tells the router which backend servers of a service may get new work.
@@ -117,12 +149,12 @@
     }
 }
 
-fn event_of(change: &StandingChange) -> Option<Event> {
+fn event_of(change: &StandingChange, role: VmRole) -> Option<Event> {
     let kind = match change.to {
-        Standing::Leaving => EventKind::BackendLeaving,
+        Standing::Leaving if role == VmRole::Sidecar => EventKind::BackendLeaving,
         Standing::Flapping => EventKind::PeerFlapping,
         Standing::Deaf => EventKind::PeerDeaf,
-        Standing::Serving | Standing::Gone => return None,
+        Standing::Leaving | Standing::Serving | Standing::Gone => return None,
     };
     Some(Event::new(kind).with("vm", &change.vm))
 }
--- a/clementinepick/src/repeat.rs
+++ b/clementinepick/src/repeat.rs
@@ -184,11 +184,11 @@
         let (text, plain) = match &leader {
             Leader::Request(leader) => {
                 let call = self.calls.get(leader);
-                call.map(|call| (call.answer.clone(), call.plain.clone()))
+                call.map(|call| (call.answer.to_string(), call.plain.clone()))
             }
             Leader::Recorded(key) => {
                 let open = self.open_calls.get(key);
-                open.map(|open| (open.answer.clone(), open.plain.clone()))
+                open.map(|open| (open.answer.to_string(), open.plain.clone()))
             }
         }
         .unwrap_or_default();
