--- a/clementinepick/src/admission.rs
+++ b/clementinepick/src/admission.rs
@@ -123,6 +123,8 @@
             held_tokens: None,
             claim: None,
             tried: BTreeSet::new(),
+            may_have_run: false,
+            from: 0,
             answer: AnswerText::default(),
             plain: None,
             done: None,
--- a/clementinepick/src/answer.rs
+++ b/clementinepick/src/answer.rs
@@ -1,8 +1,8 @@
 //! Takes the parts of an answer from sidecars and gives them to callers.
 
 use crate::answer_text::AnswerText;
-use crate::call::{AnswerPart, Usage};
-use crate::call_state::{Leader, ReplyTo, Step};
+use crate::call::{AnswerPart, PlainAnswer, Usage};
+use crate::call_state::{Call, Leader, ReplyTo, Step};
 use crate::entry::{Entry, EntryAction};
 use crate::error::{CallError, ErrorKind, NotRun};
 use crate::event::{Event, EventKind};
@@ -36,13 +36,13 @@
             return;
         };
         match reply.part {
-            AnswerPart::Text { position, text } => self.on_text(id, position, &text, out),
+            AnswerPart::Text { position, text } => {
+                self.on_text(now, id, position, &text, out);
+            }
             AnswerPart::Plain(plain) => {
-                let Some(call) = self.calls.get_mut(&id) else {
-                    return;
-                };
-                call.plain = Some(plain.clone());
-                self.answer_all(id, &AnswerPart::Plain(plain), out);
+                for id in std::iter::once(id).chain(self.followers_of(id)) {
+                    self.give_plain(id, &plain, out);
+                }
             }
             AnswerPart::Done(done) => self.on_done(now, id, attempt, done, out),
             AnswerPart::Failed(error) => {
@@ -51,30 +51,106 @@
         }
     }
 
-    fn on_text(&mut self, id: RequestId, position: u64, text: &str, out: &mut Vec<EntryAction>) {
-        let Some(call) = self.calls.get_mut(&id) else {
+    fn on_text(
+        &mut self,
+        now: TimeUs,
+        id: RequestId,
+        position: u64,
+        text: &str,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(call) = self.calls.get(&id) else {
             return;
         };
         let known = call.answer.characters();
         if position > known {
             // Text is missing in between; the sidecar has it all and sends it when the call is
             // attached to again.
-            let partition = call.partition;
-            if let Step::Running { attempt, target } = call.step.clone() {
-                self.attach(partition, attempt, &target, known, out);
+            if let Step::Running { attempt, target } = &call.step {
+                self.attach(call.partition, *attempt, target, known, out);
             }
             return;
         }
-        let fresh = skip_chars(text, known - position);
+        for follower in self.followers_of(id) {
+            if let Err(error) = self.give_text(follower, position, text, out) {
+                self.drop_call(follower, error, out);
+            }
+        }
+        if let Err(error) = self.give_text(id, position, text, out) {
+            self.break_off(now, id, error, out);
+        }
+    }
+
+    /// Ends a running call whose answer does not go on where its caller's text ended.
+    fn break_off(
+        &mut self,
+        now: TimeUs,
+        id: RequestId,
+        error: CallError,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if let Some(call) = self.calls.get(&id)
+            && let Step::Running { attempt, target } = call.step.clone()
+        {
+            self.leave_backend(attempt, false);
+            self.settle_whole(id);
+            out.push(EntryAction::Send {
+                to: target,
+                message: Message::Cancel { attempt },
+            });
+        }
+        self.refuse(now, id, error, out);
+    }
+
+    /// Gives a caller the part of a text that it lacks.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BackendFailed`] when the text does not go on where the caller's text ended.
+    pub(crate) fn give_text(
+        &mut self,
+        id: RequestId,
+        position: u64,
+        text: &str,
+        out: &mut Vec<EntryAction>,
+    ) -> Result<(), CallError> {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return Ok(());
+        };
+        let skipped = call.from.saturating_sub(position);
+        let text = skip_chars(text, skipped);
+        let position = (position + skipped).saturating_sub(call.from);
+        if text.is_empty() {
+            return Ok(());
+        }
+        let fresh = fresh_text(&call.answer, position, &text)?;
         if fresh.is_empty() {
-            return;
+            return Ok(());
         }
-        call.answer.push_str(&fresh);
         let part = AnswerPart::Text {
-            position: known,
-            text: fresh,
+            position: call.from + call.answer.characters(),
+            text: fresh.clone(),
         };
-        self.answer_all(id, &part, out);
+        call.answer.push_str(&fresh);
+        answer(&call.reply_to, id, part, out);
+        Ok(())
+    }
+
+    /// Gives a caller the answer of a plain service, unless it has it already.
+    pub(crate) fn give_plain(
+        &mut self,
+        id: RequestId,
+        plain: &PlainAnswer,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if call.plain.is_some() {
+            return;
+        }
+        call.plain = Some(plain.clone());
+        answer(&call.reply_to, id, AnswerPart::Plain(plain.clone()), out);
     }
 
     pub(crate) fn attach(
@@ -96,15 +172,6 @@
         }
     }
 
-    /// Gives a part to the caller and to all that asked for the same call later.
-    fn answer_all(&self, id: RequestId, part: &AnswerPart, out: &mut Vec<EntryAction>) {
-        for id in std::iter::once(id).chain(self.followers_of(id)) {
-            if let Some(call) = self.calls.get(&id) {
-                answer(&call.reply_to, id, part.clone(), out);
-            }
-        }
-    }
-
     pub(crate) fn followers_of(&self, leader: RequestId) -> Vec<RequestId> {
         let leader = Step::Follow(Leader::Request(leader));
         let following = self.calls.iter().filter(|(_, call)| call.step == leader);
@@ -142,6 +209,9 @@
             _ => return,
         };
         let (idempotent, is_claimed) = (call.idempotent, call.claim.is_some());
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.may_have_run |= started;
+        }
         self.leave_backend(attempt, started);
         // A failed attempt has spent what the engine counted, or all that was held for it where
         // nobody counted.
@@ -250,6 +320,7 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
+        let error = truthful(call, error);
         let is_not_run = error.kind.answer().not_run == NotRun::Yes;
         if is_not_run && call.claim.is_some() {
             self.release_claim(id, &error);
@@ -295,6 +366,7 @@
         let Some(call) = self.calls.remove(&id) else {
             return;
         };
+        let error = truthful(&call, error);
         let event = Event::new(EventKind::CallRefused)
             .with("request", id)
             .with("error", &error);
@@ -392,33 +464,26 @@
         if call.step != Step::Forwarded(from.clone()) {
             return;
         }
-        let reply_to = call.reply_to.clone();
-        let part = match part {
+        match part {
             AnswerPart::Text { position, text } => {
-                match fresh_text(&call.answer, position, &text) {
-                    Ok(fresh) if fresh.is_empty() => return,
-                    Ok(fresh) => {
-                        let position = call.answer.characters();
-                        call.answer.push_str(&fresh);
-                        AnswerPart::Text {
-                            position,
-                            text: fresh,
-                        }
-                    }
-                    Err(error) => {
-                        let message = Message::ForwardCancel { request: id };
-                        let to = from.clone();
-                        out.push(EntryAction::Send { to, message });
-                        AnswerPart::Failed(error)
-                    }
+                if let Err(error) = self.give_text(id, position, &text, out) {
+                    let message = Message::ForwardCancel { request: id };
+                    let to = from.clone();
+                    out.push(EntryAction::Send { to, message });
+                    self.drop_call(id, error, out);
                 }
             }
-            part @ (AnswerPart::Plain(_) | AnswerPart::Done(_) | AnswerPart::Failed(_)) => part,
-        };
-        if part.is_last() {
-            self.calls.remove(&id);
+            AnswerPart::Plain(plain) => self.give_plain(id, &plain, out),
+            last @ (AnswerPart::Done(_) | AnswerPart::Failed(_)) => {
+                let last = match last {
+                    AnswerPart::Failed(error) => AnswerPart::Failed(truthful(call, error)),
+                    other => other,
+                };
+                let reply_to = call.reply_to.clone();
+                self.calls.remove(&id);
+                answer(&reply_to, id, last, out);
+            }
         }
-        answer(&reply_to, id, part, out);
     }
 }
 
@@ -442,6 +507,25 @@
     Ok(skip_chars(text, overlap_chars))
 }
 
+/// The error that is true of a call of which an earlier attempt may have run.
+///
+/// A call that was sent again after its owner was lost, or after a failed attempt, may be refused
+/// by whoever gets it last as not run; that would be true of the last attempt only. What may not
+/// run twice is refused by its record, except by one who has not looked there.
+fn truthful(call: &Call, error: CallError) -> CallError {
+    if !call.may_have_run || error.kind.answer().not_run != NotRun::Yes {
+        return error;
+    }
+    let kind = match error.kind {
+        _ if call.idempotent => ErrorKind::BackendFailed,
+        ErrorKind::NotReady | ErrorKind::ShuttingDown | ErrorKind::OwnerUnknown => {
+            ErrorKind::OutcomeUnknown
+        }
+        _ => return error,
+    };
+    CallError::new(kind, error.detail)
+}
+
 /// An error of a call that surely did not run, whatever its kind says of calls in general.
 fn as_not_run(error: CallError) -> CallError {
     if error.kind.answer().not_run == NotRun::Yes {
