--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -266,7 +266,11 @@
     pub(crate) gate: Gate,
     pub(crate) load: LoadReport,
     pub(crate) entries: BTreeMap<VmId, Peer>,
+    /// When entries were heard last.
     pub(crate) heard_us: BTreeMap<VmId, TimeUs>,
+    pub(crate) last_handled_us: Option<TimeUs>,
+    /// Nothing is admitted before this time.
+    pub(crate) admits_from_us: TimeUs,
     pub(crate) epochs: BTreeMap<PartitionId, Epoch>,
     pub(crate) attempts: BTreeMap<AttemptId, Attempt>,
     /// Attempts of non-idempotent calls that must not start here (again).
@@ -298,6 +302,8 @@
             load: LoadReport::default(),
             entries: BTreeMap::new(),
             heard_us: BTreeMap::new(),
+            last_handled_us: None,
+            admits_from_us: TimeUs(0),
             epochs: BTreeMap::new(),
             attempts: BTreeMap::new(),
             closed: BTreeMap::new(),
@@ -312,21 +318,23 @@
 
     /// Reacts to one input.
     pub fn handle(&mut self, now: TimeUs, input: SidecarInput, out: &mut Vec<SidecarAction>) {
+        self.note_pause(now);
         match input {
             SidecarInput::LinkUp(peer) => {
                 out.push(log(EventKind::LinkUp, &peer.vm));
-                self.heard_us.insert(peer.vm.clone(), now);
                 let heartbeat = self.heartbeat_to(now, &peer.vm);
                 out.push(send(&peer.vm, Message::Heartbeat(heartbeat)));
                 if let Some(state) = self.orders.engine() {
                     out.push(send(&peer.vm, Message::Engine(state.clone())));
                 }
+                self.heard_us.insert(peer.vm.clone(), now);
                 self.entries.insert(peer.vm.clone(), peer);
             }
             SidecarInput::LinkDown(vm) => {
                 out.push(log(EventKind::LinkDown, &vm));
                 self.entries.remove(&vm);
                 self.heard_us.remove(&vm);
+                self.drop_waiting_of(now, &vm, out);
             }
             SidecarInput::Link { from, message } => self.on_message(now, from, message, out),
             SidecarInput::Backend { attempt, event } => self.on_backend(now, attempt, event, out),
@@ -359,6 +367,7 @@
         Heartbeat {
             revisions: self.config.revisions(),
             config_offset: Offset(0),
+            is_ready: self.is_ready(),
             leaving: self.leaving || self.orders.blocks_new_work(),
             silence_us: heard_us.map_or(SpanUs(0), |heard_us| now.since(heard_us)),
             decider: None,
@@ -433,10 +442,15 @@
             }
             Message::Release {
                 program,
+                chains,
                 partition,
                 epoch,
             } => {
                 if self.accept_epoch(partition, epoch, out) {
+                    if !chains.is_empty() {
+                        let lease = self.leases.entry(program.clone()).or_default();
+                        lease.chains.extend(chains);
+                    }
                     self.release(now, program, Some(from), out);
                 }
             }
@@ -494,6 +508,7 @@
         self.set_gate();
         self.expire(now, out);
         self.lapse_leases(now, out);
+        self.drop_waiting_of_silent(now, out);
         self.drop_old_answers(now);
         self.prune_closed();
         if now >= self.next_heartbeat_us {
--- a/clementinepick/src/step_own.rs
+++ b/clementinepick/src/step_own.rs
@@ -44,7 +44,7 @@
     fn is_live_entry(&self, vm: &VmId) -> bool {
         self.peers
             .get(vm)
-            .is_some_and(|p| p.peer.role == VmRole::Entry && !p.leaving)
+            .is_some_and(|p| p.peer.role == VmRole::Entry && p.is_ready && !p.leaving)
     }
 
     /// The count of the other entries that live.
@@ -228,6 +228,7 @@
             out.push(EntryAction::Event(event));
             self.start_take_over(now, partition, out);
             self.recover_open_calls(now, partition, out);
+            self.release_recorded(now, partition, out);
         } else {
             self.leave_partition(now, partition, out);
         }
@@ -341,6 +342,7 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
+        call.may_have_run |= call.is_running() || matches!(call.step, Step::Record { .. });
         call.step = Step::Own;
         call.hops = 0;
         call.seq = None;
@@ -382,6 +384,7 @@
         for id in ids {
             if let Some(call) = self.calls.get_mut(&id) {
                 call.step = Step::Own;
+                call.may_have_run = true;
             }
             self.step_own(now, id, out);
         }
--- a/clementinepick/src/sweep.rs
+++ b/clementinepick/src/sweep.rs
@@ -31,6 +31,7 @@
         self.reserve_ahead(now);
         self.ask_open_calls(now, out);
         self.send_releases(now, out);
+        self.repeat_ends(now, out);
         self.walk_programs(now, out);
         self.drop_kept(now, out);
         self.recover_partitions(now);
