Measure the decisions in virtual time against fifo and least-loaded

The policy tool drives them over programs with heavy tails, tool pauses, sub-agents, loops and hung tools, on engines in virtual time; load is offered work over the capacity of the engines under fifo, a fixed point found in four runs of one seed.

--- a/clementinepick/src/gate.rs
+++ b/clementinepick/src/gate.rs
@@ -152,6 +152,12 @@
         expired
     }
 
+    /// Forgets all calls: the backend server has failed with all that it had.
+    pub fn clear(&mut self) {
+        self.waiting.clear();
+        self.running.clear();
+    }
+
     /// A running call has ended, or a waiting one was taken back.
     pub fn remove(&mut self, attempt: AttemptId) {
         self.running.remove(&attempt);
--- /dev/null
+++ b/standins/src/policy.rs
@@ -0,0 +1,253 @@
+//! The policy tool: drives the decisions in virtual time and sets them against the baselines.
+
+use std::thread;
+
+use argh::FromArgs;
+use clementinepick::units::{SpanUs, TimeUs};
+use thiserror::Error;
+
+use crate::policy_engine::EngineShape;
+use crate::policy_knobs::{BadKnob, Knobs, POLICIES};
+use crate::policy_mix::{After, Mix, Turn, Work, engine_plans, plain_plans};
+use crate::policy_mixes::{limitworks, nyiramasuka};
+use crate::policy_result::{Figures, float};
+use crate::policy_run::Run;
+use crate::policy_table::table;
+
+/// What the policy tool is asked to do.
+#[derive(Debug, Clone)]
+pub struct PolicySettings {
+    /// `nyiramasuka` or `limitworks`.
+    pub mix: String,
+    /// Offered work over the capacity of the engines under `fifo`.
+    pub load: f64,
+    /// The seeds, each of them one run of each policy.
+    pub seeds: Vec<u64>,
+    /// The one policy to run; absent: all.
+    pub policy: Option<String>,
+    /// Changes of single settings, as `key=value`, for all policies.
+    pub changes: Vec<String>,
+    /// Threads over which the runs are spread.
+    pub threads: usize,
+}
+
+/// Drive the gate, the routing and the cache retention in virtual time, against the baselines.
+#[derive(Debug, Clone, FromArgs)]
+#[argh(subcommand, name = "policy")]
+pub struct PolicyArgs {
+    /// the workload: nyiramasuka or limitworks
+    #[argh(option)]
+    pub mix: String,
+    /// offered work over the capacity of the engines under fifo
+    #[argh(option, default = "0.9")]
+    pub load: f64,
+    /// the seeds, such as 1..10
+    #[argh(option, default = "String::from(\"1..10\")")]
+    pub seeds: String,
+    /// the one policy to run: fifo, least-loaded or clementinepick; all three by default
+    #[argh(option)]
+    pub policy: Option<String>,
+    /// change a setting of the runs, as key=value
+    #[argh(option, long = "set")]
+    pub changes: Vec<String>,
+    /// threads over which the runs are spread
+    #[argh(option, default = "4")]
+    pub threads: usize,
+}
+
+/// Runs the tool; returns one line of JSON for each run, and the table of medians.
+///
+/// # Errors
+///
+/// When a name or setting is unknown.
+pub fn run_args(args: PolicyArgs) -> Result<String, PolicyError> {
+    let settings = PolicySettings {
+        mix: args.mix,
+        load: args.load,
+        seeds: parse_seeds(&args.seeds)?,
+        policy: args.policy,
+        changes: args.changes,
+        threads: args.threads,
+    };
+    let results = run(&settings)?;
+    let mut lines = Vec::new();
+    for figures in &results {
+        lines.push(serde_json::to_string(figures)?);
+    }
+    lines.push(table(&results));
+    Ok(lines.join("\n"))
+}
+
+/// Why the policy tool can't run.
+#[derive(Debug, Error)]
+pub enum PolicyError {
+    /// No mix of this name.
+    #[error("no mix `{0}`; there are nyiramasuka and limitworks")]
+    UnknownMix(String),
+    /// No policy or setting of this name.
+    #[error(transparent)]
+    BadKnob(#[from] BadKnob),
+    /// Figures that JSON can't hold.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    /// Seeds that can't be read.
+    #[error("`{0}` is no range of seeds, such as `1..10`")]
+    BadSeeds(String),
+}
+
+/// The seed of the run that estimates what `fifo` can carry.
+const CAPACITY_SEED: u64 = 4_242;
+/// How long programs arrive in that run.
+const CAPACITY_HORIZON: SpanUs = SpanUs::from_s(400);
+/// Runs after which the estimate has settled.
+const CAPACITY_ROUNDS: u32 = 4;
+
+/// Reads `A..B` as the seeds from A to B, both included.
+///
+/// # Errors
+///
+/// When the text is no range.
+pub fn parse_seeds(text: &str) -> Result<Vec<u64>, PolicyError> {
+    let bad = || PolicyError::BadSeeds(text.to_owned());
+    let (first, last) = text.split_once("..").unwrap_or((text, text));
+    let first: u64 = first.parse().map_err(|_| bad())?;
+    let last: u64 = last.parse().map_err(|_| bad())?;
+    if first > last {
+        return Err(bad());
+    }
+    Ok((first..=last).collect())
+}
+
+/// The mix of a name.
+///
+/// # Errors
+///
+/// When there is none.
+pub fn mix_of(name: &str) -> Result<Mix, PolicyError> {
+    match name {
+        "nyiramasuka" => Ok(nyiramasuka()),
+        "limitworks" => Ok(limitworks()),
+        _ => Err(PolicyError::UnknownMix(name.to_owned())),
+    }
+}
+
+/// Runs all policies over all seeds; the runs come back in the order of policies and seeds.
+///
+/// # Errors
+///
+/// When a name or setting is unknown.
+pub fn run(settings: &PolicySettings) -> Result<Vec<Figures>, PolicyError> {
+    let mix = mix_of(&settings.mix)?;
+    let policies: Vec<&str> = match &settings.policy {
+        Some(policy) => vec![policy],
+        None => POLICIES.to_vec(),
+    };
+    let mut jobs = Vec::new();
+    for policy in policies {
+        let mut knobs = Knobs::of_policy(policy)?;
+        for change in &settings.changes {
+            knobs.set(change)?;
+        }
+        jobs.extend(settings.seeds.iter().map(|seed| (knobs.clone(), *seed)));
+    }
+    let programs_per_s = settings.load * capacity_per_s(&mix);
+    Ok(run_jobs(
+        &mix,
+        settings.load,
+        programs_per_s,
+        &jobs,
+        settings.threads,
+    ))
+}
+
+fn run_jobs(
+    mix: &Mix,
+    load: f64,
+    programs_per_s: f64,
+    jobs: &[(Knobs, u64)],
+    threads: usize,
+) -> Vec<Figures> {
+    let threads = threads.max(1);
+    let one = |(knobs, seed): &(Knobs, u64)| {
+        let until_us = TimeUs(knobs.horizon_us.0);
+        let mut plans = engine_plans(mix, *seed, programs_per_s, until_us);
+        plans.extend(plain_plans(mix, *seed, load, until_us));
+        Run::new(mix, knobs.clone(), *seed, plans).finish()
+    };
+    let mut results: Vec<(usize, Figures)> = thread::scope(|scope| {
+        let work = |first: usize| {
+            let mine = jobs.iter().enumerate().skip(first).step_by(threads);
+            mine.map(|(at, job)| (at, one(job))).collect::<Vec<_>>()
+        };
+        let handles: Vec<_> = (0..threads)
+            .map(|first| scope.spawn(move || work(first)))
+            .collect();
+        let joined = handles.into_iter().map(|handle| match handle.join() {
+            Ok(list) => list,
+            Err(panic) => std::panic::resume_unwind(panic),
+        });
+        joined.flatten().collect()
+    });
+    results.sort_by_key(|(at, _)| *at);
+    results.into_iter().map(|(_, figures)| figures).collect()
+}
+
+/// Programs a second that the engines can carry under `fifo`: the time that their calls take of an
+/// engine with a full batch, with as much of their prompts from the cache as `fifo` gets at that
+/// very load.
+///
+/// The more load, the less `fifo` finds in its caches, so the estimate is a fixed point, found in a
+/// few runs of one seed.
+#[must_use]
+pub fn capacity_per_s(mix: &Mix) -> f64 {
+    let mut fifo = match Knobs::of_policy("fifo") {
+        Ok(knobs) => knobs,
+        Err(error) => unreachable!("fifo is a policy: {error}"),
+    };
+    fifo.horizon_us = CAPACITY_HORIZON;
+    let until_us = TimeUs(CAPACITY_HORIZON.0);
+    let mut per_s = f64::from(mix.engines) / program_engine_s(mix, 0.0);
+    for _ in 0..CAPACITY_ROUNDS {
+        let plans = engine_plans(mix, CAPACITY_SEED, per_s, until_us);
+        let figures = Run::new(mix, fifo.clone(), CAPACITY_SEED, plans).finish();
+        let reused = figures.reused_tokens / figures.prompt_tokens.max(1.0);
+        per_s = f64::from(mix.engines) / program_engine_s(mix, reused);
+    }
+    per_s
+}
+
+/// The time that a program takes of an engine with a full batch, on average.
+fn program_engine_s(mix: &Mix, reused: f64) -> f64 {
+    let shape = EngineShape::default();
+    let plans = engine_plans(mix, CAPACITY_SEED, 10.0, TimeUs(CAPACITY_HORIZON.0));
+    let engine_us: f64 = plans
+        .iter()
+        .map(|plan| match &plan.work {
+            Work::Turns {
+                system_tokens,
+                turns,
+            } => chain_us(float(system_tokens.0), turns, reused, &shape),
+            Work::Plain { .. } => 0.0,
+        })
+        .sum();
+    engine_us / 1e6 / float(plans.len() as u64)
+}
+
+fn chain_us(before: f64, turns: &[Turn], reused: f64, shape: &EngineShape) -> f64 {
+    let batch = float(shape.max_running as u64);
+    let output_token_us = float(shape.step_us) / batch + float(shape.sequence_us);
+    let (mut length, mut sum) = (before, 0.0);
+    for turn in turns {
+        length += float(turn.input_tokens.0);
+        sum += length * (1.0 - reused) * float(shape.prompt_token_us);
+        length += float(turn.output_tokens.0);
+        sum += float(turn.output_tokens.0) * output_token_us;
+        if let After::Fork(agents) = &turn.after {
+            let agents = agents
+                .iter()
+                .map(|agent| chain_us(length, agent, reused, shape));
+            sum += agents.sum::<f64>();
+        }
+    }
+    sum
+}
--- /dev/null
+++ b/standins/src/policy_draw.rs
@@ -0,0 +1,77 @@
+//! Seeded draws for the policy tool's workloads.
+
+use clementinepick::units::SpanUs;
+use rand_chacha::ChaCha12Rng;
+use rand_chacha::rand_core::Rng;
+
+/// A draw from 0 up to 1.
+#[expect(clippy::cast_precision_loss, reason = "53 bits fit")]
+pub fn unit(rng: &mut ChaCha12Rng) -> f64 {
+    (rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
+}
+
+/// The time to the next arrival of a Poisson stream.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the draw is positive and far below 2^63"
+)]
+pub fn exponential_us(rng: &mut ChaCha12Rng, per_s: f64) -> SpanUs {
+    let gap_s = -(1.0 - unit(rng)).ln() / per_s;
+    SpanUs((gap_s * 1e6) as u64)
+}
+
+/// A lognormal size with an upper bound.
+#[derive(Debug, Clone, Copy)]
+pub struct LogNormal {
+    /// Half of the draws are below it.
+    pub median: f64,
+    /// The spread of the logarithm.
+    pub sigma: f64,
+    /// No draw is above it.
+    pub most: f64,
+}
+
+impl LogNormal {
+    /// One draw.
+    pub fn draw(&self, rng: &mut ChaCha12Rng) -> f64 {
+        let (first, second) = (1.0 - unit(rng), unit(rng));
+        let normal = (-2.0 * first.ln()).sqrt() * (std::f64::consts::TAU * second).cos();
+        (self.median * (self.sigma * normal).exp()).min(self.most)
+    }
+
+    /// One draw as a count of at least one.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "draws are positive and bounded"
+    )]
+    pub fn draw_count(&self, rng: &mut ChaCha12Rng) -> u64 {
+        self.draw(rng).max(1.0) as u64
+    }
+
+    /// The mean without the bound.
+    #[must_use]
+    pub fn mean(&self) -> f64 {
+        self.median * (self.sigma * self.sigma / 2.0).exp()
+    }
+}
+
+/// A Pareto size with an upper bound.
+#[derive(Debug, Clone, Copy)]
+pub struct Pareto {
+    /// No draw is below it.
+    pub least: f64,
+    /// The tail's exponent: smaller is heavier.
+    pub alpha: f64,
+    /// No draw is above it.
+    pub most: f64,
+}
+
+impl Pareto {
+    /// One draw.
+    pub fn draw(&self, rng: &mut ChaCha12Rng) -> f64 {
+        let drawn = self.least / (1.0 - unit(rng)).powf(1.0 / self.alpha);
+        drawn.min(self.most)
+    }
+}
--- /dev/null
+++ b/standins/src/policy_host.rs
@@ -0,0 +1,287 @@
+//! The backend servers of a run, each with the decisions that its sidecar makes.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use clementinepick::document::Document;
+use clementinepick::gate::{Gate, GateCall, GateSettings};
+use clementinepick::ids::{AttemptId, ClassName, ProgramId, VmId};
+use clementinepick::message::BackendLoad;
+use clementinepick::units::{SpanUs, TimeUs, Tokens};
+
+use crate::policy_engine::{EngineCall, EngineDone, EngineShape, Progress, VirtualEngine};
+use crate::policy_knobs::Knobs;
+
+/// A call as it comes to a sidecar.
+#[derive(Debug, Clone)]
+pub struct HostCall {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The program.
+    pub program: ProgramId,
+    /// The class.
+    pub class: ClassName,
+    /// When its caller gives up.
+    pub deadline_us: TimeUs,
+    /// What the program, with its sub-agents, has been served so far.
+    pub attained_tokens: Tokens,
+    /// What is to be run.
+    pub work: HostWork,
+}
+
+/// What a call runs.
+#[derive(Debug, Clone)]
+pub enum HostWork {
+    /// A turn of a model engine.
+    Turn(EngineCall),
+    /// A call of the plain service.
+    Plain(SpanUs),
+}
+
+/// The backend server itself.
+#[derive(Debug)]
+pub enum Backend {
+    /// A model engine.
+    Engine(Box<VirtualEngine>),
+    /// A server of the plain service with so many slots.
+    Plain {
+        /// The calls that run at once.
+        slots: usize,
+        /// The calls that run, with their ends.
+        running: BTreeMap<AttemptId, TimeUs>,
+        /// The calls that wait in the server, first come first served.
+        waiting: VecDeque<(AttemptId, SpanUs)>,
+    },
+}
+
+/// A backend server with its sidecar.
+#[derive(Debug)]
+pub struct Host {
+    /// Its VM.
+    pub vm: VmId,
+    /// The backend server.
+    pub backend: Backend,
+    /// Whether it is down.
+    pub down: bool,
+    /// The number of the first cache event that is not published yet.
+    pub next_cache_event: u64,
+    gate: Option<Gate>,
+    waiting: BTreeMap<AttemptId, HostWork>,
+    document: Document,
+}
+
+impl Host {
+    /// An idle engine.
+    #[must_use]
+    pub fn engine(vm: VmId, document: &Document, knobs: &Knobs) -> Self {
+        let shape = EngineShape::default();
+        let gate = knobs.gate.then(|| {
+            let settings = GateSettings {
+                max_running: document.max_running_per_backend,
+                max_waiting: document.max_waiting_per_backend,
+                cache_size_tokens: Some(shape.cache_size_tokens),
+            };
+            Gate::new(settings)
+        });
+        Self::new(
+            vm,
+            Backend::Engine(Box::new(VirtualEngine::new(shape))),
+            gate,
+            document,
+        )
+    }
+
+    /// An idle server of the plain service.
+    #[must_use]
+    pub fn plain(vm: VmId, document: &Document, knobs: &Knobs) -> Self {
+        let gate = knobs.gate.then(|| {
+            let settings = GateSettings {
+                max_running: document.max_running_per_backend,
+                max_waiting: document.max_waiting_per_backend,
+                cache_size_tokens: None,
+            };
+            Gate::new(settings)
+        });
+        let backend = Backend::Plain {
+            slots: document.max_running_per_backend as usize,
+            running: BTreeMap::new(),
+            waiting: VecDeque::new(),
+        };
+        Self::new(vm, backend, gate, document)
+    }
+
+    fn new(vm: VmId, backend: Backend, gate: Option<Gate>, document: &Document) -> Self {
+        Self {
+            vm,
+            backend,
+            down: false,
+            next_cache_event: 0,
+            gate,
+            waiting: BTreeMap::new(),
+            document: document.clone(),
+        }
+    }
+
+    /// Takes a call; false when the gate refused it before any work.
+    pub fn take(&mut self, now: TimeUs, call: HostCall) -> bool {
+        let Some(gate) = &mut self.gate else {
+            self.start(now, call.attempt, call.work);
+            return true;
+        };
+        let rules = self
+            .document
+            .class(&call.class)
+            .cloned()
+            .unwrap_or_default();
+        let memory_tokens = match &call.work {
+            HostWork::Turn(turn) => {
+                let prompt: Tokens = turn.prompt.iter().map(|s| s.length_tokens).sum();
+                prompt + rules.max_output_tokens
+            }
+            HostWork::Plain(_) => Tokens(0),
+        };
+        let gate_call = GateCall {
+            attempt: call.attempt,
+            program: call.program,
+            class: call.class,
+            rank: rules.rank,
+            weight: rules.weight,
+            arrived_us: now,
+            deadline_us: call.deadline_us,
+            max_wait_us: rules.max_wait_us,
+            attained_tokens: call.attained_tokens,
+            memory_tokens,
+        };
+        if gate.push(gate_call).is_err() {
+            return false;
+        }
+        self.waiting.insert(call.attempt, call.work);
+        self.admit(now);
+        true
+    }
+
+    /// A running call has ended.
+    pub fn ended(&mut self, now: TimeUs, attempt: AttemptId) {
+        if let Some(gate) = &mut self.gate {
+            gate.remove(attempt);
+            self.admit(now);
+        }
+    }
+
+    fn admit(&mut self, now: TimeUs) {
+        let Some(gate) = &mut self.gate else { return };
+        for attempt in gate.admit(now) {
+            if let Some(work) = self.waiting.remove(&attempt) {
+                self.start(now, attempt, work);
+            }
+        }
+    }
+
+    fn start(&mut self, now: TimeUs, attempt: AttemptId, work: HostWork) {
+        match (&mut self.backend, work) {
+            (Backend::Engine(engine), HostWork::Turn(call)) => engine.submit(now, call),
+            (Backend::Plain { waiting, .. }, HostWork::Plain(service_us)) => {
+                waiting.push_back((attempt, service_us));
+                self.fill_slots(now);
+            }
+            _ => unreachable!("calls go to servers of their own kind"),
+        }
+    }
+
+    fn fill_slots(&mut self, now: TimeUs) {
+        let Backend::Plain {
+            slots,
+            running,
+            waiting,
+        } = &mut self.backend
+        else {
+            return;
+        };
+        while running.len() < *slots {
+            let Some((attempt, service_us)) = waiting.pop_front() else {
+                return;
+            };
+            running.insert(attempt, now.after(service_us));
+        }
+    }
+
+    /// When the backend server does something next.
+    #[must_use]
+    pub fn next_us(&self) -> Option<TimeUs> {
+        match &self.backend {
+            Backend::Engine(engine) => engine.next_us(),
+            Backend::Plain { running, .. } => running.values().min().copied(),
+        }
+    }
+
+    /// Lets the backend server go on to `now`.
+    pub fn advance(&mut self, now: TimeUs) -> Progress {
+        let progress = match &mut self.backend {
+            Backend::Engine(engine) => engine.advance(now),
+            Backend::Plain { running, .. } => {
+                let mut progress = Progress::default();
+                let ended = running.iter().filter(|(_, end_us)| **end_us <= now);
+                progress.done = ended
+                    .map(|(attempt, _)| EngineDone {
+                        attempt: *attempt,
+                        cached_tokens: Tokens(0),
+                    })
+                    .collect();
+                running.retain(|_, end_us| *end_us > now);
+                progress
+            }
+        };
+        self.fill_slots(now);
+        progress
+    }
+
+    /// Takes out a call that waits or runs; its caller has given up.
+    pub fn cancel(&mut self, now: TimeUs, attempt: AttemptId) {
+        self.waiting.remove(&attempt);
+        match &mut self.backend {
+            Backend::Engine(engine) => engine.cancel(now, attempt),
+            Backend::Plain {
+                running, waiting, ..
+            } => {
+                running.remove(&attempt);
+                waiting.retain(|(waiting, _)| *waiting != attempt);
+            }
+        }
+        self.fill_slots(now);
+        self.ended(now, attempt);
+    }
+
+    /// The backend server fails, and its sidecar with it.
+    pub fn fail(&mut self, now: TimeUs) {
+        self.down = true;
+        self.waiting.clear();
+        if let Some(gate) = &mut self.gate {
+            gate.clear();
+        }
+        if let Backend::Engine(engine) = &mut self.backend {
+            engine.fail(now);
+        }
+    }
+
+    /// What the sidecar reports.
+    #[must_use]
+    pub fn load(&self) -> BackendLoad {
+        let engine = match &self.backend {
+            Backend::Engine(engine) => engine.load(),
+            Backend::Plain {
+                running, waiting, ..
+            } => clementinepick::platform::LoadReport {
+                running: u32::try_from(running.len()).unwrap_or(u32::MAX),
+                waiting: u32::try_from(waiting.len()).unwrap_or(u32::MAX),
+                ..Default::default()
+            },
+        };
+        BackendLoad {
+            engine,
+            waiting: self
+                .gate
+                .as_ref()
+                .map_or(0, |gate| u32::try_from(gate.waiting()).unwrap_or(u32::MAX)),
+            waiting_tokens: self.gate.as_ref().map_or(Tokens(0), Gate::waiting_tokens),
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/policy_knobs.rs
@@ -0,0 +1,108 @@
+//! Which decisions a run of the policy tool uses: a named policy, and single changes by `--set`.
+
+use std::str::FromStr;
+
+use clementinepick::units::SpanUs;
+use thiserror::Error;
+
+/// How a backend server is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Routing {
+    /// One after the other.
+    RoundRobin,
+    /// The one with the fewest calls, by its lagging report and the entry's own calls since.
+    LeastLoaded,
+    /// [`clementinepick::route`].
+    Router,
+}
+
+/// What can be changed by `--set key=value`.
+#[derive(Debug, Clone)]
+pub struct Knobs {
+    /// The policy's name.
+    pub policy: String,
+    /// `routing`: how a backend server is chosen.
+    pub routing: Routing,
+    /// `gate`: whether calls wait in the order of the gate before a backend server.
+    pub gate: bool,
+    /// `heartbeat`: the time between two load reports.
+    pub heartbeat_us: SpanUs,
+    /// `gaps`: the chance that a batch of cache events is lost.
+    pub gaps: f64,
+    /// `fault`: whether an engine fails during the run.
+    pub fault: bool,
+    /// `horizon`: how long programs arrive.
+    pub horizon_us: SpanUs,
+    /// `warmup`: what arrives before is not measured.
+    pub warmup_us: SpanUs,
+}
+
+/// A policy or setting that does not exist.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{0}")]
+pub struct BadKnob(String);
+
+/// The policies.
+pub const POLICIES: &[&str] = &["fifo", "least-loaded", "clementinepick"];
+
+impl Knobs {
+    /// The settings of a named policy.
+    ///
+    /// # Errors
+    ///
+    /// When there is no such policy.
+    pub fn of_policy(policy: &str) -> Result<Self, BadKnob> {
+        let routing = match policy {
+            "fifo" => Routing::RoundRobin,
+            "least-loaded" => Routing::LeastLoaded,
+            "clementinepick" => Routing::Router,
+            _ => {
+                let known = POLICIES.join(", ");
+                return Err(BadKnob(format!("no policy `{policy}`; there are {known}")));
+            }
+        };
+        let ours = routing == Routing::Router;
+        Ok(Self {
+            policy: policy.to_owned(),
+            routing,
+            gate: ours,
+            heartbeat_us: SpanUs::from_ms(500),
+            gaps: 0.01,
+            fault: false,
+            horizon_us: SpanUs::from_s(1_800),
+            warmup_us: SpanUs::from_s(300),
+        })
+    }
+
+    /// Changes one setting, as `key=value`.
+    ///
+    /// # Errors
+    ///
+    /// When the key is unknown or the value can't be read.
+    pub fn set(&mut self, change: &str) -> Result<(), BadKnob> {
+        let bad = || BadKnob(format!("`{change}` is no setting of the policy tool"));
+        let (key, value) = change.split_once('=').ok_or_else(bad)?;
+        match key {
+            "routing" => {
+                self.routing = match value {
+                    "round-robin" => Routing::RoundRobin,
+                    "least-loaded" => Routing::LeastLoaded,
+                    "router" => Routing::Router,
+                    _ => return Err(bad()),
+                }
+            }
+            "gate" => self.gate = read(value).ok_or_else(bad)?,
+            "heartbeat" => self.heartbeat_us = read(value).ok_or_else(bad)?,
+            "gaps" => self.gaps = read(value).ok_or_else(bad)?,
+            "fault" => self.fault = read(value).ok_or_else(bad)?,
+            "horizon" => self.horizon_us = read(value).ok_or_else(bad)?,
+            "warmup" => self.warmup_us = read(value).ok_or_else(bad)?,
+            _ => return Err(bad()),
+        }
+        Ok(())
+    }
+}
+
+fn read<T: FromStr>(value: &str) -> Option<T> {
+    value.parse().ok()
+}
--- /dev/null
+++ b/standins/src/policy_run.rs
@@ -0,0 +1,508 @@
+//! One run of the policy tool: programs, entries and backend servers in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+use clementinepick::ids::{AttemptId, ServiceName, VmId};
+use clementinepick::prompt::Prompt;
+use clementinepick::units::{SpanUs, TimeUs, Tokens};
+use rand_chacha::ChaCha12Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+use crate::policy_draw::unit;
+use crate::policy_engine::{EngineCall, EngineDone};
+use crate::policy_entry::EntryChoice;
+use crate::policy_host::{Backend, Host, HostCall, HostWork};
+use crate::policy_knobs::Knobs;
+use crate::policy_mix::{After, Mix, Plan, Work, name};
+use crate::policy_program::{Program, Programs};
+use crate::policy_result::{Figures, Latencies, float};
+
+/// Entries among which the programs are spread.
+const ENTRIES: usize = 3;
+/// The way from an entry to a sidecar, and back.
+const ONE_WAY: SpanUs = SpanUs(1_500);
+/// The time after which a backend server that fell silent counts as gone.
+const SILENCE: SpanUs = SpanUs::from_s(3);
+/// How long the engine that fails is down.
+const DOWN: SpanUs = SpanUs::from_s(120);
+/// How long a caller waits before it sends a refused call again.
+const COME_BACK: SpanUs = SpanUs::from_s(1);
+/// Sends of one call before its program counts as failed.
+const MAX_SENDS: u32 = 30;
+/// Backend servers that an entry tries before it gives a call back to its caller.
+const MAX_TRIED: usize = 3;
+/// Bytes of cache that one token takes.
+const BYTES_PER_TOKEN: f64 = 160_000.0;
+/// The longest run, in horizons; programs that have not ended by then count as failed.
+const DRAIN: u64 = 4;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// A program issues its next call.
+    Issue(usize),
+    /// A call reaches its sidecar.
+    Dispatch(AttemptId),
+    /// A backend server may have something to tell.
+    Backend(usize),
+    /// The answer of a call reaches the program.
+    Answer(usize),
+    /// A call's caller gives up.
+    Deadline(AttemptId),
+    /// Sidecars report.
+    Heartbeat,
+    /// An engine fails.
+    Fault,
+    /// The entries learn that the engine is gone, or back.
+    Noticed(bool),
+    /// The engine works again.
+    Repaired,
+    /// What follows is measured.
+    WindowStart,
+    /// What follows is not measured any more.
+    WindowEnd,
+}
+
+#[derive(Debug, Clone)]
+struct Call {
+    program: usize,
+    entry: usize,
+    host: usize,
+    work_tokens: Tokens,
+    started: bool,
+    turn: Option<HostCall>,
+}
+
+/// The state of one run.
+pub struct Run<'a> {
+    mix: &'a Mix,
+    knobs: Knobs,
+    now: TimeUs,
+    queue: BinaryHeap<Reverse<(TimeUs, u64, Event)>>,
+    events: u64,
+    hosts: Vec<Host>,
+    by_vm: BTreeMap<VmId, usize>,
+    entries: Vec<EntryChoice>,
+    programs: Programs,
+    calls: BTreeMap<AttemptId, Call>,
+    attempts: u128,
+    rng: ChaCha12Rng,
+    latencies: Latencies,
+    figures: Figures,
+    measuring: bool,
+    wasted_before: (u128, u128),
+}
+
+impl<'a> Run<'a> {
+    /// A run over the plans, before its first event.
+    #[must_use]
+    pub fn new(mix: &'a Mix, knobs: Knobs, seed: u64, plans: Vec<Plan>) -> Self {
+        let mut hosts = Vec::new();
+        for n in 0..mix.engines {
+            hosts.push(Host::engine(
+                name(&format!("engine-{n:02}")),
+                &mix.engine_document,
+                &knobs,
+            ));
+        }
+        for n in 0..mix.plain_servers {
+            hosts.push(Host::plain(
+                name(&format!("plain-{n:02}")),
+                &mix.plain_document,
+                &knobs,
+            ));
+        }
+        let service = |host: &Host| match host.backend {
+            Backend::Engine(_) => mix.engine_document.service.clone(),
+            Backend::Plain { .. } => mix.plain_document.service.clone(),
+        };
+        let known: Vec<_> = hosts
+            .iter()
+            .map(|host| (host.vm.clone(), service(host), name("zone")))
+            .collect();
+        let by_vm = known
+            .iter()
+            .enumerate()
+            .map(|(at, (vm, ..))| (vm.clone(), at))
+            .collect();
+        let figures = Figures {
+            policy: knobs.policy.clone(),
+            seed,
+            ..Figures::default()
+        };
+        let mut run = Self {
+            mix,
+            now: TimeUs(0),
+            queue: BinaryHeap::new(),
+            events: 0,
+            by_vm,
+            entries: (0..ENTRIES)
+                .map(|_| EntryChoice::new(&knobs, &known))
+                .collect(),
+            programs: Programs::new(plans),
+            calls: BTreeMap::new(),
+            attempts: 0,
+            rng: ChaCha12Rng::seed_from_u64(seed ^ 0xfa_17),
+            latencies: Latencies::default(),
+            figures,
+            measuring: false,
+            wasted_before: (0, 0),
+            hosts,
+            knobs,
+        };
+        run.start();
+        run
+    }
+
+    fn start(&mut self) {
+        for (at, program) in self.programs.list.iter().enumerate() {
+            self.events += 1;
+            self.queue
+                .push(Reverse((program.arrives_us, self.events, Event::Issue(at))));
+        }
+        let horizon = TimeUs(self.knobs.horizon_us.0);
+        self.at(TimeUs(self.knobs.heartbeat_us.0), Event::Heartbeat);
+        self.at(TimeUs(self.knobs.warmup_us.0), Event::WindowStart);
+        self.at(horizon, Event::WindowEnd);
+        if self.knobs.fault {
+            let fault_us = TimeUs(horizon.0 / 3);
+            self.at(fault_us, Event::Fault);
+            self.at(fault_us.after(SILENCE), Event::Noticed(false));
+            self.at(fault_us.after(DOWN), Event::Repaired);
+            self.at(fault_us.after(DOWN).after(SILENCE), Event::Noticed(true));
+        }
+    }
+
+    fn at(&mut self, at_us: TimeUs, event: Event) {
+        self.events += 1;
+        self.queue.push(Reverse((at_us, self.events, event)));
+    }
+
+    /// Runs to the end.
+    #[must_use]
+    pub fn finish(mut self) -> Figures {
+        let last_us = TimeUs(self.knobs.horizon_us.0 * DRAIN);
+        while let Some(Reverse((at_us, _, event))) = self.queue.pop() {
+            if at_us > last_us || self.programs.live == 0 {
+                break;
+            }
+            self.now = at_us;
+            self.handle(event);
+        }
+        self.fail_unfinished();
+        self.latencies.fill(self.mix, &mut self.figures);
+        self.figures
+    }
+
+    fn fail_unfinished(&mut self) {
+        for at in 0..self.programs.list.len() {
+            if !self.programs.list[at].ended {
+                self.fail_program(at);
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Issue(program) => self.issue(program),
+            Event::Dispatch(attempt) => self.dispatch(attempt),
+            Event::Backend(host) => self.backend(host),
+            Event::Answer(program) => self.answered(program),
+            Event::Deadline(attempt) => self.deadline(attempt),
+            Event::Heartbeat => self.heartbeat(),
+            Event::Fault => self.fault(),
+            Event::Noticed(up) => {
+                let vm = self.hosts[0].vm.clone();
+                for entry in &mut self.entries {
+                    entry.set_up(&vm, up);
+                }
+            }
+            Event::Repaired => self.hosts[0].down = false,
+            Event::WindowStart => {
+                self.measuring = true;
+                self.wasted_before = self.wasted();
+            }
+            Event::WindowEnd => {
+                self.measuring = false;
+                let (before, after) = (self.wasted_before, self.wasted());
+                self.figures.wasted_gb_s = gb_s(after.0 - before.0);
+                self.figures.never_reused_gb_s = gb_s(after.1.saturating_sub(before.1));
+                let window_s = self.knobs.horizon_us.as_s_f64() - self.knobs.warmup_us.as_s_f64();
+                self.figures.completed_per_s /= window_s;
+                self.figures.plain_completed_per_s /= window_s;
+            }
+        }
+    }
+
+    /// Idle cache so far that no reuse followed, and the part that was never reused at all.
+    fn wasted(&self) -> (u128, u128) {
+        let engines = self.hosts.iter().filter_map(|host| match &host.backend {
+            Backend::Engine(engine) => Some(engine.spend(self.now)),
+            Backend::Plain { .. } => None,
+        });
+        engines.fold((0, 0), |(all, never), spend| {
+            (
+                all + spend.wasted_token_us(),
+                never + spend.never_reused_token_us,
+            )
+        })
+    }
+
+    fn service_of(&self, program: &Program) -> ServiceName {
+        match program.work {
+            Work::Turns { .. } => self.mix.engine_document.service.clone(),
+            Work::Plain { .. } => self.mix.plain_document.service.clone(),
+        }
+    }
+
+    fn issue(&mut self, at: usize) {
+        if self.programs.list[at].ended {
+            return;
+        }
+        self.programs.begin(self.now, at);
+        self.send(at, BTreeSet::new());
+    }
+
+    /// Chooses a backend server for a program's present call and sends it there.
+    fn send(&mut self, at: usize, tried: BTreeSet<VmId>) {
+        let program = &self.programs.list[at];
+        let service = self.service_of(program);
+        let entry = at % ENTRIES;
+        let prompt = program.prompt.clone().map(|segments| Prompt {
+            segments: segments.to_vec(),
+        });
+        let last = program.last.map(|host| self.hosts[host].vm.clone());
+        let picked =
+            self.entries[entry].pick(self.now, &service, prompt.as_ref(), last.as_ref(), &tried);
+        let Some(host) = picked.and_then(|vm| self.by_vm.get(&vm).copied()) else {
+            self.come_back(at);
+            return;
+        };
+        self.attempts += 1;
+        let attempt = AttemptId(self.attempts);
+        let program = &mut self.programs.list[at];
+        program.tried = tried;
+        program.tried.insert(self.hosts[host].vm.clone());
+        let rules = match &program.work {
+            Work::Turns { .. } => self.mix.engine_document.class(&program.class),
+            Work::Plain { .. } => self.mix.plain_document.class(&program.class),
+        };
+        let deadline_us = program
+            .issued_us
+            .after(rules.map_or(SpanUs(0), |r| r.deadline_us));
+        let (work, work_tokens) = match &program.work {
+            Work::Plain { service_us } => (HostWork::Plain(*service_us), Tokens(0)),
+            Work::Turns { .. } => {
+                let (prompt, answer) = program.present();
+                let call = EngineCall {
+                    attempt,
+                    prompt,
+                    answer,
+                };
+                let length: Tokens = call.prompt.iter().map(|s| s.length_tokens).sum();
+                (HostWork::Turn(call), length + answer.length_tokens)
+            }
+        };
+        let host_call = HostCall {
+            attempt,
+            program: program.id.clone(),
+            class: program.class.clone(),
+            deadline_us,
+            attained_tokens: self.programs.attained(at),
+            work,
+        };
+        let vm = &self.hosts[host].vm;
+        self.entries[entry].on_sent(vm, work_tokens);
+        let call = Call {
+            program: at,
+            entry,
+            host,
+            work_tokens,
+            started: false,
+            turn: Some(host_call),
+        };
+        self.calls.insert(attempt, call);
+        self.at(self.now.after(ONE_WAY), Event::Dispatch(attempt));
+        self.at(deadline_us, Event::Deadline(attempt));
+    }
+
+    fn dispatch(&mut self, attempt: AttemptId) {
+        let Some(call) = self.calls.get_mut(&attempt) else {
+            return;
+        };
+        let (host, turn) = (call.host, call.turn.take());
+        call.started = true;
+        let Some(turn) = turn else { return };
+        if self.hosts[host].down || !self.hosts[host].take(self.now, turn) {
+            self.refused(attempt);
+            return;
+        }
+        self.wake(host);
+    }
+
+    fn wake(&mut self, host: usize) {
+        if let Some(next_us) = self.hosts[host].next_us() {
+            self.at(next_us, Event::Backend(host));
+        }
+    }
+
+    fn backend(&mut self, host: usize) {
+        if self.hosts[host].next_us() != Some(self.now) {
+            return;
+        }
+        let progress = self.hosts[host].advance(self.now);
+        for done in progress.done {
+            self.hosts[host].ended(self.now, done.attempt);
+            self.done(&done);
+        }
+        self.wake(host);
+    }
+
+    fn done(&mut self, done: &EngineDone) {
+        let Some(call) = self.calls.remove(&done.attempt) else {
+            return;
+        };
+        let vm = &self.hosts[call.host].vm;
+        self.entries[call.entry].on_ended(vm, call.work_tokens, false);
+        if self.measuring {
+            match self.programs.list[call.program].work {
+                Work::Turns { .. } => self.figures.completed_per_s += 1.0,
+                Work::Plain { .. } => self.figures.plain_completed_per_s += 1.0,
+            }
+            self.figures.reused_tokens += float(done.cached_tokens.0);
+        }
+        let prompt_tokens = self
+            .programs
+            .take_answer(call.program, call.host, done.cached_tokens);
+        if self.measuring {
+            self.figures.prompt_tokens += float(prompt_tokens.0);
+        }
+        self.at(self.now.after(ONE_WAY), Event::Answer(call.program));
+    }
+
+    /// The program has its answer and goes on.
+    fn answered(&mut self, at: usize) {
+        match self.programs.after(self.now, at) {
+            After::Tool { pause_us, .. } => self.at(self.now.after(pause_us), Event::Issue(at)),
+            After::Person { pause_us } => {
+                self.programs.list[at].person_us += pause_us;
+                self.at(self.now.after(pause_us), Event::Issue(at));
+            }
+            After::Fork(agents) => {
+                for child in self.programs.fork(self.now, at, agents) {
+                    self.at(self.now, Event::Issue(child));
+                }
+            }
+            After::End | After::Abandoned => self.end(at),
+        }
+    }
+
+    fn end(&mut self, at: usize) {
+        let program = self.programs.end(at);
+        if let Some(parent) = program.parent {
+            if self.programs.child_ended(parent) {
+                self.at(self.now, Event::Issue(parent));
+            }
+            return;
+        }
+        let whole = self.now.since(program.arrives_us);
+        let latency_us = SpanUs(whole.0 - program.person_us.0);
+        if program.arrives_us.0 >= self.knobs.warmup_us.0 {
+            self.latencies.add(&program.class, latency_us);
+        }
+    }
+
+    fn fail_program(&mut self, at: usize) {
+        let program = self.programs.end(at);
+        if let Some(parent) = program.parent {
+            if !self.programs.list[parent].ended {
+                self.fail_program(parent);
+            }
+        } else if program.arrives_us.0 >= self.knobs.warmup_us.0 {
+            let longest_us = SpanUs(self.knobs.horizon_us.0 * DRAIN);
+            self.latencies.add_failed(&program.class, longest_us);
+        }
+    }
+
+    /// A call was refused or failed: it is tried elsewhere, or given back to its caller.
+    fn refused(&mut self, attempt: AttemptId) {
+        let Some(call) = self.calls.remove(&attempt) else {
+            return;
+        };
+        let vm = &self.hosts[call.host].vm;
+        self.entries[call.entry].on_ended(vm, call.work_tokens, true);
+        self.figures.retries += 1;
+        let tried = self.programs.list[call.program].tried.clone();
+        if tried.len() < MAX_TRIED {
+            self.send(call.program, tried);
+        } else {
+            self.come_back(call.program);
+        }
+    }
+
+    fn come_back(&mut self, at: usize) {
+        self.figures.refused += 1;
+        let program = &mut self.programs.list[at];
+        program.sends += 1;
+        if program.sends > MAX_SENDS {
+            self.fail_program(at);
+        } else {
+            self.at(self.now.after(COME_BACK), Event::Issue(at));
+        }
+    }
+
+    fn deadline(&mut self, attempt: AttemptId) {
+        let Some(call) = self.calls.remove(&attempt) else {
+            return;
+        };
+        let vm = &self.hosts[call.host].vm;
+        self.entries[call.entry].on_ended(vm, call.work_tokens, false);
+        if call.started {
+            self.hosts[call.host].cancel(self.now, attempt);
+            self.wake(call.host);
+        }
+        self.fail_program(call.program);
+    }
+
+    fn heartbeat(&mut self) {
+        for host in &mut self.hosts {
+            if host.down {
+                continue;
+            }
+            let load = host.load();
+            for entry in &mut self.entries {
+                entry.on_load(self.now, &host.vm, load);
+            }
+            let Backend::Engine(engine) = &mut host.backend else {
+                continue;
+            };
+            let events = engine.take_events();
+            let first = host.next_cache_event;
+            host.next_cache_event += events.len() as u64;
+            for entry in &mut self.entries {
+                if unit(&mut self.rng) >= self.knobs.gaps {
+                    entry.on_cache(&host.vm, first, &events);
+                }
+            }
+        }
+        self.at(self.now.after(self.knobs.heartbeat_us), Event::Heartbeat);
+    }
+
+    /// The first engine fails with all that it holds.
+    fn fault(&mut self) {
+        self.hosts[0].fail(self.now);
+        let lost = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.host == 0 && call.started);
+        let lost: Vec<AttemptId> = lost.map(|(attempt, _)| *attempt).collect();
+        for attempt in lost {
+            self.refused(attempt);
+        }
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "a figure to print")]
+fn gb_s(token_us: u128) -> f64 {
+    token_us as f64 / 1e6 * BYTES_PER_TOKEN / 1e9
+}
