Keep prefixes for their expected reuse, and route by what is cached where

Cause: ended programs' prefixes stayed until the engine was full, and the router looked at all backend servers, saw a turn's own prefix only when the late cache events came, and gave up all knowledge at a gap.

Change, retention: a prefix is kept as long as the chance of its return pays for its memory, by histograms of pauses for each class and tool; it is freed when its program ends; a segment that sub-agents or programs share stays until its last user is gone, and a while longer. Change, routing: a handful of candidates (last turn, deepest prefix, two fixed choices for a shared prefix, least loaded) from indexes; own calls since the report correct it; a turn's prompt counts as cached at its end; after a gap what was known counts for half, after a second one for nothing.

The two changes share this commit, as they were wired in one piece.

--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -673,7 +673,7 @@
             last,
             tried: &call.tried,
         };
-        let Some(target) = self.router.pick(now, &query) else {
+        let Some(target) = self.router.pick(now, &query).map(|choice| choice.vm) else {
             self.no_backend(now, id, out);
             return;
         };
--- a/clementinepick/src/retain.rs
+++ b/clementinepick/src/retain.rs
@@ -199,6 +199,15 @@
         due
     }
 
+    /// The engine has lost its cache; what is known of pauses stays.
+    pub fn forget_all(&mut self) {
+        self.held.clear();
+        self.timers.clear();
+        self.users.clear();
+        self.lingering.clear();
+        self.orphans.clear();
+    }
+
     /// The tokens that paused programs keep here.
     #[must_use]
     pub fn held_tokens(&self) -> Tokens {
--- a/standins/src/policy_entry.rs
+++ b/standins/src/policy_entry.rs
@@ -6,7 +6,7 @@
 use clementinepick::message::BackendLoad;
 use clementinepick::platform::CacheEvent;
 use clementinepick::prompt::Prompt;
-use clementinepick::route::{RouteQuery, RouteSettings, Router};
+use clementinepick::route::{Choice, RouteQuery, Router};
 use clementinepick::units::{TimeUs, Tokens};
 
 use crate::policy_knobs::{Knobs, Routing};
@@ -21,6 +21,15 @@
     since: i64,
 }
 
+/// A baseline's choice: it knows nothing of caches.
+fn unknown(vm: &VmId) -> Choice {
+    Choice {
+        vm: vm.clone(),
+        uncached_tokens: Tokens(0),
+        looked_at: 0,
+    }
+}
+
 /// One entry.
 #[derive(Debug)]
 pub struct EntryChoice {
@@ -34,7 +43,7 @@
     /// An entry that knows all backend servers.
     #[must_use]
     pub fn new(knobs: &Knobs, backends: &[(VmId, ServiceName, ZoneName)]) -> Self {
-        let mut router = Router::new(RouteSettings::default());
+        let mut router = Router::new(knobs.route.clone());
         let mut known = BTreeMap::new();
         for (vm, service, zone) in backends {
             router.add(vm.clone(), service.clone(), zone.clone());
@@ -62,7 +71,7 @@
         prompt: Option<&Prompt>,
         last: Option<&VmId>,
         tried: &BTreeSet<VmId>,
-    ) -> Option<VmId> {
+    ) -> Option<Choice> {
         let fit = |(vm, known): &(&VmId, &Known)| {
             known.service == *service && known.up && !tried.contains(*vm)
         };
@@ -83,13 +92,13 @@
                     .iter()
                     .filter(fit)
                     .min_by_key(|(_, known)| load(known));
-                best.map(|(vm, _)| vm.clone())
+                best.map(|(vm, _)| unknown(vm))
             }
             Routing::RoundRobin => {
                 let vms: Vec<&VmId> = self.known.iter().filter(fit).map(|(vm, _)| vm).collect();
                 let next = self.next.entry(service.clone()).or_default();
                 *next = next.wrapping_add(1);
-                (!vms.is_empty()).then(|| vms[*next % vms.len()].clone())
+                (!vms.is_empty()).then(|| unknown(vms[*next % vms.len()]))
             }
         }
     }
@@ -110,6 +119,13 @@
         }
     }
 
+    /// A turn has ended and left its prompt in the cache.
+    pub fn on_cached(&mut self, vm: &VmId, prompt: &Prompt) {
+        if self.routing == Routing::Router {
+            self.router.on_cached(vm, prompt);
+        }
+    }
+
     /// A load report has come.
     pub fn on_load(&mut self, now: TimeUs, vm: &VmId, load: BackendLoad) {
         self.router.on_load(now, vm, load);
@@ -121,7 +137,9 @@
 
     /// Cache events have come.
     pub fn on_cache(&mut self, vm: &VmId, first: u64, events: &[CacheEvent]) {
-        self.router.on_cache(vm, first, events);
+        if self.routing == Routing::Router {
+            self.router.on_cache(vm, first, events);
+        }
     }
 
     /// A backend server was found gone or back.
--- a/standins/src/policy_host.rs
+++ b/standins/src/policy_host.rs
@@ -4,12 +4,14 @@
 
 use clementinepick::document::Document;
 use clementinepick::gate::{Gate, GateCall, GateSettings};
-use clementinepick::ids::{AttemptId, ClassName, ProgramId, VmId};
+use clementinepick::ids::{AttemptId, ClassName, ProgramId, ToolName, VmId};
 use clementinepick::message::BackendLoad;
+use clementinepick::prompt::{ChainHash, Segment};
+use clementinepick::retain::Retention;
 use clementinepick::units::{SpanUs, TimeUs, Tokens};
 
 use crate::policy_engine::{EngineCall, EngineDone, EngineShape, Progress, VirtualEngine};
-use crate::policy_knobs::Knobs;
+use crate::policy_knobs::{Knobs, Retaining};
 
 /// A call as it comes to a sidecar.
 #[derive(Debug, Clone)]
@@ -24,10 +26,21 @@
     pub deadline_us: TimeUs,
     /// What the program, with its sub-agents, has been served so far.
     pub attained_tokens: Tokens,
+    /// The tool that the program says it will call after this turn.
+    pub next_tool: Option<ToolName>,
     /// What is to be run.
     pub work: HostWork,
 }
 
+/// What the sidecar remembers of a call until it ends.
+#[derive(Debug, Clone)]
+struct Started {
+    program: ProgramId,
+    class: ClassName,
+    next_tool: Option<ToolName>,
+    segments: Vec<Segment>,
+}
+
 /// What a call runs.
 #[derive(Debug, Clone)]
 pub enum HostWork {
@@ -65,6 +78,9 @@
     /// The number of the first cache event that is not published yet.
     pub next_cache_event: u64,
     gate: Option<Gate>,
+    retain: Retaining,
+    retention: Retention,
+    calls: BTreeMap<AttemptId, Started>,
     waiting: BTreeMap<AttemptId, HostWork>,
     document: Document,
 }
@@ -87,6 +103,7 @@
             Backend::Engine(Box::new(VirtualEngine::new(shape))),
             gate,
             document,
+            knobs,
         )
     }
 
@@ -106,16 +123,25 @@
             running: BTreeMap::new(),
             waiting: VecDeque::new(),
         };
-        Self::new(vm, backend, gate, document)
+        Self::new(vm, backend, gate, document, knobs)
     }
 
-    fn new(vm: VmId, backend: Backend, gate: Option<Gate>, document: &Document) -> Self {
+    fn new(
+        vm: VmId,
+        backend: Backend,
+        gate: Option<Gate>,
+        document: &Document,
+        knobs: &Knobs,
+    ) -> Self {
         Self {
             vm,
             backend,
             down: false,
             next_cache_event: 0,
             gate,
+            retain: knobs.retain,
+            retention: Retention::new(knobs.retention.clone()),
+            calls: BTreeMap::new(),
             waiting: BTreeMap::new(),
             document: document.clone(),
         }
@@ -123,6 +149,18 @@
 
     /// Takes a call; false when the gate refused it before any work.
     pub fn take(&mut self, now: TimeUs, call: HostCall) -> bool {
+        self.retention.on_call(now, &call.program);
+        if let HostWork::Turn(turn) = &call.work {
+            let mut segments = turn.prompt.to_vec();
+            segments.push(turn.answer);
+            let started = Started {
+                program: call.program.clone(),
+                class: call.class.clone(),
+                next_tool: call.next_tool.clone(),
+                segments,
+            };
+            self.calls.insert(call.attempt, started);
+        }
         let Some(gate) = &mut self.gate else {
             self.start(now, call.attempt, call.work);
             return true;
@@ -159,8 +197,42 @@
         true
     }
 
-    /// A running call has ended.
-    pub fn ended(&mut self, now: TimeUs, attempt: AttemptId) {
+    /// A running call has ended well.
+    pub fn done(&mut self, now: TimeUs, attempt: AttemptId) {
+        if let Some(call) = self.calls.remove(&attempt) {
+            let (class, tool) = (&call.class, call.next_tool.as_ref());
+            self.retention
+                .on_turn_end(now, &call.program, class, tool, &call.segments);
+        }
+        self.ended(now, attempt);
+    }
+
+    /// A program has ended, by its own word or by the idle limit.
+    pub fn program_ended(&mut self, now: TimeUs, program: &ProgramId, known: bool) {
+        let chains = self.retention.on_end(now, program, known);
+        if self.retain != Retaining::Off {
+            self.release(now, &chains);
+        }
+    }
+
+    /// Releases the prefixes that do not pay any more.
+    pub fn tick(&mut self, now: TimeUs) {
+        for (_, chains) in self.retention.due(now) {
+            if self.retain == Retaining::Worth {
+                self.release(now, &chains);
+            }
+        }
+    }
+
+    fn release(&mut self, now: TimeUs, chains: &[ChainHash]) {
+        if let Backend::Engine(engine) = &mut self.backend {
+            engine.release(now, chains);
+        }
+    }
+
+    /// A call has left the backend server.
+    fn ended(&mut self, now: TimeUs, attempt: AttemptId) {
+        self.calls.remove(&attempt);
         if let Some(gate) = &mut self.gate {
             gate.remove(attempt);
             self.admit(now);
@@ -254,6 +326,8 @@
     pub fn fail(&mut self, now: TimeUs) {
         self.down = true;
         self.waiting.clear();
+        self.calls.clear();
+        self.retention.forget_all();
         if let Some(gate) = &mut self.gate {
             gate.clear();
         }
--- a/standins/src/policy_knobs.rs
+++ b/standins/src/policy_knobs.rs
@@ -2,6 +2,8 @@
 
 use std::str::FromStr;
 
+use clementinepick::retain::RetainSettings;
+use clementinepick::route::RouteSettings;
 use clementinepick::units::SpanUs;
 use thiserror::Error;
 
@@ -16,6 +18,17 @@
     Router,
 }
 
+/// When cached prefixes are released.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Retaining {
+    /// Never; the engine drops what was used longest ago when it is full.
+    Off,
+    /// When their program is known to have ended.
+    Ended,
+    /// By [`clementinepick::retain`], and when their program ends.
+    Worth,
+}
+
 /// What can be changed by `--set key=value`.
 #[derive(Debug, Clone)]
 pub struct Knobs {
@@ -25,6 +38,12 @@
     pub routing: Routing,
     /// `gate`: whether calls wait in the order of the gate before a backend server.
     pub gate: bool,
+    /// `retain`: when cached prefixes are released.
+    pub retain: Retaining,
+    /// How prefixes are kept: `price`.
+    pub retention: RetainSettings,
+    /// How the router weighs: `per_running`, `prefill_weight`.
+    pub route: RouteSettings,
     /// `heartbeat`: the time between two load reports.
     pub heartbeat_us: SpanUs,
     /// `gaps`: the chance that a batch of cache events is lost.
@@ -66,6 +85,13 @@
             policy: policy.to_owned(),
             routing,
             gate: ours,
+            retain: if ours {
+                Retaining::Worth
+            } else {
+                Retaining::Off
+            },
+            retention: RetainSettings::default(),
+            route: RouteSettings::default(),
             heartbeat_us: SpanUs::from_ms(500),
             gaps: 0.01,
             fault: false,
@@ -92,6 +118,19 @@
                 }
             }
             "gate" => self.gate = read(value).ok_or_else(bad)?,
+            "retain" => {
+                self.retain = match value {
+                    "off" => Retaining::Off,
+                    "ended" => Retaining::Ended,
+                    "worth" => Retaining::Worth,
+                    _ => return Err(bad()),
+                }
+            }
+            "price" => self.retention.price_milli_per_s = read(value).ok_or_else(bad)?,
+            "shared" => self.retention.shared_us = read(value).ok_or_else(bad)?,
+            "unknown" => self.retention.unknown_us = read(value).ok_or_else(bad)?,
+            "per_running" => self.route.tokens_per_running = read(value).ok_or_else(bad)?,
+            "prefill_weight" => self.route.prefill_weight = read(value).ok_or_else(bad)?,
             "heartbeat" => self.heartbeat_us = read(value).ok_or_else(bad)?,
             "gaps" => self.gaps = read(value).ok_or_else(bad)?,
             "fault" => self.fault = read(value).ok_or_else(bad)?,
--- a/standins/src/policy_program.rs
+++ b/standins/src/policy_program.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use clementinepick::ids::{ClassName, ProgramId, VmId};
-use clementinepick::prompt::{ChainHash, Segment};
+use clementinepick::ids::{ClassName, ProgramId, ToolName, VmId};
+use clementinepick::prompt::{ChainHash, Prompt, Segment};
 use clementinepick::units::{SpanUs, TimeUs, Tokens};
 
 use crate::policy_mix::{After, Plan, Turn, Work, name};
@@ -32,6 +32,8 @@
     pub tried: BTreeSet<VmId>,
     /// The backend server of its last turn.
     pub last: Option<usize>,
+    /// The backend servers that may hold its prefix.
+    pub holders: BTreeSet<usize>,
     /// The time that it waited for its person.
     pub person_us: SpanUs,
     /// Whether it has ended.
@@ -60,6 +62,23 @@
         (prompt, answer)
     }
 
+    /// The prompt of the present call, as the entry sees it.
+    #[must_use]
+    pub fn shape(&self) -> Option<Prompt> {
+        self.prompt.as_ref().map(|segments| Prompt {
+            segments: segments.to_vec(),
+        })
+    }
+
+    /// The tool that it will call after its present turn.
+    #[must_use]
+    pub fn next_tool(&self) -> Option<ToolName> {
+        match &self.turn()?.after {
+            After::Tool { tool, .. } => Some(tool.clone()),
+            After::Person { .. } | After::Fork(_) | After::End | After::Abandoned => None,
+        }
+    }
+
     fn turn(&self) -> Option<&Turn> {
         match &self.work {
             Work::Turns { turns, .. } => turns.get(self.next),
@@ -101,6 +120,12 @@
         }
     }
 
+    /// The program that is not a sub-agent, at the top of a program's parents.
+    #[must_use]
+    pub fn root(&self, at: usize) -> usize {
+        self.list[at].root
+    }
+
     /// What a program has been served so far, with its sub-agents.
     #[must_use]
     pub fn attained(&self, at: usize) -> Tokens {
@@ -135,6 +160,7 @@
     pub fn take_answer(&mut self, at: usize, host: usize, cached: Tokens) -> Tokens {
         let program = &mut self.list[at];
         program.last = Some(host);
+        program.holders.insert(host);
         program.open = false;
         if program.turn().is_none() {
             return Tokens(0);
@@ -217,6 +243,7 @@
         sends: 0,
         tried: BTreeSet::new(),
         last: None,
+        holders: BTreeSet::new(),
         person_us: SpanUs(0),
         ended: false,
         root,
--- a/standins/src/policy_run.rs
+++ b/standins/src/policy_run.rs
@@ -4,7 +4,6 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use clementinepick::ids::{AttemptId, ServiceName, VmId};
-use clementinepick::prompt::Prompt;
 use clementinepick::units::{SpanUs, TimeUs, Tokens};
 use rand_chacha::ChaCha12Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -22,6 +21,8 @@
 const ENTRIES: usize = 3;
 /// The way from an entry to a sidecar, and back.
 const ONE_WAY: SpanUs = SpanUs(1_500);
+/// The time between two looks at what is kept.
+const TICK: SpanUs = SpanUs::from_ms(250);
 /// The time after which a backend server that fell silent counts as gone.
 const SILENCE: SpanUs = SpanUs::from_s(3);
 /// How long the engine that fails is down.
@@ -49,8 +50,12 @@
     Answer(usize),
     /// A call's caller gives up.
     Deadline(AttemptId),
+    /// A program that nobody ended has been idle for too long.
+    Idle(usize),
     /// Sidecars report.
     Heartbeat,
+    /// Sidecars look at what does not pay any more.
+    Tick,
     /// An engine fails.
     Fault,
     /// The entries learn that the engine is gone, or back.
@@ -162,6 +167,7 @@
         }
         let horizon = TimeUs(self.knobs.horizon_us.0);
         self.at(TimeUs(self.knobs.heartbeat_us.0), Event::Heartbeat);
+        self.at(TimeUs(TICK.0), Event::Tick);
         self.at(TimeUs(self.knobs.warmup_us.0), Event::WindowStart);
         self.at(horizon, Event::WindowEnd);
         if self.knobs.fault {
@@ -209,7 +215,14 @@
             Event::Backend(host) => self.backend(host),
             Event::Answer(program) => self.answered(program),
             Event::Deadline(attempt) => self.deadline(attempt),
+            Event::Idle(program) => self.release(program, false),
             Event::Heartbeat => self.heartbeat(),
+            Event::Tick => {
+                for host in &mut self.hosts {
+                    host.tick(self.now);
+                }
+                self.at(self.now.after(TICK), Event::Tick);
+            }
             Event::Fault => self.fault(),
             Event::Noticed(up) => {
                 let vm = self.hosts[0].vm.clone();
@@ -267,19 +280,20 @@
     fn send(&mut self, at: usize, tried: BTreeSet<VmId>) {
         let program = &self.programs.list[at];
         let service = self.service_of(program);
-        let entry = at % ENTRIES;
-        let prompt = program.prompt.clone().map(|segments| Prompt {
-            segments: segments.to_vec(),
-        });
+        // A sub-agent spends from the account of its root, so it has the root's owner.
+        let entry = self.programs.root(at) % ENTRIES;
+        let prompt = program.shape();
         let last = program.last.map(|host| self.hosts[host].vm.clone());
         let picked =
             self.entries[entry].pick(self.now, &service, prompt.as_ref(), last.as_ref(), &tried);
-        let Some(host) = picked.and_then(|vm| self.by_vm.get(&vm).copied()) else {
+        let Some(choice) = picked else {
             self.come_back(at);
             return;
         };
+        let (host, work_tokens) = (self.by_vm[&choice.vm], choice.uncached_tokens);
         self.attempts += 1;
         let attempt = AttemptId(self.attempts);
+        let attained_tokens = self.programs.attained(at);
         let program = &mut self.programs.list[at];
         program.tried = tried;
         program.tried.insert(self.hosts[host].vm.clone());
@@ -290,17 +304,15 @@
         let deadline_us = program
             .issued_us
             .after(rules.map_or(SpanUs(0), |r| r.deadline_us));
-        let (work, work_tokens) = match &program.work {
-            Work::Plain { service_us } => (HostWork::Plain(*service_us), Tokens(0)),
+        let work = match &program.work {
+            Work::Plain { service_us } => HostWork::Plain(*service_us),
             Work::Turns { .. } => {
                 let (prompt, answer) = program.present();
-                let call = EngineCall {
+                HostWork::Turn(EngineCall {
                     attempt,
                     prompt,
                     answer,
-                };
-                let length: Tokens = call.prompt.iter().map(|s| s.length_tokens).sum();
-                (HostWork::Turn(call), length + answer.length_tokens)
+                })
             }
         };
         let host_call = HostCall {
@@ -308,7 +320,8 @@
             program: program.id.clone(),
             class: program.class.clone(),
             deadline_us,
-            attained_tokens: self.programs.attained(at),
+            attained_tokens,
+            next_tool: program.next_tool(),
             work,
         };
         let vm = &self.hosts[host].vm;
@@ -352,7 +365,7 @@
         }
         let progress = self.hosts[host].advance(self.now);
         for done in progress.done {
-            self.hosts[host].ended(self.now, done.attempt);
+            self.hosts[host].done(self.now, done.attempt);
             self.done(&done);
         }
         self.wake(host);
@@ -371,6 +384,10 @@
             }
             self.figures.reused_tokens += float(done.cached_tokens.0);
         }
+        if let Some(prompt) = self.programs.list[call.program].shape() {
+            let vm = &self.hosts[call.host].vm;
+            self.entries[call.entry].on_cached(vm, &prompt);
+        }
         let prompt_tokens = self
             .programs
             .take_answer(call.program, call.host, done.cached_tokens);
@@ -393,7 +410,16 @@
                     self.at(self.now, Event::Issue(child));
                 }
             }
-            After::End | After::Abandoned => self.end(at),
+            After::End => {
+                self.release(at, true);
+                self.end(at);
+            }
+            After::Abandoned => {
+                // Nobody says that the program has ended: its owner learns it by the idle limit.
+                let idle_us = self.mix.engine_document.program.idle_us;
+                self.at(self.now.after(idle_us), Event::Idle(at));
+                self.end(at);
+            }
         }
     }
 
@@ -412,7 +438,16 @@
         }
     }
 
+    /// Frees what a program left in the engines.
+    fn release(&mut self, at: usize, known: bool) {
+        let program = &self.programs.list[at];
+        for host in &program.holders {
+            self.hosts[*host].program_ended(self.now, &program.id, known);
+        }
+    }
+
     fn fail_program(&mut self, at: usize) {
+        self.release(at, true);
         let program = self.programs.end(at);
         if let Some(parent) = program.parent {
             if !self.programs.list[parent].ended {
