--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -1,29 +1,44 @@
-//! The stand-ins' command line.
+//! The stand-ins and the tools that drive the daemons.
+
+use std::process::ExitCode;
 
 use argh::FromArgs;
-use standins::policy::{PolicyArgs, run_args};
+use standins::Failure;
+use standins::policy::Policy;
+use standins::serve::Serve;
 
-/// Tools that drive clementinepick without its surroundings.
-#[derive(FromArgs)]
-struct Args {
+/// Stand-ins for what lies outside clementinepick, and tools that drive it.
+#[derive(FromArgs, Debug)]
+#[argh(
+    example = "{command_name} serve --engines 4",
+    error_code(1, "something failed, or did not come out as it must")
+)]
+struct Arguments {
     #[argh(subcommand)]
     command: Command,
 }
 
-#[derive(FromArgs)]
+#[derive(FromArgs, Debug)]
 #[argh(subcommand)]
 enum Command {
-    Policy(PolicyArgs),
+    Serve(Serve),
+    Policy(Policy),
+}
+
+fn run(command: &Command) -> Result<(), Failure> {
+    match command {
+        Command::Serve(serve) => serve.run(),
+        Command::Policy(policy) => policy.run(),
+    }
 }
 
-fn main() {
-    let args: Args = argh::from_env();
-    let Command::Policy(policy) = args.command;
-    match run_args(policy) {
-        Ok(text) => println!("{text}"),
-        Err(error) => {
-            eprintln!("{error}");
-            std::process::exit(2);
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    match run(&arguments.command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{failure}");
+            ExitCode::FAILURE
         }
     }
 }
--- a/standins/src/policy.rs
+++ b/standins/src/policy.rs
@@ -6,6 +6,7 @@
 use clementinepick::units::{SpanUs, TimeUs};
 use thiserror::Error;
 
+use crate::Failure;
 use crate::policy_engine::EngineShape;
 use crate::policy_knobs::{BadKnob, Knobs, POLICIES};
 use crate::policy_mix::{After, Mix, Turn, Work, engine_plans, plain_plans};
@@ -31,17 +32,23 @@
     pub threads: usize,
 }
 
-/// Drive the gate, the routing and the cache retention in virtual time, against the baselines.
-#[derive(Debug, Clone, FromArgs)]
-#[argh(subcommand, name = "policy")]
-pub struct PolicyArgs {
+/// Drive the gate, the routing and the cache retention in virtual time, and set them against the
+/// baselines. Prints a line of JSON for each run and a table of medians over the seeds.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "policy",
+    example = "{command_name} --mix nyiramasuka --load 0.9 --seeds 1..10",
+    example = "{command_name} --mix limitworks --policy clementinepick --set retain=ended"
+)]
+pub struct Policy {
     /// the workload: nyiramasuka or limitworks
     #[argh(option)]
     pub mix: String,
-    /// offered work over the capacity of the engines under fifo
+    /// offered work over the capacity of the engines under fifo (0.9)
     #[argh(option, default = "0.9")]
     pub load: f64,
-    /// the seeds, such as 1..10
+    /// the seeds, first and last (1..10)
     #[argh(option, default = "String::from(\"1..10\")")]
     pub seeds: String,
     /// the one policy to run: fifo, least-loaded or clementinepick; all three by default
@@ -50,32 +57,36 @@
     /// change a setting of the runs, as key=value
     #[argh(option, long = "set")]
     pub changes: Vec<String>,
-    /// threads over which the runs are spread
+    /// threads over which the runs are spread (4)
     #[argh(option, default = "4")]
     pub threads: usize,
 }
 
-/// Runs the tool; returns one line of JSON for each run, and the table of medians.
-///
-/// # Errors
-///
-/// When a name or setting is unknown.
-pub fn run_args(args: PolicyArgs) -> Result<String, PolicyError> {
-    let settings = PolicySettings {
-        mix: args.mix,
-        load: args.load,
-        seeds: parse_seeds(&args.seeds)?,
-        policy: args.policy,
-        changes: args.changes,
-        threads: args.threads,
-    };
-    let results = run(&settings)?;
-    let mut lines = Vec::new();
-    for figures in &results {
-        lines.push(serde_json::to_string(figures)?);
+impl Policy {
+    /// Runs the tool.
+    ///
+    /// # Errors
+    ///
+    /// When a name or setting is unknown.
+    pub fn run(&self) -> Result<(), Failure> {
+        let settings = PolicySettings {
+            mix: self.mix.clone(),
+            load: self.load,
+            seeds: parse_seeds(&self.seeds)?,
+            policy: self.policy.clone(),
+            changes: self.changes.clone(),
+            threads: self.threads,
+        };
+        let results = run(&settings)?;
+        for figures in &results {
+            println!(
+                "{}",
+                serde_json::to_string(figures).map_err(PolicyError::from)?
+            );
+        }
+        println!("{}", table(&results));
+        Ok(())
     }
-    lines.push(table(&results));
-    Ok(lines.join("\n"))
 }
 
 /// Why the policy tool can't run.
--- a/standins/src/policy_engine.rs
+++ b/standins/src/policy_engine.rs
@@ -167,20 +167,6 @@
         self.cache.release(now, chains)
     }
 
-    /// Stores a prefix that another engine exported; false when it does not fit.
-    pub fn import(&mut self, now: TimeUs, segments: &[Segment]) -> bool {
-        let have = self.cache.matched(segments);
-        let missing: Tokens = segments[have..].iter().map(|s| s.length_tokens).sum();
-        self.cache.pin(now, &segments[..have]);
-        if !self.cache.reserve(now, missing) {
-            self.cache.unpin(now, &segments[..have]);
-            return false;
-        }
-        store(&mut self.cache, segments, have);
-        self.cache.unpin(now, segments);
-        true
-    }
-
     /// The engine's own word of its load.
     #[must_use]
     pub fn load(&self) -> LoadReport {
