--- a/clementinepick/src/call_state.rs
+++ b/clementinepick/src/call_state.rs
@@ -7,11 +7,12 @@
 use crate::config::InForce;
 use crate::ids::{
     AttemptId, CallKey, CallSeq, ClassName, Epoch, IdempotencyKey, Incarnation, PartitionId,
-    ProgramId, RecordId, RequestId, VmId,
+    ProgramId, RecordId, RequestId, Revision, ServiceName, VmId,
 };
 use crate::message::{KeptCall, Peer};
 use crate::order::Sequencer;
 use crate::prompt::{ChainHash, Prompt};
+use crate::record::EndReason;
 use crate::units::{TimeUs, Tokens};
 
 /// Where the parts of an answer go.
@@ -89,6 +90,8 @@
     pub(crate) answer: String,
     pub(crate) plain: Option<PlainAnswer>,
     pub(crate) done: Option<CallDone>,
+    /// When the caller left, until the call was told to stop.
+    pub(crate) left_us: Option<TimeUs>,
 }
 
 impl Call {
@@ -238,6 +241,14 @@
     pub(crate) next_us: TimeUs,
 }
 
+/// A program that has ended and is still remembered.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EndedProgram {
+    pub(crate) partition: PartitionId,
+    pub(crate) reason: EndReason,
+    pub(crate) at_us: TimeUs,
+}
+
 /// A partition that was taken over and whose sidecars have not all reported yet.
 #[derive(Debug, Clone)]
 pub(crate) struct TakingOver {
@@ -260,6 +271,12 @@
     pub(crate) up_us: TimeUs,
     pub(crate) heard_us: TimeUs,
     pub(crate) leaving: bool,
+    /// What its last heartbeat said; absent before the first.
+    pub(crate) revisions: Option<BTreeMap<ServiceName, Revision>>,
+    /// Whether that heartbeat lacked a document.
+    pub(crate) lags: bool,
+    /// The number of the first read of the configuration that began after its link came up.
+    pub(crate) confirmed_by_read: u64,
 }
 
 /// Answers that sidecars keep of an earlier owner's idempotent calls, by the caller's request.
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use standins::Failure;
+use standins::chaos::Chaos;
 use standins::policy::Policy;
 use standins::serve::Serve;
 
@@ -23,12 +24,14 @@
 enum Command {
     Serve(Serve),
     Policy(Policy),
+    Chaos(Chaos),
 }
 
 fn run(command: &Command) -> Result<(), Failure> {
     match command {
         Command::Serve(serve) => serve.run(),
         Command::Policy(policy) => policy.run(),
+        Command::Chaos(chaos) => chaos.run(),
     }
 }
 
