Tell a caller at once when no backend server can take its call

Cause: a call without a backend server waited until its deadline, minutes away, before its caller heard no_backend. Change: it waits one second, in which a link that is opened anew is up again, and is then refused as not run with a retry-after. A test shows both: refused within 1.5 s of virtual time with the deadline far off, and run where the server is back after 0.3 s.

--- a/clementinepick/src/answer.rs
+++ b/clementinepick/src/answer.rs
@@ -319,7 +319,7 @@
             Step::Follow(_) => {
                 self.calls.remove(&id);
             }
-            Step::Own | Step::Order | Step::Slice | Step::Route | Step::Claim => {
+            Step::Own | Step::Order | Step::Slice | Step::Route { .. } | Step::Claim => {
                 if !self.is_wanted(id) {
                     let error =
                         CallError::new(ErrorKind::DeadlineBeforeStart, "the caller is gone");
--- a/clementinepick/src/call_state.rs
+++ b/clementinepick/src/call_state.rs
@@ -45,8 +45,8 @@
     Slice,
     /// Waits for the record of its start.
     Claim,
-    /// Waits for a backend server.
-    Route,
+    /// Waits, for a short time, for a backend server.
+    Route { since_us: TimeUs },
     /// Runs.
     Running { attempt: AttemptId, target: VmId },
     /// May not run twice, and the link to its sidecar went down.
@@ -143,7 +143,7 @@
     pub(crate) fn is_under_way(&self) -> bool {
         matches!(
             self.step,
-            Step::Slice | Step::Claim | Step::Route | Step::Record { .. }
+            Step::Slice | Step::Claim | Step::Route { .. } | Step::Record { .. }
         ) || self.is_running()
     }
 }
--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -59,6 +59,8 @@
     pub snapshot_us: SpanUs,
     /// How long the end of an answer waits for its record before it goes out as pending.
     pub commit_wait_us: SpanUs,
+    /// How long a call waits for a backend server when none can take it.
+    pub backend_wait_us: SpanUs,
     /// How this entry uses the log.
     pub journal: JournalSettings,
     /// The safeguards in force; all but in test runs.
@@ -83,6 +85,7 @@
             keep_ended_us: SpanUs::from_s(600),
             snapshot_us: SpanUs::from_s(600),
             commit_wait_us: SpanUs::from_ms(250),
+            backend_wait_us: SpanUs::from_s(1),
             journal: JournalSettings::default(),
             safeguards: Safeguards::default(),
         }
--- a/clementinepick/src/handover.rs
+++ b/clementinepick/src/handover.rs
@@ -121,7 +121,7 @@
                     self.finish(now, id, TurnState::Pending, out);
                     continue;
                 }
-                Step::Own | Step::Order | Step::Route | Step::Slice | Step::Claim => {
+                Step::Own | Step::Order | Step::Route { .. } | Step::Slice | Step::Claim => {
                     ErrorKind::ShuttingDown
                 }
                 Step::Running { .. } if call.idempotent => ErrorKind::BackendFailed,
--- a/clementinepick/src/program_end.rs
+++ b/clementinepick/src/program_end.rs
@@ -111,7 +111,7 @@
             .filter(|(_, call)| {
                 matches!(
                     call.step,
-                    Step::Order | Step::Slice | Step::Claim | Step::Route
+                    Step::Order | Step::Slice | Step::Claim | Step::Route { .. }
                 )
             })
             .map(|(id, _)| *id)
--- a/clementinepick/src/step_route.rs
+++ b/clementinepick/src/step_route.rs
@@ -49,15 +49,24 @@
         }
     }
 
+    /// No backend server can take the call: it waits a moment, and then its caller is told when to
+    /// come back.
+    ///
+    /// A link that is being opened anew is up again within that moment. A longer wait would keep
+    /// callers, up to their deadline, from going elsewhere or from saying so to their users.
     fn no_backend(&mut self, now: TimeUs, id: RequestId, out: &mut Vec<EntryAction>) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        if call.tried.is_empty() {
-            call.step = Step::Route;
+        let since_us = match call.step {
+            Step::Route { since_us } => since_us,
+            _ => now,
+        };
+        if call.tried.is_empty() && now.since(since_us) < self.settings.backend_wait_us {
+            call.step = Step::Route { since_us };
             return;
         }
-        let detail = "every backend server of the service has refused or failed";
+        let detail = "no backend server of the service can take the call";
         self.refuse(now, id, CallError::new(ErrorKind::NoBackend, detail), out);
     }
 
--- a/clementinepick/src/sweep.rs
+++ b/clementinepick/src/sweep.rs
@@ -77,8 +77,8 @@
             }
             Step::Own if late => self.refuse_late(now, id, ErrorKind::OwnerUnknown, out),
             Step::Own => self.step_own(now, id, out),
-            Step::Route if late => self.refuse_late(now, id, ErrorKind::NoBackend, out),
-            Step::Route => self.step_route(now, id, out),
+            Step::Route { .. } if late => self.refuse_late(now, id, ErrorKind::NoBackend, out),
+            Step::Route { .. } => self.step_route(now, id, out),
             Step::Order if late => {
                 let live = self.programs.get(&call.request.program);
                 let kind = if live.is_some_and(|live| live.opening) {
--- /dev/null
+++ b/clementinepick/tests/backends.rs
@@ -0,0 +1,45 @@
+//! Backend servers that can't take a call: what callers are told, and when.
+
+mod common;
+
+use common::{World, chat, post};
+
+// All engines are gone. The caller is told within a moment that its call did not run and when to
+// come back, although its deadline is minutes away; an answer held back until then would only keep
+// it from going elsewhere.
+#[test]
+fn a_call_without_a_backend_server_is_given_up_at_once() {
+    let mut world = World::new(2, 1, 1);
+    world.kill("g0");
+    world.run_ms(100);
+    let asked_us = world.now_us;
+    let id = world.call("e0", chat("p", &["hello"]));
+    world.run_ms(2_000);
+    let answer = world.answer(id);
+    assert_eq!(answer.code(), "no_backend");
+    assert!(
+        answer.at_us - asked_us < 1_500_000,
+        "{}",
+        answer.at_us - asked_us
+    );
+    assert!(
+        answer
+            .failed
+            .and_then(|error| error.retry_after_s())
+            .is_some()
+    );
+}
+
+// A backend server that comes back within that moment gets the call, and the caller sees nothing.
+#[test]
+fn a_backend_server_that_comes_back_in_time_is_waited_for() {
+    let mut world = World::new(2, 1, 1);
+    world.kill("b0");
+    world.run_ms(100);
+    let id = world.call("e0", post("p", "/hold", "1"));
+    world.run_ms(300);
+    assert!(!world.is_answered(id));
+    world.start("b0");
+    assert_eq!(world.wait(id).code(), "done");
+    assert_eq!(world.runs(), ["/hold 1"]);
+}
