Order the gate by categories, rank and service; shed the lowest class first

Cause: shares and limits of categories were read and not honoured, a full gate refused whoever came last, each admission looked at all calls that wait, and a refused caller heard a fixed retry-after. Change: ordered sets by category; a category below its share goes first, one at its limit waits; a full gate sheds the call of the lowest rank for a better one; retry-after is the time that half of the queue will take to start.

The mix now sets a share instead.

--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -487,6 +487,8 @@
             max_running: document.max_running_per_backend.min(engine_limit),
             max_waiting: document.max_waiting_per_backend,
             cache_size_tokens: cache,
+            categories: document.categories.clone(),
+            ..GateSettings::default()
         });
     }
 
--- a/clementinepick/src/sidecar_calls.rs
+++ b/clementinepick/src/sidecar_calls.rs
@@ -39,9 +39,13 @@
             return;
         };
         let deadline_us = call.deadline_us;
-        if let Err(refused) = self.gate.push(call) {
-            out.push(refuse(&from, attempt, refused));
-            return;
+        match self.gate.push(call) {
+            Ok(None) => {}
+            Ok(Some(shed)) => self.end(now, shed, AnswerPart::Failed(self.gate.overloaded()), out),
+            Err(refused) => {
+                out.push(refuse(&from, attempt, refused));
+                return;
+            }
         }
         let state = Attempt {
             dispatch,
@@ -141,13 +145,15 @@
             attempt: dispatch.attempt,
             program: dispatch.call.program.clone(),
             class: dispatch.class.clone(),
+            category: rules.category.clone(),
             rank: rules.rank,
             weight: rules.weight,
             arrived_us: now,
             deadline_us: now.after(dispatch.deadline_left_us),
             max_wait_us: rules.max_wait_us,
             attained_tokens: dispatch.attained_tokens,
-            memory_tokens: prompt_tokens + dispatch.max_output_tokens,
+            memory_tokens: prompt_tokens + dispatch.expected_output_tokens,
+            prefill_tokens: prompt_tokens,
         })
     }
 
@@ -209,6 +215,7 @@
                     self.cut_off(now, id, out);
                     return;
                 }
+                self.gate.on_first_text(id);
                 attempt.used.output_tokens += count_tokens;
                 let part = AnswerPart::Text {
                     position: attempt.characters,
--- a/standins/src/policy_host.rs
+++ b/standins/src/policy_host.rs
@@ -28,6 +28,8 @@
     pub attained_tokens: Tokens,
     /// The tool that the program says it will call after this turn.
     pub next_tool: Option<ToolName>,
+    /// The part of the prompt that its entry thinks is not cached here.
+    pub prefill_tokens: Tokens,
     /// What is to be run.
     pub work: HostWork,
 }
@@ -66,6 +68,16 @@
     },
 }
 
+fn gate(document: &Document, cache_size_tokens: Option<Tokens>, knobs: &Knobs) -> Gate {
+    Gate::new(GateSettings {
+        max_running: document.max_running_per_backend,
+        max_waiting: document.max_waiting_per_backend,
+        cache_size_tokens,
+        max_prefill_tokens: cache_size_tokens.and(knobs.max_prefill),
+        categories: document.categories.clone(),
+    })
+}
+
 /// A backend server with its sidecar.
 #[derive(Debug)]
 pub struct Host {
@@ -81,6 +93,8 @@
     retain: Retaining,
     retention: Retention,
     calls: BTreeMap<AttemptId, Started>,
+    /// Calls that were shed for others, until their entries are told.
+    pub shed: Vec<AttemptId>,
     waiting: BTreeMap<AttemptId, HostWork>,
     document: Document,
 }
@@ -90,14 +104,9 @@
     #[must_use]
     pub fn engine(vm: VmId, document: &Document, knobs: &Knobs) -> Self {
         let shape = EngineShape::default();
-        let gate = knobs.gate.then(|| {
-            let settings = GateSettings {
-                max_running: document.max_running_per_backend,
-                max_waiting: document.max_waiting_per_backend,
-                cache_size_tokens: Some(shape.cache_size_tokens),
-            };
-            Gate::new(settings)
-        });
+        let gate = knobs
+            .gate
+            .then(|| gate(document, Some(shape.cache_size_tokens), knobs));
         Self::new(
             vm,
             Backend::Engine(Box::new(VirtualEngine::new(shape))),
@@ -110,14 +119,7 @@
     /// An idle server of the plain service.
     #[must_use]
     pub fn plain(vm: VmId, document: &Document, knobs: &Knobs) -> Self {
-        let gate = knobs.gate.then(|| {
-            let settings = GateSettings {
-                max_running: document.max_running_per_backend,
-                max_waiting: document.max_waiting_per_backend,
-                cache_size_tokens: None,
-            };
-            Gate::new(settings)
-        });
+        let gate = knobs.gate.then(|| gate(document, None, knobs));
         let backend = Backend::Plain {
             slots: document.max_running_per_backend as usize,
             running: BTreeMap::new(),
@@ -142,6 +144,7 @@
             retain: knobs.retain,
             retention: Retention::new(knobs.retention.clone()),
             calls: BTreeMap::new(),
+            shed: Vec::new(),
             waiting: BTreeMap::new(),
             document: document.clone(),
         }
@@ -181,6 +184,7 @@
             attempt: call.attempt,
             program: call.program,
             class: call.class,
+            category: rules.category.clone(),
             rank: rules.rank,
             weight: rules.weight,
             arrived_us: now,
@@ -188,15 +192,25 @@
             max_wait_us: rules.max_wait_us,
             attained_tokens: call.attained_tokens,
             memory_tokens,
+            prefill_tokens: call.prefill_tokens,
         };
-        if gate.push(gate_call).is_err() {
-            return false;
+        match gate.push(gate_call) {
+            Ok(shed) => self.shed.extend(shed),
+            Err(_) => return false,
         }
         self.waiting.insert(call.attempt, call.work);
         self.admit(now);
         true
     }
 
+    /// The prompt of a call is in.
+    pub fn prefilled(&mut self, now: TimeUs, attempt: AttemptId) {
+        if let Some(gate) = &mut self.gate {
+            gate.on_first_text(attempt);
+            self.admit(now);
+        }
+    }
+
     /// A running call has ended well.
     pub fn done(&mut self, now: TimeUs, attempt: AttemptId) {
         if let Some(call) = self.calls.remove(&attempt) {
--- a/standins/src/policy_knobs.rs
+++ b/standins/src/policy_knobs.rs
@@ -4,7 +4,7 @@
 
 use clementinepick::retain::RetainSettings;
 use clementinepick::route::RouteSettings;
-use clementinepick::units::SpanUs;
+use clementinepick::units::{SpanUs, Tokens};
 use thiserror::Error;
 
 /// How a backend server is chosen.
@@ -44,6 +44,8 @@
     pub retention: RetainSettings,
     /// How the router weighs: `per_running`, `prefill_weight`.
     pub route: RouteSettings,
+    /// `max_prefill`: the prompt tokens that may be in prefill at once at one engine.
+    pub max_prefill: Option<Tokens>,
     /// `heartbeat`: the time between two load reports.
     pub heartbeat_us: SpanUs,
     /// `gaps`: the chance that a batch of cache events is lost.
@@ -92,6 +94,7 @@
             },
             retention: RetainSettings::default(),
             route: RouteSettings::default(),
+            max_prefill: None,
             heartbeat_us: SpanUs::from_ms(500),
             gaps: 0.01,
             fault: false,
@@ -131,6 +134,7 @@
             "unknown" => self.retention.unknown_us = read(value).ok_or_else(bad)?,
             "per_running" => self.route.tokens_per_running = read(value).ok_or_else(bad)?,
             "prefill_weight" => self.route.prefill_weight = read(value).ok_or_else(bad)?,
+            "max_prefill" => self.max_prefill = Some(read(value).ok_or_else(bad)?),
             "heartbeat" => self.heartbeat_us = read(value).ok_or_else(bad)?,
             "gaps" => self.gaps = read(value).ok_or_else(bad)?,
             "fault" => self.fault = read(value).ok_or_else(bad)?,
--- a/standins/src/policy_mixes.rs
+++ b/standins/src/policy_mixes.rs
@@ -46,7 +46,7 @@
         ),
         plain_document: document(
             "[service]\nname = limit-api\nkind = plain\nmax_running_per_backend = 4\n\
-             [category status]\nlimit = 75%\n\
+             [category status]\nshare = 25%\n\
              [class limit-request]\nrank = 0\ndeadline = 10 s\n\
              [class notice]\nrank = 1\ncategory = status\ndeadline = 30 s\n\
              [class lookup]\nrank = 2\ncategory = status\ndeadline = 60 s\n",
--- a/standins/src/policy_run.rs
+++ b/standins/src/policy_run.rs
@@ -322,6 +322,7 @@
             deadline_us,
             attained_tokens,
             next_tool: program.next_tool(),
+            prefill_tokens: work_tokens,
             work,
         };
         let vm = &self.hosts[host].vm;
@@ -350,6 +351,9 @@
             self.refused(attempt);
             return;
         }
+        for shed in std::mem::take(&mut self.hosts[host].shed) {
+            self.refused(shed);
+        }
         self.wake(host);
     }
 
@@ -364,6 +368,9 @@
             return;
         }
         let progress = self.hosts[host].advance(self.now);
+        for attempt in progress.prefilled {
+            self.hosts[host].prefilled(self.now, attempt);
+        }
         for done in progress.done {
             self.hosts[host].done(self.now, done.attempt);
             self.done(&done);
