Try a suspect backend server again, and never leave out half of them

Cause: a backend server that failed three times in a row was never chosen again while another was left, so nothing could show that it had recovered; and a common fault left out all but one. Change: one that goes on reporting gets one call for trial after 5 s; when half of a service is suspect, suspicion counts for nothing. Unit tests show both.

--- a/clementinepick/src/route.rs
+++ b/clementinepick/src/route.rs
@@ -12,7 +12,7 @@
 use crate::message::BackendLoad;
 use crate::platform::CacheEvent;
 use crate::prompt::{ChainHash, Prompt, Segment};
-use crate::units::{TimeUs, Tokens};
+use crate::units::{SpanUs, TimeUs, Tokens};
 
 /// How choices are made.
 #[derive(Debug, Clone)]
@@ -81,10 +81,14 @@
     gaps: u64,
     next_cache_event: u64,
     failures_in_a_row: u32,
+    /// When the first report came since it became suspect.
+    suspect_us: Option<TimeUs>,
 }
 
-/// Failures in a row after which a backend server is chosen only when no other is left.
+/// Failures in a row after which a backend server is suspect and gets nothing.
 const SUSPECT_AFTER: u32 = 3;
+/// How long a suspect one reports before it gets one call for trial.
+const TRIAL_AFTER: SpanUs = SpanUs::from_s(5);
 /// Backend servers with the deepest known prefix that are looked at.
 const HOLDERS: usize = 4;
 /// Backend servers with the least load that are looked at.
@@ -95,8 +99,8 @@
 const WALK: usize = 64;
 
 impl Backend {
-    const fn is_fit(&self) -> bool {
-        !self.leaving && self.failures_in_a_row < SUSPECT_AFTER
+    const fn is_suspect(&self) -> bool {
+        self.failures_in_a_row >= SUSPECT_AFTER
     }
 
     /// The work ahead of a new call, in tokens: the lagging report, corrected by the own calls since
@@ -139,13 +143,25 @@
     slots: BTreeMap<Slot, Backend>,
     by_vm: BTreeMap<VmId, Slot>,
     next: Slot,
-    /// The fit ones, least loaded first.
+    suspects: usize,
+    /// Those that stay, least loaded first.
     by_load: BTreeSet<(u64, Slot)>,
     /// Where a shared prefix leads: each backend server has one place on a ring.
     ring: BTreeMap<u64, Slot>,
     holders: BTreeMap<ChainHash, BTreeSet<Slot>>,
 }
 
+impl Pool {
+    /// Whether a backend server may get a call.
+    ///
+    /// When half of them fail, the cause is hardly theirs: a common fault or too much load. To leave
+    /// them all out would bring the rest down as well, so then suspicion counts for nothing.
+    fn is_free(&self, backend: &Backend, query: &RouteQuery<'_>) -> bool {
+        let is_trusted = !backend.is_suspect() || self.suspects * 2 >= self.slots.len();
+        !backend.leaving && is_trusted && !query.tried.contains(&backend.vm)
+    }
+}
+
 /// The backend servers that this entry can reach.
 #[derive(Debug, Clone, Default)]
 pub struct Router {
@@ -183,6 +199,7 @@
             gaps: 0,
             next_cache_event: 0,
             failures_in_a_row: 0,
+            suspect_us: None,
         };
         pool.ring.insert(place(&vm), slot);
         pool.by_vm.insert(vm.clone(), slot);
@@ -210,6 +227,7 @@
         pool.by_load
             .remove(&(backend.load_tokens(per_running), slot));
         pool.ring.remove(&place(vm));
+        pool.suspects -= usize::from(backend.is_suspect());
         for chain in backend.cached.keys() {
             forget_holder(&mut pool.holders, *chain, slot);
         }
@@ -221,8 +239,18 @@
     }
 
     /// A load report has come.
-    pub fn on_load(&mut self, _now: TimeUs, vm: &VmId, load: BackendLoad) {
+    ///
+    /// A suspect backend server that goes on reporting gets one call for trial after a while.
+    /// Without it nothing would ever show that it works again.
+    pub fn on_load(&mut self, now: TimeUs, vm: &VmId, load: BackendLoad) {
         self.change(vm, |backend| {
+            if backend.is_suspect() {
+                let since_us = *backend.suspect_us.get_or_insert(now);
+                if now.since(since_us) >= TRIAL_AFTER {
+                    backend.failures_in_a_row = SUSPECT_AFTER - 1;
+                    backend.suspect_us = None;
+                }
+            }
             backend.load = load;
             backend.since_report = 0;
             backend.since_report_tokens = 0;
@@ -288,7 +316,7 @@
         let fit: Vec<&Backend> = candidates
             .iter()
             .filter_map(|slot| pool.slots.get(slot))
-            .filter(|backend| backend.is_fit() && !query.tried.contains(&backend.vm))
+            .filter(|backend| pool.is_free(backend, query))
             .collect();
         let looked_at = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
         let best = fit
@@ -359,8 +387,10 @@
         };
         pool.by_load
             .remove(&(backend.load_tokens(per_running), slot));
+        pool.suspects -= usize::from(backend.is_suspect());
         change(backend);
-        if backend.is_fit() {
+        pool.suspects += usize::from(backend.is_suspect());
+        if !backend.leaving {
             pool.by_load
                 .insert((backend.load_tokens(per_running), slot));
         }
@@ -378,7 +408,7 @@
     let is_free = |slot: &Slot| {
         pool.slots
             .get(slot)
-            .is_some_and(|backend| backend.is_fit() && !query.tried.contains(&backend.vm))
+            .is_some_and(|backend| pool.is_free(backend, query))
     };
     let deepest = segments
         .iter()
@@ -496,6 +526,38 @@
         );
     }
 
+    // Three calls in a row fail at one server: it gets nothing more. It goes on reporting, so after
+    // a while one call tries it, and once that ends well it is trusted again.
+    #[test]
+    fn a_suspect_backend_server_is_left_out_and_tried_again() {
+        let (mut router, service) = router();
+        let third = "b2".parse().expect("a name");
+        router.add(third, service.clone(), "z".parse().expect("a name"));
+        let b0 = "b0".parse().expect("a name");
+        for _ in 0..SUSPECT_AFTER {
+            assert_eq!(pick(&router, &service, None).as_deref(), Some("b0"));
+            router.on_sent(&b0, Tokens(0));
+            router.on_ended(&b0, Tokens(0), true);
+        }
+        assert_eq!(pick(&router, &service, None).as_deref(), Some("b1"));
+        router.on_load(TimeUs(0), &b0, BackendLoad::default());
+        router.on_load(TimeUs(0).after(TRIAL_AFTER), &b0, BackendLoad::default());
+        assert_eq!(pick(&router, &service, None).as_deref(), Some("b0"));
+    }
+
+    #[test]
+    fn when_half_of_them_fail_none_is_left_out() {
+        let (mut router, service) = router();
+        let b0: VmId = "b0".parse().expect("a name");
+        for _ in 0..SUSPECT_AFTER {
+            router.on_sent(&b0, Tokens(0));
+            router.on_ended(&b0, Tokens(0), true);
+        }
+        let b1: VmId = "b1".parse().expect("a name");
+        router.on_sent(&b1, Tokens(9));
+        assert_eq!(pick(&router, &service, None).as_deref(), Some("b0"));
+    }
+
     #[test]
     fn a_leaving_backend_server_gets_nothing() {
         let (mut router, service) = router();
