Keep prefixes by their worth in the sidecar, and hold short runs to bounds

Cause: the decisions on retention and output sizes were measured and wired into nothing; every release dropped what sub-agents shared; memory was set aside for the whole output limit. Change: the sidecar learns pauses and outputs from completed turns, frees a pausing program's prefix when its return no longer pays, spares what other programs kept there use, and ignores the confirmation of a release that a later turn overtook. Dispatch carries the tool that the program announced. A prefix that nobody uses any more is freed at once, shared or not.

The longest keep is now the document's default of 120 s where the tool had 600 s.

--- a/clementinepick/src/message.rs
+++ b/clementinepick/src/message.rs
@@ -10,7 +10,7 @@
 use crate::call::{AnswerPart, ChatMessage, Fetch, Payload, Request, Usage};
 use crate::ids::{
     AttemptId, CallKey, ClassName, Epoch, FencingNumber, Incarnation, Offset, OrderId, PartitionId,
-    ProgramId, RequestId, Revision, ServiceName, VmId, ZoneName,
+    ProgramId, RequestId, Revision, ServiceName, ToolName, VmId, ZoneName,
 };
 use crate::platform::{CacheEvent, EngineState, LoadReport, OrderBody, VmRole};
 use crate::prompt::ChainHash;
@@ -245,6 +245,8 @@
     pub max_output_tokens: Tokens,
     /// The tokens that the call will probably generate.
     pub expected_output_tokens: Tokens,
+    /// The tool that the program says it will call after this turn.
+    pub next_tool: Option<ToolName>,
     /// What to run.
     pub payload: Payload,
 }
--- a/clementinepick/src/retain.rs
+++ b/clementinepick/src/retain.rs
@@ -29,8 +29,8 @@
         Self {
             price_milli_per_s: 10,
             unknown_us: SpanUs::from_s(30),
-            max_keep_us: SpanUs::from_s(600),
-            shared_us: SpanUs::from_s(300),
+            max_keep_us: SpanUs::from_s(120),
+            shared_us: SpanUs(0),
         }
     }
 }
@@ -208,6 +208,19 @@
         self.orphans.clear();
     }
 
+    /// Whether a program that is kept here uses a segment.
+    #[must_use]
+    pub fn is_used(&self, chain: ChainHash) -> bool {
+        self.users.get(&chain).is_some_and(|users| users.count > 0)
+    }
+
+    /// How long a program has been pausing; nothing while it runs.
+    #[must_use]
+    pub fn idle_us(&self, now: TimeUs, program: &ProgramId) -> Option<SpanUs> {
+        let since_us = self.held.get(program)?.idle_since_us?;
+        Some(now.since(since_us))
+    }
+
     /// The tokens that paused programs keep here.
     #[must_use]
     pub fn held_tokens(&self) -> Tokens {
@@ -241,11 +254,11 @@
                 continue;
             };
             match (users.count, users.shared) {
-                (0, true) => {
+                (0, true) if self.settings.shared_us.0 > 0 => {
                     self.lingering
                         .insert(segment.chain, now.after(self.settings.shared_us));
                 }
-                (0, false) => {
+                (0, _) => {
                     self.users.remove(&segment.chain);
                     unused.push(segment.chain);
                 }
@@ -277,14 +290,17 @@
 
     #[test]
     fn what_a_sub_agent_shares_stays_until_its_last_user_ends() {
-        let mut retention = Retention::default();
+        let mut retention = Retention::new(RetainSettings {
+            shared_us: SpanUs::from_s(300),
+            ..Default::default()
+        });
         let (parent, child) = (name("p"), name("p.1"));
         let class = name("c");
         retention.on_turn_end(TimeUs(0), &parent, &class, None, &segments(&[1, 2]));
         retention.on_turn_end(TimeUs(1), &child, &class, None, &segments(&[1, 2, 3]));
         assert_eq!(retention.on_end(TimeUs(2), &child, true), [ChainHash(3)]);
         assert_eq!(retention.on_end(TimeUs(3), &parent, true), []);
-        let shared = retention.due(TimeUs(3).after(RetainSettings::default().shared_us));
+        let shared = retention.due(TimeUs(3).after(SpanUs::from_s(300)));
         assert_eq!(shared, [(None, vec![ChainHash(1), ChainHash(2)])]);
     }
 
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -19,7 +19,9 @@
 };
 use crate::message::{BackendLoad, Dispatch, Heartbeat, Message, Peer};
 use crate::platform::{CacheEvent, EngineState, GenerateBody, LoadReport, OrderBody, VmRole};
+use crate::predict::Predictor;
 use crate::prompt::{ChainHash, Segment};
+use crate::retain::{RetainSettings, Retention};
 use crate::safeguards::Safeguards;
 use crate::sidecar_fence::Fence;
 use crate::sidecar_orders::OrderSlot;
@@ -274,6 +276,9 @@
     /// The highest epoch of which closed attempts were dropped, by partition.
     pub(crate) forgotten: BTreeMap<PartitionId, Epoch>,
     pub(crate) leases: BTreeMap<ProgramId, Lease>,
+    pub(crate) retention: Retention,
+    /// The outputs of completed turns.
+    pub(crate) outputs: Predictor,
     pub(crate) orders: OrderSlot,
     /// Whether entries were told that new work must stay away for an order.
     pub(crate) told_blocked: bool,
@@ -303,6 +308,8 @@
             closed: BTreeMap::new(),
             forgotten: BTreeMap::new(),
             leases: BTreeMap::new(),
+            retention: Retention::default(),
+            outputs: Predictor::default(),
             told_blocked: false,
             next_cache_event: 0,
             next_heartbeat_us: TimeUs(0),
@@ -490,12 +497,17 @@
             categories: document.categories.clone(),
             ..GateSettings::default()
         });
+        self.retention.set(RetainSettings {
+            max_keep_us: document.retention.max_keep_us,
+            ..RetainSettings::default()
+        });
     }
 
     fn on_tick(&mut self, now: TimeUs, out: &mut Vec<SidecarAction>) {
         self.set_gate();
         self.expire(now, out);
         self.lapse_leases(now, out);
+        self.release_paused(now, out);
         self.drop_old_answers(now);
         self.prune_closed();
         if now >= self.next_heartbeat_us {
--- a/clementinepick/src/sidecar_cache.rs
+++ b/clementinepick/src/sidecar_cache.rs
@@ -29,6 +29,8 @@
             .or_default();
         lease.until_us = lease.until_us.max(now.after(lease_us));
         lease.chains.extend(cached);
+        // A release that is under way was ordered before these were cached.
+        lease.releasing = false;
     }
 
     /// Whether a call of the program waits or runs here.
@@ -62,6 +64,9 @@
             lease.until_us = now;
             return;
         }
+        // A pause as long as the idle limit means that nobody ended the program: it never came back.
+        let is_ended = self.retention.idle_us(now, &program) < Some(self.idle_limit_us());
+        self.retention.on_end(now, &program, is_ended);
         let Some(lease) = self.leases.get_mut(&program) else {
             if let Some(to) = notify {
                 out.push(send(
@@ -75,11 +80,43 @@
             return;
         };
         lease.notify = notify.or(lease.notify.take());
-        if !std::mem::replace(&mut lease.releasing, true) {
-            out.push(SidecarAction::Release {
-                program,
-                chains: lease.chains.iter().copied().collect(),
-            });
+        self.order_release(program, out);
+    }
+
+    fn idle_limit_us(&self) -> SpanUs {
+        let in_force = self.config.service(&self.settings.service);
+        in_force.map_or(SpanUs(u64::MAX), |s| s.document.program.idle_us)
+    }
+
+    /// Orders the engine to free what a program holds and nobody else here uses.
+    ///
+    /// A sub-agent's prefix begins with its parent's. Without the check the end of the first one
+    /// would drop the prompt that the parent and the others go on from.
+    fn order_release(&mut self, program: ProgramId, out: &mut Vec<SidecarAction>) {
+        let Some(lease) = self.leases.get_mut(&program) else {
+            return;
+        };
+        if std::mem::replace(&mut lease.releasing, true) {
+            return;
+        }
+        let unused = lease.chains.iter().copied();
+        let chains = unused
+            .filter(|chain| !self.retention.is_used(*chain))
+            .collect();
+        out.push(SidecarAction::Release { program, chains });
+    }
+
+    /// Frees prefixes of pausing programs whose return is not worth the memory.
+    pub(crate) fn release_paused(&mut self, now: TimeUs, out: &mut Vec<SidecarAction>) {
+        // The switch shows what happens when a sidecar frees nothing by itself.
+        if !self.settings.safeguards.lease_lapse {
+            return;
+        }
+        for (program, _) in self.retention.due(now) {
+            let Some(program) = program else { continue };
+            if !self.is_active(&program) {
+                self.order_release(program, out);
+            }
         }
     }
 
@@ -97,6 +134,14 @@
             }
             return;
         };
+        // A turn that ended since the order has cached more, which that order did not name.
+        if self
+            .leases
+            .get(&program)
+            .is_none_or(|lease| !lease.releasing)
+        {
+            return;
+        }
         let Some(lease) = self.leases.remove(&program) else {
             return;
         };
--- a/clementinepick/src/sidecar_calls.rs
+++ b/clementinepick/src/sidecar_calls.rs
@@ -7,6 +7,8 @@
 use crate::ids::{AttemptId, VmId};
 use crate::message::Dispatch;
 use crate::platform::GenerateBody;
+use crate::predict::expected_output;
+use crate::prompt::Segment;
 use crate::units::{TimeUs, Tokens};
 
 use crate::sidecar::{
@@ -59,9 +61,23 @@
             plain: None,
             deadline_us,
         };
+        self.retention.on_call(now, &state.dispatch.call.program);
         self.attempts.insert(attempt, state);
     }
 
+    /// Learns from a turn that has ended, and decides how long its prefix is kept.
+    fn retain_prefix(&mut self, now: TimeUs, id: AttemptId, cached: &[Segment]) {
+        let Some(attempt) = self.attempts.get(&id) else {
+            return;
+        };
+        let (dispatch, output) = (&attempt.dispatch, attempt.used.output_tokens);
+        self.outputs.learn(&dispatch.class, None, Some(output.0));
+        let (program, class) = (&dispatch.call.program, &dispatch.class);
+        let tool = dispatch.next_tool.as_ref();
+        self.retention
+            .on_turn_end(now, program, class, tool, cached);
+    }
+
     pub(crate) fn check_dispatch(
         &mut self,
         dispatch: &Dispatch,
@@ -152,7 +168,12 @@
             deadline_us: now.after(dispatch.deadline_left_us),
             max_wait_us: rules.max_wait_us,
             attained_tokens: dispatch.attained_tokens,
-            memory_tokens: prompt_tokens + dispatch.expected_output_tokens,
+            memory_tokens: prompt_tokens
+                + expected_output(
+                    &self.outputs,
+                    &dispatch.class,
+                    dispatch.expected_output_tokens,
+                ),
             prefill_tokens: prompt_tokens,
         })
     }
@@ -232,6 +253,7 @@
             } => {
                 attempt.used = usage;
                 self.hold_cache(now, id, cached.iter().map(|segment| segment.chain));
+                self.retain_prefix(now, id, &cached);
                 let done = self.done(id, usage, Some(finish));
                 self.end(now, id, done, out);
             }
--- a/clementinepick/src/step_route.rs
+++ b/clementinepick/src/step_route.rs
@@ -123,6 +123,7 @@
             attained_tokens: self.attained_tokens(call.partition, program),
             max_output_tokens: call.max_output_tokens(),
             expected_output_tokens: call.max_output_tokens(),
+            next_tool: call.request.next_tool.clone(),
             payload: call.payload().clone(),
         })
     }
--- a/standins/src/policy_host.rs
+++ b/standins/src/policy_host.rs
@@ -6,6 +6,7 @@
 use clementinepick::gate::{Gate, GateCall, GateSettings};
 use clementinepick::ids::{AttemptId, ClassName, ProgramId, ToolName, VmId};
 use clementinepick::message::BackendLoad;
+use clementinepick::predict::{Predictor, expected_output};
 use clementinepick::prompt::{ChainHash, Segment};
 use clementinepick::retain::Retention;
 use clementinepick::units::{SpanUs, TimeUs, Tokens};
@@ -92,6 +93,7 @@
     gate: Option<Gate>,
     retain: Retaining,
     retention: Retention,
+    outputs: Predictor,
     calls: BTreeMap<AttemptId, Started>,
     /// Calls that were shed for others, until their entries are told.
     pub shed: Vec<AttemptId>,
@@ -143,6 +145,7 @@
             gate,
             retain: knobs.retain,
             retention: Retention::new(knobs.retention.clone()),
+            outputs: Predictor::default(),
             calls: BTreeMap::new(),
             shed: Vec::new(),
             waiting: BTreeMap::new(),
@@ -176,7 +179,7 @@
         let memory_tokens = match &call.work {
             HostWork::Turn(turn) => {
                 let prompt: Tokens = turn.prompt.iter().map(|s| s.length_tokens).sum();
-                prompt + rules.max_output_tokens
+                prompt + expected_output(&self.outputs, &call.class, rules.max_output_tokens)
             }
             HostWork::Plain(_) => Tokens(0),
         };
@@ -215,6 +218,8 @@
     pub fn done(&mut self, now: TimeUs, attempt: AttemptId) {
         if let Some(call) = self.calls.remove(&attempt) {
             let (class, tool) = (&call.class, call.next_tool.as_ref());
+            let output = call.segments.last().map(|answer| answer.length_tokens.0);
+            self.outputs.learn(class, None, output);
             self.retention
                 .on_turn_end(now, &call.program, class, tool, &call.segments);
         }
