--- a/standins/tests/policy.rs
+++ b/standins/tests/policy.rs
@@ -6,6 +6,9 @@
 use standins::policy::{PolicySettings, mix_of, run};
 use standins::policy_result::{Figures, median};
 
+/// Reads one figure.
+type Read = fn(&Figures) -> f64;
+
 const BOTH: &[&str] = &["fifo", "clementinepick"];
 
 /// Short runs of the baseline and of the decisions.
@@ -27,7 +30,7 @@
     policies.iter().flat_map(one).collect()
 }
 
-fn ratio(figures: &[Figures], read: fn(&Figures) -> f64) -> f64 {
+fn ratio(figures: &[Figures], read: Read) -> f64 {
     let of = |policy| {
         median(
             figures
@@ -40,7 +43,7 @@
     of("clementinepick") / of("fifo")
 }
 
-fn check(figures: &[Figures], bounds: &[(&str, fn(&Figures) -> f64, f64)]) {
+fn check(figures: &[Figures], bounds: &[(&str, Read, f64)]) {
     let measured = bounds
         .iter()
         .map(|(name, read, most)| (name, ratio(figures, *read), most));
