Bound retries by a budget for each service

Cause: each failed call was sent again up to its limit of attempts, so an outage met up to three times the load; the document's retry budget was read and not honoured. Refusals of a leaving backend server cost nothing. Where all of 100 calls fail everywhere, the backend servers see 100 to 120 sends (test), in place of 300.

--- a/clementinepick/src/answer.rs
+++ b/clementinepick/src/answer.rs
@@ -154,7 +154,7 @@
         if is_claimed {
             self.release_claim(id, &error);
         }
-        if self.is_worth_retrying(id, &error, started) {
+        if self.is_worth_retrying(id, &error, started) && self.may_retry(id, &error) {
             let event = Event::new(EventKind::CallRetried).with("request", id);
             out.push(EntryAction::Event(event.with("error", &error)));
             self.step_budget(now, id, out);
@@ -202,6 +202,22 @@
         kind && may_repeat && call.answer.is_empty() && call.tried.len() < max_attempts
     }
 
+    /// Takes a retry out of the service's budget. A backend server that is leaving refuses what it
+    /// has not started; such calls move on whatever the budget, or a planned leave would fail them.
+    fn may_retry(&mut self, id: RequestId, error: &CallError) -> bool {
+        let Some(call) = self.calls.get(&id) else {
+            return false;
+        };
+        if error.kind == ErrorKind::ShuttingDown {
+            return true;
+        }
+        let budget = self
+            .retries
+            .entry(call.request.service.clone())
+            .or_default();
+        budget.take()
+    }
+
     /// A call that may not run twice was sent on and failed: its end goes on record.
     fn end_ran(
         &mut self,
--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -25,6 +25,7 @@
 use crate::platform::{ReadAnswer, StreamName, Vm, VmRole};
 use crate::record::EndReason;
 use crate::replay::Partitions;
+use crate::retry::RetryBudget;
 use crate::route::{RouteSettings, Router};
 use crate::safeguards::Safeguards;
 use crate::units::{SpanUs, TimeUs};
@@ -196,6 +197,7 @@
     /// Whether it was said that records of the configuration are missing.
     pub(crate) has_config_gap: bool,
     pub(crate) router: Router,
+    pub(crate) retries: BTreeMap<ServiceName, RetryBudget>,
     pub(crate) calls: BTreeMap<RequestId, Call>,
     pub(crate) attempts: BTreeMap<AttemptId, RequestId>,
     pub(crate) programs: BTreeMap<ProgramId, LiveProgram>,
@@ -252,6 +254,7 @@
                 zone,
                 ..Default::default()
             }),
+            retries: BTreeMap::new(),
             calls: BTreeMap::new(),
             attempts: BTreeMap::new(),
             programs: BTreeMap::new(),
--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -59,6 +59,7 @@
 mod repeat;
 pub mod replay;
 pub mod retain;
+pub mod retry;
 pub mod route;
 pub mod rules;
 pub mod safeguards;
--- a/clementinepick/src/step_route.rs
+++ b/clementinepick/src/step_route.rs
@@ -92,6 +92,13 @@
             attempt,
             target: target.clone(),
         };
+        if call.tried.is_empty() {
+            let budget = self
+                .retries
+                .entry(call.request.service.clone())
+                .or_default();
+            budget.on_call(call.in_force.document.retry.budget);
+        }
         call.tried.insert(target.clone());
         self.router.on_sent(target, call.prefill_tokens);
         self.attempts.insert(attempt, id);
--- a/clementinepick/tests/backends.rs
+++ b/clementinepick/tests/backends.rs
@@ -43,3 +43,24 @@
     assert_eq!(world.wait(id).code(), "done");
     assert_eq!(world.runs(), ["/hold 1"]);
 }
+
+// Every call fails at every backend server, and may be repeated. Its caller hears so; the entry
+// sends it elsewhere only as long as the budget of retries lasts, so that the outage does not meet
+// three times the load.
+#[test]
+fn an_outage_raises_no_storm_of_retries() {
+    const CALLS: usize = 100;
+    let mut world = World::new(1, 3, 0);
+    for name in ["g0", "g1", "g2"] {
+        world.backend(name).failures = u32::MAX;
+    }
+    let ids: Vec<_> = (0..CALLS)
+        .map(|n| world.call("e0", chat(&format!("p{n}"), &["hello"])))
+        .collect();
+    for id in ids {
+        assert_eq!(world.wait(id).code(), "backend_failed");
+    }
+    let sent = (0..3).map(|n| u32::MAX - world.backend(&format!("g{n}")).failures);
+    let sent: u32 = sent.sum();
+    assert!((100..=120).contains(&sent), "{sent} sends of {CALLS} calls");
+}
