--- a/clementinepick/tests/backends.rs
+++ b/clementinepick/tests/backends.rs
@@ -2,6 +2,14 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+
+use clementinepick::ids::{ServiceName, VmId};
+use clementinepick::message::BackendLoad;
+use clementinepick::platform::CacheEvent;
+use clementinepick::prompt::{ChainHash, Prompt, Segment};
+use clementinepick::route::{RouteQuery, RouteSettings, Router};
+use clementinepick::units::{TimeUs, Tokens};
 use common::{World, chat, post};
 
 // All engines are gone. The caller is told within a moment that its call did not run and when to
@@ -64,3 +72,43 @@
     let sent: u32 = sent.sum();
     assert!((100..=120).contains(&sent), "{sent} sends of {CALLS} calls");
 }
+
+// However many backend servers there are, and also when all of them hold the prefix that a class
+// shares, one choice looks at the few that are worth it.
+#[test]
+fn a_choice_looks_at_a_handful_of_ten_thousand() {
+    const MOST: u32 = 9;
+    let service: ServiceName = "s".parse().expect("a name");
+    let shared = Segment {
+        chain: ChainHash(1),
+        length_tokens: Tokens(1_500),
+    };
+    let prompt = Prompt {
+        segments: vec![shared],
+    };
+    let mut router = Router::new(RouteSettings::default());
+    for n in 0..10_000_u64 {
+        let vm: VmId = format!("vm-{n}").parse().expect("a name");
+        router.add(vm.clone(), service.clone(), "z".parse().expect("a name"));
+        router.on_cache(&vm, 0, &[CacheEvent::Stored(shared)]);
+        let load = BackendLoad {
+            waiting_tokens: Tokens(n % 977),
+            ..BackendLoad::default()
+        };
+        router.on_load(TimeUs(n), &vm, load);
+    }
+    let tried = BTreeSet::new();
+    for round in 0..100 {
+        let query = RouteQuery {
+            service: &service,
+            prompt: Some(&prompt),
+            last: None,
+            tried: &tried,
+        };
+        let choice = router
+            .pick(TimeUs(round), &query)
+            .expect("a backend server");
+        assert!(choice.looked_at <= MOST, "{}", choice.looked_at);
+        router.on_sent(&choice.vm, Tokens(400));
+    }
+}
