--- a/clementinepickd/src/control.rs
+++ b/clementinepickd/src/control.rs
@@ -6,17 +6,18 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use clementinepick::call::{AnswerPart, Payload, Request};
+use clementinepick::call::{Payload, Request};
 use clementinepick::event::{Event, EventKind};
 use clementinepick::ids::{Incarnation, RequestId, VmId};
 use clementinepick::message::{Message, Peer};
 use clementinepick::platform::Vm;
-use clementinepick::units::TimeUs;
+use clementinepick::units::{SpanUs, TimeUs};
 use serde_json::{Value, json};
-use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::MissedTickBehavior;
 
+use crate::answer_queue::AnswerSender;
+use crate::callers::Callers;
 use crate::daemon::Ended;
 use crate::input::{ClientOrder, ControlInput, DialOrder, LinkId};
 use crate::logging::write_event;
@@ -27,6 +28,8 @@
 
 /// The time between two ticks of the decisions.
 const TICK: Duration = Duration::from_millis(5);
+/// The time between two looks for callers that do not read.
+const SWEEP: SpanUs = SpanUs::from_ms(100);
 /// The most inputs that are taken between two looks at the clock.
 const MAX_BURST: usize = 256;
 /// How long answers may take to reach callers after a shutdown was forced.
@@ -71,12 +74,6 @@
     queue: QueueSender,
 }
 
-struct OpenCall {
-    answers: mpsc::Sender<AnswerPart>,
-    since_us: TimeUs,
-    route: &'static str,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
     Serving,
@@ -104,9 +101,10 @@
     telemetry: Telemetry,
     links: BTreeMap<VmId, OpenLink>,
     dialled: BTreeMap<VmId, Vm>,
-    calls: BTreeMap<RequestId, OpenCall>,
+    callers: Callers,
     stage: Stage,
     finished: bool,
+    next_sweep_us: TimeUs,
 }
 
 impl Control {
@@ -127,9 +125,10 @@
             telemetry,
             links: BTreeMap::new(),
             dialled: BTreeMap::new(),
-            calls: BTreeMap::new(),
+            callers: Callers::default(),
             stage: Stage::Serving,
             finished: false,
+            next_sweep_us: TimeUs(0),
         }
     }
 
@@ -198,6 +197,11 @@
             ControlInput::Request { request, answers } => {
                 self.on_request(now, request, answers, &mut out);
             }
+            ControlInput::Fetch { fetch, answers } => {
+                if self.callers.add(now, fetch.id, answers, "fetch") {
+                    self.decisions.fetch(now, fetch, &mut out);
+                }
+            }
             ControlInput::Refused(kind) => self.telemetry.on_refused(kind),
             ControlInput::EndProgram(program) => {
                 self.decisions.end_program(now, program, &mut out);
@@ -229,35 +233,25 @@
         &mut self,
         now: TimeUs,
         request: Box<Request>,
-        answers: mpsc::Sender<AnswerPart>,
+        answers: AnswerSender,
         out: &mut Vec<Action>,
     ) {
-        if answers.is_closed() {
-            return;
-        }
         let route = match &request.payload {
             Payload::Chat(_) => "chat",
             Payload::Plain(_) => "plain",
         };
-        let call = OpenCall {
-            answers,
-            since_us: now,
-            route,
-        };
-        self.calls.insert(request.id, call);
-        self.decisions.request(now, request, out);
+        if self.callers.add(now, request.id, answers, route) {
+            self.decisions.request(now, request, out);
+        }
     }
 
     fn on_gone(&mut self, request: RequestId) {
-        let Some(call) = self.calls.remove(&request) else {
-            return;
-        };
         let now = self.now();
-        self.telemetry
-            .on_answered(call.route, "caller_gone", now.since(call.since_us));
-        let mut out = Vec::new();
-        self.decisions.caller_gone(now, request, &mut out);
-        self.carry_out(now, out);
+        if self.callers.leave(now, request, &self.telemetry) {
+            let mut out = Vec::new();
+            self.decisions.caller_gone(now, request, &mut out);
+            self.carry_out(now, out);
+        }
     }
 
     fn on_link_up(&mut self, now: TimeUs, open: OpenLink, out: &mut Vec<Action>) {
@@ -311,7 +305,9 @@
             return;
         }
         self.stage = Stage::Forced { at_us: now };
-        self.on_event(&Event::new(EventKind::ShutdownForced).with("open_calls", self.calls.len()));
+        self.on_event(
+            &Event::new(EventKind::ShutdownForced).with("open_answers", self.callers.len()),
+        );
         self.decisions.force(now, out);
     }
 
@@ -320,6 +316,10 @@
         let mut out = Vec::new();
         self.finished = false;
         self.decisions.tick(now, &mut out);
+        if now >= self.next_sweep_us {
+            self.next_sweep_us = now.after(SWEEP);
+            self.stop_slow_callers(now, &mut out);
+        }
         if self.outputs.wishes.leave.load(Ordering::Relaxed) {
             self.on_shutdown(now, &mut out);
         }
@@ -349,7 +349,12 @@
                 Action::Disconnect(vm) => {
                     self.links.remove(&vm);
                 }
-                Action::Answer { request, part } => self.answer(now, request, part, &mut more),
+                Action::Answer { request, part } => {
+                    let given = self.callers.give(now, request, part, &self.telemetry);
+                    if given.is_err() {
+                        self.decisions.caller_gone(now, request, &mut more);
+                    }
+                }
                 Action::Client(order) => {
                     // The clients' thread ends after this one, so the order is always taken.
                     let _ = self.outputs.clients.send(order);
@@ -388,34 +393,10 @@
         }
     }
 
-    fn answer(&mut self, now: TimeUs, request: RequestId, part: AnswerPart, out: &mut Vec<Action>) {
-        let Some(call) = self.calls.get(&request) else {
-            return;
-        };
-        let last = part.is_last();
-        let outcome = match &part {
-            AnswerPart::Failed(error) => error.kind.answer().code,
-            AnswerPart::Text { .. } | AnswerPart::Plain(_) | AnswerPart::Done(_) => "done",
-        };
-        match call.answers.try_send(part) {
-            Ok(()) if !last => {}
-            Ok(()) => self.close_call(now, request, outcome),
-            // The caller does not read: it would hold memory here for as long as it likes.
-            Err(TrySendError::Full(_)) => {
-                self.close_call(now, request, "caller_slow");
-                self.decisions.caller_gone(now, request, out);
-            }
-            Err(TrySendError::Closed(_)) => {
-                self.close_call(now, request, "caller_gone");
-                self.decisions.caller_gone(now, request, out);
-            }
-        }
-    }
-
-    fn close_call(&mut self, now: TimeUs, request: RequestId, outcome: &'static str) {
-        if let Some(call) = self.calls.remove(&request) {
-            let took = now.since(call.since_us);
-            self.telemetry.on_answered(call.route, outcome, took);
+    /// Cuts off callers that do not read: they would hold memory here for as long as they like.
+    fn stop_slow_callers(&mut self, now: TimeUs, out: &mut Vec<Action>) {
+        for request in self.callers.stop_slow(now, &self.telemetry) {
+            self.decisions.caller_gone(now, request, out);
         }
     }
 
@@ -436,7 +417,7 @@
             "uptime_ms": now.0 / 1_000,
             "stage": format!("{:?}", self.stage),
             "ready": self.outputs.ready.load(Ordering::Relaxed),
-            "open_calls": self.calls.len(),
+            "open_answers": self.callers.len(),
             "links": links,
             "dialled": self.dialled.keys().collect::<Vec<_>>(),
         });
@@ -444,7 +425,7 @@
     }
 
     fn on_gauges(&self, answer: oneshot::Sender<()>) {
-        self.telemetry.set_gauge("open_calls", self.calls.len());
+        self.telemetry.set_gauge("open_answers", self.callers.len());
         self.telemetry.set_gauge("links", self.links.len());
         for (name, count) in self.decisions.counts() {
             self.telemetry.set_gauge(name, count);
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -5,12 +5,15 @@
 use argh::FromArgs;
 use standins::Failure;
 use standins::chaos::Chaos;
+use standins::demo::Demo;
+use standins::load::Load;
 use standins::policy::Policy;
 use standins::serve::Serve;
 
 /// Stand-ins for what lies outside clementinepick, and tools that drive it.
 #[derive(FromArgs, Debug)]
 #[argh(
+    example = "{command_name} demo",
     example = "{command_name} serve --engines 4",
     error_code(1, "something failed, or did not come out as it must")
 )]
@@ -22,6 +25,8 @@
 #[derive(FromArgs, Debug)]
 #[argh(subcommand)]
 enum Command {
+    Demo(Demo),
+    Load(Load),
     Serve(Serve),
     Policy(Policy),
     Chaos(Chaos),
@@ -29,6 +34,8 @@
 
 fn run(command: &Command) -> Result<(), Failure> {
     match command {
+        Command::Demo(demo) => demo.run(),
+        Command::Load(load) => load.run(),
         Command::Serve(serve) => serve.run(),
         Command::Policy(policy) => policy.run(),
         Command::Chaos(chaos) => chaos.run(),
