--- a/clementinepick/src/answer.rs
+++ b/clementinepick/src/answer.rs
@@ -186,7 +186,7 @@
             return;
         };
         if let Step::Running { target, .. } | Step::Lost { target, .. } = &call.step {
-            self.router.on_ended(target, call.work_tokens(), failed);
+            self.router.on_ended(target, call.prefill_tokens, failed);
         }
     }
 
@@ -225,7 +225,7 @@
         if is_claimed {
             self.release_claim(id, &error);
         }
-        if self.is_worth_retrying(id, &error, started) {
+        if self.is_worth_retrying(id, &error, started) && self.may_retry(id, &error) {
             let event = Event::new(EventKind::CallRetried).with("request", id);
             out.push(EntryAction::Event(event.with("error", &error)));
             self.step_budget(now, id, out);
@@ -273,6 +273,22 @@
         kind && may_repeat && call.answer.is_empty() && call.tried.len() < max_attempts
     }
 
+    /// Takes a retry out of the service's budget. A backend server that is leaving refuses what it
+    /// has not started; such calls move on whatever the budget, or a planned leave would fail them.
+    fn may_retry(&mut self, id: RequestId, error: &CallError) -> bool {
+        let Some(call) = self.calls.get(&id) else {
+            return false;
+        };
+        if error.kind == ErrorKind::ShuttingDown {
+            return true;
+        }
+        let budget = self
+            .retries
+            .entry(call.request.service.clone())
+            .or_default();
+        budget.take()
+    }
+
     /// A call that may not run twice was sent on and failed: its end goes on record.
     fn end_ran(
         &mut self,
@@ -392,7 +408,7 @@
             Step::Follow(_) => {
                 self.calls.remove(&id);
             }
-            Step::Own | Step::Order | Step::Slice | Step::Route | Step::Claim => {
+            Step::Own | Step::Order | Step::Slice | Step::Route { .. } | Step::Claim => {
                 if !self.is_wanted(id) {
                     let error =
                         CallError::new(ErrorKind::DeadlineBeforeStart, "the caller is gone");
--- a/clementinepick/src/repeat.rs
+++ b/clementinepick/src/repeat.rs
@@ -233,7 +233,7 @@
         };
         call.tried.insert(target.clone());
         let (partition, program) = (call.partition, call.request.program.clone());
-        self.router.on_sent(&target, call.work_tokens());
+        self.router.on_sent(&target, call.prefill_tokens);
         self.attempts.insert(kept.attempt, id);
         let live = self.live_program(now, partition, &program);
         live.order.run(kept.call.seq);
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -19,7 +19,9 @@
 };
 use crate::message::{BackendLoad, Dispatch, Heartbeat, Message, Peer};
 use crate::platform::{CacheEvent, EngineState, GenerateBody, LoadReport, OrderBody, VmRole};
+use crate::predict::Predictor;
 use crate::prompt::{ChainHash, Segment};
+use crate::retain::{RetainSettings, Retention};
 use crate::safeguards::Safeguards;
 use crate::sidecar_fence::Fence;
 use crate::sidecar_orders::OrderSlot;
@@ -278,6 +280,9 @@
     /// The highest epoch of which closed attempts were dropped, by partition.
     pub(crate) forgotten: BTreeMap<PartitionId, Epoch>,
     pub(crate) leases: BTreeMap<ProgramId, Lease>,
+    pub(crate) retention: Retention,
+    /// The outputs of completed turns.
+    pub(crate) outputs: Predictor,
     pub(crate) orders: OrderSlot,
     /// Whether entries were told that new work must stay away for an order.
     pub(crate) told_blocked: bool,
@@ -309,6 +314,8 @@
             closed: BTreeMap::new(),
             forgotten: BTreeMap::new(),
             leases: BTreeMap::new(),
+            retention: Retention::default(),
+            outputs: Predictor::default(),
             told_blocked: false,
             next_cache_event: 0,
             next_heartbeat_us: TimeUs(0),
@@ -501,6 +508,12 @@
             max_running: document.max_running_per_backend.min(engine_limit),
             max_waiting: document.max_waiting_per_backend,
             cache_size_tokens: cache,
+            categories: document.categories.clone(),
+            ..GateSettings::default()
+        });
+        self.retention.set(RetainSettings {
+            max_keep_us: document.retention.max_keep_us,
+            ..RetainSettings::default()
         });
     }
 
@@ -509,6 +522,7 @@
         self.expire(now, out);
         self.lapse_leases(now, out);
         self.drop_waiting_of_silent(now, out);
+        self.release_paused(now, out);
         self.drop_old_answers(now);
         self.prune_closed();
         if now >= self.next_heartbeat_us {
