--- a/standins/src/capacity.rs
+++ b/standins/src/capacity.rs
@@ -129,6 +129,7 @@
         revisions,
         config_offset: Offset(123_456),
         leaving: false,
+        is_ready: true,
         silence_us: SpanUs(400_000),
         decider: None,
     })
