Tell the engine now and then all that is to be kept; give a plain answer again to an entry that asks again

Ruled out: orders to release that got lost. Also, the run's own engine is woken again after it has slowed down.

--- a/clementinepick/src/admission.rs
+++ b/clementinepick/src/admission.rs
@@ -74,6 +74,9 @@
             };
             answer(reply_to, id, part, out);
         }
+        if let Some(plain) = call.plain.clone() {
+            answer(reply_to, id, AnswerPart::Plain(plain), out);
+        }
     }
 
     fn check(
--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -70,6 +70,7 @@
 mod sidecar_engine;
 mod sidecar_fence;
 mod sidecar_orders;
+mod sidecar_retain;
 mod snapshot;
 mod step_budget;
 mod step_claim;
--- a/clementinepick/src/platform.rs
+++ b/clementinepick/src/platform.rs
@@ -10,6 +10,7 @@
 //! | engine | `POST /v1/resume` | [`ResumeBody`] | as above, from the position asked for |
 //! | engine | `POST /v1/cancel` | [`CancelBody`] | 204 |
 //! | engine | `POST /v1/cache/release` | [`ReleaseBody`] | [`ReleaseAnswer`] |
+//! | engine | `POST /v1/cache/retain` | [`RetainBody`] | [`ReleaseAnswer`] |
 //! | engine | `POST /v1/cache/export` | [`ReleaseBody`] | [`CacheImage`] |
 //! | engine | `POST /v1/cache/import` | [`CacheImage`] | 204, or 507 when it does not fit |
 //! | engine | `GET /v1/cache/events?after=N` | | [`CacheEventsAnswer`] |
@@ -195,6 +196,13 @@
     pub chains: Vec<ChainHash>,
 }
 
+/// Names the only prefixes to keep, each with all before it; what nobody uses of the rest is freed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RetainBody {
+    /// The chains, each of which stands for the whole prefix that ends with it.
+    pub chains: Vec<ChainHash>,
+}
+
 /// What a release freed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReleaseAnswer {
--- a/clementinepick/src/safeguards.rs
+++ b/clementinepick/src/safeguards.rs
@@ -33,6 +33,8 @@
     pub revision_monotonic: bool,
     /// Orders to free the cache of an ended program are repeated until confirmed.
     pub release_repeat: bool,
+    /// A sidecar tells its engine now and then all that is to be kept.
+    pub retain: bool,
     /// Calls of one program wait for each other.
     pub order: bool,
     /// A sidecar cuts a turn off that runs over the tokens reserved for it.
@@ -54,6 +56,7 @@
             slice_on_record: true,
             revision_monotonic: true,
             release_repeat: true,
+            retain: true,
             order: true,
             output_cut: true,
         }
@@ -75,6 +78,7 @@
         "slice_on_record",
         "revision_monotonic",
         "release_repeat",
+        "retain",
         "order",
         "output_cut",
     ];
@@ -96,6 +100,7 @@
             "slice_on_record" => &mut all.slice_on_record,
             "revision_monotonic" => &mut all.revision_monotonic,
             "release_repeat" => &mut all.release_repeat,
+            "retain" => &mut all.retain,
             "order" => &mut all.order,
             "output_cut" => &mut all.output_cut,
             _ => return None,
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -180,6 +180,11 @@
         /// The chains of its prefixes.
         chains: Vec<ChainHash>,
     },
+    /// Free all cached prefixes but these; what a call in the engine uses stays.
+    Retain {
+        /// The chains, each of which stands for the whole prefix that ends with it.
+        chains: Vec<ChainHash>,
+    },
     /// Pass an order to the engine and report with [`SidecarInput::OrderDone`].
     Order {
         /// The entry that gave it.
@@ -286,6 +291,7 @@
     pub(crate) orders: OrderSlot,
     /// Whether entries were told that new work must stay away for an order.
     pub(crate) told_blocked: bool,
+    pub(crate) next_retain_us: Option<TimeUs>,
     pub(crate) next_cache_event: u64,
     pub(crate) next_heartbeat_us: TimeUs,
     pub(crate) leaving: bool,
@@ -317,6 +323,7 @@
             retention: Retention::default(),
             outputs: Predictor::default(),
             told_blocked: false,
+            next_retain_us: None,
             next_cache_event: 0,
             next_heartbeat_us: TimeUs(0),
             leaving: false,
@@ -521,6 +528,7 @@
         self.set_gate();
         self.expire(now, out);
         self.lapse_leases(now, out);
+        self.poll_retain(now, out);
         self.drop_waiting_of_silent(now, out);
         self.release_paused(now, out);
         self.drop_old_answers(now);
--- a/clementinepick/tests/common/mod.rs
+++ b/clementinepick/tests/common/mod.rs
@@ -616,7 +616,7 @@
             }
             SidecarAction::Log(event) => self.events.push((self.now_us, id.clone(), event.kind)),
             SidecarAction::Order { order, .. } => self.start_order(id, &order),
-            SidecarAction::Cancel(_) | SidecarAction::Finished => {}
+            SidecarAction::Cancel(_) | SidecarAction::Retain { .. } | SidecarAction::Finished => {}
         }
     }
 
--- a/clementinepickd/src/engine_client.rs
+++ b/clementinepickd/src/engine_client.rs
@@ -10,7 +10,7 @@
 use clementinepick::ids::{AttemptId, VmId};
 use clementinepick::platform::{
     CacheEventsAnswer, CancelBody, EngineState, GenerateBody, GenerateLine, LoadReport, OrderBody,
-    ReleaseAnswer, ReleaseBody, ResumeBody,
+    ReleaseAnswer, ReleaseBody, ResumeBody, RetainBody,
 };
 use clementinepick::sidecar::{BackendEvent, SidecarAction, SidecarInput};
 use futures_util::StreamExt;
@@ -112,6 +112,11 @@
                     })
                     .await;
             }),
+            SidecarAction::Retain { chains } => tasks.spawn(async move {
+                let body = RetainBody { chains };
+                // A list that gets lost is made good by the next one.
+                let _: Option<ReleaseAnswer> = engine.post("/v1/cache/retain", &body).await;
+            }),
             SidecarAction::Order { from, order } => {
                 tasks.spawn(async move { engine.order(from, order).await });
             }
--- a/clementinepickd/src/plain_client.rs
+++ b/clementinepickd/src/plain_client.rs
@@ -111,6 +111,7 @@
                 });
             }
             SidecarAction::Order { .. }
+            | SidecarAction::Retain { .. }
             | SidecarAction::Send { .. }
             | SidecarAction::Log(_)
             | SidecarAction::Finished => {}
--- a/standins/src/cache.rs
+++ b/standins/src/cache.rs
@@ -213,6 +213,21 @@
         before.saturating_sub(self.used)
     }
 
+    /// Drops what no running sequence uses but the prefixes that end in `chains`; returns the tokens
+    /// freed.
+    pub fn retain(&mut self, now: TimeUs, chains: &[ChainHash]) -> Tokens {
+        let mut kept = BTreeSet::new();
+        for chain in chains {
+            let mut at = Some(*chain);
+            while let Some(chain) = at.filter(|chain| kept.insert(*chain)) {
+                at = self.entries.get(&chain).and_then(|entry| entry.parent);
+            }
+        }
+        let others = self.entries.keys().filter(|chain| !kept.contains(chain));
+        let others: Vec<ChainHash> = others.copied().collect();
+        self.release(now, &others)
+    }
+
     /// Drops everything that no running sequence uses.
     pub fn clear_idle(&mut self, now: TimeUs) {
         while let Some(&(_, chain)) = self.droppable.first() {
--- a/standins/src/chaos_backend.rs
+++ b/standins/src/chaos_backend.rs
@@ -185,6 +185,13 @@
         }
     }
 
+    /// Frees all prefixes but these.
+    pub fn retain(&mut self, now: TimeUs, chains: &[ChainHash]) {
+        if let Self::Engine(server) = self {
+            server.engine.retain(now, chains);
+        }
+    }
+
     /// The engine's load report.
     pub fn load(&mut self, now: TimeUs) -> Option<LoadReport> {
         match self {
--- a/standins/src/chaos_process.rs
+++ b/standins/src/chaos_process.rs
@@ -189,6 +189,13 @@
         }
     }
 
+    /// Lets the backend server's answer come to its sidecar after a while.
+    fn answer_sidecar(&mut self, vm: &VmId, life: u64, input: SidecarInput) {
+        let delay = self.delay();
+        let (vm, input) = (vm.clone(), Box::new(input));
+        self.schedule_after(delay, Due::Answered { vm, life, input });
+    }
+
     pub(crate) fn do_sidecar(&mut self, vm: &VmId, life: u64, action: SidecarAction) {
         match action {
             SidecarAction::Send { to, message } => self.send(vm, to, message),
@@ -216,15 +223,19 @@
                 let Some(backend) = self.backends.get_mut(vm) else {
                     return;
                 };
-                let freed = backend.release(self.now, &chains);
-                let delay = self.delay();
-                let due = Due::Released {
-                    vm: vm.clone(),
-                    life,
+                let freed_tokens = backend.release(self.now, &chains);
+                let input = SidecarInput::Released {
                     program,
-                    freed,
+                    freed_tokens,
                 };
-                self.schedule_after(delay, due);
+                self.answer_sidecar(vm, life, input);
+            }
+            SidecarAction::Retain { chains } => {
+                let Some(backend) = self.backends.get_mut(vm) else {
+                    return;
+                };
+                backend.retain(self.now, &chains);
+                self.wake_backend(vm);
             }
             SidecarAction::Order { .. } => {}
             SidecarAction::Log(event) => self.on_event(vm, &event),
--- a/standins/src/chaos_serve.rs
+++ b/standins/src/chaos_serve.rs
@@ -35,6 +35,8 @@
             return;
         };
         if backend.next_event_at().is_none_or(|at| at > self.now) {
+            // It has slowed down since it asked to be woken.
+            self.wake_backend(vm);
             return;
         }
         let happened = backend.advance(self.now);
--- a/standins/src/chaos_world.rs
+++ b/standins/src/chaos_world.rs
@@ -82,11 +82,10 @@
         input: Box<EntryInput>,
     },
     VmList,
-    Released {
+    Answered {
         vm: VmId,
         life: u64,
-        program: ProgramId,
-        freed: Option<Tokens>,
+        input: Box<SidecarInput>,
     },
     Send {
         caller: usize,
@@ -427,18 +426,7 @@
             }
             Due::LogAnswer { vm, life, input } => self.give(&vm, life, Input::Entry(*input)),
             Due::VmList => self.on_vm_list(),
-            Due::Released {
-                vm,
-                life,
-                program,
-                freed,
-            } => {
-                let input = SidecarInput::Released {
-                    program,
-                    freed_tokens: freed,
-                };
-                self.give(&vm, life, Input::Sidecar(input));
-            }
+            Due::Answered { vm, life, input } => self.give(&vm, life, Input::Sidecar(*input)),
             Due::Send { caller } => self.on_send(caller),
             Due::Arrive {
                 caller,
--- a/standins/src/engine_memory.rs
+++ b/standins/src/engine_memory.rs
@@ -21,6 +21,18 @@
         freed
     }
 
+    /// Frees all cached prefixes but those that end in `chains`; what runs stays.
+    pub fn retain(&mut self, now: TimeUs, chains: &[ChainHash]) -> Tokens {
+        if !self.is_up() {
+            return Tokens(0);
+        }
+        self.run_until(now);
+        let freed = self.cache.retain(now, chains);
+        self.admit(now);
+        self.after_change(now);
+        freed
+    }
+
     /// The cached state of a prefix; it stays cached here too.
     #[must_use]
     pub fn export(&self, chain: ChainHash) -> CacheImage {
--- a/standins/src/http_engine.rs
+++ b/standins/src/http_engine.rs
@@ -16,7 +16,7 @@
 use clementinepick::ids::AttemptId;
 use clementinepick::platform::{
     CacheImage, CancelBody, GenerateBody, GenerateLine, OrderBody, ReleaseAnswer, ReleaseBody,
-    ResumeBody,
+    ResumeBody, RetainBody,
 };
 use clementinepick::units::{Percent, SpanUs, Tokens};
 use futures_util::stream;
@@ -138,6 +138,7 @@
             ("POST", ["v1", "resume"]) => self.resume(&mut request).await,
             ("POST", ["v1", "cancel"]) => self.cancel(&mut request).await,
             ("POST", ["v1", "cache", "release"]) => self.release(&mut request).await,
+            ("POST", ["v1", "cache", "retain"]) => self.retain(&mut request).await,
             ("POST", ["v1", "cache", "export"]) => self.export(&mut request).await,
             ("POST", ["v1", "cache", "import"]) => self.import(&mut request).await,
             ("GET", ["v1", "cache", "events"]) => {
@@ -214,6 +215,15 @@
         }))
     }
 
+    async fn retain(&self, request: &mut Request) -> Result<Answer, Answer> {
+        let RetainBody { chains } = read_json(request).await?;
+        let now = self.clock.now();
+        Ok(self.with_up(|engine| {
+            let freed_tokens = engine.retain(now, &chains);
+            json(&ReleaseAnswer { freed_tokens })
+        }))
+    }
+
     async fn export(&self, request: &mut Request) -> Result<Answer, Answer> {
         let ReleaseBody { chains } = read_json(request).await?;
         let last = chains.last().copied().unwrap_or_default();
