Test the replacement of every process under load

Cause: a graceful shutdown must cut nothing off, and engine memory must not outlive its programs. Change: a reduced demo that replaces two entries and three sidecars while programs run.

--- a/standins/tests/demo.rs
+++ b/standins/tests/demo.rs
@@ -25,6 +25,27 @@
     assert!(result.is_right());
 }
 
+/// Every process is replaced while programs run. Callers see whole answers only: an entry that
+/// leaves finishes what it has and hands its programs over, a sidecar finishes what runs at its
+/// backend server, and the new process frees what the programs of the old one had cached.
+#[test]
+fn replacing_every_process_cuts_nothing_off() {
+    let demo = Demo {
+        programs: 20,
+        concurrency: 8,
+        engines: 2,
+        seed: 2,
+        roll: true,
+    };
+    let result = demo.measure().expect("a clean start and end");
+    let report = &result.report;
+    assert_eq!(report.faults, Vec::<String>::new());
+    assert_eq!(result.replaced, 5);
+    assert_eq!(report.finished, report.programs);
+    assert_eq!(result.once.1, []);
+    assert_eq!(result.held_tokens, Tokens(0));
+}
+
 /// A seat hold that never ran, and a cancellation that ran twice, are both found out by the count
 /// at the plain service, whatever the callers were told.
 #[test]
