--- a/clementinepick/src/entry.rs
+++ b/clementinepick/src/entry.rs
@@ -25,6 +25,7 @@
 use crate::platform::{ReadAnswer, StreamName, Vm, VmRole};
 use crate::record::EndReason;
 use crate::replay::Partitions;
+use crate::retry::RetryBudget;
 use crate::route::{RouteSettings, Router};
 use crate::safeguards::Safeguards;
 use crate::units::{SpanUs, TimeUs};
@@ -59,6 +60,8 @@
     pub snapshot_us: SpanUs,
     /// How long the end of an answer waits for its record before it goes out as pending.
     pub commit_wait_us: SpanUs,
+    /// How long a call waits for a backend server when none can take it.
+    pub backend_wait_us: SpanUs,
     /// How this entry uses the log.
     pub journal: JournalSettings,
     /// The safeguards in force; all but in test runs.
@@ -83,6 +86,7 @@
             keep_ended_us: SpanUs::from_s(600),
             snapshot_us: SpanUs::from_s(600),
             commit_wait_us: SpanUs::from_ms(250),
+            backend_wait_us: SpanUs::from_s(1),
             journal: JournalSettings::default(),
             safeguards: Safeguards::default(),
         }
@@ -198,6 +202,7 @@
     /// Whether it was said that records of the configuration are missing.
     pub(crate) has_config_gap: bool,
     pub(crate) router: Router,
+    pub(crate) retries: BTreeMap<ServiceName, RetryBudget>,
     pub(crate) calls: BTreeMap<RequestId, Call>,
     pub(crate) attempts: BTreeMap<AttemptId, RequestId>,
     pub(crate) programs: BTreeMap<ProgramId, LiveProgram>,
@@ -263,6 +268,7 @@
                 zone,
                 ..Default::default()
             }),
+            retries: BTreeMap::new(),
             calls: BTreeMap::new(),
             attempts: BTreeMap::new(),
             programs: BTreeMap::new(),
--- a/standins/src/failure.rs
+++ b/standins/src/failure.rs
@@ -4,6 +4,8 @@
 
 use thiserror::Error;
 
+use crate::policy::PolicyError;
+
 /// Why a command failed.
 #[derive(Debug, Error)]
 pub enum Failure {
@@ -21,6 +23,9 @@
     /// The ports from the base port on do not suffice.
     #[error("there are too few ports above the base port")]
     Ports,
+    /// The policy tool can't run.
+    #[error("{0}")]
+    Policy(#[from] PolicyError),
     /// What was run did not come out as it must.
     #[error("{0}")]
     Check(String),
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -4,9 +4,11 @@
 
 use argh::FromArgs;
 use standins::Failure;
+use standins::capacity::Capacity;
 use standins::chaos::Chaos;
 use standins::demo::Demo;
 use standins::load::Load;
+use standins::policy::Policy;
 use standins::serve::Serve;
 
 /// Stand-ins for what lies outside clementinepick, and tools that drive it.
@@ -27,7 +29,9 @@
     Demo(Demo),
     Load(Load),
     Serve(Serve),
+    Policy(Policy),
     Chaos(Chaos),
+    Capacity(Capacity),
 }
 
 fn run(command: &Command) -> Result<(), Failure> {
@@ -35,7 +39,9 @@
         Command::Demo(demo) => demo.run(),
         Command::Load(load) => load.run(),
         Command::Serve(serve) => serve.run(),
+        Command::Policy(policy) => policy.run(),
         Command::Chaos(chaos) => chaos.run(),
+        Command::Capacity(capacity) => capacity.run(),
     }
 }
 
