Send a plain answer again that was lost between two entries

Change: the plain answer is sent again too. The new test fails without the change (run: 'a plain answer' missing) and passes with it.

--- a/clementinepick/src/admission.rs
+++ b/clementinepick/src/admission.rs
@@ -67,6 +67,10 @@
             return;
         }
         call.reply_to = reply_to.clone();
+        // What was sent over the lost link may not have come; a part that did is passed over there.
+        if let Some(plain) = call.plain.clone() {
+            answer(reply_to, id, AnswerPart::Plain(plain), out);
+        }
         if !call.answer.is_empty() {
             let part = AnswerPart::Text {
                 position: 0,
--- a/clementinepick/tests/at_most_once.rs
+++ b/clementinepick/tests/at_most_once.rs
@@ -388,3 +388,22 @@
     assert_ne!(world.owner_of(&name).as_deref(), Some("e1"));
     assert!(world.is_alive(vm("e1").as_str()));
 }
+
+// The caller sees the whole answer. The owner answers while the link to the caller's entry is cut;
+// when the link is back the entry asks again, and gets also the part that was lost with the link.
+#[test]
+fn an_answer_lost_between_entries_is_sent_again() {
+    let (mut world, name) = with_owner();
+    world.backend("b0").delay_us = Some(300_000);
+    let id = world.call("e0", hold(&name));
+    world.run_until(1_000, "the run", |w| !w.runs().is_empty());
+    world.log.mode = LogMode::Down;
+    world.run_ms(250);
+    world.cut("e0", "e1");
+    world.run_ms(150);
+    world.mend("e0", "e1");
+    let answer = world.wait(id);
+    assert_eq!(answer.code(), "done", "{:?}", answer.failed);
+    assert_eq!(body(&answer), "/hold run 1");
+    assert_eq!(world.runs(), ["/hold seat 7"]);
+}
