--- a/clementinepick/src/admission.rs
+++ b/clementinepick/src/admission.rs
@@ -13,7 +13,7 @@
 use crate::ids::ClassName;
 use crate::message::Message;
 use crate::step_claim::digest;
-use crate::units::TimeUs;
+use crate::units::{TimeUs, Tokens};
 
 impl Entry {
     pub(crate) fn on_request(
@@ -129,6 +129,7 @@
             tried: BTreeSet::new(),
             may_have_run: false,
             from: 0,
+            prefill_tokens: Tokens(0),
             answer: AnswerText::default(),
             plain: None,
             done: None,
--- a/clementinepick/src/call_state.rs
+++ b/clementinepick/src/call_state.rs
@@ -47,8 +47,8 @@
     Slice,
     /// Waits for the record of its start.
     Claim,
-    /// Waits for a backend server.
-    Route,
+    /// Waits, for a short time, for a backend server.
+    Route { since_us: TimeUs },
     /// Runs.
     Running { attempt: AttemptId, target: VmId },
     /// May not run twice, and the link to its sidecar went down.
@@ -92,6 +92,8 @@
     /// The characters that the caller had before this request.
     pub(crate) from: u64,
     /// The text that has come and was given to the caller.
+    /// The prompt tokens that its backend server probably has to prefill.
+    pub(crate) prefill_tokens: Tokens,
     pub(crate) answer: AnswerText,
     pub(crate) plain: Option<PlainAnswer>,
     pub(crate) done: Option<CallDone>,
@@ -148,7 +150,7 @@
     pub(crate) fn is_under_way(&self) -> bool {
         matches!(
             self.step,
-            Step::Slice | Step::Claim | Step::Route | Step::Record { .. }
+            Step::Slice | Step::Claim | Step::Route { .. } | Step::Record { .. }
         ) || self.is_running()
     }
 }
--- a/clementinepick/src/step_record.rs
+++ b/clementinepick/src/step_record.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::answer;
 use crate::call::{AnswerPart, CallDone, Payload, TurnState, Usage};
-use crate::call_state::{Awaited, PendingTurn, ReplyTo, Step};
+use crate::call_state::{Awaited, Call, PendingTurn, ReplyTo, Step};
 use crate::entry::{Entry, EntryAction};
 use crate::event::{Event, EventKind};
 use crate::ids::{AttemptId, ProgramId, RecordId, RequestId, VmId};
@@ -34,6 +34,9 @@
             return;
         };
         self.leave_backend(attempt, false);
+        if let Some(prompt) = self.calls.get(&id).and_then(Call::prompt) {
+            self.router.on_cached(&target, prompt);
+        }
         self.settle(id, done.usage, 1);
         if let Some(call) = self.calls.get_mut(&id) {
             call.step = Step::Record { since_us: now };
--- a/clementinepick/src/step_route.rs
+++ b/clementinepick/src/step_route.rs
@@ -39,10 +39,15 @@
             last,
             tried: &excluded,
         };
-        let Some(target) = self.router.pick(now, &query) else {
+        let Some(choice) = self.router.pick(now, &query) else {
             self.no_backend(now, id, out);
             return;
         };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.prefill_tokens = choice.uncached_tokens;
+        let target = choice.vm;
         if call.idempotent || !self.settings.safeguards.call_started_record {
             let attempt = AttemptId::draw(&mut self.rng);
             self.dispatch(now, id, &target, attempt, out);
@@ -51,15 +56,24 @@
         }
     }
 
+    /// No backend server can take the call: it waits a moment, and then its caller is told when to
+    /// come back.
+    ///
+    /// A link that is being opened anew is up again within that moment. A longer wait would keep
+    /// callers, up to their deadline, from going elsewhere or from saying so to their users.
     fn no_backend(&mut self, now: TimeUs, id: RequestId, out: &mut Vec<EntryAction>) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        if call.tried.is_empty() {
-            call.step = Step::Route;
+        let since_us = match call.step {
+            Step::Route { since_us } => since_us,
+            _ => now,
+        };
+        if call.tried.is_empty() && now.since(since_us) < self.settings.backend_wait_us {
+            call.step = Step::Route { since_us };
             return;
         }
-        let detail = "every backend server of the service has refused or failed";
+        let detail = "no backend server of the service can take the call";
         self.refuse(now, id, CallError::new(ErrorKind::NoBackend, detail), out);
     }
 
@@ -85,8 +99,15 @@
             attempt,
             target: target.clone(),
         };
+        if call.tried.is_empty() {
+            let budget = self
+                .retries
+                .entry(call.request.service.clone())
+                .or_default();
+            budget.on_call(call.in_force.document.retry.budget);
+        }
         call.tried.insert(target.clone());
-        self.router.on_sent(target, call.work_tokens());
+        self.router.on_sent(target, call.prefill_tokens);
         self.attempts.insert(attempt, id);
         let prompt = call.prompt().cloned().unwrap_or_default();
         if let Some(live) = self.programs.get_mut(&call.request.program) {
@@ -120,6 +141,7 @@
             attained_tokens: self.attained_tokens(call.partition, program),
             max_output_tokens: call.max_output_tokens(),
             expected_output_tokens: call.max_output_tokens(),
+            next_tool: call.request.next_tool.clone(),
             payload: call.payload().clone(),
         })
     }
