--- a/standins/tests/demo.rs
+++ b/standins/tests/demo.rs
@@ -12,6 +12,7 @@
         concurrency: 10,
         engines: 2,
         seed: 1,
+        release_s: 45,
         roll: false,
     };
     let result = demo.measure().expect("a clean start and end");
@@ -25,6 +26,27 @@
     assert!(result.is_right());
 }
 
+/// Every process is replaced while programs run. Callers see whole answers only: an entry that
+/// leaves finishes what it has and hands its programs over, and a sidecar finishes what runs at its
+/// backend server before the next one starts.
+#[test]
+fn replacing_every_process_cuts_nothing_off() {
+    let demo = Demo {
+        programs: 20,
+        concurrency: 8,
+        engines: 2,
+        seed: 2,
+        release_s: 0,
+        roll: true,
+    };
+    let result = demo.measure().expect("a clean start and end");
+    let report = &result.report;
+    assert_eq!(report.faults, Vec::<String>::new());
+    assert_eq!(result.replaced, 5);
+    assert_eq!(report.finished, report.programs);
+    assert_eq!(result.once.1, []);
+}
+
 /// A seat hold that never ran, and a cancellation that ran twice, are both found out by the count
 /// at the plain service, whatever the callers were told.
 #[test]
