Ask refused callers back by the pace of their rank; plot ratios

Cause: one pace for all ranks told a low rank to come back long before its turn. Change: each rank has its own pace. Tried and taken back: to refuse a call at once when its rank's pace says that it would wait past its deadline.

--- a/clementinepick/src/gate.rs
+++ b/clementinepick/src/gate.rs
@@ -70,6 +70,15 @@
     pub prefill_tokens: Tokens,
 }
 
+/// A call that was shed for a better one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Shed {
+    /// Its attempt.
+    pub attempt: AttemptId,
+    /// Its answer: it has not run, and its caller learns when to come back.
+    pub error: CallError,
+}
+
 /// The place of a call among those that wait; the smallest goes first.
 type Turn = (u32, u64, Reverse<u32>, TimeUs, AttemptId);
 
@@ -98,11 +107,32 @@
     running: BTreeMap<AttemptId, Running>,
     used_tokens: Tokens,
     prefill_tokens: Tokens,
+    lanes: BTreeMap<u32, Lane>,
+}
+
+/// How fast the calls of one rank get through, higher ranks going before them.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lane {
+    waiting: u32,
     last_admitted_us: Option<TimeUs>,
-    /// The usual time between two admissions while calls wait.
+    /// The usual time between two admissions while calls of the rank wait.
     pace_us: SpanUs,
 }
 
+impl Lane {
+    /// The time that `count` calls of the rank will probably take to start.
+    fn time_of(&self, count: u32) -> SpanUs {
+        SpanUs(u64::from(count).saturating_mul(self.pace_us.0))
+    }
+
+    fn on_admitted(&mut self, now: TimeUs) {
+        if let Some(last_us) = self.last_admitted_us.replace(now) {
+            let gap = now.since(last_us).0;
+            self.pace_us = SpanUs((self.pace_us.0 * (PACE_WEIGHT - 1) + gap) / PACE_WEIGHT);
+        }
+    }
+}
+
 /// The share of one observation in the usual time between admissions: one in so many.
 const PACE_WEIGHT: u64 = 8;
 /// The shortest and the longest time after which a refused caller is asked to come back.
@@ -141,13 +171,12 @@
         self.running.len()
     }
 
-    /// When a caller that is refused now should come back: the time that half of the calls that
-    /// wait will probably take to start.
-    #[must_use]
-    pub fn come_back(&self) -> SpanUs {
-        let half = self.waiting.len() as u64 / 2;
+    /// When a caller that is refused now should come back: the time that half of the calls of its
+    /// rank will probably take to start.
+    fn come_back(&self, rank: u32) -> SpanUs {
         let (least, most) = COME_BACK;
-        SpanUs(half.saturating_mul(self.pace_us.0)).clamp(least, most)
+        let lane = self.lanes.get(&rank).copied().unwrap_or_default();
+        lane.time_of(lane.waiting / 2).clamp(least, most)
     }
 
     /// Takes a call, or refuses one before any work. When too many wait, the one that would go last
@@ -156,7 +185,7 @@
     /// # Errors
     ///
     /// [`ErrorKind::Overloaded`] with the time to come back, when the call itself would go last.
-    pub fn push(&mut self, call: GateCall) -> Result<Option<AttemptId>, CallError> {
+    pub fn push(&mut self, call: GateCall) -> Result<Option<Shed>, CallError> {
         let turn = turn(&call);
         let mut shed = None;
         if self.waiting.len() >= self.settings.max_waiting as usize {
@@ -170,12 +199,16 @@
                 // Only a better rank pushes another call out, or two programs would shed in turns.
                 Some(last) if turn.0 < last.0 => {
                     self.take_waiting(last.4);
-                    shed = Some(last.4);
+                    shed = Some(Shed {
+                        attempt: last.4,
+                        error: self.overloaded(last.0),
+                    });
                 }
-                _ => return Err(self.overloaded()),
+                _ => return Err(self.overloaded(call.rank)),
             }
         }
         self.waiting_tokens += call.prefill_tokens;
+        self.lanes.entry(call.rank).or_default().waiting += 1;
         self.ageing
             .insert((call.arrived_us.after(call.max_wait_us), call.attempt));
         self.deadlines.insert((call.deadline_us, call.attempt));
@@ -188,10 +221,9 @@
     }
 
     /// The answer to a call that is shed: it has not run, and its caller learns when to come back.
-    #[must_use]
-    pub fn overloaded(&self) -> CallError {
+    fn overloaded(&self, rank: u32) -> CallError {
         let error = CallError::new(ErrorKind::Overloaded, "too many calls wait at the gate");
-        error.retry_after(self.come_back())
+        error.retry_after(self.come_back(rank))
     }
 
     /// Takes out the calls that may start now, first to last.
@@ -209,9 +241,6 @@
             self.start(now, &call);
             admitted.push(first);
         }
-        if self.waiting.is_empty() {
-            self.last_admitted_us = None;
-        }
         admitted
     }
 
@@ -282,9 +311,11 @@
     }
 
     fn start(&mut self, now: TimeUs, call: &GateCall) {
-        if let Some(last_us) = self.last_admitted_us.replace(now) {
-            let gap = now.since(last_us).0;
-            self.pace_us = SpanUs((self.pace_us.0 * (PACE_WEIGHT - 1) + gap) / PACE_WEIGHT);
+        let lane = self.lanes.entry(call.rank).or_default();
+        lane.on_admitted(now);
+        // The time until the next call comes says nothing of the pace.
+        if lane.waiting == 0 {
+            lane.last_admitted_us = None;
         }
         self.used_tokens += call.memory_tokens;
         self.prefill_tokens += call.prefill_tokens;
@@ -344,6 +375,9 @@
             .remove(&(call.arrived_us.after(call.max_wait_us), attempt));
         self.deadlines.remove(&(call.deadline_us, attempt));
         self.waiting_tokens = self.waiting_tokens.saturating_sub(call.prefill_tokens);
+        if let Some(lane) = self.lanes.get_mut(&call.rank) {
+            lane.waiting = lane.waiting.saturating_sub(1);
+        }
         Some(call)
     }
 }
@@ -451,7 +485,11 @@
         });
         gate.push(call(1, 1, 0)).expect("room");
         gate.push(call(2, 5, 0)).expect("room");
-        assert_eq!(gate.push(call(3, 0, 0)), Ok(Some(AttemptId(2))));
+        let shed = gate
+            .push(call(3, 0, 0))
+            .expect("room")
+            .expect("one is shed");
+        assert_eq!(shed.attempt, AttemptId(2));
         let refused = gate.push(call(4, 1, 0)).expect_err("as low as the last");
         assert!(refused.retry_after_us.is_some());
     }
--- a/clementinepick/src/sidecar_calls.rs
+++ b/clementinepick/src/sidecar_calls.rs
@@ -43,7 +43,7 @@
         let deadline_us = call.deadline_us;
         match self.gate.push(call) {
             Ok(None) => {}
-            Ok(Some(shed)) => self.end(now, shed, AnswerPart::Failed(self.gate.overloaded()), out),
+            Ok(Some(shed)) => self.end(now, shed.attempt, AnswerPart::Failed(shed.error), out),
             Err(refused) => {
                 out.push(refuse(&from, attempt, refused));
                 return;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -43,6 +43,7 @@
 mod policy_knobs;
 mod policy_mix;
 mod policy_mixes;
+mod policy_plot;
 mod policy_program;
 pub mod policy_result;
 mod policy_run;
--- a/standins/src/policy.rs
+++ b/standins/src/policy.rs
@@ -1,5 +1,6 @@
 //! The policy tool: drives the decisions in virtual time and sets them against the baselines.
 
+use std::path::PathBuf;
 use std::thread;
 
 use argh::FromArgs;
@@ -11,6 +12,7 @@
 use crate::policy_knobs::{BadKnob, Knobs, POLICIES};
 use crate::policy_mix::{After, Mix, Turn, Work, engine_plans, plain_plans};
 use crate::policy_mixes::{limitworks, nyiramasuka};
+use crate::policy_plot::plot_ratios;
 use crate::policy_result::{Figures, float};
 use crate::policy_run::Run;
 use crate::policy_table::table;
@@ -59,6 +61,9 @@
     /// change a setting of the runs, as key=value
     #[argh(option, long = "set")]
     pub changes: Vec<String>,
+    /// draw the ratios to fifo to this SVG file; fifo must be among the policies
+    #[argh(option)]
+    pub plot: Option<PathBuf>,
     /// threads over which the runs are spread (4)
     #[argh(option, default = "4")]
     pub threads: usize,
@@ -88,6 +93,10 @@
             );
         }
         println!("{}", table(&results));
+        if let Some(path) = &self.plot {
+            plot_ratios(&results, path)?;
+            println!("plot {}", path.display());
+        }
         Ok(())
     }
 }
--- a/standins/src/policy_host.rs
+++ b/standins/src/policy_host.rs
@@ -198,7 +198,7 @@
             prefill_tokens: call.prefill_tokens,
         };
         match gate.push(gate_call) {
-            Ok(shed) => self.shed.extend(shed),
+            Ok(shed) => self.shed.extend(shed.map(|shed| shed.attempt)),
             Err(_) => return false,
         }
         self.waiting.insert(call.attempt, call.work);
--- /dev/null
+++ b/standins/src/policy_plot.rs
@@ -0,0 +1,74 @@
+//! Draws each policy's ratios to `fifo`, one place on the horizontal axis for each figure.
+
+use std::path::Path;
+
+use plotters::chart::ChartBuilder;
+use plotters::drawing::IntoDrawingArea;
+use plotters::element::PathElement;
+use plotters::prelude::{LineSeries, SVGBackend};
+use plotters::style::{BLACK, Color, Palette, Palette99, PaletteColor, WHITE};
+
+use crate::Failure;
+use crate::policy_result::{Figures, GOALS, float};
+use crate::policy_table::{median_of, policies_of};
+
+const SIZE: (u32, u32) = (1_000, 560);
+/// The top of the vertical axis; a higher ratio leaves the picture.
+const MOST_RATIO: f64 = 2.0;
+
+/// Writes the ratios of the medians to an SVG file.
+///
+/// # Errors
+///
+/// When the file can't be written.
+pub fn plot_ratios(results: &[Figures], path: &Path) -> Result<(), Failure> {
+    draw(results, path).map_err(|err| Failure::Check(format!("{}: {err}", path.display())))
+}
+
+fn draw(results: &[Figures], path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let last = float(GOALS.len() as u64 - 1);
+    let mut chart = ChartBuilder::on(&root)
+        .caption("Ratio to fifo, median over the seeds", ("sans-serif", 20))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(64)
+        .build_cartesian_2d(0.0..last, 0.0..MOST_RATIO)?;
+    chart
+        .configure_mesh()
+        .y_desc("ratio")
+        .x_labels(GOALS.len())
+        .x_label_formatter(&|place| goal_at(*place).to_owned())
+        .draw()?;
+    for (at, policy) in policies_of(results).into_iter().enumerate() {
+        let color = PaletteColor::<Palette99>::pick(at % Palette99::COLORS.len());
+        let style = color.stroke_width(2);
+        let points = GOALS.iter().enumerate().map(|(place, goal)| {
+            let fifo = median_of(results, "fifo", goal.read);
+            (
+                float(place as u64),
+                median_of(results, policy, goal.read) / fifo,
+            )
+        });
+        chart
+            .draw_series(LineSeries::new(points, style))?
+            .label(policy)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], style));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()?;
+    root.present()?;
+    Ok(())
+}
+
+/// The name of the figure at a place of the axis; nothing between two.
+fn goal_at(place: f64) -> &'static str {
+    let near = |at: usize| (float(at as u64) - place).abs() < 0.01;
+    (0..GOALS.len())
+        .find(|at| near(*at))
+        .map_or("", |at| GOALS[at].name)
+}
