--- a/clementinepick/src/admission.rs
+++ b/clementinepick/src/admission.rs
@@ -124,6 +124,8 @@
             claim: None,
             tried: BTreeSet::new(),
             prefill_tokens: Tokens(0),
+            may_have_run: false,
+            from: 0,
             answer: AnswerText::default(),
             plain: None,
             done: None,
--- a/clementinepick/src/call_state.rs
+++ b/clementinepick/src/call_state.rs
@@ -89,6 +89,11 @@
     pub(crate) tried: BTreeSet<VmId>,
     /// The prompt tokens that its backend server probably has to prefill.
     pub(crate) prefill_tokens: Tokens,
+    /// Whether an attempt of it may have been sent to a backend server, here or at a lost owner.
+    pub(crate) may_have_run: bool,
+    /// The characters that the caller had before this request.
+    pub(crate) from: u64,
+    /// The text that has come and was given to the caller.
     pub(crate) answer: AnswerText,
     pub(crate) plain: Option<PlainAnswer>,
     pub(crate) done: Option<CallDone>,
@@ -180,6 +185,8 @@
     pub(crate) last_backend: Option<VmId>,
     /// Sidecars that may hold its cache.
     pub(crate) holders: BTreeSet<VmId>,
+    /// The chains of the prompts that were sent there.
+    pub(crate) chains: BTreeSet<ChainHash>,
     pub(crate) since_us: TimeUs,
     pub(crate) last_used_us: TimeUs,
     pub(crate) opening: bool,
@@ -189,6 +196,8 @@
     pub(crate) tail: Vec<PendingTurn>,
     /// Whether an earlier owner may have had turns that never came on record.
     pub(crate) is_uncertain: bool,
+    /// Whether an earlier owner served it.
+    pub(crate) is_inherited: bool,
     /// The last call's digest, and how often it came in a row.
     pub(crate) repeats: (ChainHash, u32),
     /// Set when the budget is spent: the program ends when nothing of it runs.
@@ -240,9 +249,18 @@
 pub(crate) struct Releasing {
     pub(crate) partition: PartitionId,
     pub(crate) holders: BTreeSet<VmId>,
+    pub(crate) chains: Vec<ChainHash>,
     pub(crate) next_us: TimeUs,
 }
 
+/// The end of a program that was asked for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Ending {
+    pub(crate) reason: EndReason,
+    pub(crate) next_us: TimeUs,
+    pub(crate) until_us: TimeUs,
+}
+
 /// A program that has ended and is still remembered.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct EndedProgram {
@@ -271,6 +289,8 @@
 pub(crate) struct PeerState {
     pub(crate) peer: Peer,
     pub(crate) up_us: TimeUs,
+    /// Whether it has read all that it must know.
+    pub(crate) is_ready: bool,
     pub(crate) heard_us: TimeUs,
     pub(crate) leaving: bool,
     /// What its last heartbeat said; absent before the first.
--- a/clementinepick/src/message.rs
+++ b/clementinepick/src/message.rs
@@ -160,6 +160,9 @@
     Release {
         /// The program.
         program: ProgramId,
+        /// The chains of its prompts and answers as far as the owner knows them; the sidecar may
+        /// have lost its own list with an earlier life.
+        chains: Vec<ChainHash>,
         /// Its partition.
         partition: PartitionId,
         /// The owner's epoch.
@@ -208,6 +211,8 @@
     pub config_offset: Offset,
     /// Whether the sender takes no new work.
     pub leaving: bool,
+    /// Whether the sender has read all that it must know.
+    pub is_ready: bool,
     /// How long the sender has not heard the receiver.
     pub silence_us: SpanUs,
     /// Entry to sidecar: the number of the decider for its service.
