--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use standins::Failure;
+use standins::capacity::Capacity;
 use standins::chaos::Chaos;
 use standins::demo::Demo;
 use standins::load::Load;
@@ -30,6 +31,7 @@
     Serve(Serve),
     Policy(Policy),
     Chaos(Chaos),
+    Capacity(Capacity),
 }
 
 fn run(command: &Command) -> Result<(), Failure> {
@@ -39,6 +41,7 @@
         Command::Serve(serve) => serve.run(),
         Command::Policy(policy) => policy.run(),
         Command::Chaos(chaos) => chaos.run(),
+        Command::Capacity(capacity) => capacity.run(),
     }
 }
 
