--- a/clementinepick/src/call_state.rs
+++ b/clementinepick/src/call_state.rs
@@ -87,13 +87,13 @@
     pub(crate) held_tokens: Option<Tokens>,
     pub(crate) claim: Option<Claim>,
     pub(crate) tried: BTreeSet<VmId>,
+    /// The prompt tokens that its backend server probably has to prefill.
+    pub(crate) prefill_tokens: Tokens,
     /// Whether an attempt of it may have been sent to a backend server, here or at a lost owner.
     pub(crate) may_have_run: bool,
     /// The characters that the caller had before this request.
     pub(crate) from: u64,
     /// The text that has come and was given to the caller.
-    /// The prompt tokens that its backend server probably has to prefill.
-    pub(crate) prefill_tokens: Tokens,
     pub(crate) answer: AnswerText,
     pub(crate) plain: Option<PlainAnswer>,
     pub(crate) done: Option<CallDone>,
--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -521,8 +521,8 @@
         self.set_gate();
         self.expire(now, out);
         self.lapse_leases(now, out);
-        self.drop_waiting_of_silent(now, out);
         self.release_paused(now, out);
+        self.drop_waiting_of_silent(now, out);
         self.drop_old_answers(now);
         self.prune_closed();
         if now >= self.next_heartbeat_us {
