--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -531,6 +531,7 @@
         self.poll_retain(now, out);
         self.drop_waiting_of_silent(now, out);
         self.release_paused(now, out);
+        self.drop_waiting_of_silent(now, out);
         self.drop_old_answers(now);
         self.prune_closed();
         if now >= self.next_heartbeat_us {
