--- a/clementinepick/src/sidecar.rs
+++ b/clementinepick/src/sidecar.rs
@@ -529,7 +529,6 @@
         self.expire(now, out);
         self.lapse_leases(now, out);
         self.poll_retain(now, out);
-        self.drop_waiting_of_silent(now, out);
         self.release_paused(now, out);
         self.drop_waiting_of_silent(now, out);
         self.drop_old_answers(now);
