--- a/clementinepick/tests/common/mod.rs
+++ b/clementinepick/tests/common/mod.rs
@@ -21,6 +21,7 @@
 use clementinepick::platform::{
     EngineOrder, EngineState, GenerateBody, OrderBody, ReadAnswer, StoredRecord, StreamName,
 };
+use clementinepick::prompt::ChainHash;
 use clementinepick::prompt::{Prompt, Segment};
 use clementinepick::record::{EndReason, OwnedRecord, Record, RecordBody};
 use clementinepick::replay::{Applied, Partitions};
@@ -79,6 +80,8 @@
     held: Vec<Started>,
     /// Programs that hold cache.
     pub cached: BTreeSet<ProgramId>,
+    /// Prefixes in the cache that no sidecar was told of.
+    pub untold: BTreeSet<ChainHash>,
     /// Whether releases are answered.
     pub releases: bool,
     /// What the engine serves, where it takes orders.
@@ -275,6 +278,7 @@
                 runs: Vec::new(),
                 held: Vec::new(),
                 cached: BTreeSet::new(),
+                untold: BTreeSet::new(),
                 releases: true,
                 engine: None,
                 order_us: 2_000_000,
@@ -616,7 +620,11 @@
             }
             SidecarAction::Log(event) => self.events.push((self.now_us, id.clone(), event.kind)),
             SidecarAction::Order { order, .. } => self.start_order(id, &order),
-            SidecarAction::Cancel(_) | SidecarAction::Retain { .. } | SidecarAction::Finished => {}
+            SidecarAction::Retain { chains } => {
+                let backend = self.backends.get_mut(id).expect("a backend");
+                backend.untold.retain(|chain| chains.contains(chain));
+            }
+            SidecarAction::Cancel(_) | SidecarAction::Finished => {}
         }
     }
 
--- a/clementinepick/tests/safeguards.rs
+++ b/clementinepick/tests/safeguards.rs
@@ -6,8 +6,12 @@
 use clementinepick::event::EventKind;
 use clementinepick::ids::RequestId;
 use clementinepick::message::Message;
+use clementinepick::platform::LoadReport;
+use clementinepick::prompt::ChainHash;
 use clementinepick::record::EndReason;
 use clementinepick::safeguards::Safeguards;
+use clementinepick::sidecar::SidecarInput;
+use clementinepick::units::Tokens;
 use common::{LogMode, World, at, chat, keyed, post, program, vm};
 
 /// Runs a scenario with all safeguards and without one; it says whether the failure came about.
@@ -214,10 +218,7 @@
         for revision in [3, 2] {
             let message = Message::Documents(vec![published(revision, common::PLAIN)]);
             let from = vm("e0");
-            world.sidecar_input(
-                "b0",
-                clementinepick::sidecar::SidecarInput::Link { from, message },
-            );
+            world.sidecar_input("b0", SidecarInput::Link { from, message });
         }
         world.run_ms(5);
         world.dump("b0")["revisions"]["book"] != 3
@@ -238,6 +239,23 @@
     });
 }
 
+// A turn ends at its engine just as it is cancelled: its answer lies in the cache under a chain that
+// the sidecar was never told, and an order to free what it knows does not reach it. Only a list of
+// all that is to be kept does.
+#[test]
+fn without_lists_of_what_to_keep_an_untold_prefix_stays() {
+    shows("retain", 1, 1, 1, |mut world| {
+        let load = LoadReport {
+            cache_size_tokens: Tokens(1_000),
+            ..LoadReport::default()
+        };
+        world.sidecar_input("g0", SidecarInput::Load(load));
+        world.backend("g0").untold.insert(ChainHash(7));
+        world.run_ms(40_000);
+        !world.backend("g0").untold.is_empty()
+    });
+}
+
 #[test]
 fn without_the_order_a_later_call_overtakes() {
     shows("order", 2, 1, 1, |mut world| {
