Keep a request at the entry that has its caller

Ruled out: a lost record, since the turn's record was refused as stale and the answer kept. Change: an entry that has the caller never drops the request on a word of another entry, and takes it back when it becomes the owner itself.

--- a/clementinepick/src/answer.rs
+++ b/clementinepick/src/answer.rs
@@ -454,12 +454,20 @@
         id: RequestId,
         out: &mut Vec<EntryAction>,
     ) {
-        let Some(call) = self.calls.get(&id) else {
+        let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
         if call.step == Step::Forwarded(from.clone()) {
-            // It was passed on to where it came from, and goes on there.
-            self.calls.remove(&id);
+            if call.reply_to == ReplyTo::Caller {
+                // Two entries that each hold the other for the owner give the request back to one
+                // another. Only this one has the caller: dropped here, it would be dropped for
+                // good, and the caller would hear nothing. The next tick looks for the owner again.
+                call.step = Step::Own;
+                call.may_have_run = true;
+            } else {
+                // It was passed on to where it came from, and goes on there.
+                self.calls.remove(&id);
+            }
         } else if call.reply_to == ReplyTo::Entry(from.clone()) {
             self.on_gone(now, id, out);
         }
--- a/clementinepick/src/step_own.rs
+++ b/clementinepick/src/step_own.rs
@@ -359,17 +359,38 @@
         partition: PartitionId,
         out: &mut Vec<EntryAction>,
     ) {
+        let owns = self.own_epoch(partition).is_some();
         let waiting: Vec<RequestId> = self
             .calls
             .iter()
-            .filter(|(_, call)| call.step == Step::Own && call.partition == partition)
+            .filter(|(_, call)| call.partition == partition)
+            .filter(|(_, call)| match call.step {
+                Step::Own => true,
+                // Passed on to an owner that this entry has replaced, who would send it back.
+                Step::Forwarded(_) => owns,
+                _ => false,
+            })
             .map(|(id, _)| *id)
             .collect();
         for id in waiting {
+            self.take_back(id, out);
             self.step_own(now, id, out);
         }
     }
 
+    /// Tells the entry that a request was passed on to that it goes on here.
+    fn take_back(&mut self, id: RequestId, out: &mut Vec<EntryAction>) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if let Step::Forwarded(to) = call.step.clone() {
+            let message = Message::ForwardCancel { request: id };
+            out.push(EntryAction::Send { to, message });
+            call.step = Step::Own;
+            call.may_have_run = true;
+        }
+    }
+
     /// Passes calls on anew whose owner is gone.
     ///
     /// Also one that may not run twice: what its owner did is on record or was not done, so the
--- a/standins/src/chaos_backend.rs
+++ b/standins/src/chaos_backend.rs
@@ -21,6 +21,9 @@
 /// How long a hold takes, at random between the two.
 const HOLD_US: (u64, u64) = (1_000, 900_000);
 
+/// How often a hold is carried out and its connection breaks before the answer.
+const BREAKS_AFTER: f64 = 0.02;
+
 /// A call that a backend server has begun.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Started {
@@ -370,6 +373,14 @@
                 happened.executed.push((body_program(body), body));
             }
             let reply = self.service.handle(now, &plain_request(call.body));
+            if self.rng.random_bool(BREAKS_AFTER) {
+                let event = BackendEvent::Failed {
+                    detail: "the connection broke before the answer".to_owned(),
+                    not_run: false,
+                };
+                happened.events.push((attempt, event));
+                continue;
+            }
             let answer = PlainAnswer {
                 status: reply.status,
                 headers: Vec::new(),
--- a/standins/src/chaos_calls.rs
+++ b/standins/src/chaos_calls.rs
@@ -3,7 +3,7 @@
 use clementinepick::call::AnswerPart;
 use clementinepick::entry::EntryInput;
 use clementinepick::error::{CallError, NotRun};
-use clementinepick::ids::{RequestId, VmId};
+use clementinepick::ids::{ProgramId, RequestId, VmId};
 use clementinepick::record::EndReason;
 use clementinepick::units::SpanUs;
 use rand::RngExt;
@@ -172,10 +172,28 @@
             }
             let (program, at) = (state.program.clone(), state.at);
             let detail = format!("{program}/{at}: no answer from {entry} long after the deadline");
+            self.note_calls_of(&program);
             self.checks.fail("an answer in time", detail);
         }
     }
 
+    /// Puts what the entries know of a program's calls into the trace.
+    fn note_calls_of(&mut self, program: &ProgramId) {
+        let mut lines = Vec::new();
+        for (vm, node) in &self.nodes {
+            let Some(Core::Entry(entry)) = &node.core else {
+                continue;
+            };
+            let dump = entry.dump(self.now);
+            let calls = dump["calls"].as_array().into_iter().flatten();
+            let own = calls.filter(|call| call["program"] == program.as_str());
+            lines.extend(own.map(|call| format!("{vm} has {call}")));
+        }
+        for line in lines {
+            self.note(|| line);
+        }
+    }
+
     pub(crate) fn go_on(&mut self, caller: usize, next: Next) {
         match next {
             Next::Wait => {}
