--- a/standins/tests/chaos.rs
+++ b/standins/tests/chaos.rs
@@ -46,7 +46,9 @@
             .chunks(per_thread)
             .map(|chunk| scope.spawn(|| chunk.iter().map(&work).collect::<Vec<R>>()))
             .collect();
-        let ended = running.into_iter().flat_map(|thread| thread.join());
+        let ended = running
+            .into_iter()
+            .map(|thread| thread.join().expect("no run panics"));
         ended.flatten().collect()
     })
 }
