Keep the program's tests from connecting to themselves

Cause: two tests failed once under load with a header missing from the answer. The port came from the range out of which the system takes local ends; a test that asks again and again whether the program listens can connect to itself and read its own request back. Ruled out: the program's answer, which has a header always. Change: ports below that range, one for each test.

--- a/clementinepickd/tests/program.rs
+++ b/clementinepickd/tests/program.rs
@@ -6,6 +6,7 @@
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use exchange::{PATIENCE, get};
@@ -17,9 +18,31 @@
     path
 }
 
+/// The ports that the tests try, below those that the system hands out by itself.
+///
+/// A port that the system hands out can come back as the local end of the next connection. A test
+/// that asks again and again whether its program listens then reaches itself, reads back its own
+/// request, and keeps the program from the port.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+
+/// The next port that a test of this run tries.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+fn free_port() -> u16 {
+    let count = PORTS.end - PORTS.start;
+    let first = u16::try_from(std::process::id() % u32::from(count)).expect("below the count");
+    for _ in 0..count {
+        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = PORTS.start + (first + step) % count;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
+    panic!("no port is free")
+}
+
 fn entry(notice: &str) -> (String, u16) {
-    let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let port = free.local_addr().expect("an address").port();
+    let port = free_port();
     let text = format!(
         "[process]\nrole = entry\nvm = entry-a\nzone = kinigi-room\nlog_level = off\n\
          http = 127.0.0.1:{port}\nlink = 127.0.0.1:0\n\
