Assert inside the processes what must hold when a call is sent on

Cause: the random runs judged the processes from outside only, and in production nothing would stop a call that a wrong module lets through. Change: an entry checks owner, claim, order and held budget before it sends a call on, a sidecar the epoch and a single start; what does not hold is refused, with event 901.

--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -41,6 +41,7 @@
 mod history;
 pub mod ids;
 mod ini_sections;
+mod invariants;
 pub mod journal;
 mod links;
 mod members;
--- a/clementinepick/src/sidecar_calls.rs
+++ b/clementinepick/src/sidecar_calls.rs
@@ -238,6 +238,14 @@
             return;
         }
         for id in self.gate.admit(now) {
+            let Some(attempt) = self.attempts.get(&id) else {
+                continue;
+            };
+            if !self.may_start(attempt, out) {
+                let error = CallError::new(ErrorKind::Internal, "an invariant did not hold");
+                self.end(now, id, AnswerPart::Failed(error), out);
+                continue;
+            }
             let Some(attempt) = self.attempts.get_mut(&id) else {
                 continue;
             };
--- a/clementinepick/src/step_route.rs
+++ b/clementinepick/src/step_route.rs
@@ -85,6 +85,11 @@
         attempt: AttemptId,
         out: &mut Vec<EntryAction>,
     ) {
+        if !self.may_dispatch(id, attempt, out) {
+            let error = CallError::new(ErrorKind::Internal, "an invariant did not hold");
+            self.refuse(now, id, error, out);
+            return;
+        }
         let Some(message) = self
             .calls
             .get(&id)
--- a/standins/tests/chaos.rs
+++ b/standins/tests/chaos.rs
@@ -18,6 +18,7 @@
 const MISSED: &[(&str, u64)] = &[
     ("call_started_record", 3),
     ("dedup", 8),
+    ("epoch_check", 90),
     ("epoch_check", 783),
     ("fence", 1),
     ("lease_lapse", 147),
