--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -4,9 +4,24 @@
 //! run feeds typed inputs and the present time into [`entry::Entry`] and [`sidecar::Sidecar`] and
 //! carries out the typed actions that come back.
 //!
-//! A call flows one way through filters, one module each: [`parse`], [`own`], [`order`],
-//! [`budget`], [`route`], [`journal`] (the claim of a non-idempotent call, and the record of a
-//! turn), [`gate`]. What lasts goes through [`record`] and is rebuilt by [`replay`].
+//! A call flows one way through filters, one module each, which the entry calls in this order:
+//!
+//! | step | module | rules in |
+//! |---|---|---|
+//! | read the request | [`parse`] | |
+//! | check it against the document in force | `admission` | [`config`], [`document`] |
+//! | find the owner of its program | `step_own` | [`own`], [`replay`] |
+//! | tell a repeat from a new call | `repeat` | |
+//! | wait for its turn in the program | `step_order` | [`order`] |
+//! | hold what it may spend | `step_budget` | [`budget`] |
+//! | choose a backend server | `step_route` | [`route`], [`retry`] |
+//! | put a call that may not run twice on record | `step_claim` | [`journal`], [`record`] |
+//! | wait before the backend server | `sidecar_calls` | [`gate`], [`predict`] |
+//! | pass the answer back | `answer` | |
+//! | put the turn on record | `step_record` | [`journal`], [`record`] |
+//!
+//! What an owner's death leaves open is taken up by `recovery`; what programs hold in engines by
+//! [`retain`] and `sidecar_cache`.
 //!
 //! ```
 //! use clementinepick::document::Document;
