Read the configuration stream, and extend a chain by a message, in one place each

Cause: publish and history of the command line each had the loop that passes over what was read, notes a gap, parses and replays; the chain of a message was written out in the prompt, the replay and the engine stand-in, and the three must agree. Change: reader.rs in clementinepickctl serves both; ChainHash::extend_message serves the three.

--- a/clementinepick/src/prompt.rs
+++ b/clementinepick/src/prompt.rs
@@ -56,6 +56,12 @@
     pub fn extend(self, content: &[u8]) -> Self {
         Self(xxh3_64_with_seed(content, self.0))
     }
+
+    /// The chain extended by one message.
+    #[must_use]
+    pub fn extend_message(self, role: &str, content: &str) -> Self {
+        self.extend(role.as_bytes()).extend(content.as_bytes())
+    }
 }
 
 /// One segment of a prompt.
@@ -81,9 +87,7 @@
         let mut chain = ChainHash::default();
         let mut segments = Vec::with_capacity(messages.len());
         for message in messages {
-            chain = chain
-                .extend(message.role.as_bytes())
-                .extend(message.content.as_bytes());
+            chain = chain.extend_message(&message.role, &message.content);
             segments.push(Segment {
                 chain,
                 length_tokens: estimate_tokens(&message.content),
--- a/clementinepick/src/replay.rs
+++ b/clementinepick/src/replay.rs
@@ -156,9 +156,7 @@
 #[must_use]
 pub fn extend_chain(chain: ChainHash, messages: &[ChatMessage]) -> ChainHash {
     messages.iter().fold(chain, |chain, message| {
-        chain
-            .extend(message.role.as_bytes())
-            .extend(message.content.as_bytes())
+        chain.extend_message(&message.role, &message.content)
     })
 }
 
--- a/clementinepickctl/src/history.rs
+++ b/clementinepickctl/src/history.rs
@@ -3,17 +3,17 @@
 use clementinepick::config_replay::{ConfigReplay, Publication};
 use clementinepick::ids::{Offset, OperationId, ServiceName};
 use clementinepick::platform::ReadAnswer;
-use clementinepick::record::{Record, RecordBody};
+use clementinepick::record::RecordBody;
 use serde_json::{Value, json};
 
 use crate::exit::{ExitCode, Report};
 use crate::publish::describe;
+use crate::reader::ConfigReader;
 
 /// What was read of the configuration stream.
 #[derive(Debug, Default)]
 pub struct History {
-    replay: ConfigReplay,
-    position: Offset,
+    reader: ConfigReader,
     texts: Vec<(OperationId, String)>,
 }
 
@@ -21,32 +21,21 @@
     /// The next offset to read.
     #[must_use]
     pub const fn position(&self) -> Offset {
-        self.position
+        self.reader.position
     }
 
     /// The configuration.
     #[must_use]
     pub const fn replay(&self) -> &ConfigReplay {
-        &self.replay
+        &self.reader.replay
     }
 
     /// Takes a part of the stream; says whether there is more.
     pub fn take(&mut self, answer: &ReadAnswer) -> bool {
-        if answer.earliest > self.position {
-            self.replay.on_gap(answer.earliest);
-            self.position = answer.earliest;
+        for record in self.reader.take(answer) {
+            self.keep_text(record.body);
         }
-        for stored in &answer.records {
-            if stored.offset < self.position {
-                continue;
-            }
-            self.position = stored.offset.next();
-            if let Ok(record) = serde_json::from_str::<Record>(&stored.text) {
-                self.replay.apply(stored.offset, &record);
-                self.keep_text(record.body);
-            }
-        }
-        self.position < answer.end && !answer.records.is_empty()
+        self.reader.position < answer.end && !answer.records.is_empty()
     }
 
     fn keep_text(&mut self, body: RecordBody) {
@@ -64,7 +53,7 @@
     #[must_use]
     pub fn text(&self, operation: OperationId) -> Option<&str> {
         let known = self.texts.iter().find(|(id, _)| *id == operation);
-        let in_force = self.replay.state().documents.values();
+        let in_force = self.reader.replay.state().documents.values();
         known.map(|(_, text)| text.as_str()).or_else(|| {
             in_force
                 .filter(|document| document.operation == operation)
@@ -76,7 +65,7 @@
     /// The publications of one service or of all.
     #[must_use]
     pub fn report(&self, service: Option<&ServiceName>) -> Report {
-        let all = self.replay.state().publications.iter();
+        let all = self.reader.replay.state().publications.iter();
         let wanted: Vec<&Publication> = all
             .filter(|p| service.is_none_or(|service| p.service == *service))
             .collect();
@@ -100,7 +89,7 @@
     /// The documents in force, as JSON.
     #[must_use]
     pub fn documents(&self) -> Value {
-        json!(self.replay.state().documents)
+        json!(self.reader.replay.state().documents)
     }
 }
 
--- a/clementinepickctl/src/lib.rs
+++ b/clementinepickctl/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod exit;
 pub mod history;
 pub mod publish;
+mod reader;
 pub mod run;
 pub mod status;
--- a/clementinepickctl/src/publish.rs
+++ b/clementinepickctl/src/publish.rs
@@ -3,7 +3,7 @@
 //! The record's id follows from the operation's, so that the same operation appended twice is one
 //! publication to every reader. That is why a lost answer may be met by appending again.
 
-use clementinepick::config_replay::{ConfigReplay, Publication, Verdict};
+use clementinepick::config_replay::{Publication, Verdict};
 use clementinepick::document::Document;
 use clementinepick::ids::{
     Incarnation, Offset, OperationId, RecordId, Revision, ServiceName, VmId,
@@ -13,6 +13,8 @@
 use clementinepick::record::{Record, RecordBody};
 use clementinepick::units::SpanUs;
 
+use crate::reader::ConfigReader;
+
 /// Sets the records of publications apart from others in the space of ids.
 const RECORD_ID_MASK: u128 = 0x636c_656d_2d70_7562_6c69_7368_2d69_6431;
 
@@ -96,8 +98,7 @@
 pub struct Publish {
     settings: PublishSettings,
     service: Option<ServiceName>,
-    replay: ConfigReplay,
-    position: Offset,
+    reader: ConfigReader,
     base: Option<Revision>,
     may_be_appended: bool,
     /// The end of the stream when the last append was answered: the record is awaited below it.
@@ -114,8 +115,7 @@
             base: settings.base,
             settings,
             service: None,
-            replay: ConfigReplay::default(),
-            position: Offset(0),
+            reader: ConfigReader::default(),
             appended_at: None,
             failures: 0,
         }
@@ -137,7 +137,7 @@
 
     const fn read(&self, after_us: SpanUs) -> Step {
         Step::Read {
-            from: self.position,
+            from: self.reader.position,
             after_us,
         }
     }
@@ -150,19 +150,24 @@
                 None => Step::Ended(self.gave_up()),
             };
         };
-        self.take(answer);
-        if let Some(found) = self.replay.state().publication(self.settings.operation) {
+        self.reader.take(answer);
+        if let Some(found) = self
+            .reader
+            .replay
+            .state()
+            .publication(self.settings.operation)
+        {
             return Step::Ended(Ended::Judged(found.clone()));
         }
-        if self.position < answer.end {
+        if self.reader.position < answer.end {
             return self.read(SpanUs(0));
         }
-        if !self.replay.is_complete() {
+        if !self.reader.replay.is_complete() {
             return Step::Ended(Ended::Incomplete);
         }
         if self
             .appended_at
-            .is_some_and(|offset| self.position <= offset)
+            .is_some_and(|offset| self.reader.position <= offset)
         {
             // The append was answered, and the reader is served from a copy that lags.
             return match self.fail() {
@@ -173,29 +178,12 @@
         self.at_end(answer.end)
     }
 
-    fn take(&mut self, answer: &ReadAnswer) {
-        if answer.earliest > self.position {
-            self.replay.on_gap(answer.earliest);
-            self.position = answer.earliest;
-        }
-        for stored in &answer.records {
-            if stored.offset < self.position {
-                continue;
-            }
-            self.position = stored.offset.next();
-            // Text that is no record of ours has no meaning to anyone.
-            if let Ok(record) = serde_json::from_str::<Record>(&stored.text) {
-                self.replay.apply(stored.offset, &record);
-            }
-        }
-    }
-
     fn at_end(&mut self, end: Offset) -> Step {
         let (Some(text), Some(service)) = (&self.settings.text, &self.service) else {
             return Step::Ended(Ended::NotFound { end });
         };
-        let revision = self.replay.state().revision(service);
-        let current = self.replay.state().documents.get(service);
+        let revision = self.reader.replay.state().revision(service);
+        let current = self.reader.replay.state().documents.get(service);
         if !self.may_be_appended && current.is_some_and(|current| current.text == *text) {
             let service = service.clone();
             return Step::Ended(Ended::Unchanged { service, revision });
--- a/standins/src/answer.rs
+++ b/standins/src/answer.rs
@@ -40,7 +40,7 @@
 #[must_use]
 pub fn answer_segment(chain: ChainHash, text: &str) -> Segment {
     Segment {
-        chain: chain.extend(b"assistant").extend(text.as_bytes()),
+        chain: chain.extend_message("assistant", text),
         length_tokens: estimate_tokens(text),
     }
 }
