Place lines of turns by what a server would have to read again

A line of turns that moved to another engine was read anew; processes that had not seen a line placed it by load alone. Change: the cost of a server is its load plus what it would have to read, for the whole batch; the line's server is known from the process's own memory, the record of the turn before, or its rank by rendezvous hashing of the line.

--- a/clementinepick/src/server_choice.rs
+++ b/clementinepick/src/server_choice.rs
@@ -20,17 +20,19 @@
 /// The longest time that a failing server is passed over, which is the longest wait for a server
 /// that has recovered.
 const MAX_PAUSE_US: SpanUs = SpanUs::from_s(2);
-/// What reading a session's own turns again costs, in requests of load: 2,000 to 8,000 tokens take
-/// 15 to 60 ms, about as much as four more requests in a batch add to a turn.
-const SESSION_COST: u32 = 4;
-/// What reading the shared start of a prompt again costs, in requests of load: 12,600 tokens take
-/// 86 ms and the memory for them.
-const PREFIX_COST: u32 = 8;
-/// How many servers keep the shared start of one prompt. Three carry a third of the traffic of the
-/// users' sites each without reading it again, and survive the loss of two.
-const PREFIX_SERVERS: usize = 3;
-/// How many sessions' servers are remembered.
-const MAX_SESSIONS: usize = 4_096;
+/// What one more request in an engine's batch costs a turn: 38 us for each of about 240 tokens, by
+/// the users' sheets.
+const LOAD_COST_US: u64 = 9_000;
+/// What reading one token of a prompt costs every request in the batch, by the users' sheets: an
+/// engine reads 147 in a ms and generates nothing meanwhile.
+const TOKEN_COST_NS: u64 = 6_800;
+/// How probably a line of turns that other processes placed lies at its servers, by their rank for
+/// the line, in percent. Each process places a new line at the first by rank unless that one has
+/// some ten requests more than the next.
+const RANK_PERCENT: [u64; 3] = [60, 25, 10];
+/// How many lines' and prefixes' servers are remembered: 4,096 are the turns of half a minute at
+/// the size that is designed for, and 600 kB.
+const MAX_REMEMBERED: usize = 4_096;
 
 /// What a server says of its load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,23 +64,75 @@
     }
 }
 
+/// One part of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Names its content; prompts that begin alike begin with the same parts.
+    pub id: String,
+    /// Its length.
+    pub tokens: u64,
+}
+
 /// What makes a server cheaper for one request than for another.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Affinity<'a> {
-    /// The line of turns that the request belongs to.
-    pub session: Option<&'a str>,
-    /// The shared start of its prompt.
-    pub prefix: Option<&'a str>,
+    /// The parts of the prompt: a start that many programs share, then the line of turns, below
+    /// that of its parent if it is a sub-agent's.
+    pub parts: &'a [PromptPart],
+    /// The server that ran the turn before, if its record says so.
+    pub last_server: Option<&'a str>,
+}
+
+impl Affinity<'_> {
+    fn prefix(&self) -> Option<&PromptPart> {
+        self.parts.first()
+    }
+
+    /// The parts of the line of turns, from the program's first line to its own.
+    fn line(&self) -> &[PromptPart] {
+        self.parts.get(1..).unwrap_or_default()
+    }
 }
 
 /// The loads of all backend servers as one process sees them.
 #[derive(Debug, Default)]
 pub struct ServerChoice {
     servers: BTreeMap<String, ServerState>,
-    sessions: BTreeMap<String, (String, u64)>,
+    lines: Remembered<String>,
+    prefixes: Remembered<(String, String)>,
+}
+
+/// Servers by what they keep, the least recently used half forgotten when there are too many.
+#[derive(Debug)]
+struct Remembered<K> {
+    servers: BTreeMap<K, (String, u64)>,
     uses: u64,
 }
 
+impl<K> Default for Remembered<K> {
+    fn default() -> Self {
+        Self {
+            servers: BTreeMap::new(),
+            uses: 0,
+        }
+    }
+}
+
+impl<K: Ord> Remembered<K> {
+    fn get(&self, key: &K) -> Option<&str> {
+        self.servers.get(key).map(|(server, _)| server.as_str())
+    }
+
+    fn insert(&mut self, key: K, server: &str) {
+        self.uses += 1;
+        self.servers.insert(key, (server.to_owned(), self.uses));
+        if self.servers.len() > MAX_REMEMBERED {
+            let oldest_kept = self.uses.saturating_sub(MAX_REMEMBERED as u64 / 2);
+            self.servers.retain(|_, (_, used)| *used > oldest_kept);
+        }
+    }
+}
+
 impl ServerChoice {
     /// Chooses among `candidates`, leaving out those named in `tried`.
     ///
@@ -92,28 +146,54 @@
         tried: &[String],
         affinity: Affinity<'_>,
     ) -> Option<&'a BackendServer> {
-        let kept = affinity.session.and_then(|s| self.sessions.get(s));
-        let holders = affinity.prefix.map(|p| prefix_servers(p, candidates));
+        let kept_at = self.line_server(affinity);
+        let ranks = affinity.line().first().map(|line| ranked(&line.id, candidates));
         candidates
             .iter()
             .filter(|server| !tried.contains(&server.id))
             .min_by_key(|server| {
                 let state = self.state(&server.id);
-                let keeps_session = kept.is_some_and(|(id, _)| *id == server.id);
-                let keeps_prefix = holders.as_ref().is_none_or(|h| h.contains(&&*server.id));
-                let cost = match (keeps_session, keeps_prefix) {
-                    (true, _) => 0,
-                    (false, true) => SESSION_COST,
-                    (false, false) => SESSION_COST + PREFIX_COST,
-                };
                 let load = state.load(now);
+                let rank = ranks.as_ref().and_then(|r| r.iter().position(|id| *id == server.id));
+                let tokens = self.tokens_to_read(server, affinity, kept_at, rank);
+                let read_us = tokens * TOKEN_COST_NS / 1_000;
+                let cost_us = u64::from(load) * LOAD_COST_US + read_us * u64::from(1 + load);
                 let is_full = load >= server.slots;
                 let tie = xxh3_64_with_seed(server.id.as_bytes(), now.0);
-                (now < state.paused_until, is_full, load + cost, tie)
+                (now < state.paused_until, is_full, cost_us, rank, tie)
             })
             .copied()
     }
 
+    /// The server at which the line of turns, or the line of its parent, was last.
+    fn line_server<'a>(&'a self, affinity: Affinity<'a>) -> Option<&'a str> {
+        let mut lines = affinity.line().iter().rev();
+        let known = lines.find_map(|line| self.lines.get(&line.id));
+        known.or(affinity.last_server)
+    }
+
+    /// How many tokens the server probably has to read that another may keep.
+    fn tokens_to_read(
+        &self,
+        server: &BackendServer,
+        affinity: Affinity<'_>,
+        kept_at: Option<&str>,
+        rank: Option<usize>,
+    ) -> u64 {
+        let line_tokens: u64 = affinity.line().iter().map(|part| part.tokens).sum();
+        let kept_percent = match kept_at {
+            Some(id) if id == server.id => 100,
+            Some(_) => 0,
+            None => rank.and_then(|rank| RANK_PERCENT.get(rank)).copied().unwrap_or(0),
+        };
+        let prefix_tokens = affinity.prefix().map_or(0, |prefix| {
+            let key = (prefix.id.clone(), server.id.clone());
+            let is_kept = self.prefixes.get(&key).is_some();
+            if is_kept { 0 } else { prefix.tokens }
+        });
+        line_tokens * (100 - kept_percent) / 100 + prefix_tokens
+    }
+
     fn state(&self, id: &str) -> ServerState {
         self.servers.get(id).copied().unwrap_or_default()
     }
@@ -133,22 +213,14 @@
     }
 
     /// Notes that a request is on its way to a server.
-    pub fn start(&mut self, id: &str, session: Option<&str>) {
+    pub fn start(&mut self, id: &str, affinity: Affinity<'_>) {
         self.servers.entry(id.to_owned()).or_default().in_flight += 1;
-        let Some(session) = session else {
-            return;
-        };
-        self.uses += 1;
-        self.sessions
-            .insert(session.to_owned(), (id.to_owned(), self.uses));
-        if self.sessions.len() > MAX_SESSIONS {
-            self.forget_old_sessions();
+        if let Some(prefix) = affinity.prefix() {
+            self.prefixes.insert((prefix.id.clone(), id.to_owned()), id);
+        }
+        if let Some(line) = affinity.line().last() {
+            self.lines.insert(line.id.clone(), id);
         }
-    }
-
-    fn forget_old_sessions(&mut self) {
-        let oldest_kept = self.uses.saturating_sub(MAX_SESSIONS as u64 / 2);
-        self.sessions.retain(|_, (_, used)| *used > oldest_kept);
     }
 
     /// Notes that a request is no longer at a server.
@@ -188,17 +260,16 @@
     }
 }
 
-/// The servers that keep the shared start of a prompt, by rendezvous hashing: each process finds
-/// the same ones, and the loss of one moves only what it kept.
-fn prefix_servers<'a>(prefix: &str, candidates: &[&'a BackendServer]) -> Vec<&'a str> {
+/// The servers in the order in which a line of turns prefers them, by rendezvous hashing: each
+/// process finds the same order, and the loss of a server moves only the lines that it kept.
+fn ranked<'a>(line: &str, candidates: &[&'a BackendServer]) -> Vec<&'a str> {
     let mut ranked: Vec<(u64, &str)> = candidates
         .iter()
         .map(|server| {
             let seed = xxh3_64_with_seed(server.id.as_bytes(), 0);
-            (xxh3_64_with_seed(prefix.as_bytes(), seed), &*server.id)
+            (xxh3_64_with_seed(line.as_bytes(), seed), &*server.id)
         })
         .collect();
     ranked.sort_unstable();
-    ranked.truncate(PREFIX_SERVERS);
     ranked.into_iter().map(|(_, id)| id).collect()
 }
--- a/clementinepick/src/turn_chain.rs
+++ b/clementinepick/src/turn_chain.rs
@@ -13,6 +13,8 @@
     pub id: String,
     /// The turn before it.
     pub parent: Option<Arc<Turn>>,
+    /// The server that ran it and may keep its prompt.
+    pub server: Option<String>,
     /// What the caller sent.
     pub input: Bytes,
     /// The data of each of its events, each followed by a line feed.
@@ -74,6 +76,9 @@
     /// whole chain before it.
     #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     pub parent: Option<String>,
+    /// The server that ran it.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub server: Option<String>,
     /// When it was written, in Unix milliseconds by the writer's clock.
     #[serde(rename = "w")]
     pub recorded_unix_ms: u64,
@@ -157,6 +162,7 @@
         body.extend_from_slice(&turn.output);
         Self {
             parent: turn.parent.as_ref().map(|parent| parent.id.clone()),
+            server: turn.server.clone(),
             recorded_unix_ms: turn.recorded_unix_ms,
             retain_ms,
             input_bytes: turn.input.len(),
@@ -180,6 +186,7 @@
         Ok(Turn {
             id,
             parent,
+            server: self.server,
             input,
             output,
             recorded_unix_ms: self.recorded_unix_ms,
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -55,7 +55,7 @@
     let mut sends = 0;
     let mut refusal = Refusal::NoServer;
     while sends < job.route.attempts {
-        let Some(slot) = job.place(shared, &tried) else {
+        let Some(slot) = job.place(shared, &tried, None) else {
             break;
         };
         tried.push(slot.server.id.clone());
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -78,17 +78,22 @@
     }
 
     /// Takes a place at the best server that was not tried.
-    pub(crate) fn place(&self, shared: &Rc<Shared>, tried: &[String]) -> Option<ServerSlot> {
+    pub(crate) fn place(
+        &self,
+        shared: &Rc<Shared>,
+        tried: &[String],
+        last_server: Option<&str>,
+    ) -> Option<ServerSlot> {
         let directory = shared.directory();
         let candidates: Vec<&BackendServer> = directory.servers.ready(self.service).collect();
         let affinity = Affinity {
-            session: self.info.session.as_deref(),
-            prefix: self.info.shared_prefix.as_deref(),
+            parts: &self.info.parts,
+            last_server,
         };
         let now = shared.now_us(Instant::now());
         let mut choice = shared.choice.borrow_mut();
         let server = choice.choose(now, &candidates, tried, affinity)?.clone();
-        choice.start(&server.id, self.info.session.as_deref());
+        choice.start(&server.id, affinity);
         drop(choice);
         Some(ServerSlot {
             shared: Rc::clone(shared),
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -72,6 +72,8 @@
         trace,
         hold,
         body: prompt(previous.as_ref(), &job.received.body),
+        previous,
+        server: None,
         keeps_output: job.route.context.is_some(),
         delivered: Delivered {
             last_event_id: job.info.last_event_id,
@@ -83,9 +85,8 @@
     }
     trace.generated(Instant::now());
     if reply.state() == ReplyState::Started {
-        let output = stream.delivered.output.freeze();
         if let Some(context) = job.route.context
-            && !record(shared, job, previous, output, context).await
+            && !stream.record(context).await
         {
             // The end is withheld: a caller that saw it could continue from a turn that a loss of
             // this process would lose.
@@ -138,37 +139,35 @@
     }
 }
 
-async fn record(
-    shared: &Rc<Shared>,
-    job: &Job<'_>,
-    parent: Option<Arc<Turn>>,
-    output: Bytes,
-    context: ContextRetention,
-) -> bool {
-    let turn = Turn {
-        id: job.info.id.clone(),
-        parent,
-        input: job.received.body.clone(),
-        output,
-        recorded_unix_ms: shared.unix_ms(),
-    };
-    let recorded = shared
-        .ledger
-        .record_turn(turn, context.retain_us, job.deadline);
-    recorded.await.is_ok()
-}
-
 struct TurnStream<'a, 'j> {
     shared: &'a Rc<Shared>,
     job: &'a Job<'j>,
     trace: &'a Trace,
     hold: Option<BudgetHold>,
+    previous: Option<Arc<Turn>>,
+    /// The server of the last run.
+    server: Option<String>,
     body: Bytes,
     keeps_output: bool,
     delivered: Delivered,
 }
 
 impl TurnStream<'_, '_> {
+    /// Records the turn; false when the store did not take the record in time.
+    async fn record(self, context: ContextRetention) -> bool {
+        let turn = Turn {
+            id: self.job.info.id.clone(),
+            parent: self.previous,
+            server: self.server,
+            input: self.job.received.body.clone(),
+            output: self.delivered.output.freeze(),
+            recorded_unix_ms: self.shared.unix_ms(),
+        };
+        let ledger = &self.shared.ledger;
+        let recorded = ledger.record_turn(turn, context.retain_us, self.job.deadline);
+        recorded.await.is_ok()
+    }
+
     async fn run(
         &mut self,
         reply: &mut Reply<'_>,
@@ -178,10 +177,12 @@
         let mut sends = 0;
         let mut refusal = Refusal::NoServer;
         while sends < self.job.route.attempts {
-            let Some(slot) = self.job.place(self.shared, &tried) else {
+            let last_server = self.previous.as_ref().and_then(|turn| turn.server.as_deref());
+            let Some(slot) = self.job.place(self.shared, &tried, last_server) else {
                 break;
             };
             tried.push(slot.server.id.clone());
+            self.server = Some(slot.server.id.clone());
             trace.place(&slot.server.id, Instant::now());
             match self.run_once(slot, reply).await? {
                 RunEnd::Complete | RunEnd::Failed => return Ok(Ok(())),
