--- a/clementinepick/src/refusal.rs
+++ b/clementinepick/src/refusal.rs
@@ -48,12 +48,19 @@
 
 /// When to come back after a server refused for lack of room: about the time of one turn.
 const ROOM_RETRY_US: SpanUs = SpanUs::from_ms(300);
-/// When to come back where the log is away: outages last seconds, and a caller that waits for a
-/// third of its deadline of four seconds sees the end of most without giving up.
-const LEDGER_RETRY_US: SpanUs = SpanUs::from_ms(1_000);
+/// The least and the longest time after which to come back where the log is away.
+const LEDGER_RETRY_US: SpanUs = SpanUs::from_ms(700);
+const MAX_LEDGER_RETRY_US: SpanUs = SpanUs::from_ms(4_000);
 /// When to come back to a process that has just started or has no server: a start takes as long.
 const START_RETRY_US: SpanUs = SpanUs::from_ms(500);
 
+/// When to come back where the log has been away for `away_us`: an outage that has lasted for some
+/// time will probably last as long again, and a caller has only a few tries.
+#[must_use]
+pub fn ledger_retry(away_us: SpanUs) -> SpanUs {
+    away_us.clamp(LEDGER_RETRY_US, MAX_LEDGER_RETRY_US)
+}
+
 impl Refusal {
     /// The answer that callers get.
     #[must_use]
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -36,10 +36,11 @@
 use crate::ledger::Ledger;
 use crate::logging::{new_logger, write_event};
 use crate::outbound_pool::Pool;
-use crate::store::StoreClient;
+use crate::store::{StoreCall, StoreClient};
 
-/// The time between two rounds of housekeeping: closing idle connections, forgetting old state.
-const HOUSEKEEPING: Duration = Duration::from_millis(500);
+/// The time between two rounds of housekeeping: closing idle connections, forgetting old state,
+/// looking whether the store is back.
+const HOUSEKEEPING: Duration = Duration::from_millis(250);
 /// A process whose lists are older than this does not say that it is ready: it would send requests
 /// to servers that have left and refuse new programs, while another process may know better.
 const MAX_LIST_AGE: Duration = Duration::from_secs(3);
@@ -356,6 +357,9 @@
         if !peers.is_empty() {
             shared.store.set_relays(peers);
         }
+        if shared.store.is_away() {
+            probe(&shared.store, now).await;
+        }
         let servers = &directory.servers.servers;
         let mut choice = shared.choice.borrow_mut();
         choice.retain(|id| servers.contains_key(id));
@@ -364,6 +368,14 @@
     }
 }
 
+/// Asks the store for the smallest of its lists, so that its return is noticed also while all
+/// requests that need it are refused at once.
+async fn probe(store: &StoreClient, now: Instant) {
+    let target = platform::store::newest_target(&platform::store::Topic::Config, 0, None);
+    // Only whether it answers matters, and the client takes note of that.
+    let _ = store.call(&StoreCall::get(target), now + HOUSEKEEPING).await;
+}
+
 /// Returns at the first signal to end; SIGHUP is noted.
 async fn wait_for_signal(shared: &Shared) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -9,8 +9,9 @@
 use tokio::time::timeout_at;
 use bytes::Bytes;
 use clementinepick::event::{Event, EventKind};
-use clementinepick::refusal::Refusal;
+use clementinepick::refusal::{Refusal, ledger_retry};
 use clementinepick::traffic_config::{RequestKind, TrafficConfig};
+use clementinepick::units::SpanUs;
 use platform::request::RequestInfo;
 use rand::RngExt;
 
@@ -65,7 +66,12 @@
         self.shared.count_refusal(refusal);
         if reply.state() == ReplyState::Open {
             // If this fails, the caller is gone.
-            let _ = reply.refuse(refusal.answer(), Some(id)).await;
+            let mut answer = refusal.answer();
+            if refusal == Refusal::LedgerAway {
+                let away = self.shared.store.away_for(Instant::now());
+                answer.retry_after_us = Some(ledger_retry(span(away)));
+            }
+            let _ = reply.refuse(answer, Some(id)).await;
         }
     }
 
@@ -116,6 +122,10 @@
     })
 }
 
+fn span(duration: Duration) -> SpanUs {
+    SpanUs(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
+}
+
 fn job<'a>(
     config: &'a TrafficConfig,
     request: &'a Received,
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -90,7 +90,7 @@
     relays: RefCell<Vec<SocketAddr>>,
     failures: Cell<u32>,
     relay_until: Cell<Option<Instant>>,
-    last_success: Cell<Option<Instant>>,
+    away_since: Cell<Option<Instant>>,
     is_probing: Cell<bool>,
     came_back: Notify,
     counts: Cell<StoreCounts>,
@@ -105,7 +105,7 @@
             relays: RefCell::default(),
             failures: Cell::new(0),
             relay_until: Cell::new(None),
-            last_success: Cell::new(None),
+            away_since: Cell::new(None),
             is_probing: Cell::new(false),
             came_back: Notify::new(),
             counts: Cell::default(),
@@ -122,9 +122,10 @@
         self.failures.get() >= AWAY_FAILURES
     }
 
-    /// When the store last answered.
-    pub(crate) fn last_success(&self) -> Option<Instant> {
-        self.last_success.get()
+    /// For how long the store has been away; zero while it answers.
+    pub(crate) fn away_for(&self, now: Instant) -> Duration {
+        let since = self.away_since.get().filter(|_| self.is_away());
+        since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
     }
 
     /// Whether calls go through a peer at present.
@@ -140,17 +141,36 @@
         self.pool.close_stale(now);
     }
 
+    /// Makes a call until an answer comes, the deadline passes or the store is away: for requests
+    /// that have not run, whose callers are better told at once when to come back.
+    pub(crate) async fn call_if_there(
+        &self,
+        call: &StoreCall,
+        deadline: Instant,
+    ) -> Result<StoreReply, StoreAway> {
+        self.call_while(call, deadline, || !self.is_away()).await
+    }
+
     /// Makes a call until an answer comes or the deadline passes.
     pub(crate) async fn call(
         &self,
         call: &StoreCall,
         deadline: Instant,
+    ) -> Result<StoreReply, StoreAway> {
+        self.call_while(call, deadline, || true).await
+    }
+
+    async fn call_while(
+        &self,
+        call: &StoreCall,
+        deadline: Instant,
+        may_go_on: impl Fn() -> bool,
     ) -> Result<StoreReply, StoreAway> {
         let mut pause = FIRST_PAUSE;
         loop {
             let now = Instant::now();
             let left = deadline.saturating_duration_since(now);
-            if left.is_zero() {
+            if left.is_zero() || !may_go_on() {
                 return Err(StoreAway);
             }
             if self.is_away() && self.is_probing.get() {
@@ -222,7 +242,7 @@
             }
             let was_away = self.is_away();
             self.failures.set(0);
-            self.last_success.set(Some(now));
+            self.away_since.set(None);
             if was_away {
                 self.came_back.notify_waiters();
             }
@@ -231,6 +251,9 @@
                 self.relay_until.set(None);
             }
             self.failures.set(self.failures.get().saturating_add(1));
+            if self.away_since.get().is_none() {
+                self.away_since.set(Some(now));
+            }
         }
     }
 
