--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -127,7 +127,7 @@
 /// served by whichever process the store answers, so that waiting for longer than a try and a
 /// repeat takes gains nothing.
 fn ledger_deadline(job: &Job<'_>) -> Instant {
-    const LEDGER_PATIENCE: Duration = Duration::from_millis(900);
+    const LEDGER_PATIENCE: Duration = Duration::from_millis(1_200);
     job.deadline.min(Instant::now() + LEDGER_PATIENCE)
 }
 
--- a/clementinepickd/src/ledger.rs
+++ b/clementinepickd/src/ledger.rs
@@ -258,7 +258,7 @@
         }];
         let target = append_target(&partition.topic, partition.number, Some(end));
         let call = StoreCall::post(target, encode_records(&records));
-        Ok(self.store.call_if_there(&call, deadline).await?)
+        Ok(self.store.call(&call, deadline).await?)
     }
 
     /// Reads what was written since the view's end, or all where that is no longer kept.
@@ -270,7 +270,7 @@
     ) -> Result<(), LedgerError> {
         let target = read_target(&partition.topic, partition.number, view.end, 0);
         let call = StoreCall::get(target);
-        let reply = self.store.call_if_there(&call, deadline).await?;
+        let reply = self.store.call(&call, deadline).await?;
         if reply.status == 200 {
             let read = decode_read(&reply.body).map_err(|_| LedgerError::Away)?;
             // An answer may hold fewer records than there are; the view ends with the last one read.
@@ -304,7 +304,7 @@
     ) -> Result<platform::store::NewestPage, LedgerError> {
         let target = newest_target(&partition.topic, partition.number, after);
         let call = StoreCall::get(target);
-        let reply = self.store.call_if_there(&call, deadline).await?;
+        let reply = self.store.call(&call, deadline).await?;
         if reply.status != 200 {
             return Err(LedgerError::Away);
         }
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -141,36 +141,17 @@
         self.pool.close_stale(now);
     }
 
-    /// Makes a call until an answer comes, the deadline passes or the store is away: for requests
-    /// that have not run, whose callers are better told at once when to come back.
-    pub(crate) async fn call_if_there(
-        &self,
-        call: &StoreCall,
-        deadline: Instant,
-    ) -> Result<StoreReply, StoreAway> {
-        self.call_while(call, deadline, || !self.is_away()).await
-    }
-
     /// Makes a call until an answer comes or the deadline passes.
     pub(crate) async fn call(
         &self,
         call: &StoreCall,
         deadline: Instant,
-    ) -> Result<StoreReply, StoreAway> {
-        self.call_while(call, deadline, || true).await
-    }
-
-    async fn call_while(
-        &self,
-        call: &StoreCall,
-        deadline: Instant,
-        may_go_on: impl Fn() -> bool,
     ) -> Result<StoreReply, StoreAway> {
         let mut pause = FIRST_PAUSE;
         loop {
             let now = Instant::now();
             let left = deadline.saturating_duration_since(now);
-            if left.is_zero() || !may_go_on() {
+            if left.is_zero() {
                 return Err(StoreAway);
             }
             if self.is_away() && self.is_probing.get() {
