Relay calls through the peer that helped last; probe the direct way apart from requests

Cause: while the store did not answer a process, each 0.7 s a request tried the direct way first and lost up to 0.6 s (admission 414 ms at the 95th percentile). Now a try may take eight times the usual answer, calls stay with the peer that helped, and housekeeping finds out when the direct way is back.

--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -101,6 +101,8 @@
     pub(crate) async fn run(mut self, mut stop: watch::Receiver<bool>) {
         loop {
             let begun = Instant::now();
+            let call = StoreCall::get(newest_target(&Topic::Config, 0, None));
+            self.store.probe(&call).await;
             self.look().await;
             self.store.close_stale(Instant::now());
             let rest = LOOK.saturating_sub(begun.elapsed());
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -19,6 +19,7 @@
 use clementinepick::server_choice::ServerChoice;
 use clementinepick::traffic_config::CallerLimits;
 use clementinepick::units::{TimeUs, Tokens};
+use platform::store::{Topic, newest_target};
 use slog::Logger;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
@@ -357,9 +358,8 @@
         if !peers.is_empty() {
             shared.store.set_relays(peers);
         }
-        if shared.store.is_away() {
-            probe(&shared.store, now).await;
-        }
+        let target = newest_target(&Topic::Config, 0, None);
+        shared.store.probe(&StoreCall::get(target)).await;
         let servers = &directory.servers.servers;
         let mut choice = shared.choice.borrow_mut();
         choice.retain(|id| servers.contains_key(id));
@@ -368,14 +368,6 @@
     }
 }
 
-/// Asks the store for the smallest of its lists, so that its return is noticed also while all
-/// requests that need it are refused at once.
-async fn probe(store: &StoreClient, now: Instant) {
-    let target = platform::store::newest_target(&platform::store::Topic::Config, 0, None);
-    // Only whether it answers matters, and the client takes note of that.
-    let _ = store.call(&StoreCall::get(target), now + HOUSEKEEPING).await;
-}
-
 /// Returns at the first signal to end; SIGHUP is noted.
 async fn wait_for_signal(shared: &Shared) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -114,7 +114,7 @@
         "lists_age_ms": age_ms,
         "store": {
             "is_away": shared.store.is_away(),
-            "is_relayed": shared.store.is_relayed(now),
+            "is_direct_down": shared.store.is_direct_down(),
         },
         "peers": directory.peers.iter().map(ToString::to_string).collect::<Vec<_>>(),
         "programs": programs,
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -18,9 +18,17 @@
 use crate::outbound::{OutboundError, Outgoing};
 use crate::outbound_pool::Pool;
 
-/// How long one try may take. A store that is 60 times slower than usual answers within 300 ms; one
-/// that answers later is treated like one that is away.
+/// The longest that one try may take. A store that is 60 times slower than usual answers within
+/// 300 ms; one that answers later is treated like one that is away.
 const TRY_LIMIT: Duration = Duration::from_millis(600);
+/// The shortest limit of a try. A store that usually answers in 10 ms and has not done so after this
+/// time will mostly not do so at all, and a peer may reach it.
+const MIN_TRY_LIMIT: Duration = Duration::from_millis(150);
+/// A try may take this many times the mean of those that succeeded; the slowest of a thousand
+/// answers of a store that is well takes four times the mean.
+const LIMIT_MEANS: u32 = 8;
+/// The weight of one answer in the mean, as a divisor.
+const MEAN_DIVISOR: u32 = 8;
 /// How long a connection may take to open.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Failures in a row after which the store counts as away, and one call at a time tries it: so many
@@ -30,8 +38,6 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 /// The longest pause between two tries, which is what a return of the store may go unnoticed.
 const MAX_PAUSE: Duration = Duration::from_millis(200);
-/// How long calls go through a peer before the direct way is tried again.
-const RELAY_SPAN: Duration = Duration::from_millis(700);
 /// The largest answer that is read, in bytes: a page of records has 1 MB, in base64 with its keys.
 const MAX_ANSWER_BYTES: usize = 2_097_152;
 
@@ -88,8 +94,13 @@
     address: SocketAddr,
     pool: Pool,
     relays: RefCell<Vec<SocketAddr>>,
+    /// The peer that last made a call for this process.
+    relay: Cell<Option<SocketAddr>>,
+    /// Failures in a row, over all ways.
     failures: Cell<u32>,
-    relay_until: Cell<Option<Instant>>,
+    /// Whether the last direct try failed.
+    is_direct_down: Cell<bool>,
+    mean: Cell<Duration>,
     away_since: Cell<Option<Instant>>,
     is_probing: Cell<bool>,
     came_back: Notify,
@@ -103,8 +114,10 @@
             address,
             pool: Pool::default(),
             relays: RefCell::default(),
+            relay: Cell::new(None),
             failures: Cell::new(0),
-            relay_until: Cell::new(None),
+            is_direct_down: Cell::new(false),
+            mean: Cell::new(MIN_TRY_LIMIT / LIMIT_MEANS),
             away_since: Cell::new(None),
             is_probing: Cell::new(false),
             came_back: Notify::new(),
@@ -128,9 +141,9 @@
         since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
     }
 
-    /// Whether calls go through a peer at present.
-    pub(crate) fn is_relayed(&self, now: Instant) -> bool {
-        self.relay_until.get().is_some_and(|until| now < until)
+    /// Whether the store does not answer this process itself.
+    pub(crate) fn is_direct_down(&self) -> bool {
+        self.is_direct_down.get()
     }
 
     pub(crate) fn counts(&self) -> StoreCounts {
@@ -177,37 +190,78 @@
 
     /// One try, direct or through a peer; none when it failed or nothing was done.
     async fn try_once(&self, call: &StoreCall, left: Duration) -> Option<StoreReply> {
-        let now = Instant::now();
-        let relay = self.relay(now);
-        let address = relay.unwrap_or(self.address);
-        let result = timeout(left.min(TRY_LIMIT), self.exchange(address, call)).await;
-        let reply = match result {
-            Ok(Ok(reply)) if !is_refusal(reply.status) => Some(reply),
-            _ => None,
-        };
-        self.note(relay.is_some(), reply.is_some(), left >= TRY_LIMIT);
+        match self.pick_relay() {
+            Some(relay) => self.try_relay(relay, call, left).await,
+            None => self.try_direct(call, left).await,
+        }
+    }
+
+    async fn try_direct(&self, call: &StoreCall, left: Duration) -> Option<StoreReply> {
+        let limit = (self.mean.get() * LIMIT_MEANS).clamp(MIN_TRY_LIMIT, TRY_LIMIT);
+        let begun = Instant::now();
+        let reply = self.exchange_once(self.address, call, left.min(limit)).await;
+        let took = begun.elapsed();
+        if reply.is_some() || left >= limit {
+            let mean = self.mean.get();
+            let mean = mean - mean / MEAN_DIVISOR + took.min(TRY_LIMIT) / MEAN_DIVISOR;
+            self.mean.set(mean);
+            self.is_direct_down.set(reply.is_none());
+        }
+        self.note(false, reply.is_some(), left >= limit);
+        reply
+    }
+
+    async fn try_relay(
+        &self,
+        relay: SocketAddr,
+        call: &StoreCall,
+        left: Duration,
+    ) -> Option<StoreReply> {
+        let reply = self.exchange_once(relay, call, left.min(TRY_LIMIT)).await;
+        self.relay.set(reply.is_some().then_some(relay));
+        self.note(true, reply.is_some(), left >= TRY_LIMIT);
         reply
     }
 
+    async fn exchange_once(
+        &self,
+        address: SocketAddr,
+        call: &StoreCall,
+        limit: Duration,
+    ) -> Option<StoreReply> {
+        let result = timeout(limit, self.exchange(address, call)).await;
+        let reply = result.ok()?.ok()?;
+        (!is_refusal(reply.status)).then_some(reply)
+    }
+
     /// Makes a call directly, once; for peers that can't reach the store themselves.
     pub(crate) async fn relay_once(&self, call: &StoreCall) -> Option<StoreReply> {
-        if self.is_away() || self.is_relayed(Instant::now()) {
+        if self.is_direct_down() {
             return None;
         }
-        let result = timeout(TRY_LIMIT, self.exchange(self.address, call)).await;
-        let reply = result.ok()?.ok()?;
-        (!is_refusal(reply.status)).then_some(reply)
+        self.exchange_once(self.address, call, TRY_LIMIT).await
     }
 
-    fn relay(&self, now: Instant) -> Option<SocketAddr> {
+    /// The peer for the next try: while the direct way is down, the one that helped last, or any.
+    /// Every other failure is followed by a direct try, in case no peer can help.
+    fn pick_relay(&self) -> Option<SocketAddr> {
+        if !self.is_direct_down() || self.failures.get().is_multiple_of(2) && self.is_away() {
+            return None;
+        }
         let relays = self.relays.borrow();
         if relays.is_empty() {
             return None;
         }
-        let is_relaying = self.is_relayed(now);
-        let is_due = self.failures.get() > 0 && !self.failures.get().is_multiple_of(2);
-        let pick = rand::rng().random_range(0..relays.len());
-        (is_relaying || is_due).then(|| relays[pick])
+        let any = relays[rand::rng().random_range(0..relays.len())];
+        Some(self.relay.get().unwrap_or(any))
+    }
+
+    /// Tries the direct way while it is down, so that no request has to.
+    pub(crate) async fn probe(&self, call: &StoreCall) {
+        if self.is_direct_down() {
+            // Only whether the store answers matters, and that is noted on the way.
+            let _ = self.try_direct(call, TRY_LIMIT).await;
+        }
     }
 
     fn note(&self, was_relayed: bool, is_ok: bool, had_full_time: bool) {
@@ -216,11 +270,7 @@
         counts.relayed += u64::from(was_relayed);
         counts.failures += u64::from(!is_ok);
         self.counts.set(counts);
-        let now = Instant::now();
         if is_ok {
-            if was_relayed && !self.is_relayed(now) {
-                self.relay_until.set(Some(now + RELAY_SPAN));
-            }
             let was_away = self.is_away();
             self.failures.set(0);
             self.away_since.set(None);
@@ -228,12 +278,9 @@
                 self.came_back.notify_waiters();
             }
         } else if had_full_time {
-            if was_relayed {
-                self.relay_until.set(None);
-            }
             self.failures.set(self.failures.get().saturating_add(1));
             if self.away_since.get().is_none() {
-                self.away_since.set(Some(now));
+                self.away_since.set(Some(Instant::now()));
             }
         }
     }
