--- a/clementinepick/src/server_choice.rs
+++ b/clementinepick/src/server_choice.rs
@@ -151,14 +151,19 @@
         affinity: Affinity<'_>,
     ) -> Option<&'a BackendServer> {
         let kept_at = self.line_server(affinity);
-        let ranks = affinity.line().first().map(|line| ranked(&line.id, candidates));
+        let ranks = affinity
+            .line()
+            .first()
+            .map(|line| ranked(&line.id, candidates));
         candidates
             .iter()
             .filter(|server| !tried.contains(&server.id))
             .min_by_key(|server| {
                 let state = self.state(&server.id);
                 let load = state.load(now);
-                let rank = ranks.as_ref().and_then(|r| r.iter().position(|id| *id == server.id));
+                let rank = ranks
+                    .as_ref()
+                    .and_then(|r| r.iter().position(|id| *id == server.id));
                 let tokens = self.tokens_to_read(server, affinity, kept_at, rank);
                 let read_us = tokens * TOKEN_COST_NS / 1_000;
                 let load_us = u64::from(load) * LOAD_COST_US;
@@ -193,7 +198,10 @@
         let kept_percent = match kept_at {
             Some(id) if id == server.id => 100,
             Some(_) => 0,
-            None => rank.and_then(|rank| RANK_PERCENT.get(rank)).copied().unwrap_or(0),
+            None => rank
+                .and_then(|rank| RANK_PERCENT.get(rank))
+                .copied()
+                .unwrap_or(0),
         };
         let prefix_tokens = affinity.prefix().map_or(0, |prefix| {
             let key = (prefix.id.clone(), server.id.clone());
--- a/clementinepick/src/turn_chain.rs
+++ b/clementinepick/src/turn_chain.rs
@@ -24,15 +24,9 @@
 }
 
 impl Turn {
-    /// The ancestors from this turn to the start of its chain, newest first.
+    /// This turn and all before it, newest first.
     fn line(self: &Arc<Self>) -> Vec<Arc<Self>> {
-        let mut line = vec![Arc::clone(self)];
-        let mut next = self.parent.clone();
-        while let Some(turn) = next {
-            next = turn.parent.clone();
-            line.push(turn);
-        }
-        line
+        std::iter::successors(Some(Arc::clone(self)), |turn| turn.parent.clone()).collect()
     }
 
     /// The bytes of this one turn.
--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -32,7 +32,7 @@
 const OUTAGE: Duration = Duration::from_millis(1_600);
 /// How long entries that lapsed are believed after the store's return: the platform says that those
 /// of live servers are back within about two seconds.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
+const LAPSE_GRACE: Duration = Duration::from_secs(2);
 /// How often this process writes its own entry, so that peers find it.
 const ANNOUNCE: Duration = Duration::from_secs(20);
 
@@ -130,7 +130,10 @@
             self.take_servers(now, records);
             self.current.read_at = Some(now);
         }
-        if self.announced_at.is_none_or(|at| now.duration_since(at) >= ANNOUNCE) {
+        if self
+            .announced_at
+            .is_none_or(|at| now.duration_since(at) >= ANNOUNCE)
+        {
             self.announce(now).await;
         }
         self.publish.send_replace(self.current.clone());
@@ -195,7 +198,10 @@
                 Err(err) => self.note_bad_entry(key, &err.to_string()),
             }
         }
-        if self.returned_at.is_some_and(|at| now.duration_since(at) < LAPSE_GRACE) {
+        if self
+            .returned_at
+            .is_some_and(|at| now.duration_since(at) < LAPSE_GRACE)
+        {
             keep_lapsed(&mut servers, &self.current.servers.servers);
         }
         if servers != self.current.servers.servers {
@@ -218,8 +224,15 @@
     fn log_changes(&self, servers: &BTreeMap<String, BackendServer>) {
         let before = &self.current.servers.servers;
         for (id, server) in servers {
-            if before.get(id).is_none_or(|old| old.is_draining != server.is_draining) {
-                let state = if server.is_draining { "draining" } else { "ready" };
+            if before
+                .get(id)
+                .is_none_or(|old| old.is_draining != server.is_draining)
+            {
+                let state = if server.is_draining {
+                    "draining"
+                } else {
+                    "ready"
+                };
                 self.log_server(id, state, server);
             }
         }
@@ -261,7 +274,12 @@
         }
         let mut peers: Vec<SocketAddr> = records
             .iter()
-            .filter_map(|record| std::str::from_utf8(record.value.as_ref()?).ok()?.parse().ok())
+            .filter_map(|record| {
+                std::str::from_utf8(record.value.as_ref()?)
+                    .ok()?
+                    .parse()
+                    .ok()
+            })
             .filter(|address| *address != self.identity.peer_address)
             .chain(self.seeds.iter().copied())
             .collect();
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -64,9 +64,6 @@
     /// A thread or a signal handler can't be had.
     #[error("can't start: {0}")]
     Start(#[from] io::Error),
-    /// The metrics can't be set up.
-    #[error("can't set up metrics: {0}")]
-    Metrics(#[from] metrics_exporter_prometheus::BuildError),
 }
 
 /// What the tasks of the traffic thread share.
@@ -102,7 +99,11 @@
 
     pub(crate) fn limits(&self) -> CallerLimits {
         let directory = self.directory.borrow();
-        directory.config.as_ref().map(|c| c.limits).unwrap_or_default()
+        directory
+            .config
+            .as_ref()
+            .map(|c| c.limits)
+            .unwrap_or_default()
     }
 
     pub(crate) fn tokens_per_event(&self, service: &str) -> Tokens {
@@ -118,7 +119,7 @@
     }
 
     /// The time of day, for records that other processes read.
-    pub(crate) fn unix_ms(&self) -> u64 {
+    pub(crate) fn unix_ms() -> u64 {
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
         since.map_or(0, |s| u64::try_from(s.as_millis()).unwrap_or(u64::MAX))
     }
@@ -171,6 +172,19 @@
     }
 }
 
+/// The addresses of one gateway, as in its settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GatewayAddresses {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether the process takes requests.
+    pub ready: SocketAddr,
+    /// Where peers ask for calls to the store.
+    pub peers: SocketAddr,
+    /// Where metrics and the state dump are served.
+    pub metrics: Option<SocketAddr>,
+}
+
 /// A gateway that listens but does not serve yet.
 pub struct Gateway {
     settings: GatewaySettings,
@@ -185,10 +199,22 @@
     metrics: Option<StdListener>,
 }
 
-fn listen(address: SocketAddr) -> Result<StdListener, GatewayError> {
-    let listener = StdListener::bind(address);
-    let listener = listener.and_then(|l| l.set_nonblocking(true).map(|()| l));
-    listener.map_err(|error| GatewayError::Listen { address, error })
+/// Listens, and sets the port if the system chose it.
+fn listen(address: &mut SocketAddr) -> Result<StdListener, GatewayError> {
+    let bound = StdListener::bind(*address).and_then(|listener| {
+        listener.set_nonblocking(true)?;
+        Ok((listener.local_addr()?, listener))
+    });
+    match bound {
+        Ok((actual, listener)) => {
+            *address = actual;
+            Ok(listener)
+        }
+        Err(error) => Err(GatewayError::Listen {
+            address: *address,
+            error,
+        }),
+    }
 }
 
 impl Gateway {
@@ -197,14 +223,14 @@
     /// # Errors
     ///
     /// An address can't be listened on.
-    pub fn bind(settings: GatewaySettings) -> Result<Self, GatewayError> {
+    pub fn bind(mut settings: GatewaySettings) -> Result<Self, GatewayError> {
         let incarnation = Incarnation(rand::random());
         let logger = new_logger(settings.log_level, &settings.vm, incarnation);
         let listeners = Listeners {
-            callers: listen(settings.callers)?,
-            ready: listen(settings.ready)?,
-            peers: listen(settings.peers)?,
-            metrics: settings.metrics.map(listen).transpose()?,
+            callers: listen(&mut settings.callers)?,
+            ready: listen(&mut settings.ready)?,
+            peers: listen(&mut settings.peers)?,
+            metrics: settings.metrics.as_mut().map(listen).transpose()?,
         };
         let event = Event::new(EventKind::ProcessStarted)
             .with("role", "gateway")
@@ -219,17 +245,45 @@
         })
     }
 
+    /// Where the gateway listens; ports that the settings left open are known here.
+    #[must_use]
+    pub fn addresses(&self) -> GatewayAddresses {
+        GatewayAddresses {
+            callers: self.settings.callers,
+            ready: self.settings.ready,
+            peers: self.settings.peers,
+            metrics: self.settings.metrics,
+        }
+    }
+
     /// Serves until SIGTERM or SIGINT, then ends what runs and returns.
     ///
     /// # Errors
     ///
     /// A thread or a signal handler can't be had.
     pub fn run(self) -> Result<(), GatewayError> {
+        let logger = self.logger.clone();
+        self.run_until(move || wait_for_signal(logger))
+    }
+
+    /// Serves until the future that `stop` makes ends, then ends what runs and returns.
+    ///
+    /// # Errors
+    ///
+    /// A thread or a signal handler can't be had.
+    pub fn run_until<S, F>(self, stop: S) -> Result<(), GatewayError>
+    where
+        S: FnOnce() -> F,
+        F: Future<Output = io::Result<()>>,
+    {
         let (publish, directory) = watch::channel(Directory::default());
-        let (stop, stopped) = watch::channel(false);
+        let (follower_stop, stopped) = watch::channel(false);
         let follower = self.start_follower(publish, stopped)?;
-        let served = System::new().block_on(LocalSet::new().run_until(self.serve(directory)));
-        stop.send_replace(true);
+        let served = System::new().block_on(LocalSet::new().run_until(async {
+            let stop = stop();
+            self.serve(directory, stop).await
+        }));
+        follower_stop.send_replace(true);
         // The follower logs its own failures; a panic of it has already been printed.
         let _ = follower.join();
         served
@@ -255,7 +309,11 @@
         Ok(follower)
     }
 
-    async fn serve(self, directory: watch::Receiver<Directory>) -> Result<(), GatewayError> {
+    async fn serve(
+        self,
+        directory: watch::Receiver<Directory>,
+        stop: impl Future<Output = io::Result<()>>,
+    ) -> Result<(), GatewayError> {
         let settings = &self.settings;
         let store = Rc::new(StoreClient::new(settings.store));
         store.set_relays(settings.seeds.clone());
@@ -266,7 +324,7 @@
             ledger: Rc::new(ledger),
             pool: Pool::default(),
             choice: RefCell::default(),
-            metrics: GatewayMetrics::new()?,
+            metrics: GatewayMetrics::new(),
             directory,
             logger: self.logger.clone(),
             log_every: settings.log_every,
@@ -299,8 +357,12 @@
             let listener = TcpListener::from_std(listener)?;
             tasks.spawn_local(accept(Rc::clone(&shared), listener, handler));
         }
-        tasks.spawn_local(keep_house(Rc::clone(&shared), settings.vm.to_string(), settings.peers));
-        wait_for_signal(&shared).await?;
+        tasks.spawn_local(keep_house(
+            Rc::clone(&shared),
+            settings.vm.to_string(),
+            settings.peers,
+        ));
+        stop.await?;
         drain(&shared, settings).await;
         tasks.shutdown().await;
         Ok(())
@@ -361,15 +423,16 @@
         let target = newest_target(&Topic::Config, 0, None);
         shared.store.probe(&StoreCall::get(target)).await;
         let servers = &directory.servers.servers;
-        let mut choice = shared.choice.borrow_mut();
-        choice.retain(|id| servers.contains_key(id));
-        drop(choice);
+        shared
+            .choice
+            .borrow_mut()
+            .retain(|id| servers.contains_key(id));
         sleep(HOUSEKEEPING).await;
     }
 }
 
 /// Returns at the first signal to end; SIGHUP is noted.
-async fn wait_for_signal(shared: &Shared) -> io::Result<()> {
+async fn wait_for_signal(logger: Logger) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -379,7 +442,7 @@
             _ = interrupt.recv() => return Ok(()),
             _ = hangup.recv() => {
                 // Addresses can't change while a process runs, and all else comes from the store.
-                shared.log(&Event::new(EventKind::SettingsReloaded));
+                write_event(&logger, &Event::new(EventKind::SettingsReloaded));
             }
         }
     }
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -46,11 +46,7 @@
     Ok(Ok(()))
 }
 
-async fn call(
-    shared: &Rc<Shared>,
-    job: &Job<'_>,
-    trace: &Trace,
-) -> Result<WholeAnswer, Refusal> {
+async fn call(shared: &Rc<Shared>, job: &Job<'_>, trace: &Trace) -> Result<WholeAnswer, Refusal> {
     let mut tried = Vec::new();
     let mut sends = 0;
     let mut refusal = Refusal::NoServer;
@@ -64,7 +60,9 @@
         let exchange = exchange(shared, job, trace, slot);
         let is_last = sends + 1 >= job.route.attempts;
         let outcome = if may_repeat && !is_last {
-            timeout(patience(job), exchange).await.unwrap_or(Outcome::Lost)
+            timeout(patience(job), exchange)
+                .await
+                .unwrap_or(Outcome::Lost)
         } else {
             exchange.await
         };
@@ -105,26 +103,18 @@
 ) -> Outcome {
     let body = job.received.body.clone();
     match job.send(shared, slot, body, None).await {
-        Sent::Answered(answering) => read_whole(shared, job, trace, *answering).await,
+        Sent::Answered(answering) => read_whole(shared, trace, *answering).await,
         Sent::NotRun => Outcome::NotRun,
         Sent::Unreached => Outcome::Unreached,
         Sent::Lost => Outcome::Lost,
     }
 }
 
-async fn read_whole(
-    shared: &Rc<Shared>,
-    job: &Job<'_>,
-    trace: &Trace,
-    mut answering: Answering,
-) -> Outcome {
+async fn read_whole(shared: &Rc<Shared>, trace: &Trace, mut answering: Answering) -> Outcome {
     trace.first_byte(Instant::now());
-    let body = match answering.connection.body(MAX_ANSWER_BYTES).await {
-        Ok(body) => body,
-        Err(_) => {
-            job.note_failure(shared, &answering.slot);
-            return Outcome::Lost;
-        }
+    let Ok(body) = answering.connection.body(MAX_ANSWER_BYTES).await else {
+        answering.slot.note_failure();
+        return Outcome::Lost;
     };
     let answer = WholeAnswer {
         status: answering.head.status,
--- a/clementinepickd/src/gateway_connection.rs
+++ b/clementinepickd/src/gateway_connection.rs
@@ -91,12 +91,7 @@
     }
 }
 
-async fn refuse(
-    shared: &Shared,
-    refusal: Refusal,
-    codec: &mut Codec,
-    write: &mut OwnedWriteHalf,
-) {
+async fn refuse(shared: &Shared, refusal: Refusal, codec: &mut Codec, write: &mut OwnedWriteHalf) {
     shared.count_refusal(refusal);
     let mut reply = Reply::new(codec, write, true);
     let answer = reply.refuse(refusal.answer(), None);
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -65,6 +65,14 @@
     pub(crate) server: BackendServer,
 }
 
+impl ServerSlot {
+    /// Passes the server over for a while.
+    pub(crate) fn note_failure(&self) {
+        let now = self.shared.now_us(Instant::now());
+        self.shared.choice.borrow_mut().failed(now, &self.server.id);
+    }
+}
+
 impl Drop for ServerSlot {
     fn drop(&mut self) {
         self.shared.choice.borrow_mut().end(&self.server.id);
@@ -112,12 +120,9 @@
         let begun = Instant::now();
         let address = slot.server.address;
         let opened = shared.pool.connection(address, CONNECT_LIMIT, begun).await;
-        let mut connection = match opened {
-            Ok((connection, _)) => connection,
-            Err(_) => {
-                self.note_failure(shared, &slot);
-                return Sent::Unreached;
-            }
+        let Ok(mut connection) = opened else {
+            slot.note_failure();
+            return Sent::Unreached;
         };
         let send = SendInfo {
             time_left: self.time_left(Instant::now()),
@@ -134,7 +139,7 @@
             Ok(head) => head,
             Err(err) => {
                 if !matches!(err, OutboundError::Connect(_)) {
-                    self.note_failure(shared, &slot);
+                    slot.note_failure();
                 }
                 return Sent::Lost;
             }
@@ -152,7 +157,7 @@
         if !platform::answer::belongs_to(&head.headers, &self.info.id) {
             // A late answer to an earlier request, or one that can't be told from it.
             let is_refusal = platform::answer::says_not_run(head.status.as_u16(), &head.headers);
-            self.note_failure(shared, &slot);
+            slot.note_failure();
             return if is_refusal && !platform::answer::has_request_id(&head.headers) {
                 Sent::NotRun
             } else {
@@ -161,7 +166,10 @@
         }
         if let Some(load) = platform::answer::reported_load(&head.headers) {
             let now = shared.now_us(Instant::now());
-            shared.choice.borrow_mut().report(now, &slot.server.id, load);
+            shared
+                .choice
+                .borrow_mut()
+                .report(now, &slot.server.id, load);
         }
         if platform::answer::says_not_run(head.status.as_u16(), &head.headers) {
             if connection.body(MAX_REFUSAL_BYTES).await.is_ok() {
@@ -176,11 +184,6 @@
             slot,
         }))
     }
-
-    pub(crate) fn note_failure(&self, shared: &Shared, slot: &ServerSlot) {
-        let now = shared.now_us(Instant::now());
-        shared.choice.borrow_mut().failed(now, &slot.server.id);
-    }
 }
 
 /// The largest body of a server's refusal that is read in order to keep the connection.
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -9,7 +9,7 @@
 use actix_http::header::HeaderMap;
 use clementinepick::refusal::Refusal;
 use metrics::{counter, gauge, with_local_recorder};
-use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusRecorder};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusRecorder};
 use serde_json::json;
 
 use crate::gateway::Shared;
@@ -22,9 +22,9 @@
 }
 
 impl GatewayMetrics {
-    pub(crate) fn new() -> Result<Self, BuildError> {
+    pub(crate) fn new() -> Self {
         let recorder = PrometheusBuilder::new().build_recorder();
-        Ok(Self { recorder })
+        Self { recorder }
     }
 
     pub(crate) fn count_served(&self) {
--- a/clementinepickd/src/gateway_reply.rs
+++ b/clementinepickd/src/gateway_reply.rs
@@ -75,7 +75,9 @@
         let mut response = Response::with_body(status, ());
         *response.headers_mut() = headers;
         if self.closes {
-            response.head_mut().set_connection_type(ConnectionType::Close);
+            response
+                .head_mut()
+                .set_connection_type(ConnectionType::Close);
         }
         self.status = status.as_u16();
         self.state = ReplyState::Started;
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
-use tokio::time::timeout_at;
 use bytes::Bytes;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::refusal::{Refusal, ledger_retry};
@@ -14,6 +13,7 @@
 use clementinepick::units::SpanUs;
 use platform::request::RequestInfo;
 use rand::RngExt;
+use tokio::time::timeout_at;
 
 use crate::gateway::Shared;
 use crate::gateway_call;
--- a/clementinepickd/src/gateway_settings.rs
+++ b/clementinepickd/src/gateway_settings.rs
@@ -105,7 +105,10 @@
 fn read_seeds(source: &mut Source<'_>) -> Result<Vec<SocketAddr>, SettingsError> {
     let text: Option<String> = source.read("peers", "seeds")?;
     let text = text.unwrap_or_default();
-    let seeds = text.split(',').map(str::trim).filter(|seed| !seed.is_empty());
+    let seeds = text
+        .split(',')
+        .map(str::trim)
+        .filter(|seed| !seed.is_empty());
     seeds
         .map(|seed| {
             let bad = || source.wrong("peers", "seeds", format!("`{seed}` is no address"));
@@ -120,7 +123,9 @@
     default: usize,
 ) -> Result<usize, SettingsError> {
     let read: Option<Bytes> = source.read("store", key)?;
-    Ok(read.map_or(default, |bytes| usize::try_from(bytes.0).unwrap_or(usize::MAX)))
+    Ok(read.map_or(default, |bytes| {
+        usize::try_from(bytes.0).unwrap_or(usize::MAX)
+    }))
 }
 
 fn span(
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -97,10 +97,7 @@
     Ok(Ok(()))
 }
 
-async fn previous_turn(
-    shared: &Rc<Shared>,
-    job: &Job<'_>,
-) -> Result<Option<Arc<Turn>>, Refusal> {
+async fn previous_turn(shared: &Rc<Shared>, job: &Job<'_>) -> Result<Option<Arc<Turn>>, Refusal> {
     let Some(id) = job.info.previous_turn.as_ref() else {
         return Ok(None);
     };
@@ -161,23 +158,23 @@
             server: self.server,
             input: self.job.received.body.clone(),
             output: self.delivered.output.freeze(),
-            recorded_unix_ms: self.shared.unix_ms(),
+            recorded_unix_ms: Shared::unix_ms(),
         };
         let ledger = &self.shared.ledger;
         let recorded = ledger.record_turn(turn, context.retain_us, self.job.deadline);
         recorded.await.is_ok()
     }
 
-    async fn run(
-        &mut self,
-        reply: &mut Reply<'_>,
-    ) -> Result<Result<(), Refusal>, CallerGone> {
+    async fn run(&mut self, reply: &mut Reply<'_>) -> Result<Result<(), Refusal>, CallerGone> {
         let trace = self.trace;
         let mut tried = Vec::new();
         let mut sends = 0;
         let mut refusal = Refusal::NoServer;
         while sends < self.job.route.attempts {
-            let last_server = self.previous.as_ref().and_then(|turn| turn.server.as_deref());
+            let last_server = self
+                .previous
+                .as_ref()
+                .and_then(|turn| turn.server.as_deref());
             let Some(slot) = self.job.place(self.shared, &tried, last_server) else {
                 break;
             };
@@ -265,7 +262,7 @@
                     return Ok(RunEnd::Complete);
                 }
                 Ok(Ok(None) | Err(_)) | Err(_) => {
-                    self.job.note_failure(self.shared, &answering.slot);
+                    answering.slot.note_failure();
                     return Ok(RunEnd::Lost);
                 }
             };
--- a/clementinepickd/src/ini_source.rs
+++ b/clementinepickd/src/ini_source.rs
@@ -59,7 +59,12 @@
     }
 
     /// An error at a key.
-    pub(crate) fn wrong(&self, section: &str, key: &str, detail: impl Into<String>) -> SettingsError {
+    pub(crate) fn wrong(
+        &self,
+        section: &str,
+        key: &str,
+        detail: impl Into<String>,
+    ) -> SettingsError {
         SettingsError::Key {
             file: self.file.to_owned(),
             section: section.to_owned(),
@@ -124,7 +129,11 @@
     }
 
     /// The value of a key that must be given.
-    pub(crate) fn need<T>(&mut self, section: &'static str, key: &'static str) -> Result<T, SettingsError>
+    pub(crate) fn need<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+    ) -> Result<T, SettingsError>
     where
         T: FromStr,
         T::Err: ToString,
--- a/clementinepickd/src/ledger.rs
+++ b/clementinepickd/src/ledger.rs
@@ -30,7 +30,7 @@
 /// another process got its slice, so that more than a few are rare.
 const MAX_RESERVE_ROUNDS: u32 = 16;
 /// How long a program's slices stay in memory after its last turn.
-const PROGRAM_IDLE: Duration = Duration::from_secs(300);
+const PROGRAM_IDLE: Duration = Duration::from_mins(5);
 
 /// The shape of the topics in the store; all processes must use the same.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -222,7 +222,11 @@
         if key.len() <= MAX_KEY_BYTES {
             return key;
         }
-        format!("{:016x}/{}/{sequence}", xxh3_64(program.as_bytes()), self.writer)
+        format!(
+            "{:016x}/{}/{sequence}",
+            xxh3_64(program.as_bytes()),
+            self.writer
+        )
     }
 
     fn try_start(self: &Rc<Self>, program: &str, turn: Tokens) -> Option<BudgetHold> {
@@ -312,11 +316,7 @@
     }
 
     /// The turn with this id and all before it.
-    pub(crate) async fn turn(
-        &self,
-        id: &str,
-        deadline: Instant,
-    ) -> Result<Arc<Turn>, LedgerError> {
+    pub(crate) async fn turn(&self, id: &str, deadline: Instant) -> Result<Arc<Turn>, LedgerError> {
         let mut records: Vec<(String, TurnRecord)> = Vec::new();
         let mut wanted = Some(id.to_owned());
         let mut base = None;
@@ -330,7 +330,11 @@
                 // The newest turn may be one that never was. An older one was written before a
                 // newer one that names it, so its absence means that something is wrong here.
                 let is_first = records.is_empty();
-                return Err(if is_first { LedgerError::UnknownTurn } else { LedgerError::Away });
+                return Err(if is_first {
+                    LedgerError::UnknownTurn
+                } else {
+                    LedgerError::Away
+                });
             };
             wanted.clone_from(&record.parent);
             records.push((id, record));
@@ -406,7 +410,9 @@
                     parts.push(value);
                 }
             }
-            let is_past = last.as_deref().is_none_or(|key| key > id && !is_part_of(key, id));
+            let is_past = last
+                .as_deref()
+                .is_none_or(|key| key > id && !is_part_of(key, id));
             if !page.has_more || is_past {
                 break;
             }
@@ -428,10 +434,10 @@
     pub(crate) async fn record_turn(
         &self,
         mut turn: Turn,
-        retain_us: SpanUs,
+        retention: SpanUs,
         deadline: Instant,
     ) -> Result<(), LedgerError> {
-        let retain_ms = retain_us.as_ms();
+        let retain_ms = retention.as_ms();
         let parent = turn.parent.as_ref();
         if parent.is_some_and(|p| needs_whole_chain(p, turn.recorded_unix_ms, retain_ms)) {
             turn.input = prompt(turn.parent.as_ref(), &turn.input);
@@ -456,7 +462,11 @@
         /// What a record has beside its body: key, lengths and names of fields.
         const OVERHEAD_BYTES: usize = 1_024;
         let mut record = TurnRecord::of(turn, retain_ms);
-        let part_bytes = self.settings.record_bytes.saturating_sub(OVERHEAD_BYTES).max(1);
+        let part_bytes = self
+            .settings
+            .record_bytes
+            .saturating_sub(OVERHEAD_BYTES)
+            .max(1);
         let mut batches = Vec::new();
         if record.body.len() > part_bytes {
             let body = std::mem::take(&mut record.body);
@@ -502,7 +512,8 @@
 }
 
 fn is_part_of(key: &str, id: &str) -> bool {
-    key.strip_prefix(id).is_some_and(|rest| rest.starts_with('!'))
+    key.strip_prefix(id)
+        .is_some_and(|rest| rest.starts_with('!'))
 }
 
 /// A key that sorts before `id` with few keys between them.
--- a/clementinepickd/src/outbound.rs
+++ b/clementinepickd/src/outbound.rs
@@ -45,9 +45,6 @@
     /// The bytes are no answer.
     #[error("no HTTP: {0}")]
     Protocol(String),
-    /// Time ran out.
-    #[error("no answer in time")]
-    Timeout,
 }
 
 /// A request to send.
@@ -60,7 +57,6 @@
 }
 
 enum Codec {
-    Head(ClientCodec),
     Payload(ClientPayloadCodec),
     /// The body has no length and ends with the connection.
     UntilClose,
@@ -199,7 +195,7 @@
     pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, OutboundError> {
         loop {
             match &mut self.codec {
-                Codec::Head(_) | Codec::Done(_) => return Ok(None),
+                Codec::Done(_) => return Ok(None),
                 Codec::UntilClose => return self.chunk_until_close().await,
                 Codec::Payload(codec) => {
                     let item = codec.decode(&mut self.read);
--- a/clementinepickd/src/outbound_pool.rs
+++ b/clementinepickd/src/outbound_pool.rs
@@ -21,18 +21,17 @@
 }
 
 impl Pool {
-    /// An idle connection, or a new one; true with one that was used before.
+    /// An idle connection, or a new one.
     pub(crate) async fn connection(
         &self,
         address: SocketAddr,
         limit: Duration,
         now: Instant,
-    ) -> Result<(Connection, bool), OutboundError> {
+    ) -> Result<Connection, OutboundError> {
         if let Some(connection) = self.take(address, now) {
-            return Ok((connection, true));
+            return Ok(connection);
         }
-        let connection = Connection::open(address, limit, now).await?;
-        Ok((connection, false))
+        Connection::open(address, limit, now).await
     }
 
     fn take(&self, address: SocketAddr, now: Instant) -> Option<Connection> {
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -199,12 +199,14 @@
     async fn try_direct(&self, call: &StoreCall, left: Duration) -> Option<StoreReply> {
         let limit = (self.mean.get() * LIMIT_MEANS).clamp(MIN_TRY_LIMIT, TRY_LIMIT);
         let begun = Instant::now();
-        let reply = self.exchange_once(self.address, call, left.min(limit)).await;
+        let reply = self
+            .exchange_once(self.address, call, left.min(limit))
+            .await;
         let took = begun.elapsed();
         if reply.is_some() || left >= limit {
             let mean = self.mean.get();
-            let mean = mean - mean / MEAN_DIVISOR + took.min(TRY_LIMIT) / MEAN_DIVISOR;
-            self.mean.set(mean);
+            let sum = mean * (MEAN_DIVISOR - 1) + took.min(TRY_LIMIT);
+            self.mean.set(sum / MEAN_DIVISOR);
             self.is_direct_down.set(reply.is_none());
         }
         self.note(false, reply.is_some(), left >= limit);
@@ -291,7 +293,7 @@
         call: &StoreCall,
     ) -> Result<StoreReply, OutboundError> {
         let now = Instant::now();
-        let (mut connection, _) = self.pool.connection(address, CONNECT_LIMIT, now).await?;
+        let mut connection = self.pool.connection(address, CONNECT_LIMIT, now).await?;
         let target = call.target.parse::<Uri>();
         let request = Outgoing {
             method: call.method.clone(),
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -35,6 +35,10 @@
 pub mod load;
 pub mod log_service;
 pub mod plain_service;
+pub mod platform_backend;
+pub mod platform_caller;
+pub mod platform_run;
+pub mod platform_store;
 pub mod plot;
 pub mod policy;
 mod policy_draw;
@@ -59,5 +63,6 @@
 pub mod tool_service;
 pub mod vm_list;
 pub mod weight_store;
+pub mod wire_server;
 
 pub use failure::Failure;
--- /dev/null
+++ b/standins/src/platform_caller.rs
@@ -0,0 +1,202 @@
+//! A caller on the platform: sends bytes and reads one answer, complete or not.
+
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use crate::platform_run::HOST;
+
+/// How long a caller waits for more of an answer.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// What a caller got.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CallerAnswer {
+    /// The status.
+    pub status: u16,
+    /// The headers by lower-case name.
+    pub headers: BTreeMap<String, String>,
+    /// The body without its framing.
+    pub body: String,
+    /// Whether the body came to its end.
+    pub is_complete: bool,
+    /// How long it all took.
+    pub took: Duration,
+}
+
+/// A request to a gateway.
+#[derive(Debug, Clone, Default)]
+pub struct CallerRequest {
+    /// The method.
+    pub method: String,
+    /// The path.
+    pub path: String,
+    /// Headers beside the host and the length.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: String,
+}
+
+impl CallerRequest {
+    /// A request with an id.
+    #[must_use]
+    pub fn new(method: &str, path: &str, id: &str) -> Self {
+        Self {
+            method: method.to_owned(),
+            path: path.to_owned(),
+            headers: Vec::new(),
+            body: String::new(),
+        }
+        .with("Request-Id", id)
+    }
+
+    /// A turn of a program.
+    #[must_use]
+    pub fn turn(path: &str, id: &str, program: &str, body: &str) -> Self {
+        let turn = Self::new("POST", path, id)
+            .with("Program-Id", program)
+            .with("Session-Id", program)
+            .with("Token-Usage", "100,50")
+            .with("Prompt-Prefix", &format!("aa:1000,{program}:100"));
+        Self {
+            body: body.to_owned(),
+            ..turn
+        }
+    }
+
+    /// The same request with one more header.
+    #[must_use]
+    pub fn with(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// The request's bytes.
+    #[must_use]
+    pub fn bytes(&self) -> Vec<u8> {
+        let mut text = format!("{} {} HTTP/1.1\r\nHost: {HOST}\r\n", self.method, self.path);
+        for (name, value) in &self.headers {
+            text.extend([name, ": ", value, "\r\n"]);
+        }
+        if !self.body.is_empty() {
+            let length = self.body.len().to_string();
+            text.extend(["Content-Length: ", &length, "\r\n"]);
+        }
+        text.push_str("\r\n");
+        text.push_str(&self.body);
+        text.into_bytes()
+    }
+
+    /// Sends the request on a new connection and reads its answer.
+    ///
+    /// # Errors
+    ///
+    /// No connection, or no head of an answer.
+    pub fn send(&self, address: SocketAddr) -> io::Result<CallerAnswer> {
+        exchange(address, &self.bytes())
+    }
+}
+
+/// Sends bytes on a new connection and reads one answer.
+///
+/// # Errors
+///
+/// No connection, or no head of an answer.
+pub fn exchange(address: SocketAddr, bytes: &[u8]) -> io::Result<CallerAnswer> {
+    let mut connection = TcpStream::connect(address)?;
+    connection.set_nodelay(true)?;
+    connection.write_all(bytes)?;
+    read_answer(&mut connection)
+}
+
+/// Reads one answer from a connection.
+///
+/// # Errors
+///
+/// The connection ends before the head of an answer does.
+pub fn read_answer(connection: &mut TcpStream) -> io::Result<CallerAnswer> {
+    let begun = Instant::now();
+    connection.set_read_timeout(Some(PATIENCE))?;
+    let mut bytes = Vec::new();
+    let head_end = loop {
+        if let Some(at) = find(&bytes, b"\r\n\r\n") {
+            break at + 4;
+        }
+        if read_more(connection, &mut bytes)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
+    let mut answer = parse_head(&head)?;
+    let mut rest = bytes.split_off(head_end);
+    let length = answer.headers.get("content-length");
+    let length: Option<usize> = length.and_then(|length| length.parse().ok());
+    loop {
+        let (body, is_complete) = match length {
+            Some(length) => (
+                rest[..rest.len().min(length)].to_vec(),
+                rest.len() >= length,
+            ),
+            None => unchunk(&rest),
+        };
+        answer.body = String::from_utf8_lossy(&body).into_owned();
+        answer.is_complete = is_complete;
+        // A broken connection leaves the answer incomplete, which is what the test looks at.
+        if is_complete || read_more(connection, &mut rest).unwrap_or(0) == 0 {
+            break;
+        }
+    }
+    answer.took = begun.elapsed();
+    Ok(answer)
+}
+
+fn read_more(connection: &mut TcpStream, held: &mut Vec<u8>) -> io::Result<usize> {
+    let mut buffer = [0_u8; 4_096];
+    let count = connection.read(&mut buffer)?;
+    held.extend_from_slice(&buffer[..count]);
+    Ok(count)
+}
+
+fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
+    bytes
+        .windows(wanted.len())
+        .position(|window| window == wanted)
+}
+
+fn parse_head(head: &str) -> io::Result<CallerAnswer> {
+    let mut lines = head.lines();
+    let status = lines
+        .next()
+        .and_then(|line| line.split(' ').nth(1)?.parse().ok());
+    let headers = lines.filter_map(|line| line.split_once(':'));
+    Ok(CallerAnswer {
+        status: status.ok_or(io::ErrorKind::InvalidData)?,
+        headers: headers
+            .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+            .collect(),
+        ..CallerAnswer::default()
+    })
+}
+
+/// The bytes of a chunked body so far, and whether its end came.
+fn unchunk(mut bytes: &[u8]) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    while let Some(line_end) = find(bytes, b"\r\n") {
+        let size = std::str::from_utf8(&bytes[..line_end]).unwrap_or_default();
+        let Ok(size) = usize::from_str_radix(size, 16) else {
+            break;
+        };
+        if size == 0 {
+            return (body, true);
+        }
+        let start = line_end + 2;
+        let Some(data) = bytes.get(start..start + size) else {
+            body.extend_from_slice(&bytes[start..]);
+            break;
+        };
+        body.extend_from_slice(data);
+        bytes = bytes.get(start + size + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
--- /dev/null
+++ b/standins/src/platform_store.rs
@@ -0,0 +1,331 @@
+//! The platform's store: partitions of keyed records with conditions, and its troubles.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::{BufMut, Bytes, BytesMut};
+use serde_json::json;
+
+use crate::wire_server::{Script, Step, WireRequest, WireServer, whole};
+
+/// How the store treats calls at one of its addresses.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum StoreMode {
+    /// It serves.
+    #[default]
+    Serving,
+    /// It refuses with 503; nothing is done.
+    Busy,
+    /// It refuses with 429; nothing is done.
+    Limited,
+    /// It closes the connection; nothing is done.
+    Reset,
+    /// It says nothing; nothing is done.
+    Silent,
+}
+
+/// What becomes of an append instead of its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AppendFault {
+    /// It is done, and the connection falls silent.
+    LoseAnswer,
+    /// It is done when the next call comes, if its condition still holds, and is not answered.
+    DoLater,
+}
+
+#[derive(Debug, Clone)]
+struct StoredRecord {
+    key: String,
+    value: Bytes,
+}
+
+#[derive(Debug, Default)]
+struct Partition {
+    /// The offset of the first record that can still be read.
+    first: u64,
+    records: Vec<StoredRecord>,
+}
+
+impl Partition {
+    fn end(&self) -> u64 {
+        self.records.len() as u64
+    }
+
+    /// The newest record of each key, with its offset.
+    fn newest(&self) -> BTreeMap<&str, (u64, &Bytes)> {
+        let mut newest = BTreeMap::new();
+        for (offset, record) in self.records.iter().enumerate() {
+            newest.insert(record.key.as_str(), (offset as u64, &record.value));
+        }
+        newest.retain(|_, (_, value)| !value.is_empty());
+        newest
+    }
+}
+
+type PartitionId = (String, u32);
+
+/// The state of the store.
+#[derive(Debug, Default)]
+pub struct StoreCore {
+    partitions: BTreeMap<PartitionId, Partition>,
+    faults: Vec<AppendFault>,
+    later: Vec<WireRequest>,
+    delay: Duration,
+    page_items: usize,
+    /// The calls that came, by path.
+    calls: BTreeMap<String, u64>,
+}
+
+/// The store behind one or more addresses, each with a mode of its own.
+#[derive(Debug, Clone)]
+pub struct PlatformStore {
+    core: Arc<Mutex<StoreCore>>,
+}
+
+/// One address of the store.
+#[derive(Debug)]
+pub struct StoreDoor {
+    /// Where it listens.
+    pub address: SocketAddr,
+    mode: Arc<Mutex<StoreMode>>,
+    _server: WireServer,
+}
+
+impl StoreDoor {
+    /// Sets how calls at this address are treated.
+    pub fn set_mode(&self, mode: StoreMode) {
+        *lock(&self.mode) = mode;
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Default for PlatformStore {
+    fn default() -> Self {
+        let core = StoreCore {
+            page_items: 500,
+            ..StoreCore::default()
+        };
+        Self {
+            core: Arc::new(Mutex::new(core)),
+        }
+    }
+}
+
+impl PlatformStore {
+    /// Opens another address of the same store.
+    ///
+    /// # Errors
+    ///
+    /// No port or thread can be had.
+    pub fn open(&self) -> io::Result<StoreDoor> {
+        let mode = Arc::new(Mutex::new(StoreMode::Serving));
+        let (core, current) = (Arc::clone(&self.core), Arc::clone(&mode));
+        let server = WireServer::start(Arc::new(move |request| {
+            let mode = *lock(&current);
+            match mode {
+                StoreMode::Serving => lock(&core).answer(request),
+                StoreMode::Busy => refuse(503),
+                StoreMode::Limited => refuse(429),
+                StoreMode::Reset => vec![Step::Close],
+                StoreMode::Silent => vec![Step::Silence],
+            }
+        }))?;
+        Ok(StoreDoor {
+            address: server.address,
+            mode,
+            _server: server,
+        })
+    }
+
+    /// Writes a record as an operator or a backend server does.
+    pub fn put(&self, topic: &str, key: &str, value: &str) {
+        let record = StoredRecord {
+            key: key.to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        };
+        let mut core = lock(&self.core);
+        let partition = core.partitions.entry((topic.to_owned(), 0)).or_default();
+        partition.records.push(record);
+    }
+
+    /// Drops a key as a server that leaves does.
+    pub fn remove(&self, topic: &str, key: &str) {
+        self.put(topic, key, "");
+    }
+
+    /// Gives the next append this fault; several apply to appends one after the other.
+    pub fn spoil_append(&self, fault: AppendFault) {
+        lock(&self.core).faults.push(fault);
+    }
+
+    /// Sets how long each answer takes.
+    pub fn set_delay(&self, delay: Duration) {
+        lock(&self.core).delay = delay;
+    }
+
+    /// Sets how many records one page of newest records has.
+    pub fn set_page_items(&self, items: usize) {
+        lock(&self.core).page_items = items;
+    }
+
+    /// Drops the history of all topics; the newest record of each key stays.
+    pub fn forget_history(&self) {
+        for partition in lock(&self.core).partitions.values_mut() {
+            partition.first = partition.end();
+        }
+    }
+
+    /// The keys in all partitions of the topics whose names begin so.
+    #[must_use]
+    pub fn keys(&self, topic_start: &str) -> Vec<String> {
+        let core = lock(&self.core);
+        let partitions = core.partitions.iter();
+        partitions
+            .filter(|((topic, _), _)| topic.starts_with(topic_start))
+            .flat_map(|(_, partition)| partition.newest().into_keys())
+            .map(str::to_owned)
+            .collect()
+    }
+
+    /// How many calls came to a path.
+    #[must_use]
+    pub fn calls(&self, path: &str) -> u64 {
+        lock(&self.core).calls.get(path).copied().unwrap_or(0)
+    }
+}
+
+impl StoreCore {
+    fn answer(&mut self, request: &WireRequest) -> Script {
+        for late in std::mem::take(&mut self.later) {
+            self.append(&late);
+        }
+        *self.calls.entry(request.path.clone()).or_default() += 1;
+        let mut script = vec![Step::Pause(self.delay)];
+        match request.path.rsplit('/').next() {
+            Some("log-append") => {
+                let fault = if self.faults.is_empty() {
+                    None
+                } else {
+                    Some(self.faults.remove(0))
+                };
+                match fault {
+                    Some(AppendFault::DoLater) => {
+                        self.later.push(request.clone());
+                        return vec![Step::Silence];
+                    }
+                    Some(AppendFault::LoseAnswer) => {
+                        self.append(request);
+                        return vec![Step::Silence];
+                    }
+                    None => script.push(Step::Write(self.append(request))),
+                }
+            }
+            Some("log-read") => script.push(Step::Write(self.read(request))),
+            Some("log-newest") => script.push(Step::Write(self.newest(request))),
+            _ => script.push(Step::Write(whole(404, &[], b""))),
+        }
+        script
+    }
+
+    fn append(&mut self, request: &WireRequest) -> Bytes {
+        let Some(id) = partition_id(request) else {
+            return whole(400, &[], b"");
+        };
+        let partition = self.partitions.entry(id).or_default();
+        let end = partition.end();
+        let at = number(request, "At");
+        if at.is_some_and(|at| at != end) {
+            return json_answer(412, &json!({ "End": end }));
+        }
+        let Some(records) = split_records(&request.body) else {
+            return whole(400, &[], b"");
+        };
+        partition.records.extend(records);
+        json_answer(200, &json!({ "Offset": end, "End": partition.end() }))
+    }
+
+    fn read(&self, request: &WireRequest) -> Bytes {
+        let empty = Partition::default();
+        let id = partition_id(request).unwrap_or_default();
+        let partition = self.partitions.get(&id).unwrap_or(&empty);
+        let from = number(request, "From").unwrap_or(0);
+        if from < partition.first {
+            return json_answer(410, &json!({ "First": partition.first }));
+        }
+        let mut body = BytesMut::new();
+        body.put_u64(partition.end());
+        body.put_u64(partition.first);
+        let skipped = usize::try_from(from).unwrap_or(usize::MAX);
+        for record in partition.records.iter().skip(skipped) {
+            let length = 1 + record.key.len() + record.value.len();
+            body.put_u32(u32::try_from(length).unwrap_or(u32::MAX));
+            body.put_u8(u8::try_from(record.key.len()).unwrap_or(u8::MAX));
+            body.put_slice(record.key.as_bytes());
+            body.put_slice(&record.value);
+        }
+        whole(200, &[("content-type", "application/octet-stream")], &body)
+    }
+
+    fn newest(&self, request: &WireRequest) -> Bytes {
+        let empty = Partition::default();
+        let id = partition_id(request).unwrap_or_default();
+        let partition = self.partitions.get(&id).unwrap_or(&empty);
+        let after = request.query.get("after").map_or("", String::as_str);
+        let newest = partition.newest();
+        let rest: Vec<_> = newest
+            .into_iter()
+            .filter(|(key, _)| after.is_empty() || *key > after)
+            .collect();
+        let items: Vec<_> = rest
+            .iter()
+            .take(self.page_items)
+            .map(|(key, (offset, value))| {
+                json!({ "Key": key, "Value": STANDARD.encode(value), "Offset": offset })
+            })
+            .collect();
+        let has_more = rest.len() > items.len();
+        let page = json!({ "items": items, "MorePages": has_more, "End": partition.end() });
+        json_answer(200, &page)
+    }
+}
+
+fn partition_id(request: &WireRequest) -> Option<PartitionId> {
+    let topic = request.query.get("Topic")?.clone();
+    Some((topic, request.query.get("part")?.parse().ok()?))
+}
+
+fn number(request: &WireRequest, name: &str) -> Option<u64> {
+    request.query.get(name)?.parse().ok()
+}
+
+fn split_records(mut body: &[u8]) -> Option<Vec<StoredRecord>> {
+    let mut records = Vec::new();
+    while let Some((length, rest)) = body.split_first_chunk::<4>() {
+        let (record, rest) = rest.split_at_checked(u32::from_be_bytes(*length) as usize)?;
+        let (key_length, record) = record.split_first()?;
+        let (key, value) = record.split_at_checked(usize::from(*key_length))?;
+        records.push(StoredRecord {
+            key: String::from_utf8_lossy(key).into_owned(),
+            value: Bytes::copy_from_slice(value),
+        });
+        body = rest;
+    }
+    body.is_empty().then_some(records)
+}
+
+fn json_answer(status: u16, value: &serde_json::Value) -> Bytes {
+    let headers = [("content-type", "application/json")];
+    whole(status, &headers, value.to_string().as_bytes())
+}
+
+fn refuse(status: u16) -> Script {
+    vec![Step::Write(whole(status, &[], b""))]
+}
--- /dev/null
+++ b/standins/src/wire_server.rs
@@ -0,0 +1,239 @@
+//! A small HTTP/1.1 server whose answers are scripts of bytes, pauses and breaks, so that a stand-in
+//! can misbehave as real servers do.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener as StdListener};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use actix_http::HttpMessage;
+use actix_http::h1::{Codec, Message};
+use actix_rt::System;
+use actix_rt::time::sleep;
+use bytes::{Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinSet, LocalSet};
+use tokio_util::codec::Decoder;
+
+/// A request as it came.
+#[derive(Debug, Clone, Default)]
+pub struct WireRequest {
+    /// The method.
+    pub method: String,
+    /// The path without the query.
+    pub path: String,
+    /// The query's values by name.
+    pub query: BTreeMap<String, String>,
+    /// The headers by lower-case name.
+    pub headers: BTreeMap<String, String>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// One step of an answer.
+#[derive(Debug, Clone)]
+pub enum Step {
+    /// Write bytes.
+    Write(Bytes),
+    /// Wait.
+    Pause(Duration),
+    /// Close the connection.
+    Close,
+    /// Say nothing more, and keep the connection open.
+    Silence,
+}
+
+/// The steps of one answer, in order.
+pub type Script = Vec<Step>;
+
+/// What answers requests; it is called from the server's thread.
+pub type WireHandler = Arc<dyn Fn(&WireRequest) -> Script + Send + Sync>;
+
+/// A server on a loopback port; dropped, it ends and is joined.
+#[derive(Debug)]
+pub struct WireServer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    stop: watch::Sender<bool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl WireServer {
+    /// Starts a server on a free port.
+    ///
+    /// # Errors
+    ///
+    /// No port or thread can be had.
+    pub fn start(handler: WireHandler) -> io::Result<Self> {
+        let listener = StdListener::bind((IpAddr::V4(Ipv4Addr::LOCALHOST), 0))?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = watch::channel(false);
+        let thread = thread::Builder::new().spawn(move || {
+            System::new().block_on(LocalSet::new().run_until(accept(listener, handler, stopped)));
+        })?;
+        Ok(Self {
+            address,
+            stop,
+            thread: Some(thread),
+        })
+    }
+}
+
+impl Drop for WireServer {
+    fn drop(&mut self) {
+        self.stop.send_replace(true);
+        if let Some(thread) = self.thread.take() {
+            // A panic of the server has already been printed and fails the test by its silence.
+            let _ = thread.join();
+        }
+    }
+}
+
+async fn accept(listener: StdListener, handler: WireHandler, mut stop: watch::Receiver<bool>) {
+    let listener = TcpListener::from_std(listener).expect("a listener that does not block");
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    connections.spawn_local(serve(stream, Arc::clone(&handler)));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+            _ = stop.changed() => break,
+        }
+    }
+    connections.shutdown().await;
+}
+
+async fn serve(mut stream: TcpStream, handler: WireHandler) {
+    let mut buffer = BytesMut::new();
+    let mut codec = Codec::default();
+    while let Some(request) = read(&mut stream, &mut buffer, &mut codec).await {
+        for step in handler(&request) {
+            match step {
+                Step::Write(bytes) => {
+                    if stream.write_all(&bytes).await.is_err() {
+                        return;
+                    }
+                }
+                Step::Pause(span) => {
+                    if closed_within(&mut stream, &mut buffer, span).await {
+                        return;
+                    }
+                }
+                Step::Close => return,
+                Step::Silence => std::future::pending().await,
+            }
+        }
+    }
+}
+
+/// Waits; true when the other side closed meanwhile.
+async fn closed_within(stream: &mut TcpStream, buffer: &mut BytesMut, span: Duration) -> bool {
+    let end = sleep(span);
+    tokio::pin!(end);
+    loop {
+        tokio::select! {
+            () = &mut end => return false,
+            read = stream.read_buf(buffer) => {
+                if !matches!(read, Ok(count) if count > 0) {
+                    return true;
+                }
+            }
+        }
+    }
+}
+
+async fn read(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    codec: &mut Codec,
+) -> Option<WireRequest> {
+    let mut request: Option<WireRequest> = None;
+    let mut body = BytesMut::new();
+    loop {
+        match codec.decode(buffer).ok()? {
+            Some(Message::Item(head)) => {
+                let has_body = codec.message_type() != actix_http::h1::MessageType::None;
+                let read = wire_request(&head);
+                if !has_body {
+                    return Some(read);
+                }
+                request = Some(read);
+            }
+            Some(Message::Chunk(Some(bytes))) => body.extend_from_slice(&bytes),
+            Some(Message::Chunk(None)) => {
+                let mut request = request?;
+                request.body = body.freeze();
+                return Some(request);
+            }
+            None => {
+                if stream.read_buf(buffer).await.ok()? == 0 {
+                    return None;
+                }
+            }
+        }
+    }
+}
+
+fn wire_request(head: &actix_http::Request) -> WireRequest {
+    let query = head.uri().query().unwrap_or_default();
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let headers = head.headers().iter().map(|(name, value)| {
+        let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+        (name.as_str().to_owned(), value)
+    });
+    WireRequest {
+        method: head.method().to_string(),
+        path: head.uri().path().to_owned(),
+        query: pairs.map(|(k, v)| (k.to_owned(), v.to_owned())).collect(),
+        headers: headers.collect(),
+        body: Bytes::new(),
+    }
+}
+
+/// The bytes of a whole answer with a length.
+#[must_use]
+pub fn whole(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Bytes {
+    let mut bytes = head(status, headers);
+    bytes.extend_from_slice(format!("content-length: {}\r\n\r\n", body.len()).as_bytes());
+    bytes.extend_from_slice(body);
+    bytes.freeze()
+}
+
+/// The bytes of the head of an answer in chunks.
+#[must_use]
+pub fn chunked_head(status: u16, headers: &[(&str, &str)]) -> Bytes {
+    let mut bytes = head(status, headers);
+    bytes.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
+    bytes.freeze()
+}
+
+fn head(status: u16, headers: &[(&str, &str)]) -> BytesMut {
+    let mut head = format!("HTTP/1.1 {status} status\r\n");
+    for (name, value) in headers {
+        head.extend([name, ": ", value, "\r\n"]);
+    }
+    BytesMut::from(head.as_bytes())
+}
+
+/// One chunk.
+#[must_use]
+pub fn chunk(bytes: &[u8]) -> Bytes {
+    let mut chunk = BytesMut::from(format!("{:x}\r\n", bytes.len()).as_bytes());
+    chunk.extend_from_slice(bytes);
+    chunk.extend_from_slice(b"\r\n");
+    chunk.freeze()
+}
+
+/// The chunk that ends a body.
+#[must_use]
+pub fn last_chunk() -> Bytes {
+    Bytes::from_static(b"0\r\n\r\n")
+}
