--- /dev/null
+++ b/clementinepick/tests/server_choice.rs
@@ -0,0 +1,163 @@
+//! Which server gets a request, by load, by what it keeps and by its failures.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use clementinepick::server_choice::{Affinity, PromptPart, ReportedLoad, ServerChoice};
+use clementinepick::server_list::BackendServer;
+use clementinepick::units::{SpanUs, TimeUs};
+
+fn servers(count: usize) -> Vec<BackendServer> {
+    let address: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+    (0..count)
+        .map(|number| BackendServer {
+            id: format!("e-{number}"),
+            service: "models".to_owned(),
+            address,
+            zone: "z".to_owned(),
+            slots: 64,
+            is_draining: false,
+            started_unix_ms: None,
+        })
+        .collect()
+}
+
+fn parts(line: &str, tokens: u64) -> Vec<PromptPart> {
+    let part = |id: &str, tokens| PromptPart {
+        id: id.to_owned(),
+        tokens,
+    };
+    vec![part("shared", 12_600), part(line, tokens)]
+}
+
+fn affinity(parts: &[PromptPart]) -> Affinity<'_> {
+    Affinity {
+        parts,
+        last_server: None,
+    }
+}
+
+const NOW: TimeUs = TimeUs(1_000_000);
+
+#[test]
+fn plain_requests_go_where_the_load_is_least() {
+    let servers = servers(3);
+    let candidates: Vec<&BackendServer> = servers.iter().collect();
+    let mut choice = ServerChoice::default();
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..30 {
+        let chosen = choice.choose(NOW, &candidates, &[], Affinity::default());
+        let id = chosen.expect("a server").id.clone();
+        choice.start(&id, Affinity::default());
+        *counts.entry(id).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| *count == 10), "{counts:?}");
+}
+
+#[test]
+fn a_line_of_turns_stays_where_it_is_kept() {
+    let servers = servers(6);
+    let candidates: Vec<&BackendServer> = servers.iter().collect();
+    let mut choice = ServerChoice::default();
+    let line = parts("line", 3_000);
+    let first = choice.choose(NOW, &candidates, &[], affinity(&line));
+    let first = first.expect("a server").id.clone();
+    choice.start(&first, affinity(&line));
+    for number in 0..10 {
+        let other = parts(&format!("other-{number}"), 500);
+        choice.start(&first, affinity(&other));
+    }
+    let next = choice.choose(NOW, &candidates, &[], affinity(&line));
+    assert_eq!(next.expect("a server").id, first);
+}
+
+/// Turns of one line come to two processes that do not speak to each other. Both look for it at the
+/// same server, so that its prompt is not read a second time.
+#[test]
+fn processes_agree_on_a_line_without_speaking() {
+    let servers = servers(9);
+    let candidates: Vec<&BackendServer> = servers.iter().collect();
+    let (one, other) = (ServerChoice::default(), ServerChoice::default());
+    for number in 0..50 {
+        let line = parts(&format!("line-{number}"), 2_000);
+        let first = one.choose(NOW, &candidates, &[], affinity(&line));
+        let second = other.choose(NOW, &candidates, &[], affinity(&line));
+        assert_eq!(first.map(|s| &s.id), second.map(|s| &s.id));
+    }
+}
+
+#[test]
+fn the_record_of_the_turn_before_names_the_server() {
+    let servers = servers(9);
+    let candidates: Vec<&BackendServer> = servers.iter().collect();
+    let choice = ServerChoice::default();
+    let line = parts("line", 5_000);
+    for server in &servers {
+        let affinity = Affinity {
+            parts: &line,
+            last_server: Some(&server.id),
+        };
+        let chosen = choice.choose(NOW, &candidates, &[], affinity);
+        assert_eq!(chosen.expect("a server").id, server.id);
+    }
+}
+
+/// A server fails, is passed over for a while that grows with each failure up to two seconds, and
+/// is tried again. A success makes it as good as the others.
+#[test]
+fn a_failing_server_is_passed_over_and_tried_again() {
+    let servers = servers(2);
+    let candidates: Vec<&BackendServer> = servers.iter().collect();
+    let mut choice = ServerChoice::default();
+    choice.start("e-1", Affinity::default());
+    let chosen = |choice: &ServerChoice, now: TimeUs| {
+        let server = choice.choose(now, &candidates, &[], Affinity::default());
+        server.expect("a server").id.clone()
+    };
+    assert_eq!(chosen(&choice, NOW), "e-0");
+    for _ in 0..10 {
+        choice.failed(NOW, "e-0");
+    }
+    assert_eq!(chosen(&choice, NOW), "e-1");
+    assert_eq!(chosen(&choice, NOW.after(SpanUs::from_ms(1_900))), "e-1");
+    assert_eq!(chosen(&choice, NOW.after(SpanUs::from_ms(2_100))), "e-0");
+    choice.succeeded("e-0");
+    assert_eq!(chosen(&choice, NOW), "e-0");
+}
+
+#[test]
+fn a_lone_paused_server_is_still_used() {
+    let servers = servers(1);
+    let candidates: Vec<&BackendServer> = servers.iter().collect();
+    let mut choice = ServerChoice::default();
+    choice.failed(NOW, "e-0");
+    let chosen = choice.choose(NOW, &candidates, &[], Affinity::default());
+    assert!(chosen.is_some());
+    let tried = ["e-0".to_owned()];
+    let chosen = choice.choose(NOW, &candidates, &tried, Affinity::default());
+    assert!(
+        chosen.is_none(),
+        "a server that was tried is not tried again"
+    );
+}
+
+#[test]
+fn reports_of_other_processes_requests_count_for_a_while() {
+    let servers = servers(2);
+    let candidates: Vec<&BackendServer> = servers.iter().collect();
+    let mut choice = ServerChoice::default();
+    let busy = ReportedLoad {
+        running: 20,
+        waiting: 5,
+    };
+    choice.report(NOW, "e-0", busy);
+    for _ in 0..10 {
+        let chosen = choice.choose(NOW, &candidates, &[], Affinity::default());
+        let id = chosen.expect("a server").id.clone();
+        assert_eq!(id, "e-1");
+        choice.start(&id, Affinity::default());
+    }
+    let later = NOW.after(SpanUs::from_s(1));
+    let chosen = choice.choose(later, &candidates, &[], Affinity::default());
+    assert_eq!(chosen.expect("a server").id, "e-0");
+}
