--- a/clementinepick/src/budget_ledger.rs
+++ b/clementinepick/src/budget_ledger.rs
@@ -12,7 +12,8 @@
 //! let mut view = BudgetView::empty();
 //! let first = view.decide("p", Tokens(1_000), Tokens(200));
 //! assert_eq!(first, SliceDecision::Reserve { tokens: Tokens(250) });
-//! view.apply("p/a", &SliceRecord { program: "p".into(), tokens: Tokens(1_000) });
+//! let record = SliceRecord { program: "p".into(), tokens: Tokens(1_000), ..SliceRecord::default() };
+//! view.apply("p/a", &record);
 //! assert_eq!(view.decide("p", Tokens(1_000), Tokens(200)), SliceDecision::Spent);
 //! ```
 
@@ -20,6 +21,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::record_age::is_expired;
 use crate::units::Tokens;
 
 /// A slice is this part of what is left of a budget, and at least one turn: half the programs of
@@ -28,14 +30,20 @@
 const SLICE_DIVISOR: u64 = 4;
 
 /// One reserved slice; its record's key makes it unique.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SliceRecord {
     /// The program.
     #[serde(rename = "p")]
     pub program: String,
-    /// How many tokens the writer may hand out.
+    /// How many tokens the writer may hand out; zero only says that the program still runs.
     #[serde(rename = "t")]
     pub tokens: Tokens,
+    /// When it was written, in Unix milliseconds by the writer's clock.
+    #[serde(rename = "w")]
+    pub recorded_unix_ms: u64,
+    /// How long the program's budget must count on after its last turn, in milliseconds.
+    #[serde(rename = "r")]
+    pub retain_ms: u64,
 }
 
 /// Whether a program may have one more slice.
@@ -73,11 +81,6 @@
             .insert(key.to_owned(), record.tokens);
     }
 
-    /// Forgets a program's slices.
-    pub fn forget(&mut self, program: &str) {
-        self.slices.remove(program);
-    }
-
     /// The size of the slice with this key, if it is in the partition.
     #[must_use]
     pub fn tokens(&self, program: &str, key: &str) -> Option<Tokens> {
@@ -107,6 +110,24 @@
     }
 }
 
+/// The keys of the programs in a partition that ended long ago.
+///
+/// A program's slices go together or not at all: with only the older ones gone, its budget would
+/// count less than was spent. Each process that runs a program writes a record for it at least once
+/// in a retention, so that a program whose newest record has expired runs nowhere.
+#[must_use]
+pub fn expired_slices(records: &[(String, SliceRecord)], now_unix_ms: u64) -> Vec<String> {
+    let mut is_live: BTreeMap<&str, bool> = BTreeMap::new();
+    for (_, record) in records {
+        let expired = is_expired(record.recorded_unix_ms, record.retain_ms, now_unix_ms);
+        *is_live.entry(&record.program).or_default() |= !expired;
+    }
+    let ended = records
+        .iter()
+        .filter(|(_, record)| !is_live[record.program.as_str()]);
+    ended.map(|(key, _)| key.clone()).collect()
+}
+
 /// What one process holds of one program's budget.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ProgramSlices {
--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -74,6 +74,7 @@
 mod program_end;
 pub mod prompt;
 pub mod record;
+pub mod record_age;
 mod recovery;
 pub mod refusal;
 mod repeat;
--- a/clementinepick/src/refusal.rs
+++ b/clementinepick/src/refusal.rs
@@ -13,6 +13,8 @@
     BodyTooLarge,
     /// The request was not complete in time.
     ReceiveTimeout,
+    /// Too many bytes of other requests are held.
+    Overloaded,
     /// No configuration is known yet.
     NoConfig,
     /// No route takes the request.
@@ -70,6 +72,7 @@
             Self::HeadTooLarge => (431, "head_too_large", None),
             Self::BodyTooLarge => (413, "body_too_large", None),
             Self::ReceiveTimeout => (408, "receive_timeout", None),
+            Self::Overloaded => (503, "overloaded", Some(ROOM_RETRY_US)),
             Self::NoConfig => (503, "no_config", Some(START_RETRY_US)),
             Self::NoRoute => (404, "no_route", None),
             Self::BudgetSpent => (402, "budget_spent", None),
--- a/clementinepick/src/traffic_config.rs
+++ b/clementinepick/src/traffic_config.rs
@@ -15,13 +15,6 @@
     Streaming,
 }
 
-/// How long the turns of a route's programs stay available to later turns.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ContextRetention {
-    /// The time from the end of a turn until it may be forgotten.
-    pub retain_us: SpanUs,
-}
-
 /// One route: which requests it takes, and how they are handled.
 #[derive(Debug, Clone, PartialEq)]
 pub struct TrafficRoute {
@@ -47,8 +40,10 @@
     pub priority: u32,
     /// Whether an interrupted stream may continue on another backend server.
     pub is_resumable: bool,
-    /// Set when turns carry only their new input and the rest is kept here.
-    pub context: Option<ContextRetention>,
+    /// Whether turns carry only their new input and the rest is kept here.
+    pub keeps_context: bool,
+    /// How long after their end turns, and after its last turn a program's budget, must be kept.
+    pub retention_us: SpanUs,
 }
 
 /// What is known of a service, apart from its backend servers.
--- a/clementinepick/src/turn_chain.rs
+++ b/clementinepick/src/turn_chain.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::record_age::KEPT_RETENTIONS;
+
 /// One ended turn in memory, linked to the turn it continues from.
 #[derive(Debug)]
 pub struct Turn {
@@ -143,10 +145,6 @@
     age_ms >= (KEPT_RETENTIONS - 1) * retain_ms
 }
 
-/// For how many retentions a record is kept: one for the turn itself, one for turns that continue
-/// from it, one for clocks that differ between VMs and for writers that are paused.
-pub const KEPT_RETENTIONS: u64 = 3;
-
 impl TurnRecord {
     /// The record of a turn, without those before it.
     #[must_use]
--- a/clementinepick/tests/budget_ledger.rs
+++ b/clementinepick/tests/budget_ledger.rs
@@ -1,6 +1,8 @@
 //! Slices of budgets as several processes read and write one partition.
 
-use clementinepick::budget_ledger::{BudgetView, ProgramSlices, SliceDecision, SliceRecord};
+use clementinepick::budget_ledger::{
+    BudgetView, ProgramSlices, SliceDecision, SliceRecord, expired_slices,
+};
 use clementinepick::units::Tokens;
 use proptest::prelude::*;
 
@@ -55,6 +57,7 @@
             let record = SliceRecord {
                 program: "p".to_owned(),
                 tokens,
+                ..SliceRecord::default()
             };
             if partition.append(self.view.end, &key, &record) {
                 self.slices.granted.0 += tokens.0;
@@ -109,6 +112,7 @@
     let record = SliceRecord {
         program: "p".to_owned(),
         tokens: Tokens(100),
+        ..SliceRecord::default()
     };
     view.apply("p/a", &record);
     view.apply("p/a", &record);
@@ -127,3 +131,24 @@
     slices.finish(Tokens(80), Tokens(15));
     assert!(slices.try_start(Tokens(80)));
 }
+
+/// A program runs for hours on one early slice and a process that says now and then that it runs.
+/// Its old slice must stay, or its budget would be there anew; when it has ended, all goes.
+#[test]
+fn slices_are_dropped_together_and_only_after_the_end() {
+    let slice = |program: &str, at_s: u64, tokens: u64| SliceRecord {
+        program: program.to_owned(),
+        tokens: Tokens(tokens),
+        recorded_unix_ms: at_s * 1_000,
+        retain_ms: 60_000,
+    };
+    let records = [
+        ("long/a".to_owned(), slice("long", 0, 400)),
+        ("long/b".to_owned(), slice("long", 7_200, 0)),
+        ("short/a".to_owned(), slice("short", 0, 400)),
+    ];
+    assert!(expired_slices(&records, 100_000).is_empty());
+    assert_eq!(expired_slices(&records, 7_300_000), ["short/a"]);
+    let after_the_end = expired_slices(&records, 7_400_000);
+    assert_eq!(after_the_end, ["long/a", "long/b", "short/a"]);
+}
--- a/clementinepick/tests/traffic_config.rs
+++ b/clementinepick/tests/traffic_config.rs
@@ -20,7 +20,8 @@
         attempts: 1,
         priority: 0,
         is_resumable: false,
-        context: None,
+        keeps_context: false,
+        retention_us: SpanUs::from_s(60),
     }
 }
 
--- a/clementinepick/tests/turn_chain.rs
+++ b/clementinepick/tests/turn_chain.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use clementinepick::turn_chain::{KEPT_RETENTIONS, Turn, TurnRecord, needs_whole_chain, prompt};
+use clementinepick::record_age::KEPT_RETENTIONS;
+use clementinepick::turn_chain::{Turn, TurnRecord, needs_whole_chain, prompt};
 
 fn turn(id: &str, parent: Option<Arc<Turn>>, recorded_unix_ms: u64) -> Arc<Turn> {
     Arc::new(Turn {
--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -16,11 +16,14 @@
     CONFIG_KEY, KeyedRecord, NewestPage, Topic, append_target, decode_newest, encode_records,
     newest_target,
 };
+use serde::{Deserialize, Serialize};
 use slog::Logger;
 use tokio::sync::watch;
 
+use crate::ledger::{from_cbor, to_cbor};
 use crate::logging::write_event;
 use crate::store::{StoreCall, StoreClient};
+use crate::unix_time::unix_ms;
 
 /// The time between two looks at the lists. A change must be in force within two seconds; three
 /// looks fit, so that one that fails is made up for.
@@ -36,6 +39,24 @@
 /// How often this process writes its own entry, so that peers find it.
 const ANNOUNCE: Duration = Duration::from_secs(20);
 
+/// How long the entry of a process is believed after it was written: two writes may fail, and
+/// clocks may be ten seconds apart.
+const PROCESS_LIFE_MS: u64 = 70_000;
+
+/// The entry of one process in the store.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct ProcessRecord {
+    #[serde(rename = "a")]
+    peer_address: SocketAddr,
+    /// When it was written, in Unix milliseconds by the writer's clock.
+    #[serde(rename = "w")]
+    recorded_unix_ms: u64,
+}
+
+fn is_recent(recorded_unix_ms: u64, now_unix_ms: u64) -> bool {
+    now_unix_ms < recorded_unix_ms.saturating_add(PROCESS_LIFE_MS)
+}
+
 /// What is believed at one moment.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Directory {
@@ -255,9 +276,13 @@
     /// Writes this process's entry and reads those of its peers.
     async fn announce(&mut self, now: Instant) {
         let deadline = now + LOOK_LIMIT;
+        let entry = ProcessRecord {
+            peer_address: self.identity.peer_address,
+            recorded_unix_ms: unix_ms(),
+        };
         let record = KeyedRecord {
             key: self.identity.vm.clone(),
-            value: Some(self.identity.peer_address.to_string().into()),
+            value: Some(to_cbor(&entry)),
         };
         let target = append_target(&Topic::Processes, 0, None);
         let call = StoreCall::post(target, encode_records(&[record]));
@@ -274,12 +299,9 @@
         }
         let mut peers: Vec<SocketAddr> = records
             .iter()
-            .filter_map(|record| {
-                std::str::from_utf8(record.value.as_ref()?)
-                    .ok()?
-                    .parse()
-                    .ok()
-            })
+            .filter_map(|record| from_cbor::<ProcessRecord>(record.value.as_ref()?))
+            .filter(|peer| is_recent(peer.recorded_unix_ms, unix_ms()))
+            .map(|peer| peer.peer_address)
             .filter(|address| *address != self.identity.peer_address)
             .chain(self.seeds.iter().copied())
             .collect();
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -5,20 +5,22 @@
 //! the traffic.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use actix_rt::System;
 use actix_rt::time::sleep;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::ids::Incarnation;
 use clementinepick::refusal::Refusal;
+use clementinepick::retry::RetryBudget;
 use clementinepick::server_choice::ServerChoice;
 use clementinepick::traffic_config::CallerLimits;
-use clementinepick::units::{TimeUs, Tokens};
+use clementinepick::units::{Percent, TimeUs, Tokens};
 use platform::store::{Topic, newest_target};
 use slog::Logger;
 use thiserror::Error;
@@ -34,10 +36,14 @@
 use crate::gateway_peer::PeerHandler;
 use crate::gateway_request::{CallerHandler, ReadyHandler};
 use crate::gateway_settings::GatewaySettings;
-use crate::ledger::Ledger;
+use crate::ledger::LedgerStore;
+use crate::ledger_budgets::Budgets;
+use crate::ledger_sweep::Sweep;
+use crate::ledger_turns::Turns;
 use crate::logging::{new_logger, write_event};
 use crate::outbound_pool::Pool;
 use crate::store::{StoreCall, StoreClient};
+use crate::unix_time::unix_ms;
 
 /// The time between two rounds of housekeeping: closing idle connections, forgetting old state,
 /// looking whether the store is back.
@@ -47,6 +53,9 @@
 const MAX_LIST_AGE: Duration = Duration::from_secs(3);
 /// The pause after a failed accept, which mostly means that descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The share of requests that may be sent again. Troubles of the users' sheets spoil up to 5 in 100
+/// answers of 6 servers in 10; more failures than that mean that a service fails as a whole.
+const RETRY_PERCENT: u8 = 20;
 /// How long the last answers of a process may take to leave its connections.
 const FLUSH: Duration = Duration::from_millis(30);
 
@@ -69,10 +78,16 @@
 /// What the tasks of the traffic thread share.
 pub(crate) struct Shared {
     pub(crate) store: Rc<StoreClient>,
-    pub(crate) ledger: Rc<Ledger>,
+    pub(crate) ledger: Rc<LedgerStore>,
+    pub(crate) budgets: Rc<Budgets>,
+    pub(crate) turns: Turns,
     pub(crate) pool: Pool,
     pub(crate) choice: RefCell<ServerChoice>,
     pub(crate) metrics: GatewayMetrics,
+    retries: RefCell<BTreeMap<String, RetryBudget>>,
+    /// The bytes of request bodies that are held.
+    body_bytes: Cell<usize>,
+    body_limit_bytes: usize,
     directory: watch::Receiver<Directory>,
     logger: Logger,
     log_every: u64,
@@ -92,6 +107,18 @@
     }
 }
 
+/// Bytes of a request's body that count as held until it is dropped.
+pub(crate) struct BodyHold<'a> {
+    held: &'a Cell<usize>,
+    bytes: usize,
+}
+
+impl Drop for BodyHold<'_> {
+    fn drop(&mut self) {
+        self.held.set(self.held.get() - self.bytes);
+    }
+}
+
 impl Shared {
     pub(crate) fn directory(&self) -> Directory {
         self.directory.borrow().clone()
@@ -118,12 +145,6 @@
         TimeUs(u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
     }
 
-    /// The time of day, for records that other processes read.
-    pub(crate) fn unix_ms() -> u64 {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH);
-        since.map_or(0, |s| u64::try_from(s.as_millis()).unwrap_or(u64::MAX))
-    }
-
     pub(crate) fn is_draining(&self) -> bool {
         self.is_draining.get()
     }
@@ -136,6 +157,42 @@
         !self.is_draining() && directory.config.is_some() && is_fresh
     }
 
+    /// How many connections this process may have to one server of a service, so that all processes
+    /// together stay under what the server accepts; it resets those beyond.
+    pub(crate) fn connection_limit(&self, service: &str) -> u32 {
+        let directory = self.directory.borrow();
+        let config = directory.config.as_ref();
+        let service = config.and_then(|config| config.services.get(service));
+        let processes = u32::try_from(directory.peers.len() + 1).unwrap_or(u32::MAX);
+        service.map_or(u32::MAX, |s| (s.max_connections / processes).max(1))
+    }
+
+    /// Notes a request for a service; each earns a part of a retry.
+    pub(crate) fn earn_retry(&self, service: &str) {
+        let mut retries = self.retries.borrow_mut();
+        let budget = retries.entry(service.to_owned()).or_default();
+        budget.on_call(Percent::new(RETRY_PERCENT).unwrap_or_default());
+    }
+
+    /// Whether a request for a service may be sent again.
+    pub(crate) fn take_retry(&self, service: &str) -> bool {
+        let mut retries = self.retries.borrow_mut();
+        retries.entry(service.to_owned()).or_default().take()
+    }
+
+    /// Holds `bytes` of a request's body until dropped; none when too much is held already.
+    pub(crate) fn hold_body(&self, bytes: usize) -> Option<BodyHold<'_>> {
+        let held = self.body_bytes.get() + bytes;
+        if held > self.body_limit_bytes {
+            return None;
+        }
+        self.body_bytes.set(held);
+        Some(BodyHold {
+            held: &self.body_bytes,
+            bytes,
+        })
+    }
+
     pub(crate) fn start_request(&self) -> Running<'_> {
         self.running.set(self.running.get() + 1);
         Running(&self.running)
@@ -317,14 +374,22 @@
         let settings = &self.settings;
         let store = Rc::new(StoreClient::new(settings.store));
         store.set_relays(settings.seeds.clone());
-        let writer = format!("{:08x}", rand::random::<u32>());
-        let ledger = Ledger::new(settings.ledger, writer, Rc::clone(&store));
+        let ledger = Rc::new(LedgerStore {
+            settings: settings.ledger,
+            client: Rc::clone(&store),
+        });
+        let writer = format!("{:016x}", rand::random::<u64>());
         let shared = Rc::new(Shared {
             store,
-            ledger: Rc::new(ledger),
+            budgets: Rc::new(Budgets::new(Rc::clone(&ledger), writer)),
+            turns: Turns::new(Rc::clone(&ledger)),
+            ledger,
             pool: Pool::default(),
             choice: RefCell::default(),
             metrics: GatewayMetrics::new(),
+            retries: RefCell::default(),
+            body_bytes: Cell::new(0),
+            body_limit_bytes: settings.body_limit_bytes,
             directory,
             logger: self.logger.clone(),
             log_every: settings.log_every,
@@ -405,6 +470,7 @@
 async fn keep_house(shared: Rc<Shared>, vm: String, own_address: SocketAddr) {
     let event = Event::new(EventKind::ProcessReady).with("vm", vm);
     let mut said_ready = false;
+    let mut sweep = Sweep::starting_at(rand::random());
     loop {
         let now = Instant::now();
         if !said_ready && shared.is_ready(now) {
@@ -413,7 +479,7 @@
         }
         shared.pool.close_stale(now);
         shared.store.close_stale(now);
-        shared.ledger.forget_idle(now);
+        shared.budgets.forget_idle(now);
         let directory = shared.directory();
         let peers = directory.peers.iter().copied();
         let peers: Vec<SocketAddr> = peers.filter(|peer| *peer != own_address).collect();
@@ -422,6 +488,8 @@
         }
         let target = newest_target(&Topic::Config, 0, None);
         shared.store.probe(&StoreCall::get(target)).await;
+        let processes = directory.peers.len() + 1;
+        sweep.step(&shared.ledger, processes, now, unix_ms()).await;
         let servers = &directory.servers.servers;
         shared
             .choice
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -50,7 +50,11 @@
     let mut tried = Vec::new();
     let mut sends = 0;
     let mut refusal = Refusal::NoServer;
+    shared.earn_retry(job.service);
     while sends < job.route.attempts {
+        if sends > 0 && !shared.take_retry(job.service) {
+            break;
+        }
         let Some(slot) = job.place(shared, &tried, None) else {
             break;
         };
--- a/clementinepickd/src/gateway_connection.rs
+++ b/clementinepickd/src/gateway_connection.rs
@@ -15,7 +15,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio_util::codec::Decoder;
 
-use crate::gateway::Shared;
+use crate::gateway::{BodyHold, Shared};
 use crate::gateway_reply::{Reply, ReplyState};
 
 /// How many bytes of a next request are taken while one is answered; a caller that sends more is
@@ -25,9 +25,10 @@
 const REFUSAL_LIMIT: Duration = Duration::from_secs(1);
 
 /// A request that was read in full.
-pub(crate) struct Received {
+pub(crate) struct Received<'a> {
     pub(crate) head: Request,
     pub(crate) body: Bytes,
+    _hold: Option<BodyHold<'a>>,
     /// When its first byte was there.
     pub(crate) arrived: Instant,
 }
@@ -37,7 +38,7 @@
     /// Answers a request. A reply that is left incomplete ends the connection.
     fn handle<'a>(
         &'a self,
-        request: &'a Received,
+        request: &'a Received<'_>,
         reply: &'a mut Reply<'_>,
     ) -> std::pin::Pin<Box<dyn Future<Output = ()> + 'a>>;
 }
@@ -101,12 +102,12 @@
     }
 }
 
-async fn receive(
-    shared: &Shared,
+async fn receive<'a>(
+    shared: &'a Shared,
     reader: &mut Reader,
     codec: &mut Codec,
     write: &mut OwnedWriteHalf,
-) -> Result<Received, ReadEnd> {
+) -> Result<Received<'a>, ReadEnd> {
     let limits = shared.limits();
     if reader.buffer.is_empty() {
         let first = timeout(duration(limits.idle_us), reader.fill());
@@ -123,15 +124,24 @@
     let arrived = Instant::now();
     let head = read_head(reader, codec, &limits);
     let head = in_time(limits.head_us, head).await?;
-    let body = receive_body(reader, codec, write, &head, &limits);
+    let body = receive_body(shared, reader, codec, write, &head, &limits);
     let body = in_time(limits.idle_us, body).await?;
+    let hold = match body.len() {
+        0 => None,
+        bytes => Some(shared.hold_body(bytes).ok_or(overloaded())?),
+    };
     Ok(Received {
         head,
         body,
+        _hold: hold,
         arrived,
     })
 }
 
+fn overloaded() -> ReadEnd {
+    ReadEnd::Refused(Refusal::Overloaded)
+}
+
 async fn in_time<T>(
     limit_us: SpanUs,
     reading: impl Future<Output = Result<T, ReadEnd>>,
@@ -143,6 +153,7 @@
 }
 
 async fn receive_body(
+    shared: &Shared,
     reader: &mut Reader,
     codec: &mut Codec,
     write: &mut OwnedWriteHalf,
@@ -157,6 +168,9 @@
     if !has_body(head) {
         return Ok(Bytes::new());
     }
+    if length.is_some_and(|length| shared.hold_body(length).is_none()) {
+        return Err(overloaded());
+    }
     if head.head().expect() && reader.buffer.is_empty() {
         let go_on = write.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         go_on.map_err(|_| ReadEnd::Closed)?;
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -19,7 +19,7 @@
 
 /// A request that is on its way through this process.
 pub(crate) struct Job<'a> {
-    pub(crate) received: &'a Received,
+    pub(crate) received: &'a Received<'a>,
     pub(crate) info: &'a RequestInfo,
     pub(crate) route: &'a TrafficRoute,
     /// The service that the route gave it to.
@@ -93,13 +93,18 @@
         last_server: Option<&str>,
     ) -> Option<ServerSlot> {
         let directory = shared.directory();
-        let candidates: Vec<&BackendServer> = directory.servers.ready(self.service).collect();
+        let limit = shared.connection_limit(self.service);
+        let mut choice = shared.choice.borrow_mut();
+        let candidates: Vec<&BackendServer> = directory
+            .servers
+            .ready(self.service)
+            .filter(|server| choice.in_flight(&server.id) < limit)
+            .collect();
         let affinity = Affinity {
             parts: &self.info.parts,
             last_server,
         };
         let now = shared.now_us(Instant::now());
-        let mut choice = shared.choice.borrow_mut();
         let server = choice.choose(now, &candidates, tried, affinity)?.clone();
         choice.start(&server.id, affinity);
         drop(choice);
@@ -190,6 +195,6 @@
 const MAX_REFUSAL_BYTES: usize = 16_384;
 
 /// Path and query as the caller sent them.
-fn target(received: &Received) -> Uri {
+fn target(received: &Received<'_>) -> Uri {
     received.head.uri().clone()
 }
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -42,7 +42,8 @@
 
     fn render(&self, shared: &Shared) -> String {
         let counts = shared.store.counts();
-        let (programs, turns, turn_bytes) = shared.ledger.sizes();
+        let programs = shared.budgets.program_count();
+        let (turns, turn_bytes) = shared.turns.cached();
         with_local_recorder(&self.recorder, || {
             counter!("clementinepick_store_calls_total").absolute(counts.calls);
             counter!("clementinepick_store_failures_total").absolute(counts.failures);
@@ -68,7 +69,7 @@
 impl Handler for MetricsHandler {
     fn handle<'a>(
         &'a self,
-        request: &'a Received,
+        request: &'a Received<'_>,
         reply: &'a mut Reply<'_>,
     ) -> Pin<Box<dyn Future<Output = ()> + 'a>> {
         Box::pin(async move {
@@ -106,7 +107,8 @@
             })
         })
         .collect();
-    let (programs, turns, turn_bytes) = shared.ledger.sizes();
+    let programs = shared.budgets.program_count();
+    let (turns, turn_bytes) = shared.turns.cached();
     let state = json!({
         "is_ready": shared.is_ready(now),
         "is_draining": shared.is_draining(),
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -24,7 +24,7 @@
 impl Handler for PeerHandler {
     fn handle<'a>(
         &'a self,
-        request: &'a Received,
+        request: &'a Received<'_>,
         reply: &'a mut Reply<'_>,
     ) -> Pin<Box<dyn Future<Output = ()> + 'a>> {
         Box::pin(async move {
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -31,7 +31,7 @@
 impl Handler for CallerHandler {
     fn handle<'a>(
         &'a self,
-        request: &'a Received,
+        request: &'a Received<'_>,
         reply: &'a mut Reply<'_>,
     ) -> Pin<Box<dyn Future<Output = ()> + 'a>> {
         Box::pin(async move {
@@ -75,7 +75,14 @@
         }
     }
 
-    fn log(&self, event: Event, request: &Received, id: &str, trace: &Trace, reply: &Reply<'_>) {
+    fn log(
+        &self,
+        event: Event,
+        request: &Received<'_>,
+        id: &str,
+        trace: &Trace,
+        reply: &Reply<'_>,
+    ) {
         let took = request.arrived.elapsed();
         let event = event
             .with("request", id)
@@ -88,7 +95,7 @@
 
 async fn serve(
     shared: &Rc<Shared>,
-    request: &Received,
+    request: &Received<'_>,
     info: Option<RequestInfo>,
     trace: &Trace,
     reply: &mut Reply<'_>,
@@ -128,7 +135,7 @@
 
 fn job<'a>(
     config: &'a TrafficConfig,
-    request: &'a Received,
+    request: &'a Received<'a>,
     info: &'a RequestInfo,
 ) -> Result<Job<'a>, Refusal> {
     let host = request.head.head().headers.get("host");
@@ -155,7 +162,7 @@
 impl Handler for ReadyHandler {
     fn handle<'a>(
         &'a self,
-        request: &'a Received,
+        request: &'a Received<'_>,
         reply: &'a mut Reply<'_>,
     ) -> Pin<Box<dyn Future<Output = ()> + 'a>> {
         Box::pin(async move {
--- a/clementinepickd/src/gateway_settings.rs
+++ b/clementinepickd/src/gateway_settings.rs
@@ -38,6 +38,9 @@
     pub seeds: Vec<SocketAddr>,
     /// The shape of the ledger.
     pub ledger: LedgerSettings,
+    /// How many bytes of request bodies are held at once; requests beyond are refused unread. Bodies
+    /// are the only thing in memory that callers choose the size of.
+    pub body_limit_bytes: usize,
     /// How long callers are still accepted after the signal to end, so that the balancer can notice
     /// that the process is not ready: two of its looks, a second apart, and a half.
     pub notice: Duration,
@@ -59,6 +62,7 @@
             store: ANY_PORT,
             seeds: Vec::new(),
             ledger: LedgerSettings::default(),
+            body_limit_bytes: 16_777_216,
             notice: Duration::from_millis(2_500),
             shutdown_limit: Duration::from_millis(7_400),
         }
@@ -85,9 +89,10 @@
     source.set("process", "log_level", &mut settings.log_level)?;
     source.set("process", "log_every", &mut settings.log_every)?;
     source.set("store", "partitions", &mut settings.ledger.partitions)?;
-    settings.ledger.record_bytes = bytes(source, "record", settings.ledger.record_bytes)?;
-    settings.ledger.call_bytes = bytes(source, "call", settings.ledger.call_bytes)?;
-    settings.ledger.cache_bytes = bytes(source, "cache", settings.ledger.cache_bytes)?;
+    settings.body_limit_bytes = bytes(source, "limits", "bodies", settings.body_limit_bytes)?;
+    settings.ledger.record_bytes = bytes(source, "store", "record", settings.ledger.record_bytes)?;
+    settings.ledger.call_bytes = bytes(source, "store", "call", settings.ledger.call_bytes)?;
+    settings.ledger.cache_bytes = bytes(source, "store", "cache", settings.ledger.cache_bytes)?;
     settings.notice = span(source, "notice", settings.notice)?;
     settings.shutdown_limit = span(source, "limit", settings.shutdown_limit)?;
     if settings.notice >= settings.shutdown_limit {
@@ -119,10 +124,11 @@
 
 fn bytes(
     source: &mut Source<'_>,
+    section: &'static str,
     key: &'static str,
     default: usize,
 ) -> Result<usize, SettingsError> {
-    let read: Option<Bytes> = source.read("store", key)?;
+    let read: Option<Bytes> = source.read(section, key)?;
     Ok(read.map_or(default, |bytes| {
         usize::try_from(bytes.0).unwrap_or(usize::MAX)
     }))
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -9,7 +9,6 @@
 use bytes::{Bytes, BytesMut};
 use clementinepick::event_stream::{EventSplitter, StreamEvent};
 use clementinepick::refusal::Refusal;
-use clementinepick::traffic_config::ContextRetention;
 use clementinepick::turn_chain::{Turn, prompt};
 use clementinepick::units::Tokens;
 
@@ -17,7 +16,9 @@
 use crate::gateway_exchange::{Answering, Job, Sent, ServerSlot};
 use crate::gateway_reply::{CallerGone, Reply, ReplyState};
 use crate::gateway_trace::Trace;
-use crate::ledger::{BudgetHold, LedgerError};
+use crate::ledger::LedgerError;
+use crate::ledger_budgets::{BudgetHold, BudgetRequest};
+use crate::unix_time::unix_ms;
 
 /// The most tokens of a turn that names none; a turn without a maximum counts as a large one.
 const DEFAULT_TURN_TOKENS: Tokens = Tokens(1_024);
@@ -74,7 +75,7 @@
         body: prompt(previous.as_ref(), &job.received.body),
         previous,
         server: None,
-        keeps_output: job.route.context.is_some(),
+        keeps_output: job.route.keeps_context,
         delivered: Delivered {
             last_event_id: job.info.last_event_id,
             output: BytesMut::new(),
@@ -85,9 +86,7 @@
     }
     trace.generated(Instant::now());
     if reply.state() == ReplyState::Started {
-        if let Some(context) = job.route.context
-            && !stream.record(context).await
-        {
+        if job.route.keeps_context && !stream.record().await {
             // The end is withheld: a caller that saw it could continue from a turn that a loss of
             // this process would lose.
             return Ok(Err(Refusal::LedgerAway));
@@ -101,10 +100,10 @@
     let Some(id) = job.info.previous_turn.as_ref() else {
         return Ok(None);
     };
-    if job.route.context.is_none() {
+    if !job.route.keeps_context {
         return Ok(None);
     }
-    let turn = shared.ledger.turn(id, ledger_deadline(job)).await;
+    let turn = shared.turns.get(id, ledger_deadline(job)).await;
     turn.map(Some).map_err(refusal_of)
 }
 
@@ -112,12 +111,14 @@
     let (Some(program), Some(budget)) = (&job.info.program, job.info.budget_tokens) else {
         return Ok(None);
     };
-    let turn = job.info.most_tokens.map_or(DEFAULT_TURN_TOKENS, Tokens);
-    let deadline = ledger_deadline(job);
-    let hold = shared
-        .ledger
-        .reserve(program, Tokens(budget), turn, deadline);
-    hold.await.map(Some).map_err(refusal_of)
+    let request = BudgetRequest {
+        program,
+        budget: Tokens(budget),
+        turn: job.info.most_tokens.map_or(DEFAULT_TURN_TOKENS, Tokens),
+        retention: job.route.retention_us,
+    };
+    let hold = shared.budgets.reserve(&request, ledger_deadline(job)).await;
+    hold.map(Some).map_err(refusal_of)
 }
 
 /// Until when the store is waited for before a request is refused. A caller that comes back is
@@ -151,17 +152,18 @@
 
 impl TurnStream<'_, '_> {
     /// Records the turn; false when the store did not take the record in time.
-    async fn record(self, context: ContextRetention) -> bool {
+    async fn record(self) -> bool {
         let turn = Turn {
             id: self.job.info.id.clone(),
             parent: self.previous,
             server: self.server,
             input: self.job.received.body.clone(),
             output: self.delivered.output.freeze(),
-            recorded_unix_ms: Shared::unix_ms(),
+            recorded_unix_ms: unix_ms(),
         };
-        let ledger = &self.shared.ledger;
-        let recorded = ledger.record_turn(turn, context.retain_us, self.job.deadline);
+        let retention = self.job.route.retention_us;
+        let turns = &self.shared.turns;
+        let recorded = turns.record(turn, retention, self.job.deadline);
         recorded.await.is_ok()
     }
 
@@ -170,11 +172,15 @@
         let mut tried = Vec::new();
         let mut sends = 0;
         let mut refusal = Refusal::NoServer;
+        self.shared.earn_retry(self.job.service);
         while sends < self.job.route.attempts {
             let last_server = self
                 .previous
                 .as_ref()
                 .and_then(|turn| turn.server.as_deref());
+            if sends > 0 && !self.shared.take_retry(self.job.service) {
+                break;
+            }
             let Some(slot) = self.job.place(self.shared, &tried, last_server) else {
                 break;
             };
--- /dev/null
+++ b/clementinepickd/src/ledger_budgets.rs
@@ -0,0 +1,286 @@
+//! Programs' budgets: slices reserved in the store and spent from memory.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use clementinepick::budget_ledger::{BudgetView, ProgramSlices, SliceDecision, SliceRecord};
+use clementinepick::units::{SpanUs, Tokens};
+use platform::store::{KeyedRecord, MAX_KEY_BYTES, decode_end, decode_read, read_target};
+use tokio::sync::Mutex;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ledger::{LedgerError, LedgerStore, Partition, from_cbor, to_cbor};
+use crate::store::StoreCall;
+use crate::unix_time::unix_ms;
+
+/// How often a slice is decided anew after another process wrote first. Each round means that
+/// another process got its slice, so that more than a few are rare.
+const MAX_RESERVE_ROUNDS: u32 = 16;
+/// How long a program's slices and a partition's view stay in memory after their last use: longer
+/// than the retention of the users' routes, so that a program that pauses keeps its slice.
+const IDLE: Duration = Duration::from_mins(5);
+
+/// A turn that asks for a part of its program's budget.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct BudgetRequest<'a> {
+    pub(crate) program: &'a str,
+    /// What all turns of the program may generate.
+    pub(crate) budget: Tokens,
+    /// What this turn generates at most.
+    pub(crate) turn: Tokens,
+    /// How long the budget must count on after the program's last turn.
+    pub(crate) retention: SpanUs,
+}
+
+#[derive(Default)]
+struct ProgramState {
+    slices: ProgramSlices,
+    used_at: Option<Instant>,
+    /// When this process last wrote a record for the program.
+    recorded_at: Option<Instant>,
+}
+
+#[derive(Default)]
+struct PartitionState {
+    view: Rc<Mutex<Option<BudgetView>>>,
+    used_at: Option<Instant>,
+}
+
+/// The budgets as one process uses them.
+pub(crate) struct Budgets {
+    store: Rc<LedgerStore>,
+    /// A name that no other start of any process has.
+    writer: String,
+    programs: RefCell<BTreeMap<String, ProgramState>>,
+    partitions: RefCell<BTreeMap<Partition, PartitionState>>,
+    sequence: Cell<u64>,
+}
+
+/// A turn's maximum, set aside until the turn ends; dropped, it returns what was not handed out.
+pub(crate) struct BudgetHold {
+    budgets: Rc<Budgets>,
+    program: String,
+    turn: Tokens,
+    handed_out: Tokens,
+}
+
+impl BudgetHold {
+    /// Counts tokens that are about to be handed to the caller.
+    pub(crate) fn hand_out(&mut self, tokens: Tokens) {
+        self.handed_out.0 += tokens.0;
+    }
+}
+
+impl Drop for BudgetHold {
+    fn drop(&mut self) {
+        let mut programs = self.budgets.programs.borrow_mut();
+        if let Some(state) = programs.get_mut(&self.program) {
+            state.slices.finish(self.turn, self.handed_out);
+        }
+    }
+}
+
+impl Budgets {
+    pub(crate) fn new(store: Rc<LedgerStore>, writer: String) -> Self {
+        Self {
+            store,
+            writer,
+            programs: RefCell::default(),
+            partitions: RefCell::default(),
+            sequence: Cell::new(0),
+        }
+    }
+
+    /// Sets a turn's maximum aside, with a new slice from the store if those held do not suffice.
+    pub(crate) async fn reserve(
+        self: &Rc<Self>,
+        request: &BudgetRequest<'_>,
+        deadline: Instant,
+    ) -> Result<BudgetHold, LedgerError> {
+        if self.is_record_fresh(request)
+            && let Some(hold) = self.try_start(request)
+        {
+            return Ok(hold);
+        }
+        let partition = self.store.budget_partition(request.program);
+        let view = self.view(partition);
+        let mut view = view.lock().await;
+        // A turn that waited for the lock before this one may have brought a slice for both.
+        if self.is_record_fresh(request)
+            && let Some(hold) = self.try_start(request)
+        {
+            return Ok(hold);
+        }
+        let key = self.slice_key(request.program);
+        for _ in 0..MAX_RESERVE_ROUNDS {
+            let known = view.get_or_insert_with(BudgetView::empty);
+            let tokens = self.wanted_tokens(known, request)?;
+            let record = SliceRecord {
+                program: request.program.to_owned(),
+                tokens,
+                recorded_unix_ms: unix_ms(),
+                retain_ms: request.retention.as_ms(),
+            };
+            let records = [KeyedRecord {
+                key: key.clone(),
+                value: Some(to_cbor(&record)),
+            }];
+            let append = self
+                .store
+                .append(partition, Some(known.end), &records, deadline);
+            let reply = append.await?;
+            if reply.status == 200 {
+                known.end = decode_end(&reply.body).map_err(|_| LedgerError::Away)?;
+                known.apply(&key, &record);
+            } else {
+                // Another process wrote first, or an earlier copy of this append was done.
+                self.read_on(partition, known, deadline).await?;
+            }
+            if let Some(tokens) = known.tokens(request.program, &key) {
+                self.grant(request.program, tokens);
+                return self.try_start(request).ok_or(LedgerError::Spent);
+            }
+        }
+        Err(LedgerError::Away)
+    }
+
+    /// How many tokens the next slice has; none where those held suffice and only the record that
+    /// the program runs is due.
+    fn wanted_tokens(
+        &self,
+        view: &BudgetView,
+        request: &BudgetRequest<'_>,
+    ) -> Result<Tokens, LedgerError> {
+        let programs = self.programs.borrow();
+        let held = programs.get(request.program).map(|state| state.slices);
+        if held.is_some_and(|mut slices| slices.try_start(request.turn)) {
+            return Ok(Tokens(0));
+        }
+        match view.decide(request.program, request.budget, request.turn) {
+            SliceDecision::Spent => Err(LedgerError::Spent),
+            SliceDecision::Reserve { tokens } => Ok(tokens),
+        }
+    }
+
+    /// Whether this process has written a record for the program within its retention.
+    ///
+    /// Slices of programs without such a record are dropped in time. Without this look, a program
+    /// that runs for long on one slice would lose it from the store and get its budget anew.
+    fn is_record_fresh(&self, request: &BudgetRequest<'_>) -> bool {
+        let retention = Duration::from_micros(request.retention.0);
+        let programs = self.programs.borrow();
+        let state = programs.get(request.program);
+        let recorded_at = state.and_then(|state| state.recorded_at);
+        recorded_at.is_some_and(|at| at.elapsed() < retention)
+    }
+
+    fn view(&self, partition: Partition) -> Rc<Mutex<Option<BudgetView>>> {
+        let mut partitions = self.partitions.borrow_mut();
+        let state = partitions.entry(partition).or_default();
+        state.used_at = Some(Instant::now());
+        Rc::clone(&state.view)
+    }
+
+    fn slice_key(&self, program: &str) -> String {
+        self.sequence.set(self.sequence.get() + 1);
+        let sequence = self.sequence.get();
+        let key = format!("{program}/{}/{sequence}", self.writer);
+        if key.len() <= MAX_KEY_BYTES {
+            return key;
+        }
+        let hash = xxh3_64(program.as_bytes());
+        format!("{hash:016x}/{}/{sequence}", self.writer)
+    }
+
+    fn try_start(self: &Rc<Self>, request: &BudgetRequest<'_>) -> Option<BudgetHold> {
+        let mut programs = self.programs.borrow_mut();
+        let state = programs.get_mut(request.program)?;
+        state.used_at = Some(Instant::now());
+        state.slices.try_start(request.turn).then(|| BudgetHold {
+            budgets: Rc::clone(self),
+            program: request.program.to_owned(),
+            turn: request.turn,
+            handed_out: Tokens(0),
+        })
+    }
+
+    fn grant(&self, program: &str, tokens: Tokens) {
+        let mut programs = self.programs.borrow_mut();
+        let state = programs.entry(program.to_owned()).or_default();
+        state.slices.granted.0 += tokens.0;
+        state.recorded_at = Some(Instant::now());
+    }
+
+    /// Reads what was written since the view's end, or all where that is no longer kept.
+    async fn read_on(
+        &self,
+        partition: Partition,
+        view: &mut BudgetView,
+        deadline: Instant,
+    ) -> Result<(), LedgerError> {
+        let target = read_target(&partition.topic, partition.number, view.end, 0);
+        let call = StoreCall::get(target);
+        let reply = self.store.client.call(&call, deadline).await?;
+        if reply.status == 200 {
+            let read = decode_read(&reply.body).map_err(|_| LedgerError::Away)?;
+            // An answer may hold fewer records than there are; the view ends with the last one read.
+            view.end += read.records.len() as u64;
+            apply_records(view, &read.records);
+            if view.end >= read.end {
+                return Ok(());
+            }
+        }
+        self.read_all(partition, view, deadline).await
+    }
+
+    async fn read_all(
+        &self,
+        partition: Partition,
+        view: &mut BudgetView,
+        deadline: Instant,
+    ) -> Result<(), LedgerError> {
+        let mut after: Option<String> = None;
+        let mut first_end = None;
+        loop {
+            let page = self.store.newest(partition, after.as_deref(), deadline);
+            let page = page.await?;
+            // Records may be written between two pages: only those before the first page's end are
+            // certain to have been seen.
+            let end = *first_end.get_or_insert(page.end);
+            apply_records(view, &page.records);
+            after = page.records.last().map(|record| record.key.clone());
+            if !page.has_more || after.is_none() {
+                view.end = end;
+                return Ok(());
+            }
+        }
+    }
+
+    /// Forgets programs and partitions that were not used for long.
+    pub(crate) fn forget_idle(&self, now: Instant) {
+        let is_recent =
+            |at: Option<Instant>| at.is_none_or(|at| now.saturating_duration_since(at) < IDLE);
+        self.programs
+            .borrow_mut()
+            .retain(|_, state| state.slices.outstanding > Tokens(0) || is_recent(state.used_at));
+        self.partitions
+            .borrow_mut()
+            .retain(|_, state| Rc::strong_count(&state.view) > 1 || is_recent(state.used_at));
+    }
+
+    /// How many programs are in memory.
+    pub(crate) fn program_count(&self) -> usize {
+        self.programs.borrow().len()
+    }
+}
+
+fn apply_records(view: &mut BudgetView, records: &[KeyedRecord]) {
+    for KeyedRecord { key, value } in records {
+        let Some(value) = value else { continue };
+        if let Some(record) = from_cbor::<SliceRecord>(value) {
+            view.apply(key, &record);
+        }
+    }
+}
--- /dev/null
+++ b/clementinepickd/src/ledger_sweep.rs
@@ -0,0 +1,141 @@
+//! Drops records of programs and turns that ended long ago.
+//!
+//! The processes share the work without speaking: each looks at one partition after the other in an
+//! order of its own, so often that all of them together see each partition once in a period. A
+//! process that is lost leaves nothing behind for good.
+
+use std::time::{Duration, Instant};
+
+use clementinepick::budget_ledger::{SliceRecord, expired_slices};
+use clementinepick::record_age::is_expired;
+use clementinepick::turn_chain::TurnRecord;
+use platform::store::{KeyedRecord, NewestPage, Topic};
+
+use crate::ledger::{LedgerError, LedgerStore, Partition, from_cbor};
+use crate::ledger_turns::is_part_of;
+
+/// How often each partition is looked at. Records live for three retentions, three minutes on the
+/// users' sites; with this period, half as many again lie in the store on average.
+const PERIOD: Duration = Duration::from_mins(8);
+/// How long one look may take.
+const LOOK_LIMIT: Duration = Duration::from_secs(2);
+
+/// Where one process is in its round.
+#[derive(Debug, Default)]
+pub(crate) struct Sweep {
+    position: u64,
+    looked_at: Option<Instant>,
+}
+
+impl Sweep {
+    /// A sweep that begins anywhere, so that processes that start together spread out.
+    pub(crate) fn starting_at(position: u64) -> Self {
+        Self {
+            position,
+            looked_at: None,
+        }
+    }
+
+    /// Looks at the next partition if it is time; `processes` share the work.
+    pub(crate) async fn step(
+        &mut self,
+        store: &LedgerStore,
+        processes: usize,
+        now: Instant,
+        now_unix_ms: u64,
+    ) {
+        let first = *self.looked_at.get_or_insert(now);
+        let interval = interval(store, processes);
+        if now.saturating_duration_since(first) < interval || store.client.is_away() {
+            return;
+        }
+        self.looked_at = Some(now);
+        self.position = self.position.wrapping_add(1);
+        let partition = partition_at(store, self.position);
+        // A look that fails is made again in the next round; nothing depends on it but space.
+        let _ = sweep(store, partition, now + LOOK_LIMIT, now_unix_ms).await;
+    }
+}
+
+fn partition_count(store: &LedgerStore) -> u64 {
+    let settings = &store.settings;
+    let topics = u64::from(settings.budget_topics) + u64::from(settings.turn_topics);
+    topics * u64::from(settings.partitions)
+}
+
+fn interval(store: &LedgerStore, processes: usize) -> Duration {
+    let partitions = u32::try_from(partition_count(store)).unwrap_or(u32::MAX);
+    let processes = u32::try_from(processes).unwrap_or(u32::MAX);
+    PERIOD.saturating_mul(processes) / partitions.max(1)
+}
+
+fn partition_at(store: &LedgerStore, position: u64) -> Partition {
+    let settings = &store.settings;
+    let place = position % partition_count(store).max(1);
+    let partitions = u64::from(settings.partitions.max(1));
+    let topic = u8::try_from(place / partitions).unwrap_or(0);
+    let topic = match topic.checked_sub(settings.budget_topics) {
+        Some(number) => Topic::Turns(number),
+        None => Topic::Budgets(topic),
+    };
+    Partition {
+        topic,
+        number: u32::try_from(place % partitions).unwrap_or(0),
+    }
+}
+
+async fn sweep(
+    store: &LedgerStore,
+    partition: Partition,
+    deadline: Instant,
+    now_unix_ms: u64,
+) -> Result<(), LedgerError> {
+    let mut records = Vec::new();
+    let mut after: Option<String> = None;
+    loop {
+        let page: NewestPage = store.newest(partition, after.as_deref(), deadline).await?;
+        after = page.records.last().map(|record| record.key.clone());
+        records.extend(page.records);
+        if !page.has_more || after.is_none() {
+            break;
+        }
+    }
+    let keys = match partition.topic {
+        Topic::Budgets(_) => expired_slices(&decode_slices(&records), now_unix_ms),
+        _ => expired_turns(&records, now_unix_ms),
+    };
+    if keys.is_empty() {
+        return Ok(());
+    }
+    let drops: Vec<KeyedRecord> = keys
+        .into_iter()
+        .map(|key| KeyedRecord { key, value: None })
+        .collect();
+    store.append(partition, None, &drops, deadline).await?;
+    Ok(())
+}
+
+fn decode_slices(records: &[KeyedRecord]) -> Vec<(String, SliceRecord)> {
+    let slices = records.iter().filter_map(|record| {
+        let slice = from_cbor(record.value.as_ref()?)?;
+        Some((record.key.clone(), slice))
+    });
+    slices.collect()
+}
+
+/// The keys of expired turns and of their parts. A turn in parts is written parts first, so that
+/// parts without a turn may belong to one that is just being written; they stay.
+fn expired_turns(records: &[KeyedRecord], now_unix_ms: u64) -> Vec<String> {
+    let mut expired: Vec<String> = Vec::new();
+    for record in records {
+        let is_part = expired
+            .last()
+            .is_some_and(|key| is_part_of(&record.key, key.split('!').next().unwrap_or(key)));
+        let turn: Option<TurnRecord> = record.value.as_ref().and_then(|value| from_cbor(value));
+        let is_old = turn.is_some_and(|t| is_expired(t.recorded_unix_ms, t.retain_ms, now_unix_ms));
+        if is_part || is_old {
+            expired.push(record.key.clone());
+        }
+    }
+    expired
+}
--- /dev/null
+++ b/clementinepickd/src/ledger_turns.rs
@@ -0,0 +1,232 @@
+//! Ended turns: recorded in the store before their callers see the end, and cached.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use clementinepick::turn_chain::{Turn, TurnRecord, needs_whole_chain, prompt};
+use clementinepick::units::SpanUs;
+use platform::store::KeyedRecord;
+
+use crate::ledger::{LedgerError, LedgerStore, from_cbor, key_of, to_cbor};
+
+/// The longest chain of records that is followed. A chain is written whole at the latest after two
+/// retentions, so that only programs with more turns than this in that time come near it.
+const MAX_CHAIN_TURNS: usize = 10_000;
+/// What a record has beside its body, in bytes: key, lengths and names of fields.
+const RECORD_OVERHEAD_BYTES: usize = 1_024;
+
+/// The turns as one process knows them.
+pub(crate) struct Turns {
+    store: Rc<LedgerStore>,
+    cache: RefCell<TurnCache>,
+}
+
+/// Turns in memory, the least recently used dropped first.
+#[derive(Default)]
+struct TurnCache {
+    turns: BTreeMap<String, (Arc<Turn>, u64)>,
+    by_use: BTreeMap<u64, String>,
+    bytes: usize,
+    uses: u64,
+}
+
+impl TurnCache {
+    fn get(&mut self, id: &str) -> Option<Arc<Turn>> {
+        let (turn, used) = self.turns.get_mut(id)?;
+        self.by_use.remove(used);
+        self.uses += 1;
+        *used = self.uses;
+        self.by_use.insert(self.uses, id.to_owned());
+        Some(Arc::clone(turn))
+    }
+
+    fn insert(&mut self, turn: &Arc<Turn>, limit_bytes: usize) {
+        self.remove(&turn.id);
+        self.uses += 1;
+        self.bytes += turn.own_bytes();
+        self.by_use.insert(self.uses, turn.id.clone());
+        self.turns
+            .insert(turn.id.clone(), (Arc::clone(turn), self.uses));
+        while self.bytes > limit_bytes && self.turns.len() > 1 {
+            let Some((_, oldest)) = self.by_use.first_key_value() else {
+                return;
+            };
+            let oldest = oldest.clone();
+            self.remove(&oldest);
+        }
+    }
+
+    fn remove(&mut self, id: &str) {
+        if let Some((turn, used)) = self.turns.remove(id) {
+            self.by_use.remove(&used);
+            self.bytes -= turn.own_bytes();
+        }
+    }
+}
+
+impl Turns {
+    pub(crate) fn new(store: Rc<LedgerStore>) -> Self {
+        Self {
+            store,
+            cache: RefCell::default(),
+        }
+    }
+
+    /// The turn with this id and all before it.
+    pub(crate) async fn get(&self, id: &str, deadline: Instant) -> Result<Arc<Turn>, LedgerError> {
+        let mut records: Vec<(String, TurnRecord)> = Vec::new();
+        let mut wanted = Some(id.to_owned());
+        let mut base = None;
+        while let Some(id) = wanted.take() {
+            base = self.cache.borrow_mut().get(&id);
+            if base.is_some() {
+                break;
+            }
+            let Some(record) = self.read(&id, deadline).await? else {
+                // The newest turn may be one that never was. An older one was written before a
+                // newer one that names it, so its absence means that something is wrong here.
+                let is_first = records.is_empty();
+                return Err(if is_first {
+                    LedgerError::UnknownTurn
+                } else {
+                    LedgerError::Away
+                });
+            };
+            wanted.clone_from(&record.parent);
+            records.push((id, record));
+            if records.len() > MAX_CHAIN_TURNS {
+                return Err(LedgerError::Away);
+            }
+        }
+        for (id, record) in records.into_iter().rev() {
+            let turn = record.into_turn(id, base).map_err(|_| LedgerError::Away)?;
+            base = Some(self.keep(turn));
+        }
+        base.ok_or(LedgerError::UnknownTurn)
+    }
+
+    fn keep(&self, turn: Turn) -> Arc<Turn> {
+        let turn = Arc::new(turn);
+        let limit_bytes = self.store.settings.cache_bytes;
+        self.cache.borrow_mut().insert(&turn, limit_bytes);
+        turn
+    }
+
+    /// The record of a turn; none only if the store says that there is none.
+    async fn read(&self, id: &str, deadline: Instant) -> Result<Option<TurnRecord>, LedgerError> {
+        let key = key_of(id);
+        let partition = self.store.turn_partition(id);
+        let mut after = key_before(&key);
+        let mut found: Option<TurnRecord> = None;
+        let mut parts: Vec<Bytes> = Vec::new();
+        loop {
+            let page = self.store.newest(partition, after.as_deref(), deadline);
+            let page = page.await?;
+            let last = page.records.last().map(|record| record.key.clone());
+            for record in page.records {
+                let Some(value) = record.value else { continue };
+                if record.key == key {
+                    found = Some(from_cbor(&value).ok_or(LedgerError::Away)?);
+                } else if is_part_of(&record.key, &key) {
+                    parts.push(value);
+                }
+            }
+            let is_past = |last: &str| last > key.as_str() && !is_part_of(last, &key);
+            if !page.has_more || last.as_deref().is_none_or(is_past) {
+                break;
+            }
+            after = last;
+        }
+        let Some(mut record) = found else {
+            return Ok(None);
+        };
+        if parts.len() < record.parts {
+            return Err(LedgerError::Away);
+        }
+        if record.parts > 0 {
+            record.body = parts.concat().into();
+        }
+        Ok(Some(record))
+    }
+
+    /// Records an ended turn; once this returns, no loss of processes can lose the turn.
+    pub(crate) async fn record(
+        &self,
+        mut turn: Turn,
+        retention: SpanUs,
+        deadline: Instant,
+    ) -> Result<(), LedgerError> {
+        let retain_ms = retention.as_ms();
+        let parent = turn.parent.as_ref();
+        if parent.is_some_and(|p| needs_whole_chain(p, turn.recorded_unix_ms, retain_ms)) {
+            turn.input = prompt(turn.parent.as_ref(), &turn.input);
+            turn.parent = None;
+        }
+        let partition = self.store.turn_partition(&turn.id);
+        for batch in self.batches(&turn, retain_ms) {
+            let reply = self.store.append(partition, None, &batch, deadline).await?;
+            if reply.status != 200 {
+                return Err(LedgerError::Away);
+            }
+        }
+        self.keep(turn);
+        Ok(())
+    }
+
+    /// The appends of a turn. A body that exceeds a record goes in parts before the record itself,
+    /// so that a reader that finds the record finds all of it.
+    fn batches(&self, turn: &Turn, retain_ms: u64) -> Vec<Vec<KeyedRecord>> {
+        let settings = &self.store.settings;
+        let key = key_of(&turn.id);
+        let mut record = TurnRecord::of(turn, retain_ms);
+        let part_bytes = settings.record_bytes.saturating_sub(RECORD_OVERHEAD_BYTES);
+        let mut batches = Vec::new();
+        if record.body.len() > part_bytes {
+            let body = std::mem::take(&mut record.body);
+            let parts: Vec<KeyedRecord> = body
+                .chunks(part_bytes.max(1))
+                .enumerate()
+                .map(|(number, part)| KeyedRecord {
+                    key: part_key(&key, number),
+                    value: Some(Bytes::copy_from_slice(part)),
+                })
+                .collect();
+            record.parts = parts.len();
+            let per_call = (settings.call_bytes / settings.record_bytes.max(1)).max(1);
+            batches.extend(parts.chunks(per_call).map(<[KeyedRecord]>::to_vec));
+        }
+        batches.push(vec![KeyedRecord {
+            key,
+            value: Some(to_cbor(&record)),
+        }]);
+        batches
+    }
+
+    /// How many turns are cached, and their bytes.
+    pub(crate) fn cached(&self) -> (usize, usize) {
+        let cache = self.cache.borrow();
+        (cache.turns.len(), cache.bytes)
+    }
+}
+
+/// The key of one part of a turn's body; it sorts right after the turn's own key.
+fn part_key(key: &str, number: usize) -> String {
+    format!("{key}!{number:04}")
+}
+
+/// Whether `part` is the key of a part of the turn with `key`.
+pub(crate) fn is_part_of(part: &str, key: &str) -> bool {
+    part.strip_prefix(key)
+        .is_some_and(|rest| rest.starts_with('!'))
+}
+
+/// A key that sorts before `key` with few keys between them.
+fn key_before(key: &str) -> Option<String> {
+    let mut before = key.to_owned();
+    before.pop();
+    (!before.is_empty()).then_some(before)
+}
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -32,6 +32,9 @@
 mod ini_source;
 mod input;
 mod ledger;
+mod ledger_budgets;
+mod ledger_sweep;
+mod ledger_turns;
 mod lines;
 mod link;
 mod links;
@@ -47,6 +50,7 @@
 mod store;
 mod tasks;
 mod telemetry;
+mod unix_time;
 mod vms_client;
 
 pub use daemon::{Daemon, Ended, StartError};
