Tell from logs what became of a request; say what gateways believe

clementinepickctl explain ID FILES puts the lines of a request or program of all gateways in order and in words; clementinepickctl gateway reads their state. Lines name program, versions and ages of what decided, slices and what they sum to, turns read, losses and returns of the store.

--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -119,6 +119,10 @@
     DocumentInForce = 306, "document_in_force", Info;
     /// A publication was rejected.
     DocumentRejected = 307, "document_rejected", Warning;
+    /// The store does not answer this process itself; peers make its calls, if they can.
+    StoreDirectDown = 308, "store_direct_down", Warning;
+    /// The store answers this process itself again.
+    StoreDirectUp = 309, "store_direct_up", Info;
     /// This entry owns a partition.
     PartitionOwned = 401, "partition_owned", Info;
     /// This entry no longer owns a partition.
@@ -147,6 +151,10 @@
     RequestFailed = 413, "request_failed", Info;
     /// A request that went well; only some are logged.
     RequestServed = 414, "request_served", Info;
+    /// A process reserved a slice of a program's budget.
+    BudgetReserved = 415, "budget_reserved", Info;
+    /// A process read turns that it did not have from the store.
+    TurnsRead = 416, "turns_read", Info;
     /// A call of an old epoch was refused.
     StaleEpoch = 501, "stale_epoch", Warning;
     /// The engine failed or closed a stream.
--- a/clementinepickctl/src/args.rs
+++ b/clementinepickctl/src/args.rs
@@ -61,6 +61,40 @@
     Drain(Drain),
     /// Explain events and errors.
     Events(Events),
+    /// Say what gateways believe.
+    Gateway(GatewayArgs),
+    /// Tell from logs what became of a request or program.
+    Explain(Explain),
+}
+
+/// Say what gateways believe: configuration, servers, peers, the store and what they hold.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "gateway",
+    example = "{command_name} 10.0.1.1:9464 10.0.1.2:9464"
+)]
+pub struct GatewayArgs {
+    /// the gateways' metrics addresses
+    #[argh(positional)]
+    pub addresses: Vec<String>,
+}
+
+/// Tell from collected logs what became of a request, or of all requests of a program, in order.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "explain",
+    example = "{command_name} 9c41d07be2a35f68 gateway-1.log gateway-2.log",
+    note = "Lines may have anything before their JSON, such as a collector's stamp."
+)]
+pub struct Explain {
+    /// the id of the request, or of the program
+    #[argh(positional)]
+    pub id: String,
+    /// the files of log lines
+    #[argh(positional)]
+    pub files: Vec<String>,
 }
 
 /// Read documents and say what is wrong with them.
--- a/clementinepickctl/src/client.rs
+++ b/clementinepickctl/src/client.rs
@@ -119,7 +119,12 @@
         expect_success(address, sent).map(|_| ())
     }
 
-    async fn get<T: DeserializeOwned>(&self, address: &str, path: &str) -> Result<T, CtlError> {
+    /// Reads JSON from a process.
+    pub(crate) async fn get<T: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+    ) -> Result<T, CtlError> {
         let sent = self.client.get(format!("http://{address}{path}")).send();
         let mut response = expect_success(address, sent.await)?;
         let body = response.json::<T>().limit(MAX_ANSWER_BYTES);
--- a/clementinepickctl/src/exit.rs
+++ b/clementinepickctl/src/exit.rs
@@ -109,6 +109,9 @@
     /// The command line is wrong.
     #[error("{0}")]
     Usage(String),
+    /// The logs say nothing of what was asked for.
+    #[error("no line names {0}; of requests that went well only some are logged")]
+    NoLines(String),
 }
 
 impl CtlError {
@@ -116,7 +119,7 @@
     #[must_use]
     pub const fn exit(&self) -> ExitCode {
         match self {
-            Self::File { .. } => ExitCode::NotFound,
+            Self::File { .. } | Self::NoLines(_) => ExitCode::NotFound,
             Self::Usage(_) => ExitCode::Usage,
             Self::Unreachable { .. } | Self::Incomplete => ExitCode::Unreachable,
         }
--- a/clementinepickctl/src/lib.rs
+++ b/clementinepickctl/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod diff;
 pub mod exit;
+pub mod explain;
 pub mod history;
 pub mod publish;
 mod reader;
--- /dev/null
+++ b/clementinepickctl/tests/explain.rs
@@ -0,0 +1,65 @@
+//! What the logs of several gateways say of one request or program.
+
+use clementinepickctl::explain::{LogLine, gateway_lines, read_log, story};
+use serde_json::json;
+
+const ONE: &str = r#"
+stamp of a collector {"msg":"budget_reserved","ts":"2026-01-01T00:00:01Z","process":"gateway-1","request":"r1","program":"p1","tokens":"1000 tokens","reserved":"1000 tokens","budget":"4000 tokens"}
+{"msg":"request_failed","ts":"2026-01-01T00:00:03Z","process":"gateway-1","request":"r9","program":"p9","reason":"no_route"}
+not a line of ours
+"#;
+const OTHER: &str = r#"{"msg":"request_failed","ts":"2026-01-01T00:00:02Z","process":"gateway-2","request":"r2","program":"p1","reason":"budget_spent","reserved":"4000 tokens"}"#;
+
+fn lines() -> Vec<LogLine> {
+    let mut lines = read_log(ONE);
+    lines.extend(read_log(OTHER));
+    lines
+}
+
+#[test]
+fn a_program_is_told_over_all_gateways_in_order() {
+    let told = story("p1", lines());
+    let told: Vec<String> = told.iter().map(LogLine::describe).collect();
+    assert_eq!(
+        told,
+        [
+            "2026-01-01T00:00:01Z gateway-1 r1 budget_reserved: A process reserved a slice of a \
+             program's budget. budget=4000 tokens program=p1 reserved=1000 tokens \
+             tokens=1000 tokens",
+            "2026-01-01T00:00:02Z gateway-2 r2 request_failed: A request ended otherwise than with \
+             a backend server's whole answer. program=p1 reason=budget_spent \
+             reserved=4000 tokens",
+        ]
+    );
+}
+
+#[test]
+fn a_request_is_told_alone() {
+    let told = story("r9", lines());
+    assert_eq!(told.len(), 1);
+    assert!(story("nobody", lines()).is_empty());
+}
+
+#[test]
+fn a_gateways_state_is_told_in_three_lines() {
+    let state = json!({
+        "is_ready": true,
+        "is_draining": false,
+        "config_version": 7,
+        "lists_age_ms": 120,
+        "store": { "is_away": false, "is_direct_down": true },
+        "peers": ["10.0.0.1:1", "10.0.0.2:1"],
+        "programs": 3,
+        "cached_turns": 4,
+        "cached_turn_bytes": 5_000,
+        "servers": [{ "is_draining": true }, { "is_draining": false }],
+    });
+    assert_eq!(
+        gateway_lines(&state),
+        [
+            "ready true, draining false, configuration 7, lists read 120 ms ago",
+            "store away false, direct way down true, 2 peers",
+            "3 programs, 4 turns in 5000 bytes, 2 servers, 1 of them leaving",
+        ]
+    );
+}
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -40,7 +40,7 @@
 use crate::ledger_budgets::Budgets;
 use crate::ledger_sweep::Sweep;
 use crate::ledger_turns::Turns;
-use crate::logging::{new_logger, write_event};
+use crate::logging::{new_logger_to, write_event};
 use crate::outbound_pool::Pool;
 use crate::store::{StoreCall, StoreClient};
 use crate::unix_time::unix_ms;
@@ -275,14 +275,27 @@
 }
 
 impl Gateway {
-    /// Binds all addresses.
+    /// Binds all addresses; logs to the standard output.
     ///
     /// # Errors
     ///
     /// An address can't be listened on.
-    pub fn bind(mut settings: GatewaySettings) -> Result<Self, GatewayError> {
+    pub fn bind(settings: GatewaySettings) -> Result<Self, GatewayError> {
+        Self::bind_logging_to(io::stdout(), settings)
+    }
+
+    /// Binds all addresses; logs to `output`, which may be slow or stand still: lines that it does
+    /// not take in time are dropped and counted.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be listened on.
+    pub fn bind_logging_to<W: io::Write + Send + 'static>(
+        output: W,
+        mut settings: GatewaySettings,
+    ) -> Result<Self, GatewayError> {
         let incarnation = Incarnation(rand::random());
-        let logger = new_logger(settings.log_level, &settings.vm, incarnation);
+        let logger = new_logger_to(output, settings.log_level, &settings.vm, incarnation);
         let listeners = Listeners {
             callers: listen(&mut settings.callers)?,
             ready: listen(&mut settings.ready)?,
@@ -470,6 +483,7 @@
 async fn keep_house(shared: Rc<Shared>, vm: String, own_address: SocketAddr) {
     let event = Event::new(EventKind::ProcessReady).with("vm", vm);
     let mut said_ready = false;
+    let mut store_log = StoreLog::default();
     let mut sweep = Sweep::starting_at(rand::random());
     loop {
         let now = Instant::now();
@@ -488,6 +502,7 @@
         }
         let target = newest_target(&Topic::Config, 0, None);
         shared.store.probe(&StoreCall::get(target)).await;
+        store_log.look(&shared, now);
         let processes = directory.peers.len() + 1;
         sweep.step(&shared.ledger, processes, now, unix_ms()).await;
         let servers = &directory.servers.servers;
@@ -499,6 +514,44 @@
     }
 }
 
+/// What was last said of the store.
+#[derive(Default)]
+struct StoreLog {
+    is_away: bool,
+    is_direct_down: bool,
+}
+
+impl StoreLog {
+    /// Logs what has changed.
+    fn look(&mut self, shared: &Shared, now: Instant) {
+        let (away, down) = (shared.store.is_away(), shared.store.is_direct_down());
+        let counts = shared.store.counts();
+        let with_counts = |kind| {
+            Event::new(kind)
+                .with("calls", counts.calls)
+                .with("failures", counts.failures)
+                .with("relayed", counts.relayed)
+        };
+        if away != std::mem::replace(&mut self.is_away, away) {
+            let kind = if away {
+                EventKind::LogDown
+            } else {
+                EventKind::LogUp
+            };
+            let away_for = shared.store.away_for(now).as_millis();
+            shared.log(&with_counts(kind).with("away_ms", away_for));
+        }
+        if down != std::mem::replace(&mut self.is_direct_down, down) {
+            let kind = if down {
+                EventKind::StoreDirectDown
+            } else {
+                EventKind::StoreDirectUp
+            };
+            shared.log(&with_counts(kind));
+        }
+    }
+}
+
 /// Returns at the first signal to end; SIGHUP is noted.
 async fn wait_for_signal(logger: Logger) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -38,6 +38,12 @@
             let info = platform::request::read(&request.head.head().headers).ok();
             let id = info.as_ref().map(|info| info.id.clone());
             let trace = Trace::default();
+            if let Some(program) = info.as_ref().and_then(|info| info.program.as_ref()) {
+                trace.note("program", program);
+            }
+            if let Some(previous) = info.as_ref().and_then(|info| info.previous_turn.as_ref()) {
+                trace.note("previous", previous);
+            }
             let outcome = serve(&self.shared, request, info, &trace, reply).await;
             let id = id.as_deref().unwrap_or("-");
             match outcome {
@@ -84,11 +90,17 @@
         reply: &Reply<'_>,
     ) {
         let took = request.arrived.elapsed();
+        let directory = self.shared.directory();
+        let config_version = directory.config.as_ref().map_or(0, |config| config.version);
+        let lists_age = directory.read_at.map_or(0, |at| at.elapsed().as_millis());
         let event = event
             .with("request", id)
             .with("path", request.head.uri().path())
             .with("status", reply.status)
-            .with("took_ms", took.as_millis());
+            .with("took_ms", took.as_millis())
+            .with("config_version", config_version)
+            .with("lists_age_ms", lists_age)
+            .with("store_away", self.shared.store.is_away());
         self.shared.log(&trace.describe(event, request.arrived));
     }
 }
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -7,6 +7,7 @@
 use actix_http::StatusCode;
 use actix_rt::time::timeout;
 use bytes::{Bytes, BytesMut};
+use clementinepick::event::{Event, EventKind};
 use clementinepick::event_stream::{EventSplitter, StreamEvent};
 use clementinepick::refusal::Refusal;
 use clementinepick::turn_chain::{Turn, prompt};
@@ -17,7 +18,7 @@
 use crate::gateway_reply::{CallerGone, Reply, ReplyState};
 use crate::gateway_trace::Trace;
 use crate::ledger::LedgerError;
-use crate::ledger_budgets::{BudgetHold, BudgetRequest};
+use crate::ledger_budgets::{BudgetHold, BudgetRequest, SliceGrant};
 use crate::unix_time::unix_ms;
 
 /// The most tokens of a turn that names none; a turn without a maximum counts as a large one.
@@ -62,7 +63,7 @@
         Ok(previous) => previous,
         Err(refusal) => return Ok(Err(refusal)),
     };
-    let hold = match reserve(shared, job).await {
+    let hold = match reserve(shared, job, trace).await {
         Ok(hold) => hold,
         Err(refusal) => return Ok(Err(refusal)),
     };
@@ -103,11 +104,34 @@
     if !job.route.keeps_context {
         return Ok(None);
     }
-    let turn = shared.turns.get(id, ledger_deadline(job)).await;
-    turn.map(Some).map_err(refusal_of)
+    let found = shared.turns.get(id, ledger_deadline(job)).await;
+    let found = found.map_err(refusal_of)?;
+    if found.records_read > 0 {
+        let event = Event::new(EventKind::TurnsRead)
+            .with("request", &job.info.id)
+            .with("previous", id)
+            .with("records", found.records_read);
+        shared.log(&event);
+    }
+    Ok(Some(found.turn))
+}
+
+fn log_grant(shared: &Shared, job: &Job<'_>, request: &BudgetRequest<'_>, grant: SliceGrant) {
+    let event = Event::new(EventKind::BudgetReserved)
+        .with("request", &job.info.id)
+        .with("program", request.program)
+        .with("tokens", grant.tokens)
+        .with("reserved", grant.reserved)
+        .with("budget", request.budget)
+        .with("partition_end", grant.end);
+    shared.log(&event);
 }
 
-async fn reserve(shared: &Rc<Shared>, job: &Job<'_>) -> Result<Option<BudgetHold>, Refusal> {
+async fn reserve(
+    shared: &Rc<Shared>,
+    job: &Job<'_>,
+    trace: &Trace,
+) -> Result<Option<BudgetHold>, Refusal> {
     let (Some(program), Some(budget)) = (&job.info.program, job.info.budget_tokens) else {
         return Ok(None);
     };
@@ -118,6 +142,18 @@
         retention: job.route.retention_us,
     };
     let hold = shared.budgets.reserve(&request, ledger_deadline(job)).await;
+    match &hold {
+        Ok(hold) => {
+            if let Some(grant) = hold.grant {
+                log_grant(shared, job, &request, grant);
+            }
+        }
+        Err(LedgerError::Spent { reserved }) => {
+            trace.note("budget", &request.budget);
+            trace.note("reserved", reserved);
+        }
+        Err(_) => {}
+    }
     hold.map(Some).map_err(refusal_of)
 }
 
@@ -132,7 +168,7 @@
 fn refusal_of(err: LedgerError) -> Refusal {
     match err {
         LedgerError::Away => Refusal::LedgerAway,
-        LedgerError::Spent => Refusal::BudgetSpent,
+        LedgerError::Spent { .. } => Refusal::BudgetSpent,
         LedgerError::UnknownTurn => Refusal::UnknownTurn,
     }
 }
--- a/clementinepickd/src/gateway_trace.rs
+++ b/clementinepickd/src/gateway_trace.rs
@@ -1,6 +1,7 @@
 //! What happened to one request, for its log line.
 
 use std::cell::{Cell, RefCell};
+use std::fmt::Display;
 use std::time::Instant;
 
 use clementinepick::event::Event;
@@ -15,6 +16,7 @@
     placed: Cell<Option<Instant>>,
     first_byte: Cell<Option<Instant>>,
     generated: Cell<Option<Instant>>,
+    inputs: RefCell<Vec<(&'static str, String)>>,
 }
 
 impl Trace {
@@ -42,6 +44,11 @@
         self.generated.set(Some(now));
     }
 
+    /// An input of the decision that ended the request.
+    pub(crate) fn note(&self, name: &'static str, value: &dyn Display) {
+        self.inputs.borrow_mut().push((name, value.to_string()));
+    }
+
     /// Adds the steps to an event, in milliseconds after the request's arrival.
     pub(crate) fn describe(&self, mut event: Event, arrived: Instant) -> Event {
         let steps = [
@@ -55,6 +62,9 @@
                 event = event.with(name, at.duration_since(arrived).as_millis());
             }
         }
+        for (name, value) in self.inputs.borrow().iter() {
+            event = event.with(name, value);
+        }
         let servers = self.servers.borrow();
         if !servers.is_empty() {
             event = event.with("servers", servers.join(","));
--- a/clementinepickd/src/ledger.rs
+++ b/clementinepickd/src/ledger.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use clementinepick::units::Tokens;
 use platform::store::{
     KeyedRecord, NewestPage, Topic, append_target, decode_newest, encode_records, newest_target,
 };
@@ -59,8 +60,11 @@
     #[error("the store is away")]
     Away,
     /// The budget is reserved to the end.
-    #[error("the budget is spent")]
-    Spent,
+    #[error("the budget is spent: {reserved} are reserved")]
+    Spent {
+        /// The sum of all slices.
+        reserved: Tokens,
+    },
     /// The turn does not exist.
     #[error("no such turn")]
     UnknownTurn,
--- a/clementinepickd/src/ledger_budgets.rs
+++ b/clementinepickd/src/ledger_budgets.rs
@@ -64,6 +64,18 @@
     program: String,
     turn: Tokens,
     handed_out: Tokens,
+    /// The slice that was reserved for this turn, if one was.
+    pub(crate) grant: Option<SliceGrant>,
+}
+
+/// A slice that was just reserved.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SliceGrant {
+    pub(crate) tokens: Tokens,
+    /// The sum of all slices of the program after it.
+    pub(crate) reserved: Tokens,
+    /// Where the partition ended then.
+    pub(crate) end: u64,
 }
 
 impl BudgetHold {
@@ -140,7 +152,14 @@
             }
             if let Some(tokens) = known.tokens(request.program, &key) {
                 self.grant(request.program, tokens);
-                return self.try_start(request).ok_or(LedgerError::Spent);
+                let grant = SliceGrant {
+                    tokens,
+                    reserved: known.reserved(request.program),
+                    end: known.end,
+                };
+                let mut hold = self.try_start(request).ok_or(LedgerError::Away)?;
+                hold.grant = Some(grant);
+                return Ok(hold);
             }
         }
         Err(LedgerError::Away)
@@ -159,7 +178,9 @@
             return Ok(Tokens(0));
         }
         match view.decide(request.program, request.budget, request.turn) {
-            SliceDecision::Spent => Err(LedgerError::Spent),
+            SliceDecision::Spent => Err(LedgerError::Spent {
+                reserved: view.reserved(request.program),
+            }),
             SliceDecision::Reserve { tokens } => Ok(tokens),
         }
     }
@@ -203,6 +224,7 @@
             program: request.program.to_owned(),
             turn: request.turn,
             handed_out: Tokens(0),
+            grant: None,
         })
     }
 
--- a/clementinepickd/src/ledger_turns.rs
+++ b/clementinepickd/src/ledger_turns.rs
@@ -25,6 +25,13 @@
     cache: RefCell<TurnCache>,
 }
 
+/// A turn with all before it.
+pub(crate) struct FoundTurn {
+    pub(crate) turn: Arc<Turn>,
+    /// How many records were read from the store for it.
+    pub(crate) records_read: usize,
+}
+
 /// Turns in memory, the least recently used dropped first.
 #[derive(Default)]
 struct TurnCache {
@@ -77,7 +84,7 @@
     }
 
     /// The turn with this id and all before it.
-    pub(crate) async fn get(&self, id: &str, deadline: Instant) -> Result<Arc<Turn>, LedgerError> {
+    pub(crate) async fn get(&self, id: &str, deadline: Instant) -> Result<FoundTurn, LedgerError> {
         let mut records: Vec<(String, TurnRecord)> = Vec::new();
         let mut wanted = Some(id.to_owned());
         let mut base = None;
@@ -102,11 +109,13 @@
                 return Err(LedgerError::Away);
             }
         }
+        let records_read = records.len();
         for (id, record) in records.into_iter().rev() {
             let turn = record.into_turn(id, base).map_err(|_| LedgerError::Away)?;
             base = Some(self.keep(turn));
         }
-        base.ok_or(LedgerError::UnknownTurn)
+        let turn = base.ok_or(LedgerError::UnknownTurn)?;
+        Ok(FoundTurn { turn, records_read })
     }
 
     fn keep(&self, turn: Turn) -> Arc<Turn> {
--- a/clementinepickd/src/logging.rs
+++ b/clementinepickd/src/logging.rs
@@ -1,6 +1,6 @@
 //! The structured log: one JSON line an event on the standard output.
 
-use std::io::stdout;
+use std::io::{Write, stdout};
 
 use clementinepick::event::{Event, Severity};
 use clementinepick::ids::{Incarnation, VmId};
@@ -13,15 +13,25 @@
 /// The most lines that wait to be written; more are dropped, and their count is logged.
 const MAX_WAITING_LINES: usize = 4_096;
 
-/// A logger whose lines name the process; dropping it writes what waits.
+/// A logger to the standard output whose lines name the process; dropping it writes what waits.
 pub(crate) fn new_logger(level: LogLevel, vm: &VmId, incarnation: Incarnation) -> Logger {
+    new_logger_to(stdout(), level, vm, incarnation)
+}
+
+/// The same with another place to write to.
+pub(crate) fn new_logger_to<W: Write + Send + 'static>(
+    output: W,
+    level: LogLevel,
+    vm: &VmId,
+    incarnation: Incarnation,
+) -> Logger {
     let lowest = match level {
         LogLevel::Info => Level::Info,
         LogLevel::Warning => Level::Warning,
         LogLevel::Error => Level::Error,
         LogLevel::Off => return Logger::root(slog::Discard, o!()),
     };
-    let json = Json::new(stdout()).add_default_keys().build().fuse();
+    let json = Json::new(output).add_default_keys().build().fuse();
     let waiting = Async::new(json).chan_size(MAX_WAITING_LINES).build();
     let drain = LevelFilter::new(waiting, lowest).fuse();
     Logger::root(
--- a/standins/src/platform_run.rs
+++ b/standins/src/platform_run.rs
@@ -65,7 +65,20 @@
     /// No port or thread can be had.
     #[must_use]
     pub fn start(settings: GatewaySettings) -> Self {
-        let gateway = Gateway::bind(settings).expect("free ports");
+        Self::start_logging_to(io::stdout(), settings)
+    }
+
+    /// Starts a gateway that logs to `output`.
+    ///
+    /// # Panics
+    ///
+    /// No port or thread can be had.
+    #[must_use]
+    pub fn start_logging_to<W: io::Write + Send + 'static>(
+        output: W,
+        settings: GatewaySettings,
+    ) -> Self {
+        let gateway = Gateway::bind_logging_to(output, settings).expect("free ports");
         let addresses = gateway.addresses();
         let (stop, stopped) = oneshot::channel();
         let thread = thread::spawn(move || {
@@ -153,11 +166,38 @@
     ///
     /// A port or thread can't be had, or it does not become ready.
     pub fn add_gateway(&mut self) -> io::Result<()> {
+        let mut settings = self.settings_with_door()?;
+        settings.log_level = LogLevel::Off;
+        self.add(RunningGateway::start(settings))
+    }
+
+    /// Starts another gateway that logs all it can to `output`.
+    ///
+    /// # Errors
+    ///
+    /// A port or thread can't be had, or it does not become ready.
+    pub fn add_logging_gateway<W: io::Write + Send + 'static>(
+        &mut self,
+        output: W,
+    ) -> io::Result<()> {
+        let settings = GatewaySettings {
+            log_level: LogLevel::Info,
+            log_every: 1,
+            ..self.settings_with_door()?
+        };
+        self.add(RunningGateway::start_logging_to(output, settings))
+    }
+
+    fn settings_with_door(&mut self) -> io::Result<GatewaySettings> {
         let door = self.store.open()?;
         let seeds = self.gateways.iter().map(|g| g.addresses.peers).collect();
         let settings = self.settings(door.address, seeds);
         self.doors.push(door);
-        self.gateways.push(RunningGateway::start(settings));
+        Ok(settings)
+    }
+
+    fn add(&mut self, gateway: RunningGateway) -> io::Result<()> {
+        self.gateways.push(gateway);
         let ready = self.gateways[self.gateways.len() - 1].addresses.ready;
         wait_until(|| is_ready(ready))
     }
@@ -173,7 +213,6 @@
         GatewaySettings {
             vm: VmId::try_from(format!("gateway-{number}")).expect("a name"),
             zone: ZoneName::try_from("z".to_owned()).expect("a name"),
-            log_level: LogLevel::Off,
             metrics: Some("127.0.0.1:0".parse().expect("an address")),
             ledger: LedgerSettings {
                 record_bytes: 50_000,
