--- a/clementinepickctl/src/exit.rs
+++ b/clementinepickctl/src/exit.rs
@@ -3,7 +3,7 @@
 use serde_json::Value;
 use thiserror::Error;
 
-/// How a command ended; `docs/OPERATING.md` lists the codes.
+/// How a command ended; `docs/OPERATIONS.md` lists the codes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExitCode {
     /// It did what was asked.
--- a/clementinepickctl/tests/exit_codes.rs
+++ b/clementinepickctl/tests/exit_codes.rs
@@ -7,7 +7,7 @@
 
 #[test]
 fn every_exit_code_stands_on_the_operators_page_and_the_reverse() {
-    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATING.md");
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATIONS.md");
     let page = fs::read_to_string(page).expect("the page");
     let (_, table) = page
         .split_once("| exit code | what it means |")
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -16,7 +16,6 @@
 use actix_rt::time::sleep;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::ids::Incarnation;
-use clementinepick::refusal::Refusal;
 use clementinepick::retry::RetryBudget;
 use clementinepick::server_choice::ServerChoice;
 use clementinepick::traffic_config::CallerLimits;
@@ -73,6 +72,9 @@
     /// A thread or a signal handler can't be had.
     #[error("can't start: {0}")]
     Start(#[from] io::Error),
+    /// The metrics can't be set up.
+    #[error("can't set up metrics: {0}")]
+    Metrics(#[from] metrics_exporter_prometheus::BuildError),
 }
 
 /// What the tasks of the traffic thread share.
@@ -175,9 +177,13 @@
     }
 
     /// Whether a request for a service may be sent again.
-    pub(crate) fn take_retry(&self, service: &str) -> bool {
+    pub(crate) fn take_retry(&self, service: &str, kind: &'static str) -> bool {
         let mut retries = self.retries.borrow_mut();
-        retries.entry(service.to_owned()).or_default().take()
+        let may_retry = retries.entry(service.to_owned()).or_default().take();
+        if may_retry {
+            self.metrics.count_retry(kind);
+        }
+        may_retry
     }
 
     /// Holds `bytes` of a request's body until dropped; none when too much is held already.
@@ -205,14 +211,6 @@
         }
     }
 
-    pub(crate) fn count_served(&self) {
-        self.metrics.count_served();
-    }
-
-    pub(crate) fn count_refusal(&self, refusal: Refusal) {
-        self.metrics.count_refusal(refusal);
-    }
-
     pub(crate) fn log(&self, event: &Event) {
         write_event(&self.logger, event);
     }
@@ -399,7 +397,7 @@
             ledger,
             pool: Pool::default(),
             choice: RefCell::default(),
-            metrics: GatewayMetrics::new(),
+            metrics: GatewayMetrics::new()?,
             retries: RefCell::default(),
             body_bytes: Cell::new(0),
             body_limit_bytes: settings.body_limit_bytes,
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -22,6 +22,9 @@
 /// answers within the target in 95 of 100 cases, so that few calls are sent twice in vain.
 const PATIENCE_TARGETS: u32 = 2;
 
+/// The name of calls in metrics.
+pub(crate) const CALL: &str = "call";
+
 /// What a whole answer is made of.
 struct WholeAnswer {
     status: StatusCode,
@@ -52,7 +55,7 @@
     let mut refusal = Refusal::NoServer;
     shared.earn_retry(job.service);
     while sends < job.route.attempts {
-        if sends > 0 && !shared.take_retry(job.service) {
+        if sends > 0 && !shared.take_retry(job.service, CALL) {
             break;
         }
         let Some(slot) = job.place(shared, &tried, None) else {
--- a/clementinepickd/src/gateway_connection.rs
+++ b/clementinepickd/src/gateway_connection.rs
@@ -21,6 +21,8 @@
 /// How many bytes of a next request are taken while one is answered; a caller that sends more is
 /// made to wait by its connection.
 const MAX_AHEAD_BYTES: usize = 65_536;
+/// The name in metrics of requests that were not read whole.
+const UNREAD: &str = "unread";
 /// How long a caller may take to read the answer to a request that was not accepted.
 const REFUSAL_LIMIT: Duration = Duration::from_secs(1);
 
@@ -93,7 +95,9 @@
 }
 
 async fn refuse(shared: &Shared, refusal: Refusal, codec: &mut Codec, write: &mut OwnedWriteHalf) {
-    shared.count_refusal(refusal);
+    shared
+        .metrics
+        .count(UNREAD, refusal.answer().code, Duration::ZERO);
     let mut reply = Reply::new(codec, write, true);
     let answer = reply.refuse(refusal.answer(), None);
     if timeout(REFUSAL_LIMIT, answer).await.is_ok() {
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -3,40 +3,49 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
 use actix_http::header::HeaderMap;
-use clementinepick::refusal::Refusal;
-use metrics::{counter, gauge, with_local_recorder};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusRecorder};
+use metrics::{counter, gauge, histogram, with_local_recorder};
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusRecorder};
 use serde_json::json;
 
 use crate::gateway::Shared;
 use crate::gateway_connection::{Handler, Received};
 use crate::gateway_reply::Reply;
 
+/// The bounds of the latency histogram, in seconds: from a lookup to the longest timeout.
+const LATENCY_BUCKETS_S: &[f64] = &[
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 30.0,
+];
+
 /// The counters of one gateway; no global, since tests run several in one program.
 pub(crate) struct GatewayMetrics {
     recorder: PrometheusRecorder,
 }
 
 impl GatewayMetrics {
-    pub(crate) fn new() -> Self {
-        let recorder = PrometheusBuilder::new().build_recorder();
-        Self { recorder }
+    pub(crate) fn new() -> Result<Self, BuildError> {
+        let builder = PrometheusBuilder::new().set_buckets(LATENCY_BUCKETS_S)?;
+        Ok(Self {
+            recorder: builder.build_recorder(),
+        })
     }
 
-    pub(crate) fn count_served(&self) {
+    /// Counts a request that is over.
+    pub(crate) fn count(&self, kind: &'static str, outcome: &'static str, took: Duration) {
         with_local_recorder(&self.recorder, || {
-            counter!("clementinepick_requests_total", "outcome" => "served").increment(1);
+            counter!("clementinepick_requests_total", "outcome" => outcome).increment(1);
+            histogram!("clementinepick_request_seconds", "kind" => kind, "outcome" => outcome)
+                .record(took.as_secs_f64());
         });
     }
 
-    pub(crate) fn count_refusal(&self, refusal: Refusal) {
-        let outcome = refusal.answer().code;
+    /// Counts a request that was sent to another server.
+    pub(crate) fn count_retry(&self, kind: &'static str) {
         with_local_recorder(&self.recorder, || {
-            counter!("clementinepick_requests_total", "outcome" => outcome).increment(1);
+            counter!("clementinepick_retries_total", "kind" => kind).increment(1);
         });
     }
 
@@ -51,6 +60,10 @@
             set("clementinepick_programs", programs);
             set("clementinepick_cached_turns", turns);
             set("clementinepick_cached_turn_bytes", turn_bytes);
+            set(
+                "clementinepick_store_away",
+                usize::from(shared.store.is_away()),
+            );
         });
         self.recorder.handle().render()
     }
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -16,13 +16,16 @@
 use tokio::time::timeout_at;
 
 use crate::gateway::Shared;
-use crate::gateway_call;
+use crate::gateway_call::{self, CALL};
 use crate::gateway_connection::{Handler, Received};
 use crate::gateway_exchange::Job;
 use crate::gateway_reply::{CallerGone, Reply, ReplyState};
-use crate::gateway_stream;
+use crate::gateway_stream::{self, TURN};
 use crate::gateway_trace::Trace;
 
+/// The outcome in metrics of requests that went well.
+const SERVED: &str = "served";
+
 /// Takes callers' requests.
 pub(crate) struct CallerHandler {
     pub(crate) shared: Rc<Shared>,
@@ -48,7 +51,8 @@
             let id = id.as_deref().unwrap_or("-");
             match outcome {
                 Ok(Ok(())) => {
-                    self.shared.count_served();
+                    let took = request.arrived.elapsed();
+                    self.shared.metrics.count(trace.kind.get(), SERVED, took);
                     if self.shared.is_sampled(id) {
                         let event = Event::new(EventKind::RequestServed);
                         self.log(event, request, id, &trace, reply);
@@ -58,6 +62,9 @@
                     let event = Event::new(EventKind::RequestFailed);
                     let event = event.with("reason", refusal.answer().code);
                     self.log(event, request, id, &trace, reply);
+                    let took = request.arrived.elapsed();
+                    let code = refusal.answer().code;
+                    self.shared.metrics.count(trace.kind.get(), code, took);
                     self.refuse(refusal, id, reply).await;
                 }
                 // The caller's connection is gone, and with it the request.
@@ -69,7 +76,6 @@
 
 impl CallerHandler {
     async fn refuse(&self, refusal: Refusal, id: &str, reply: &mut Reply<'_>) {
-        self.shared.count_refusal(refusal);
         if reply.state() == ReplyState::Open {
             // If this fails, the caller is gone.
             let mut answer = refusal.answer();
@@ -123,6 +129,7 @@
         Err(refusal) => return Ok(Err(refusal)),
     };
     let is_streaming = job.route.kind == RequestKind::Streaming;
+    trace.kind.set(if is_streaming { TURN } else { CALL });
     let work = async {
         if is_streaming {
             gateway_stream::run(shared, &job, trace, reply).await
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -31,6 +31,9 @@
 /// The least patience for the first event, which waits for a place and the reading of the prompt.
 const MIN_FIRST_PATIENCE: Duration = Duration::from_millis(1_200);
 
+/// The name of turns in metrics.
+pub(crate) const TURN: &str = "turn";
+
 /// What the caller has of a stream so far.
 #[derive(Default)]
 struct Delivered {
@@ -214,7 +217,7 @@
                 .previous
                 .as_ref()
                 .and_then(|turn| turn.server.as_deref());
-            if sends > 0 && !self.shared.take_retry(self.job.service) {
+            if sends > 0 && !self.shared.take_retry(self.job.service, TURN) {
                 break;
             }
             let Some(slot) = self.job.place(self.shared, &tried, last_server) else {
--- a/clementinepickd/src/gateway_trace.rs
+++ b/clementinepickd/src/gateway_trace.rs
@@ -9,6 +9,8 @@
 /// The steps of a request as they are reached.
 #[derive(Debug, Default)]
 pub(crate) struct Trace {
+    /// What the request is, for metrics; empty before its route is known.
+    pub(crate) kind: Cell<&'static str>,
     /// Whether a server may be running it or may have run it.
     pub(crate) may_have_run: Cell<bool>,
     servers: RefCell<Vec<String>>,
--- /dev/null
+++ b/clementinepickd/tests/gateway_settings.rs
@@ -0,0 +1,120 @@
+//! Settings of gateways: read, refused with file, section and key, and listed on their page.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+
+use clementinepickd::settings_file::{ProcessSettings, parse_process};
+
+const RIGHT: &str = "\
+[process]
+role = gateway
+vm = edge-1
+zone = hall
+log_level = warning
+log_every = 8
+
+[listen]
+callers = 127.0.0.1:8080
+ready = 127.0.0.1:8081
+peers = 127.0.0.1:8082
+metrics = 127.0.0.1:8083
+
+[peers]
+seeds = 127.0.0.1:9082, 127.0.0.1:9083
+
+[store]
+address = 127.0.0.1:7000
+partitions = 24
+record = 262144 B
+call = 2 MB
+cache = 4 MB
+
+[limits]
+bodies = 8 MB
+
+[shutdown]
+notice = 2 s
+limit = 7 s
+";
+
+fn problem(from: &str, to: &str) -> String {
+    assert!(RIGHT.contains(from), "the file has no `{from}`");
+    let text = RIGHT.replace(from, to);
+    let err = parse_process("g.ini", &text).expect_err("wrong settings");
+    err.to_string()
+}
+
+#[test]
+fn all_keys_are_read() {
+    let settings = parse_process("g.ini", RIGHT).expect("right settings");
+    let ProcessSettings::Gateway(settings) = settings else {
+        panic!("a gateway's settings");
+    };
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.ledger.record_bytes, 262_144);
+    assert_eq!(settings.body_limit_bytes, 8_000_000);
+    assert_eq!(settings.log_every, 8);
+    assert_eq!(settings.notice.as_millis(), 2_000);
+}
+
+#[test]
+fn what_is_wrong_is_named() {
+    let cases = [
+        (("vm = edge-1\n", ""), "g.ini: [process] vm: is missing"),
+        (
+            ("ready = 127.0.0.1:8081", "ready = somewhere"),
+            "g.ini: [listen] ready: `somewhere`: invalid socket address syntax",
+        ),
+        (
+            ("127.0.0.1:9083", "next"),
+            "g.ini: [peers] seeds: `next` is no address",
+        ),
+        (
+            ("partitions = 24", "partitions = 0"),
+            "g.ini: [store] partitions: must be at least 1",
+        ),
+        (
+            ("call = 2 MB", "call = 1 KB"),
+            "g.ini: [store] call: must be at least `record`",
+        ),
+        (
+            ("notice = 2 s", "notice = 9 s"),
+            "g.ini: [shutdown] notice: must be shorter than `limit`",
+        ),
+        (
+            ("cache = 4 MB", "cash = 4 MB"),
+            "g.ini: [store] cash: unknown key; the section has address, cache, call, partitions, \
+             record",
+        ),
+    ];
+    for ((from, to), expected) in cases {
+        assert_eq!(problem(from, to), expected);
+    }
+    let unit = problem("cache = 4 MB", "cache = 4");
+    assert!(unit.starts_with("g.ini: [store] cache: `4`:"), "{unit}");
+}
+
+#[test]
+fn every_key_stands_on_its_page_and_the_reverse() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/GATEWAY_SETTINGS.md");
+    let page = fs::read_to_string(page).expect("the page");
+    let rows = page.lines().filter(|line| line.starts_with("| `"));
+    let listed: BTreeSet<(String, String)> = rows
+        .filter_map(|row| {
+            let mut words = row.split('`');
+            let section = words.nth(1)?.to_owned();
+            Some((section, words.nth(1)?.to_owned()))
+        })
+        .collect();
+    let mut section = String::new();
+    let mut known = BTreeSet::new();
+    for line in RIGHT.lines() {
+        if let Some(name) = line.strip_prefix('[') {
+            section = name.trim_end_matches(']').to_owned();
+        } else if let Some((key, _)) = line.split_once(" = ") {
+            known.insert((section.clone(), key.to_owned()));
+        }
+    }
+    assert_eq!(listed, known);
+}
