--- a/clementinepickd/src/ledger.rs
+++ b/clementinepickd/src/ledger.rs
@@ -5,7 +5,7 @@
 //! goes on from what it reads.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use clementinepick::units::Tokens;
@@ -35,6 +35,8 @@
     pub call_bytes: usize,
     /// How many bytes of turns are cached.
     pub cache_bytes: usize,
+    /// How often each partition is looked at for records to drop.
+    pub sweep_period: Duration,
 }
 
 impl Default for LedgerSettings {
@@ -49,6 +51,9 @@
             record_bytes: 262_144,
             call_bytes: 2_097_152,
             cache_bytes: 8_388_608,
+            // Records live for three retentions, three minutes on the users' sheets; with this
+            // period, half as many again lie in the store on average.
+            sweep_period: Duration::from_mins(8),
         }
     }
 }
--- a/clementinepickd/src/ledger_sweep.rs
+++ b/clementinepickd/src/ledger_sweep.rs
@@ -14,9 +14,6 @@
 use crate::ledger::{LedgerError, LedgerStore, Partition, from_cbor};
 use crate::ledger_turns::is_part_of;
 
-/// How often each partition is looked at. Records live for three retentions, three minutes on the
-/// users' sites; with this period, half as many again lie in the store on average.
-const PERIOD: Duration = Duration::from_mins(8);
 /// How long one look may take.
 const LOOK_LIMIT: Duration = Duration::from_secs(2);
 
@@ -66,7 +63,8 @@
 fn interval(store: &LedgerStore, processes: usize) -> Duration {
     let partitions = u32::try_from(partition_count(store)).unwrap_or(u32::MAX);
     let processes = u32::try_from(processes).unwrap_or(u32::MAX);
-    PERIOD.saturating_mul(processes) / partitions.max(1)
+    let period = store.settings.sweep_period;
+    period.saturating_mul(processes) / partitions.max(1)
 }
 
 fn partition_at(store: &LedgerStore, position: u64) -> Partition {
--- a/standins/src/platform_run.rs
+++ b/standins/src/platform_run.rs
@@ -166,8 +166,21 @@
     ///
     /// A port or thread can't be had, or it does not become ready.
     pub fn add_gateway(&mut self) -> io::Result<()> {
+        self.add_gateway_with(|_| {})
+    }
+
+    /// Starts another gateway with changed settings.
+    ///
+    /// # Errors
+    ///
+    /// A port or thread can't be had, or it does not become ready.
+    pub fn add_gateway_with(
+        &mut self,
+        change: impl FnOnce(&mut GatewaySettings),
+    ) -> io::Result<()> {
         let mut settings = self.settings_with_door()?;
         settings.log_level = LogLevel::Off;
+        change(&mut settings);
         self.add(RunningGateway::start(settings))
     }
 
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -147,9 +147,14 @@
 
     /// Writes a record as an operator or a backend server does.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
+        self.put_bytes(topic, key, value.as_bytes());
+    }
+
+    /// Writes a record with any bytes.
+    pub fn put_bytes(&self, topic: &str, key: &str, value: &[u8]) {
         let record = StoredRecord {
             key: key.to_owned(),
-            value: Bytes::copy_from_slice(value.as_bytes()),
+            value: Bytes::copy_from_slice(value),
         };
         let mut core = lock(&self.core);
         let partition = core.partitions.entry((topic.to_owned(), 0)).or_default();
--- /dev/null
+++ b/standins/tests/gateway_bounds.rs
@@ -0,0 +1,151 @@
+//! What a gateway bounds: old records, held bodies, repeated requests, connections to a server.
+
+use std::thread;
+use std::time::Duration;
+
+use clementinepick::budget_ledger::SliceRecord;
+use clementinepick::turn_chain::TurnRecord;
+use clementinepick::units::Tokens;
+use standins::platform_backend::{BackendFault, PlatformBackend};
+use standins::platform_caller::CallerRequest;
+use standins::platform_run::{PlatformRun, config, wait_until};
+
+fn cbor(value: &impl serde::Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).expect("CBOR");
+    bytes
+}
+
+/// A turn and a program ended long ago, and the process that wrote them is gone. Another one drops
+/// their records, or the store would fill up for good; those of a recent turn stay.
+#[test]
+fn records_of_the_past_are_dropped() {
+    let mut run = PlatformRun::start(0).expect("a run");
+    let old_turn = TurnRecord {
+        parent: None,
+        server: None,
+        recorded_unix_ms: 1_000,
+        retain_ms: 60_000,
+        input_bytes: 0,
+        parts: 1,
+        body: "x".into(),
+    };
+    let old_slice = SliceRecord {
+        program: "old".to_owned(),
+        tokens: Tokens(100),
+        recorded_unix_ms: 1_000,
+        retain_ms: 60_000,
+    };
+    let part = TurnRecord {
+        parts: 0,
+        ..old_turn.clone()
+    };
+    run.store
+        .put_bytes("keyed.turns0", "oldturn", &cbor(&old_turn));
+    run.store
+        .put_bytes("keyed.turns0", "oldturn!0000", &cbor(&part));
+    run.store
+        .put_bytes("keyed.budgets0", "old/a/1", &cbor(&old_slice));
+    let added = run.add_gateway_with(|settings| {
+        settings.ledger.budget_topics = 1;
+        settings.ledger.turn_topics = 1;
+        settings.ledger.partitions = 1;
+        settings.ledger.sweep_period = Duration::from_millis(500);
+    });
+    added.expect("a gateway");
+    let turn = CallerRequest::turn("/chat/1", "t1", "p1", "x").with("Token-Budget", "400");
+    assert_eq!(turn.send(run.callers(0)).expect("an answer").status, 200);
+    wait_until(|| run.store.keys("keyed.turns") == ["t1"]).expect("the old turn is dropped");
+    let is_old = |key: &String| key.starts_with("old/");
+    wait_until(|| !run.store.keys("keyed.budgets").iter().any(is_old)).expect("the slice too");
+    assert_eq!(run.store.keys("keyed.budgets").len(), 1);
+}
+
+/// Callers send large bodies while a server does not answer. Beyond the limit a request is told to
+/// come back and is not run; the process's memory stays bounded. Once there is room, it is served.
+#[test]
+fn bodies_beyond_the_limit_are_refused_and_not_run() {
+    let mut run = PlatformRun::start(0).expect("a run");
+    let added = run.add_gateway_with(|settings| settings.body_limit_bytes = 50_000);
+    added.expect("a gateway");
+    let at = run.callers(0);
+    for plain in &run.plains {
+        plain.spoil(BackendFault::Silence);
+    }
+    let booking = |id: &str| CallerRequest {
+        body: "x".repeat(40_000),
+        ..CallerRequest::new("POST", "/book/1", id)
+    };
+    let first = booking("r1");
+    let held = thread::spawn(move || first.send(at).expect("an answer").status);
+    let ran = || {
+        run.plains
+            .iter()
+            .flat_map(PlatformBackend::executions)
+            .count()
+    };
+    wait_until(|| ran() == 1).expect("the first is held");
+    let refused = booking("r2").send(at).expect("an answer");
+    assert_eq!(refused.status, 503);
+    assert!(refused.headers.contains_key("retry-after"));
+    assert_eq!(ran(), 1);
+    assert_eq!(held.join().expect("an answer"), 504);
+    let status = || booking("r3").send(at).expect("an answer").status;
+    wait_until(|| status() == 200).expect("room again");
+}
+
+/// A service fails as a whole: no lookup gets an answer. Each could be sent to two servers, which
+/// would double the load just then; only one in five is, beyond the first few.
+#[test]
+fn an_outage_of_a_service_is_not_answered_with_a_storm() {
+    const LOOKUPS: usize = 100;
+    let run = PlatformRun::start(1).expect("a run");
+    for plain in &run.plains {
+        for _ in 0..2 * LOOKUPS {
+            plain.spoil(BackendFault::LoseAnswer);
+        }
+    }
+    for number in 0..LOOKUPS {
+        let request = CallerRequest::new("GET", "/look/1", &format!("r{number}"));
+        assert_eq!(request.send(run.callers(0)).expect("an answer").status, 502);
+    }
+    let ran = run
+        .plains
+        .iter()
+        .flat_map(PlatformBackend::executions)
+        .count();
+    assert!(ran >= LOOKUPS, "{ran} executions");
+    assert!(ran <= LOOKUPS + 10 + LOOKUPS / 5, "{ran} executions");
+}
+
+/// A server accepts two connections of all processes together. With six bookings at once, each of
+/// two servers gets two; the rest are told to come back instead of being reset by the server.
+#[test]
+fn a_server_gets_no_more_connections_than_it_accepts() {
+    let run = PlatformRun::start(1).expect("a run");
+    let at = run.callers(0);
+    run.store.put(
+        "keyed.op",
+        "config",
+        &config(2).replace("\"MaxConns\":50", "\"MaxConns\":2"),
+    );
+    thread::sleep(Duration::from_millis(1_300));
+    for plain in &run.plains {
+        plain.configure(|settings| settings.pause = Duration::from_millis(500));
+    }
+    let callers: Vec<_> = (0..6)
+        .map(|number| {
+            let request = CallerRequest::new("POST", "/book/1", &format!("r{number}"));
+            thread::spawn(move || request.send(at).expect("an answer").status)
+        })
+        .collect();
+    let mut statuses: Vec<u16> = callers
+        .into_iter()
+        .map(|caller| caller.join().expect("a status"))
+        .collect();
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 200, 200, 200, 503, 503]);
+    for plain in &run.plains {
+        assert_eq!(plain.executions().len(), 2);
+    }
+}
