--- a/clementinepick/src/budget_ledger.rs
+++ b/clementinepick/src/budget_ledger.rs
@@ -11,23 +11,24 @@
 //!
 //! let mut view = BudgetView::empty();
 //! let first = view.decide("p", Tokens(1_000), Tokens(200));
-//! assert_eq!(first, SliceDecision::Reserve { tokens: Tokens(250) });
+//! assert_eq!(first, SliceDecision::Reserve { tokens: Tokens(500) });
 //! let record = SliceRecord { program: "p".into(), tokens: Tokens(1_000), ..SliceRecord::default() };
 //! view.apply("p/a", &record);
 //! assert_eq!(view.decide("p", Tokens(1_000), Tokens(200)), SliceDecision::Spent);
 //! ```
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
 use crate::record_age::is_expired;
 use crate::units::Tokens;
 
-/// A slice is this part of what is left of a budget, and at least one turn: half the programs of
-/// the users' workloads use under a quarter of their budgets, so one slice mostly carries a program
-/// to its end, while six processes can hold slices of one program before the budget is reserved.
-const SLICE_DIVISOR: u64 = 4;
+/// A slice is this part of what is left of a budget, and at least one turn: nearly all programs of
+/// the users' workloads use under half of their budgets, so one slice carries a program to its end,
+/// also while the log is away. What other processes then lack, they borrow.
+const SLICE_DIVISOR: u64 = 2;
 
 /// One reserved slice; its record's key makes it unique.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,6 +39,9 @@
     /// How many tokens the writer may hand out; zero only says that the program still runs.
     #[serde(rename = "t")]
     pub tokens: Tokens,
+    /// Where the writer can be asked for what it does not need.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub holder: Option<SocketAddr>,
     /// When it was written, in Unix milliseconds by the writer's clock.
     #[serde(rename = "w")]
     pub recorded_unix_ms: u64,
@@ -63,7 +67,13 @@
 pub struct BudgetView {
     /// The offset up to which the partition was read.
     pub end: u64,
-    slices: BTreeMap<String, BTreeMap<String, Tokens>>,
+    slices: BTreeMap<String, BTreeMap<String, Slice>>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Slice {
+    tokens: Tokens,
+    holder: Option<SocketAddr>,
 }
 
 impl BudgetView {
@@ -78,13 +88,20 @@
         self.slices
             .entry(record.program.clone())
             .or_default()
-            .insert(key.to_owned(), record.tokens);
+            .insert(
+                key.to_owned(),
+                Slice {
+                    tokens: record.tokens,
+                    holder: record.holder,
+                },
+            );
     }
 
     /// The size of the slice with this key, if it is in the partition.
     #[must_use]
     pub fn tokens(&self, program: &str, key: &str) -> Option<Tokens> {
-        self.slices.get(program)?.get(key).copied()
+        let slice = self.slices.get(program)?.get(key)?;
+        Some(slice.tokens)
     }
 
     /// The sum of a program's slices.
@@ -92,7 +109,14 @@
     pub fn reserved(&self, program: &str) -> Tokens {
         self.slices
             .get(program)
-            .map_or(Tokens(0), |slices| slices.values().copied().sum())
+            .map_or(Tokens(0), |slices| slices.values().map(|s| s.tokens).sum())
+    }
+
+    /// Where the processes that hold slices of a program can be asked.
+    #[must_use]
+    pub fn holders(&self, program: &str) -> BTreeSet<SocketAddr> {
+        let slices = self.slices.get(program).into_iter().flatten();
+        slices.filter_map(|(_, slice)| slice.holder).collect()
     }
 
     /// Decides over one more slice for a turn that generates at most `turn`.
@@ -150,6 +174,19 @@
         fits
     }
 
+    /// Gives away what no running turn may need, half of it or `wanted`, whichever is more; nothing
+    /// where that is less than `wanted`, since the asker could not start its turn with it.
+    pub fn lend(&mut self, wanted: Tokens) -> Tokens {
+        let committed = Tokens(self.spent.0 + self.outstanding.0);
+        let free = self.granted.saturating_sub(committed);
+        if free < wanted {
+            return Tokens(0);
+        }
+        let lent = Tokens(free.0 / 2).max(wanted);
+        self.granted = self.granted.saturating_sub(lent);
+        lent
+    }
+
     /// Ends a turn that was started with `turn` and handed out `spent`.
     pub fn finish(&mut self, turn: Tokens, spent: Tokens) {
         self.outstanding = self.outstanding.saturating_sub(turn);
--- a/clementinepick/tests/budget_ledger.rs
+++ b/clementinepick/tests/budget_ledger.rs
@@ -139,6 +139,7 @@
     let slice = |program: &str, at_s: u64, tokens: u64| SliceRecord {
         program: program.to_owned(),
         tokens: Tokens(tokens),
+        holder: None,
         recorded_unix_ms: at_s * 1_000,
         retain_ms: 60_000,
     };
@@ -152,3 +153,27 @@
     let after_the_end = expired_slices(&records, 7_400_000);
     assert_eq!(after_the_end, ["long/a", "long/b", "short/a"]);
 }
+
+/// A process lends what it does not need, and keeps what its running turns may still hand out.
+#[test]
+fn only_what_no_turn_needs_is_lent() {
+    let mut slices = ProgramSlices {
+        granted: Tokens(1_000),
+        ..ProgramSlices::default()
+    };
+    assert!(slices.try_start(Tokens(300)));
+    assert_eq!(
+        slices.lend(Tokens(800)),
+        Tokens(0),
+        "less than a turn helps nobody"
+    );
+    assert_eq!(
+        slices.lend(Tokens(100)),
+        Tokens(350),
+        "half of the 700 that are free"
+    );
+    assert_eq!(slices.lend(Tokens(300)), Tokens(300));
+    assert_eq!(slices.lend(Tokens(100)), Tokens(0));
+    slices.finish(Tokens(300), Tokens(300));
+    assert_eq!(slices.granted.saturating_sub(slices.spent), Tokens(50));
+}
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -83,6 +83,8 @@
     pub(crate) ledger: Rc<LedgerStore>,
     pub(crate) budgets: Rc<Budgets>,
     pub(crate) turns: Turns,
+    /// Where peers reach this process.
+    pub(crate) peer_address: SocketAddr,
     pub(crate) pool: Pool,
     pub(crate) choice: RefCell<ServerChoice>,
     pub(crate) metrics: GatewayMetrics,
@@ -392,7 +394,8 @@
         let writer = format!("{:016x}", rand::random::<u64>());
         let shared = Rc::new(Shared {
             store,
-            budgets: Rc::new(Budgets::new(Rc::clone(&ledger), writer)),
+            budgets: Rc::new(Budgets::new(Rc::clone(&ledger), writer, settings.peers)),
+            peer_address: settings.peers,
             turns: Turns::new(Rc::clone(&ledger)),
             ledger,
             pool: Pool::default(),
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -15,6 +15,7 @@
 
 use crate::gateway::Shared;
 use crate::gateway_exchange::{Answering, Job, Sent, ServerSlot};
+use crate::gateway_peer::borrow_budget;
 use crate::gateway_reply::{CallerGone, Reply, ReplyState};
 use crate::gateway_trace::Trace;
 use crate::ledger::LedgerError;
@@ -108,7 +109,7 @@
         return Ok(None);
     }
     let found = shared.turns.get(id, ledger_deadline(job)).await;
-    let found = found.map_err(refusal_of)?;
+    let found = found.map_err(|err| refusal_of(&err))?;
     if found.records_read > 0 {
         let event = Event::new(EventKind::TurnsRead)
             .with("request", &job.info.id)
@@ -144,20 +145,34 @@
         turn: job.info.most_tokens.map_or(DEFAULT_TURN_TOKENS, Tokens),
         retention: job.route.retention_us,
     };
-    let hold = shared.budgets.reserve(&request, ledger_deadline(job)).await;
-    match &hold {
+    if let Some(hold) = shared.budgets.start_held(&request) {
+        return Ok(Some(hold));
+    }
+    if shared.store.is_away() {
+        let peers = shared.directory().peers;
+        let borrowed = borrow_budget(shared, &request, peers.iter().copied()).await;
+        if borrowed.is_some() {
+            return Ok(borrowed);
+        }
+    }
+    match shared.budgets.reserve(&request, ledger_deadline(job)).await {
         Ok(hold) => {
             if let Some(grant) = hold.grant {
                 log_grant(shared, job, &request, grant);
             }
+            Ok(Some(hold))
         }
-        Err(LedgerError::Spent { reserved }) => {
+        Err(LedgerError::Spent { reserved, holders }) => {
+            let borrowed = borrow_budget(shared, &request, holders).await;
+            if borrowed.is_some() {
+                return Ok(borrowed);
+            }
             trace.note("budget", &request.budget);
-            trace.note("reserved", reserved);
+            trace.note("reserved", &reserved);
+            Err(Refusal::BudgetSpent)
         }
-        Err(_) => {}
+        Err(err) => Err(refusal_of(&err)),
     }
-    hold.map(Some).map_err(refusal_of)
 }
 
 /// Until when the store is waited for before a request is refused. A caller that comes back is
@@ -168,7 +183,7 @@
     job.deadline.min(Instant::now() + LEDGER_PATIENCE)
 }
 
-fn refusal_of(err: LedgerError) -> Refusal {
+fn refusal_of(err: &LedgerError) -> Refusal {
     match err {
         LedgerError::Away => Refusal::LedgerAway,
         LedgerError::Spent { .. } => Refusal::BudgetSpent,
--- a/clementinepickd/src/ledger.rs
+++ b/clementinepickd/src/ledger.rs
@@ -4,6 +4,8 @@
 //! The store alone remembers: a process that is lost takes nothing with it but time, and any other
 //! goes on from what it reads.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -59,7 +61,7 @@
 }
 
 /// Why the ledger gives no answer that lets a request go on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub(crate) enum LedgerError {
     /// The store can't be reached, so that nothing is certain.
     #[error("the store is away")]
@@ -69,6 +71,8 @@
     Spent {
         /// The sum of all slices.
         reserved: Tokens,
+        /// Who holds slices.
+        holders: BTreeSet<SocketAddr>,
     },
     /// The turn does not exist.
     #[error("no such turn")]
--- a/clementinepickd/src/ledger_budgets.rs
+++ b/clementinepickd/src/ledger_budgets.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -53,6 +54,8 @@
     store: Rc<LedgerStore>,
     /// A name that no other start of any process has.
     writer: String,
+    /// Where this process can be asked for what it does not need.
+    address: SocketAddr,
     programs: RefCell<BTreeMap<String, ProgramState>>,
     partitions: RefCell<BTreeMap<Partition, PartitionState>>,
     sequence: Cell<u64>,
@@ -95,34 +98,39 @@
 }
 
 impl Budgets {
-    pub(crate) fn new(store: Rc<LedgerStore>, writer: String) -> Self {
+    pub(crate) fn new(store: Rc<LedgerStore>, writer: String, address: SocketAddr) -> Self {
         Self {
             store,
             writer,
+            address,
             programs: RefCell::default(),
             partitions: RefCell::default(),
             sequence: Cell::new(0),
         }
     }
 
+    /// Sets a turn's maximum aside from the slices that are held, if they suffice.
+    pub(crate) fn start_held(self: &Rc<Self>, request: &BudgetRequest<'_>) -> Option<BudgetHold> {
+        if !self.is_record_fresh(request) {
+            return None;
+        }
+        self.try_start(request)
+    }
+
     /// Sets a turn's maximum aside, with a new slice from the store if those held do not suffice.
     pub(crate) async fn reserve(
         self: &Rc<Self>,
         request: &BudgetRequest<'_>,
         deadline: Instant,
     ) -> Result<BudgetHold, LedgerError> {
-        if self.is_record_fresh(request)
-            && let Some(hold) = self.try_start(request)
-        {
+        if let Some(hold) = self.start_held(request) {
             return Ok(hold);
         }
         let partition = self.store.budget_partition(request.program);
         let view = self.view(partition);
         let mut view = view.lock().await;
         // A turn that waited for the lock before this one may have brought a slice for both.
-        if self.is_record_fresh(request)
-            && let Some(hold) = self.try_start(request)
-        {
+        if let Some(hold) = self.start_held(request) {
             return Ok(hold);
         }
         let key = self.slice_key(request.program);
@@ -132,6 +140,7 @@
             let record = SliceRecord {
                 program: request.program.to_owned(),
                 tokens,
+                holder: Some(self.address),
                 recorded_unix_ms: unix_ms(),
                 retain_ms: request.retention.as_ms(),
             };
@@ -180,6 +189,7 @@
         match view.decide(request.program, request.budget, request.turn) {
             SliceDecision::Spent => Err(LedgerError::Spent {
                 reserved: view.reserved(request.program),
+                holders: view.holders(request.program),
             }),
             SliceDecision::Reserve { tokens } => Ok(tokens),
         }
@@ -235,6 +245,29 @@
         state.recorded_at = Some(Instant::now());
     }
 
+    /// Gives up what this process holds of a program and does not need, for another process.
+    ///
+    /// The slice is smaller here before the answer is sent: if that is lost, the tokens are lost to
+    /// the program, and never spent twice.
+    pub(crate) fn lend(&self, program: &str, wanted: Tokens) -> Tokens {
+        let mut programs = self.programs.borrow_mut();
+        let state = programs.get_mut(program);
+        state.map_or(Tokens(0), |state| state.slices.lend(wanted))
+    }
+
+    /// Takes what another process gave up, and starts a turn with it.
+    ///
+    /// The lender has written a record for the program within a retention, or it would not hold a
+    /// slice that it uses; so the program's slices stay for two more.
+    pub(crate) fn start_borrowed(
+        self: &Rc<Self>,
+        request: &BudgetRequest<'_>,
+        borrowed: Tokens,
+    ) -> Option<BudgetHold> {
+        self.grant(request.program, borrowed);
+        self.try_start(request)
+    }
+
     /// Reads what was written since the view's end, or all where that is no longer kept.
     async fn read_on(
         &self,
--- a/standins/tests/gateway_bounds.rs
+++ b/standins/tests/gateway_bounds.rs
@@ -33,6 +33,7 @@
     let old_slice = SliceRecord {
         program: "old".to_owned(),
         tokens: Tokens(100),
+        holder: None,
         recorded_unix_ms: 1_000,
         retain_ms: 60_000,
     };
--- a/standins/tests/gateway_ledger.rs
+++ b/standins/tests/gateway_ledger.rs
@@ -189,3 +189,34 @@
         assert_eq!((answer.status, answer.is_complete), (200, true));
     }
 }
+
+/// A program's turns come to one gateway and then to another, while the first holds most of the
+/// budget unused. The second borrows it; the program is refused only when its budget is spent.
+#[test]
+fn a_gateway_borrows_what_another_does_not_need() {
+    let run = run(2);
+    assert_eq!(turn(&run, 0, "/draft/1", "first", None).status, 200);
+    let mut served = 1;
+    while turn(&run, 1, "/draft/1", &format!("t{served}"), None).status == 200 {
+        served += 1;
+    }
+    assert!(
+        (9..=11).contains(&served),
+        "{served} turns of 40 of 400 tokens"
+    );
+}
+
+/// The store falls silent for all while a program is under way, and its next turn comes to a gateway
+/// that holds nothing of it. That gateway borrows from the one that does, and the turn is served.
+#[test]
+fn a_program_goes_on_elsewhere_while_the_store_is_away() {
+    let run = run(2);
+    assert_eq!(turn(&run, 0, "/draft/1", "t1", None).status, 200);
+    for door in &run.doors {
+        door.set_mode(StoreMode::Busy);
+    }
+    let is_served =
+        |number: u32| turn(&run, 1, "/draft/1", &format!("u{number}"), None).status == 200;
+    // The first tries find out that the store is away.
+    assert!((0..4).any(is_served), "no turn was served");
+}
