--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -13,13 +13,13 @@
 use clementinepick::server_list::{BackendServer, ServerList};
 use clementinepick::traffic_config::TrafficConfig;
 use platform::store::{
-    CONFIG_KEY, KeyedRecord, NewestPage, Topic, append_target, decode_newest, encode_records,
-    newest_target,
+    CONFIG_KEY, KeyedRecord, Topic, append_target, encode_records, newest_target,
 };
 use serde::{Deserialize, Serialize};
 use slog::Logger;
 use tokio::sync::watch;
 
+use crate::followed_topic::FollowedTopic;
 use crate::ledger::{from_cbor, to_cbor};
 use crate::logging::write_event;
 use crate::store::{StoreCall, StoreClient};
@@ -89,6 +89,9 @@
     returned_at: Option<Instant>,
     announced_at: Option<Instant>,
     bad_entries: BTreeMap<String, String>,
+    config: FollowedTopic,
+    servers: FollowedTopic,
+    processes: FollowedTopic,
 }
 
 impl Follower {
@@ -115,6 +118,9 @@
             returned_at: None,
             announced_at: None,
             bad_entries: BTreeMap::new(),
+            config: FollowedTopic::new(Topic::Config),
+            servers: FollowedTopic::new(Topic::Servers),
+            processes: FollowedTopic::new(Topic::Processes),
         }
     }
 
@@ -140,15 +146,22 @@
 
     async fn look(&mut self) {
         let deadline = Instant::now() + LOOK_LIMIT;
-        let config = self.newest(Topic::Config, deadline).await;
-        let servers = self.newest(Topic::Servers, deadline).await;
+        let begun = Instant::now();
+        let config = self.config.look(&self.store, begun, deadline).await;
+        let servers = self.servers.look(&self.store, begun, deadline).await;
         let now = Instant::now();
-        if let Some(records) = &config {
-            self.take_config(records);
+        if config == Ok(true) {
+            self.take_config();
         }
-        if let Some(records) = &servers {
+        if let Ok(has_changed) = servers {
             self.note_return(now);
-            self.take_servers(now, records);
+            // Lapsed entries are believed for a while, also if nothing changes meanwhile.
+            let is_settling = self
+                .returned_at
+                .is_some_and(|at| now.duration_since(at) < LAPSE_GRACE + LOOK * 2);
+            if has_changed || is_settling {
+                self.take_servers(now);
+            }
             self.current.read_at = Some(now);
         }
         if self
@@ -160,24 +173,6 @@
         self.publish.send_replace(self.current.clone());
     }
 
-    async fn newest(&self, topic: Topic, deadline: Instant) -> Option<Vec<KeyedRecord>> {
-        let mut records = Vec::new();
-        let mut after: Option<String> = None;
-        loop {
-            let call = StoreCall::get(newest_target(&topic, 0, after.as_deref()));
-            let reply = self.store.call(&call, deadline).await.ok()?;
-            let page: NewestPage = match decode_newest(&reply.body) {
-                Ok(page) if reply.status == 200 => page,
-                _ => return None,
-            };
-            after = page.records.last().map(|record| record.key.clone());
-            records.extend(page.records);
-            if !page.has_more || after.is_none() {
-                return Some(records);
-            }
-        }
-    }
-
     fn note_return(&mut self, now: Instant) {
         let silence = self.last_read.map(|at| now.duration_since(at));
         if silence.is_some_and(|silence| silence > OUTAGE) {
@@ -187,9 +182,8 @@
         self.last_read = Some(now);
     }
 
-    fn take_config(&mut self, records: &[KeyedRecord]) {
-        let record = records.iter().find(|record| record.key == CONFIG_KEY);
-        let Some(value) = record.and_then(|record| record.value.as_ref()) else {
+    fn take_config(&mut self) {
+        let Some(value) = self.config.records().get(CONFIG_KEY) else {
             return;
         };
         let config = match platform::config::decode(value) {
@@ -208,17 +202,20 @@
         }
     }
 
-    fn take_servers(&mut self, now: Instant, records: &[KeyedRecord]) {
+    fn take_servers(&mut self, now: Instant) {
         let mut servers = BTreeMap::new();
-        for KeyedRecord { key, value } in records {
-            let Some(value) = value else { continue };
+        let mut bad_entries = BTreeMap::new();
+        for (key, value) in self.servers.records() {
             match platform::servers::decode(key, value) {
                 Ok(server) => {
                     servers.insert(key.clone(), server);
                 }
-                Err(err) => self.note_bad_entry(key, &err.to_string()),
+                Err(err) => {
+                    bad_entries.insert(key.clone(), err.to_string());
+                }
             }
         }
+        self.note_bad_entries(bad_entries);
         if self
             .returned_at
             .is_some_and(|at| now.duration_since(at) < LAPSE_GRACE)
@@ -231,15 +228,16 @@
         }
     }
 
-    fn note_bad_entry(&mut self, id: &str, reason: &str) {
-        let known = self.bad_entries.get(id).map(String::as_str);
-        if known == Some(reason) {
-            return;
+    /// Logs entries that can't be read, once for each reason.
+    fn note_bad_entries(&mut self, bad_entries: BTreeMap<String, String>) {
+        for (id, reason) in &bad_entries {
+            if self.bad_entries.get(id) != Some(reason) {
+                let event = Event::new(EventKind::ServerEntryUnreadable);
+                let event = event.with("server", id).with("reason", reason);
+                write_event(&self.logger, &event);
+            }
         }
-        let event = Event::new(EventKind::ServerEntryUnreadable);
-        let event = event.with("server", id).with("reason", reason);
-        write_event(&self.logger, &event);
-        self.bad_entries.insert(id.to_owned(), reason.to_owned());
+        self.bad_entries = bad_entries;
     }
 
     fn log_changes(&self, servers: &BTreeMap<String, BackendServer>) {
@@ -291,15 +289,16 @@
             .call(&call, deadline)
             .await
             .is_ok_and(|reply| reply.status == 200);
-        let Some(records) = self.newest(Topic::Processes, deadline).await else {
+        let read = self.processes.look(&self.store, now, deadline).await;
+        if read.is_err() {
             return;
-        };
+        }
         if is_written {
             self.announced_at = Some(now);
         }
-        let mut peers: Vec<SocketAddr> = records
-            .iter()
-            .filter_map(|record| from_cbor::<ProcessRecord>(record.value.as_ref()?))
+        let entries = self.processes.records().values();
+        let mut peers: Vec<SocketAddr> = entries
+            .filter_map(|entry| from_cbor::<ProcessRecord>(entry))
             .filter(|peer| is_recent(peer.recorded_unix_ms, unix_ms()))
             .map(|peer| peer.peer_address)
             .filter(|address| *address != self.identity.peer_address)
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -13,6 +13,7 @@
 mod daemon;
 mod directory;
 mod engine_client;
+mod followed_topic;
 pub mod gateway;
 mod gateway_call;
 mod gateway_connection;
