Log and count requests whose callers leave

The lines of an outage named refusals and no turn that was given up while its end waited for the store: the caller left first, and the request was dropped without a line.

--- a/clementinepickctl/tests/explain_run.rs
+++ b/clementinepickctl/tests/explain_run.rs
@@ -1,11 +1,12 @@
 //! Three requests that failed, each explained by the logs and metrics of its gateway alone.
 
 use std::io::{self, Write};
+use std::net::TcpStream;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use clementinepickctl::explain::{LogLine, read_log, story};
-use standins::platform_backend::BackendFault;
+use standins::platform_backend::{BackendFault, PlatformBackend};
 use standins::platform_caller::{CallerRequest, exchange};
 use standins::platform_run::{PlatformRun, wait_until};
 use standins::platform_store::StoreMode;
@@ -116,6 +117,29 @@
     assert_eq!(ran[0].request.headers["expect-instance"], server);
 }
 
+/// A caller gives up while the end of its turn waits for the store. Its line says that it left, and
+/// that the engine was done long before.
+#[test]
+fn a_caller_that_gave_up_is_explained() {
+    let (run, log) = run();
+    let first = CallerRequest::turn("/chat/1", "r1", "p1", "x").with("Token-Budget", "400");
+    assert_eq!(first.send(run.callers(0)).expect("an answer").status, 200);
+    run.doors[0].set_mode(StoreMode::Silent);
+    let second = CallerRequest::turn("/chat/1", "r2", "p1", "x").with("Token-Budget", "400");
+    let mut caller = TcpStream::connect(run.callers(0)).expect("a connection");
+    caller.write_all(&second.bytes()).expect("sent");
+    let has_run = || {
+        let ran = run.engines.iter().flat_map(PlatformBackend::executions);
+        ran.filter(|execution| execution.id == "r2").count() == 1
+    };
+    wait_until(has_run).expect("the turn runs");
+    std::thread::sleep(Duration::from_millis(300));
+    drop(caller);
+    let line = log.last_line("r2");
+    assert_eq!(line.fields["reason"], "caller_left");
+    assert!(line.fields.contains_key("generated_ms"), "{line:?}");
+}
+
 /// A caller's body and headers that may hold secrets stand in no line, also where it fails.
 #[test]
 fn lines_hold_no_bodies() {
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -25,6 +25,8 @@
 
 /// The outcome in metrics of requests that went well.
 const SERVED: &str = "served";
+/// The outcome of requests whose callers left, because they gave up or lost their connection.
+const CALLER_LEFT: &str = "caller_left";
 
 /// Takes callers' requests.
 pub(crate) struct CallerHandler {
@@ -47,33 +49,67 @@
             if let Some(previous) = info.as_ref().and_then(|info| info.previous_turn.as_ref()) {
                 trace.note("previous", previous);
             }
-            let outcome = serve(&self.shared, request, info, &trace, reply).await;
             let id = id.as_deref().unwrap_or("-");
+            let mut leaving = Leaving {
+                handler: self,
+                request,
+                id,
+                trace: &trace,
+                is_over: false,
+            };
+            let outcome = serve(&self.shared, request, info, &trace, reply).await;
+            leaving.is_over = !matches!(outcome, Err(CallerGone { .. }));
+            drop(leaving);
             match outcome {
                 Ok(Ok(())) => {
                     let took = request.arrived.elapsed();
                     self.shared.metrics.count(trace.kind.get(), SERVED, took);
                     if self.shared.is_sampled(id) {
                         let event = Event::new(EventKind::RequestServed);
-                        self.log(event, request, id, &trace, reply);
+                        self.log(event, request, id, &trace, reply.status);
                     }
                 }
                 Ok(Err(refusal)) => {
                     let event = Event::new(EventKind::RequestFailed);
                     let event = event.with("reason", refusal.answer().code);
-                    self.log(event, request, id, &trace, reply);
+                    self.log(event, request, id, &trace, reply.status);
                     let took = request.arrived.elapsed();
                     let code = refusal.answer().code;
                     self.shared.metrics.count(trace.kind.get(), code, took);
                     self.refuse(refusal, id, reply).await;
                 }
-                // The caller's connection is gone, and with it the request.
+                // `Leaving` has logged it.
                 Err(CallerGone { .. }) => {}
             }
         })
     }
 }
 
+/// Logs a request whose caller leaves before its answer is complete; the request is dropped then,
+/// wherever it is.
+struct Leaving<'a> {
+    handler: &'a CallerHandler,
+    request: &'a Received<'a>,
+    id: &'a str,
+    trace: &'a Trace,
+    is_over: bool,
+}
+
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        let kind = self.trace.kind.get();
+        let took = self.request.arrived.elapsed();
+        self.handler.shared.metrics.count(kind, CALLER_LEFT, took);
+        let event = Event::new(EventKind::RequestFailed).with("reason", CALLER_LEFT);
+        let status = self.trace.status.get();
+        self.handler
+            .log(event, self.request, self.id, self.trace, status);
+    }
+}
+
 impl CallerHandler {
     async fn refuse(&self, refusal: Refusal, id: &str, reply: &mut Reply<'_>) {
         if reply.state() == ReplyState::Open {
@@ -87,14 +123,7 @@
         }
     }
 
-    fn log(
-        &self,
-        event: Event,
-        request: &Received<'_>,
-        id: &str,
-        trace: &Trace,
-        reply: &Reply<'_>,
-    ) {
+    fn log(&self, event: Event, request: &Received<'_>, id: &str, trace: &Trace, status: u16) {
         let took = request.arrived.elapsed();
         let directory = self.shared.directory();
         let config_version = directory.config.as_ref().map_or(0, |config| config.version);
@@ -102,7 +131,7 @@
         let event = event
             .with("request", id)
             .with("path", request.head.uri().path())
-            .with("status", reply.status)
+            .with("status", status)
             .with("took_ms", took.as_millis())
             .with("config_version", config_version)
             .with("lists_age_ms", lists_age)
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -284,6 +284,7 @@
         if reply.state() == ReplyState::Open {
             let headers = platform::answer::forwarded(&answering.head.headers);
             reply.start(StatusCode::OK, headers).await?;
+            self.trace.status.set(StatusCode::OK.as_u16());
         }
         self.deliver_events(answering, reply).await
     }
--- a/clementinepickd/src/gateway_trace.rs
+++ b/clementinepickd/src/gateway_trace.rs
@@ -13,6 +13,8 @@
     pub(crate) kind: Cell<&'static str>,
     /// Whether a server may be running it or may have run it.
     pub(crate) may_have_run: Cell<bool>,
+    /// The status that the caller has got so far; 0 before the head of an answer was passed on.
+    pub(crate) status: Cell<u16>,
     servers: RefCell<Vec<String>>,
     admitted: Cell<Option<Instant>>,
     placed: Cell<Option<Instant>>,
