--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -4,8 +4,6 @@
 //! One thread follows the lists in the store ([`Follower`]); the thread that calls [`run`] carries
 //! the traffic.
 
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
@@ -16,45 +14,26 @@
 use actix_rt::time::sleep;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::ids::Incarnation;
-use clementinepick::retry::RetryBudget;
-use clementinepick::server_choice::ServerChoice;
-use clementinepick::traffic_config::CallerLimits;
-use clementinepick::units::{Percent, TimeUs, Tokens};
-use platform::store::{Topic, newest_target};
 use slog::Logger;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::task::{JoinSet, LocalSet};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::directory::{Directory, Follower, Identity};
 use crate::gateway_connection::{Handler, serve};
-use crate::gateway_metrics::{GatewayMetrics, MetricsHandler};
+use crate::gateway_house::keep_house;
+use crate::gateway_metrics::MetricsHandler;
 use crate::gateway_peer::PeerHandler;
 use crate::gateway_request::{CallerHandler, ReadyHandler};
 use crate::gateway_settings::GatewaySettings;
-use crate::ledger::LedgerStore;
-use crate::ledger_budgets::Budgets;
-use crate::ledger_sweep::Sweep;
-use crate::ledger_turns::Turns;
+use crate::gateway_shared::Shared;
 use crate::logging::{new_logger_to, write_event};
-use crate::outbound_pool::Pool;
-use crate::store::{StoreCall, StoreClient};
-use crate::unix_time::unix_ms;
+use crate::store::StoreClient;
 
-/// The time between two rounds of housekeeping: closing idle connections, forgetting old state,
-/// looking whether the store is back.
-const HOUSEKEEPING: Duration = Duration::from_millis(250);
-/// A process whose lists are older than this does not say that it is ready: it would send requests
-/// to servers that have left and refuse new programs, while another process may know better.
-const MAX_LIST_AGE: Duration = Duration::from_secs(3);
 /// The pause after a failed accept, which mostly means that descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// The share of requests that may be sent again. Troubles of the users' sheets spoil up to 5 in 100
-/// answers of 6 servers in 10; more failures than that mean that a service fails as a whole.
-const RETRY_PERCENT: u8 = 20;
 /// How long the last answers of a process may take to leave its connections.
 const FLUSH: Duration = Duration::from_millis(30);
 
@@ -77,158 +56,6 @@
     Metrics(#[from] metrics_exporter_prometheus::BuildError),
 }
 
-/// What the tasks of the traffic thread share.
-pub(crate) struct Shared {
-    pub(crate) store: Rc<StoreClient>,
-    pub(crate) ledger: Rc<LedgerStore>,
-    pub(crate) budgets: Rc<Budgets>,
-    pub(crate) turns: Turns,
-    /// Where peers reach this process.
-    pub(crate) peer_address: SocketAddr,
-    pub(crate) pool: Pool,
-    pub(crate) choice: RefCell<ServerChoice>,
-    pub(crate) metrics: GatewayMetrics,
-    retries: RefCell<BTreeMap<String, RetryBudget>>,
-    /// The bytes of request bodies that are held.
-    body_bytes: Cell<usize>,
-    body_limit_bytes: usize,
-    directory: watch::Receiver<Directory>,
-    logger: Logger,
-    log_every: u64,
-    started: Instant,
-    running: Cell<usize>,
-    is_draining: Cell<bool>,
-    is_closing: Cell<bool>,
-    closing: Notify,
-}
-
-/// Counts a request as running until it is dropped.
-pub(crate) struct Running<'a>(&'a Cell<usize>);
-
-impl Drop for Running<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-/// Bytes of a request's body that count as held until it is dropped.
-pub(crate) struct BodyHold<'a> {
-    held: &'a Cell<usize>,
-    bytes: usize,
-}
-
-impl Drop for BodyHold<'_> {
-    fn drop(&mut self) {
-        self.held.set(self.held.get() - self.bytes);
-    }
-}
-
-impl Shared {
-    pub(crate) fn directory(&self) -> Directory {
-        self.directory.borrow().clone()
-    }
-
-    pub(crate) fn limits(&self) -> CallerLimits {
-        let directory = self.directory.borrow();
-        directory
-            .config
-            .as_ref()
-            .map(|c| c.limits)
-            .unwrap_or_default()
-    }
-
-    pub(crate) fn tokens_per_event(&self, service: &str) -> Tokens {
-        let directory = self.directory.borrow();
-        let config = directory.config.as_ref();
-        let service = config.and_then(|config| config.services.get(service));
-        service.map_or(Tokens(1), |service| service.tokens_per_event)
-    }
-
-    pub(crate) fn now_us(&self, now: Instant) -> TimeUs {
-        let since = now.saturating_duration_since(self.started);
-        TimeUs(u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
-    }
-
-    pub(crate) fn is_draining(&self) -> bool {
-        self.is_draining.get()
-    }
-
-    pub(crate) fn is_ready(&self, now: Instant) -> bool {
-        let directory = self.directory.borrow();
-        let is_fresh = directory
-            .read_at
-            .is_some_and(|at| now.saturating_duration_since(at) < MAX_LIST_AGE);
-        !self.is_draining() && directory.config.is_some() && is_fresh
-    }
-
-    /// How many connections this process may have to one server of a service, so that all processes
-    /// together stay under what the server accepts; it resets those beyond.
-    pub(crate) fn connection_limit(&self, service: &str) -> u32 {
-        let directory = self.directory.borrow();
-        let config = directory.config.as_ref();
-        let service = config.and_then(|config| config.services.get(service));
-        let processes = u32::try_from(directory.peers.len() + 1).unwrap_or(u32::MAX);
-        service.map_or(u32::MAX, |s| (s.max_connections / processes).max(1))
-    }
-
-    /// Notes a request for a service; each earns a part of a retry.
-    pub(crate) fn earn_retry(&self, service: &str) {
-        let mut retries = self.retries.borrow_mut();
-        let budget = retries.entry(service.to_owned()).or_default();
-        budget.on_call(Percent::new(RETRY_PERCENT).unwrap_or_default());
-    }
-
-    /// Whether a request for a service may be sent again.
-    pub(crate) fn take_retry(&self, service: &str, kind: &'static str) -> bool {
-        let mut retries = self.retries.borrow_mut();
-        let may_retry = retries.entry(service.to_owned()).or_default().take();
-        if may_retry {
-            self.metrics.count_retry(kind);
-        }
-        may_retry
-    }
-
-    /// Holds `bytes` of a request's body until dropped; none when too much is held already.
-    pub(crate) fn hold_body(&self, bytes: usize) -> Option<BodyHold<'_>> {
-        let held = self.body_bytes.get() + bytes;
-        if held > self.body_limit_bytes {
-            return None;
-        }
-        self.body_bytes.set(held);
-        Some(BodyHold {
-            held: &self.body_bytes,
-            bytes,
-        })
-    }
-
-    pub(crate) fn start_request(&self) -> Running<'_> {
-        self.running.set(self.running.get() + 1);
-        Running(&self.running)
-    }
-
-    /// Returns when idle connections are to be closed.
-    pub(crate) async fn idle_connections_close(&self) {
-        while !self.is_closing.get() {
-            self.closing.notified().await;
-        }
-    }
-
-    pub(crate) fn log(&self, event: &Event) {
-        write_event(&self.logger, event);
-    }
-
-    /// Whether the success of the request with this id is logged; all processes pick the same.
-    pub(crate) fn is_sampled(&self, id: &str) -> bool {
-        let every = self.log_every.max(1);
-        xxh3_64(id.as_bytes()).is_multiple_of(every)
-    }
-
-    pub(crate) fn log_connection_error(&self, err: &io::Error) {
-        let event = Event::new(EventKind::LinkDown).with("reason", err);
-        self.log(&event);
-    }
-}
-
 /// The addresses of one gateway, as in its settings.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GatewayAddresses {
@@ -385,34 +212,7 @@
         stop: impl Future<Output = io::Result<()>>,
     ) -> Result<(), GatewayError> {
         let settings = &self.settings;
-        let store = Rc::new(StoreClient::new(settings.store));
-        store.set_relays(settings.seeds.clone());
-        let ledger = Rc::new(LedgerStore {
-            settings: settings.ledger,
-            client: Rc::clone(&store),
-        });
-        let writer = format!("{:016x}", rand::random::<u64>());
-        let shared = Rc::new(Shared {
-            store,
-            budgets: Rc::new(Budgets::new(Rc::clone(&ledger), writer, settings.peers)),
-            peer_address: settings.peers,
-            turns: Turns::new(Rc::clone(&ledger)),
-            ledger,
-            pool: Pool::default(),
-            choice: RefCell::default(),
-            metrics: GatewayMetrics::new()?,
-            retries: RefCell::default(),
-            body_bytes: Cell::new(0),
-            body_limit_bytes: settings.body_limit_bytes,
-            directory,
-            logger: self.logger.clone(),
-            log_every: settings.log_every,
-            started: Instant::now(),
-            running: Cell::new(0),
-            is_draining: Cell::new(false),
-            is_closing: Cell::new(false),
-            closing: Notify::new(),
-        });
+        let shared = Rc::new(Shared::new(settings, directory, self.logger.clone())?);
         let mut tasks = JoinSet::new();
         let callers: Rc<dyn Handler> = Rc::new(CallerHandler {
             shared: Rc::clone(&shared),
@@ -481,78 +281,6 @@
     }
 }
 
-async fn keep_house(shared: Rc<Shared>, vm: String, own_address: SocketAddr) {
-    let event = Event::new(EventKind::ProcessReady).with("vm", vm);
-    let mut said_ready = false;
-    let mut store_log = StoreLog::default();
-    let mut sweep = Sweep::starting_at(rand::random());
-    loop {
-        let now = Instant::now();
-        if !said_ready && shared.is_ready(now) {
-            shared.log(&event);
-            said_ready = true;
-        }
-        shared.pool.close_stale(now);
-        shared.store.close_stale(now);
-        shared.budgets.forget_idle(now);
-        let directory = shared.directory();
-        let peers = directory.peers.iter().copied();
-        let peers: Vec<SocketAddr> = peers.filter(|peer| *peer != own_address).collect();
-        if !peers.is_empty() {
-            shared.store.set_relays(peers);
-        }
-        let target = newest_target(&Topic::Config, 0, None);
-        shared.store.probe(&StoreCall::get(target)).await;
-        store_log.look(&shared, now);
-        let processes = directory.peers.len() + 1;
-        sweep.step(&shared.ledger, processes, now, unix_ms()).await;
-        let servers = &directory.servers.servers;
-        shared
-            .choice
-            .borrow_mut()
-            .retain(|id| servers.contains_key(id));
-        sleep(HOUSEKEEPING).await;
-    }
-}
-
-/// What was last said of the store.
-#[derive(Default)]
-struct StoreLog {
-    is_away: bool,
-    is_direct_down: bool,
-}
-
-impl StoreLog {
-    /// Logs what has changed.
-    fn look(&mut self, shared: &Shared, now: Instant) {
-        let (away, down) = (shared.store.is_away(), shared.store.is_direct_down());
-        let counts = shared.store.counts();
-        let with_counts = |kind| {
-            Event::new(kind)
-                .with("calls", counts.calls)
-                .with("failures", counts.failures)
-                .with("relayed", counts.relayed)
-        };
-        if away != std::mem::replace(&mut self.is_away, away) {
-            let kind = if away {
-                EventKind::LogDown
-            } else {
-                EventKind::LogUp
-            };
-            let away_for = shared.store.away_for(now).as_millis();
-            shared.log(&with_counts(kind).with("away_ms", away_for));
-        }
-        if down != std::mem::replace(&mut self.is_direct_down, down) {
-            let kind = if down {
-                EventKind::StoreDirectDown
-            } else {
-                EventKind::StoreDirectUp
-            };
-            shared.log(&with_counts(kind));
-        }
-    }
-}
-
 /// Returns at the first signal to end; SIGHUP is noted.
 async fn wait_for_signal(logger: Logger) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
@@ -573,20 +301,19 @@
 /// Ends gracefully: callers are sent elsewhere first, then what runs is finished.
 async fn drain(shared: &Shared, settings: &GatewaySettings) {
     let begun = Instant::now();
-    shared.is_draining.set(true);
-    let event = Event::new(EventKind::ShutdownStarted).with("running", shared.running.get());
+    shared.start_draining();
+    let event = Event::new(EventKind::ShutdownStarted).with("running", shared.running());
     shared.log(&event);
     sleep(settings.notice).await;
-    shared.is_closing.set(true);
-    shared.closing.notify_waiters();
-    while shared.running.get() > 0 && begun.elapsed() < settings.shutdown_limit {
+    shared.close_idle_connections();
+    while shared.running() > 0 && begun.elapsed() < settings.shutdown_limit {
         sleep(FLUSH).await;
     }
     sleep(FLUSH).await;
-    let kind = if shared.running.get() == 0 {
+    let kind = if shared.running() == 0 {
         EventKind::ShutdownFinished
     } else {
         EventKind::ShutdownForced
     };
-    shared.log(&Event::new(kind).with("running", shared.running.get()));
+    shared.log(&Event::new(kind).with("running", shared.running()));
 }
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -9,9 +9,10 @@
 use clementinepick::refusal::Refusal;
 use clementinepick::traffic_config::RequestKind;
 
-use crate::gateway::Shared;
-use crate::gateway_exchange::{Answering, Job, Sent};
+use crate::gateway_attempts::{Attempts, TryEnd};
+use crate::gateway_exchange::{Job, ServerSlot};
 use crate::gateway_reply::{CallerGone, Reply};
+use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
 
 /// The largest body of an answer, in bytes. It is held whole, so that an answer that is cut off
@@ -50,78 +51,36 @@
 }
 
 async fn call(shared: &Rc<Shared>, job: &Job<'_>, trace: &Trace) -> Result<WholeAnswer, Refusal> {
-    let mut tried = Vec::new();
-    let mut sends = 0;
-    let mut refusal = Refusal::NoServer;
-    shared.earn_retry(job.service);
-    while sends < job.route.attempts {
-        if sends > 0 && !shared.take_retry(job.service, CALL) {
-            break;
-        }
-        let Some(slot) = job.place(shared, &tried, None) else {
-            break;
-        };
-        tried.push(slot.server.id.clone());
-        let may_repeat = job.route.kind == RequestKind::Idempotent;
-        trace.place(&slot.server.id, Instant::now());
+    let may_repeat = job.route.kind == RequestKind::Idempotent;
+    let mut attempts = Attempts::new(shared, job, trace, may_repeat);
+    while let Some(slot) = attempts.next(None) {
         let exchange = exchange(shared, job, trace, slot);
-        let is_last = sends + 1 >= job.route.attempts;
-        let outcome = if may_repeat && !is_last {
-            timeout(patience(job), exchange)
-                .await
-                .unwrap_or(Outcome::Lost)
+        let answer = if may_repeat && !attempts.is_last() {
+            let answer = timeout(patience(job), exchange).await;
+            answer.unwrap_or(Err(TryEnd::Lost))
         } else {
             exchange.await
         };
-        match outcome {
-            Outcome::Answer(answer) => return Ok(*answer),
-            Outcome::Unreached => trace.may_have_run.set(refusal == Refusal::ServerLost),
-            Outcome::NotRun => {
-                sends += 1;
-                trace.may_have_run.set(refusal == Refusal::ServerLost);
-                if refusal == Refusal::NoServer {
-                    refusal = Refusal::ServersRefused;
-                }
-            }
-            Outcome::Lost => {
-                sends += 1;
-                refusal = Refusal::ServerLost;
-                if !may_repeat {
-                    break;
-                }
-            }
+        match answer {
+            Ok(answer) => return Ok(answer),
+            Err(end) => attempts.failed(end),
         }
     }
-    Err(refusal)
-}
-
-enum Outcome {
-    Answer(Box<WholeAnswer>),
-    Unreached,
-    NotRun,
-    Lost,
+    Err(attempts.refusal())
 }
 
 async fn exchange(
     shared: &Rc<Shared>,
     job: &Job<'_>,
     trace: &Trace,
-    slot: crate::gateway_exchange::ServerSlot,
-) -> Outcome {
+    slot: ServerSlot,
+) -> Result<WholeAnswer, TryEnd> {
     let body = job.received.body.clone();
-    match job.send(shared, slot, body, None).await {
-        Sent::Answered(answering) => read_whole(shared, trace, *answering).await,
-        Sent::NotRun => Outcome::NotRun,
-        Sent::Unreached => Outcome::Unreached,
-        Sent::Lost => Outcome::Lost,
-    }
-}
-
-async fn read_whole(shared: &Rc<Shared>, trace: &Trace, mut answering: Answering) -> Outcome {
+    let mut answering = job.send(shared, slot, body, None).await?;
     trace.first_byte(Instant::now());
     let Ok(body) = answering.connection.body(MAX_ANSWER_BYTES).await else {
         answering.slot.note_failure();
-        return Outcome::Lost;
+        return Err(TryEnd::Lost);
     };
     let answer = WholeAnswer {
         status: answering.head.status,
@@ -129,7 +88,7 @@
         body,
     };
     answering.finish(shared);
-    Outcome::Answer(Box::new(answer))
+    Ok(answer)
 }
 
 fn patience(job: &Job<'_>) -> Duration {
--- a/clementinepickd/src/gateway_connection.rs
+++ b/clementinepickd/src/gateway_connection.rs
@@ -15,8 +15,8 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio_util::codec::Decoder;
 
-use crate::gateway::{BodyHold, Shared};
 use crate::gateway_reply::{Reply, ReplyState};
+use crate::gateway_shared::{BodyHold, Shared};
 
 /// How many bytes of a next request are taken while one is answered; a caller that sends more is
 /// made to wait by its connection.
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -9,8 +9,9 @@
 use clementinepick::traffic_config::TrafficRoute;
 use platform::request::{RequestInfo, SendInfo, forwarded};
 
-use crate::gateway::Shared;
+use crate::gateway_attempts::TryEnd;
 use crate::gateway_connection::Received;
+use crate::gateway_shared::Shared;
 use crate::outbound::{Connection, OutboundError, Outgoing};
 
 /// How long a connection to a backend server may take to open. Zones are milliseconds apart, and
@@ -28,18 +29,6 @@
     pub(crate) deadline: Instant,
 }
 
-/// What became of one try.
-pub(crate) enum Sent {
-    /// The server answers.
-    Answered(Box<Answering>),
-    /// The server did not run the request.
-    NotRun,
-    /// Nothing reached the server.
-    Unreached,
-    /// The server may have run the request, and its answer is lost.
-    Lost,
-}
-
 /// A server's answer whose head was read.
 pub(crate) struct Answering {
     pub(crate) head: ResponseHead,
@@ -121,13 +110,13 @@
         slot: ServerSlot,
         body: bytes::Bytes,
         last_event_id: Option<u64>,
-    ) -> Sent {
+    ) -> Result<Answering, TryEnd> {
         let begun = Instant::now();
         let address = slot.server.address;
         let opened = shared.pool.connection(address, CONNECT_LIMIT, begun).await;
         let Ok(mut connection) = opened else {
             slot.note_failure();
-            return Sent::Unreached;
+            return Err(TryEnd::Unreached);
         };
         let send = SendInfo {
             time_left: self.time_left(Instant::now()),
@@ -146,7 +135,7 @@
                 if !matches!(err, OutboundError::Connect(_)) {
                     slot.note_failure();
                 }
-                return Sent::Lost;
+                return Err(TryEnd::Lost);
             }
         };
         self.judge(shared, slot, connection, head).await
@@ -158,15 +147,15 @@
         slot: ServerSlot,
         mut connection: Connection,
         head: ResponseHead,
-    ) -> Sent {
+    ) -> Result<Answering, TryEnd> {
         if !platform::answer::belongs_to(&head.headers, &self.info.id) {
             // A late answer to an earlier request, or one that can't be told from it.
             let is_refusal = platform::answer::says_not_run(head.status.as_u16(), &head.headers);
             slot.note_failure();
             return if is_refusal && !platform::answer::has_request_id(&head.headers) {
-                Sent::NotRun
+                Err(TryEnd::NotRun)
             } else {
-                Sent::Lost
+                Err(TryEnd::Lost)
             };
         }
         if let Some(load) = platform::answer::reported_load(&head.headers) {
@@ -181,13 +170,13 @@
                 let address = slot.server.address;
                 shared.pool.give_back(address, connection, Instant::now());
             }
-            return Sent::NotRun;
+            return Err(TryEnd::NotRun);
         }
-        Sent::Answered(Box::new(Answering {
+        Ok(Answering {
             head,
             connection,
             slot,
-        }))
+        })
     }
 }
 
--- /dev/null
+++ b/clementinepickd/src/gateway_house.rs
@@ -0,0 +1,92 @@
+//! What a gateway does now and then: closes idle connections, forgets old state, looks whether the
+//! store is back, and drops old records.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep;
+use clementinepick::event::{Event, EventKind};
+use platform::store::{Topic, newest_target};
+
+use crate::gateway_shared::Shared;
+use crate::ledger_sweep::Sweep;
+use crate::store::StoreCall;
+use crate::unix_time::unix_ms;
+
+/// The time between two rounds of housekeeping: closing idle connections, forgetting old state,
+/// looking whether the store is back.
+const HOUSEKEEPING: Duration = Duration::from_millis(250);
+
+/// Keeps house until it is dropped.
+pub(crate) async fn keep_house(shared: Rc<Shared>, vm: String, own_address: SocketAddr) {
+    let event = Event::new(EventKind::ProcessReady).with("vm", vm);
+    let mut said_ready = false;
+    let mut store_log = StoreLog::default();
+    let mut sweep = Sweep::starting_at(rand::random());
+    loop {
+        let now = Instant::now();
+        if !said_ready && shared.is_ready(now) {
+            shared.log(&event);
+            said_ready = true;
+        }
+        shared.pool.close_stale(now);
+        shared.store.close_stale(now);
+        shared.budgets.forget_idle(now);
+        let directory = shared.directory();
+        let peers = directory.peers.iter().copied();
+        let peers: Vec<SocketAddr> = peers.filter(|peer| *peer != own_address).collect();
+        if !peers.is_empty() {
+            shared.store.set_relays(peers);
+        }
+        let target = newest_target(&Topic::Config, 0, None);
+        shared.store.probe(&StoreCall::get(target)).await;
+        store_log.look(&shared, now);
+        let processes = directory.peers.len() + 1;
+        sweep.step(&shared.ledger, processes, now, unix_ms()).await;
+        let servers = &directory.servers.servers;
+        shared
+            .choice
+            .borrow_mut()
+            .retain(|id| servers.contains_key(id));
+        sleep(HOUSEKEEPING).await;
+    }
+}
+
+/// What was last said of the store.
+#[derive(Default)]
+struct StoreLog {
+    is_away: bool,
+    is_direct_down: bool,
+}
+
+impl StoreLog {
+    /// Logs what has changed.
+    fn look(&mut self, shared: &Shared, now: Instant) {
+        let (away, down) = (shared.store.is_away(), shared.store.is_direct_down());
+        let counts = shared.store.counts();
+        let with_counts = |kind| {
+            Event::new(kind)
+                .with("calls", counts.calls)
+                .with("failures", counts.failures)
+                .with("relayed", counts.relayed)
+        };
+        if away != std::mem::replace(&mut self.is_away, away) {
+            let kind = if away {
+                EventKind::LogDown
+            } else {
+                EventKind::LogUp
+            };
+            let away_for = shared.store.away_for(now).as_millis();
+            shared.log(&with_counts(kind).with("away_ms", away_for));
+        }
+        if down != std::mem::replace(&mut self.is_direct_down, down) {
+            let kind = if down {
+                EventKind::StoreDirectDown
+            } else {
+                EventKind::StoreDirectUp
+            };
+            shared.log(&with_counts(kind));
+        }
+    }
+}
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -11,9 +11,9 @@
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusRecorder};
 use serde_json::json;
 
-use crate::gateway::Shared;
 use crate::gateway_connection::{Handler, Received};
 use crate::gateway_reply::Reply;
+use crate::gateway_shared::Shared;
 
 /// The bounds of the latency histogram, in seconds: from a lookup to the longest timeout.
 const LATENCY_BUCKETS_S: &[f64] = &[
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -15,9 +15,9 @@
 use futures_util::future::join_all;
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::Shared;
 use crate::gateway_connection::{Handler, Received};
 use crate::gateway_reply::Reply;
+use crate::gateway_shared::Shared;
 use crate::ledger::{from_cbor, to_cbor};
 use crate::ledger_budgets::{BudgetHold, BudgetRequest};
 use crate::outbound::Outgoing;
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -15,11 +15,11 @@
 use rand::RngExt;
 use tokio::time::timeout_at;
 
-use crate::gateway::Shared;
 use crate::gateway_call::{self, CALL};
 use crate::gateway_connection::{Handler, Received};
 use crate::gateway_exchange::Job;
 use crate::gateway_reply::{CallerGone, Reply, ReplyState};
+use crate::gateway_shared::Shared;
 use crate::gateway_stream::{self, TURN};
 use crate::gateway_trace::Trace;
 
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -13,10 +13,11 @@
 use clementinepick::turn_chain::{Turn, prompt};
 use clementinepick::units::Tokens;
 
-use crate::gateway::Shared;
-use crate::gateway_exchange::{Answering, Job, Sent, ServerSlot};
+use crate::gateway_attempts::{Attempts, TryEnd};
+use crate::gateway_exchange::{Answering, Job, ServerSlot};
 use crate::gateway_peer::borrow_budget;
 use crate::gateway_reply::{CallerGone, Reply, ReplyState};
+use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
 use crate::ledger::LedgerError;
 use crate::ledger_budgets::{BudgetHold, BudgetRequest, SliceGrant};
@@ -42,20 +43,6 @@
     output: BytesMut,
 }
 
-/// How one run of a stream ended.
-enum RunEnd {
-    /// All events were delivered.
-    Complete,
-    /// The engine answered with a failure of its own, which was delivered.
-    Failed,
-    /// The engine did not run it.
-    NotRun,
-    /// No connection was made.
-    Unreached,
-    /// The run broke off or fell silent.
-    Lost,
-}
-
 /// Runs a turn and answers the caller.
 pub(crate) async fn run(
     shared: &Rc<Shared>,
@@ -222,61 +209,32 @@
     }
 
     async fn run(&mut self, reply: &mut Reply<'_>) -> Result<Result<(), Refusal>, CallerGone> {
-        let trace = self.trace;
-        let mut tried = Vec::new();
-        let mut sends = 0;
-        let mut refusal = Refusal::NoServer;
-        self.shared.earn_retry(self.job.service);
-        while sends < self.job.route.attempts {
-            let last_server = self
-                .previous
-                .as_ref()
-                .and_then(|turn| turn.server.as_deref());
-            if sends > 0 && !self.shared.take_retry(self.job.service, TURN) {
-                break;
-            }
-            let Some(slot) = self.job.place(self.shared, &tried, last_server) else {
-                break;
-            };
-            tried.push(slot.server.id.clone());
+        let may_repeat = self.job.route.is_resumable;
+        let mut attempts = Attempts::new(self.shared, self.job, self.trace, may_repeat);
+        let last_server = self.previous.as_ref().and_then(|turn| turn.server.clone());
+        while let Some(slot) = attempts.next(last_server.as_deref()) {
             self.server = Some(slot.server.id.clone());
-            trace.place(&slot.server.id, Instant::now());
             match self.run_once(slot, reply).await? {
-                RunEnd::Complete | RunEnd::Failed => return Ok(Ok(())),
-                RunEnd::Unreached => trace.may_have_run.set(refusal == Refusal::ServerLost),
-                RunEnd::NotRun => {
-                    sends += 1;
-                    trace.may_have_run.set(refusal == Refusal::ServerLost);
-                    if refusal == Refusal::NoServer {
-                        refusal = Refusal::ServersRefused;
-                    }
-                }
-                RunEnd::Lost => {
-                    sends += 1;
-                    refusal = Refusal::ServerLost;
-                    if !self.job.route.is_resumable {
-                        break;
-                    }
-                }
+                Ok(()) => return Ok(Ok(())),
+                Err(end) => attempts.failed(end),
             }
         }
-        Ok(Err(refusal))
+        Ok(Err(attempts.refusal()))
     }
 
+    /// One run at one server; done when the stream, or a failure of the server's own, was passed on.
     async fn run_once(
         &mut self,
         slot: ServerSlot,
         reply: &mut Reply<'_>,
-    ) -> Result<RunEnd, CallerGone> {
+    ) -> Result<Result<(), TryEnd>, CallerGone> {
         let body = self.body.clone();
         let last_event_id = self.delivered.last_event_id;
         let sending = self.job.send(self.shared, slot, body, last_event_id);
         let sent = timeout(self.first_patience(), sending).await;
-        let answering = match sent.unwrap_or(Sent::Lost) {
-            Sent::Answered(answering) => *answering,
-            Sent::NotRun => return Ok(RunEnd::NotRun),
-            Sent::Unreached => return Ok(RunEnd::Unreached),
-            Sent::Lost => return Ok(RunEnd::Lost),
+        let answering = match sent.unwrap_or(Err(TryEnd::Lost)) {
+            Ok(answering) => answering,
+            Err(end) => return Ok(Err(end)),
         };
         if answering.head.status != StatusCode::OK {
             return self.deliver_failure(answering, reply).await;
@@ -294,25 +252,25 @@
         &mut self,
         mut answering: Answering,
         reply: &mut Reply<'_>,
-    ) -> Result<RunEnd, CallerGone> {
+    ) -> Result<Result<(), TryEnd>, CallerGone> {
         if reply.state() != ReplyState::Open {
-            return Ok(RunEnd::Lost);
+            return Ok(Err(TryEnd::Lost));
         }
         let Ok(body) = answering.connection.body(MAX_FAILURE_BYTES).await else {
-            return Ok(RunEnd::Lost);
+            return Ok(Err(TryEnd::Lost));
         };
         let headers = platform::answer::forwarded(&answering.head.headers);
         let status = answering.head.status;
         answering.finish(self.shared);
         reply.whole(status, headers, body).await?;
-        Ok(RunEnd::Failed)
+        Ok(Ok(()))
     }
 
     async fn deliver_events(
         &mut self,
         mut answering: Answering,
         reply: &mut Reply<'_>,
-    ) -> Result<RunEnd, CallerGone> {
+    ) -> Result<Result<(), TryEnd>, CallerGone> {
         let mut splitter = EventSplitter::default();
         let mut patience = self.first_patience();
         loop {
@@ -320,16 +278,16 @@
                 Ok(Ok(Some(chunk))) => chunk,
                 Ok(Ok(None)) if splitter.is_empty() => {
                     answering.finish(self.shared);
-                    return Ok(RunEnd::Complete);
+                    return Ok(Ok(()));
                 }
                 Ok(Ok(None) | Err(_)) | Err(_) => {
                     answering.slot.note_failure();
-                    return Ok(RunEnd::Lost);
+                    return Ok(Err(TryEnd::Lost));
                 }
             };
             splitter.push(&chunk);
             if splitter.is_overfull() {
-                return Ok(RunEnd::Lost);
+                return Ok(Err(TryEnd::Lost));
             }
             while let Some(event) = splitter.next_event() {
                 self.deliver(event, reply).await?;
