Pass over servers that say nothing

Cause: a try that ended by patience, and not by a broken connection, left the server as good as before, so that each request met it anew. The test fails without the change.

--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -54,14 +54,12 @@
     let may_repeat = job.route.kind == RequestKind::Idempotent;
     let mut attempts = Attempts::new(shared, job, trace, may_repeat);
     while let Some(slot) = attempts.next(None) {
-        let exchange = exchange(shared, job, trace, slot);
-        let answer = if may_repeat && !attempts.is_last() {
-            let answer = timeout(patience(job), exchange).await;
-            answer.unwrap_or(Err(TryEnd::Lost))
+        let patience = if may_repeat && !attempts.is_last() {
+            patience(job)
         } else {
-            exchange.await
+            job.endless(Instant::now())
         };
-        match answer {
+        match exchange(shared, job, trace, slot, patience).await {
             Ok(answer) => return Ok(answer),
             Err(end) => attempts.failed(end),
         }
@@ -74,11 +72,14 @@
     job: &Job<'_>,
     trace: &Trace,
     slot: ServerSlot,
+    patience: Duration,
 ) -> Result<WholeAnswer, TryEnd> {
     let body = job.received.body.clone();
-    let mut answering = job.send(shared, slot, body, None).await?;
+    let sent = job.send_within(patience, shared, slot, body, None).await;
+    let mut answering = sent?;
     trace.first_byte(Instant::now());
-    let Ok(body) = answering.connection.body(MAX_ANSWER_BYTES).await else {
+    let reading = answering.connection.body(MAX_ANSWER_BYTES);
+    let Ok(Ok(body)) = timeout(patience, reading).await else {
         answering.slot.note_failure();
         return Err(TryEnd::Lost);
     };
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::{ResponseHead, Uri};
+use actix_rt::time::timeout;
 use clementinepick::server_choice::Affinity;
 use clementinepick::server_list::BackendServer;
 use clementinepick::traffic_config::TrafficRoute;
@@ -18,6 +19,9 @@
 /// one lost packet of the handshake is sent again only after a second.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// How long after a request's deadline a wait would end that the deadline ends first.
+const BEYOND_DEADLINE: Duration = Duration::from_secs(1);
+
 /// A request that is on its way through this process.
 pub(crate) struct Job<'a> {
     pub(crate) received: &'a Received<'a>,
@@ -69,6 +73,11 @@
 }
 
 impl Job<'_> {
+    /// A patience that ends after the request itself does, for a server that none can replace.
+    pub(crate) fn endless(&self, now: Instant) -> Duration {
+        self.time_left(now) + BEYOND_DEADLINE
+    }
+
     /// How long the caller still waits.
     pub(crate) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
@@ -103,8 +112,30 @@
         })
     }
 
+    /// Sends the request and waits for the head of the answer for `patience`; a server that says
+    /// nothing for longer is passed over for a while, like one that breaks off.
+    ///
+    /// Its health checks may be good all the while, so that nothing else shows it.
+    pub(crate) async fn send_within(
+        &self,
+        patience: Duration,
+        shared: &Shared,
+        slot: ServerSlot,
+        body: bytes::Bytes,
+        last_event_id: Option<u64>,
+    ) -> Result<Answering, TryEnd> {
+        let server = slot.server.id.clone();
+        let sending = self.send(shared, slot, body, last_event_id);
+        let sent = timeout(patience, sending).await;
+        sent.unwrap_or_else(|_| {
+            let now = shared.now_us(Instant::now());
+            shared.choice.borrow_mut().failed(now, &server);
+            Err(TryEnd::Lost)
+        })
+    }
+
     /// Sends the request with `body` to the server of `slot` and reads the head of the answer.
-    pub(crate) async fn send(
+    async fn send(
         &self,
         shared: &Shared,
         slot: ServerSlot,
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -230,9 +230,11 @@
     ) -> Result<Result<(), TryEnd>, CallerGone> {
         let body = self.body.clone();
         let last_event_id = self.delivered.last_event_id;
-        let sending = self.job.send(self.shared, slot, body, last_event_id);
-        let sent = timeout(self.first_patience(), sending).await;
-        let answering = match sent.unwrap_or(Err(TryEnd::Lost)) {
+        let patience = self.first_patience();
+        let sent = self
+            .job
+            .send_within(patience, self.shared, slot, body, last_event_id);
+        let answering = match sent.await {
             Ok(answering) => answering,
             Err(end) => return Ok(Err(end)),
         };
@@ -332,11 +334,10 @@
 
     /// Silence ends a run only where another can take its place.
     fn patience(&self, silence: Duration) -> Duration {
-        let left = self.job.time_left(Instant::now());
         if self.job.route.is_resumable {
-            silence.min(left)
+            silence
         } else {
-            left
+            self.job.endless(Instant::now())
         }
     }
 }
--- a/standins/tests/gateway.rs
+++ b/standins/tests/gateway.rs
@@ -357,3 +357,21 @@
     drop(caller);
     wait_until(|| !state().contains("\"in_flight\":1")).expect("the place is free");
 }
+
+/// A server answers its checks and says nothing to requests. Each lookup that meets it waits for the
+/// patience of its route and then goes elsewhere; after a few, the server is passed over for a while,
+/// so that most lookups do not wait at all.
+#[test]
+fn a_silent_server_is_passed_over() {
+    let run = run();
+    for _ in 0..100 {
+        run.plains[0].spoil(BackendFault::Silence);
+    }
+    for number in 0..100 {
+        let request = CallerRequest::new("GET", "/look/1", &format!("r{number}"));
+        let answer = request.send(run.callers(0)).expect("an answer");
+        assert_eq!(answer.status, 200);
+    }
+    let silent = run.plains[0].executions().len();
+    assert!((1..=10).contains(&silent), "{silent} of 100 lookups waited");
+}
