--- a/clementinepickd/tests/gateway_settings.rs
+++ b/clementinepickd/tests/gateway_settings.rs
@@ -118,3 +118,37 @@
     }
     assert_eq!(listed, known);
 }
+
+/// The platform fills in the template of `deploy/`; a key that is misspelt there, or one that was
+/// renamed in the code, would keep every process of a deployment from starting.
+#[test]
+fn the_template_of_the_platform_makes_right_settings() {
+    let template = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/gateway.ini");
+    let template = fs::read_to_string(template).expect("the template");
+    let filled = [
+        ("NodeName", "edge-musanze-hall-1"),
+        ("Zone", "musanze-hall"),
+        ("Listen.Front", "10.1.0.38:8149"),
+        ("Listen.Ready", "10.1.0.38:8141"),
+        ("Listen.Control", "10.1.0.38:8144"),
+        ("Ip", "10.1.0.38"),
+        ("Seeds", "10.1.0.38:8144,10.2.0.40:8144"),
+        ("Provider.Address", "10.200.1.7:8142"),
+        ("Provider.parts", "24"),
+        ("Provider.RecordBytes", "262144"),
+        ("Provider.CallBytes", "2097152"),
+    ]
+    .into_iter()
+    .fold(template, |text, (field, value)| {
+        let placeholder = format!("{{{{{field}}}}}");
+        assert!(text.contains(&placeholder), "no {placeholder}");
+        text.replace(&placeholder, value)
+    });
+    assert!(!filled.contains("{{"), "{filled}");
+    let settings = parse_process("gateway.ini", &filled).expect("right settings");
+    let ProcessSettings::Gateway(settings) = settings else {
+        panic!("a gateway's settings");
+    };
+    assert_eq!(settings.peers.to_string(), "10.1.0.38:8144");
+    assert_eq!(settings.seeds.len(), 2);
+}
