--- a/clementinepick/src/server_choice.rs
+++ b/clementinepick/src/server_choice.rs
@@ -221,14 +221,6 @@
         self.state(id).in_flight
     }
 
-    /// Whether every candidate has as many requests as it runs at once.
-    #[must_use]
-    pub fn all_full(&self, now: TimeUs, candidates: &[&BackendServer]) -> bool {
-        candidates
-            .iter()
-            .all(|server| self.state(&server.id).load(now) >= server.slots)
-    }
-
     /// Notes that a request is on its way to a server.
     pub fn start(&mut self, id: &str, affinity: Affinity<'_>) {
         self.servers.entry(id.to_owned()).or_default().in_flight += 1;
--- a/clementinepick/src/server_list.rs
+++ b/clementinepick/src/server_list.rs
@@ -37,10 +37,4 @@
             .values()
             .filter(move |server| server.service == service && !server.is_draining)
     }
-
-    /// Whether a new request may go to the server with this id.
-    #[must_use]
-    pub fn takes_requests(&self, id: &str) -> bool {
-        self.servers.get(id).is_some_and(|s| !s.is_draining)
-    }
 }
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -236,11 +236,7 @@
             let listener = TcpListener::from_std(listener)?;
             tasks.spawn_local(accept(Rc::clone(&shared), listener, handler));
         }
-        tasks.spawn_local(keep_house(
-            Rc::clone(&shared),
-            settings.vm.to_string(),
-            settings.peers,
-        ));
+        tasks.spawn_local(keep_house(Rc::clone(&shared), settings.vm.to_string()));
         stop.await?;
         drain(&shared, settings).await;
         tasks.shutdown().await;
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -14,6 +14,7 @@
 use crate::gateway_reply::{CallerGone, Reply};
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
+use crate::link::duration;
 
 /// The largest body of an answer, in bytes. It is held whole, so that an answer that is cut off
 /// never looks complete and an idempotent call can be made again.
@@ -93,6 +94,6 @@
 }
 
 fn patience(job: &Job<'_>) -> Duration {
-    let target = Duration::from_micros(job.route.target_latency_us.0) * PATIENCE_TARGETS;
+    let target = duration(job.route.target_latency_us) * PATIENCE_TARGETS;
     target.min(job.time_left(Instant::now()))
 }
--- a/clementinepickd/src/gateway_connection.rs
+++ b/clementinepickd/src/gateway_connection.rs
@@ -17,6 +17,7 @@
 
 use crate::gateway_reply::{Reply, ReplyState};
 use crate::gateway_shared::{BodyHold, Shared};
+use crate::link::duration;
 
 /// How many bytes of a next request are taken while one is answered; a caller that sends more is
 /// made to wait by its connection.
@@ -271,7 +272,3 @@
         }
     }
 }
-
-fn duration(span: SpanUs) -> Duration {
-    Duration::from_micros(span.0)
-}
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -13,7 +13,7 @@
 use crate::gateway_attempts::TryEnd;
 use crate::gateway_connection::Received;
 use crate::gateway_shared::Shared;
-use crate::outbound::{Connection, OutboundError, Outgoing};
+use crate::outbound::{Connection, Outgoing};
 
 /// How long a connection to a backend server may take to open. Zones are milliseconds apart, and
 /// one lost packet of the handshake is sent again only after a second.
@@ -61,8 +61,7 @@
 impl ServerSlot {
     /// Passes the server over for a while.
     pub(crate) fn note_failure(&self) {
-        let now = self.shared.now_us(Instant::now());
-        self.shared.choice.borrow_mut().failed(now, &self.server.id);
+        self.shared.note_failure(&self.server.id);
     }
 }
 
@@ -128,8 +127,7 @@
         let sending = self.send(shared, slot, body, last_event_id);
         let sent = timeout(patience, sending).await;
         sent.unwrap_or_else(|_| {
-            let now = shared.now_us(Instant::now());
-            shared.choice.borrow_mut().failed(now, &server);
+            shared.note_failure(&server);
             Err(TryEnd::Lost)
         })
     }
@@ -160,14 +158,9 @@
             headers: forwarded(&self.received.head.head().headers, &send),
             body,
         };
-        let head = match connection.exchange(&request).await {
-            Ok(head) => head,
-            Err(err) => {
-                if !matches!(err, OutboundError::Connect(_)) {
-                    slot.note_failure();
-                }
-                return Err(TryEnd::Lost);
-            }
+        let Ok(head) = connection.exchange(&request).await else {
+            slot.note_failure();
+            return Err(TryEnd::Lost);
         };
         self.judge(shared, slot, connection, head).await
     }
--- a/clementinepickd/src/gateway_house.rs
+++ b/clementinepickd/src/gateway_house.rs
@@ -1,7 +1,6 @@
 //! What a gateway does now and then: closes idle connections, forgets old state, looks whether the
 //! store is back, and drops old records.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,7 +18,7 @@
 const HOUSEKEEPING: Duration = Duration::from_millis(250);
 
 /// Keeps house until it is dropped.
-pub(crate) async fn keep_house(shared: Rc<Shared>, vm: String, own_address: SocketAddr) {
+pub(crate) async fn keep_house(shared: Rc<Shared>, vm: String) {
     let event = Event::new(EventKind::ProcessReady).with("vm", vm);
     let mut said_ready = false;
     let mut store_log = StoreLog::default();
@@ -34,10 +33,8 @@
         shared.store.close_stale(now);
         shared.budgets.forget_idle(now);
         let directory = shared.directory();
-        let peers = directory.peers.iter().copied();
-        let peers: Vec<SocketAddr> = peers.filter(|peer| *peer != own_address).collect();
-        if !peers.is_empty() {
-            shared.store.set_relays(peers);
+        if !directory.peers.is_empty() {
+            shared.store.set_relays(directory.peers.to_vec());
         }
         let target = newest_target(&Topic::Config, 0, None);
         shared.store.probe(&StoreCall::get(target)).await;
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -77,13 +77,11 @@
     // What was borrowed before lies at processes that the ledger does not name as holders.
     let others = shared.directory().peers;
     let mut asked: Vec<SocketAddr> = peers.into_iter().collect();
-    asked.extend(
-        others
-            .iter()
-            .filter(|peer| !asked.contains(peer))
-            .copied()
-            .collect::<Vec<_>>(),
-    );
+    for peer in others.iter() {
+        if !asked.contains(peer) {
+            asked.push(*peer);
+        }
+    }
     let asks = asked
         .into_iter()
         .filter(|peer| *peer != shared.peer_address)
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -22,6 +22,7 @@
 use crate::gateway_shared::Shared;
 use crate::gateway_stream::{self, TURN};
 use crate::gateway_trace::Trace;
+use crate::link::duration;
 
 /// The outcome in metrics of requests that went well.
 const SERVED: &str = "served";
@@ -192,7 +193,7 @@
     let path = request.head.uri().path();
     let route = config.route(host, path).ok_or(Refusal::NoRoute)?;
     let service = route.service(rand::rng().random());
-    let timeout = Duration::from_micros(route.timeout_us.0);
+    let timeout = duration(route.timeout_us);
     Ok(Job {
         received: request,
         info,
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -146,6 +146,12 @@
         TimeUs(u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
     }
 
+    /// Passes a server over for a while.
+    pub(crate) fn note_failure(&self, server: &str) {
+        let now = self.now_us(Instant::now());
+        self.choice.borrow_mut().failed(now, server);
+    }
+
     /// From now on this process is not ready, and each answer ends its connection.
     pub(crate) fn start_draining(&self) {
         self.is_draining.set(true);
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -21,6 +21,7 @@
 use crate::gateway_trace::Trace;
 use crate::ledger::LedgerError;
 use crate::ledger_budgets::{BudgetHold, BudgetRequest, SliceGrant};
+use crate::link::duration;
 use crate::unix_time::unix_ms;
 
 /// The most tokens of a turn that names none; a turn without a maximum counts as a large one.
@@ -67,7 +68,6 @@
         body: prompt(previous.as_ref(), &job.received.body),
         previous,
         server: None,
-        keeps_output: job.route.keeps_context,
         delivered: Delivered {
             last_event_id: job.info.last_event_id,
             output: BytesMut::new(),
@@ -187,7 +187,6 @@
     /// The server of the last run.
     server: Option<String>,
     body: Bytes,
-    keeps_output: bool,
     delivered: Delivered,
 }
 
@@ -311,7 +310,7 @@
         if event.id.is_some() {
             self.delivered.last_event_id = event.id;
         }
-        if self.keeps_output {
+        if self.job.route.keeps_context {
             self.delivered.output.extend_from_slice(&event.data);
             self.delivered.output.extend_from_slice(b"\n");
         }
@@ -323,12 +322,12 @@
     }
 
     fn first_patience(&self) -> Duration {
-        let target = Duration::from_micros(self.job.route.target_latency_us.0);
+        let target = duration(self.job.route.target_latency_us);
         self.patience((target * 4).max(MIN_FIRST_PATIENCE))
     }
 
     fn gap_patience(&self) -> Duration {
-        let gap = Duration::from_micros(self.job.route.gap_target_us.0);
+        let gap = duration(self.job.route.gap_target_us);
         self.patience(gap * PATIENCE_GAPS)
     }
 
--- a/clementinepickd/src/ledger_budgets.rs
+++ b/clementinepickd/src/ledger_budgets.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ledger::{LedgerError, LedgerStore, Partition, from_cbor, to_cbor};
+use crate::link::duration;
 use crate::store::StoreCall;
 use crate::unix_time::unix_ms;
 
@@ -200,7 +201,7 @@
     /// Slices of programs without such a record are dropped in time. Without this look, a program
     /// that runs for long on one slice would lose it from the store and get its budget anew.
     fn is_record_fresh(&self, request: &BudgetRequest<'_>) -> bool {
-        let retention = Duration::from_micros(request.retention.0);
+        let retention = duration(request.retention);
         let programs = self.programs.borrow();
         let state = programs.get(request.program);
         let recorded_at = state.and_then(|state| state.recorded_at);
