Take a server that is not heard of to be as loaded as the others are on average

Cause: a server's report counted whole for 800 ms and then not at all. With 31 gateways before 47 engines a gateway hears from one engine every three seconds, so that the engines it had just used, those that keep its lines, looked full and all others idle. Change: a report's weight halves every 300 ms, and the mean of all reports takes its place.

--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -86,6 +86,7 @@
 pub mod safeguards;
 pub mod server_choice;
 pub mod server_list;
+pub mod server_load;
 pub mod sidecar;
 mod sidecar_cache;
 mod sidecar_calls;
--- a/clementinepick/src/server_choice.rs
+++ b/clementinepick/src/server_choice.rs
@@ -10,11 +10,9 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::server_list::BackendServer;
+use crate::server_load::{LoadReport, believed_others, mean_others};
 use crate::units::{SpanUs, TimeUs};
 
-/// How long a report counts. Requests to engines take 200 to 400 ms, so that after twice as long
-/// most of those that were reported have ended.
-const REPORT_LIFE_US: SpanUs = SpanUs::from_ms(800);
 /// How long a server that failed is passed over the first time; it doubles with each failure.
 /// A server that was restarted is back within one to four seconds.
 const FIRST_PAUSE_US: SpanUs = SpanUs::from_ms(250);
@@ -23,17 +21,17 @@
 const MAX_PAUSE_US: SpanUs = SpanUs::from_s(2);
 /// What one more request in an engine's batch costs a turn: 38 us for each of about 240 tokens, by
 /// the users' sheets.
-const LOAD_COST_US: u64 = 9_000;
+const LOAD_COST_US: f64 = 9_000.0;
 /// What reading one token of a prompt costs every request in the batch, by the users' sheets: an
 /// engine reads 147 in a ms and generates nothing meanwhile.
-const TOKEN_COST_NS: u64 = 6_800;
+const TOKEN_COST_US: f64 = 6.8;
 /// How probably a line of turns that other processes placed lies at its servers, by their rank for
 /// the line, in percent; in runs of the users' workloads nine lines in ten are placed at the first.
 const RANK_PERCENT: [u64; 2] = [90, 5];
 /// What placing a line at a server one rank lower costs: other processes, which get a third of its
 /// later turns, look for it at the first, and read 4,000 tokens again where they do not find it. Five
 /// requests' worth of load are rarer than that between two servers.
-const RANK_COST_US: u64 = 45_000;
+const RANK_COST_US: f64 = 45_000.0;
 
 /// How many lines' and prefixes' servers are remembered: 4,096 are the turns of half a minute at
 /// the size that is designed for, and 600 kB.
@@ -48,25 +46,18 @@
     pub waiting: u32,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Report {
-    others: u32,
-    at: TimeUs,
-}
-
 #[derive(Debug, Clone, Copy, Default)]
 struct ServerState {
     in_flight: u32,
-    report: Option<Report>,
+    report: Option<LoadReport>,
     failures: u32,
     paused_until: TimeUs,
     started_unix_ms: Option<u64>,
 }
 
 impl ServerState {
-    fn load(&self, now: TimeUs) -> u32 {
-        let others = self.report.filter(|r| now.since(r.at) < REPORT_LIFE_US);
-        self.in_flight + others.map_or(0, |report| report.others)
+    fn load(&self, now: TimeUs, mean_others: f64) -> f64 {
+        f64::from(self.in_flight) + believed_others(self.report.as_ref(), mean_others, now)
     }
 }
 
@@ -102,12 +93,12 @@
 }
 
 /// The inputs by which a server was chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlacingReason {
     /// Whether it failed lately and all others did too.
     pub is_paused: bool,
     /// How many requests it is believed to have.
-    pub load: u32,
+    pub load: f64,
     /// How many tokens of the prompt it probably does not keep.
     pub tokens_to_read: u64,
     /// Its rank for the line of turns, where nobody is known to keep the line.
@@ -118,11 +109,12 @@
 
 impl PlacingReason {
     /// What the request costs there, by load, reading and rank.
-    fn cost_us(&self) -> u64 {
-        let read_us = self.tokens_to_read * TOKEN_COST_NS / 1_000;
-        let load_us = u64::from(self.load) * LOAD_COST_US;
-        let rank_us = self.rank.map_or(0, |rank| rank as u64 * RANK_COST_US);
-        load_us + rank_us + read_us * u64::from(1 + self.load)
+    fn cost_us(&self) -> f64 {
+        let read_us = approx(self.tokens_to_read) * TOKEN_COST_US;
+        let load_us = self.load * LOAD_COST_US;
+        let rank = self.rank.and_then(|rank| u32::try_from(rank).ok());
+        let rank_us = rank.map_or(0.0, |rank| f64::from(rank) * RANK_COST_US);
+        load_us + rank_us + read_us * (1.0 + self.load)
     }
 }
 
@@ -130,7 +122,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "load {}, {} tokens to read",
+            "load {:.1}, {} tokens to read",
             self.load, self.tokens_to_read
         )?;
         if self.is_kept_here {
@@ -224,12 +216,16 @@
             let ranks = ranks.as_ref()?;
             ranks.iter().position(|id| *id == server.id)
         };
+        let reports = candidates
+            .iter()
+            .filter_map(|server| self.servers.get(&server.id)?.report.as_ref());
+        let mean_others = mean_others(reports, now);
         let reason = |server: &BackendServer| {
             let state = self.state(&server.id);
             let rank = rank_of(server);
             PlacingReason {
                 is_paused: now < state.paused_until,
-                load: state.load(now),
+                load: state.load(now, mean_others),
                 tokens_to_read: self.tokens_to_read(server, affinity, kept_at, rank),
                 rank: rank.filter(|_| kept_at.is_none()),
                 is_kept_here: kept_at == Some(server.id.as_str()),
@@ -237,16 +233,16 @@
         };
         let untried = candidates.iter().filter(|s| !tried.contains(&s.id));
         let reasons = untried.map(|server| (*server, reason(server)));
-        reasons.min_by_key(|(server, reason)| {
-            let is_full = reason.load >= server.slots;
-            let tie = xxh3_64_with_seed(server.id.as_bytes(), now.0);
-            (
-                reason.is_paused,
-                is_full,
-                reason.cost_us(),
-                rank_of(server),
-                tie,
-            )
+        reasons.min_by(|(one, reason), (other, other_reason)| {
+            let is_full = |s: &BackendServer, r: &PlacingReason| r.load >= f64::from(s.slots);
+            let tie = |s: &BackendServer| xxh3_64_with_seed(s.id.as_bytes(), now.0);
+            reason
+                .is_paused
+                .cmp(&other_reason.is_paused)
+                .then(is_full(one, reason).cmp(&is_full(other, other_reason)))
+                .then(reason.cost_us().total_cmp(&other_reason.cost_us()))
+                .then_with(|| rank_of(one).cmp(&rank_of(other)))
+                .then_with(|| tie(one).cmp(&tie(other)))
         })
     }
 
@@ -316,7 +312,7 @@
     pub fn report(&mut self, now: TimeUs, id: &str, load: ReportedLoad) {
         let state = self.servers.entry(id.to_owned()).or_default();
         let others = (load.running + load.waiting).saturating_sub(state.in_flight);
-        state.report = Some(Report { others, at: now });
+        state.report = Some(LoadReport { others, at: now });
     }
 
     /// Notes that a server answered.
@@ -355,6 +351,11 @@
     }
 }
 
+/// A count of tokens as a factor of a cost.
+fn approx(tokens: u64) -> f64 {
+    u32::try_from(tokens).map_or(f64::from(u32::MAX), f64::from)
+}
+
 /// The servers in the order in which a line of turns prefers them, by rendezvous hashing: each
 /// process finds the same order, and the loss of a server moves only the lines that it kept.
 fn ranked<'a>(line: &str, candidates: &[&'a BackendServer]) -> Vec<&'a str> {
