Let a full server keep its lines of turns

Cause: a server with as many believed requests as slots came after all others, whatever a line cost to read again. Change: fullness is no rank of its own; the cost of load and reading decides.

--- a/clementinepick/src/server_choice.rs
+++ b/clementinepick/src/server_choice.rs
@@ -234,12 +234,10 @@
         let untried = candidates.iter().filter(|s| !tried.contains(&s.id));
         let reasons = untried.map(|server| (*server, reason(server)));
         reasons.min_by(|(one, reason), (other, other_reason)| {
-            let is_full = |s: &BackendServer, r: &PlacingReason| r.load >= f64::from(s.slots);
             let tie = |s: &BackendServer| xxh3_64_with_seed(s.id.as_bytes(), now.0);
             reason
                 .is_paused
                 .cmp(&other_reason.is_paused)
-                .then(is_full(one, reason).cmp(&is_full(other, other_reason)))
                 .then(reason.cost_us().total_cmp(&other_reason.cost_us()))
                 .then_with(|| rank_of(one).cmp(&rank_of(other)))
                 .then_with(|| tie(one).cmp(&tie(other)))
--- a/clementinepick/tests/server_choice.rs
+++ b/clementinepick/tests/server_choice.rs
@@ -167,6 +167,30 @@
     assert_eq!(chosen.expect("a server").id, "e-0");
 }
 
+/// In a burst the server that keeps a line is full, and others have a place or two left. The line's
+/// next turn waits there for some ms: elsewhere its 3,000 tokens would be read again, which slows
+/// each request of that server's batch, until all servers are full of such reading.
+#[test]
+fn a_full_server_keeps_its_lines() {
+    let servers = servers(9);
+    let candidates: Vec<&BackendServer> = servers.iter().collect();
+    let mut choice = ServerChoice::default();
+    let line = parts("line", 3_000);
+    let keeps_it = servers[4].id.clone();
+    choice.start(&keeps_it, affinity(&line));
+    choice.end(&keeps_it);
+    for server in &servers {
+        let is_keeper = server.id == keeps_it;
+        let load = ReportedLoad {
+            running: if is_keeper { 64 } else { 62 },
+            waiting: if is_keeper { 3 } else { 0 },
+        };
+        choice.report(NOW, &server.id, load);
+    }
+    let next = choice.choose(NOW, &candidates, &[], affinity(&line));
+    assert_eq!(next.expect("a server").id, keeps_it);
+}
+
 /// A line's server is as busy as all others, and this process has heard so of few of them. The line's
 /// next turn goes there all the same: if servers that say nothing counted as idle, each turn would
 /// leave the server that keeps its line for one that has to read all of it, and reading slows both.
