Replace a lost home of budgets by the calls that it does not answer

Cause: a process's entry in the store lives for 70 s, and the partitions of a lost process had no home until then. Change: a peer that answers no call for 2 s is taken as lost, and the next process by rank becomes the home. An answer, or another process at its address, ends that. A process that answers that it is no home is no longer taken as silent.

--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod order;
 pub mod own;
 pub mod parse;
+pub mod peer_liveness;
 pub mod placement;
 pub mod placement_target;
 pub mod platform;
--- /dev/null
+++ b/clementinepick/src/peer_liveness.rs
@@ -0,0 +1,86 @@
+//! Which peers answer, by the calls that are made to them anyway.
+//!
+//! ```
+//! use clementinepick::peer_liveness::PeerLiveness;
+//! use clementinepick::units::TimeUs;
+//!
+//! let peer = "10.0.0.1:80".parse().unwrap();
+//! let mut liveness = PeerLiveness::default();
+//! liveness.failed(TimeUs(0), peer);
+//! assert!(liveness.is_silent(TimeUs(500_000), peer));
+//! assert!(!liveness.is_lost(TimeUs(500_000), peer));
+//! liveness.failed(TimeUs(2_500_000), peer);
+//! assert!(liveness.is_lost(TimeUs(2_500_000), peer));
+//! ```
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use crate::units::{SpanUs, TimeUs};
+
+/// How long a peer that did not answer is not asked again.
+const SILENCE_US: SpanUs = SpanUs::from_s(1);
+/// A peer that has answered nothing for so long is taken as lost. Answers come within 250 ms, and a
+/// process that is told to end says so; a shorter time would take those as lost that pause, and
+/// replace them in vain.
+const LOST_AFTER_US: SpanUs = SpanUs::from_s(2);
+/// How long a lost peer is not asked again: one call that fails tells that it still is lost.
+const LOST_FOR_US: SpanUs = SpanUs::from_s(10);
+
+#[derive(Debug, Clone, Copy)]
+struct Silence {
+    /// The first call that failed since the last answer.
+    since: TimeUs,
+    last: TimeUs,
+}
+
+/// The peers whose last calls brought no answer.
+#[derive(Debug, Default)]
+pub struct PeerLiveness {
+    silent: BTreeMap<SocketAddr, Silence>,
+}
+
+impl PeerLiveness {
+    /// Notes that a call to a peer brought no answer.
+    pub fn failed(&mut self, now: TimeUs, peer: SocketAddr) {
+        let first = Silence {
+            since: now,
+            last: now,
+        };
+        self.silent.entry(peer).or_insert(first).last = now;
+    }
+
+    /// Notes that a peer answered, or that another process has its address now.
+    pub fn answered(&mut self, peer: SocketAddr) {
+        self.silent.remove(&peer);
+    }
+
+    /// Whether a peer is better not asked.
+    #[must_use]
+    pub fn is_silent(&self, now: TimeUs, peer: SocketAddr) -> bool {
+        let silence = self.silent.get(&peer);
+        silence.is_some_and(|silence| now.since(silence.last) < SILENCE_US)
+            || self.is_lost(now, peer)
+    }
+
+    /// Whether a peer has not answered for so long that another takes its place.
+    ///
+    /// Its entry in the store lives for more than a minute. Without this, nobody coordinates the
+    /// programs of its partitions until then: each of them needs the store to begin, and is refused
+    /// while that is away.
+    #[must_use]
+    pub fn is_lost(&self, now: TimeUs, peer: SocketAddr) -> bool {
+        let silence = self.silent.get(&peer);
+        silence.is_some_and(|silence| {
+            silence.last.since(silence.since) >= LOST_AFTER_US
+                && now.since(silence.last) < LOST_FOR_US
+        })
+    }
+
+    /// All lost peers.
+    #[must_use]
+    pub fn lost(&self, now: TimeUs) -> BTreeSet<SocketAddr> {
+        let peers = self.silent.keys().copied();
+        peers.filter(|peer| self.is_lost(now, *peer)).collect()
+    }
+}
--- a/clementinepickd/src/gateway_budget.rs
+++ b/clementinepickd/src/gateway_budget.rs
@@ -309,7 +309,13 @@
             body: body.clone(),
             limit: RESERVE_LIMIT,
         };
-        match ask_peer::<ReserveAnswer>(shared, address, call).await {
+        let answer = ask_peer::<ReserveAnswer>(shared, address, call).await;
+        if answer.is_some() {
+            shared.homes.note_answer(address);
+        } else {
+            shared.homes.note_silent_peer(address, now);
+        }
+        match answer {
             Some(ReserveAnswer::Lent {
                 writer,
                 previous_at,
@@ -331,7 +337,7 @@
             }
             Some(ReserveAnswer::Away) => return None,
             Some(ReserveAnswer::Elsewhere { .. }) | None => {
-                shared.homes.note_silent(request.program, address, now);
+                shared.homes.forget_home(request.program);
                 return None;
             }
         }
--- a/clementinepickd/src/ledger_homes.rs
+++ b/clementinepickd/src/ledger_homes.rs
@@ -4,13 +4,14 @@
 //! A home is a short way, not an owner: any process that can't reach it decides by the store.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use clementinepick::budget_ledger::{BudgetRecord, BudgetView, HomeRecord, SliceRecord};
-use clementinepick::units::SpanUs;
+use clementinepick::peer_liveness::PeerLiveness;
+use clementinepick::units::{SpanUs, TimeUs};
 use futures_util::future::join_all;
 use platform::store::KeyedRecord;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -28,8 +29,6 @@
 /// How often a home looks whether it still is the latest where it has nothing to write: four times
 /// in its lease.
 const LOOK_AGAIN: Duration = Duration::from_secs(30);
-/// How long a home that did not answer is not asked again.
-const SILENCE: Duration = Duration::from_secs(1);
 /// The least retention that a home's record has, in milliseconds: a configuration that comes later
 /// may let programs rest for longer than the one of now.
 const MIN_RETAIN_MS: u64 = 300_000;
@@ -77,11 +76,14 @@
     budgets: Rc<Budgets>,
     /// The processes by which `wanted` was found.
     processes: RefCell<Vec<PeerEntry>>,
+    /// Those of them that were lost then.
+    lost: RefCell<BTreeSet<SocketAddr>>,
     /// Partitions whose home this process should be and that were not looked at yet.
     wanted: RefCell<Vec<Partition>>,
     /// Homes that answers named.
     known: RefCell<BTreeMap<Partition, SocketAddr>>,
-    silent: RefCell<BTreeMap<SocketAddr, Instant>>,
+    liveness: RefCell<PeerLiveness>,
+    started: Instant,
     /// Who ran the turns that this home lent for.
     pub(crate) runners: RefCell<Recent<SocketAddr>>,
     /// The servers that ran the last turns of lines.
@@ -96,9 +98,11 @@
         Self {
             budgets,
             processes: RefCell::default(),
+            lost: RefCell::default(),
             wanted: RefCell::default(),
             known: RefCell::default(),
-            silent: RefCell::default(),
+            liveness: RefCell::default(),
+            started: Instant::now(),
             runners: RefCell::default(),
             line_servers: RefCell::default(),
             retain_ms: Cell::new(MIN_RETAIN_MS),
@@ -111,21 +115,32 @@
     pub(crate) fn to_ask(&self, program: &str, now: Instant) -> Option<SocketAddr> {
         let partition = self.budgets.store.budget_partition(program);
         let known = self.known.borrow().get(&partition).copied();
-        let first = || first_rank(partition, &self.processes.borrow());
+        let known = known.filter(|home| !self.lost.borrow().contains(home));
+        let first = || first_rank(partition, &self.processes.borrow(), &self.lost.borrow());
         let home = known.or_else(first)?;
         (home != self.budgets.address && !self.is_silent(home, now)).then_some(home)
     }
 
     /// Whether a peer lately did not answer.
     pub(crate) fn is_silent(&self, peer: SocketAddr, now: Instant) -> bool {
-        let silent = self.silent.borrow();
-        let since = silent.get(&peer);
-        since.is_some_and(|at| now.saturating_duration_since(*at) < SILENCE)
+        let now = self.now_us(now);
+        self.liveness.borrow().is_silent(now, peer)
     }
 
     /// Notes that a peer did not answer.
     pub(crate) fn note_silent_peer(&self, peer: SocketAddr, now: Instant) {
-        self.silent.borrow_mut().insert(peer, now);
+        let now = self.now_us(now);
+        self.liveness.borrow_mut().failed(now, peer);
+    }
+
+    /// Notes that a peer answered.
+    pub(crate) fn note_answer(&self, peer: SocketAddr) {
+        self.liveness.borrow_mut().answered(peer);
+    }
+
+    fn now_us(&self, now: Instant) -> TimeUs {
+        let since = now.saturating_duration_since(self.started);
+        TimeUs(u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
     }
 
     /// Notes which process is the home of a program's partition.
@@ -134,11 +149,10 @@
         self.known.borrow_mut().insert(partition, home);
     }
 
-    /// Notes that a home did not answer: it is not asked for a while, and may be replaced.
-    pub(crate) fn note_silent(&self, program: &str, home: SocketAddr, now: Instant) {
+    /// Forgets which process is the home of a program's partition.
+    pub(crate) fn forget_home(&self, program: &str) {
         let partition = self.budgets.store.budget_partition(program);
         self.known.borrow_mut().remove(&partition);
-        self.note_silent_peer(home, now);
     }
 
     /// Becomes the home of a few partitions, and looks whether it still is of others.
@@ -149,7 +163,7 @@
         if self.is_released.get() || self.budgets.store.client.is_away() {
             return;
         }
-        self.note_processes(processes);
+        self.note_processes(processes, now);
         for _ in 0..PARTITIONS_A_STEP {
             let Some(partition) = self.wanted.borrow_mut().pop() else {
                 break;
@@ -173,13 +187,19 @@
         }
     }
 
-    fn note_processes(&self, processes: &[PeerEntry]) {
-        if *self.processes.borrow() == processes {
+    fn note_processes(&self, processes: &[PeerEntry], now: Instant) {
+        let before = self.processes.replace(processes.to_vec());
+        for process in processes.iter().filter(|p| !before.contains(p)) {
+            self.note_answer(process.address);
+        }
+        let lost = self.liveness.borrow().lost(self.now_us(now));
+        let lost_before = self.lost.replace(lost.clone());
+        if before == processes && lost_before == lost {
             return;
         }
-        *self.processes.borrow_mut() = processes.to_vec();
         self.known.borrow_mut().clear();
-        let is_ours = |p: &Partition| first_rank(*p, processes) == Some(self.budgets.address);
+        let own = Some(self.budgets.address);
+        let is_ours = |p: &Partition| first_rank(*p, processes, &lost) == own;
         let all = self.budgets.store.budget_partitions();
         *self.wanted.borrow_mut() = all.filter(is_ours).collect();
     }
@@ -229,7 +249,8 @@
     fn lives(&self, home: &HomeRecord) -> bool {
         let processes = self.processes.borrow();
         let is_it = |p: &PeerEntry| p.address == home.address && p.writer == home.writer;
-        home.address != self.budgets.address && processes.iter().any(is_it)
+        let is_lost = self.lost.borrow().contains(&home.address);
+        home.address != self.budgets.address && !is_lost && processes.iter().any(is_it)
     }
 
     fn next_record(&self, view: &BudgetView) -> HomeRecord {
@@ -333,9 +354,14 @@
 
 /// The process that should be the home of a partition, by rendezvous hashing: all find the same,
 /// and a process that is gone moves only its own partitions.
-fn first_rank(partition: Partition, processes: &[PeerEntry]) -> Option<SocketAddr> {
+fn first_rank(
+    partition: Partition,
+    processes: &[PeerEntry],
+    lost: &BTreeSet<SocketAddr>,
+) -> Option<SocketAddr> {
     let name = format!("{}/{}", partition.topic, partition.number);
     let seed = xxh3_64(name.as_bytes());
     let score = |p: &&PeerEntry| xxh3_64_with_seed(p.address.to_string().as_bytes(), seed);
-    processes.iter().max_by_key(score).map(|p| p.address)
+    let living = processes.iter().filter(|p| !lost.contains(&p.address));
+    living.max_by_key(score).map(|p| p.address)
 }
--- a/standins/tests/gateway_homes.rs
+++ b/standins/tests/gateway_homes.rs
@@ -1,6 +1,9 @@
 //! Homes of partitions of budgets: programs begin without the store, and no loss of a home gives a
 //! program more than its budget.
 
+use std::cell::Cell;
+use std::collections::BTreeMap;
+
 use standins::platform_backend::{PlatformBackend, body_text};
 use standins::platform_caller::CallerRequest;
 use standins::platform_run::{PlatformRun, wait_until};
@@ -22,6 +25,17 @@
     keys.iter().filter(|key| key.starts_with("home/")).count()
 }
 
+/// The partitions of the process that is the home of most.
+fn most_homes_of_one(run: &PlatformRun) -> usize {
+    let keys = run.store.keys("keyed.budgets");
+    let writers = keys.iter().filter_map(|key| key.strip_prefix("home/"));
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for writer in writers.filter_map(|key| Some(key.split_once('/')?.0)) {
+        *counts.entry(writer).or_default() += 1;
+    }
+    counts.into_values().max().unwrap_or(0)
+}
+
 /// Sends a turn of 40 tokens of a program with a budget of 400.
 fn turn(run: &PlatformRun, gateway: usize, program: &str, id: &str) -> u16 {
     let turn = CallerRequest::turn("/draft/1", id, program, id);
@@ -154,6 +168,33 @@
     }
 }
 
+/// One of two gateways is lost with its memory, and its entry in the store outlives it by a minute. The
+/// other one, whose calls it no longer answers, takes its place within seconds, so that all programs
+/// begin when the store falls silent later; without that, half of them are refused.
+#[test]
+fn a_lost_home_is_replaced_before_its_entry_ends() {
+    let mut run = run(2);
+    for door in &run.doors {
+        door.set_mode(StoreMode::Silent);
+    }
+    drop(run.gateways.remove(0));
+    run.doors.remove(0);
+    run.doors[0].set_mode(StoreMode::Serving);
+    let number = Cell::new(0);
+    wait_until(|| {
+        number.set(number.get() + 1);
+        let program = format!("probe{}", number.get());
+        turn(&run, 0, &program, &program);
+        most_homes_of_one(&run) == 96
+    })
+    .expect("new homes of the lost gateway's partitions");
+    run.doors[0].set_mode(StoreMode::Silent);
+    for number in 0..12 {
+        let program = format!("p{number}");
+        assert_eq!(turn(&run, 0, &program, &program), 200, "{program}");
+    }
+}
+
 /// A program's turns come to two gateways in turn. Each has the turn before from the other one's
 /// memory, through the home that knows who ran it, and gives the engine the whole prompt; the store
 /// is read for none of them.
