Let turns run on what is left of a budget while the store is away

Cause: a turn starts only where its maximum is free, and needs less than half of it; with small budgets most of what a program holds lies idle, while the store that could add to it is away. Change: while the store is away, a turn starts on all that is held if that is at least what turns hand out on average, as the gateway that runs it has observed. If it reaches the end of that, its events wait until the rest is set aside, and it is cut where that can't be had: nothing is handed out that is not covered.

The test failed first (third turn refused until the store is back).

--- a/clementinepick/src/budget_ledger.rs
+++ b/clementinepick/src/budget_ledger.rs
@@ -363,13 +363,11 @@
     /// Whether the standing slice of a first home counts for the program. The standing slices of all
     /// later homes together are less than that of a first one.
     fn counts_first_home(&self, program: &str, budget: Tokens) -> bool {
-        match self.programs.get(program) {
-            Some(known) => known.standing >= standing_slice(budget, FIRST_HALVINGS),
-            None => {
-                let mut homes = self.homes.values();
-                homes.any(|home| home.halvings == FIRST_HALVINGS)
-            }
+        if let Some(known) = self.programs.get(program) {
+            return known.standing >= standing_slice(budget, FIRST_HALVINGS);
         }
+        let mut homes = self.homes.values();
+        homes.any(|home| home.halvings == FIRST_HALVINGS)
     }
 }
 
@@ -452,6 +450,17 @@
         fits
     }
 
+    /// Sets all that is free aside for a turn that needs `least` at the least; none where less is free.
+    pub fn start_rest(&mut self, least: Tokens) -> Option<Tokens> {
+        let committed = Tokens(self.spent.0 + self.outstanding.0);
+        let free = self.granted.saturating_sub(committed);
+        let starts = free > Tokens(0) && free >= least;
+        starts.then(|| {
+            self.outstanding.0 += free.0;
+            free
+        })
+    }
+
     /// Gives away what no running turn may need: half of it or `wanted`, whichever is more, and all
     /// where that is less, since the asker may put several such rests together.
     pub fn lend(&mut self, wanted: Tokens) -> Tokens {
--- a/clementinepickd/src/gateway_budget.rs
+++ b/clementinepickd/src/gateway_budget.rs
@@ -67,6 +67,9 @@
     budget: Tokens,
     #[serde(rename = "t")]
     turn: Tokens,
+    /// What turns hand out on average, by those that the asker ran.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    mean_turn: Option<Tokens>,
     #[serde(rename = "r")]
     retention: SpanUs,
 }
@@ -74,9 +77,12 @@
 /// What a home answers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 enum ReserveAnswer {
-    /// The turn's maximum is lent.
+    /// The turn's maximum is lent, or what is left if that is less.
     Lent {
         writer: String,
+        /// How much it is; the maximum where this is not said.
+        #[serde(default)]
+        tokens: Option<Tokens>,
         /// Who ran the turn that this one continues from.
         previous_at: Option<SocketAddr>,
         /// The server that ran the line last.
@@ -240,6 +246,11 @@
             trace.note("budget_from", &"peers");
             return Ok(hold);
         }
+        let start = |least| shared.budgets.start_rest(request, least, Instant::now());
+        if let Some(hold) = shared.budgets.mean_turn().and_then(start) {
+            trace.note("budget_from", &"rest");
+            return Ok(hold);
+        }
     }
     match shared.budgets.reserve(request, deadline).await {
         Ok(hold) => {
@@ -298,6 +309,7 @@
         program: request.program.to_owned(),
         budget: request.budget,
         turn: request.turn,
+        mean_turn: shared.budgets.mean_turn(),
         retention: request.retention,
     };
     let body = to_cbor(&ask);
@@ -318,11 +330,14 @@
         match answer {
             Some(ReserveAnswer::Lent {
                 writer,
+                tokens,
                 previous_at,
                 line_server,
             }) => {
                 let lender = Lender { address, writer };
-                let hold = BudgetHold::new(&shared.budgets, request, Some(lender));
+                let turn = tokens.unwrap_or(request.turn);
+                let lent = BudgetRequest { turn, ..*request };
+                let hold = BudgetHold::new(&shared.budgets, &lent, Some(lender));
                 return Some(Ok(Reserved {
                     hold,
                     previous_at,
@@ -357,8 +372,9 @@
         keeps_context: ask.keeps_context,
         lines: &[],
     };
-    let lent = || ReserveAnswer::Lent {
+    let lent = |tokens: Tokens| ReserveAnswer::Lent {
         writer: shared.budgets.writer.clone(),
+        tokens: Some(tokens),
         previous_at: note_turn(shared, &request, ask.runner),
         line_server: line_server(shared, ask.lines.iter().map(String::as_str)),
     };
@@ -369,10 +385,21 @@
     if let Some(hold) = shared.budgets.start_held(&request, Instant::now()) {
         hold.lend_out();
         ask_ahead(shared, &request);
-        return lent();
+        return lent(request.turn);
     }
     if shared.store.is_away() {
-        return ReserveAnswer::Away;
+        let start = |least| {
+            let budgets = &shared.budgets;
+            budgets.start_rest(&request, least, Instant::now())
+        };
+        return ask
+            .mean_turn
+            .and_then(start)
+            .map_or(ReserveAnswer::Away, |hold| {
+                let tokens = hold.turn();
+                hold.lend_out();
+                lent(tokens)
+            });
     }
     let deadline = Instant::now() + HOME_STORE_LIMIT;
     match shared.budgets.reserve(&request, deadline).await {
@@ -381,7 +408,7 @@
                 log_grant(shared, &request, grant);
             }
             hold.lend_out();
-            lent()
+            lent(request.turn)
         }
         Err(LedgerError::Spent { reserved, holders }) => ReserveAnswer::Spent { reserved, holders },
         Err(_) => ReserveAnswer::Away,
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -57,15 +57,16 @@
     reply: &mut Reply<'_>,
 ) -> Result<Result<(), Refusal>, CallerGone> {
     let deadline = ledger_deadline(job);
-    let (hold, previous_at, line_server) = match reserve(shared, job, trace, deadline).await {
-        Ok(Some(reserved)) => (
-            Some(reserved.hold),
-            reserved.previous_at,
-            reserved.line_server,
-        ),
-        Ok(None) => (None, None, None),
-        Err(refusal) => return Ok(Err(refusal)),
-    };
+    let (hold, previous_at, line_server) =
+        match reserve(shared, job, trace, most_tokens(job), deadline).await {
+            Ok(Some(reserved)) => (
+                Some(reserved.hold),
+                reserved.previous_at,
+                reserved.line_server,
+            ),
+            Ok(None) => (None, None, None),
+            Err(refusal) => return Ok(Err(refusal)),
+        };
     let previous = match previous_turn(shared, job, previous_at, deadline).await {
         Ok(previous) => previous,
         Err(refusal) => return Ok(Err(refusal)),
@@ -75,6 +76,7 @@
         shared,
         job,
         trace,
+        covered: hold.as_ref().map_or(Tokens(0), BudgetHold::turn),
         hold,
         body: prompt(previous.as_ref(), &job.received.body),
         last_server: previous
@@ -83,6 +85,7 @@
             .or(line_server),
         previous,
         server: None,
+        is_out_of_budget: false,
         delivered: Delivered {
             last_event_id: job.info.last_event_id,
             output: BytesMut::new(),
@@ -139,6 +142,7 @@
     shared: &Rc<Shared>,
     job: &Job<'_>,
     trace: &Trace,
+    tokens: Tokens,
     deadline: Instant,
 ) -> Result<Option<Reserved>, Refusal> {
     let (Some(program), Some(budget)) = (&job.info.program, job.info.budget_tokens) else {
@@ -148,7 +152,7 @@
     let request = BudgetRequest {
         program,
         budget: Tokens(budget),
-        turn: job.info.most_tokens.map_or(DEFAULT_TURN_TOKENS, Tokens),
+        turn: tokens,
         retention: job.route.retention_us,
         turn_id: &job.info.id,
         previous_id: job.info.previous_turn.as_deref().filter(|_| keeps_context),
@@ -167,6 +171,11 @@
     }
 }
 
+/// What the turn generates at most.
+fn most_tokens(job: &Job<'_>) -> Tokens {
+    job.info.most_tokens.map_or(DEFAULT_TURN_TOKENS, Tokens)
+}
+
 /// Until when the store is waited for before a request is refused. A caller that comes back is
 /// served by whichever process the store answers, so that waiting for longer than a try and a
 /// repeat takes gains nothing.
@@ -188,11 +197,15 @@
     job: &'a Job<'j>,
     trace: &'a Trace,
     hold: Option<BudgetHold>,
+    /// How much was set aside for the turn in all.
+    covered: Tokens,
     previous: Option<Arc<Turn>>,
     /// The server that ran the turn before, as far as it is known.
     last_server: Option<String>,
     /// The server of the last run.
     server: Option<String>,
+    /// Whether the budget that is set aside is used up, and no more can be had now.
+    is_out_of_budget: bool,
     body: Bytes,
     delivered: Delivered,
 }
@@ -221,6 +234,7 @@
             self.note_placed(&slot.server.id);
             match self.run_once(slot, reply).await? {
                 Ok(()) => return Ok(Ok(())),
+                Err(_) if self.is_out_of_budget => return Ok(Err(Refusal::LedgerAway)),
                 Err(end) => attempts.failed(end),
             }
         }
@@ -306,12 +320,41 @@
                 return Ok(Err(TryEnd::Lost));
             }
             while let Some(event) = splitter.next_event() {
+                if !self.cover_event().await {
+                    self.is_out_of_budget = true;
+                    return Ok(Err(TryEnd::Lost));
+                }
                 self.deliver(event, reply).await?;
                 patience = self.gap_patience();
             }
         }
     }
 
+    /// Sees to it that one more event is within the program's budget; false if that can't be known.
+    ///
+    /// A turn that was started with less than its maximum may reach the end of what was set aside. The
+    /// rest is asked for then, and its events wait meanwhile.
+    async fn cover_event(&mut self) -> bool {
+        let tokens = self.shared.tokens_per_event(self.job.service);
+        let most = most_tokens(self.job);
+        let Some(hold) = self.hold.as_ref() else {
+            return true;
+        };
+        if hold.turn() >= most || hold.covers(tokens) {
+            return true;
+        }
+        let rest = most.saturating_sub(self.covered).max(tokens);
+        let deadline = ledger_deadline(self.job);
+        match reserve(self.shared, self.job, self.trace, rest, deadline).await {
+            Ok(Some(reserved)) => {
+                self.covered.0 += reserved.hold.turn().0;
+                self.hold = Some(reserved.hold);
+                true
+            }
+            _ => false,
+        }
+    }
+
     async fn deliver(
         &mut self,
         event: StreamEvent,
--- a/clementinepickd/src/ledger_budgets.rs
+++ b/clementinepickd/src/ledger_budgets.rs
@@ -33,6 +33,9 @@
 /// their budgets.
 const MAX_RETURNS: usize = 1_024;
 
+/// Over how many turns the mean goes, about.
+const MEAN_OVER: u64 = 16;
+
 /// A turn that asks for a part of its program's budget.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct BudgetRequest<'a> {
@@ -116,6 +119,8 @@
     programs: RefCell<BTreeMap<String, ProgramState>>,
     partitions: RefCell<BTreeMap<Partition, Rc<PartitionState>>>,
     sequence: Cell<u64>,
+    /// What a turn hands out on average, the latest ones counting most; none before the first.
+    mean_turn: Cell<Option<Tokens>>,
     returns: mpsc::Sender<TokenReturn>,
 }
 
@@ -134,6 +139,7 @@
             programs: RefCell::default(),
             partitions: RefCell::default(),
             sequence: Cell::new(0),
+            mean_turn: Cell::new(None),
             returns,
         };
         (budgets, returned)
@@ -152,6 +158,42 @@
         self.try_start(request, now)
     }
 
+    /// What a turn hands out on average, by those that ran here.
+    pub(crate) fn mean_turn(&self) -> Option<Tokens> {
+        self.mean_turn.get()
+    }
+
+    /// Sets all that is held of a program aside for a turn, if it is at least `least`.
+    ///
+    /// Turns need less than half of their maxima. While the store is away, a program that has less left
+    /// than a maximum would be refused; started with the rest, most of its turns end.
+    pub(crate) fn start_rest(
+        self: &Rc<Self>,
+        request: &BudgetRequest<'_>,
+        least: Tokens,
+        now: Instant,
+    ) -> Option<BudgetHold> {
+        if !self.is_record_fresh(request, now) {
+            return None;
+        }
+        let mut programs = self.programs.borrow_mut();
+        let state = programs.get_mut(request.program)?;
+        if !self.is_usable(request.program, state, now) {
+            return None;
+        }
+        let turn = state.slices.start_rest(least)?;
+        state.used_at = Some(now);
+        let rest = BudgetRequest { turn, ..*request };
+        Some(BudgetHold::new(self, &rest, None))
+    }
+
+    /// Notes what a turn handed out.
+    pub(crate) fn note_turn(&self, handed_out: Tokens) {
+        let mean = self.mean_turn.get().unwrap_or(handed_out);
+        let next = mean.0 - mean.0 / MEAN_OVER + handed_out.0 / MEAN_OVER;
+        self.mean_turn.set(Some(Tokens(next)));
+    }
+
     /// Sets a turn's maximum aside, with a new slice from the store if those held do not suffice.
     pub(crate) async fn reserve(
         self: &Rc<Self>,
--- a/clementinepickd/src/ledger_holds.rs
+++ b/clementinepickd/src/ledger_holds.rs
@@ -66,6 +66,16 @@
         }
     }
 
+    /// How much is set aside.
+    pub(crate) fn turn(&self) -> Tokens {
+        self.turn
+    }
+
+    /// Whether so many more tokens are set aside.
+    pub(crate) fn covers(&self, tokens: Tokens) -> bool {
+        self.handed_out.0 + tokens.0 <= self.turn.0
+    }
+
     /// Counts tokens that are about to be handed to the caller.
     pub(crate) fn hand_out(&mut self, tokens: Tokens) {
         self.handed_out.0 += tokens.0;
@@ -90,6 +100,9 @@
 
 impl Drop for BudgetHold {
     fn drop(&mut self) {
+        if self.handed_out > Tokens(0) {
+            self.budgets.note_turn(self.handed_out);
+        }
         if let Some(lender) = self.lender.take() {
             let tokens = self.turn.saturating_sub(self.handed_out);
             if tokens > Tokens(0) || self.placed.is_some() {
--- a/standins/tests/gateway_homes.rs
+++ b/standins/tests/gateway_homes.rs
@@ -95,6 +95,27 @@
     assert_eq!(turn(&run, 0, "p0", "p0-2"), 503);
 }
 
+/// The store falls silent for all gateways. Two turns of a program have left 45 tokens of its standing
+/// slice; the next names 50 and runs all the same, since turns needed 40 so far. Then 5 are left, and the
+/// program is told to come back. Without that, already its third turn is refused.
+#[test]
+fn a_turn_runs_on_what_is_left_while_the_store_is_away() {
+    let run = run(2);
+    for door in &run.doors {
+        door.set_mode(StoreMode::Silent);
+    }
+    for program in ["p0", "p1", "p2", "p3"] {
+        let turn = |number: u64| {
+            let id = format!("{program}-{number}");
+            turn_within(&run, 0, program, &id, 500)
+        };
+        assert_eq!([turn(0), turn(1)], [200, 200], "{program}");
+        // What the turns before did not need comes back to the home a moment after their ends.
+        wait_until(|| turn(2) == 200).expect("a turn on what is left");
+        assert_eq!(turn(3), 503, "{program}");
+    }
+}
+
 /// While the store is silent for all, programs begin whose budgets are small: a quarter of 100 tokens is
 /// less than the 50 that a turn names. Their first turns run all the same, on the turn that the budget
 /// allows beyond itself; without that, each of them is refused until the store is back.
