Split budgets by what asks, what answers and what lies in partitions

What gateways say to each other of budgets stands in budget_messages.rs, what they answer in gateway_budget_peer.rs, and reading and appending of partitions in ledger_partitions.rs.

--- a/clementinepickd/src/gateway_budget.rs
+++ b/clementinepickd/src/gateway_budget.rs
@@ -1,37 +1,30 @@
 //! A turn's part of its program's budget: from what is held here, from the home of the program's
 //! partition, from other peers or from the store.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use actix_rt::time::sleep;
-use bytes::Bytes;
 use clementinepick::event::{Event, EventKind};
-use clementinepick::units::{SpanUs, Tokens};
+use clementinepick::units::Tokens;
 use futures_util::future::join_all;
-use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
+use crate::budget_messages::{
+    LEND_PATH, LendAsk, RESERVE_PATH, RETURN_PATH, ReserveAnswer, ReserveAsk, ReturnedTokens,
+};
 use crate::gateway_ahead::ask_ahead;
 use crate::gateway_peer::{PeerCall, ask_peer};
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
-use crate::ledger::{LedgerError, from_cbor, to_cbor};
+use crate::ledger::{LedgerError, to_cbor};
 use crate::ledger_budgets::BudgetRequest;
 use crate::ledger_holds::{BudgetHold, Lender, SliceGrant, TokenReturn};
 
-/// Where a home is asked for a turn's part of a budget.
-pub(crate) const RESERVE_PATH: &str = "/reserve";
-/// Where a home takes back what turns did not need.
-pub(crate) const RETURN_PATH: &str = "/return";
-/// Where a gateway is asked for a part of a budget that it does not need.
-pub(crate) const LEND_PATH: &str = "/lend";
 /// How long a home may take to answer: it may have to append a slice, which takes some 10 ms.
 const RESERVE_LIMIT: Duration = Duration::from_millis(250);
-/// How long a home tries the store for another process, which tries it itself after that.
-const HOME_STORE_LIMIT: Duration = Duration::from_millis(200);
 /// How long a peer may take to answer where it only looks into its memory, some ms away.
 const LEND_LIMIT: Duration = Duration::from_millis(150);
 /// How many peers are asked for one turn: as many as mostly hold slices of one program, and few
@@ -44,86 +37,6 @@
 /// The pause between two looks at the homes.
 const HOMES_PAUSE: Duration = Duration::from_millis(250);
 
-/// Asks a home for a turn's part of its program's budget.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct ReserveAsk {
-    #[serde(rename = "q")]
-    turn_id: String,
-    /// The turn that it continues from.
-    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
-    previous_id: Option<String>,
-    /// Whether other turns may continue from this one.
-    #[serde(rename = "k")]
-    keeps_context: bool,
-    /// The line of turns, and those that it branched off from, its own last.
-    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
-    lines: Vec<String>,
-    /// Who runs the turn.
-    #[serde(rename = "f")]
-    runner: SocketAddr,
-    #[serde(rename = "p")]
-    program: String,
-    #[serde(rename = "b")]
-    budget: Tokens,
-    #[serde(rename = "t")]
-    turn: Tokens,
-    /// What turns hand out on average, by those that the asker ran.
-    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
-    mean_turn: Option<Tokens>,
-    #[serde(rename = "r")]
-    retention: SpanUs,
-}
-
-/// What a home answers.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-enum ReserveAnswer {
-    /// The turn's maximum is lent, or what is left if that is less.
-    Lent {
-        writer: String,
-        /// How much it is; the maximum where this is not said.
-        #[serde(default)]
-        tokens: Option<Tokens>,
-        /// Who ran the turn that this one continues from.
-        previous_at: Option<SocketAddr>,
-        /// The server that ran the line last.
-        line_server: Option<String>,
-    },
-    /// The budget is given out to the end.
-    Spent {
-        reserved: Tokens,
-        holders: BTreeSet<SocketAddr>,
-    },
-    /// The process is not the home, and may know who is.
-    Elsewhere { home: Option<SocketAddr> },
-    /// The store would have to be asked and does not answer.
-    Away,
-}
-
-/// Tokens that come back to the process that lent them.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct ReturnedTokens {
-    /// The start of the process that lent them.
-    #[serde(rename = "i")]
-    writer: String,
-    #[serde(rename = "p")]
-    program: String,
-    #[serde(rename = "t")]
-    tokens: Tokens,
-    /// The line of the turn, and the server that it was sent to.
-    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
-    placed: Option<(String, String)>,
-}
-
-/// Asks for a part of a program's budget that the peer does not need.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct LendAsk {
-    #[serde(rename = "p")]
-    program: String,
-    /// What the turn that waits generates at most.
-    #[serde(rename = "t")]
-    tokens: Tokens,
-}
-
 /// A turn's maximum that was set aside.
 pub(crate) struct Reserved {
     pub(crate) hold: BudgetHold,
@@ -186,7 +99,7 @@
 }
 
 /// Notes at the home who runs a turn, and says who ran the one before it.
-fn note_turn(
+pub(crate) fn note_turn(
     shared: &Shared,
     request: &BudgetRequest<'_>,
     runner: SocketAddr,
@@ -203,7 +116,7 @@
 /// Turns come to any gateway, and those whose context is not kept here leave no record of where they
 /// ran: without this, each gateway would look for a line where its rank says, and the server would
 /// read it again where another gateway had placed it elsewhere.
-fn line_server<'a>(
+pub(crate) fn line_server<'a>(
     shared: &Shared,
     lines: impl DoubleEndedIterator<Item = &'a str>,
 ) -> Option<String> {
@@ -360,102 +273,6 @@
     None
 }
 
-/// Answers what a peer asks of this process as a home.
-async fn answer_reserve(shared: &Rc<Shared>, ask: &ReserveAsk) -> ReserveAnswer {
-    let request = BudgetRequest {
-        program: &ask.program,
-        budget: ask.budget,
-        turn: ask.turn,
-        retention: ask.retention,
-        turn_id: &ask.turn_id,
-        previous_id: ask.previous_id.as_deref(),
-        keeps_context: ask.keeps_context,
-        lines: &[],
-    };
-    let lent = |tokens: Tokens| ReserveAnswer::Lent {
-        writer: shared.budgets.writer.clone(),
-        tokens: Some(tokens),
-        previous_at: note_turn(shared, &request, ask.runner),
-        line_server: line_server(shared, ask.lines.iter().map(String::as_str)),
-    };
-    if shared.budgets.held_home(&ask.program).is_none() {
-        let home = shared.homes.known_home(&ask.program);
-        return ReserveAnswer::Elsewhere { home };
-    }
-    if let Some(hold) = shared.budgets.start_held(&request, Instant::now()) {
-        hold.lend_out();
-        ask_ahead(shared, &request);
-        return lent(request.turn);
-    }
-    if shared.store.is_away() {
-        let start = |least| {
-            let budgets = &shared.budgets;
-            budgets.start_rest(&request, least, Instant::now())
-        };
-        return ask
-            .mean_turn
-            .and_then(start)
-            .map_or(ReserveAnswer::Away, |hold| {
-                let tokens = hold.turn();
-                hold.lend_out();
-                lent(tokens)
-            });
-    }
-    let deadline = Instant::now() + HOME_STORE_LIMIT;
-    match shared.budgets.reserve(&request, deadline).await {
-        Ok(hold) => {
-            if let Some(grant) = hold.grant {
-                log_grant(shared, &request, grant);
-            }
-            hold.lend_out();
-            lent(request.turn)
-        }
-        Err(LedgerError::Spent { reserved, holders }) => ReserveAnswer::Spent { reserved, holders },
-        Err(_) => ReserveAnswer::Away,
-    }
-}
-
-/// Answers a peer's call on one of the paths of budgets; none for other paths.
-pub(crate) async fn answer_peer(
-    shared: &Rc<Shared>,
-    path: &str,
-    body: &[u8],
-) -> Option<(u16, Bytes)> {
-    const BAD_REQUEST: (u16, Bytes) = (400, Bytes::new());
-    let answer = match path {
-        RESERVE_PATH => match from_cbor::<ReserveAsk>(body) {
-            Some(ask) => (200, to_cbor(&answer_reserve(shared, &ask).await)),
-            None => BAD_REQUEST,
-        },
-        RETURN_PATH => match from_cbor::<Vec<ReturnedTokens>>(body) {
-            Some(returned) => {
-                for back in returned {
-                    let tokens = back.tokens;
-                    shared
-                        .budgets
-                        .take_back(&back.writer, &back.program, tokens);
-                    if let Some((line, server)) = back.placed {
-                        let mut line_servers = shared.homes.line_servers.borrow_mut();
-                        line_servers.insert(&line, server);
-                    }
-                }
-                (200, to_cbor(&()))
-            }
-            None => BAD_REQUEST,
-        },
-        LEND_PATH => match from_cbor::<LendAsk>(body) {
-            Some(ask) => {
-                let now = Instant::now();
-                let lent = shared.budgets.lend(&ask.program, ask.tokens, now);
-                (200, to_cbor(&lent))
-            }
-            None => BAD_REQUEST,
-        },
-        _ => return None,
-    };
-    Some(answer)
-}
-
 /// Asks peers for a part of a program's budget, until one turn can start.
 ///
 /// Without this, a program whose turns come to several gateways would be refused while its budget
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 
-use crate::gateway_budget::answer_peer;
+use crate::gateway_budget_peer::answer_peer;
 use crate::gateway_connection::{Handler, Received};
 use crate::gateway_reply::Reply;
 use crate::gateway_shared::Shared;
--- a/clementinepickd/src/ledger_budgets.rs
+++ b/clementinepickd/src/ledger_budgets.rs
@@ -7,21 +7,20 @@
 use std::time::{Duration, Instant};
 
 use clementinepick::budget_ledger::{
-    BudgetRecord, BudgetView, HOME_LEASE_MS, ProgramSlices, SliceDecision, SliceRecord,
-    first_grant, home_key,
+    BudgetRecord, ProgramSlices, SliceDecision, SliceRecord, first_grant,
 };
 use clementinepick::record_age::KEPT_RETENTIONS;
 use clementinepick::server_choice::PromptPart;
 use clementinepick::units::{SpanUs, Tokens};
-use platform::store::{KeyedRecord, MAX_KEY_BYTES, decode_end};
-use tokio::sync::{Mutex, mpsc};
+use platform::store::{KeyedRecord, MAX_KEY_BYTES};
+use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::leave_out::Safeguard;
-use crate::ledger::{LedgerError, LedgerStore, Partition, from_cbor, to_cbor};
+use crate::ledger::{LedgerError, LedgerStore, Partition, to_cbor};
 use crate::ledger_holds::{BudgetHold, SliceGrant, TokenReturn};
+use crate::ledger_partitions::{HeldHome, PartitionState};
 use crate::link::duration;
-use crate::store::StorePurpose;
 use crate::unix_time::unix_ms;
 
 /// How often a slice is decided anew after another process wrote first. Each round means that
@@ -77,38 +76,6 @@
     recorded_at: Option<Instant>,
 }
 
-/// What this process knows of a partition.
-#[derive(Default)]
-pub(crate) struct PartitionState {
-    pub(crate) view: RefCell<BudgetView>,
-    /// Held while the partition is read or written: two turns of one process would only fail each
-    /// other's conditions.
-    pub(crate) in_use: Mutex<()>,
-    used_at: Cell<Option<Instant>>,
-    /// Set while this process is a home of the partition.
-    pub(crate) home: Cell<Option<HeldHome>>,
-}
-
-/// This process as the home of a partition.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct HeldHome {
-    pub(crate) number: u64,
-    pub(crate) halvings: u32,
-    /// Before the last call that showed that no later home is there.
-    pub(crate) seen_at: Instant,
-}
-
-impl HeldHome {
-    /// The key of its record.
-    pub(crate) fn key(&self, writer: &str) -> String {
-        home_key(writer, self.number)
-    }
-
-    fn has_lease(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.seen_at) < Duration::from_millis(HOME_LEASE_MS)
-    }
-}
-
 /// The budgets as one process uses them.
 pub(crate) struct Budgets {
     pub(crate) store: Rc<LedgerStore>,
@@ -117,7 +84,7 @@
     /// Where this process can be asked for what it does not need.
     pub(crate) address: SocketAddr,
     programs: RefCell<BTreeMap<String, ProgramState>>,
-    partitions: RefCell<BTreeMap<Partition, Rc<PartitionState>>>,
+    pub(crate) partitions: RefCell<BTreeMap<Partition, Rc<PartitionState>>>,
     sequence: Cell<u64>,
     /// What a turn hands out on average, the latest ones counting most; none before the first.
     mean_turn: Cell<Option<Tokens>>,
@@ -278,34 +245,6 @@
         Err(LedgerError::Away)
     }
 
-    /// Appends records where the view ends, or reads on if another process wrote first; the view
-    /// has the records then if they were written now or by an earlier copy of the call.
-    pub(crate) async fn append_next(
-        &self,
-        partition: Partition,
-        state: &PartitionState,
-        records: &[KeyedRecord],
-        deadline: Instant,
-    ) -> Result<(), LedgerError> {
-        let begun = Instant::now();
-        let end = state.view.borrow().end;
-        let purpose = StorePurpose::ReserveSlice;
-        let append = self
-            .store
-            .append(purpose, partition, Some(end), records, deadline);
-        let reply = append.await?;
-        if reply.status == 200 {
-            let end = decode_end(&reply.body).map_err(|_| LedgerError::Away)?;
-            let mut view = state.view.borrow_mut();
-            apply_records(&mut view, records);
-            view.end = end;
-            drop(view);
-            renew(state, begun);
-            return Ok(());
-        }
-        self.read_on(partition, state, deadline).await
-    }
-
     /// The next slice's record; without tokens where those held suffice and only the record that
     /// the program runs is due.
     fn next_slice(
@@ -359,14 +298,6 @@
         recorded_at.is_some_and(|at| now.saturating_duration_since(at) < retention)
     }
 
-    /// What is known of a partition.
-    pub(crate) fn partition(&self, partition: Partition, now: Instant) -> Rc<PartitionState> {
-        let mut partitions = self.partitions.borrow_mut();
-        let state = partitions.entry(partition).or_default();
-        state.used_at.set(Some(now));
-        Rc::clone(state)
-    }
-
     /// This process as the home of a program's partition.
     pub(crate) fn held_home(&self, program: &str) -> Option<HeldHome> {
         let partition = self.store.budget_partition(program);
@@ -523,27 +454,6 @@
         used
     }
 
-    /// Reads what was written since the view's end, or all where that is no longer kept.
-    pub(crate) async fn read_on(
-        &self,
-        partition: Partition,
-        state: &PartitionState,
-        deadline: Instant,
-    ) -> Result<(), LedgerError> {
-        let begun = Instant::now();
-        let reader = self.store.reader(StorePurpose::ReadSlices, deadline);
-        let take =
-            |records: Vec<KeyedRecord>| apply_records(&mut state.view.borrow_mut(), &records);
-        let from = state.view.borrow().end;
-        let end = match reader.read_from(partition, from, take).await? {
-            Some(end) => end,
-            None => reader.read_newest(partition, take).await?,
-        };
-        state.view.borrow_mut().end = end;
-        renew(state, begun);
-        Ok(())
-    }
-
     /// Forgets programs and partitions that were not used for long.
     ///
     /// A program stays for as long as its records would: a home that forgot one earlier would give
@@ -572,13 +482,6 @@
     pub(crate) fn program_count(&self) -> usize {
         self.programs.borrow().len()
     }
-
-    /// The partitions whose home this process is.
-    pub(crate) fn homes(&self) -> Vec<(Partition, Rc<PartitionState>)> {
-        let partitions = self.partitions.borrow();
-        let held = partitions.iter().filter(|(_, s)| s.home.get().is_some());
-        held.map(|(p, s)| (*p, Rc::clone(s))).collect()
-    }
 }
 
 /// What a program used of a standing slice and no record says yet.
@@ -591,29 +494,3 @@
     pub(crate) tokens: Tokens,
     pub(crate) retain_ms: u64,
 }
-
-/// Notes that at `at` no later home was there, if the view says so.
-fn renew(state: &PartitionState, at: Instant) {
-    let latest = state.view.borrow().home().map(|home| home.number);
-    if let Some(home) = state.home.get()
-        && latest == Some(home.number)
-    {
-        state.home.set(Some(HeldHome {
-            seen_at: at.max(home.seen_at),
-            ..home
-        }));
-    }
-}
-
-fn apply_records(view: &mut BudgetView, records: &[KeyedRecord]) {
-    for KeyedRecord { key, value } in records {
-        match value {
-            None => view.drop_key(key),
-            Some(value) => {
-                if let Some(record) = from_cbor::<BudgetRecord>(value) {
-                    view.apply(key, &record);
-                }
-            }
-        }
-    }
-}
--- a/clementinepickd/src/ledger_homes.rs
+++ b/clementinepickd/src/ledger_homes.rs
@@ -18,7 +18,8 @@
 
 use crate::directory::PeerEntry;
 use crate::ledger::{LedgerError, Partition, to_cbor};
-use crate::ledger_budgets::{Budgets, HeldHome, PartitionState, UsedStanding};
+use crate::ledger_budgets::{Budgets, UsedStanding};
+use crate::ledger_partitions::{HeldHome, PartitionState};
 use crate::unix_time::unix_ms;
 
 /// How long a call for one partition may take.
--- /dev/null
+++ b/clementinepickd/src/ledger_partitions.rs
@@ -0,0 +1,137 @@
+//! The partitions of budgets: what is known of one, how it is read on and appended to.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use clementinepick::budget_ledger::{BudgetRecord, BudgetView, HOME_LEASE_MS, home_key};
+use platform::store::{KeyedRecord, decode_end};
+use tokio::sync::Mutex;
+
+use crate::ledger::{LedgerError, Partition, from_cbor};
+use crate::ledger_budgets::Budgets;
+use crate::store::StorePurpose;
+
+/// What this process knows of a partition.
+#[derive(Default)]
+pub(crate) struct PartitionState {
+    pub(crate) view: RefCell<BudgetView>,
+    /// Held while the partition is read or written: two turns of one process would only fail each
+    /// other's conditions.
+    pub(crate) in_use: Mutex<()>,
+    pub(crate) used_at: Cell<Option<Instant>>,
+    /// Set while this process is a home of the partition.
+    pub(crate) home: Cell<Option<HeldHome>>,
+}
+
+/// This process as the home of a partition.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct HeldHome {
+    pub(crate) number: u64,
+    pub(crate) halvings: u32,
+    /// Before the last call that showed that no later home is there.
+    pub(crate) seen_at: Instant,
+}
+
+impl HeldHome {
+    /// The key of its record.
+    pub(crate) fn key(&self, writer: &str) -> String {
+        home_key(writer, self.number)
+    }
+
+    pub(crate) fn has_lease(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.seen_at) < Duration::from_millis(HOME_LEASE_MS)
+    }
+}
+
+impl Budgets {
+    /// Appends records where the view ends, or reads on if another process wrote first; the view
+    /// has the records then if they were written now or by an earlier copy of the call.
+    pub(crate) async fn append_next(
+        &self,
+        partition: Partition,
+        state: &PartitionState,
+        records: &[KeyedRecord],
+        deadline: Instant,
+    ) -> Result<(), LedgerError> {
+        let begun = Instant::now();
+        let end = state.view.borrow().end;
+        let purpose = StorePurpose::ReserveSlice;
+        let append = self
+            .store
+            .append(purpose, partition, Some(end), records, deadline);
+        let reply = append.await?;
+        if reply.status == 200 {
+            let end = decode_end(&reply.body).map_err(|_| LedgerError::Away)?;
+            let mut view = state.view.borrow_mut();
+            apply_records(&mut view, records);
+            view.end = end;
+            drop(view);
+            renew(state, begun);
+            return Ok(());
+        }
+        self.read_on(partition, state, deadline).await
+    }
+
+    /// Reads what was written since the view's end, or all where that is no longer kept.
+    pub(crate) async fn read_on(
+        &self,
+        partition: Partition,
+        state: &PartitionState,
+        deadline: Instant,
+    ) -> Result<(), LedgerError> {
+        let begun = Instant::now();
+        let reader = self.store.reader(StorePurpose::ReadSlices, deadline);
+        let take =
+            |records: Vec<KeyedRecord>| apply_records(&mut state.view.borrow_mut(), &records);
+        let from = state.view.borrow().end;
+        let end = match reader.read_from(partition, from, take).await? {
+            Some(end) => end,
+            None => reader.read_newest(partition, take).await?,
+        };
+        state.view.borrow_mut().end = end;
+        renew(state, begun);
+        Ok(())
+    }
+
+    /// What is known of a partition.
+    pub(crate) fn partition(&self, partition: Partition, now: Instant) -> Rc<PartitionState> {
+        let mut partitions = self.partitions.borrow_mut();
+        let state = partitions.entry(partition).or_default();
+        state.used_at.set(Some(now));
+        Rc::clone(state)
+    }
+
+    /// The partitions whose home this process is.
+    pub(crate) fn homes(&self) -> Vec<(Partition, Rc<PartitionState>)> {
+        let partitions = self.partitions.borrow();
+        let held = partitions.iter().filter(|(_, s)| s.home.get().is_some());
+        held.map(|(p, s)| (*p, Rc::clone(s))).collect()
+    }
+}
+
+/// Notes that at `at` no later home was there, if the view says so.
+fn renew(state: &PartitionState, at: Instant) {
+    let latest = state.view.borrow().home().map(|home| home.number);
+    if let Some(home) = state.home.get()
+        && latest == Some(home.number)
+    {
+        state.home.set(Some(HeldHome {
+            seen_at: at.max(home.seen_at),
+            ..home
+        }));
+    }
+}
+
+fn apply_records(view: &mut BudgetView, records: &[KeyedRecord]) {
+    for KeyedRecord { key, value } in records {
+        match value {
+            None => view.drop_key(key),
+            Some(value) => {
+                if let Some(record) = from_cbor::<BudgetRecord>(value) {
+                    view.apply(key, &record);
+                }
+            }
+        }
+    }
+}
