Count servers that fail now and then as more loaded

Cause: a server that fails a part of its requests answers between the failures, and each answer ended the pause. Change: a rate of failures by server, the latest answers counting most, forgotten by half in a second; a server counts as more loaded by its rate times eight times the mean load, so that it still is used where the others are full. A failure of the server's own (5xx) counts.

--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -87,6 +87,7 @@
 pub mod rules;
 pub mod safeguards;
 pub mod server_choice;
+pub mod server_health;
 pub mod server_list;
 pub mod server_load;
 pub mod sidecar;
--- a/clementinepick/src/server_choice.rs
+++ b/clementinepick/src/server_choice.rs
@@ -9,6 +9,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::server_health::FailureRate;
 use crate::server_list::BackendServer;
 use crate::server_load::{LoadReport, believed_others, mean_others};
 use crate::units::{SpanUs, TimeUs};
@@ -33,6 +34,12 @@
 /// requests' worth of load are rarer than that between two servers.
 const RANK_COST_US: f64 = 45_000.0;
 
+/// A server that fails all requests counts as so many times as loaded as the others are on average, one
+/// that fails a quarter of them as a quarter of that: it is used where the others have that much more to
+/// do, since they might fall over without it. On a day of grey servers 5 in 100 programs failed, most by
+/// bookings, which can't be repeated.
+const FAILING_FACTOR: f64 = 8.0;
+
 /// How many lines' and prefixes' servers are remembered: 4,096 are the turns of half a minute at
 /// the size that is designed for, and 600 kB.
 const MAX_REMEMBERED: usize = 4_096;
@@ -51,6 +58,7 @@
     in_flight: u32,
     report: Option<LoadReport>,
     failures: u32,
+    failure_rate: FailureRate,
     paused_until: TimeUs,
     started_unix_ms: Option<u64>,
 }
@@ -99,6 +107,8 @@
     pub is_paused: bool,
     /// How many requests it is believed to have.
     pub load: f64,
+    /// How much more loaded it counts for its failures.
+    pub failing_load: f64,
     /// How many tokens of the prompt it probably does not keep.
     pub tokens_to_read: u64,
     /// Its rank for the line of turns, where nobody is known to keep the line.
@@ -111,7 +121,7 @@
     /// What the request costs there, by load, reading and rank.
     fn cost_us(&self) -> f64 {
         let read_us = approx(self.tokens_to_read) * TOKEN_COST_US;
-        let load_us = self.load * LOAD_COST_US;
+        let load_us = (self.load + self.failing_load) * LOAD_COST_US;
         let rank = self.rank.and_then(|rank| u32::try_from(rank).ok());
         let rank_us = rank.map_or(0.0, |rank| f64::from(rank) * RANK_COST_US);
         load_us + rank_us + read_us * (1.0 + self.load)
@@ -128,6 +138,9 @@
         if self.is_kept_here {
             f.write_str(", keeps the line")?;
         }
+        if self.failing_load >= 0.05 {
+            write!(f, ", counts {:.1} more for failures", self.failing_load)?;
+        }
         if let Some(rank) = self.rank {
             write!(f, ", rank {rank}")?;
         }
@@ -220,12 +233,18 @@
             .iter()
             .filter_map(|server| self.servers.get(&server.id)?.report.as_ref());
         let mean_others = mean_others(reports, now);
+        let loads = candidates
+            .iter()
+            .map(|server| self.state(&server.id).load(now, mean_others));
+        let count = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
+        let mean_load = loads.sum::<f64>() / f64::from(count.max(1));
         let reason = |server: &BackendServer| {
             let state = self.state(&server.id);
             let rank = rank_of(server);
             PlacingReason {
                 is_paused: now < state.paused_until,
                 load: state.load(now, mean_others),
+                failing_load: state.failure_rate.at(now) * FAILING_FACTOR * (1.0 + mean_load),
                 tokens_to_read: self.tokens_to_read(server, affinity, kept_at, rank),
                 rank: rank.filter(|_| kept_at.is_none()),
                 is_kept_here: kept_at == Some(server.id.as_str()),
@@ -313,11 +332,12 @@
         state.report = Some(LoadReport { others, at: now });
     }
 
-    /// Notes that a server answered.
-    pub fn succeeded(&mut self, id: &str) {
+    /// Notes that a server answered; `has_failed` says that it answered with a failure of its own.
+    pub fn answered(&mut self, now: TimeUs, id: &str, has_failed: bool) {
         if let Some(state) = self.servers.get_mut(id) {
             state.failures = 0;
             state.paused_until = TimeUs(0);
+            state.failure_rate.note(now, has_failed);
         }
     }
 
@@ -325,6 +345,10 @@
     pub fn failed(&mut self, now: TimeUs, id: &str) {
         let state = self.servers.entry(id.to_owned()).or_default();
         let pause_us = FIRST_PAUSE_US.0 << state.failures.min(8);
+        if state.failures == 0 {
+            // The pause alone is for a server that answers nothing any more.
+            state.failure_rate.note(now, true);
+        }
         state.failures += 1;
         state.paused_until = now.after(SpanUs(pause_us.min(MAX_PAUSE_US.0)));
     }
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -46,7 +46,11 @@
     /// Keeps the connection for another request, after the answer was read to its end.
     pub(crate) fn finish(self, shared: &Shared) {
         let address = self.slot.server.address;
-        shared.choice.borrow_mut().succeeded(&self.slot.server.id);
+        let now = shared.now_us(Instant::now());
+        let has_failed = self.head.status.is_server_error();
+        let mut choice = shared.choice.borrow_mut();
+        choice.answered(now, &self.slot.server.id, has_failed);
+        drop(choice);
         shared
             .pool
             .give_back(address, self.connection, Instant::now());
