Let servers that refuse requests not look idle

Cause: a server that refuses without running (another service's server took over its address, or it is full) has nothing running and so the least load; a refusal changed nothing, and nearly all calls went to it. Ruled out: servers that are full (loads of 0 to 2 of 6 slots). Change: another server at the address counts as one that failed, and is passed over for a while; other refusals count in the rate of failures.

The test failed first: 996 of 1,000 calls refused, 7 now.

--- a/clementinepick/src/server_choice.rs
+++ b/clementinepick/src/server_choice.rs
@@ -341,6 +341,18 @@
         }
     }
 
+    /// Notes that a server refused a request without running it; `is_another` says that it is not the
+    /// one that its entry names.
+    ///
+    /// A server that refuses is idle: without this, it looks the best of all and gets every request.
+    pub fn refused(&mut self, now: TimeUs, id: &str, is_another: bool) {
+        if is_another {
+            self.failed(now, id);
+        } else if let Some(state) = self.servers.get_mut(id) {
+            state.failure_rate.note(now, true);
+        }
+    }
+
     /// Notes that a server could not be reached, broke off or gave no answer in time.
     pub fn failed(&mut self, now: TimeUs, id: &str) {
         let state = self.servers.entry(id.to_owned()).or_default();
--- a/clementinepick/tests/server_choice.rs
+++ b/clementinepick/tests/server_choice.rs
@@ -167,6 +167,40 @@
     assert!(to_grey[2] >= 180, "{to_grey:?}: recovered, and passed over");
 }
 
+/// An address was taken over by another service's server while the list still names the old one: it
+/// refuses each call at once and is never busy. All other servers have calls that run, so that by load
+/// alone it would get all calls, and callers would be refused while four servers have room. Of
+/// 1,000 calls 996 are refused without that, and 7 with it.
+#[test]
+fn a_server_that_refuses_does_not_draw_all_calls() {
+    for is_another in [false, true] {
+        let servers = servers(5);
+        let candidates: Vec<&BackendServer> = servers.iter().collect();
+        let mut choice = ServerChoice::default();
+        let mut running: VecDeque<String> = VecDeque::new();
+        let mut refused = 0;
+        for call in 0..1_000_u64 {
+            let now = NOW.after(SpanUs::from_ms(call * 10));
+            let chosen = choice.choose(now, &candidates, &[], Affinity::default());
+            let id = chosen.expect("a server").id.clone();
+            choice.start(&id, Affinity::default());
+            if id == "e-0" {
+                choice.end(&id);
+                choice.refused(now, &id, is_another);
+                refused += 1;
+                continue;
+            }
+            running.push_back(id);
+            if running.len() > 8 {
+                let id = running.pop_front().expect("a call");
+                choice.end(&id);
+                choice.answered(now, &id, false);
+            }
+        }
+        assert!(refused <= 50, "{refused} of 1,000 refused");
+    }
+}
+
 #[test]
 fn a_lone_paused_server_is_still_used() {
     let servers = servers(1);
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -200,6 +200,8 @@
                 .report(now, &slot.server.id, load);
         }
         if platform::answer::says_not_run(head.status.as_u16(), &head.headers) {
+            let is_another = platform::answer::says_another(head.status.as_u16());
+            shared.note_refusal(&slot.server.id, is_another);
             if connection.body(MAX_REFUSAL_BYTES).await.is_ok() {
                 let address = slot.server.address;
                 shared.pool.give_back(address, connection, Instant::now());
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -181,6 +181,12 @@
         self.choice.borrow_mut().failed(now, server);
     }
 
+    /// Notes that a server refused a request without running it.
+    pub(crate) fn note_refusal(&self, server: &str, is_another: bool) {
+        let now = self.now_us(Instant::now());
+        self.choice.borrow_mut().refused(now, server, is_another);
+    }
+
     /// From now on this process is not ready, and each answer ends its connection.
     pub(crate) fn start_draining(&self) {
         self.is_draining.set(true);
@@ -192,7 +198,6 @@
         self.closing.notify_waiters();
     }
 
-    /// How many requests run.
     /// How many connections to this process are open.
     pub(crate) fn open(&self) -> usize {
         self.open.get()
@@ -203,6 +208,7 @@
         count(&self.open)
     }
 
+    /// How many requests run.
     pub(crate) fn running(&self) -> usize {
         self.running.get()
     }
