Take each answer of a peer as a sign of life

Cause: found by reading: a turn fetched from a peer noted its failures and not its answers, so that a peer which was slow twice, seconds apart, counted as lost though it had answered in between, and its partitions were taken over in vain. Change: every answer of a peer ends its silence. Tests of what counts as lost, without a network.

--- a/clementinepickd/src/gateway_budget.rs
+++ b/clementinepickd/src/gateway_budget.rs
@@ -235,9 +235,7 @@
             limit: RESERVE_LIMIT,
         };
         let answer = ask_peer::<ReserveAnswer>(shared, address, call).await;
-        if answer.is_some() {
-            shared.homes.note_answer(address);
-        } else {
+        if answer.is_none() {
             shared.homes.note_silent_peer(address, now);
         }
         match answer {
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -34,7 +34,7 @@
     pub(crate) limit: Duration,
 }
 
-/// Asks a peer; none where no answer comes in time.
+/// Asks a peer; none where no answer comes in time. An answer shows that the peer lives.
 pub(crate) async fn ask_peer<T: DeserializeOwned>(
     shared: &Shared,
     peer: SocketAddr,
@@ -53,9 +53,11 @@
         let head = connection.exchange(&request).await.ok()?;
         let body = connection.body(MAX_PEER_ANSWER_BYTES).await.ok()?;
         shared.pool.give_back(peer, connection, Instant::now());
-        (head.status == StatusCode::OK).then(|| from_cbor(&body))?
+        Some((head.status, body))
     };
-    timeout(limit, exchange).await.ok()?
+    let (status, body) = timeout(limit, exchange).await.ok()??;
+    shared.homes.note_answer(peer);
+    (status == StatusCode::OK).then(|| from_cbor(&body))?
 }
 
 /// Takes peers' calls to the store and makes them once, and answers for parts of budgets and turns.
