Log which peers are taken as lost, and when they count again

An operator who sees programs refused, or standing slices halved, could not see which gateway another one took as lost. Events 310 and 311, with their rows in the catalogue.

--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -123,6 +123,10 @@
     StoreDirectDown = 308, "store_direct_down", Warning;
     /// The store answers this process itself again.
     StoreDirectUp = 309, "store_direct_up", Info;
+    /// The peer at `address` has answered no call for two seconds; its partitions get other homes.
+    PeerLost = 310, "peer_lost", Warning;
+    /// The peer at `address` answers again, or will be asked again.
+    PeerBack = 311, "peer_back", Info;
     /// This entry owns a partition.
     PartitionOwned = 401, "partition_owned", Info;
     /// This entry no longer owns a partition.
--- a/clementinepickd/src/gateway_budget.rs
+++ b/clementinepickd/src/gateway_budget.rs
@@ -1,7 +1,7 @@
 //! A turn's part of its program's budget: from what is held here, from the home of the program's
 //! partition, from other peers or from the store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -343,7 +343,20 @@
             let retention = config.longest_retention_us();
             let processes = &directory.processes;
             let now = Instant::now();
+            let lost_before = shared.homes.lost();
             shared.homes.step(processes, retention, now).await;
+            log_lost(&shared, &lost_before);
         }
     }
 }
+
+/// Logs which peers are lost since `before`, and which are no more.
+fn log_lost(shared: &Shared, before: &BTreeSet<SocketAddr>) {
+    let lost = shared.homes.lost();
+    for address in lost.difference(before) {
+        shared.log(&Event::new(EventKind::PeerLost).with("address", address));
+    }
+    for address in before.difference(&lost) {
+        shared.log(&Event::new(EventKind::PeerBack).with("address", address));
+    }
+}
--- a/clementinepickd/src/ledger_homes.rs
+++ b/clementinepickd/src/ledger_homes.rs
@@ -346,6 +346,11 @@
         let _ = join_all(releases).await;
     }
 
+    /// The peers that were lost at the last step.
+    pub(crate) fn lost(&self) -> BTreeSet<SocketAddr> {
+        self.lost.borrow().clone()
+    }
+
     /// The home that this process knows of for a program.
     pub(crate) fn known_home(&self, program: &str) -> Option<SocketAddr> {
         let partition = self.budgets.store.budget_partition(program);
