--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -89,7 +89,6 @@
 pub mod server_choice;
 pub mod server_health;
 pub mod server_list;
-pub mod server_load;
 pub mod sidecar;
 mod sidecar_cache;
 mod sidecar_calls;
--- a/clementinepick/src/server_choice.rs
+++ b/clementinepick/src/server_choice.rs
@@ -1,8 +1,9 @@
 //! Which backend server a request is sent to.
 //!
-//! Several processes share the servers without speaking to each other. Each estimates a server's
-//! load from the requests that it has there itself and from what the server's answers report of the
-//! others' requests.
+//! Several processes share the servers without speaking to each other of their loads. Each counts its
+//! own requests at a server, and knows what the server keeps and how it fails. What servers report of
+//! the others' requests is left out: with many processes it is old when it is used, and moves lines of
+//! turns to servers that must read them again.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -11,7 +12,6 @@
 
 use crate::server_health::FailureRate;
 use crate::server_list::BackendServer;
-use crate::server_load::{LoadReport, believed_others, mean_others};
 use crate::units::{SpanUs, TimeUs};
 
 /// How long a server that failed is passed over the first time; it doubles with each failure.
@@ -44,31 +44,15 @@
 /// the size that is designed for, and 600 kB.
 const MAX_REMEMBERED: usize = 4_096;
 
-/// What a server says of its load.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ReportedLoad {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-}
-
 #[derive(Debug, Clone, Copy, Default)]
 struct ServerState {
     in_flight: u32,
-    report: Option<LoadReport>,
     failures: u32,
     failure_rate: FailureRate,
     paused_until: TimeUs,
     started_unix_ms: Option<u64>,
 }
 
-impl ServerState {
-    fn load(&self, now: TimeUs, mean_others: f64) -> f64 {
-        f64::from(self.in_flight) + believed_others(self.report.as_ref(), mean_others, now)
-    }
-}
-
 /// One part of a prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromptPart {
@@ -105,8 +89,8 @@
 pub struct PlacingReason {
     /// Whether it failed lately and all others did too.
     pub is_paused: bool,
-    /// How many requests it is believed to have.
-    pub load: f64,
+    /// How many of this process's requests are there.
+    pub load: u32,
     /// How much more loaded it counts for its failures.
     pub failing_load: f64,
     /// How many tokens of the prompt it probably does not keep.
@@ -121,10 +105,11 @@
     /// What the request costs there, by load, reading and rank.
     fn cost_us(&self) -> f64 {
         let read_us = approx(self.tokens_to_read) * TOKEN_COST_US;
-        let load_us = (self.load + self.failing_load) * LOAD_COST_US;
+        let load = f64::from(self.load);
+        let load_us = (load + self.failing_load) * LOAD_COST_US;
         let rank = self.rank.and_then(|rank| u32::try_from(rank).ok());
         let rank_us = rank.map_or(0.0, |rank| f64::from(rank) * RANK_COST_US);
-        load_us + rank_us + read_us * (1.0 + self.load)
+        load_us + rank_us + read_us * (1.0 + load)
     }
 }
 
@@ -132,7 +117,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "load {:.1}, {} tokens to read",
+            "load {}, {} tokens to read",
             self.load, self.tokens_to_read
         )?;
         if self.is_kept_here {
@@ -229,21 +214,15 @@
             let ranks = ranks.as_ref()?;
             ranks.iter().position(|id| *id == server.id)
         };
-        let reports = candidates
-            .iter()
-            .filter_map(|server| self.servers.get(&server.id)?.report.as_ref());
-        let mean_others = mean_others(reports, now);
-        let loads = candidates
-            .iter()
-            .map(|server| self.state(&server.id).load(now, mean_others));
+        let loads = candidates.iter().map(|server| self.in_flight(&server.id));
         let count = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
-        let mean_load = loads.sum::<f64>() / f64::from(count.max(1));
+        let mean_load = f64::from(loads.sum::<u32>()) / f64::from(count.max(1));
         let reason = |server: &BackendServer| {
             let state = self.state(&server.id);
             let rank = rank_of(server);
             PlacingReason {
                 is_paused: now < state.paused_until,
-                load: state.load(now, mean_others),
+                load: state.in_flight,
                 failing_load: state.failure_rate.at(now) * FAILING_FACTOR * (1.0 + mean_load),
                 tokens_to_read: self.tokens_to_read(server, affinity, kept_at, rank),
                 rank: rank.filter(|_| kept_at.is_none()),
@@ -325,13 +304,6 @@
         }
     }
 
-    /// Takes what a server reports of its load.
-    pub fn report(&mut self, now: TimeUs, id: &str, load: ReportedLoad) {
-        let state = self.servers.entry(id.to_owned()).or_default();
-        let others = (load.running + load.waiting).saturating_sub(state.in_flight);
-        state.report = Some(LoadReport { others, at: now });
-    }
-
     /// Notes that a server answered; `has_failed` says that it answered with a failure of its own.
     pub fn answered(&mut self, now: TimeUs, id: &str, has_failed: bool) {
         if let Some(state) = self.servers.get_mut(id) {
--- a/clementinepick/tests/server_choice.rs
+++ b/clementinepick/tests/server_choice.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
-use clementinepick::server_choice::{Affinity, PromptPart, ReportedLoad, ServerChoice};
+use clementinepick::server_choice::{Affinity, PromptPart, ServerChoice};
 use clementinepick::server_list::BackendServer;
 use clementinepick::units::{SpanUs, TimeUs};
 use rand::{RngExt, SeedableRng};
@@ -217,32 +217,6 @@
     );
 }
 
-#[test]
-fn reports_of_other_processes_requests_count_for_a_while() {
-    let servers = servers(2);
-    let candidates: Vec<&BackendServer> = servers.iter().collect();
-    let mut choice = ServerChoice::default();
-    let busy = ReportedLoad {
-        running: 20,
-        waiting: 5,
-    };
-    let idle = ReportedLoad {
-        running: 0,
-        waiting: 0,
-    };
-    choice.report(NOW, "e-0", busy);
-    choice.report(NOW, "e-1", idle);
-    for _ in 0..10 {
-        let chosen = choice.choose(NOW, &candidates, &[], Affinity::default());
-        let id = chosen.expect("a server").id.clone();
-        assert_eq!(id, "e-1");
-        choice.start(&id, Affinity::default());
-    }
-    let later = NOW.after(SpanUs::from_s(1));
-    let chosen = choice.choose(later, &candidates, &[], Affinity::default());
-    assert_eq!(chosen.expect("a server").id, "e-0");
-}
-
 /// In a burst the server that keeps a line is full, and others have a place or two left. The line's
 /// next turn waits there for some ms: elsewhere its 3,000 tokens would be read again, which slows
 /// each request of that server's batch, until all servers are full of such reading.
@@ -256,35 +230,9 @@
     choice.start(&keeps_it, affinity(&line));
     choice.end(&keeps_it);
     for server in &servers {
-        let is_keeper = server.id == keeps_it;
-        let load = ReportedLoad {
-            running: if is_keeper { 64 } else { 62 },
-            waiting: if is_keeper { 3 } else { 0 },
-        };
-        choice.report(NOW, &server.id, load);
-    }
-    let next = choice.choose(NOW, &candidates, &[], affinity(&line));
-    assert_eq!(next.expect("a server").id, keeps_it);
-}
-
-/// A line's server is as busy as all others, and this process has heard so of few of them. The line's
-/// next turn goes there all the same: if servers that say nothing counted as idle, each turn would
-/// leave the server that keeps its line for one that has to read all of it, and reading slows both.
-#[test]
-fn a_server_that_is_not_heard_of_counts_as_busy_as_the_others() {
-    let servers = servers(40);
-    let candidates: Vec<&BackendServer> = servers.iter().collect();
-    let mut choice = ServerChoice::default();
-    let line = parts("line", 3_000);
-    let keeps_it = servers[7].id.clone();
-    choice.start(&keeps_it, affinity(&line));
-    choice.end(&keeps_it);
-    let busy = ReportedLoad {
-        running: 64,
-        waiting: 8,
-    };
-    for server in servers.iter().step_by(7) {
-        choice.report(NOW, &server.id, busy);
+        for _ in 0..if server.id == keeps_it { 67 } else { 62 } {
+            choice.start(&server.id, Affinity::default());
+        }
     }
     let next = choice.choose(NOW, &candidates, &[], affinity(&line));
     assert_eq!(next.expect("a server").id, keeps_it);
@@ -310,12 +258,12 @@
         let (server, reason) = chosen.expect("a server");
         (server.id.clone(), reason.to_string())
     };
-    let kept = "load 0.0, 0 tokens to read, keeps the line".to_owned();
+    let kept = "load 0, 0 tokens to read, keeps the line".to_owned();
     assert_eq!(chosen(&choice), (other.clone(), kept.clone()));
     choice.note_start(&other, Some(1));
     assert_eq!(chosen(&choice), (other.clone(), kept));
     choice.note_start(&other, Some(2));
     let (server, reason) = chosen(&choice);
     assert_eq!(server, by_rank);
-    assert_eq!(reason, "load 0.0, 13100 tokens to read, rank 0");
+    assert_eq!(reason, "load 0, 13100 tokens to read, rank 0");
 }
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -192,13 +192,6 @@
                 Err(TryEnd::Lost)
             };
         }
-        if let Some(load) = platform::answer::reported_load(&head.headers) {
-            let now = shared.now_us(Instant::now());
-            shared
-                .choice
-                .borrow_mut()
-                .report(now, &slot.server.id, load);
-        }
         if platform::answer::says_not_run(head.status.as_u16(), &head.headers) {
             let is_another = platform::answer::says_another(head.status.as_u16());
             shared.note_refusal(&slot.server.id, is_another);
