--- a/standins/tests/gateway_homes.rs
+++ b/standins/tests/gateway_homes.rs
@@ -25,6 +25,22 @@
     keys.iter().filter(|key| key.starts_with("home/")).count()
 }
 
+/// Lets the store fall silent for all gateways.
+fn silence_store(run: &PlatformRun) {
+    for door in &run.doors {
+        door.set_mode(StoreMode::Silent);
+    }
+}
+
+/// Ends the first gateway with what it has in memory: while the store is away for all, a process that
+/// ends is as good as lost. The store answers the other one after that.
+fn lose_first(run: &mut PlatformRun) {
+    silence_store(run);
+    drop(run.gateways.remove(0));
+    run.doors.remove(0);
+    run.doors[0].set_mode(StoreMode::Serving);
+}
+
 /// The partitions of the process that is the home of most.
 fn most_homes_of_one(run: &PlatformRun) -> usize {
     let keys = run.store.keys("keyed.budgets");
@@ -82,9 +98,7 @@
 #[test]
 fn programs_begin_while_the_store_is_away() {
     let run = run(2);
-    for door in &run.doors {
-        door.set_mode(StoreMode::Silent);
-    }
+    silence_store(&run);
     for number in 0..6 {
         let program = format!("p{number}");
         for turn_number in 0..2 {
@@ -101,9 +115,7 @@
 #[test]
 fn a_turn_runs_on_what_is_left_while_the_store_is_away() {
     let run = run(2);
-    for door in &run.doors {
-        door.set_mode(StoreMode::Silent);
-    }
+    silence_store(&run);
     for program in ["p0", "p1", "p2", "p3"] {
         let turn = |number: u64| {
             let id = format!("{program}-{number}");
@@ -122,9 +134,7 @@
 #[test]
 fn programs_with_small_budgets_begin_while_the_store_is_away() {
     let run = run(2);
-    for door in &run.doors {
-        door.set_mode(StoreMode::Silent);
-    }
+    silence_store(&run);
     for number in 0..6 {
         let program = format!("p{number}");
         let status = turn_within(&run, number % 2, &program, &program, 100);
@@ -158,12 +168,7 @@
             200
         );
     }
-    for door in &run.doors {
-        door.set_mode(StoreMode::Silent);
-    }
-    drop(run.gateways.remove(0));
-    run.doors.remove(0);
-    run.doors[0].set_mode(StoreMode::Serving);
+    lose_first(&mut run);
     wait_until(|| turn(&run, 0, "probe", "probe") == 200).expect("the store is back");
     for program in ["p2", "p3", "p4", "p5"] {
         let served = 1 + serve(&run, 0, program);
@@ -185,9 +190,7 @@
         keys.iter().any(|key| key.starts_with("p0/"))
     };
     wait_until(has_slice).expect("a slice that no turn has asked for");
-    for door in &run.doors {
-        door.set_mode(StoreMode::Silent);
-    }
+    silence_store(&run);
     for turn_number in 2..4 {
         let id = format!("p0-{turn_number}");
         assert_eq!(turn(&run, 1, "p0", &id), 200, "{id}");
@@ -233,13 +236,7 @@
     for program in &programs {
         assert_eq!(turn(&run, 1, program, &format!("{program}-first")), 200);
     }
-    // While the store is away for all, a process that ends is as good as lost.
-    for door in &run.doors {
-        door.set_mode(StoreMode::Silent);
-    }
-    drop(run.gateways.remove(0));
-    run.doors.remove(0);
-    run.doors[0].set_mode(StoreMode::Serving);
+    lose_first(&mut run);
     wait_until(|| turn(&run, 0, "probe", "probe") == 200).expect("the store is back");
     assert_eq!(homes(&run), 96, "the home's records are there");
     for program in &programs {
@@ -255,12 +252,7 @@
 #[test]
 fn a_lost_home_is_replaced_before_its_entry_ends() {
     let mut run = run(2);
-    for door in &run.doors {
-        door.set_mode(StoreMode::Silent);
-    }
-    drop(run.gateways.remove(0));
-    run.doors.remove(0);
-    run.doors[0].set_mode(StoreMode::Serving);
+    lose_first(&mut run);
     let number = Cell::new(0);
     wait_until(|| {
         number.set(number.get() + 1);
