Show that a server which leaves amid configurations still gets requests (red)

Callers' requests reach a server 2.2 s after the store said that it has left (the limit is 2 s), while the store answers every call.

--- a/standins/tests/gateway_lists.rs
+++ b/standins/tests/gateway_lists.rs
@@ -3,7 +3,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use standins::platform_caller::CallerRequest;
+use standins::platform_caller::{CallerRequest, exchange};
 use standins::platform_run::{PlatformRun, config, wait_until};
 use standins::platform_store::StoreMode;
 
@@ -12,6 +12,48 @@
     config(version).replace("\"/look/\"", "\"/moved/\"")
 }
 
+/// How long a server that has left may still get requests.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+
+/// A run with one gateway and one plain server, `p-1`.
+fn run_with_one_plain() -> PlatformRun {
+    let run = PlatformRun::start(1).expect("a run");
+    run.store.remove("keyed.servers", "p-2");
+    wait_until(|| !lists(&run, "p-2")).expect("one plain server");
+    run
+}
+
+/// Whether the gateway believes that a server is registered.
+fn lists(run: &PlatformRun, server: &str) -> bool {
+    let metrics = run.gateways[0].addresses.metrics.expect("it is set");
+    let request = "GET /state HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    let answer = exchange(metrics, request.as_bytes()).expect("an answer");
+    answer.body.contains(&format!("\"id\":\"{server}\""))
+}
+
+/// Sends requests until `end`; returns when the last one that ran was sent.
+fn last_served(run: &PlatformRun, end: Instant) -> Option<Instant> {
+    let mut last = None;
+    while Instant::now() < end {
+        let sent_at = Instant::now();
+        let request = CallerRequest::new("GET", "/look/1", "r");
+        let answer = request.send(run.callers(0)).expect("an answer");
+        if answer.status == 200 {
+            last = Some(sent_at);
+        }
+        sleep(Duration::from_millis(10));
+    }
+    last
+}
+
+/// Removes the only plain server; returns for how long requests were still sent to it and ran.
+fn served_after_leaving(run: &PlatformRun) -> Duration {
+    run.store.remove("keyed.servers", "p-1");
+    let left_at = Instant::now();
+    let last = last_served(run, left_at + DRAIN_LIMIT + Duration::from_secs(1));
+    last.map_or(Duration::ZERO, |at| at.duration_since(left_at))
+}
+
 fn knows_move(run: &PlatformRun, gateway: usize) -> bool {
     let request = CallerRequest::new("GET", "/moved/1", "r");
     let answer = request.send(run.callers(gateway)).expect("an answer");
@@ -72,3 +114,23 @@
     run.store.put("keyed.op", "config", &moved_config(2));
     wait_until(|| knows_move(&run, 0)).expect("the new configuration");
 }
+
+/// Callers' requests still run at a server of which the store said more than two seconds ago that it
+/// has left. The configuration changes again and again, every 0.7 s, and the store answers every call.
+/// Then it rests, and the server leaves 0.9 s later.
+///
+/// The gateway waits for news of both lists at once and drops the unread answer of the servers as
+/// the configuration changes. After 1.6 s without a reading it believes that the store was away, and
+/// keeps entries that vanish for two seconds more. Evidence: `server_list_back` with `failed_reads`
+/// 0 just before `server_kept`.
+#[test]
+fn a_server_that_leaves_amid_configurations_gets_no_requests_after_two_seconds() {
+    let run = run_with_one_plain();
+    for version in 2..6 {
+        run.store.put("keyed.op", "config", &config(version));
+        sleep(Duration::from_millis(700));
+    }
+    sleep(Duration::from_millis(200));
+    let served = served_after_leaving(&run);
+    assert!(served < DRAIN_LIMIT, "{served:?}");
+}
