Show two more ways in which the configuration holds up the list of servers (red)

Found while looking for the cause of the first one elsewhere: a configuration every 0.1 s, or the store's partition with the configuration away, and the list of servers is not read at all. Requests run at a server 3 s after it left, when the tests end; the age of the lists rises to 3.5 s, at which a gateway also stops being ready.

--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -80,6 +80,8 @@
     faults: Vec<AppendFault>,
     later: Vec<WireRequest>,
     delay: Duration,
+    /// The topic whose calls are not answered.
+    silent_topic: Option<String>,
     page_items: usize,
     /// The calls that came, by path.
     calls: BTreeMap<String, u64>,
@@ -176,6 +178,11 @@
         lock(&self.core).delay = delay;
     }
 
+    /// Stops answering calls for one topic, or answers all again.
+    pub fn silence_topic(&self, topic: Option<&str>) {
+        lock(&self.core).silent_topic = topic.map(str::to_owned);
+    }
+
     /// Sets how many records one page of newest records has.
     pub fn set_page_items(&self, items: usize) {
         lock(&self.core).page_items = items;
@@ -215,6 +222,9 @@
         if request.waited.is_zero() {
             *self.calls.entry(request.path.clone()).or_default() += 1;
         }
+        if self.silent_topic.is_some() && self.silent_topic.as_ref() == request.query.get("Topic") {
+            return vec![Step::Silence];
+        }
         let mut script = vec![Step::Pause(self.delay)];
         match request.path.rsplit('/').next() {
             Some("log-append") => {
--- a/standins/tests/gateway_lists.rs
+++ b/standins/tests/gateway_lists.rs
@@ -1,5 +1,6 @@
 //! How gateways follow the configuration and the servers in the store.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -134,3 +135,43 @@
     let served = served_after_leaving(&run);
     assert!(served < DRAIN_LIMIT, "{served:?}");
 }
+
+/// Callers' requests still run at a server that has left more than two seconds ago. The configuration
+/// changes every 0.1 s all the while, and the store answers every call.
+///
+/// News of the configuration is always there first, and the gateway drops the answer of the servers
+/// unread each time. Evidence: `lists_age_ms` in the state rises to 3.5 s, as fast as the time passes.
+#[test]
+fn a_storm_of_configurations_delays_no_server_that_leaves() {
+    let run = run_with_one_plain();
+    let is_over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            for version in 2.. {
+                if is_over.load(Ordering::Relaxed) {
+                    break;
+                }
+                run.store.put("keyed.op", "config", &config(version));
+                sleep(Duration::from_millis(100));
+            }
+        });
+        sleep(Duration::from_millis(500));
+        let served = served_after_leaving(&run);
+        is_over.store(true, Ordering::Relaxed);
+        assert!(served < DRAIN_LIMIT, "{served:?}");
+    });
+}
+
+/// Callers' requests still run at a server that has left more than two seconds ago. The store's partition
+/// with the configuration is away, the one with the servers answers every call.
+///
+/// The lists are read one after the other with one deadline, and the reading of the configuration uses
+/// it up. Evidence: `lists_age_ms` in the state rises to 3.5 s, as fast as the time passes.
+#[test]
+fn a_configuration_that_is_away_delays_no_server_that_leaves() {
+    let run = run_with_one_plain();
+    run.store.silence_topic(Some("keyed.op"));
+    sleep(Duration::from_millis(1_800));
+    let served = served_after_leaving(&run);
+    assert!(served < DRAIN_LIMIT, "{served:?}");
+}
