--- a/clementinepickd/src/control.rs
+++ b/clementinepickd/src/control.rs
@@ -24,6 +24,7 @@
 use crate::queue::QueueSender;
 use crate::role::{Action, Decisions};
 use crate::settings::{Role, Settings};
+use crate::steady_clock::SteadyClock;
 use crate::telemetry::Telemetry;
 
 /// The time between two ticks of the decisions.
@@ -95,7 +96,7 @@
 pub(crate) struct Control {
     settings: Settings,
     incarnation: Incarnation,
-    started: Instant,
+    clock: SteadyClock,
     decisions: Box<dyn Decisions + Send>,
     outputs: Outputs,
     telemetry: Telemetry,
@@ -119,7 +120,7 @@
         Self {
             settings,
             incarnation,
-            started: Instant::now(),
+            clock: SteadyClock::starting_at(Instant::now()),
             decisions,
             outputs,
             telemetry,
@@ -172,7 +173,7 @@
     }
 
     fn now(&self) -> TimeUs {
-        TimeUs(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+        self.clock.at(Instant::now())
     }
 
     fn is_over(&self) -> bool {
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -28,6 +28,7 @@
 use crate::ledger_turns::Turns;
 use crate::logging::write_event;
 use crate::outbound_pool::Pool;
+use crate::steady_clock::SteadyClock;
 use crate::store::StoreClient;
 
 /// A process whose lists are older than this does not say that it is ready: it would send requests
@@ -58,7 +59,7 @@
     directory: watch::Receiver<Directory>,
     logger: Logger,
     log_every: u64,
-    started: Instant,
+    clock: SteadyClock,
     running: Cell<usize>,
     /// The connections to this process that are open.
     open: Cell<usize>,
@@ -136,7 +137,7 @@
             directory,
             logger,
             log_every: settings.log_every,
-            started: Instant::now(),
+            clock: SteadyClock::starting_at(Instant::now()),
             running: Cell::new(0),
             open: Cell::new(0),
             is_draining: Cell::new(false),
@@ -171,8 +172,7 @@
     }
 
     pub(crate) fn now_us(&self, now: Instant) -> TimeUs {
-        let since = now.saturating_duration_since(self.started);
-        TimeUs(u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
+        self.clock.at(now)
     }
 
     /// Passes a server over for a while.
--- a/clementinepickd/src/ledger_homes.rs
+++ b/clementinepickd/src/ledger_homes.rs
@@ -11,7 +11,7 @@
 
 use clementinepick::budget_ledger::{BudgetRecord, BudgetView, HomeRecord, SliceRecord};
 use clementinepick::peer_liveness::PeerLiveness;
-use clementinepick::units::{SpanUs, TimeUs};
+use clementinepick::units::SpanUs;
 use futures_util::future::join_all;
 use platform::store::KeyedRecord;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -20,6 +20,7 @@
 use crate::ledger::{LedgerError, Partition, to_cbor};
 use crate::ledger_budgets::{Budgets, UsedStanding};
 use crate::ledger_partitions::{HeldHome, PartitionState};
+use crate::steady_clock::SteadyClock;
 use crate::unix_time::unix_ms;
 
 /// How long a call for one partition may take.
@@ -84,7 +85,7 @@
     /// Homes that answers named.
     known: RefCell<BTreeMap<Partition, SocketAddr>>,
     liveness: RefCell<PeerLiveness>,
-    started: Instant,
+    clock: SteadyClock,
     /// Who ran the turns that this home lent for.
     pub(crate) runners: RefCell<Recent<SocketAddr>>,
     /// The servers that ran the last turns of lines.
@@ -103,7 +104,7 @@
             wanted: RefCell::default(),
             known: RefCell::default(),
             liveness: RefCell::default(),
-            started: Instant::now(),
+            clock: SteadyClock::starting_at(Instant::now()),
             runners: RefCell::default(),
             line_servers: RefCell::default(),
             retain_ms: Cell::new(MIN_RETAIN_MS),
@@ -124,13 +125,13 @@
 
     /// Whether a peer lately did not answer.
     pub(crate) fn is_silent(&self, peer: SocketAddr, now: Instant) -> bool {
-        let now = self.now_us(now);
+        let now = self.clock.at(now);
         self.liveness.borrow().is_silent(now, peer)
     }
 
     /// Notes that a peer did not answer.
     pub(crate) fn note_silent_peer(&self, peer: SocketAddr, now: Instant) {
-        let now = self.now_us(now);
+        let now = self.clock.at(now);
         self.liveness.borrow_mut().failed(now, peer);
     }
 
@@ -139,11 +140,6 @@
         self.liveness.borrow_mut().answered(peer);
     }
 
-    fn now_us(&self, now: Instant) -> TimeUs {
-        let since = now.saturating_duration_since(self.started);
-        TimeUs(u64::try_from(since.as_micros()).unwrap_or(u64::MAX))
-    }
-
     /// Notes which process is the home of a program's partition.
     pub(crate) fn note_home(&self, program: &str, home: SocketAddr) {
         let partition = self.budgets.store.budget_partition(program);
@@ -193,7 +189,7 @@
         for process in processes.iter().filter(|p| !before.contains(p)) {
             self.note_answer(process.address);
         }
-        let lost = self.liveness.borrow().lost(self.now_us(now));
+        let lost = self.liveness.borrow().lost(self.clock.at(now));
         let lost_before = self.lost.replace(lost.clone());
         if before == processes && lost_before == lost {
             return;
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -62,6 +62,7 @@
 mod role;
 pub mod settings;
 pub mod settings_file;
+mod steady_clock;
 mod store;
 mod tasks;
 mod telemetry;
