Believe in an outage of the store only after readings that failed

Callers' requests reached a server up to 2.1 s after the store said that it had left, at six of seven gateways, while the store answered every call.

Cause: entries that vanish are kept for two seconds after an outage, and an outage was any time of 1.6 s in which the list of servers was not read. News of the configuration ends the wait for both lists, and the servers' part of it is given up.

Change: list_outage.rs decides. Silence of the store is the time from the start of the first reading that failed to the one that went well; a time without readings is none.

Why it holds: without a failed call no outage can be believed in, whatever ends a wait. In a real one the readings fail, and the grace is as it was.

--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -61,6 +61,7 @@
 mod invariants;
 pub mod journal;
 mod links;
+pub mod list_outage;
 mod members;
 pub mod membership;
 pub mod message;
--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -11,6 +11,7 @@
 
 use actix_rt::time::sleep;
 use clementinepick::event::{Event, EventKind};
+use clementinepick::list_outage::ListOutage;
 use clementinepick::server_list::{BackendServer, ServerList};
 use clementinepick::traffic_config::TrafficConfig;
 use futures_util::future::{Either, select};
@@ -22,6 +23,7 @@
 use crate::followed_topic::FollowedTopic;
 use crate::ledger::{from_cbor, to_cbor};
 use crate::logging::write_event;
+use crate::steady_clock::SteadyClock;
 use crate::store::{StoreAway, StoreCall, StoreClient, StorePurpose};
 use crate::unix_time::unix_ms;
 
@@ -35,12 +37,6 @@
 const NEWS_PAUSE: Duration = Duration::from_millis(150);
 /// How long one look may take.
 const LOOK_LIMIT: Duration = Duration::from_millis(1_500);
-/// After a silence of the store longer than this, entries may have lapsed although their servers
-/// live: three looks in a row failed.
-const OUTAGE: Duration = Duration::from_millis(1_600);
-/// How long entries that lapsed are believed after the store's return: the platform says that those
-/// of live servers are back within about two seconds.
-const LAPSE_GRACE: Duration = Duration::from_secs(2);
 /// How often this process writes its own entry, so that peers find it.
 const ANNOUNCE: Duration = Duration::from_secs(20);
 /// When it is written the second time: all processes that were started together have written theirs
@@ -120,12 +116,10 @@
     logger: Logger,
     current: Directory,
     publish: watch::Sender<Directory>,
-    last_read: Option<Instant>,
-    /// Readings of the servers that failed since the last one that went well.
-    failed_reads: u32,
+    clock: SteadyClock,
+    outage: ListOutage,
     /// Servers whose entries have vanished and that are used all the same.
     kept: BTreeSet<String>,
-    returned_at: Option<Instant>,
     announced_at: Option<Instant>,
     announcements: u32,
     bad_entries: BTreeMap<String, String>,
@@ -154,10 +148,9 @@
             logger,
             current: Directory::default(),
             publish,
-            last_read: None,
-            failed_reads: 0,
+            clock: SteadyClock::starting_at(Instant::now()),
+            outage: ListOutage::default(),
             kept: BTreeSet::new(),
-            returned_at: None,
             announced_at: None,
             announcements: 0,
             bad_entries: BTreeMap::new(),
@@ -177,7 +170,7 @@
                 _ = stop.wait_for(|stop| *stop) => return,
             };
             may_wait = looked.is_well();
-            self.absorb(&looked).await;
+            self.absorb(&looked, begun).await;
             self.store.close_stale(Instant::now());
             tokio::select! {
                 _ = stop.wait_for(|stop| *stop) => return,
@@ -190,7 +183,9 @@
     async fn look(&mut self, may_wait: bool, now: Instant) -> (Looked, Duration) {
         self.store.probe().await;
         let is_due = self.config.is_whole_due(now) || self.servers.is_whole_due(now);
-        if may_wait && !is_due && !self.store.is_direct_down() && !self.is_settling(now) {
+        // Once lapsed entries are believed no more, the list changes without news.
+        let is_settling = !self.kept.is_empty();
+        if may_wait && !is_due && !self.store.is_direct_down() && !is_settling {
             return (self.wait_for_news().await, NEWS_PAUSE);
         }
         let deadline = now + LOOK_LIMIT;
@@ -226,25 +221,18 @@
         }
     }
 
-    /// Whether entries that lapsed with the store are still believed, so that time alone changes
-    /// the list.
-    fn is_settling(&self, now: Instant) -> bool {
-        let settled = LAPSE_GRACE + LOOK * 2;
-        self.returned_at
-            .is_some_and(|at| now.duration_since(at) < settled)
-    }
-
-    async fn absorb(&mut self, looked: &Looked) {
+    /// Takes up what a look that began at `begun` brought.
+    async fn absorb(&mut self, looked: &Looked, begun: Instant) {
         let now = Instant::now();
         if looked.config == Some(Ok(true)) {
             self.take_config();
         }
         if looked.servers == Some(Err(StoreAway)) {
-            self.failed_reads = self.failed_reads.saturating_add(1);
+            self.outage.read_failed(self.clock.at(begun));
         }
         if let Some(Ok(has_changed)) = looked.servers {
             self.note_return(now);
-            if has_changed || self.is_settling(now) {
+            if has_changed || !self.kept.is_empty() {
                 self.take_servers(now);
             }
             self.current.read_at = Some(now);
@@ -262,16 +250,12 @@
     }
 
     fn note_return(&mut self, now: Instant) {
-        let silence = self.last_read.map(|at| now.duration_since(at));
-        if let Some(silence) = silence.filter(|silence| *silence > OUTAGE) {
-            self.returned_at = Some(now);
+        if let Some(ended) = self.outage.read(self.clock.at(now)) {
             let event = Event::new(EventKind::ServerListBack)
-                .with("silence_ms", silence.as_millis())
-                .with("failed_reads", self.failed_reads);
+                .with("silence_ms", ended.silence_us.as_ms())
+                .with("failed_reads", ended.failed_reads);
             write_event(&self.logger, &event);
         }
-        self.last_read = Some(now);
-        self.failed_reads = 0;
     }
 
     fn take_config(&mut self) {
@@ -308,8 +292,7 @@
             }
         }
         self.note_bad_entries(bad_entries);
-        let is_graceful = |at: Instant| now.duration_since(at) < LAPSE_GRACE;
-        let kept = if self.returned_at.is_some_and(is_graceful) {
+        let kept = if self.outage.keeps_lapsed(self.clock.at(now)) {
             keep_lapsed(&mut servers, &self.current.servers.servers)
         } else {
             BTreeSet::new()
