Follow each list of the store by itself

Callers' requests ran at a server 3 s after it had left (and would have gone on), where the configuration changed every 0.1 s or the store's partition with the configuration was away; every call for the list of servers would have been answered. At 3 s such a gateway also stopped being ready.

Cause: one loop read all lists. It waited for the news of both at once and gave the other one up, unread, as one came; it looked at both one after the other with one deadline; and it wrote the process's entry, for up to 1.5 s, before it went on.

Change: topic_watch.rs reads one topic at the right times; the configuration, the servers and the register of processes each have their own, in a file of its own, and share the client of the store. Nothing is given up unread. A gateway is ready while both lists are fresh, as before.

Why it holds: a list's reading ends by its answer or its own limit, and nothing of another list can end it, use up its time or come first.

--- /dev/null
+++ b/clementinepickd/src/config_follower.rs
@@ -0,0 +1,83 @@
+//! Follows the configuration in the store.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use clementinepick::event::{Event, EventKind};
+use clementinepick::traffic_config::TrafficConfig;
+use platform::store::{CONFIG_KEY, Topic};
+use slog::Logger;
+use tokio::sync::watch;
+
+use crate::directory::Directory;
+use crate::logging::write_event;
+use crate::store::StoreClient;
+use crate::topic_watch::TopicWatch;
+
+/// Publishes each newer configuration.
+pub(crate) struct ConfigFollower<'a> {
+    store: &'a StoreClient,
+    logger: &'a Logger,
+    publish: &'a watch::Sender<Directory>,
+    watch: TopicWatch,
+    /// The version that was published last.
+    known_version: Option<u64>,
+}
+
+impl<'a> ConfigFollower<'a> {
+    pub(crate) fn new(
+        store: &'a StoreClient,
+        logger: &'a Logger,
+        publish: &'a watch::Sender<Directory>,
+        now: Instant,
+    ) -> Self {
+        Self {
+            store,
+            logger,
+            publish,
+            watch: TopicWatch::new(Topic::Config, now),
+            known_version: None,
+        }
+    }
+
+    /// Follows the configuration until this is dropped.
+    pub(crate) async fn run(mut self) {
+        loop {
+            let reading = self.watch.next(self.store, false).await;
+            let Ok(has_changed) = reading.result else {
+                continue;
+            };
+            let newer = if has_changed { self.newer() } else { None };
+            let now = Instant::now();
+            self.publish.send_modify(|directory| {
+                directory.config_read_at = Some(now);
+                if let Some(config) = newer {
+                    directory.config = Some(Arc::new(config));
+                }
+            });
+        }
+    }
+
+    /// The configuration that was read, if it is newer than the one known; it never goes back.
+    fn newer(&mut self) -> Option<TrafficConfig> {
+        let value = self.watch.topic.records().get(CONFIG_KEY)?;
+        let config = match platform::config::decode(value) {
+            Ok(config) => config,
+            Err(err) => {
+                let event = Event::new(EventKind::DocumentRejected).with("reason", err);
+                write_event(self.logger, &event);
+                return None;
+            }
+        };
+        if self
+            .known_version
+            .is_some_and(|known| config.version <= known)
+        {
+            return None;
+        }
+        self.known_version = Some(config.version);
+        let event = Event::new(EventKind::DocumentInForce).with("version", config.version);
+        write_event(self.logger, &event);
+        Some(config)
+    }
+}
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -1,7 +1,7 @@
 //! The gateway: takes callers' requests and sends them to backend servers, with all that must last
 //! in the platform's store.
 //!
-//! One thread follows the lists in the store ([`Follower`]); the thread that calls [`run`] carries
+//! One thread follows the lists in the store ([`follow`]); the thread that calls [`run`] carries
 //! the traffic.
 
 use std::io;
@@ -22,7 +22,7 @@
 use tokio::sync::watch;
 use tokio::task::{JoinSet, LocalSet};
 
-use crate::directory::{Directory, Follower, Identity};
+use crate::directory::{Directory, Identity, follow};
 use crate::gateway_ahead::reserve_ahead;
 use crate::gateway_budget::{keep_homes, return_tokens};
 use crate::gateway_connection::{Handler, serve};
@@ -212,8 +212,8 @@
         let thread = thread::Builder::new().name("directory".to_owned());
         let follower = thread.spawn(move || {
             let store = StoreClient::new(store, metrics);
-            let follower = Follower::new(identity, seeds, store, logger, publish);
-            System::new().block_on(follower.run(stopped));
+            let follower = follow(identity, seeds, store, logger, publish, stopped);
+            System::new().block_on(follower);
         })?;
         Ok(follower)
     }
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -141,7 +141,7 @@
     let now = Instant::now();
     let directory = shared.directory();
     let age_ms = directory
-        .read_at
+        .read_at()
         .map(|at| u64::try_from(now.duration_since(at).as_millis()).unwrap_or(u64::MAX));
     let choice = shared.choice.borrow();
     let servers: Vec<_> = directory
--- /dev/null
+++ b/clementinepickd/src/process_registry.rs
@@ -0,0 +1,167 @@
+//! Registers this process in the store, and reads which others are registered.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep;
+use platform::store::{KeyedRecord, Topic, append_target, encode_records};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::directory::{Directory, Identity, PeerEntry};
+use crate::followed_topic::FollowedTopic;
+use crate::ledger::{from_cbor, to_cbor};
+use crate::store::{StoreAway, StoreCall, StoreClient, StorePurpose};
+use crate::topic_watch::{LOOK, LOOK_LIMIT};
+use crate::unix_time::unix_ms;
+
+/// How often this process writes its own entry, so that peers find it.
+const ANNOUNCE: Duration = Duration::from_secs(20);
+/// When it is written the second time: all processes that were started together have written theirs
+/// by then.
+const SECOND_ANNOUNCE: Duration = Duration::from_secs(2);
+/// How long the entry of a process is believed after it was written: two writes may fail, and
+/// clocks may be ten seconds apart.
+const PROCESS_LIFE_MS: u64 = 70_000;
+
+/// The entry of one process in the store.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct ProcessRecord {
+    #[serde(rename = "a")]
+    peer_address: SocketAddr,
+    /// The start of the process.
+    #[serde(rename = "i", default)]
+    writer: String,
+    /// When it was written, in Unix milliseconds by the writer's clock.
+    #[serde(rename = "w")]
+    recorded_unix_ms: u64,
+}
+
+impl ProcessRecord {
+    fn is_recent(&self, now_unix_ms: u64) -> bool {
+        now_unix_ms < self.recorded_unix_ms.saturating_add(PROCESS_LIFE_MS)
+    }
+}
+
+/// Keeps this process registered, and publishes its peers.
+pub(crate) struct ProcessRegistry<'a> {
+    identity: Identity,
+    /// Peers that are known without the store.
+    seeds: Vec<SocketAddr>,
+    store: &'a StoreClient,
+    publish: &'a watch::Sender<Directory>,
+    announced_at: Option<Instant>,
+    announcements: u32,
+    processes: FollowedTopic,
+}
+
+impl<'a> ProcessRegistry<'a> {
+    pub(crate) fn new(
+        identity: Identity,
+        seeds: Vec<SocketAddr>,
+        store: &'a StoreClient,
+        publish: &'a watch::Sender<Directory>,
+    ) -> Self {
+        let own = identity.peer_address;
+        let seeds: Vec<SocketAddr> = seeds.into_iter().filter(|seed| *seed != own).collect();
+        store.set_relays(seeds.clone());
+        Self {
+            identity,
+            seeds,
+            store,
+            publish,
+            announced_at: None,
+            announcements: 0,
+            processes: FollowedTopic::new(Topic::Processes),
+        }
+    }
+
+    /// Keeps the process registered until this is dropped.
+    pub(crate) async fn run(mut self) {
+        loop {
+            let now = Instant::now();
+            if self.is_due(now) {
+                self.announce(now).await;
+            }
+            self.store.close_stale(Instant::now());
+            sleep(LOOK).await;
+        }
+    }
+
+    fn is_due(&self, now: Instant) -> bool {
+        let pause = if self.announcements < 2 {
+            SECOND_ANNOUNCE
+        } else {
+            ANNOUNCE
+        };
+        let is_due = |at: Instant| now.duration_since(at) >= pause;
+        self.announced_at.is_none_or(is_due)
+    }
+
+    /// Writes this process's entry and reads those of its peers.
+    async fn announce(&mut self, now: Instant) {
+        let deadline = now + LOOK_LIMIT;
+        let is_written = self.write(deadline).await.is_ok();
+        let read = self.processes.look(self.store, now, deadline).await;
+        if read.is_err() {
+            // The next round tries again; the client counts the failure.
+            return;
+        }
+        if is_written {
+            self.announced_at = Some(now);
+            self.announcements = self.announcements.saturating_add(1);
+        }
+        self.take_processes(unix_ms());
+    }
+
+    async fn write(&self, deadline: Instant) -> Result<(), StoreAway> {
+        let entry = ProcessRecord {
+            peer_address: self.identity.peer_address,
+            writer: self.identity.writer.clone(),
+            recorded_unix_ms: unix_ms(),
+        };
+        let record = KeyedRecord {
+            key: self.identity.vm.clone(),
+            value: Some(to_cbor(&entry)),
+        };
+        let target = append_target(&Topic::Processes, 0, None);
+        let call = StoreCall::post(StorePurpose::Announce, target, encode_records(&[record]));
+        let reply = self.store.call(&call, deadline).await?;
+        if reply.status == 200 {
+            Ok(())
+        } else {
+            Err(StoreAway)
+        }
+    }
+
+    fn take_processes(&self, now_unix_ms: u64) {
+        let entries = self.processes.records().values();
+        let mut processes: Vec<PeerEntry> = entries
+            .filter_map(|entry| from_cbor::<ProcessRecord>(entry))
+            .filter(|peer| peer.is_recent(now_unix_ms))
+            .map(|peer| PeerEntry {
+                address: peer.peer_address,
+                writer: peer.writer,
+            })
+            .collect();
+        processes.sort_unstable();
+        let mut peers: Vec<SocketAddr> = processes
+            .iter()
+            .map(|peer| peer.address)
+            .filter(|address| *address != self.identity.peer_address)
+            .chain(self.seeds.iter().copied())
+            .collect();
+        peers.sort_unstable();
+        peers.dedup();
+        self.store.set_relays(peers.clone());
+        // Others that started with this process had not written their entries at the first look.
+        let has_all = self.announcements > 1;
+        self.publish.send_modify(|directory| {
+            directory.peers = Arc::new(peers);
+            if has_all {
+                directory.processes = Arc::new(processes);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/clementinepickd/src/server_follower.rs
@@ -0,0 +1,193 @@
+//! Follows the list of backend servers in the store.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Instant;
+
+use clementinepick::event::{Event, EventKind};
+use clementinepick::list_outage::ListOutage;
+use clementinepick::server_list::{BackendServer, ServerList};
+use platform::store::Topic;
+use slog::Logger;
+use tokio::sync::watch;
+
+use crate::directory::Directory;
+use crate::logging::write_event;
+use crate::steady_clock::SteadyClock;
+use crate::store::StoreClient;
+use crate::topic_watch::TopicWatch;
+
+/// Publishes the registered servers.
+pub(crate) struct ServerFollower<'a> {
+    store: &'a StoreClient,
+    logger: &'a Logger,
+    publish: &'a watch::Sender<Directory>,
+    watch: TopicWatch,
+    clock: SteadyClock,
+    outage: ListOutage,
+    /// The servers that were published last.
+    known: BTreeMap<String, BackendServer>,
+    /// Those of them whose entries have vanished.
+    kept: BTreeSet<String>,
+    /// Entries that can't be read, and why.
+    bad_entries: BTreeMap<String, String>,
+}
+
+impl<'a> ServerFollower<'a> {
+    pub(crate) fn new(
+        store: &'a StoreClient,
+        logger: &'a Logger,
+        publish: &'a watch::Sender<Directory>,
+        now: Instant,
+    ) -> Self {
+        Self {
+            store,
+            logger,
+            publish,
+            watch: TopicWatch::new(Topic::Servers, now),
+            clock: SteadyClock::starting_at(now),
+            outage: ListOutage::default(),
+            known: BTreeMap::new(),
+            kept: BTreeSet::new(),
+            bad_entries: BTreeMap::new(),
+        }
+    }
+
+    /// Follows the list until this is dropped.
+    pub(crate) async fn run(mut self) {
+        loop {
+            // Once lapsed entries are believed no more, the list changes without news.
+            let is_settling = !self.kept.is_empty();
+            let reading = self.watch.next(self.store, is_settling).await;
+            match reading.result {
+                Ok(has_changed) => self.take(has_changed || is_settling, Instant::now()),
+                Err(_) => self.outage.read_failed(self.clock.at(reading.begun)),
+            }
+        }
+    }
+
+    /// Takes up a reading that went well.
+    fn take(&mut self, may_differ: bool, now: Instant) {
+        self.note_return(now);
+        let servers = if may_differ { self.newer(now) } else { None };
+        self.publish.send_modify(|directory| {
+            directory.servers_read_at = Some(now);
+            if let Some(servers) = servers {
+                directory.servers = Arc::new(ServerList { servers });
+            }
+        });
+    }
+
+    fn note_return(&mut self, now: Instant) {
+        let Some(ended) = self.outage.read(self.clock.at(now)) else {
+            return;
+        };
+        let event = Event::new(EventKind::ServerListBack)
+            .with("silence_ms", ended.silence_us.as_ms())
+            .with("failed_reads", ended.failed_reads);
+        write_event(self.logger, &event);
+    }
+
+    /// The servers to use from now on, if they are others than before.
+    fn newer(&mut self, now: Instant) -> Option<BTreeMap<String, BackendServer>> {
+        let mut servers = self.decode();
+        let kept = if self.outage.keeps_lapsed(self.clock.at(now)) {
+            keep_lapsed(&mut servers, &self.known)
+        } else {
+            BTreeSet::new()
+        };
+        self.note_kept(kept);
+        if servers == self.known {
+            return None;
+        }
+        self.log_changes(&servers);
+        self.known.clone_from(&servers);
+        Some(servers)
+    }
+
+    fn decode(&mut self) -> BTreeMap<String, BackendServer> {
+        let mut servers = BTreeMap::new();
+        let mut bad_entries = BTreeMap::new();
+        for (key, value) in self.watch.topic.records() {
+            match platform::servers::decode(key, value) {
+                Ok(server) => {
+                    servers.insert(key.clone(), server);
+                }
+                Err(err) => {
+                    bad_entries.insert(key.clone(), err.to_string());
+                }
+            }
+        }
+        self.note_bad_entries(bad_entries);
+        servers
+    }
+
+    /// Logs entries that can't be read, once for each reason.
+    fn note_bad_entries(&mut self, bad_entries: BTreeMap<String, String>) {
+        for (id, reason) in &bad_entries {
+            if self.bad_entries.get(id) != Some(reason) {
+                let event = Event::new(EventKind::ServerEntryUnreadable);
+                let event = event.with("server", id).with("reason", reason);
+                write_event(self.logger, &event);
+            }
+        }
+        self.bad_entries = bad_entries;
+    }
+
+    /// Logs which servers are kept from now on.
+    fn note_kept(&mut self, kept: BTreeSet<String>) {
+        for id in kept.difference(&self.kept) {
+            let event = Event::new(EventKind::ServerKept).with("server", id);
+            write_event(self.logger, &event);
+        }
+        self.kept = kept;
+    }
+
+    fn log_changes(&self, servers: &BTreeMap<String, BackendServer>) {
+        for (id, server) in servers {
+            let old = self.known.get(id);
+            if old.is_none_or(|old| old.is_draining != server.is_draining) {
+                let state = if server.is_draining {
+                    "draining"
+                } else {
+                    "ready"
+                };
+                self.log_server(id, state, server);
+            }
+        }
+        for (id, server) in &self.known {
+            if !servers.contains_key(id) {
+                self.log_server(id, "gone", server);
+            }
+        }
+    }
+
+    fn log_server(&self, id: &str, state: &str, server: &BackendServer) {
+        let event = Event::new(EventKind::ServerListed)
+            .with("server", id)
+            .with("state", state)
+            .with("service", &server.service)
+            .with("address", server.address);
+        write_event(self.logger, &event);
+    }
+}
+
+/// Keeps entries that lapsed while the store was away, until their servers had time to come back;
+/// returns the servers that are kept.
+///
+/// Without this, a return of the store would take all servers away at once, and every request in
+/// those two seconds would be refused. A server that is really gone costs one failed connection.
+fn keep_lapsed(
+    servers: &mut BTreeMap<String, BackendServer>,
+    known: &BTreeMap<String, BackendServer>,
+) -> BTreeSet<String> {
+    let mut kept = BTreeSet::new();
+    for (id, server) in known {
+        let is_replaced = servers.values().any(|s| s.address == server.address);
+        if !servers.contains_key(id) && !is_replaced {
+            servers.insert(id.clone(), server.clone());
+            kept.insert(id.clone());
+        }
+    }
+    kept
+}
