Take failures with no call between them as two silences of a peer

Found while looking elsewhere for a time without attempts that is taken for silence. A peer whose calls failed twice, however far apart, counted as having answered nothing for two seconds, also where nobody had asked it in between. Its partitions would get other coordinators, and their programs begin with half as much of their budgets.

A failure now counts towards a silence for ten seconds, as a lost peer's does; a peer that is lost is asked every ten seconds, and stays lost as before. The test failed before: a call that fails at 0 s and one at 30 s made the peer lost.

Why it holds: a silence has a failed call in each ten seconds of it, and its first two seconds are the only ones that make a peer lost.

--- a/clementinepick/src/peer_liveness.rs
+++ b/clementinepick/src/peer_liveness.rs
@@ -34,6 +34,22 @@
     last: TimeUs,
 }
 
+impl Silence {
+    /// Whether it went on for so long that the peer is taken as lost.
+    fn has_lost(&self) -> bool {
+        self.last.since(self.since) >= LOST_AFTER_US
+    }
+
+    /// Whether the last failure is too old to be one silence with a failure of now.
+    ///
+    /// Nobody asked the peer in between. Two failures half a minute apart would make a living peer lost,
+    /// and each change of a partition's coordinator halves what its programs begin with. A peer that is
+    /// lost stays so: it is asked that seldom on purpose.
+    fn is_forgotten(&self, now: TimeUs) -> bool {
+        !self.has_lost() && now.since(self.last) >= LOST_FOR_US
+    }
+}
+
 /// The peers whose last calls brought no answer.
 #[derive(Debug, Default)]
 pub struct PeerLiveness {
@@ -47,7 +63,11 @@
             since: now,
             last: now,
         };
-        self.silent.entry(peer).or_insert(first).last = now;
+        let silence = self.silent.entry(peer).or_insert(first);
+        if silence.is_forgotten(now) {
+            *silence = first;
+        }
+        silence.last = now;
     }
 
     /// Notes that a peer answered, or that another process has its address now.
@@ -71,10 +91,7 @@
     #[must_use]
     pub fn is_lost(&self, now: TimeUs, peer: SocketAddr) -> bool {
         let silence = self.silent.get(&peer);
-        silence.is_some_and(|silence| {
-            silence.last.since(silence.since) >= LOST_AFTER_US
-                && now.since(silence.last) < LOST_FOR_US
-        })
+        silence.is_some_and(|silence| silence.has_lost() && now.since(silence.last) < LOST_FOR_US)
     }
 
     /// All lost peers.
--- a/clementinepick/tests/peer_liveness.rs
+++ b/clementinepick/tests/peer_liveness.rs
@@ -44,3 +44,18 @@
     liveness.answered(peer());
     assert!(!liveness.is_silent(at_ms(12_400), peer()));
 }
+
+/// Programs begin with half as much of their budgets as the coordinators of their partitions change
+/// in vain. A peer fails one call, is not asked for half a minute, and fails one more. Nobody asked in
+/// between, so that this is no silence of half a minute.
+#[test]
+fn failures_with_no_call_between_them_are_no_silence() {
+    let mut liveness = PeerLiveness::default();
+    liveness.failed(at_ms(0), peer());
+    liveness.failed(at_ms(30_000), peer());
+    assert!(!liveness.is_lost(at_ms(30_000), peer()));
+    liveness.failed(at_ms(31_100), peer());
+    assert!(!liveness.is_lost(at_ms(31_100), peer()));
+    liveness.failed(at_ms(32_200), peer());
+    assert!(liveness.is_lost(at_ms(32_200), peer()));
+}
