--- a/clementinepick/src/list_outage.rs
+++ b/clementinepick/src/list_outage.rs
@@ -14,8 +14,9 @@
 
 use crate::units::{SpanUs, TimeUs};
 
-/// How long readings must have failed for entries to lapse although their servers live. Servers miss
-/// several heartbeats before that; a reading or two fail where the store only loses an answer.
+/// How long readings must have failed before entries may have lapsed although their servers live. An
+/// entry lapses after several missed heartbeats, which takes longer; a reading or two also fail where
+/// the store only loses an answer.
 const OUTAGE_US: SpanUs = SpanUs::from_ms(1_600);
 /// How long entries that lapsed are believed after the store's return: the platform says that those
 /// of live servers are back within about two seconds.
--- a/clementinepickd/src/config_follower.rs
+++ b/clementinepickd/src/config_follower.rs
@@ -45,6 +45,7 @@
         loop {
             let reading = self.watch.next(self.store, false).await;
             let Ok(has_changed) = reading.result else {
+                // The client counts the failure, and the process is not ready while this goes on.
                 continue;
             };
             let newer = if has_changed { self.newer() } else { None };
--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -42,7 +42,7 @@
 }
 
 impl Directory {
-    /// Since when both lists have been read; none before the first time.
+    /// When the list that was read longer ago was last read; none before both were.
     pub(crate) fn read_at(&self) -> Option<Instant> {
         Some(self.config_read_at?.min(self.servers_read_at?))
     }
--- a/clementinepickd/src/server_follower.rs
+++ b/clementinepickd/src/server_follower.rs
@@ -61,6 +61,7 @@
             let reading = self.watch.next(self.store, is_settling).await;
             match reading.result {
                 Ok(has_changed) => self.take(has_changed || is_settling, Instant::now()),
+                // The client counts the failure; an outage is logged as it ends.
                 Err(_) => self.outage.read_failed(self.clock.at(reading.begun)),
             }
         }
--- a/standins/tests/gateway_lists.rs
+++ b/standins/tests/gateway_lists.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use standins::platform_caller::{CallerRequest, exchange};
-use standins::platform_run::{PlatformRun, config, wait_until};
+use standins::platform_run::{PlatformRun, config, is_ready, wait_until};
 use standins::platform_store::StoreMode;
 
 /// A configuration whose route `/look/` has another path.
@@ -175,3 +175,37 @@
     let served = served_after_leaving(&run);
     assert!(served < DRAIN_LIMIT, "{served:?}");
 }
+
+/// The store's partition with the configuration is away. A gateway that can't read it any more sends
+/// callers elsewhere, though its list of servers is fresh, and takes them again once it is read.
+#[test]
+fn a_gateway_that_cannot_read_the_configuration_is_not_ready() {
+    let run = PlatformRun::start(1).expect("a run");
+    let ready = run.gateways[0].addresses.ready;
+    run.store.silence_topic(Some("keyed.op"));
+    wait_until(|| !is_ready(ready)).expect("a gateway that is not ready");
+    run.store.silence_topic(None);
+    wait_until(|| is_ready(ready)).expect("a gateway that is ready again");
+}
+
+/// The store is away for three seconds, and the servers' entries lapse with it though they live. At
+/// its return all requests would be refused until the servers have registered again, one second later;
+/// the gateway keeps the servers until then.
+#[test]
+fn servers_that_lapse_with_the_store_are_used_on_its_return() {
+    let run = PlatformRun::start(1).expect("a run");
+    run.doors[0].set_mode(StoreMode::Busy);
+    sleep(Duration::from_secs(3));
+    for server in ["p-1", "p-2"] {
+        run.store.remove("keyed.servers", server);
+    }
+    run.doors[0].set_mode(StoreMode::Serving);
+    let returned_at = Instant::now();
+    while returned_at.elapsed() < Duration::from_secs(1) {
+        let request = CallerRequest::new("GET", "/look/1", "r");
+        let answer = request.send(run.callers(0)).expect("an answer");
+        assert_eq!(answer.status, 200, "{:?}", returned_at.elapsed());
+        sleep(Duration::from_millis(10));
+    }
+    wait_until(|| !lists(&run, "p-1") && !lists(&run, "p-2")).expect("servers that are gone");
+}
