Draw the ports of all gateways of a soak at once

Its log says that it can't listen on 127.0.0.1:39885: the port had been drawn for it and for another gateway, since the ports of each were let go before those of the next were drawn. The fault is the soak's own; the gateways kept their promises.

All ports are held until the last one is drawn. Between the drawing and the start, another program may still take a port; that is not seen in any run.

--- a/standins/src/soak_process.rs
+++ b/standins/src/soak_process.rs
@@ -30,21 +30,29 @@
 }
 
 impl ProcessPorts {
-    /// Ports that are free now.
+    /// Ports that are free now, for as many gateways.
+    ///
+    /// All are held until the last one is drawn: the system may give a port that was let go to the
+    /// next who asks, and one of two gateways with the same port does not start.
     ///
     /// # Errors
     ///
-    /// There are none.
-    pub fn free() -> io::Result<Self> {
+    /// There are too few.
+    pub fn free(gateways: usize) -> io::Result<Vec<Self>> {
         let bind = || TcpListener::bind((IpAddr::V4(Ipv4Addr::LOCALHOST), 0));
-        let held = [bind()?, bind()?, bind()?, bind()?];
-        let address = |number: usize| held[number].local_addr();
-        Ok(Self {
-            callers: address(0)?,
-            ready: address(1)?,
-            peers: address(2)?,
-            metrics: address(3)?,
-        })
+        let bind_all = || Ok([bind()?, bind()?, bind()?, bind()?]);
+        let held: Vec<_> = (0..gateways)
+            .map(|_| bind_all())
+            .collect::<io::Result<_>>()?;
+        let ports = held.iter().map(|[callers, ready, peers, metrics]| {
+            Ok(Self {
+                callers: callers.local_addr()?,
+                ready: ready.local_addr()?,
+                peers: peers.local_addr()?,
+                metrics: metrics.local_addr()?,
+            })
+        });
+        ports.collect()
     }
 }
 
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -113,11 +113,10 @@
             }
         }
         let mut doors = Vec::new();
-        let mut ports = Vec::new();
         for _ in 0..GATEWAYS {
             doors.push(store.open()?);
-            ports.push(ProcessPorts::free()?);
         }
+        let ports = ProcessPorts::free(GATEWAYS)?;
         let seeds: Vec<_> = ports.iter().map(|ports| ports.peers).collect();
         let mut gateways = Vec::new();
         for (number, (ports, door)) in ports.iter().zip(&doors).enumerate() {
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -1,10 +1,12 @@
 //! The soak's checks on histories that break one promise each, and a short run of the real programs.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use standins::soak::Soak;
 use standins::soak_faults::plan;
 use standins::soak_history::{Attempt, AttemptKind, History, Ran, check};
+use standins::soak_process::ProcessPorts;
 
 fn attempt(id: &str, kind: AttemptKind) -> Attempt {
     let body = match kind {
@@ -153,3 +155,14 @@
     assert!(end.faults >= 5, "{} faults", end.faults);
     assert!(end.served > 200, "{} served", end.served);
 }
+
+/// A gateway does not start, since another one listens at a port that was drawn for both. Each one's
+/// ports were given back before the next one's were drawn. Evidence: `can't listen` in its log.
+#[test]
+fn no_two_gateways_get_the_same_port() {
+    let mut ports = BTreeSet::new();
+    for drawn in ProcessPorts::free(100).expect("free ports") {
+        ports.extend([drawn.callers, drawn.ready, drawn.peers, drawn.metrics]);
+    }
+    assert_eq!(ports.len(), 400);
+}
