--- a/clementinepick/src/list_outage.rs
+++ b/clementinepick/src/list_outage.rs
@@ -7,7 +7,7 @@
 //! let mut outage = ListOutage::default();
 //! outage.read_failed(TimeUs(0));
 //! let back = TimeUs(0).after(SpanUs::from_s(3));
-//! assert!(outage.read(back).is_some());
+//! assert!(outage.read_succeeded(back).is_some());
 //! assert!(outage.keeps_lapsed(back));
 //! assert!(!outage.keeps_lapsed(back.after(SpanUs::from_s(2))));
 //! ```
@@ -53,7 +53,7 @@
     }
 
     /// Notes a reading that went well; returns the outage that it ends, if it ends one.
-    pub fn read(&mut self, now: TimeUs) -> Option<EndedOutage> {
+    pub fn read_succeeded(&mut self, now: TimeUs) -> Option<EndedOutage> {
         let failed_reads = std::mem::take(&mut self.failed_reads);
         let silence_us = now.since(self.failing_since.take()?);
         if silence_us <= OUTAGE_US {
--- a/clementinepick/tests/list_outage.rs
+++ b/clementinepick/tests/list_outage.rs
@@ -13,8 +13,8 @@
 #[test]
 fn a_time_without_readings_is_no_outage() {
     let mut outage = ListOutage::default();
-    assert_eq!(outage.read(at_ms(0)), None);
-    assert_eq!(outage.read(at_ms(180_000)), None);
+    assert_eq!(outage.read_succeeded(at_ms(0)), None);
+    assert_eq!(outage.read_succeeded(at_ms(180_000)), None);
     assert!(!outage.keeps_lapsed(at_ms(180_000)));
 }
 
@@ -25,7 +25,7 @@
     let mut outage = ListOutage::default();
     for second in 0..60 {
         outage.read_failed(at_ms(second * 1_000));
-        assert_eq!(outage.read(at_ms(second * 1_000 + 300)), None);
+        assert_eq!(outage.read_succeeded(at_ms(second * 1_000 + 300)), None);
     }
     assert!(!outage.keeps_lapsed(at_ms(60_000)));
 }
@@ -35,14 +35,14 @@
 #[test]
 fn entries_that_lapsed_are_believed_for_two_seconds_after_an_outage() {
     let mut outage = ListOutage::default();
-    assert_eq!(outage.read(at_ms(0)), None);
+    assert_eq!(outage.read_succeeded(at_ms(0)), None);
     for failed in 0..5 {
         outage.read_failed(at_ms(150 + failed * 1_000));
     }
-    let ended = outage.read(at_ms(5_200)).expect("an outage");
+    let ended = outage.read_succeeded(at_ms(5_200)).expect("an outage");
     assert_eq!(ended.silence_us, SpanUs::from_ms(5_050));
     assert_eq!(ended.failed_reads, 5);
     assert!(outage.keeps_lapsed(at_ms(7_199)));
     assert!(!outage.keeps_lapsed(at_ms(7_200)));
-    assert_eq!(outage.read(at_ms(7_300)), None);
+    assert_eq!(outage.read_succeeded(at_ms(7_300)), None);
 }
--- a/clementinepickd/src/config_follower.rs
+++ b/clementinepickd/src/config_follower.rs
@@ -6,35 +6,23 @@
 use clementinepick::event::{Event, EventKind};
 use clementinepick::traffic_config::TrafficConfig;
 use platform::store::{CONFIG_KEY, Topic};
-use slog::Logger;
-use tokio::sync::watch;
 
-use crate::directory::Directory;
+use crate::directory::FollowerContext;
 use crate::logging::write_event;
-use crate::store::StoreClient;
 use crate::topic_watch::TopicWatch;
 
 /// Publishes each newer configuration.
 pub(crate) struct ConfigFollower<'a> {
-    store: &'a StoreClient,
-    logger: &'a Logger,
-    publish: &'a watch::Sender<Directory>,
+    context: FollowerContext<'a>,
     watch: TopicWatch,
     /// The version that was published last.
     known_version: Option<u64>,
 }
 
 impl<'a> ConfigFollower<'a> {
-    pub(crate) fn new(
-        store: &'a StoreClient,
-        logger: &'a Logger,
-        publish: &'a watch::Sender<Directory>,
-        now: Instant,
-    ) -> Self {
+    pub(crate) fn new(context: FollowerContext<'a>, now: Instant) -> Self {
         Self {
-            store,
-            logger,
-            publish,
+            context,
             watch: TopicWatch::new(Topic::Config, now),
             known_version: None,
         }
@@ -43,14 +31,14 @@
     /// Follows the configuration until this is dropped.
     pub(crate) async fn run(mut self) {
         loop {
-            let reading = self.watch.next(self.store, false).await;
+            let reading = self.watch.next(self.context.store, false).await;
             let Ok(has_changed) = reading.result else {
                 // The client counts the failure, and the process is not ready while this goes on.
                 continue;
             };
             let newer = if has_changed { self.newer() } else { None };
             let now = Instant::now();
-            self.publish.send_modify(|directory| {
+            self.context.publish.send_modify(|directory| {
                 directory.config_read_at = Some(now);
                 if let Some(config) = newer {
                     directory.config = Some(Arc::new(config));
@@ -66,7 +54,7 @@
             Ok(config) => config,
             Err(err) => {
                 let event = Event::new(EventKind::DocumentRejected).with("reason", err);
-                write_event(self.logger, &event);
+                write_event(self.context.logger, &event);
                 return None;
             }
         };
@@ -78,7 +66,7 @@
         }
         self.known_version = Some(config.version);
         let event = Event::new(EventKind::DocumentInForce).with("version", config.version);
-        write_event(self.logger, &event);
+        write_event(self.context.logger, &event);
         Some(config)
     }
 }
--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -57,9 +57,17 @@
     pub(crate) peer_address: SocketAddr,
 }
 
+/// What all followers use.
+#[derive(Clone, Copy)]
+pub(crate) struct FollowerContext<'a> {
+    pub(crate) store: &'a StoreClient,
+    pub(crate) logger: &'a Logger,
+    pub(crate) publish: &'a watch::Sender<Directory>,
+}
+
 /// Follows the store until `stop` turns true or its sender is gone.
 ///
-/// The followers share the client and nothing else, so that none waits for another.
+/// The followers share their context and nothing else, so that none waits for another.
 pub(crate) async fn follow(
     identity: Identity,
     seeds: Vec<SocketAddr>,
@@ -69,9 +77,14 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let now = Instant::now();
-    let config = ConfigFollower::new(&store, &logger, &publish, now);
-    let servers = ServerFollower::new(&store, &logger, &publish, now);
-    let processes = ProcessRegistry::new(identity, seeds, &store, &publish);
+    let context = FollowerContext {
+        store: &store,
+        logger: &logger,
+        publish: &publish,
+    };
+    let config = ConfigFollower::new(context, now);
+    let servers = ServerFollower::new(context, now);
+    let processes = ProcessRegistry::new(identity, seeds, context);
     tokio::select! {
         // If its sender is gone, the process ends.
         _ = stop.wait_for(|stop| *stop) => {}
--- a/clementinepickd/src/process_registry.rs
+++ b/clementinepickd/src/process_registry.rs
@@ -7,12 +7,11 @@
 use actix_rt::time::sleep;
 use platform::store::{KeyedRecord, Topic, append_target, encode_records};
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
 
-use crate::directory::{Directory, Identity, PeerEntry};
+use crate::directory::{FollowerContext, Identity, PeerEntry};
 use crate::followed_topic::FollowedTopic;
 use crate::ledger::{from_cbor, to_cbor};
-use crate::store::{StoreAway, StoreCall, StoreClient, StorePurpose};
+use crate::store::{StoreAway, StoreCall, StorePurpose};
 use crate::topic_watch::{LOOK, LOOK_LIMIT};
 use crate::unix_time::unix_ms;
 
@@ -49,8 +48,7 @@
     identity: Identity,
     /// Peers that are known without the store.
     seeds: Vec<SocketAddr>,
-    store: &'a StoreClient,
-    publish: &'a watch::Sender<Directory>,
+    context: FollowerContext<'a>,
     announced_at: Option<Instant>,
     announcements: u32,
     processes: FollowedTopic,
@@ -60,17 +58,15 @@
     pub(crate) fn new(
         identity: Identity,
         seeds: Vec<SocketAddr>,
-        store: &'a StoreClient,
-        publish: &'a watch::Sender<Directory>,
+        context: FollowerContext<'a>,
     ) -> Self {
         let own = identity.peer_address;
         let seeds: Vec<SocketAddr> = seeds.into_iter().filter(|seed| *seed != own).collect();
-        store.set_relays(seeds.clone());
+        context.store.set_relays(seeds.clone());
         Self {
             identity,
             seeds,
-            store,
-            publish,
+            context,
             announced_at: None,
             announcements: 0,
             processes: FollowedTopic::new(Topic::Processes),
@@ -84,7 +80,7 @@
             if self.is_due(now) {
                 self.announce(now).await;
             }
-            self.store.close_stale(Instant::now());
+            self.context.store.close_stale(Instant::now());
             sleep(LOOK).await;
         }
     }
@@ -103,7 +99,7 @@
     async fn announce(&mut self, now: Instant) {
         let deadline = now + LOOK_LIMIT;
         let is_written = self.write(deadline).await.is_ok();
-        let read = self.processes.look(self.store, now, deadline).await;
+        let read = self.processes.look(self.context.store, now, deadline).await;
         if read.is_err() {
             // The next round tries again; the client counts the failure.
             return;
@@ -127,7 +123,7 @@
         };
         let target = append_target(&Topic::Processes, 0, None);
         let call = StoreCall::post(StorePurpose::Announce, target, encode_records(&[record]));
-        let reply = self.store.call(&call, deadline).await?;
+        let reply = self.context.store.call(&call, deadline).await?;
         if reply.status == 200 {
             Ok(())
         } else {
@@ -154,10 +150,10 @@
             .collect();
         peers.sort_unstable();
         peers.dedup();
-        self.store.set_relays(peers.clone());
+        self.context.store.set_relays(peers.clone());
         // Others that started with this process had not written their entries at the first look.
         let has_all = self.announcements > 1;
-        self.publish.send_modify(|directory| {
+        self.context.publish.send_modify(|directory| {
             directory.peers = Arc::new(peers);
             if has_all {
                 directory.processes = Arc::new(processes);
--- a/clementinepickd/src/server_follower.rs
+++ b/clementinepickd/src/server_follower.rs
@@ -8,20 +8,15 @@
 use clementinepick::list_outage::ListOutage;
 use clementinepick::server_list::{BackendServer, ServerList};
 use platform::store::Topic;
-use slog::Logger;
-use tokio::sync::watch;
 
-use crate::directory::Directory;
+use crate::directory::FollowerContext;
 use crate::logging::write_event;
 use crate::steady_clock::SteadyClock;
-use crate::store::StoreClient;
 use crate::topic_watch::TopicWatch;
 
 /// Publishes the registered servers.
 pub(crate) struct ServerFollower<'a> {
-    store: &'a StoreClient,
-    logger: &'a Logger,
-    publish: &'a watch::Sender<Directory>,
+    context: FollowerContext<'a>,
     watch: TopicWatch,
     clock: SteadyClock,
     outage: ListOutage,
@@ -34,16 +29,9 @@
 }
 
 impl<'a> ServerFollower<'a> {
-    pub(crate) fn new(
-        store: &'a StoreClient,
-        logger: &'a Logger,
-        publish: &'a watch::Sender<Directory>,
-        now: Instant,
-    ) -> Self {
+    pub(crate) fn new(context: FollowerContext<'a>, now: Instant) -> Self {
         Self {
-            store,
-            logger,
-            publish,
+            context,
             watch: TopicWatch::new(Topic::Servers, now),
             clock: SteadyClock::starting_at(now),
             outage: ListOutage::default(),
@@ -58,7 +46,7 @@
         loop {
             // Once lapsed entries are believed no more, the list changes without news.
             let is_settling = !self.kept.is_empty();
-            let reading = self.watch.next(self.store, is_settling).await;
+            let reading = self.watch.next(self.context.store, is_settling).await;
             match reading.result {
                 Ok(has_changed) => self.take(has_changed || is_settling, Instant::now()),
                 // The client counts the failure; an outage is logged as it ends.
@@ -71,7 +59,7 @@
     fn take(&mut self, may_differ: bool, now: Instant) {
         self.note_return(now);
         let servers = if may_differ { self.newer(now) } else { None };
-        self.publish.send_modify(|directory| {
+        self.context.publish.send_modify(|directory| {
             directory.servers_read_at = Some(now);
             if let Some(servers) = servers {
                 directory.servers = Arc::new(ServerList { servers });
@@ -80,13 +68,13 @@
     }
 
     fn note_return(&mut self, now: Instant) {
-        let Some(ended) = self.outage.read(self.clock.at(now)) else {
+        let Some(ended) = self.outage.read_succeeded(self.clock.at(now)) else {
             return;
         };
         let event = Event::new(EventKind::ServerListBack)
             .with("silence_ms", ended.silence_us.as_ms())
             .with("failed_reads", ended.failed_reads);
-        write_event(self.logger, &event);
+        write_event(self.context.logger, &event);
     }
 
     /// The servers to use from now on, if they are others than before.
@@ -129,7 +117,7 @@
             if self.bad_entries.get(id) != Some(reason) {
                 let event = Event::new(EventKind::ServerEntryUnreadable);
                 let event = event.with("server", id).with("reason", reason);
-                write_event(self.logger, &event);
+                write_event(self.context.logger, &event);
             }
         }
         self.bad_entries = bad_entries;
@@ -139,7 +127,7 @@
     fn note_kept(&mut self, kept: BTreeSet<String>) {
         for id in kept.difference(&self.kept) {
             let event = Event::new(EventKind::ServerKept).with("server", id);
-            write_event(self.logger, &event);
+            write_event(self.context.logger, &event);
         }
         self.kept = kept;
     }
@@ -169,7 +157,7 @@
             .with("state", state)
             .with("service", &server.service)
             .with("address", server.address);
-        write_event(self.logger, &event);
+        write_event(self.context.logger, &event);
     }
 }
 
