Log the software version of servers and each resumption of a stream

Two servers of a service may have different software versions, and neither logs nor metrics showed which of them a stream was resumed at, or by whom. Event 417 and clementinepick_streams_resumed_total tell a resumption within one answer from one by the caller. No decision changes.

--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -163,6 +163,8 @@
     BudgetReserved = 415, "budget_reserved", Info;
     /// A process read missing turns from the store.
     TurnsRead = 416, "turns_read", Info;
+    /// A stream is resumed from an event that its caller has, at the server in `server`.
+    StreamResumed = 417, "stream_resumed", Info;
     /// A call of an old epoch was refused.
     StaleEpoch = 501, "stale_epoch", Warning;
     /// The engine failed or closed a stream.
--- a/clementinepick/src/server_list.rs
+++ b/clementinepick/src/server_list.rs
@@ -3,6 +3,27 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use derive_more::{Display, From, FromStr};
+use serde::{Deserialize, Serialize};
+
+/// The version of a backend server's software, as opposed to that of a model; any text.
+#[derive(
+    Debug,
+    Clone,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Display,
+    From,
+    FromStr,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct SoftwareVersion(String);
+
 /// One registered backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BackendServer {
@@ -15,6 +36,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: String,
+    /// The version of its software. Streams of two versions can't be joined.
+    pub version: SoftwareVersion,
     /// The maximum number of concurrent requests.
     pub slots: u32,
     /// Whether it is shutting down and accepts no new requests.
--- a/clementinepick/tests/burst.rs
+++ b/clementinepick/tests/burst.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::ops::Range;
 
-use clementinepick::server_list::BackendServer;
+use clementinepick::server_list::{BackendServer, SoftwareVersion};
 use clementinepick::server_selection::{Affinity, PromptPart, ServerSelector};
 use clementinepick::units::TimeUs;
 use rand::{RngExt, SeedableRng};
@@ -116,6 +116,7 @@
             service: "models".to_owned(),
             address,
             zone: "z".to_owned(),
+            version: SoftwareVersion::default(),
             slots: SLOTS,
             is_draining: false,
             started_unix_ms: None,
--- a/clementinepick/tests/server_selection.rs
+++ b/clementinepick/tests/server_selection.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
-use clementinepick::server_list::BackendServer;
+use clementinepick::server_list::{BackendServer, SoftwareVersion};
 use clementinepick::server_selection::{Affinity, PromptPart, ServerSelector};
 use clementinepick::units::{SpanUs, TimeUs};
 use rand::{RngExt, SeedableRng};
@@ -17,6 +17,7 @@
             service: "models".to_owned(),
             address,
             zone: "z".to_owned(),
+            version: SoftwareVersion::default(),
             slots: 64,
             is_draining: false,
             started_unix_ms: None,
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -79,7 +79,7 @@
             .select_server(self.shared, &self.tried_servers, last_server)?;
         self.tried_servers.push(slot.server.id.clone());
         self.trace
-            .record_send(&slot.server.id, slot.reason, Instant::now());
+            .record_send(&slot.server, slot.reason, Instant::now());
         Some(slot)
     }
 
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -51,6 +51,13 @@
         });
     }
 
+    /// Counts a stream that is resumed `by` the gateway within one answer or by its caller.
+    pub(crate) fn count_resumed(&self, by: &'static str) {
+        with_local_recorder(&self.recorder, || {
+            counter!("clementinepick_streams_resumed_total", "by" => by).increment(1);
+        });
+    }
+
     /// Counts an attempt of a store call and records its duration.
     pub(crate) fn count_store_call(
         &self,
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -51,6 +51,9 @@
             if let Some(previous) = info.as_ref().and_then(|info| info.previous_turn.as_ref()) {
                 trace.add_field("previous", previous);
             }
+            if let Some(attempt) = info.as_ref().and_then(|info| info.resumed_attempt.as_ref()) {
+                trace.add_field("resumes", attempt);
+            }
             let id = id.as_deref().unwrap_or("-");
             let mut disconnect_guard = DisconnectGuard {
                 handler: self,
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -12,6 +12,7 @@
 use clementinepick::event::{Event, EventKind};
 use clementinepick::event_stream::{EventSplitter, StreamEvent};
 use clementinepick::refusal::Refusal;
+use clementinepick::server_list::BackendServer;
 use clementinepick::server_selection::PromptPart;
 use clementinepick::turn_chain::{Turn, build_prompt};
 use clementinepick::units::Tokens;
@@ -244,6 +245,7 @@
         let mut attempts = Attempts::new(self.shared, self.routed, self.trace, may_repeat);
         while let Some(slot) = attempts.next_slot(self.last_server.as_deref()) {
             self.record_placement(&slot.server.id);
+            self.log_resumption(&slot.server, reply.state());
             match self.run_once(slot, reply).await? {
                 Ok(()) => return Ok(Ok(())),
                 Err(_) if self.is_out_of_budget => return Ok(Err(Refusal::LedgerUnavailable)),
@@ -253,6 +255,28 @@
         Ok(Err(attempts.refusal()))
     }
 
+    /// Logs and counts a stream that is resumed at `server`.
+    fn log_resumption(&self, server: &BackendServer, state: ReplyState) {
+        let Some(last_event) = self.delivered.last_event_id else {
+            return;
+        };
+        let by = if state == ReplyState::Open {
+            "caller"
+        } else {
+            "gateway"
+        };
+        self.shared.metrics.count_resumed(by);
+        let attempt = self.routed.info.resumed_attempt.as_deref();
+        let event = Event::new(EventKind::StreamResumed)
+            .with("request", &self.routed.info.id)
+            .with("attempt", attempt.unwrap_or("-"))
+            .with("by", by)
+            .with("last_event", last_event)
+            .with("server", &server.id)
+            .with("version", &server.version);
+        self.shared.log(&event);
+    }
+
     fn record_placement(&mut self, server: &str) {
         self.server = Some(server.to_owned());
         let info = self.routed.info;
--- a/clementinepickd/src/gateway_trace.rs
+++ b/clementinepickd/src/gateway_trace.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use clementinepick::event::Event;
+use clementinepick::server_list::BackendServer;
 use clementinepick::server_selection::SelectionReason;
 
 /// The steps that a request has reached.
@@ -17,6 +18,8 @@
     /// The status that was sent to the caller; 0 before the head of a response was sent.
     pub(crate) status: Cell<u16>,
     servers: RefCell<Vec<String>>,
+    /// The software versions of these servers.
+    versions: RefCell<Vec<String>>,
     /// Why each of these servers was chosen.
     reasons: RefCell<Vec<SelectionReason>>,
     admitted: Cell<Option<Instant>>,
@@ -33,10 +36,16 @@
     }
 
     /// Records that the request is about to be sent to a server.
-    pub(crate) fn record_send(&self, server: &str, reason: SelectionReason, now: Instant) {
+    pub(crate) fn record_send(
+        &self,
+        server: &BackendServer,
+        reason: SelectionReason,
+        now: Instant,
+    ) {
         self.may_have_run.set(true);
         self.placed.set(Some(now));
-        self.servers.borrow_mut().push(server.to_owned());
+        self.servers.borrow_mut().push(server.id.clone());
+        self.versions.borrow_mut().push(server.version.to_string());
         self.reasons.borrow_mut().push(reason);
     }
 
@@ -85,6 +94,7 @@
         let servers = self.servers.borrow();
         if !servers.is_empty() {
             event = event.with("servers", servers.join(","));
+            event = event.with("versions", self.versions.borrow().join(","));
             let reasons = self.reasons.borrow();
             let reasons: Vec<String> = reasons.iter().map(ToString::to_string).collect();
             event = event.with("chosen_by", reasons.join("; "));
--- a/clementinepickd/src/server_follower.rs
+++ b/clementinepickd/src/server_follower.rs
@@ -162,6 +162,7 @@
             .with("server", id)
             .with("state", state)
             .with("service", &server.service)
+            .with("version", &server.version)
             .with("address", server.address);
         write_event(self.context.logger, &event);
     }
--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -40,6 +40,8 @@
 pub struct BackendSettings {
     /// Instance id, which identifies one start of the server.
     pub id: String,
+    /// Version of the server's software.
+    pub version: String,
     /// Number of events in a stream.
     pub events: u64,
     /// Delay before each event, or before the response to a plain request.
@@ -50,6 +52,7 @@
     fn default() -> Self {
         Self {
             id: "i-1".to_owned(),
+            version: "v1".to_owned(),
             events: 4,
             pause: Duration::from_millis(2),
         }
@@ -133,8 +136,9 @@
     #[must_use]
     pub fn entry(&self, service: &str, state: &str) -> String {
         let address = self.address;
+        let version = &lock(&self.core).settings.version;
         format!(
-            r#"{{"Service":"{service}","Address":"{address}","Zone":"z","Slots":8,"State":"{state}","Seq":1}}"#
+            r#"{{"Service":"{service}","Address":"{address}","Zone":"z","Version":"{version}","Slots":8,"State":"{state}","Seq":1}}"#
         )
     }
 }
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -356,6 +356,7 @@
         id: id.clone(),
         events: EVENTS_PER_STREAM,
         pause: Duration::from_millis(5),
+        ..BackendSettings::default()
     })?;
     let proxy = Proxy::start(backend.address)?;
     let server = Server {
