Add failing tests: streams go on at another software version

Callers see one stream with events of two software versions, within one answer or over their attempts. Gateways as processes before engines of two versions; streams are cut at the engine (reset, silent), the caller and the gateway (killed), and resumed at the same gateway, another one and one that has just started, with the store serving and silent.

--- /dev/null
+++ b/standins/tests/process_run/mod.rs
@@ -0,0 +1,326 @@
+//! Starts gateways as processes before a store and engines of two software versions, for tests that
+//! cut streams.
+
+use std::collections::BTreeSet;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde_json::Value;
+use standins::platform_backend::{BackendSettings, PlatformBackend};
+use standins::platform_caller::{CallerRequest, CallerResponse, exchange};
+use standins::platform_run::{MODEL_SERVICE, config, is_ready, wait_until};
+use standins::platform_store::{PlatformStore, StoreEndpoint, StoreMode};
+use standins::soak_process::{GatewayProcess, ProcessPorts};
+use standins::soak_proxy::{Proxy, ProxyMode};
+use standins::soak_world::find_daemon;
+
+/// The number of events in each stream.
+pub const EVENTS: u64 = 30;
+/// The id of the last event that a caller receives before its stream is cut.
+pub const LAST_EVENT: u64 = 3;
+/// The pause before each event of a stream that is to be cut, long enough that it has not ended.
+const SLOW_PAUSE: Duration = Duration::from_millis(40);
+/// The pause before each event of a resumed stream.
+const FAST_PAUSE: Duration = Duration::from_millis(2);
+/// How long an engine's path stays cut, so that its proxy has noticed.
+const CUT: Duration = Duration::from_millis(50);
+/// The engines: ids and software versions.
+const ENGINES: [(&str, &str); 4] = [("a-1", "v1"), ("a-2", "v1"), ("b-1", "v2"), ("b-2", "v2")];
+
+/// An engine behind a proxy that can cut its connections.
+pub struct Engine {
+    backend: PlatformBackend,
+    proxy: Proxy,
+}
+
+impl Engine {
+    /// Starts an engine.
+    fn start(id: &str, version: &str) -> io::Result<Self> {
+        let backend = PlatformBackend::start(BackendSettings {
+            id: id.to_owned(),
+            version: version.to_owned(),
+            events: EVENTS,
+            pause: SLOW_PAUSE,
+        })?;
+        let proxy = Proxy::start(backend.address)?;
+        Ok(Self { backend, proxy })
+    }
+
+    /// Returns its entry in the list of servers.
+    fn entry(&self, state: &str) -> String {
+        let address = self.backend.address.to_string();
+        let entry = self.backend.entry(MODEL_SERVICE, state);
+        entry.replace(&address, &self.proxy.address.to_string())
+    }
+
+    /// Returns whether it has run a request.
+    fn has_run(&self, id: &str) -> bool {
+        let executions = self.backend.executions();
+        executions.iter().any(|execution| execution.id == id)
+    }
+}
+
+/// Gateways as processes, a store and engines of two versions.
+pub struct ProcessRun {
+    pub gateways: Vec<GatewayProcess>,
+    pub store: PlatformStore,
+    engines: Vec<Engine>,
+    endpoints: Vec<StoreEndpoint>,
+    directory: PathBuf,
+}
+
+impl Drop for ProcessRun {
+    fn drop(&mut self) {
+        self.gateways.clear();
+        if !std::thread::panicking() {
+            // The logs of a test that has passed are of no use.
+            let _ = std::fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+impl ProcessRun {
+    /// Starts `count` gateways that know each other; `name` is unique among tests.
+    pub fn start(name: &str, count: usize) -> Self {
+        let store = PlatformStore::default();
+        store.put("keyed.op", "config", &config(1));
+        let start = |(id, version)| Engine::start(id, version).expect("free ports");
+        let engines: Vec<Engine> = ENGINES.into_iter().map(start).collect();
+        for (engine, (id, _)) in engines.iter().zip(ENGINES) {
+            store.put("keyed.servers", id, &engine.entry("ready"));
+        }
+        let directory = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&directory).expect("a directory");
+        let daemon = find_daemon().expect("a daemon");
+        let ports = ProcessPorts::find_free(count).expect("free ports");
+        let seeds: Vec<SocketAddr> = ports.iter().map(|ports| ports.peers).collect();
+        let mut endpoints = Vec::new();
+        let mut gateways = Vec::new();
+        for (number, ports) in ports.into_iter().enumerate() {
+            let endpoint = store.open().expect("a free port");
+            let address = endpoint.address;
+            let gateway =
+                GatewayProcess::start(&daemon, &directory, number, ports, address, &seeds);
+            gateways.push(gateway.expect("a process"));
+            endpoints.push(endpoint);
+        }
+        let run = Self {
+            gateways,
+            store,
+            engines,
+            endpoints,
+            directory,
+        };
+        for number in 0..count {
+            run.wait_until_ready(number);
+        }
+        run
+    }
+
+    /// Waits until a gateway is ready.
+    pub fn wait_until_ready(&self, gateway: usize) {
+        let ready = self.gateways[gateway].ports.ready;
+        wait_until(|| is_ready(ready)).expect("a gateway that becomes ready");
+    }
+
+    /// Waits until a gateway accepts callers' connections, ready or not.
+    pub fn wait_until_listening(&self, gateway: usize) {
+        let callers = self.gateways[gateway].ports.callers;
+        wait_until(|| TcpStream::connect(callers).is_ok()).expect("a gateway that listens");
+    }
+
+    /// Makes the store unresponsive for all gateways.
+    pub fn silence_store(&self) {
+        for endpoint in &self.endpoints {
+            endpoint.set_mode(StoreMode::Silent);
+        }
+    }
+
+    /// Begins streams at the same time and reads their events up to [`LAST_EVENT`]; resumed ones are
+    /// faster.
+    pub fn begin(&self, gateway: usize, ids: &[String]) -> Vec<BegunStream> {
+        let callers = self.gateways[gateway].ports.callers;
+        let open = |id: &String| {
+            let mut connection = TcpStream::connect(callers)?;
+            connection.write_all(&draft(id).bytes())?;
+            Ok(connection)
+        };
+        let opened: io::Result<Vec<TcpStream>> = ids.iter().map(open).collect();
+        let connections = opened.expect("connections");
+        let begun = ids.iter().zip(connections).map(|(id, mut connection)| {
+            let received = read_first_events(&mut connection);
+            BegunStream {
+                id: id.clone(),
+                engine: self.engine_of(id),
+                connection,
+                received,
+            }
+        });
+        let begun = begun.collect();
+        for engine in &self.engines {
+            engine
+                .backend
+                .configure(|settings| settings.pause = FAST_PAUSE);
+        }
+        begun
+    }
+
+    /// Returns the engine that ran a request first.
+    fn engine_of(&self, id: &str) -> usize {
+        let engine = self.engines.iter().position(|engine| engine.has_run(id));
+        engine.expect("an engine that ran the request")
+    }
+
+    /// Cuts all connections of an engine: resets them, or lets them fall silent.
+    pub fn cut_engine(&self, engine: usize, mode: ProxyMode) {
+        let proxy = &self.engines[engine].proxy;
+        proxy.set_mode(mode);
+        std::thread::sleep(CUT);
+    }
+
+    /// Makes new connections to an engine work again.
+    pub fn restore_engine(&self, engine: usize) {
+        self.engines[engine].proxy.set_mode(ProxyMode::Forward);
+    }
+
+    /// Makes an engine accept no new requests, so that its streams can be resumed only elsewhere.
+    pub fn drain(&self, engine: usize, gateways: &[usize]) {
+        self.set_state(engine, "draining", gateways);
+    }
+
+    /// Makes a drained engine accept requests again.
+    pub fn undrain(&self, engine: usize, gateways: &[usize]) {
+        self.set_state(engine, "ready", gateways);
+    }
+
+    /// Drains all engines of a version.
+    pub fn drain_version(&self, version: &str, gateways: &[usize]) {
+        for engine in engines_of(version) {
+            self.drain(engine, gateways);
+        }
+    }
+
+    /// Makes all engines of a version accept requests again.
+    pub fn undrain_version(&self, version: &str, gateways: &[usize]) {
+        for engine in engines_of(version) {
+            self.undrain(engine, gateways);
+        }
+    }
+
+    fn set_state(&self, engine: usize, state: &str, gateways: &[usize]) {
+        let id = ENGINES[engine].0;
+        let entry = self.engines[engine].entry(state);
+        self.store.put("keyed.servers", id, &entry);
+        let is_draining = state == "draining";
+        for gateway in gateways {
+            let is_listed = || self.is_draining(*gateway, id) == Some(is_draining);
+            wait_until(is_listed).expect("a gateway that reads the list of servers");
+        }
+    }
+
+    fn is_draining(&self, gateway: usize, engine: &str) -> Option<bool> {
+        let request = b"GET /state HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        let state = exchange(self.gateways[gateway].ports.metrics, request).ok()?;
+        let state: Value = serde_json::from_str(&state.body).ok()?;
+        let server = state["servers"]
+            .as_array()?
+            .iter()
+            .find(|s| s["id"] == engine)?;
+        server["is_draining"].as_bool()
+    }
+
+    /// Resumes a stream that was cut, as its caller does: at `gateway`, with another request id.
+    pub fn resume(&self, gateway: usize, id: &str) -> io::Result<CallerResponse> {
+        let request = CallerRequest::turn("/draft/1", &resuming_id(id), id, "x")
+            .with("Last-Event-Id", &LAST_EVENT.to_string())
+            .with("Resumes", id);
+        request.send(self.gateways[gateway].ports.callers)
+    }
+
+    /// Returns the engine of the first stream that began at a version.
+    pub fn first_engine(&self, streams: &[BegunStream], version: &str) -> usize {
+        let engines = streams.iter().map(|stream| stream.engine);
+        let mut of_version = engines.filter(|engine| ENGINES[*engine].1 == version);
+        of_version.next().expect("a stream at each version")
+    }
+
+    /// Returns the number of engines that ran a request.
+    pub fn engine_count(&self, id: &str) -> usize {
+        self.engines
+            .iter()
+            .filter(|engine| engine.has_run(id))
+            .count()
+    }
+
+    /// Returns the versions of the engines that ran a stream, over all attempts.
+    pub fn versions_of(&self, id: &str) -> BTreeSet<&'static str> {
+        let ids = [id.to_owned(), resuming_id(id)];
+        let engines = self.engines.iter().zip(ENGINES);
+        engines
+            .filter(|(engine, _)| ids.iter().any(|id| engine.has_run(id)))
+            .map(|(_, (_, version))| version)
+            .collect()
+    }
+
+    /// Returns whether the attempt that resumes a stream has run anywhere.
+    pub fn has_resumed(&self, id: &str) -> bool {
+        let id = resuming_id(id);
+        self.engines.iter().any(|engine| engine.has_run(&id))
+    }
+}
+
+/// A stream of which the caller has received the first events.
+pub struct BegunStream {
+    pub id: String,
+    /// The engine that runs it.
+    pub engine: usize,
+    connection: TcpStream,
+    received: String,
+}
+
+impl BegunStream {
+    /// Reads the stream to its end; returns what the caller received in all.
+    pub fn finish(mut self) -> String {
+        let mut rest = Vec::new();
+        // A reset ends the stream as well.
+        let _ = self.connection.read_to_end(&mut rest);
+        self.received.push_str(&String::from_utf8_lossy(&rest));
+        self.received
+    }
+}
+
+/// Reads a stream until the event after [`LAST_EVENT`] begins.
+fn read_first_events(connection: &mut TcpStream) -> String {
+    let mut received = String::new();
+    while !received.contains(&format!("id: {}\n", LAST_EVENT + 1)) {
+        let mut buffer = [0; 1_024];
+        let count = connection.read(&mut buffer).expect("a stream");
+        assert!(count > 0, "ended early: {received}");
+        received.push_str(&String::from_utf8_lossy(&buffer[..count]));
+    }
+    received
+}
+
+/// Builds a request for a resumable stream in a program of its own.
+fn draft(id: &str) -> CallerRequest {
+    CallerRequest::turn("/draft/1", id, id, "x").with("Connection", "close")
+}
+
+fn engines_of(version: &str) -> impl Iterator<Item = usize> {
+    let numbered = ENGINES.iter().enumerate();
+    numbered
+        .filter(move |(_, engine)| engine.1 == version)
+        .map(|(number, _)| number)
+}
+
+fn resuming_id(id: &str) -> String {
+    format!("{id}-resumed")
+}
+
+/// Returns the ids of the events in a stream, in order.
+pub fn event_ids(text: &str) -> Vec<u64> {
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).collect()
+}
--- /dev/null
+++ b/standins/tests/stream_versions.rs
@@ -0,0 +1,219 @@
+//! Tests that a stream is resumed only at the software version that began it, wherever it was cut
+//! and wherever it is resumed. The gateways are processes.
+
+mod process_run;
+
+use std::time::{Duration, Instant};
+
+use process_run::{BegunStream, EVENTS, LAST_EVENT, ProcessRun, event_ids};
+use standins::platform_caller::CallerResponse;
+use standins::soak_proxy::ProxyMode;
+
+/// The number of streams in a test. Without a preferred version, some of them would change theirs.
+const STREAMS: usize = 8;
+/// The number of gateways in a test.
+const GATEWAYS: usize = 4;
+/// The limit for a refusal that needs no server; a caller's deadline is seconds away.
+const PROMPT: Duration = Duration::from_millis(500);
+
+/// A stream whose caller has only its first events.
+struct CutStream {
+    id: String,
+    /// The engine that ran it.
+    engine: usize,
+}
+
+fn begin_all(run: &ProcessRun, gateway: usize) -> Vec<BegunStream> {
+    let ids: Vec<String> = (0..STREAMS).map(|number| format!("s{number}")).collect();
+    run.begin(gateway, &ids)
+}
+
+/// Begins streams at a gateway and drops their callers' connections.
+fn cut_by_callers(run: &ProcessRun, gateway: usize) -> Vec<CutStream> {
+    let streams = begin_all(run, gateway).into_iter();
+    streams
+        .map(|BegunStream { id, engine, .. }| CutStream { id, engine })
+        .collect()
+}
+
+/// Begins streams at a gateway and kills it.
+fn cut_by_kill(run: &mut ProcessRun, gateway: usize) -> Vec<CutStream> {
+    let streams = begin_all(run, gateway);
+    run.gateways[gateway].kill();
+    let cut = |stream: BegunStream| {
+        let (id, engine) = (stream.id.clone(), stream.engine);
+        let received = event_ids(&stream.finish());
+        assert!(!received.contains(&EVENTS), "{id} was not cut");
+        CutStream { id, engine }
+    };
+    streams.into_iter().map(cut).collect()
+}
+
+fn is_rest(response: &CallerResponse) -> bool {
+    let rest: Vec<u64> = (LAST_EVENT + 1..=EVENTS).collect();
+    response.status == 200 && response.is_complete && event_ids(&response.body) == rest
+}
+
+/// Resumes each stream while its first engine accepts no new requests, and checks that it is
+/// completed by the other engine of the same version.
+fn resume_all(run: &ProcessRun, gateway: usize, streams: &[CutStream]) {
+    for CutStream { id, engine } in streams {
+        run.drain(*engine, &[gateway]);
+        let response = run.resume(gateway, id).expect("a response");
+        run.undrain(*engine, &[gateway]);
+        assert_eq!(run.versions_of(id).len(), 1, "versions of {id}");
+        assert!(is_rest(&response), "{id}: {response:?}");
+    }
+}
+
+/// Resumes a stream and checks that it is refused at once and runs nowhere.
+fn assert_refused(run: &ProcessRun, gateway: usize, id: &str) {
+    let sent_at = Instant::now();
+    let response = run.resume(gateway, id).expect("a response");
+    let took = sent_at.elapsed();
+    assert_eq!(response.status, 503, "{id}: {response:?}");
+    assert!(
+        response.headers.contains_key("retry-after"),
+        "{id}: {response:?}"
+    );
+    assert!(took < PROMPT, "{id} was refused after {took:?}");
+    assert!(!run.has_resumed(id), "{id} has run");
+}
+
+/// Cuts the connections of one engine of each version while they stream, and checks that the other
+/// one completes the answers.
+fn check_engine_cut(name: &str, mode: ProxyMode) {
+    let run = ProcessRun::start(name, 1);
+    let streams = begin_all(&run, 0);
+    let cut: Vec<usize> = ["v1", "v2"]
+        .map(|version| run.first_engine(&streams, version))
+        .into();
+    for engine in &cut {
+        run.cut_engine(*engine, mode);
+    }
+    for stream in streams {
+        let (id, engine) = (stream.id.clone(), stream.engine);
+        let received = stream.finish();
+        assert_eq!(run.versions_of(&id).len(), 1, "versions of {id}");
+        assert_eq!(
+            run.engine_count(&id),
+            1 + usize::from(cut.contains(&engine)),
+            "{id}"
+        );
+        assert_eq!(
+            event_ids(&received),
+            (1..=EVENTS).collect::<Vec<_>>(),
+            "{id}"
+        );
+    }
+}
+
+/// Guards against a gateway that resumes a stream of a crashed engine at another version.
+#[test]
+fn a_stream_reset_by_its_engine_stays_at_its_version() {
+    check_engine_cut("reset-by-engine", ProxyMode::Reset);
+}
+
+/// Guards against a gateway that resumes a stream of a silent engine at another version.
+#[test]
+fn a_stream_of_a_silent_engine_stays_at_its_version() {
+    check_engine_cut("silent-engine", ProxyMode::Blackhole);
+}
+
+/// Guards against a gateway that forgets the version of a stream whose caller disconnected.
+#[test]
+fn a_stream_resumed_at_the_same_gateway_stays_at_its_version() {
+    let run = ProcessRun::start("same-gateway", GATEWAYS);
+    let streams = cut_by_callers(&run, 0);
+    resume_all(&run, 0, &streams);
+}
+
+/// Guards against a gateway that places the stream of another gateway as if it were new.
+#[test]
+fn a_stream_resumed_at_another_gateway_stays_at_its_version() {
+    let run = ProcessRun::start("another-gateway", GATEWAYS);
+    let streams = cut_by_callers(&run, 0);
+    resume_all(&run, 1, &streams);
+}
+
+/// Guards against versions that are known only to a gateway that is gone.
+#[test]
+fn a_stream_of_a_killed_gateway_stays_at_its_version() {
+    let mut run = ProcessRun::start("killed-gateway", GATEWAYS);
+    let streams = cut_by_kill(&mut run, 0);
+    resume_all(&run, 1, &streams);
+}
+
+/// Guards against a gateway that has just started and takes resumed streams for new ones.
+#[test]
+fn a_stream_resumed_at_a_restarted_gateway_stays_at_its_version() {
+    let mut run = ProcessRun::start("restarted-gateway", GATEWAYS);
+    let streams = cut_by_kill(&mut run, 0);
+    run.gateways[0].restart().expect("a process");
+    run.wait_until_ready(0);
+    resume_all(&run, 0, &streams);
+}
+
+/// Guards against versions that are known only to the store.
+#[test]
+fn streams_stay_at_their_versions_while_the_store_is_unavailable() {
+    let mut run = ProcessRun::start("store-unavailable", GATEWAYS);
+    run.silence_store();
+    let streams = cut_by_kill(&mut run, 0);
+    for CutStream { id, engine } in &streams {
+        run.cut_engine(*engine, ProxyMode::Reset);
+        let response = run.resume(2, id).expect("a response");
+        run.restore_engine(*engine);
+        assert_eq!(run.versions_of(id).len(), 1, "versions of {id}");
+        assert!(is_rest(&response), "{id}: {response:?}");
+    }
+}
+
+/// Guards against resuming a stream at the version that has replaced its own, and against a caller
+/// that waits for a version which does not return.
+#[test]
+fn a_stream_whose_version_is_gone_is_refused_at_once() {
+    let run = ProcessRun::start("version-gone", GATEWAYS);
+    let streams = cut_by_callers(&run, 0);
+    for version in ["v1", "v2"] {
+        run.drain_version(version, &[0, 1]);
+        for CutStream { id, .. } in &streams {
+            if run.versions_of(id).contains(version) {
+                assert_refused(&run, 0, id);
+                assert_refused(&run, 1, id);
+            }
+        }
+        run.undrain_version(version, &[0, 1]);
+    }
+}
+
+/// Guards against resuming a stream at any version when no gateway knows its own.
+#[test]
+fn a_stream_of_unknown_version_is_refused_at_once() {
+    let mut run = ProcessRun::start("version-unknown", 2);
+    let streams = cut_by_kill(&mut run, 0);
+    run.gateways[1].kill();
+    for gateway in 0..2 {
+        run.gateways[gateway].restart().expect("a process");
+    }
+    for gateway in 0..2 {
+        run.wait_until_ready(gateway);
+        for CutStream { id, .. } in &streams {
+            assert_refused(&run, gateway, id);
+        }
+    }
+}
+
+/// Guards against a caller that waits for a gateway which has started while the store is
+/// unavailable and knows nothing yet.
+#[test]
+fn a_gateway_started_without_the_store_refuses_streams_at_once() {
+    let mut run = ProcessRun::start("started-without-store", 1);
+    let streams = cut_by_kill(&mut run, 0);
+    run.silence_store();
+    run.gateways[0].restart().expect("a process");
+    run.wait_until_listening(0);
+    for CutStream { id, .. } in &streams {
+        assert_refused(&run, 0, id);
+    }
+}
