Rank addresses by rendezvous hashing in one place

The home of a partition was chosen by a hash of its own. The same order is needed for other keys; the function moves to the core, with unchanged weights.

--- a/clementinepickd/src/ledger_homes.rs
+++ b/clementinepickd/src/ledger_homes.rs
@@ -12,10 +12,10 @@
 
 use clementinepick::budget_ledger::{BudgetRecord, BudgetView, HomeRecord, SliceRecord};
 use clementinepick::peer_liveness::PeerLiveness;
+use clementinepick::rendezvous::first_address;
 use clementinepick::units::SpanUs;
 use futures_util::future::join_all;
 use platform::store::KeyedRecord;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::directory::PeerEntry;
 use crate::ledger::{LedgerError, Partition, to_cbor};
@@ -370,8 +370,6 @@
     lost: &BTreeSet<SocketAddr>,
 ) -> Option<SocketAddr> {
     let name = format!("{}/{}", partition.topic, partition.number);
-    let seed = xxh3_64(name.as_bytes());
-    let score = |p: &&PeerEntry| xxh3_64_with_seed(p.address.to_string().as_bytes(), seed);
-    let live = processes.iter().filter(|p| !lost.contains(&p.address));
-    live.max_by_key(score).map(|p| p.address)
+    let addresses = processes.iter().map(|process| process.address);
+    first_address(&name, addresses.filter(|address| !lost.contains(address)))
 }
