Resume streams only at the software version that began them

The selection of a server for a broken stream, within one answer or for another attempt of its caller, did not look at versions, and no gateway kept where a stream of another gateway had begun.

The first event of a stream now fixes its origin, the service and the software version, and only servers of this origin are candidates for the rest. Origins of resumable streams are kept in memory until their callers' deadlines, here and at two peers; a gateway without the origin asks peers. If it is lost, or the caller does not name its attempt, the stream goes on only where all servers have long had one version. All others are refused with 503 before anything is reserved.

Without an origin nothing is resumed at another version, so no loss of messages, peers or processes breaks the rule; the copies only decide how many streams go on.

--- a/clementinepick/src/refusal.rs
+++ b/clementinepick/src/refusal.rs
@@ -23,6 +23,10 @@
     BudgetSpent,
     /// The turn to continue from does not exist.
     UnknownTurn,
+    /// No reachable gateway knows at which software version the stream to resume began.
+    StreamUnknown,
+    /// No backend server with the software version of the stream to resume accepts requests.
+    VersionUnavailable,
     /// The log that stores budgets and turns is unavailable, and the request was not sent.
     LedgerUnavailable,
     /// No backend server accepts requests.
@@ -55,6 +59,9 @@
 const MAX_LEDGER_RETRY_US: SpanUs = SpanUs::from_ms(4_000);
 /// The retry delay without a configuration or a server, about the duration of a start.
 const START_RETRY_US: SpanUs = SpanUs::from_ms(500);
+/// The retry delay of a stream that can't be resumed: waiting does not bring its version back, and
+/// its caller can begin anew at once.
+const RESUME_RETRY_US: SpanUs = SpanUs(0);
 
 /// Returns the retry delay for a log that has been unavailable for `outage_us`.
 ///
@@ -78,6 +85,8 @@
             Self::NoRoute => (404, "no_route", None),
             Self::BudgetSpent => (402, "budget_spent", None),
             Self::UnknownTurn => (404, "unknown_turn", None),
+            Self::StreamUnknown => (503, "stream_unknown", Some(RESUME_RETRY_US)),
+            Self::VersionUnavailable => (503, "version_unavailable", Some(RESUME_RETRY_US)),
             Self::LedgerUnavailable => (503, "ledger_away", Some(MIN_LEDGER_RETRY_US)),
             Self::NoServer => (503, "no_server", Some(START_RETRY_US)),
             Self::ServersRefused => (503, "servers_refused", Some(OVERLOAD_RETRY_US)),
--- a/clementinepick/src/traffic_config.rs
+++ b/clementinepick/src/traffic_config.rs
@@ -112,6 +112,13 @@
 }
 
 impl TrafficRoute {
+    /// Returns whether the route sends requests to `service`.
+    #[must_use]
+    pub fn leads_to(&self, service: &str) -> bool {
+        let mut services = self.services.iter();
+        services.any(|(name, weight)| name == service && *weight > 0)
+    }
+
     /// Chooses a service by weight, using the uniform random number `draw`.
     #[must_use]
     pub fn choose_service(&self, draw: u64) -> Option<&str> {
--- /dev/null
+++ b/clementinepick/tests/stream_origin.rs
@@ -0,0 +1,128 @@
+//! Tests what is known of the origins of streams: the memory and its bounds, which servers fit, and
+//! what the lists of servers imply.
+
+use clementinepick::listed_versions::ListedVersions;
+use clementinepick::server_list::{BackendServer, ServerList, SoftwareVersion};
+use clementinepick::stream_origin::{StreamOrigin, StreamOrigins};
+use clementinepick::units::{SpanUs, TimeUs};
+
+fn origin(service: &str, version: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: service.to_owned(),
+        version: SoftwareVersion::from(version.to_owned()),
+    }
+}
+
+fn server(service: &str, version: &str) -> BackendServer {
+    BackendServer {
+        id: "e-1".to_owned(),
+        service: service.to_owned(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "z".to_owned(),
+        version: SoftwareVersion::from(version.to_owned()),
+        slots: 8,
+        is_draining: false,
+        started_unix_ms: None,
+    }
+}
+
+#[test]
+fn only_servers_of_the_same_service_and_version_fit() {
+    let begun = StreamOrigin::at(&server("models", "v1"));
+    assert_eq!(begun, origin("models", "v1"));
+    assert!(begun.fits(&server("models", "v1")));
+    assert!(!begun.fits(&server("models", "v1.1")));
+    assert!(!begun.fits(&server("other", "v1")));
+}
+
+/// Guards against a memory that grows with every stream that was ever served.
+#[test]
+fn expired_streams_are_forgotten() {
+    let mut origins = StreamOrigins::default();
+    for number in 0..1_000 {
+        let now = TimeUs(number);
+        let attempt = format!("a{number}");
+        origins.record(now, &attempt, origin("models", "v1"), TimeUs(number + 10));
+    }
+    assert_eq!(origins.len(), 10);
+    origins.expire(TimeUs(2_000));
+    assert!(origins.is_empty());
+}
+
+/// Guards against callers with long deadlines that fill the memory.
+#[test]
+fn the_number_of_streams_is_bounded() {
+    let mut origins = StreamOrigins::default();
+    for number in 0..20_000 {
+        let attempt = format!("a{number}");
+        let expires_at = TimeUs(1_000_000 + number);
+        origins.record(TimeUs(0), &attempt, origin("models", "v1"), expires_at);
+    }
+    assert_eq!(origins.len(), 16_384);
+    assert!(origins.get(TimeUs(0), "a0").is_none());
+    assert!(origins.get(TimeUs(0), "a19999").is_some());
+}
+
+/// Guards against a second record of a stream whose first expiry then deletes it.
+#[test]
+fn a_later_record_replaces_the_expiry() {
+    let mut origins = StreamOrigins::default();
+    origins.record(TimeUs(0), "a", origin("models", "v1"), TimeUs(10));
+    origins.record(TimeUs(0), "a", origin("models", "v1"), TimeUs(20));
+    origins.expire(TimeUs(15));
+    assert!(origins.get(TimeUs(15), "a").is_some());
+    assert_eq!(origins.len(), 1);
+}
+
+fn list(versions: &[&str]) -> ServerList {
+    let servers = versions.iter().enumerate().map(|(number, version)| {
+        let id = format!("e-{number}");
+        (
+            id.clone(),
+            BackendServer {
+                id,
+                ..server("models", version)
+            },
+        )
+    });
+    ServerList {
+        servers: servers.collect(),
+    }
+}
+
+fn at_s(seconds: u64) -> TimeUs {
+    TimeUs(0).after(SpanUs::from_s(seconds))
+}
+
+fn sole_version(listed: &ListedVersions, now_s: u64) -> Option<String> {
+    let version = listed.sole_version(at_s(now_s), "models", SpanUs::from_s(8));
+    version.map(ToString::to_string)
+}
+
+/// Guards against a process that has just started and has not seen the versions before.
+#[test]
+fn a_sole_version_must_have_been_listed_for_long_enough() {
+    let mut listed = ListedVersions::default();
+    listed.record(at_s(0), &ServerList::default());
+    listed.record(at_s(1), &list(&["v1", "v1"]));
+    listed.record(at_s(8), &list(&["v1"]));
+    assert_eq!(sole_version(&listed, 8), None);
+    assert_eq!(sole_version(&listed, 9), Some("v1".to_owned()));
+    assert_eq!(
+        listed.sole_version(at_s(9), "other", SpanUs::from_s(8)),
+        None
+    );
+}
+
+/// Guards against a stream that is resumed at the version which has replaced its own.
+#[test]
+fn a_version_counts_until_its_streams_have_ended() {
+    let mut listed = ListedVersions::default();
+    listed.record(at_s(0), &list(&["v1", "v1"]));
+    listed.record(at_s(20), &list(&["v1", "v2"]));
+    assert_eq!(sole_version(&listed, 20), None);
+    listed.record(at_s(21), &list(&["v2", "v2"]));
+    assert_eq!(sole_version(&listed, 28), None);
+    listed.record(at_s(30), &list(&["v2", "v2"]));
+    assert_eq!(sole_version(&listed, 30), Some("v2".to_owned()));
+}
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::gateway_connection::{Handler, serve};
 use crate::gateway_maintenance::run_maintenance;
 use crate::gateway_metrics::{GatewayMetrics, MetricsHandler};
+use crate::gateway_origins::send_origins;
 use crate::gateway_peer::PeerHandler;
 use crate::gateway_prefetch::run_prefetch;
 use crate::gateway_request::{CallerHandler, ReadyHandler};
@@ -256,6 +257,7 @@
         tasks.spawn_local(maintain_homes(Rc::clone(&shared)));
         tasks.spawn_local(run_prefetch(Rc::clone(&shared), queues.prefetch));
         tasks.spawn_local(send_token_returns(Rc::clone(&shared), queues.returned));
+        tasks.spawn_local(send_origins(Rc::clone(&shared), queues.origins));
         stop.await?;
         drain(&shared, settings).await;
         tasks.shutdown().await;
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use clementinepick::refusal::Refusal;
+use clementinepick::stream_origin::StreamOrigin;
 
 use crate::gateway_exchange::{RoutedRequest, ServerSlot};
 use crate::gateway_shared::Shared;
@@ -63,9 +64,13 @@
         }
     }
 
-    /// Selects a server that was not tried yet; `None` if no further attempt is allowed or
-    /// possible.
-    pub(crate) fn next_slot(&mut self, last_server: Option<&str>) -> Option<ServerSlot> {
+    /// Selects a server that was not tried yet and can continue a stream with `origin`; `None` if no
+    /// further attempt is allowed or possible.
+    pub(crate) fn next_slot(
+        &mut self,
+        last_server: Option<&str>,
+        origin: Option<&StreamOrigin>,
+    ) -> Option<ServerSlot> {
         let is_final = self.refusal == Refusal::ServerLost && !self.may_repeat;
         if is_final || self.sends >= self.routed.route.attempts {
             return None;
@@ -74,9 +79,9 @@
         if self.sends > 0 && !self.shared.withdraw_retry(self.routed.service, kind) {
             return None;
         }
-        let slot = self
-            .routed
-            .select_server(self.shared, &self.tried_servers, last_server)?;
+        let slot =
+            self.routed
+                .select_server(self.shared, &self.tried_servers, last_server, origin)?;
         self.tried_servers.push(slot.server.id.clone());
         self.trace
             .record_send(&slot.server, slot.reason, Instant::now());
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -60,7 +60,7 @@
     let is_idempotent = routed.route.kind == RequestKind::Idempotent;
     let may_repeat = is_idempotent || Safeguard::BookingOnce.is_disabled();
     let mut attempts = Attempts::new(shared, routed, trace, may_repeat);
-    while let Some(slot) = attempts.next_slot(None) {
+    while let Some(slot) = attempts.next_slot(None, None) {
         let response_timeout = if may_repeat && !attempts.is_last() {
             response_timeout(routed)
         } else {
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -7,6 +7,7 @@
 use actix_rt::time::timeout;
 use clementinepick::server_list::BackendServer;
 use clementinepick::server_selection::{Affinity, SelectionReason};
+use clementinepick::stream_origin::StreamOrigin;
 use clementinepick::traffic_config::TrafficRoute;
 use platform::request::{RequestInfo, SchedulerHeaders, forwarded_headers};
 
@@ -78,7 +79,15 @@
     }
 }
 
-impl RoutedRequest<'_> {
+impl<'a> RoutedRequest<'a> {
+    /// Returns the same request for another service of the route.
+    pub(crate) fn with_service<'b>(&self, service: &'b str) -> RoutedRequest<'b>
+    where
+        'a: 'b,
+    {
+        RoutedRequest { service, ..*self }
+    }
+
     /// Returns a timeout that fires only after the request's deadline, for a server that none can
     /// replace.
     pub(crate) fn beyond_deadline(&self, now: Instant) -> Duration {
@@ -91,11 +100,15 @@
     }
 
     /// Selects the best server that was not tried and counts the request as in flight there.
+    ///
+    /// A stream with an `origin` is sent only to servers that can continue it: callers can't join
+    /// the events of two software versions.
     pub(crate) fn select_server(
         &self,
         shared: &Rc<Shared>,
         tried_servers: &[String],
         last_server: Option<&str>,
+        origin: Option<&StreamOrigin>,
     ) -> Option<ServerSlot> {
         let directory = shared.directory();
         let limit = shared.connection_limit(self.service);
@@ -104,6 +117,7 @@
             .servers
             .ready(self.service)
             .filter(|server| choice.in_flight(&server.id) < limit)
+            .filter(|server| origin.is_none_or(|origin| origin.fits(server)))
             .collect();
         let affinity = Affinity {
             parts: &self.info.prompt_parts,
--- a/clementinepickd/src/gateway_maintenance.rs
+++ b/clementinepickd/src/gateway_maintenance.rs
@@ -31,6 +31,8 @@
         shared.pool.close_stale(now);
         shared.store.close_stale(now);
         shared.budgets.evict_idle(now);
+        shared.expire_origins(now);
+        shared.record_versions(now);
         shared.metrics.aggregate_histograms();
         let directory = shared.directory();
         if !directory.peers.is_empty() {
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -58,6 +58,13 @@
         });
     }
 
+    /// Counts origins of streams that a peer did not take.
+    pub(crate) fn count_lost_origins(&self, count: usize) {
+        with_local_recorder(&self.recorder, || {
+            counter!("clementinepick_origin_copies_lost_total").increment(count as u64);
+        });
+    }
+
     /// Counts an attempt of a store call and records its duration.
     pub(crate) fn count_store_call(
         &self,
@@ -88,6 +95,7 @@
         with_local_recorder(&self.recorder, || {
             counter!("clementinepick_store_relayed_total").absolute(counts.relayed);
             set_gauge("clementinepick_programs", programs);
+            set_gauge("clementinepick_stream_origins", shared.origins.len());
             set_gauge("clementinepick_cached_turns", turns);
             set_gauge("clementinepick_cached_turn_bytes", turn_bytes);
             set_gauge(
@@ -164,6 +172,7 @@
                 "service": server.service,
                 "address": server.address.to_string(),
                 "zone": server.zone,
+                "version": server.version,
                 "is_draining": server.is_draining,
                 "in_flight": choice.in_flight(&server.id),
             })
@@ -182,6 +191,7 @@
         },
         "peers": directory.peers.iter().map(ToString::to_string).collect::<Vec<_>>(),
         "programs": programs,
+        "stream_origins": shared.origins.len(),
         "cached_turns": turns,
         "cached_turn_bytes": turn_bytes,
         "servers": servers,
--- /dev/null
+++ b/clementinepickd/src/gateway_origins.rs
@@ -0,0 +1,306 @@
+//! Shares the origins of resumable streams with peers, so that any gateway can resume a stream at
+//! the software version that began it.
+//!
+//! A stream's gateway keeps its origin and sends it to two peers as the stream begins. A gateway
+//! that does not know the origin of a stream asks the peers that may hold it. If all of them have
+//! lost it, the stream is resumed only if it can have begun at no other version.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use clementinepick::rendezvous::rank_addresses;
+use clementinepick::stream_origin::{StreamOrigin, StreamOrigins};
+use clementinepick::units::SpanUs;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use crate::gateway_peer::{PeerCall, call_peer};
+use crate::gateway_shared::Shared;
+use crate::ledger::{from_cbor, to_cbor};
+
+/// The path of calls that hand origins to a peer.
+const HOLD_PATH: &str = "/origins/hold";
+/// The path of calls that ask a peer for an origin.
+const FIND_PATH: &str = "/origins/find";
+/// The number of peers that hold a stream's origin besides its own gateway: with two, most streams
+/// can be resumed even if half of the gateways are lost at once.
+const COPIES: usize = 2;
+/// The maximum number of peers asked for an origin. It exceeds [`COPIES`], because the two gateways
+/// may differ in which peers they know and find reachable.
+const MAX_ASKED: usize = 8;
+/// How long a peer may take to take origins, which no caller waits for.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a peer may take to answer from memory, while the caller waits.
+const FIND_TIMEOUT: Duration = Duration::from_millis(100);
+/// The maximum number of origins in one call.
+const BATCH_SIZE: usize = 64;
+
+/// The origin of one stream, as sent to a peer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct SharedOrigin {
+    /// The caller's attempt that received the first event.
+    #[serde(rename = "a")]
+    attempt: String,
+    #[serde(rename = "o")]
+    origin: StreamOrigin,
+    /// How long the caller may still resume the stream.
+    #[serde(rename = "k")]
+    keep: SpanUs,
+}
+
+/// Asks where a stream began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct OriginQuery {
+    /// The caller's attempt that received the first event, if the caller names it.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub(crate) attempt: Option<String>,
+    /// The service that the caller's route leads to now.
+    #[serde(rename = "s")]
+    pub(crate) service: String,
+    /// The longest time since the stream can have begun.
+    #[serde(rename = "t")]
+    pub(crate) max_age: SpanUs,
+}
+
+/// What a process knows about the origin of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum OriginAnswer {
+    /// It was recorded when the stream began.
+    Recorded(SharedOrigin),
+    /// It can be no other, because all servers of the service have long had the same version.
+    Sole(StreamOrigin),
+    Unknown,
+}
+
+/// The origins that this process knows, and those that it has yet to send to peers.
+pub(crate) struct Origins {
+    known: RefCell<StreamOrigins>,
+    /// Bounded by the number of streams, because its receiver never waits for a peer.
+    begun: mpsc::UnboundedSender<SharedOrigin>,
+}
+
+impl Origins {
+    /// Creates an empty memory, and the queue of origins to send to peers.
+    pub(crate) fn new() -> (Self, mpsc::UnboundedReceiver<SharedOrigin>) {
+        let (begun, queue) = mpsc::unbounded_channel();
+        let known = RefCell::default();
+        (Self { known, begun }, queue)
+    }
+
+    /// Returns the number of known origins.
+    pub(crate) fn len(&self) -> usize {
+        self.known.borrow().len()
+    }
+}
+
+impl Shared {
+    /// Remembers and shares the origin of a stream that begins with `attempt`; its caller gives up
+    /// at `deadline`.
+    pub(crate) fn record_origin(
+        &self,
+        attempt: &str,
+        origin: StreamOrigin,
+        deadline: Instant,
+        now: Instant,
+    ) {
+        let keep = deadline.saturating_duration_since(now);
+        let shared_origin = SharedOrigin {
+            attempt: attempt.to_owned(),
+            origin,
+            keep: SpanUs(u64::try_from(keep.as_micros()).unwrap_or(u64::MAX)),
+        };
+        self.hold_origin(&shared_origin, now);
+        // The receiver ends only with the process.
+        let _ = self.origins.begun.send(shared_origin);
+    }
+
+    /// Forgets the origins of streams that can no longer be resumed.
+    pub(crate) fn expire_origins(&self, now: Instant) {
+        let now = self.now_us(now);
+        self.origins.known.borrow_mut().expire(now);
+    }
+
+    fn hold_origin(&self, shared_origin: &SharedOrigin, now: Instant) {
+        let now = self.now_us(now);
+        let SharedOrigin {
+            attempt,
+            origin,
+            keep,
+        } = shared_origin;
+        let mut known = self.origins.known.borrow_mut();
+        known.record(now, attempt, origin.clone(), now.after(*keep));
+    }
+
+    fn known_origin(&self, attempt: &str, now: Instant) -> Option<SharedOrigin> {
+        let now = self.now_us(now);
+        let known = self.origins.known.borrow();
+        let (origin, expires_at) = known.get(now, attempt)?;
+        Some(SharedOrigin {
+            attempt: attempt.to_owned(),
+            origin: origin.clone(),
+            keep: expires_at.since(now),
+        })
+    }
+
+    fn answer_origin(&self, query: &OriginQuery, now: Instant) -> OriginAnswer {
+        let attempt = query.attempt.as_deref();
+        if let Some(recorded) = attempt.and_then(|attempt| self.known_origin(attempt, now)) {
+            return OriginAnswer::Recorded(recorded);
+        }
+        let service = query.service.clone();
+        self.sole_version(&service, query.max_age, now)
+            .map_or(OriginAnswer::Unknown, |version| {
+                OriginAnswer::Sole(StreamOrigin { service, version })
+            })
+    }
+
+    /// Returns whether no other version of the origin's service is listed now.
+    fn lists_only(&self, origin: &StreamOrigin, now: Instant) -> bool {
+        self.sole_version(&origin.service, SpanUs(0), now).as_ref() == Some(&origin.version)
+    }
+
+    /// Returns the reachable peers that should hold the origin of a stream, the first one first.
+    fn origin_holders(&self, attempt: &str, now: Instant) -> Vec<SocketAddr> {
+        let directory = self.directory();
+        let own = self.peer_address;
+        let peers = directory.peers.iter().copied().filter(|peer| *peer != own);
+        let reachable = peers.filter(|peer| !self.homes.is_silent(*peer, now));
+        rank_addresses(attempt, reachable)
+    }
+}
+
+/// Finds the origin of a stream: as recorded here or at a peer, else the only one possible.
+///
+/// A process that has just started knows neither, but its peers do.
+pub(crate) async fn find_origin(shared: &Shared, query: &OriginQuery) -> Option<StreamOrigin> {
+    let own_answer = shared.answer_origin(query, Instant::now());
+    if let OriginAnswer::Recorded(recorded) = own_answer {
+        return Some(recorded.origin);
+    }
+    let mut sole = match own_answer {
+        OriginAnswer::Sole(origin) => Some(origin),
+        _ => None,
+    };
+    if query.attempt.is_none() && sole.is_some() {
+        return sole;
+    }
+    let mut calls = ask_peers(shared, query);
+    while let Some(answer) = calls.next().await {
+        match answer {
+            Some(OriginAnswer::Recorded(recorded)) => {
+                shared.hold_origin(&recorded, Instant::now());
+                return Some(recorded.origin);
+            }
+            Some(OriginAnswer::Sole(origin)) if shared.lists_only(&origin, Instant::now()) => {
+                sole.get_or_insert(origin);
+                if query.attempt.is_none() {
+                    break;
+                }
+            }
+            _ => {}
+        }
+    }
+    sole
+}
+
+/// Calls the peers that may know the origin, all at the same time.
+fn ask_peers(
+    shared: &Shared,
+    query: &OriginQuery,
+) -> FuturesUnordered<impl Future<Output = Option<OriginAnswer>>> {
+    let key = query.attempt.as_deref().unwrap_or_default();
+    let holders = shared.origin_holders(key, Instant::now()).into_iter();
+    let body = to_cbor(query);
+    let calls = holders.take(MAX_ASKED).map(|peer| {
+        let call = PeerCall {
+            path: FIND_PATH,
+            body: body.clone(),
+            limit: FIND_TIMEOUT,
+        };
+        call_peer::<OriginAnswer>(shared, peer, call)
+    });
+    calls.collect()
+}
+
+/// Sends the origins of begun streams to the peers that hold them, until the sender is dropped.
+///
+/// The calls to different peers run at the same time, so that a peer that does not respond delays
+/// no other copy.
+pub(crate) async fn send_origins(
+    shared: Rc<Shared>,
+    mut begun: mpsc::UnboundedReceiver<SharedOrigin>,
+) {
+    let mut calls = JoinSet::new();
+    let mut batch = Vec::with_capacity(BATCH_SIZE);
+    loop {
+        tokio::select! {
+            count = begun.recv_many(&mut batch, BATCH_SIZE) => {
+                if count == 0 {
+                    break;
+                }
+                for (peer, origins) in group_by_holder(&shared, batch.drain(..)) {
+                    calls.spawn_local(send_to_holder(Rc::clone(&shared), peer, origins));
+                }
+            }
+            Some(_) = calls.join_next() => {}
+        }
+    }
+    calls.shutdown().await;
+}
+
+fn group_by_holder(
+    shared: &Shared,
+    origins: impl Iterator<Item = SharedOrigin>,
+) -> BTreeMap<SocketAddr, Vec<SharedOrigin>> {
+    let now = Instant::now();
+    let mut by_holder: BTreeMap<SocketAddr, Vec<SharedOrigin>> = BTreeMap::new();
+    for origin in origins {
+        let holders = shared.origin_holders(&origin.attempt, now).into_iter();
+        for holder in holders.take(COPIES) {
+            by_holder.entry(holder).or_default().push(origin.clone());
+        }
+    }
+    by_holder
+}
+
+async fn send_to_holder(shared: Rc<Shared>, peer: SocketAddr, origins: Vec<SharedOrigin>) {
+    let call = PeerCall {
+        path: HOLD_PATH,
+        body: to_cbor(&origins),
+        limit: HOLD_TIMEOUT,
+    };
+    if call_peer::<()>(&shared, peer, call).await.is_none() {
+        shared.metrics.count_lost_origins(origins.len());
+    }
+}
+
+/// Handles a peer's call about origins; `None` for other paths.
+pub(crate) fn handle_origin_call(
+    shared: &Shared,
+    path: &str,
+    body: &[u8],
+    now: Instant,
+) -> Option<(u16, Bytes)> {
+    match path {
+        HOLD_PATH => {
+            let Some(origins) = from_cbor::<Vec<SharedOrigin>>(body) else {
+                return Some((400, Bytes::new()));
+            };
+            for origin in &origins {
+                shared.hold_origin(origin, now);
+            }
+            Some((200, to_cbor(&())))
+        }
+        FIND_PATH => {
+            let answer = from_cbor::<OriginQuery>(body).map(|q| shared.answer_origin(&q, now));
+            Some(answer.map_or((400, Bytes::new()), |answer| (200, to_cbor(&answer))))
+        }
+        _ => None,
+    }
+}
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -1,5 +1,5 @@
 //! Calls peers and handles their calls: store calls for a peer that cannot reach the store,
-//! budgets, and turns.
+//! budgets, origins of streams, and turns.
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -15,6 +15,7 @@
 
 use crate::gateway_budget_peer::handle_budget_call;
 use crate::gateway_connection::{Handler, ReceivedRequest};
+use crate::gateway_origins::handle_origin_call;
 use crate::gateway_peer_turns::{self, TURN_PATH};
 use crate::gateway_reply::Reply;
 use crate::gateway_shared::Shared;
@@ -81,6 +82,10 @@
             let response = handle_budget_call(&self.shared, &target, &request.body).await;
             let (status, body) = if let Some(response) = response {
                 response
+            } else if let Some(response) =
+                handle_origin_call(&self.shared, &target, &request.body, Instant::now())
+            {
+                response
             } else if target == TURN_PATH {
                 gateway_peer_turns::handle_fetch(&self.shared, &request.body)
             } else if platform::store::is_store_target(&target) {
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -9,16 +9,19 @@
 use std::time::{Duration, Instant};
 
 use clementinepick::event::{Event, EventKind};
+use clementinepick::listed_versions::ListedVersions;
 use clementinepick::retry::RetryBudget;
+use clementinepick::server_list::SoftwareVersion;
 use clementinepick::server_selection::ServerSelector;
 use clementinepick::traffic_config::CallerLimits;
-use clementinepick::units::{Percent, TimeUs, Tokens};
+use clementinepick::units::{Percent, SpanUs, TimeUs, Tokens};
 use slog::Logger;
 use tokio::sync::{Notify, mpsc, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::directory::Directory;
 use crate::gateway_metrics::GatewayMetrics;
+use crate::gateway_origins::{Origins, SharedOrigin};
 use crate::gateway_prefetch::{PREFETCH_QUEUE_CAPACITY, PrefetchRequest};
 use crate::gateway_settings::GatewaySettings;
 use crate::ledger::LedgerStore;
@@ -35,6 +38,9 @@
 /// would send requests to servers that have left and refuse new programs, although another process
 /// may have newer ones.
 const MAX_DIRECTORY_AGE: Duration = Duration::from_secs(3);
+/// The maximum age of a server list from which the absence of other software versions is concluded;
+/// a list whose read was lost is read again within this time.
+const MAX_VERSIONS_AGE: Duration = Duration::from_secs(2);
 /// The percentage of requests that may be retried. Faults of single servers affect fewer responses
 /// than this; more failures mean that a service fails as a whole.
 const RETRY_PERCENT: u8 = 20;
@@ -46,12 +52,14 @@
     pub(crate) budgets: Rc<Budgets>,
     pub(crate) homes: Homes,
     pub(crate) turns: Turns,
+    pub(crate) origins: Origins,
     /// Requests for slices that programs may need soon.
     pub(crate) prefetch: mpsc::Sender<PrefetchRequest>,
     /// The address at which peers reach this process.
     pub(crate) peer_address: SocketAddr,
     pub(crate) pool: ConnectionPool,
     pub(crate) choice: RefCell<ServerSelector>,
+    listed_versions: RefCell<ListedVersions>,
     pub(crate) metrics: Arc<GatewayMetrics>,
     retries: RefCell<BTreeMap<String, RetryBudget>>,
     /// The bytes of request bodies in memory.
@@ -101,6 +109,8 @@
     pub(crate) returned: mpsc::Receiver<TokenReturn>,
     /// Slices to reserve before turns need them.
     pub(crate) prefetch: mpsc::Receiver<PrefetchRequest>,
+    /// Origins of begun streams to send to peers.
+    pub(crate) origins: mpsc::UnboundedReceiver<SharedOrigin>,
 }
 
 impl Shared {
@@ -121,6 +131,7 @@
         let (budgets, returned) = Budgets::new(Rc::clone(&ledger), writer, settings.peers);
         let budgets = Rc::new(budgets);
         let (prefetch, prefetch_requests) = mpsc::channel(PREFETCH_QUEUE_CAPACITY);
+        let (origins, begun) = Origins::new();
         let shared = Self {
             store,
             prefetch,
@@ -128,9 +139,11 @@
             budgets,
             peer_address: settings.peers,
             turns: Turns::new(Rc::clone(&ledger)),
+            origins,
             ledger,
             pool: ConnectionPool::default(),
             choice: RefCell::default(),
+            listed_versions: RefCell::default(),
             metrics,
             retries: RefCell::default(),
             reserved_body_bytes: Cell::new(0),
@@ -148,6 +161,7 @@
         let queues = BackgroundQueues {
             returned,
             prefetch: prefetch_requests,
+            origins: begun,
         };
         (shared, queues)
     }
@@ -172,6 +186,32 @@
         service.map_or(Tokens(1), |service| service.tokens_per_event)
     }
 
+    /// Records which software versions are listed now.
+    pub(crate) fn record_versions(&self, now: Instant) {
+        let servers = Arc::clone(&self.directory.borrow().servers);
+        let now = self.now_us(now);
+        self.listed_versions.borrow_mut().record(now, &servers);
+    }
+
+    /// Returns the software version that all servers of a service have had for `span`; `None` if
+    /// there were several, or if it is not certain.
+    pub(crate) fn sole_version(
+        &self,
+        service: &str,
+        span: SpanUs,
+        now: Instant,
+    ) -> Option<SoftwareVersion> {
+        let read_at = self.directory.borrow().servers_read_at?;
+        if now.saturating_duration_since(read_at) > MAX_VERSIONS_AGE {
+            return None;
+        }
+        self.record_versions(now);
+        let listed = self.listed_versions.borrow();
+        listed
+            .sole_version(self.now_us(now), service, span)
+            .cloned()
+    }
+
     pub(crate) fn now_us(&self, now: Instant) -> TimeUs {
         self.clock.at(now)
     }
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -14,12 +14,14 @@
 use clementinepick::refusal::Refusal;
 use clementinepick::server_list::BackendServer;
 use clementinepick::server_selection::PromptPart;
+use clementinepick::stream_origin::StreamOrigin;
 use clementinepick::turn_chain::{Turn, build_prompt};
-use clementinepick::units::Tokens;
+use clementinepick::units::{SpanUs, Tokens};
 
 use crate::gateway_attempts::{AttemptError, Attempts};
 use crate::gateway_budget::{self, Reserved};
 use crate::gateway_exchange::{RoutedRequest, ServerResponse, ServerSlot};
+use crate::gateway_origins::{OriginQuery, find_origin};
 use crate::gateway_peer_turns;
 use crate::gateway_reply::{CallerDisconnected, Reply, ReplyState};
 use crate::gateway_shared::Shared;
@@ -38,6 +40,9 @@
 /// A resumable stream without an event for this many times the route's gap target is resumed at
 /// another server. An engine that preempts a request pauses for about one gap.
 const IDLE_TIMEOUT_GAPS: u32 = 2;
+/// The age of the oldest stream that a caller resumes, in timeouts of its route: one for the attempt
+/// that began it and one until the caller comes back.
+const MAX_STREAM_TIMEOUTS: u64 = 2;
 /// The minimum timeout for the first event, which waits for a free slot and for the prompt to be
 /// read.
 const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -59,6 +64,14 @@
     trace: &Trace,
     reply: &mut Reply<'_>,
 ) -> Result<Result<(), Refusal>, CallerDisconnected> {
+    let origin = match find_resumed_origin(shared, routed).await {
+        Ok(origin) => origin,
+        Err(refusal) => return Ok(Err(refusal)),
+    };
+    let service = origin
+        .as_ref()
+        .map_or(routed.service, |origin| &origin.service);
+    let routed = &routed.with_service(service);
     let deadline = store_deadline(routed);
     let (hold, previous_at, chain_server) =
         match reserve(shared, routed, trace, max_turn_tokens(routed), deadline).await {
@@ -88,6 +101,7 @@
             .or(chain_server),
         previous,
         server: None,
+        origin: origin.clone(),
         is_out_of_budget: false,
         delivered: Delivered {
             last_event_id: routed.info.last_event_id,
@@ -115,6 +129,38 @@
     Ok(Ok(()))
 }
 
+/// Finds where the stream began that the request resumes; `None` for a new stream.
+///
+/// A stream that cannot go on is refused before anything is reserved for it, so that its caller can
+/// begin anew at once.
+async fn find_resumed_origin(
+    shared: &Shared,
+    routed: &RoutedRequest<'_>,
+) -> Result<Option<StreamOrigin>, Refusal> {
+    let info = routed.info;
+    if info.last_event_id.is_none() && info.resumed_attempt.is_none() {
+        return Ok(None);
+    }
+    let timeout_us = routed.route.timeout_us.0;
+    let query = OriginQuery {
+        attempt: info.resumed_attempt.clone(),
+        service: routed.service.to_owned(),
+        max_age: SpanUs(timeout_us.saturating_mul(MAX_STREAM_TIMEOUTS)),
+    };
+    let origin = find_origin(shared, &query).await;
+    let origin = origin.ok_or(Refusal::StreamUnknown)?;
+    let servers = shared.directory().servers;
+    let can_continue = routed.route.leads_to(&origin.service)
+        && servers
+            .ready(&origin.service)
+            .any(|server| origin.fits(server));
+    if can_continue {
+        Ok(Some(origin))
+    } else {
+        Err(Refusal::VersionUnavailable)
+    }
+}
+
 /// Finds the turn that this one continues from; `ran_at` is the peer that ran it, if known.
 async fn find_previous_turn(
     shared: &Rc<Shared>,
@@ -214,6 +260,8 @@
     last_server: Option<String>,
     /// The server of the current attempt.
     server: Option<String>,
+    /// Where the stream began; `None` before its first event.
+    origin: Option<StreamOrigin>,
     /// Whether the reserved tokens are used up and no more can be reserved now.
     is_out_of_budget: bool,
     body: Bytes,
@@ -243,7 +291,8 @@
     ) -> Result<Result<(), Refusal>, CallerDisconnected> {
         let may_repeat = self.routed.route.is_resumable;
         let mut attempts = Attempts::new(self.shared, self.routed, self.trace, may_repeat);
-        while let Some(slot) = attempts.next_slot(self.last_server.as_deref()) {
+        while let Some(slot) = attempts.next_slot(self.last_server.as_deref(), self.origin.as_ref())
+        {
             self.record_placement(&slot.server.id);
             self.log_resumption(&slot.server, reply.state());
             match self.run_once(slot, reply).await? {
@@ -309,6 +358,7 @@
             return self.deliver_error_response(response, reply).await;
         }
         if reply.state() == ReplyState::Open {
+            self.fix_origin(&response.slot.server);
             let headers = platform::response::forwarded_headers(&response.head.headers);
             reply.send_head(StatusCode::OK, headers).await?;
             self.trace.status.set(StatusCode::OK.as_u16());
@@ -316,6 +366,21 @@
         self.deliver_events(response, reply).await
     }
 
+    /// Fixes where the stream begins, so that no event of another software version follows.
+    fn fix_origin(&mut self, server: &BackendServer) {
+        if self.origin.is_some() {
+            return;
+        }
+        let origin = StreamOrigin::at(server);
+        if self.routed.route.is_resumable {
+            let RoutedRequest { received, info, .. } = self.routed;
+            let deadline = received.arrived + info.deadline;
+            self.shared
+                .record_origin(&info.id, origin.clone(), deadline, Instant::now());
+        }
+        self.origin = Some(origin);
+    }
+
     /// Delivers an engine's error response, unless events were delivered before.
     async fn deliver_error_response(
         &mut self,
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -27,6 +27,7 @@
 mod gateway_ledger_query;
 mod gateway_maintenance;
 mod gateway_metrics;
+mod gateway_origins;
 mod gateway_peer;
 mod gateway_peer_turns;
 mod gateway_prefetch;
--- a/clementinepickd/src/process_registry.rs
+++ b/clementinepickd/src/process_registry.rs
@@ -63,6 +63,11 @@
         let own = identity.peer_address;
         let seeds: Vec<SocketAddr> = seeds.into_iter().filter(|seed| *seed != own).collect();
         context.store.set_relays(seeds.clone());
+        // A process that starts while the store is unavailable can still ask its seeds.
+        let known = Arc::new(seeds.clone());
+        context
+            .publish
+            .send_modify(|directory| directory.peers = known);
         Self {
             identity,
             seeds,
--- a/standins/tests/process_run/mod.rs
+++ b/standins/tests/process_run/mod.rs
@@ -239,13 +239,6 @@
         request.send(self.gateways[gateway].ports.callers)
     }
 
-    /// Returns the engine of the first stream that began at a version.
-    pub fn first_engine(&self, streams: &[BegunStream], version: &str) -> usize {
-        let engines = streams.iter().map(|stream| stream.engine);
-        let mut of_version = engines.filter(|engine| ENGINES[*engine].1 == version);
-        of_version.next().expect("a stream at each version")
-    }
-
     /// Returns the number of engines that ran a request.
     pub fn engine_count(&self, id: &str) -> usize {
         self.engines
@@ -308,6 +301,13 @@
     CallerRequest::turn("/draft/1", id, id, "x").with("Connection", "close")
 }
 
+/// Returns the engine of the first stream that began at a version.
+pub fn first_engine(streams: &[BegunStream], version: &str) -> usize {
+    let engines = streams.iter().map(|stream| stream.engine);
+    let mut of_version = engines.filter(|engine| ENGINES[*engine].1 == version);
+    of_version.next().expect("a stream at each version")
+}
+
 fn engines_of(version: &str) -> impl Iterator<Item = usize> {
     let numbered = ENGINES.iter().enumerate();
     numbered
--- a/standins/tests/stream_versions.rs
+++ b/standins/tests/stream_versions.rs
@@ -5,8 +5,9 @@
 
 use std::time::{Duration, Instant};
 
-use process_run::{BegunStream, EVENTS, LAST_EVENT, ProcessRun, event_ids};
-use standins::platform_caller::CallerResponse;
+use process_run::{BegunStream, EVENTS, LAST_EVENT, ProcessRun, event_ids, first_engine};
+use standins::platform_caller::{CallerRequest, CallerResponse};
+use standins::platform_run::{MODEL_SERVICE, PlatformRun, wait_until};
 use standins::soak_proxy::ProxyMode;
 
 /// The number of streams in a test. Without a preferred version, some of them would change theirs.
@@ -86,7 +87,7 @@
     let run = ProcessRun::start(name, 1);
     let streams = begin_all(&run, 0);
     let cut: Vec<usize> = ["v1", "v2"]
-        .map(|version| run.first_engine(&streams, version))
+        .map(|version| first_engine(&streams, version))
         .into();
     for engine in &cut {
         run.cut_engine(*engine, mode);
@@ -217,3 +218,38 @@
         assert_refused(&run, 0, id);
     }
 }
+
+/// Resumes a stream of a caller that does not name the attempt which began it; returns the status.
+fn resume_unnamed(run: &PlatformRun, gateway: usize, id: &str) -> u16 {
+    let request = CallerRequest::turn("/draft/1", id, id, "x").with("Last-Event-Id", "2");
+    request
+        .send(run.callers(gateway))
+        .expect("a response")
+        .status
+}
+
+/// Guards against refusing callers that do not name the attempt which they resume while a service
+/// has a single version, also at a gateway that has just started, and against resuming their
+/// streams once it has two.
+#[test]
+fn a_stream_without_a_named_attempt_is_resumed_only_at_a_sole_version() {
+    let mut run = PlatformRun::start(1).expect("a platform run");
+    assert_eq!(
+        resume_unnamed(&run, 0, "r1"),
+        503,
+        "no gateway has run for long enough"
+    );
+    wait_until(|| resume_unnamed(&run, 0, "r2") == 200).expect("a sole version");
+    run.add_gateway().expect("another gateway");
+    assert_eq!(
+        resume_unnamed(&run, 1, "r3"),
+        200,
+        "the first gateway knows"
+    );
+    run.engines[1].configure(|settings| settings.version = "v2".to_owned());
+    let entry = run.engines[1].entry(MODEL_SERVICE, "ready");
+    run.store.put("keyed.servers", "e-2", &entry);
+    for gateway in 0..2 {
+        wait_until(|| resume_unnamed(&run, gateway, "r4") == 503).expect("two versions");
+    }
+}
