Test that a stream on a split route stays at its service

The service of a split route was drawn for each attempt, so that a resumed stream could change its service as well as its version.

--- a/standins/tests/stream_versions.rs
+++ b/standins/tests/stream_versions.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use process_run::{BegunStream, EVENTS, LAST_EVENT, ProcessRun, event_ids, first_engine};
-use standins::platform_caller::{CallerRequest, CallerResponse};
-use standins::platform_run::{MODEL_SERVICE, PlatformRun, wait_until};
+use standins::platform_backend::{Execution, PlatformBackend};
+use standins::platform_caller::{CallerRequest, CallerResponse, exchange};
+use standins::platform_run::{MODEL_SERVICE, PLAIN_SERVICE, PlatformRun, config, wait_until};
 use standins::soak_proxy::ProxyMode;
 
 /// The number of streams in a test. Without a preferred version, some of them would change theirs.
@@ -253,3 +254,54 @@
         wait_until(|| resume_unnamed(&run, gateway, "r4") == 503).expect("two versions");
     }
 }
+
+/// Publishes a version of the configuration and waits until the first gateway uses it.
+fn publish(run: &PlatformRun, version: u64, config: &str) {
+    run.store.put("keyed.op", "config", config);
+    let metrics = run.gateways[0].addresses.metrics.expect("an address");
+    let request = b"GET /state HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    let expected = format!("\"config_version\":{version},");
+    let is_used = || exchange(metrics, request).is_ok_and(|state| state.body.contains(&expected));
+    wait_until(is_used).expect("the configuration in use");
+}
+
+/// Guards against a stream that is resumed at the other service of a route which is split between
+/// two.
+#[test]
+fn a_stream_on_a_split_route_stays_at_its_service() {
+    let run = PlatformRun::start(1).expect("a platform run");
+    let half = |service: &str| format!(r#"{{"Service":"{service}","Weight":50}}"#);
+    let halves = format!(
+        r#""Backends":[{},{}]"#,
+        half(MODEL_SERVICE),
+        half(PLAIN_SERVICE)
+    );
+    let split = config(2).replace(&format!(r#""Service":"{MODEL_SERVICE}""#), &halves);
+    publish(&run, 2, &split);
+    for number in 0..16 {
+        let id = format!("s{number}");
+        let begun = CallerRequest::turn("/draft/1", &id, &id, "x").send(run.callers(0));
+        assert_eq!(begun.expect("a response").status, 200, "{id}");
+        let resumed = CallerRequest::turn("/draft/1", &format!("{id}-resumed"), &id, "x")
+            .with("Last-Event-Id", "2")
+            .with("Resumes", &id)
+            .send(run.callers(0));
+        assert_eq!(resumed.expect("a response").status, 200, "{id}");
+        let is_of_stream = |execution: &Execution| {
+            execution
+                .id
+                .strip_suffix("-resumed")
+                .unwrap_or(&execution.id)
+                == id
+        };
+        let runs = |servers: &[PlatformBackend]| {
+            let executions = servers.iter().flat_map(PlatformBackend::executions);
+            executions.filter(is_of_stream).count()
+        };
+        let counts = [runs(&run.engines), runs(&run.plains)];
+        assert!(
+            counts.contains(&2) && counts.contains(&0),
+            "{id}: {counts:?}"
+        );
+    }
+}
