Refuse to resume a turn whose record would lack its first events

On a route that keeps context and is resumable, a caller's second attempt was recorded with only the events that it brought itself; the next turn then ran on a chain with a hole. The gateway does not have the earlier events, so it refuses at once and the caller begins anew; within one answer nothing changes. The new test fails before with 200 in place of 503.

--- a/clementinepick/src/refusal.rs
+++ b/clementinepick/src/refusal.rs
@@ -23,7 +23,8 @@
     BudgetSpent,
     /// The turn to continue from does not exist.
     UnknownTurn,
-    /// No reachable gateway knows at which software version the stream to resume began.
+    /// The software version of the stream to resume, or an earlier part that must be recorded, is
+    /// not known here.
     StreamUnknown,
     /// No backend server with the software version of the stream to resume accepts requests.
     VersionUnavailable,
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -141,6 +141,11 @@
     if info.last_event_id.is_none() && info.resumed_attempt.is_none() {
         return Ok(None);
     }
+    if routed.route.keeps_context {
+        // Its record would lack the events of the earlier attempt, and the next turn would continue
+        // from an incomplete one.
+        return Err(Refusal::StreamUnknown);
+    }
     let timeout_us = routed.route.timeout_us.0;
     let query = OriginQuery {
         attempt: info.resumed_attempt.clone(),
--- a/standins/tests/stream_versions.rs
+++ b/standins/tests/stream_versions.rs
@@ -305,3 +305,26 @@
         );
     }
 }
+
+/// Guards against a turn that is recorded without the events which its caller had received before,
+/// so that the next turn would continue from an incomplete one.
+#[test]
+fn a_turn_that_keeps_context_is_not_resumed_without_its_first_events() {
+    let run = PlatformRun::start(1).expect("a platform run");
+    let resumable = config(2).replace(
+        r#""KeepContext":true"#,
+        r#""KeepContext":true,"Resumable":true"#,
+    );
+    publish(&run, 2, &resumable);
+    let first = CallerRequest::turn("/chat/1", "t1", "p", "x").send(run.callers(0));
+    assert_eq!(first.expect("a response").status, 200);
+    let resumed = CallerRequest::turn("/chat/1", "t1-resumed", "p", "x")
+        .with("Last-Event-Id", "2")
+        .with("Resumes", "t1")
+        .send(run.callers(0));
+    assert_eq!(resumed.expect("a response").status, 503);
+    let next = CallerRequest::turn("/chat/1", "t2", "p", "y")
+        .with("Previous-Turn", "t1-resumed")
+        .send(run.callers(0));
+    assert_eq!(next.expect("a response").status, 404);
+}
