Soak: servers of two versions, callers that resume their drafts

The soak had servers of one version and callers that never resumed a stream, so it could not see streams of two versions. Model servers now have two versions and name them in their events, callers that are cut or disconnect resume from their last event at any gateway, and a check finds streams with events of two versions.

--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -42,6 +42,8 @@
     pub id: String,
     /// Version of the server's software.
     pub version: String,
+    /// Whether each event of a stream names the version, as its `event` field.
+    pub names_version: bool,
     /// Number of events in a stream.
     pub events: u64,
     /// Delay before each event, or before the response to a plain request.
@@ -53,6 +55,7 @@
         Self {
             id: "i-1".to_owned(),
             version: "v1".to_owned(),
+            names_version: false,
             events: 4,
             pause: Duration::from_millis(2),
         }
@@ -220,7 +223,13 @@
         let headers = response_headers(id);
         let mut script = vec![Step::Write(chunked_head(200, &headers))];
         for number in first..=self.settings.events {
-            let event = format!("id: {number}\ndata: {}\n\n", event_data(id, number));
+            let version = if self.settings.names_version {
+                format!("event: {}\n", self.settings.version)
+            } else {
+                String::new()
+            };
+            let data = event_data(id, number);
+            let event = format!("id: {number}\n{version}data: {data}\n\n");
             match fault {
                 Some(BackendFault::CutAfter(count)) if number > count => {
                     script.push(Step::Write(chunk(&event.as_bytes()[..event.len() / 2])));
--- a/standins/src/platform_caller.rs
+++ b/standins/src/platform_caller.rs
@@ -119,36 +119,69 @@
     let started = Instant::now();
     connection.set_read_timeout(Some(READ_TIMEOUT))?;
     let mut bytes = Vec::new();
-    let head_end = loop {
-        if let Some(at) = find(&bytes, b"\r\n\r\n") {
-            break at + 4;
+    loop {
+        let response = decode(&bytes)?;
+        if let Some(response) = response.as_ref().filter(|response| response.is_complete) {
+            let took = started.elapsed();
+            return Ok(CallerResponse {
+                took,
+                ..response.clone()
+            });
+        }
+        match (read_more(connection, &mut bytes), response) {
+            (Ok(1..), _) => {}
+            // A broken connection leaves the response incomplete, which callers check.
+            (_, Some(response)) => {
+                let took = started.elapsed();
+                return Ok(CallerResponse { took, ..response });
+            }
+            (Ok(_), None) => return Err(io::ErrorKind::UnexpectedEof.into()),
+            (Err(err), None) => return Err(err),
         }
-        if read_more(connection, &mut bytes)? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+}
+
+/// Reads what arrives of a response within `span`; an empty response if its head does not.
+///
+/// # Errors
+///
+/// The connection fails, or the response head is invalid.
+pub fn read_start(connection: &mut TcpStream, span: Duration) -> io::Result<CallerResponse> {
+    let end = Instant::now() + span;
+    let mut bytes = Vec::new();
+    while let Some(left) = end.checked_duration_since(Instant::now()) {
+        connection.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
+        match read_more(connection, &mut bytes) {
+            Ok(0) => break,
+            Ok(_) => {}
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => break,
+            Err(err) => return Err(err),
         }
+    }
+    Ok(decode(&bytes)?.unwrap_or_default())
+}
+
+/// Decodes a response as far as received; `None` before the end of its head.
+fn decode(bytes: &[u8]) -> io::Result<Option<CallerResponse>> {
+    let Some(head_end) = find(bytes, b"\r\n\r\n").map(|at| at + 4) else {
+        return Ok(None);
     };
-    let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
-    let mut response = parse_head(&head)?;
-    let mut rest = bytes.split_off(head_end);
+    let (head, rest) = bytes.split_at(head_end);
+    let response = parse_head(&String::from_utf8_lossy(head))?;
     let length = response.headers.get("content-length");
     let length: Option<usize> = length.and_then(|length| length.parse().ok());
-    loop {
-        let (body, is_complete) = match length {
-            Some(length) => (
-                rest[..rest.len().min(length)].to_vec(),
-                rest.len() >= length,
-            ),
-            None => decode_chunked(&rest),
-        };
-        response.body = String::from_utf8_lossy(&body).into_owned();
-        response.is_complete = is_complete;
-        // A broken connection leaves the response incomplete, which callers check.
-        if is_complete || read_more(connection, &mut rest).unwrap_or(0) == 0 {
-            break;
-        }
-    }
-    response.took = started.elapsed();
-    Ok(response)
+    let (body, is_complete) = match length {
+        Some(length) => (
+            rest[..rest.len().min(length)].to_vec(),
+            rest.len() >= length,
+        ),
+        None => decode_chunked(rest),
+    };
+    Ok(Some(CallerResponse {
+        body: String::from_utf8_lossy(&body).into_owned(),
+        is_complete,
+        ..response
+    }))
 }
 
 fn read_more(connection: &mut TcpStream, received: &mut Vec<u8>) -> io::Result<usize> {
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -21,7 +21,7 @@
 use crate::platform_run::{is_ready, wait_until};
 use crate::soak_callers::Callers;
 use crate::soak_faults::{Fault, PlannedFault, plan_faults};
-use crate::soak_history::{History, find_violations};
+use crate::soak_history::{History, RequestKind, RequestRecord, find_violations};
 use crate::soak_world::{GATEWAYS, SoakWorld, find_daemon};
 
 const PROGRAM_CALLERS: usize = 8;
@@ -64,6 +64,10 @@
     pub request_count: usize,
     /// Requests that were answered 200 with a complete body.
     pub served_count: usize,
+    /// Attempts to resume a draft.
+    pub resume_count: usize,
+    /// Those of them that brought at least one event or the end.
+    pub resumed_count: usize,
     /// Faults that were injected.
     pub fault_count: usize,
 }
@@ -148,10 +152,12 @@
                 return Err(Failure::Check(detail));
             }
             println!(
-                "seed {seed}: {} faults, {} of {} requests served, {} violations",
+                "seed {seed}: {} faults, {} of {} requests served, {} of {} drafts resumed, {} violations",
                 end.fault_count,
                 end.served_count,
                 end.request_count,
+                end.resumed_count,
+                end.resume_count,
                 end.violations.len()
             );
             for line in &end.violations {
@@ -257,8 +263,12 @@
         .unwrap_or_else(std::sync::PoisonError::into_inner);
     violations.extend(find_violations(&history));
     let served = history.requests.iter();
+    let is_resumed = |r: &&RequestRecord| matches!(r.kind, RequestKind::Resumed { .. });
+    let resumed: Vec<_> = history.requests.iter().filter(is_resumed).collect();
     SoakResult {
         violations,
+        resume_count: resumed.len(),
+        resumed_count: resumed.iter().filter(|r| r.status == 200).count(),
         request_count: history.requests.len(),
         served_count: served.filter(|a| a.status == 200 && a.is_complete).count(),
         fault_count: planned.len(),
--- a/standins/src/soak_callers.rs
+++ b/standins/src/soak_callers.rs
@@ -11,13 +11,15 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::http::lock;
-use crate::platform_caller::{CallerRequest, CallerResponse, read_response};
+use crate::platform_caller::{CallerRequest, CallerResponse, read_response, read_start};
 use crate::soak_history::{BUDGET_TOKENS, History, RequestKind, RequestRecord};
 use crate::soak_world::{GATEWAYS, GatewayStatus, SoakWorld};
 
 /// The longest wait before a request is retried.
 const MAX_RETRY_BACKOFF: Duration = Duration::from_millis(300);
 const MAX_TRIES: u32 = 6;
+/// The longest time after which a caller that does not wait for its response disconnects.
+const MAX_PATIENCE_MS: u64 = 50;
 /// The pause between two requests on an open connection, and between two version checks.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 /// The most turns of a program that finishes by itself.
@@ -25,6 +27,31 @@
 /// The most turns of a looping program, which are more than its token budget allows.
 const MAX_LOOP_TURNS: u64 = 40;
 
+/// What a caller received for a request.
+struct Received {
+    id: String,
+    status: u16,
+    is_complete: bool,
+    /// The id of the last whole event.
+    last_event: Option<u64>,
+}
+
+impl Received {
+    fn of(id: String, answer: &CallerResponse) -> Self {
+        let whole = answer
+            .body
+            .rsplit_once("\n\n")
+            .map_or("", |(whole, _)| whole);
+        let ids = whole.lines().filter_map(|line| line.strip_prefix("id: "));
+        Self {
+            id,
+            status: answer.status,
+            is_complete: answer.is_complete,
+            last_event: ids.filter_map(|id| id.parse().ok()).next_back(),
+        }
+    }
+}
+
 /// The state shared by all callers of a run.
 pub(crate) struct Callers<'a> {
     pub(crate) world: &'a SoakWorld,
@@ -133,9 +160,14 @@
                 return None;
             }
             let gateway = self.random.random_range(0..GATEWAYS);
-            let (id, status, is_complete) = self.send(gateway, program, kind.clone());
-            match status {
-                200 if is_complete => return Some(id),
+            let received = self.send(gateway, program, kind.clone());
+            match received.status {
+                200 if received.is_complete => return Some(received.id),
+                200 if *kind == RequestKind::Draft => {
+                    if let Some(id) = self.resume_until_complete(program, received) {
+                        return Some(id);
+                    }
+                }
                 402 | 404 => return None,
                 _ => sleep(MAX_RETRY_BACKOFF.mul_f64(self.random.random_range(0.2..1.0))),
             }
@@ -143,6 +175,26 @@
         None
     }
 
+    /// Resumes a draft that was cut, until it is complete; `None` if it can't be resumed.
+    fn resume_until_complete(&mut self, program: &str, cut: Received) -> Option<String> {
+        let first = cut.id;
+        let mut last_event = cut.last_event?;
+        for _ in 0..MAX_TRIES {
+            let gateway = self.random.random_range(0..GATEWAYS);
+            let kind = RequestKind::Resumed {
+                first: first.clone(),
+                last_event,
+            };
+            let received = self.send(gateway, program, kind);
+            match received.status {
+                200 if received.is_complete => return Some(received.id),
+                200 => last_event = received.last_event.unwrap_or(last_event),
+                _ => return None,
+            }
+        }
+        None
+    }
+
     fn next_id(&mut self) -> String {
         self.sent_count += 1;
         format!("{}r{}", self.name, self.sent_count)
@@ -161,6 +213,9 @@
                 previous: Some(previous),
             } => turn("/chat/1").with("Previous-Turn", previous),
             RequestKind::Draft => turn("/draft/1"),
+            RequestKind::Resumed { first, last_event } => turn("/draft/1")
+                .with("Last-Event-Id", &last_event.to_string())
+                .with("Resumes", first),
             RequestKind::Lookup => CallerRequest::new("GET", "/look/1", &id),
             RequestKind::Booking => CallerRequest::new("POST", "/book/1", &id),
             RequestKind::Version(version) => {
@@ -170,21 +225,20 @@
         (id, request)
     }
 
-    /// Sends a request on a new connection; returns its id, its status and whether the response is
-    /// complete.
-    fn send(&mut self, gateway: usize, program: &str, kind: RequestKind) -> (String, u16, bool) {
+    /// Sends a request on a new connection.
+    fn send(&mut self, gateway: usize, program: &str, kind: RequestKind) -> Received {
         let (id, request) = self.build_request(program, &kind);
         let before = self.shared.world.gateway_status(gateway);
         let sent_at = Instant::now();
         let disconnects =
             self.shared.should_disconnect.load(Ordering::Relaxed) && self.random.random_bool(0.3);
+        let patience = Duration::from_millis(self.random.random_range(5..=MAX_PATIENCE_MS));
         let connected = TcpStream::connect(before.callers);
         let is_connected = connected.is_ok();
         let answer = connected.and_then(|mut connection| {
             connection.write_all(&request.bytes())?;
             if disconnects {
-                sleep(Duration::from_millis(10));
-                return Ok(CallerResponse::default());
+                return read_start(&mut connection, patience);
             }
             read_response(&mut connection)
         });
@@ -192,7 +246,7 @@
         let requires_response =
             is_connected && !disconnects && is_undisturbed(before, after) && !after.is_ending;
         let answer = answer.unwrap_or_default();
-        let end = (id.clone(), answer.status, answer.is_complete);
+        let received = Received::of(id.clone(), &answer);
         let gateway_start = (gateway, before.start_count);
         self.record(
             id,
@@ -203,7 +257,7 @@
             requires_response,
             sent_at.elapsed(),
         );
-        end
+        received
     }
 
     #[expect(clippy::too_many_arguments, reason = "the fields of one record")]
--- a/standins/src/soak_history.rs
+++ b/standins/src/soak_history.rs
@@ -1,6 +1,6 @@
 //! Checks what callers and backend servers observed in a soak.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::platform_backend::event_data;
@@ -24,6 +24,13 @@
     },
     /// A turn that may be resumed.
     Draft,
+    /// The rest of a draft.
+    Resumed {
+        /// The id of the request that received the first event.
+        first: String,
+        /// The id of the last event received before.
+        last_event: u64,
+    },
     /// A lookup.
     Lookup,
     /// A booking, which must not be executed twice.
@@ -83,6 +90,7 @@
         bookings_run_at_most_once,
         reported_as_not_executed_did_not_run,
         budgets_hold,
+        streams_keep_their_version,
         prompts_hold_whole_chain,
         completed_turns_can_be_continued,
         config_version_never_decreases,
@@ -91,13 +99,56 @@
     checks.iter().flat_map(|check| check(history)).collect()
 }
 
-fn expected_stream(id: &str) -> String {
+/// Returns the events of a stream after `last_event`, without the versions of their servers.
+fn expected_stream(id: &str, last_event: u64) -> String {
     let event = |number| format!("id: {number}\ndata: {}\n\n", event_data(id, number));
-    (1..=EVENTS_PER_STREAM).map(event).collect()
+    (last_event + 1..=EVENTS_PER_STREAM).map(event).collect()
 }
 
 fn is_turn(kind: &RequestKind) -> bool {
-    matches!(kind, RequestKind::Chat { .. } | RequestKind::Draft)
+    matches!(
+        kind,
+        RequestKind::Chat { .. } | RequestKind::Draft | RequestKind::Resumed { .. }
+    )
+}
+
+const VERSION_FIELD: &str = "event: ";
+
+/// Returns a stream without the lines that name the versions of its servers. The last line may be
+/// truncated.
+fn without_versions(body: &str) -> String {
+    let is_version = |line: &str| {
+        let is_truncated = !line.ends_with('\n') && VERSION_FIELD.starts_with(line);
+        line.starts_with(VERSION_FIELD) || is_truncated
+    };
+    let lines = body.split_inclusive('\n');
+    lines.filter(|line| !is_version(line)).collect()
+}
+
+/// Returns the versions that the events of a stream name.
+fn versions(body: &str) -> BTreeSet<&str> {
+    let lines = body.split_inclusive('\n');
+    let whole = lines.filter_map(|line| line.strip_suffix('\n'));
+    whole
+        .filter_map(|line| line.strip_prefix(VERSION_FIELD))
+        .collect()
+}
+
+/// Checks that a caller's stream has the events of one version, over all attempts.
+fn streams_keep_their_version(history: &History) -> Vec<String> {
+    let mut by_stream: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for request in history.requests.iter().filter(|r| is_turn(&r.kind)) {
+        let first = match &request.kind {
+            RequestKind::Resumed { first, .. } => first,
+            _ => &request.id,
+        };
+        let known = by_stream.entry(first).or_default();
+        known.extend(versions(&request.body));
+    }
+    let mixed = by_stream.into_iter().filter(|(_, known)| known.len() > 1);
+    mixed
+        .map(|(id, known)| format!("{id}: events of versions {known:?}"))
+        .collect()
 }
 
 /// Checks that each response belongs to its request and has its events in order, and that a
@@ -105,15 +156,18 @@
 fn responses_match_requests(history: &History) -> Vec<String> {
     let answered = history.requests.iter().filter(|a| a.status == 200);
     let wrong = answered.filter(|request| {
-        let expected = if is_turn(&request.kind) {
-            expected_stream(&request.id)
-        } else {
-            format!("answer to {}", request.id)
+        let expected = match &request.kind {
+            RequestKind::Chat { .. } | RequestKind::Draft => expected_stream(&request.id, 0),
+            RequestKind::Resumed { last_event, .. } => expected_stream(&request.id, *last_event),
+            RequestKind::Lookup | RequestKind::Booking | RequestKind::Version(_) => {
+                format!("answer to {}", request.id)
+            }
         };
+        let body = without_versions(&request.body);
         if request.is_complete {
-            request.body != expected
+            body != expected
         } else {
-            !expected.starts_with(&request.body)
+            !expected.starts_with(&body)
         }
     });
     let describe =
@@ -217,7 +271,9 @@
         RequestKind::Chat {
             previous: Some(previous),
         } => ended.contains(&previous.as_str()),
-        RequestKind::Chat { previous: None } | RequestKind::Draft => true,
+        RequestKind::Chat { previous: None } | RequestKind::Draft | RequestKind::Resumed { .. } => {
+            true
+        }
         RequestKind::Lookup | RequestKind::Booking | RequestKind::Version(_) => false,
     });
     wrong
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -23,6 +23,9 @@
 /// The number of backend servers in a run, by service.
 const SERVERS: [(&str, usize); 2] = [(MODEL_SERVICE, 3), (PLAIN_SERVICE, 2)];
 
+/// The software versions of the servers of a service, in turn.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+
 /// A backend server behind its proxy.
 #[derive(Debug)]
 struct Server {
@@ -354,9 +357,10 @@
     let id = format!("{service}-{number}");
     let backend = PlatformBackend::start(BackendSettings {
         id: id.clone(),
+        version: VERSIONS[number % VERSIONS.len()].to_owned(),
+        names_version: service == MODEL_SERVICE,
         events: EVENTS_PER_STREAM,
-        pause: Duration::from_millis(5),
-        ..BackendSettings::default()
+        pause: Duration::from_millis(10),
     })?;
     let proxy = Proxy::start(backend.address)?;
     let server = Server {
--- a/standins/tests/process_run/mod.rs
+++ b/standins/tests/process_run/mod.rs
@@ -43,6 +43,7 @@
             version: version.to_owned(),
             events: EVENTS,
             pause: SLOW_PAUSE,
+            ..BackendSettings::default()
         })?;
         let proxy = Proxy::start(backend.address)?;
         Ok(Self { backend, proxy })
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -12,7 +12,7 @@
 
 fn request(id: &str, kind: RequestKind) -> RequestRecord {
     let body = match kind {
-        RequestKind::Chat { .. } | RequestKind::Draft => {
+        RequestKind::Chat { .. } | RequestKind::Draft | RequestKind::Resumed { .. } => {
             let event = |number| format!("id: {number}\ndata: {id}-{number}\n\n");
             [1, 2, 3, 4].map(event).concat()
         }
@@ -70,7 +70,7 @@
 #[test]
 fn each_violation_is_found_by_one_check() {
     type Damage = fn(&mut History);
-    let cases: [(Damage, &str); 11] = [
+    let cases: [(Damage, &str); 13] = [
         (
             |h| h.requests[2].body = "answer to b2".to_owned(),
             "b1: wrong response body",
@@ -112,6 +112,37 @@
             },
             "p: 560 tokens delivered, budget is 400",
         ),
+        (
+            |h| {
+                let mut draft = request("d1", RequestKind::Draft);
+                draft.body = draft.body.replacen("data", "event: v1\ndata", 1);
+                draft.body = draft
+                    .body
+                    .replacen("\ndata: d1-4", "\nevent: v2\ndata: d1-4", 1);
+                h.requests.push(draft);
+            },
+            "d1: events of versions",
+        ),
+        (
+            |h| {
+                let mut draft = request("d1", RequestKind::Draft);
+                draft.is_complete = false;
+                draft.body = "id: 1\nevent: v1\ndata: d1-1\n\nid: 2\neve".to_owned();
+                h.requests.push(draft);
+                let first = "d1".to_owned();
+                let mut rest = request(
+                    "d2",
+                    RequestKind::Resumed {
+                        first,
+                        last_event: 1,
+                    },
+                );
+                rest.body = rest.body.replacen("id: 1\ndata: d2-1\n\n", "", 1);
+                rest.body = rest.body.replacen("data", "event: v2\ndata", 1);
+                h.requests.push(rest);
+            },
+            "d1: events of versions",
+        ),
         (
             |h| h.executed[1].body = "t1t2".to_owned(),
             "t2: wrong prompt `t1t2`",
