Choose ports of gateway processes that the system assigns to nobody

A test of gateways as processes failed once: the gateway found its port in use ("can't listen on 127.0.0.1:45621"). Its ports were found by binding port 0 and released before the process started, and servers and connections of tests beside it took one meanwhile. Ports now come from 10000 to 31999, outside the range of the system, and each once per process.

--- a/standins/src/soak_process.rs
+++ b/standins/src/soak_process.rs
@@ -5,6 +5,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -13,6 +14,11 @@
 /// has several graceful shutdowns.
 const DRAIN_DELAY_MS: u64 = 400;
 const SHUTDOWN_LIMIT_MS: u64 = 3_000;
+/// The ports for gateways, below those that the system assigns.
+const FIRST_PORT: u16 = 10_000;
+const PORT_COUNT: u16 = 22_000;
+/// The distance between the first ports of processes with successive ids.
+const PORTS_PER_PROCESS: u32 = 500;
 /// How much longer than its shutdown limit a process may take to exit.
 const EXIT_GRACE: Duration = Duration::from_secs(2);
 
@@ -32,15 +38,14 @@
 impl ProcessPorts {
     /// Finds free ports for a number of gateways.
     ///
-    /// All ports stay bound until the last one is found: the system may hand out a released port
-    /// again, and of two gateways with the same port one does not start.
+    /// No port is found twice, and all are outside the range from which the system chooses: it
+    /// could hand out a released port to a connection before the gateway listens on it.
     ///
     /// # Errors
     ///
     /// Returns an error if there are too few free ports.
     pub fn find_free(gateways: usize) -> io::Result<Vec<Self>> {
-        let bind = || TcpListener::bind((IpAddr::V4(Ipv4Addr::LOCALHOST), 0));
-        let bind_all = || Ok([bind()?, bind()?, bind()?, bind()?]);
+        let bind_all = || Ok([bind_next()?, bind_next()?, bind_next()?, bind_next()?]);
         let held: Vec<_> = (0..gateways)
             .map(|_| bind_all())
             .collect::<io::Result<_>>()?;
@@ -56,6 +61,25 @@
     }
 }
 
+/// Binds the next free port of this process's sequence.
+fn bind_next() -> io::Result<TcpListener> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let mut error = io::Error::from(io::ErrorKind::AddrInUse);
+    for _ in 0..PORT_COUNT {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        // Tests that run at the same time begin at different ports.
+        let offset = std::process::id()
+            .wrapping_mul(PORTS_PER_PROCESS)
+            .wrapping_add(number);
+        let port = FIRST_PORT + u16::try_from(offset % u32::from(PORT_COUNT)).unwrap_or(0);
+        match TcpListener::bind((IpAddr::V4(Ipv4Addr::LOCALHOST), port)) {
+            Ok(listener) => return Ok(listener),
+            Err(err) => error = err,
+        }
+    }
+    Err(error)
+}
+
 /// A gateway's process, which can be restarted on the same ports.
 #[derive(Debug)]
 pub struct GatewayProcess {
