Say where the origin of a resumed stream was found; safeguard for test builds

Lines of resumed requests have origin_from: memory, peer or sole_version. A peer's word that a service has one version is refused only if this gateway lists another one, also from an old list. The safeguard stream_version can be left out of a test build, so that the soak shows what it guards.

--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -112,6 +112,7 @@
     ) -> Option<ServerSlot> {
         let directory = shared.directory();
         let limit = shared.connection_limit(self.service);
+        let origin = origin.filter(|_| !Safeguard::StreamVersion.is_disabled());
         let mut choice = shared.choice.borrow_mut();
         let candidates: Vec<&BackendServer> = directory
             .servers
--- a/clementinepickd/src/gateway_origins.rs
+++ b/clementinepickd/src/gateway_origins.rs
@@ -22,6 +22,7 @@
 
 use crate::gateway_peer::{PeerCall, call_peer};
 use crate::gateway_shared::Shared;
+use crate::gateway_trace::Trace;
 use crate::ledger::{from_cbor, to_cbor};
 
 /// The path of calls that hand origins to a peer.
@@ -160,9 +161,11 @@
             })
     }
 
-    /// Returns whether no other version of the origin's service is listed now.
-    fn lists_only(&self, origin: &StreamOrigin, now: Instant) -> bool {
-        self.sole_version(&origin.service, SpanUs(0), now).as_ref() == Some(&origin.version)
+    /// Returns whether this process lists a server of the same service with another version.
+    fn lists_other_version(&self, origin: &StreamOrigin) -> bool {
+        let directory = self.directory();
+        let mut servers = directory.servers.servers.values();
+        servers.any(|server| server.service == origin.service && !origin.fits(server))
     }
 
     /// Returns the reachable peers that should hold the origin of a stream, the first one first.
@@ -178,34 +181,42 @@
 /// Finds the origin of a stream: as recorded here or at a peer, else the only one possible.
 ///
 /// A process that has just started knows neither, but its peers do.
-pub(crate) async fn find_origin(shared: &Shared, query: &OriginQuery) -> Option<StreamOrigin> {
-    let own_answer = shared.answer_origin(query, Instant::now());
-    if let OriginAnswer::Recorded(recorded) = own_answer {
-        return Some(recorded.origin);
-    }
-    let mut sole = match own_answer {
+pub(crate) async fn find_origin(
+    shared: &Shared,
+    trace: &Trace,
+    query: &OriginQuery,
+) -> Option<StreamOrigin> {
+    let mut sole = match shared.answer_origin(query, Instant::now()) {
+        OriginAnswer::Recorded(recorded) => {
+            trace.add_field("origin_from", &"memory");
+            return Some(recorded.origin);
+        }
         OriginAnswer::Sole(origin) => Some(origin),
-        _ => None,
+        OriginAnswer::Unknown => None,
     };
-    if query.attempt.is_none() && sole.is_some() {
-        return sole;
-    }
-    let mut calls = ask_peers(shared, query);
-    while let Some(answer) = calls.next().await {
-        match answer {
-            Some(OriginAnswer::Recorded(recorded)) => {
-                shared.hold_origin(&recorded, Instant::now());
-                return Some(recorded.origin);
-            }
-            Some(OriginAnswer::Sole(origin)) if shared.lists_only(&origin, Instant::now()) => {
-                sole.get_or_insert(origin);
-                if query.attempt.is_none() {
-                    break;
+    let may_be_recorded = query.attempt.is_some();
+    if may_be_recorded || sole.is_none() {
+        let mut calls = ask_peers(shared, query);
+        while let Some(answer) = calls.next().await {
+            match answer {
+                Some(OriginAnswer::Recorded(recorded)) => {
+                    shared.hold_origin(&recorded, Instant::now());
+                    trace.add_field("origin_from", &"peer");
+                    return Some(recorded.origin);
                 }
+                Some(OriginAnswer::Sole(origin)) if !shared.lists_other_version(&origin) => {
+                    sole.get_or_insert(origin);
+                    if !may_be_recorded {
+                        break;
+                    }
+                }
+                Some(OriginAnswer::Sole(_) | OriginAnswer::Unknown) | None => {}
             }
-            _ => {}
         }
     }
+    if sole.is_some() {
+        trace.add_field("origin_from", &"sole_version");
+    }
     sole
 }
 
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -64,7 +64,7 @@
     trace: &Trace,
     reply: &mut Reply<'_>,
 ) -> Result<Result<(), Refusal>, CallerDisconnected> {
-    let origin = match find_resumed_origin(shared, routed).await {
+    let origin = match find_resumed_origin(shared, routed, trace).await {
         Ok(origin) => origin,
         Err(refusal) => return Ok(Err(refusal)),
     };
@@ -136,6 +136,7 @@
 async fn find_resumed_origin(
     shared: &Shared,
     routed: &RoutedRequest<'_>,
+    trace: &Trace,
 ) -> Result<Option<StreamOrigin>, Refusal> {
     let info = routed.info;
     if info.last_event_id.is_none() && info.resumed_attempt.is_none() {
@@ -152,7 +153,7 @@
         service: routed.service.to_owned(),
         max_age: SpanUs(timeout_us.saturating_mul(MAX_STREAM_TIMEOUTS)),
     };
-    let origin = find_origin(shared, &query).await;
+    let origin = find_origin(shared, trace, &query).await;
     let origin = origin.ok_or(Refusal::StreamUnknown)?;
     let servers = shared.directory().servers;
     let can_continue = routed.route.leads_to(&origin.service)
--- a/clementinepickd/src/safeguard.rs
+++ b/clementinepickd/src/safeguard.rs
@@ -15,6 +15,8 @@
     DrainNotice,
     /// A response that names another request is not passed on to the caller.
     OwnAnswer,
+    /// A stream is resumed only at a server of the software version that began it.
+    StreamVersion,
 }
 
 impl Safeguard {
@@ -34,6 +36,7 @@
             Self::BookingOnce => "booking_once",
             Self::DrainNotice => "drain_notice",
             Self::OwnAnswer => "own_answer",
+            Self::StreamVersion => "stream_version",
         };
         std::env::var("CLEMENTINEPICK_LEAVE_OUT").is_ok_and(|disabled| disabled == name)
     }
