--- a/clementinepickd/src/gateway_origins.rs
+++ b/clementinepickd/src/gateway_origins.rs
@@ -24,6 +24,7 @@
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
 use crate::ledger::{from_cbor, to_cbor};
+use crate::link::to_span;
 
 /// The path of calls that hand origins to a peer.
 const HOLD_PATH: &str = "/origins/hold";
@@ -52,7 +53,7 @@
     origin: StreamOrigin,
     /// How long the caller may still resume the stream.
     #[serde(rename = "k")]
-    keep: SpanUs,
+    keep_us: SpanUs,
 }
 
 /// Asks where a stream began.
@@ -66,7 +67,7 @@
     pub(crate) service: String,
     /// The longest time since the stream can have begun.
     #[serde(rename = "t")]
-    pub(crate) max_age: SpanUs,
+    pub(crate) max_age_us: SpanUs,
 }
 
 /// What a process knows about the origin of a stream.
@@ -110,11 +111,10 @@
         deadline: Instant,
         now: Instant,
     ) {
-        let keep = deadline.saturating_duration_since(now);
         let shared_origin = SharedOrigin {
             attempt: attempt.to_owned(),
             origin,
-            keep: SpanUs(u64::try_from(keep.as_micros()).unwrap_or(u64::MAX)),
+            keep_us: to_span(deadline.saturating_duration_since(now)),
         };
         self.hold_origin(&shared_origin, now);
         // The receiver ends only with the process.
@@ -132,10 +132,10 @@
         let SharedOrigin {
             attempt,
             origin,
-            keep,
+            keep_us,
         } = shared_origin;
         let mut known = self.origins.known.borrow_mut();
-        known.record(now, attempt, origin.clone(), now.after(*keep));
+        known.record(now, attempt, origin.clone(), now.after(*keep_us));
     }
 
     fn known_origin(&self, attempt: &str, now: Instant) -> Option<SharedOrigin> {
@@ -145,7 +145,7 @@
         Some(SharedOrigin {
             attempt: attempt.to_owned(),
             origin: origin.clone(),
-            keep: expires_at.since(now),
+            keep_us: expires_at.since(now),
         })
     }
 
@@ -155,7 +155,7 @@
             return OriginAnswer::Recorded(recorded);
         }
         let service = query.service.clone();
-        self.sole_version(&service, query.max_age, now)
+        self.sole_version(&service, query.max_age_us, now)
             .map_or(OriginAnswer::Unknown, |version| {
                 OriginAnswer::Sole(StreamOrigin { service, version })
             })
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -11,7 +11,6 @@
 use clementinepick::event::{Event, EventKind};
 use clementinepick::refusal::{Refusal, ledger_retry_after};
 use clementinepick::traffic_config::{RequestKind, TrafficConfig};
-use clementinepick::units::SpanUs;
 use platform::request::RequestInfo;
 use rand::RngExt;
 use tokio::time::timeout_at;
@@ -23,7 +22,7 @@
 use crate::gateway_shared::Shared;
 use crate::gateway_stream::{self, TURN};
 use crate::gateway_trace::Trace;
-use crate::link::duration;
+use crate::link::{duration, to_span};
 
 /// The outcome in metrics of successful requests.
 const SERVED: &str = "served";
@@ -196,10 +195,6 @@
     })
 }
 
-fn to_span(duration: Duration) -> SpanUs {
-    SpanUs(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
-}
-
 fn route_request<'a>(
     config: &'a TrafficConfig,
     request: &'a ReceivedRequest<'a>,
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -151,7 +151,7 @@
     let query = OriginQuery {
         attempt: info.resumed_attempt.clone(),
         service: routed.service.to_owned(),
-        max_age: SpanUs(timeout_us.saturating_mul(MAX_STREAM_TIMEOUTS)),
+        max_age_us: SpanUs(timeout_us.saturating_mul(MAX_STREAM_TIMEOUTS)),
     };
     let origin = find_origin(shared, trace, &query).await;
     let origin = origin.ok_or(Refusal::StreamUnknown)?;
--- a/clementinepickd/src/link.rs
+++ b/clementinepickd/src/link.rs
@@ -191,6 +191,10 @@
     Duration::from_micros(span.0)
 }
 
+pub(crate) fn to_span(duration: Duration) -> SpanUs {
+    SpanUs(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
+}
+
 /// Why a link ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum LinkEnd {
