--- a/clementinepick/benches/decisions.rs
+++ b/clementinepick/benches/decisions.rs
@@ -1,17 +1,20 @@
-//! Measures how the time of one routing choice grows with the number of backend servers, and that of
-//! one admission with the number of queued calls.
+//! Measures how the time of one routing choice grows with the number of backend servers, that of one
+//! admission with the number of queued calls, and that of choosing the peers that hold the origin of
+//! a stream with the number of gateways.
 //!
 //! Prints nanoseconds and the slope over the whole range. The times have no bounds;
 //! `tests/backends.rs` bounds the number of candidates that a choice examines.
 
 use std::collections::BTreeSet;
 use std::hint::black_box;
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use clementinepick::admission_queue::{AdmissionQueue, AdmissionSettings, QueuedCall};
 use clementinepick::ids::{AttemptId, ServiceName, VmId};
 use clementinepick::platform::CacheEvent;
 use clementinepick::prompt::{ChainHash, Prompt, Segment};
+use clementinepick::rendezvous::rank_addresses;
 use clementinepick::route::{RouteQuery, RouteSettings, Router};
 use clementinepick::units::{SpanUs, TimeUs, Tokens};
 
@@ -19,6 +22,8 @@
 const SERVERS: [u64; 4] = [12, 100, 1_000, 10_000];
 /// The numbers of calls in the queue of one backend server to measure.
 const QUEUED_CALLS: [u64; 4] = [12, 100, 1_000, 10_000];
+/// The numbers of gateways to measure.
+const GATEWAYS: [u64; 4] = [9, 31, 300, 2_500];
 /// The number of decisions in one measurement.
 const ROUNDS: u64 = 20_000;
 /// The number of segments of a prompt: a conversation of about twenty turns.
@@ -118,6 +123,22 @@
     start.elapsed().as_nanos() / u128::from(ROUNDS)
 }
 
+/// Measures the ranking of `gateways` peers for one stream, in nanoseconds.
+fn measure_ranking(gateways: u64) -> u128 {
+    const RANKINGS: u64 = 500;
+    let address = |n: u64| {
+        let [.., high, low] = n.to_be_bytes();
+        SocketAddr::from(([10, 0, high, low], 7_380))
+    };
+    let peers: Vec<SocketAddr> = (0..gateways).map(address).collect();
+    let start = Instant::now();
+    for stream in 0..RANKINGS {
+        let addresses = peers.iter().copied();
+        black_box(rank_addresses(&stream.to_string(), addresses, 2));
+    }
+    start.elapsed().as_nanos() / u128::from(RANKINGS)
+}
+
 /// Returns the growth per 1,000 from the first to the last point.
 fn slope(points: &[(u64, u128)]) -> i128 {
     let [(x0, y0), .., (x1, y1)] = points else {
@@ -143,4 +164,11 @@
         points.push((waiting, ns));
     }
     println!("queue: {} ns more per 1,000 waiting", slope(&points));
+    let mut points = Vec::new();
+    for gateways in GATEWAYS {
+        let ns = measure_ranking(gateways);
+        println!("rank, {gateways:>6} gateways {ns:>10}");
+        points.push((gateways, ns));
+    }
+    println!("rank: {} ns more per 1,000 gateways", slope(&points));
 }
--- a/clementinepickd/src/gateway_origins.rs
+++ b/clementinepickd/src/gateway_origins.rs
@@ -168,13 +168,13 @@
         servers.any(|server| server.service == origin.service && !origin.fits(server))
     }
 
-    /// Returns the reachable peers that should hold the origin of a stream, the first one first.
-    fn origin_holders(&self, attempt: &str, now: Instant) -> Vec<SocketAddr> {
+    /// Returns the first `count` reachable peers that should hold the origin of a stream.
+    fn origin_holders(&self, attempt: &str, count: usize, now: Instant) -> Vec<SocketAddr> {
         let directory = self.directory();
         let own = self.peer_address;
         let peers = directory.peers.iter().copied().filter(|peer| *peer != own);
         let reachable = peers.filter(|peer| !self.homes.is_silent(*peer, now));
-        rank_addresses(attempt, reachable)
+        rank_addresses(attempt, reachable, count)
     }
 }
 
@@ -226,9 +226,9 @@
     query: &OriginQuery,
 ) -> FuturesUnordered<impl Future<Output = Option<OriginAnswer>>> {
     let key = query.attempt.as_deref().unwrap_or_default();
-    let holders = shared.origin_holders(key, Instant::now()).into_iter();
+    let holders = shared.origin_holders(key, MAX_ASKED, Instant::now());
     let body = to_cbor(query);
-    let calls = holders.take(MAX_ASKED).map(|peer| {
+    let calls = holders.into_iter().map(|peer| {
         let call = PeerCall {
             path: FIND_PATH,
             body: body.clone(),
@@ -272,8 +272,7 @@
     let now = Instant::now();
     let mut by_holder: BTreeMap<SocketAddr, Vec<SharedOrigin>> = BTreeMap::new();
     for origin in origins {
-        let holders = shared.origin_holders(&origin.attempt, now).into_iter();
-        for holder in holders.take(COPIES) {
+        for holder in shared.origin_holders(&origin.attempt, COPIES, now) {
             by_holder.entry(holder).or_default().push(origin.clone());
         }
     }
