--- a/standins/src/soak_callers.rs
+++ b/standins/src/soak_callers.rs
@@ -188,7 +188,8 @@
             let received = self.send(gateway, program, kind);
             match received.status {
                 200 if received.is_complete => return Some(received.id),
-                200 => last_event = received.last_event.unwrap_or(last_event),
+                // Without a response, the gateway may be down; the next try meets another one.
+                0 | 200 => last_event = received.last_event.unwrap_or(last_event),
                 _ => return None,
             }
         }
