--- a/standins/src/soak_callers.rs
+++ b/standins/src/soak_callers.rs
@@ -169,12 +169,16 @@
                     }
                 }
                 402 | 404 => return None,
-                _ => sleep(MAX_RETRY_BACKOFF.mul_f64(self.random.random_range(0.2..1.0))),
+                _ => self.back_off(),
             }
         }
         None
     }
 
+    fn back_off(&mut self) {
+        sleep(MAX_RETRY_BACKOFF.mul_f64(self.random.random_range(0.2..1.0)));
+    }
+
     /// Resumes a draft that was cut, until it is complete; `None` if it can't be resumed.
     fn resume_until_complete(&mut self, program: &str, cut: Received) -> Option<String> {
         let first = cut.id;
@@ -188,8 +192,9 @@
             let received = self.send(gateway, program, kind);
             match received.status {
                 200 if received.is_complete => return Some(received.id),
-                // Without a response, the gateway may be down; the next try meets another one.
-                0 | 200 => last_event = received.last_event.unwrap_or(last_event),
+                200 => last_event = received.last_event.unwrap_or(last_event),
+                // The gateway may be down; the next try may meet another one.
+                0 => self.back_off(),
                 _ => return None,
             }
         }
