Restore the reasons and numbers of fourteen comments

Put back, in today's names, for constants of the budget ledger, the selection of servers, peers, the store client, calls, homes, retries and the histogram. No code changes.

--- a/clementinepick/src/budget_ledger.rs
+++ b/clementinepick/src/budget_ledger.rs
@@ -34,13 +34,15 @@
 use crate::units::Tokens;
 
 /// A slice is the unreserved budget divided by this, and at least one turn. Smaller slices need
-/// more appends; larger ones lose more of the budget with a lost process.
+/// more appends; larger ones lose more of the budget with a lost process. With a quarter, half of
+/// the users' programs need one slice, and six processes can hold slices of a program at once.
 const SLICE_DIVISOR: u64 = 4;
 
 /// The first home's standing slices are budgets halved this many times, each further home's once
 /// more. What a lost home has granted is unknown, so programs that start in the minutes after its
 /// loss can't use its standing slices: with a quarter, they still get three quarters of their
-/// budgets.
+/// budgets, of which the users' programs use half. While the store is unavailable, a quarter is
+/// enough for a turn or two.
 const FIRST_HALVINGS: u32 = 2;
 
 /// A reserved slice, identified by the key of its record.
--- a/clementinepick/src/failure_rate.rs
+++ b/clementinepick/src/failure_rate.rs
@@ -17,8 +17,8 @@
 
 /// The weight of one outcome in the exponential moving average.
 const OUTCOME_WEIGHT: f64 = 0.25;
-/// The half-life of the rate while no outcome is recorded, after which a recovered server gets
-/// requests again.
+/// The half-life of the rate while no outcome is recorded: a recovered server gets requests again
+/// within seconds, and few of them before that.
 const HALF_LIFE_US: SpanUs = SpanUs::from_s(1);
 
 /// A lower rate counts as zero, so that old failures don't decide between equally good servers.
--- a/clementinepick/src/peer_liveness.rs
+++ b/clementinepick/src/peer_liveness.rs
@@ -21,7 +21,8 @@
 /// How long no call is made to a peer after a failed one.
 const SILENCE_US: SpanUs = SpanUs::from_s(1);
 /// The time without a response after which a peer is considered lost. A shorter one would
-/// needlessly replace processes that only pause.
+/// needlessly replace processes that only pause. Responses take up to 250 ms, and a process that
+/// shuts down says so itself.
 const LOST_AFTER_US: SpanUs = SpanUs::from_s(2);
 /// How long no call is made to a lost peer; then a single failed call confirms that it is still
 /// lost.
--- a/clementinepick/src/predict.rs
+++ b/clementinepick/src/predict.rs
@@ -8,7 +8,7 @@
 use crate::ids::{ClassName, ToolName};
 use crate::units::{SpanUs, Tokens};
 
-/// The number of buckets per power of two.
+/// The number of buckets per power of two; the bound of a bucket is at most 19 % above its values.
 const BUCKETS_PER_DOUBLING: u32 = 4;
 /// The number of buckets of a histogram, for values up to 2^40.
 const BUCKETS: usize = 160;
--- a/clementinepick/src/server_selection.rs
+++ b/clementinepick/src/server_selection.rs
@@ -13,7 +13,8 @@
 use crate::server_list::BackendServer;
 use crate::units::{SpanUs, TimeUs};
 
-/// The backoff after a server's first failure; it doubles with each further failure.
+/// The backoff after a server's first failure; it doubles with each further failure. A restarted
+/// server is back within one to four seconds.
 const INITIAL_BACKOFF_US: SpanUs = SpanUs::from_ms(250);
 /// The upper bound of the backoff, and so of the wait for a server that has recovered.
 const MAX_BACKOFF_US: SpanUs = SpanUs::from_s(2);
@@ -27,15 +28,18 @@
 /// by the server's rank for the chain.
 const RANK_CACHED_PERCENT: [u64; 2] = [90, 5];
 /// The cost of placing a turn chain one rank lower: other processes, which get a third of its later
-/// turns, look for it at the first server and prefill 4,000 tokens again where it isn't cached.
+/// turns, look for it at the first server and prefill 4,000 tokens again where it isn't cached. It
+/// equals the load of five requests, and two servers rarely differ by more.
 const RANK_COST_US: f64 = 45_000.0;
 
 /// The load penalty of a server that fails all requests, as a multiple of the mean load; it shrinks
 /// in proportion to the failure rate. The server still gets requests when the others are that much
-/// busier, since they might be overloaded without it.
+/// busier, since they might be overloaded without it. Most programs that fail at such a server do so
+/// by a booking, which can't be repeated.
 const FAILURE_PENALTY_FACTOR: f64 = 8.0;
 
-/// The capacity of each map of recent servers, about 600 kB.
+/// The capacity of each map of recent servers, about 600 kB: the turns of half a minute at the
+/// design load.
 const MAX_RECENT_SERVERS: usize = 4_096;
 
 #[derive(Debug, Clone, Copy, Default)]
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -39,8 +39,8 @@
 
 /// The backoff after a failed accept, which usually means that file descriptors have run out.
 const ACCEPT_ERROR_BACKOFF: Duration = Duration::from_millis(20);
-/// How long a terminating process may take to record the usage of its standing slices. If the
-/// append fails, programs lose a part of their budgets.
+/// How long a terminating process may take to record the usage of its standing slices. An append
+/// takes about 10 ms; if it fails, programs lose a part of their budgets.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
 /// The interval at which a draining process checks whether its connections are closed.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(30);
--- a/clementinepickd/src/gateway_budget.rs
+++ b/clementinepickd/src/gateway_budget.rs
@@ -24,7 +24,8 @@
 use crate::ledger_budgets::BudgetRequest;
 use crate::ledger_holds::{BudgetHold, Lender, SliceGrant, TokenReturn};
 
-/// How long a home may take to respond; it may have to append a slice to the store first.
+/// How long a home may take to respond; it may have to append a slice to the store first, which
+/// takes about 10 ms.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long a peer may take to respond to a request that it serves from memory.
 const LEND_TIMEOUT: Duration = Duration::from_millis(150);
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -21,8 +21,8 @@
 /// never looks complete and an idempotent call can be sent again.
 const MAX_RESPONSE_BYTES: usize = 4_194_304;
 /// An idempotent call without a response after this many times the route's latency target is sent
-/// to another server. A busy server responds within the target in 95 % of cases, so that few calls
-/// are sent twice in vain.
+/// to another server. A server that has lost the response sends none at all, and a busy one responds
+/// within the target in 95 % of cases, so that few calls are sent twice in vain.
 const TIMEOUT_LATENCY_TARGETS: u32 = 2;
 
 /// The kind of calls in metrics.
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -42,7 +42,7 @@
 /// a list whose read was lost is read again within this time.
 const MAX_VERSIONS_AGE: Duration = Duration::from_secs(2);
 /// The percentage of requests that may be retried. Faults of single servers affect fewer responses
-/// than this; more failures mean that a service fails as a whole.
+/// than this, up to 5 % at six servers in ten; more failures mean that a service fails as a whole.
 const RETRY_PERCENT: u8 = 20;
 
 /// The state that the tasks of the traffic thread share.
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -21,7 +21,8 @@
 use crate::outbound::{OutboundError, OutboundRequest};
 use crate::outbound_pool::ConnectionPool;
 
-/// The maximum timeout of one attempt. A store that responds later counts as unavailable.
+/// The maximum timeout of one attempt. A store that responds later counts as unavailable; one that
+/// is 60 times slower than usual responds within 300 ms.
 const MAX_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(600);
 /// The minimum timeout of one attempt. A store that usually responds in 10 ms and has not done so
 /// in this time probably will not respond at all, while a peer may reach it.
