Log what became of a server that lost a response, and the content of its request

Cause: a lost response looks the same whether its server has ended or closed a connection, and nothing links the attempts of one caller, each of which has an id of its own. Change: after a lost response the gateway asks the server's address who is there, and logs response_lost with the fate of the server and a hash of the request's content; clementinepick_lost_responses_total counts the fates.

--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -107,6 +107,8 @@
     ServerEntryUnreadable = 212, "server_entry_unreadable", Warning;
     /// A backend server is no longer listed after an outage; it stays in use for a grace period.
     ServerKept = 213, "server_kept", Info;
+    /// A response was lost; `fate` says whether its server has ended since.
+    ResponseLost = 214, "response_lost", Info;
     /// The log can't be written or read.
     LogDown = 301, "log_down", Warning;
     /// The log is available again.
--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -83,6 +83,7 @@
 mod recovery;
 pub mod refusal;
 pub mod rendezvous;
+pub mod request_key;
 pub mod retry;
 pub mod route;
 pub mod rules;
--- a/clementinepick/src/traffic_config.rs
+++ b/clementinepick/src/traffic_config.rs
@@ -53,6 +53,8 @@
     pub max_connections: u32,
     /// The number of tokens in one event of a stream.
     pub tokens_per_event: Tokens,
+    /// The path of its servers' health checks, if they have any.
+    pub health_path: Option<String>,
 }
 
 /// Size limits and timeouts of callers' requests.
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -4,12 +4,15 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use clementinepick::event::{Event, EventKind};
 use clementinepick::refusal::Refusal;
+use clementinepick::server_list::BackendServer;
 use clementinepick::stream_origin::StreamOrigin;
 
 use crate::gateway_exchange::{RoutedRequest, ServerSlot};
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
+use crate::server_probe::probe;
 
 /// Why an attempt brought no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +44,8 @@
     /// Whether the request may run more than once.
     may_repeat: bool,
     tried_servers: Vec<String>,
+    /// The server of the current attempt.
+    current: Option<BackendServer>,
     sends: u32,
     refusal: Refusal,
 }
@@ -59,6 +64,7 @@
             trace,
             may_repeat,
             tried_servers: Vec::new(),
+            current: None,
             sends: 0,
             refusal: Refusal::NoServer,
         }
@@ -83,6 +89,7 @@
             self.routed
                 .select_server(self.shared, &self.tried_servers, last_server, origin)?;
         self.tried_servers.push(slot.server.id.clone());
+        self.current = Some(slot.server.clone());
         self.trace
             .record_send(&slot.server, slot.reason, Instant::now());
         Some(slot)
@@ -96,7 +103,7 @@
     /// Records that the current attempt brought no response.
     ///
     /// Once a response was lost, the request may have run, whatever later attempts return.
-    pub(crate) fn record_error(&mut self, error: AttemptError) {
+    pub(crate) async fn record_error(&mut self, error: AttemptError) {
         self.sends += u32::from(error != AttemptError::ConnectFailed);
         self.trace.record_error(error.label());
         self.refusal = match (self.refusal, error) {
@@ -106,6 +113,24 @@
         };
         let may_have_run = self.refusal == Refusal::ServerLost;
         self.trace.may_have_run.set(may_have_run);
+        if error == AttemptError::ResponseLost
+            && let Some(server) = self.current.take()
+        {
+            self.record_loss(&server).await;
+        }
+    }
+
+    /// Finds out what became of a server that lost a response.
+    async fn record_loss(&self, server: &BackendServer) {
+        let health_path = self.shared.health_path(&server.service);
+        let fate = probe(server.address, &server.id, health_path.as_deref()).await;
+        self.shared.metrics.count_lost_response(fate.label());
+        let event = Event::new(EventKind::ResponseLost)
+            .with("request", &self.routed.info.id)
+            .with("content", self.routed.content_key())
+            .with("server", &server.id)
+            .with("fate", fate.label());
+        self.shared.log(&event);
     }
 
     /// Returns the refusal to send to the caller if all attempts fail.
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -68,7 +68,7 @@
         };
         match exchange(shared, routed, trace, slot, response_timeout).await {
             Ok(full) => return Ok(full),
-            Err(err) => attempts.record_error(err),
+            Err(err) => attempts.record_error(err).await,
         }
     }
     Err(attempts.refusal())
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -3,8 +3,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::{ResponseHead, Uri};
+use actix_http::uri::PathAndQuery;
+use actix_http::{Request, ResponseHead, Uri};
 use actix_rt::time::timeout;
+use clementinepick::request_key::{RequestContent, RequestKey};
 use clementinepick::server_list::BackendServer;
 use clementinepick::server_selection::{Affinity, SelectionReason};
 use clementinepick::stream_origin::StreamOrigin;
@@ -94,6 +96,21 @@
         self.time_left(now) + DEADLINE_MARGIN
     }
 
+    /// Returns the key that all attempts of the caller at this request have in common.
+    pub(crate) fn content_key(&self) -> RequestKey {
+        let head = &self.received.head;
+        let content = RequestContent {
+            method: head.method().as_str(),
+            host: request_host(head),
+            target: head.uri().path_and_query().map_or("", PathAndQuery::as_str),
+            program: self.info.program.as_deref(),
+            session: self.info.session.as_deref(),
+            previous_turn: self.info.previous_turn.as_deref(),
+            body: &self.received.body,
+        };
+        content.key()
+    }
+
     /// Returns the time left until the deadline.
     pub(crate) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
@@ -234,6 +251,13 @@
 /// The largest body of a server's refusal, in bytes, that is read in order to reuse the connection.
 const MAX_REFUSAL_BYTES: usize = 16_384;
 
+/// Returns the host that the caller named, without the port.
+pub(crate) fn request_host(head: &Request) -> &str {
+    let host = head.head().headers.get("host");
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
 /// Returns the path and query as the caller sent them.
 fn request_target(received: &ReceivedRequest<'_>) -> Uri {
     received.head.uri().clone()
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -51,6 +51,13 @@
         });
     }
 
+    /// Counts a lost response by what became of its server.
+    pub(crate) fn count_lost_response(&self, fate: &'static str) {
+        with_local_recorder(&self.recorder, || {
+            counter!("clementinepick_lost_responses_total", "fate" => fate).increment(1);
+        });
+    }
+
     /// Counts a stream that is resumed `by` the gateway within one answer or by its caller.
     pub(crate) fn count_resumed(&self, by: &'static str) {
         with_local_recorder(&self.recorder, || {
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -17,7 +17,7 @@
 
 use crate::gateway_call::{self, CALL};
 use crate::gateway_connection::{Handler, ReceivedRequest};
-use crate::gateway_exchange::RoutedRequest;
+use crate::gateway_exchange::{RoutedRequest, request_host};
 use crate::gateway_reply::{CallerDisconnected, Reply, ReplyState};
 use crate::gateway_shared::Shared;
 use crate::gateway_stream::{self, TURN};
@@ -200,9 +200,7 @@
     request: &'a ReceivedRequest<'a>,
     info: &'a RequestInfo,
 ) -> Result<RoutedRequest<'a>, Refusal> {
-    let host = request.head.head().headers.get("host");
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let host = request_host(&request.head);
     let path = request.head.uri().path();
     let route = config.route(host, path).ok_or(Refusal::NoRoute)?;
     let service = route.choose_service(rand::rng().random());
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -186,6 +186,13 @@
         service.map_or(Tokens(1), |service| service.tokens_per_event)
     }
 
+    /// Returns the path of health checks of a service's servers.
+    pub(crate) fn health_path(&self, service: &str) -> Option<String> {
+        let directory = self.directory.borrow();
+        let services = &directory.config.as_ref()?.services;
+        services.get(service)?.health_path.clone()
+    }
+
     /// Records which software versions are listed now.
     pub(crate) fn record_versions(&self, now: Instant) {
         let servers = Arc::clone(&self.directory.borrow().servers);
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -304,7 +304,7 @@
             match self.run_once(slot, reply).await? {
                 Ok(()) => return Ok(Ok(())),
                 Err(_) if self.is_out_of_budget => return Ok(Err(Refusal::LedgerUnavailable)),
-                Err(error) => attempts.record_error(error),
+                Err(error) => attempts.record_error(error).await,
             }
         }
         Ok(Err(attempts.refusal()))
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -66,6 +66,7 @@
 mod role_logic;
 mod safeguard;
 mod server_follower;
+mod server_probe;
 pub mod settings;
 pub mod settings_file;
 mod store;
--- a/standins/src/platform_run.rs
+++ b/standins/src/platform_run.rs
@@ -44,7 +44,7 @@
     ];
     let routes = routes.join(",");
     format!(
-        r#"{{"Version":{version},"Routes":[{routes}],"Services":[{{"Name":"models","MaxConns":50,"Engine":{{"Stride":10}}}},{{"Name":"plain","MaxConns":50}}],"Limits":{{"MaxHeaderBytes":4096,"MaxBodyBytes":100000,"HeaderTimeoutMs":400,"IdleTimeoutMs":5000}}}}"#
+        r#"{{"Version":{version},"Routes":[{routes}],"Services":[{{"Name":"models","HealthPath":"/healthz","MaxConns":50,"Engine":{{"Stride":10}}}},{{"Name":"plain","HealthPath":"/healthz","MaxConns":50}}],"Limits":{{"MaxHeaderBytes":4096,"MaxBodyBytes":100000,"HeaderTimeoutMs":400,"IdleTimeoutMs":5000}}}}"#
     )
 }
 
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -95,7 +95,7 @@
     ]
     .join(",");
     format!(
-        r#"{{"Version":{version},"Routes":[{routes}],"Services":[{{"Name":"models","MaxConns":50,"Engine":{{"Stride":{TOKENS_PER_EVENT}}}}},{{"Name":"plain","MaxConns":50}}],"Limits":{{"MaxHeaderBytes":4096,"MaxBodyBytes":100000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":5000}}}}"#
+        r#"{{"Version":{version},"Routes":[{routes}],"Services":[{{"Name":"models","HealthPath":"/healthz","MaxConns":50,"Engine":{{"Stride":{TOKENS_PER_EVENT}}}}},{{"Name":"plain","HealthPath":"/healthz","MaxConns":50}}],"Limits":{{"MaxHeaderBytes":4096,"MaxBodyBytes":100000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":5000}}}}"#
     )
 }
 
@@ -361,6 +361,7 @@
         names_version: service == MODEL_SERVICE,
         events: EVENTS_PER_STREAM,
         pause: Duration::from_millis(10),
+        ..BackendSettings::default()
     })?;
     let proxy = Proxy::start(backend.address)?;
     let server = Server {
