--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -12,6 +12,9 @@
     Script, Step, WireRequest, WireServer, chunk, chunked_head, full_response, last_chunk,
 };
 
+/// The path of health checks.
+const HEALTH_PATH: &str = "/healthz";
+
 /// A fault injected into one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendFault {
@@ -48,6 +51,28 @@
     pub events: u64,
     /// Delay before each event, or before the response to a plain request.
     pub pause: Duration,
+    /// When it started, in Unix milliseconds, if it reports it.
+    pub started_unix_ms: Option<u64>,
+    /// The request that ends the server whenever it runs it.
+    pub fatal_request: Option<FatalRequest>,
+}
+
+/// A request that ends the server which runs it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FatalRequest {
+    /// A part of its path or body that no other request has.
+    pub marker: String,
+    /// The number of events that its stream sends before the end.
+    pub events: u64,
+    /// The time from its arrival, or from its last event, to the end.
+    pub delay: Duration,
+}
+
+impl FatalRequest {
+    fn matches(&self, request: &WireRequest) -> bool {
+        let body = String::from_utf8_lossy(&request.body);
+        request.path.contains(&self.marker) || body.contains(&self.marker)
+    }
 }
 
 impl Default for BackendSettings {
@@ -58,6 +83,8 @@
             names_version: false,
             events: 4,
             pause: Duration::from_millis(2),
+            started_unix_ms: None,
+            fatal_request: None,
         }
     }
 }
@@ -84,7 +111,7 @@
     /// Listening address.
     pub address: SocketAddr,
     core: Arc<Mutex<BackendCore>>,
-    _server: WireServer,
+    server: WireServer,
 }
 
 /// Returns the data of event `number` in the stream for request `id`.
@@ -109,15 +136,26 @@
         Ok(Self {
             address: server.address,
             core,
-            _server: server,
+            server,
         })
     }
 
+    /// Returns whether a fatal request has ended the server.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.server.has_ended()
+    }
+
     /// Queues a fault; each of the next requests takes one from the queue.
     pub fn inject_fault(&self, fault: BackendFault) {
         lock(&self.core).faults.push(fault);
     }
 
+    /// Removes the faults that are still queued.
+    pub fn clear_faults(&self) {
+        lock(&self.core).faults.clear();
+    }
+
     /// Returns whether any fault is still queued.
     #[must_use]
     pub fn has_pending_faults(&self) -> bool {
@@ -139,15 +177,22 @@
     #[must_use]
     pub fn entry(&self, service: &str, state: &str) -> String {
         let address = self.address;
-        let version = &lock(&self.core).settings.version;
+        let core = lock(&self.core);
+        let version = &core.settings.version;
+        let started = core.settings.started_unix_ms;
+        let born = started.map_or_else(String::new, |at| format!(r#","born":{at}"#));
         format!(
-            r#"{{"Service":"{service}","Address":"{address}","Zone":"z","Version":"{version}","Slots":8,"State":"{state}","Seq":1}}"#
+            r#"{{"Service":"{service}","Address":"{address}","Zone":"z","Version":"{version}","Slots":8,"State":"{state}","Seq":1{born}}}"#
         )
     }
 }
 
 impl BackendCore {
     fn respond(&mut self, request: &WireRequest) -> Script {
+        if request.path == HEALTH_PATH {
+            let headers = [("instance-id", self.settings.id.as_str())];
+            return vec![Step::Write(full_response(200, &headers, b""))];
+        }
         let id = header(request, "request-id");
         let expected = header(request, "expect-instance");
         if expected != self.settings.id {
@@ -172,6 +217,11 @@
             Some(BackendFault::Silence) => return vec![Step::Silence],
             _ => {}
         }
+        if let Some(fatal) = &self.settings.fatal_request
+            && fatal.matches(request)
+        {
+            return self.end(request, &id, fatal);
+        }
         let response_id = if fault == Some(BackendFault::WrongId) {
             "another".to_owned()
         } else {
@@ -184,6 +234,18 @@
         }
     }
 
+    /// Sends the events that precede the end of the server, and ends it.
+    fn end(&self, request: &WireRequest, id: &str, fatal: &FatalRequest) -> Script {
+        let mut script = Vec::new();
+        if fatal.events > 0 {
+            let fault = BackendFault::SilentAfter(fatal.events);
+            script = self.stream(request, id, Some(fault));
+            script.pop();
+        }
+        script.push(Step::End(fatal.delay));
+        script
+    }
+
     fn plain(&self, id: &str, fault: Option<BackendFault>) -> Script {
         let headers = response_headers(id);
         let body = format!("answer to {id}");
--- a/standins/src/soak_proxy.rs
+++ b/standins/src/soak_proxy.rs
@@ -51,7 +51,7 @@
     pub fn start(target: SocketAddr) -> io::Result<Self> {
         let mode = Arc::new(Mutex::new(ProxyMode::Forward));
         let current = Arc::clone(&mode);
-        let handler = move |stream| proxy_connection(stream, target, Arc::clone(&current));
+        let handler = move |stream, _| proxy_connection(stream, target, Arc::clone(&current));
         let server = WireServer::start_with(handler)?;
         Ok(Self {
             address: server.address,
--- a/standins/src/wire_server.rs
+++ b/standins/src/wire_server.rs
@@ -49,6 +49,9 @@
     Close,
     /// Say nothing more, and keep the connection open.
     Silence,
+    /// End the server, with all its connections, after a delay; the connection does not have to last
+    /// for as long.
+    End(Duration),
 }
 
 /// The steps of one answer, in order.
@@ -57,12 +60,22 @@
 /// What answers requests; it is called from the server's thread.
 pub type WireHandler = Arc<dyn Fn(&WireRequest) -> Script + Send + Sync>;
 
+/// Ends a server.
+#[derive(Debug, Clone)]
+pub(crate) struct Stop(watch::Sender<bool>);
+
+impl Stop {
+    fn end_server(&self) {
+        self.0.send_replace(true);
+    }
+}
+
 /// A server on a loopback port; dropped, it ends and is joined.
 #[derive(Debug)]
 pub struct WireServer {
     /// Where it listens.
     pub address: SocketAddr,
-    stop: watch::Sender<bool>,
+    stop: Stop,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -73,21 +86,28 @@
     ///
     /// No port or thread can be had.
     pub fn start(handler: WireHandler) -> io::Result<Self> {
-        Self::start_with(move |stream| serve(stream, Arc::clone(&handler)))
+        Self::start_with(move |stream, stop| serve(stream, Arc::clone(&handler), stop))
+    }
+
+    /// Returns whether a step has ended the server.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
     }
 
     /// Starts a server on a free port that gives each connection to `serve`.
     pub(crate) fn start_with<F, S>(serve: F) -> io::Result<Self>
     where
-        F: Fn(TcpStream) -> S + Send + 'static,
+        F: Fn(TcpStream, Stop) -> S + Send + 'static,
         S: Future<Output = ()> + 'static,
     {
         let listener = StdListener::bind((IpAddr::V4(Ipv4Addr::LOCALHOST), 0))?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let (stop, stopped) = watch::channel(false);
+        let stop = Stop(watch::Sender::new(false));
+        let own_stop = stop.clone();
         let thread = thread::Builder::new().spawn(move || {
-            System::new().block_on(LocalSet::new().run_until(accept(listener, serve, stopped)));
+            System::new().block_on(LocalSet::new().run_until(accept(listener, serve, own_stop)));
         })?;
         Ok(Self {
             address,
@@ -99,7 +119,7 @@
 
 impl Drop for WireServer {
     fn drop(&mut self) {
-        self.stop.send_replace(true);
+        self.stop.end_server();
         if let Some(thread) = self.thread.take() {
             // A panic of the server has already been printed and fails the test by its silence.
             let _ = thread.join();
@@ -107,28 +127,30 @@
     }
 }
 
-async fn accept<F, S>(listener: StdListener, serve: F, mut stop: watch::Receiver<bool>)
+async fn accept<F, S>(listener: StdListener, serve: F, stop: Stop)
 where
-    F: Fn(TcpStream) -> S,
+    F: Fn(TcpStream, Stop) -> S,
     S: Future<Output = ()> + 'static,
 {
+    let mut stopped = stop.0.subscribe();
     let listener = TcpListener::from_std(listener).expect("a listener that does not block");
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    connections.spawn_local(serve(stream));
+                    connections.spawn_local(serve(stream, stop.clone()));
                 }
             }
             Some(_) = connections.join_next() => {}
-            _ = stop.changed() => break,
+            _ = stopped.wait_for(|is_stopped| *is_stopped) => break,
         }
     }
+    drop(listener);
     connections.shutdown().await;
 }
 
-async fn serve(mut stream: TcpStream, handler: WireHandler) {
+async fn serve(mut stream: TcpStream, handler: WireHandler, stop: Stop) {
     let mut buffer = BytesMut::new();
     let mut codec = Codec::default();
     while let Some(mut request) = read(&mut stream, &mut buffer, &mut codec).await {
@@ -154,6 +176,12 @@
                 }
                 Step::Close => return,
                 Step::Silence => std::future::pending().await,
+                Step::End(delay) => {
+                    sleep(delay).await;
+                    stop.end_server();
+                    // The server drops this connection with the others.
+                    std::future::pending::<()>().await;
+                }
             }
         }
     }
--- a/standins/tests/process_run/mod.rs
+++ b/standins/tests/process_run/mod.rs
@@ -3,18 +3,15 @@
 
 use std::collections::BTreeSet;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::net::TcpStream;
 use std::time::Duration;
 
-use serde_json::Value;
 use standins::platform_backend::{BackendSettings, PlatformBackend};
-use standins::platform_caller::{CallerRequest, CallerResponse, exchange};
-use standins::platform_run::{MODEL_SERVICE, config, is_ready, wait_until};
-use standins::platform_store::{PlatformStore, StoreEndpoint, StoreMode};
-use standins::soak_process::{GatewayProcess, ProcessPorts};
+use standins::platform_caller::{CallerRequest, CallerResponse};
+use standins::platform_run::{MODEL_SERVICE, config, wait_until};
+use standins::platform_store::PlatformStore;
+use standins::process_gateways::ProcessGateways;
 use standins::soak_proxy::{Proxy, ProxyMode};
-use standins::soak_world::find_daemon;
 
 /// The number of events in each stream.
 pub const EVENTS: u64 = 30;
@@ -65,21 +62,9 @@
 
 /// Gateways as processes, a store and engines of two versions.
 pub struct ProcessRun {
-    pub gateways: Vec<GatewayProcess>,
+    pub gateways: ProcessGateways,
     pub store: PlatformStore,
     engines: Vec<Engine>,
-    endpoints: Vec<StoreEndpoint>,
-    directory: PathBuf,
-}
-
-impl Drop for ProcessRun {
-    fn drop(&mut self) {
-        self.gateways.clear();
-        if !std::thread::panicking() {
-            // The logs of a test that has passed are of no use.
-            let _ = std::fs::remove_dir_all(&self.directory);
-        }
-    }
 }
 
 impl ProcessRun {
@@ -92,57 +77,18 @@
         for (engine, (id, _)) in engines.iter().zip(ENGINES) {
             store.put("keyed.servers", id, &engine.entry("ready"));
         }
-        let directory = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&directory).expect("a directory");
-        let daemon = find_daemon().expect("a daemon");
-        let ports = ProcessPorts::find_free(count).expect("free ports");
-        let seeds: Vec<SocketAddr> = ports.iter().map(|ports| ports.peers).collect();
-        let mut endpoints = Vec::new();
-        let mut gateways = Vec::new();
-        for (number, ports) in ports.into_iter().enumerate() {
-            let endpoint = store.open().expect("a free port");
-            let address = endpoint.address;
-            let gateway =
-                GatewayProcess::start(&daemon, &directory, number, ports, address, &seeds);
-            gateways.push(gateway.expect("a process"));
-            endpoints.push(endpoint);
-        }
-        let run = Self {
+        let gateways = ProcessGateways::start(name, count, &store).expect("gateways");
+        Self {
             gateways,
             store,
             engines,
-            endpoints,
-            directory,
-        };
-        for number in 0..count {
-            run.wait_until_ready(number);
-        }
-        run
-    }
-
-    /// Waits until a gateway is ready.
-    pub fn wait_until_ready(&self, gateway: usize) {
-        let ready = self.gateways[gateway].ports.ready;
-        wait_until(|| is_ready(ready)).expect("a gateway that becomes ready");
-    }
-
-    /// Waits until a gateway accepts callers' connections, ready or not.
-    pub fn wait_until_listening(&self, gateway: usize) {
-        let callers = self.gateways[gateway].ports.callers;
-        wait_until(|| TcpStream::connect(callers).is_ok()).expect("a gateway that listens");
-    }
-
-    /// Makes the store unresponsive for all gateways.
-    pub fn silence_store(&self) {
-        for endpoint in &self.endpoints {
-            endpoint.set_mode(StoreMode::Silent);
         }
     }
 
     /// Begins streams at the same time and reads their events up to [`LAST_EVENT`]; resumed ones are
     /// faster.
     pub fn begin(&self, gateway: usize, ids: &[String]) -> Vec<BegunStream> {
-        let callers = self.gateways[gateway].ports.callers;
+        let callers = self.gateways.callers(gateway);
         let open = |id: &String| {
             let mut connection = TcpStream::connect(callers)?;
             connection.write_all(&draft(id).bytes())?;
@@ -222,9 +168,7 @@
     }
 
     fn is_draining(&self, gateway: usize, engine: &str) -> Option<bool> {
-        let request = b"GET /state HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
-        let state = exchange(self.gateways[gateway].ports.metrics, request).ok()?;
-        let state: Value = serde_json::from_str(&state.body).ok()?;
+        let state = self.gateways.state(gateway).ok()?;
         let server = state["servers"]
             .as_array()?
             .iter()
@@ -237,7 +181,7 @@
         let request = CallerRequest::turn("/draft/1", &resuming_id(id), id, "x")
             .with("Last-Event-Id", &LAST_EVENT.to_string())
             .with("Resumes", id);
-        request.send(self.gateways[gateway].ports.callers)
+        request.send(self.gateways.callers(gateway))
     }
 
     /// Returns the number of engines that ran a request.
--- a/standins/tests/stream_versions.rs
+++ b/standins/tests/stream_versions.rs
@@ -41,7 +41,7 @@
 /// Begins streams at a gateway and kills it.
 fn cut_by_kill(run: &mut ProcessRun, gateway: usize) -> Vec<CutStream> {
     let streams = begin_all(run, gateway);
-    run.gateways[gateway].kill();
+    run.gateways.processes[gateway].kill();
     let cut = |stream: BegunStream| {
         let (id, engine) = (stream.id.clone(), stream.engine);
         let received = event_ids(&stream.finish());
@@ -151,8 +151,10 @@
 fn a_stream_resumed_at_a_restarted_gateway_stays_at_its_version() {
     let mut run = ProcessRun::start("restarted-gateway", GATEWAYS);
     let streams = cut_by_kill(&mut run, 0);
-    run.gateways[0].restart().expect("a process");
-    run.wait_until_ready(0);
+    run.gateways.processes[0].restart().expect("a process");
+    run.gateways
+        .wait_until_ready(0)
+        .expect("a gateway that becomes ready");
     resume_all(&run, 0, &streams);
 }
 
@@ -160,7 +162,7 @@
 #[test]
 fn streams_stay_at_their_versions_while_the_store_is_unavailable() {
     let mut run = ProcessRun::start("store-unavailable", GATEWAYS);
-    run.silence_store();
+    run.gateways.silence_store();
     let streams = cut_by_kill(&mut run, 0);
     for CutStream { id, engine } in &streams {
         run.cut_engine(*engine, ProxyMode::Reset);
@@ -194,12 +196,16 @@
 fn a_stream_of_unknown_version_is_refused_at_once() {
     let mut run = ProcessRun::start("version-unknown", 2);
     let streams = cut_by_kill(&mut run, 0);
-    run.gateways[1].kill();
+    run.gateways.processes[1].kill();
     for gateway in 0..2 {
-        run.gateways[gateway].restart().expect("a process");
+        run.gateways.processes[gateway]
+            .restart()
+            .expect("a process");
     }
     for gateway in 0..2 {
-        run.wait_until_ready(gateway);
+        run.gateways
+            .wait_until_ready(gateway)
+            .expect("a gateway that becomes ready");
         for CutStream { id, .. } in &streams {
             assert_refused(&run, gateway, id);
         }
@@ -212,9 +218,11 @@
 fn a_gateway_started_without_the_store_refuses_streams_at_once() {
     let mut run = ProcessRun::start("started-without-store", 1);
     let streams = cut_by_kill(&mut run, 0);
-    run.silence_store();
-    run.gateways[0].restart().expect("a process");
-    run.wait_until_listening(0);
+    run.gateways.silence_store();
+    run.gateways.processes[0].restart().expect("a process");
+    run.gateways
+        .wait_until_listening(0)
+        .expect("a gateway that listens");
     for CutStream { id, .. } in &streams {
         assert_refused(&run, 0, id);
     }
