Tests: keep the logs of gateways that did not start

Cause: a run of ended_servers.rs failed because a gateway was not ready within ten seconds, and its log was removed. Change: the directory is removed only after a start that succeeded and a test that passed.

--- a/standins/src/process_gateways.rs
+++ b/standins/src/process_gateways.rs
@@ -19,12 +19,13 @@
     pub processes: Vec<GatewayProcess>,
     endpoints: Vec<StoreEndpoint>,
     directory: PathBuf,
+    have_started: bool,
 }
 
 impl Drop for ProcessGateways {
     fn drop(&mut self) {
         self.processes.clear();
-        if !std::thread::panicking() {
+        if self.have_started && !std::thread::panicking() {
             // The logs of a test that has passed are of no use.
             let _ = std::fs::remove_dir_all(&self.directory);
         }
@@ -48,6 +49,7 @@
             processes: Vec::new(),
             endpoints: Vec::new(),
             directory,
+            have_started: false,
         };
         for (number, ports) in ports.into_iter().enumerate() {
             let endpoint = store.open()?;
@@ -61,6 +63,7 @@
         for number in 0..count {
             gateways.wait_until_ready(number)?;
         }
+        gateways.have_started = true;
         Ok(gateways)
     }
 
