--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -109,6 +109,8 @@
     ServerKept = 213, "server_kept", Info;
     /// A response was lost; `fate` says whether its server has ended since.
     ResponseLost = 214, "response_lost", Info;
+    /// A server that was counted as ended under a request responds; it counts no longer.
+    ServerResponds = 215, "server_responds", Info;
     /// The log can't be written or read.
     LogDown = 301, "log_down", Warning;
     /// The log is available again.
--- a/clementinepick/src/refusal.rs
+++ b/clementinepick/src/refusal.rs
@@ -34,6 +34,8 @@
     NoServer,
     /// Backend servers refused the request without running it.
     ServersRefused,
+    /// Several backend servers ended while they ran the request at earlier attempts of its caller.
+    ServersEnded,
     /// The deadline passed before the request was sent.
     NotSentInTime,
     /// The deadline passed while a backend server may have run the request.
@@ -64,6 +66,9 @@
 /// its caller can begin anew at once.
 const RESUME_RETRY_US: SpanUs = SpanUs(0);
 
+/// The retry delay of a request that ends servers if nothing more is known of it.
+const ENDED_RETRY_US: SpanUs = SpanUs::from_s(2);
+
 /// Returns the retry delay for a log that has been unavailable for `outage_us`.
 ///
 /// An outage will probably last as long again as it has lasted, and a caller has only a few tries.
@@ -91,6 +96,7 @@
             Self::LedgerUnavailable => (503, "ledger_away", Some(MIN_LEDGER_RETRY_US)),
             Self::NoServer => (503, "no_server", Some(START_RETRY_US)),
             Self::ServersRefused => (503, "servers_refused", Some(OVERLOAD_RETRY_US)),
+            Self::ServersEnded => (503, "servers_ended", Some(ENDED_RETRY_US)),
             Self::NotSentInTime => (503, "not_sent_in_time", Some(OVERLOAD_RETRY_US)),
             Self::NoAnswerInTime => (504, "no_answer_in_time", None),
             Self::ServerLost => (502, "server_lost", None),
--- a/clementinepick/src/stream_origin.rs
+++ b/clementinepick/src/stream_origin.rs
@@ -15,10 +15,9 @@
 //! assert_eq!(origins.get(TimeUs(4_000_000), "attempt-1"), None);
 //! ```
 
-use std::collections::{BTreeMap, BTreeSet};
-
 use serde::{Deserialize, Serialize};
 
+use crate::expiring_map::ExpiringMap;
 use crate::server_list::{BackendServer, SoftwareVersion};
 use crate::units::TimeUs;
 
@@ -56,38 +55,35 @@
 
 /// The origins of streams by the caller's attempt that received the first event. Each is forgotten
 /// when its caller has given up.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StreamOrigins {
-    by_attempt: BTreeMap<String, (StreamOrigin, TimeUs)>,
-    by_expiry: BTreeSet<(TimeUs, String)>,
+    by_attempt: ExpiringMap<String, StreamOrigin>,
+}
+
+impl Default for StreamOrigins {
+    fn default() -> Self {
+        Self {
+            by_attempt: ExpiringMap::new(MAX_ORIGINS),
+        }
+    }
 }
 
 impl StreamOrigins {
     /// Remembers the origin of a stream until `expires_at`.
     pub fn record(&mut self, now: TimeUs, attempt: &str, origin: StreamOrigin, expires_at: TimeUs) {
-        self.expire(now);
-        let entry = (origin, expires_at);
-        if let Some((_, expiry)) = self.by_attempt.insert(attempt.to_owned(), entry) {
-            self.by_expiry.remove(&(expiry, attempt.to_owned()));
-        }
-        self.by_expiry.insert((expires_at, attempt.to_owned()));
-        if self.by_attempt.len() > MAX_ORIGINS {
-            self.remove_first();
-        }
+        self.by_attempt
+            .insert(now, attempt.to_owned(), origin, expires_at);
     }
 
     /// Returns the origin of the stream that began with `attempt`, and when it expires.
     #[must_use]
     pub fn get(&self, now: TimeUs, attempt: &str) -> Option<(&StreamOrigin, TimeUs)> {
-        let (origin, expires_at) = self.by_attempt.get(attempt)?;
-        (now < *expires_at).then_some((origin, *expires_at))
+        self.by_attempt.get(now, attempt)
     }
 
     /// Forgets all streams that have expired.
     pub fn expire(&mut self, now: TimeUs) {
-        while self.by_expiry.first().is_some_and(|(at, _)| *at <= now) {
-            self.remove_first();
-        }
+        self.by_attempt.expire(now);
     }
 
     /// Returns the number of remembered streams.
@@ -101,10 +97,4 @@
     pub fn is_empty(&self) -> bool {
         self.by_attempt.is_empty()
     }
-
-    fn remove_first(&mut self) {
-        if let Some((_, attempt)) = self.by_expiry.pop_first() {
-            self.by_attempt.remove(&attempt);
-        }
-    }
 }
--- /dev/null
+++ b/clementinepick/tests/ended_servers.rs
@@ -0,0 +1,325 @@
+//! Tests which requests are given up because of the servers that ended under them, and what is
+//! forgotten again.
+
+use clementinepick::ended_servers::{
+    EndState, EndedServers, ISOLATION_THRESHOLD, MAX_ENDED_SERVERS, OpenRun, RequestEnds,
+    ServerEnd, ServerStart,
+};
+use clementinepick::request_key::{RequestContent, RequestKey};
+use clementinepick::server_list::{BackendServer, ServerList};
+use clementinepick::units::{SpanUs, TimeUs};
+
+const START: TimeUs = TimeUs(1_000_000);
+
+fn key(body: &str) -> RequestKey {
+    let content = RequestContent {
+        body: body.as_bytes(),
+        ..RequestContent::default()
+    };
+    content.key()
+}
+
+fn server(id: &str, started_unix_ms: u64) -> ServerStart {
+    ServerStart {
+        id: id.to_owned(),
+        started_unix_ms: Some(started_unix_ms),
+        address: "127.0.0.1:1".parse().expect("an address"),
+    }
+}
+
+fn list(servers: &[ServerStart]) -> ServerList {
+    let listed = |start: &ServerStart| BackendServer {
+        id: start.id.clone(),
+        service: "models".to_owned(),
+        address: start.address,
+        zone: "z".to_owned(),
+        version: "v1".to_owned().into(),
+        slots: 8,
+        is_draining: false,
+        started_unix_ms: start.started_unix_ms,
+    };
+    let entries = servers
+        .iter()
+        .map(|start| (start.id.clone(), listed(start)));
+    ServerList {
+        servers: entries.collect(),
+    }
+}
+
+fn lost(server: ServerStart, depth: u32, state: EndState) -> ServerEnd {
+    ServerEnd {
+        server,
+        depth,
+        lost_at: START,
+        state,
+    }
+}
+
+fn run(id: u64, server: ServerStart, is_isolated: bool) -> OpenRun {
+    OpenRun {
+        id,
+        server,
+        depth: 1,
+        is_isolated,
+        expires_at: START.after(SpanUs::from_s(4)),
+    }
+}
+
+/// Ends servers under a request, one after the other.
+fn end_servers(ended: &mut EndedServers, request: RequestKey, ids: &[&str]) {
+    for id in ids {
+        let depth = ended.next_depth(START, request);
+        ended.record_end(START, request, server(id, 1), depth);
+    }
+}
+
+#[test]
+fn servers_that_end_one_after_the_other_are_counted() {
+    let mut ended = EndedServers::default();
+    end_servers(&mut ended, key("a"), &["i-1", "i-2", "i-3"]);
+    assert_eq!(ended.count(START, key("a")), MAX_ENDED_SERVERS);
+    assert_eq!(ended.ended_ids(START, key("a")), ["i-1", "i-2", "i-3"]);
+    assert_eq!(ended.count(START, key("b")), 0);
+}
+
+/// Guards against giving up a request that many callers send, because of servers that end at once.
+#[test]
+fn servers_that_end_under_copies_at_the_same_time_count_once() {
+    let mut ended = EndedServers::default();
+    for id in ["i-1", "i-2", "i-3", "i-4"] {
+        ended.record_end(START, key("a"), server(id, 1), 1);
+    }
+    assert_eq!(ended.count(START, key("a")), 1);
+    assert_eq!(ended.next_depth(START, key("a")), 2);
+}
+
+#[test]
+fn a_server_that_starts_again_counts_again() {
+    let mut ended = EndedServers::default();
+    let again = [1, 1, 2].map(|started| server("i-1", started));
+    for start in again {
+        let depth = ended.next_depth(START, key("a"));
+        ended.record_end(START, key("a"), start, depth);
+    }
+    assert_eq!(ended.count(START, key("a")), 2);
+}
+
+/// Guards against giving up a request that met servers which close connections or hang, and live.
+#[test]
+fn suspected_servers_count_only_once_they_are_no_longer_listed() {
+    let mut ended = EndedServers::default();
+    let servers = [server("i-1", 1), server("i-2", 1), server("i-3", 1)];
+    for start in &servers {
+        let depth = ended.next_depth(START, key("a"));
+        let end = lost(start.clone(), depth, EndState::Suspected);
+        ended.record(START, key("a"), end);
+    }
+    assert_eq!(ended.count(START, key("a")), 0);
+    let found = ended.apply_list(START, &list(&servers[1..]));
+    assert_eq!(found, [key("a")]);
+    assert_eq!(ended.count(START, key("a")), 1);
+    let restarted = [server("i-2", 2), server("i-3", 1)];
+    ended.apply_list(START, &list(&restarted));
+    assert_eq!(ended.count(START, key("a")), 2);
+}
+
+#[test]
+fn suspected_servers_that_stay_listed_are_forgotten() {
+    let mut ended = EndedServers::default();
+    let start = server("i-1", 1);
+    let end = lost(start.clone(), 1, EndState::Suspected);
+    ended.record(START, key("a"), end);
+    ended.apply_list(
+        START.after(SpanUs::from_s(9)),
+        &list(std::slice::from_ref(&start)),
+    );
+    assert_eq!(ended.len(), 1);
+    ended.apply_list(START.after(SpanUs::from_s(10)), &list(&[start]));
+    assert!(ended.is_empty());
+}
+
+/// Guards against giving up a request that met servers which refuse connections for a while.
+#[test]
+fn servers_that_respond_again_no_longer_count() {
+    let mut ended = EndedServers::default();
+    end_servers(&mut ended, key("a"), &["i-1", "i-2", "i-3"]);
+    let listed = list(&[server("i-1", 1), server("i-2", 1)]);
+    ended.apply_list(START, &listed);
+    assert!(ended.doubtful(START).is_empty(), "the list may be older");
+    let later = START.after(SpanUs::from_s(2));
+    let doubtful: Vec<ServerStart> = ended.doubtful(later).into_iter().collect();
+    assert_eq!(doubtful, [server("i-1", 1), server("i-2", 1)]);
+    ended.remove_server(&server("i-2", 1));
+    assert_eq!(ended.count(later, key("a")), 2);
+}
+
+#[test]
+fn an_answered_request_is_forgotten() {
+    let mut ended = EndedServers::default();
+    end_servers(&mut ended, key("a"), &["i-1", "i-2"]);
+    ended.forget(key("a"));
+    assert_eq!(ended.count(START, key("a")), 0);
+    assert!(ended.is_empty());
+}
+
+/// Guards against a request beside the fatal one that loses its servers as often as it.
+#[test]
+fn two_isolated_requests_never_run_at_the_same_server() {
+    let mut ended = EndedServers::default();
+    end_servers(&mut ended, key("a"), &["i-1", "i-2"]);
+    end_servers(&mut ended, key("b"), &["i-1", "i-2"]);
+    assert_eq!(ended.count(START, key("a")), ISOLATION_THRESHOLD);
+    assert!(ended.start_run(START, key("a"), run(1, server("i-3", 1), true)));
+    assert!(!ended.start_run(START, key("b"), run(2, server("i-3", 1), true)));
+    assert!(ended.start_run(START, key("b"), run(2, server("i-4", 1), true)));
+    assert_eq!(
+        ended
+            .isolated_servers(START, key("b"))
+            .into_iter()
+            .collect::<Vec<_>>(),
+        ["i-3"]
+    );
+    ended.finish_run(START, key("a"), 1);
+    assert!(ended.isolated_servers(START, key("b")).is_empty());
+}
+
+/// Guards against a server that no request may use because the gateway of a run was lost.
+#[test]
+fn a_run_is_over_when_its_caller_gives_up() {
+    let mut ended = EndedServers::default();
+    end_servers(&mut ended, key("a"), &["i-1", "i-2"]);
+    end_servers(&mut ended, key("b"), &["i-1", "i-2"]);
+    assert!(ended.start_run(START, key("a"), run(1, server("i-3", 1), true)));
+    let later = START.after(SpanUs::from_s(4));
+    assert!(ended.open_runs(later, key("a")).is_empty());
+    assert!(ended.isolated_servers(later, key("b")).is_empty());
+}
+
+#[test]
+fn the_end_of_a_server_ends_its_run() {
+    let mut ended = EndedServers::default();
+    end_servers(&mut ended, key("a"), &["i-1", "i-2"]);
+    assert!(ended.start_run(START, key("a"), run(1, server("i-3", 1), true)));
+    ended.record_end(START, key("a"), server("i-3", 1), 3);
+    assert!(ended.open_runs(START, key("a")).is_empty());
+    assert_eq!(ended.count(START, key("a")), MAX_ENDED_SERVERS);
+}
+
+/// Guards against a late message about a run whose server is known to have ended.
+#[test]
+fn merging_what_peers_know_is_idempotent_and_needs_no_order() {
+    let ends = ["i-1", "i-2", "i-3"];
+    let known = RequestEnds {
+        ends: ends
+            .iter()
+            .zip(1..)
+            .map(|(id, depth)| lost(server(id, 1), depth, EndState::Ended))
+            .collect(),
+        runs: vec![run(1, server("i-3", 1), true)],
+    };
+    let mut ended = EndedServers::default();
+    for _ in 0..2 {
+        assert!(ended.merge(START, key("a"), known.clone()));
+    }
+    assert_eq!(ended.count(START, key("a")), 3);
+    assert!(ended.open_runs(START, key("a")).is_empty());
+}
+
+#[test]
+fn the_caller_of_a_given_up_request_returns_when_it_may_be_served() {
+    let mut ended = EndedServers::default();
+    end_servers(&mut ended, key("a"), &["i-1", "i-2", "i-3"]);
+    assert_eq!(ended.retry_after(START, key("a")), SpanUs::from_s(2));
+    ended.apply_list(START, &list(&[server("i-9", 1)]));
+    let later = START.after(SpanUs::from_s(100));
+    assert_eq!(ended.retry_after(later, key("a")), SpanUs::from_s(200));
+}
+
+#[test]
+fn requests_expire_and_their_number_is_bounded() {
+    let mut ended = EndedServers::default();
+    for number in 0..20_000 {
+        end_servers(&mut ended, key(&number.to_string()), &["i-1"]);
+    }
+    assert_eq!(ended.len(), 16_384);
+    ended.expire(START.after(SpanUs::from_s(300)));
+    assert!(ended.is_empty());
+}
+
+/// Guards against a request with many copies that takes more and more memory.
+#[test]
+fn the_servers_and_runs_of_a_request_are_bounded() {
+    let mut ended = EndedServers::default();
+    for number in 0..100 {
+        let start = server(&format!("i-{number}"), 1);
+        ended.record_end(START, key("a"), start.clone(), 1);
+        let other = server(&format!("j-{number}"), 1);
+        ended.start_run(START, key("a"), run(number, other, false));
+    }
+    let request = ended.get(START, key("a")).expect("the request");
+    assert_eq!((request.ends.len(), request.runs.len()), (8, 8));
+}
+
+#[test]
+fn a_starting_process_gets_the_requests_with_the_most_ended_servers() {
+    let mut ended = EndedServers::default();
+    end_servers(&mut ended, key("a"), &["i-1"]);
+    end_servers(&mut ended, key("b"), &["i-1", "i-2", "i-3"]);
+    end_servers(&mut ended, key("c"), &["i-1", "i-2"]);
+    let newest = ended.newest(START, 2);
+    let keys: Vec<RequestKey> = newest.into_keys().collect();
+    let mut expected = [key("b"), key("c")];
+    expected.sort_unstable();
+    assert_eq!(keys, expected);
+}
+
+#[test]
+fn the_key_of_a_request_has_all_of_its_content() {
+    let content = RequestContent {
+        method: "POST",
+        host: "h",
+        target: "/t",
+        program: Some("p"),
+        session: Some("s"),
+        previous_turn: Some("t-1"),
+        body: b"body",
+    };
+    let others = [
+        RequestContent {
+            method: "PUT",
+            ..content
+        },
+        RequestContent {
+            host: "g",
+            ..content
+        },
+        RequestContent {
+            target: "/u",
+            ..content
+        },
+        RequestContent {
+            program: None,
+            ..content
+        },
+        RequestContent {
+            session: Some("p"),
+            ..content
+        },
+        RequestContent {
+            previous_turn: None,
+            ..content
+        },
+        RequestContent {
+            body: b"",
+            ..content
+        },
+        RequestContent {
+            program: Some("ps"),
+            session: Some(""),
+            ..content
+        },
+    ];
+    for other in others {
+        assert_ne!(content.key(), other.key(), "{other:?}");
+    }
+}
--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -35,6 +35,8 @@
     pub(crate) peers: Arc<Vec<SocketAddr>>,
     /// The processes with valid entries, including this one, sorted by address.
     pub(crate) processes: Arc<Vec<PeerEntry>>,
+    /// Whether the list of processes was read; before, `peers` has those of the settings.
+    pub(crate) has_read_processes: bool,
     /// When the configuration was last read, changed or not.
     pub(crate) config_read_at: Option<Instant>,
     /// When the list of servers was last read, changed or not.
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -1,19 +1,29 @@
 //! Tracks the attempts of one request: the servers that were tried, whether another attempt is
 //! allowed, and the refusal if all fail.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use actix_rt::time::sleep;
+use clementinepick::ended_servers::ServerStart;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::refusal::Refusal;
+use clementinepick::request_key::RequestKey;
 use clementinepick::server_list::BackendServer;
 use clementinepick::stream_origin::StreamOrigin;
+use rand::random_range;
 
+use crate::gateway_ended::{KnownEnds, SharedRunGuard, start_run};
 use crate::gateway_exchange::{RoutedRequest, ServerSlot};
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
 use crate::server_probe::probe;
 
+/// The shortest and longest wait, in milliseconds, until an isolated request looks for a server
+/// again. Two gateways that have chosen the same one wait for different times.
+const ISOLATION_WAIT_MS: std::ops::Range<u64> = 10..40;
+
 /// Why an attempt brought no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AttemptError {
@@ -36,6 +46,15 @@
     }
 }
 
+/// The run of a request at one server.
+struct CurrentRun {
+    server: BackendServer,
+    /// One more than the servers that had ended under the request before.
+    depth: u32,
+    /// Tells peers when the run is over, if they know the request.
+    _guard: Option<SharedRunGuard>,
+}
+
 /// The attempts of one request.
 pub(crate) struct Attempts<'a> {
     shared: &'a Rc<Shared>,
@@ -44,8 +63,9 @@
     /// Whether the request may run more than once.
     may_repeat: bool,
     tried_servers: Vec<String>,
-    /// The server of the current attempt.
-    current: Option<BackendServer>,
+    key: OnceCell<RequestKey>,
+    /// The current attempt.
+    current: Option<CurrentRun>,
     sends: u32,
     refusal: Refusal,
 }
@@ -64,6 +84,7 @@
             trace,
             may_repeat,
             tried_servers: Vec::new(),
+            key: OnceCell::new(),
             current: None,
             sends: 0,
             refusal: Refusal::NoServer,
@@ -72,7 +93,7 @@
 
     /// Selects a server that was not tried yet and can continue a stream with `origin`; `None` if no
     /// further attempt is allowed or possible.
-    pub(crate) fn next_slot(
+    pub(crate) async fn next_slot(
         &mut self,
         last_server: Option<&str>,
         origin: Option<&StreamOrigin>,
@@ -85,16 +106,101 @@
         if self.sends > 0 && !self.shared.withdraw_retry(self.routed.service, kind) {
             return None;
         }
-        let slot =
-            self.routed
-                .select_server(self.shared, &self.tried_servers, last_server, origin)?;
+        self.current = None;
+        let slot = self.start_run(last_server, origin).await?;
         self.tried_servers.push(slot.server.id.clone());
-        self.current = Some(slot.server.clone());
         self.trace
             .record_send(&slot.server, slot.reason, Instant::now());
         Some(slot)
     }
 
+    /// Selects a server and starts a run there; `None` if there is none, or if the request has ended
+    /// too many.
+    async fn start_run(
+        &mut self,
+        last_server: Option<&str>,
+        origin: Option<&StreamOrigin>,
+    ) -> Option<ServerSlot> {
+        loop {
+            let ends = self.known_ends();
+            if ends.is_given_up() {
+                self.give_up();
+                return None;
+            }
+            let isolated = self.servers_to_avoid(ends);
+            let avoided = [&self.tried_servers[..], &isolated[..]].concat();
+            let selected = self
+                .routed
+                .select_server(self.shared, &avoided, last_server, origin);
+            match selected {
+                None if isolated.is_empty() => return None,
+                None => {}
+                Some(slot) if !ends.is_shared() => {
+                    self.set_current(&slot, ends.next_depth, None);
+                    return Some(slot);
+                }
+                Some(slot) => {
+                    if let Some(guard) = self.share_run(&slot, ends).await {
+                        self.set_current(&slot, ends.next_depth, Some(guard));
+                        return Some(slot);
+                    }
+                }
+            }
+            sleep(Duration::from_millis(random_range(ISOLATION_WAIT_MS))).await;
+        }
+    }
+
+    async fn share_run(&self, slot: &ServerSlot, ends: KnownEnds) -> Option<SharedRunGuard> {
+        let server = ServerStart::of(&slot.server);
+        let time_left = self.routed.time_left(Instant::now());
+        start_run(self.shared, self.key(), server, ends, time_left).await
+    }
+
+    fn set_current(&mut self, slot: &ServerSlot, depth: u32, guard: Option<SharedRunGuard>) {
+        self.current = Some(CurrentRun {
+            server: slot.server.clone(),
+            depth,
+            _guard: guard,
+        });
+    }
+
+    /// Returns the servers where requests run that may have ended as many servers as this one.
+    fn servers_to_avoid(&self, ends: KnownEnds) -> Vec<String> {
+        if ends.is_isolated() {
+            self.shared.isolated_servers(self.key(), Instant::now())
+        } else {
+            Vec::new()
+        }
+    }
+
+    fn known_ends(&self) -> KnownEnds {
+        if self.shared.has_no_ends() {
+            return KnownEnds::default();
+        }
+        self.shared.known_ends(self.key(), Instant::now())
+    }
+
+    fn key(&self) -> RequestKey {
+        *self.key.get_or_init(|| self.routed.content_key())
+    }
+
+    /// Refuses the request because of the servers that it has ended.
+    fn give_up(&mut self) {
+        self.shared
+            .trace_given_up(self.key(), self.trace, Instant::now());
+        if self.refusal != Refusal::ServerLost {
+            self.refusal = Refusal::ServersEnded;
+        }
+    }
+
+    /// Records that the current attempt brought a response.
+    pub(crate) fn record_answered(&mut self) {
+        self.current = None;
+        if !self.shared.has_no_ends() {
+            self.shared.record_answered(self.key());
+        }
+    }
+
     /// Returns whether the current attempt is the last one.
     pub(crate) fn is_last(&self) -> bool {
         self.sends + 1 >= self.routed.route.attempts
@@ -114,23 +220,29 @@
         let may_have_run = self.refusal == Refusal::ServerLost;
         self.trace.may_have_run.set(may_have_run);
         if error == AttemptError::ResponseLost
-            && let Some(server) = self.current.take()
+            && let Some(run) = self.current.take()
         {
-            self.record_loss(&server).await;
+            self.record_loss(&run).await;
         }
     }
 
     /// Finds out what became of a server that lost a response.
-    async fn record_loss(&self, server: &BackendServer) {
+    async fn record_loss(&self, run: &CurrentRun) {
+        let server = &run.server;
         let health_path = self.shared.health_path(&server.service);
         let fate = probe(server.address, &server.id, health_path.as_deref()).await;
         self.shared.metrics.count_lost_response(fate.label());
         let event = Event::new(EventKind::ResponseLost)
             .with("request", &self.routed.info.id)
-            .with("content", self.routed.content_key())
+            .with("content", self.key())
             .with("server", &server.id)
-            .with("fate", fate.label());
+            .with("fate", fate.label())
+            .with("ended_before", run.depth - 1);
         self.shared.log(&event);
+        let start = ServerStart::of(server);
+        self.shared
+            .record_loss(self.key(), start, run.depth, fate)
+            .await;
     }
 
     /// Returns the refusal to send to the caller if all attempts fail.
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -60,14 +60,17 @@
     let is_idempotent = routed.route.kind == RequestKind::Idempotent;
     let may_repeat = is_idempotent || Safeguard::BookingOnce.is_disabled();
     let mut attempts = Attempts::new(shared, routed, trace, may_repeat);
-    while let Some(slot) = attempts.next_slot(None, None) {
+    while let Some(slot) = attempts.next_slot(None, None).await {
         let response_timeout = if may_repeat && !attempts.is_last() {
             response_timeout(routed)
         } else {
             routed.beyond_deadline(Instant::now())
         };
         match exchange(shared, routed, trace, slot, response_timeout).await {
-            Ok(full) => return Ok(full),
+            Ok(full) => {
+                attempts.record_answered();
+                return Ok(full);
+            }
             Err(err) => attempts.record_error(err).await,
         }
     }
--- a/clementinepickd/src/gateway_connection.rs
+++ b/clementinepickd/src/gateway_connection.rs
@@ -47,6 +47,12 @@
         request: &'a ReceivedRequest<'_>,
         reply: &'a mut Reply<'_>,
     ) -> std::pin::Pin<Box<dyn Future<Output = ()> + 'a>>;
+
+    /// Returns whether a request is handled up to its first wait although its sender has
+    /// disconnected.
+    fn starts_despite_disconnect(&self) -> bool {
+        false
+    }
 }
 
 /// Why no request was received.
@@ -87,9 +93,21 @@
         let closes = !codec.keep_alive() || shared.is_draining();
         let mut reply = Reply::new(&mut codec, &mut write, closes);
         let running_guard = shared.start_request();
-        tokio::select! {
-            () = handler.handle(&request, &mut reply) => {}
-            () = reader.wait_for_disconnect() => return,
+        let handling = handler.handle(&request, &mut reply);
+        let is_finished = if handler.starts_despite_disconnect() {
+            tokio::select! {
+                biased;
+                () = handling => true,
+                () = reader.wait_for_disconnect() => false,
+            }
+        } else {
+            tokio::select! {
+                () = handling => true,
+                () = reader.wait_for_disconnect() => false,
+            }
+        };
+        if !is_finished {
+            return;
         }
         drop(running_guard);
         let is_complete = reply.state() == ReplyState::Complete;
--- /dev/null
+++ b/clementinepickd/src/gateway_ended.rs
@@ -0,0 +1,492 @@
+//! Shares between gateways which servers ended under which requests, so that a request that ends the
+//! servers which run it is given up wherever its caller returns.
+//!
+//! Each gateway has all of it in memory. It tells its peers of a server that has ended before its
+//! caller hears of the failure, and of a run of such a request before it starts. A gateway that has
+//! just started asks its peers first.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::{sleep, timeout};
+use bytes::Bytes;
+use clementinepick::ended_servers::{
+    EndState, EndedServers, ISOLATION_THRESHOLD, MAX_ENDED_SERVERS, OpenRun, ServerEnd, ServerStart,
+};
+use clementinepick::event::{Event, EventKind};
+use clementinepick::refusal::Refusal;
+use clementinepick::request_key::RequestKey;
+use futures_util::future::join_all;
+use tokio::sync::Notify;
+
+use crate::gateway_ended_messages::{
+    HOLD_PATH, LOAD_PATH, LoadQuery, OVER_PATH, RequestOver, SharedRequest,
+};
+use crate::gateway_exchange::RoutedRequest;
+use crate::gateway_peer::{PeerCall, call_peer};
+use crate::gateway_peer_updates::PeerUpdate;
+use crate::gateway_shared::Shared;
+use crate::gateway_trace::Trace;
+use crate::ledger::{from_cbor, to_cbor};
+use crate::link::to_span;
+use crate::safeguard::Safeguard;
+use crate::server_probe::{ServerFate, probe};
+
+/// How long a peer may take to hear of a server that ended, or of a run, while the caller waits.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long a peer may take to send all that it knows.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long requests wait at a process that has just started for what its peers know.
+const MAX_LOAD_WAIT: Duration = Duration::from_millis(400);
+/// The number of peers that a process asks at its start. They also share what they learn with it,
+/// until it is in their lists of processes.
+const MAX_LOAD_PEERS: usize = 64;
+/// The number of requests that a peer sends, about 400 kB.
+const MAX_LOADED_REQUESTS: usize = 2_048;
+/// How long a process that has asked is called although it is not listed: lists of processes are
+/// read every 20 s.
+const JOINED_LIFETIME: Duration = Duration::from_mins(1);
+/// The time of the second round of asking: by then, processes that started together are listed.
+const SECOND_LOAD_DELAY: Duration = Duration::from_secs(3);
+/// How often a process asks a peer again, in case it was cut off while another one shared a request.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(10);
+/// The interval of maintenance.
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
+/// How long to wait for the outcome of a run whose gateway may be lost, and how often to look.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(600);
+const SETTLE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What this process knows of servers that ended under requests.
+#[derive(Default)]
+pub(crate) struct Ended {
+    known: RefCell<EndedServers>,
+    /// Processes that asked for it and may not be listed yet.
+    joined: RefCell<BTreeMap<SocketAddr, Instant>>,
+    is_loaded: Cell<bool>,
+    loaded: Notify,
+}
+
+impl Ended {
+    /// Returns the number of requests under which servers have ended or may have.
+    pub(crate) fn len(&self) -> usize {
+        self.known.borrow().len()
+    }
+
+    async fn wait_until_loaded(&self) {
+        while !self.is_loaded.get() {
+            self.loaded.notified().await;
+        }
+    }
+}
+
+/// A run of a request under which servers have ended; when dropped, peers hear that it is over.
+pub(crate) struct SharedRunGuard {
+    shared: Rc<Shared>,
+    key: RequestKey,
+    run: u64,
+}
+
+impl Drop for SharedRunGuard {
+    fn drop(&mut self) {
+        let Self { shared, key, run } = self;
+        let now = shared.now_us(Instant::now());
+        let mut known = shared.ended.known.borrow_mut();
+        known.finish_run(now, *key, *run);
+        drop(known);
+        shared.report_over(RequestOver {
+            key: *key,
+            run: *run,
+            is_served: false,
+        });
+    }
+}
+
+/// What this process knows of a request that has lost responses.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct KnownEnds {
+    /// The number of servers that ended one after the other.
+    pub(crate) count: usize,
+    /// The depth of the next run.
+    pub(crate) next_depth: u32,
+}
+
+impl Default for KnownEnds {
+    fn default() -> Self {
+        Self {
+            count: 0,
+            next_depth: 1,
+        }
+    }
+}
+
+impl KnownEnds {
+    /// Returns whether peers must know of the request's runs.
+    pub(crate) fn is_shared(&self) -> bool {
+        self.count > 0 && !Safeguard::EndedServers.is_disabled()
+    }
+
+    /// Returns whether the request must run nowhere any more.
+    pub(crate) fn is_given_up(&self) -> bool {
+        self.count >= MAX_ENDED_SERVERS && !Safeguard::EndedServers.is_disabled()
+    }
+
+    /// Returns whether the request must not run where another such request does.
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.count >= ISOLATION_THRESHOLD && !Safeguard::EndedServers.is_disabled()
+    }
+}
+
+impl Shared {
+    /// Returns whether nothing is known of any request, so that keys need not be computed.
+    pub(crate) fn has_no_ends(&self) -> bool {
+        self.ended.known.borrow().is_empty()
+    }
+
+    /// Returns what is known of a request.
+    pub(crate) fn known_ends(&self, key: RequestKey, now: Instant) -> KnownEnds {
+        let now = self.now_us(now);
+        let known = self.ended.known.borrow();
+        KnownEnds {
+            count: known.count(now, key),
+            next_depth: known.next_depth(now, key),
+        }
+    }
+
+    /// Adds the servers that ended under a given-up request to its trace, and when its caller may
+    /// return.
+    pub(crate) fn trace_given_up(&self, key: RequestKey, trace: &Trace, now: Instant) {
+        let now = self.now_us(now);
+        let known = self.ended.known.borrow();
+        trace.add_field("content", &key);
+        trace.add_field("ended_servers", &known.ended_ids(now, key).join(","));
+        trace.retry_after.set(Some(known.retry_after(now, key)));
+    }
+
+    /// Returns the servers at which other requests run isolated.
+    pub(crate) fn isolated_servers(&self, key: RequestKey, now: Instant) -> Vec<String> {
+        let known = self.ended.known.borrow();
+        let servers = known.isolated_servers(self.now_us(now), key);
+        servers.into_iter().collect()
+    }
+
+    /// Records that a server lost the response to a request, and tells peers if it has ended.
+    pub(crate) async fn record_loss(
+        &self,
+        key: RequestKey,
+        server: ServerStart,
+        depth: u32,
+        fate: ServerFate,
+    ) {
+        let now = self.now_us(Instant::now());
+        let has_ended = fate == ServerFate::Ended;
+        let end = ServerEnd {
+            server,
+            depth,
+            lost_at: now,
+            state: if has_ended {
+                EndState::Ended
+            } else {
+                EndState::Suspected
+            },
+        };
+        self.ended.known.borrow_mut().record(now, key, end);
+        if has_ended {
+            self.share_request(key, &[]).await;
+        }
+    }
+
+    /// Records that a server has answered a request, and tells peers if they know it.
+    pub(crate) fn record_answered(&self, key: RequestKey) {
+        let now = self.now_us(Instant::now());
+        let mut known = self.ended.known.borrow_mut();
+        let is_shared = known.count(now, key) > 0;
+        known.forget(key);
+        drop(known);
+        if is_shared {
+            self.report_over(RequestOver {
+                key,
+                run: 0,
+                is_served: true,
+            });
+        }
+    }
+
+    /// Returns the peers that must know of requests under which servers have ended.
+    pub(crate) fn ended_peers(&self, now: Instant) -> Vec<SocketAddr> {
+        let directory = self.directory();
+        let mut joined = self.ended.joined.borrow_mut();
+        joined.retain(|_, at| now.saturating_duration_since(*at) < JOINED_LIFETIME);
+        let mut peers: Vec<SocketAddr> = directory.peers.iter().copied().collect();
+        peers.extend(joined.keys());
+        peers.sort_unstable();
+        peers.dedup();
+        peers.retain(|peer| *peer != self.peer_address && !self.homes.is_silent(*peer, now));
+        peers
+    }
+
+    fn report_over(&self, over: RequestOver) {
+        // The receiver ends only with the process.
+        let _ = self.updates.send(PeerUpdate::Over(over));
+    }
+
+    /// Tells all peers which servers have ended under a request, and of a run that is to start, and
+    /// waits until they know; returns false if one of them knows of another request's isolated run
+    /// at the same server.
+    async fn share_request(&self, key: RequestKey, runs: &[OpenRun]) -> bool {
+        let now = Instant::now();
+        let Some(request) = self.ended_request(key, runs, now) else {
+            return true;
+        };
+        let body = to_cbor(&vec![request]);
+        let calls = self.ended_peers(now).into_iter().map(|peer| {
+            let call = PeerCall {
+                path: HOLD_PATH,
+                body: body.clone(),
+                limit: HOLD_TIMEOUT,
+            };
+            call_peer::<bool>(self, peer, call)
+        });
+        let answers = join_all(calls).await;
+        !answers.contains(&Some(false))
+    }
+
+    fn ended_request(
+        &self,
+        key: RequestKey,
+        runs: &[OpenRun],
+        now: Instant,
+    ) -> Option<SharedRequest> {
+        let now = self.now_us(now);
+        let known = self.ended.known.borrow();
+        let request = known.get(now, key)?;
+        Some(SharedRequest::new(now, key, &request.ends, runs))
+    }
+
+    fn start_known_run(&self, key: RequestKey, run: &OpenRun, now: Instant) -> bool {
+        let now = self.now_us(now);
+        let mut known = self.ended.known.borrow_mut();
+        known.start_run(now, key, run.clone())
+    }
+
+    /// Returns the runs of a request for whose outcome its next run must wait: they would be the
+    /// last ones if their servers have ended.
+    fn decisive_runs(&self, key: RequestKey, now: Instant) -> Vec<OpenRun> {
+        let now = self.now_us(now);
+        let known = self.ended.known.borrow();
+        let mut runs = known.open_runs(now, key);
+        if known.count(now, key) + runs.len() < MAX_ENDED_SERVERS {
+            runs.clear();
+        }
+        runs
+    }
+
+    fn merge_ended(&self, requests: Vec<SharedRequest>, now: Instant) -> bool {
+        let now = self.now_us(now);
+        let mut known = self.ended.known.borrow_mut();
+        let mut is_accepted = true;
+        for request in requests {
+            let key = request.key;
+            is_accepted &= known.merge(now, key, request.into_request(now));
+        }
+        is_accepted
+    }
+}
+
+/// Starts a run of a request under which servers have ended; `None` if it must be isolated and
+/// another request's isolated run is at the same server.
+///
+/// Peers know of the run before it starts: if this process is lost, they find out whether the server
+/// has ended.
+pub(crate) async fn start_run(
+    shared: &Rc<Shared>,
+    key: RequestKey,
+    server: ServerStart,
+    ends: KnownEnds,
+    time_left: Duration,
+) -> Option<SharedRunGuard> {
+    let now = Instant::now();
+    let run = OpenRun {
+        id: rand::random(),
+        server,
+        depth: ends.next_depth,
+        is_isolated: ends.is_isolated(),
+        expires_at: shared.now_us(now).after(to_span(time_left)),
+    };
+    if !shared.start_known_run(key, &run, now) {
+        return None;
+    }
+    let guard = SharedRunGuard {
+        shared: Rc::clone(shared),
+        key,
+        run: run.id,
+    };
+    shared.share_request(key, &[run]).await.then_some(guard)
+}
+
+/// Refuses a request under which too many servers have ended.
+pub(crate) async fn check_request(
+    shared: &Shared,
+    routed: &RoutedRequest<'_>,
+    trace: &Trace,
+) -> Result<(), Refusal> {
+    // A failure means that the peers did not respond in time; the request is served without them.
+    let _ = timeout(MAX_LOAD_WAIT, shared.ended.wait_until_loaded()).await;
+    if shared.has_no_ends() {
+        return Ok(());
+    }
+    let key = routed.content_key();
+    settle_runs(shared, key, routed.service).await;
+    let now = Instant::now();
+    if !shared.known_ends(key, now).is_given_up() {
+        return Ok(());
+    }
+    shared.trace_given_up(key, trace, now);
+    Err(Refusal::ServersEnded)
+}
+
+/// Waits for the outcome of runs: if their gateway is lost, nobody else would notice that their
+/// servers have ended.
+async fn settle_runs(shared: &Shared, key: RequestKey, service: &str) {
+    let health_path = shared.health_path(service);
+    let give_up_at = Instant::now() + SETTLE_TIMEOUT;
+    while Instant::now() < give_up_at {
+        let runs = shared.decisive_runs(key, Instant::now());
+        if runs.is_empty() {
+            return;
+        }
+        for run in runs {
+            let server = &run.server;
+            let fate = probe(server.address, &server.id, health_path.as_deref()).await;
+            if fate == ServerFate::Ended {
+                shared.record_loss(key, run.server, run.depth, fate).await;
+            }
+        }
+        sleep(SETTLE_INTERVAL).await;
+    }
+}
+
+/// Asks peers what they know, and then keeps it up to date until dropped.
+pub(crate) async fn maintain_ended(shared: Rc<Shared>) {
+    let started_at = Instant::now();
+    wait_for_peers(&shared, started_at).await;
+    load(&shared, MAX_LOAD_PEERS).await;
+    shared.ended.is_loaded.set(true);
+    shared.ended.loaded.notify_waiters();
+    let mut next_load = started_at + SECOND_LOAD_DELAY;
+    let mut peer_count = MAX_LOAD_PEERS;
+    loop {
+        sleep(MAINTENANCE_INTERVAL).await;
+        let now = Instant::now();
+        if now >= next_load {
+            load(&shared, peer_count).await;
+            next_load = now + RELOAD_INTERVAL;
+            peer_count = 1;
+        }
+        update_ends(&shared, now).await;
+    }
+}
+
+/// Waits until the list of processes was read, or it is clear that this takes long.
+async fn wait_for_peers(shared: &Shared, started_at: Instant) {
+    const POLL_INTERVAL: Duration = Duration::from_millis(5);
+    while !shared.directory().has_read_processes && started_at.elapsed() < MAX_LOAD_WAIT {
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Asks up to `count` peers, chosen at random, for all that they know.
+async fn load(shared: &Shared, count: usize) {
+    let mut peers = shared.ended_peers(Instant::now());
+    while peers.len() > count {
+        peers.swap_remove(rand::random_range(0..peers.len()));
+    }
+    let body = to_cbor(&LoadQuery {
+        address: shared.peer_address,
+    });
+    let calls = peers.into_iter().map(|peer| {
+        let call = PeerCall {
+            path: LOAD_PATH,
+            body: body.clone(),
+            limit: LOAD_TIMEOUT,
+        };
+        call_peer::<Vec<SharedRequest>>(shared, peer, call)
+    });
+    for requests in join_all(calls).await.into_iter().flatten() {
+        shared.merge_ended(requests, Instant::now());
+    }
+}
+
+/// Updates what is known of the servers by the list of servers and by asking them.
+async fn update_ends(shared: &Shared, now: Instant) {
+    let now_us = shared.now_us(now);
+    shared.ended.known.borrow_mut().expire(now_us);
+    let Some(list) = shared
+        .current_servers(now)
+        .filter(|_| !shared.has_no_ends())
+    else {
+        return;
+    };
+    let found = shared.ended.known.borrow_mut().apply_list(now_us, &list);
+    for key in found {
+        shared.share_request(key, &[]).await;
+    }
+    let doubtful = shared.ended.known.borrow().doubtful(now_us);
+    let checks = doubtful.into_iter().map(async |server| {
+        let listed = list.servers.get(&server.id);
+        let health_path = listed.and_then(|listed| shared.health_path(&listed.service));
+        let fate = probe(server.address, &server.id, health_path.as_deref()).await;
+        (fate == ServerFate::Alive).then_some(server)
+    });
+    for server in join_all(checks).await.into_iter().flatten() {
+        shared.ended.known.borrow_mut().remove_server(&server);
+        let event = Event::new(EventKind::ServerResponds).with("server", &server.id);
+        shared.log(&event);
+    }
+}
+
+/// Handles a peer's call about servers that ended; `None` for other paths.
+pub(crate) fn handle_ended_call(
+    shared: &Shared,
+    path: &str,
+    body: &[u8],
+    now: Instant,
+) -> Option<(u16, Bytes)> {
+    let answer = match path {
+        HOLD_PATH => from_cbor(body).map(|requests| to_cbor(&shared.merge_ended(requests, now))),
+        OVER_PATH => from_cbor(body).map(|over| to_cbor(&apply_over(shared, over, now))),
+        LOAD_PATH => from_cbor(body).map(|query| to_cbor(&answer_load(shared, query, now))),
+        _ => return None,
+    };
+    Some(answer.map_or((400, Bytes::new()), |body| (200, body)))
+}
+
+fn apply_over(shared: &Shared, over: Vec<RequestOver>, now: Instant) {
+    let now = shared.now_us(now);
+    let mut known = shared.ended.known.borrow_mut();
+    for RequestOver {
+        key,
+        run,
+        is_served,
+    } in over
+    {
+        if is_served {
+            known.forget(key);
+        } else {
+            known.finish_run(now, key, run);
+        }
+    }
+}
+
+fn answer_load(shared: &Shared, query: LoadQuery, now: Instant) -> Vec<SharedRequest> {
+    shared.ended.joined.borrow_mut().insert(query.address, now);
+    let now = shared.now_us(now);
+    let known = shared.ended.known.borrow();
+    let requests = known.newest(now, MAX_LOADED_REQUESTS);
+    let requests = requests.iter();
+    requests
+        .map(|(key, request)| SharedRequest::new(now, *key, &request.ends, &request.runs))
+        .collect()
+}
--- /dev/null
+++ b/clementinepickd/src/gateway_ended_messages.rs
@@ -0,0 +1,125 @@
+//! Defines the messages by which peers share which servers ended under a request.
+//!
+//! Times are sent as ages and remaining spans, since the clocks of processes differ.
+
+use std::net::SocketAddr;
+
+use clementinepick::ended_servers::{EndState, OpenRun, RequestEnds, ServerEnd, ServerStart};
+use clementinepick::request_key::RequestKey;
+use clementinepick::units::{SpanUs, TimeUs};
+use serde::{Deserialize, Serialize};
+
+/// The path of calls that share requests; the answer is whether their runs may start.
+pub(crate) const HOLD_PATH: &str = "/ended/hold";
+/// The path of calls that report requests or runs as over.
+pub(crate) const OVER_PATH: &str = "/ended/over";
+/// The path of calls that ask for all that a peer knows.
+pub(crate) const LOAD_PATH: &str = "/ended/load";
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct SharedEnd {
+    #[serde(rename = "s")]
+    server: ServerStart,
+    #[serde(rename = "d")]
+    depth: u32,
+    #[serde(rename = "g")]
+    age_us: SpanUs,
+    #[serde(rename = "t")]
+    state: EndState,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct SharedRun {
+    #[serde(rename = "r")]
+    id: u64,
+    #[serde(rename = "s")]
+    server: ServerStart,
+    #[serde(rename = "d")]
+    depth: u32,
+    #[serde(rename = "o")]
+    is_isolated: bool,
+    #[serde(rename = "k")]
+    keep_us: SpanUs,
+}
+
+/// A request under which servers have ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct SharedRequest {
+    #[serde(rename = "k")]
+    pub(crate) key: RequestKey,
+    #[serde(rename = "e")]
+    ends: Vec<SharedEnd>,
+    #[serde(rename = "r")]
+    runs: Vec<SharedRun>,
+}
+
+impl SharedRequest {
+    /// Encodes the servers that have ended under a request, and some of its runs.
+    pub(crate) fn new(now: TimeUs, key: RequestKey, ends: &[ServerEnd], runs: &[OpenRun]) -> Self {
+        let ends = ends.iter();
+        let ends = ends.filter(|end| end.state != EndState::Suspected);
+        let runs = runs.iter().filter(|run| now < run.expires_at);
+        Self {
+            key,
+            ends: ends
+                .map(|end| SharedEnd {
+                    server: end.server.clone(),
+                    depth: end.depth,
+                    age_us: now.since(end.lost_at),
+                    state: end.state,
+                })
+                .collect(),
+            runs: runs
+                .map(|run| SharedRun {
+                    id: run.id,
+                    server: run.server.clone(),
+                    depth: run.depth,
+                    is_isolated: run.is_isolated,
+                    keep_us: run.expires_at.since(now),
+                })
+                .collect(),
+        }
+    }
+
+    /// Decodes what a peer knows.
+    pub(crate) fn into_request(self, now: TimeUs) -> RequestEnds {
+        let ends = self.ends.into_iter().map(|end| ServerEnd {
+            server: end.server,
+            depth: end.depth,
+            lost_at: TimeUs(now.0.saturating_sub(end.age_us.0)),
+            state: end.state,
+        });
+        let runs = self.runs.into_iter().map(|run| OpenRun {
+            id: run.id,
+            server: run.server,
+            depth: run.depth,
+            is_isolated: run.is_isolated,
+            expires_at: now.after(run.keep_us),
+        });
+        RequestEnds {
+            ends: ends.collect(),
+            runs: runs.collect(),
+        }
+    }
+}
+
+/// Says that a request or one of its runs is over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RequestOver {
+    #[serde(rename = "k")]
+    pub(crate) key: RequestKey,
+    /// The run that is over without the end of its server.
+    #[serde(rename = "r")]
+    pub(crate) run: u64,
+    /// Whether a server has answered the request, which ends no servers then.
+    #[serde(rename = "s")]
+    pub(crate) is_served: bool,
+}
+
+/// Asks a peer for all that it knows, and to share what it learns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LoadQuery {
+    /// Where the asking process takes calls; the list of processes may not have it yet.
+    #[serde(rename = "a")]
+    pub(crate) address: SocketAddr,
+}
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -103,6 +103,7 @@
             counter!("clementinepick_store_relayed_total").absolute(counts.relayed);
             set_gauge("clementinepick_programs", programs);
             set_gauge("clementinepick_stream_origins", shared.origins.len());
+            set_gauge("clementinepick_requests_with_ends", shared.ended.len());
             set_gauge("clementinepick_cached_turns", turns);
             set_gauge("clementinepick_cached_turn_bytes", turn_bytes);
             set_gauge(
@@ -199,6 +200,7 @@
         "peers": directory.peers.iter().map(ToString::to_string).collect::<Vec<_>>(),
         "programs": programs,
         "stream_origins": shared.origins.len(),
+        "requests_with_ends": shared.ended.len(),
         "cached_turns": turns,
         "cached_turn_bytes": turn_bytes,
         "servers": servers,
--- a/clementinepickd/src/gateway_origins.rs
+++ b/clementinepickd/src/gateway_origins.rs
@@ -6,9 +6,7 @@
 //! lost it, the stream is resumed only if it can have begun at no other version.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -17,17 +15,16 @@
 use clementinepick::units::SpanUs;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use serde::{Deserialize, Serialize};
-use tokio::sync::mpsc;
-use tokio::task::JoinSet;
 
 use crate::gateway_peer::{PeerCall, call_peer};
+use crate::gateway_peer_updates::PeerUpdate;
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
 use crate::ledger::{from_cbor, to_cbor};
 use crate::link::to_span;
 
 /// The path of calls that hand origins to a peer.
-const HOLD_PATH: &str = "/origins/hold";
+pub(crate) const HOLD_PATH: &str = "/origins/hold";
 /// The path of calls that ask a peer for an origin.
 const FIND_PATH: &str = "/origins/find";
 /// The number of peers that hold a stream's origin besides its own gateway: with two, most streams
@@ -36,12 +33,8 @@
 /// The maximum number of peers asked for an origin. It exceeds [`COPIES`], because the two gateways
 /// may differ in which peers they know and find reachable.
 const MAX_ASKED: usize = 8;
-/// How long a peer may take to take origins, which no caller waits for.
-const HOLD_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long a peer may take to answer from memory, while the caller waits.
 const FIND_TIMEOUT: Duration = Duration::from_millis(100);
-/// The maximum number of origins in one call.
-const BATCH_SIZE: usize = 64;
 
 /// The origin of one stream, as sent to a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,21 +73,13 @@
     Unknown,
 }
 
-/// The origins that this process knows, and those that it has yet to send to peers.
+/// The origins that this process knows.
+#[derive(Default)]
 pub(crate) struct Origins {
     known: RefCell<StreamOrigins>,
-    /// Bounded by the number of streams, because its receiver never waits for a peer.
-    begun: mpsc::UnboundedSender<SharedOrigin>,
 }
 
 impl Origins {
-    /// Creates an empty memory, and the queue of origins to send to peers.
-    pub(crate) fn new() -> (Self, mpsc::UnboundedReceiver<SharedOrigin>) {
-        let (begun, queue) = mpsc::unbounded_channel();
-        let known = RefCell::default();
-        (Self { known, begun }, queue)
-    }
-
     /// Returns the number of known origins.
     pub(crate) fn len(&self) -> usize {
         self.known.borrow().len()
@@ -118,7 +103,7 @@
         };
         self.hold_origin(&shared_origin, now);
         // The receiver ends only with the process.
-        let _ = self.origins.begun.send(shared_origin);
+        let _ = self.updates.send(PeerUpdate::Origin(shared_origin));
     }
 
     /// Forgets the origins of streams that can no longer be resumed.
@@ -168,6 +153,15 @@
         servers.any(|server| server.service == origin.service && !origin.fits(server))
     }
 
+    /// Returns the peers that should hold a copy of an origin.
+    pub(crate) fn origin_copy_holders(
+        &self,
+        origin: &SharedOrigin,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        self.origin_holders(&origin.attempt, COPIES, now)
+    }
+
     /// Returns the first `count` reachable peers that should hold the origin of a stream.
     fn origin_holders(&self, attempt: &str, count: usize, now: Instant) -> Vec<SocketAddr> {
         let directory = self.directory();
@@ -239,57 +233,6 @@
     calls.collect()
 }
 
-/// Sends the origins of begun streams to the peers that hold them, until the sender is dropped.
-///
-/// The calls to different peers run at the same time, so that a peer that does not respond delays
-/// no other copy.
-pub(crate) async fn send_origins(
-    shared: Rc<Shared>,
-    mut begun: mpsc::UnboundedReceiver<SharedOrigin>,
-) {
-    let mut calls = JoinSet::new();
-    let mut batch = Vec::with_capacity(BATCH_SIZE);
-    loop {
-        tokio::select! {
-            count = begun.recv_many(&mut batch, BATCH_SIZE) => {
-                if count == 0 {
-                    break;
-                }
-                for (peer, origins) in group_by_holder(&shared, batch.drain(..)) {
-                    calls.spawn_local(send_to_holder(Rc::clone(&shared), peer, origins));
-                }
-            }
-            Some(_) = calls.join_next() => {}
-        }
-    }
-    calls.shutdown().await;
-}
-
-fn group_by_holder(
-    shared: &Shared,
-    origins: impl Iterator<Item = SharedOrigin>,
-) -> BTreeMap<SocketAddr, Vec<SharedOrigin>> {
-    let now = Instant::now();
-    let mut by_holder: BTreeMap<SocketAddr, Vec<SharedOrigin>> = BTreeMap::new();
-    for origin in origins {
-        for holder in shared.origin_holders(&origin.attempt, COPIES, now) {
-            by_holder.entry(holder).or_default().push(origin.clone());
-        }
-    }
-    by_holder
-}
-
-async fn send_to_holder(shared: Rc<Shared>, peer: SocketAddr, origins: Vec<SharedOrigin>) {
-    let call = PeerCall {
-        path: HOLD_PATH,
-        body: to_cbor(&origins),
-        limit: HOLD_TIMEOUT,
-    };
-    if call_peer::<()>(&shared, peer, call).await.is_none() {
-        shared.metrics.count_lost_origins(origins.len());
-    }
-}
-
 /// Handles a peer's call about origins; `None` for other paths.
 pub(crate) fn handle_origin_call(
     shared: &Shared,
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -1,5 +1,5 @@
 //! Calls peers and handles their calls: store calls for a peer that cannot reach the store,
-//! budgets, origins of streams, and turns.
+//! budgets, origins of streams, servers that ended, and turns.
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -15,6 +15,7 @@
 
 use crate::gateway_budget_peer::handle_budget_call;
 use crate::gateway_connection::{Handler, ReceivedRequest};
+use crate::gateway_ended::handle_ended_call;
 use crate::gateway_origins::handle_origin_call;
 use crate::gateway_peer_turns::{self, TURN_PATH};
 use crate::gateway_reply::Reply;
@@ -71,6 +72,12 @@
 }
 
 impl Handler for PeerHandler {
+    /// A process that was suspended finds messages of peers that have given up waiting for it. What
+    /// they say of requests that end servers, and of streams, is still of use.
+    fn starts_despite_disconnect(&self) -> bool {
+        true
+    }
+
     fn handle<'a>(
         &'a self,
         request: &'a ReceivedRequest<'_>,
@@ -86,6 +93,10 @@
                 handle_origin_call(&self.shared, &target, &request.body, Instant::now())
             {
                 response
+            } else if let Some(response) =
+                handle_ended_call(&self.shared, &target, &request.body, Instant::now())
+            {
+                response
             } else if target == TURN_PATH {
                 gateway_peer_turns::handle_fetch(&self.shared, &request.body)
             } else if platform::store::is_store_target(&target) {
--- /dev/null
+++ b/clementinepickd/src/gateway_peer_updates.rs
@@ -0,0 +1,109 @@
+//! Sends updates of what peers remember for each other, in batches and without waiting for them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use crate::gateway_ended_messages::{OVER_PATH, RequestOver};
+use crate::gateway_origins::{HOLD_PATH, SharedOrigin};
+use crate::gateway_peer::{PeerCall, call_peer};
+use crate::gateway_shared::Shared;
+use crate::ledger::to_cbor;
+
+/// How long a peer may take to take an update, which no caller waits for.
+const UPDATE_TIMEOUT: Duration = Duration::from_millis(250);
+/// The maximum number of updates in one batch.
+const BATCH_SIZE: usize = 64;
+
+/// Something that peers should know.
+#[derive(Debug)]
+pub(crate) enum PeerUpdate {
+    /// The origin of a stream that begins.
+    Origin(SharedOrigin),
+    /// A request under which servers have ended, or one of its runs, is over.
+    Over(RequestOver),
+}
+
+/// Sends updates to peers. Unbounded, because its receiver never waits for a peer.
+pub(crate) type PeerUpdateSender = mpsc::UnboundedSender<PeerUpdate>;
+
+/// The updates for one peer.
+#[derive(Default)]
+struct Batch {
+    origins: Vec<SharedOrigin>,
+    over: Vec<RequestOver>,
+}
+
+/// Sends queued updates to the peers that they are for, until the sender is dropped.
+///
+/// The calls to different peers run at the same time, so that a peer that does not respond delays
+/// no other.
+pub(crate) async fn send_updates(
+    shared: Rc<Shared>,
+    mut queue: mpsc::UnboundedReceiver<PeerUpdate>,
+) {
+    let mut calls = JoinSet::new();
+    let mut updates = Vec::with_capacity(BATCH_SIZE);
+    loop {
+        tokio::select! {
+            count = queue.recv_many(&mut updates, BATCH_SIZE) => {
+                if count == 0 {
+                    break;
+                }
+                for (peer, batch) in group_by_peer(&shared, updates.drain(..)) {
+                    calls.spawn_local(send_batch(Rc::clone(&shared), peer, batch));
+                }
+            }
+            Some(_) = calls.join_next() => {}
+        }
+    }
+    calls.shutdown().await;
+}
+
+fn group_by_peer(
+    shared: &Shared,
+    updates: impl Iterator<Item = PeerUpdate>,
+) -> BTreeMap<SocketAddr, Batch> {
+    let now = Instant::now();
+    let mut batches: BTreeMap<SocketAddr, Batch> = BTreeMap::new();
+    for update in updates {
+        match update {
+            PeerUpdate::Origin(origin) => {
+                for holder in shared.origin_copy_holders(&origin, now) {
+                    let batch = batches.entry(holder).or_default();
+                    batch.origins.push(origin.clone());
+                }
+            }
+            PeerUpdate::Over(over) => {
+                for peer in shared.ended_peers(now) {
+                    batches.entry(peer).or_default().over.push(over);
+                }
+            }
+        }
+    }
+    batches
+}
+
+async fn send_batch(shared: Rc<Shared>, peer: SocketAddr, batch: Batch) {
+    if !batch.origins.is_empty() && !send(&shared, peer, HOLD_PATH, to_cbor(&batch.origins)).await {
+        shared.metrics.count_lost_origins(batch.origins.len());
+    }
+    if !batch.over.is_empty() {
+        // A run that a peer takes for open expires at the deadline of its caller.
+        let _ = send(&shared, peer, OVER_PATH, to_cbor(&batch.over)).await;
+    }
+}
+
+async fn send(shared: &Shared, peer: SocketAddr, path: &'static str, body: Bytes) -> bool {
+    let call = PeerCall {
+        path,
+        body,
+        limit: UPDATE_TIMEOUT,
+    };
+    call_peer::<()>(shared, peer, call).await.is_some()
+}
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -17,6 +17,7 @@
 
 use crate::gateway_call::{self, CALL};
 use crate::gateway_connection::{Handler, ReceivedRequest};
+use crate::gateway_ended::check_request;
 use crate::gateway_exchange::{RoutedRequest, request_host};
 use crate::gateway_reply::{CallerDisconnected, Reply, ReplyState};
 use crate::gateway_shared::Shared;
@@ -84,7 +85,7 @@
                     self.shared
                         .metrics
                         .count_request(trace.kind.get(), code, took);
-                    self.write_refusal(refusal, id, reply).await;
+                    self.write_refusal(refusal, id, &trace, reply).await;
                 }
                 // `DisconnectGuard` has logged it.
                 Err(CallerDisconnected { .. }) => {}
@@ -122,10 +123,19 @@
 }
 
 impl CallerHandler {
-    async fn write_refusal(&self, refusal: Refusal, id: &str, reply: &mut Reply<'_>) {
+    async fn write_refusal(
+        &self,
+        refusal: Refusal,
+        id: &str,
+        trace: &Trace,
+        reply: &mut Reply<'_>,
+    ) {
         if reply.state() == ReplyState::Open {
             // A failure to write means that the caller has disconnected.
             let mut refusal_response = refusal.response();
+            if let Some(retry_after) = trace.retry_after.get() {
+                refusal_response.retry_after_us = Some(retry_after);
+            }
             if refusal == Refusal::LedgerUnavailable {
                 let outage = self.shared.store.unavailable_for(Instant::now());
                 refusal_response.retry_after_us = Some(ledger_retry_after(to_span(outage)));
@@ -178,6 +188,9 @@
     let is_streaming = routed.route.kind == RequestKind::Streaming;
     trace.kind.set(if is_streaming { TURN } else { CALL });
     let work = async {
+        if let Err(refusal) = check_request(shared, &routed, trace).await {
+            return Ok(Err(refusal));
+        }
         if is_streaming {
             gateway_stream::run(shared, &routed, trace, reply).await
         } else {
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -11,7 +11,7 @@
 use clementinepick::event::{Event, EventKind};
 use clementinepick::listed_versions::ListedVersions;
 use clementinepick::retry::RetryBudget;
-use clementinepick::server_list::SoftwareVersion;
+use clementinepick::server_list::{ServerList, SoftwareVersion};
 use clementinepick::server_selection::ServerSelector;
 use clementinepick::traffic_config::CallerLimits;
 use clementinepick::units::{Percent, SpanUs, TimeUs, Tokens};
@@ -20,8 +20,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::directory::Directory;
+use crate::gateway_ended::Ended;
 use crate::gateway_metrics::GatewayMetrics;
-use crate::gateway_origins::{Origins, SharedOrigin};
+use crate::gateway_origins::Origins;
+use crate::gateway_peer_updates::{PeerUpdate, PeerUpdateSender};
 use crate::gateway_prefetch::{PREFETCH_QUEUE_CAPACITY, PrefetchRequest};
 use crate::gateway_settings::GatewaySettings;
 use crate::ledger::LedgerStore;
@@ -38,9 +40,9 @@
 /// would send requests to servers that have left and refuse new programs, although another process
 /// may have newer ones.
 const MAX_DIRECTORY_AGE: Duration = Duration::from_secs(3);
-/// The maximum age of a server list from which the absence of other software versions is concluded;
-/// a list whose read was lost is read again within this time.
-const MAX_VERSIONS_AGE: Duration = Duration::from_secs(2);
+/// The maximum age of a server list from which it is concluded that a server or a software version is
+/// absent; a list whose read was lost is read again within this time.
+const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 /// The percentage of requests that may be retried. Faults of single servers affect fewer responses
 /// than this, up to 5 % at six servers in ten; more failures mean that a service fails as a whole.
 const RETRY_PERCENT: u8 = 20;
@@ -53,6 +55,9 @@
     pub(crate) homes: Homes,
     pub(crate) turns: Turns,
     pub(crate) origins: Origins,
+    pub(crate) ended: Ended,
+    /// What peers should know.
+    pub(crate) updates: PeerUpdateSender,
     /// Requests for slices that programs may need soon.
     pub(crate) prefetch: mpsc::Sender<PrefetchRequest>,
     /// The address at which peers reach this process.
@@ -109,8 +114,8 @@
     pub(crate) returned: mpsc::Receiver<TokenReturn>,
     /// Slices to reserve before turns need them.
     pub(crate) prefetch: mpsc::Receiver<PrefetchRequest>,
-    /// Origins of begun streams to send to peers.
-    pub(crate) origins: mpsc::UnboundedReceiver<SharedOrigin>,
+    /// What to tell peers.
+    pub(crate) updates: mpsc::UnboundedReceiver<PeerUpdate>,
 }
 
 impl Shared {
@@ -131,7 +136,7 @@
         let (budgets, returned) = Budgets::new(Rc::clone(&ledger), writer, settings.peers);
         let budgets = Rc::new(budgets);
         let (prefetch, prefetch_requests) = mpsc::channel(PREFETCH_QUEUE_CAPACITY);
-        let (origins, begun) = Origins::new();
+        let (updates, queued_updates) = mpsc::unbounded_channel();
         let shared = Self {
             store,
             prefetch,
@@ -139,7 +144,9 @@
             budgets,
             peer_address: settings.peers,
             turns: Turns::new(Rc::clone(&ledger)),
-            origins,
+            origins: Origins::default(),
+            ended: Ended::default(),
+            updates,
             ledger,
             pool: ConnectionPool::default(),
             choice: RefCell::default(),
@@ -161,7 +168,7 @@
         let queues = BackgroundQueues {
             returned,
             prefetch: prefetch_requests,
-            origins: begun,
+            updates: queued_updates,
         };
         (shared, queues)
     }
@@ -186,6 +193,13 @@
         service.map_or(Tokens(1), |service| service.tokens_per_event)
     }
 
+    /// Returns the list of servers unless it is too old to conclude from it that a server is absent.
+    pub(crate) fn current_servers(&self, now: Instant) -> Option<Arc<ServerList>> {
+        let directory = self.directory.borrow();
+        let age = now.saturating_duration_since(directory.servers_read_at?);
+        (age <= MAX_LIST_AGE).then(|| Arc::clone(&directory.servers))
+    }
+
     /// Returns the path of health checks of a service's servers.
     pub(crate) fn health_path(&self, service: &str) -> Option<String> {
         let directory = self.directory.borrow();
@@ -208,10 +222,7 @@
         span: SpanUs,
         now: Instant,
     ) -> Option<SoftwareVersion> {
-        let read_at = self.directory.borrow().servers_read_at?;
-        if now.saturating_duration_since(read_at) > MAX_VERSIONS_AGE {
-            return None;
-        }
+        self.current_servers(now)?;
         self.record_versions(now);
         let listed = self.listed_versions.borrow();
         listed
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -297,12 +297,17 @@
     ) -> Result<Result<(), Refusal>, CallerDisconnected> {
         let may_repeat = self.routed.route.is_resumable;
         let mut attempts = Attempts::new(self.shared, self.routed, self.trace, may_repeat);
-        while let Some(slot) = attempts.next_slot(self.last_server.as_deref(), self.origin.as_ref())
+        while let Some(slot) = attempts
+            .next_slot(self.last_server.as_deref(), self.origin.as_ref())
+            .await
         {
             self.record_placement(&slot.server.id);
             self.log_resumption(&slot.server, reply.state());
             match self.run_once(slot, reply).await? {
-                Ok(()) => return Ok(Ok(())),
+                Ok(()) => {
+                    attempts.record_answered();
+                    return Ok(Ok(()));
+                }
                 Err(_) if self.is_out_of_budget => return Ok(Err(Refusal::LedgerUnavailable)),
                 Err(error) => attempts.record_error(error).await,
             }
--- a/clementinepickd/src/gateway_trace.rs
+++ b/clementinepickd/src/gateway_trace.rs
@@ -7,6 +7,7 @@
 use clementinepick::event::Event;
 use clementinepick::server_list::BackendServer;
 use clementinepick::server_selection::SelectionReason;
+use clementinepick::units::SpanUs;
 
 /// The steps that a request has reached.
 #[derive(Debug, Default)]
@@ -15,6 +16,8 @@
     pub(crate) kind: Cell<&'static str>,
     /// Whether a server may be running the request or may have run it.
     pub(crate) may_have_run: Cell<bool>,
+    /// When the caller of a given-up request may return.
+    pub(crate) retry_after: Cell<Option<SpanUs>>,
     /// The status that was sent to the caller; 0 before the head of a response was sent.
     pub(crate) status: Cell<u16>,
     servers: RefCell<Vec<String>>,
--- a/clementinepickd/src/process_registry.rs
+++ b/clementinepickd/src/process_registry.rs
@@ -160,6 +160,7 @@
         let is_complete = self.announcements > 1;
         self.context.publish.send_modify(|directory| {
             directory.peers = Arc::new(peers);
+            directory.has_read_processes = true;
             if is_complete {
                 directory.processes = Arc::new(processes);
             }
--- a/clementinepickd/src/safeguard.rs
+++ b/clementinepickd/src/safeguard.rs
@@ -17,6 +17,8 @@
     OwnAnswer,
     /// A stream is resumed only at a server of the software version that began it.
     StreamVersion,
+    /// A request that has ended several servers is sent to no more.
+    EndedServers,
 }
 
 impl Safeguard {
@@ -37,6 +39,7 @@
             Self::DrainNotice => "drain_notice",
             Self::OwnAnswer => "own_answer",
             Self::StreamVersion => "stream_version",
+            Self::EndedServers => "ended_servers",
         };
         std::env::var("CLEMENTINEPICK_LEAVE_OUT").is_ok_and(|disabled| disabled == name)
     }
--- a/clementinepickd/src/server_probe.rs
+++ b/clementinepickd/src/server_probe.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::{Method, ResponseHead, Uri};
-use actix_rt::time::timeout;
+use actix_rt::time::{sleep, timeout};
 use bytes::Bytes;
 
 use crate::outbound::{Connection, OutboundError, OutboundRequest};
@@ -14,6 +14,9 @@
 /// How long a server may take to accept a connection and to respond to a health check. A server
 /// that has ended refuses the connection within a round trip.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// The number of connections that are opened if each is closed at once, and the pause between them.
+const MAX_TRIES: u32 = 3;
+const RETRY_DELAY: Duration = Duration::from_millis(10);
 
 /// What became of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,27 +40,58 @@
     }
 }
 
+/// What one try to reach a server found.
+enum Found {
+    Fate(ServerFate),
+    /// The connection was opened and closed again.
+    Closed,
+}
+
 /// Asks the address of a server who is there.
+///
+/// The sockets of a process that ends are closed one after the other, its listener possibly last. A
+/// connection that is closed at once is therefore tried again.
 pub(crate) async fn probe(
     address: SocketAddr,
     server_id: &str,
     health_path: Option<&str>,
 ) -> ServerFate {
+    for _ in 0..MAX_TRIES {
+        match try_once(address, server_id, health_path).await {
+            Found::Fate(fate) => return fate,
+            Found::Closed => sleep(RETRY_DELAY).await,
+        }
+    }
+    ServerFate::Unknown
+}
+
+async fn try_once(address: SocketAddr, server_id: &str, health_path: Option<&str>) -> Found {
     let opened = Connection::open(address, PROBE_TIMEOUT, Instant::now()).await;
     let connection = match opened {
         Ok(connection) => connection,
-        Err(OutboundError::Connect(err)) if err.kind() == io::ErrorKind::ConnectionRefused => {
-            return ServerFate::Ended;
-        }
-        Err(_) => return ServerFate::Unknown,
+        Err(OutboundError::Connect(err)) => return found_by_error(&err),
+        Err(_) => return Found::Fate(ServerFate::Unknown),
     };
     let Some(target) = health_path.and_then(|path| path.parse().ok()) else {
-        return ServerFate::Unknown;
+        return Found::Fate(ServerFate::Unknown);
     };
     let check = check_health(connection, address, target);
-    let Ok(Some(head)) = timeout(PROBE_TIMEOUT, check).await else {
-        return ServerFate::Unknown;
-    };
+    match timeout(PROBE_TIMEOUT, check).await {
+        Ok(Some(head)) => Found::Fate(fate_by_response(&head, server_id)),
+        Ok(None) => Found::Closed,
+        Err(_) => Found::Fate(ServerFate::Unknown),
+    }
+}
+
+fn found_by_error(err: &io::Error) -> Found {
+    match err.kind() {
+        io::ErrorKind::ConnectionRefused => Found::Fate(ServerFate::Ended),
+        io::ErrorKind::ConnectionReset | io::ErrorKind::ConnectionAborted => Found::Closed,
+        _ => Found::Fate(ServerFate::Unknown),
+    }
+}
+
+fn fate_by_response(head: &ResponseHead, server_id: &str) -> ServerFate {
     match platform::response::server_id(&head.headers) {
         Some(id) if id == server_id => ServerFate::Alive,
         Some(_) => ServerFate::Ended,
--- a/standins/tests/ended_servers.rs
+++ b/standins/tests/ended_servers.rs
@@ -8,6 +8,7 @@
 
 use ending_run::{BegunRequest, EndingRun, EndingSettings, Fatal, Kind};
 use standins::platform_backend::BackendFault;
+use standins::platform_run::wait_until;
 use standins::server_fleet::RestartId;
 
 /// The number of servers that one request may end.
@@ -213,9 +214,14 @@
     send_to(&mut run, &[0, 1]);
     assert_given_up(&mut run, &[0]);
     let sent = run.send_fatal(2);
-    let log = run.gateways.log(2).expect("a log");
-    let line = log.lines().find(|line| line.contains(&sent.id));
-    let line = line.expect("a line of the request");
+    let line = || {
+        let log = run.gateways.log(2).ok()?;
+        let mut lines = log.lines();
+        let line = lines.find(|line| line.contains(&sent.id))?;
+        Some(line.to_owned())
+    };
+    wait_until(|| line().is_some()).expect("a line of the request");
+    let line = line().expect("the line");
     for server in run.ended_servers() {
         assert!(line.contains(&server), "{server} is missing: {line}");
     }
