Split the upkeep of ended servers; probe less, and hear of requests again sooner

Cause: a server that is cut off and still listed was asked every 500 ms by each gateway; a caller that disconnected during the probe left its loss unrecorded; a gateway that was cut off heard of requests after ten seconds. Change: such servers are asked every two seconds; a loss is recorded before the probe; a peer is asked every five seconds; upkeep is a module of its own. A test has servers that refuse connections for a while and live.

--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -25,7 +25,7 @@
 use crate::directory::{Directory, Identity, follow};
 use crate::gateway_budget::{maintain_homes, send_token_returns};
 use crate::gateway_connection::{Handler, serve};
-use crate::gateway_ended::maintain_ended;
+use crate::gateway_ended_upkeep::maintain_ended;
 use crate::gateway_maintenance::run_maintenance;
 use crate::gateway_metrics::{GatewayMetrics, MetricsHandler};
 use crate::gateway_peer::PeerHandler;
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -18,7 +18,7 @@
 use crate::gateway_exchange::{RoutedRequest, ServerSlot};
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
-use crate::server_probe::probe;
+use crate::server_probe::{ServerFate, probe};
 
 /// The shortest and longest wait, in milliseconds, until an isolated request looks for a server
 /// again. Two gateways that have chosen the same one wait for different times.
@@ -49,7 +49,7 @@
 /// The run of a request at one server.
 struct CurrentRun {
     server: BackendServer,
-    /// One more than the servers that had ended under the request before.
+    /// One more than the servers that had lost a response to the request before.
     depth: u32,
     /// Tells peers when the run is over, if they know the request.
     _guard: Option<SharedRunGuard>,
@@ -141,6 +141,9 @@
                 }
                 Some(slot) => {
                     if let Some(guard) = self.share_run(&slot, ends).await {
+                        if !isolated.is_empty() {
+                            self.trace.add_field("isolated_from", &isolated.join(","));
+                        }
                         self.set_current(&slot, ends.next_depth, Some(guard));
                         return Some(slot);
                     }
@@ -229,6 +232,10 @@
     /// Finds out what became of a server that lost a response.
     async fn record_loss(&self, run: &CurrentRun) {
         let server = &run.server;
+        let start = ServerStart::of(server);
+        // The caller may disconnect during the probe, which ends this attempt.
+        self.shared
+            .record_suspected(self.key(), start.clone(), run.depth);
         let health_path = self.shared.health_path(&server.service);
         let fate = probe(server.address, &server.id, health_path.as_deref()).await;
         self.shared.metrics.count_lost_response(fate.label());
@@ -237,12 +244,12 @@
             .with("content", self.key())
             .with("server", &server.id)
             .with("fate", fate.label())
-            .with("ended_before", run.depth - 1);
+            .with("lost_before", run.depth - 1);
         self.shared.log(&event);
-        let start = ServerStart::of(server);
-        self.shared
-            .record_loss(self.key(), start, run.depth, fate)
-            .await;
+        if fate == ServerFate::Ended {
+            let recorded = self.shared.record_ended(self.key(), start, run.depth);
+            recorded.await;
+        }
     }
 
     /// Returns the refusal to send to the caller if all attempts fail.
--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -16,7 +16,6 @@
 use clementinepick::ended_servers::{
     EndState, EndedServers, ISOLATION_THRESHOLD, MAX_ENDED_SERVERS, OpenRun, ServerEnd, ServerStart,
 };
-use clementinepick::event::{Event, EventKind};
 use clementinepick::refusal::Refusal;
 use clementinepick::request_key::RequestKey;
 use futures_util::future::join_all;
@@ -37,24 +36,13 @@
 
 /// How long a peer may take to hear of a server that ended, or of a run, while the caller waits.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(100);
-/// How long a peer may take to send all that it knows.
-const LOAD_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long requests wait at a process that has just started for what its peers know.
-const MAX_LOAD_WAIT: Duration = Duration::from_millis(400);
-/// The number of peers that a process asks at its start. They also share what they learn with it,
-/// until it is in their lists of processes.
-const MAX_LOAD_PEERS: usize = 64;
-/// The number of requests that a peer sends, about 400 kB.
-const MAX_LOADED_REQUESTS: usize = 2_048;
+pub(crate) const MAX_LOAD_WAIT: Duration = Duration::from_millis(400);
+/// The number of requests that a peer sends, about 100 kB.
+const MAX_LOADED_REQUESTS: usize = 512;
 /// How long a process that has asked is called although it is not listed: lists of processes are
 /// read every 20 s.
 const JOINED_LIFETIME: Duration = Duration::from_mins(1);
-/// The time of the second round of asking: by then, processes that started together are listed.
-const SECOND_LOAD_DELAY: Duration = Duration::from_secs(3);
-/// How often a process asks a peer again, in case it was cut off while another one shared a request.
-const RELOAD_INTERVAL: Duration = Duration::from_secs(10);
-/// The interval of maintenance.
-const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 /// How long to wait for the outcome of a run whose gateway may be lost, and how often to look.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(600);
 const SETTLE_INTERVAL: Duration = Duration::from_millis(50);
@@ -62,7 +50,7 @@
 /// What this process knows of servers that ended under requests.
 #[derive(Default)]
 pub(crate) struct Ended {
-    known: RefCell<EndedServers>,
+    pub(crate) known: RefCell<EndedServers>,
     /// Processes that asked for it and may not be listed yet.
     joined: RefCell<BTreeMap<SocketAddr, Instant>>,
     is_loaded: Cell<bool>,
@@ -75,6 +63,12 @@
         self.known.borrow().len()
     }
 
+    /// Lets requests go on that wait for what peers know.
+    pub(crate) fn set_loaded(&self) {
+        self.is_loaded.set(true);
+        self.loaded.notify_waiters();
+    }
+
     async fn wait_until_loaded(&self) {
         while !self.is_loaded.get() {
             self.loaded.notified().await;
@@ -96,11 +90,7 @@
         let mut known = shared.ended.known.borrow_mut();
         known.finish_run(now, *key, *run);
         drop(known);
-        shared.report_over(RequestOver {
-            key: *key,
-            run: *run,
-            is_served: false,
-        });
+        shared.report_over(RequestOver::Run(*key, *run));
     }
 }
 
@@ -172,30 +162,24 @@
         servers.into_iter().collect()
     }
 
-    /// Records that a server lost the response to a request, and tells peers if it has ended.
-    pub(crate) async fn record_loss(
-        &self,
-        key: RequestKey,
-        server: ServerStart,
-        depth: u32,
-        fate: ServerFate,
-    ) {
+    /// Records that a server lost the response to a request; it may have ended.
+    pub(crate) fn record_suspected(&self, key: RequestKey, server: ServerStart, depth: u32) {
         let now = self.now_us(Instant::now());
-        let has_ended = fate == ServerFate::Ended;
         let end = ServerEnd {
             server,
             depth,
             lost_at: now,
-            state: if has_ended {
-                EndState::Ended
-            } else {
-                EndState::Suspected
-            },
+            state: EndState::Suspected,
         };
         self.ended.known.borrow_mut().record(now, key, end);
-        if has_ended {
-            self.share_request(key, &[]).await;
-        }
+    }
+
+    /// Records that a server has ended under a request, and returns when peers know.
+    pub(crate) async fn record_ended(&self, key: RequestKey, server: ServerStart, depth: u32) {
+        let now = self.now_us(Instant::now());
+        let known = &self.ended.known;
+        known.borrow_mut().record_end(now, key, server, depth);
+        self.share_request(key, &[]).await;
     }
 
     /// Records that a server has answered a request, and tells peers if they know it.
@@ -206,11 +190,7 @@
         known.forget(key);
         drop(known);
         if is_shared {
-            self.report_over(RequestOver {
-                key,
-                run: 0,
-                is_served: true,
-            });
+            self.report_over(RequestOver::Answered(key));
         }
     }
 
@@ -235,7 +215,7 @@
     /// Tells all peers which servers have ended under a request, and of a run that is to start, and
     /// waits until they know; returns false if one of them knows of another request's isolated run
     /// at the same server.
-    async fn share_request(&self, key: RequestKey, runs: &[OpenRun]) -> bool {
+    pub(crate) async fn share_request(&self, key: RequestKey, runs: &[OpenRun]) -> bool {
         let now = Instant::now();
         let Some(request) = self.ended_request(key, runs, now) else {
             return true;
@@ -283,7 +263,9 @@
         runs
     }
 
-    fn merge_ended(&self, requests: Vec<SharedRequest>, now: Instant) -> bool {
+    /// Adds what a peer knows; returns false if an isolated run of its would be at the same server as
+    /// one that is known here.
+    pub(crate) fn merge_ended(&self, requests: Vec<SharedRequest>, now: Instant) -> bool {
         let now = self.now_us(now);
         let mut known = self.ended.known.borrow_mut();
         let mut is_accepted = true;
@@ -361,92 +343,13 @@
             let server = &run.server;
             let fate = probe(server.address, &server.id, health_path.as_deref()).await;
             if fate == ServerFate::Ended {
-                shared.record_loss(key, run.server, run.depth, fate).await;
+                shared.record_ended(key, run.server, run.depth).await;
             }
         }
         sleep(SETTLE_INTERVAL).await;
     }
 }
 
-/// Asks peers what they know, and then keeps it up to date until dropped.
-pub(crate) async fn maintain_ended(shared: Rc<Shared>) {
-    let started_at = Instant::now();
-    wait_for_peers(&shared, started_at).await;
-    load(&shared, MAX_LOAD_PEERS).await;
-    shared.ended.is_loaded.set(true);
-    shared.ended.loaded.notify_waiters();
-    let mut next_load = started_at + SECOND_LOAD_DELAY;
-    let mut peer_count = MAX_LOAD_PEERS;
-    loop {
-        sleep(MAINTENANCE_INTERVAL).await;
-        let now = Instant::now();
-        if now >= next_load {
-            load(&shared, peer_count).await;
-            next_load = now + RELOAD_INTERVAL;
-            peer_count = 1;
-        }
-        update_ends(&shared, now).await;
-    }
-}
-
-/// Waits until the list of processes was read, or it is clear that this takes long.
-async fn wait_for_peers(shared: &Shared, started_at: Instant) {
-    const POLL_INTERVAL: Duration = Duration::from_millis(5);
-    while !shared.directory().has_read_processes && started_at.elapsed() < MAX_LOAD_WAIT {
-        sleep(POLL_INTERVAL).await;
-    }
-}
-
-/// Asks up to `count` peers, chosen at random, for all that they know.
-async fn load(shared: &Shared, count: usize) {
-    let mut peers = shared.ended_peers(Instant::now());
-    while peers.len() > count {
-        peers.swap_remove(rand::random_range(0..peers.len()));
-    }
-    let body = to_cbor(&LoadQuery {
-        address: shared.peer_address,
-    });
-    let calls = peers.into_iter().map(|peer| {
-        let call = PeerCall {
-            path: LOAD_PATH,
-            body: body.clone(),
-            limit: LOAD_TIMEOUT,
-        };
-        call_peer::<Vec<SharedRequest>>(shared, peer, call)
-    });
-    for requests in join_all(calls).await.into_iter().flatten() {
-        shared.merge_ended(requests, Instant::now());
-    }
-}
-
-/// Updates what is known of the servers by the list of servers and by asking them.
-async fn update_ends(shared: &Shared, now: Instant) {
-    let now_us = shared.now_us(now);
-    shared.ended.known.borrow_mut().expire(now_us);
-    let Some(list) = shared
-        .current_servers(now)
-        .filter(|_| !shared.has_no_ends())
-    else {
-        return;
-    };
-    let found = shared.ended.known.borrow_mut().apply_list(now_us, &list);
-    for key in found {
-        shared.share_request(key, &[]).await;
-    }
-    let doubtful = shared.ended.known.borrow().doubtful(now_us);
-    let checks = doubtful.into_iter().map(async |server| {
-        let listed = list.servers.get(&server.id);
-        let health_path = listed.and_then(|listed| shared.health_path(&listed.service));
-        let fate = probe(server.address, &server.id, health_path.as_deref()).await;
-        (fate == ServerFate::Alive).then_some(server)
-    });
-    for server in join_all(checks).await.into_iter().flatten() {
-        shared.ended.known.borrow_mut().remove_server(&server);
-        let event = Event::new(EventKind::ServerResponds).with("server", &server.id);
-        shared.log(&event);
-    }
-}
-
 /// Handles a peer's call about servers that ended; `None` for other paths.
 pub(crate) fn handle_ended_call(
     shared: &Shared,
@@ -466,16 +369,10 @@
 fn apply_over(shared: &Shared, over: Vec<RequestOver>, now: Instant) {
     let now = shared.now_us(now);
     let mut known = shared.ended.known.borrow_mut();
-    for RequestOver {
-        key,
-        run,
-        is_served,
-    } in over
-    {
-        if is_served {
-            known.forget(key);
-        } else {
-            known.finish_run(now, key, run);
+    for over in over {
+        match over {
+            RequestOver::Answered(key) => known.forget(key),
+            RequestOver::Run(key, run) => known.finish_run(now, key, run),
         }
     }
 }
--- a/clementinepickd/src/gateway_ended_messages.rs
+++ b/clementinepickd/src/gateway_ended_messages.rs
@@ -103,17 +103,13 @@
     }
 }
 
-/// Says that a request or one of its runs is over.
+/// Says that a request, or one of its runs, is over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct RequestOver {
-    #[serde(rename = "k")]
-    pub(crate) key: RequestKey,
-    /// The run that is over without the end of its server.
-    #[serde(rename = "r")]
-    pub(crate) run: u64,
-    /// Whether a server has answered the request, which ends no servers then.
-    #[serde(rename = "s")]
-    pub(crate) is_served: bool,
+pub(crate) enum RequestOver {
+    /// A server has answered the request: it ends no servers.
+    Answered(RequestKey),
+    /// The run with this id is over, and its server has not ended.
+    Run(RequestKey, u64),
 }
 
 /// Asks a peer for all that it knows, and to share what it learns.
--- /dev/null
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -0,0 +1,118 @@
+//! Keeps up to date what a gateway knows of servers that ended under requests: by its peers, the list
+//! of servers, and the servers themselves.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep;
+use clementinepick::event::{Event, EventKind};
+use clementinepick::server_list::ServerList;
+use futures_util::future::join_all;
+
+use crate::gateway_ended::MAX_LOAD_WAIT;
+use crate::gateway_ended_messages::{LOAD_PATH, LoadQuery, SharedRequest};
+use crate::gateway_peer::{PeerCall, call_peer};
+use crate::gateway_shared::Shared;
+use crate::ledger::to_cbor;
+use crate::server_probe::{ServerFate, probe};
+
+/// How long a peer may take to send all that it knows.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(200);
+/// The number of peers that a process asks at its start. They also share what they learn with it,
+/// until it is in their lists of processes.
+const MAX_LOAD_PEERS: usize = 64;
+/// The time of the second round of asking: by then, processes that started together are listed.
+const SECOND_LOAD_DELAY: Duration = Duration::from_secs(3);
+/// How often a process asks a peer again, in case it was cut off while another one shared a request.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
+/// How often the list of servers is applied.
+const LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// How often a server that is counted as ended and still listed is asked.
+const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Asks peers what they know, and then keeps it up to date until dropped.
+pub(crate) async fn maintain_ended(shared: Rc<Shared>) {
+    let started_at = Instant::now();
+    wait_for_peers(&shared, started_at).await;
+    load(&shared, MAX_LOAD_PEERS).await;
+    shared.ended.set_loaded();
+    let mut next_load = started_at + SECOND_LOAD_DELAY;
+    let mut next_check = started_at;
+    let mut peer_count = MAX_LOAD_PEERS;
+    loop {
+        sleep(LIST_INTERVAL).await;
+        let now = Instant::now();
+        if now >= next_load {
+            load(&shared, peer_count).await;
+            next_load = now + RELOAD_INTERVAL;
+            peer_count = 1;
+        }
+        let list = shared.current_servers(now);
+        let Some(list) = list.filter(|list| !list.servers.is_empty() && !shared.has_no_ends())
+        else {
+            continue;
+        };
+        apply_list(&shared, &list, now).await;
+        if now >= next_check {
+            check_ended(&shared, &list, now).await;
+            next_check = now + CHECK_INTERVAL;
+        }
+    }
+}
+
+/// Waits until the list of processes was read, or it is clear that this takes long.
+async fn wait_for_peers(shared: &Shared, started_at: Instant) {
+    const POLL_INTERVAL: Duration = Duration::from_millis(5);
+    while !shared.directory().has_read_processes && started_at.elapsed() < MAX_LOAD_WAIT {
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Asks up to `count` peers, chosen at random, for all that they know.
+async fn load(shared: &Shared, count: usize) {
+    let mut peers = shared.ended_peers(Instant::now());
+    while peers.len() > count {
+        peers.swap_remove(rand::random_range(0..peers.len()));
+    }
+    let body = to_cbor(&LoadQuery {
+        address: shared.peer_address,
+    });
+    let calls = peers.into_iter().map(|peer| {
+        let call = PeerCall {
+            path: LOAD_PATH,
+            body: body.clone(),
+            limit: LOAD_TIMEOUT,
+        };
+        call_peer::<Vec<SharedRequest>>(shared, peer, call)
+    });
+    for requests in join_all(calls).await.into_iter().flatten() {
+        shared.merge_ended(requests, Instant::now());
+    }
+}
+
+/// Updates what is known of servers by the list of servers, and tells peers which have ended.
+async fn apply_list(shared: &Shared, list: &ServerList, now: Instant) {
+    let now = shared.now_us(now);
+    let known = &shared.ended.known;
+    known.borrow_mut().expire(now);
+    let found = known.borrow_mut().apply_list(now, list);
+    for key in found {
+        shared.share_request(key, &[]).await;
+    }
+}
+
+/// Asks the servers that are counted as ended and still listed; those that respond count no longer.
+async fn check_ended(shared: &Shared, list: &ServerList, now: Instant) {
+    let doubtful = shared.ended.known.borrow().doubtful(shared.now_us(now));
+    let checks = doubtful.into_iter().map(async |server| {
+        let listed = list.servers.get(&server.id);
+        let health_path = listed.and_then(|listed| shared.health_path(&listed.service));
+        let fate = probe(server.address, &server.id, health_path.as_deref()).await;
+        (fate == ServerFate::Alive).then_some(server)
+    });
+    for server in join_all(checks).await.into_iter().flatten() {
+        shared.ended.known.borrow_mut().remove_server(&server);
+        let event = Event::new(EventKind::ServerResponds).with("server", &server.id);
+        shared.log(&event);
+    }
+}
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -25,6 +25,7 @@
 mod gateway_connection;
 mod gateway_ended;
 mod gateway_ended_messages;
+mod gateway_ended_upkeep;
 mod gateway_exchange;
 mod gateway_ledger_query;
 mod gateway_maintenance;
--- a/clementinepickd/src/server_probe.rs
+++ b/clementinepickd/src/server_probe.rs
@@ -11,9 +11,9 @@
 use crate::outbound::{Connection, OutboundError, OutboundRequest};
 use crate::store::host_header;
 
-/// How long a server may take to accept a connection and to respond to a health check. A server
-/// that has ended refuses the connection within a round trip.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long a server may take to accept a connection, and to respond to a health check. A server that
+/// has ended refuses the connection within a round trip, and the retry of the request waits for it.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 /// The number of connections that are opened if each is closed at once, and the pause between them.
 const MAX_TRIES: u32 = 3;
 const RETRY_DELAY: Duration = Duration::from_millis(10);
--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -9,7 +9,8 @@
 
 use crate::http::lock;
 use crate::wire_server::{
-    Script, Step, WireRequest, WireServer, chunk, chunked_head, full_response, last_chunk,
+    Script, Step, WireRequest, WireServer, chunk, chunked_head, free_port, full_response,
+    last_chunk,
 };
 
 /// The path of health checks.
@@ -127,12 +128,22 @@
     ///
     /// No port is free, or the thread can't be started.
     pub fn start(settings: BackendSettings) -> io::Result<Self> {
+        Self::start_at(free_port(), settings)
+    }
+
+    /// Starts a server at an address.
+    ///
+    /// # Errors
+    ///
+    /// The address is in use, or the thread can't be started.
+    pub fn start_at(address: SocketAddr, settings: BackendSettings) -> io::Result<Self> {
         let core = Arc::new(Mutex::new(BackendCore {
             settings,
             ..BackendCore::default()
         }));
         let shared = Arc::clone(&core);
-        let server = WireServer::start(Arc::new(move |request| lock(&shared).respond(request)))?;
+        let handler = Arc::new(move |request: &WireRequest| lock(&shared).respond(request));
+        let server = WireServer::start_at(address, handler)?;
         Ok(Self {
             address: server.address,
             core,
--- a/standins/src/server_fleet.rs
+++ b/standins/src/server_fleet.rs
@@ -1,6 +1,7 @@
 //! Runs the backend servers of one service and replaces those that end.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -8,6 +9,7 @@
 use crate::http::lock;
 use crate::platform_backend::{BackendFault, BackendSettings, Execution, PlatformBackend};
 use crate::platform_store::PlatformStore;
+use crate::wire_server::free_port;
 
 /// How often the supervisor looks for servers that have ended.
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
@@ -19,6 +21,9 @@
     New,
     /// The id that it had, with a later start time.
     Same,
+    /// The id, the start time and the address that it had: it looks as if it had only refused
+    /// connections for a while.
+    Unchanged,
 }
 
 /// Settings of a fleet.
@@ -84,7 +89,7 @@
         };
         for number in 1..=core.settings.count {
             let id = format!("{}-{number}", core.settings.service);
-            core.start_server(id)?;
+            core.start_server(id, free_port())?;
         }
         let core = Arc::new(Mutex::new(core));
         let supervised = Arc::clone(&core);
@@ -153,13 +158,18 @@
 }
 
 impl FleetCore {
-    fn start_server(&mut self, id: String) -> io::Result<()> {
+    fn start_server(&mut self, id: String, address: SocketAddr) -> io::Result<()> {
         self.starts += 1;
-        let backend = PlatformBackend::start(BackendSettings {
+        let started_unix_ms = match self.settings.restart_id {
+            RestartId::Unchanged => None,
+            RestartId::New | RestartId::Same => Some(self.starts),
+        };
+        let settings = BackendSettings {
             id: id.clone(),
-            started_unix_ms: Some(self.starts),
+            started_unix_ms,
             ..self.settings.backend.clone()
-        })?;
+        };
+        let backend = PlatformBackend::start_at(address, settings)?;
         let entry = backend.entry(self.settings.service, "ready");
         self.store.put("keyed.servers", &id, &entry);
         self.servers.push(FleetServer {
@@ -184,19 +194,23 @@
                 .is_some_and(|at| now.duration_since(at) >= delay)
             {
                 server.is_replaced = true;
-                due.push(server.id.clone());
+                due.push((server.id.clone(), server.backend.address));
             }
         }
-        for ended in due {
+        for (ended, address) in due {
+            let address = match self.settings.restart_id {
+                RestartId::Unchanged => address,
+                RestartId::New | RestartId::Same => free_port(),
+            };
             let id = self.replacement_id(ended);
-            self.start_server(id)?;
+            self.start_server(id, address)?;
         }
         Ok(())
     }
 
     fn replacement_id(&self, ended: String) -> String {
         match self.settings.restart_id {
-            RestartId::Same => ended,
+            RestartId::Same | RestartId::Unchanged => ended,
             RestartId::New => {
                 self.store.remove("keyed.servers", &ended);
                 format!("{}-{}", self.settings.service, self.starts + 1)
--- a/standins/src/soak_proxy.rs
+++ b/standins/src/soak_proxy.rs
@@ -11,7 +11,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
 use crate::http::lock;
-use crate::wire_server::WireServer;
+use crate::wire_server::{WireServer, free_port};
 
 /// How often a proxy checks its mode.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -52,7 +52,7 @@
         let mode = Arc::new(Mutex::new(ProxyMode::Forward));
         let current = Arc::clone(&mode);
         let handler = move |stream, _| proxy_connection(stream, target, Arc::clone(&current));
-        let server = WireServer::start_with(handler)?;
+        let server = WireServer::start_with(free_port(), handler)?;
         Ok(Self {
             address: server.address,
             mode,
--- a/standins/src/wire_server.rs
+++ b/standins/src/wire_server.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener as StdListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -86,7 +86,17 @@
     ///
     /// No port or thread can be had.
     pub fn start(handler: WireHandler) -> io::Result<Self> {
-        Self::start_with(move |stream, stop| serve(stream, Arc::clone(&handler), stop))
+        Self::start_at(free_port(), handler)
+    }
+
+    /// Starts a server at an address, such as that of a server that has ended.
+    ///
+    /// # Errors
+    ///
+    /// The address is in use, or no thread can be had.
+    pub fn start_at(address: SocketAddr, handler: WireHandler) -> io::Result<Self> {
+        let serve = move |stream, stop| serve(stream, Arc::clone(&handler), stop);
+        Self::start_with(address, serve)
     }
 
     /// Returns whether a step has ended the server.
@@ -95,13 +105,13 @@
         self.thread.as_ref().is_none_or(JoinHandle::is_finished)
     }
 
-    /// Starts a server on a free port that gives each connection to `serve`.
-    pub(crate) fn start_with<F, S>(serve: F) -> io::Result<Self>
+    /// Starts a server at an address that gives each connection to `serve`.
+    pub(crate) fn start_with<F, S>(address: SocketAddr, serve: F) -> io::Result<Self>
     where
         F: Fn(TcpStream, Stop) -> S + Send + 'static,
         S: Future<Output = ()> + 'static,
     {
-        let listener = StdListener::bind((IpAddr::V4(Ipv4Addr::LOCALHOST), 0))?;
+        let listener = StdListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let stop = Stop(watch::Sender::new(false));
@@ -117,6 +127,11 @@
     }
 }
 
+/// Returns the loopback address with a port that the system chooses.
+pub(crate) fn free_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
 impl Drop for WireServer {
     fn drop(&mut self) {
         self.stop.end_server();
--- a/standins/tests/ended_servers.rs
+++ b/standins/tests/ended_servers.rs
@@ -293,6 +293,27 @@
     check_served_after("hang", Kind::Call, BackendFault::Silence);
 }
 
+/// Guards against servers that reset and refuse connections for a while, and live, being counted as
+/// ended for longer.
+#[test]
+fn a_request_whose_servers_refuse_connections_for_a_while_is_served() {
+    let settings = EndingSettings {
+        restart_id: RestartId::Unchanged,
+        ..at_once(Kind::Draft)
+    };
+    let mut run = EndingRun::start("refuse-connections", settings);
+    send_to(&mut run, &[0, 1]);
+    run.disarm();
+    for gateway in 0..3 {
+        let is_served = || {
+            let id = "served-again";
+            let response = run.send_same(gateway, id);
+            response.is_ok_and(|response| response.status == 200 && response.is_complete)
+        };
+        wait_until(is_served).expect("a served request");
+    }
+}
+
 /// Guards against servers that refuse requests and live being counted as ended.
 #[test]
 fn a_request_that_live_servers_refuse_is_served() {
--- a/standins/tests/ending_run/mod.rs
+++ b/standins/tests/ending_run/mod.rs
@@ -151,6 +151,12 @@
         self.begin(kind, gateway, id, &request)
     }
 
+    /// Sends a request with the content of the fatal one.
+    pub fn send_same(&self, gateway: usize, id: &str) -> io::Result<CallerResponse> {
+        let request = request(self.settings.fatal.kind, FATAL, id);
+        request.send(self.gateways.callers(gateway))
+    }
+
     /// Begins a request that ends no server; the kinds take turns.
     pub fn begin_beside(&self, number: usize) -> BegunRequest {
         let kind = [Kind::Draft, Kind::Turn, Kind::Call][number % 3];
@@ -203,6 +209,11 @@
         self.configure(|settings| settings.pause = SLOW_PAUSE);
     }
 
+    /// Makes the fatal request harmless.
+    pub fn disarm(&self) {
+        self.configure(|settings| settings.fatal_request = None);
+    }
+
     /// Makes each server inject `fault` into its next requests.
     pub fn inject_faults(&self, fault: BackendFault, count: usize) {
         for fleet in self.fleets.values() {
