Find servers that end after their request was given up there; load at once at a start

By reading: a server that ends after its request was given up there by a timeout was counted by the list of servers only, seconds later, by one gateway only. Change: a gateway asks the peers of its settings at once and those of the list again; servers that lost a response are asked again for two seconds and before the next run of the request; peers hear of a request's second loss, whether its servers have ended or not; the run of a request that has ended two servers has no timeout before its deadline.

--- a/clementinepick/src/ended_servers.rs
+++ b/clementinepick/src/ended_servers.rs
@@ -147,6 +147,13 @@
         depths.len()
     }
 
+    /// Returns whether peers must know of the request: a server has ended under it, or it has lost
+    /// several responses, whose servers may yet turn out to have ended.
+    #[must_use]
+    pub fn is_shared(&self) -> bool {
+        self.ends.len() > 1 || self.count() > 0
+    }
+
     fn next_depth(&self) -> u32 {
         self.ends.iter().map(|end| end.depth).max().unwrap_or(0) + 1
     }
@@ -307,14 +314,55 @@
         is_accepted
     }
 
+    /// Returns the servers that may have ended under a request and that lost its response at least
+    /// `age` ago, with the depths of its runs.
+    #[must_use]
+    pub fn suspected_of(&self, now: TimeUs, key: RequestKey, age: SpanUs) -> Vec<ServerEnd> {
+        let ends = self.get(now, key).into_iter().flat_map(|r| &r.ends);
+        let suspected = ends.filter(|end| end.state == EndState::Suspected);
+        suspected
+            .filter(|end| now.since(end.lost_at) >= age)
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the servers that may have ended, with the last time that each lost a response.
+    #[must_use]
+    pub fn suspected(&self, now: TimeUs) -> BTreeMap<ServerStart, TimeUs> {
+        let mut suspected = BTreeMap::new();
+        let ends = self.requests.iter(now).flat_map(|(_, r)| &r.ends);
+        for end in ends.filter(|end| end.state == EndState::Suspected) {
+            let lost_at = suspected.entry(end.server.clone()).or_default();
+            *lost_at = end.lost_at.max(*lost_at);
+        }
+        suspected
+    }
+
+    /// Records that a suspected server has ended; returns the requests under which it has.
+    pub fn mark_ended(&mut self, server: &ServerStart) -> Vec<RequestKey> {
+        let mut found = Vec::new();
+        self.requests.retain(|key, request| {
+            let ends = request.ends.iter_mut();
+            for end in ends.filter(|end| end.server == *server) {
+                if end.state == EndState::Suspected {
+                    end.state = EndState::Ended;
+                    found.push(*key);
+                }
+            }
+            true
+        });
+        found
+    }
+
     /// Updates the states of the servers by a current list of servers; returns the requests under
-    /// which a suspected one turned out to have ended.
+    /// which a suspected one turned out to have ended and of which peers may not know.
     pub fn apply_list(&mut self, now: TimeUs, list: &ServerList) -> Vec<RequestKey> {
         let mut found = Vec::new();
         self.requests.retain(|key, request| {
+            let is_shared = request.is_shared();
             for end in &mut request.ends {
                 if !end.server.is_listed(list) {
-                    if end.state == EndState::Suspected {
+                    if end.state == EndState::Suspected && !is_shared {
                         found.push(*key);
                     }
                     end.state = EndState::Confirmed;
--- a/clementinepick/tests/ended_servers.rs
+++ b/clementinepick/tests/ended_servers.rs
@@ -114,15 +114,43 @@
         let end = lost(start.clone(), depth, EndState::Suspected);
         ended.record(START, key("a"), end);
     }
+    let end = lost(server("i-1", 1), 1, EndState::Suspected);
+    ended.record(START, key("b"), end);
     assert_eq!(ended.count(START, key("a")), 0);
     let found = ended.apply_list(START, &list(&servers[1..]));
-    assert_eq!(found, [key("a")]);
+    assert_eq!(found, [key("b")], "peers know of several losses already");
+    assert_eq!(ended.count(START, key("b")), 1);
     assert_eq!(ended.count(START, key("a")), 1);
     let restarted = [server("i-2", 2), server("i-3", 1)];
     ended.apply_list(START, &list(&restarted));
     assert_eq!(ended.count(START, key("a")), 2);
 }
 
+/// Guards against a server that ends after its request was given up there by a timeout.
+#[test]
+fn suspected_servers_that_are_found_to_have_ended_count() {
+    let mut ended = EndedServers::default();
+    let start = server("i-1", 1);
+    let end = lost(start.clone(), 1, EndState::Suspected);
+    ended.record(START, key("a"), end);
+    let later = START.after(SpanUs::from_ms(50));
+    assert!(
+        ended
+            .suspected_of(later, key("a"), SpanUs::from_ms(60))
+            .is_empty()
+    );
+    assert_eq!(
+        ended
+            .suspected_of(later, key("a"), SpanUs::from_ms(50))
+            .len(),
+        1
+    );
+    assert_eq!(ended.suspected(later).get(&start), Some(&START));
+    assert_eq!(ended.mark_ended(&start), [key("a")]);
+    assert_eq!(ended.count(later, key("a")), 1);
+    assert!(ended.suspected(later).is_empty());
+}
+
 #[test]
 fn suspected_servers_that_stay_listed_are_forgotten() {
     let mut ended = EndedServers::default();
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -18,7 +18,7 @@
 use crate::gateway_exchange::{RoutedRequest, ServerSlot};
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
-use crate::server_probe::{ServerFate, probe};
+use crate::server_probe::probe;
 
 /// The shortest and longest wait, in milliseconds, until an isolated request looks for a server
 /// again. Two gateways that have chosen the same one wait for different times.
@@ -51,6 +51,8 @@
     server: BackendServer,
     /// One more than the servers that had lost a response to the request before.
     depth: u32,
+    /// Whether no other request that may have ended as many servers runs there.
+    is_isolated: bool,
     /// Tells peers when the run is over, if they know the request.
     _guard: Option<SharedRunGuard>,
 }
@@ -121,6 +123,10 @@
         last_server: Option<&str>,
         origin: Option<&StreamOrigin>,
     ) -> Option<ServerSlot> {
+        if self.sends > 0 {
+            let service = self.routed.service;
+            self.shared.recheck_suspected(self.key(), service).await;
+        }
         loop {
             let ends = self.known_ends();
             if ends.is_given_up() {
@@ -136,7 +142,7 @@
                 None if isolated.is_empty() => return None,
                 None => {}
                 Some(slot) if !ends.is_shared() => {
-                    self.set_current(&slot, ends.next_depth, None);
+                    self.set_current(&slot, ends, None);
                     return Some(slot);
                 }
                 Some(slot) => {
@@ -144,7 +150,7 @@
                         if !isolated.is_empty() {
                             self.trace.add_field("isolated_from", &isolated.join(","));
                         }
-                        self.set_current(&slot, ends.next_depth, Some(guard));
+                        self.set_current(&slot, ends, Some(guard));
                         return Some(slot);
                     }
                 }
@@ -159,10 +165,11 @@
         start_run(self.shared, self.key(), server, ends, time_left).await
     }
 
-    fn set_current(&mut self, slot: &ServerSlot, depth: u32, guard: Option<SharedRunGuard>) {
+    fn set_current(&mut self, slot: &ServerSlot, ends: KnownEnds, guard: Option<SharedRunGuard>) {
         self.current = Some(CurrentRun {
             server: slot.server.clone(),
-            depth,
+            depth: ends.next_depth,
+            is_isolated: ends.is_isolated(),
             _guard: guard,
         });
     }
@@ -204,9 +211,19 @@
         }
     }
 
-    /// Returns whether the current attempt is the last one.
-    pub(crate) fn is_last(&self) -> bool {
-        self.sends + 1 >= self.routed.route.attempts
+    /// Returns whether the current attempt may time out before the deadline, so that another server
+    /// runs the request.
+    ///
+    /// A server that is given up may end later. Once a request has ended two servers, its run at the
+    /// third one decides, and no other server may get it until then.
+    pub(crate) fn may_time_out(&self) -> bool {
+        let is_last = self.sends + 1 >= self.routed.route.attempts;
+        self.may_repeat && !is_last && !self.is_isolated()
+    }
+
+    /// Returns whether the current run decides if the request is given up.
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.current.as_ref().is_some_and(|run| run.is_isolated)
     }
 
     /// Records that the current attempt brought no response.
@@ -246,10 +263,8 @@
             .with("fate", fate.label())
             .with("lost_before", run.depth - 1);
         self.shared.log(&event);
-        if fate == ServerFate::Ended {
-            let recorded = self.shared.record_ended(self.key(), start, run.depth);
-            recorded.await;
-        }
+        let recorded = self.shared.record_fate(self.key(), start, run.depth, fate);
+        recorded.await;
     }
 
     /// Returns the refusal to send to the caller if all attempts fail.
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -61,7 +61,7 @@
     let may_repeat = is_idempotent || Safeguard::BookingOnce.is_disabled();
     let mut attempts = Attempts::new(shared, routed, trace, may_repeat);
     while let Some(slot) = attempts.next_slot(None, None).await {
-        let response_timeout = if may_repeat && !attempts.is_last() {
+        let response_timeout = if attempts.may_time_out() {
             response_timeout(routed)
         } else {
             routed.beyond_deadline(Instant::now())
--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -14,10 +14,12 @@
 use actix_rt::time::{sleep, timeout};
 use bytes::Bytes;
 use clementinepick::ended_servers::{
-    EndState, EndedServers, ISOLATION_THRESHOLD, MAX_ENDED_SERVERS, OpenRun, ServerEnd, ServerStart,
+    EndState, EndedServers, ISOLATION_THRESHOLD, MAX_ENDED_SERVERS, OpenRun, RequestEnds,
+    ServerEnd, ServerStart,
 };
 use clementinepick::refusal::Refusal;
 use clementinepick::request_key::RequestKey;
+use clementinepick::units::SpanUs;
 use futures_util::future::join_all;
 use tokio::sync::Notify;
 
@@ -43,6 +45,8 @@
 /// How long a process that has asked is called although it is not listed: lists of processes are
 /// read every 20 s.
 const JOINED_LIFETIME: Duration = Duration::from_mins(1);
+/// The time after a loss from which its server is asked again before the next run.
+const MIN_RECHECK_AGE_US: SpanUs = SpanUs::from_ms(20);
 /// How long to wait for the outcome of a run whose gateway may be lost, and how often to look.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(600);
 const SETTLE_INTERVAL: Duration = Duration::from_millis(50);
@@ -174,19 +178,52 @@
         self.ended.known.borrow_mut().record(now, key, end);
     }
 
-    /// Records that a server has ended under a request, and returns when peers know.
-    pub(crate) async fn record_ended(&self, key: RequestKey, server: ServerStart, depth: u32) {
+    /// Records what became of a server that lost the response to a request, and returns when peers
+    /// know, if they must.
+    pub(crate) async fn record_fate(
+        &self,
+        key: RequestKey,
+        server: ServerStart,
+        depth: u32,
+        fate: ServerFate,
+    ) {
         let now = self.now_us(Instant::now());
         let known = &self.ended.known;
-        known.borrow_mut().record_end(now, key, server, depth);
-        self.share_request(key, &[]).await;
+        if fate == ServerFate::Ended {
+            known.borrow_mut().record_end(now, key, server, depth);
+        }
+        let is_shared = known
+            .borrow()
+            .get(now, key)
+            .is_some_and(RequestEnds::is_shared);
+        if is_shared {
+            self.share_request(key, &[]).await;
+        }
+    }
+
+    /// Asks the servers that may have ended under a request: one that lost its response by a timeout
+    /// may have ended since.
+    pub(crate) async fn recheck_suspected(&self, key: RequestKey, service: &str) {
+        if self.has_no_ends() {
+            return;
+        }
+        let now = self.now_us(Instant::now());
+        let known = &self.ended.known;
+        let suspected = known.borrow().suspected_of(now, key, MIN_RECHECK_AGE_US);
+        let health_path = self.health_path(service);
+        for ServerEnd { server, depth, .. } in suspected {
+            let fate = probe(server.address, &server.id, health_path.as_deref()).await;
+            if fate == ServerFate::Ended {
+                self.record_fate(key, server, depth, fate).await;
+            }
+        }
     }
 
     /// Records that a server has answered a request, and tells peers if they know it.
     pub(crate) fn record_answered(&self, key: RequestKey) {
         let now = self.now_us(Instant::now());
         let mut known = self.ended.known.borrow_mut();
-        let is_shared = known.count(now, key) > 0;
+        let is_shared = known.get(now, key).is_some_and(RequestEnds::is_shared);
         known.forget(key);
         drop(known);
         if is_shared {
@@ -320,6 +357,7 @@
         return Ok(());
     }
     let key = routed.content_key();
+    shared.recheck_suspected(key, routed.service).await;
     settle_runs(shared, key, routed.service).await;
     let now = Instant::now();
     if !shared.known_ends(key, now).is_given_up() {
@@ -343,7 +381,7 @@
             let server = &run.server;
             let fate = probe(server.address, &server.id, health_path.as_deref()).await;
             if fate == ServerFate::Ended {
-                shared.record_ended(key, run.server, run.depth).await;
+                shared.record_fate(key, run.server, run.depth, fate).await;
             }
         }
         sleep(SETTLE_INTERVAL).await;
--- a/clementinepickd/src/gateway_ended_messages.rs
+++ b/clementinepickd/src/gateway_ended_messages.rs
@@ -54,10 +54,9 @@
 }
 
 impl SharedRequest {
-    /// Encodes the servers that have ended under a request, and some of its runs.
+    /// Encodes the servers that lost a response to a request, and some of its runs.
     pub(crate) fn new(now: TimeUs, key: RequestKey, ends: &[ServerEnd], runs: &[OpenRun]) -> Self {
         let ends = ends.iter();
-        let ends = ends.filter(|end| end.state != EndState::Suspected);
         let runs = runs.iter().filter(|run| now < run.expires_at);
         Self {
             key,
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::time::sleep;
+use clementinepick::ended_servers::ServerStart;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::server_list::ServerList;
 use futures_util::future::join_all;
@@ -14,6 +15,7 @@
 use crate::gateway_peer::{PeerCall, call_peer};
 use crate::gateway_shared::Shared;
 use crate::ledger::to_cbor;
+use crate::link::to_span;
 use crate::server_probe::{ServerFate, probe};
 
 /// How long a peer may take to send all that it knows.
@@ -25,14 +27,18 @@
 const SECOND_LOAD_DELAY: Duration = Duration::from_secs(3);
 /// How often a process asks a peer again, in case it was cut off while another one shared a request.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
-/// How often the list of servers is applied.
-const LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// How often the list of servers is applied, and suspected servers are looked at.
+const LIST_INTERVAL: Duration = Duration::from_millis(250);
+/// The ages, in [`LIST_INTERVAL`]s, of a loss at which its server is asked again.
+const RECHECK_AGES: [u64; 4] = [1, 2, 4, 8];
 /// How often a server that is counted as ended and still listed is asked.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Asks peers what they know, and then keeps it up to date until dropped.
 pub(crate) async fn maintain_ended(shared: Rc<Shared>) {
     let started_at = Instant::now();
+    // The peers in the settings may be gone before the list of processes is read.
+    load(&shared, MAX_LOAD_PEERS).await;
     wait_for_peers(&shared, started_at).await;
     load(&shared, MAX_LOAD_PEERS).await;
     shared.ended.set_loaded();
@@ -47,14 +53,17 @@
             next_load = now + RELOAD_INTERVAL;
             peer_count = 1;
         }
+        if shared.has_no_ends() {
+            continue;
+        }
+        check_suspected(&shared, now).await;
         let list = shared.current_servers(now);
-        let Some(list) = list.filter(|list| !list.servers.is_empty() && !shared.has_no_ends())
-        else {
+        let Some(list) = list.filter(|list| !list.servers.is_empty()) else {
             continue;
         };
         apply_list(&shared, &list, now).await;
         if now >= next_check {
-            check_ended(&shared, &list, now).await;
+            check_ended(&shared, now).await;
             next_check = now + CHECK_INTERVAL;
         }
     }
@@ -101,18 +110,47 @@
     }
 }
 
+/// Asks servers that lost a response lately: one that did so by a timeout may have ended since, while
+/// the request's caller returns to another process.
+async fn check_suspected(shared: &Shared, now: Instant) {
+    let now = shared.now_us(now);
+    let suspected = shared.ended.known.borrow().suspected(now);
+    let due = suspected.into_iter().filter(|(_, lost_at)| {
+        let age = now.since(*lost_at).0 / to_span(LIST_INTERVAL).0;
+        RECHECK_AGES.contains(&age)
+    });
+    let ended = find_servers(shared, due.map(|(server, _)| server), ServerFate::Ended).await;
+    for server in ended {
+        let found = shared.ended.known.borrow_mut().mark_ended(&server);
+        for key in found {
+            shared.share_request(key, &[]).await;
+        }
+    }
+}
+
 /// Asks the servers that are counted as ended and still listed; those that respond count no longer.
-async fn check_ended(shared: &Shared, list: &ServerList, now: Instant) {
+async fn check_ended(shared: &Shared, now: Instant) {
     let doubtful = shared.ended.known.borrow().doubtful(shared.now_us(now));
-    let checks = doubtful.into_iter().map(async |server| {
-        let listed = list.servers.get(&server.id);
-        let health_path = listed.and_then(|listed| shared.health_path(&listed.service));
-        let fate = probe(server.address, &server.id, health_path.as_deref()).await;
-        (fate == ServerFate::Alive).then_some(server)
-    });
-    for server in join_all(checks).await.into_iter().flatten() {
+    let alive = find_servers(shared, doubtful.into_iter(), ServerFate::Alive).await;
+    for server in alive {
         shared.ended.known.borrow_mut().remove_server(&server);
         let event = Event::new(EventKind::ServerResponds).with("server", &server.id);
         shared.log(&event);
     }
 }
+
+/// Asks servers, all at the same time; returns those with this fate.
+async fn find_servers(
+    shared: &Shared,
+    servers: impl Iterator<Item = ServerStart>,
+    wanted: ServerFate,
+) -> Vec<ServerStart> {
+    let list = shared.directory().servers;
+    let checks = servers.map(async |server| {
+        let listed = list.servers.get(&server.id);
+        let health_path = listed.and_then(|listed| shared.health_path(&listed.service));
+        let fate = probe(server.address, &server.id, health_path.as_deref()).await;
+        (fate == wanted).then_some(server)
+    });
+    join_all(checks).await.into_iter().flatten().collect()
+}
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -102,6 +102,7 @@
         previous,
         server: None,
         origin: origin.clone(),
+        may_time_out: false,
         is_out_of_budget: false,
         delivered: Delivered {
             last_event_id: routed.info.last_event_id,
@@ -268,6 +269,8 @@
     server: Option<String>,
     /// Where the stream began; `None` before its first event.
     origin: Option<StreamOrigin>,
+    /// Whether another server may resume the stream if the current one falls silent.
+    may_time_out: bool,
     /// Whether the reserved tokens are used up and no more can be reserved now.
     is_out_of_budget: bool,
     body: Bytes,
@@ -301,6 +304,7 @@
             .next_slot(self.last_server.as_deref(), self.origin.as_ref())
             .await
         {
+            self.may_time_out = may_repeat && !attempts.is_isolated();
             self.record_placement(&slot.server.id);
             self.log_resumption(&slot.server, reply.state());
             match self.run_once(slot, reply).await? {
@@ -506,9 +510,9 @@
     }
 
     /// Returns the timeout for the next event. A stream is given up before the deadline only if
-    /// another server can resume it.
+    /// another server may resume it.
     fn event_timeout(&self, idle: Duration) -> Duration {
-        if self.routed.route.is_resumable {
+        if self.may_time_out {
             idle
         } else {
             self.routed.beyond_deadline(Instant::now())
--- a/standins/src/process_gateways.rs
+++ b/standins/src/process_gateways.rs
@@ -99,6 +99,13 @@
         }
     }
 
+    /// Makes the store respond again.
+    pub fn restore_store(&self) {
+        for endpoint in &self.endpoints {
+            endpoint.set_mode(StoreMode::Serving);
+        }
+    }
+
     /// Returns the state dump of a gateway.
     ///
     /// # Errors
--- a/standins/src/server_fleet.rs
+++ b/standins/src/server_fleet.rs
@@ -119,16 +119,13 @@
             .collect()
     }
 
-    /// Returns the ids of the servers that have executed a request which `matches`, one for each
-    /// execution, in the order of their starts.
+    /// Returns the ids of the servers that have executed a request which `matches`, in the order of
+    /// their starts.
     #[must_use]
     pub fn servers_of(&self, matches: impl Fn(&Execution) -> bool) -> Vec<String> {
         let executions = self.executions().into_iter();
-        let matching = executions.flat_map(|(id, executions)| {
-            let count = executions.iter().filter(|e| matches(e)).count();
-            std::iter::repeat_n(id, count)
-        });
-        matching.collect()
+        let matching = executions.filter(|(_, executions)| executions.iter().any(&matches));
+        matching.map(|(id, _)| id).collect()
     }
 
     /// Makes each server inject `fault` into its next `count` requests.
--- a/standins/tests/ended_servers.rs
+++ b/standins/tests/ended_servers.rs
@@ -6,7 +6,10 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use ending_run::{BegunRequest, EndingRun, EndingSettings, Fatal, Kind};
+use ending_run::{BegunRequest, EndingRun, EndingSettings, Fatal, GATEWAYS, Kind};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha12Rng;
+use rustix::process::Signal;
 use standins::platform_backend::BackendFault;
 use standins::platform_run::wait_until;
 use standins::server_fleet::RestartId;
@@ -253,6 +256,112 @@
     );
 }
 
+/// What happens before an attempt of the fatal request.
+#[derive(Debug, Clone, Copy)]
+enum Disturbance {
+    Nothing,
+    /// A gateway is killed and starts again.
+    Restart(usize),
+    /// A gateway is suspended for a while.
+    Suspend(usize, Duration),
+    StoreSilent,
+    StoreBack,
+}
+
+impl Disturbance {
+    fn draw(rng: &mut ChaCha12Rng) -> Self {
+        let gateway = rng.random_range(0..GATEWAYS);
+        match rng.random_range(0..6) {
+            0 | 1 => Self::Restart(gateway),
+            2 => Self::Suspend(gateway, Duration::from_millis(rng.random_range(20..300))),
+            3 => Self::StoreSilent,
+            4 => Self::StoreBack,
+            _ => Self::Nothing,
+        }
+    }
+
+    fn apply(self, run: &mut EndingRun) {
+        let gateways = &mut run.gateways;
+        match self {
+            Self::Nothing => {}
+            Self::Restart(gateway) => {
+                gateways.processes[gateway].kill();
+                gateways.processes[gateway].restart().expect("a process");
+                gateways.wait_until_listening(gateway).expect("a gateway");
+            }
+            Self::Suspend(gateway, span) => {
+                gateways.processes[gateway].send_signal(Signal::STOP);
+                sleep(span);
+                gateways.processes[gateway].send_signal(Signal::CONT);
+            }
+            Self::StoreSilent => gateways.silence_store(),
+            Self::StoreBack => gateways.restore_store(),
+        }
+    }
+}
+
+/// Sends the fatal request between random disturbances, and checks that it ends no more servers than
+/// it may and that all requests beside it are served.
+fn check_random_disturbances(seed: u64) {
+    const ATTEMPTS: usize = 10;
+    const BESIDE: usize = 12;
+    let mut rng = ChaCha12Rng::seed_from_u64(seed);
+    let kinds = [Kind::Draft, Kind::Turn, Kind::Call, Kind::Booking];
+    let settings = EndingSettings {
+        end_delay: Duration::from_millis(rng.random_range(0..120)),
+        fatal: Fatal {
+            kind: kinds[rng.random_range(0..kinds.len())],
+            events: rng.random_range(0..EVENTS_BEFORE_END),
+        },
+        ..EndingSettings::default()
+    };
+    let settle_time = settings.end_delay + PROMPT;
+    let mut run = EndingRun::start(&format!("random-{seed}"), settings);
+    run.slow_down();
+    let begun: Vec<BegunRequest> = (0..BESIDE).map(|number| run.begin_beside(number)).collect();
+    for _ in 0..ATTEMPTS {
+        run.send_fatal(rng.random_range(0..GATEWAYS));
+        let disturbance = Disturbance::draw(&mut rng);
+        disturbance.apply(&mut run);
+    }
+    run.gateways.restore_store();
+    for gateway in 0..GATEWAYS {
+        run.gateways.wait_until_ready(gateway).expect("a gateway");
+    }
+    for request in begun {
+        let id = request.id.clone();
+        assert!(run.is_served(request), "seed {seed}: {id} was not served");
+    }
+    // A run that was given up by a timeout may have ended no server.
+    for _ in 0..MAX_ENDED {
+        run.send_fatal(0);
+    }
+    for gateway in 0..GATEWAYS {
+        let status = run.send_fatal(gateway).response.map(|r| r.status).ok();
+        assert_eq!(status, Some(503), "seed {seed}, gateway {gateway}");
+    }
+    sleep(settle_time);
+    assert_eq!(run.count_ended(), MAX_ENDED, "seed {seed}");
+}
+
+/// Guards against a count that is lost while gateways are killed or suspended and the store comes
+/// and goes.
+#[test]
+fn requests_that_end_servers_are_given_up_amid_disturbances() {
+    for seed in 0..3 {
+        check_random_disturbances(seed);
+    }
+}
+
+/// Guards against rarer orders of the same disturbances.
+#[test]
+#[ignore = "takes five minutes"]
+fn requests_that_end_servers_are_given_up_amid_many_disturbances() {
+    for seed in 3..53 {
+        check_random_disturbances(seed);
+    }
+}
+
 /// Sends a request that meets `fault` at every server, and checks that it is served afterwards.
 fn check_served_after(name: &str, kind: Kind, fault: BackendFault) {
     const ATTEMPTS: usize = 4;
--- a/standins/tests/ending_run/mod.rs
+++ b/standins/tests/ending_run/mod.rs
@@ -13,7 +13,7 @@
 use standins::server_fleet::{FleetSettings, RestartId, ServerFleet};
 
 /// The number of gateways in a test.
-const GATEWAYS: usize = 3;
+pub const GATEWAYS: usize = 3;
 /// The number of servers of each service.
 const SERVERS: usize = 6;
 /// A part of the path of the request that ends servers.
@@ -256,15 +256,14 @@
         wait_until(|| self.count_executions(&request.id) > 0).expect("an execution");
     }
 
+    /// Returns the number of servers that have ended.
+    pub fn count_ended(&self) -> usize {
+        self.fleets.values().map(ServerFleet::count_ended).sum()
+    }
+
     /// Waits until `count` servers have ended.
     pub fn wait_until_ended(&self, count: usize) {
-        let count_ended = || {
-            self.fleets
-                .values()
-                .map(ServerFleet::count_ended)
-                .sum::<usize>()
-        };
-        wait_until(|| count_ended() >= count).expect("servers that end");
+        wait_until(|| self.count_ended() >= count).expect("servers that end");
     }
 }
 
