Count each server that ends under a request, and let its runs wait for each other

Cause: two attempts at once, at two gateways, ended two servers, which counted as one: servers were counted by how many had ended before, so that copies of many callers would count once. Both attempts went on, and a booking ended four. Change: each server counts. A run starts only if the request would not be given up by the runs that are under way; otherwise it waits for their outcome, and asks their servers, since their gateway may be lost. A gateway that starts waits up to 50 ms for the peers of its settings.

--- a/clementinepick/src/ended_servers.rs
+++ b/clementinepick/src/ended_servers.rs
@@ -17,8 +17,7 @@
 //!     started_unix_ms: None,
 //!     address: "127.0.0.1:1".parse().expect("an address"),
 //! };
-//! let depth = ended.next_depth(TimeUs(0), key);
-//! ended.record_end(TimeUs(0), key, server, depth);
+//! ended.record_end(TimeUs(0), key, server);
 //! assert_eq!(ended.count(TimeUs(1), key), 1);
 //! ```
 
@@ -42,7 +41,7 @@
 /// The maximum number of requests, about 6 MB.
 const MAX_REQUESTS: usize = 16_384;
 /// The maximum number of servers and of runs that are remembered of one request. A request has more
-/// than [`MAX_ENDED_SERVERS`] only if copies of it run at the same time.
+/// ended servers than [`MAX_ENDED_SERVERS`] only if copies of it run at the same time.
 const MAX_OF_REQUEST: usize = 8;
 /// How long a server that lost a response stays listed if it has ended, at most: three heartbeats
 /// and the age of the list.
@@ -100,9 +99,6 @@
 pub struct ServerEnd {
     /// The server.
     pub server: ServerStart,
-    /// One more than the greatest depth of the servers that had lost a response to the request when
-    /// it was sent to this one. Copies that run at the same time have the same depth and count once.
-    pub depth: u32,
     /// When the response was lost.
     pub lost_at: TimeUs,
     /// What is known of the server.
@@ -116,8 +112,6 @@
     pub id: u64,
     /// The server that runs the request.
     pub server: ServerStart,
-    /// As in [`ServerEnd`].
-    pub depth: u32,
     /// Whether no other isolated run may be at the server.
     pub is_isolated: bool,
     /// When its caller gives up.
@@ -140,11 +134,10 @@
             .filter(|end| end.state != EndState::Suspected)
     }
 
-    /// Returns the number of servers that ended one after the other.
+    /// Returns the number of servers that ended under the request.
     #[must_use]
     pub fn count(&self) -> usize {
-        let depths: BTreeSet<u32> = self.counted().map(|end| end.depth).collect();
-        depths.len()
+        self.counted().count()
     }
 
     /// Returns whether peers must know of the request: a server has ended under it, or it has lost
@@ -154,8 +147,13 @@
         self.ends.len() > 1 || self.count() > 0
     }
 
-    fn next_depth(&self) -> u32 {
-        self.ends.iter().map(|end| end.depth).max().unwrap_or(0) + 1
+    /// Returns whether the request would be given up if the servers of all its runs but `run_id`
+    /// ended.
+    fn awaits_others(&self, now: TimeUs, run_id: u64) -> bool {
+        let others = self.runs.iter();
+        let others = others.filter(|run| run.id != run_id && now < run.expires_at);
+        let (count, open) = (self.count(), others.count());
+        open > 0 && count > 0 && count + open >= MAX_ENDED_SERVERS
     }
 
     fn add_end(&mut self, new: ServerEnd) {
@@ -201,18 +199,12 @@
         Some(request)
     }
 
-    /// Returns the number of servers that ended under a request, one after the other.
+    /// Returns the number of servers that ended under a request.
     #[must_use]
     pub fn count(&self, now: TimeUs, key: RequestKey) -> usize {
         self.get(now, key).map_or(0, RequestEnds::count)
     }
 
-    /// Returns the depth of the request's next run.
-    #[must_use]
-    pub fn next_depth(&self, now: TimeUs, key: RequestKey) -> u32 {
-        self.get(now, key).map_or(1, RequestEnds::next_depth)
-    }
-
     /// Returns the ids of the servers that ended under a request.
     #[must_use]
     pub fn ended_ids(&self, now: TimeUs, key: RequestKey) -> Vec<&str> {
@@ -246,20 +238,24 @@
         self.change(now, key, |request| request.add_end(end));
     }
 
-    /// Records that a server has ended under a request whose run had this depth.
-    pub fn record_end(&mut self, now: TimeUs, key: RequestKey, server: ServerStart, depth: u32) {
+    /// Records that a server has ended under a request.
+    pub fn record_end(&mut self, now: TimeUs, key: RequestKey, server: ServerStart) {
         let end = ServerEnd {
             server,
-            depth,
             lost_at: now,
             state: EndState::Ended,
         };
         self.record(now, key, end);
     }
 
-    /// Records the start of a run; returns false if it and another request's run at the same server
-    /// are both isolated, and then records nothing.
+    /// Records the start of a run, or returns false and records nothing: if it and another request's
+    /// run at the same server are both isolated, or if the outcome of the same request's other runs
+    /// must be awaited.
     pub fn start_run(&mut self, now: TimeUs, key: RequestKey, run: OpenRun) -> bool {
+        let request = self.get(now, key);
+        if request.is_some_and(|request| request.awaits_others(now, run.id)) {
+            return false;
+        }
         if run.is_isolated && self.isolated_servers(now, key).contains(&run.server.id) {
             return false;
         }
@@ -296,8 +292,8 @@
             .collect()
     }
 
-    /// Adds what a peer knows of a request; returns false if one of its runs is isolated and another
-    /// request's run at the same server is too.
+    /// Adds what a peer knows of a request; returns false if one of its runs may not start, as
+    /// [`start_run`](Self::start_run) does.
     pub fn merge(&mut self, now: TimeUs, key: RequestKey, known: RequestEnds) -> bool {
         if known.ends.is_empty() && known.runs.is_empty() {
             return true;
@@ -315,14 +311,14 @@
     }
 
     /// Returns the servers that may have ended under a request and that lost its response at least
-    /// `age` ago, with the depths of its runs.
+    /// `age` ago.
     #[must_use]
-    pub fn suspected_of(&self, now: TimeUs, key: RequestKey, age: SpanUs) -> Vec<ServerEnd> {
+    pub fn suspected_of(&self, now: TimeUs, key: RequestKey, age: SpanUs) -> Vec<ServerStart> {
         let ends = self.get(now, key).into_iter().flat_map(|r| &r.ends);
         let suspected = ends.filter(|end| end.state == EndState::Suspected);
         suspected
             .filter(|end| now.since(end.lost_at) >= age)
-            .cloned()
+            .map(|end| end.server.clone())
             .collect()
     }
 
--- a/clementinepick/tests/ended_servers.rs
+++ b/clementinepick/tests/ended_servers.rs
@@ -46,10 +46,9 @@
     }
 }
 
-fn lost(server: ServerStart, depth: u32, state: EndState) -> ServerEnd {
+fn lost(server: ServerStart, state: EndState) -> ServerEnd {
     ServerEnd {
         server,
-        depth,
         lost_at: START,
         state,
     }
@@ -59,7 +58,6 @@
     OpenRun {
         id,
         server,
-        depth: 1,
         is_isolated,
         expires_at: START.after(SpanUs::from_s(4)),
     }
@@ -68,8 +66,7 @@
 /// Ends servers under a request, one after the other.
 fn end_servers(ended: &mut EndedServers, request: RequestKey, ids: &[&str]) {
     for id in ids {
-        let depth = ended.next_depth(START, request);
-        ended.record_end(START, request, server(id, 1), depth);
+        ended.record_end(START, request, server(id, 1));
     }
 }
 
@@ -82,15 +79,18 @@
     assert_eq!(ended.count(START, key("b")), 0);
 }
 
-/// Guards against giving up a request that many callers send, because of servers that end at once.
+/// Guards against a caller that makes two attempts at once, each of which ends as many servers as one.
 #[test]
-fn servers_that_end_under_copies_at_the_same_time_count_once() {
+fn servers_that_end_under_attempts_of_one_caller_at_the_same_time_all_count() {
     let mut ended = EndedServers::default();
-    for id in ["i-1", "i-2", "i-3", "i-4"] {
-        ended.record_end(START, key("a"), server(id, 1), 1);
+    for id in ["i-1", "i-2"] {
+        ended.record_end(START, key("a"), server(id, 1));
     }
-    assert_eq!(ended.count(START, key("a")), 1);
-    assert_eq!(ended.next_depth(START, key("a")), 2);
+    assert_eq!(ended.count(START, key("a")), 2);
+    assert!(ended.start_run(START, key("a"), run(1, server("i-3", 1), true)));
+    assert!(!ended.start_run(START, key("a"), run(2, server("i-4", 1), true)));
+    ended.finish_run(START, key("a"), 1);
+    assert!(ended.start_run(START, key("a"), run(2, server("i-4", 1), true)));
 }
 
 #[test]
@@ -98,8 +98,7 @@
     let mut ended = EndedServers::default();
     let again = [1, 1, 2].map(|started| server("i-1", started));
     for start in again {
-        let depth = ended.next_depth(START, key("a"));
-        ended.record_end(START, key("a"), start, depth);
+        ended.record_end(START, key("a"), start);
     }
     assert_eq!(ended.count(START, key("a")), 2);
 }
@@ -110,11 +109,10 @@
     let mut ended = EndedServers::default();
     let servers = [server("i-1", 1), server("i-2", 1), server("i-3", 1)];
     for start in &servers {
-        let depth = ended.next_depth(START, key("a"));
-        let end = lost(start.clone(), depth, EndState::Suspected);
+        let end = lost(start.clone(), EndState::Suspected);
         ended.record(START, key("a"), end);
     }
-    let end = lost(server("i-1", 1), 1, EndState::Suspected);
+    let end = lost(server("i-1", 1), EndState::Suspected);
     ended.record(START, key("b"), end);
     assert_eq!(ended.count(START, key("a")), 0);
     let found = ended.apply_list(START, &list(&servers[1..]));
@@ -131,7 +129,7 @@
 fn suspected_servers_that_are_found_to_have_ended_count() {
     let mut ended = EndedServers::default();
     let start = server("i-1", 1);
-    let end = lost(start.clone(), 1, EndState::Suspected);
+    let end = lost(start.clone(), EndState::Suspected);
     ended.record(START, key("a"), end);
     let later = START.after(SpanUs::from_ms(50));
     assert!(
@@ -155,7 +153,7 @@
 fn suspected_servers_that_stay_listed_are_forgotten() {
     let mut ended = EndedServers::default();
     let start = server("i-1", 1);
-    let end = lost(start.clone(), 1, EndState::Suspected);
+    let end = lost(start.clone(), EndState::Suspected);
     ended.record(START, key("a"), end);
     ended.apply_list(
         START.after(SpanUs::from_s(9)),
@@ -228,7 +226,7 @@
     let mut ended = EndedServers::default();
     end_servers(&mut ended, key("a"), &["i-1", "i-2"]);
     assert!(ended.start_run(START, key("a"), run(1, server("i-3", 1), true)));
-    ended.record_end(START, key("a"), server("i-3", 1), 3);
+    ended.record_end(START, key("a"), server("i-3", 1));
     assert!(ended.open_runs(START, key("a")).is_empty());
     assert_eq!(ended.count(START, key("a")), MAX_ENDED_SERVERS);
 }
@@ -240,8 +238,7 @@
     let known = RequestEnds {
         ends: ends
             .iter()
-            .zip(1..)
-            .map(|(id, depth)| lost(server(id, 1), depth, EndState::Ended))
+            .map(|id| lost(server(id, 1), EndState::Ended))
             .collect(),
         runs: vec![run(1, server("i-3", 1), true)],
     };
@@ -280,9 +277,11 @@
     let mut ended = EndedServers::default();
     for number in 0..100 {
         let start = server(&format!("i-{number}"), 1);
-        ended.record_end(START, key("a"), start.clone(), 1);
+        ended.start_run(START, key("a"), run(number, start, false));
+    }
+    for number in 0..100 {
         let other = server(&format!("j-{number}"), 1);
-        ended.start_run(START, key("a"), run(number, other, false));
+        ended.record_end(START, key("a"), other);
     }
     let request = ended.get(START, key("a")).expect("the request");
     assert_eq!((request.ends.len(), request.runs.len()), (8, 8));
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -14,15 +14,15 @@
 use clementinepick::stream_origin::StreamOrigin;
 use rand::random_range;
 
-use crate::gateway_ended::{KnownEnds, SharedRunGuard, start_run};
+use crate::gateway_ended::{EndCount, SharedRunGuard, probe_runs, start_run};
 use crate::gateway_exchange::{RoutedRequest, ServerSlot};
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
 use crate::server_probe::probe;
 
-/// The shortest and longest wait, in milliseconds, until an isolated request looks for a server
-/// again. Two gateways that have chosen the same one wait for different times.
-const ISOLATION_WAIT_MS: std::ops::Range<u64> = 10..40;
+/// The shortest and longest wait, in milliseconds, until a request whose run may not start tries
+/// again. Two gateways that refuse each other's runs wait for different times.
+const START_RETRY_MS: std::ops::Range<u64> = 10..40;
 
 /// Why an attempt brought no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,10 +49,8 @@
 /// The run of a request at one server.
 struct CurrentRun {
     server: BackendServer,
-    /// One more than the servers that had lost a response to the request before.
-    depth: u32,
-    /// Whether no other request that may have ended as many servers runs there.
-    is_isolated: bool,
+    /// The servers that had ended under the request before.
+    ended_before: EndCount,
     /// Tells peers when the run is over, if they know the request.
     _guard: Option<SharedRunGuard>,
 }
@@ -128,7 +126,7 @@
             self.shared.recheck_suspected(self.key(), service).await;
         }
         loop {
-            let ends = self.known_ends();
+            let ends = self.end_count();
             if ends.is_given_up() {
                 self.give_up();
                 return None;
@@ -155,27 +153,28 @@
                     }
                 }
             }
-            sleep(Duration::from_millis(random_range(ISOLATION_WAIT_MS))).await;
+            sleep(Duration::from_millis(random_range(START_RETRY_MS))).await;
+            // The gateway of another run may be lost, and its server may have ended.
+            probe_runs(self.shared, self.key(), self.routed.service).await;
         }
     }
 
-    async fn share_run(&self, slot: &ServerSlot, ends: KnownEnds) -> Option<SharedRunGuard> {
+    async fn share_run(&self, slot: &ServerSlot, ends: EndCount) -> Option<SharedRunGuard> {
         let server = ServerStart::of(&slot.server);
         let time_left = self.routed.time_left(Instant::now());
         start_run(self.shared, self.key(), server, ends, time_left).await
     }
 
-    fn set_current(&mut self, slot: &ServerSlot, ends: KnownEnds, guard: Option<SharedRunGuard>) {
+    fn set_current(&mut self, slot: &ServerSlot, ends: EndCount, guard: Option<SharedRunGuard>) {
         self.current = Some(CurrentRun {
             server: slot.server.clone(),
-            depth: ends.next_depth,
-            is_isolated: ends.is_isolated(),
+            ended_before: ends,
             _guard: guard,
         });
     }
 
     /// Returns the servers where requests run that may have ended as many servers as this one.
-    fn servers_to_avoid(&self, ends: KnownEnds) -> Vec<String> {
+    fn servers_to_avoid(&self, ends: EndCount) -> Vec<String> {
         if ends.is_isolated() {
             self.shared.isolated_servers(self.key(), Instant::now())
         } else {
@@ -183,11 +182,11 @@
         }
     }
 
-    fn known_ends(&self) -> KnownEnds {
+    fn end_count(&self) -> EndCount {
         if self.shared.has_no_ends() {
-            return KnownEnds::default();
+            return EndCount::default();
         }
-        self.shared.known_ends(self.key(), Instant::now())
+        self.shared.end_count(self.key(), Instant::now())
     }
 
     fn key(&self) -> RequestKey {
@@ -223,7 +222,9 @@
 
     /// Returns whether the current run decides if the request is given up.
     pub(crate) fn is_isolated(&self) -> bool {
-        self.current.as_ref().is_some_and(|run| run.is_isolated)
+        self.current
+            .as_ref()
+            .is_some_and(|run| run.ended_before.is_isolated())
     }
 
     /// Records that the current attempt brought no response.
@@ -251,8 +252,7 @@
         let server = &run.server;
         let start = ServerStart::of(server);
         // The caller may disconnect during the probe, which ends this attempt.
-        self.shared
-            .record_suspected(self.key(), start.clone(), run.depth);
+        self.shared.record_suspected(self.key(), start.clone());
         let health_path = self.shared.health_path(&server.service);
         let fate = probe(server.address, &server.id, health_path.as_deref()).await;
         self.shared.metrics.count_lost_response(fate.label());
@@ -261,9 +261,9 @@
             .with("content", self.key())
             .with("server", &server.id)
             .with("fate", fate.label())
-            .with("lost_before", run.depth - 1);
+            .with("ended_before", run.ended_before);
         self.shared.log(&event);
-        let recorded = self.shared.record_fate(self.key(), start, run.depth, fate);
+        let recorded = self.shared.record_fate(self.key(), start, fate);
         recorded.await;
     }
 
--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -20,6 +20,7 @@
 use clementinepick::refusal::Refusal;
 use clementinepick::request_key::RequestKey;
 use clementinepick::units::SpanUs;
+use derive_more::Display;
 use futures_util::future::join_all;
 use tokio::sync::Notify;
 
@@ -98,38 +99,24 @@
     }
 }
 
-/// What this process knows of a request that has lost responses.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct KnownEnds {
-    /// The number of servers that ended one after the other.
-    pub(crate) count: usize,
-    /// The depth of the next run.
-    pub(crate) next_depth: u32,
-}
-
-impl Default for KnownEnds {
-    fn default() -> Self {
-        Self {
-            count: 0,
-            next_depth: 1,
-        }
-    }
-}
+/// The number of servers that ended under a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub(crate) struct EndCount(usize);
 
-impl KnownEnds {
+impl EndCount {
     /// Returns whether peers must know of the request's runs.
-    pub(crate) fn is_shared(&self) -> bool {
-        self.count > 0 && !Safeguard::EndedServers.is_disabled()
+    pub(crate) fn is_shared(self) -> bool {
+        self.0 > 0 && !Safeguard::EndedServers.is_disabled()
     }
 
     /// Returns whether the request must run nowhere any more.
-    pub(crate) fn is_given_up(&self) -> bool {
-        self.count >= MAX_ENDED_SERVERS && !Safeguard::EndedServers.is_disabled()
+    pub(crate) fn is_given_up(self) -> bool {
+        self.0 >= MAX_ENDED_SERVERS && !Safeguard::EndedServers.is_disabled()
     }
 
     /// Returns whether the request must not run where another such request does.
-    pub(crate) fn is_isolated(&self) -> bool {
-        self.count >= ISOLATION_THRESHOLD && !Safeguard::EndedServers.is_disabled()
+    pub(crate) fn is_isolated(self) -> bool {
+        self.0 >= ISOLATION_THRESHOLD && !Safeguard::EndedServers.is_disabled()
     }
 }
 
@@ -139,14 +126,10 @@
         self.ended.known.borrow().is_empty()
     }
 
-    /// Returns what is known of a request.
-    pub(crate) fn known_ends(&self, key: RequestKey, now: Instant) -> KnownEnds {
-        let now = self.now_us(now);
+    /// Returns the number of servers that ended under a request.
+    pub(crate) fn end_count(&self, key: RequestKey, now: Instant) -> EndCount {
         let known = self.ended.known.borrow();
-        KnownEnds {
-            count: known.count(now, key),
-            next_depth: known.next_depth(now, key),
-        }
+        EndCount(known.count(self.now_us(now), key))
     }
 
     /// Adds the servers that ended under a given-up request to its trace, and when its caller may
@@ -167,11 +150,10 @@
     }
 
     /// Records that a server lost the response to a request; it may have ended.
-    pub(crate) fn record_suspected(&self, key: RequestKey, server: ServerStart, depth: u32) {
+    pub(crate) fn record_suspected(&self, key: RequestKey, server: ServerStart) {
         let now = self.now_us(Instant::now());
         let end = ServerEnd {
             server,
-            depth,
             lost_at: now,
             state: EndState::Suspected,
         };
@@ -180,17 +162,11 @@
 
     /// Records what became of a server that lost the response to a request, and returns when peers
     /// know, if they must.
-    pub(crate) async fn record_fate(
-        &self,
-        key: RequestKey,
-        server: ServerStart,
-        depth: u32,
-        fate: ServerFate,
-    ) {
+    pub(crate) async fn record_fate(&self, key: RequestKey, server: ServerStart, fate: ServerFate) {
         let now = self.now_us(Instant::now());
         let known = &self.ended.known;
         if fate == ServerFate::Ended {
-            known.borrow_mut().record_end(now, key, server, depth);
+            known.borrow_mut().record_end(now, key, server);
         }
         let is_shared = known
             .borrow()
@@ -211,10 +187,10 @@
         let known = &self.ended.known;
         let suspected = known.borrow().suspected_of(now, key, MIN_RECHECK_AGE_US);
         let health_path = self.health_path(service);
-        for ServerEnd { server, depth, .. } in suspected {
+        for server in suspected {
             let fate = probe(server.address, &server.id, health_path.as_deref()).await;
             if fate == ServerFate::Ended {
-                self.record_fate(key, server, depth, fate).await;
+                self.record_fate(key, server, fate).await;
             }
         }
     }
@@ -315,7 +291,8 @@
 }
 
 /// Starts a run of a request under which servers have ended; `None` if it must be isolated and
-/// another request's isolated run is at the same server.
+/// another request's isolated run is at the same server, or if it must wait for the outcome of the
+/// same request's other runs.
 ///
 /// Peers know of the run before it starts: if this process is lost, they find out whether the server
 /// has ended.
@@ -323,14 +300,13 @@
     shared: &Rc<Shared>,
     key: RequestKey,
     server: ServerStart,
-    ends: KnownEnds,
+    ends: EndCount,
     time_left: Duration,
 ) -> Option<SharedRunGuard> {
     let now = Instant::now();
     let run = OpenRun {
         id: rand::random(),
         server,
-        depth: ends.next_depth,
         is_isolated: ends.is_isolated(),
         expires_at: shared.now_us(now).after(to_span(time_left)),
     };
@@ -360,7 +336,7 @@
     shared.recheck_suspected(key, routed.service).await;
     settle_runs(shared, key, routed.service).await;
     let now = Instant::now();
-    if !shared.known_ends(key, now).is_given_up() {
+    if !shared.end_count(key, now).is_given_up() {
         return Ok(());
     }
     shared.trace_given_up(key, trace, now);
@@ -370,24 +346,25 @@
 /// Waits for the outcome of runs: if their gateway is lost, nobody else would notice that their
 /// servers have ended.
 async fn settle_runs(shared: &Shared, key: RequestKey, service: &str) {
-    let health_path = shared.health_path(service);
     let give_up_at = Instant::now() + SETTLE_TIMEOUT;
-    while Instant::now() < give_up_at {
-        let runs = shared.decisive_runs(key, Instant::now());
-        if runs.is_empty() {
-            return;
-        }
-        for run in runs {
-            let server = &run.server;
-            let fate = probe(server.address, &server.id, health_path.as_deref()).await;
-            if fate == ServerFate::Ended {
-                shared.record_fate(key, run.server, run.depth, fate).await;
-            }
-        }
+    while !shared.decisive_runs(key, Instant::now()).is_empty() && Instant::now() < give_up_at {
+        probe_runs(shared, key, service).await;
         sleep(SETTLE_INTERVAL).await;
     }
 }
 
+/// Asks the servers of runs for whose outcome the request's next run must wait.
+pub(crate) async fn probe_runs(shared: &Shared, key: RequestKey, service: &str) {
+    let health_path = shared.health_path(service);
+    for run in shared.decisive_runs(key, Instant::now()) {
+        let server = &run.server;
+        let fate = probe(server.address, &server.id, health_path.as_deref()).await;
+        if fate == ServerFate::Ended {
+            shared.record_fate(key, run.server, fate).await;
+        }
+    }
+}
+
 /// Handles a peer's call about servers that ended; `None` for other paths.
 pub(crate) fn handle_ended_call(
     shared: &Shared,
--- a/clementinepickd/src/gateway_ended_messages.rs
+++ b/clementinepickd/src/gateway_ended_messages.rs
@@ -20,8 +20,6 @@
 struct SharedEnd {
     #[serde(rename = "s")]
     server: ServerStart,
-    #[serde(rename = "d")]
-    depth: u32,
     #[serde(rename = "g")]
     age_us: SpanUs,
     #[serde(rename = "t")]
@@ -34,8 +32,6 @@
     id: u64,
     #[serde(rename = "s")]
     server: ServerStart,
-    #[serde(rename = "d")]
-    depth: u32,
     #[serde(rename = "o")]
     is_isolated: bool,
     #[serde(rename = "k")]
@@ -63,7 +59,6 @@
             ends: ends
                 .map(|end| SharedEnd {
                     server: end.server.clone(),
-                    depth: end.depth,
                     age_us: now.since(end.lost_at),
                     state: end.state,
                 })
@@ -72,7 +67,6 @@
                 .map(|run| SharedRun {
                     id: run.id,
                     server: run.server.clone(),
-                    depth: run.depth,
                     is_isolated: run.is_isolated,
                     keep_us: run.expires_at.since(now),
                 })
@@ -84,14 +78,12 @@
     pub(crate) fn into_request(self, now: TimeUs) -> RequestEnds {
         let ends = self.ends.into_iter().map(|end| ServerEnd {
             server: end.server,
-            depth: end.depth,
             lost_at: TimeUs(now.0.saturating_sub(end.age_us.0)),
             state: end.state,
         });
         let runs = self.runs.into_iter().map(|run| OpenRun {
             id: run.id,
             server: run.server,
-            depth: run.depth,
             is_isolated: run.is_isolated,
             expires_at: now.after(run.keep_us),
         });
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -10,6 +10,7 @@
 use clementinepick::server_list::ServerList;
 use futures_util::future::join_all;
 
+use crate::directory::Directory;
 use crate::gateway_ended::MAX_LOAD_WAIT;
 use crate::gateway_ended_messages::{LOAD_PATH, LoadQuery, SharedRequest};
 use crate::gateway_peer::{PeerCall, call_peer};
@@ -23,6 +24,8 @@
 /// The number of peers that a process asks at its start. They also share what they learn with it,
 /// until it is in their lists of processes.
 const MAX_LOAD_PEERS: usize = 64;
+/// How long the peers of the settings may take to be published; there may be none.
+const SETTINGS_WAIT: Duration = Duration::from_millis(50);
 /// The time of the second round of asking: by then, processes that started together are listed.
 const SECOND_LOAD_DELAY: Duration = Duration::from_secs(3);
 /// How often a process asks a peer again, in case it was cut off while another one shared a request.
@@ -38,8 +41,15 @@
 pub(crate) async fn maintain_ended(shared: Rc<Shared>) {
     let started_at = Instant::now();
     // The peers in the settings may be gone before the list of processes is read.
+    wait_for(&shared, SETTINGS_WAIT, |directory| {
+        !directory.peers.is_empty()
+    })
+    .await;
     load(&shared, MAX_LOAD_PEERS).await;
-    wait_for_peers(&shared, started_at).await;
+    wait_for(&shared, MAX_LOAD_WAIT, |directory| {
+        directory.has_read_processes
+    })
+    .await;
     load(&shared, MAX_LOAD_PEERS).await;
     shared.ended.set_loaded();
     let mut next_load = started_at + SECOND_LOAD_DELAY;
@@ -69,10 +79,11 @@
     }
 }
 
-/// Waits until the list of processes was read, or it is clear that this takes long.
-async fn wait_for_peers(shared: &Shared, started_at: Instant) {
+/// Waits until the directory is as wanted, for `limit` at most.
+async fn wait_for(shared: &Shared, limit: Duration, is_wanted: impl Fn(&Directory) -> bool) {
     const POLL_INTERVAL: Duration = Duration::from_millis(5);
-    while !shared.directory().has_read_processes && started_at.elapsed() < MAX_LOAD_WAIT {
+    let end = Instant::now() + limit;
+    while !is_wanted(&shared.directory()) && Instant::now() < end {
         sleep(POLL_INTERVAL).await;
     }
 }
--- a/standins/tests/ended_servers.rs
+++ b/standins/tests/ended_servers.rs
@@ -180,6 +180,31 @@
     assert_given_up(&mut run, &[2, 0]);
 }
 
+/// Guards against a caller that makes several attempts at once.
+#[test]
+fn a_request_with_two_attempts_at_once_is_given_up() {
+    for kind in [Kind::Draft, Kind::Turn, Kind::Call, Kind::Booking] {
+        let settings = EndingSettings {
+            end_delay: Duration::from_millis(50),
+            ..at_once(kind)
+        };
+        let mut run = EndingRun::start(&format!("two-at-once-{kind:?}"), settings);
+        let begun = [run.begin_fatal(0), run.begin_fatal(1)];
+        for request in begun {
+            EndingRun::finish(request);
+        }
+        let begun = [run.begin_fatal(2), run.begin_fatal(0)];
+        for request in begun {
+            EndingRun::finish(request);
+        }
+        // Two attempts may have ended one server together.
+        if run.ended_servers().len() < MAX_ENDED {
+            run.send_fatal(0);
+        }
+        assert_given_up(&mut run, &[0, 1, 2]);
+    }
+}
+
 /// Guards against a gateway that has just started and knows of no server that ended.
 #[test]
 fn a_request_that_returns_to_a_gateway_which_has_just_started_is_given_up() {
--- a/standins/tests/ending_run/mod.rs
+++ b/standins/tests/ending_run/mod.rs
@@ -157,6 +157,12 @@
         request.send(self.gateways.callers(gateway))
     }
 
+    /// Reads the response of a request, if there is one.
+    pub fn finish(mut request: BegunRequest) {
+        // Servers that end cut the response.
+        let _ = read_response(&mut request.connection);
+    }
+
     /// Begins a request that ends no server; the kinds take turns.
     pub fn begin_beside(&self, number: usize) -> BegunRequest {
         let kind = [Kind::Draft, Kind::Turn, Kind::Call][number % 3];
