--- a/review/standins/support.rs
+++ b/review/standins/support.rs
@@ -631,6 +631,8 @@
     pub path: &'a str,
     pub id: &'a str,
     pub program: &'a str,
+    /// The line of turns; that of the program itself if empty.
+    pub session: &'a str,
     pub previous: Option<&'a str>,
     pub budget: u64,
     /// The most tokens of the turn.
@@ -657,10 +659,15 @@
         let previous = self
             .previous
             .map_or(String::new(), |id| format!("Previous-Turn: {id}\r\n"));
+        let session = if self.session.is_empty() {
+            program
+        } else {
+            &self.session
+        };
         let length = input.len();
         format!(
             "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\n\
-             Program-Id: {program}\r\nSession-Id: {program}\r\n\
+             Program-Id: {program}\r\nSession-Id: {session}\r\n\
              Program-Deadline-Ms: {program_deadline_ms}\r\nToken-Budget: {budget}\r\nModel: m\r\n\
              Token-Usage: 100,{tokens}\r\nPrompt-Prefix: aa:100,{program}:100\r\n{previous}\
              Content-Length: {length}\r\n\r\n{input}"
@@ -825,6 +832,11 @@
         }
     }
 
+    /// Returns the id of the process, 0 if none runs.
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     /// Returns the process's log.
     pub fn log(&self) -> String {
         fs::read_to_string(self.directory.join("log")).unwrap_or_default()
