--- a/review/standins/support.rs
+++ b/review/standins/support.rs
@@ -7,10 +7,10 @@
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -186,24 +186,46 @@
 where
     F: Fn(&Message, &mut TcpStream) -> bool + Send + Sync + 'static,
 {
+    serve_until(listener, Arc::default(), handle);
+}
+
+/// Serves like [`serve`] until `has_ended` is set, as a process that exits then: its listener and all
+/// of its connections are closed.
+pub fn serve_until<F>(listener: TcpListener, has_ended: Arc<AtomicBool>, handle: F)
+where
+    F: Fn(&Message, &mut TcpStream) -> bool + Send + Sync + 'static,
+{
+    const POLL_INTERVAL: Duration = Duration::from_micros(500);
     let handle = Arc::new(handle);
+    listener.set_nonblocking(true).expect("a listener");
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        let mut open: Vec<TcpStream> = Vec::new();
+        while !has_ended.load(Ordering::Relaxed) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(POLL_INTERVAL);
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            let _ = stream.set_nodelay(true);
+            let (Ok(mut write), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else {
+                continue;
+            };
+            open.push(kept);
             let handle = Arc::clone(&handle);
             thread::spawn(move || {
-                let _ = stream.set_nodelay(true);
-                let Ok(mut write) = stream.try_clone() else {
-                    return;
-                };
                 let mut reader = BufReader::new(stream);
                 while let Some(request) = read_message(&mut reader) {
                     if !request.is_complete || !handle(&request, &mut write) {
                         break;
                     }
                 }
-                let _ = write.shutdown(std::net::Shutdown::Both);
+                let _ = write.shutdown(Shutdown::Both);
             });
         }
+        drop(listener);
+        for stream in open {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
     });
 }
 
