--- /dev/null
+++ b/standins/tests/paused_servers.rs
@@ -0,0 +1,278 @@
+//! Tests that a server which falls silent for about a second and goes on costs no answer, wherever no
+//! other server can take over the request. The gateways of streams are processes.
+
+#[allow(dead_code, reason = "each test file uses a part")]
+mod process_run;
+
+use std::thread;
+use std::time::Duration;
+
+use process_run::{BegunStream, EVENTS, ProcessRun, event_ids};
+use standins::platform_backend::{BackendFault, PlatformBackend};
+use standins::platform_caller::{CallerRequest, CallerResponse, exchange};
+use standins::platform_run::{PLAIN_SERVICE, PlatformRun, config, wait_until};
+use standins::soak_proxy::ProxyMode;
+
+/// How long a server is silent, between its timeouts and the deadlines.
+const PAUSE: Duration = Duration::from_secs(1);
+/// A pause that is longer than the timeout for the first event.
+const FIRST_EVENT_PAUSE: Duration = Duration::from_millis(1_700);
+/// The number of streams that are begun where the retry budget has to suffice for all.
+const FEW: usize = 8;
+/// The number of requests at paused servers that exceeds the retry budget of their service.
+const MANY: usize = 48;
+
+/// A configuration whose deadlines are seconds away.
+fn patient_config(version: u64, attempts: u32) -> String {
+    ["2000", "1200", "1000"]
+        .iter()
+        .fold(config(version), |config, timeout| {
+            config.replace(&format!(r#""TimeoutMs":{timeout}"#), r#""TimeoutMs":8000"#)
+        })
+        .replace(r#""Attempts":2"#, &format!(r#""Attempts":{attempts}"#))
+}
+
+/// Starts a gateway before engines of two versions.
+fn start(name: &str, attempts: u32) -> ProcessRun {
+    let run = ProcessRun::start(name, 1);
+    publish(&run, 2, attempts);
+    wait_until(|| has_config(&run, 2)).expect("the configuration in use");
+    run
+}
+
+fn publish(run: &ProcessRun, version: u64, attempts: u32) {
+    let config = patient_config(version, attempts);
+    run.store.put("keyed.op", "config", &config);
+}
+
+fn has_config(run: &ProcessRun, version: u64) -> bool {
+    let state = run.gateways.state(0);
+    state.is_ok_and(|state| state["config_version"] == version)
+}
+
+fn begin(run: &ProcessRun, count: usize) -> Vec<BegunStream> {
+    let ids: Vec<String> = (0..count).map(|number| format!("s{number}")).collect();
+    run.begin(0, &ids)
+}
+
+/// Begins streams at the first engine of each version; the second one is draining.
+fn begin_at_first(run: &ProcessRun, count: usize) -> Vec<BegunStream> {
+    run.drain(1, &[0]);
+    run.drain(3, &[0]);
+    begin(run, count)
+}
+
+/// Silences engines for a while.
+fn pause(run: &ProcessRun, engines: &[usize], span: Duration) {
+    for engine in engines {
+        run.cut_engine(*engine, ProxyMode::Blackhole);
+    }
+    thread::sleep(span);
+    for engine in engines {
+        run.restore_engine(*engine);
+    }
+}
+
+/// Checks that all streams are completed: each event once, in order, and the end.
+fn assert_whole(streams: Vec<BegunStream>) {
+    let count = streams.len();
+    let whole: Vec<u64> = (1..=EVENTS).collect();
+    let broken: Vec<String> = streams
+        .into_iter()
+        .filter_map(|stream| {
+            let id = stream.id.clone();
+            let received = stream.finish();
+            let is_whole = event_ids(&received) == whole && received.ends_with("\r\n0\r\n\r\n");
+            (!is_whole).then_some(id)
+        })
+        .collect();
+    assert!(broken.is_empty(), "{} of {count}: {broken:?}", broken.len());
+}
+
+/// Guards against a stream that is cut although its route allows no other attempt.
+#[test]
+fn a_stream_in_its_only_attempt_survives_a_pause() {
+    let run = start("only-attempt", 1);
+    let streams = begin(&run, FEW);
+    pause(&run, &[0, 1, 2, 3], PAUSE);
+    assert_whole(streams);
+}
+
+/// Guards against a stream that is cut in its last attempt, after an earlier engine has failed.
+#[test]
+fn a_stream_in_its_last_attempt_survives_a_pause() {
+    let run = start("last-attempt", 2);
+    let streams = begin(&run, FEW);
+    run.slow_down();
+    run.cut_engine(0, ProxyMode::Reset);
+    run.cut_engine(2, ProxyMode::Reset);
+    pause(&run, &[1, 3], PAUSE);
+    assert_whole(streams);
+}
+
+/// Guards against a stream that is cut although no other server has its version.
+#[test]
+fn a_stream_at_the_sole_server_of_its_version_survives_a_pause() {
+    let run = start("sole-server", 2);
+    let streams = begin_at_first(&run, FEW);
+    pause(&run, &[0, 2], PAUSE);
+    assert_whole(streams);
+}
+
+/// Guards against streams that are cut because the retry budget suffices only for some of them.
+#[test]
+fn many_streams_survive_a_pause_of_their_servers() {
+    let run = start("many-streams", 2);
+    let streams = begin(&run, MANY);
+    pause(&run, &[0, 2], PAUSE);
+    assert_whole(streams);
+}
+
+/// Guards against a stream that is cut because its first event is late.
+#[test]
+fn streams_survive_a_late_first_event() {
+    let run = start("late-first-event", 1);
+    for engine in 0..4 {
+        run.cut_engine(engine, ProxyMode::Blackhole);
+    }
+    let address = run.gateways.callers(0);
+    let callers: Vec<_> = (0..FEW)
+        .map(|number| {
+            thread::spawn(move || {
+                let id = format!("s{number}");
+                CallerRequest::turn("/draft/1", &id, &id, "x").send(address)
+            })
+        })
+        .collect();
+    thread::sleep(FIRST_EVENT_PAUSE);
+    for engine in 0..4 {
+        run.restore_engine(engine);
+    }
+    let whole: Vec<u64> = (1..=EVENTS).collect();
+    for caller in callers {
+        let response = caller.join().expect("no panic").expect("a response");
+        assert!(response.is_complete, "{response:?}");
+        assert_eq!(event_ids(&response.body), whole, "{response:?}");
+    }
+}
+
+/// Guards against a stream that is cut because the configuration changes while its server is silent.
+#[test]
+fn a_stream_survives_a_pause_beside_a_configuration_change() {
+    let run = start("config-change", 2);
+    let streams = begin_at_first(&run, FEW);
+    run.cut_engine(0, ProxyMode::Blackhole);
+    run.cut_engine(2, ProxyMode::Blackhole);
+    publish(&run, 3, 1);
+    thread::sleep(PAUSE);
+    assert!(has_config(&run, 3), "the configuration has not changed");
+    run.restore_engine(0);
+    run.restore_engine(2);
+    assert_whole(streams);
+}
+
+/// Guards against a stream that leaves a silent engine for one that refuses it.
+#[test]
+fn a_stream_survives_a_pause_while_the_other_engine_refuses() {
+    let run = start("refusing-successor", 2);
+    let streams = begin_at_first(&run, FEW);
+    for engine in [1, 3] {
+        run.inject_faults(engine, BackendFault::Refuse, 2 * FEW);
+        run.undrain(engine, &[0]);
+    }
+    pause(&run, &[0, 2], PAUSE);
+    assert_whole(streams);
+}
+
+/// Guards against a stream that leaves a silent engine for one that closes connections.
+#[test]
+fn a_stream_survives_a_pause_while_the_other_engine_fails() {
+    let run = start("failing-successor", 2);
+    let streams = begin_at_first(&run, FEW);
+    for engine in [1, 3] {
+        run.cut_engine(engine, ProxyMode::Reset);
+        run.undrain(engine, &[0]);
+    }
+    pause(&run, &[0, 2], PAUSE);
+    assert_whole(streams);
+}
+
+/// Guards against a stream that is cut because its silent server is draining or no longer listed.
+#[test]
+fn a_stream_survives_a_pause_of_a_server_that_leaves() {
+    let run = start("leaving-server", 2);
+    let streams = begin(&run, FEW);
+    for engine in 0..4 {
+        run.cut_engine(engine, ProxyMode::Blackhole);
+    }
+    run.drain_version("v1", &[0]);
+    run.drain_version("v2", &[0]);
+    thread::sleep(PAUSE / 2);
+    for engine in 0..4 {
+        run.restore_engine(engine);
+    }
+    assert_whole(streams);
+}
+
+/// Starts a gateway before two plain servers that take [`PAUSE`] for each response.
+fn start_slow_plains(attempts: u32) -> PlatformRun {
+    let run = PlatformRun::start(1).expect("a platform run");
+    run.store
+        .put("keyed.op", "config", &patient_config(2, attempts));
+    wait_until(|| state(&run).contains("\"config_version\":2,")).expect("the configuration in use");
+    for plain in &run.plains {
+        plain.configure(|settings| settings.pause = PAUSE);
+    }
+    run
+}
+
+fn state(run: &PlatformRun) -> String {
+    let metrics = run.gateways[0].addresses.metrics.expect("an address");
+    let request = b"GET /state HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    exchange(metrics, request).map_or(String::new(), |state| state.body)
+}
+
+/// Sends lookups at the same time.
+fn look(run: &PlatformRun, count: usize) -> Vec<CallerResponse> {
+    let address = run.callers(0);
+    let callers: Vec<_> = (0..count)
+        .map(|number| {
+            let request = CallerRequest::new("GET", "/look/1", &format!("r{number}"));
+            thread::spawn(move || request.send(address).expect("a response"))
+        })
+        .collect();
+    let joined = callers
+        .into_iter()
+        .map(|caller| caller.join().expect("no panic"));
+    joined.collect()
+}
+
+fn assert_served(responses: &[CallerResponse]) {
+    let failed = responses.iter().filter(|response| response.status != 200);
+    let statuses: Vec<u16> = failed.map(|response| response.status).collect();
+    let count = responses.len();
+    assert!(
+        statuses.is_empty(),
+        "{} of {count}: {statuses:?}",
+        statuses.len()
+    );
+}
+
+/// Guards against an idempotent call that is given up although no other server is left.
+#[test]
+fn a_lookup_at_the_sole_server_survives_a_pause() {
+    let run = start_slow_plains(2);
+    let leaving = run.plains[1].entry(PLAIN_SERVICE, "draining");
+    run.store.put("keyed.servers", "p-2", &leaving);
+    wait_until(|| state(&run).contains("\"is_draining\":true")).expect("a draining server");
+    assert_served(&look(&run, FEW));
+    let executions = run.plains.iter().map(PlatformBackend::executions);
+    assert_eq!(executions.map(|runs| runs.len()).sum::<usize>(), FEW);
+}
+
+/// Guards against idempotent calls that are given up although the retry budget is empty.
+#[test]
+fn many_lookups_survive_a_pause_of_their_servers() {
+    let run = start_slow_plains(2);
+    assert_served(&look(&run, MANY));
+}
--- a/standins/tests/process_run/mod.rs
+++ b/standins/tests/process_run/mod.rs
@@ -6,7 +6,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use standins::platform_backend::{BackendSettings, PlatformBackend};
+use standins::platform_backend::{BackendFault, BackendSettings, PlatformBackend};
 use standins::platform_caller::{CallerRequest, CallerResponse};
 use standins::platform_run::{MODEL_SERVICE, config, wait_until};
 use standins::platform_store::PlatformStore;
@@ -120,6 +120,22 @@
         engine.expect("an engine that ran the request")
     }
 
+    /// Makes all engines pause before each event of the streams that follow, as they did at first.
+    pub fn slow_down(&self) {
+        for engine in &self.engines {
+            engine
+                .backend
+                .configure(|settings| settings.pause = SLOW_PAUSE);
+        }
+    }
+
+    /// Queues a fault for each of the next `count` requests at an engine.
+    pub fn inject_faults(&self, engine: usize, fault: BackendFault, count: usize) {
+        for _ in 0..count {
+            self.engines[engine].backend.inject_fault(fault);
+        }
+    }
+
     /// Cuts all connections of an engine: resets them, or lets them fall silent.
     pub fn cut_engine(&self, engine: usize, mode: ProxyMode) {
         let proxy = &self.engines[engine].proxy;
--- a/standins/tests/stream_versions.rs
+++ b/standins/tests/stream_versions.rs
@@ -1,6 +1,7 @@
 //! Tests that a stream is resumed only at the software version that began it, wherever it was cut
 //! and wherever it is resumed. The gateways are processes.
 
+#[allow(dead_code, reason = "each test file uses a part")]
 mod process_run;
 
 use std::time::{Duration, Instant};
