Tests: a lost read of the server list keeps a removed server for a second too long

The proxy of the stand-ins can silence the connections that are open, and the store can lose the responses to the next reads of a topic.

--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -82,6 +82,8 @@
     delay: Duration,
     /// The topic whose calls are not answered.
     silent_topic: Option<String>,
+    /// How many of the next reads of each topic are not answered.
+    lost_reads: BTreeMap<String, u32>,
     page_items: usize,
     /// The calls that came, by path.
     calls: BTreeMap<String, u64>,
@@ -183,6 +185,11 @@
         lock(&self.core).silent_topic = topic.map(str::to_owned);
     }
 
+    /// Does not answer the next `count` reads of a topic, long polls included.
+    pub fn lose_reads(&self, topic: &str, count: u32) {
+        lock(&self.core).lost_reads.insert(topic.to_owned(), count);
+    }
+
     /// Sets how many records one page of newest records has.
     pub fn set_page_items(&self, items: usize) {
         lock(&self.core).page_items = items;
@@ -225,6 +232,9 @@
         if self.silent_topic.is_some() && self.silent_topic.as_ref() == request.query.get("Topic") {
             return vec![Step::Silence];
         }
+        if self.loses_read(request) {
+            return vec![Step::Silence];
+        }
         let mut script = vec![Step::Pause(self.delay)];
         match request.path.rsplit('/').next() {
             Some("log-append") => {
@@ -253,6 +263,20 @@
         script
     }
 
+    /// Whether a call is a read whose answer is to be lost.
+    fn loses_read(&mut self, request: &WireRequest) -> bool {
+        if request.method != "GET" {
+            return false;
+        }
+        let topic = request.query.get("Topic");
+        let left = topic.and_then(|topic| self.lost_reads.get_mut(topic));
+        let Some(left) = left.filter(|left| **left > 0) else {
+            return false;
+        };
+        *left -= 1;
+        true
+    }
+
     fn append(&mut self, request: &WireRequest) -> Bytes {
         let Some(id) = partition_id(request) else {
             return full_response(400, &[], b"");
--- a/standins/src/soak_proxy.rs
+++ b/standins/src/soak_proxy.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -37,10 +38,13 @@
     /// The address at which it listens.
     pub address: SocketAddr,
     mode: Mode,
+    silenced: Silenced,
     _server: WireServer,
 }
 
 type Mode = Arc<Mutex<ProxyMode>>;
+/// How often the open connections were silenced.
+type Silenced = Arc<AtomicU64>;
 
 impl Proxy {
     /// Starts a proxy that connects to `target`.
@@ -51,22 +55,35 @@
     pub fn start(target: SocketAddr) -> io::Result<Self> {
         let mode = Arc::new(Mutex::new(ProxyMode::Forward));
         let current = Arc::clone(&mode);
-        let handler = move |stream, _| proxy_connection(stream, target, Arc::clone(&current));
+        let silenced = Silenced::default();
+        let count = Arc::clone(&silenced);
+        let handler = move |stream, _| {
+            proxy_connection(stream, target, Arc::clone(&current), Arc::clone(&count))
+        };
         let server = WireServer::start_with(free_port(), handler)?;
         Ok(Self {
             address: server.address,
             mode,
+            silenced,
             _server: server,
         })
     }
 
+    /// Drops all bytes on the connections that are open now, without closing them; new connections
+    /// work.
+    pub fn silence_open_connections(&self) {
+        self.silenced.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Changes the mode, also of open connections.
     pub fn set_mode(&self, mode: ProxyMode) {
         *lock(&self.mode) = mode;
     }
 }
 
-async fn proxy_connection(caller: TcpStream, target: SocketAddr, mode: Mode) {
+async fn proxy_connection(caller: TcpStream, target: SocketAddr, mode: Mode, silenced: Silenced) {
+    let opened_at = silenced.load(Ordering::Relaxed);
+    let is_silenced = || silenced.load(Ordering::Relaxed) != opened_at;
     let Ok(server) = TcpStream::connect(target).await else {
         return;
     };
@@ -74,12 +91,18 @@
     let (from_server, to_server) = server.into_split();
     // When either side closes, both are closed, as if the proxy's process had died.
     tokio::select! {
-        () = forward(from_caller, to_server, &mode, true) => {}
-        () = forward(from_server, to_caller, &mode, false) => {}
+        () = forward(from_caller, to_server, &mode, &is_silenced, true) => {}
+        () = forward(from_server, to_caller, &mode, &is_silenced, false) => {}
     }
 }
 
-async fn forward(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mode: &Mode, is_request: bool) {
+async fn forward(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mode: &Mode,
+    is_silenced: &impl Fn() -> bool,
+    is_request: bool,
+) {
     let mut buffer = vec![0_u8; 16_384];
     loop {
         let count = tokio::select! {
@@ -89,6 +112,9 @@
         if count == 0 || !wait_until_allowed(mode, is_request).await {
             return;
         }
+        if is_silenced() {
+            continue;
+        }
         if to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
--- a/standins/tests/gateway_lists.rs
+++ b/standins/tests/gateway_lists.rs
@@ -6,7 +6,8 @@
 
 use standins::platform_caller::{CallerRequest, exchange};
 use standins::platform_run::{PlatformRun, config, is_ready, wait_until};
-use standins::platform_store::StoreMode;
+use standins::platform_store::{StoreEndpoint, StoreMode};
+use standins::soak_proxy::Proxy;
 
 /// Returns a configuration in which the path of the route `/look/` is `/moved/`.
 fn moved_config(version: u64) -> String {
@@ -18,7 +19,20 @@
 
 /// Starts one gateway with one plain server, `p-1`.
 fn run_with_one_plain() -> PlatformRun {
-    let run = PlatformRun::start(1).expect("a run");
+    leave_one_plain(PlatformRun::start(1).expect("a run"))
+}
+
+/// Starts one gateway behind a proxy of the store with one plain server, `p-1`.
+fn run_behind_proxy() -> (PlatformRun, StoreEndpoint, Proxy) {
+    let mut run = PlatformRun::start(0).expect("a run");
+    let endpoint = run.store.open().expect("an endpoint");
+    let proxy = Proxy::start(endpoint.address).expect("a proxy");
+    run.add_gateway_with(|settings| settings.store = proxy.address)
+        .expect("a gateway");
+    (leave_one_plain(run), endpoint, proxy)
+}
+
+fn leave_one_plain(run: PlatformRun) -> PlatformRun {
     run.store.remove("keyed.servers", "p-2");
     wait_until(|| !lists_server(&run, "p-2")).expect("one plain server");
     run
@@ -168,6 +182,44 @@
     assert!(served < DRAIN_LIMIT, "{served:?}");
 }
 
+/// Guards against response times measured in an outage that delay the detection of a lost long
+/// poll, so that it counts as another outage and a removed server is kept.
+#[test]
+fn connections_that_fall_silent_after_an_outage_do_not_delay_the_removal_of_a_server() {
+    let (run, endpoint, proxy) = run_behind_proxy();
+    endpoint.set_mode(StoreMode::Silent);
+    sleep(Duration::from_millis(4_500));
+    endpoint.set_mode(StoreMode::Serving);
+    sleep(Duration::from_millis(6_100));
+    proxy.silence_open_connections();
+    sleep(Duration::from_millis(100));
+    let served = served_after_removal(&run);
+    assert!(served < DRAIN_LIMIT, "{served:?}");
+}
+
+/// Guards against the attempts of an unavailable configuration that hold up the repeated read of
+/// the server list, so that one lost response counts as an outage.
+#[test]
+fn a_lost_read_beside_an_unavailable_configuration_does_not_delay_the_removal_of_a_server() {
+    let run = run_with_one_plain();
+    run.store.silence_topic(Some("keyed.op"));
+    sleep(Duration::from_millis(1_800));
+    run.store.lose_reads("keyed.servers", 1);
+    sleep(Duration::from_millis(1_100));
+    let served = served_after_removal(&run);
+    assert!(served < DRAIN_LIMIT, "{served:?}");
+}
+
+/// Guards against a list that is read again on connections that have fallen silent as well.
+#[test]
+fn connections_that_fall_silent_do_not_delay_the_removal_of_a_server() {
+    let (run, _endpoint, proxy) = run_behind_proxy();
+    sleep(Duration::from_millis(500));
+    proxy.silence_open_connections();
+    let served = served_after_removal(&run);
+    assert!(served < DRAIN_LIMIT, "{served:?}");
+}
+
 /// A gateway that cannot read the configuration is not ready although its server list is current,
 /// and is ready again once it can.
 #[test]
