Store: a lost read of the server list is no outage

Cause: one read of the server list without a response could count as an outage of the store, after which entries that are gone are kept for two more seconds, so that a removed server got requests for 3 s and longer. The silence of 1.6 s that made an outage was reached by one lost long poll in two ways.

Change: an outage must be shown. The store client passes each failed attempt to the detector with what it says: a refusal, or a new connection without a response, shows that the store is unavailable; a long poll, a connection that had been idle, a lost relay and a timer that fired late say nothing. Each list has a client of its own, with connections, timeouts and relay state of its own. Attempts without a response double the timeout until the next response instead of counting in the mean, and long polls update the mean with the time beyond their wait. The loss of a connection that had been idle closes the other idle ones, so that the next attempt opens a new one, and does not make the process use relays. A read while direct calls fail makes its own direct attempt first, in place of a separate probe of the configuration. While servers are kept, the list is followed by long polling until the grace period ends, in place of a read every 0.55 s.

--- a/clementinepickd/src/config_follower.rs
+++ b/clementinepickd/src/config_follower.rs
@@ -9,7 +9,7 @@
 
 use crate::directory::FollowerContext;
 use crate::logging::write_event;
-use crate::topic_watch::TopicWatch;
+use crate::topic_watch::{LONG_POLL_WAIT, TopicWatch};
 
 /// Follows the configuration.
 pub(crate) struct ConfigFollower<'a> {
@@ -31,8 +31,8 @@
     /// Follows the configuration until this is dropped.
     pub(crate) async fn run(mut self) {
         loop {
-            let poll = self.watch.next(self.context.store, false).await;
-            let Ok(has_changed) = poll.result else {
+            let read = self.watch.next(self.context.store, LONG_POLL_WAIT).await;
+            let Ok(has_changed) = read else {
                 // The store client counts the failure; a process with an outdated configuration is
                 // not ready.
                 continue;
--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -60,9 +60,10 @@
     pub(crate) peer_address: SocketAddr,
 }
 
-/// The resources that all followers use.
+/// The resources of a follower.
 #[derive(Clone, Copy)]
 pub(crate) struct FollowerContext<'a> {
+    /// The client of this follower alone; all of them have the same relays.
     pub(crate) store: &'a StoreClient,
     pub(crate) logger: &'a Logger,
     pub(crate) publish: &'a watch::Sender<Directory>,
@@ -70,7 +71,7 @@
 
 /// Follows the store until `stop` becomes true or its sender is dropped.
 ///
-/// The followers run independently, so that none waits for another.
+/// The followers run independently, each with a client of its own, so that none waits for another.
 pub(crate) async fn follow(
     identity: Identity,
     seeds: Vec<SocketAddr>,
@@ -80,14 +81,15 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let now = Instant::now();
-    let context = FollowerContext {
-        store: &store,
+    let (config_store, server_store) = (store.independent_client(), store.independent_client());
+    let context = |store| FollowerContext {
+        store,
         logger: &logger,
         publish: &publish,
     };
-    let config = ConfigFollower::new(context, now);
-    let servers = ServerFollower::new(context, now);
-    let processes = ProcessRegistry::new(identity, seeds, context);
+    let config = ConfigFollower::new(context(&config_store), now);
+    let servers = ServerFollower::new(context(&server_store), now);
+    let processes = ProcessRegistry::new(identity, seeds, context(&store));
     tokio::select! {
         // The sender is dropped only when the process ends.
         _ = stop.wait_for(|stop| *stop) => {}
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod settings;
 pub mod settings_file;
 mod store;
+mod store_attempt;
 mod tasks;
 mod telemetry;
 mod topic_watch;
--- a/clementinepickd/src/outbound_pool.rs
+++ b/clementinepickd/src/outbound_pool.rs
@@ -34,7 +34,8 @@
         Connection::open(address, limit, now).await
     }
 
-    fn take_idle(&self, address: SocketAddr, now: Instant) -> Option<Connection> {
+    /// Returns an idle connection, if there is one.
+    pub(crate) fn take_idle(&self, address: SocketAddr, now: Instant) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         while let Some(connection) = connections.pop() {
@@ -55,6 +56,11 @@
         idle.entry(address).or_default().push(connection);
     }
 
+    /// Closes all idle connections to an address.
+    pub(crate) fn close_all(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Closes connections that are past their keep-alive timeout or no longer healthy.
     pub(crate) fn close_stale(&self, now: Instant) {
         let mut idle = self.idle.borrow_mut();
--- a/clementinepickd/src/process_registry.rs
+++ b/clementinepickd/src/process_registry.rs
@@ -103,6 +103,7 @@
     /// Writes this process's entry and reads those of its peers.
     async fn announce(&mut self, now: Instant) {
         let deadline = now + POLL_TIMEOUT;
+        self.context.store.retry_direct();
         let is_written = self.write(deadline).await.is_ok();
         let read = self.processes.poll(self.context.store, now, deadline).await;
         if read.is_err() {
--- a/clementinepickd/src/server_follower.rs
+++ b/clementinepickd/src/server_follower.rs
@@ -2,24 +2,20 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use clementinepick::event::{Event, EventKind};
-use clementinepick::outage_detector::OutageDetector;
 use clementinepick::server_list::{BackendServer, ServerList};
 use platform::store::Topic;
 
 use crate::directory::FollowerContext;
 use crate::logging::write_event;
-use crate::monotonic_clock::MonotonicClock;
-use crate::topic_watch::TopicWatch;
+use crate::topic_watch::{LONG_POLL_WAIT, TopicWatch};
 
 /// Follows the registered servers.
 pub(crate) struct ServerFollower<'a> {
     context: FollowerContext<'a>,
     watch: TopicWatch,
-    clock: MonotonicClock,
-    outage: OutageDetector,
     /// The servers that were published last.
     known: BTreeMap<String, BackendServer>,
     /// Those of them whose entries have expired and that are kept for now.
@@ -33,8 +29,6 @@
         Self {
             context,
             watch: TopicWatch::new(Topic::Servers, now),
-            clock: MonotonicClock::starting_at(now),
-            outage: OutageDetector::default(),
             known: BTreeMap::new(),
             kept: BTreeSet::new(),
             bad_entries: BTreeMap::new(),
@@ -44,22 +38,28 @@
     /// Follows the list until this is dropped.
     pub(crate) async fn run(mut self) {
         loop {
-            // Expired entries are removed after a while, which is a change without a new record.
             let has_kept = !self.kept.is_empty();
-            let poll = self.watch.next(self.context.store, has_kept).await;
-            match poll.result {
-                Ok(has_changed) => self.publish_list(has_changed || has_kept, Instant::now()),
-                // The store client counts the failure; an outage is logged when it ends.
-                Err(_) => self
-                    .outage
-                    .record_failed_read(self.clock.at(poll.started_at)),
+            let max_wait = self.max_wait(Instant::now());
+            // The store client counts a failure; an outage is logged when it ends.
+            if let Ok(has_changed) = self.watch.next(self.context.store, max_wait).await {
+                self.publish_list(has_changed || has_kept, Instant::now());
             }
         }
     }
 
+    /// Returns how long a long poll may last: kept servers are removed at the end of the grace
+    /// period, without a new record.
+    fn max_wait(&self, now: Instant) -> Duration {
+        if self.kept.is_empty() {
+            LONG_POLL_WAIT
+        } else {
+            LONG_POLL_WAIT.min(self.context.store.grace_left(now))
+        }
+    }
+
     /// Publishes the list after a successful read.
     fn publish_list(&mut self, may_differ: bool, now: Instant) {
-        self.log_outage_end(now);
+        self.log_outage_end();
         let servers = if may_differ {
             self.new_servers(now)
         } else {
@@ -73,8 +73,8 @@
         });
     }
 
-    fn log_outage_end(&mut self, now: Instant) {
-        let Some(ended) = self.outage.record_successful_read(self.clock.at(now)) else {
+    fn log_outage_end(&self) {
+        let Some(ended) = self.context.store.take_ended_outage() else {
             return;
         };
         let event = Event::new(EventKind::ServerListBack)
@@ -86,10 +86,10 @@
     /// Returns the servers to publish, if they have changed.
     fn new_servers(&mut self, now: Instant) -> Option<BTreeMap<String, BackendServer>> {
         let mut servers = self.decode();
-        let kept = if self.outage.is_in_grace_period(self.clock.at(now)) {
-            keep_lapsed(&mut servers, &self.known)
-        } else {
+        let kept = if self.context.store.grace_left(now).is_zero() {
             BTreeSet::new()
+        } else {
+            keep_lapsed(&mut servers, &self.known)
         };
         self.log_kept(kept);
         if servers == self.known {
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -5,6 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,14 +13,17 @@
 use actix_http::{Method, Uri};
 use actix_rt::time::{sleep, timeout};
 use bytes::Bytes;
+use clementinepick::outage_detector::{EndedOutage, FailureKind, OutageDetector};
 use platform::store::{Topic, newest_target};
 use rand::RngExt;
 use thiserror::Error;
 use tokio::sync::Notify;
 
 use crate::gateway_metrics::GatewayMetrics;
-use crate::outbound::{OutboundError, OutboundRequest};
+use crate::monotonic_clock::MonotonicClock;
+use crate::outbound::{Connection, OutboundError, OutboundRequest};
 use crate::outbound_pool::ConnectionPool;
+use crate::store_attempt::{Attempt, AttemptOutcome};
 
 /// The maximum timeout of one attempt. A store that responds later counts as unavailable; one that
 /// is 60 times slower than usual responds within 300 ms.
@@ -30,6 +34,8 @@
 /// The timeout of an attempt as a multiple of the mean response time; the slowest of a thousand
 /// responses of a healthy store takes four times the mean.
 const TIMEOUT_MEANS: u32 = 8;
+/// How often the timeout of an attempt is doubled at most while the store does not respond.
+const MAX_TIMEOUT_DOUBLINGS: u32 = 2;
 /// The divisor of the moving average of response times.
 const MEAN_DIVISOR: u32 = 8;
 /// How long opening a connection may take.
@@ -137,18 +143,26 @@
     pub(crate) relayed: u64,
 }
 
-/// A client of the store; one for each thread that uses the store.
+/// A client of the store; one for each thread that uses the store, and one for each list that is
+/// followed, so that a partition that is unavailable delays no other.
 pub(crate) struct StoreClient {
     address: SocketAddr,
     pool: ConnectionPool,
-    relays: RefCell<Vec<SocketAddr>>,
+    relays: Rc<RefCell<Vec<SocketAddr>>>,
     /// The peer that last relayed a call of this process.
     relay: Cell<Option<SocketAddr>>,
     /// The number of consecutive failures, direct and relayed.
     failures: Cell<u32>,
     /// Whether the last direct attempt failed.
     is_direct_down: Cell<bool>,
+    /// The mean response time.
     mean: Cell<Duration>,
+    /// The number of consecutive direct attempts without a response on new connections.
+    timeouts: Cell<u32>,
+    clock: MonotonicClock,
+    outage: RefCell<OutageDetector>,
+    /// The last outage, until it is taken.
+    ended_outage: Cell<Option<EndedOutage>>,
     failing_since: Cell<Option<Instant>>,
     is_probing: Cell<bool>,
     recovered: Notify,
@@ -159,15 +173,33 @@
 impl StoreClient {
     /// Creates a client of the store at `address`, which counts its calls in `metrics`.
     pub(crate) fn new(address: SocketAddr, metrics: Arc<GatewayMetrics>) -> Self {
+        Self::with_relays(address, metrics, Rc::default())
+    }
+
+    /// Creates a client that shares nothing with this one but the relays and the metrics.
+    pub(crate) fn independent_client(&self) -> Self {
+        let (metrics, relays) = (Arc::clone(&self.metrics), Rc::clone(&self.relays));
+        Self::with_relays(self.address, metrics, relays)
+    }
+
+    fn with_relays(
+        address: SocketAddr,
+        metrics: Arc<GatewayMetrics>,
+        relays: Rc<RefCell<Vec<SocketAddr>>>,
+    ) -> Self {
         Self {
             metrics,
             address,
             pool: ConnectionPool::default(),
-            relays: RefCell::default(),
+            relays,
             relay: Cell::new(None),
             failures: Cell::new(0),
             is_direct_down: Cell::new(false),
             mean: Cell::new(MIN_ATTEMPT_TIMEOUT / TIMEOUT_MEANS),
+            timeouts: Cell::new(0),
+            clock: MonotonicClock::starting_at(Instant::now()),
+            outage: RefCell::default(),
+            ended_outage: Cell::new(None),
             failing_since: Cell::new(None),
             is_probing: Cell::new(false),
             recovered: Notify::new(),
@@ -196,6 +228,17 @@
         self.is_direct_down.get()
     }
 
+    /// Returns the last outage that has ended, once.
+    pub(crate) fn take_ended_outage(&self) -> Option<EndedOutage> {
+        self.ended_outage.take()
+    }
+
+    /// Returns how much longer entries that expired in an outage are kept; zero without an outage.
+    pub(crate) fn grace_left(&self, now: Instant) -> Duration {
+        let left = self.outage.borrow().grace_left(self.clock.at(now));
+        Duration::from_micros(left.0)
+    }
+
     pub(crate) fn counts(&self) -> StoreCounts {
         self.counts.get()
     }
@@ -245,15 +288,55 @@
         wait: Duration,
     ) -> Result<StoreReply, StoreUnavailable> {
         let limit = wait + self.attempt_timeout();
-        let reply = self.exchange_once(self.address, call, limit).await;
-        self.is_direct_down.set(reply.is_none());
-        self.record_attempt(false, reply.is_some(), true);
-        reply.ok_or(StoreUnavailable)
+        let started_at = Instant::now();
+        let attempt = self.exchange_once(self.address, call, limit).await;
+        if attempt.is_ok() {
+            // A response that comes earlier has a record; the wait for it says nothing.
+            let response_time = attempt.took.checked_sub(wait);
+            self.record_response_time(response_time);
+        } else {
+            let kind = attempt.long_poll_failure_kind();
+            self.record_outage_failure(started_at, kind);
+        }
+        self.record_direct(&attempt);
+        self.record_attempt(false, attempt.is_ok(), true);
+        attempt.into_reply().ok_or(StoreUnavailable)
     }
 
     /// Returns the timeout of a direct attempt, by recent response times.
+    ///
+    /// Attempts without a response only double it until the next response: a mean of response times
+    /// with timeouts in it would delay the detection of lost responses long after an outage.
     fn attempt_timeout(&self) -> Duration {
-        (self.mean.get() * TIMEOUT_MEANS).clamp(MIN_ATTEMPT_TIMEOUT, MAX_ATTEMPT_TIMEOUT)
+        let by_mean = self.mean.get() * TIMEOUT_MEANS;
+        let doublings = self.timeouts.get().min(MAX_TIMEOUT_DOUBLINGS);
+        let timeout = by_mean.clamp(MIN_ATTEMPT_TIMEOUT, MAX_ATTEMPT_TIMEOUT);
+        (timeout * (1 << doublings)).min(MAX_ATTEMPT_TIMEOUT)
+    }
+
+    /// Updates the timeout after a direct response; without a response time, only the doublings end.
+    fn record_response_time(&self, response_time: Option<Duration>) {
+        self.timeouts.set(0);
+        if let Some(response_time) = response_time {
+            let response_time = response_time.min(MAX_ATTEMPT_TIMEOUT);
+            let weighted_sum = self.mean.get() * (MEAN_DIVISOR - 1) + response_time;
+            self.mean.set(weighted_sum / MEAN_DIVISOR);
+        }
+    }
+
+    fn record_outage_failure(&self, started_at: Instant, kind: FailureKind) {
+        let mut outage = self.outage.borrow_mut();
+        outage.record_failure(self.clock.at(started_at), kind);
+    }
+
+    /// Records whether the store responds to this process directly. A loss of a connection that had
+    /// been idle does not say that it does not: the next attempt opens another one.
+    fn record_direct(&self, attempt: &Attempt) {
+        if attempt.is_ok() {
+            self.is_direct_down.set(false);
+        } else if !attempt.has_lost_reused_connection() {
+            self.is_direct_down.set(true);
+        }
     }
 
     /// Makes one attempt, direct or relayed; `None` if it failed or the store refused.
@@ -267,18 +350,23 @@
     async fn try_direct(&self, call: &StoreCall, left: Duration) -> Option<StoreReply> {
         let limit = self.attempt_timeout();
         let started_at = Instant::now();
-        let reply = self
+        let attempt = self
             .exchange_once(self.address, call, left.min(limit))
             .await;
-        let took = started_at.elapsed();
-        if reply.is_some() || left >= limit {
-            let mean = self.mean.get();
-            let weighted_sum = mean * (MEAN_DIVISOR - 1) + took.min(MAX_ATTEMPT_TIMEOUT);
-            self.mean.set(weighted_sum / MEAN_DIVISOR);
-            self.is_direct_down.set(reply.is_none());
+        let had_full_timeout = left >= limit;
+        if attempt.is_ok() {
+            self.record_response_time(Some(attempt.took));
+        } else if had_full_timeout {
+            self.record_outage_failure(started_at, attempt.failure_kind());
+            if attempt.is_new_connection {
+                self.timeouts.set(self.timeouts.get().saturating_add(1));
+            }
+        }
+        if attempt.is_ok() || had_full_timeout {
+            self.record_direct(&attempt);
         }
-        self.record_attempt(false, reply.is_some(), left >= limit);
-        reply
+        self.record_attempt(false, attempt.is_ok(), had_full_timeout);
+        attempt.into_reply()
     }
 
     async fn try_relay(
@@ -287,12 +375,16 @@
         call: &StoreCall,
         left: Duration,
     ) -> Option<StoreReply> {
-        let reply = self
-            .exchange_once(relay, call, left.min(MAX_ATTEMPT_TIMEOUT))
-            .await;
-        self.relay.set(reply.is_some().then_some(relay));
-        self.record_attempt(true, reply.is_some(), left >= MAX_ATTEMPT_TIMEOUT);
-        reply
+        let started_at = Instant::now();
+        let limit = left.min(MAX_ATTEMPT_TIMEOUT);
+        let attempt = self.exchange_once(relay, call, limit).await;
+        let is_ok = attempt.is_ok();
+        self.relay.set(is_ok.then_some(relay));
+        if !is_ok {
+            self.record_outage_failure(started_at, attempt.relay_failure_kind());
+        }
+        self.record_attempt(true, is_ok, left >= MAX_ATTEMPT_TIMEOUT);
+        attempt.into_reply()
     }
 
     async fn exchange_once(
@@ -300,20 +392,32 @@
         address: SocketAddr,
         call: &StoreCall,
         limit: Duration,
-    ) -> Option<StoreReply> {
+    ) -> Attempt {
         let started_at = Instant::now();
-        let result = timeout(limit, self.exchange(address, call)).await;
-        let (outcome, reply) = match result {
-            Err(_) => ("silent", None),
-            Ok(Err(_)) => ("broken", None),
-            Ok(Ok(reply)) if is_refusal(reply.status) => ("refused", None),
-            Ok(Ok(reply)) if reply.status == STATUS_CONFLICT => ("conflict", Some(reply)),
-            Ok(Ok(reply)) => ("answered", Some(reply)),
+        let idle = self.pool.take_idle(address, started_at);
+        let is_new_connection = idle.is_none();
+        let result = timeout(limit, self.exchange(address, idle, call)).await;
+        let outcome = match result {
+            Err(_) => AttemptOutcome::Silent,
+            Ok(Err(_)) => AttemptOutcome::Broken,
+            Ok(Ok(reply)) if is_refusal(reply.status) => AttemptOutcome::Refused,
+            Ok(Ok(reply)) if reply.status == STATUS_CONFLICT => AttemptOutcome::Conflict(reply),
+            Ok(Ok(reply)) => AttemptOutcome::Answered(reply),
         };
+        let attempt = Attempt {
+            outcome,
+            is_new_connection,
+            limit,
+            took: started_at.elapsed(),
+        };
+        if attempt.has_lost_reused_connection() {
+            // What broke one connection may have broken all that were open.
+            self.pool.close_all(address);
+        }
         let purpose = call.purpose.label();
         self.metrics
-            .count_store_call(purpose, outcome, started_at.elapsed());
-        reply
+            .count_store_call(purpose, attempt.outcome.label(), attempt.took);
+        attempt
     }
 
     /// Makes one direct attempt for a peer that cannot reach the store itself.
@@ -323,6 +427,7 @@
         }
         self.exchange_once(self.address, call, MAX_ATTEMPT_TIMEOUT)
             .await
+            .into_reply()
     }
 
     /// Returns the relay for the next attempt while direct calls fail: the peer that relayed the
@@ -341,6 +446,11 @@
         Some(self.relay.get().unwrap_or(any))
     }
 
+    /// Makes the next attempt a direct one, in case the store responds to this process again.
+    pub(crate) fn retry_direct(&self) {
+        self.is_direct_down.set(false);
+    }
+
     /// Probes the store directly while direct calls fail, so that no request has to.
     pub(crate) async fn probe(&self) {
         if self.is_direct_down() {
@@ -358,6 +468,10 @@
         counts.failures += u64::from(!is_ok);
         self.counts.set(counts);
         if is_ok {
+            let now = self.clock.at(Instant::now());
+            if let Some(ended) = self.outage.borrow_mut().record_response(now) {
+                self.ended_outage.set(Some(ended));
+            }
             let was_unavailable = self.is_unavailable();
             self.failures.set(0);
             self.failing_since.set(None);
@@ -375,10 +489,13 @@
     async fn exchange(
         &self,
         address: SocketAddr,
+        idle: Option<Connection>,
         call: &StoreCall,
     ) -> Result<StoreReply, OutboundError> {
-        let now = Instant::now();
-        let mut connection = self.pool.acquire(address, CONNECT_TIMEOUT, now).await?;
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => Connection::open(address, CONNECT_TIMEOUT, Instant::now()).await?,
+        };
         let target = call.target.parse::<Uri>();
         let request = OutboundRequest {
             method: call.method.clone(),
--- /dev/null
+++ b/clementinepickd/src/store_attempt.rs
@@ -0,0 +1,102 @@
+//! The outcome of one attempt of a store call, and what it says about the store.
+
+use std::time::Duration;
+
+use clementinepick::outage_detector::FailureKind;
+
+use crate::store::StoreReply;
+
+/// How late a timeout may fire. One that fires later ran out while this process was not running, so
+/// that the response may have been there in time.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(150);
+
+/// How an attempt ended.
+#[derive(Debug, Clone)]
+pub(crate) enum AttemptOutcome {
+    /// No response arrived in time.
+    Silent,
+    /// The connection could not be opened, or broke.
+    Broken,
+    /// The store did nothing, and the call may be repeated.
+    Refused,
+    /// The condition of an append did not hold.
+    Conflict(StoreReply),
+    Answered(StoreReply),
+}
+
+impl AttemptOutcome {
+    /// Returns the label of the metrics.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::Broken => "broken",
+            Self::Refused => "refused",
+            Self::Conflict(_) => "conflict",
+            Self::Answered(_) => "answered",
+        }
+    }
+}
+
+/// One attempt of a call.
+#[derive(Debug, Clone)]
+pub(crate) struct Attempt {
+    pub(crate) outcome: AttemptOutcome,
+    /// Whether a connection was opened for it, or was to be.
+    pub(crate) is_new_connection: bool,
+    /// The timeout.
+    pub(crate) limit: Duration,
+    pub(crate) took: Duration,
+}
+
+impl Attempt {
+    pub(crate) fn is_ok(&self) -> bool {
+        matches!(
+            self.outcome,
+            AttemptOutcome::Conflict(_) | AttemptOutcome::Answered(_)
+        )
+    }
+
+    /// Whether an idle connection was used that may have been broken before.
+    pub(crate) fn has_lost_reused_connection(&self) -> bool {
+        let is_lost = matches!(
+            self.outcome,
+            AttemptOutcome::Silent | AttemptOutcome::Broken
+        );
+        is_lost && !self.is_new_connection
+    }
+
+    /// Returns what the failure of a direct attempt says about the store.
+    pub(crate) fn failure_kind(&self) -> FailureKind {
+        let was_running = self.took < self.limit + MAX_TIMER_DELAY;
+        match self.outcome {
+            AttemptOutcome::Refused => FailureKind::Unavailable,
+            _ if self.is_new_connection && was_running => FailureKind::Unavailable,
+            _ => FailureKind::Inconclusive,
+        }
+    }
+
+    /// Returns what the failure of a long poll says about the store: a long poll may lose its
+    /// response at any time while the store holds it.
+    pub(crate) fn long_poll_failure_kind(&self) -> FailureKind {
+        match self.outcome {
+            AttemptOutcome::Silent => FailureKind::Inconclusive,
+            _ => self.failure_kind(),
+        }
+    }
+
+    /// Returns what the failure of a relayed attempt says about the store: the relay itself may be
+    /// lost.
+    pub(crate) fn relay_failure_kind(&self) -> FailureKind {
+        match self.outcome {
+            AttemptOutcome::Refused => FailureKind::Unavailable,
+            _ => FailureKind::Inconclusive,
+        }
+    }
+
+    pub(crate) fn into_reply(self) -> Option<StoreReply> {
+        match self.outcome {
+            AttemptOutcome::Conflict(reply) | AttemptOutcome::Answered(reply) => Some(reply),
+            AttemptOutcome::Silent | AttemptOutcome::Broken | AttemptOutcome::Refused => None,
+        }
+    }
+}
--- a/clementinepickd/src/topic_watch.rs
+++ b/clementinepickd/src/topic_watch.rs
@@ -20,20 +20,11 @@
 pub(crate) const POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long the store may hold a long poll. With the timeout of an attempt, a lost poll is noticed
 /// after 1.6 s at the latest, and another read fits into two seconds.
-const LONG_POLL_WAIT: Duration = Duration::from_secs(1);
+pub(crate) const LONG_POLL_WAIT: Duration = Duration::from_secs(1);
 /// The minimum time between the starts of two long polls, so that frequent changes are read in
 /// batches.
 const MIN_LONG_POLL_INTERVAL: Duration = Duration::from_millis(150);
 
-/// The outcome of one read of a topic.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct TopicPoll {
-    /// When the read started.
-    pub(crate) started_at: Instant,
-    /// Whether there were new records.
-    pub(crate) result: Result<bool, StoreUnavailable>,
-}
-
 /// Reads one topic on schedule.
 #[derive(Debug)]
 pub(crate) struct TopicWatch {
@@ -54,17 +45,22 @@
         }
     }
 
-    /// Makes the next read when it is due; `must_poll` rules out long polling.
-    pub(crate) async fn next(&mut self, store: &StoreClient, must_poll: bool) -> TopicPoll {
+    /// Makes the next read when it is due; the store may hold a long poll for up to `max_wait`.
+    /// Returns whether there were new records.
+    pub(crate) async fn next(
+        &mut self,
+        store: &StoreClient,
+        max_wait: Duration,
+    ) -> Result<bool, StoreUnavailable> {
         sleep_until(self.next_at.into()).await;
         let started_at = Instant::now();
+        store.close_stale(started_at);
         let is_full_read_due = self.topic.is_full_read_due(started_at);
-        let is_long_poll =
-            self.can_long_poll && !must_poll && !is_full_read_due && !store.is_direct_down();
+        let is_long_poll = self.can_long_poll && !is_full_read_due && !store.is_direct_down();
         let result = if is_long_poll {
-            self.topic.long_poll(store, LONG_POLL_WAIT).await
+            self.topic.long_poll(store, max_wait).await
         } else {
-            store.probe().await;
+            store.retry_direct();
             self.topic
                 .poll(store, started_at, started_at + POLL_TIMEOUT)
                 .await
@@ -76,6 +72,6 @@
                 POLL_INTERVAL
             };
         self.can_long_poll = result.is_ok();
-        TopicPoll { started_at, result }
+        result
     }
 }
--- a/standins/tests/gateway_lists.rs
+++ b/standins/tests/gateway_lists.rs
@@ -237,19 +237,71 @@
 #[test]
 fn servers_whose_entries_expire_in_a_store_outage_are_still_used() {
     let run = PlatformRun::start(1).expect("a run");
-    run.store_endpoints[0].set_mode(StoreMode::Busy);
+    expire_servers_in_outage(&run, StoreMode::Busy, Duration::from_secs(3));
+    assert_lapsed_servers_are_used_for_a_while(&run, 0);
+}
+
+/// The same for a store that is silent, for hardly longer than two heartbeats.
+#[test]
+fn servers_whose_entries_expire_while_the_store_is_silent_are_still_used() {
+    let run = PlatformRun::start(1).expect("a run");
+    expire_servers_in_outage(&run, StoreMode::Silent, Duration::from_millis(2_600));
+    assert_lapsed_servers_are_used_for_a_while(&run, 0);
+}
+
+/// The same for a store that resets connections, and for gateways that try to relay their calls.
+#[test]
+fn servers_whose_entries_expire_while_the_store_resets_connections_are_still_used() {
+    let run = PlatformRun::start(2).expect("a run");
+    sleep(Duration::from_millis(500));
+    expire_servers_in_outage(&run, StoreMode::Reset, Duration::from_secs(3));
+    assert_lapsed_servers_are_used_for_a_while(&run, 1);
+}
+
+/// The same for an outage of the server list alone.
+#[test]
+fn servers_whose_entries_expire_while_their_list_is_unavailable_are_still_used() {
+    let run = PlatformRun::start(1).expect("a run");
+    run.store.silence_topic(Some("keyed.servers"));
     sleep(Duration::from_secs(3));
+    remove_plain_servers(&run);
+    run.store.silence_topic(None);
+    assert_lapsed_servers_are_used_for_a_while(&run, 0);
+}
+
+fn remove_plain_servers(run: &PlatformRun) {
     for server in ["p-1", "p-2"] {
         run.store.remove("keyed.servers", server);
     }
-    run.store_endpoints[0].set_mode(StoreMode::Serving);
+}
+
+/// Makes the store unavailable to all gateways, and removes the plain servers meanwhile.
+fn expire_servers_in_outage(run: &PlatformRun, mode: StoreMode, outage: Duration) {
+    let set_mode = |mode| {
+        for endpoint in &run.store_endpoints {
+            endpoint.set_mode(mode);
+        }
+    };
+    set_mode(mode);
+    sleep(outage);
+    remove_plain_servers(run);
+    set_mode(StoreMode::Serving);
+}
+
+/// Checks that the removed plain servers are used for a second and are then removed.
+fn assert_lapsed_servers_are_used_for_a_while(run: &PlatformRun, gateway: usize) {
     let returned_at = Instant::now();
     while returned_at.elapsed() < Duration::from_secs(1) {
         let request = CallerRequest::new("GET", "/look/1", "r");
-        let response = request.send(run.callers(0)).expect("a response");
+        let response = request.send(run.callers(gateway)).expect("a response");
         assert_eq!(response.status, 200, "{:?}", returned_at.elapsed());
         sleep(Duration::from_millis(10));
     }
-    wait_until(|| !lists_server(&run, "p-1") && !lists_server(&run, "p-2"))
+    wait_until(|| !lists_server(run, "p-1") && !lists_server(run, "p-2"))
         .expect("both servers are removed");
+    assert!(
+        returned_at.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        returned_at.elapsed()
+    );
 }
