Answer each request that reached a gateway before its connection closes

Causes: the limits of a request were read before the wait for its first byte; timers and the close signal won over input that the runtime had not yet looked at, as after a pause of the process, where epoll_wait is interrupted and returns no events; the shutdown limit dropped running requests, which were logged as `caller_left`; a refusal of an unread request had no line and no id, and the reset by unread bytes could destroy it.

Changes: the limits are the highest in force since the connection became idle, looked at when they are needed; a timer looks at them again when it fires. `input_first` lets the runtime look at the sockets before a connection, a listener or a request is given up. Running and unread requests are answered 200 ms before the shutdown limit: 503 if certainly not sent, else 504, a stream without its end. A request that is read after its deadline is refused with 503 rather than sent. `Connection: close` is decided when a response's head is written, not when its request arrives, and not while another request is waiting. Panics of tasks are logged.

--- a/clementinepick/src/refusal.rs
+++ b/clementinepick/src/refusal.rs
@@ -42,6 +42,10 @@
     NoAnswerInTime,
     /// The connection to a backend server that may have run the request was lost.
     ServerLost,
+    /// This process is shutting down, and the request was not sent.
+    ShuttingDown,
+    /// The shutdown limit was reached while a backend server may have run the request.
+    ShutdownInRun,
 }
 
 /// The HTTP response to a refused or failed request.
@@ -66,6 +70,9 @@
 /// its caller can begin anew at once.
 const RESUME_RETRY_US: SpanUs = SpanUs(0);
 
+/// The retry delay of a request that another process can serve at once.
+const SHUTDOWN_RETRY_US: SpanUs = SpanUs(0);
+
 /// The retry delay of a request that ends servers if nothing more is known of it.
 const ENDED_RETRY_US: SpanUs = SpanUs::from_s(2);
 
@@ -100,6 +107,8 @@
             Self::NotSentInTime => (503, "not_sent_in_time", Some(OVERLOAD_RETRY_US)),
             Self::NoAnswerInTime => (504, "no_answer_in_time", None),
             Self::ServerLost => (502, "server_lost", None),
+            Self::ShuttingDown => (503, "shutting_down", Some(SHUTDOWN_RETRY_US)),
+            Self::ShutdownInRun => (504, "shutdown", None),
         };
         RefusalResponse {
             status,
--- a/clementinepick/src/traffic_config.rs
+++ b/clementinepick/src/traffic_config.rs
@@ -81,6 +81,19 @@
     }
 }
 
+impl CallerLimits {
+    /// Returns the higher of each limit.
+    #[must_use]
+    pub fn loosest(self, other: Self) -> Self {
+        Self {
+            head_bytes: self.head_bytes.max(other.head_bytes),
+            body_bytes: self.body_bytes.max(other.body_bytes),
+            head_us: self.head_us.max(other.head_us),
+            idle_us: self.idle_us.max(other.idle_us),
+        }
+    }
+}
+
 /// A complete version of the traffic configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct TrafficConfig {
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
@@ -20,7 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::task::{JoinSet, LocalSet};
+use tokio::task::{JoinError, JoinSet, LocalSet};
 
 use crate::directory::{Directory, Identity, follow};
 use crate::gateway_budget::{maintain_homes, send_token_returns};
@@ -34,6 +35,7 @@
 use crate::gateway_request::{CallerHandler, ReadyHandler};
 use crate::gateway_settings::GatewaySettings;
 use crate::gateway_shared::Shared;
+use crate::input_first::poll_after_input;
 use crate::logging::{new_logger_to, write_event};
 use crate::safeguard::Safeguard;
 use crate::store::StoreClient;
@@ -43,6 +45,11 @@
 /// How long a terminating process may take to record the usage of its standing slices. An append
 /// takes about 10 ms; if it fails, programs lose a part of their budgets.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long before the shutdown limit the requests that still run are answered.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+/// The maximum number of connections that are accepted as the listener closes, as many as the system
+/// holds for it.
+const MAX_WAITING_CONNECTIONS: usize = 4_096;
 /// The interval at which a draining process checks whether its connections are closed.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -260,7 +267,13 @@
         tasks.spawn_local(send_token_returns(Rc::clone(&shared), queues.returned));
         tasks.spawn_local(send_updates(Rc::clone(&shared), queues.updates));
         tasks.spawn_local(maintain_ended(Rc::clone(&shared)));
-        stop.await?;
+        let mut stop = pin!(stop);
+        loop {
+            tokio::select! {
+                stopped = &mut stop => break stopped?,
+                Some(ended) = tasks.join_next() => log_panic(&shared, ended),
+            }
+        }
         drain(&shared, settings).await;
         tasks.shutdown().await;
         Ok(())
@@ -275,12 +288,38 @@
             accepted = listener.accept() => {
                 handle_accepted(&shared, &handler, accepted, &mut connections).await;
             }
-            Some(_) = connections.join_next() => {}
+            Some(ended) = connections.join_next() => log_panic(&shared, ended),
             () = shared.wait_for_close() => break,
         }
     }
+    accept_waiting(&shared, &listener, &handler, &mut connections).await;
     drop(listener);
-    while connections.join_next().await.is_some() {}
+    while let Some(ended) = connections.join_next().await {
+        log_panic(&shared, ended);
+    }
+}
+
+/// Accepts the connections that are open already: their callers may have sent requests, which closing
+/// the listener would reset.
+async fn accept_waiting(
+    shared: &Rc<Shared>,
+    listener: &TcpListener,
+    handler: &Rc<dyn Handler>,
+    connections: &mut JoinSet<()>,
+) {
+    for _ in 0..MAX_WAITING_CONNECTIONS {
+        let Some(accepted) = poll_after_input(pin!(listener.accept())).await else {
+            return;
+        };
+        handle_accepted(shared, handler, accepted, connections).await;
+    }
+}
+
+/// Logs the panic of a task, which would otherwise show only by what is missing.
+fn log_panic(shared: &Shared, ended: Result<(), JoinError>) {
+    if let Err(err) = ended {
+        shared.log(&Event::new(EventKind::InvariantBroken).with("detail", err));
+    }
 }
 
 async fn handle_accepted(
@@ -331,18 +370,28 @@
     shared.close_idle_connections();
     // Open connections are counted, not running requests: a request that is still being received
     // would otherwise be cut off without a response.
-    sleep(DRAIN_CHECK_INTERVAL).await;
-    while shared.open_connections() > 0 && started_at.elapsed() < settings.shutdown_limit {
-        sleep(DRAIN_CHECK_INTERVAL).await;
-    }
+    let end = started_at + settings.shutdown_limit;
+    let answer_at = started_at + settings.shutdown_limit.saturating_sub(ANSWER_TIME);
+    wait_for_connections(shared, answer_at).await;
+    let unfinished = shared.running_requests();
+    shared.stop_requests();
+    wait_for_connections(shared, end).await;
     shared
         .homes
         .release_all(Instant::now() + RELEASE_TIMEOUT)
         .await;
-    let kind = if shared.running_requests() == 0 {
+    let kind = if unfinished == 0 {
         EventKind::ShutdownFinished
     } else {
         EventKind::ShutdownForced
     };
-    shared.log(&Event::new(kind).with("running", shared.running_requests()));
+    shared.log(&Event::new(kind).with("running", unfinished));
+}
+
+/// Waits until all connections are closed or `end` is reached.
+async fn wait_for_connections(shared: &Shared, end: Instant) {
+    sleep(DRAIN_CHECK_INTERVAL).await;
+    while shared.open_connections() > 0 && Instant::now() < end {
+        sleep(DRAIN_CHECK_INTERVAL).await;
+    }
 }
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -14,7 +14,7 @@
 use platform::request::{RequestInfo, SchedulerHeaders, forwarded_headers};
 
 use crate::gateway_attempts::AttemptError;
-use crate::gateway_connection::ReceivedRequest;
+use crate::gateway_receive::ReceivedRequest;
 use crate::gateway_shared::Shared;
 use crate::outbound::{Connection, OutboundRequest};
 use crate::safeguard::Safeguard;
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -11,8 +11,9 @@
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusRecorder};
 use serde_json::json;
 
-use crate::gateway_connection::{Handler, ReceivedRequest};
+use crate::gateway_connection::Handler;
 use crate::gateway_ledger_query;
+use crate::gateway_receive::ReceivedRequest;
 use crate::gateway_reply::Reply;
 use crate::gateway_shared::Shared;
 
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -14,10 +14,11 @@
 use serde::de::DeserializeOwned;
 
 use crate::gateway_budget_peer::handle_budget_call;
-use crate::gateway_connection::{Handler, ReceivedRequest};
+use crate::gateway_connection::Handler;
 use crate::gateway_ended::handle_ended_call;
 use crate::gateway_origins::handle_origin_call;
 use crate::gateway_peer_turns::{self, TURN_PATH};
+use crate::gateway_receive::ReceivedRequest;
 use crate::gateway_reply::Reply;
 use crate::gateway_shared::Shared;
 use crate::ledger::from_cbor;
--- a/clementinepickd/src/gateway_reply.rs
+++ b/clementinepickd/src/gateway_reply.rs
@@ -1,5 +1,6 @@
 //! Writes the response to one request to the caller's connection.
 
+use std::cell::Cell;
 use std::io;
 
 use actix_http::body::BodySize;
@@ -29,11 +30,37 @@
     Complete,
 }
 
+/// Decides whether a connection is closed after a response.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum ClosePolicy<'a> {
+    /// It is closed.
+    Always,
+    /// It is closed if the process is draining when the head is written and nothing of another
+    /// request has arrived, which would stay without a response.
+    Draining {
+        is_draining: &'a Cell<bool>,
+        has_input: &'a Cell<bool>,
+    },
+}
+
+impl ClosePolicy<'_> {
+    fn closes(self) -> bool {
+        match self {
+            Self::Always => true,
+            Self::Draining {
+                is_draining,
+                has_input,
+            } => is_draining.get() && !has_input.get(),
+        }
+    }
+}
+
 /// Writes one response.
 pub(crate) struct Reply<'a> {
     codec: &'a mut Codec,
     write: &'a mut OwnedWriteHalf,
-    /// Whether the connection is closed after this response.
+    close_policy: ClosePolicy<'a>,
+    /// Whether the connection is closed after this response; decided when its head is written.
     pub(crate) closes: bool,
     /// The status that was written; 0 before that.
     pub(crate) status: u16,
@@ -42,11 +69,16 @@
 }
 
 impl<'a> Reply<'a> {
-    pub(crate) fn new(codec: &'a mut Codec, write: &'a mut OwnedWriteHalf, closes: bool) -> Self {
+    pub(crate) fn new(
+        codec: &'a mut Codec,
+        write: &'a mut OwnedWriteHalf,
+        close_policy: ClosePolicy<'a>,
+    ) -> Self {
         Self {
             codec,
             write,
-            closes,
+            close_policy,
+            closes: false,
             status: 0,
             state: ReplyState::Open,
             buffer: BytesMut::new(),
@@ -77,6 +109,7 @@
     ) -> Result<(), CallerDisconnected> {
         let mut response = Response::with_body(status, ());
         *response.headers_mut() = headers;
+        self.closes = self.close_policy.closes();
         if self.closes {
             response
                 .head_mut()
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -2,8 +2,9 @@
 //! refuses what cannot be served.
 
 use std::future::Future;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::thread;
 use std::time::Instant;
 
 use actix_http::StatusCode;
@@ -13,22 +14,26 @@
 use clementinepick::traffic_config::{RequestKind, TrafficConfig};
 use platform::request::RequestInfo;
 use rand::RngExt;
-use tokio::time::timeout_at;
+use tokio::time::sleep_until;
 
 use crate::gateway_call::{self, CALL};
-use crate::gateway_connection::{Handler, ReceivedRequest};
+use crate::gateway_connection::Handler;
 use crate::gateway_ended::check_request;
 use crate::gateway_exchange::{RoutedRequest, request_host};
+use crate::gateway_receive::ReceivedRequest;
 use crate::gateway_reply::{CallerDisconnected, Reply, ReplyState};
 use crate::gateway_shared::Shared;
 use crate::gateway_stream::{self, TURN};
 use crate::gateway_trace::Trace;
+use crate::input_first::poll_after_input;
 use crate::link::{duration, to_span};
 
 /// The outcome in metrics of successful requests.
 const SERVED: &str = "served";
 /// The outcome in metrics and logs of requests whose callers disconnected.
 const CALLER_LEFT: &str = "caller_left";
+/// The same of requests whose task has panicked.
+const PANICKED: &str = "panic";
 
 /// Handles callers' requests.
 pub(crate) struct CallerHandler {
@@ -43,7 +48,6 @@
     ) -> Pin<Box<dyn Future<Output = ()> + 'a>> {
         Box::pin(async move {
             let info = platform::request::parse(&request.head.head().headers).ok();
-            let id = info.as_ref().map(|info| info.id.clone());
             let trace = Trace::default();
             if let Some(program) = info.as_ref().and_then(|info| info.program.as_ref()) {
                 trace.add_field("program", program);
@@ -54,7 +58,7 @@
             if let Some(attempt) = info.as_ref().and_then(|info| info.resumed_attempt.as_ref()) {
                 trace.add_field("resumes", attempt);
             }
-            let id = id.as_deref().unwrap_or("-");
+            let id = id_of(request);
             let mut disconnect_guard = DisconnectGuard {
                 handler: self,
                 request,
@@ -92,6 +96,21 @@
             }
         })
     }
+
+    fn record_abandoned(&self, request: &ReceivedRequest<'_>) {
+        drop(DisconnectGuard {
+            handler: self,
+            request,
+            id: id_of(request),
+            trace: &Trace::default(),
+            is_finished: false,
+        });
+    }
+}
+
+/// Returns the id of a request for logs.
+fn id_of<'a>(request: &'a ReceivedRequest<'_>) -> &'a str {
+    platform::request::request_id(&request.head.head().headers).unwrap_or("-")
 }
 
 /// Logs and counts a request that is dropped because its caller disconnected before the response
@@ -109,13 +128,16 @@
         if self.is_finished {
             return;
         }
+        let reason = if thread::panicking() {
+            PANICKED
+        } else {
+            CALLER_LEFT
+        };
         let kind = self.trace.kind.get();
         let took = self.request.arrived.elapsed();
-        self.handler
-            .shared
-            .metrics
-            .count_request(kind, CALLER_LEFT, took);
-        let event = Event::new(EventKind::RequestFailed).with("reason", CALLER_LEFT);
+        let metrics = &self.handler.shared.metrics;
+        metrics.count_request(kind, reason, took);
+        let event = Event::new(EventKind::RequestFailed).with("reason", reason);
         let status = self.trace.status.get();
         self.handler
             .log(event, self.request, self.id, self.trace, status);
@@ -185,6 +207,12 @@
         Ok(routed) => routed,
         Err(refusal) => return Ok(Err(refusal)),
     };
+    if shared.is_stopping() {
+        return Ok(Err(Refusal::ShuttingDown));
+    }
+    if routed.time_left(Instant::now()).is_zero() {
+        return Ok(Err(Refusal::NotSentInTime));
+    }
     let is_streaming = routed.route.kind == RequestKind::Streaming;
     trace.kind.set(if is_streaming { TURN } else { CALL });
     let work = async {
@@ -197,13 +225,20 @@
             gateway_call::run(shared, &routed, trace, reply).await
         }
     };
-    let outcome = timeout_at(routed.deadline.into(), work).await;
-    outcome.unwrap_or_else(|_| {
-        let may_have_run = trace.may_have_run.get();
-        Ok(Err(if may_have_run {
-            Refusal::NoAnswerInTime
+    let mut work = pin!(work);
+    let (not_sent, sent) = tokio::select! {
+        biased;
+        outcome = &mut work => return outcome,
+        () = sleep_until(routed.deadline.into()) => (Refusal::NotSentInTime, Refusal::NoAnswerInTime),
+        () = shared.wait_for_stop() => (Refusal::ShuttingDown, Refusal::ShutdownInRun),
+    };
+    // The response may have arrived during a pause of the process.
+    let outcome = poll_after_input(work).await;
+    outcome.unwrap_or_else(|| {
+        Ok(Err(if trace.may_have_run.get() {
+            sent
         } else {
-            Refusal::NotSentInTime
+            not_sent
         }))
     })
 }
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -78,8 +78,30 @@
     /// The number of open connections to this process.
     connection_count: Cell<usize>,
     is_draining: Cell<bool>,
-    is_closing: Cell<bool>,
-    closing: Notify,
+    /// Set once idle connections are to be closed.
+    closing: Signal,
+    /// Set once running requests are to be answered, whatever their state.
+    stopping: Signal,
+}
+
+/// A condition that becomes true once and for which tasks can wait.
+#[derive(Default)]
+struct Signal {
+    is_set: Cell<bool>,
+    changed: Notify,
+}
+
+impl Signal {
+    fn set(&self) {
+        self.is_set.set(true);
+        self.changed.notify_waiters();
+    }
+
+    async fn wait(&self) {
+        while !self.is_set.get() {
+            self.changed.notified().await;
+        }
+    }
 }
 
 /// Counts a request as running, or a connection as open, until dropped.
@@ -162,8 +184,8 @@
             request_count: Cell::new(0),
             connection_count: Cell::new(0),
             is_draining: Cell::new(false),
-            is_closing: Cell::new(false),
-            closing: Notify::new(),
+            closing: Signal::default(),
+            stopping: Signal::default(),
         };
         let queues = BackgroundQueues {
             returned,
@@ -255,8 +277,12 @@
 
     /// Closes connections as soon as no request runs on them.
     pub(crate) fn close_idle_connections(&self) {
-        self.is_closing.set(true);
-        self.closing.notify_waiters();
+        self.closing.set();
+    }
+
+    /// Makes running requests end with an answer that says what is known of them.
+    pub(crate) fn stop_requests(&self) {
+        self.stopping.set();
     }
 
     /// Returns the number of open connections to this process.
@@ -278,6 +304,11 @@
         self.is_draining.get()
     }
 
+    /// Returns the flag of [`Self::is_draining`], for decisions that are taken later.
+    pub(crate) fn draining_flag(&self) -> &Cell<bool> {
+        &self.is_draining
+    }
+
     pub(crate) fn is_ready(&self, now: Instant) -> bool {
         let directory = self.directory.borrow();
         let is_fresh = directory
@@ -336,9 +367,16 @@
 
     /// Returns once idle connections are to be closed.
     pub(crate) async fn wait_for_close(&self) {
-        while !self.is_closing.get() {
-            self.closing.notified().await;
-        }
+        self.closing.wait().await;
+    }
+
+    /// Returns once running requests are to be answered, whatever their state.
+    pub(crate) async fn wait_for_stop(&self) {
+        self.stopping.wait().await;
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.is_set.get()
     }
 
     pub(crate) fn log(&self, event: &Event) {
