Leave a silent server only for a successor that has taken the request

Cause: a resumable stream without an event for its timeout, and an idempotent call without a response, dropped the running exchange at once. Whether a further attempt was allowed or possible was found out afterwards: in the last attempt, without another ready server of the stream's version, with an empty retry budget, or when the successor refused or failed, the answer of a sound server that was silent for a second was lost. Calls asked for the last attempt, but for neither a retry nor a server.

Change: the pending read is kept while a successor is sought. An attempt must be left, a retry is withdrawn, and an untried server that fits the origin, is below its connection limit and not in backoff is counted, all in one step. Data of the silent server meanwhile cancels the handover; a retry that was not made returns to the budget. A server that has ended (connection refused, or another server at its address) is left at once, as before. The log line of a request says that it was waited for, why no other server took over, and why no further attempt followed; clementinepick_silent_servers_total counts both outcomes.

--- a/clementinepick/src/retry.rs
+++ b/clementinepick/src/retry.rs
@@ -41,6 +41,11 @@
         self.balance_milli = remaining;
         true
     }
+
+    /// Returns a retry that was withdrawn and not made.
+    pub fn refund(&mut self) {
+        self.balance_milli = (self.balance_milli + RETRY_COST_MILLI).min(CAPACITY_MILLI);
+    }
 }
 
 #[cfg(test)]
@@ -59,4 +64,13 @@
         }
         assert!((100..=110).contains(&retries), "{retries}");
     }
+
+    #[test]
+    fn a_refunded_retry_can_be_withdrawn_again() {
+        let mut budget = RetryBudget::default();
+        while budget.try_withdraw() {}
+        budget.refund();
+        assert!(budget.try_withdraw());
+        assert!(!budget.try_withdraw());
+    }
 }
--- a/clementinepick/src/server_selection.rs
+++ b/clementinepick/src/server_selection.rs
@@ -292,6 +292,11 @@
     /// Records that a request is being sent to a server.
     pub fn start_request(&mut self, id: &str, affinity: Affinity<'_>) {
         self.servers.entry(id.to_owned()).or_default().in_flight += 1;
+        self.record_prompt(id, affinity);
+    }
+
+    /// Records that a server reads a request's prompt, and so has it cached.
+    pub fn record_prompt(&mut self, id: &str, affinity: Affinity<'_>) {
         if let Some(prefix) = affinity.prefix() {
             self.prefix_servers
                 .insert((prefix.id.clone(), id.to_owned()), id);
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -11,14 +11,13 @@
 use clementinepick::refusal::Refusal;
 use clementinepick::request_key::RequestKey;
 use clementinepick::server_list::BackendServer;
-use clementinepick::stream_origin::StreamOrigin;
 use rand::random_range;
 
 use crate::gateway_ended::{EndCount, SharedRunGuard, probe_runs, start_run};
-use crate::gateway_exchange::{RoutedRequest, ServerSlot};
+use crate::gateway_exchange::{RoutedRequest, RunInput, SentRequest, ServerSlot};
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
-use crate::server_probe::probe;
+use crate::server_probe::{ServerFate, probe};
 
 /// The shortest and longest wait, in milliseconds, until a request whose run may not start tries
 /// again. Two gateways that refuse each other's runs wait for different times.
@@ -37,7 +36,7 @@
 
 impl AttemptError {
     /// Returns the name used in logs.
-    fn label(self) -> &'static str {
+    pub(crate) fn label(self) -> &'static str {
         match self {
             Self::NotRun => "not_run",
             Self::ConnectFailed => "unreached",
@@ -47,26 +46,27 @@
 }
 
 /// The run of a request at one server.
-struct CurrentRun {
-    server: BackendServer,
+pub(crate) struct CurrentRun {
+    pub(crate) server: BackendServer,
     /// The servers that had ended under the request before.
-    ended_before: EndCount,
+    pub(crate) ended_before: EndCount,
     /// Tells peers when the run is over, if they know the request.
-    _guard: Option<SharedRunGuard>,
+    pub(crate) _guard: Option<SharedRunGuard>,
 }
 
 /// The attempts of one request.
 pub(crate) struct Attempts<'a> {
-    shared: &'a Rc<Shared>,
-    routed: &'a RoutedRequest<'a>,
-    trace: &'a Trace,
+    pub(crate) shared: &'a Rc<Shared>,
+    pub(crate) routed: &'a RoutedRequest<'a>,
+    pub(crate) trace: &'a Trace,
     /// Whether the request may run more than once.
-    may_repeat: bool,
-    tried_servers: Vec<String>,
+    pub(crate) may_repeat: bool,
+    pub(crate) tried_servers: Vec<String>,
     key: OnceCell<RequestKey>,
     /// The current attempt.
-    current: Option<CurrentRun>,
-    sends: u32,
+    pub(crate) current: Option<CurrentRun>,
+    /// The servers to which the request was sent; those that were not reached don't count.
+    pub(crate) sends: u32,
     refusal: Refusal,
 }
 
@@ -91,36 +91,62 @@
         }
     }
 
-    /// Selects a server that was not tried yet and can continue a stream with `origin`; `None` if no
+    /// Sends the request to a server that was not tried yet and can go on from `input`; `None` if no
     /// further attempt is allowed or possible.
-    pub(crate) async fn next_slot(
-        &mut self,
-        last_server: Option<&str>,
-        origin: Option<&StreamOrigin>,
-    ) -> Option<ServerSlot> {
+    pub(crate) async fn next_run(&mut self, input: &RunInput) -> Option<SentRequest<'a>> {
         let is_final = self.refusal == Refusal::ServerLost && !self.may_repeat;
-        if is_final || self.sends >= self.routed.route.attempts {
-            return None;
+        if is_final {
+            return self.end_with("not_repeatable");
+        }
+        if !self.has_attempt_left() {
+            return self.end_with("last_attempt");
         }
         let kind = self.trace.kind.get();
         if self.sends > 0 && !self.shared.withdraw_retry(self.routed.service, kind) {
-            return None;
+            return self.end_with("no_retry");
         }
         self.current = None;
-        let slot = self.start_run(last_server, origin).await?;
+        let Some(slot) = self.start_run(input).await else {
+            return self.end_with("no_server");
+        };
+        self.record_send(&slot);
+        let server = slot.server.clone();
+        let RunInput {
+            body,
+            last_event_id,
+            ..
+        } = input;
+        let sending = self
+            .routed
+            .send(self.shared, slot, body.clone(), *last_event_id);
+        Some(SentRequest {
+            server,
+            response: Box::pin(sending),
+        })
+    }
+
+    /// Records why the request gets no further attempt.
+    fn end_with<T>(&self, reason: &'static str) -> Option<T> {
+        self.trace.add_field("no_attempt", &reason);
+        None
+    }
+
+    /// Returns whether the route allows that the request is sent to one more server.
+    pub(crate) fn has_attempt_left(&self) -> bool {
+        self.sends < self.routed.route.attempts
+    }
+
+    /// Records that the request is about to be sent.
+    pub(crate) fn record_send(&mut self, slot: &ServerSlot) {
+        self.sends += 1;
         self.tried_servers.push(slot.server.id.clone());
         self.trace
             .record_send(&slot.server, slot.reason, Instant::now());
-        Some(slot)
     }
 
     /// Selects a server and starts a run there; `None` if there is none, or if the request has ended
     /// too many.
-    async fn start_run(
-        &mut self,
-        last_server: Option<&str>,
-        origin: Option<&StreamOrigin>,
-    ) -> Option<ServerSlot> {
+    async fn start_run(&mut self, input: &RunInput) -> Option<ServerSlot> {
         if self.sends > 0 {
             let service = self.routed.service;
             self.shared.recheck_suspected(self.key(), service).await;
@@ -133,9 +159,7 @@
             }
             let isolated = self.servers_to_avoid(ends);
             let avoided = [&self.tried_servers[..], &isolated[..]].concat();
-            let selected = self
-                .routed
-                .select_server(self.shared, &avoided, last_server, origin);
+            let selected = self.routed.select_server(self.shared, &avoided, input);
             match selected {
                 None if isolated.is_empty() => return None,
                 None => {}
@@ -159,7 +183,11 @@
         }
     }
 
-    async fn share_run(&self, slot: &ServerSlot, ends: EndCount) -> Option<SharedRunGuard> {
+    pub(crate) async fn share_run(
+        &self,
+        slot: &ServerSlot,
+        ends: EndCount,
+    ) -> Option<SharedRunGuard> {
         let server = ServerStart::of(&slot.server);
         let time_left = self.routed.time_left(Instant::now());
         start_run(self.shared, self.key(), server, ends, time_left).await
@@ -182,14 +210,14 @@
         }
     }
 
-    fn end_count(&self) -> EndCount {
+    pub(crate) fn end_count(&self) -> EndCount {
         if self.shared.has_no_ends() {
             return EndCount::default();
         }
         self.shared.end_count(self.key(), Instant::now())
     }
 
-    fn key(&self) -> RequestKey {
+    pub(crate) fn key(&self) -> RequestKey {
         *self.key.get_or_init(|| self.routed.content_key())
     }
 
@@ -210,16 +238,6 @@
         }
     }
 
-    /// Returns whether the current attempt may time out before the deadline, so that another server
-    /// runs the request.
-    ///
-    /// A server that is given up may end later. Once a request has ended two servers, its run at the
-    /// third one decides, and no other server may get it until then.
-    pub(crate) fn may_time_out(&self) -> bool {
-        let is_last = self.sends + 1 >= self.routed.route.attempts;
-        self.may_repeat && !is_last && !self.is_isolated()
-    }
-
     /// Returns whether the current run decides if the request is given up.
     pub(crate) fn is_isolated(&self) -> bool {
         self.current
@@ -231,8 +249,12 @@
     ///
     /// Once a response was lost, the request may have run, whatever later attempts return.
     pub(crate) async fn record_error(&mut self, error: AttemptError) {
-        self.sends += u32::from(error != AttemptError::ConnectFailed);
-        self.trace.record_error(error.label());
+        if error == AttemptError::ConnectFailed {
+            self.sends -= 1;
+        }
+        if let Some(run) = &self.current {
+            self.trace.record_error(&run.server.id, error.label());
+        }
         self.refusal = match (self.refusal, error) {
             (Refusal::ServerLost, _) | (_, AttemptError::ResponseLost) => Refusal::ServerLost,
             (_, AttemptError::NotRun) => Refusal::ServersRefused,
@@ -247,22 +269,46 @@
         }
     }
 
+    /// Makes `successor` the current run, and returns the one that it takes over from.
+    pub(crate) fn replace_run(&mut self, successor: CurrentRun) -> Option<CurrentRun> {
+        self.refusal = Refusal::ServerLost;
+        self.current.replace(successor)
+    }
+
+    /// Records that a run was left because its server was silent.
+    pub(crate) async fn record_left(&self, run: &CurrentRun, fate: ServerFate) {
+        let label = AttemptError::ResponseLost.label();
+        self.trace.record_error(&run.server.id, label);
+        let start = ServerStart::of(&run.server);
+        self.shared.record_suspected(self.key(), start);
+        self.record_run_fate(run, fate).await;
+    }
+
     /// Finds out what became of a server that lost a response.
-    async fn record_loss(&self, run: &CurrentRun) {
-        let server = &run.server;
-        let start = ServerStart::of(server);
+    pub(crate) async fn record_loss(&self, run: &CurrentRun) {
         // The caller may disconnect during the probe, which ends this attempt.
-        self.shared.record_suspected(self.key(), start.clone());
+        let start = ServerStart::of(&run.server);
+        self.shared.record_suspected(self.key(), start);
+        let fate = self.probe(&run.server).await;
+        self.record_run_fate(run, fate).await;
+    }
+
+    /// Asks a server whether it has ended.
+    pub(crate) async fn probe(&self, server: &BackendServer) -> ServerFate {
         let health_path = self.shared.health_path(&server.service);
-        let fate = probe(server.address, &server.id, health_path.as_deref()).await;
+        probe(server.address, &server.id, health_path.as_deref()).await
+    }
+
+    async fn record_run_fate(&self, run: &CurrentRun, fate: ServerFate) {
         self.shared.metrics.count_lost_response(fate.label());
         let event = Event::new(EventKind::ResponseLost)
             .with("request", &self.routed.info.id)
             .with("content", self.key())
-            .with("server", &server.id)
+            .with("server", &run.server.id)
             .with("fate", fate.label())
             .with("ended_before", run.ended_before);
         self.shared.log(&event);
+        let start = ServerStart::of(&run.server);
         let recorded = self.shared.record_fate(self.key(), start, fate);
         recorded.await;
     }
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -4,13 +4,13 @@
 use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
-use actix_rt::time::timeout;
 use bytes::Bytes;
 use clementinepick::refusal::Refusal;
 use clementinepick::traffic_config::RequestKind;
 
 use crate::gateway_attempts::{AttemptError, Attempts};
-use crate::gateway_exchange::{RoutedRequest, ServerSlot};
+use crate::gateway_exchange::{RoutedRequest, RunInput, SentRequest, ServerResponse};
+use crate::gateway_handover::RunEnd;
 use crate::gateway_reply::{CallerDisconnected, Reply};
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
@@ -21,7 +21,7 @@
 /// never looks complete and an idempotent call can be sent again.
 const MAX_RESPONSE_BYTES: usize = 4_194_304;
 /// An idempotent call without a response after this many times the route's latency target is sent
-/// to another server. A server that has lost the response sends none at all, and a busy one responds
+/// to another server, if one takes it. A server that has lost the response sends none at all, and a busy one responds
 /// within the target in 95 % of cases, so that few calls are sent twice in vain.
 const TIMEOUT_LATENCY_TARGETS: u32 = 2;
 
@@ -60,41 +60,54 @@
     let is_idempotent = routed.route.kind == RequestKind::Idempotent;
     let may_repeat = is_idempotent || Safeguard::BookingOnce.is_disabled();
     let mut attempts = Attempts::new(shared, routed, trace, may_repeat);
-    while let Some(slot) = attempts.next_slot(None, None).await {
-        let response_timeout = if attempts.may_time_out() {
-            response_timeout(routed)
-        } else {
-            routed.beyond_deadline(Instant::now())
-        };
-        match exchange(shared, routed, trace, slot, response_timeout).await {
+    let mut next = attempts.next_run(&run_input(routed)).await;
+    while let Some(sent) = next {
+        next = match exchange(shared, routed, trace, &mut attempts, sent).await {
             Ok(full) => {
                 attempts.record_answered();
                 return Ok(full);
             }
-            Err(err) => attempts.record_error(err).await,
-        }
+            Err(RunEnd::Moved(sent)) => Some(sent),
+            Err(RunEnd::Failed(error)) => {
+                attempts.record_error(error).await;
+                attempts.next_run(&run_input(routed)).await
+            }
+        };
     }
     Err(attempts.refusal())
 }
 
-async fn exchange(
+fn run_input(routed: &RoutedRequest<'_>) -> RunInput {
+    RunInput {
+        body: routed.received.body.clone(),
+        last_event_id: None,
+        last_server: None,
+        origin: None,
+    }
+}
+
+async fn exchange<'a>(
     shared: &Rc<Shared>,
     routed: &RoutedRequest<'_>,
     trace: &Trace,
-    slot: ServerSlot,
-    response_timeout: Duration,
-) -> Result<FullResponse, AttemptError> {
-    let body = routed.received.body.clone();
-    let sent = routed
-        .send_with_timeout(response_timeout, shared, slot, body, None)
-        .await;
-    let mut response = sent?;
+    attempts: &mut Attempts<'a>,
+    sent: SentRequest<'a>,
+) -> Result<FullResponse, RunEnd<'a>> {
+    let patience = response_timeout(routed);
+    let input = || run_input(routed);
+    let mut response = attempts.wait(patience, input, sent.response).await?;
     trace.record_first_byte(Instant::now());
-    let read_body = response.connection.body(MAX_RESPONSE_BYTES);
-    let Ok(Ok(body)) = timeout(response_timeout, read_body).await else {
-        response.slot.record_failure();
-        return Err(AttemptError::ResponseLost);
+    let ServerResponse {
+        connection, slot, ..
+    } = &mut response;
+    let read_body = async {
+        let body = connection.body(MAX_RESPONSE_BYTES).await;
+        body.map_err(|_| {
+            slot.record_failure();
+            AttemptError::ResponseLost
+        })
     };
+    let body = attempts.wait(patience, input, read_body).await?;
     let full = FullResponse {
         status: response.head.status,
         headers: platform::response::forwarded_headers(&response.head.headers),
@@ -105,6 +118,5 @@
 }
 
 fn response_timeout(routed: &RoutedRequest<'_>) -> Duration {
-    let target = duration(routed.route.target_latency_us) * TIMEOUT_LATENCY_TARGETS;
-    target.min(routed.time_left(Instant::now()))
+    duration(routed.route.target_latency_us) * TIMEOUT_LATENCY_TARGETS
 }
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -1,11 +1,13 @@
 //! Sends a request to one backend server and reads the head of the response, for calls and streams.
 
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use actix_http::uri::PathAndQuery;
 use actix_http::{Request, ResponseHead, Uri};
-use actix_rt::time::timeout;
+use bytes::Bytes;
 use clementinepick::request_key::{RequestContent, RequestKey};
 use clementinepick::server_list::BackendServer;
 use clementinepick::server_selection::{Affinity, SelectionReason};
@@ -23,9 +25,6 @@
 /// retransmitted only after a second, so that waiting for longer gains little.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How long after a request's deadline a timeout fires that must not fire before the deadline.
-const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
-
 /// A request with its route and deadline.
 pub(crate) struct RoutedRequest<'a> {
     pub(crate) received: &'a ReceivedRequest<'a>,
@@ -60,6 +59,27 @@
     }
 }
 
+/// What the next run of a request begins with.
+pub(crate) struct RunInput {
+    pub(crate) body: Bytes,
+    /// The last event that the caller has of a stream.
+    pub(crate) last_event_id: Option<u64>,
+    /// The server that ran the previous turn, if known.
+    pub(crate) last_server: Option<String>,
+    /// Where the stream began, if it has.
+    pub(crate) origin: Option<StreamOrigin>,
+}
+
+/// The future head of a server's response.
+pub(crate) type ResponseFuture<'a> =
+    Pin<Box<dyn Future<Output = Result<ServerResponse, AttemptError>> + 'a>>;
+
+/// A request that was sent to a server, or is being sent.
+pub(crate) struct SentRequest<'a> {
+    pub(crate) server: BackendServer,
+    pub(crate) response: ResponseFuture<'a>,
+}
+
 /// A request that counts as in flight at a server until this is dropped.
 pub(crate) struct ServerSlot {
     shared: Rc<Shared>,
@@ -90,12 +110,6 @@
         RoutedRequest { service, ..*self }
     }
 
-    /// Returns a timeout that fires only after the request's deadline, for a server that none can
-    /// replace.
-    pub(crate) fn beyond_deadline(&self, now: Instant) -> Duration {
-        self.time_left(now) + DEADLINE_MARGIN
-    }
-
     /// Returns the key that all attempts of the caller at this request have in common.
     pub(crate) fn content_key(&self) -> RequestKey {
         let head = &self.received.head;
@@ -124,11 +138,24 @@
         &self,
         shared: &Rc<Shared>,
         tried_servers: &[String],
-        last_server: Option<&str>,
-        origin: Option<&StreamOrigin>,
+        input: &RunInput,
+    ) -> Option<ServerSlot> {
+        let slot = self.reserve_server(shared, tried_servers, input)?;
+        self.record_prompt(shared, &slot.server, input);
+        Some(slot)
+    }
+
+    /// Selects a server to which the request may be sent later, and counts the request as in flight
+    /// there.
+    pub(crate) fn reserve_server(
+        &self,
+        shared: &Rc<Shared>,
+        tried_servers: &[String],
+        input: &RunInput,
     ) -> Option<ServerSlot> {
         let directory = shared.directory();
         let limit = shared.connection_limit(self.service);
+        let origin = input.origin.as_ref();
         let origin = origin.filter(|_| !Safeguard::StreamVersion.is_disabled());
         let mut choice = shared.choice.borrow_mut();
         let candidates: Vec<&BackendServer> = directory
@@ -137,15 +164,12 @@
             .filter(|server| choice.in_flight(&server.id) < limit)
             .filter(|server| origin.is_none_or(|origin| origin.fits(server)))
             .collect();
-        let affinity = Affinity {
-            parts: &self.info.prompt_parts,
-            last_server,
-        };
+        let affinity = self.affinity(input);
         let now = shared.now_us(Instant::now());
         let (server, reason) =
             choice.choose_with_reason(now, &candidates, tried_servers, affinity)?;
         let server = server.clone();
-        choice.start_request(&server.id, affinity);
+        choice.start_request(&server.id, Affinity::default());
         drop(choice);
         Some(ServerSlot {
             shared: Rc::clone(shared),
@@ -154,45 +178,59 @@
         })
     }
 
-    /// Sends the request and waits for the head of the response for `response_timeout`; a server
-    /// that sends none in time is avoided for a while.
-    ///
-    /// Such a server may still pass its health checks, so that nothing else detects it.
-    pub(crate) async fn send_with_timeout(
+    /// Records that a server reads the request's prompt.
+    pub(crate) fn record_prompt(&self, shared: &Shared, server: &BackendServer, input: &RunInput) {
+        let mut choice = shared.choice.borrow_mut();
+        choice.record_prompt(&server.id, self.affinity(input));
+    }
+
+    fn affinity<'b>(&'b self, input: &'b RunInput) -> Affinity<'b> {
+        Affinity {
+            parts: &self.info.prompt_parts,
+            last_server: input.last_server.as_deref(),
+        }
+    }
+
+    /// Sends the request to the server of `slot` and reads the head of the response.
+    pub(crate) async fn send(
         &self,
-        response_timeout: Duration,
         shared: &Shared,
         slot: ServerSlot,
-        body: bytes::Bytes,
+        body: Bytes,
         last_event_id: Option<u64>,
     ) -> Result<ServerResponse, AttemptError> {
-        let server = slot.server.id.clone();
-        let sending = self.send(shared, slot, body, last_event_id);
-        let result = timeout(response_timeout, sending).await;
-        result.unwrap_or_else(|_| {
-            shared.record_failure(&server);
-            Err(AttemptError::ResponseLost)
-        })
+        let connection = self.connect(shared, &slot).await?;
+        let exchange = self.exchange(shared, slot, connection, body, last_event_id);
+        exchange.await
     }
 
-    /// Sends the request with `body` to the server of `slot` and reads the head of the response.
-    async fn send(
+    /// Takes an idle connection to the server of `slot`, or opens one.
+    pub(crate) async fn connect(
         &self,
         shared: &Shared,
-        slot: ServerSlot,
-        body: bytes::Bytes,
-        last_event_id: Option<u64>,
-    ) -> Result<ServerResponse, AttemptError> {
-        let started_at = Instant::now();
+        slot: &ServerSlot,
+    ) -> Result<Connection, AttemptError> {
         let address = slot.server.address;
         let opened = shared
             .pool
-            .acquire(address, CONNECT_TIMEOUT, started_at)
+            .acquire(address, CONNECT_TIMEOUT, Instant::now())
             .await;
-        let Ok(mut connection) = opened else {
+        opened.map_err(|_| {
             slot.record_failure();
-            return Err(AttemptError::ConnectFailed);
-        };
+            AttemptError::ConnectFailed
+        })
+    }
+
+    /// Sends the request over a connection to the server of `slot` and reads the head of the
+    /// response.
+    pub(crate) async fn exchange(
+        &self,
+        shared: &Shared,
+        slot: ServerSlot,
+        mut connection: Connection,
+        body: Bytes,
+        last_event_id: Option<u64>,
+    ) -> Result<ServerResponse, AttemptError> {
         let send = SchedulerHeaders {
             time_left: self.time_left(Instant::now()),
             server_id: &slot.server.id,
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -51,6 +51,13 @@
         });
     }
 
+    /// Counts a silent server: it was `kept`, since no other could take over, or the request `moved`.
+    pub(crate) fn count_silence(&self, outcome: &'static str) {
+        with_local_recorder(&self.recorder, || {
+            counter!("clementinepick_silent_servers_total", "outcome" => outcome).increment(1);
+        });
+    }
+
     /// Counts a lost response by what became of its server.
     pub(crate) fn count_lost_response(&self, fate: &'static str) {
         with_local_recorder(&self.recorder, || {
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -66,7 +66,7 @@
     pub(crate) choice: RefCell<ServerSelector>,
     listed_versions: RefCell<ListedVersions>,
     pub(crate) metrics: Arc<GatewayMetrics>,
-    retries: RefCell<BTreeMap<String, RetryBudget>>,
+    pub(crate) retries: RefCell<BTreeMap<String, RetryBudget>>,
     /// The bytes of request bodies in memory.
     reserved_body_bytes: Cell<usize>,
     body_limit_bytes: usize,
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
-use actix_rt::time::timeout;
 use bytes::{Bytes, BytesMut};
 use clementinepick::event::{Event, EventKind};
 use clementinepick::event_stream::{EventSplitter, StreamEvent};
@@ -20,7 +19,8 @@
 
 use crate::gateway_attempts::{AttemptError, Attempts};
 use crate::gateway_budget::{self, Reserved};
-use crate::gateway_exchange::{RoutedRequest, ServerResponse, ServerSlot};
+use crate::gateway_exchange::{RoutedRequest, RunInput, SentRequest, ServerResponse};
+use crate::gateway_handover::RunEnd;
 use crate::gateway_origins::{OriginQuery, find_origin};
 use crate::gateway_peer_turns;
 use crate::gateway_reply::{CallerDisconnected, Reply, ReplyState};
@@ -38,7 +38,7 @@
 /// The largest response of an engine that is no event stream, in bytes.
 const MAX_ERROR_BODY_BYTES: usize = 65_536;
 /// A resumable stream without an event for this many times the route's gap target is resumed at
-/// another server. An engine that preempts a request pauses for about one gap.
+/// another server, if one takes it. An engine that preempts a request pauses for about one gap.
 const IDLE_TIMEOUT_GAPS: u32 = 2;
 /// The age of the oldest stream that a caller resumes, in timeouts of its route: one for the attempt
 /// that began it and one until the caller comes back.
@@ -102,7 +102,6 @@
         previous,
         server: None,
         origin: origin.clone(),
-        may_time_out: false,
         is_out_of_budget: false,
         delivered: Delivered {
             last_event_id: routed.info.last_event_id,
@@ -269,15 +268,13 @@
     server: Option<String>,
     /// Where the stream began; `None` before its first event.
     origin: Option<StreamOrigin>,
-    /// Whether another server may resume the stream if the current one falls silent.
-    may_time_out: bool,
     /// Whether the reserved tokens are used up and no more can be reserved now.
     is_out_of_budget: bool,
     body: Bytes,
     delivered: Delivered,
 }
 
-impl TurnStream<'_, '_> {
+impl<'a> TurnStream<'a, '_> {
     /// Records the turn; returns false if the store did not take the record in time.
     async fn record(self) -> bool {
         let turn = Turn {
@@ -300,25 +297,36 @@
     ) -> Result<Result<(), Refusal>, CallerDisconnected> {
         let may_repeat = self.routed.route.is_resumable;
         let mut attempts = Attempts::new(self.shared, self.routed, self.trace, may_repeat);
-        while let Some(slot) = attempts
-            .next_slot(self.last_server.as_deref(), self.origin.as_ref())
-            .await
-        {
-            self.may_time_out = may_repeat && !attempts.is_isolated();
-            self.record_placement(&slot.server.id);
-            self.log_resumption(&slot.server, reply.state());
-            match self.run_once(slot, reply).await? {
+        let mut next = attempts.next_run(&self.run_input()).await;
+        while let Some(sent) = next {
+            self.record_placement(&sent.server.id);
+            self.log_resumption(&sent.server, reply.state());
+            next = match self.run_once(&mut attempts, sent, reply).await? {
                 Ok(()) => {
                     attempts.record_answered();
                     return Ok(Ok(()));
                 }
                 Err(_) if self.is_out_of_budget => return Ok(Err(Refusal::LedgerUnavailable)),
-                Err(error) => attempts.record_error(error).await,
-            }
+                Err(RunEnd::Moved(sent)) => Some(sent),
+                Err(RunEnd::Failed(error)) => {
+                    attempts.record_error(error).await;
+                    attempts.next_run(&self.run_input()).await
+                }
+            };
         }
         Ok(Err(attempts.refusal()))
     }
 
+    /// Returns what a run begins with that follows the events delivered so far.
+    fn run_input(&self) -> RunInput {
+        RunInput {
+            body: self.body.clone(),
+            last_event_id: self.delivered.last_event_id,
+            last_server: self.last_server.clone(),
+            origin: self.origin.clone(),
+        }
+    }
+
     /// Logs and counts a stream that is resumed at `server`.
     fn log_resumption(&self, server: &BackendServer, state: ReplyState) {
         let Some(last_event) = self.delivered.last_event_id else {
@@ -356,21 +364,19 @@
     /// was delivered.
     async fn run_once(
         &mut self,
-        slot: ServerSlot,
+        attempts: &mut Attempts<'a>,
+        sent: SentRequest<'a>,
         reply: &mut Reply<'_>,
-    ) -> Result<Result<(), AttemptError>, CallerDisconnected> {
-        let body = self.body.clone();
-        let last_event_id = self.delivered.last_event_id;
-        let event_timeout = self.first_event_timeout();
-        let sent =
-            self.routed
-                .send_with_timeout(event_timeout, self.shared, slot, body, last_event_id);
-        let response = match sent.await {
+    ) -> Result<Result<(), RunEnd<'a>>, CallerDisconnected> {
+        let patience = self.first_event_timeout();
+        let input = || self.run_input();
+        let response = match attempts.wait(patience, input, sent.response).await {
             Ok(response) => response,
-            Err(error) => return Ok(Err(error)),
+            Err(end) => return Ok(Err(end)),
         };
         if response.head.status != StatusCode::OK {
-            return self.deliver_error_response(response, reply).await;
+            let delivered = self.deliver_error_response(response, reply).await?;
+            return Ok(delivered.map_err(RunEnd::Failed));
         }
         if reply.state() == ReplyState::Open {
             self.fix_origin(&response.slot.server);
@@ -378,7 +384,7 @@
             reply.send_head(StatusCode::OK, headers).await?;
             self.trace.status.set(StatusCode::OK.as_u16());
         }
-        self.deliver_events(response, reply).await
+        self.deliver_events(attempts, response, reply).await
     }
 
     /// Fixes where the stream begins, so that no event of another software version follows.
@@ -417,34 +423,48 @@
 
     async fn deliver_events(
         &mut self,
+        attempts: &mut Attempts<'a>,
         mut response: ServerResponse,
         reply: &mut Reply<'_>,
-    ) -> Result<Result<(), AttemptError>, CallerDisconnected> {
+    ) -> Result<Result<(), RunEnd<'a>>, CallerDisconnected> {
+        const LOST: RunEnd<'static> = RunEnd::Failed(AttemptError::ResponseLost);
         let mut splitter = EventSplitter::default();
-        let mut event_timeout = self.first_event_timeout();
+        let mut patience = self.first_event_timeout();
         loop {
-            let chunk = match timeout(event_timeout, response.connection.chunk()).await {
-                Ok(Ok(Some(chunk))) => chunk,
-                Ok(Ok(None)) if splitter.is_empty() => {
+            let ServerResponse {
+                connection, slot, ..
+            } = &mut response;
+            let next_chunk = async {
+                let chunk = connection.chunk().await;
+                chunk.map_err(|_| {
+                    slot.record_failure();
+                    AttemptError::ResponseLost
+                })
+            };
+            let input = || self.run_input();
+            let chunk = match attempts.wait(patience, input, next_chunk).await {
+                Ok(Some(chunk)) => chunk,
+                Ok(None) if splitter.is_empty() => {
                     response.release_connection(self.shared);
                     return Ok(Ok(()));
                 }
-                Ok(Ok(None) | Err(_)) | Err(_) => {
+                Ok(None) => {
                     response.slot.record_failure();
-                    return Ok(Err(AttemptError::ResponseLost));
+                    return Ok(Err(LOST));
                 }
+                Err(end) => return Ok(Err(end)),
             };
             splitter.push(&chunk);
             if splitter.exceeds_limit() {
-                return Ok(Err(AttemptError::ResponseLost));
+                return Ok(Err(LOST));
             }
             while let Some(event) = splitter.next_event() {
                 if !self.reserve_for_event().await {
                     self.is_out_of_budget = true;
-                    return Ok(Err(AttemptError::ResponseLost));
+                    return Ok(Err(LOST));
                 }
                 self.deliver(event, reply).await?;
-                event_timeout = self.idle_timeout();
+                patience = self.idle_timeout();
             }
         }
     }
@@ -501,21 +521,10 @@
 
     fn first_event_timeout(&self) -> Duration {
         let target = duration(self.routed.route.target_latency_us);
-        self.event_timeout((target * 4).max(MIN_FIRST_EVENT_TIMEOUT))
+        (target * 4).max(MIN_FIRST_EVENT_TIMEOUT)
     }
 
     fn idle_timeout(&self) -> Duration {
-        let gap = duration(self.routed.route.gap_target_us);
-        self.event_timeout(gap * IDLE_TIMEOUT_GAPS)
-    }
-
-    /// Returns the timeout for the next event. A stream is given up before the deadline only if
-    /// another server may resume it.
-    fn event_timeout(&self, idle: Duration) -> Duration {
-        if self.may_time_out {
-            idle
-        } else {
-            self.routed.beyond_deadline(Instant::now())
-        }
+        duration(self.routed.route.gap_target_us) * IDLE_TIMEOUT_GAPS
     }
 }
--- a/clementinepickd/src/gateway_trace.rs
+++ b/clementinepickd/src/gateway_trace.rs
@@ -30,6 +30,10 @@
     first_byte: Cell<Option<Instant>>,
     generated: Cell<Option<Instant>>,
     fields: RefCell<Vec<(&'static str, String)>>,
+    /// How often a server was silent and no other could take over.
+    silences: Cell<u32>,
+    /// The last of these servers, and why no other could take over.
+    silent_server: RefCell<String>,
 }
 
 impl Trace {
@@ -52,14 +56,22 @@
         self.reasons.borrow_mut().push(reason);
     }
 
-    /// Records why the last server brought no response.
-    pub(crate) fn record_error(&self, label: &str) {
-        if let Some(server) = self.servers.borrow_mut().last_mut() {
+    /// Records why a server brought no response.
+    pub(crate) fn record_error(&self, server_id: &str, label: &str) {
+        let mut servers = self.servers.borrow_mut();
+        let is_server = |server: &&mut String| *server == server_id;
+        if let Some(server) = servers.iter_mut().rfind(is_server) {
             server.push(':');
             server.push_str(label);
         }
     }
 
+    /// Records that a server is silent, and why no other can take over.
+    pub(crate) fn record_silence(&self, server_id: &str, reason: &str) {
+        self.silences.set(self.silences.get() + 1);
+        *self.silent_server.borrow_mut() = format!("{server_id}:{reason}");
+    }
+
     /// Records when the first event or the head of the response arrived.
     pub(crate) fn record_first_byte(&self, now: Instant) {
         if self.first_byte.get().is_none() {
@@ -94,6 +106,10 @@
         for (name, value) in self.fields.borrow().iter() {
             event = event.with(name, value);
         }
+        if self.silences.get() > 0 {
+            event = event.with("silences", self.silences.get());
+            event = event.with("silent_server", self.silent_server.borrow());
+        }
         let servers = self.servers.borrow();
         if !servers.is_empty() {
             event = event.with("servers", servers.join(","));
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -27,6 +27,7 @@
 mod gateway_ended_messages;
 mod gateway_ended_upkeep;
 mod gateway_exchange;
+mod gateway_handover;
 mod gateway_ledger_query;
 mod gateway_maintenance;
 mod gateway_metrics;
--- a/standins/tests/paused_servers.rs
+++ b/standins/tests/paused_servers.rs
@@ -117,6 +117,10 @@
     let streams = begin_at_first(&run, FEW);
     pause(&run, &[0, 2], PAUSE);
     assert_whole(streams);
+    let metrics = run.gateways.processes[0].ports.metrics;
+    let metrics = CallerRequest::new("GET", "/metrics", "m").send(metrics);
+    let kept = format!("clementinepick_silent_servers_total{{outcome=\"kept\"}} {FEW}\n");
+    assert!(metrics.expect("metrics").body.contains(&kept));
 }
 
 /// Guards against streams that are cut because the retry budget suffices only for some of them.
@@ -197,6 +201,15 @@
     assert_whole(streams);
 }
 
+/// Guards against a stream that leaves a silent engine for one that is silent too.
+#[test]
+fn a_stream_survives_a_pause_of_all_engines() {
+    let run = start("silent-successor", 2);
+    let streams = begin(&run, MANY);
+    pause(&run, &[0, 1, 2, 3], PAUSE);
+    assert_whole(streams);
+}
+
 /// Guards against a stream that is cut because its silent server is draining or no longer listed.
 #[test]
 fn a_stream_survives_a_pause_of_a_server_that_leaves() {
@@ -206,8 +219,13 @@
         run.cut_engine(engine, ProxyMode::Blackhole);
     }
     run.drain_version("v1", &[0]);
-    run.drain_version("v2", &[0]);
-    thread::sleep(PAUSE / 2);
+    for server in ["b-1", "b-2"] {
+        run.store.remove("keyed.servers", server);
+    }
+    thread::sleep(PAUSE);
+    let state = run.gateways.state(0).expect("a state dump");
+    let servers = state["servers"].as_array().expect("a list of servers");
+    assert_eq!(servers.len(), 2, "listed servers: {servers:?}");
     for engine in 0..4 {
         run.restore_engine(engine);
     }
