--- a/standins/tests/paused_servers.rs
+++ b/standins/tests/paused_servers.rs
@@ -201,6 +201,18 @@
     assert_whole(streams);
 }
 
+/// Guards against streams whose engines go on while they are being moved.
+#[test]
+fn streams_survive_pauses_that_end_during_their_move() {
+    let run = start("ends-during-move", 2);
+    let streams = begin(&run, MANY);
+    run.slow_down();
+    for (engines, pause_ms) in [([0, 2], 300), ([1, 3], 350), ([0, 2], 450)] {
+        pause(&run, &engines, Duration::from_millis(pause_ms));
+    }
+    assert_whole(streams);
+}
+
 /// Guards against a stream that leaves a silent engine for one that is silent too.
 #[test]
 fn a_stream_survives_a_pause_of_all_engines() {
@@ -232,6 +244,40 @@
     assert_whole(streams);
 }
 
+/// Guards against a stream that ends without its end and without a line that says why.
+#[test]
+fn the_log_says_why_a_stream_was_cut() {
+    let run = start("cut-stream-log", 2);
+    let streams = begin_at_first(&run, FEW);
+    for engine in [0, 2] {
+        run.cut_engine(engine, ProxyMode::Blackhole);
+    }
+    thread::sleep(PAUSE);
+    for engine in [0, 2] {
+        run.cut_engine(engine, ProxyMode::Reset);
+    }
+    for stream in streams {
+        let id = stream.id.clone();
+        stream.finish();
+        let explains = |line: &str| {
+            let fields = [
+                r#""msg":"request_failed""#,
+                &format!(r#""request":"{id}""#),
+                r#""no_attempt":"no_server""#,
+                r#""silent_server":""#,
+                r#":no_server""#,
+            ];
+            fields.iter().all(|field| line.contains(field))
+        };
+        let is_logged = || {
+            run.gateways
+                .log(0)
+                .is_ok_and(|log| log.lines().any(explains))
+        };
+        wait_until(is_logged).expect("a line that explains the cut");
+    }
+}
+
 /// Starts a gateway before two plain servers that take [`PAUSE`] for each response.
 fn start_slow_plains(attempts: u32) -> PlatformRun {
     let run = PlatformRun::start(1).expect("a platform run");
@@ -288,6 +334,18 @@
     assert_eq!(executions.map(|runs| runs.len()).sum::<usize>(), FEW);
 }
 
+/// Guards against idempotent calls that are answered while they are being moved.
+#[test]
+fn lookups_survive_responses_that_come_during_their_move() {
+    let run = start_slow_plains(2);
+    for pause_ms in [100, 110, 150, 250] {
+        for plain in &run.plains {
+            plain.configure(|settings| settings.pause = Duration::from_millis(pause_ms));
+        }
+        assert_served(&look(&run, MANY));
+    }
+}
+
 /// Guards against idempotent calls that are given up although the retry budget is empty.
 #[test]
 fn many_lookups_survive_a_pause_of_their_servers() {
