--- a/standins/tests/paused_servers.rs
+++ b/standins/tests/paused_servers.rs
@@ -17,6 +17,8 @@
 const PAUSE: Duration = Duration::from_secs(1);
 /// A pause that is longer than the timeout for the first event.
 const FIRST_EVENT_PAUSE: Duration = Duration::from_millis(1_700);
+/// The number of servers to which a request is sent at most.
+const MAX_ATTEMPTS: usize = 2;
 /// The number of streams that are begun where the retry budget has to suffice for all.
 const FEW: usize = 8;
 /// The number of requests at paused servers that exceeds the retry budget of their service.
@@ -73,19 +75,21 @@
     }
 }
 
-/// Checks that all streams are completed: each event once, in order, and the end.
-fn assert_whole(streams: Vec<BegunStream>) {
+/// Checks that all streams are completed: each event once, in order, and the end, by engines of one
+/// version and no more of them than the route allows.
+fn assert_whole(run: &ProcessRun, streams: Vec<BegunStream>) {
     let count = streams.len();
     let whole: Vec<u64> = (1..=EVENTS).collect();
-    let broken: Vec<String> = streams
-        .into_iter()
-        .filter_map(|stream| {
-            let id = stream.id.clone();
-            let received = stream.finish();
-            let is_whole = event_ids(&received) == whole && received.ends_with("\r\n0\r\n\r\n");
-            (!is_whole).then_some(id)
-        })
-        .collect();
+    let mut broken = Vec::new();
+    for stream in streams {
+        let id = stream.id.clone();
+        let received = stream.finish();
+        assert_eq!(run.versions_of(&id).len(), 1, "versions of {id}");
+        assert!(run.engine_count(&id) <= MAX_ATTEMPTS, "engines of {id}");
+        if event_ids(&received) != whole || !received.ends_with("\r\n0\r\n\r\n") {
+            broken.push(id);
+        }
+    }
     assert!(broken.is_empty(), "{} of {count}: {broken:?}", broken.len());
 }
 
@@ -95,7 +99,7 @@
     let run = start("only-attempt", 1);
     let streams = begin(&run, FEW);
     pause(&run, &[0, 1, 2, 3], PAUSE);
-    assert_whole(streams);
+    assert_whole(&run, streams);
 }
 
 /// Guards against a stream that is cut in its last attempt, after an earlier engine has failed.
@@ -107,7 +111,7 @@
     run.cut_engine(0, ProxyMode::Reset);
     run.cut_engine(2, ProxyMode::Reset);
     pause(&run, &[1, 3], PAUSE);
-    assert_whole(streams);
+    assert_whole(&run, streams);
 }
 
 /// Guards against a stream that is cut although no other server has its version.
@@ -116,7 +120,7 @@
     let run = start("sole-server", 2);
     let streams = begin_at_first(&run, FEW);
     pause(&run, &[0, 2], PAUSE);
-    assert_whole(streams);
+    assert_whole(&run, streams);
     let metrics = run.gateways.processes[0].ports.metrics;
     let metrics = CallerRequest::new("GET", "/metrics", "m").send(metrics);
     let kept = format!("clementinepick_silent_servers_total{{outcome=\"kept\"}} {FEW}\n");
@@ -129,7 +133,7 @@
     let run = start("many-streams", 2);
     let streams = begin(&run, MANY);
     pause(&run, &[0, 2], PAUSE);
-    assert_whole(streams);
+    assert_whole(&run, streams);
 }
 
 /// Guards against a stream that is cut because its first event is late.
@@ -172,7 +176,7 @@
     assert!(has_config(&run, 3), "the configuration has not changed");
     run.restore_engine(0);
     run.restore_engine(2);
-    assert_whole(streams);
+    assert_whole(&run, streams);
 }
 
 /// Guards against a stream that leaves a silent engine for one that refuses it.
@@ -185,7 +189,7 @@
         run.undrain(engine, &[0]);
     }
     pause(&run, &[0, 2], PAUSE);
-    assert_whole(streams);
+    assert_whole(&run, streams);
 }
 
 /// Guards against a stream that leaves a silent engine for one that closes connections.
@@ -198,7 +202,7 @@
         run.undrain(engine, &[0]);
     }
     pause(&run, &[0, 2], PAUSE);
-    assert_whole(streams);
+    assert_whole(&run, streams);
 }
 
 /// Guards against streams whose engines go on while they are being moved.
@@ -210,7 +214,7 @@
     for (engines, pause_ms) in [([0, 2], 300), ([1, 3], 350), ([0, 2], 450)] {
         pause(&run, &engines, Duration::from_millis(pause_ms));
     }
-    assert_whole(streams);
+    assert_whole(&run, streams);
 }
 
 /// Guards against a stream that leaves a silent engine for one that is silent too.
@@ -219,7 +223,7 @@
     let run = start("silent-successor", 2);
     let streams = begin(&run, MANY);
     pause(&run, &[0, 1, 2, 3], PAUSE);
-    assert_whole(streams);
+    assert_whole(&run, streams);
 }
 
 /// Guards against a stream that is cut because its silent server is draining or no longer listed.
@@ -241,7 +245,7 @@
     for engine in 0..4 {
         run.restore_engine(engine);
     }
-    assert_whole(streams);
+    assert_whole(&run, streams);
 }
 
 /// Guards against a stream that ends without its end and without a line that says why.
