Outage detector: a store that becomes slow is no outage

Cause: a store that becomes 60 times slower loses a long poll and the next two attempts, whose timeouts of 150 and 300 ms are too short for it.

Change: the store must have been shown to be unavailable for 1 s instead of 0.6 s. An outage that begins in a long poll is then detected after 2.2 s at the latest without relays.

--- a/clementinepick/src/outage_detector.rs
+++ b/clementinepick/src/outage_detector.rs
@@ -10,7 +10,7 @@
 //!
 //! let mut outage = OutageDetector::default();
 //! outage.record_failure(TimeUs(0), FailureKind::Unavailable);
-//! outage.record_failure(TimeUs(600_000), FailureKind::Unavailable);
+//! outage.record_failure(TimeUs(1_000_000), FailureKind::Unavailable);
 //! let back = TimeUs(0).after(SpanUs::from_s(3));
 //! assert!(outage.record_response(back).is_some());
 //! assert_eq!(outage.grace_left(back), SpanUs::from_s(2));
@@ -25,9 +25,10 @@
 /// How many attempts must have shown that the store is unavailable; a single one also fails when
 /// the store only loses a response.
 const MIN_UNAVAILABLE_ATTEMPTS: u32 = 2;
-/// How long the store must have been shown to be unavailable. Together with a lost long poll
+/// How long the store must have been shown to be unavailable. The timeouts of attempts to reach a
+/// store that has become slow grow to its response time in less; together with a lost long poll
 /// before, which shows nothing, this is shorter than the time in which entries expire.
-const MIN_UNAVAILABLE_US: SpanUs = SpanUs::from_ms(600);
+const MIN_UNAVAILABLE_US: SpanUs = SpanUs::from_s(1);
 /// How long missing entries are kept after an outage: live servers register again within about two
 /// seconds.
 const GRACE_PERIOD_US: SpanUs = SpanUs::from_s(2);
--- a/clementinepick/tests/outage_detector.rs
+++ b/clementinepick/tests/outage_detector.rs
@@ -73,6 +73,18 @@
     assert!(!is_in_grace_period(&outage, at_ms(2_100)));
 }
 
+/// A store that becomes 60 times slower responds to the third attempt, whose timeout has grown.
+/// Servers renew their entries all the while, so missing ones have left.
+#[test]
+fn a_store_that_becomes_slow_is_no_outage() {
+    let mut outage = OutageDetector::default();
+    outage.record_failure(at_ms(0), Inconclusive);
+    outage.record_failure(at_ms(1_150), Unavailable);
+    outage.record_failure(at_ms(1_330), Unavailable);
+    assert_eq!(outage.record_response(at_ms(2_000)), None);
+    assert!(!is_in_grace_period(&outage, at_ms(2_000)));
+}
+
 /// A response, as of a read through a peer, shows that the store was available meanwhile.
 #[test]
 fn failures_before_a_response_do_not_count_with_those_after_it() {
--- a/standins/tests/gateway_lists.rs
+++ b/standins/tests/gateway_lists.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use standins::platform_caller::{CallerRequest, exchange};
-use standins::platform_run::{PlatformRun, config, is_ready, wait_until};
+use standins::platform_run::{PLAIN_SERVICE, PlatformRun, config, is_ready, wait_until};
 use standins::platform_store::{StoreEndpoint, StoreMode};
 use standins::soak_proxy::Proxy;
 
@@ -220,6 +220,21 @@
     assert!(served < DRAIN_LIMIT, "{served:?}");
 }
 
+/// Guards against a store that becomes 60 times slower and is taken for unavailable, so that a
+/// removed server is kept: servers can renew their entries all the while.
+#[test]
+fn a_store_that_becomes_slow_does_not_delay_the_removal_of_a_server() {
+    let run = run_with_one_plain();
+    // A change ends the long poll, and another one starts.
+    let entry = run.plains[0].entry(PLAIN_SERVICE, "ready");
+    run.store.put("keyed.servers", "p-1", &entry);
+    sleep(Duration::from_millis(300));
+    run.store.set_delay(Duration::from_millis(300));
+    sleep(Duration::from_millis(1_200));
+    let served = served_after_removal(&run);
+    assert!(served < DRAIN_LIMIT, "{served:?}");
+}
+
 /// A gateway that cannot read the configuration is not ready although its server list is current,
 /// and is ready again once it can.
 #[test]
@@ -258,6 +273,15 @@
     assert_lapsed_servers_are_used_for_a_while(&run, 1);
 }
 
+/// The same for a silent store and gateways that wait for each other's relayed calls.
+#[test]
+fn servers_whose_entries_expire_while_the_store_is_silent_to_all_gateways_are_still_used() {
+    let run = PlatformRun::start(2).expect("a run");
+    sleep(Duration::from_millis(500));
+    expire_servers_in_outage(&run, StoreMode::Silent, Duration::from_millis(3_200));
+    assert_lapsed_servers_are_used_for_a_while(&run, 1);
+}
+
 /// The same for an outage of the server list alone.
 #[test]
 fn servers_whose_entries_expire_while_their_list_is_unavailable_are_still_used() {
