Charge turns by the configuration that routed them

Cause: the tokens of an event were looked up in the newest configuration, and counted as one where it no longer lists the service, so that a program got what was not charged once more. Change: a routed request holds its configuration, which says the tokens per event until its end. A service that is no longer listed keeps the connection limit of the request's configuration, where there was none; the newest configuration still decides where the service is listed. The longest retention that a home's records are kept for no longer falls when a route is removed, since its programs go on.

--- a/clementinepickd/src/gateway_budget.rs
+++ b/clementinepickd/src/gateway_budget.rs
@@ -8,7 +8,7 @@
 
 use actix_rt::time::sleep;
 use clementinepick::event::{Event, EventKind};
-use clementinepick::units::Tokens;
+use clementinepick::units::{SpanUs, Tokens};
 use futures_util::future::join_all;
 use tokio::sync::mpsc;
 
@@ -351,15 +351,17 @@
 
 /// Keeps this process the home of its share of the partitions.
 pub(crate) async fn maintain_homes(shared: Rc<Shared>) {
+    // Programs whose route was removed keep the retention that they began with.
+    let mut longest_retention = SpanUs(0);
     loop {
         sleep(HOMES_UPDATE_INTERVAL).await;
         let directory = shared.directory();
         if let Some(config) = &directory.config {
-            let retention = config.longest_retention_us();
+            longest_retention = longest_retention.max(config.longest_retention_us());
             let processes = &directory.processes;
             let now = Instant::now();
             let lost_before = shared.homes.lost();
-            shared.homes.step(processes, retention, now).await;
+            shared.homes.step(processes, longest_retention, now).await;
             log_lost(&shared, &lost_before);
         }
     }
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -10,7 +10,8 @@
 use clementinepick::server_list::BackendServer;
 use clementinepick::server_selection::{Affinity, SelectionReason};
 use clementinepick::stream_origin::StreamOrigin;
-use clementinepick::traffic_config::TrafficRoute;
+use clementinepick::traffic_config::{TrafficConfig, TrafficRoute, TrafficService};
+use clementinepick::units::Tokens;
 use platform::request::{RequestInfo, SchedulerHeaders, forwarded_headers};
 
 use crate::gateway_attempts::AttemptError;
@@ -30,6 +31,8 @@
 pub(crate) struct RoutedRequest<'a> {
     pub(crate) received: &'a ReceivedRequest<'a>,
     pub(crate) info: &'a RequestInfo,
+    /// The configuration that the request was routed by, which holds until its end.
+    pub(crate) config: &'a TrafficConfig,
     pub(crate) route: &'a TrafficRoute,
     /// The service that the route selected.
     pub(crate) service: &'a str,
@@ -90,6 +93,16 @@
         RoutedRequest { service, ..*self }
     }
 
+    fn service_config(&self) -> Option<&'a TrafficService> {
+        self.config.services.get(self.service)
+    }
+
+    /// Returns the number of tokens in one event of the service.
+    pub(crate) fn tokens_per_event(&self) -> Tokens {
+        let service = self.service_config();
+        service.map_or(Tokens(1), |service| service.tokens_per_event)
+    }
+
     /// Returns a timeout that fires only after the request's deadline, for a server that none can
     /// replace.
     pub(crate) fn beyond_deadline(&self, now: Instant) -> Duration {
@@ -128,7 +141,7 @@
         origin: Option<&StreamOrigin>,
     ) -> Option<ServerSlot> {
         let directory = shared.directory();
-        let limit = shared.connection_limit(self.service);
+        let limit = shared.connection_limit(self.service, self.service_config());
         let origin = origin.filter(|_| !Safeguard::StreamVersion.is_disabled());
         let mut choice = shared.choice.borrow_mut();
         let candidates: Vec<&BackendServer> = directory
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -256,6 +256,7 @@
     Ok(RoutedRequest {
         received: request,
         info,
+        config,
         route,
         service: service.ok_or(Refusal::NoServer)?,
         deadline: request.arrived + timeout.min(info.deadline),
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -13,8 +13,8 @@
 use clementinepick::retry::RetryBudget;
 use clementinepick::server_list::{ServerList, SoftwareVersion};
 use clementinepick::server_selection::ServerSelector;
-use clementinepick::traffic_config::CallerLimits;
-use clementinepick::units::{Percent, SpanUs, TimeUs, Tokens};
+use clementinepick::traffic_config::{CallerLimits, TrafficService};
+use clementinepick::units::{Percent, SpanUs, TimeUs};
 use slog::Logger;
 use tokio::sync::{Notify, mpsc, watch};
 use xxhash_rust::xxh3::xxh3_64;
@@ -208,13 +208,6 @@
             .unwrap_or_default()
     }
 
-    pub(crate) fn tokens_per_event(&self, service: &str) -> Tokens {
-        let directory = self.directory.borrow();
-        let config = directory.config.as_ref();
-        let service = config.and_then(|config| config.services.get(service));
-        service.map_or(Tokens(1), |service| service.tokens_per_event)
-    }
-
     /// Returns the list of servers unless it is too old to conclude from it that a server is absent.
     pub(crate) fn current_servers(&self, now: Instant) -> Option<Arc<ServerList>> {
         let directory = self.directory.borrow();
@@ -319,11 +312,13 @@
 
     /// Returns how many connections this process may open to one server of a service. Its share of
     /// the server's limit keeps all processes together below it; the server resets connections
-    /// beyond it.
-    pub(crate) fn connection_limit(&self, service: &str) -> u32 {
+    /// beyond it. A service that is no longer listed has the limit of `routed`, the configuration of
+    /// the request.
+    pub(crate) fn connection_limit(&self, service: &str, routed: Option<&TrafficService>) -> u32 {
         let directory = self.directory.borrow();
         let config = directory.config.as_ref();
-        let service = config.and_then(|config| config.services.get(service));
+        let listed = config.and_then(|config| config.services.get(service));
+        let service = listed.or(routed);
         let processes = u32::try_from(directory.peers.len() + 1).unwrap_or(u32::MAX);
         service.map_or(u32::MAX, |s| (s.max_connections / processes).max(1))
     }
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -455,7 +455,7 @@
     /// A turn that started with less than its maximum may use up its reservation. The rest is
     /// reserved then, and its events wait until that is done.
     async fn reserve_for_event(&mut self) -> bool {
-        let tokens = self.shared.tokens_per_event(self.routed.service);
+        let tokens = self.routed.tokens_per_event();
         let max_tokens = max_turn_tokens(self.routed);
         let Some(hold) = self.hold.as_ref() else {
             return true;
@@ -493,7 +493,7 @@
             self.delivered.output.extend_from_slice(b"\n");
         }
         if let Some(hold) = &mut self.hold {
-            hold.consume(self.shared.tokens_per_event(self.routed.service));
+            hold.consume(self.routed.tokens_per_event());
         }
         self.trace.record_first_byte(Instant::now());
         reply.send_chunk(event.raw).await
--- a/standins/tests/gateway_bounds.rs
+++ b/standins/tests/gateway_bounds.rs
@@ -159,3 +159,50 @@
         assert_eq!(plain.executions().len(), 2);
     }
 }
+
+/// The tokens of a configuration's service count for the turns that were routed by it, even if a newer
+/// one no longer lists the service: a program must not get them for less.
+#[test]
+fn running_turns_are_charged_by_the_configuration_that_routed_them() {
+    const EVENTS: u64 = 5;
+    const TOKENS_PER_EVENT: u64 = 10;
+    const BUDGET: u64 = 4 * EVENTS * TOKENS_PER_EVENT;
+    let run = PlatformRun::start(1).expect("a platform run");
+    let moved = config(2).replace("\"models\"", "\"others\"");
+    run.store.put(
+        "keyed.servers",
+        "e-2",
+        &run.engines[1].entry("others", "ready"),
+    );
+    for engine in &run.engines {
+        engine.configure(|settings| {
+            settings.events = EVENTS;
+            settings.pause = Duration::from_millis(250);
+        });
+    }
+    // The gateway must know that the second engine has moved.
+    thread::sleep(Duration::from_millis(1_500));
+    let address = run.callers(0);
+    let send = move |number: u64| {
+        let id = format!("t{number}");
+        let turn = CallerRequest::turn("/chat/1", &id, "p1", "x");
+        let turn = turn.with("Token-Budget", &BUDGET.to_string());
+        turn.send(address).expect("a response")
+    };
+    thread::scope(|scope| {
+        let turns: Vec<_> = (0..4)
+            .map(|number| scope.spawn(move || send(number)))
+            .collect();
+        let running = || run.engines[0].executions().len() == 4;
+        wait_until(running).expect("four turns run");
+        run.store.put("keyed.op", "config", &moved);
+        for turn in turns {
+            let response = turn.join().expect("a response");
+            assert_eq!((response.status, response.is_complete), (200, true));
+        }
+    });
+    let later: Vec<u16> = (4..8).map(|number| send(number).status).collect();
+    let served = later.iter().filter(|status| **status == 200).count();
+    assert!(served <= 1, "turns beyond the budget: {later:?}");
+    assert!(later.contains(&402), "{later:?}");
+}
