--- a/standins/tests/caller_connections.rs
+++ b/standins/tests/caller_connections.rs
@@ -441,6 +441,30 @@
     }
 }
 
+/// Guards against refusing a request whose response arrived during a pause in which its deadline passed.
+#[test]
+fn a_response_that_arrives_during_a_pause_of_the_process_is_delivered() {
+    let run = Run::start("late-response", &config(1));
+    run.plain
+        .configure(|settings| settings.pause = Duration::from_millis(300));
+    let mut connections: Vec<TcpStream> = (0..CONNECTIONS).map(|_| run.connect()).collect();
+    for (number, connection) in connections.iter_mut().enumerate() {
+        let request = booking(&format!("paused-{number}")).bytes();
+        connection.write_all(&request).expect("request sent");
+    }
+    let has_run = |number| run.run_count(&format!("paused-{number}")) == 1;
+    wait_until(|| (0..CONNECTIONS).all(has_run)).expect("the bookings run");
+    let process = &run.gateways.processes[0];
+    process.send_signal(Signal::STOP);
+    thread::sleep(Duration::from_millis(1_500));
+    process.send_signal(Signal::CONT);
+    let read = connections.iter_mut().map(read_response);
+    let statuses: Vec<u16> = read
+        .map(|response| response.map_or(0, |response| response.status))
+        .collect();
+    assert_eq!(statuses, [200; CONNECTIONS]);
+}
+
 /// Guards against running requests whose callers closed their connections before they were handled.
 #[test]
 fn a_request_whose_caller_has_left_is_not_run() {
