--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -12,7 +12,8 @@
 use clementinepick::server_list::BackendServer;
 use clementinepick::server_selection::{Affinity, SelectionReason};
 use clementinepick::stream_origin::StreamOrigin;
-use clementinepick::traffic_config::TrafficRoute;
+use clementinepick::traffic_config::{TrafficConfig, TrafficRoute, TrafficService};
+use clementinepick::units::Tokens;
 use platform::request::{RequestInfo, SchedulerHeaders, forwarded_headers};
 
 use crate::gateway_attempts::AttemptError;
@@ -29,6 +30,8 @@
 pub(crate) struct RoutedRequest<'a> {
     pub(crate) received: &'a ReceivedRequest<'a>,
     pub(crate) info: &'a RequestInfo,
+    /// The configuration that the request was routed by, which holds until its end.
+    pub(crate) config: &'a TrafficConfig,
     pub(crate) route: &'a TrafficRoute,
     /// The service that the route selected.
     pub(crate) service: &'a str,
@@ -110,6 +113,16 @@
         RoutedRequest { service, ..*self }
     }
 
+    fn service_config(&self) -> Option<&'a TrafficService> {
+        self.config.services.get(self.service)
+    }
+
+    /// Returns the number of tokens in one event of the service.
+    pub(crate) fn tokens_per_event(&self) -> Tokens {
+        let service = self.service_config();
+        service.map_or(Tokens(1), |service| service.tokens_per_event)
+    }
+
     /// Returns the key that all attempts of the caller at this request have in common.
     pub(crate) fn content_key(&self) -> RequestKey {
         let head = &self.received.head;
@@ -154,7 +167,7 @@
         input: &RunInput,
     ) -> Option<ServerSlot> {
         let directory = shared.directory();
-        let limit = shared.connection_limit(self.service);
+        let limit = shared.connection_limit(self.service, self.service_config());
         let origin = input.origin.as_ref();
         let origin = origin.filter(|_| !Safeguard::StreamVersion.is_disabled());
         let mut choice = shared.choice.borrow_mut();
