--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -85,6 +85,26 @@
     page_items: usize,
     /// The calls that came, by path.
     calls: BTreeMap<String, u64>,
+    read_limit: Option<ReadLimit>,
+}
+
+/// A limit on the reads of each second, from all addresses together.
+#[derive(Debug)]
+struct ReadLimit {
+    reads_per_s: u32,
+    second_began: Instant,
+    reads: u32,
+}
+
+impl ReadLimit {
+    fn allows(&mut self, now: Instant) -> bool {
+        if now.saturating_duration_since(self.second_began) >= Duration::from_secs(1) {
+            self.second_began = now;
+            self.reads = 0;
+        }
+        self.reads += 1;
+        self.reads <= self.reads_per_s
+    }
 }
 
 /// The store behind one or more addresses, each with a mode of its own.
@@ -178,6 +198,15 @@
         lock(&self.core).delay = delay;
     }
 
+    /// Refuses with 429 what exceeds this number of reads in a second.
+    pub fn limit_reads(&self, reads_per_s: u32) {
+        lock(&self.core).read_limit = Some(ReadLimit {
+            reads_per_s,
+            second_began: Instant::now(),
+            reads: 0,
+        });
+    }
+
     /// Stops answering calls for one topic, or answers all again.
     pub fn silence_topic(&self, topic: Option<&str>) {
         lock(&self.core).silent_topic = topic.map(str::to_owned);
@@ -222,6 +251,13 @@
         if request.waited.is_zero() {
             *self.calls.entry(request.path.clone()).or_default() += 1;
         }
+        if request.method == "GET"
+            && request.waited.is_zero()
+            && let Some(limit) = &mut self.read_limit
+            && !limit.allows(Instant::now())
+        {
+            return refuse(429);
+        }
         if self.silent_topic.is_some() && self.silent_topic.as_ref() == request.query.get("Topic") {
             return vec![Step::Silence];
         }
