Long chains of turns are read in few calls, and no read is lost

Cause: a chain that no gateway had in memory was read by one call for each of its records, within 1.2 s, and what was read was kept only after the last record. A chain of some 240 records was read by no try, and many shorter ones exhausted the store's limit of reads.

Change: the record of a turn whose 31 predecessors have a record each holds the text of all 32 (`merge_segment`). Records are kept before their predecessors are known, as are the neighbours that a call returns. Requests share the read of a partition; 16 chains are read at a time. A request waits until its deadline while the store responds to reads of turns (before: 1.2 s in all), and a chain that it gave up on is read on in the background, for 10 s at most. A record of one turn has the same bytes as before; older processes read the others as turns with a long input.

Tests: `Turn` and `TurnRecord` have a new field, which the tests that build them name (`turns: 1`); no check is changed.

--- a/clementinepick/src/turn_chain.rs
+++ b/clementinepick/src/turn_chain.rs
@@ -8,21 +8,27 @@
 
 use crate::record_expiry::RETENTION_FACTOR;
 
+/// The number of turns in a row with a record each after which one record holds the text of all of
+/// them. Most conversations have fewer.
+pub const SEGMENT_TURNS: usize = 32;
+
 /// A completed turn in memory, linked to the turn it continues from.
 #[derive(Debug)]
 pub struct Turn {
     /// The id of the request that ran it.
     pub id: String,
-    /// The previous turn.
+    /// The latest previous turn that `input` does not include.
     pub parent: Option<Arc<Turn>>,
     /// The server that ran it and may have its prompt cached.
     pub server: Option<String>,
-    /// What the caller sent.
+    /// What the caller sent, preceded by the text of the previous turns that this one includes.
     pub input: Bytes,
     /// The data of its events, each followed by a line feed.
     pub output: Bytes,
     /// When its record was written, in Unix milliseconds by the writer's clock.
     pub recorded_unix_ms: u64,
+    /// The number of turns whose text it holds; `input` begins with that of the previous ones.
+    pub turns: usize,
 }
 
 impl Turn {
@@ -37,6 +43,41 @@
         self.input.len() + self.output.len()
     }
 
+    /// Includes the text of the latest previous turns, up to `limit_bytes` in all, if at least
+    /// [`SEGMENT_TURNS`] turns in a row have a record each.
+    ///
+    /// A chain that is in no process's memory is read by one call for each record, one after the
+    /// other. Each text is written twice at most, and conversations of fewer turns write it once.
+    pub fn merge_segment(&mut self, limit_bytes: usize) {
+        let mut bytes = self.own_bytes();
+        let mut latest = Vec::new();
+        let mut before = self.parent.clone();
+        while let Some(turn) = before.take() {
+            bytes += turn.own_bytes();
+            if turn.turns > 1 || bytes > limit_bytes {
+                before = Some(turn);
+                break;
+            }
+            before.clone_from(&turn.parent);
+            latest.push(turn);
+        }
+        if latest.len() + 1 >= SEGMENT_TURNS {
+            self.turns += latest.len();
+            self.input = concatenate(&latest, &self.input);
+            self.parent = before;
+        }
+    }
+
+    /// Includes the text of all previous turns.
+    pub fn merge_chain(&mut self) {
+        let Some(parent) = self.parent.take() else {
+            return;
+        };
+        let chain = parent.chain();
+        self.turns += chain.iter().map(|turn| turn.turns).sum::<usize>();
+        self.input = concatenate(&chain, &self.input);
+    }
+
     /// Returns the time of the oldest record of this chain, in Unix milliseconds.
     #[must_use]
     pub fn oldest_unix_ms(self: &Arc<Self>) -> u64 {
@@ -55,10 +96,14 @@
     let Some(previous) = previous else {
         return input.clone();
     };
-    let chain = previous.chain();
-    let size = chain.iter().map(|turn| turn.own_bytes()).sum::<usize>() + input.len();
+    concatenate(&previous.chain(), input)
+}
+
+/// Concatenates the text of turns, given newest first, and `input`.
+fn concatenate(turns: &[Arc<Turn>], input: &Bytes) -> Bytes {
+    let size = turns.iter().map(|turn| turn.own_bytes()).sum::<usize>() + input.len();
     let mut prompt = BytesMut::with_capacity(size);
-    for turn in chain.iter().rev() {
+    for turn in turns.iter().rev() {
         prompt.extend_from_slice(&turn.input);
         prompt.extend_from_slice(&turn.output);
     }
@@ -69,8 +114,8 @@
 /// The stored record of a completed turn.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TurnRecord {
-    /// The turn it continues from; none at the start of a chain, or if the input contains the whole
-    /// previous chain.
+    /// The turn that the text of this record continues; none at the start of a chain, or if the input
+    /// contains the whole previous chain.
     #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     pub parent: Option<String>,
     /// The server that ran it.
@@ -88,11 +133,26 @@
     /// The number of further records that hold the body, if it exceeds the size of one record.
     #[serde(rename = "n", default)]
     pub parts: usize,
+    /// The number of turns whose text it holds.
+    #[serde(rename = "c", default = "one", skip_serializing_if = "is_one")]
+    pub turns: usize,
     /// Input and output; empty when further records hold them.
     #[serde(rename = "b", with = "bytes_field")]
     pub body: Bytes,
 }
 
+fn one() -> usize {
+    1
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_one(count: &usize) -> bool {
+    *count == 1
+}
+
 mod bytes_field {
     use bytes::Bytes;
     use serde::de::{Error, Visitor};
@@ -161,6 +221,7 @@
             retain_ms,
             input_bytes: turn.input.len(),
             parts: 0,
+            turns: turn.turns,
             body: body.freeze(),
         }
     }
@@ -188,6 +249,7 @@
             input,
             output,
             recorded_unix_ms: self.recorded_unix_ms,
+            turns: self.turns,
         })
     }
 }
--- a/clementinepick/tests/turn_chain.rs
+++ b/clementinepick/tests/turn_chain.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use clementinepick::record_expiry::RETENTION_FACTOR;
-use clementinepick::turn_chain::{Turn, TurnRecord, build_prompt, needs_whole_chain};
+use clementinepick::turn_chain::{
+    SEGMENT_TURNS, Turn, TurnRecord, build_prompt, needs_whole_chain,
+};
 
 fn turn(id: &str, parent: Option<Arc<Turn>>, recorded_unix_ms: u64) -> Arc<Turn> {
     Arc::new(Turn {
@@ -14,6 +16,7 @@
         input: Bytes::from(format!("<{id}>")),
         output: Bytes::from(format!("{id}-out\n")),
         recorded_unix_ms,
+        turns: 1,
     })
 }
 
@@ -87,3 +90,68 @@
         last = turn(&format!("t{number}"), parent, now);
     }
 }
+
+/// Records turns one after the other, each as the next of the last one's chain.
+fn converse(turns: usize, limit_bytes: usize) -> Arc<Turn> {
+    let mut last: Option<Arc<Turn>> = None;
+    for number in 0..turns {
+        let mut next = Turn {
+            id: format!("t{number}"),
+            parent: last.take(),
+            server: None,
+            input: Bytes::from(format!("<{number}>")),
+            output: Bytes::from(format!("{number}-out\n")),
+            recorded_unix_ms: 0,
+            turns: 1,
+        };
+        next.merge_segment(limit_bytes);
+        last = Some(Arc::new(next));
+    }
+    last.expect("a turn")
+}
+
+fn links(last: &Arc<Turn>) -> Vec<Arc<Turn>> {
+    std::iter::successors(Some(Arc::clone(last)), |turn| turn.parent.clone()).collect()
+}
+
+/// Each record of a chain takes a call that waits for the one before.
+#[test]
+fn a_long_chain_has_few_records_and_each_text_in_order() {
+    const TURNS: usize = 400;
+    let last = converse(TURNS, usize::MAX);
+    let links = links(&last);
+    assert!(
+        links.len() <= TURNS / SEGMENT_TURNS + SEGMENT_TURNS,
+        "{} records",
+        links.len()
+    );
+    assert_eq!(links.iter().map(|turn| turn.turns).sum::<usize>(), TURNS);
+    let texts: Vec<String> = (0..TURNS).map(|n| format!("<{n}>{n}-out\n")).collect();
+    assert_eq!(build_prompt(Some(&last), &Bytes::new()), texts.concat());
+}
+
+#[test]
+fn a_conversation_of_usual_length_writes_each_text_once() {
+    let last = converse(SEGMENT_TURNS - 1, usize::MAX);
+    assert!(links(&last).iter().all(|turn| turn.turns == 1));
+}
+
+#[test]
+fn a_record_with_previous_turns_stays_within_its_limit() {
+    const LIMIT_BYTES: usize = 100;
+    let links = links(&converse(200, LIMIT_BYTES));
+    assert!(links.iter().all(|turn| turn.own_bytes() <= LIMIT_BYTES));
+}
+
+/// Processes of an older version read and write records without the number of turns.
+#[test]
+fn a_record_of_one_turn_does_not_name_their_number() {
+    let record = TurnRecord::of(&turn("a", None, 5), 60_000);
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&record, &mut bytes).expect("CBOR");
+    let value: ciborium::Value = ciborium::from_reader(&*bytes).expect("a value");
+    let names = value.into_map().expect("a map");
+    assert!(names.iter().all(|(name, _)| name.as_text() != Some("c")));
+    let read: TurnRecord = ciborium::from_reader(&*bytes).expect("a record");
+    assert_eq!(read.turns, 1);
+}
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -30,7 +30,7 @@
 use crate::gateway_metrics::{GatewayMetrics, MetricsHandler};
 use crate::gateway_peer::PeerHandler;
 use crate::gateway_peer_updates::send_updates;
-use crate::gateway_prefetch::run_prefetch;
+use crate::gateway_prefetch::{finish_turn_reads, run_prefetch};
 use crate::gateway_request::{CallerHandler, ReadyHandler};
 use crate::gateway_settings::GatewaySettings;
 use crate::gateway_shared::Shared;
@@ -257,6 +257,8 @@
         tasks.spawn_local(run_maintenance(Rc::clone(&shared), settings.vm.to_string()));
         tasks.spawn_local(maintain_homes(Rc::clone(&shared)));
         tasks.spawn_local(run_prefetch(Rc::clone(&shared), queues.prefetch));
+        let unfinished = queues.unfinished_reads;
+        tasks.spawn_local(finish_turn_reads(Rc::clone(&shared), unfinished));
         tasks.spawn_local(send_token_returns(Rc::clone(&shared), queues.returned));
         tasks.spawn_local(send_updates(Rc::clone(&shared), queues.updates));
         tasks.spawn_local(maintain_ended(Rc::clone(&shared)));
--- a/clementinepickd/src/gateway_prefetch.rs
+++ b/clementinepickd/src/gateway_prefetch.rs
@@ -1,20 +1,28 @@
-//! Reserves budget slices before turns need them, so that programs continue during a store outage.
+//! Reserves budget slices and reads chains of turns before requests need them.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use clementinepick::units::{SpanUs, Tokens};
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 
 use crate::gateway_budget::log_grant;
 use crate::gateway_shared::Shared;
 use crate::ledger_budgets::BudgetRequest;
+use crate::ledger_turns::TurnWait;
 
 /// The capacity of the queue of programs that wait for a slice.
 pub(crate) const PREFETCH_QUEUE_CAPACITY: usize = 256;
 /// How long the store may take to reserve a slice that no turn waits for yet.
 const PREFETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a chain is read that no request waits for, in all and without a response of the store.
+const CHAIN_TIMEOUT: Duration = Duration::from_secs(10);
+const CHAIN_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+/// The maximum number of chains that are read at the same time while no request waits for them.
+const MAX_BACKGROUND_CHAINS: usize = 8;
+
 /// A request for the next slice of a program.
 #[derive(Debug)]
 pub(crate) struct PrefetchRequest {
@@ -59,3 +67,29 @@
         }
     }
 }
+
+/// Reads the rest of chains that requests have given up reading, until the sender is dropped.
+///
+/// A caller that has given up comes back soon. Without this, a chain that takes longer than any of
+/// its tries would be read only during them.
+pub(crate) async fn finish_turn_reads(shared: Rc<Shared>, mut queue: mpsc::Receiver<String>) {
+    let mut reads = JoinSet::new();
+    loop {
+        tokio::select! {
+            queued = queue.recv(), if reads.len() < MAX_BACKGROUND_CHAINS => {
+                let Some(id) = queued else { break };
+                reads.spawn_local(finish_turn_read(Rc::clone(&shared), id));
+            }
+            Some(_) = reads.join_next() => {}
+        }
+    }
+    reads.shutdown().await;
+}
+
+async fn finish_turn_read(shared: Rc<Shared>, id: String) {
+    let wait = TurnWait {
+        idle_limit: CHAIN_IDLE_TIMEOUT,
+        deadline: Instant::now() + CHAIN_TIMEOUT,
+    };
+    shared.turns.continue_read(&id, wait).await;
+}
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -114,6 +114,8 @@
     pub(crate) returned: mpsc::Receiver<TokenReturn>,
     /// Slices to reserve before turns need them.
     pub(crate) prefetch: mpsc::Receiver<PrefetchRequest>,
+    /// Turns whose chains requests have given up reading.
+    pub(crate) unfinished_reads: mpsc::Receiver<String>,
     /// What to tell peers.
     pub(crate) updates: mpsc::UnboundedReceiver<PeerUpdate>,
 }
@@ -136,6 +138,7 @@
         let (budgets, returned) = Budgets::new(Rc::clone(&ledger), writer, settings.peers);
         let budgets = Rc::new(budgets);
         let (prefetch, prefetch_requests) = mpsc::channel(PREFETCH_QUEUE_CAPACITY);
+        let (turns, unfinished_reads) = Turns::new(Rc::clone(&ledger));
         let (updates, queued_updates) = mpsc::unbounded_channel();
         let shared = Self {
             store,
@@ -143,7 +146,7 @@
             homes: Homes::new(Rc::clone(&budgets)),
             budgets,
             peer_address: settings.peers,
-            turns: Turns::new(Rc::clone(&ledger)),
+            turns,
             origins: Origins::default(),
             ended: Ended::default(),
             updates,
@@ -168,6 +171,7 @@
         let queues = BackgroundQueues {
             returned,
             prefetch: prefetch_requests,
+            unfinished_reads,
             updates: queued_updates,
         };
         (shared, queues)
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -29,6 +29,7 @@
 use crate::ledger::LedgerError;
 use crate::ledger_budgets::BudgetRequest;
 use crate::ledger_holds::BudgetHold;
+use crate::ledger_turns::TurnWait;
 use crate::link::duration;
 use crate::safeguard::Safeguard;
 use crate::unix_time::unix_ms;
@@ -43,6 +44,8 @@
 /// The age of the oldest stream that a caller resumes, in timeouts of its route: one for the attempt
 /// that began it and one until the caller comes back.
 const MAX_STREAM_TIMEOUTS: u64 = 2;
+/// How long the store may take to respond.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// The minimum timeout for the first event, which waits for a free slot and for the prompt to be
 /// read.
 const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -83,7 +86,7 @@
             Ok(None) => (None, None, None),
             Err(refusal) => return Ok(Err(refusal)),
         };
-    let previous = match find_previous_turn(shared, routed, previous_at, deadline).await {
+    let previous = match find_previous_turn(shared, routed, previous_at).await {
         Ok(previous) => previous,
         Err(refusal) => return Ok(Err(refusal)),
     };
@@ -173,7 +176,6 @@
     shared: &Rc<Shared>,
     routed: &RoutedRequest<'_>,
     ran_at: Option<SocketAddr>,
-    deadline: Instant,
 ) -> Result<Option<Arc<Turn>>, Refusal> {
     let Some(id) = routed.info.previous_turn.as_ref() else {
         return Ok(None);
@@ -182,7 +184,11 @@
         return Ok(None);
     }
     let fetch = async |id: &str| gateway_peer_turns::fetch(shared, ran_at?, id).await;
-    let found = shared.turns.get(id, deadline, fetch).await;
+    let wait = TurnWait {
+        idle_limit: STORE_TIMEOUT,
+        deadline: routed.deadline,
+    };
+    let found = shared.turns.get(id, wait, fetch).await;
     let found = found.map_err(|err| to_refusal(&err))?;
     if found.records_read > 0 {
         let event = Event::new(EventKind::TurnsRead)
@@ -243,7 +249,6 @@
 /// an attempt and a repeat take gains nothing, because a caller that repeats its request is served
 /// by any process that reaches the store.
 fn store_deadline(routed: &RoutedRequest<'_>) -> Instant {
-    const STORE_TIMEOUT: Duration = Duration::from_millis(1_200);
     routed.deadline.min(Instant::now() + STORE_TIMEOUT)
 }
 
@@ -287,6 +292,7 @@
             input: self.routed.received.body.clone(),
             output: self.delivered.output.freeze(),
             recorded_unix_ms: unix_ms(),
+            turns: 1,
         };
         let retention = self.routed.route.retention_us;
         let turns = &self.shared.turns;
--- a/clementinepickd/src/ledger.rs
+++ b/clementinepickd/src/ledger.rs
@@ -37,6 +37,10 @@
     pub call_bytes: usize,
     /// The maximum size of the cached turns, in bytes.
     pub cache_bytes: usize,
+    /// The maximum size of the records that were read and not yet linked into a chain, in bytes.
+    pub unlinked_bytes: usize,
+    /// The maximum size of the text of a record that includes previous turns, in bytes.
+    pub segment_bytes: usize,
     /// The period in which each partition is checked for expired records.
     pub sweep_period: Duration,
 }
@@ -53,6 +57,9 @@
             record_bytes: 262_144,
             call_bytes: 2_097_152,
             cache_bytes: 8_388_608,
+            unlinked_bytes: 8_388_608,
+            // The platform's store takes 50 ms for as much.
+            segment_bytes: 1_048_576,
             // Records are kept for three retention periods, typically three minutes; with this
             // period, expired records add half as many on average.
             sweep_period: Duration::from_mins(8),
--- /dev/null
+++ b/clementinepickd/src/ledger_turn_records.rs
@@ -0,0 +1,251 @@
+//! Reads the records of turns from the store, and keeps those that are not yet linked into a chain.
+//!
+//! Records never change, so that one may be kept before its predecessors are known. A call returns
+//! neighbours of the wanted record in its partition as well; they are kept for other chains.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::timeout;
+use bytes::Bytes;
+use clementinepick::turn_chain::TurnRecord;
+use platform::store::KeyedRecord;
+use tokio::sync::{Mutex, Semaphore, SemaphorePermit};
+
+use crate::ledger::{LedgerError, LedgerStore, Partition, from_cbor, key_of};
+use crate::ledger_turn_cache::LruCache;
+use crate::ledger_turns::{TurnWait, is_part_of};
+use crate::store::StorePurpose;
+
+/// The maximum number of chains that are read at the same time; others wait, so that some chains
+/// are complete early and not all of them late.
+const MAX_CHAIN_READS: usize = 16;
+/// The number of chains being read or waiting from which partitions are read from their start: most
+/// of their records will be needed.
+const MANY_CHAIN_READS: usize = 8;
+/// The memory of a record beside its body, in bytes.
+const RECORD_MEMORY_BYTES: usize = 512;
+
+/// The access to a partition of turns.
+#[derive(Default)]
+struct PartitionAccess {
+    /// Held while a chain reads from it, since the response may bring what the next one needs.
+    lock: Mutex<()>,
+    /// Whether it has more records than one response.
+    exceeds_page: Cell<bool>,
+}
+
+/// Reads and keeps records of turns.
+pub(crate) struct TurnRecordReader {
+    store: Rc<LedgerStore>,
+    /// The records that were read and not yet linked, by key.
+    unlinked: RefCell<LruCache<TurnRecord>>,
+    partitions: RefCell<BTreeMap<Partition, Rc<PartitionAccess>>>,
+    permits: Semaphore,
+    /// The number of chains being read or waiting.
+    chains: Cell<usize>,
+    last_read_at: Cell<Option<Instant>>,
+}
+
+impl TurnRecordReader {
+    pub(crate) fn new(store: Rc<LedgerStore>) -> Self {
+        Self {
+            store,
+            unlinked: RefCell::default(),
+            partitions: RefCell::default(),
+            permits: Semaphore::new(MAX_CHAIN_READS),
+            chains: Cell::new(0),
+            last_read_at: Cell::new(None),
+        }
+    }
+
+    /// Returns when the store last responded to a read of turns.
+    pub(crate) fn last_read_at(&self) -> Option<Instant> {
+        self.last_read_at.get()
+    }
+
+    /// Returns a record that was read and not yet linked.
+    pub(crate) fn cached(&self, id: &str) -> Option<TurnRecord> {
+        self.unlinked.borrow_mut().get(&key_of(id))
+    }
+
+    /// Drops a record that is linked now.
+    pub(crate) fn forget(&self, id: &str) {
+        self.unlinked.borrow_mut().remove(&key_of(id));
+    }
+
+    /// Prepares to read a chain.
+    pub(crate) fn start_chain(&self, wait: TurnWait) -> ChainRead<'_> {
+        ChainRead {
+            reader: self,
+            wait,
+            started_at: Instant::now(),
+            permit: None,
+            is_counted: false,
+        }
+    }
+
+    /// Reads a record; `None` only if the store says that there is none.
+    pub(crate) async fn read(
+        &self,
+        id: &str,
+        deadline: Instant,
+    ) -> Result<Option<TurnRecord>, LedgerError> {
+        let key = key_of(id);
+        let partition = self.store.turn_partition(id);
+        let reader = self.store.reader(StorePurpose::ReadTurn, deadline);
+        let start = key_before(&key);
+        let access = self.access(partition);
+        let reads_all = self.chains.get() >= MANY_CHAIN_READS && !access.exceeds_page.get();
+        let mut after = start.clone().filter(|_| !reads_all);
+        let mut target = TargetRecord::default();
+        loop {
+            let page = reader.newest_page(partition, after.as_deref()).await?;
+            self.last_read_at.set(Some(Instant::now()));
+            let last = page.records.last().map(|record| record.key.clone());
+            for record in page.records {
+                if let Some(neighbour) = target.take(record, &key) {
+                    self.keep_neighbour(neighbour);
+                }
+            }
+            let is_past = |last: &str| last > key.as_str() && !is_part_of(last, &key);
+            if !page.has_more || last.as_deref().is_none_or(is_past) {
+                break;
+            }
+            access.exceeds_page.set(true);
+            after = last.max(start.clone());
+        }
+        let record = target.assemble()?;
+        if let Some(record) = &record {
+            self.keep(&key, record.clone());
+        }
+        Ok(record)
+    }
+
+    fn keep_neighbour(&self, neighbour: KeyedRecord) {
+        let record: Option<TurnRecord> = neighbour.value.and_then(|value| from_cbor(&value));
+        // The parts of a body are complete only with the record that they belong to.
+        if let Some(record) = record.filter(|record| record.parts == 0) {
+            self.keep(&neighbour.key, record);
+        }
+    }
+
+    fn keep(&self, key: &str, record: TurnRecord) {
+        let bytes = record.body.len() + RECORD_MEMORY_BYTES;
+        let limit_bytes = self.store.settings.unlinked_bytes;
+        let mut unlinked = self.unlinked.borrow_mut();
+        unlinked.insert(key, record, bytes, limit_bytes);
+    }
+
+    fn access(&self, partition: Partition) -> Rc<PartitionAccess> {
+        let mut partitions = self.partitions.borrow_mut();
+        Rc::clone(partitions.entry(partition).or_default())
+    }
+}
+
+/// The wanted record of a read, and the parts of its body.
+#[derive(Default)]
+struct TargetRecord {
+    value: Option<Bytes>,
+    parts: Vec<Bytes>,
+}
+
+impl TargetRecord {
+    /// Takes a record if it is wanted; else returns it if it may be that of another turn.
+    fn take(&mut self, record: KeyedRecord, key: &str) -> Option<KeyedRecord> {
+        if record.key == key {
+            self.value = record.value;
+        } else if is_part_of(&record.key, key) {
+            self.parts.extend(record.value);
+        } else {
+            return Some(record).filter(|record| !record.key.contains('!'));
+        }
+        None
+    }
+
+    /// Returns the record with its body.
+    fn assemble(self) -> Result<Option<TurnRecord>, LedgerError> {
+        let Some(value) = self.value else {
+            return Ok(None);
+        };
+        let mut record: TurnRecord = from_cbor(&value).ok_or(LedgerError::Unavailable)?;
+        if self.parts.len() < record.parts {
+            return Err(LedgerError::Unavailable);
+        }
+        if record.parts > 0 {
+            record.body = self.parts.concat().into();
+        }
+        Ok(Some(record))
+    }
+}
+
+/// The read of one chain, record by record.
+pub(crate) struct ChainRead<'a> {
+    reader: &'a TurnRecordReader,
+    wait: TurnWait,
+    started_at: Instant,
+    permit: Option<SemaphorePermit<'a>>,
+    is_counted: bool,
+}
+
+impl Drop for ChainRead<'_> {
+    fn drop(&mut self) {
+        if self.is_counted {
+            let chains = &self.reader.chains;
+            chains.set(chains.get() - 1);
+        }
+    }
+}
+
+impl ChainRead<'_> {
+    /// Reads the next record of the chain, unless another chain's read has brought it meanwhile;
+    /// `None` only if the store says that there is none.
+    pub(crate) async fn next(&mut self, id: &str) -> Result<Option<TurnRecord>, LedgerError> {
+        let reader = self.reader;
+        if self.permit.is_none() {
+            reader.chains.set(reader.chains.get() + 1);
+            self.is_counted = true;
+            let permit = self.wait_for(reader.permits.acquire()).await?;
+            self.permit = permit.ok();
+        }
+        let access = reader.access(reader.store.turn_partition(id));
+        let _guard = self.wait_for(access.lock.lock()).await?;
+        if let Some(record) = reader.cached(id) {
+            return Ok(Some(record));
+        }
+        let deadline = self.wait.deadline;
+        let deadline = deadline.min(Instant::now() + self.wait.idle_limit);
+        reader.read(id, deadline).await
+    }
+
+    /// Waits for other reads for as long as the store responds to some of them.
+    async fn wait_for<T>(&self, turn: impl Future<Output = T>) -> Result<T, LedgerError> {
+        let mut turn = std::pin::pin!(turn);
+        loop {
+            let left = self.time_left(Instant::now());
+            if left.is_zero() {
+                return Err(LedgerError::Unavailable);
+            }
+            if let Ok(done) = timeout(left, &mut turn).await {
+                return Ok(done);
+            }
+        }
+    }
+
+    fn time_left(&self, now: Instant) -> Duration {
+        let read_at = self.reader.last_read_at.get();
+        let progress_at = read_at.map_or(self.started_at, |at| at.max(self.started_at));
+        let deadline = self.wait.deadline.min(progress_at + self.wait.idle_limit);
+        deadline.saturating_duration_since(now)
+    }
+}
+
+/// Returns a key that sorts before `key` with few keys between them.
+fn key_before(key: &str) -> Option<String> {
+    let mut before = key.to_owned();
+    before.pop();
+    (!before.is_empty()).then_some(before)
+}
--- a/clementinepickd/src/ledger_turns.rs
+++ b/clementinepickd/src/ledger_turns.rs
@@ -1,17 +1,19 @@
 //! Records finished turns in the store before their callers see the end, and caches them.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use clementinepick::turn_chain::{Turn, TurnRecord, build_prompt, needs_whole_chain};
+use clementinepick::turn_chain::{Turn, TurnRecord, needs_whole_chain};
 use clementinepick::units::SpanUs;
 use platform::store::KeyedRecord;
+use tokio::sync::mpsc;
 
-use crate::ledger::{LedgerError, LedgerStore, from_cbor, key_of, to_cbor};
+use crate::ledger::{LedgerError, LedgerStore, key_of, to_cbor};
+use crate::ledger_turn_cache::LruCache;
+use crate::ledger_turn_records::TurnRecordReader;
 use crate::store::StorePurpose;
 
 /// The longest chain of records that is followed. A chain is written in full after two retention
@@ -21,10 +23,32 @@
 /// The maximum size of a record without its body, in bytes: key, lengths and names of fields.
 const RECORD_OVERHEAD_BYTES: usize = 1_024;
 
+/// The capacity of the queue of chains to read in the background; chains beyond it are read when a
+/// request needs them again.
+const UNFINISHED_QUEUE_CAPACITY: usize = 256;
+
 /// Reads, records and caches turns.
 pub(crate) struct Turns {
     store: Rc<LedgerStore>,
-    cache: RefCell<TurnCache>,
+    records: TurnRecordReader,
+    cache: RefCell<LruCache<Arc<Turn>>>,
+    unfinished: mpsc::Sender<String>,
+}
+
+/// Queues the rest of a chain when the request that reads it gives up or is dropped.
+struct UnfinishedRead<'a> {
+    queue: &'a mpsc::Sender<String>,
+    id: &'a str,
+    is_worth_continuing: bool,
+}
+
+impl Drop for UnfinishedRead<'_> {
+    fn drop(&mut self) {
+        if self.is_worth_continuing {
+            // If the queue is full, the next request for the turn reads the rest itself.
+            let _ = self.queue.try_send(self.id.to_owned());
+        }
+    }
 }
 
 /// A turn with all its predecessors.
@@ -34,68 +58,66 @@
     pub(crate) records_read: usize,
 }
 
-/// An LRU cache of turns.
-#[derive(Default)]
-struct TurnCache {
-    turns: BTreeMap<String, (Arc<Turn>, u64)>,
-    by_use: BTreeMap<u64, String>,
-    bytes: usize,
-    uses: u64,
-}
-
-impl TurnCache {
-    fn get(&mut self, id: &str) -> Option<Arc<Turn>> {
-        let (turn, used) = self.turns.get_mut(id)?;
-        self.by_use.remove(used);
-        self.uses += 1;
-        *used = self.uses;
-        self.by_use.insert(self.uses, id.to_owned());
-        Some(Arc::clone(turn))
-    }
-
-    fn insert(&mut self, turn: &Arc<Turn>, limit_bytes: usize) {
-        self.remove(&turn.id);
-        self.uses += 1;
-        self.bytes += turn.own_bytes();
-        self.by_use.insert(self.uses, turn.id.clone());
-        self.turns
-            .insert(turn.id.clone(), (Arc::clone(turn), self.uses));
-        while self.bytes > limit_bytes && self.turns.len() > 1 {
-            let Some((_, oldest)) = self.by_use.first_key_value() else {
-                return;
-            };
-            let oldest = oldest.clone();
-            self.remove(&oldest);
-        }
-    }
-
-    fn remove(&mut self, id: &str) {
-        if let Some((turn, used)) = self.turns.remove(id) {
-            self.by_use.remove(&used);
-            self.bytes -= turn.own_bytes();
-        }
-    }
+/// How long a request waits for a turn.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TurnWait {
+    /// How long the wait may last without a response of the store to any read of turns.
+    pub(crate) idle_limit: Duration,
+    pub(crate) deadline: Instant,
 }
 
 impl Turns {
-    pub(crate) fn new(store: Rc<LedgerStore>) -> Self {
-        Self {
+    /// Creates the turns of a starting process and the queue of turns whose chains requests have
+    /// given up reading.
+    pub(crate) fn new(store: Rc<LedgerStore>) -> (Self, mpsc::Receiver<String>) {
+        let (unfinished, unfinished_reads) = mpsc::channel(UNFINISHED_QUEUE_CAPACITY);
+        let turns = Self {
+            records: TurnRecordReader::new(Rc::clone(&store)),
             store,
             cache: RefCell::default(),
-        }
+            unfinished,
+        };
+        (turns, unfinished_reads)
     }
 
     /// Returns a turn with all its predecessors, from memory, from a peer or from the store.
     ///
-    /// `fetch` asks the peer that may have them; after its first miss it is not called again.
+    /// `fetch` asks the peer that may have them; after its first miss it is not called again. What
+    /// was read when a request gives up serves later ones, and the rest is read in the background.
     pub(crate) async fn get(
         &self,
         id: &str,
-        deadline: Instant,
+        wait: TurnWait,
+        fetch: impl AsyncFn(&str) -> Option<TurnRecord>,
+    ) -> Result<FoundTurn, LedgerError> {
+        let mut unfinished = UnfinishedRead {
+            queue: &self.unfinished,
+            id,
+            is_worth_continuing: true,
+        };
+        let started_at = Instant::now();
+        let found = self.read_chain(id, wait, fetch).await;
+        let is_read_since = self.records.last_read_at() > Some(started_at);
+        unfinished.is_worth_continuing =
+            is_read_since && matches!(found, Err(LedgerError::Unavailable));
+        found
+    }
+
+    /// Reads the rest of a chain that a request has given up reading.
+    pub(crate) async fn continue_read(&self, id: &str, wait: TurnWait) {
+        // Whatever was read serves the next request, which meets the same error.
+        let _ = self.read_chain(id, wait, async |_: &str| None).await;
+    }
+
+    async fn read_chain(
+        &self,
+        id: &str,
+        wait: TurnWait,
         fetch: impl AsyncFn(&str) -> Option<TurnRecord>,
     ) -> Result<FoundTurn, LedgerError> {
         let mut may_fetch = true;
         let mut fetched = 0;
+        let mut read = self.records.start_chain(wait);
         let mut records: Vec<(String, TurnRecord)> = Vec::new();
         let mut wanted = Some(id.to_owned());
         let mut base = None;
@@ -104,13 +126,15 @@
             if base.is_some() {
                 break;
             }
-            let from_peer = if may_fetch { fetch(&id).await } else { None };
-            may_fetch = from_peer.is_some();
-            fetched += usize::from(may_fetch);
-            let record = match from_peer {
-                Some(record) => Some(record),
-                None => self.read(&id, deadline).await?,
-            };
+            let mut record = self.records.cached(&id);
+            if record.is_none() && may_fetch {
+                record = fetch(&id).await;
+                may_fetch = record.is_some();
+                fetched += usize::from(may_fetch);
+            }
+            if record.is_none() {
+                record = read.next(&id).await?;
+            }
             let Some(record) = record else {
                 // The requested turn may never have existed. A predecessor was recorded before the
                 // turn that names it, so that its absence is an error and does not mean an unknown
@@ -130,64 +154,48 @@
         }
         let records_read = records.len() - fetched;
         for (id, record) in records.into_iter().rev() {
-            let turn = record
-                .into_turn(id, base)
-                .map_err(|_| LedgerError::Unavailable)?;
-            base = Some(self.insert_into_cache(turn));
+            base = Some(self.link(id, record, base)?);
         }
         let turn = base.ok_or(LedgerError::UnknownTurn)?;
         Ok(FoundTurn { turn, records_read })
     }
 
+    /// Links a record to its parent, unless another request has done so meanwhile.
+    fn link(
+        &self,
+        id: String,
+        record: TurnRecord,
+        parent: Option<Arc<Turn>>,
+    ) -> Result<Arc<Turn>, LedgerError> {
+        self.records.forget(&id);
+        let linked = self.cache.borrow_mut().get(&id);
+        if let Some(turn) = linked {
+            return Ok(turn);
+        }
+        let turn = record.into_turn(id, parent);
+        let turn = turn.map_err(|_| LedgerError::Unavailable)?;
+        Ok(self.insert_into_cache(turn))
+    }
+
     fn insert_into_cache(&self, mut turn: Turn) -> Arc<Turn> {
         // Copied, because the capacity of read buffers is up to twice their length.
         turn.input = Bytes::copy_from_slice(&turn.input);
         turn.output = Bytes::copy_from_slice(&turn.output);
         let turn = Arc::new(turn);
         let limit_bytes = self.store.settings.cache_bytes;
-        self.cache.borrow_mut().insert(&turn, limit_bytes);
+        let mut cache = self.cache.borrow_mut();
+        cache.insert(&turn.id, Arc::clone(&turn), turn.own_bytes(), limit_bytes);
+        drop(cache);
         turn
     }
 
-    /// Reads the record of a turn; `None` only if the store says that there is none.
+    /// Reads the record of a turn from the store; `None` only if the store says that there is none.
     pub(crate) async fn read(
         &self,
         id: &str,
         deadline: Instant,
     ) -> Result<Option<TurnRecord>, LedgerError> {
-        let key = key_of(id);
-        let partition = self.store.turn_partition(id);
-        let reader = self.store.reader(StorePurpose::ReadTurn, deadline);
-        let mut after = key_before(&key);
-        let mut found: Option<TurnRecord> = None;
-        let mut parts: Vec<Bytes> = Vec::new();
-        loop {
-            let page = reader.newest_page(partition, after.as_deref()).await?;
-            let last = page.records.last().map(|record| record.key.clone());
-            for record in page.records {
-                let Some(value) = record.value else { continue };
-                if record.key == key {
-                    found = Some(from_cbor(&value).ok_or(LedgerError::Unavailable)?);
-                } else if is_part_of(&record.key, &key) {
-                    parts.push(value);
-                }
-            }
-            let is_past = |last: &str| last > key.as_str() && !is_part_of(last, &key);
-            if !page.has_more || last.as_deref().is_none_or(is_past) {
-                break;
-            }
-            after = last;
-        }
-        let Some(mut record) = found else {
-            return Ok(None);
-        };
-        if parts.len() < record.parts {
-            return Err(LedgerError::Unavailable);
-        }
-        if record.parts > 0 {
-            record.body = parts.concat().into();
-        }
-        Ok(Some(record))
+        self.records.read(id, deadline).await
     }
 
     /// Records a finished turn; after success, no loss of processes can lose it.
@@ -200,8 +208,9 @@
         let retain_ms = retention.as_ms();
         let parent = turn.parent.as_ref();
         if parent.is_some_and(|p| needs_whole_chain(p, turn.recorded_unix_ms, retain_ms)) {
-            turn.input = build_prompt(turn.parent.as_ref(), &turn.input);
-            turn.parent = None;
+            turn.merge_chain();
+        } else {
+            turn.merge_segment(self.store.settings.segment_bytes);
         }
         let partition = self.store.turn_partition(&turn.id);
         for batch in self.batches(&turn, retain_ms) {
@@ -256,8 +265,7 @@
 
     /// Returns the number of cached turns and their size in bytes.
     pub(crate) fn cache_size(&self) -> (usize, usize) {
-        let cache = self.cache.borrow();
-        (cache.turns.len(), cache.bytes)
+        self.cache.borrow().size()
     }
 }
 
@@ -271,10 +279,3 @@
     part.strip_prefix(key)
         .is_some_and(|rest| rest.starts_with('!'))
 }
-
-/// Returns a key that sorts before `key` with few keys between them.
-fn key_before(key: &str) -> Option<String> {
-    let mut before = key.to_owned();
-    before.pop();
-    (!before.is_empty()).then_some(before)
-}
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -53,6 +53,8 @@
 mod ledger_homes;
 mod ledger_partitions;
 mod ledger_sweep;
+mod ledger_turn_cache;
+mod ledger_turn_records;
 mod ledger_turns;
 mod line_splitter;
 mod link;
--- a/standins/tests/conversation_recovery.rs
+++ b/standins/tests/conversation_recovery.rs
@@ -262,6 +262,7 @@
             retain_ms: 60_000,
             input_bytes: 1,
             parts: 0,
+            turns: 1,
             body: "io".into(),
         };
         let key = stored_id(number);
--- a/standins/tests/gateway_bounds.rs
+++ b/standins/tests/gateway_bounds.rs
@@ -28,6 +28,7 @@
         retain_ms: 60_000,
         input_bytes: 0,
         parts: 1,
+        turns: 1,
         body: "x".into(),
     };
     let old_slice = BudgetRecord::Slice(SliceRecord {
