--- a/standins/tests/conversation_recovery.rs
+++ b/standins/tests/conversation_recovery.rs
@@ -32,6 +32,8 @@
     turns: usize,
     /// What an engine must receive before the next input.
     history: String,
+    /// What each input contains beside its number.
+    padding: String,
 }
 
 impl Conversation {
@@ -40,6 +42,7 @@
             program: format!("program-{number}"),
             turns: 0,
             history: String::new(),
+            padding: String::new(),
         }
     }
 
@@ -48,7 +51,7 @@
     }
 
     fn input(&self, number: usize) -> String {
-        format!("input {number} of {}\n", self.program)
+        format!("input {number} of {}{}\n", self.program, self.padding)
     }
 
     fn next(&self, attempt: &str) -> CallerRequest {
@@ -192,6 +195,24 @@
     run.go_on(0, TRIES, &conversation);
 }
 
+/// A record that holds the text of many turns may exceed the size of one record.
+#[test]
+fn a_long_conversation_of_large_turns_goes_on_after_the_loss_of_its_gateway() {
+    const TURNS: usize = 70;
+    const INPUT_BYTES: usize = 20_000;
+    let mut run = Run::start("recovery-large", 1);
+    let mut conversation = Conversation {
+        padding: "x".repeat(INPUT_BYTES),
+        ..Conversation::new(1)
+    };
+    run.converse(0, TURNS, &mut conversation);
+    let is_part = |key: &String| key.contains('!');
+    assert!(run.store.keys("keyed.turns").iter().any(is_part));
+    run.gateways.processes[0].kill();
+    run.restart(0);
+    run.go_on(0, TRIES, &conversation);
+}
+
 /// Gateways that read the same records again and again exhaust the store's limit of reads, so that
 /// no conversation goes on.
 #[test]
@@ -278,10 +299,10 @@
     run
 }
 
-fn continue_stored(run: &PlatformRun, turns: usize, id: &str) -> u16 {
+fn continue_stored(run: &PlatformRun, previous: &str, id: &str) -> u16 {
     let turn = CallerRequest::turn("/chat/1", id, id, "x")
         .with("Token-Budget", "1000")
-        .with("Previous-Turn", &stored_id(turns));
+        .with("Previous-Turn", previous);
     turn.send(run.callers(0)).expect("a response").status
 }
 
@@ -293,7 +314,7 @@
     let reads_before = run.store.calls(NEWEST_PATH);
     let mut tries = (1..=8).map(|number| {
         thread::sleep(TRY_PAUSE);
-        continue_stored(&run, TURNS, &format!("try-{number}"))
+        continue_stored(&run, &stored_id(TURNS), &format!("try-{number}"))
     });
     assert!(tries.any(|status| status == 200), "no try was served");
     let reads = run.store.calls(NEWEST_PATH) - reads_before;
@@ -311,7 +332,9 @@
     let turns: Vec<_> = (0..8)
         .map(|number| {
             let run = Arc::clone(&run);
-            thread::spawn(move || continue_stored(&run, TURNS, &format!("agent-{number}")))
+            thread::spawn(move || {
+                continue_stored(&run, &stored_id(TURNS), &format!("agent-{number}"))
+            })
         })
         .collect();
     for turn in turns {
@@ -321,3 +344,28 @@
     let most = u64::try_from(TURNS + TURNS / 2).expect("a count");
     assert!(reads <= most, "{reads} reads for {TURNS} records");
 }
+
+/// While many chains are read, partitions are read from their start; one that has more records than
+/// a response has been read only in part then.
+#[test]
+fn many_requests_at_once_find_their_turns_or_get_404() {
+    const TURNS: usize = 40;
+    let run = Arc::new(run_with_stored_chain(TURNS, Duration::from_millis(5)));
+    let turns: Vec<_> = (1..=TURNS)
+        .map(|number| {
+            let run = Arc::clone(&run);
+            let is_known = number % 2 == 0;
+            let previous = if is_known {
+                stored_id(number)
+            } else {
+                format!("{number:04}-never")
+            };
+            let id = format!("agent-{number}");
+            thread::spawn(move || (is_known, continue_stored(&run, &previous, &id)))
+        })
+        .collect();
+    for turn in turns {
+        let (is_known, status) = turn.join().expect("a status");
+        assert_eq!(status, if is_known { 200 } else { 404 });
+    }
+}
