Store: only attempts without a response double the timeout

A connection that the store resets at once doubled it too, although a longer timeout does not help there. Unit tests state what each failed attempt says about the store.

--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -358,7 +358,7 @@
             self.record_response_time(Some(attempt.took));
         } else if had_full_timeout {
             self.record_outage_failure(started_at, attempt.failure_kind());
-            if attempt.is_new_connection {
+            if attempt.is_silent_on_new_connection() {
                 self.timeouts.set(self.timeouts.get().saturating_add(1));
             }
         }
--- a/clementinepickd/src/store_attempt.rs
+++ b/clementinepickd/src/store_attempt.rs
@@ -65,6 +65,12 @@
         is_lost && !self.is_new_connection
     }
 
+    /// Whether no response arrived though the connection had not been idle: a longer timeout may
+    /// help.
+    pub(crate) fn is_silent_on_new_connection(&self) -> bool {
+        matches!(self.outcome, AttemptOutcome::Silent) && self.is_new_connection
+    }
+
     /// Returns what the failure of a direct attempt says about the store.
     pub(crate) fn failure_kind(&self) -> FailureKind {
         let was_running = self.took < self.limit + MAX_TIMER_DELAY;
@@ -100,3 +106,52 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use clementinepick::outage_detector::FailureKind::{Inconclusive, Unavailable};
+
+    use super::*;
+
+    const LIMIT: Duration = Duration::from_millis(150);
+
+    fn attempt(outcome: AttemptOutcome, is_new_connection: bool) -> Attempt {
+        Attempt {
+            outcome,
+            is_new_connection,
+            limit: LIMIT,
+            took: LIMIT,
+        }
+    }
+
+    #[test]
+    fn only_a_refusal_or_a_failure_on_a_new_connection_shows_an_unavailable_store() {
+        let kind = |outcome, is_new| attempt(outcome, is_new).failure_kind();
+        assert_eq!(kind(AttemptOutcome::Silent, true), Unavailable);
+        assert_eq!(kind(AttemptOutcome::Broken, true), Unavailable);
+        assert_eq!(kind(AttemptOutcome::Refused, true), Unavailable);
+        assert_eq!(kind(AttemptOutcome::Refused, false), Unavailable);
+        assert_eq!(kind(AttemptOutcome::Silent, false), Inconclusive);
+        assert_eq!(kind(AttemptOutcome::Broken, false), Inconclusive);
+    }
+
+    /// A process that was suspended during an attempt finds its timeout expired.
+    #[test]
+    fn a_timeout_that_fires_late_shows_nothing() {
+        let late = Attempt {
+            took: LIMIT + MAX_TIMER_DELAY,
+            ..attempt(AttemptOutcome::Silent, true)
+        };
+        assert_eq!(late.failure_kind(), Inconclusive);
+    }
+
+    #[test]
+    fn a_lost_long_poll_or_relay_shows_nothing_and_a_refused_one_does() {
+        let lost = attempt(AttemptOutcome::Silent, true);
+        assert_eq!(lost.long_poll_failure_kind(), Inconclusive);
+        assert_eq!(lost.relay_failure_kind(), Inconclusive);
+        let refused = attempt(AttemptOutcome::Refused, false);
+        assert_eq!(refused.long_poll_failure_kind(), Unavailable);
+        assert_eq!(refused.relay_failure_kind(), Unavailable);
+    }
+}
