Announce to callers how long an idle connection may be reused

Cause: the platform's clients also reuse connections that have been idle for as long as the idle limit, and a request that crosses the close ends without an answer and without a line. Change: a response says in Keep-Alive that its connection may be reused for four fifths of the idle limit in force as its head is written.

--- a/clementinepickd/src/gateway_connection.rs
+++ b/clementinepickd/src/gateway_connection.rs
@@ -42,6 +42,11 @@
         false
     }
 
+    /// Returns whether responses say how long an idle connection may be reused.
+    fn announces_idle_limit(&self) -> bool {
+        false
+    }
+
     /// Records a request that is not handled, because its sender has disconnected.
     fn record_abandoned(&self, _request: &ReceivedRequest<'_>) {}
 }
@@ -68,8 +73,9 @@
         };
         let close_policy = if codec.keep_alive() {
             ClosePolicy::Draining {
-                is_draining: shared.draining_flag(),
+                shared: &shared,
                 has_input: &state.has_input,
+                announces_idle_limit: handler.announces_idle_limit(),
             }
         } else {
             ClosePolicy::Always
--- a/clementinepickd/src/gateway_reply.rs
+++ b/clementinepickd/src/gateway_reply.rs
@@ -9,11 +9,17 @@
 use actix_http::{ConnectionType, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use clementinepick::refusal::RefusalResponse;
+use clementinepick::units::SpanUs;
 use thiserror::Error;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio_util::codec::Encoder;
 
+use crate::gateway_shared::Shared;
+
+/// The share of the idle limit that is announced to callers.
+const ANNOUNCED_IDLE_PERCENT: u64 = 80;
+
 /// The caller's connection failed while the response was written.
 #[derive(Debug, Error)]
 #[error("caller disconnected while the response was written: {0}")]
@@ -31,15 +37,17 @@
 }
 
 /// Decides whether a connection is closed after a response.
-#[derive(Debug, Clone, Copy)]
+#[derive(Clone, Copy)]
 pub(crate) enum ClosePolicy<'a> {
     /// It is closed.
     Always,
     /// It is closed if the process is draining when the head is written and nothing of another
     /// request has arrived, which would stay without a response.
     Draining {
-        is_draining: &'a Cell<bool>,
+        shared: &'a Shared,
         has_input: &'a Cell<bool>,
+        /// Whether the response says how long the connection stays open otherwise.
+        announces_idle_limit: bool,
     },
 }
 
@@ -48,13 +56,35 @@
         match self {
             Self::Always => true,
             Self::Draining {
-                is_draining,
-                has_input,
-            } => is_draining.get() && !has_input.get(),
+                shared, has_input, ..
+            } => shared.is_draining() && !has_input.get(),
+        }
+    }
+
+    /// Returns the idle limit to announce.
+    fn announced_idle_limit(self) -> Option<SpanUs> {
+        match self {
+            Self::Draining {
+                shared,
+                announces_idle_limit: true,
+                ..
+            } if !self.closes() => Some(shared.caller_limits().idle_us),
+            Self::Draining { .. } | Self::Always => None,
         }
     }
 }
 
+/// Returns the header that tells a caller how long it may reuse an idle connection.
+///
+/// It is shorter than the limit, so that no request crosses the close; `None` below a second.
+fn keep_alive_header(idle_limit: SpanUs) -> Option<HeaderValue> {
+    let announced_s = idle_limit.as_ms() * ANNOUNCED_IDLE_PERCENT / 100 / 1_000;
+    let value = format!("timeout={announced_s}");
+    HeaderValue::from_str(&value)
+        .ok()
+        .filter(|_| announced_s > 0)
+}
+
 /// Writes one response.
 pub(crate) struct Reply<'a> {
     codec: &'a mut Codec,
@@ -115,6 +145,11 @@
                 .head_mut()
                 .set_connection_type(ConnectionType::Close);
         }
+        let idle_limit = self.close_policy.announced_idle_limit();
+        if let Some(value) = idle_limit.and_then(keep_alive_header) {
+            let name = HeaderName::from_static("keep-alive");
+            response.headers_mut().insert(name, value);
+        }
         self.status = status.as_u16();
         self.state = ReplyState::Started;
         self.encode(Message::Item((response, size)))
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -41,6 +41,10 @@
 }
 
 impl Handler for CallerHandler {
+    fn announces_idle_limit(&self) -> bool {
+        true
+    }
+
     fn handle<'a>(
         &'a self,
         request: &'a ReceivedRequest<'_>,
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -302,10 +302,6 @@
     }
 
     /// Returns the flag of [`Self::is_draining`], for decisions that are taken later.
-    pub(crate) fn draining_flag(&self) -> &Cell<bool> {
-        &self.is_draining
-    }
-
     pub(crate) fn is_ready(&self, now: Instant) -> bool {
         let directory = self.directory.borrow();
         let is_fresh = directory
--- a/standins/tests/caller_connections.rs
+++ b/standins/tests/caller_connections.rs
@@ -176,6 +176,30 @@
     );
 }
 
+/// Guards against a caller that reuses an idle connection as the gateway closes it.
+#[test]
+fn a_response_announces_how_long_its_connection_may_be_reused() {
+    let run = Run::start("announced-idle", &with_idle_limit(1, 10_000));
+    run.plain
+        .configure(|settings| settings.pause = Duration::from_millis(300));
+    let mut connection = run.connect();
+    let announced = |response: CallerResponse| response.headers.get("keep-alive").cloned();
+    let response = exchange(&mut connection, &booking("before")).expect("a response");
+    assert_eq!(announced(response).as_deref(), Some("timeout=8"));
+
+    connection
+        .write_all(&booking("during").bytes())
+        .expect("request sent");
+    wait_until(|| run.run_count("during") == 1).expect("the booking runs");
+    run.configure(2, &with_idle_limit(2, 20_000));
+    let response = read_response(&mut connection).expect("a response");
+    assert_eq!(announced(response).as_deref(), Some("timeout=16"));
+
+    run.configure(3, &with_idle_limit(3, 1_000));
+    let response = exchange(&mut connection, &booking("after")).expect("a response");
+    assert_eq!(announced(response), None);
+}
+
 /// Guards against closing a connection whose caller still goes by the limit of before.
 #[test]
 fn a_lowered_idle_limit_spares_connections_that_are_already_idle() {
