--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -193,7 +193,7 @@
         let started = core.settings.started_unix_ms;
         let born = started.map_or_else(String::new, |at| format!(r#","born":{at}"#));
         format!(
-            r#"{{"Service":"{service}","Address":"{address}","Zone":"z","Version":"{version}","Slots":8,"State":"{state}","Seq":1{born}}}"#
+            r#"{{"Service":"{service}","Address":"{address}","Zone":"z","Version":"{version}","Slots":8,"State":"{state}","ColdLeftMs":0,"Seq":1{born}}}"#
         )
     }
 }
