--- a/clementinepickd/src/ledger_turn_records.rs
+++ b/clementinepickd/src/ledger_turn_records.rs
@@ -5,7 +5,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,6 +13,7 @@
 use clementinepick::turn_chain::TurnRecord;
 use platform::store::KeyedRecord;
 use tokio::sync::{Mutex, Semaphore, SemaphorePermit};
+use tokio::time::timeout_at;
 
 use crate::ledger::{LedgerError, LedgerStore, Partition, from_cbor, key_of};
 use crate::ledger_turn_cache::LruCache;
@@ -200,7 +200,7 @@
     }
 }
 
-impl ChainRead<'_> {
+impl<'a> ChainRead<'a> {
     /// Reads the next record of the chain, unless another chain's read has brought it meanwhile;
     /// `None` only if the store says that there is none.
     pub(crate) async fn next(&mut self, id: &str) -> Result<Option<TurnRecord>, LedgerError> {
@@ -208,29 +208,29 @@
         if self.permit.is_none() {
             reader.chains.set(reader.chains.get() + 1);
             self.is_counted = true;
-            let permit = self.wait_for(reader.permits.acquire()).await?;
-            self.permit = permit.ok();
+            self.permit = Some(self.wait_for_permit().await?);
         }
+        let deadline = self.wait.deadline;
+        let deadline = deadline.min(Instant::now() + self.wait.idle_limit);
         let access = reader.access(reader.store.turn_partition(id));
-        let _guard = self.wait_for(access.lock.lock()).await?;
+        let locked = timeout_at(deadline.into(), access.lock.lock()).await;
+        let _guard = locked.map_err(|_| LedgerError::Unavailable)?;
         if let Some(record) = reader.cached(id) {
             return Ok(Some(record));
         }
-        let deadline = self.wait.deadline;
-        let deadline = deadline.min(Instant::now() + self.wait.idle_limit);
         reader.read(id, deadline).await
     }
 
-    /// Waits for other reads for as long as the store responds to some of them.
-    async fn wait_for<T>(&self, turn: impl Future<Output = T>) -> Result<T, LedgerError> {
-        let mut turn = std::pin::pin!(turn);
+    /// Waits for other chains for as long as the store responds to reads of some.
+    async fn wait_for_permit(&self) -> Result<SemaphorePermit<'a>, LedgerError> {
+        let mut permit = std::pin::pin!(self.reader.permits.acquire());
         loop {
             let left = self.time_left(Instant::now());
             if left.is_zero() {
                 return Err(LedgerError::Unavailable);
             }
-            if let Ok(done) = timeout(left, &mut turn).await {
-                return Ok(done);
+            if let Ok(acquired) = timeout(left, &mut permit).await {
+                return acquired.map_err(|_| LedgerError::Unavailable);
             }
         }
     }
