--- a/standins/tests/conversation_recovery.rs
+++ b/standins/tests/conversation_recovery.rs
@@ -369,3 +369,47 @@
         assert_eq!(status, if is_known { 200 } else { 404 });
     }
 }
+
+/// A partition that is away delays the refusal of all its callers while the store responds to reads
+/// of others.
+#[test]
+fn turns_of_a_partition_that_is_away_are_refused_as_such() {
+    const CALLERS: usize = 6;
+    const REQUESTS: usize = 6;
+    let mut run = PlatformRun::start(0).expect("a platform run");
+    let added = run.add_gateway_with(|settings| {
+        settings.ledger.turn_topics = 2;
+        settings.ledger.partitions = 1;
+    });
+    added.expect("a gateway");
+    run.store.silence_topic(Some("keyed.turns0"));
+    let run = Arc::new(run);
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let run = Arc::clone(&run);
+            thread::spawn(move || {
+                let requests = (0..REQUESTS).map(|number| {
+                    let id = format!("agent-{caller}-{number}");
+                    let previous = format!("never-{caller}-{number}");
+                    let turn = CallerRequest::turn("/chat/1", &id, &id, "x")
+                        .with("Token-Budget", "1000")
+                        .with("Previous-Turn", &previous);
+                    let response = turn.send(run.callers(0)).expect("a response");
+                    (response.status, response.body)
+                });
+                requests.collect::<Vec<_>>()
+            })
+        })
+        .collect();
+    let responses: Vec<(u16, String)> = callers
+        .into_iter()
+        .flat_map(|caller| caller.join().expect("responses"))
+        .collect();
+    let count = |status| responses.iter().filter(|r| r.0 == status).count();
+    assert!(count(404) > 0 && count(503) > 0, "{responses:?}");
+    assert_eq!(count(404) + count(503), CALLERS * REQUESTS, "{responses:?}");
+    let is_other = |body: &String| {
+        body != r#"{"error":"unknown_turn"}"# && body != r#"{"error":"ledger_away"}"#
+    };
+    assert!(!responses.iter().any(|r| is_other(&r.1)), "{responses:?}");
+}
