Tests: a call that a successor ran is refused

A call whose server is silent is sent to a successor, which runs it and closes the connection. The stand-ins' servers can refuse after a delay.

--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -21,6 +21,8 @@
 pub enum BackendFault {
     /// The request is rejected and not executed.
     Refuse,
+    /// The request is rejected after this delay and not executed.
+    RefuseAfter(Duration),
     /// The request is executed, and the connection is closed without a response.
     LoseResponse,
     /// The request is executed, and nothing is sent.
@@ -215,9 +217,15 @@
         } else {
             Some(self.faults.remove(0))
         };
-        if fault == Some(BackendFault::Refuse) {
+        let refusal_delay = match fault {
+            Some(BackendFault::Refuse) => Some(Duration::ZERO),
+            Some(BackendFault::RefuseAfter(delay)) => Some(delay),
+            _ => None,
+        };
+        if let Some(delay) = refusal_delay {
             let headers = [("not-executed", "1"), ("request-id", id.as_str())];
-            return vec![Step::Write(full_response(503, &headers, b""))];
+            let refusal = full_response(503, &headers, b"");
+            return vec![Step::Pause(delay), Step::Write(refusal)];
         }
         self.executions.push(Execution {
             request: request.clone(),
--- a/standins/tests/paused_servers.rs
+++ b/standins/tests/paused_servers.rs
@@ -356,3 +356,26 @@
     let run = start_slow_plains(2);
     assert_served(&look(&run, MANY));
 }
+
+/// Guards against a refusal that promises that a call has not run, after the server to which it was
+/// to move has run it.
+#[test]
+fn a_lookup_that_a_successor_ran_is_not_refused() {
+    let run = start_slow_plains(2);
+    let put = |state: &str| {
+        let entry = run.plains[1].entry(PLAIN_SERVICE, state);
+        run.store.put("keyed.servers", "p-2", &entry);
+    };
+    put("draining");
+    wait_until(|| state(&run).contains("\"is_draining\":true")).expect("a draining server");
+    run.plains[0].inject_fault(BackendFault::RefuseAfter(2 * PAUSE));
+    run.plains[1].inject_fault(BackendFault::LoseResponse);
+    let responses = thread::scope(|scope| {
+        let caller = scope.spawn(|| look(&run, 1));
+        thread::sleep(PAUSE / 4);
+        put("ready");
+        caller.join().expect("no panic")
+    });
+    assert_eq!(run.plains[1].executions().len(), 1, "the successor's runs");
+    assert_eq!(responses[0].status, 502, "{:?}", responses[0]);
+}
