--- a/standins/tests/gateway_ledger.rs
+++ b/standins/tests/gateway_ledger.rs
@@ -1,10 +1,11 @@
 //! Tests that budgets and turns in the store survive the loss of gateways and faults of the store.
 
+use std::thread;
 use std::time::Duration;
 
 use standins::platform_backend::{PlatformBackend, body_text};
-use standins::platform_caller::{CallerRequest, CallerResponse};
-use standins::platform_run::PlatformRun;
+use standins::platform_caller::{CallerRequest, CallerResponse, exchange};
+use standins::platform_run::{PlatformRun, config, wait_until};
 use standins::platform_store::{AppendFault, StoreMode};
 
 fn run(gateways: usize) -> PlatformRun {
@@ -223,3 +224,46 @@
     // The first attempts detect that the store is unavailable.
     assert!((0..4).any(is_served), "no turn was served");
 }
+
+/// Guards against a stream that is cut because the store is silent for seconds while the stream
+/// needs more tokens, although its deadline is later.
+#[test]
+fn a_stream_that_needs_more_tokens_waits_for_a_silent_store() {
+    let run = run(1);
+    let patient = config(2).replace(r#""TimeoutMs":2000"#, r#""TimeoutMs":9000"#);
+    run.store.put("keyed.op", "config", &patient);
+    wait_until(|| state(&run).contains("\"config_version\":2,")).expect("the configuration in use");
+    set_events(&run, 1);
+    assert_eq!(turn(&run, 0, "/draft/1", "t0", None).status, 200);
+    run.store_endpoints[0].set_mode(StoreMode::Silent);
+    // Each turn uses 10 of the 100 tokens that are held; less than a turn's maximum is left.
+    for number in 1..6 {
+        let id = format!("t{number}");
+        assert_eq!(turn(&run, 0, "/draft/1", &id, None).status, 200);
+    }
+    let other = CallerRequest::turn("/draft/1", "other", "p2", "x").with("Token-Budget", "400");
+    let refused = other.send(run.callers(0)).expect("a response");
+    assert_eq!(refused.status, 503, "the store is available");
+    set_events(&run, 5);
+    let response = thread::scope(|scope| {
+        let caller = scope.spawn(|| turn(&run, 0, "/draft/1", "last", None));
+        thread::sleep(Duration::from_secs(4));
+        run.store_endpoints[0].set_mode(StoreMode::Serving);
+        caller.join().expect("no panic")
+    });
+    assert!(response.body.contains("data:"), "not begun: {response:?}");
+    assert!(response.is_complete, "{response:?}");
+    assert_eq!(response.body.matches("data:").count(), 5);
+}
+
+fn set_events(run: &PlatformRun, events: u64) {
+    for engine in &run.engines {
+        engine.configure(|settings| settings.events = events);
+    }
+}
+
+fn state(run: &PlatformRun) -> String {
+    let metrics = run.gateways[0].addresses.metrics.expect("an address");
+    let request = b"GET /state HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    exchange(metrics, request).map_or(String::new(), |state| state.body)
+}
