Gateway: a call that a successor may have run is not refused

Cause: a move to a successor marked the request as possibly run only once the successor had taken it. If the successor failed after it was sent the request, or the move was dropped because the silent server responded, a later refusal by that server led to 503 `servers_refused`, which promises that the request has not run.

Change: the request counts as possibly run from the moment it is sent to the successor; only a refusal by the successor takes that back.

--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -269,10 +269,9 @@
         }
     }
 
-    /// Makes `successor` the current run, and returns the one that it takes over from.
-    pub(crate) fn replace_run(&mut self, successor: CurrentRun) -> Option<CurrentRun> {
-        self.refusal = Refusal::ServerLost;
-        self.current.replace(successor)
+    /// Sets the refusal to send if all attempts fail, and returns the one before.
+    pub(crate) fn replace_refusal(&mut self, refusal: Refusal) -> Refusal {
+        std::mem::replace(&mut self.refusal, refusal)
     }
 
     /// Records that a run was left because its server was silent.
--- a/clementinepickd/src/gateway_handover.rs
+++ b/clementinepickd/src/gateway_handover.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use actix_rt::time::timeout;
+use clementinepick::refusal::Refusal;
 
 use crate::gateway_attempts::{AttemptError, Attempts, CurrentRun};
 use crate::gateway_exchange::{ResponseFuture, RunInput, SentRequest, ServerSlot};
@@ -260,6 +261,8 @@
         } = successor;
         retry.make(self.trace.kind.get());
         self.record_send(&slot);
+        // If this is dropped, the successor may run the request.
+        let refusal_before = self.replace_refusal(Refusal::ServerLost);
         let (shared, routed) = (self.shared, self.routed);
         routed.record_prompt(shared, &slot.server, input);
         let body = input.body.clone();
@@ -273,11 +276,13 @@
                 self.trace.record_error(&server.id, error.label());
                 if error == AttemptError::ResponseLost {
                     self.record_loss(&run).await;
+                } else {
+                    self.replace_refusal(refusal_before);
                 }
                 return Err(NoSuccessor::Failed);
             }
         };
-        let left = self.replace_run(run);
+        let left = self.current.replace(run);
         Ok((SentRequest { server, response }, left))
     }
 }
