Gateway: a begun stream waits for more tokens until its deadline

Cause: a stream that began with less than its maximum, during an outage of the store, tried to reserve the rest for 1.2 s and was cut then, although its events were there and its deadline was seconds away.

Change: it tries until the deadline, as long as the store is the reason. A budget that is used up still ends it at once.

Measured: a_stream_that_needs_more_tokens_waits_for_a_silent_store fails before (cut after four of five events and 1.22 s) and passes in 4 of 4 runs; gateway_ledger 13 of 13.

--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
+use actix_rt::time::sleep;
 use bytes::{Bytes, BytesMut};
 use clementinepick::event::{Event, EventKind};
 use clementinepick::event_stream::{EventSplitter, StreamEvent};
@@ -46,6 +47,8 @@
 const MAX_STREAM_TIMEOUTS: u64 = 2;
 /// How long the store may take to respond.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// The pause after a begun stream could not reserve more tokens.
+const RESERVE_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// The minimum timeout for the first event, which waits for a free slot and for the prompt to be
 /// read.
 const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -273,7 +276,7 @@
     server: Option<String>,
     /// Where the stream began; `None` before its first event.
     origin: Option<StreamOrigin>,
-    /// Whether the reserved tokens are used up and no more can be reserved now.
+    /// Whether the reserved tokens are used up and no more can be reserved.
     is_out_of_budget: bool,
     body: Bytes,
     delivered: Delivered,
@@ -476,7 +479,7 @@
     }
 
     /// Ensures that one more event is within the program's budget; returns false if no more tokens
-    /// can be reserved now.
+    /// can be reserved until the deadline.
     ///
     /// A turn that started with less than its maximum may use up its reservation. The rest is
     /// reserved then, and its events wait until that is done.
@@ -490,15 +493,27 @@
             return true;
         }
         let rest = max_tokens.saturating_sub(self.reserved_total).max(tokens);
-        let deadline = store_deadline(self.routed);
-        match reserve(self.shared, self.routed, self.trace, rest, deadline).await {
-            Ok(Some(reserved)) => {
-                self.reserved_total.0 += reserved.hold.reserved_tokens().0;
-                self.hold = Some(reserved.hold);
-                true
+        while let Err(refusal) = self.reserve_more(rest).await {
+            // The events are there, and dropping them would lose the turn.
+            if refusal != Refusal::LedgerUnavailable
+                || self.routed.time_left(Instant::now()).is_zero()
+            {
+                return false;
             }
-            _ => false,
+            sleep(RESERVE_RETRY_INTERVAL).await;
+        }
+        true
+    }
+
+    /// Replaces the used-up hold by one on `tokens` more.
+    async fn reserve_more(&mut self, tokens: Tokens) -> Result<(), Refusal> {
+        let deadline = store_deadline(self.routed);
+        let reserved = reserve(self.shared, self.routed, self.trace, tokens, deadline).await?;
+        if let Some(Reserved { hold, .. }) = reserved {
+            self.reserved_total.0 += hold.reserved_tokens().0;
+            self.hold = Some(hold);
         }
+        Ok(())
     }
 
     async fn deliver(
