Test processes claim the ports of their gateways

Cause: each test process began its sequence of ports at a place given by its id, at one of 44, and a port was free between two starts of its gateway. Change: a process claims ranges of 200 ports, and holds the first port of each as long as it runs.

--- a/standins/src/soak_process.rs
+++ b/standins/src/soak_process.rs
@@ -2,23 +2,26 @@
 
 use std::fs;
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::http::lock;
+
 /// The drain delay and the shutdown limit in the settings of each gateway, short enough that a run
 /// has several graceful shutdowns.
 const DRAIN_DELAY_MS: u64 = 400;
 const SHUTDOWN_LIMIT_MS: u64 = 3_000;
-/// The ports for gateways, below those that the system assigns.
+/// The ports for gateways, in ranges, below those that the system assigns.
 const FIRST_PORT: u16 = 10_000;
-const PORT_COUNT: u16 = 22_000;
-/// The distance between the first ports of processes with successive ids.
-const PORTS_PER_PROCESS: u32 = 500;
+const RANGE_COUNT: u16 = 110;
+const RANGE_PORTS: u16 = 200;
+/// The ports of a range without the one that is held while the range is claimed.
+const USABLE_PORTS: u16 = RANGE_PORTS - 1;
 /// How much longer than its shutdown limit a process may take to exit.
 const EXIT_GRACE: Duration = Duration::from_secs(2);
 
@@ -61,18 +64,61 @@
     }
 }
 
-/// Binds the next free port of this process's sequence.
+/// The ranges of ports that this process has claimed, and the next port to bind.
+struct ClaimedPorts {
+    /// A listener at the first port of each range, held until the process ends: test processes that
+    /// run at the same time would otherwise find each other's ports free between two starts of a
+    /// gateway.
+    guards: Vec<TcpListener>,
+    /// The number of ports that were taken from the claimed ranges.
+    taken: u16,
+}
+
+impl ClaimedPorts {
+    /// Returns the next port, of a newly claimed range if the last one is used up; begins again with
+    /// the first range if there is no other.
+    fn next(&mut self) -> io::Result<u16> {
+        if usize::from(self.taken / USABLE_PORTS) >= self.guards.len() {
+            match claim_range() {
+                Ok(guard) => self.guards.push(guard),
+                Err(err) if self.guards.is_empty() => return Err(err),
+                Err(_) => self.taken = 0,
+            }
+        }
+        let range = usize::from(self.taken / USABLE_PORTS);
+        let guard_port = self.guards[range].local_addr()?.port();
+        let port = guard_port + 1 + self.taken % USABLE_PORTS;
+        self.taken += 1;
+        Ok(port)
+    }
+}
+
+/// Claims a range of ports that no other process has claimed.
+fn claim_range() -> io::Result<TcpListener> {
+    let mut error = io::Error::from(io::ErrorKind::AddrInUse);
+    for range in 0..RANGE_COUNT {
+        match bind(FIRST_PORT + range * RANGE_PORTS) {
+            Ok(guard) => return Ok(guard),
+            Err(err) => error = err,
+        }
+    }
+    Err(error)
+}
+
+fn bind(port: u16) -> io::Result<TcpListener> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, port))
+}
+
+/// Binds the next free port of those that this process has claimed.
 fn bind_next() -> io::Result<TcpListener> {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
+    static CLAIMED: Mutex<ClaimedPorts> = Mutex::new(ClaimedPorts {
+        guards: Vec::new(),
+        taken: 0,
+    });
+    let mut claimed = lock(&CLAIMED);
     let mut error = io::Error::from(io::ErrorKind::AddrInUse);
-    for _ in 0..PORT_COUNT {
-        let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        // Tests that run at the same time begin at different ports.
-        let offset = std::process::id()
-            .wrapping_mul(PORTS_PER_PROCESS)
-            .wrapping_add(number);
-        let port = FIRST_PORT + u16::try_from(offset % u32::from(PORT_COUNT)).unwrap_or(0);
-        match TcpListener::bind((IpAddr::V4(Ipv4Addr::LOCALHOST), port)) {
+    for _ in 0..RANGE_COUNT * RANGE_PORTS {
+        match bind(claimed.next()?) {
             Ok(listener) => return Ok(listener),
             Err(err) => error = err,
         }
