Soak: pauses of servers, changes of limits and services, and a check for answers

The soak had no server that pauses and goes on, no change of the callers' limits and no caller that keeps a connection idle near the limit. A new check, in all runs: a request that was sent whole ends with a complete answer or a refusal, unless a fault of the plan excuses just that request; each violation gives the last log line that names the request.

Tests: two histories of the test of the single checks have a response that ends early, and one a request without an answer, which the new check would find too; they now carry an excuse, so that still exactly one check finds each. No expectation changed.

--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -97,6 +97,8 @@
     pub request: WireRequest,
     /// Request id.
     pub id: String,
+    /// The fault of the response, if any.
+    pub fault: Option<BackendFault>,
 }
 
 #[derive(Debug, Default)]
@@ -222,6 +224,7 @@
         self.executions.push(Execution {
             request: request.clone(),
             id: id.clone(),
+            fault,
         });
         match fault {
             Some(BackendFault::LoseResponse) => return vec![Step::Close],
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -20,11 +20,13 @@
 use crate::platform_caller::CallerRequest;
 use crate::platform_run::{is_ready, wait_until};
 use crate::soak_callers::Callers;
-use crate::soak_faults::{Fault, PlannedFault, plan_faults};
+use crate::soak_faults::{Fault, PlannedFault, plan_extended_faults, plan_faults};
 use crate::soak_history::{History, RequestKind, RequestRecord, find_violations};
 use crate::soak_world::{GATEWAYS, SoakWorld, find_daemon};
 
 const PROGRAM_CALLERS: usize = 8;
+/// The callers of each gateway that keep connections idle, in runs of the extended plan.
+const IDLE_CALLERS: usize = 4;
 /// How often a sleep checks for an interrupt.
 const INTERRUPT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long callers go on after the last fault, so that requests in progress can complete.
@@ -38,7 +40,7 @@
     subcommand,
     name = "soak",
     example = "{command_name} --seeds 0..50",
-    example = "{command_name} --seeds 7..8 --seconds 20"
+    example = "{command_name} --seeds 7..8 --seconds 20 --extended"
 )]
 pub struct Soak {
     /// seeds to run, as `A..B` (B not included; default 0..5)
@@ -47,6 +49,9 @@
     /// how long faults are injected in a run, in seconds (default 5)
     #[argh(option, default = "5")]
     pub seconds: u64,
+    /// also pause servers, change limits, timeouts and services, and keep connections idle
+    #[argh(switch)]
+    pub extended: bool,
     /// path of the daemon (default: `clementinepickd` beside this program)
     #[argh(option)]
     pub daemon: Option<PathBuf>,
@@ -68,8 +73,8 @@
     pub resume_count: usize,
     /// Those of them that brought at least one event or the end.
     pub resumed_count: usize,
-    /// Faults that were injected.
-    pub fault_count: usize,
+    /// Faults that were injected, by their start.
+    pub faults: Vec<PlannedFault>,
 }
 
 /// A flag that SIGTERM or SIGINT sets.
@@ -153,7 +158,7 @@
             }
             println!(
                 "seed {seed}: {} faults, {} of {} requests served, {} of {} drafts resumed, {} violations",
-                end.fault_count,
+                end.faults.len(),
                 end.served_count,
                 end.request_count,
                 end.resumed_count,
@@ -163,6 +168,9 @@
             for line in &end.violations {
                 println!("  {line}");
             }
+            if !end.violations.is_empty() {
+                print_faults(&end.faults);
+            }
             failed_seeds += usize::from(!end.violations.is_empty());
         }
         if failed_seeds > 0 {
@@ -189,8 +197,14 @@
         let process_id = std::process::id();
         let root = self.directory.clone().unwrap_or_else(std::env::temp_dir);
         let directory = root.join(format!("soak-{process_id}-{seed}"));
-        let world = SoakWorld::start(&daemon, &directory)?;
-        let end = run_under_faults(&world, seed, Duration::from_secs(self.seconds), interrupt);
+        let world = SoakWorld::start(&daemon, &directory, self.extended)?;
+        let length = Duration::from_secs(self.seconds);
+        let (planned, idle_callers) = if self.extended {
+            (plan_extended_faults(seed, length), IDLE_CALLERS)
+        } else {
+            (plan_faults(seed, length), 0)
+        };
+        let end = run_under_faults(&world, seed, &planned, idle_callers, interrupt);
         drop(world);
         if end.violations.is_empty() {
             // The files of a successful run are of no use; an error here doesn't matter.
@@ -200,13 +214,25 @@
     }
 }
 
+fn print_faults(faults: &[PlannedFault]) {
+    for PlannedFault {
+        offset,
+        duration,
+        fault,
+        random_value,
+    } in faults
+    {
+        println!("  fault at {offset:?} for {duration:?}: {fault:?} {random_value}");
+    }
+}
+
 fn run_under_faults(
     world: &SoakWorld,
     seed: u64,
-    length: Duration,
+    planned: &[PlannedFault],
+    idle_callers: usize,
     interrupt: &Interrupt,
 ) -> SoakResult {
-    let planned = plan_faults(seed, length);
     let callers = Callers {
         world,
         seed,
@@ -231,9 +257,12 @@
             let callers = &callers;
             scope.spawn(move || callers.use_open_connections(gateway));
             scope.spawn(move || callers.poll_config_versions(gateway));
+            for number in 0..idle_callers {
+                scope.spawn(move || callers.keep_connections_idle(gateway, number));
+            }
         }
         thread::scope(|faults| {
-            for fault in &planned {
+            for fault in planned {
                 let (callers, record) = (&callers, &record);
                 faults.spawn(move || {
                     interrupt.sleep_until(started_at + fault.offset);
@@ -256,12 +285,13 @@
     let history = callers.history.into_inner();
     let history = History {
         executed: world.executed_requests(),
+        cut_links: world.cut_links(),
         ..history.unwrap_or_else(std::sync::PoisonError::into_inner)
     };
     let mut violations = found
         .into_inner()
         .unwrap_or_else(std::sync::PoisonError::into_inner);
-    violations.extend(find_violations(&history));
+    violations.extend(add_log_lines(world, find_violations(&history)));
     let served = history.requests.iter();
     let is_resumed = |r: &&RequestRecord| matches!(r.kind, RequestKind::Resumed { .. });
     let resumed: Vec<_> = history.requests.iter().filter(is_resumed).collect();
@@ -271,10 +301,29 @@
         resumed_count: resumed.iter().filter(|r| r.status == 200).count(),
         request_count: history.requests.len(),
         served_count: served.filter(|a| a.status == 200 && a.is_complete).count(),
-        fault_count: planned.len(),
+        faults: planned.to_vec(),
     }
 }
 
+/// Adds to each violation the last log line that names its request.
+fn add_log_lines(world: &SoakWorld, violations: Vec<String>) -> Vec<String> {
+    if violations.is_empty() {
+        return violations;
+    }
+    let id = |violation: &str| violation.split(':').next().unwrap_or_default().to_owned();
+    let ids: Vec<String> = violations.iter().map(|violation| id(violation)).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let lines = world.find_log_lines(&ids);
+    let with_line = violations.into_iter().map(|violation| match &lines {
+        Ok(lines) => match lines.get(&id(&violation)) {
+            Some(line) => format!("{violation}; logged: {line}"),
+            None => format!("{violation}; no log line names it"),
+        },
+        Err(err) => format!("{violation}; logs can't be read: {err}"),
+    });
+    with_line.collect()
+}
+
 fn inject_fault(callers: &Callers<'_>, fault: &PlannedFault) -> std::io::Result<()> {
     if fault.fault == Fault::CallersDisconnect {
         callers.should_disconnect.store(true, Ordering::Relaxed);
--- a/standins/src/soak_callers.rs
+++ b/standins/src/soak_callers.rs
@@ -12,6 +12,7 @@
 
 use crate::http::lock;
 use crate::platform_caller::{CallerRequest, CallerResponse, read_response, read_start};
+use crate::soak_answers::Excuse;
 use crate::soak_history::{BUDGET_TOKENS, History, RequestKind, RequestRecord};
 use crate::soak_world::{GATEWAYS, GatewayStatus, SoakWorld};
 
@@ -21,7 +22,9 @@
 /// The longest time after which a caller that does not wait for its response disconnects.
 const MAX_PATIENCE_MS: u64 = 50;
 /// The pause between two requests on an open connection, and between two version checks.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
+pub(crate) const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
+/// The part of the idle limit for which callers keep a connection idle before they reuse it.
+pub(crate) const MAX_IDLE_SHARE: f64 = 0.8;
 /// The most turns of a program that finishes by itself.
 const MAX_PROGRAM_TURNS: u64 = 6;
 /// The most turns of a looping program, which are more than its token budget allows.
@@ -62,15 +65,34 @@
     pub(crate) history: Mutex<History>,
 }
 
-struct Caller<'a> {
-    shared: &'a Callers<'a>,
+/// A caller with its own random numbers and request ids.
+pub(crate) struct Caller<'a> {
+    pub(crate) shared: &'a Callers<'a>,
     name: String,
-    random: ChaCha8Rng,
+    pub(crate) random: ChaCha8Rng,
     sent_count: u64,
 }
 
+/// A request that is being sent, with the state in which its gateway was.
+pub(crate) struct Attempt {
+    pub(crate) id: String,
+    pub(crate) request: CallerRequest,
+    program: String,
+    kind: RequestKind,
+    gateway: usize,
+    before: GatewayStatus,
+    /// The newest configuration that its gateway was known to have in force.
+    served_version: u64,
+    sent_at: Instant,
+    /// How long its connection had been idle.
+    pub(crate) idle: Duration,
+    /// The start of the gateway to which the connection was opened.
+    pub(crate) connection_start: u32,
+    pub(crate) excuse: Option<Excuse>,
+}
+
 impl Callers<'_> {
-    fn is_finished(&self) -> bool {
+    pub(crate) fn is_finished(&self) -> bool {
         self.is_finished.load(Ordering::Relaxed)
     }
 
@@ -78,7 +100,7 @@
         lock(&self.history).requests.push(record);
     }
 
-    fn new_caller(&self, name: String) -> Caller<'_> {
+    pub(crate) fn new_caller(&self, name: String) -> Caller<'_> {
         let number: u64 = name.bytes().map(u64::from).sum();
         Caller {
             shared: self,
@@ -121,7 +143,11 @@
             let newest = self.world.config_version();
             for version in newest.saturating_sub(1).max(1)..=newest {
                 let kind = RequestKind::Version(version);
-                caller.send(gateway, "", kind);
+                let start_count = self.world.gateway_status(gateway).start_count;
+                if caller.send(gateway, "", kind).status == 200 {
+                    self.world
+                        .record_served_version((gateway, start_count), version);
+                }
             }
             sleep(REQUEST_INTERVAL);
         }
@@ -231,100 +257,123 @@
         (id, request)
     }
 
-    /// Sends a request on a new connection.
-    fn send(&mut self, gateway: usize, program: &str, kind: RequestKind) -> Received {
+    /// Prepares a request, which is sent next.
+    pub(crate) fn start_attempt(
+        &mut self,
+        gateway: usize,
+        program: &str,
+        kind: RequestKind,
+    ) -> Attempt {
         let (id, request) = self.build_request(program, &kind);
-        let before = self.shared.world.gateway_status(gateway);
-        let sent_at = Instant::now();
-        let disconnects =
-            self.shared.should_disconnect.load(Ordering::Relaxed) && self.random.random_bool(0.3);
-        let patience = Duration::from_millis(self.random.random_range(5..=MAX_PATIENCE_MS));
-        let connected = TcpStream::connect(before.callers);
-        let is_connected = connected.is_ok();
-        let answer = connected.and_then(|mut connection| {
-            connection.write_all(&request.bytes())?;
-            if disconnects {
-                return read_start(&mut connection, patience);
-            }
-            read_response(&mut connection)
-        });
-        let after = self.shared.world.gateway_status(gateway);
-        let requires_response =
-            is_connected && !disconnects && is_undisturbed(before, after) && !after.is_ending;
-        let answer = answer.unwrap_or_default();
-        let received = Received::of(id.clone(), &answer);
-        let gateway_start = (gateway, before.start_count);
-        self.record(
+        let world = self.shared.world;
+        let before = world.gateway_status(gateway);
+        Attempt {
             id,
-            program,
+            request,
+            program: program.to_owned(),
             kind,
-            gateway_start,
-            answer,
-            requires_response,
-            sent_at.elapsed(),
-        );
-        received
+            gateway,
+            before,
+            served_version: world.served_version(gateway),
+            sent_at: Instant::now(),
+            idle: Duration::ZERO,
+            connection_start: before.start_count,
+            excuse: None,
+        }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the fields of one record")]
-    fn record(
+    /// Records a request and its response.
+    pub(crate) fn finish_attempt(
         &self,
-        id: String,
-        program: &str,
-        kind: RequestKind,
-        gateway: (usize, u32),
+        attempt: Attempt,
         answer: CallerResponse,
-        requires_response: bool,
-        duration: Duration,
+        must_respond: impl FnOnce(GatewayStatus) -> bool,
     ) {
+        let world = self.shared.world;
+        let Attempt { before, .. } = attempt;
+        let after = world.gateway_status(attempt.gateway);
+        let configs = world.configs_since(attempt.served_version);
+        let idle_limit_ms = configs.iter().map(|config| config.idle_limit_ms).min();
+        let idle_limit = Duration::from_millis(idle_limit_ms.unwrap_or_default());
+        let timeouts = configs.iter().map(|config| config.timeout(&attempt.kind));
+        let timeout = timeouts.min().unwrap_or_default();
+        let is_disturbed = before.has_fault
+            || after.has_fault
+            || before.disturbance_count != after.disturbance_count
+            || before.start_count != attempt.connection_start;
+        let is_closing = before.is_ending
+            || after.is_ending
+            || attempt.idle > idle_limit.mul_f64(MAX_IDLE_SHARE);
         self.shared.record(RequestRecord {
-            id,
-            program: program.to_owned(),
-            kind,
-            gateway,
+            id: attempt.id,
+            program: attempt.program,
+            kind: attempt.kind,
+            gateway: (attempt.gateway, before.start_count),
             status: answer.status,
             reports_not_executed: answer.headers.contains_key("retry-after"),
             body: answer.body,
             is_complete: answer.is_complete,
-            requires_response,
-            duration,
+            requires_response: must_respond(after) && is_undisturbed(before, after),
+            sent_at: world.elapsed(attempt.sent_at),
+            duration: attempt.sent_at.elapsed(),
+            idle: attempt.idle,
+            idle_limit,
+            timeout,
+            excuse: attempt
+                .excuse
+                .or(is_disturbed.then_some(Excuse::GatewayDisturbed))
+                .or(is_closing.then_some(Excuse::Closing)),
         });
     }
 
+    /// Sends a request on a new connection.
+    fn send(&mut self, gateway: usize, program: &str, kind: RequestKind) -> Received {
+        let mut attempt = self.start_attempt(gateway, program, kind);
+        let disconnects =
+            self.shared.should_disconnect.load(Ordering::Relaxed) && self.random.random_bool(0.3);
+        let patience = Duration::from_millis(self.random.random_range(5..=MAX_PATIENCE_MS));
+        let connected = TcpStream::connect(attempt.before.callers);
+        let is_connected = connected.is_ok();
+        let mut is_sent = false;
+        let answer = connected.and_then(|mut connection| {
+            connection.write_all(&attempt.request.bytes())?;
+            is_sent = true;
+            if disconnects {
+                return read_start(&mut connection, patience);
+            }
+            read_response(&mut connection)
+        });
+        let answer = answer.unwrap_or_default();
+        if !is_sent {
+            attempt.excuse = Some(Excuse::NotSent);
+        } else if disconnects {
+            attempt.excuse = Some(Excuse::CallerLeft);
+        }
+        let received = Received::of(attempt.id.clone(), &answer);
+        self.finish_attempt(attempt, answer, |after| {
+            is_connected && !disconnects && !after.is_ending
+        });
+        received
+    }
+
     /// Sends lookups on one connection until it is closed or its closing is announced.
     fn use_connection(&mut self, gateway: usize) {
-        let Ok(mut connection) =
-            TcpStream::connect(self.shared.world.gateway_status(gateway).callers)
-        else {
+        let opened = self.shared.world.gateway_status(gateway);
+        let Ok(mut connection) = TcpStream::connect(opened.callers) else {
             return;
         };
+        let mut idle_since = Instant::now();
         let mut is_open = false;
         while !self.shared.is_finished() {
-            let (id, request) = self.build_request("", &RequestKind::Lookup);
-            let before = self.shared.world.gateway_status(gateway);
-            let sent_at = Instant::now();
-            let sent = connection.write_all(&request.bytes());
-            let answer = sent.and_then(|()| read_response(&mut connection));
-            let after = self.shared.world.gateway_status(gateway);
-            let answer = answer.unwrap_or_default();
-            let closes = answer
-                .headers
-                .get("connection")
-                .is_some_and(|c| c == "close");
-            let can_continue = answer.status != 0 && answer.is_complete && !closes;
+            let mut attempt = self.start_attempt(gateway, "", RequestKind::Lookup);
+            attempt.connection_start = opened.start_count;
+            attempt.idle = idle_since.elapsed();
+            let answer = exchange_on(&mut connection, &mut attempt);
+            idle_since = Instant::now();
+            let can_continue = keeps_connection(&answer);
             // A graceful shutdown must not cut off a request on an open connection unless it has
             // announced to close it.
-            let requires_response = is_open && is_undisturbed(before, after);
-            let gateway_start = (gateway, before.start_count);
-            self.record(
-                id,
-                "",
-                RequestKind::Lookup,
-                gateway_start,
-                answer,
-                requires_response,
-                sent_at.elapsed(),
-            );
+            self.finish_attempt(attempt, answer, |_| is_open);
             if !can_continue {
                 return;
             }
@@ -334,6 +383,21 @@
     }
 }
 
+/// Sends a request on an open connection and returns what arrives of its response.
+pub(crate) fn exchange_on(connection: &mut TcpStream, attempt: &mut Attempt) -> CallerResponse {
+    if connection.write_all(&attempt.request.bytes()).is_err() {
+        attempt.excuse = Some(Excuse::NotSent);
+        return CallerResponse::default();
+    }
+    read_response(connection).unwrap_or_default()
+}
+
+/// Returns whether another request may follow a response on its connection.
+pub(crate) fn keeps_connection(answer: &CallerResponse) -> bool {
+    let connection = answer.headers.get("connection");
+    answer.status != 0 && answer.is_complete && connection.is_none_or(|value| value != "close")
+}
+
 fn is_undisturbed(before: GatewayStatus, after: GatewayStatus) -> bool {
     before.start_count == after.start_count && !before.has_fault && !after.has_fault
 }
--- a/standins/src/soak_faults.rs
+++ b/standins/src/soak_faults.rs
@@ -38,6 +38,14 @@
     ConfigUpdate,
     /// Callers disconnect before their responses.
     CallersDisconnect,
+    /// A server, all of a service or all of a software version stop sending for a time and go on with
+    /// the same responses.
+    ServersPause,
+    /// Several versions of the configuration follow each other, each with another idle limit, other
+    /// timeouts, or routes at another service while the service before is no longer listed.
+    ConfigSeries,
+    /// A gateway receives SIGHUP.
+    Hangup,
 }
 
 const FAULT_KINDS: [Fault; 15] = [
@@ -57,9 +65,29 @@
     Fault::ConfigUpdate,
     Fault::CallersDisconnect,
 ];
+/// The kinds that only the extended plan has; a kind is as frequent as it is listed.
+const EXTENDED_FAULT_KINDS: [Fault; 8] = [
+    Fault::ServersPause,
+    Fault::ServersPause,
+    Fault::ServersPause,
+    Fault::ConfigSeries,
+    Fault::ConfigSeries,
+    Fault::ConfigSeries,
+    Fault::Hangup,
+    Fault::Terminate,
+];
+/// The random numbers of the extended plan, which leave those of the basic plan as they are.
+const EXTENDED_STREAM: u64 = 1;
 /// The mean time between the starts of two faults, short enough that faults overlap.
 const MEAN_INTERVAL_MS: u64 = 350;
+const MIN_DURATION_MS: u64 = 100;
 const MAX_DURATION_MS: u64 = 1_500;
+/// The shortest and the longest pause of servers, which end before the shortest timeout of streams.
+const MIN_PAUSE_MS: u64 = 800;
+const MAX_PAUSE_MS: u64 = 1_600;
+/// Every how many faults of the basic plan one is part of the extended plan, so that most requests
+/// are not excused by a fault.
+const BASIC_FAULT_INTERVAL: usize = 3;
 
 /// A fault of a plan.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,18 +105,47 @@
 /// Returns the faults for `seed` in a run of `length`.
 #[must_use]
 pub fn plan_faults(seed: u64, length: Duration) -> Vec<PlannedFault> {
+    draw_faults(&mut ChaCha8Rng::seed_from_u64(seed), &FAULT_KINDS, length)
+}
+
+/// Returns the faults for `seed` with pauses of servers and series of configurations among them.
+#[must_use]
+pub fn plan_extended_faults(seed: u64, length: Duration) -> Vec<PlannedFault> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(EXTENDED_STREAM);
+    let mut planned = draw_faults(&mut random, &EXTENDED_FAULT_KINDS, length);
+    planned.extend(
+        plan_faults(seed, length)
+            .iter()
+            .step_by(BASIC_FAULT_INTERVAL),
+    );
+    planned.sort_by_key(|fault| fault.offset);
+    planned
+}
+
+fn draw_faults(random: &mut ChaCha8Rng, kinds: &[Fault], length: Duration) -> Vec<PlannedFault> {
     let mut planned = Vec::new();
     // The first fault comes once programs are running.
     let mut offset = Duration::from_millis(MEAN_INTERVAL_MS);
     while offset < length {
+        let duration_ms = random.random_range(MIN_DURATION_MS..=MAX_DURATION_MS);
+        let fault = kinds[random.random_range(0..kinds.len())];
         planned.push(PlannedFault {
             offset,
-            duration: Duration::from_millis(random.random_range(100..=MAX_DURATION_MS)),
-            fault: FAULT_KINDS[random.random_range(0..FAULT_KINDS.len())],
+            duration: Duration::from_millis(match fault {
+                Fault::ServersPause => pause_ms(duration_ms),
+                _ => duration_ms,
+            }),
+            fault,
             random_value: random.random(),
         });
         offset += Duration::from_millis(random.random_range(1..=2 * MEAN_INTERVAL_MS));
     }
     planned
 }
+
+/// Scales a duration of a fault to that of a pause.
+fn pause_ms(duration_ms: u64) -> u64 {
+    let span = MAX_DURATION_MS - MIN_DURATION_MS;
+    MIN_PAUSE_MS + (duration_ms - MIN_DURATION_MS) * (MAX_PAUSE_MS - MIN_PAUSE_MS) / span
+}
--- a/standins/src/soak_history.rs
+++ b/standins/src/soak_history.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::platform_backend::event_data;
+use crate::soak_answers::{CutLink, Excuse, requests_end_with_an_answer};
 
 /// The number of events of each stream.
 pub const EVENTS_PER_STREAM: u64 = 4;
@@ -60,8 +61,18 @@
     pub reports_not_executed: bool,
     /// Whether its gateway must respond, which holds unless a fault or a shutdown excuses it.
     pub requires_response: bool,
+    /// When it was sent, from the start of the run.
+    pub sent_at: Duration,
     /// The time from sending it to the end of its response.
     pub duration: Duration,
+    /// How long its connection had been idle before.
+    pub idle: Duration,
+    /// The shortest idle limit that may have been in force at its gateway.
+    pub idle_limit: Duration,
+    /// The shortest timeout of its route that may have been in force at its gateway.
+    pub timeout: Duration,
+    /// Why its caller or its gateway may be the reason that it has no answer.
+    pub excuse: Option<Excuse>,
 }
 
 /// A request that a backend server executed.
@@ -71,6 +82,10 @@
     pub id: String,
     /// The request body, which is the prompt of a turn.
     pub body: String,
+    /// The id of the server.
+    pub server: String,
+    /// Whether the server answered with a fault.
+    pub is_faulty: bool,
 }
 
 /// All requests that callers sent and backend servers executed.
@@ -80,6 +95,8 @@
     pub requests: Vec<RequestRecord>,
     /// The requests that backend servers executed.
     pub executed: Vec<ExecutedRequest>,
+    /// The times in which links to backend servers were cut.
+    pub cut_links: Vec<CutLink>,
 }
 
 /// Returns a description of each violation in a history.
@@ -95,6 +112,7 @@
         completed_turns_can_be_continued,
         config_version_never_decreases,
         required_responses_arrive,
+        requests_end_with_an_answer,
     ];
     checks.iter().flat_map(|check| check(history)).collect()
 }
@@ -105,7 +123,7 @@
     (last_event + 1..=EVENTS_PER_STREAM).map(event).collect()
 }
 
-fn is_turn(kind: &RequestKind) -> bool {
+pub(crate) fn is_turn(kind: &RequestKind) -> bool {
     matches!(
         kind,
         RequestKind::Chat { .. } | RequestKind::Draft | RequestKind::Resumed { .. }
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -1,20 +1,23 @@
 //! Starts the gateways, the store and the backend servers of a soak, and injects faults into them.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
 
 use crate::http::lock;
 use crate::platform_backend::{BackendFault, BackendSettings, PlatformBackend};
-use crate::platform_run::{HOST, MODEL_SERVICE, PLAIN_SERVICE, is_ready};
+use crate::platform_run::{MODEL_SERVICE, PLAIN_SERVICE, is_ready};
 use crate::platform_store::{AppendFault, PlatformStore, StoreEndpoint, StoreMode};
+use crate::soak_answers::CutLink;
+use crate::soak_config::{OTHER_MODEL_SERVICE, OTHER_PLAIN_SERVICE, SoakConfig};
 use crate::soak_faults::{Fault, PlannedFault};
-use crate::soak_history::{EVENTS_PER_STREAM, ExecutedRequest, TOKENS_PER_EVENT};
+use crate::soak_history::{EVENTS_PER_STREAM, ExecutedRequest};
 use crate::soak_process::{GatewayProcess, ProcessPorts, wait_for_exit};
 use crate::soak_proxy::{Proxy, ProxyMode};
 
@@ -22,7 +25,13 @@
 pub const GATEWAYS: usize = 3;
 /// The number of backend servers in a run, by service.
 const SERVERS: [(&str, usize); 2] = [(MODEL_SERVICE, 3), (PLAIN_SERVICE, 2)];
+/// The backend servers that only runs of the extended plan have.
+const EXTENDED_SERVERS: [(&str, usize); 2] = [(OTHER_MODEL_SERVICE, 2), (OTHER_PLAIN_SERVICE, 2)];
 
+/// The most configurations that follow each other in one fault.
+const MAX_SERIES_CONFIGS: u64 = 4;
+/// The bits of a fault's random value that select one change of the configuration.
+const BITS_PER_CHANGE: u32 = 8;
 /// The software versions of the servers of a service, in turn.
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 
@@ -33,9 +42,14 @@
     proxy: Proxy,
     id: String,
     service: &'static str,
+    version: &'static str,
 }
 
 impl Server {
+    fn runs_turns(&self) -> bool {
+        [MODEL_SERVICE, OTHER_MODEL_SERVICE].contains(&self.service)
+    }
+
     fn entry(&self, state: &str) -> String {
         let backend = self.backend.entry(self.service, state);
         let address = self.backend.address.to_string();
@@ -49,8 +63,12 @@
     process: GatewayProcess,
     /// The number of faults of its process that have not ended.
     active_faults: u32,
+    /// How often it was killed or suspended.
+    disturbance_count: u32,
     /// Whether it was told to shut down and has not been restarted yet.
     is_ending: bool,
+    /// The newest version of the configuration that this start of it has served.
+    served_version: u64,
 }
 
 /// The status of a gateway at one moment.
@@ -62,6 +80,8 @@
     pub start_count: u32,
     /// Whether its process is killed or suspended.
     pub has_fault: bool,
+    /// How often its process was killed or suspended.
+    pub disturbance_count: u32,
     /// Whether it was told to shut down.
     pub is_ending: bool,
 }
@@ -73,30 +93,11 @@
     doors: Vec<StoreEndpoint>,
     servers: Vec<Server>,
     gateways: Vec<Mutex<Gateway>>,
-    version: Mutex<u64>,
-}
-
-/// Returns a version of the configuration, which has a route that no other version has.
-fn config(version: u64) -> String {
-    let route = |path: &str, more: &str| {
-        format!(r#"{{"Name":"{path}","Host":"{HOST}","PathPrefix":"/{path}/",{more}}}"#)
-    };
-    let stream = r#""Kind":"streaming","TimeoutMs":2500,"TargetLatencyMs":100,"GapTargetMs":150,"Service":"models","RetainS":60.0,"Sticky":true,"Attempts":2"#;
-    let plain = r#""TimeoutMs":1200,"TargetLatencyMs":50,"Service":"plain","Attempts":2"#;
-    let routes = [
-        route("chat", &format!(r#"{stream},"KeepContext":true"#)),
-        route("draft", &format!(r#"{stream},"Resumable":true"#)),
-        route("look", &format!(r#""Kind":"idempotent",{plain}"#)),
-        route("book", &format!(r#""Kind":"non_idempotent",{plain}"#)),
-        route(
-            &format!("version-{version}"),
-            &format!(r#""Kind":"idempotent",{plain}"#),
-        ),
-    ]
-    .join(",");
-    format!(
-        r#"{{"Version":{version},"Routes":[{routes}],"Services":[{{"Name":"models","HealthPath":"/healthz","MaxConns":50,"Engine":{{"Stride":{TOKENS_PER_EVENT}}}}},{{"Name":"plain","HealthPath":"/healthz","MaxConns":50}}],"Limits":{{"MaxHeaderBytes":4096,"MaxBodyBytes":100000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":5000}}}}"#
-    )
+    /// The published configurations, of which the first has version 1.
+    configs: Mutex<Vec<SoakConfig>>,
+    cut_links: Mutex<Vec<CutLink>>,
+    started_at: Instant,
+    directory: PathBuf,
 }
 
 impl SoakWorld {
@@ -105,12 +106,17 @@
     /// # Errors
     ///
     /// Returns an error if a port, thread, file or process can't be obtained.
-    pub fn start(daemon: &Path, directory: &Path) -> io::Result<Self> {
+    pub fn start(daemon: &Path, directory: &Path, is_extended: bool) -> io::Result<Self> {
         fs::create_dir_all(directory)?;
         let store = PlatformStore::default();
-        store.put("keyed.op", "config", &config(1));
+        let config = SoakConfig::default();
+        store.put("keyed.op", "config", &config.text(1));
         let mut servers = Vec::new();
-        for (service, count) in SERVERS {
+        let extended = is_extended
+            .then_some(EXTENDED_SERVERS)
+            .into_iter()
+            .flatten();
+        for (service, count) in SERVERS.into_iter().chain(extended) {
             for number in 0..count {
                 servers.push(start_server(service, number, &store)?);
             }
@@ -128,7 +134,9 @@
             gateways.push(Mutex::new(Gateway {
                 process,
                 active_faults: 0,
+                disturbance_count: 0,
                 is_ending: false,
+                served_version: 1,
             }));
         }
         Ok(Self {
@@ -136,7 +144,10 @@
             doors,
             servers,
             gateways,
-            version: Mutex::new(1),
+            configs: Mutex::new(vec![config]),
+            cut_links: Mutex::default(),
+            started_at: Instant::now(),
+            directory: directory.to_owned(),
         })
     }
 
@@ -148,6 +159,7 @@
             callers: gateway.process.ports.callers,
             start_count: gateway.process.start_count,
             has_fault: gateway.active_faults > 0,
+            disturbance_count: gateway.disturbance_count,
             is_ending: gateway.is_ending,
         }
     }
@@ -161,16 +173,74 @@
     /// Returns the newest published version of the configuration.
     #[must_use]
     pub fn config_version(&self) -> u64 {
-        *lock(&self.version)
+        lock(&self.configs).len() as u64
+    }
+
+    /// Records that a start of a gateway has served a version of the configuration.
+    pub fn record_served_version(&self, (number, start_count): (usize, u32), version: u64) {
+        let mut gateway = lock(&self.gateways[number]);
+        if gateway.process.start_count == start_count {
+            gateway.served_version = version.max(gateway.served_version);
+        }
+    }
+
+    /// Returns the newest version of the configuration that a gateway is known to have in force; a
+    /// gateway never goes back to an older one.
+    #[must_use]
+    pub fn served_version(&self, number: usize) -> u64 {
+        lock(&self.gateways[number]).served_version
+    }
+
+    /// Returns the configurations from a version on.
+    #[must_use]
+    pub fn configs_since(&self, version: u64) -> Vec<SoakConfig> {
+        let skipped = usize::try_from(version).unwrap_or(1) - 1;
+        lock(&self.configs).iter().skip(skipped).copied().collect()
+    }
+
+    /// Returns the time since the start of the run.
+    #[must_use]
+    pub fn elapsed(&self, at: Instant) -> Duration {
+        at.saturating_duration_since(self.started_at)
+    }
+
+    /// Returns the times in which links to servers were cut.
+    #[must_use]
+    pub fn cut_links(&self) -> Vec<CutLink> {
+        lock(&self.cut_links).clone()
+    }
+
+    /// Returns the last line of the gateways' logs that names each of these requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a log can't be read.
+    pub fn find_log_lines(&self, ids: &[&str]) -> io::Result<BTreeMap<String, String>> {
+        let mut found = BTreeMap::new();
+        for number in 0..GATEWAYS {
+            let log = fs::read_to_string(self.directory.join(format!("gateway-{number}.log")))?;
+            for id in ids {
+                let name = format!(r#""request":"{id}""#);
+                if let Some(line) = log.lines().rfind(|line| line.contains(&name)) {
+                    found.insert((*id).to_owned(), line.to_owned());
+                }
+            }
+        }
+        Ok(found)
     }
 
     /// Returns the requests that the servers executed.
     #[must_use]
     pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
-        let executions = self.servers.iter().flat_map(|s| s.backend.executions());
-        let ran = executions.map(|execution| ExecutedRequest {
+        let executions = self.servers.iter().flat_map(|server| {
+            let executions = server.backend.executions().into_iter();
+            executions.map(|execution| (server.id.clone(), execution))
+        });
+        let ran = executions.map(|(server, execution)| ExecutedRequest {
             id: execution.id,
             body: String::from_utf8_lossy(&execution.request.body).into_owned(),
+            server,
+            is_faulty: execution.fault.is_some_and(spoils_response),
         });
         ran.collect()
     }
@@ -234,9 +304,16 @@
             }
             Fault::ServerLink => {
                 let server = self.choose_server(random_value);
-                server.proxy.set_mode(proxy_mode(random_value));
-                std::thread::sleep(duration);
-                server.proxy.set_mode(ProxyMode::Forward);
+                let mode = proxy_mode(random_value);
+                if matches!(mode, ProxyMode::Blackhole | ProxyMode::Reset) {
+                    self.record_cut(server, duration);
+                }
+                set_mode_for(&[server], mode, duration);
+                Ok(())
+            }
+            Fault::ServersPause => {
+                let servers = self.choose_servers(random_value);
+                set_mode_for(&servers, ProxyMode::RequestsOnly, duration);
                 Ok(())
             }
             Fault::FaultyResponses => {
@@ -260,9 +337,15 @@
                 Ok(())
             }
             Fault::ConfigUpdate => {
-                let mut version = lock(&self.version);
-                *version += 1;
-                self.store.put("keyed.op", "config", &config(*version));
+                self.publish(|newest| newest);
+                Ok(())
+            }
+            Fault::ConfigSeries => {
+                self.publish_series(random_value, duration);
+                Ok(())
+            }
+            Fault::Hangup => {
+                self.hang_up(number);
                 Ok(())
             }
             // The callers handle this fault.
@@ -281,6 +364,55 @@
         }
     }
 
+    /// Publishes the version of the configuration that follows the newest.
+    fn publish(&self, change: impl FnOnce(SoakConfig) -> SoakConfig) {
+        let mut configs = lock(&self.configs);
+        let next = change(configs.last().copied().unwrap_or_default());
+        configs.push(next);
+        let text = next.text(configs.len() as u64);
+        self.store.put("keyed.op", "config", &text);
+    }
+
+    /// Publishes up to [`MAX_SERIES_CONFIGS`] versions, evenly over a time.
+    fn publish_series(&self, random_value: u64, duration: Duration) {
+        let count = u32::try_from(random_value / 64 % MAX_SERIES_CONFIGS).unwrap_or(0) + 1;
+        for number in 0..count {
+            let change = random_value >> (number * BITS_PER_CHANGE);
+            self.publish(|newest| newest.changed(change));
+            std::thread::sleep(duration / count);
+        }
+    }
+
+    /// Sends SIGHUP to a gateway that is ready; one that does not handle signals yet would exit.
+    fn hang_up(&self, number: usize) {
+        if is_ready(self.ready_address(number)) {
+            let gateway = lock(&self.gateways[number]);
+            gateway.process.send_signal(Signal::HUP);
+        }
+    }
+
+    fn record_cut(&self, server: &Server, duration: Duration) {
+        let from = self.elapsed(Instant::now());
+        lock(&self.cut_links).push(CutLink {
+            server: server.id.clone(),
+            runs_turns: server.runs_turns(),
+            from,
+            until: from + duration,
+        });
+    }
+
+    /// Returns one server, all of its service or all of its software version.
+    fn choose_servers(&self, random_value: u64) -> Vec<&Server> {
+        let chosen = self.choose_server(random_value);
+        let servers = self.servers.iter();
+        let is_among = |server: &&Server| match random_value % 3 {
+            0 => server.id == chosen.id,
+            1 => server.service == chosen.service,
+            _ => server.version == chosen.version,
+        };
+        servers.filter(is_among).collect()
+    }
+
     fn choose_server(&self, random_value: u64) -> &Server {
         let count = self.servers.len() as u64;
         &self.servers[usize::try_from(random_value / 7 % count).unwrap_or(0)]
@@ -295,6 +427,7 @@
     fn begin_fault(&self, number: usize, change: impl FnOnce(&mut Gateway)) {
         let mut gateway = lock(&self.gateways[number]);
         gateway.active_faults += 1;
+        gateway.disturbance_count += 1;
         change(&mut gateway);
     }
 
@@ -320,6 +453,7 @@
             if gateway.process.is_started() || gateway.is_ending {
                 return Ok(());
             }
+            gateway.served_version = 1;
             gateway.process.restart()
         })
     }
@@ -342,8 +476,11 @@
         };
         let status = child.map(wait_for_exit).transpose()?.flatten();
         std::thread::sleep(duration);
-        lock(&self.gateways[number]).is_ending = false;
-        self.begin_fault(number, |_| {});
+        {
+            let mut gateway = lock(&self.gateways[number]);
+            gateway.is_ending = false;
+            gateway.active_faults += 1;
+        }
         self.restart(number)?;
         if status.is_some_and(|status| status.success()) {
             return Ok(());
@@ -353,12 +490,24 @@
     }
 }
 
+/// Sets the mode of the links to servers for a time.
+fn set_mode_for(servers: &[&Server], mode: ProxyMode, duration: Duration) {
+    for server in servers {
+        server.proxy.set_mode(mode);
+    }
+    std::thread::sleep(duration);
+    for server in servers {
+        server.proxy.set_mode(ProxyMode::Forward);
+    }
+}
+
 fn start_server(service: &'static str, number: usize, store: &PlatformStore) -> io::Result<Server> {
     let id = format!("{service}-{number}");
+    let version = VERSIONS[number % VERSIONS.len()];
     let backend = PlatformBackend::start(BackendSettings {
         id: id.clone(),
-        version: VERSIONS[number % VERSIONS.len()].to_owned(),
-        names_version: service == MODEL_SERVICE,
+        version: version.to_owned(),
+        names_version: [MODEL_SERVICE, OTHER_MODEL_SERVICE].contains(&service),
         events: EVENTS_PER_STREAM,
         pause: Duration::from_millis(10),
         ..BackendSettings::default()
@@ -369,6 +518,7 @@
         proxy,
         id,
         service,
+        version,
     };
     store.put("keyed.servers", &server.id, &server.entry("ready"));
     Ok(server)
@@ -414,6 +564,21 @@
     }
 }
 
+/// Returns whether a request that a server runs with a fault has no complete response of its own.
+fn spoils_response(fault: BackendFault) -> bool {
+    match fault {
+        BackendFault::LoseResponse
+        | BackendFault::Silence
+        | BackendFault::CutAfter(_)
+        | BackendFault::SilentAfter(_)
+        | BackendFault::WrongId => true,
+        BackendFault::Refuse
+        | BackendFault::ExtraResponse
+        | BackendFault::LateExtraResponse(_)
+        | BackendFault::Unframed => false,
+    }
+}
+
 /// Returns the path of the daemon beside this program.
 ///
 /// # Errors
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use standins::soak::Soak;
-use standins::soak_faults::plan_faults;
+use standins::soak_answers::{CutLink, Excuse};
+use standins::soak_faults::{Fault, PlannedFault, plan_extended_faults, plan_faults};
 use standins::soak_history::{
     ExecutedRequest, History, RequestKind, RequestRecord, find_violations,
 };
@@ -28,7 +29,12 @@
         is_complete: true,
         reports_not_executed: false,
         requires_response: true,
+        sent_at: Duration::from_secs(1),
         duration: Duration::from_millis(5),
+        idle: Duration::ZERO,
+        idle_limit: Duration::from_secs(5),
+        timeout: Duration::from_secs(2),
+        excuse: None,
     }
 }
 
@@ -36,6 +42,8 @@
     ExecutedRequest {
         id: id.to_owned(),
         body: body.to_owned(),
+        server: "s1".to_owned(),
+        is_faulty: false,
     }
 }
 
@@ -59,6 +67,7 @@
             executed("t2", "t1t1-1\nt1-2\nt1-3\nt1-4\nt2"),
             executed("b1", ""),
         ],
+        cut_links: Vec::new(),
     }
 }
 
@@ -67,6 +76,22 @@
     assert_eq!(find_violations(&valid_history()), Vec::<String>::new());
 }
 
+/// Adds a draft of one software version whose rest is of another.
+fn resume_with_another_version(history: &mut History) {
+    history.requests.push(RequestRecord {
+        is_complete: false,
+        excuse: Some(Excuse::CallerLeft),
+        body: "id: 1\nevent: v1\ndata: d1-1\n\nid: 2\neve".to_owned(),
+        ..request("d1", RequestKind::Draft)
+    });
+    let first = "d1".to_owned();
+    let last_event = 1;
+    let mut rest = request("d2", RequestKind::Resumed { first, last_event });
+    rest.body = rest.body.replacen("id: 1\ndata: d2-1\n\n", "", 1);
+    rest.body = rest.body.replacen("data", "event: v2\ndata", 1);
+    history.requests.push(rest);
+}
+
 #[test]
 fn each_violation_is_found_by_one_check() {
     type Damage = fn(&mut History);
@@ -82,6 +107,7 @@
         (
             |h| {
                 h.requests[1].is_complete = false;
+                h.requests[1].excuse = Some(Excuse::CallerLeft);
                 h.requests[1].body = "id: 1\ndata: t9".to_owned();
             },
             "t2: wrong response body",
@@ -123,26 +149,7 @@
             },
             "d1: events of versions",
         ),
-        (
-            |h| {
-                let mut draft = request("d1", RequestKind::Draft);
-                draft.is_complete = false;
-                draft.body = "id: 1\nevent: v1\ndata: d1-1\n\nid: 2\neve".to_owned();
-                h.requests.push(draft);
-                let first = "d1".to_owned();
-                let mut rest = request(
-                    "d2",
-                    RequestKind::Resumed {
-                        first,
-                        last_event: 1,
-                    },
-                );
-                rest.body = rest.body.replacen("id: 1\ndata: d2-1\n\n", "", 1);
-                rest.body = rest.body.replacen("data", "event: v2\ndata", 1);
-                h.requests.push(rest);
-            },
-            "d1: events of versions",
-        ),
+        (resume_with_another_version, "d1: events of versions"),
         (
             |h| h.executed[1].body = "t1t2".to_owned(),
             "t2: wrong prompt `t1t2`",
@@ -155,7 +162,13 @@
             "t2: unexpected status 404",
         ),
         (|h| h.requests.swap(3, 4), "v1: serves version 1 after 2"),
-        (|h| h.requests[3].status = 0, "v1: no response after"),
+        (
+            |h| {
+                h.requests[3].status = 0;
+                h.requests[3].excuse = Some(Excuse::Closing);
+            },
+            "v1: no response after",
+        ),
     ];
     for (damage, expected) in cases {
         let mut history = valid_history();
@@ -166,6 +179,135 @@
     }
 }
 
+/// Returns a history whose booking has no answer, and the booking.
+fn history_without_answer(change: impl FnOnce(&mut History)) -> Vec<String> {
+    let mut history = valid_history();
+    history.requests[2].status = 0;
+    history.requests[2].requires_response = false;
+    change(&mut history);
+    find_violations(&history)
+}
+
+fn cut_link(server: &str, from_ms: u64, until_ms: u64) -> CutLink {
+    CutLink {
+        server: server.to_owned(),
+        runs_turns: false,
+        from: Duration::from_millis(from_ms),
+        until: Duration::from_millis(until_ms),
+    }
+}
+
+#[test]
+fn a_request_without_an_answer_is_a_violation() {
+    type Damage = fn(&mut History);
+    let cases: [(Damage, &str); 9] = [
+        (|_| {}, "b1: booking: connection closed without an answer"),
+        (
+            |h| h.requests[2].status = 502,
+            "b1: booking: status 502, which is neither",
+        ),
+        (
+            |h| {
+                h.requests[2].status = 200;
+                h.requests[2].is_complete = false;
+                h.requests[2].body = "answer".to_owned();
+            },
+            "b1: booking: answer ended after 6 bytes",
+        ),
+        // It was passed on, or it was kept open for too long.
+        (
+            |h| h.requests[2].excuse = Some(Excuse::Closing),
+            "b1: booking: connection",
+        ),
+        (
+            |h| {
+                h.requests[2].excuse = Some(Excuse::Closing);
+                h.requests[2].duration = Duration::from_millis(700);
+                h.executed.pop();
+            },
+            "b1: booking: connection",
+        ),
+        (
+            |h| h.requests[2].duration = Duration::from_millis(1_999),
+            "b1: booking: connection",
+        ),
+        (
+            |h| h.cut_links.push(cut_link("s2", 900, 1_100)),
+            "b1: booking: connection",
+        ),
+        (
+            |h| h.cut_links.push(cut_link("s1", 500, 999)),
+            "b1: booking: connection",
+        ),
+        (
+            |h| h.executed[0].is_faulty = true,
+            "b1: booking: connection",
+        ),
+    ];
+    for (damage, expected) in cases {
+        let found = history_without_answer(damage);
+        assert_eq!(found.len(), 1, "{expected}: {found:?}");
+        assert!(found[0].starts_with(expected), "{}", found[0]);
+    }
+}
+
+#[test]
+fn a_fault_of_the_plan_excuses_only_its_request() {
+    type Damage = fn(&mut History);
+    let cases: [Damage; 9] = [
+        |h| h.requests[2].excuse = Some(Excuse::NotSent),
+        |h| h.requests[2].excuse = Some(Excuse::CallerLeft),
+        |h| h.requests[2].excuse = Some(Excuse::GatewayDisturbed),
+        |h| {
+            h.requests[2].excuse = Some(Excuse::Closing);
+            h.executed.pop();
+        },
+        |h| h.requests[2].duration = Duration::from_secs(2),
+        |h| h.executed[2].is_faulty = true,
+        |h| h.cut_links.push(cut_link("s1", 900, 1_001)),
+        |h| {
+            h.cut_links.push(cut_link("s2", 900, 1_001));
+            h.executed.pop();
+        },
+        |h| h.requests[2].status = 503,
+    ];
+    for (number, damage) in cases.into_iter().enumerate() {
+        let found = history_without_answer(damage);
+        assert_eq!(found, Vec::<String>::new(), "case {number}");
+    }
+}
+
+#[test]
+fn the_extended_plan_pauses_servers_and_leaves_the_basic_plan_as_it_is() {
+    let length = Duration::from_secs(20);
+    let basic = plan_faults(7, length);
+    let extended = plan_extended_faults(7, length);
+    assert_eq!(extended, plan_extended_faults(7, length));
+    assert_eq!(
+        basic[0],
+        PlannedFault {
+            offset: Duration::from_millis(350),
+            duration: Duration::from_millis(321),
+            fault: Fault::Terminate,
+            random_value: 4_982_271_126_186_056_147,
+        }
+    );
+    let pauses = extended.iter().filter(|f| f.fault == Fault::ServersPause);
+    let pauses: Vec<_> = pauses.map(|pause| pause.duration.as_millis()).collect();
+    assert!(pauses.len() > 10, "{pauses:?}");
+    assert!(
+        pauses.iter().all(|ms| (800..=1_600).contains(ms)),
+        "{pauses:?}"
+    );
+    let is_extended = |fault: &&PlannedFault| {
+        matches!(
+            fault.fault,
+            Fault::ServersPause | Fault::ConfigSeries | Fault::Hangup
+        )
+    };
+    assert_eq!(basic.iter().find(is_extended), None);
+}
+
 #[test]
 fn a_seed_determines_its_faults() {
     let length = Duration::from_secs(20);
@@ -181,15 +323,34 @@
     let soak = Soak {
         seeds: "1..2".to_owned(),
         seconds: 3,
+        extended: false,
         daemon: None,
         directory: None,
     };
     let end = soak.run_seed(1).expect("the run starts");
     assert_eq!(end.violations, Vec::<String>::new());
-    assert!(end.fault_count >= 5, "{} faults", end.fault_count);
+    assert!(end.faults.len() >= 5, "{} faults", end.faults.len());
     assert!(end.served_count > 200, "{} served", end.served_count);
 }
 
+/// Servers pause for a second or so while gateways are shut down and configurations change limits,
+/// timeouts and services. No request that was sent whole ends without an answer or a refusal.
+#[test]
+fn pauses_and_changes_of_the_configuration_cause_no_violations() {
+    for seed in [3, 8, 18] {
+        let soak = Soak {
+            seeds: format!("{seed}..{}", seed + 1),
+            seconds: 4,
+            extended: true,
+            daemon: None,
+            directory: None,
+        };
+        let end = soak.run_seed(seed).expect("the run starts");
+        assert_eq!(end.violations, Vec::<String>::new(), "seed {seed}");
+        assert!(end.served_count > 200, "{} served", end.served_count);
+    }
+}
+
 /// Two gateways must not get the same port, or one of them can't listen. It happens if the ports of
 /// one are released before those of the next are found.
 #[test]
