--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -71,6 +71,7 @@
 mod soak_idle_callers;
 pub mod soak_process;
 pub mod soak_proxy;
+pub mod soak_servers;
 pub mod soak_world;
 mod step_clock;
 pub mod tool_service;
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -4,6 +4,7 @@
 //! The seed determines the faults and the callers' requests, but not the timing of processes and
 //! threads, so that reproducing a failure may take several runs of its seed.
 
+use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -284,14 +285,14 @@
     }
     let history = callers.history.into_inner();
     let history = History {
-        executed: world.executed_requests(),
-        cut_links: world.cut_links(),
+        executed: world.servers.executed_requests(),
+        cut_links: world.servers.cut_links(),
         ..history.unwrap_or_else(std::sync::PoisonError::into_inner)
     };
     let mut violations = found
         .into_inner()
         .unwrap_or_else(std::sync::PoisonError::into_inner);
-    violations.extend(add_log_lines(world, find_violations(&history)));
+    violations.extend(add_log_lines(world, &history, find_violations(&history)));
     let served = history.requests.iter();
     let is_resumed = |r: &&RequestRecord| matches!(r.kind, RequestKind::Resumed { .. });
     let resumed: Vec<_> = history.requests.iter().filter(is_resumed).collect();
@@ -305,21 +306,19 @@
     }
 }
 
-/// Adds to each violation the last log line that names its request.
-fn add_log_lines(world: &SoakWorld, violations: Vec<String>) -> Vec<String> {
-    if violations.is_empty() {
-        return violations;
-    }
-    let id = |violation: &str| violation.split(':').next().unwrap_or_default().to_owned();
-    let ids: Vec<String> = violations.iter().map(|violation| id(violation)).collect();
-    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
-    let lines = world.find_log_lines(&ids);
-    let with_line = violations.into_iter().map(|violation| match &lines {
-        Ok(lines) => match lines.get(&id(&violation)) {
-            Some(line) => format!("{violation}; logged: {line}"),
-            None => format!("{violation}; no log line names it"),
-        },
-        Err(err) => format!("{violation}; logs can't be read: {err}"),
+/// Adds the last log line that names its request to each violation of a request.
+fn add_log_lines(world: &SoakWorld, history: &History, violations: Vec<String>) -> Vec<String> {
+    let ids: BTreeSet<&str> = history.requests.iter().map(|r| r.id.as_str()).collect();
+    let with_line = violations.into_iter().map(|violation| {
+        let id = violation.split(':').next().unwrap_or_default();
+        if !ids.contains(id) {
+            return violation;
+        }
+        match world.find_log_line(id) {
+            Ok(Some(line)) => format!("{violation}; logged: {line}"),
+            Ok(None) => format!("{violation}; no log line names it"),
+            Err(err) => format!("{violation}; a log can't be read: {err}"),
+        }
     });
     with_line.collect()
 }
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -1,6 +1,5 @@
-//! Starts the gateways, the store and the backend servers of a soak, and injects faults into them.
+//! Starts the gateways, the store and the backend servers of a soak, and injects faults.
 
-use std::collections::BTreeMap;
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
@@ -11,52 +10,19 @@
 use rustix::process::Signal;
 
 use crate::http::lock;
-use crate::platform_backend::{BackendFault, BackendSettings, PlatformBackend};
-use crate::platform_run::{MODEL_SERVICE, PLAIN_SERVICE, is_ready};
+use crate::platform_run::is_ready;
 use crate::platform_store::{AppendFault, PlatformStore, StoreEndpoint, StoreMode};
-use crate::soak_answers::CutLink;
-use crate::soak_config::{OTHER_MODEL_SERVICE, OTHER_PLAIN_SERVICE, SoakConfig};
+use crate::soak_config::SoakConfig;
 use crate::soak_faults::{Fault, PlannedFault};
-use crate::soak_history::{EVENTS_PER_STREAM, ExecutedRequest};
 use crate::soak_process::{GatewayProcess, ProcessPorts, wait_for_exit};
-use crate::soak_proxy::{Proxy, ProxyMode};
+use crate::soak_servers::SoakServers;
 
 /// The number of gateways in a run.
 pub const GATEWAYS: usize = 3;
-/// The number of backend servers in a run, by service.
-const SERVERS: [(&str, usize); 2] = [(MODEL_SERVICE, 3), (PLAIN_SERVICE, 2)];
-/// The backend servers that only runs of the extended plan have.
-const EXTENDED_SERVERS: [(&str, usize); 2] = [(OTHER_MODEL_SERVICE, 2), (OTHER_PLAIN_SERVICE, 2)];
-
 /// The most configurations that follow each other in one fault.
 const MAX_SERIES_CONFIGS: u64 = 4;
 /// The bits of a fault's random value that select one change of the configuration.
 const BITS_PER_CHANGE: u32 = 8;
-/// The software versions of the servers of a service, in turn.
-const VERSIONS: [&str; 2] = ["v1", "v2"];
-
-/// A backend server behind its proxy.
-#[derive(Debug)]
-struct Server {
-    backend: PlatformBackend,
-    proxy: Proxy,
-    id: String,
-    service: &'static str,
-    version: &'static str,
-}
-
-impl Server {
-    fn runs_turns(&self) -> bool {
-        [MODEL_SERVICE, OTHER_MODEL_SERVICE].contains(&self.service)
-    }
-
-    fn entry(&self, state: &str) -> String {
-        let backend = self.backend.entry(self.service, state);
-        let address = self.backend.address.to_string();
-        backend.replace(&address, &self.proxy.address.to_string())
-    }
-}
-
 /// A gateway and its faults.
 #[derive(Debug)]
 struct Gateway {
@@ -91,11 +57,11 @@
 pub struct SoakWorld {
     store: PlatformStore,
     doors: Vec<StoreEndpoint>,
-    servers: Vec<Server>,
+    /// The backend servers and the links to them.
+    pub servers: SoakServers,
     gateways: Vec<Mutex<Gateway>>,
     /// The published configurations, of which the first has version 1.
     configs: Mutex<Vec<SoakConfig>>,
-    cut_links: Mutex<Vec<CutLink>>,
     started_at: Instant,
     directory: PathBuf,
 }
@@ -111,16 +77,8 @@
         let store = PlatformStore::default();
         let config = SoakConfig::default();
         store.put("keyed.op", "config", &config.text(1));
-        let mut servers = Vec::new();
-        let extended = is_extended
-            .then_some(EXTENDED_SERVERS)
-            .into_iter()
-            .flatten();
-        for (service, count) in SERVERS.into_iter().chain(extended) {
-            for number in 0..count {
-                servers.push(start_server(service, number, &store)?);
-            }
-        }
+        let started_at = Instant::now();
+        let servers = SoakServers::start(&store, started_at, is_extended)?;
         let mut doors = Vec::new();
         for _ in 0..GATEWAYS {
             doors.push(store.open()?);
@@ -145,8 +103,7 @@
             servers,
             gateways,
             configs: Mutex::new(vec![config]),
-            cut_links: Mutex::default(),
-            started_at: Instant::now(),
+            started_at,
             directory: directory.to_owned(),
         })
     }
@@ -204,47 +161,22 @@
         at.saturating_duration_since(self.started_at)
     }
 
-    /// Returns the times in which links to servers were cut.
-    #[must_use]
-    pub fn cut_links(&self) -> Vec<CutLink> {
-        lock(&self.cut_links).clone()
-    }
-
-    /// Returns the last line of the gateways' logs that names each of these requests.
+    /// Returns the last line of the gateways' logs that names a request.
     ///
     /// # Errors
     ///
     /// Returns an error if a log can't be read.
-    pub fn find_log_lines(&self, ids: &[&str]) -> io::Result<BTreeMap<String, String>> {
-        let mut found = BTreeMap::new();
+    pub fn find_log_line(&self, id: &str) -> io::Result<Option<String>> {
+        let name = format!(r#""request":"{id}""#);
+        let mut found = None;
         for number in 0..GATEWAYS {
             let log = fs::read_to_string(self.directory.join(format!("gateway-{number}.log")))?;
-            for id in ids {
-                let name = format!(r#""request":"{id}""#);
-                if let Some(line) = log.lines().rfind(|line| line.contains(&name)) {
-                    found.insert((*id).to_owned(), line.to_owned());
-                }
-            }
+            let line = log.lines().rfind(|line| line.contains(&name));
+            found = line.map(str::to_owned).or(found);
         }
         Ok(found)
     }
 
-    /// Returns the requests that the servers executed.
-    #[must_use]
-    pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
-        let executions = self.servers.iter().flat_map(|server| {
-            let executions = server.backend.executions().into_iter();
-            executions.map(|execution| (server.id.clone(), execution))
-        });
-        let ran = executions.map(|(server, execution)| ExecutedRequest {
-            id: execution.id,
-            body: String::from_utf8_lossy(&execution.request.body).into_owned(),
-            server,
-            is_faulty: execution.fault.is_some_and(spoils_response),
-        });
-        ran.collect()
-    }
-
     /// Injects a fault and waits until it has ended.
     ///
     /// # Errors
@@ -303,37 +235,19 @@
                 Ok(())
             }
             Fault::ServerLink => {
-                let server = self.choose_server(random_value);
-                let mode = proxy_mode(random_value);
-                if matches!(mode, ProxyMode::Blackhole | ProxyMode::Reset) {
-                    self.record_cut(server, duration);
-                }
-                set_mode_for(&[server], mode, duration);
+                self.servers.disturb_link(random_value, duration);
                 Ok(())
             }
             Fault::ServersPause => {
-                let servers = self.choose_servers(random_value);
-                set_mode_for(&servers, ProxyMode::RequestsOnly, duration);
+                self.servers.pause(random_value, duration);
                 Ok(())
             }
             Fault::FaultyResponses => {
-                let server = self.choose_server(random_value);
-                for number in 0..=random_value % 4 {
-                    server
-                        .backend
-                        .inject_fault(backend_fault(random_value / 8 + number));
-                }
+                self.servers.inject_response_faults(random_value);
                 Ok(())
             }
             Fault::ServerDraining => {
-                let server = self.choose_server(random_value);
-                let write_state = |state| {
-                    let entry = server.entry(state);
-                    self.store.put("keyed.servers", &server.id, &entry);
-                };
-                write_state("draining");
-                std::thread::sleep(duration);
-                write_state("ready");
+                self.servers.drain(&self.store, random_value, duration);
                 Ok(())
             }
             Fault::ConfigUpdate => {
@@ -359,9 +273,7 @@
             door.set_mode(StoreMode::Serving);
         }
         self.store.set_delay(Duration::ZERO);
-        for server in &self.servers {
-            server.proxy.set_mode(ProxyMode::Forward);
-        }
+        self.servers.restore_links();
     }
 
     /// Publishes the version of the configuration that follows the newest.
@@ -391,33 +303,6 @@
         }
     }
 
-    fn record_cut(&self, server: &Server, duration: Duration) {
-        let from = self.elapsed(Instant::now());
-        lock(&self.cut_links).push(CutLink {
-            server: server.id.clone(),
-            runs_turns: server.runs_turns(),
-            from,
-            until: from + duration,
-        });
-    }
-
-    /// Returns one server, all of its service or all of its software version.
-    fn choose_servers(&self, random_value: u64) -> Vec<&Server> {
-        let chosen = self.choose_server(random_value);
-        let servers = self.servers.iter();
-        let is_among = |server: &&Server| match random_value % 3 {
-            0 => server.id == chosen.id,
-            1 => server.service == chosen.service,
-            _ => server.version == chosen.version,
-        };
-        servers.filter(is_among).collect()
-    }
-
-    fn choose_server(&self, random_value: u64) -> &Server {
-        let count = self.servers.len() as u64;
-        &self.servers[usize::try_from(random_value / 7 % count).unwrap_or(0)]
-    }
-
     fn fail_appends(&self, fault: AppendFault, random_value: u64) {
         for _ in 0..=random_value % 3 {
             self.store.inject_append_fault(fault);
@@ -490,40 +375,6 @@
     }
 }
 
-/// Sets the mode of the links to servers for a time.
-fn set_mode_for(servers: &[&Server], mode: ProxyMode, duration: Duration) {
-    for server in servers {
-        server.proxy.set_mode(mode);
-    }
-    std::thread::sleep(duration);
-    for server in servers {
-        server.proxy.set_mode(ProxyMode::Forward);
-    }
-}
-
-fn start_server(service: &'static str, number: usize, store: &PlatformStore) -> io::Result<Server> {
-    let id = format!("{service}-{number}");
-    let version = VERSIONS[number % VERSIONS.len()];
-    let backend = PlatformBackend::start(BackendSettings {
-        id: id.clone(),
-        version: version.to_owned(),
-        names_version: [MODEL_SERVICE, OTHER_MODEL_SERVICE].contains(&service),
-        events: EVENTS_PER_STREAM,
-        pause: Duration::from_millis(10),
-        ..BackendSettings::default()
-    })?;
-    let proxy = Proxy::start(backend.address)?;
-    let server = Server {
-        backend,
-        proxy,
-        id,
-        service,
-        version,
-    };
-    store.put("keyed.servers", &server.id, &server.entry("ready"));
-    Ok(server)
-}
-
 /// Makes the store unavailable at some of its addresses, in one of four ways.
 fn interrupt_store(doors: &[StoreEndpoint], random_value: u64, duration: Duration) {
     let modes = [
@@ -542,43 +393,6 @@
     }
 }
 
-fn proxy_mode(random_value: u64) -> ProxyMode {
-    match random_value % 4 {
-        0 => ProxyMode::Delay(Duration::from_millis(random_value / 4 % 200)),
-        1 => ProxyMode::RequestsOnly,
-        2 => ProxyMode::Blackhole,
-        _ => ProxyMode::Reset,
-    }
-}
-
-fn backend_fault(random_value: u64) -> BackendFault {
-    match random_value % 8 {
-        0 => BackendFault::Refuse,
-        1 => BackendFault::LoseResponse,
-        2 => BackendFault::Silence,
-        3 => BackendFault::CutAfter(random_value / 8 % EVENTS_PER_STREAM),
-        4 => BackendFault::SilentAfter(random_value / 8 % EVENTS_PER_STREAM),
-        5 => BackendFault::ExtraResponse,
-        6 => BackendFault::WrongId,
-        _ => BackendFault::Unframed,
-    }
-}
-
-/// Returns whether a request that a server runs with a fault has no complete response of its own.
-fn spoils_response(fault: BackendFault) -> bool {
-    match fault {
-        BackendFault::LoseResponse
-        | BackendFault::Silence
-        | BackendFault::CutAfter(_)
-        | BackendFault::SilentAfter(_)
-        | BackendFault::WrongId => true,
-        BackendFault::Refuse
-        | BackendFault::ExtraResponse
-        | BackendFault::LateExtraResponse(_)
-        | BackendFault::Unframed => false,
-    }
-}
-
 /// Returns the path of the daemon beside this program.
 ///
 /// # Errors
