--- a/standins/src/soak_answers.rs
+++ b/standins/src/soak_answers.rs
@@ -38,8 +38,8 @@
 
 /// Checks that a request ends with a complete answer or a refusal; excused are only requests not sent
 /// whole, left by the caller, past their route's timeout, at a gateway killed or suspended meanwhile,
-/// at a server that answered with a fault or was cut off meanwhile, and those never passed on whose
-/// connection was closing.
+/// at a server whose response was lost, truncated or of another request or whose link was cut
+/// meanwhile, and those never passed on whose connection was closing.
 pub(crate) fn requests_end_with_an_answer(history: &History) -> Vec<String> {
     let mut runs: BTreeMap<&str, Vec<&ExecutedRequest>> = BTreeMap::new();
     for run in &history.executed {
--- a/standins/src/soak_servers.rs
+++ b/standins/src/soak_servers.rs
@@ -225,15 +225,14 @@
     }
 }
 
-/// Returns whether a request that a server runs with a fault has no complete response of its own.
+/// Returns whether a request that a server runs with a fault has no complete response of its own; a
+/// silent server is no reason to end its answer before the timeout.
 fn spoils_response(fault: BackendFault) -> bool {
     match fault {
-        BackendFault::LoseResponse
-        | BackendFault::Silence
-        | BackendFault::CutAfter(_)
+        BackendFault::LoseResponse | BackendFault::CutAfter(_) | BackendFault::WrongId => true,
+        BackendFault::Silence
         | BackendFault::SilentAfter(_)
-        | BackendFault::WrongId => true,
-        BackendFault::Refuse
+        | BackendFault::Refuse
         | BackendFault::ExtraResponse
         | BackendFault::LateExtraResponse(_)
         | BackendFault::Unframed => false,
