--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -11,8 +11,9 @@
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusRecorder};
 use serde_json::json;
 
-use crate::gateway_connection::{Handler, ReceivedRequest};
+use crate::gateway_connection::Handler;
 use crate::gateway_ledger_query;
+use crate::gateway_receive::ReceivedRequest;
 use crate::gateway_reply::Reply;
 use crate::gateway_shared::Shared;
 
@@ -51,6 +52,13 @@
         });
     }
 
+    /// Counts a silent server: it was `kept`, since no other could take over, or the request `moved`.
+    pub(crate) fn count_silence(&self, outcome: &'static str) {
+        with_local_recorder(&self.recorder, || {
+            counter!("clementinepick_silent_servers_total", "outcome" => outcome).increment(1);
+        });
+    }
+
     /// Counts a lost response by what became of its server.
     pub(crate) fn count_lost_response(&self, fate: &'static str) {
         with_local_recorder(&self.recorder, || {
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -13,8 +13,8 @@
 use clementinepick::retry::RetryBudget;
 use clementinepick::server_list::{ServerList, SoftwareVersion};
 use clementinepick::server_selection::ServerSelector;
-use clementinepick::traffic_config::CallerLimits;
-use clementinepick::units::{Percent, SpanUs, TimeUs, Tokens};
+use clementinepick::traffic_config::{CallerLimits, TrafficService};
+use clementinepick::units::{Percent, SpanUs, TimeUs};
 use slog::Logger;
 use tokio::sync::{Notify, mpsc, watch};
 use xxhash_rust::xxh3::xxh3_64;
@@ -66,7 +66,7 @@
     pub(crate) choice: RefCell<ServerSelector>,
     listed_versions: RefCell<ListedVersions>,
     pub(crate) metrics: Arc<GatewayMetrics>,
-    retries: RefCell<BTreeMap<String, RetryBudget>>,
+    pub(crate) retries: RefCell<BTreeMap<String, RetryBudget>>,
     /// The bytes of request bodies in memory.
     reserved_body_bytes: Cell<usize>,
     body_limit_bytes: usize,
@@ -78,8 +78,30 @@
     /// The number of open connections to this process.
     connection_count: Cell<usize>,
     is_draining: Cell<bool>,
-    is_closing: Cell<bool>,
-    closing: Notify,
+    /// Set once idle connections are to be closed.
+    closing: Signal,
+    /// Set once running requests are to be answered, whatever their state.
+    stopping: Signal,
+}
+
+/// A condition that becomes true once and for which tasks can wait.
+#[derive(Default)]
+struct Signal {
+    is_set: Cell<bool>,
+    changed: Notify,
+}
+
+impl Signal {
+    fn set(&self) {
+        self.is_set.set(true);
+        self.changed.notify_waiters();
+    }
+
+    async fn wait(&self) {
+        while !self.is_set.get() {
+            self.changed.notified().await;
+        }
+    }
 }
 
 /// Counts a request as running, or a connection as open, until dropped.
@@ -114,6 +136,8 @@
     pub(crate) returned: mpsc::Receiver<TokenReturn>,
     /// Slices to reserve before turns need them.
     pub(crate) prefetch: mpsc::Receiver<PrefetchRequest>,
+    /// Turns whose chains requests have given up reading.
+    pub(crate) unfinished_reads: mpsc::Receiver<String>,
     /// What to tell peers.
     pub(crate) updates: mpsc::UnboundedReceiver<PeerUpdate>,
 }
@@ -136,6 +160,7 @@
         let (budgets, returned) = Budgets::new(Rc::clone(&ledger), writer, settings.peers);
         let budgets = Rc::new(budgets);
         let (prefetch, prefetch_requests) = mpsc::channel(PREFETCH_QUEUE_CAPACITY);
+        let (turns, unfinished_reads) = Turns::new(Rc::clone(&ledger));
         let (updates, queued_updates) = mpsc::unbounded_channel();
         let shared = Self {
             store,
@@ -143,7 +168,7 @@
             homes: Homes::new(Rc::clone(&budgets)),
             budgets,
             peer_address: settings.peers,
-            turns: Turns::new(Rc::clone(&ledger)),
+            turns,
             origins: Origins::default(),
             ended: Ended::default(),
             updates,
@@ -162,12 +187,13 @@
             request_count: Cell::new(0),
             connection_count: Cell::new(0),
             is_draining: Cell::new(false),
-            is_closing: Cell::new(false),
-            closing: Notify::new(),
+            closing: Signal::default(),
+            stopping: Signal::default(),
         };
         let queues = BackgroundQueues {
             returned,
             prefetch: prefetch_requests,
+            unfinished_reads,
             updates: queued_updates,
         };
         (shared, queues)
@@ -186,13 +212,6 @@
             .unwrap_or_default()
     }
 
-    pub(crate) fn tokens_per_event(&self, service: &str) -> Tokens {
-        let directory = self.directory.borrow();
-        let config = directory.config.as_ref();
-        let service = config.and_then(|config| config.services.get(service));
-        service.map_or(Tokens(1), |service| service.tokens_per_event)
-    }
-
     /// Returns the list of servers unless it is too old to conclude from it that a server is absent.
     pub(crate) fn current_servers(&self, now: Instant) -> Option<Arc<ServerList>> {
         let directory = self.directory.borrow();
@@ -255,8 +274,12 @@
 
     /// Closes connections as soon as no request runs on them.
     pub(crate) fn close_idle_connections(&self) {
-        self.is_closing.set(true);
-        self.closing.notify_waiters();
+        self.closing.set();
+    }
+
+    /// Makes running requests end with an answer that says what is known of them.
+    pub(crate) fn stop_requests(&self) {
+        self.stopping.set();
     }
 
     /// Returns the number of open connections to this process.
@@ -278,6 +301,11 @@
         self.is_draining.get()
     }
 
+    /// Returns the flag of [`Self::is_draining`], for decisions that are taken later.
+    pub(crate) fn draining_flag(&self) -> &Cell<bool> {
+        &self.is_draining
+    }
+
     pub(crate) fn is_ready(&self, now: Instant) -> bool {
         let directory = self.directory.borrow();
         let is_fresh = directory
@@ -288,11 +316,13 @@
 
     /// Returns how many connections this process may open to one server of a service. Its share of
     /// the server's limit keeps all processes together below it; the server resets connections
-    /// beyond it.
-    pub(crate) fn connection_limit(&self, service: &str) -> u32 {
+    /// beyond it. A service that is no longer listed has the limit of `routed`, the configuration of
+    /// the request.
+    pub(crate) fn connection_limit(&self, service: &str, routed: Option<&TrafficService>) -> u32 {
         let directory = self.directory.borrow();
         let config = directory.config.as_ref();
-        let service = config.and_then(|config| config.services.get(service));
+        let listed = config.and_then(|config| config.services.get(service));
+        let service = listed.or(routed);
         let processes = u32::try_from(directory.peers.len() + 1).unwrap_or(u32::MAX);
         service.map_or(u32::MAX, |s| (s.max_connections / processes).max(1))
     }
@@ -336,9 +366,16 @@
 
     /// Returns once idle connections are to be closed.
     pub(crate) async fn wait_for_close(&self) {
-        while !self.is_closing.get() {
-            self.closing.notified().await;
-        }
+        self.closing.wait().await;
+    }
+
+    /// Returns once running requests are to be answered, whatever their state.
+    pub(crate) async fn wait_for_stop(&self) {
+        self.stopping.wait().await;
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.is_set.get()
     }
 
     pub(crate) fn log(&self, event: &Event) {
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -82,9 +82,31 @@
     delay: Duration,
     /// The topic whose calls are not answered.
     silent_topic: Option<String>,
+    /// How many of the next reads of each topic are not answered.
+    lost_reads: BTreeMap<String, u32>,
     page_items: usize,
     /// The calls that came, by path.
     calls: BTreeMap<String, u64>,
+    read_limit: Option<ReadLimit>,
+}
+
+/// A limit on the reads of each second, from all addresses together.
+#[derive(Debug)]
+struct ReadLimit {
+    reads_per_s: u32,
+    second_began: Instant,
+    reads: u32,
+}
+
+impl ReadLimit {
+    fn allows(&mut self, now: Instant) -> bool {
+        if now.saturating_duration_since(self.second_began) >= Duration::from_secs(1) {
+            self.second_began = now;
+            self.reads = 0;
+        }
+        self.reads += 1;
+        self.reads <= self.reads_per_s
+    }
 }
 
 /// The store behind one or more addresses, each with a mode of its own.
@@ -178,11 +200,25 @@
         lock(&self.core).delay = delay;
     }
 
+    /// Refuses with 429 what exceeds this number of reads in a second.
+    pub fn limit_reads(&self, reads_per_s: u32) {
+        lock(&self.core).read_limit = Some(ReadLimit {
+            reads_per_s,
+            second_began: Instant::now(),
+            reads: 0,
+        });
+    }
+
     /// Stops answering calls for one topic, or answers all again.
     pub fn silence_topic(&self, topic: Option<&str>) {
         lock(&self.core).silent_topic = topic.map(str::to_owned);
     }
 
+    /// Does not answer the next `count` reads of a topic, long polls included.
+    pub fn lose_reads(&self, topic: &str, count: u32) {
+        lock(&self.core).lost_reads.insert(topic.to_owned(), count);
+    }
+
     /// Sets how many records one page of newest records has.
     pub fn set_page_items(&self, items: usize) {
         lock(&self.core).page_items = items;
@@ -222,9 +258,19 @@
         if request.waited.is_zero() {
             *self.calls.entry(request.path.clone()).or_default() += 1;
         }
+        if request.method == "GET"
+            && request.waited.is_zero()
+            && let Some(limit) = &mut self.read_limit
+            && !limit.allows(Instant::now())
+        {
+            return refuse(429);
+        }
         if self.silent_topic.is_some() && self.silent_topic.as_ref() == request.query.get("Topic") {
             return vec![Step::Silence];
         }
+        if self.loses_read(request) {
+            return vec![Step::Silence];
+        }
         let mut script = vec![Step::Pause(self.delay)];
         match request.path.rsplit('/').next() {
             Some("log-append") => {
@@ -253,6 +299,20 @@
         script
     }
 
+    /// Whether a call is a read whose answer is to be lost.
+    fn loses_read(&mut self, request: &WireRequest) -> bool {
+        if request.method != "GET" {
+            return false;
+        }
+        let topic = request.query.get("Topic");
+        let left = topic.and_then(|topic| self.lost_reads.get_mut(topic));
+        let Some(left) = left.filter(|left| **left > 0) else {
+            return false;
+        };
+        *left -= 1;
+        true
+    }
+
     fn append(&mut self, request: &WireRequest) -> Bytes {
         let Some(id) = partition_id(request) else {
             return full_response(400, &[], b"");
--- a/standins/tests/gateway_lists.rs
+++ b/standins/tests/gateway_lists.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use standins::platform_caller::{CallerRequest, exchange};
-use standins::platform_run::{PlatformRun, config, is_ready, wait_until};
-use standins::platform_store::StoreMode;
+use standins::platform_run::{PLAIN_SERVICE, PlatformRun, config, is_ready, wait_until};
+use standins::platform_store::{StoreEndpoint, StoreMode};
+use standins::soak_proxy::Proxy;
 
 /// Returns a configuration in which the path of the route `/look/` is `/moved/`.
 fn moved_config(version: u64) -> String {
@@ -18,7 +19,20 @@
 
 /// Starts one gateway with one plain server, `p-1`.
 fn run_with_one_plain() -> PlatformRun {
-    let run = PlatformRun::start(1).expect("a run");
+    leave_one_plain(PlatformRun::start(1).expect("a run"))
+}
+
+/// Starts one gateway behind a proxy of the store with one plain server, `p-1`.
+fn run_behind_proxy() -> (PlatformRun, StoreEndpoint, Proxy) {
+    let mut run = PlatformRun::start(0).expect("a run");
+    let endpoint = run.store.open().expect("an endpoint");
+    let proxy = Proxy::start(endpoint.address).expect("a proxy");
+    run.add_gateway_with(|settings| settings.store = proxy.address)
+        .expect("a gateway");
+    (leave_one_plain(run), endpoint, proxy)
+}
+
+fn leave_one_plain(run: PlatformRun) -> PlatformRun {
     run.store.remove("keyed.servers", "p-2");
     wait_until(|| !lists_server(&run, "p-2")).expect("one plain server");
     run
@@ -168,6 +182,59 @@
     assert!(served < DRAIN_LIMIT, "{served:?}");
 }
 
+/// Guards against response times measured in an outage that delay the detection of a lost long
+/// poll, so that it counts as another outage and a removed server is kept.
+#[test]
+fn connections_that_fall_silent_after_an_outage_do_not_delay_the_removal_of_a_server() {
+    let (run, endpoint, proxy) = run_behind_proxy();
+    endpoint.set_mode(StoreMode::Silent);
+    sleep(Duration::from_millis(4_500));
+    endpoint.set_mode(StoreMode::Serving);
+    sleep(Duration::from_millis(6_100));
+    proxy.silence_open_connections();
+    sleep(Duration::from_millis(100));
+    let served = served_after_removal(&run);
+    assert!(served < DRAIN_LIMIT, "{served:?}");
+}
+
+/// Guards against the attempts of an unavailable configuration that hold up the repeated read of
+/// the server list, so that one lost response counts as an outage.
+#[test]
+fn a_lost_read_beside_an_unavailable_configuration_does_not_delay_the_removal_of_a_server() {
+    let run = run_with_one_plain();
+    run.store.silence_topic(Some("keyed.op"));
+    sleep(Duration::from_millis(1_800));
+    run.store.lose_reads("keyed.servers", 1);
+    sleep(Duration::from_millis(1_100));
+    let served = served_after_removal(&run);
+    assert!(served < DRAIN_LIMIT, "{served:?}");
+}
+
+/// Guards against a list that is read again on connections that have fallen silent as well.
+#[test]
+fn connections_that_fall_silent_do_not_delay_the_removal_of_a_server() {
+    let (run, _endpoint, proxy) = run_behind_proxy();
+    sleep(Duration::from_millis(500));
+    proxy.silence_open_connections();
+    let served = served_after_removal(&run);
+    assert!(served < DRAIN_LIMIT, "{served:?}");
+}
+
+/// Guards against a store that becomes 60 times slower and is taken for unavailable, so that a
+/// removed server is kept: servers can renew their entries all the while.
+#[test]
+fn a_store_that_becomes_slow_does_not_delay_the_removal_of_a_server() {
+    let run = run_with_one_plain();
+    // A change ends the long poll, and another one starts.
+    let entry = run.plains[0].entry(PLAIN_SERVICE, "ready");
+    run.store.put("keyed.servers", "p-1", &entry);
+    sleep(Duration::from_millis(300));
+    run.store.set_delay(Duration::from_millis(300));
+    sleep(Duration::from_millis(1_200));
+    let served = served_after_removal(&run);
+    assert!(served < DRAIN_LIMIT, "{served:?}");
+}
+
 /// A gateway that cannot read the configuration is not ready although its server list is current,
 /// and is ready again once it can.
 #[test]
@@ -185,19 +252,80 @@
 #[test]
 fn servers_whose_entries_expire_in_a_store_outage_are_still_used() {
     let run = PlatformRun::start(1).expect("a run");
-    run.store_endpoints[0].set_mode(StoreMode::Busy);
+    expire_servers_in_outage(&run, StoreMode::Busy, Duration::from_secs(3));
+    assert_lapsed_servers_are_used_for_a_while(&run, 0);
+}
+
+/// The same for a store that is silent, for hardly longer than two heartbeats.
+#[test]
+fn servers_whose_entries_expire_while_the_store_is_silent_are_still_used() {
+    let run = PlatformRun::start(1).expect("a run");
+    expire_servers_in_outage(&run, StoreMode::Silent, Duration::from_millis(2_600));
+    assert_lapsed_servers_are_used_for_a_while(&run, 0);
+}
+
+/// The same for a store that resets connections, and for gateways that try to relay their calls.
+#[test]
+fn servers_whose_entries_expire_while_the_store_resets_connections_are_still_used() {
+    let run = PlatformRun::start(2).expect("a run");
+    sleep(Duration::from_millis(500));
+    expire_servers_in_outage(&run, StoreMode::Reset, Duration::from_secs(3));
+    assert_lapsed_servers_are_used_for_a_while(&run, 1);
+}
+
+/// The same for a silent store and gateways that wait for each other's relayed calls.
+#[test]
+fn servers_whose_entries_expire_while_the_store_is_silent_to_all_gateways_are_still_used() {
+    let run = PlatformRun::start(2).expect("a run");
+    sleep(Duration::from_millis(500));
+    expire_servers_in_outage(&run, StoreMode::Silent, Duration::from_millis(3_200));
+    assert_lapsed_servers_are_used_for_a_while(&run, 1);
+}
+
+/// The same for an outage of the server list alone.
+#[test]
+fn servers_whose_entries_expire_while_their_list_is_unavailable_are_still_used() {
+    let run = PlatformRun::start(1).expect("a run");
+    run.store.silence_topic(Some("keyed.servers"));
     sleep(Duration::from_secs(3));
+    remove_plain_servers(&run);
+    run.store.silence_topic(None);
+    assert_lapsed_servers_are_used_for_a_while(&run, 0);
+}
+
+fn remove_plain_servers(run: &PlatformRun) {
     for server in ["p-1", "p-2"] {
         run.store.remove("keyed.servers", server);
     }
-    run.store_endpoints[0].set_mode(StoreMode::Serving);
+}
+
+/// Makes the store unavailable to all gateways, and removes the plain servers meanwhile.
+fn expire_servers_in_outage(run: &PlatformRun, mode: StoreMode, outage: Duration) {
+    let set_mode = |mode| {
+        for endpoint in &run.store_endpoints {
+            endpoint.set_mode(mode);
+        }
+    };
+    set_mode(mode);
+    sleep(outage);
+    remove_plain_servers(run);
+    set_mode(StoreMode::Serving);
+}
+
+/// Checks that the removed plain servers are used for a second and are then removed.
+fn assert_lapsed_servers_are_used_for_a_while(run: &PlatformRun, gateway: usize) {
     let returned_at = Instant::now();
     while returned_at.elapsed() < Duration::from_secs(1) {
         let request = CallerRequest::new("GET", "/look/1", "r");
-        let response = request.send(run.callers(0)).expect("a response");
+        let response = request.send(run.callers(gateway)).expect("a response");
         assert_eq!(response.status, 200, "{:?}", returned_at.elapsed());
         sleep(Duration::from_millis(10));
     }
-    wait_until(|| !lists_server(&run, "p-1") && !lists_server(&run, "p-2"))
+    wait_until(|| !lists_server(run, "p-1") && !lists_server(run, "p-2"))
         .expect("both servers are removed");
+    assert!(
+        returned_at.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        returned_at.elapsed()
+    );
 }
