--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -1,56 +1,40 @@
-//! Starts the gateways, the store and the backend servers of a soak, and injects faults into them.
+//! Starts the gateways, the store and the backend servers of a soak, and injects faults.
 
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
 
 use crate::http::lock;
-use crate::platform_backend::{BackendFault, BackendSettings, PlatformBackend};
-use crate::platform_run::{HOST, MODEL_SERVICE, PLAIN_SERVICE, is_ready};
+use crate::platform_run::is_ready;
 use crate::platform_store::{AppendFault, PlatformStore, StoreEndpoint, StoreMode};
+use crate::soak_config::SoakConfig;
 use crate::soak_faults::{Fault, PlannedFault};
-use crate::soak_history::{EVENTS_PER_STREAM, ExecutedRequest, TOKENS_PER_EVENT};
 use crate::soak_process::{GatewayProcess, ProcessPorts, wait_for_exit};
-use crate::soak_proxy::{Proxy, ProxyMode};
+use crate::soak_servers::SoakServers;
 
 /// The number of gateways in a run.
 pub const GATEWAYS: usize = 3;
-/// The number of backend servers in a run, by service.
-const SERVERS: [(&str, usize); 2] = [(MODEL_SERVICE, 3), (PLAIN_SERVICE, 2)];
-
-/// The software versions of the servers of a service, in turn.
-const VERSIONS: [&str; 2] = ["v1", "v2"];
-
-/// A backend server behind its proxy.
-#[derive(Debug)]
-struct Server {
-    backend: PlatformBackend,
-    proxy: Proxy,
-    id: String,
-    service: &'static str,
-}
-
-impl Server {
-    fn entry(&self, state: &str) -> String {
-        let backend = self.backend.entry(self.service, state);
-        let address = self.backend.address.to_string();
-        backend.replace(&address, &self.proxy.address.to_string())
-    }
-}
-
+/// The most configurations that follow each other in one fault.
+const MAX_SERIES_CONFIGS: u64 = 4;
+/// The bits of a fault's random value that select one change of the configuration.
+const BITS_PER_CHANGE: u32 = 8;
 /// A gateway and its faults.
 #[derive(Debug)]
 struct Gateway {
     process: GatewayProcess,
     /// The number of faults of its process that have not ended.
     active_faults: u32,
+    /// How often it was killed or suspended.
+    disturbance_count: u32,
     /// Whether it was told to shut down and has not been restarted yet.
     is_ending: bool,
+    /// The newest version of the configuration that this start of it has served.
+    served_version: u64,
 }
 
 /// The status of a gateway at one moment.
@@ -62,6 +46,8 @@
     pub start_count: u32,
     /// Whether its process is killed or suspended.
     pub has_fault: bool,
+    /// How often its process was killed or suspended.
+    pub disturbance_count: u32,
     /// Whether it was told to shut down.
     pub is_ending: bool,
 }
@@ -71,32 +57,13 @@
 pub struct SoakWorld {
     store: PlatformStore,
     doors: Vec<StoreEndpoint>,
-    servers: Vec<Server>,
+    /// The backend servers and the links to them.
+    pub servers: SoakServers,
     gateways: Vec<Mutex<Gateway>>,
-    version: Mutex<u64>,
-}
-
-/// Returns a version of the configuration, which has a route that no other version has.
-fn config(version: u64) -> String {
-    let route = |path: &str, more: &str| {
-        format!(r#"{{"Name":"{path}","Host":"{HOST}","PathPrefix":"/{path}/",{more}}}"#)
-    };
-    let stream = r#""Kind":"streaming","TimeoutMs":2500,"TargetLatencyMs":100,"GapTargetMs":150,"Service":"models","RetainS":60.0,"Sticky":true,"Attempts":2"#;
-    let plain = r#""TimeoutMs":1200,"TargetLatencyMs":50,"Service":"plain","Attempts":2"#;
-    let routes = [
-        route("chat", &format!(r#"{stream},"KeepContext":true"#)),
-        route("draft", &format!(r#"{stream},"Resumable":true"#)),
-        route("look", &format!(r#""Kind":"idempotent",{plain}"#)),
-        route("book", &format!(r#""Kind":"non_idempotent",{plain}"#)),
-        route(
-            &format!("version-{version}"),
-            &format!(r#""Kind":"idempotent",{plain}"#),
-        ),
-    ]
-    .join(",");
-    format!(
-        r#"{{"Version":{version},"Routes":[{routes}],"Services":[{{"Name":"models","HealthPath":"/healthz","MaxConns":50,"Engine":{{"Stride":{TOKENS_PER_EVENT}}}}},{{"Name":"plain","HealthPath":"/healthz","MaxConns":50}}],"Limits":{{"MaxHeaderBytes":4096,"MaxBodyBytes":100000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":5000}}}}"#
-    )
+    /// The published configurations, of which the first has version 1.
+    configs: Mutex<Vec<SoakConfig>>,
+    started_at: Instant,
+    directory: PathBuf,
 }
 
 impl SoakWorld {
@@ -105,16 +72,13 @@
     /// # Errors
     ///
     /// Returns an error if a port, thread, file or process can't be obtained.
-    pub fn start(daemon: &Path, directory: &Path) -> io::Result<Self> {
+    pub fn start(daemon: &Path, directory: &Path, is_extended: bool) -> io::Result<Self> {
         fs::create_dir_all(directory)?;
         let store = PlatformStore::default();
-        store.put("keyed.op", "config", &config(1));
-        let mut servers = Vec::new();
-        for (service, count) in SERVERS {
-            for number in 0..count {
-                servers.push(start_server(service, number, &store)?);
-            }
-        }
+        let config = SoakConfig::default();
+        store.put("keyed.op", "config", &config.text(1));
+        let started_at = Instant::now();
+        let servers = SoakServers::start(&store, started_at, is_extended)?;
         let mut doors = Vec::new();
         for _ in 0..GATEWAYS {
             doors.push(store.open()?);
@@ -128,7 +92,9 @@
             gateways.push(Mutex::new(Gateway {
                 process,
                 active_faults: 0,
+                disturbance_count: 0,
                 is_ending: false,
+                served_version: 1,
             }));
         }
         Ok(Self {
@@ -136,7 +102,9 @@
             doors,
             servers,
             gateways,
-            version: Mutex::new(1),
+            configs: Mutex::new(vec![config]),
+            started_at,
+            directory: directory.to_owned(),
         })
     }
 
@@ -148,6 +116,7 @@
             callers: gateway.process.ports.callers,
             start_count: gateway.process.start_count,
             has_fault: gateway.active_faults > 0,
+            disturbance_count: gateway.disturbance_count,
             is_ending: gateway.is_ending,
         }
     }
@@ -161,18 +130,51 @@
     /// Returns the newest published version of the configuration.
     #[must_use]
     pub fn config_version(&self) -> u64 {
-        *lock(&self.version)
+        lock(&self.configs).len() as u64
+    }
+
+    /// Records that a start of a gateway has served a version of the configuration.
+    pub fn record_served_version(&self, (number, start_count): (usize, u32), version: u64) {
+        let mut gateway = lock(&self.gateways[number]);
+        if gateway.process.start_count == start_count {
+            gateway.served_version = version.max(gateway.served_version);
+        }
     }
 
-    /// Returns the requests that the servers executed.
+    /// Returns the newest version of the configuration that a gateway is known to have in force; a
+    /// gateway never goes back to an older one.
     #[must_use]
-    pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
-        let executions = self.servers.iter().flat_map(|s| s.backend.executions());
-        let ran = executions.map(|execution| ExecutedRequest {
-            id: execution.id,
-            body: String::from_utf8_lossy(&execution.request.body).into_owned(),
-        });
-        ran.collect()
+    pub fn served_version(&self, number: usize) -> u64 {
+        lock(&self.gateways[number]).served_version
+    }
+
+    /// Returns the configurations from a version on.
+    #[must_use]
+    pub fn configs_since(&self, version: u64) -> Vec<SoakConfig> {
+        let skipped = usize::try_from(version).unwrap_or(1) - 1;
+        lock(&self.configs).iter().skip(skipped).copied().collect()
+    }
+
+    /// Returns the time since the start of the run.
+    #[must_use]
+    pub fn elapsed(&self, at: Instant) -> Duration {
+        at.saturating_duration_since(self.started_at)
+    }
+
+    /// Returns the last line of the gateways' logs that names a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a log can't be read.
+    pub fn find_log_line(&self, id: &str) -> io::Result<Option<String>> {
+        let name = format!(r#""request":"{id}""#);
+        let mut found = None;
+        for number in 0..GATEWAYS {
+            let log = fs::read_to_string(self.directory.join(format!("gateway-{number}.log")))?;
+            let line = log.lines().rfind(|line| line.contains(&name));
+            found = line.map(str::to_owned).or(found);
+        }
+        Ok(found)
     }
 
     /// Injects a fault and waits until it has ended.
@@ -233,36 +235,31 @@
                 Ok(())
             }
             Fault::ServerLink => {
-                let server = self.choose_server(random_value);
-                server.proxy.set_mode(proxy_mode(random_value));
-                std::thread::sleep(duration);
-                server.proxy.set_mode(ProxyMode::Forward);
+                self.servers.disturb_link(random_value, duration);
+                Ok(())
+            }
+            Fault::ServersPause => {
+                self.servers.pause(random_value, duration);
                 Ok(())
             }
             Fault::FaultyResponses => {
-                let server = self.choose_server(random_value);
-                for number in 0..=random_value % 4 {
-                    server
-                        .backend
-                        .inject_fault(backend_fault(random_value / 8 + number));
-                }
+                self.servers.inject_response_faults(random_value);
                 Ok(())
             }
             Fault::ServerDraining => {
-                let server = self.choose_server(random_value);
-                let write_state = |state| {
-                    let entry = server.entry(state);
-                    self.store.put("keyed.servers", &server.id, &entry);
-                };
-                write_state("draining");
-                std::thread::sleep(duration);
-                write_state("ready");
+                self.servers.drain(&self.store, random_value, duration);
                 Ok(())
             }
             Fault::ConfigUpdate => {
-                let mut version = lock(&self.version);
-                *version += 1;
-                self.store.put("keyed.op", "config", &config(*version));
+                self.publish(|newest| newest);
+                Ok(())
+            }
+            Fault::ConfigSeries => {
+                self.publish_series(random_value, duration);
+                Ok(())
+            }
+            Fault::Hangup => {
+                self.hang_up(number);
                 Ok(())
             }
             // The callers handle this fault.
@@ -276,14 +273,34 @@
             door.set_mode(StoreMode::Serving);
         }
         self.store.set_delay(Duration::ZERO);
-        for server in &self.servers {
-            server.proxy.set_mode(ProxyMode::Forward);
+        self.servers.restore_links();
+    }
+
+    /// Publishes the version of the configuration that follows the newest.
+    fn publish(&self, change: impl FnOnce(SoakConfig) -> SoakConfig) {
+        let mut configs = lock(&self.configs);
+        let next = change(configs.last().copied().unwrap_or_default());
+        configs.push(next);
+        let text = next.text(configs.len() as u64);
+        self.store.put("keyed.op", "config", &text);
+    }
+
+    /// Publishes up to [`MAX_SERIES_CONFIGS`] versions, evenly over a time.
+    fn publish_series(&self, random_value: u64, duration: Duration) {
+        let count = u32::try_from(random_value / 64 % MAX_SERIES_CONFIGS).unwrap_or(0) + 1;
+        for number in 0..count {
+            let change = random_value >> (number * BITS_PER_CHANGE);
+            self.publish(|newest| newest.changed(change));
+            std::thread::sleep(duration / count);
         }
     }
 
-    fn choose_server(&self, random_value: u64) -> &Server {
-        let count = self.servers.len() as u64;
-        &self.servers[usize::try_from(random_value / 7 % count).unwrap_or(0)]
+    /// Sends SIGHUP to a gateway that is ready; one that does not handle signals yet would exit.
+    fn hang_up(&self, number: usize) {
+        if is_ready(self.ready_address(number)) {
+            let gateway = lock(&self.gateways[number]);
+            gateway.process.send_signal(Signal::HUP);
+        }
     }
 
     fn fail_appends(&self, fault: AppendFault, random_value: u64) {
@@ -295,6 +312,7 @@
     fn begin_fault(&self, number: usize, change: impl FnOnce(&mut Gateway)) {
         let mut gateway = lock(&self.gateways[number]);
         gateway.active_faults += 1;
+        gateway.disturbance_count += 1;
         change(&mut gateway);
     }
 
@@ -320,6 +338,7 @@
             if gateway.process.is_started() || gateway.is_ending {
                 return Ok(());
             }
+            gateway.served_version = 1;
             gateway.process.restart()
         })
     }
@@ -342,8 +361,11 @@
         };
         let status = child.map(wait_for_exit).transpose()?.flatten();
         std::thread::sleep(duration);
-        lock(&self.gateways[number]).is_ending = false;
-        self.begin_fault(number, |_| {});
+        {
+            let mut gateway = lock(&self.gateways[number]);
+            gateway.is_ending = false;
+            gateway.active_faults += 1;
+        }
         self.restart(number)?;
         if status.is_some_and(|status| status.success()) {
             return Ok(());
@@ -353,27 +375,6 @@
     }
 }
 
-fn start_server(service: &'static str, number: usize, store: &PlatformStore) -> io::Result<Server> {
-    let id = format!("{service}-{number}");
-    let backend = PlatformBackend::start(BackendSettings {
-        id: id.clone(),
-        version: VERSIONS[number % VERSIONS.len()].to_owned(),
-        names_version: service == MODEL_SERVICE,
-        events: EVENTS_PER_STREAM,
-        pause: Duration::from_millis(10),
-        ..BackendSettings::default()
-    })?;
-    let proxy = Proxy::start(backend.address)?;
-    let server = Server {
-        backend,
-        proxy,
-        id,
-        service,
-    };
-    store.put("keyed.servers", &server.id, &server.entry("ready"));
-    Ok(server)
-}
-
 /// Makes the store unavailable at some of its addresses, in one of four ways.
 fn interrupt_store(doors: &[StoreEndpoint], random_value: u64, duration: Duration) {
     let modes = [
@@ -392,28 +393,6 @@
     }
 }
 
-fn proxy_mode(random_value: u64) -> ProxyMode {
-    match random_value % 4 {
-        0 => ProxyMode::Delay(Duration::from_millis(random_value / 4 % 200)),
-        1 => ProxyMode::RequestsOnly,
-        2 => ProxyMode::Blackhole,
-        _ => ProxyMode::Reset,
-    }
-}
-
-fn backend_fault(random_value: u64) -> BackendFault {
-    match random_value % 8 {
-        0 => BackendFault::Refuse,
-        1 => BackendFault::LoseResponse,
-        2 => BackendFault::Silence,
-        3 => BackendFault::CutAfter(random_value / 8 % EVENTS_PER_STREAM),
-        4 => BackendFault::SilentAfter(random_value / 8 % EVENTS_PER_STREAM),
-        5 => BackendFault::ExtraResponse,
-        6 => BackendFault::WrongId,
-        _ => BackendFault::Unframed,
-    }
-}
-
 /// Returns the path of the daemon beside this program.
 ///
 /// # Errors
