--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -23,6 +23,8 @@
     Refuse,
     /// The request is rejected after this delay and not executed.
     RefuseAfter(Duration),
+    /// The request is executed, and the response is an error.
+    Fail,
     /// The request is executed, and the connection is closed without a response.
     LoseResponse,
     /// The request is executed, and nothing is sent.
@@ -234,6 +236,10 @@
         match fault {
             Some(BackendFault::LoseResponse) => return vec![Step::Close],
             Some(BackendFault::Silence) => return vec![Step::Silence],
+            Some(BackendFault::Fail) => {
+                let response = full_response(500, &response_headers(&id), b"");
+                return vec![Step::Write(response)];
+            }
             _ => {}
         }
         if let Some(fatal) = &self.settings.fatal_request
--- a/standins/tests/paused_servers.rs
+++ b/standins/tests/paused_servers.rs
@@ -205,6 +205,20 @@
     assert_whole(&run, streams);
 }
 
+/// Guards against a stream that leaves a silent engine for one that answers with an error, which a
+/// begun stream can't deliver.
+#[test]
+fn a_stream_survives_a_pause_while_the_other_engine_answers_an_error() {
+    let run = start("erring-successor", 2);
+    let streams = begin_at_first(&run, FEW);
+    for engine in [1, 3] {
+        run.inject_faults(engine, BackendFault::Fail, 2 * FEW);
+        run.undrain(engine, &[0]);
+    }
+    pause(&run, &[0, 2], PAUSE);
+    assert_whole(&run, streams);
+}
+
 /// Guards against streams whose engines go on while they are being moved.
 #[test]
 fn streams_survive_pauses_that_end_during_their_move() {
