Gateway: a begun stream doesn't leave a silent server for one that answers with an error

Cause: a successor counted as having taken a stream as soon as it answered, whatever the status. An error can't be delivered on a stream that has begun, so that the stream was cut although its silent server would have gone on.

Change: an error response to a begun stream counts as a failure of the successor, and the stream stays at its server.

--- a/clementinepickd/src/gateway_handover.rs
+++ b/clementinepickd/src/gateway_handover.rs
@@ -8,11 +8,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::StatusCode;
 use actix_rt::time::timeout;
 use clementinepick::refusal::Refusal;
 
 use crate::gateway_attempts::{AttemptError, Attempts, CurrentRun};
-use crate::gateway_exchange::{ResponseFuture, RunInput, SentRequest, ServerSlot};
+use crate::gateway_exchange::{ResponseFuture, RunInput, SentRequest, ServerResponse, ServerSlot};
 use crate::gateway_shared::Shared;
 use crate::outbound::Connection;
 use crate::server_probe::ServerFate;
@@ -269,7 +270,9 @@
         let sent = routed.exchange(shared, slot, connection, body, input.last_event_id);
         let mut response: ResponseFuture<'a> = Box::pin(sent);
         let server = run.server.clone();
-        let response: ResponseFuture<'a> = match timeout(MAX_OVERLAP, response.as_mut()).await {
+        let answered = timeout(MAX_OVERLAP, response.as_mut()).await;
+        let answered = answered.map(|response| response.and_then(|r| check_successor(r, input)));
+        let response: ResponseFuture<'a> = match answered {
             Err(_) => response,
             Ok(Ok(answered)) => Box::pin(std::future::ready(Ok(answered))),
             Ok(Err(error)) => {
@@ -286,3 +289,16 @@
         Ok((SentRequest { server, response }, left))
     }
 }
+
+/// Rejects an error response to a stream that has begun, since it can't be delivered: the silent
+/// server may still go on.
+fn check_successor(
+    response: ServerResponse,
+    input: &RunInput,
+) -> Result<ServerResponse, AttemptError> {
+    if input.origin.is_some() && response.head.status != StatusCode::OK {
+        response.slot.record_failure();
+        return Err(AttemptError::ResponseLost);
+    }
+    Ok(response)
+}
