--- a/standins/tests/caller_connections.rs
+++ b/standins/tests/caller_connections.rs
@@ -195,6 +195,21 @@
     assert_eq!(closed.count(), CONNECTIONS);
 }
 
+/// Guards against closing a connection whose caller goes by a limit that was in force only for a while.
+#[test]
+fn an_idle_limit_that_was_raised_for_a_while_spares_idle_connections() {
+    let run = Run::start("raised-for-a-while", &with_idle_limit(1, 2_000));
+    let mut connections = idle_connections(&run, CONNECTIONS);
+    run.configure(2, &with_idle_limit(2, 20_000));
+    thread::sleep(Duration::from_millis(500));
+    run.configure(3, &with_idle_limit(3, 2_000));
+    thread::sleep(Duration::from_millis(2_500));
+    assert_eq!(
+        count_served(&mut connections, |id| lookup(&id)),
+        CONNECTIONS
+    );
+}
+
 /// Guards against refusing what the configuration allows by a limit of before the wait.
 #[test]
 fn raised_size_limits_apply_to_idle_connections() {
