Gateway: limits that were in force for a while count for idle connections

Cause: the limits of an idle connection were looked at only when a timer fired, so that a limit that was raised and lowered in between was missed, and the connection closed while its caller may have gone by the higher one.

--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -66,6 +66,7 @@
 mod ini_sections;
 mod invariants;
 pub mod journal;
+pub mod limit_history;
 pub mod listed_versions;
 pub mod membership;
 pub mod message;
--- a/clementinepickd/src/gateway_maintenance.rs
+++ b/clementinepickd/src/gateway_maintenance.rs
@@ -33,6 +33,7 @@
         shared.budgets.evict_idle(now);
         shared.expire_origins(now);
         shared.record_versions(now);
+        shared.record_limits(now);
         shared.metrics.aggregate_histograms();
         let directory = shared.directory();
         if !directory.peers.is_empty() {
--- a/clementinepickd/src/gateway_receive.rs
+++ b/clementinepickd/src/gateway_receive.rs
@@ -84,21 +84,20 @@
 /// know of a lower one yet.
 struct LimitsInForce<'a> {
     shared: &'a Shared,
-    highest: Cell<CallerLimits>,
+    idle_since: Instant,
 }
 
 impl<'a> LimitsInForce<'a> {
-    fn new(shared: &'a Shared) -> Self {
+    fn new(shared: &'a Shared, now: Instant) -> Self {
+        shared.record_limits(now);
         Self {
             shared,
-            highest: Cell::new(shared.caller_limits()),
+            idle_since: now,
         }
     }
 
     fn get(&self) -> CallerLimits {
-        let limits = self.highest.get().loosest(self.shared.caller_limits());
-        self.highest.set(limits);
-        limits
+        self.shared.loosest_limits_since(self.idle_since)
     }
 }
 
@@ -128,7 +127,7 @@
     codec: &mut Codec,
     write: &mut OwnedWriteHalf,
 ) -> Result<ReceivedRequest<'a>, ReceiveError> {
-    let limits = LimitsInForce::new(shared);
+    let limits = LimitsInForce::new(shared, Instant::now());
     if reader.buffer.is_empty() && !wait_for_input(shared, reader, &limits).await {
         return Err(ReceiveError::Closed);
     }
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use clementinepick::event::{Event, EventKind};
+use clementinepick::limit_history::LimitHistory;
 use clementinepick::listed_versions::ListedVersions;
 use clementinepick::retry::RetryBudget;
 use clementinepick::server_list::{ServerList, SoftwareVersion};
@@ -64,6 +65,7 @@
     pub(crate) peer_address: SocketAddr,
     pub(crate) pool: ConnectionPool,
     pub(crate) choice: RefCell<ServerSelector>,
+    limits: RefCell<LimitHistory>,
     listed_versions: RefCell<ListedVersions>,
     pub(crate) metrics: Arc<GatewayMetrics>,
     pub(crate) retries: RefCell<BTreeMap<String, RetryBudget>>,
@@ -175,6 +177,7 @@
             ledger,
             pool: ConnectionPool::default(),
             choice: RefCell::default(),
+            limits: RefCell::default(),
             listed_versions: RefCell::default(),
             metrics,
             retries: RefCell::default(),
@@ -203,7 +206,7 @@
         self.directory.borrow().clone()
     }
 
-    pub(crate) fn caller_limits(&self) -> CallerLimits {
+    fn caller_limits(&self) -> CallerLimits {
         let directory = self.directory.borrow();
         directory
             .config
@@ -212,6 +215,19 @@
             .unwrap_or_default()
     }
 
+    /// Records which limits of callers' requests are in force now.
+    pub(crate) fn record_limits(&self, now: Instant) {
+        let now = self.now_us(now);
+        let mut limits = self.limits.borrow_mut();
+        limits.record(now, self.caller_limits());
+    }
+
+    /// Returns the highest of each limit that was in force at `since` or later.
+    pub(crate) fn loosest_limits_since(&self, since: Instant) -> CallerLimits {
+        self.record_limits(Instant::now());
+        self.limits.borrow().loosest_since(self.now_us(since))
+    }
+
     /// Returns the list of servers unless it is too old to conclude from it that a server is absent.
     pub(crate) fn current_servers(&self, now: Instant) -> Option<Arc<ServerList>> {
         let directory = self.directory.borrow();
