Keep an announced idle limit that is lowered before its response ends

Cause: the limits of an idle connection counted from the end of its last response. One that was lowered after the head of that response was written, which announces for how long the connection may be reused, closed it too early. Change: they count from the arrival of the request. Limits in force are readable again where a head is written, and the soak names the two new faults of servers.

--- a/clementinepickd/src/gateway_connection.rs
+++ b/clementinepickd/src/gateway_connection.rs
@@ -3,7 +3,7 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::h1::Codec;
 use actix_rt::time::timeout;
@@ -62,8 +62,10 @@
     let state = InputState::default();
     let mut reader = Reader::new(read, &state);
     let mut codec = Codec::default();
+    let mut limits_since = Instant::now();
     loop {
-        let request = match receive(&shared, &mut reader, &mut codec, &mut write).await {
+        let received = receive(&shared, &mut reader, &mut codec, &mut write, limits_since);
+        let request = match received.await {
             Ok(request) => request,
             Err(ReceiveError::Closed) => return,
             Err(ReceiveError::Refused(request)) => {
@@ -86,6 +88,7 @@
             return;
         }
         drop(running_guard);
+        limits_since = request.arrived;
         if reply.state() != ReplyState::Complete || reply.closes {
             return close(&mut reader, &mut write).await;
         }
--- a/clementinepickd/src/gateway_receive.rs
+++ b/clementinepickd/src/gateway_receive.rs
@@ -80,24 +80,21 @@
     state: &'a InputState,
 }
 
-/// The highest of the limits that were in force since a connection became idle: its caller may not
-/// know of a lower one yet.
+/// The highest of the limits that were in force since the previous request of a connection arrived:
+/// its response may have announced the idle limit, and its caller may not know of a lower one yet.
 struct LimitsInForce<'a> {
     shared: &'a Shared,
-    idle_since: Instant,
+    since: Instant,
 }
 
 impl<'a> LimitsInForce<'a> {
-    fn new(shared: &'a Shared, now: Instant) -> Self {
+    fn new(shared: &'a Shared, since: Instant, now: Instant) -> Self {
         shared.record_limits(now);
-        Self {
-            shared,
-            idle_since: now,
-        }
+        Self { shared, since }
     }
 
     fn get(&self) -> CallerLimits {
-        self.shared.loosest_limits_since(self.idle_since)
+        self.shared.loosest_limits_since(self.since)
     }
 }
 
@@ -120,14 +117,15 @@
     }
 }
 
-/// Reads the next request.
+/// Reads the next request, within the highest limits in force since `limits_since`.
 pub(crate) async fn receive<'a>(
     shared: &'a Shared,
     reader: &mut Reader<'_>,
     codec: &mut Codec,
     write: &mut OwnedWriteHalf,
+    limits_since: Instant,
 ) -> Result<ReceivedRequest<'a>, ReceiveError> {
-    let limits = LimitsInForce::new(shared, Instant::now());
+    let limits = LimitsInForce::new(shared, limits_since, Instant::now());
     if reader.buffer.is_empty() && !wait_for_input(shared, reader, &limits).await {
         return Err(ReceiveError::Closed);
     }
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -206,7 +206,8 @@
         self.directory.borrow().clone()
     }
 
-    fn caller_limits(&self) -> CallerLimits {
+    /// Returns the limits of callers' requests that are in force now.
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
         let directory = self.directory.borrow();
         directory
             .config
--- a/standins/src/soak_servers.rs
+++ b/standins/src/soak_servers.rs
@@ -233,6 +233,8 @@
         BackendFault::Silence
         | BackendFault::SilentAfter(_)
         | BackendFault::Refuse
+        | BackendFault::RefuseAfter(_)
+        | BackendFault::Fail
         | BackendFault::ExtraResponse
         | BackendFault::LateExtraResponse(_)
         | BackendFault::Unframed => false,
--- a/standins/tests/caller_connections.rs
+++ b/standins/tests/caller_connections.rs
@@ -200,6 +200,33 @@
     assert_eq!(announced(response), None);
 }
 
+/// Guards against closing a connection earlier than its last response has announced.
+#[test]
+fn an_announced_idle_limit_holds_although_it_is_lowered_before_the_response_ends() {
+    let run = Run::start("lowered-in-response", &with_idle_limit(1, 20_000));
+    run.engine
+        .configure(|settings| settings.pause = Duration::from_millis(200));
+    let mut connections: Vec<TcpStream> = (0..CONNECTIONS).map(|_| run.connect()).collect();
+    for (number, connection) in connections.iter_mut().enumerate() {
+        let id = format!("t{number}");
+        let turn = CallerRequest::turn("/draft/1", &id, &id, "x");
+        connection.write_all(&turn.bytes()).expect("request sent");
+    }
+    for connection in &connections {
+        assert_eq!(connection.peek(&mut [0]).expect("a head"), 1);
+    }
+    run.configure(2, &with_idle_limit(2, 500));
+    for connection in &mut connections {
+        let response = read_response(connection).expect("a response");
+        assert_eq!((response.status, response.is_complete), (200, true));
+    }
+    thread::sleep(Duration::from_millis(1_200));
+    assert_eq!(
+        count_served(&mut connections, |id| lookup(&id)),
+        CONNECTIONS
+    );
+}
+
 /// Guards against closing a connection whose caller still goes by the limit of before.
 #[test]
 fn a_lowered_idle_limit_spares_connections_that_are_already_idle() {
