--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -274,8 +274,8 @@
         std::mem::replace(&mut self.refusal, refusal)
     }
 
-    /// Records that a run was left because its server was silent.
-    pub(crate) async fn record_left(&self, run: &CurrentRun, fate: ServerFate) {
+    /// Records that a successor has replaced a run whose server was silent.
+    pub(crate) async fn record_replaced(&self, run: &CurrentRun, fate: ServerFate) {
         let label = AttemptError::ResponseLost.label();
         self.trace.record_error(&run.server.id, label);
         let start = ServerStart::of(&run.server);
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -93,9 +93,9 @@
     attempts: &mut Attempts<'a>,
     sent: SentRequest<'a>,
 ) -> Result<FullResponse, RunEnd<'a>> {
-    let patience = response_timeout(routed);
+    let silence_timeout = response_timeout(routed);
     let input = || run_input(routed);
-    let mut response = attempts.wait(patience, input, sent.response).await?;
+    let mut response = attempts.wait(silence_timeout, input, sent.response).await?;
     trace.record_first_byte(Instant::now());
     let ServerResponse {
         connection, slot, ..
@@ -107,7 +107,7 @@
             AttemptError::ResponseLost
         })
     };
-    let body = attempts.wait(patience, input, read_body).await?;
+    let body = attempts.wait(silence_timeout, input, read_body).await?;
     let full = FullResponse {
         status: response.head.status,
         headers: platform::response::forwarded_headers(&response.head.headers),
--- a/clementinepickd/src/gateway_handover.rs
+++ b/clementinepickd/src/gateway_handover.rs
@@ -72,11 +72,11 @@
     }
 }
 
-/// A retry that was withdrawn from the budget of a service; returned when dropped, unless made.
+/// A retry that was withdrawn from the budget of a service; refunded when dropped, unless committed.
 struct RetryReservation {
     shared: Rc<Shared>,
     service: String,
-    is_made: bool,
+    is_committed: bool,
 }
 
 impl RetryReservation {
@@ -86,19 +86,19 @@
         budget.try_withdraw().then(|| Self {
             shared: Rc::clone(shared),
             service: service.to_owned(),
-            is_made: false,
+            is_committed: false,
         })
     }
 
-    fn make(mut self, kind: &'static str) {
-        self.is_made = true;
+    fn commit(mut self, kind: &'static str) {
+        self.is_committed = true;
         self.shared.metrics.count_retry(kind);
     }
 }
 
 impl Drop for RetryReservation {
     fn drop(&mut self) {
-        if !self.is_made {
+        if !self.is_committed {
             let mut retries = self.shared.retries.borrow_mut();
             retries.entry(self.service.clone()).or_default().refund();
         }
@@ -116,18 +116,18 @@
 /// A request that a successor has taken.
 struct HandedOver<'a> {
     sent: SentRequest<'a>,
-    /// The run that it leaves.
-    left: Option<CurrentRun>,
+    /// The run at the silent server.
+    replaced: Option<CurrentRun>,
     /// What is known of that run's server.
     fate: ServerFate,
 }
 
 impl<'a> Attempts<'a> {
-    /// Waits for what the current server sends. After `patience` without it, the request moves to
+    /// Waits for what the current server sends. After `silence_timeout` without it, the request moves to
     /// another server if one takes it.
     pub(crate) async fn wait<T>(
         &mut self,
-        patience: Duration,
+        silence_timeout: Duration,
         input: impl Fn() -> RunInput,
         pending: impl Future<Output = Result<T, AttemptError>>,
     ) -> Result<T, RunEnd<'a>> {
@@ -135,7 +135,7 @@
         if !self.may_repeat {
             return Ok(pending.await?);
         }
-        if let Ok(received) = timeout(patience, pending.as_mut()).await {
+        if let Ok(received) = timeout(silence_timeout, pending.as_mut()).await {
             return Ok(received?);
         }
         self.record_silence();
@@ -148,10 +148,14 @@
                 handed_over = self.hand_over(&input) => handed_over,
             };
             match handed_over {
-                Ok(HandedOver { sent, left, fate }) => {
+                Ok(HandedOver {
+                    sent,
+                    replaced,
+                    fate,
+                }) => {
                     self.shared.metrics.count_silence("moved");
-                    if let Some(left) = left {
-                        self.record_left(&left, fate).await;
+                    if let Some(run) = replaced {
+                        self.record_replaced(&run, fate).await;
                     }
                     return Err(RunEnd::Moved(sent));
                 }
@@ -213,8 +217,12 @@
             run,
             retry,
         };
-        let (sent, left) = self.send_to_successor(successor, input).await?;
-        Ok(HandedOver { sent, left, fate })
+        let (sent, replaced) = self.send_to_successor(successor, input).await?;
+        Ok(HandedOver {
+            sent,
+            replaced,
+            fate,
+        })
     }
 
     /// Finds out whether the current server has ended.
@@ -260,7 +268,7 @@
             run,
             retry,
         } = successor;
-        retry.make(self.trace.kind.get());
+        retry.commit(self.trace.kind.get());
         self.record_send(&slot);
         // If this is dropped, the successor may run the request.
         let refusal_before = self.replace_refusal(Refusal::ServerLost);
@@ -285,8 +293,8 @@
                 return Err(NoSuccessor::Failed);
             }
         };
-        let left = self.current.replace(run);
-        Ok((SentRequest { server, response }, left))
+        let replaced = self.current.replace(run);
+        Ok((SentRequest { server, response }, replaced))
     }
 }
 
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -377,9 +377,9 @@
         sent: SentRequest<'a>,
         reply: &mut Reply<'_>,
     ) -> Result<Result<(), RunEnd<'a>>, CallerDisconnected> {
-        let patience = self.first_event_timeout();
+        let silence_timeout = self.first_event_timeout();
         let input = || self.run_input();
-        let response = match attempts.wait(patience, input, sent.response).await {
+        let response = match attempts.wait(silence_timeout, input, sent.response).await {
             Ok(response) => response,
             Err(end) => return Ok(Err(end)),
         };
@@ -438,7 +438,7 @@
     ) -> Result<Result<(), RunEnd<'a>>, CallerDisconnected> {
         const LOST: RunEnd<'static> = RunEnd::Failed(AttemptError::ResponseLost);
         let mut splitter = EventSplitter::default();
-        let mut patience = self.first_event_timeout();
+        let mut silence_timeout = self.first_event_timeout();
         loop {
             let ServerResponse {
                 connection, slot, ..
@@ -451,7 +451,7 @@
                 })
             };
             let input = || self.run_input();
-            let chunk = match attempts.wait(patience, input, next_chunk).await {
+            let chunk = match attempts.wait(silence_timeout, input, next_chunk).await {
                 Ok(Some(chunk)) => chunk,
                 Ok(None) if splitter.is_empty() => {
                     response.release_connection(self.shared);
@@ -473,7 +473,7 @@
                     return Ok(Err(LOST));
                 }
                 self.deliver(event, reply).await?;
-                patience = self.idle_timeout();
+                silence_timeout = self.idle_timeout();
             }
         }
     }
--- a/standins/tests/caller_connections.rs
+++ b/standins/tests/caller_connections.rs
@@ -125,7 +125,7 @@
 }
 
 /// A configuration whose limits and timeouts are beyond the length of a test.
-fn patient_config() -> String {
+fn long_timeout_config() -> String {
     config(1)
         .replace(r#""TimeoutMs":1000"#, r#""TimeoutMs":20000"#)
         .replace(r#""TimeoutMs":2000"#, r#""TimeoutMs":20000"#)
@@ -344,7 +344,7 @@
 /// against lines that say that their callers left.
 #[test]
 fn requests_that_outlast_the_shutdown_limit_are_answered() {
-    let run = Run::start("outlast", &patient_config());
+    let run = Run::start("outlast", &long_timeout_config());
     run.plain.inject_fault(BackendFault::Silence);
     run.engine.inject_fault(BackendFault::SilentAfter(2));
     let mut running = run.connect();
--- a/standins/tests/paused_servers.rs
+++ b/standins/tests/paused_servers.rs
@@ -25,7 +25,7 @@
 const MANY: usize = 48;
 
 /// A configuration whose deadlines are seconds away.
-fn patient_config(version: u64, attempts: u32) -> String {
+fn long_timeout_config(version: u64, attempts: u32) -> String {
     ["2000", "1200", "1000"]
         .iter()
         .fold(config(version), |config, timeout| {
@@ -43,7 +43,7 @@
 }
 
 fn publish(run: &ProcessRun, version: u64, attempts: u32) {
-    let config = patient_config(version, attempts);
+    let config = long_timeout_config(version, attempts);
     run.store.put("keyed.op", "config", &config);
 }
 
@@ -300,7 +300,7 @@
 fn start_slow_plains(attempts: u32) -> PlatformRun {
     let run = PlatformRun::start(1).expect("a platform run");
     run.store
-        .put("keyed.op", "config", &patient_config(2, attempts));
+        .put("keyed.op", "config", &long_timeout_config(2, attempts));
     wait_until(|| state(&run).contains("\"config_version\":2,")).expect("the configuration in use");
     for plain in &run.plains {
         plain.configure(|settings| settings.pause = PAUSE);
