Stand-ins: test processes don't take each other's ports

Cause: ports for gateways as processes are found by binding and are free again until the gateway binds them. Processes whose ids are equal modulo 44 begin at the same port and could take them meanwhile. Seen once in stream_versions ("can't listen on 127.0.0.1:28015: Address already in use"); the test of ended_servers whose gateway did not start is supposed to have the same cause.

Change: each process holds the first port of a block of 500 and takes ports from its blocks only.

--- a/standins/src/soak_process.rs
+++ b/standins/src/soak_process.rs
@@ -5,11 +5,13 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::http::lock;
+
 /// The drain delay and the shutdown limit in the settings of each gateway, short enough that a run
 /// has several graceful shutdowns.
 const DRAIN_DELAY_MS: u64 = 400;
@@ -17,8 +19,8 @@
 /// The ports for gateways, below those that the system assigns.
 const FIRST_PORT: u16 = 10_000;
 const PORT_COUNT: u16 = 22_000;
-/// The distance between the first ports of processes with successive ids.
-const PORTS_PER_PROCESS: u32 = 500;
+/// The number of ports in a block, which one process has.
+const BLOCK_PORTS: u16 = 500;
 /// How much longer than its shutdown limit a process may take to exit.
 const EXIT_GRACE: Duration = Duration::from_secs(2);
 
@@ -61,23 +63,60 @@
     }
 }
 
-/// Binds the next free port of this process's sequence.
+/// The blocks of ports that belong to this process.
+#[derive(Debug)]
+struct PortBlocks {
+    /// Listeners on the first port of each block, which keep other processes off it.
+    guards: Vec<TcpListener>,
+    /// The next port of the last block, and its end.
+    next: u16,
+    end: u16,
+}
+
+static BLOCKS: Mutex<PortBlocks> = Mutex::new(PortBlocks {
+    guards: Vec::new(),
+    next: 0,
+    end: 0,
+});
+
+impl PortBlocks {
+    /// Takes a block that no other process has.
+    fn take_block(&mut self) -> io::Result<()> {
+        let count = PORT_COUNT / BLOCK_PORTS;
+        let mut error = io::Error::from(io::ErrorKind::AddrInUse);
+        for number in 0..u32::from(count) {
+            let block = std::process::id().wrapping_add(number) % u32::from(count);
+            let first = FIRST_PORT + u16::try_from(block).unwrap_or(0) * BLOCK_PORTS;
+            match bind(first) {
+                Ok(guard) => {
+                    self.guards.push(guard);
+                    (self.next, self.end) = (first + 1, first + BLOCK_PORTS);
+                    return Ok(());
+                }
+                Err(err) => error = err,
+            }
+        }
+        Err(error)
+    }
+}
+
+/// Binds the next free port of this process's blocks.
 fn bind_next() -> io::Result<TcpListener> {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let mut error = io::Error::from(io::ErrorKind::AddrInUse);
-    for _ in 0..PORT_COUNT {
-        let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        // Tests that run at the same time begin at different ports.
-        let offset = std::process::id()
-            .wrapping_mul(PORTS_PER_PROCESS)
-            .wrapping_add(number);
-        let port = FIRST_PORT + u16::try_from(offset % u32::from(PORT_COUNT)).unwrap_or(0);
-        match TcpListener::bind((IpAddr::V4(Ipv4Addr::LOCALHOST), port)) {
-            Ok(listener) => return Ok(listener),
-            Err(err) => error = err,
+    let mut blocks = lock(&BLOCKS);
+    loop {
+        if blocks.next == blocks.end {
+            blocks.take_block()?;
+        }
+        let port = blocks.next;
+        blocks.next += 1;
+        if let Ok(listener) = bind(port) {
+            return Ok(listener);
         }
     }
-    Err(error)
+}
+
+fn bind(port: u16) -> io::Result<TcpListener> {
+    TcpListener::bind((IpAddr::V4(Ipv4Addr::LOCALHOST), port))
 }
 
 /// A gateway's process, which can be restarted on the same ports.
