--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -318,7 +318,6 @@
         self.is_draining.get()
     }
 
-    /// Returns the flag of [`Self::is_draining`], for decisions that are taken later.
     pub(crate) fn is_ready(&self, now: Instant) -> bool {
         let directory = self.directory.borrow();
         let is_fresh = directory
