Test: wait for the line that says how a request failed

Cause: the test of a lost response took the last line there was. The line of the lost response comes before that of the failed request, and lines are written in the background, so that the first could be there alone. Change: the tests wait for the line of the failed request. What they check of it is unchanged; the test of secrets now also waits for that line before it reads the log.

--- a/clementinepickctl/tests/explain_run.rs
+++ b/clementinepickctl/tests/explain_run.rs
@@ -31,11 +31,18 @@
         String::from_utf8_lossy(&self.0.lock().expect("a log")).into_owned()
     }
 
-    /// Waits for a log line of the request and returns the last one.
-    fn last_line(&self, id: &str) -> LogLine {
-        let lines = || select_lines(id, parse_log(&self.text()));
-        wait_until(|| !lines().is_empty()).expect("a line");
-        lines().pop().expect("a line")
+    /// Waits for the line that says how the request failed, and returns it.
+    ///
+    /// Lines are written in the background: an earlier one may be there alone.
+    fn failure(&self, id: &str) -> LogLine {
+        let find = || {
+            let lines = select_lines(id, parse_log(&self.text()));
+            lines
+                .into_iter()
+                .rfind(|line| line.name == "request_failed")
+        };
+        wait_until(|| find().is_some()).expect("a line");
+        find().expect("a line")
     }
 }
 
@@ -61,7 +68,7 @@
     wait_until(|| log.text().contains("log_down")).expect("the outage of the store is logged");
     let turn = CallerRequest::turn("/draft/1", "r1", "p1", "x").with("Token-Budget", "400");
     assert_eq!(turn.send(run.callers(0)).expect("a response").status, 503);
-    let line = log.last_line("r1");
+    let line = log.failure("r1");
     assert_eq!(line.fields["reason"], "ledger_away");
     assert_eq!(line.fields["store_away"], "true");
     assert!(!line.fields.contains_key("servers"), "a server was tried");
@@ -85,7 +92,7 @@
         number += 1;
     };
     assert_eq!(status, 402);
-    let line = log.last_line(&format!("r{number}"));
+    let line = log.failure(&format!("r{number}"));
     assert_eq!(line.fields["reason"], "budget_spent");
     assert_eq!(line.fields["budget"], "200 tokens");
     assert_eq!(line.fields["reserved"], "200 tokens");
@@ -109,7 +116,7 @@
         booking.send(run.callers(0)).expect("a response").status,
         502
     );
-    let line = log.last_line("r1");
+    let line = log.failure("r1");
     assert_eq!(line.fields["reason"], "server_lost");
     assert_eq!(line.fields["chosen_by"], "load 0, 0 tokens to read");
     let server = line.fields["servers"].as_str().expect("a server");
@@ -140,7 +147,7 @@
     wait_until(is_executed).expect("the turn runs");
     std::thread::sleep(Duration::from_millis(300));
     drop(caller);
-    let line = log.last_line("r2");
+    let line = log.failure("r2");
     assert_eq!(line.fields["reason"], "caller_left");
     assert!(line.fields.contains_key("generated_ms"), "{line:?}");
 }
@@ -156,7 +163,7 @@
     run.plains[0].inject_fault(BackendFault::LoseResponse);
     run.plains[1].inject_fault(BackendFault::LoseResponse);
     booking.send(run.callers(0)).expect("a response");
-    log.last_line("r1");
+    log.failure("r1");
     assert!(!log.text().contains("secret"), "{}", log.text());
 }
 
