Incident: timelines, hypotheses and failing tests of requests that end servers silently or over restarts

Callers saw a request run at more than three servers that ended. Three timelines of our own runs on: ten servers of a draft and twelve of a call that lose power under it; four to six that exit under a request while all gateways are killed; drafts of a version that is gone, joined with the next one after a kill of all gateways.

The stand-ins' servers can lose power, stand still for a while and send responses without end.

--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -41,6 +41,68 @@
     WrongId,
     /// The response has no length and ends when the connection is closed.
     Unframed,
+    /// The response never ends.
+    Endless(EndlessPart),
+}
+
+/// The part of a response that never ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EndlessPart {
+    /// A header of the head.
+    Header,
+    /// Interim responses before the head.
+    Interim,
+    /// The size of a chunk.
+    ChunkSize,
+    /// The extension of a chunk.
+    ChunkExtension,
+    /// Extensions of small chunks.
+    ChunkExtensions,
+    /// The trailer after the last chunk.
+    Trailer,
+    /// A body without a length.
+    Body,
+}
+
+impl EndlessPart {
+    /// All parts.
+    pub const ALL: [Self; 7] = [
+        Self::Header,
+        Self::Interim,
+        Self::ChunkSize,
+        Self::ChunkExtension,
+        Self::ChunkExtensions,
+        Self::Trailer,
+        Self::Body,
+    ];
+
+    /// Returns a response of which this part never ends.
+    fn script(self, id: &str) -> Script {
+        let headers = response_headers(id);
+        let chunked = || Step::Write(chunked_head(200, &headers));
+        let repeat = |text: &str, count: usize| Step::Repeat(text.repeat(count).into());
+        match self {
+            Self::Header => {
+                let start = "HTTP/1.1 200 OK\r\nx: ";
+                vec![Step::Write(start.into()), repeat("x", 4_096)]
+            }
+            Self::Interim => vec![repeat("HTTP/1.1 100 Continue\r\n\r\n", 64)],
+            Self::ChunkSize => vec![chunked(), repeat("0", 4_096)],
+            Self::ChunkExtension => vec![chunked(), Step::Write("5;".into()), repeat("x", 4_096)],
+            Self::ChunkExtensions => {
+                let chunk = format!("1;{}\r\nx\r\n", "x".repeat(4_096));
+                vec![chunked(), repeat(&chunk, 1)]
+            }
+            Self::Trailer => {
+                let start = "2\r\nok\r\n0\r\nx: ";
+                vec![chunked(), Step::Write(start.into()), repeat("x", 4_096)]
+            }
+            Self::Body => {
+                let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n\r\n");
+                vec![Step::Write(head.into()), repeat("x", 4_096)]
+            }
+        }
+    }
 }
 
 /// Settings of a backend server.
@@ -71,6 +133,18 @@
     pub events: u64,
     /// The time from its arrival, or from its last event, to the end.
     pub delay: Duration,
+    /// How the server ends.
+    pub ending: ServerEnding,
+}
+
+/// How a server ends.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ServerEnding {
+    /// Its process does: connections are closed, and new ones refused.
+    #[default]
+    Exit,
+    /// Its power is cut: connections fall silent, and new ones get no answer.
+    PowerLoss,
 }
 
 impl FatalRequest {
@@ -109,6 +183,7 @@
 struct BackendCore {
     settings: BackendSettings,
     faults: Vec<BackendFault>,
+    endless_health: Option<EndlessPart>,
     executions: Vec<Execution>,
 }
 
@@ -160,7 +235,12 @@
     /// Returns whether a fatal request has ended the server.
     #[must_use]
     pub fn has_ended(&self) -> bool {
-        self.server.has_ended()
+        self.server.has_ended() || self.server.has_lost_power()
+    }
+
+    /// Makes the server stand still for a while.
+    pub fn suspend(&self, span: Duration) {
+        self.server.suspend(span);
     }
 
     /// Queues a fault; each of the next requests takes one from the queue.
@@ -168,6 +248,11 @@
         lock(&self.core).faults.push(fault);
     }
 
+    /// Makes a part of each response to a health check endless.
+    pub fn set_endless_health(&self, part: EndlessPart) {
+        lock(&self.core).endless_health = Some(part);
+    }
+
     /// Removes the faults that are still queued.
     pub fn clear_faults(&self) {
         lock(&self.core).faults.clear();
@@ -207,6 +292,9 @@
 impl BackendCore {
     fn respond(&mut self, request: &WireRequest) -> Script {
         if request.path == HEALTH_PATH {
+            if let Some(part) = self.endless_health {
+                return part.script("health");
+            }
             let headers = [("instance-id", self.settings.id.as_str())];
             return vec![Step::Write(full_response(200, &headers, b""))];
         }
@@ -239,6 +327,7 @@
         match fault {
             Some(BackendFault::LoseResponse) => return vec![Step::Close],
             Some(BackendFault::Silence) => return vec![Step::Silence],
+            Some(BackendFault::Endless(part)) => return part.script(&id),
             Some(BackendFault::Fail) => {
                 let response = full_response(500, &response_headers(&id), b"");
                 return vec![Step::Write(response)];
@@ -270,7 +359,10 @@
             script = self.stream(request, id, Some(fault));
             script.pop();
         }
-        script.push(Step::End(fatal.delay));
+        script.push(match fatal.ending {
+            ServerEnding::Exit => Step::End(fatal.delay),
+            ServerEnding::PowerLoss => Step::LosePower(fatal.delay),
+        });
         script
     }
 
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 
 use crate::http::lock;
-use crate::wire_server::{Script, Step, WireRequest, WireServer, full_response};
+use crate::wire_server::{Script, Step, WireRequest, WireServer, chunked_head, full_response};
 
 /// How often a read that waits looks for something new.
 const LOOK: Duration = Duration::from_millis(10);
@@ -31,6 +31,8 @@
     Reset,
     /// It says nothing; nothing is done.
     Silent,
+    /// It sends a chunk size without end; nothing is done.
+    Endless,
 }
 
 /// What becomes of an append instead of its answer.
@@ -160,6 +162,10 @@
                 StoreMode::Limited => refuse(429),
                 StoreMode::Reset => vec![Step::Close],
                 StoreMode::Silent => vec![Step::Silence],
+                StoreMode::Endless => vec![
+                    Step::Write(chunked_head(200, &[])),
+                    Step::Repeat("0".repeat(4_096).into()),
+                ],
             }
         }))?;
         Ok(StoreEndpoint {
--- a/standins/src/server_fleet.rs
+++ b/standins/src/server_fleet.rs
@@ -144,6 +144,15 @@
         }
     }
 
+    /// Makes the first `count` servers that run stand still for a while.
+    pub fn suspend(&self, count: usize, span: Duration) {
+        let core = lock(&self.core);
+        let running = core.servers.iter().filter(|s| !s.backend.has_ended());
+        for server in running.take(count) {
+            server.backend.suspend(span);
+        }
+    }
+
     /// Changes the settings of all servers that run, and of those that start later.
     pub fn configure(&self, change: impl Fn(&mut BackendSettings)) {
         let mut core = lock(&self.core);
--- a/standins/src/soak_servers.rs
+++ b/standins/src/soak_servers.rs
@@ -229,7 +229,10 @@
 /// silent server is no reason to end its answer before the timeout.
 fn spoils_response(fault: BackendFault) -> bool {
     match fault {
-        BackendFault::LoseResponse | BackendFault::CutAfter(_) | BackendFault::WrongId => true,
+        BackendFault::LoseResponse
+        | BackendFault::CutAfter(_)
+        | BackendFault::WrongId
+        | BackendFault::Endless(_) => true,
         BackendFault::Silence
         | BackendFault::SilentAfter(_)
         | BackendFault::Refuse
--- a/standins/src/wire_server.rs
+++ b/standins/src/wire_server.rs
@@ -3,8 +3,8 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener as StdListener};
-use std::sync::Arc;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener as StdListener, TcpStream as StdStream};
+use std::sync::{Arc, mpsc};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
 use actix_rt::System;
 use actix_rt::time::sleep;
 use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -47,11 +48,16 @@
     Retry(Duration),
     /// Close the connection.
     Close,
+    /// Write bytes again and again until the connection is closed.
+    Repeat(Bytes),
     /// Say nothing more, and keep the connection open.
     Silence,
     /// End the server, with all its connections, after a delay; the connection does not have to last
     /// for as long.
     End(Duration),
+    /// Cut the server's power after a delay, likewise: its connections stay open and silent, and no new
+    /// one is accepted.
+    LosePower(Duration),
 }
 
 /// The steps of one answer, in order.
@@ -60,13 +66,43 @@
 /// What answers requests; it is called from the server's thread.
 pub type WireHandler = Arc<dyn Fn(&WireRequest) -> Script + Send + Sync>;
 
-/// Ends a server.
+/// What a server does.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum ServerPhase {
+    #[default]
+    Running,
+    /// Its thread stands still for this long.
+    Suspended(Duration),
+    /// Its thread stands still until the server is dropped.
+    PowerLost,
+    Ended,
+}
+
+/// Changes what a server does.
 #[derive(Debug, Clone)]
-pub(crate) struct Stop(watch::Sender<bool>);
+pub(crate) struct Stop(watch::Sender<ServerPhase>);
 
 impl Stop {
     fn end_server(&self) {
-        self.0.send_replace(true);
+        self.0.send_replace(ServerPhase::Ended);
+    }
+
+    fn lose_power(&self) {
+        self.0.send_replace(ServerPhase::PowerLost);
+    }
+
+    fn resume(&self) {
+        self.0.send_if_modified(|phase| {
+            let was_suspended = matches!(phase, ServerPhase::Suspended(_));
+            if was_suspended {
+                *phase = ServerPhase::Running;
+            }
+            was_suspended
+        });
+    }
+
+    fn has_lost_power(&self) -> bool {
+        *self.0.borrow() == ServerPhase::PowerLost
     }
 }
 
@@ -76,6 +112,8 @@
     /// Where it listens.
     pub address: SocketAddr,
     stop: Stop,
+    /// Dropped, it wakes up a server without power, which ends then.
+    power: Option<mpsc::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -105,6 +143,23 @@
         self.thread.as_ref().is_none_or(JoinHandle::is_finished)
     }
 
+    /// Returns whether a step has cut the server's power.
+    #[must_use]
+    pub fn has_lost_power(&self) -> bool {
+        self.stop.has_lost_power()
+    }
+
+    /// Makes the server stand still for a while, with all its connections open.
+    pub fn suspend(&self, span: Duration) {
+        self.stop.0.send_if_modified(|phase| {
+            let is_running = *phase == ServerPhase::Running;
+            if is_running {
+                *phase = ServerPhase::Suspended(span);
+            }
+            is_running
+        });
+    }
+
     /// Starts a server at an address that gives each connection to `serve`.
     pub(crate) fn start_with<F, S>(address: SocketAddr, serve: F) -> io::Result<Self>
     where
@@ -114,14 +169,17 @@
         let listener = StdListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let stop = Stop(watch::Sender::new(false));
+        let stop = Stop(watch::Sender::default());
         let own_stop = stop.clone();
+        let (power, dropped) = mpsc::channel();
         let thread = thread::Builder::new().spawn(move || {
-            System::new().block_on(LocalSet::new().run_until(accept(listener, serve, own_stop)));
+            let served = accept(listener, serve, own_stop, dropped);
+            System::new().block_on(LocalSet::new().run_until(served));
         })?;
         Ok(Self {
             address,
             stop,
+            power: Some(power),
             thread: Some(thread),
         })
     }
@@ -135,6 +193,7 @@
 impl Drop for WireServer {
     fn drop(&mut self) {
         self.stop.end_server();
+        self.power.take();
         if let Some(thread) = self.thread.take() {
             // A panic of the server has already been printed and fails the test by its silence.
             let _ = thread.join();
@@ -142,12 +201,12 @@
     }
 }
 
-async fn accept<F, S>(listener: StdListener, serve: F, stop: Stop)
+async fn accept<F, S>(listener: StdListener, serve: F, stop: Stop, dropped: mpsc::Receiver<()>)
 where
     F: Fn(TcpStream, Stop) -> S,
     S: Future<Output = ()> + 'static,
 {
-    let mut stopped = stop.0.subscribe();
+    let mut changed = stop.0.subscribe();
     let listener = TcpListener::from_std(listener).expect("a listener that does not block");
     let mut connections = JoinSet::new();
     loop {
@@ -158,13 +217,43 @@
                 }
             }
             Some(_) = connections.join_next() => {}
-            _ = stopped.wait_for(|is_stopped| *is_stopped) => break,
+            // The sender is a part of this task.
+            _ = changed.changed() => {
+                let phase = *changed.borrow_and_update();
+                match phase {
+                    ServerPhase::Running => {}
+                    ServerPhase::Suspended(span) => {
+                        thread::sleep(span);
+                        stop.resume();
+                    }
+                    ServerPhase::PowerLost => {
+                        let _held = block_connections(&listener);
+                        // The sender only ever is dropped.
+                        let _ = dropped.recv();
+                        break;
+                    }
+                    ServerPhase::Ended => break,
+                }
+            }
         }
     }
     drop(listener);
     connections.shutdown().await;
 }
 
+/// Fills the queue of a listener, so that the system answers no attempt to connect; the connections
+/// returned keep it full.
+fn block_connections(listener: &TcpListener) -> Vec<StdStream> {
+    const FILL_TIMEOUT: Duration = Duration::from_millis(20);
+    let address = listener.local_addr().expect("a bound listener");
+    SockRef::from(listener).listen(0).expect("a listener");
+    let mut held = Vec::new();
+    while let Ok(connection) = StdStream::connect_timeout(&address, FILL_TIMEOUT) {
+        held.push(connection);
+    }
+    held
+}
+
 async fn serve(mut stream: TcpStream, handler: WireHandler, stop: Stop) {
     let mut buffer = BytesMut::new();
     let mut codec = Codec::default();
@@ -189,6 +278,10 @@
                     request.waited += span;
                     steps = handler(&request).into();
                 }
+                Step::Repeat(bytes) => {
+                    while stream.write_all(&bytes).await.is_ok() {}
+                    return;
+                }
                 Step::Close => return,
                 Step::Silence => std::future::pending().await,
                 Step::End(delay) => {
@@ -197,6 +290,11 @@
                     // The server drops this connection with the others.
                     std::future::pending::<()>().await;
                 }
+                Step::LosePower(delay) => {
+                    sleep(delay).await;
+                    stop.lose_power();
+                    std::future::pending::<()>().await;
+                }
             }
         }
     }
--- a/standins/tests/ended_servers.rs
+++ b/standins/tests/ended_servers.rs
@@ -1,6 +1,7 @@
 //! Tests that a request which ends the servers that run it is given up after the third one, and that
 //! all other requests are served. The gateways are processes.
 
+#[allow(dead_code, reason = "each test file uses a part")]
 mod ending_run;
 
 use std::thread::sleep;
--- a/standins/tests/ending_run/mod.rs
+++ b/standins/tests/ending_run/mod.rs
@@ -5,7 +5,10 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use standins::platform_backend::{BackendFault, BackendSettings, Execution, FatalRequest};
+use rustix::process::Signal;
+use standins::platform_backend::{
+    BackendFault, BackendSettings, Execution, FatalRequest, ServerEnding,
+};
 use standins::platform_caller::{CallerRequest, CallerResponse, read_response};
 use standins::platform_run::{MODEL_SERVICE, PLAIN_SERVICE, config, wait_until};
 use standins::platform_store::PlatformStore;
@@ -54,6 +57,7 @@
     pub is_resuming: bool,
     /// The time from the fatal request, or its last event, to the end of its server.
     pub end_delay: Duration,
+    pub ending: ServerEnding,
     /// The time from the end of a server to the start of its replacement.
     pub restart_delay: Duration,
     pub restart_id: RestartId,
@@ -68,6 +72,7 @@
             },
             is_resuming: false,
             end_delay: Duration::ZERO,
+            ending: ServerEnding::Exit,
             restart_delay: Duration::from_millis(300),
             restart_id: RestartId::New,
         }
@@ -215,6 +220,39 @@
         self.configure(|settings| settings.pause = SLOW_PAUSE);
     }
 
+    /// Makes `count` servers of each service stand still for a while.
+    pub fn suspend_servers(&self, count: usize, span: Duration) {
+        for fleet in self.fleets.values() {
+            fleet.suspend(count, span);
+        }
+    }
+
+    /// Kills all gateways at once and starts them again; returns when they are ready.
+    pub fn restart_gateways(&mut self) {
+        self.kill_gateways();
+        self.start_gateways();
+    }
+
+    /// Kills all gateways at once.
+    pub fn kill_gateways(&mut self) {
+        for process in &self.gateways.processes {
+            process.send_signal(Signal::KILL);
+        }
+        for process in &mut self.gateways.processes {
+            process.kill();
+        }
+    }
+
+    /// Starts killed gateways and returns when they are ready.
+    pub fn start_gateways(&mut self) {
+        for process in &mut self.gateways.processes {
+            process.restart().expect("a process");
+        }
+        for gateway in 0..GATEWAYS {
+            self.gateways.wait_until_ready(gateway).expect("a gateway");
+        }
+    }
+
     /// Makes the fatal request harmless.
     pub fn disarm(&self) {
         self.configure(|settings| settings.fatal_request = None);
@@ -285,6 +323,7 @@
                 marker: FATAL.to_owned(),
                 events: settings.fatal.events,
                 delay: settings.end_delay,
+                ending: settings.ending,
             }),
             ..BackendSettings::default()
         },
--- a/standins/tests/process_run/mod.rs
+++ b/standins/tests/process_run/mod.rs
@@ -6,6 +6,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use rustix::process::Signal;
 use standins::platform_backend::{BackendFault, BackendSettings, PlatformBackend};
 use standins::platform_caller::{CallerRequest, CallerResponse};
 use standins::platform_run::{MODEL_SERVICE, config, wait_until};
@@ -172,6 +173,34 @@
         }
     }
 
+    /// Removes the entries of all engines of a version.
+    pub fn remove_version(&self, version: &str) {
+        for engine in engines_of(version) {
+            self.store.remove("keyed.servers", ENGINES[engine].0);
+        }
+    }
+
+    /// Kills all gateways at once and starts them again; returns when they are ready.
+    pub fn restart_gateways(&mut self) {
+        for process in &self.gateways.processes {
+            process.send_signal(Signal::KILL);
+        }
+        for process in &mut self.gateways.processes {
+            process.kill();
+            process.restart().expect("a process");
+        }
+        for gateway in 0..self.gateways.processes.len() {
+            self.gateways.wait_until_ready(gateway).expect("a gateway");
+        }
+    }
+
+    /// Resumes a stream whose caller does not name the attempt that began it.
+    pub fn resume_unnamed(&self, gateway: usize, id: &str) -> io::Result<CallerResponse> {
+        let request = CallerRequest::turn("/draft/1", &resuming_id(id), id, "x")
+            .with("Last-Event-Id", &LAST_EVENT.to_string());
+        request.send(self.gateways.callers(gateway))
+    }
+
     fn set_state(&self, engine: usize, state: &str, gateways: &[usize]) {
         let id = ENGINES[engine].0;
         let entry = self.engines[engine].entry(state);
--- a/standins/tests/stream_versions.rs
+++ b/standins/tests/stream_versions.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code, reason = "each test file uses a part")]
 mod process_run;
 
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use process_run::{BegunStream, EVENTS, LAST_EVENT, ProcessRun, event_ids, first_engine};
@@ -229,6 +230,79 @@
     }
 }
 
+/// Resumes streams whose version is gone, at each gateway and for a while, and checks that none runs.
+fn assert_refused_for(run: &ProcessRun, span: Duration, streams: &[CutStream], version: &str) {
+    let started_at = Instant::now();
+    while started_at.elapsed() < span {
+        for CutStream { id, .. } in streams {
+            if !run.versions_of(id).contains(version) {
+                continue;
+            }
+            for gateway in 0..run.gateways.processes.len() {
+                for response in [run.resume(gateway, id), run.resume_unnamed(gateway, id)] {
+                    let response = response.expect("a response");
+                    assert_eq!(response.status, 503, "{id}: {response:?}");
+                }
+            }
+        }
+        sleep(Duration::from_millis(200));
+    }
+}
+
+/// Guards against gateways that take the only version which they have ever listed for the only one
+/// that there was.
+#[test]
+fn a_stream_of_a_version_that_is_gone_is_refused_after_all_gateways_were_killed() {
+    let mut run = ProcessRun::start("killed-version-gone", GATEWAYS);
+    let streams = cut_by_callers(&run, 0);
+    run.remove_version("v1");
+    run.restart_gateways();
+    assert_refused_for(&run, Duration::from_secs(7), &streams, "v1");
+}
+
+/// Guards against a gateway that started after a version had gone and does not ask whether there was
+/// one.
+#[test]
+fn a_stream_of_a_version_that_is_gone_is_refused_by_a_gateway_that_was_killed() {
+    let mut run = ProcessRun::start("one-killed-version-gone", 2);
+    let streams = cut_by_callers(&run, 0);
+    run.remove_version("v1");
+    for gateway in 0..2 {
+        let process = &mut run.gateways.processes[gateway];
+        process.kill();
+        process.restart().expect("a process");
+        run.gateways.wait_until_ready(gateway).expect("a gateway");
+    }
+    assert_refused_for(&run, Duration::from_secs(6), &streams, "v1");
+}
+
+/// Guards against a conclusion from the timeout of a route that was longer when the stream began.
+#[test]
+fn a_stream_that_is_older_than_a_shortened_timeout_is_refused() {
+    let run = ProcessRun::start("shortened-timeout", 1);
+    let streams = cut_by_callers(&run, 0);
+    run.remove_version("v1");
+    let short = config(2).replace(r#""TimeoutMs":2000"#, r#""TimeoutMs":200"#);
+    run.store.put("keyed.op", "config", &short);
+    let is_used = || {
+        run.gateways
+            .state(0)
+            .is_ok_and(|s| s["config_version"] == 2)
+    };
+    wait_until(is_used).expect("the configuration in use");
+    assert_refused_for(&run, Duration::from_secs(3), &streams, "v1");
+}
+
+/// Guards against a stream that is older than two timeouts of its route.
+#[test]
+fn a_stream_whose_caller_returns_late_is_refused_once_its_version_is_gone() {
+    let run = ProcessRun::start("late-caller", 1);
+    let streams = cut_by_callers(&run, 0);
+    run.remove_version("v1");
+    sleep(Duration::from_secs(5));
+    assert_refused_for(&run, Duration::from_millis(500), &streams, "v1");
+}
+
 /// Resumes a stream of a caller that does not name the attempt which began it; returns the status.
 fn resume_unnamed(run: &PlatformRun, gateway: usize, id: &str) -> u16 {
     let request = CallerRequest::turn("/draft/1", id, id, "x").with("Last-Event-Id", "2");
@@ -264,6 +338,17 @@
     }
 }
 
+/// Guards against refusing streams after a restart of all gateways although there has been one version
+/// only.
+#[test]
+fn a_sole_version_is_known_after_all_gateways_have_ended() {
+    let mut run = PlatformRun::start(1).expect("a platform run");
+    wait_until(|| resume_unnamed(&run, 0, "r1") == 200).expect("a sole version");
+    run.gateways.clear();
+    run.add_gateway().expect("another gateway");
+    assert_eq!(resume_unnamed(&run, 0, "r2"), 200);
+}
+
 /// Publishes a version of the configuration and waits until the first gateway uses it.
 fn publish(run: &PlatformRun, version: u64, config: &str) {
     run.store.put("keyed.op", "config", config);
