--- a/clementinepick/src/ended_servers.rs
+++ b/clementinepick/src/ended_servers.rs
@@ -84,16 +84,39 @@
 }
 
 /// What is known of a server that lost the response to a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum EndState {
-    /// It may have ended. Not counted.
+    /// It has responded since, or is not known to be silent, and may yet end. Not counted.
     Suspected,
+    /// It does not respond, and may have ended.
+    Silent,
     /// It does not accept connections, or another server does in its place.
     Ended,
     /// It is no longer listed.
     Confirmed,
 }
 
+impl EndState {
+    /// Returns whether it is not known if the server has ended.
+    #[must_use]
+    pub fn is_undecided(self) -> bool {
+        match self {
+            Self::Suspected | Self::Silent => true,
+            Self::Ended | Self::Confirmed => false,
+        }
+    }
+
+    /// Returns whether a report of `new` replaces this state. A peer that knows of no silence may
+    /// have known the server for longer.
+    fn yields_to(self, new: Self) -> bool {
+        match self {
+            Self::Suspected => true,
+            Self::Silent => new != Self::Suspected,
+            Self::Ended | Self::Confirmed => false,
+        }
+    }
+}
+
 /// A server that lost the response to a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerEnd {
@@ -134,7 +157,8 @@
             .filter(|end| end.state != EndState::Suspected)
     }
 
-    /// Returns the number of servers that ended under the request.
+    /// Returns the number of servers that ended under the request or are silent: until it is known
+    /// which, no further one may be put at risk.
     #[must_use]
     pub fn count(&self) -> usize {
         self.counted().count()
@@ -159,7 +183,7 @@
     fn add_end(&mut self, new: ServerEnd) {
         self.runs.retain(|run| run.server != new.server);
         if let Some(end) = self.ends.iter_mut().find(|end| end.server == new.server) {
-            if end.state == EndState::Suspected {
+            if end.state.yields_to(new.state) {
                 *end = new;
             }
         } else if self.ends.len() < MAX_OF_REQUEST {
@@ -175,6 +199,28 @@
             self.runs.push(new);
         }
     }
+
+    /// Turns runs whose outcome nobody has reported into losses: those whose server is no longer
+    /// listed, and those whose caller has given up.
+    fn settle_runs(&mut self, now: TimeUs, list: &ServerList) {
+        for run in std::mem::take(&mut self.runs) {
+            let is_listed = run.server.is_listed(list);
+            if is_listed && now < run.expires_at {
+                self.runs.push(run);
+                continue;
+            }
+            let state = if is_listed {
+                EndState::Suspected
+            } else {
+                EndState::Confirmed
+            };
+            self.add_end(ServerEnd {
+                server: run.server,
+                lost_at: now,
+                state,
+            });
+        }
+    }
 }
 
 /// The requests under which servers have ended, as one process knows them.
@@ -310,24 +356,43 @@
         is_accepted
     }
 
+    /// Adds what was recorded before this process started.
+    pub fn load(&mut self, now: TimeUs, key: RequestKey, recorded: RequestEnds) {
+        self.change(now, key, |request| {
+            for end in recorded.ends {
+                request.add_end(end);
+            }
+            for run in recorded.runs {
+                request.add_run(now, run);
+            }
+        });
+    }
+
     /// Returns the servers that may have ended under a request and that lost its response at least
     /// `age` ago.
     #[must_use]
     pub fn suspected_of(&self, now: TimeUs, key: RequestKey, age: SpanUs) -> Vec<ServerStart> {
         let ends = self.get(now, key).into_iter().flat_map(|r| &r.ends);
-        let suspected = ends.filter(|end| end.state == EndState::Suspected);
+        let suspected = ends.filter(|end| end.state.is_undecided());
         suspected
             .filter(|end| now.since(end.lost_at) >= age)
             .map(|end| end.server.clone())
             .collect()
     }
 
+    /// Returns the servers of a request's runs whose outcome is not known.
+    #[must_use]
+    pub fn run_servers(&self, now: TimeUs, key: RequestKey) -> BTreeSet<ServerStart> {
+        let runs = self.get(now, key).into_iter().flat_map(|r| &r.runs);
+        runs.map(|run| run.server.clone()).collect()
+    }
+
     /// Returns the servers that may have ended, with the last time that each lost a response.
     #[must_use]
     pub fn suspected(&self, now: TimeUs) -> BTreeMap<ServerStart, TimeUs> {
         let mut suspected = BTreeMap::new();
         let ends = self.requests.iter(now).flat_map(|(_, r)| &r.ends);
-        for end in ends.filter(|end| end.state == EndState::Suspected) {
+        for end in ends.filter(|end| end.state.is_undecided()) {
             let lost_at = suspected.entry(end.server.clone()).or_default();
             *lost_at = end.lost_at.max(*lost_at);
         }
@@ -340,7 +405,7 @@
         self.requests.retain(|key, request| {
             let ends = request.ends.iter_mut();
             for end in ends.filter(|end| end.server == *server) {
-                if end.state == EndState::Suspected {
+                if end.state.is_undecided() {
                     end.state = EndState::Ended;
                     found.push(*key);
                 }
@@ -350,24 +415,66 @@
         found
     }
 
+    /// Records that a server which may have ended under a request does not respond.
+    pub fn mark_silent(&mut self, now: TimeUs, key: RequestKey, server: &ServerStart) {
+        let request = self.requests.get_mut(now, &key);
+        let ends = request.into_iter().flat_map(|request| &mut request.ends);
+        for end in ends.filter(|end| end.server == *server) {
+            if end.state == EndState::Suspected {
+                end.state = EndState::Silent;
+            }
+        }
+    }
+
+    /// Records that a server does not respond; returns the requests that it may have ended under, as
+    /// far as it was not known to be silent.
+    pub fn mark_all_silent(&mut self, server: &ServerStart) -> Vec<RequestKey> {
+        let mut found = Vec::new();
+        self.requests.retain(|key, request| {
+            let ends = request.ends.iter_mut();
+            for end in ends.filter(|end| end.server == *server) {
+                if end.state == EndState::Suspected {
+                    end.state = EndState::Silent;
+                    found.push(*key);
+                }
+            }
+            true
+        });
+        found
+    }
+
+    /// Records that a server responds; it counts no longer if it was silent.
+    pub fn mark_responding(&mut self, server: &ServerStart) {
+        self.requests.retain(|_, request| {
+            let ends = request.ends.iter_mut();
+            for end in ends.filter(|end| end.server == *server) {
+                if end.state == EndState::Silent {
+                    end.state = EndState::Suspected;
+                }
+            }
+            true
+        });
+    }
+
     /// Updates the states of the servers by a current list of servers; returns the requests under
     /// which a suspected one turned out to have ended and of which peers may not know.
     pub fn apply_list(&mut self, now: TimeUs, list: &ServerList) -> Vec<RequestKey> {
         let mut found = Vec::new();
         self.requests.retain(|key, request| {
             let is_shared = request.is_shared();
+            request.settle_runs(now, list);
             for end in &mut request.ends {
                 if !end.server.is_listed(list) {
-                    if end.state == EndState::Suspected && !is_shared {
+                    if end.state.is_undecided() && !is_shared {
                         found.push(*key);
                     }
                     end.state = EndState::Confirmed;
                 }
             }
             request.ends.retain(|end| {
-                end.state != EndState::Suspected || now.since(end.lost_at) < ENTRY_EXPIRY_US
+                !end.state.is_undecided() || now.since(end.lost_at) < ENTRY_EXPIRY_US
             });
-            !request.ends.is_empty()
+            !request.ends.is_empty() || !request.runs.is_empty()
         });
         found.dedup();
         found
--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -111,6 +111,10 @@
     ResponseLost = 214, "response_lost", Info;
     /// A server that was counted as ended under a request responds; it counts no longer.
     ServerResponds = 215, "server_responds", Info;
+    /// This process has read from the store which requests ran and which servers ended under them.
+    RequestsLoaded = 216, "requests_loaded", Info;
+    /// The process of another gateway was lost; what it ran is read from the store.
+    GatewayLost = 217, "gateway_lost", Warning;
     /// The log can't be written or read.
     LogDown = 301, "log_down", Warning;
     /// The log is available again.
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -27,12 +27,15 @@
 use crate::gateway_budget::{maintain_homes, send_token_returns};
 use crate::gateway_connection::{Handler, serve};
 use crate::gateway_ended_upkeep::maintain_ended;
+use crate::gateway_loss::settle_losses;
 use crate::gateway_maintenance::run_maintenance;
 use crate::gateway_metrics::{GatewayMetrics, MetricsHandler};
 use crate::gateway_peer::PeerHandler;
 use crate::gateway_peer_updates::send_updates;
+use crate::gateway_peer_watch::watch_peers;
 use crate::gateway_prefetch::{finish_turn_reads, run_prefetch};
 use crate::gateway_request::{CallerHandler, ReadyHandler};
+use crate::gateway_request_log::write_requests;
 use crate::gateway_settings::GatewaySettings;
 use crate::gateway_shared::Shared;
 use crate::input_first::poll_after_input;
@@ -269,6 +272,9 @@
         tasks.spawn_local(send_token_returns(Rc::clone(&shared), queues.returned));
         tasks.spawn_local(send_updates(Rc::clone(&shared), queues.updates));
         tasks.spawn_local(maintain_ended(Rc::clone(&shared)));
+        tasks.spawn_local(watch_peers(Rc::clone(&shared)));
+        tasks.spawn_local(write_requests(Rc::clone(&shared)));
+        tasks.spawn_local(settle_losses(Rc::clone(&shared), queues.losses));
         let mut stop = pin!(stop);
         loop {
             tokio::select! {
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -7,17 +7,19 @@
 
 use actix_rt::time::sleep;
 use clementinepick::ended_servers::ServerStart;
-use clementinepick::event::{Event, EventKind};
 use clementinepick::refusal::Refusal;
 use clementinepick::request_key::RequestKey;
 use clementinepick::server_list::BackendServer;
 use rand::random_range;
 
-use crate::gateway_ended::{EndCount, SharedRunGuard, probe_runs, start_run};
+use crate::gateway_ended::{EndCount, SharedRun, probe_runs, start_run};
 use crate::gateway_exchange::{RoutedRequest, RunInput, SentRequest, ServerSlot};
+use crate::gateway_loss::OpenLoss;
+use crate::gateway_request_log::RunningRequest;
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
-use crate::server_probe::{ServerFate, probe};
+use crate::link::to_span;
+use crate::server_probe::ServerFate;
 
 /// The shortest and longest wait, in milliseconds, until a request whose run may not start tries
 /// again. Two gateways that refuse each other's runs wait for different times.
@@ -50,8 +52,10 @@
     pub(crate) server: BackendServer,
     /// The servers that had ended under the request before.
     pub(crate) ended_before: EndCount,
-    /// Tells peers when the run is over, if they know the request.
-    pub(crate) _guard: Option<SharedRunGuard>,
+    /// The run as peers know it, if they must.
+    pub(crate) shared_run: Option<SharedRun>,
+    /// Records the run in the store until it is dropped.
+    pub(crate) _running: RunningRequest,
 }
 
 /// The attempts of one request.
@@ -105,7 +109,6 @@
         if self.sends > 0 && !self.shared.withdraw_retry(self.routed.service, kind) {
             return self.end_with("no_retry");
         }
-        self.current = None;
         let Some(slot) = self.start_run(input).await else {
             return self.end_with("no_server");
         };
@@ -168,11 +171,11 @@
                     return Some(slot);
                 }
                 Some(slot) => {
-                    if let Some(guard) = self.share_run(&slot, ends).await {
+                    if let Some(run) = self.share_run(&slot, ends).await {
                         if !isolated.is_empty() {
                             self.trace.add_field("isolated_from", &isolated.join(","));
                         }
-                        self.set_current(&slot, ends, Some(guard));
+                        self.set_current(&slot, ends, Some(run));
                         return Some(slot);
                     }
                 }
@@ -183,26 +186,62 @@
         }
     }
 
-    pub(crate) async fn share_run(
-        &self,
-        slot: &ServerSlot,
-        ends: EndCount,
-    ) -> Option<SharedRunGuard> {
+    pub(crate) async fn share_run(&self, slot: &ServerSlot, ends: EndCount) -> Option<SharedRun> {
         let server = ServerStart::of(&slot.server);
         let time_left = self.routed.time_left(Instant::now());
         start_run(self.shared, self.key(), server, ends, time_left).await
     }
 
-    fn set_current(&mut self, slot: &ServerSlot, ends: EndCount, guard: Option<SharedRunGuard>) {
-        self.current = Some(CurrentRun {
+    fn set_current(&mut self, slot: &ServerSlot, ends: EndCount, shared_run: Option<SharedRun>) {
+        let run = self.new_run(slot, ends, shared_run);
+        self.replace_current(run);
+    }
+
+    /// Describes a run that starts now.
+    pub(crate) fn new_run(
+        &self,
+        slot: &ServerSlot,
+        ends: EndCount,
+        shared_run: Option<SharedRun>,
+    ) -> CurrentRun {
+        let now = Instant::now();
+        let time_left = to_span(self.routed.time_left(now));
+        let expires_at = self.shared.now_us(now).after(time_left);
+        let server = ServerStart::of(&slot.server);
+        CurrentRun {
             server: slot.server.clone(),
             ended_before: ends,
-            _guard: guard,
-        });
+            shared_run,
+            _running: self.shared.record_run(self.key(), server, expires_at),
+        }
+    }
+
+    /// Makes `run` the current one and returns the one before.
+    pub(crate) fn replace_current(&mut self, run: CurrentRun) -> Option<CurrentRun> {
+        self.trace.open_run.replace(Some(OpenLoss {
+            request: self.routed.info.id.clone(),
+            key: self.key(),
+            server: ServerStart::of(&run.server),
+            shared_run: run.shared_run,
+        }));
+        self.current.replace(run)
+    }
+
+    /// Ends the current run, whose outcome is known.
+    fn take_current(&mut self) -> Option<CurrentRun> {
+        self.trace.open_run.take();
+        self.current.take()
+    }
+
+    /// Tells peers that a run of which they know is over.
+    pub(crate) fn finish_run(&self, run: &CurrentRun) {
+        if let Some(shared_run) = run.shared_run {
+            self.shared.finish_run(shared_run);
+        }
     }
 
     /// Returns the servers where requests run that may have ended as many servers as this one.
-    fn servers_to_avoid(&self, ends: EndCount) -> Vec<String> {
+    pub(crate) fn servers_to_avoid(&self, ends: EndCount) -> Vec<String> {
         if ends.is_isolated() {
             self.shared.isolated_servers(self.key(), Instant::now())
         } else {
@@ -232,7 +271,9 @@
 
     /// Records that the current attempt brought a response.
     pub(crate) fn record_answered(&mut self) {
-        self.current = None;
+        if let Some(run) = self.take_current() {
+            self.finish_run(&run);
+        }
         if !self.shared.has_no_ends() {
             self.shared.record_answered(self.key());
         }
@@ -263,9 +304,12 @@
         let may_have_run = self.refusal == Refusal::ServerLost;
         self.trace.may_have_run.set(may_have_run);
         if error == AttemptError::ResponseLost
-            && let Some(run) = self.current.take()
+            && let Some(run) = &self.current
         {
-            self.record_loss(&run).await;
+            self.record_loss(run).await;
+        }
+        if let Some(run) = self.take_current() {
+            self.finish_run(&run);
         }
     }
 
@@ -278,38 +322,43 @@
     pub(crate) async fn record_replaced(&self, run: &CurrentRun, fate: ServerFate) {
         let label = AttemptError::ResponseLost.label();
         self.trace.record_error(&run.server.id, label);
-        let start = ServerStart::of(&run.server);
-        self.shared.record_suspected(self.key(), start);
-        self.record_run_fate(run, fate).await;
+        self.open_loss(run).record(self.shared, fate).await;
+        self.finish_run(run);
     }
 
     /// Finds out what became of a server that lost a response.
     pub(crate) async fn record_loss(&self, run: &CurrentRun) {
-        // The caller may disconnect during the probe, which ends this attempt.
-        let start = ServerStart::of(&run.server);
-        self.shared.record_suspected(self.key(), start);
-        let fate = self.probe(&run.server).await;
-        self.record_run_fate(run, fate).await;
+        self.open_loss(run).settle(self.shared).await;
+    }
+
+    fn open_loss(&self, run: &CurrentRun) -> OpenLoss {
+        OpenLoss {
+            request: self.routed.info.id.clone(),
+            key: self.key(),
+            server: ServerStart::of(&run.server),
+            shared_run: run.shared_run,
+        }
     }
 
     /// Asks a server whether it has ended.
     pub(crate) async fn probe(&self, server: &BackendServer) -> ServerFate {
         let health_path = self.shared.health_path(&server.service);
-        probe(server.address, &server.id, health_path.as_deref()).await
+        let server = ServerStart::of(server);
+        self.shared.find_fate(&server, health_path.as_deref()).await
     }
 
-    async fn record_run_fate(&self, run: &CurrentRun, fate: ServerFate) {
-        self.shared.metrics.count_lost_response(fate.label());
-        let event = Event::new(EventKind::ResponseLost)
-            .with("request", &self.routed.info.id)
-            .with("content", self.key())
-            .with("server", &run.server.id)
-            .with("fate", fate.label())
-            .with("ended_before", run.ended_before);
-        self.shared.log(&event);
-        let start = ServerStart::of(&run.server);
-        let recorded = self.shared.record_fate(self.key(), start, fate);
-        recorded.await;
+    /// Finds out whether the current server, which has sent nothing for a while, may have ended, and
+    /// tells peers if so.
+    pub(crate) async fn share_silence(&self) -> ServerFate {
+        let Some(run) = &self.current else {
+            return ServerFate::Alive;
+        };
+        let fate = self.probe(&run.server).await;
+        if fate == ServerFate::Unknown {
+            let server = ServerStart::of(&run.server);
+            self.shared.record_fate(self.key(), server, fate).await;
+        }
+        fate
     }
 
     /// Returns the refusal to send to the caller if all attempts fail.
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -113,6 +113,7 @@
         headers: platform::response::forwarded_headers(&response.head.headers),
         body,
     };
+    response.slot.record_heard();
     response.release_connection(shared);
     Ok(full)
 }
--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -25,7 +25,7 @@
 use tokio::sync::Notify;
 
 use crate::gateway_ended_messages::{
-    HOLD_PATH, LOAD_PATH, LoadQuery, OVER_PATH, RequestOver, SharedRequest,
+    HOLD_PATH, LOAD_PATH, LoadAnswer, LoadQuery, OVER_PATH, RequestOver, SharedRequest,
 };
 use crate::gateway_exchange::RoutedRequest;
 use crate::gateway_peer::{PeerCall, call_peer};
@@ -46,6 +46,8 @@
 /// How long a process that has asked is called although it is not listed: lists of processes are
 /// read every 20 s.
 const JOINED_LIFETIME: Duration = Duration::from_mins(1);
+/// A server that has sent something at most this long ago is not silent.
+const HEARD_AGE: Duration = Duration::from_millis(200);
 /// The time after a loss from which its server is asked again before the next run.
 const MIN_RECHECK_AGE_US: SpanUs = SpanUs::from_ms(20);
 /// How long to wait for the outcome of a run whose gateway may be lost, and how often to look.
@@ -58,10 +60,24 @@
     pub(crate) known: RefCell<EndedServers>,
     /// Processes that asked for it and may not be listed yet.
     joined: RefCell<BTreeMap<SocketAddr, Instant>>,
+    /// When each server last sent anything.
+    heard: RefCell<BTreeMap<ServerStart, Instant>>,
     is_loaded: Cell<bool>,
+    /// The number of reads of what lost processes ran.
+    reloads: Cell<usize>,
     loaded: Notify,
 }
 
+/// A read of what lost processes ran, for which requests wait; over when dropped.
+pub(crate) struct Reload<'a>(&'a Ended);
+
+impl Drop for Reload<'_> {
+    fn drop(&mut self) {
+        self.0.reloads.set(self.0.reloads.get() - 1);
+        self.0.loaded.notify_waiters();
+    }
+}
+
 impl Ended {
     /// Returns the number of requests under which servers have ended or may have.
     pub(crate) fn len(&self) -> usize {
@@ -74,29 +90,45 @@
         self.loaded.notify_waiters();
     }
 
+    /// Returns whether what other processes knew before this one started is known, or can't be had.
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.is_loaded.get()
+    }
+
+    /// Records that a server has sent something.
+    pub(crate) fn record_heard(&self, server: ServerStart, now: Instant) {
+        self.heard.borrow_mut().insert(server, now);
+    }
+
+    /// Returns whether a server has sent something at `since` or later.
+    fn was_heard(&self, server: &ServerStart, since: Instant) -> bool {
+        let heard = self.heard.borrow();
+        heard.get(server).is_some_and(|at| *at >= since)
+    }
+
+    /// Forgets when servers were last heard that sent nothing since `since`.
+    pub(crate) fn forget_unheard(&self, since: Instant) {
+        self.heard.borrow_mut().retain(|_, at| *at >= since);
+    }
+
+    /// Makes requests wait until the returned guard is dropped.
+    pub(crate) fn start_reload(&self) -> Reload<'_> {
+        self.reloads.set(self.reloads.get() + 1);
+        Reload(self)
+    }
+
     async fn wait_until_loaded(&self) {
-        while !self.is_loaded.get() {
+        while !self.is_loaded.get() || self.reloads.get() > 0 {
             self.loaded.notified().await;
         }
     }
 }
 
-/// A run of a request under which servers have ended; when dropped, peers hear that it is over.
-pub(crate) struct SharedRunGuard {
-    shared: Rc<Shared>,
+/// A run of a request under which servers have ended, of which peers know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct SharedRun {
     key: RequestKey,
-    run: u64,
-}
-
-impl Drop for SharedRunGuard {
-    fn drop(&mut self) {
-        let Self { shared, key, run } = self;
-        let now = shared.now_us(Instant::now());
-        let mut known = shared.ended.known.borrow_mut();
-        known.finish_run(now, *key, *run);
-        drop(known);
-        shared.report_over(RequestOver::Run(*key, *run));
-    }
+    id: u64,
 }
 
 /// The number of servers that ended under a request.
@@ -165,8 +197,17 @@
     pub(crate) async fn record_fate(&self, key: RequestKey, server: ServerStart, fate: ServerFate) {
         let now = self.now_us(Instant::now());
         let known = &self.ended.known;
-        if fate == ServerFate::Ended {
-            known.borrow_mut().record_end(now, key, server);
+        match fate {
+            ServerFate::Ended => known.borrow_mut().record_end(now, key, server),
+            ServerFate::Unknown => {
+                let end = ServerEnd {
+                    server,
+                    lost_at: now,
+                    state: EndState::Silent,
+                };
+                known.borrow_mut().record(now, key, end);
+            }
+            ServerFate::Alive => known.borrow_mut().mark_responding(&server),
         }
         let is_shared = known
             .borrow()
@@ -177,8 +218,8 @@
         }
     }
 
-    /// Asks the servers that may have ended under a request: one that lost its response by a timeout
-    /// may have ended since.
+    /// Asks the servers that may have ended under a request, or may be running it for a process that
+    /// was lost.
     pub(crate) async fn recheck_suspected(&self, key: RequestKey, service: &str) {
         if self.has_no_ends() {
             return;
@@ -186,15 +227,63 @@
         let now = self.now_us(Instant::now());
         let known = &self.ended.known;
         let suspected = known.borrow().suspected_of(now, key, MIN_RECHECK_AGE_US);
+        let running = known.borrow().run_servers(now, key);
         let health_path = self.health_path(service);
-        for server in suspected {
-            let fate = probe(server.address, &server.id, health_path.as_deref()).await;
+        let is_suspected = |server: &ServerStart| suspected.contains(server);
+        let other = running.iter().filter(|server| !is_suspected(server));
+        let checks = suspected.iter().chain(other).map(async |server| {
+            let fate = self.find_fate(server, health_path.as_deref()).await;
+            (server, fate)
+        });
+        for (server, fate) in join_all(checks).await {
             if fate == ServerFate::Ended {
-                self.record_fate(key, server, fate).await;
+                self.record_fate(key, server.clone(), fate).await;
+            } else if is_suspected(server) {
+                self.update_suspected(key, server, fate);
             }
         }
     }
 
+    /// Finds out whether a server has ended. A busy one may not respond to a health check in time and
+    /// yet serve other requests.
+    pub(crate) async fn find_fate(
+        &self,
+        server: &ServerStart,
+        health_path: Option<&str>,
+    ) -> ServerFate {
+        let fate = probe(server.address, &server.id, health_path).await;
+        if fate == ServerFate::Unknown && self.is_heard(server, Instant::now()) {
+            return ServerFate::Alive;
+        }
+        fate
+    }
+
+    /// Returns whether a server has just sent something.
+    pub(crate) fn is_heard(&self, server: &ServerStart, now: Instant) -> bool {
+        let since = now.checked_sub(HEARD_AGE);
+        since.is_some_and(|since| self.ended.was_heard(server, since))
+    }
+
+    /// Records whether a server that may have ended is silent.
+    fn update_suspected(&self, key: RequestKey, server: &ServerStart, fate: ServerFate) {
+        let now = self.now_us(Instant::now());
+        let mut known = self.ended.known.borrow_mut();
+        match fate {
+            ServerFate::Alive => known.mark_responding(server),
+            ServerFate::Unknown => known.mark_silent(now, key, server),
+            ServerFate::Ended => {}
+        }
+    }
+
+    /// Records that a run of which peers know is over, and that its server has not ended.
+    pub(crate) fn finish_run(&self, run: SharedRun) {
+        let now = self.now_us(Instant::now());
+        let mut known = self.ended.known.borrow_mut();
+        known.finish_run(now, run.key, run.id);
+        drop(known);
+        self.report_over(RequestOver::Run(run.key, run.id));
+    }
+
     /// Records that a server has answered a request, and tells peers if they know it.
     pub(crate) fn record_answered(&self, key: RequestKey) {
         let now = self.now_us(Instant::now());
@@ -203,6 +292,7 @@
         known.forget(key);
         drop(known);
         if is_shared {
+            self.request_log.queue(key);
             self.report_over(RequestOver::Answered(key));
         }
     }
@@ -226,7 +316,7 @@
     }
 
     /// Tells all peers which servers have ended under a request, and of a run that is to start, and
-    /// waits until they know; returns false if one of them knows of another request's isolated run
+    /// waits until they know and it is recorded; returns false if one of them knows of another request's isolated run
     /// at the same server.
     pub(crate) async fn share_request(&self, key: RequestKey, runs: &[OpenRun]) -> bool {
         let now = Instant::now();
@@ -242,7 +332,9 @@
             };
             call_peer::<bool>(self, peer, call)
         });
-        let answers = join_all(calls).await;
+        self.request_log.queue(key);
+        let recorded = self.wait_until_recorded(HOLD_TIMEOUT);
+        let (answers, ()) = futures_util::join!(join_all(calls), recorded);
         !answers.contains(&Some(false))
     }
 
@@ -302,7 +394,7 @@
     server: ServerStart,
     ends: EndCount,
     time_left: Duration,
-) -> Option<SharedRunGuard> {
+) -> Option<SharedRun> {
     let now = Instant::now();
     let run = OpenRun {
         id: rand::random(),
@@ -313,12 +405,12 @@
     if !shared.start_known_run(key, &run, now) {
         return None;
     }
-    let guard = SharedRunGuard {
-        shared: Rc::clone(shared),
-        key,
-        run: run.id,
-    };
-    shared.share_request(key, &[run]).await.then_some(guard)
+    let shared_run = SharedRun { key, id: run.id };
+    if shared.share_request(key, &[run]).await {
+        return Some(shared_run);
+    }
+    shared.finish_run(shared_run);
+    None
 }
 
 /// Refuses a request under which too many servers have ended.
@@ -392,13 +484,16 @@
     }
 }
 
-fn answer_load(shared: &Shared, query: LoadQuery, now: Instant) -> Vec<SharedRequest> {
+fn answer_load(shared: &Shared, query: LoadQuery, now: Instant) -> LoadAnswer {
     shared.ended.joined.borrow_mut().insert(query.address, now);
     let now = shared.now_us(now);
     let known = shared.ended.known.borrow();
     let requests = known.newest(now, MAX_LOADED_REQUESTS);
     let requests = requests.iter();
-    requests
-        .map(|(key, request)| SharedRequest::new(now, *key, &request.ends, &request.runs))
-        .collect()
+    let requests =
+        requests.map(|(key, request)| SharedRequest::new(now, *key, &request.ends, &request.runs));
+    LoadAnswer {
+        is_loaded: shared.ended.is_loaded(),
+        requests: requests.collect(),
+    }
 }
--- a/clementinepickd/src/gateway_ended_messages.rs
+++ b/clementinepickd/src/gateway_ended_messages.rs
@@ -110,3 +110,13 @@
     #[serde(rename = "a")]
     pub(crate) address: SocketAddr,
 }
+
+/// What a peer knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LoadAnswer {
+    /// Whether it knows all that was known before it started.
+    #[serde(rename = "l")]
+    pub(crate) is_loaded: bool,
+    #[serde(rename = "r")]
+    pub(crate) requests: Vec<SharedRequest>,
+}
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -7,23 +7,29 @@
 use actix_rt::time::sleep;
 use clementinepick::ended_servers::ServerStart;
 use clementinepick::event::{Event, EventKind};
+use clementinepick::request_key::RequestKey;
 use clementinepick::server_list::ServerList;
 use futures_util::future::join_all;
 
 use crate::directory::Directory;
 use crate::gateway_ended::MAX_LOAD_WAIT;
-use crate::gateway_ended_messages::{LOAD_PATH, LoadQuery, SharedRequest};
+use crate::gateway_ended_messages::{LOAD_PATH, LoadAnswer, LoadQuery};
 use crate::gateway_peer::{PeerCall, call_peer};
 use crate::gateway_shared::Shared;
 use crate::ledger::to_cbor;
 use crate::link::to_span;
-use crate::server_probe::{ServerFate, probe};
+use crate::server_probe::ServerFate;
 
 /// How long a peer may take to send all that it knows.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(200);
 /// The number of peers that a process asks at its start. They also share what they learn with it,
 /// until it is in their lists of processes.
 const MAX_LOAD_PEERS: usize = 64;
+/// How long requests wait for the store to say what was known before this process started, from the
+/// time at which this process could serve them.
+const MAX_STORE_WAIT: Duration = Duration::from_secs(1);
+/// The pause after a failed read of the store.
+const LOAD_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// How long the peers of the settings may take to be published; there may be none.
 const SETTINGS_WAIT: Duration = Duration::from_millis(50);
 /// The time of the second round of asking: by then, processes that started together are listed.
@@ -33,25 +39,14 @@
 /// How often the list of servers is applied, and suspected servers are looked at.
 const LIST_INTERVAL: Duration = Duration::from_millis(250);
 /// The ages, in [`LIST_INTERVAL`]s, of a loss at which its server is asked again.
-const RECHECK_AGES: [u64; 4] = [1, 2, 4, 8];
+const RECHECK_AGES: [u64; 10] = [1, 2, 4, 8, 12, 16, 20, 24, 28, 32];
 /// How often a server that is counted as ended and still listed is asked.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Asks peers what they know, and then keeps it up to date until dropped.
+/// Asks peers and the store what they know, and then keeps it up to date until dropped.
 pub(crate) async fn maintain_ended(shared: Rc<Shared>) {
     let started_at = Instant::now();
-    // The peers in the settings may be gone before the list of processes is read.
-    wait_for(&shared, SETTINGS_WAIT, |directory| {
-        !directory.peers.is_empty()
-    })
-    .await;
-    load(&shared, MAX_LOAD_PEERS).await;
-    wait_for(&shared, MAX_LOAD_WAIT, |directory| {
-        directory.has_read_processes
-    })
-    .await;
-    load(&shared, MAX_LOAD_PEERS).await;
-    shared.ended.set_loaded();
+    load_at_start(&shared).await;
     let mut next_load = started_at + SECOND_LOAD_DELAY;
     let mut next_check = started_at;
     let mut peer_count = MAX_LOAD_PEERS;
@@ -63,6 +58,10 @@
             next_load = now + RELOAD_INTERVAL;
             peer_count = 1;
         }
+        if let Some(since) = now.checked_sub(RELOAD_INTERVAL) {
+            shared.ended.forget_unheard(since);
+        }
+        forget_expired(&shared, now);
         if shared.has_no_ends() {
             continue;
         }
@@ -79,6 +78,51 @@
     }
 }
 
+/// Loads what peers and the store know, and lets requests go on that wait for it: once the store has
+/// responded or a peer that has loaded it, or if that takes too long.
+async fn load_at_start(shared: &Rc<Shared>) {
+    // The peers in the settings may be gone before the list of processes is read.
+    wait_for(shared, SETTINGS_WAIT, |directory| {
+        !directory.peers.is_empty()
+    })
+    .await;
+    let mut is_loaded = load(shared, MAX_LOAD_PEERS).await;
+    let mut can_serve_since = None;
+    loop {
+        // Each step is a read of the store within its timeout, so that the loop does not spin.
+        let is_read = shared.load_requests().await.is_ok();
+        is_loaded |= is_read;
+        let can_serve = shared.directory().config.is_some();
+        if can_serve {
+            can_serve_since.get_or_insert_with(Instant::now);
+        }
+        let has_waited = can_serve_since.is_some_and(|at: Instant| at.elapsed() >= MAX_STORE_WAIT);
+        if is_loaded || has_waited {
+            shared.ended.set_loaded();
+        }
+        if is_read {
+            break;
+        }
+        sleep(LOAD_RETRY_INTERVAL).await;
+    }
+    wait_for(shared, MAX_LOAD_WAIT, |directory| {
+        directory.has_read_processes
+    })
+    .await;
+    load(shared, MAX_LOAD_PEERS).await;
+    shared.ended.set_loaded();
+}
+
+/// Forgets requests that have expired, also in the store.
+fn forget_expired(shared: &Shared, now: Instant) {
+    let now = shared.now_us(now);
+    let mut known = shared.ended.known.borrow_mut();
+    known.expire(now);
+    shared
+        .request_log
+        .queue_forgotten(|key| known.get(now, key).is_some());
+}
+
 /// Waits until the directory is as wanted, for `limit` at most.
 async fn wait_for(shared: &Shared, limit: Duration, is_wanted: impl Fn(&Directory) -> bool) {
     const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -88,8 +132,9 @@
     }
 }
 
-/// Asks up to `count` peers, chosen at random, for all that they know.
-async fn load(shared: &Shared, count: usize) {
+/// Asks up to `count` peers, chosen at random, for all that they know; returns whether one of them
+/// knows what was known before it started.
+async fn load(shared: &Shared, count: usize) -> bool {
     let mut peers = shared.ended_peers(Instant::now());
     while peers.len() > count {
         peers.swap_remove(rand::random_range(0..peers.len()));
@@ -103,18 +148,20 @@
             body: body.clone(),
             limit: LOAD_TIMEOUT,
         };
-        call_peer::<Vec<SharedRequest>>(shared, peer, call)
+        call_peer::<LoadAnswer>(shared, peer, call)
     });
-    for requests in join_all(calls).await.into_iter().flatten() {
-        shared.merge_ended(requests, Instant::now());
+    let mut is_loaded = false;
+    for answer in join_all(calls).await.into_iter().flatten() {
+        is_loaded |= answer.is_loaded;
+        shared.merge_ended(answer.requests, Instant::now());
     }
+    is_loaded
 }
 
 /// Updates what is known of servers by the list of servers, and tells peers which have ended.
 async fn apply_list(shared: &Shared, list: &ServerList, now: Instant) {
     let now = shared.now_us(now);
     let known = &shared.ended.known;
-    known.borrow_mut().expire(now);
     let found = known.borrow_mut().apply_list(now, list);
     for key in found {
         shared.share_request(key, &[]).await;
@@ -130,38 +177,52 @@
         let age = now.since(*lost_at).0 / to_span(LIST_INTERVAL).0;
         RECHECK_AGES.contains(&age)
     });
-    let ended = find_servers(shared, due.map(|(server, _)| server), ServerFate::Ended).await;
-    for server in ended {
-        let found = shared.ended.known.borrow_mut().mark_ended(&server);
-        for key in found {
+    for (server, fate) in find_fates(shared, due.map(|(server, _)| server)).await {
+        for key in apply_fate(shared, &server, fate) {
             shared.share_request(key, &[]).await;
         }
     }
 }
 
+/// Records what became of a server that may have ended; returns the requests under which it is newly
+/// counted.
+fn apply_fate(shared: &Shared, server: &ServerStart, fate: ServerFate) -> Vec<RequestKey> {
+    let mut known = shared.ended.known.borrow_mut();
+    match fate {
+        ServerFate::Ended => known.mark_ended(server),
+        ServerFate::Unknown => known.mark_all_silent(server),
+        ServerFate::Alive => {
+            known.mark_responding(server);
+            Vec::new()
+        }
+    }
+}
+
 /// Asks the servers that are counted as ended and still listed; those that respond count no longer.
 async fn check_ended(shared: &Shared, now: Instant) {
     let doubtful = shared.ended.known.borrow().doubtful(shared.now_us(now));
-    let alive = find_servers(shared, doubtful.into_iter(), ServerFate::Alive).await;
-    for server in alive {
+    let fates = find_fates(shared, doubtful.into_iter()).await;
+    let alive = fates
+        .into_iter()
+        .filter(|(_, fate)| *fate == ServerFate::Alive);
+    for (server, _) in alive {
         shared.ended.known.borrow_mut().remove_server(&server);
         let event = Event::new(EventKind::ServerResponds).with("server", &server.id);
         shared.log(&event);
     }
 }
 
-/// Asks servers, all at the same time; returns those with this fate.
-async fn find_servers(
+/// Asks servers, all at the same time, what became of them.
+async fn find_fates(
     shared: &Shared,
     servers: impl Iterator<Item = ServerStart>,
-    wanted: ServerFate,
-) -> Vec<ServerStart> {
+) -> Vec<(ServerStart, ServerFate)> {
     let list = shared.directory().servers;
     let checks = servers.map(async |server| {
         let listed = list.servers.get(&server.id);
         let health_path = listed.and_then(|listed| shared.health_path(&listed.service));
-        let fate = probe(server.address, &server.id, health_path.as_deref()).await;
-        (fate == wanted).then_some(server)
+        let fate = shared.find_fate(&server, health_path.as_deref()).await;
+        (server, fate)
     });
-    join_all(checks).await.into_iter().flatten().collect()
+    join_all(checks).await
 }
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -7,7 +7,9 @@
 
 use actix_http::uri::PathAndQuery;
 use actix_http::{Request, ResponseHead, Uri};
+use actix_rt::time::timeout;
 use bytes::Bytes;
+use clementinepick::ended_servers::ServerStart;
 use clementinepick::request_key::{RequestContent, RequestKey};
 use clementinepick::server_list::BackendServer;
 use clementinepick::server_selection::{Affinity, SelectionReason};
@@ -92,6 +94,12 @@
 }
 
 impl ServerSlot {
+    /// Records that the server has sent something.
+    pub(crate) fn record_heard(&self) {
+        let server = ServerStart::of(&self.server);
+        self.shared.ended.record_heard(server, Instant::now());
+    }
+
     /// Records a failure, so that the server is avoided for a while.
     pub(crate) fn record_failure(&self) {
         self.shared.record_failure(&self.server.id);
@@ -259,6 +267,7 @@
             slot.record_failure();
             return Err(AttemptError::ResponseLost);
         };
+        slot.record_heard();
         self.check_response(shared, slot, connection, head).await
     }
 
@@ -285,7 +294,8 @@
         if platform::response::is_not_executed(head.status.as_u16(), &head.headers) {
             let is_another = platform::response::is_misdirected(head.status.as_u16());
             shared.record_refusal(&slot.server.id, is_another);
-            if connection.body(MAX_REFUSAL_BYTES).await.is_ok() {
+            let body = timeout(REFUSAL_BODY_TIMEOUT, connection.body(MAX_REFUSAL_BYTES)).await;
+            if matches!(body, Ok(Ok(_))) {
                 let address = slot.server.address;
                 shared.pool.release(address, connection, Instant::now());
             }
@@ -301,6 +311,8 @@
 
 /// The largest body of a server's refusal, in bytes, that is read in order to reuse the connection.
 const MAX_REFUSAL_BYTES: usize = 16_384;
+/// How long the body of a refusal is waited for; the next server does not have to wait for the rest.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Returns the host that the caller named, without the port.
 pub(crate) fn request_host(head: &Request) -> &str {
--- a/clementinepickd/src/gateway_handover.rs
+++ b/clementinepickd/src/gateway_handover.rs
@@ -132,12 +132,20 @@
         pending: impl Future<Output = Result<T, AttemptError>>,
     ) -> Result<T, RunEnd<'a>> {
         let mut pending = pin!(pending);
-        if !self.may_repeat {
-            return Ok(pending.await?);
-        }
         if let Ok(received) = timeout(silence_timeout, pending.as_mut()).await {
             return Ok(received?);
         }
+        let fate = tokio::select! {
+            biased;
+            received = pending.as_mut() => return Ok(received?),
+            fate = self.share_silence() => fate,
+        };
+        if fate == ServerFate::Ended {
+            return Err(AttemptError::ResponseLost.into());
+        }
+        if !self.may_repeat {
+            return Ok(pending.await?);
+        }
         self.record_silence();
         let input = input();
         let mut is_kept = false;
@@ -202,9 +210,9 @@
         let service = self.routed.service;
         let retry = RetryReservation::withdraw(self.shared, service);
         let retry = retry.ok_or(NoSuccessor::NoRetry)?;
-        let slot = self
-            .routed
-            .reserve_server(self.shared, &self.tried_servers, input);
+        let isolated = self.servers_to_avoid(self.end_count());
+        let avoided = [&self.tried_servers[..], &isolated[..]].concat();
+        let slot = self.routed.reserve_server(self.shared, &avoided, input);
         let slot = slot.filter(|slot| !slot.reason.is_in_backoff);
         let slot = slot.ok_or(NoSuccessor::NoServer)?;
         let fate = self.probe_current().await?;
@@ -240,20 +248,16 @@
     /// Starts a run at the server of `slot`; peers know of it if they must.
     async fn start_successor(&self, slot: &ServerSlot) -> Result<CurrentRun, NoSuccessor> {
         let ends = self.end_count();
-        if ends.is_isolated() {
+        if ends.is_given_up() {
             return Err(NoSuccessor::Isolated);
         }
-        let guard = if ends.is_shared() {
-            let guard = self.share_run(slot, ends).await;
-            Some(guard.ok_or(NoSuccessor::Isolated)?)
+        let shared_run = if ends.is_shared() {
+            let run = self.share_run(slot, ends).await;
+            Some(run.ok_or(NoSuccessor::Isolated)?)
         } else {
             None
         };
-        Ok(CurrentRun {
-            server: slot.server.clone(),
-            ended_before: ends,
-            _guard: guard,
-        })
+        Ok(self.new_run(slot, ends, shared_run))
     }
 
     /// Sends the request to a successor; returns the run that it takes over from.
@@ -290,10 +294,11 @@
                 } else {
                     self.replace_refusal(refusal_before);
                 }
+                self.finish_run(&run);
                 return Err(NoSuccessor::Failed);
             }
         };
-        let replaced = self.current.replace(run);
+        let replaced = self.replace_current(run);
         Ok((SentRequest { server, response }, replaced))
     }
 }
--- /dev/null
+++ b/clementinepickd/src/gateway_loss.rs
@@ -0,0 +1,111 @@
+//! Settles runs whose server has sent no complete response: finds out whether it has ended, and tells
+//! peers before the caller hears of the failure.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::timeout;
+use clementinepick::ended_servers::ServerStart;
+use clementinepick::event::{Event, EventKind};
+use clementinepick::request_key::RequestKey;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use crate::gateway_ended::SharedRun;
+use crate::gateway_shared::Shared;
+use crate::server_probe::ServerFate;
+
+/// How long the response to a caller may wait until peers know of a silent server.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// A run whose outcome is not known.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct OpenLoss {
+    /// The id of the request.
+    pub(crate) request: String,
+    pub(crate) key: RequestKey,
+    pub(crate) server: ServerStart,
+    /// The run as peers know it, if they do.
+    pub(crate) shared_run: Option<SharedRun>,
+}
+
+/// Runs that were given up because their callers disconnected. Unbounded, because the receiver waits
+/// for none of them.
+pub(crate) type LossSender = mpsc::UnboundedSender<OpenLoss>;
+
+impl OpenLoss {
+    /// Asks the server whether it has ended, and records what it finds; returns when peers know, if
+    /// they must.
+    pub(crate) async fn settle(&self, shared: &Shared) {
+        // The caller may disconnect during the probe, which ends this attempt.
+        shared.record_suspected(self.key, self.server.clone());
+        let health_path = shared.health_path_of(&self.server.id);
+        let fate = shared.find_fate(&self.server, health_path.as_deref()).await;
+        self.record(shared, fate).await;
+    }
+
+    /// Records what became of the server; returns when peers know, if they must.
+    pub(crate) async fn record(&self, shared: &Shared, fate: ServerFate) {
+        let now = Instant::now();
+        shared.metrics.count_lost_response(fate.label());
+        let event = Event::new(EventKind::ResponseLost)
+            .with("request", &self.request)
+            .with("content", self.key)
+            .with("server", &self.server.id)
+            .with("fate", fate.label())
+            .with("ended_before", shared.end_count(self.key, now));
+        shared.log(&event);
+        shared.record_suspected(self.key, self.server.clone());
+        let recorded = shared.record_fate(self.key, self.server.clone(), fate);
+        recorded.await;
+    }
+}
+
+impl Shared {
+    /// Ends a run whose caller has disconnected. A server that has just sent something needs not be
+    /// asked whether it has ended.
+    pub(crate) fn abandon_run(&self, loss: OpenLoss, now: Instant) {
+        if !self.is_heard(&loss.server, now) {
+            // The receiver ends only with the process.
+            let _ = self.losses.send(loss);
+        } else if let Some(run) = loss.shared_run {
+            self.finish_run(run);
+        }
+    }
+}
+
+/// Settles a run that ends with its deadline or the process, before its caller hears of it.
+pub(crate) async fn settle_open_run(shared: &Shared, open: Option<OpenLoss>) {
+    if let Some(loss) = open {
+        // What takes longer is found out again by the upkeep.
+        let _ = timeout(SETTLE_TIMEOUT, settle_and_finish(shared, &loss)).await;
+    }
+}
+
+async fn settle_and_finish(shared: &Shared, loss: &OpenLoss) {
+    loss.settle(shared).await;
+    if let Some(run) = loss.shared_run {
+        shared.finish_run(run);
+    }
+}
+
+/// Settles the runs of callers that have disconnected, until the sender is dropped.
+pub(crate) async fn settle_losses(
+    shared: Rc<Shared>,
+    mut queue: mpsc::UnboundedReceiver<OpenLoss>,
+) {
+    let mut settling = JoinSet::new();
+    loop {
+        tokio::select! {
+            loss = queue.recv() => {
+                let Some(loss) = loss else {
+                    break;
+                };
+                let shared = Rc::clone(&shared);
+                settling.spawn_local(async move { settle_and_finish(&shared, &loss).await });
+            }
+            Some(_) = settling.join_next() => {}
+        }
+    }
+    settling.shutdown().await;
+}
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -18,10 +18,11 @@
 use crate::gateway_ended::handle_ended_call;
 use crate::gateway_origins::handle_origin_call;
 use crate::gateway_peer_turns::{self, TURN_PATH};
+use crate::gateway_peer_watch::{LOST_PATH, WATCH_PATH};
 use crate::gateway_receive::ReceivedRequest;
 use crate::gateway_reply::Reply;
 use crate::gateway_shared::Shared;
-use crate::ledger::from_cbor;
+use crate::ledger::{from_cbor, to_cbor};
 use crate::outbound::OutboundRequest;
 use crate::store::{StoreCall, StorePurpose, host_header};
 
@@ -98,6 +99,12 @@
                 handle_ended_call(&self.shared, &target, &request.body, Instant::now())
             {
                 response
+            } else if target == WATCH_PATH {
+                self.shared.wait_for_close().await;
+                (200, to_cbor(&()))
+            } else if target == LOST_PATH {
+                self.shared.reload_requests().await;
+                (200, to_cbor(&()))
             } else if target == TURN_PATH {
                 gateway_peer_turns::handle_fetch(&self.shared, &request.body)
             } else if platform::store::is_store_target(&target) {
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -20,6 +20,7 @@
 use crate::gateway_connection::Handler;
 use crate::gateway_ended::check_request;
 use crate::gateway_exchange::{RoutedRequest, request_host};
+use crate::gateway_loss::settle_open_run;
 use crate::gateway_receive::ReceivedRequest;
 use crate::gateway_reply::{CallerDisconnected, Reply, ReplyState};
 use crate::gateway_shared::Shared;
@@ -132,6 +133,9 @@
         if self.is_finished {
             return;
         }
+        if let Some(loss) = self.trace.open_run.take() {
+            self.handler.shared.abandon_run(loss, Instant::now());
+        }
         let reason = if thread::panicking() {
             PANICKED
         } else {
@@ -237,14 +241,15 @@
         () = shared.wait_for_stop() => (Refusal::ShuttingDown, Refusal::ShutdownInRun),
     };
     // The response may have arrived during a pause of the process.
-    let outcome = poll_after_input(work).await;
-    outcome.unwrap_or_else(|| {
-        Ok(Err(if trace.may_have_run.get() {
-            sent
-        } else {
-            not_sent
-        }))
-    })
+    if let Some(outcome) = poll_after_input(work).await {
+        return outcome;
+    }
+    settle_open_run(shared, trace.open_run.take()).await;
+    Ok(Err(if trace.may_have_run.get() {
+        sent
+    } else {
+        not_sent
+    }))
 }
 
 fn route_request<'a>(
--- /dev/null
+++ b/clementinepickd/src/gateway_request_log.rs
@@ -0,0 +1,452 @@
+//! Records in the store which servers ended under requests, and which requests run, so that processes
+//! that start after all others were killed know of them.
+//!
+//! Each server that ended under a request has a record of its own, which no late append of an older
+//! state can revert. Each process has one record of its running requests; it is written behind the
+//! requests, which do not wait for it unless servers have ended under them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::{sleep, timeout};
+use clementinepick::ended_servers::{EndState, OpenRun, RequestEnds, ServerEnd, ServerStart};
+use clementinepick::event::{Event, EventKind};
+use clementinepick::request_key::RequestKey;
+use clementinepick::units::{SpanUs, TimeUs};
+use platform::store::KeyedRecord;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::gateway_shared::Shared;
+use crate::ledger::{LedgerError, from_cbor, to_cbor};
+use crate::store::StorePurpose;
+use crate::unix_time::unix_ms;
+
+/// How long an append may take before it is made again.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a read of all records may take.
+const READ_TIMEOUT: Duration = Duration::from_millis(400);
+/// The pause after a failed append.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// The average interval of appends that record running requests only, and how many of them may
+/// follow each other without it.
+const RUNS_INTERVAL: Duration = Duration::from_millis(200);
+const RUNS_BURST: u32 = 10;
+/// The maximum number of running requests in a record, about 150 kB.
+const MAX_RUNS: usize = 2_048;
+/// How long records are kept, as long as a request is remembered.
+const RETENTION_MS: u64 = 300_000;
+
+/// The record of one server that ended under a request.
+#[derive(Debug, Serialize, Deserialize)]
+struct EndRecord {
+    #[serde(rename = "k")]
+    key: RequestKey,
+    #[serde(rename = "s")]
+    server: ServerStart,
+    #[serde(rename = "t")]
+    state: EndState,
+    #[serde(rename = "l")]
+    lost_unix_ms: u64,
+}
+
+/// One running request.
+#[derive(Debug, Serialize, Deserialize)]
+struct RunRecord {
+    #[serde(rename = "k")]
+    key: RequestKey,
+    #[serde(rename = "s")]
+    server: ServerStart,
+    #[serde(rename = "e")]
+    expires_unix_ms: u64,
+}
+
+/// The record of the requests that a process runs.
+#[derive(Debug, Serialize, Deserialize)]
+struct RunsRecord {
+    #[serde(rename = "w")]
+    recorded_unix_ms: u64,
+    #[serde(rename = "r")]
+    runs: Vec<RunRecord>,
+}
+
+/// A running request of this process.
+struct LocalRun {
+    key: RequestKey,
+    server: ServerStart,
+    expires_at: TimeUs,
+    is_recorded: bool,
+}
+
+type EndId = (RequestKey, ServerStart);
+
+/// What this process has recorded, and what it has yet to record.
+#[derive(Default)]
+pub(crate) struct RequestLog {
+    runs: RefCell<BTreeMap<u64, LocalRun>>,
+    next_run: Cell<u64>,
+    /// Requests whose records may have to change.
+    changed: RefCell<BTreeSet<RequestKey>>,
+    /// The recorded states of servers.
+    recorded: RefCell<BTreeMap<EndId, EndState>>,
+    /// The number of changes so far, and of those that are recorded.
+    queued: Cell<u64>,
+    written: Cell<u64>,
+    has_work: Notify,
+    has_written: Notify,
+}
+
+/// A running request; when dropped, it is over.
+pub(crate) struct RunningRequest {
+    shared: Rc<Shared>,
+    id: u64,
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        self.shared.request_log.runs.borrow_mut().remove(&self.id);
+    }
+}
+
+/// The changes of one append.
+struct Batch {
+    records: Vec<KeyedRecord>,
+    ends: Vec<(EndId, Option<EndState>)>,
+    changed: BTreeSet<RequestKey>,
+    runs: Vec<u64>,
+    /// The number of changes when it was made.
+    queued: u64,
+}
+
+impl RequestLog {
+    /// Queues the records of a request.
+    pub(crate) fn queue(&self, key: RequestKey) {
+        self.changed.borrow_mut().insert(key);
+        self.notify();
+    }
+
+    /// Queues the requests whose records outlive what is known of them.
+    pub(crate) fn queue_forgotten(&self, is_known: impl Fn(RequestKey) -> bool) {
+        let recorded = self.recorded.borrow();
+        let keys: BTreeSet<RequestKey> = recorded.keys().map(|(key, _)| *key).collect();
+        drop(recorded);
+        for key in keys.into_iter().filter(|key| !is_known(*key)) {
+            self.queue(key);
+        }
+    }
+
+    fn notify(&self) {
+        self.queued.set(self.queued.get() + 1);
+        self.has_work.notify_one();
+    }
+
+    fn has_unrecorded_runs(&self) -> bool {
+        self.runs.borrow().values().any(|run| !run.is_recorded)
+    }
+
+    async fn wait_for_work(&self) {
+        while self.changed.borrow().is_empty() && !self.has_unrecorded_runs() {
+            self.has_work.notified().await;
+        }
+    }
+
+    /// Returns once all that is queued now is recorded.
+    async fn wait_until_written(&self) {
+        let queued = self.queued.get();
+        while self.written.get() < queued {
+            self.has_written.notified().await;
+        }
+    }
+
+    fn record_written(&self, batch: Batch) {
+        let mut recorded = self.recorded.borrow_mut();
+        for (end, state) in batch.ends {
+            match state {
+                Some(state) => recorded.insert(end, state),
+                None => recorded.remove(&end),
+            };
+        }
+        drop(recorded);
+        self.written.set(batch.queued);
+        self.has_written.notify_waiters();
+    }
+
+    fn restore(&self, batch: Batch) {
+        self.changed.borrow_mut().extend(batch.changed);
+        let mut runs = self.runs.borrow_mut();
+        for id in batch.runs {
+            if let Some(run) = runs.get_mut(&id) {
+                run.is_recorded = false;
+            }
+        }
+    }
+}
+
+impl Shared {
+    /// Records that a request runs at a server until dropped; its caller gives up at `expires_at`.
+    pub(crate) fn record_run(
+        self: &Rc<Self>,
+        key: RequestKey,
+        server: ServerStart,
+        expires_at: TimeUs,
+    ) -> RunningRequest {
+        let log = &self.request_log;
+        let id = log.next_run.get();
+        log.next_run.set(id + 1);
+        let run = LocalRun {
+            key,
+            server,
+            expires_at,
+            is_recorded: false,
+        };
+        log.runs.borrow_mut().insert(id, run);
+        log.notify();
+        RunningRequest {
+            shared: Rc::clone(self),
+            id,
+        }
+    }
+
+    /// Waits until all that is queued is recorded, for `limit` at most and only while the store is
+    /// available.
+    pub(crate) async fn wait_until_recorded(&self, limit: Duration) {
+        if !self.store.is_unavailable() {
+            // What was not recorded in time is recorded later.
+            let _ = timeout(limit, self.request_log.wait_until_written()).await;
+        }
+    }
+
+    fn take_batch(&self, now: Instant) -> Batch {
+        let log = &self.request_log;
+        let changed = std::mem::take(&mut *log.changed.borrow_mut());
+        let mut batch = Batch {
+            records: Vec::new(),
+            ends: Vec::new(),
+            changed,
+            runs: Vec::new(),
+            queued: log.queued.get(),
+        };
+        for key in &batch.changed {
+            let (records, ends) = self.changed_ends(*key, now);
+            batch.records.extend(records);
+            batch.ends.extend(ends);
+        }
+        if log.has_unrecorded_runs() {
+            batch.records.push(self.runs_record(now, &mut batch.runs));
+        }
+        batch
+    }
+
+    /// Returns the records that differ from what is known of a request.
+    fn changed_ends(
+        &self,
+        key: RequestKey,
+        now: Instant,
+    ) -> (Vec<KeyedRecord>, Vec<(EndId, Option<EndState>)>) {
+        let now = self.now_us(now);
+        let known = self.ended.known.borrow();
+        let ends = known.get(now, key).map_or(&[][..], |request| &request.ends);
+        let recorded = self.request_log.recorded.borrow();
+        let mut records = Vec::new();
+        let mut changes = Vec::new();
+        for end in ends {
+            let id = (key, end.server.clone());
+            if recorded.get(&id) != Some(&end.state) {
+                records.push(end_record(key, end, now));
+                changes.push((id, Some(end.state)));
+            }
+        }
+        for (key, server) in recorded.keys().filter(|(recorded, _)| *recorded == key) {
+            if !ends.iter().any(|end| end.server == *server) {
+                records.push(KeyedRecord {
+                    key: end_key(*key, server),
+                    value: None,
+                });
+                changes.push(((*key, server.clone()), None));
+            }
+        }
+        (records, changes)
+    }
+
+    /// Returns the record of the running requests, and marks them as recorded.
+    fn runs_record(&self, now: Instant, recorded: &mut Vec<u64>) -> KeyedRecord {
+        let now = self.now_us(now);
+        let now_unix_ms = unix_ms();
+        let mut runs = self.request_log.runs.borrow_mut();
+        let mut records = Vec::new();
+        for (id, run) in runs.iter_mut().rev().take(MAX_RUNS) {
+            run.is_recorded = true;
+            recorded.push(*id);
+            records.push(RunRecord {
+                key: run.key,
+                server: run.server.clone(),
+                expires_unix_ms: now_unix_ms + run.expires_at.since(now).as_ms(),
+            });
+        }
+        let record = RunsRecord {
+            recorded_unix_ms: now_unix_ms,
+            runs: records,
+        };
+        KeyedRecord {
+            key: format!("r-{}", self.writer),
+            value: Some(to_cbor(&record)),
+        }
+    }
+
+    /// Loads all records, and deletes those that are too old.
+    pub(crate) async fn load_requests(&self) -> Result<(), LedgerError> {
+        let partition = self.ledger.request_partition();
+        let deadline = Instant::now() + READ_TIMEOUT;
+        let reader = self.ledger.reader(StorePurpose::LoadRequests, deadline);
+        let mut records = Vec::new();
+        let collect = |page: Vec<KeyedRecord>| records.extend(page);
+        reader.read_newest(partition, collect).await?;
+        let now_unix_ms = unix_ms();
+        let now = self.now_us(Instant::now());
+        let mut expired = Vec::new();
+        let mut count = 0;
+        for record in records {
+            match decode(&record, now, now_unix_ms) {
+                Some(loaded) => {
+                    count += loaded.len();
+                    let mut known = self.ended.known.borrow_mut();
+                    for (key, request) in loaded {
+                        known.load(now, key, request);
+                    }
+                }
+                None if is_own_key(&record.key) => expired.push(KeyedRecord {
+                    key: record.key,
+                    value: None,
+                }),
+                None => {}
+            }
+        }
+        let event = Event::new(EventKind::RequestsLoaded)
+            .with("requests", count)
+            .with("expired", expired.len());
+        self.log(&event);
+        if !expired.is_empty() {
+            let deadline = Instant::now() + APPEND_TIMEOUT;
+            let purpose = StorePurpose::RecordRequests;
+            let append = self
+                .ledger
+                .append(purpose, partition, None, &expired, deadline);
+            append.await?;
+        }
+        Ok(())
+    }
+}
+
+/// Returns whether a record of the partition is one of this module.
+fn is_own_key(key: &str) -> bool {
+    key.starts_with("r-") || key.starts_with("e-")
+}
+
+fn end_key(key: RequestKey, server: &ServerStart) -> String {
+    let server = xxh3_64(&to_cbor(server));
+    format!("e-{key}-{server:016x}")
+}
+
+fn end_record(key: RequestKey, end: &ServerEnd, now: TimeUs) -> KeyedRecord {
+    let record = EndRecord {
+        key,
+        server: end.server.clone(),
+        state: end.state,
+        lost_unix_ms: unix_ms().saturating_sub(now.since(end.lost_at).as_ms()),
+    };
+    KeyedRecord {
+        key: end_key(key, &end.server),
+        value: Some(to_cbor(&record)),
+    }
+}
+
+/// Decodes a record; `None` if it has expired or can't be decoded.
+fn decode(
+    record: &KeyedRecord,
+    now: TimeUs,
+    now_unix_ms: u64,
+) -> Option<Vec<(RequestKey, RequestEnds)>> {
+    let value = record.value.as_ref()?;
+    let is_recent = |unix_ms: u64| now_unix_ms < unix_ms.saturating_add(RETENTION_MS);
+    if record.key.starts_with("e-") {
+        let end: EndRecord = from_cbor(value)?;
+        if !is_recent(end.lost_unix_ms) {
+            return None;
+        }
+        let age_us = SpanUs::from_ms(now_unix_ms.saturating_sub(end.lost_unix_ms));
+        let ends = vec![ServerEnd {
+            server: end.server,
+            lost_at: TimeUs(now.0.saturating_sub(age_us.0)),
+            state: end.state,
+        }];
+        let runs = Vec::new();
+        return Some(vec![(end.key, RequestEnds { ends, runs })]);
+    }
+    let runs: RunsRecord = from_cbor(value)?;
+    if !is_recent(runs.recorded_unix_ms) {
+        return None;
+    }
+    let runs = runs.runs.into_iter();
+    let loaded = runs.map(|run| (run.key, unfinished_run(run, now, now_unix_ms)));
+    Some(loaded.collect())
+}
+
+/// Returns a run whose process may have been lost before its outcome was known.
+fn unfinished_run(run: RunRecord, now: TimeUs, now_unix_ms: u64) -> RequestEnds {
+    let left_ms = run.expires_unix_ms.saturating_sub(now_unix_ms);
+    let open = OpenRun {
+        id: rand::random(),
+        server: run.server,
+        is_isolated: false,
+        expires_at: now.after(SpanUs::from_ms(left_ms)),
+    };
+    RequestEnds {
+        ends: Vec::new(),
+        runs: vec![open],
+    }
+}
+
+/// Records what changes until dropped.
+pub(crate) async fn write_requests(shared: Rc<Shared>) {
+    let log = &shared.request_log;
+    let mut allowance = RUNS_BURST;
+    let mut replenished_at = Instant::now();
+    loop {
+        log.wait_for_work().await;
+        while replenished_at.elapsed() >= RUNS_INTERVAL && allowance < RUNS_BURST {
+            allowance += 1;
+            replenished_at += RUNS_INTERVAL;
+        }
+        if allowance == RUNS_BURST {
+            replenished_at = Instant::now();
+        }
+        let has_changes = !log.changed.borrow().is_empty();
+        if shared.store.is_unavailable() || (!has_changes && allowance == 0) {
+            sleep(RETRY_INTERVAL).await;
+            continue;
+        }
+        allowance = allowance.saturating_sub(1);
+        let batch = shared.take_batch(Instant::now());
+        if batch.records.is_empty() {
+            log.record_written(batch);
+            continue;
+        }
+        let partition = shared.ledger.request_partition();
+        let deadline = Instant::now() + APPEND_TIMEOUT;
+        let purpose = StorePurpose::RecordRequests;
+        let append = shared
+            .ledger
+            .append(purpose, partition, None, &batch.records, deadline);
+        match append.await {
+            Ok(reply) if reply.status == 200 => log.record_written(batch),
+            Ok(_) | Err(_) => {
+                // The store client counts the failure.
+                log.restore(batch);
+                sleep(RETRY_INTERVAL).await;
+            }
+        }
+    }
+}
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -22,10 +22,12 @@
 
 use crate::directory::Directory;
 use crate::gateway_ended::Ended;
+use crate::gateway_loss::{LossSender, OpenLoss};
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_origins::Origins;
 use crate::gateway_peer_updates::{PeerUpdate, PeerUpdateSender};
 use crate::gateway_prefetch::{PREFETCH_QUEUE_CAPACITY, PrefetchRequest};
+use crate::gateway_request_log::RequestLog;
 use crate::gateway_settings::GatewaySettings;
 use crate::ledger::LedgerStore;
 use crate::ledger_budgets::Budgets;
@@ -57,6 +59,11 @@
     pub(crate) turns: Turns,
     pub(crate) origins: Origins,
     pub(crate) ended: Ended,
+    pub(crate) request_log: RequestLog,
+    /// Identifies this process instance.
+    pub(crate) writer: String,
+    /// Runs whose callers have disconnected.
+    pub(crate) losses: LossSender,
     /// What peers should know.
     pub(crate) updates: PeerUpdateSender,
     /// Requests for slices that programs may need soon.
@@ -142,6 +149,8 @@
     pub(crate) unfinished_reads: mpsc::Receiver<String>,
     /// What to tell peers.
     pub(crate) updates: mpsc::UnboundedReceiver<PeerUpdate>,
+    /// Runs whose callers have disconnected.
+    pub(crate) losses: mpsc::UnboundedReceiver<OpenLoss>,
 }
 
 impl Shared {
@@ -159,11 +168,13 @@
             settings: settings.ledger,
             client: Rc::clone(&store),
         });
+        let instance = writer.clone();
         let (budgets, returned) = Budgets::new(Rc::clone(&ledger), writer, settings.peers);
         let budgets = Rc::new(budgets);
         let (prefetch, prefetch_requests) = mpsc::channel(PREFETCH_QUEUE_CAPACITY);
         let (turns, unfinished_reads) = Turns::new(Rc::clone(&ledger));
         let (updates, queued_updates) = mpsc::unbounded_channel();
+        let (losses, queued_losses) = mpsc::unbounded_channel();
         let shared = Self {
             store,
             prefetch,
@@ -173,6 +184,9 @@
             turns,
             origins: Origins::default(),
             ended: Ended::default(),
+            request_log: RequestLog::default(),
+            writer: instance,
+            losses,
             updates,
             ledger,
             pool: ConnectionPool::default(),
@@ -198,6 +212,7 @@
             prefetch: prefetch_requests,
             unfinished_reads,
             updates: queued_updates,
+            losses: queued_losses,
         };
         (shared, queues)
     }
@@ -243,6 +258,12 @@
         services.get(service)?.health_path.clone()
     }
 
+    /// Returns the path of health checks of a listed server.
+    pub(crate) fn health_path_of(&self, server: &str) -> Option<String> {
+        let servers = Arc::clone(&self.directory.borrow().servers);
+        self.health_path(&servers.servers.get(server)?.service)
+    }
+
     /// Records which software versions are listed now.
     pub(crate) fn record_versions(&self, now: Instant) {
         let servers = Arc::clone(&self.directory.borrow().servers);
@@ -323,7 +344,7 @@
         let is_fresh = directory
             .read_at()
             .is_some_and(|at| now.saturating_duration_since(at) < MAX_DIRECTORY_AGE);
-        !self.is_draining() && directory.config.is_some() && is_fresh
+        !self.is_draining() && directory.config.is_some() && is_fresh && self.ended.is_loaded()
     }
 
     /// Returns how many connections this process may open to one server of a service. Its share of
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -463,6 +463,7 @@
                 }
                 Err(end) => return Ok(Err(end)),
             };
+            response.slot.record_heard();
             splitter.push(&chunk);
             if splitter.exceeds_limit() {
                 return Ok(Err(LOST));
--- a/clementinepickd/src/gateway_trace.rs
+++ b/clementinepickd/src/gateway_trace.rs
@@ -9,6 +9,8 @@
 use clementinepick::server_selection::SelectionReason;
 use clementinepick::units::SpanUs;
 
+use crate::gateway_loss::OpenLoss;
+
 /// The steps that a request has reached.
 #[derive(Debug, Default)]
 pub(crate) struct Trace {
@@ -20,6 +22,8 @@
     pub(crate) retry_after: Cell<Option<SpanUs>>,
     /// The status that was sent to the caller; 0 before the head of a response was sent.
     pub(crate) status: Cell<u16>,
+    /// The run that is in progress.
+    pub(crate) open_run: RefCell<Option<OpenLoss>>,
     servers: RefCell<Vec<String>>,
     /// The software versions of these servers.
     versions: RefCell<Vec<String>>,
--- a/clementinepickd/src/ledger.rs
+++ b/clementinepickd/src/ledger.rs
@@ -128,6 +128,19 @@
         })
     }
 
+    /// Returns the partition of requests that run or under which servers have ended.
+    pub(crate) fn request_partition(&self) -> Partition {
+        self.process_partition(1)
+    }
+
+    /// Returns a partition beside that of the entries of processes.
+    fn process_partition(&self, number: u32) -> Partition {
+        Partition {
+            topic: Topic::Processes,
+            number: number % self.settings.partitions.max(1),
+        }
+    }
+
     fn partition(&self, id: &str, topics: u8, topic: impl Fn(u8) -> Topic) -> Partition {
         let hash = xxh3_64(id.as_bytes());
         let partitions = u64::from(self.settings.partitions.max(1));
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -79,6 +79,10 @@
     RecordTurn,
     /// Read finished turns.
     ReadTurn,
+    /// Write requests that run or under which servers have ended.
+    RecordRequests,
+    /// Read them.
+    LoadRequests,
     /// Find and delete expired records.
     Sweep,
     /// Check whether the store responds.
@@ -97,6 +101,8 @@
             Self::ReadSlices => "read_slices",
             Self::RecordTurn => "record_turn",
             Self::ReadTurn => "read_turn",
+            Self::RecordRequests => "record_requests",
+            Self::LoadRequests => "load_requests",
             Self::Sweep => "sweep",
             Self::Probe => "probe",
             Self::Relay => "relay",
