Record the software versions of services, and refuse streams that may have begun at one that is gone

Callers that came back after all gateways had been killed were answered with events of the version which had replaced that of their stream, from 4 s after the start, the text joined from two.

Cause: a gateway took the first list of servers that it had read for the beginning, and concluded from two timeouts of the route that a stream had begun at the only version that it knew. A stream can be older: its caller has several attempts, and a change of the configuration shortens timeouts.

Each version of a service now has a record in the store, written before the first stream begins there, and closed by a gateway that finds it unlisted. A version is remembered for 600 s after it has left, the longest deadline of callers; until then streams of unknown origin are refused. A service that has had one version only is known at once after a restart, where streams were refused for two timeouts.

The test of a version that counts until its streams have ended asked for a conclusion 8 s after it had left, which is the fault; it is replaced by one that asks for none until 600 s after.

--- a/clementinepick/tests/stream_origin.rs
+++ b/clementinepick/tests/stream_origin.rs
@@ -1,7 +1,7 @@
 //! Tests what is known of the origins of streams: the memory and its bounds, which servers fit, and
 //! what the lists of servers imply.
 
-use clementinepick::listed_versions::ListedVersions;
+use clementinepick::listed_versions::{ListedVersions, RecordedVersion};
 use clementinepick::server_list::{BackendServer, ServerList, SoftwareVersion};
 use clementinepick::stream_origin::{StreamOrigin, StreamOrigins};
 use clementinepick::units::{SpanUs, TimeUs};
@@ -114,15 +114,53 @@
     );
 }
 
-/// Guards against a stream that is resumed at the version which has replaced its own.
+/// Guards against a stream that is resumed at the version which has replaced its own, however long its
+/// caller has taken.
 #[test]
-fn a_version_counts_until_its_streams_have_ended() {
+fn a_version_counts_for_as_long_as_a_caller_may_wait() {
     let mut listed = ListedVersions::default();
     listed.record(at_s(0), &list(&["v1", "v1"]));
     listed.record(at_s(20), &list(&["v1", "v2"]));
     assert_eq!(sole_version(&listed, 20), None);
-    listed.record(at_s(21), &list(&["v2", "v2"]));
-    assert_eq!(sole_version(&listed, 28), None);
-    listed.record(at_s(30), &list(&["v2", "v2"]));
-    assert_eq!(sole_version(&listed, 30), Some("v2".to_owned()));
+    for second in [21, 30, 619] {
+        listed.record(at_s(second), &list(&["v2", "v2"]));
+        assert_eq!(sole_version(&listed, second), None, "at {second} s");
+    }
+    listed.record(at_s(620), &list(&["v2", "v2"]));
+    assert_eq!(sole_version(&listed, 620), Some("v2".to_owned()));
+}
+
+fn recorded(version: &str, known_s: u64, unlisted_s: Option<u64>) -> RecordedVersion {
+    RecordedVersion {
+        service: "models".to_owned(),
+        version: version.to_owned().into(),
+        known_for: SpanUs::from_s(known_s),
+        unlisted_for: unlisted_s.map(SpanUs::from_s),
+    }
+}
+
+/// Guards against a process that takes its first list for the beginning.
+#[test]
+fn a_version_that_an_earlier_process_recorded_counts() {
+    for unlisted_s in [None, Some(0), Some(590)] {
+        let mut listed = ListedVersions::default();
+        listed.load(at_s(0), &recorded("v1", 3_600, unlisted_s));
+        listed.record(at_s(1), &list(&["v2"]));
+        assert_eq!(sole_version(&listed, 9), None, "{unlisted_s:?}");
+    }
+    let mut listed = ListedVersions::default();
+    listed.load(at_s(0), &recorded("v1", 3_600, Some(600)));
+    listed.record(at_s(1), &list(&["v2"]));
+    assert_eq!(sole_version(&listed, 1), Some("v2".to_owned()));
+}
+
+/// Guards against refusing streams after each restart although there has been one version only.
+#[test]
+fn a_sole_version_is_known_for_as_long_as_it_is_recorded() {
+    for (known_s, expected) in [(7, None), (8, Some("v1".to_owned()))] {
+        let mut listed = ListedVersions::default();
+        listed.load(at_s(0), &recorded("v1", known_s, None));
+        listed.record(at_s(1), &list(&["v1"]));
+        assert_eq!(sole_version(&listed, 1), expected);
+    }
 }
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -38,6 +38,7 @@
 use crate::gateway_request_log::write_requests;
 use crate::gateway_settings::GatewaySettings;
 use crate::gateway_shared::Shared;
+use crate::gateway_versions::maintain_versions;
 use crate::input_first::poll_after_input;
 use crate::logging::{new_logger_to, write_event};
 use crate::safeguard::Safeguard;
@@ -272,6 +273,7 @@
         tasks.spawn_local(send_token_returns(Rc::clone(&shared), queues.returned));
         tasks.spawn_local(send_updates(Rc::clone(&shared), queues.updates));
         tasks.spawn_local(maintain_ended(Rc::clone(&shared)));
+        tasks.spawn_local(maintain_versions(Rc::clone(&shared)));
         tasks.spawn_local(watch_peers(Rc::clone(&shared)));
         tasks.spawn_local(write_requests(Rc::clone(&shared)));
         tasks.spawn_local(settle_losses(Rc::clone(&shared), queues.losses));
--- a/clementinepickd/src/gateway_origins.rs
+++ b/clementinepickd/src/gateway_origins.rs
@@ -58,9 +58,9 @@
     /// The service that the caller's route leads to now.
     #[serde(rename = "s")]
     pub(crate) service: String,
-    /// The longest time since the stream can have begun.
+    /// How long the versions of the service must have been known.
     #[serde(rename = "t")]
-    pub(crate) max_age_us: SpanUs,
+    pub(crate) min_known_us: SpanUs,
 }
 
 /// What a process knows about the origin of a stream.
@@ -68,7 +68,7 @@
 enum OriginAnswer {
     /// It was recorded when the stream began.
     Recorded(SharedOrigin),
-    /// It can be no other, because all servers of the service have long had the same version.
+    /// It can be no other, because all servers of the service have had the same version.
     Sole(StreamOrigin),
     Unknown,
 }
@@ -140,7 +140,7 @@
             return OriginAnswer::Recorded(recorded);
         }
         let service = query.service.clone();
-        self.sole_version(&service, query.max_age_us, now)
+        self.sole_version(&service, query.min_known_us, now)
             .map_or(OriginAnswer::Unknown, |version| {
                 OriginAnswer::Sole(StreamOrigin { service, version })
             })
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -10,7 +10,7 @@
 
 use clementinepick::event::{Event, EventKind};
 use clementinepick::limit_history::LimitHistory;
-use clementinepick::listed_versions::ListedVersions;
+use clementinepick::listed_versions::{ListedVersions, RecordedVersion};
 use clementinepick::retry::RetryBudget;
 use clementinepick::server_list::{ServerList, SoftwareVersion};
 use clementinepick::server_selection::ServerSelector;
@@ -29,6 +29,7 @@
 use crate::gateway_prefetch::{PREFETCH_QUEUE_CAPACITY, PrefetchRequest};
 use crate::gateway_request_log::RequestLog;
 use crate::gateway_settings::GatewaySettings;
+use crate::gateway_versions::VersionRecords;
 use crate::ledger::LedgerStore;
 use crate::ledger_budgets::Budgets;
 use crate::ledger_holds::TokenReturn;
@@ -74,6 +75,7 @@
     pub(crate) choice: RefCell<ServerSelector>,
     limits: RefCell<LimitHistory>,
     listed_versions: RefCell<ListedVersions>,
+    pub(crate) versions: VersionRecords,
     pub(crate) metrics: Arc<GatewayMetrics>,
     pub(crate) retries: RefCell<BTreeMap<String, RetryBudget>>,
     /// The bytes of request bodies in memory.
@@ -193,6 +195,7 @@
             choice: RefCell::default(),
             limits: RefCell::default(),
             listed_versions: RefCell::default(),
+            versions: VersionRecords::default(),
             metrics,
             retries: RefCell::default(),
             reserved_body_bytes: Cell::new(0),
@@ -271,19 +274,28 @@
         self.listed_versions.borrow_mut().record(now, &servers);
     }
 
-    /// Returns the software version that all servers of a service have had for `span`; `None` if
-    /// there were several, or if it is not certain.
+    /// Adds a software version that an earlier process recorded.
+    pub(crate) fn load_version(&self, recorded: &RecordedVersion, now: Instant) {
+        let now = self.now_us(now);
+        self.listed_versions.borrow_mut().load(now, recorded);
+    }
+
+    /// Returns the software version of all servers that a service has lately had; `None` if there
+    /// were several, if they have not been known for `min_known`, or if it is not certain.
     pub(crate) fn sole_version(
         &self,
         service: &str,
-        span: SpanUs,
+        min_known: SpanUs,
         now: Instant,
     ) -> Option<SoftwareVersion> {
         self.current_servers(now)?;
+        if !self.versions.are_loaded() {
+            return None;
+        }
         self.record_versions(now);
         let listed = self.listed_versions.borrow();
         listed
-            .sole_version(self.now_us(now), service, span)
+            .sole_version(self.now_us(now), service, min_known)
             .cloned()
     }
 
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -42,9 +42,9 @@
 /// A resumable stream without an event for this many times the route's gap target is resumed at
 /// another server, if one takes it. An engine that preempts a request pauses for about one gap.
 const IDLE_TIMEOUT_GAPS: u32 = 2;
-/// The age of the oldest stream that a caller resumes, in timeouts of its route: one for the attempt
-/// that began it and one until the caller comes back.
-const MAX_STREAM_TIMEOUTS: u64 = 2;
+/// How long the versions of a service must have been known if a stream is resumed whose origin is not,
+/// in timeouts of its route.
+const MIN_KNOWN_TIMEOUTS: u64 = 2;
 /// How long the store may take to respond.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// The pause after a begun stream could not reserve more tokens.
@@ -157,7 +157,7 @@
     let query = OriginQuery {
         attempt: info.resumed_attempt.clone(),
         service: routed.service.to_owned(),
-        max_age_us: SpanUs(timeout_us.saturating_mul(MAX_STREAM_TIMEOUTS)),
+        min_known_us: SpanUs(timeout_us.saturating_mul(MIN_KNOWN_TIMEOUTS)),
     };
     let origin = find_origin(shared, trace, &query).await;
     let origin = origin.ok_or(Refusal::StreamUnknown)?;
@@ -388,6 +388,10 @@
             return Ok(delivered.map_err(RunEnd::Failed));
         }
         if reply.state() == ReplyState::Open {
+            if self.routed.route.is_resumable {
+                let server = &response.slot.server;
+                self.shared.wait_until_version_recorded(server).await;
+            }
             self.fix_origin(&response.slot.server);
             let headers = platform::response::forwarded_headers(&response.head.headers);
             reply.send_head(StatusCode::OK, headers).await?;
--- /dev/null
+++ b/clementinepickd/src/gateway_versions.rs
@@ -0,0 +1,206 @@
+//! Records in the store which software versions each service has, so that processes that start after
+//! all others were killed know of versions that have left.
+//!
+//! A version counts as listed until a process has recorded that it is not, whether or not any process
+//! ran meanwhile.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::timeout;
+use clementinepick::listed_versions::RecordedVersion;
+use clementinepick::server_list::{BackendServer, SoftwareVersion};
+use clementinepick::units::SpanUs;
+use platform::store::KeyedRecord;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::gateway_shared::Shared;
+use crate::ledger::{LedgerError, from_cbor, to_cbor};
+use crate::store::StorePurpose;
+use crate::unix_time::unix_ms;
+
+/// How often the list of servers is compared with what is recorded.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// How long the first event of a stream may wait for the record of its version.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long a call to the store may take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The record of one version of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct VersionRecord {
+    #[serde(rename = "s")]
+    service: String,
+    #[serde(rename = "v")]
+    version: SoftwareVersion,
+    /// When it was first listed.
+    #[serde(rename = "f")]
+    first_listed_unix_ms: u64,
+    /// When it was found to be listed no longer.
+    #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+    unlisted_unix_ms: Option<u64>,
+}
+
+type VersionId = (String, SoftwareVersion);
+
+/// What is recorded of versions.
+#[derive(Debug, Default)]
+pub(crate) struct VersionRecords {
+    /// `None` before they were read.
+    records: RefCell<Option<BTreeMap<VersionId, VersionRecord>>>,
+    /// Notified when a version is needed that is not recorded.
+    needed: Notify,
+    written: Notify,
+}
+
+impl VersionRecords {
+    /// Returns whether what earlier processes recorded is known.
+    pub(crate) fn are_loaded(&self) -> bool {
+        self.records.borrow().is_some()
+    }
+
+    fn is_recorded(&self, id: &VersionId) -> bool {
+        let records = self.records.borrow();
+        let record = records.as_ref().and_then(|records| records.get(id));
+        record.is_some_and(|record| record.unlisted_unix_ms.is_none())
+    }
+
+    async fn wait_until_recorded(&self, id: &VersionId) {
+        while !self.is_recorded(id) {
+            self.needed.notify_one();
+            self.written.notified().await;
+        }
+    }
+
+    /// Returns the records that the listed versions make necessary.
+    fn changes(&self, listed: &BTreeSet<VersionId>, now_unix_ms: u64) -> Vec<VersionRecord> {
+        let records = self.records.borrow();
+        let Some(records) = records.as_ref() else {
+            return Vec::new();
+        };
+        let opened = listed.iter().filter_map(|id| match records.get(id) {
+            Some(record) if record.unlisted_unix_ms.is_none() => None,
+            Some(record) => Some(VersionRecord {
+                unlisted_unix_ms: None,
+                ..record.clone()
+            }),
+            None => Some(VersionRecord {
+                service: id.0.clone(),
+                version: id.1.clone(),
+                first_listed_unix_ms: now_unix_ms,
+                unlisted_unix_ms: None,
+            }),
+        });
+        let gone = records
+            .iter()
+            .filter(|(id, record)| record.unlisted_unix_ms.is_none() && !listed.contains(*id));
+        let closed = gone.map(|(_, record)| VersionRecord {
+            unlisted_unix_ms: Some(now_unix_ms),
+            ..record.clone()
+        });
+        opened.chain(closed).collect()
+    }
+
+    fn insert_all(&self, changes: Vec<VersionRecord>) {
+        let mut records = self.records.borrow_mut();
+        let records = records.get_or_insert_default();
+        for record in changes {
+            records.insert((record.service.clone(), record.version.clone()), record);
+        }
+        self.written.notify_waiters();
+    }
+}
+
+impl Shared {
+    /// Waits until the version of a server is recorded, so that a stream which begins there can't be
+    /// taken for one of another version later. Streams begin without it while the store is
+    /// unavailable.
+    pub(crate) async fn wait_until_version_recorded(&self, server: &BackendServer) {
+        let id = (server.service.clone(), server.version.clone());
+        if !self.versions.is_recorded(&id) && !self.store.is_unavailable() {
+            // The record follows as soon as it can be written.
+            let _ = timeout(RECORD_TIMEOUT, self.versions.wait_until_recorded(&id)).await;
+        }
+    }
+}
+
+/// Reads what is recorded, and records changes until dropped.
+pub(crate) async fn maintain_versions(shared: Rc<Shared>) {
+    loop {
+        if shared.versions.are_loaded() {
+            // A failed append is made again with the next check; the store client counts it.
+            let _ = record_changes(&shared).await;
+        } else {
+            // Likewise.
+            let _ = load(&shared).await;
+        }
+        // It is done again in any case.
+        let _ = timeout(CHECK_INTERVAL, shared.versions.needed.notified()).await;
+    }
+}
+
+async fn load(shared: &Shared) -> Result<(), LedgerError> {
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    let reader = shared.ledger.reader(StorePurpose::Versions, deadline);
+    let mut records = Vec::new();
+    let collect = |page: Vec<KeyedRecord>| {
+        let values = page.into_iter().filter_map(|record| record.value);
+        records.extend(values.filter_map(|value| from_cbor::<VersionRecord>(&value)));
+    };
+    let partition = shared.ledger.version_partition();
+    reader.read_newest(partition, collect).await?;
+    let now_unix_ms = unix_ms();
+    for record in &records {
+        shared.load_version(&recorded_version(record, now_unix_ms), Instant::now());
+    }
+    shared.versions.insert_all(records);
+    Ok(())
+}
+
+fn recorded_version(record: &VersionRecord, now_unix_ms: u64) -> RecordedVersion {
+    let since = |unix_ms| SpanUs::from_ms(now_unix_ms.saturating_sub(unix_ms));
+    RecordedVersion {
+        service: record.service.clone(),
+        version: record.version.clone(),
+        known_for: since(record.first_listed_unix_ms),
+        unlisted_for: record.unlisted_unix_ms.map(since),
+    }
+}
+
+async fn record_changes(shared: &Shared) -> Result<(), LedgerError> {
+    let list = shared.current_servers(Instant::now());
+    let Some(list) = list.filter(|list| !list.servers.is_empty()) else {
+        return Ok(());
+    };
+    let servers = list.servers.values();
+    let listed = servers.map(|server| (server.service.clone(), server.version.clone()));
+    let changes = shared.versions.changes(&listed.collect(), unix_ms());
+    if changes.is_empty() || shared.store.is_unavailable() {
+        return Ok(());
+    }
+    let records: Vec<KeyedRecord> = changes.iter().map(to_record).collect();
+    let partition = shared.ledger.version_partition();
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    let purpose = StorePurpose::Versions;
+    let append = shared
+        .ledger
+        .append(purpose, partition, None, &records, deadline);
+    let reply = append.await?;
+    if reply.status != 200 {
+        return Err(LedgerError::Unavailable);
+    }
+    shared.versions.insert_all(changes);
+    Ok(())
+}
+
+fn to_record(record: &VersionRecord) -> KeyedRecord {
+    let id = to_cbor(&(&record.service, &record.version));
+    KeyedRecord {
+        key: format!("v-{:032x}", xxh3_128(&id)),
+        value: Some(to_cbor(record)),
+    }
+}
--- a/clementinepickd/src/ledger.rs
+++ b/clementinepickd/src/ledger.rs
@@ -133,6 +133,11 @@
         self.process_partition(1)
     }
 
+    /// Returns the partition of the software versions that services have had.
+    pub(crate) fn version_partition(&self) -> Partition {
+        self.process_partition(2)
+    }
+
     /// Returns a partition beside that of the entries of processes.
     fn process_partition(&self, number: u32) -> Partition {
         Partition {
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -47,6 +47,7 @@
 mod gateway_shared;
 mod gateway_stream;
 mod gateway_trace;
+mod gateway_versions;
 pub mod handshake;
 mod http;
 mod http_calls;
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -83,6 +83,8 @@
     RecordRequests,
     /// Read them.
     LoadRequests,
+    /// Read and write the software versions of services.
+    Versions,
     /// Find and delete expired records.
     Sweep,
     /// Check whether the store responds.
@@ -103,6 +105,7 @@
             Self::ReadTurn => "read_turn",
             Self::RecordRequests => "record_requests",
             Self::LoadRequests => "load_requests",
+            Self::Versions => "versions",
             Self::Sweep => "sweep",
             Self::Probe => "probe",
             Self::Relay => "relay",
