--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -100,6 +100,11 @@
         self.heard.borrow_mut().insert(server, now);
     }
 
+    /// Forgets when a server was last heard: what it sent before a loss says nothing.
+    fn forget_heard(&self, server: &ServerStart) {
+        self.heard.borrow_mut().remove(server);
+    }
+
     /// Returns whether a server has sent something at `since` or later.
     fn was_heard(&self, server: &ServerStart, since: Instant) -> bool {
         let heard = self.heard.borrow();
@@ -183,6 +188,7 @@
 
     /// Records that a server lost the response to a request; it may have ended.
     pub(crate) fn record_suspected(&self, key: RequestKey, server: ServerStart) {
+        self.ended.forget_heard(&server);
         let now = self.now_us(Instant::now());
         let end = ServerEnd {
             server,
@@ -244,14 +250,17 @@
         }
     }
 
-    /// Finds out whether a server has ended. A busy one may not respond to a health check in time and
-    /// yet serve other requests.
+    /// Finds out whether a server has ended; one that has just sent something is not asked.
     pub(crate) async fn find_fate(
         &self,
         server: &ServerStart,
         health_path: Option<&str>,
     ) -> ServerFate {
+        if self.is_heard(server, Instant::now()) {
+            return ServerFate::Alive;
+        }
         let fate = probe(server.address, &server.id, health_path).await;
+        // A busy server may not respond to a health check in time and yet serve other requests.
         if fate == ServerFate::Unknown && self.is_heard(server, Instant::now()) {
             return ServerFate::Alive;
         }
@@ -292,7 +301,6 @@
         known.forget(key);
         drop(known);
         if is_shared {
-            self.request_log.queue(key);
             self.report_over(RequestOver::Answered(key));
         }
     }
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -40,6 +40,8 @@
 const LIST_INTERVAL: Duration = Duration::from_millis(250);
 /// The ages, in [`LIST_INTERVAL`]s, of a loss at which its server is asked again.
 const RECHECK_AGES: [u64; 10] = [1, 2, 4, 8, 12, 16, 20, 24, 28, 32];
+/// How often requests that have expired or were answered are forgotten in the store.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(2);
 /// How often a server that is counted as ended and still listed is asked.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -49,6 +51,7 @@
     load_at_start(&shared).await;
     let mut next_load = started_at + SECOND_LOAD_DELAY;
     let mut next_check = started_at;
+    let mut next_cleanup = started_at;
     let mut peer_count = MAX_LOAD_PEERS;
     loop {
         sleep(LIST_INTERVAL).await;
@@ -61,7 +64,10 @@
         if let Some(since) = now.checked_sub(RELOAD_INTERVAL) {
             shared.ended.forget_unheard(since);
         }
-        forget_expired(&shared, now);
+        if now >= next_cleanup {
+            forget_expired(&shared, now);
+            next_cleanup = now + CLEANUP_INTERVAL;
+        }
         if shared.has_no_ends() {
             continue;
         }
--- a/clementinepickd/src/gateway_loss.rs
+++ b/clementinepickd/src/gateway_loss.rs
@@ -44,6 +44,13 @@
         self.record(shared, fate).await;
     }
 
+    /// Tells peers that the run is over, if they know of it.
+    fn finish(&self, shared: &Shared) {
+        if let Some(run) = self.shared_run {
+            shared.finish_run(run);
+        }
+    }
+
     /// Records what became of the server; returns when peers know, if they must.
     pub(crate) async fn record(&self, shared: &Shared, fate: ServerFate) {
         let now = Instant::now();
@@ -68,15 +75,21 @@
         if !self.is_heard(&loss.server, now) {
             // The receiver ends only with the process.
             let _ = self.losses.send(loss);
-        } else if let Some(run) = loss.shared_run {
-            self.finish_run(run);
+        } else {
+            loss.finish(self);
         }
     }
 }
 
 /// Settles a run that ends with its deadline or the process, before its caller hears of it.
 pub(crate) async fn settle_open_run(shared: &Shared, open: Option<OpenLoss>) {
-    if let Some(loss) = open {
+    let Some(loss) = open else {
+        return;
+    };
+    if shared.is_heard(&loss.server, Instant::now()) {
+        shared.record_suspected(loss.key, loss.server.clone());
+        loss.finish(shared);
+    } else {
         // What takes longer is found out again by the upkeep.
         let _ = timeout(SETTLE_TIMEOUT, settle_and_finish(shared, &loss)).await;
     }
@@ -84,9 +97,7 @@
 
 async fn settle_and_finish(shared: &Shared, loss: &OpenLoss) {
     loss.settle(shared).await;
-    if let Some(run) = loss.shared_run {
-        shared.finish_run(run);
-    }
+    loss.finish(shared);
 }
 
 /// Settles the runs of callers that have disconnected, until the sender is dropped.
--- a/clementinepickd/src/gateway_request_log.rs
+++ b/clementinepickd/src/gateway_request_log.rs
@@ -33,7 +33,7 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// The average interval of appends that record running requests only, and how many of them may
 /// follow each other without it.
-const RUNS_INTERVAL: Duration = Duration::from_millis(200);
+const RUNS_INTERVAL: Duration = Duration::from_millis(500);
 const RUNS_BURST: u32 = 10;
 /// The maximum number of running requests in a record, about 150 kB.
 const MAX_RUNS: usize = 2_048;
