--- a/clementinepick/src/ended_servers.rs
+++ b/clementinepick/src/ended_servers.rs
@@ -399,6 +399,15 @@
         suspected
     }
 
+    /// Returns the servers that are silent.
+    #[must_use]
+    pub fn silent(&self, now: TimeUs) -> BTreeSet<ServerStart> {
+        let ends = self.requests.iter(now).flat_map(|(_, r)| &r.ends);
+        ends.filter(|end| end.state == EndState::Silent)
+            .map(|end| end.server.clone())
+            .collect()
+    }
+
     /// Records that a suspected server has ended; returns the requests under which it has.
     pub fn mark_ended(&mut self, server: &ServerStart) -> Vec<RequestKey> {
         let mut found = Vec::new();
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -39,7 +39,9 @@
 /// How often the list of servers is applied, and suspected servers are looked at.
 const LIST_INTERVAL: Duration = Duration::from_millis(250);
 /// The ages, in [`LIST_INTERVAL`]s, of a loss at which its server is asked again.
-const RECHECK_AGES: [u64; 10] = [1, 2, 4, 8, 12, 16, 20, 24, 28, 32];
+const RECHECK_AGES: [u64; 4] = [1, 2, 4, 8];
+/// How often, in [`LIST_INTERVAL`]s, a server that is silent is asked again after that.
+const SILENT_RECHECK_INTERVALS: u64 = 4;
 /// How often requests that have expired or were answered are forgotten in the store.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(2);
 /// How often a server that is counted as ended and still listed is asked.
@@ -179,9 +181,11 @@
 async fn check_suspected(shared: &Shared, now: Instant) {
     let now = shared.now_us(now);
     let suspected = shared.ended.known.borrow().suspected(now);
-    let due = suspected.into_iter().filter(|(_, lost_at)| {
+    let silent = shared.ended.known.borrow().silent(now);
+    let due = suspected.into_iter().filter(|(server, lost_at)| {
         let age = now.since(*lost_at).0 / to_span(LIST_INTERVAL).0;
-        RECHECK_AGES.contains(&age)
+        let is_silent = || silent.contains(server);
+        RECHECK_AGES.contains(&age) || age % SILENT_RECHECK_INTERVALS == 0 && is_silent()
     });
     for (server, fate) in find_fates(shared, due.map(|(server, _)| server)).await {
         for key in apply_fate(shared, &server, fate) {
--- a/clementinepickd/src/gateway_loss.rs
+++ b/clementinepickd/src/gateway_loss.rs
@@ -83,20 +83,20 @@
 
 /// Settles a run that ends with its deadline or the process, before its caller hears of it.
 pub(crate) async fn settle_open_run(shared: &Shared, open: Option<OpenLoss>) {
-    let Some(loss) = open else {
-        return;
-    };
-    if shared.is_heard(&loss.server, Instant::now()) {
-        shared.record_suspected(loss.key, loss.server.clone());
-        loss.finish(shared);
-    } else {
+    if let Some(loss) = open {
         // What takes longer is found out again by the upkeep.
-        let _ = timeout(SETTLE_TIMEOUT, settle_and_finish(shared, &loss)).await;
+        let _ = timeout(SETTLE_TIMEOUT, settle_given_up(shared, &loss)).await;
     }
 }
 
-async fn settle_and_finish(shared: &Shared, loss: &OpenLoss) {
-    loss.settle(shared).await;
+/// Settles a run that its gateway has given up. A server that is alive then is not suspected: it stops
+/// at the deadline that it was given, or as its connection closes.
+async fn settle_given_up(shared: &Shared, loss: &OpenLoss) {
+    let health_path = shared.health_path_of(&loss.server.id);
+    let fate = shared.find_fate(&loss.server, health_path.as_deref()).await;
+    if fate != ServerFate::Alive {
+        loss.record(shared, fate).await;
+    }
     loss.finish(shared);
 }
 
@@ -113,7 +113,7 @@
                     break;
                 };
                 let shared = Rc::clone(&shared);
-                settling.spawn_local(async move { settle_and_finish(&shared, &loss).await });
+                settling.spawn_local(async move { settle_given_up(&shared, &loss).await });
             }
             Some(_) = settling.join_next() => {}
         }
