--- a/clementinepick/tests/ended_servers.rs
+++ b/clementinepick/tests/ended_servers.rs
@@ -164,6 +164,76 @@
     assert!(ended.is_empty());
 }
 
+/// Guards against a request that meets one server after the other before any is known to have ended.
+#[test]
+fn silent_servers_count_until_they_respond() {
+    let mut ended = EndedServers::default();
+    let servers = ["i-1", "i-2", "i-3"].map(|id| server(id, 1));
+    for start in &servers {
+        let end = lost(start.clone(), EndState::Silent);
+        ended.record(START, key("a"), end);
+    }
+    assert_eq!(ended.count(START, key("a")), MAX_ENDED_SERVERS);
+    assert_eq!(ended.retry_after(START, key("a")), SpanUs::from_s(2));
+    ended.mark_responding(&servers[0]);
+    assert_eq!(ended.count(START, key("a")), 2);
+    ended.mark_silent(START, key("a"), &servers[0]);
+    assert_eq!(ended.count(START, key("a")), 3);
+    let later = START.after(SpanUs::from_s(10));
+    ended.apply_list(later, &list(&servers[1..]));
+    assert_eq!(ended.ended_ids(later, key("a")), ["i-1"], "the others live");
+}
+
+/// Guards against a peer that knows of no silence and makes it forgotten.
+#[test]
+fn a_silent_server_counts_whatever_peers_have_known_for_longer() {
+    let mut ended = EndedServers::default();
+    let known = |state| RequestEnds {
+        ends: vec![lost(server("i-1", 1), state)],
+        runs: Vec::new(),
+    };
+    ended.merge(START, key("a"), known(EndState::Silent));
+    ended.merge(START, key("a"), known(EndState::Suspected));
+    assert_eq!(ended.count(START, key("a")), 1);
+    ended.merge(START, key("a"), known(EndState::Ended));
+    ended.merge(START, key("a"), known(EndState::Silent));
+    assert!(ended.silent(START).is_empty());
+}
+
+fn loaded(runs: Vec<OpenRun>) -> RequestEnds {
+    RequestEnds {
+        ends: Vec::new(),
+        runs,
+    }
+}
+
+/// Guards against a run whose gateway was lost, so that nobody reports its outcome.
+#[test]
+fn a_loaded_run_counts_once_its_server_is_gone() {
+    let mut ended = EndedServers::default();
+    let request = loaded(vec![run(1, server("i-1", 1), false)]);
+    ended.load(START, key("a"), request);
+    assert_eq!(ended.count(START, key("a")), 0);
+    assert_eq!(ended.run_servers(START, key("a")).len(), 1);
+    ended.apply_list(START, &list(&[server("i-1", 1)]));
+    assert_eq!(ended.count(START, key("a")), 0, "it may still run");
+    ended.apply_list(START, &list(&[server("i-2", 1)]));
+    assert_eq!(ended.count(START, key("a")), 1);
+}
+
+/// Guards against forgetting a run at a silent server when its caller has given up.
+#[test]
+fn a_loaded_run_that_has_expired_makes_its_server_suspected() {
+    let mut ended = EndedServers::default();
+    let start = server("i-1", 1);
+    ended.load(START, key("a"), loaded(vec![run(1, start.clone(), false)]));
+    let later = START.after(SpanUs::from_s(4));
+    ended.apply_list(later, &list(std::slice::from_ref(&start)));
+    assert_eq!(ended.suspected(later).get(&start), Some(&later));
+    assert_eq!(ended.mark_all_silent(&start), [key("a")]);
+    assert_eq!(ended.count(later, key("a")), 1);
+}
+
 /// Guards against giving up a request that met servers which refuse connections for a while.
 #[test]
 fn servers_that_respond_again_no_longer_count() {
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -185,7 +185,8 @@
     let due = suspected.into_iter().filter(|(server, lost_at)| {
         let age = now.since(*lost_at).0 / to_span(LIST_INTERVAL).0;
         let is_silent = || silent.contains(server);
-        RECHECK_AGES.contains(&age) || age % SILENT_RECHECK_INTERVALS == 0 && is_silent()
+        let is_silent_due = age.is_multiple_of(SILENT_RECHECK_INTERVALS) && is_silent();
+        RECHECK_AGES.contains(&age) || is_silent_due
     });
     for (server, fate) in find_fates(shared, due.map(|(server, _)| server)).await {
         for key in apply_fate(shared, &server, fate) {
--- a/clementinepickd/src/gateway_loss.rs
+++ b/clementinepickd/src/gateway_loss.rs
@@ -72,11 +72,11 @@
     /// Ends a run whose caller has disconnected. A server that has just sent something needs not be
     /// asked whether it has ended.
     pub(crate) fn abandon_run(&self, loss: OpenLoss, now: Instant) {
-        if !self.is_heard(&loss.server, now) {
+        if self.is_heard(&loss.server, now) {
+            loss.finish(self);
+        } else {
             // The receiver ends only with the process.
             let _ = self.losses.send(loss);
-        } else {
-            loss.finish(self);
         }
     }
 }
