Keep servers under watch while the records of requests can't be read; try a port in use again

A gateway whose read of the records failed did not keep up what it knows of servers until it succeeded.

Its sockets may outlive a process for a moment, in a child between fork and exec or while the process is being removed (supposed, not shown). Binding is tried again for half a second; the test holds a port for 150 ms and failed before.

--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -46,6 +46,9 @@
 
 /// The backoff after a failed accept, which usually means that file descriptors have run out.
 const ACCEPT_ERROR_BACKOFF: Duration = Duration::from_millis(20);
+/// How long and how often an address that is in use is tried again.
+const BIND_TIMEOUT: Duration = Duration::from_millis(500);
+const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// How long a terminating process may take to record the usage of its standing slices. An append
 /// takes about 10 ms; if it fails, programs lose a part of their budgets.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -103,9 +106,23 @@
     metrics: Option<StdListener>,
 }
 
+/// Binds an address; one that another process still holds is tried again for a while, since the
+/// sockets of a process may outlive it for a moment.
+fn bind(address: SocketAddr) -> io::Result<StdListener> {
+    let give_up_at = Instant::now() + BIND_TIMEOUT;
+    loop {
+        match StdListener::bind(address) {
+            Err(err) if err.kind() == io::ErrorKind::AddrInUse && Instant::now() < give_up_at => {
+                thread::sleep(BIND_RETRY_INTERVAL);
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Binds a listener and stores the port that the system assigned to port 0.
 fn listen(address: &mut SocketAddr) -> Result<StdListener, GatewayError> {
-    let result = StdListener::bind(*address).and_then(|listener| {
+    let result = bind(*address).and_then(|listener| {
         listener.set_nonblocking(true)?;
         Ok((listener.local_addr()?, listener))
     });
--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -96,8 +96,13 @@
     }
 
     /// Records that a server has sent something.
-    pub(crate) fn record_heard(&self, server: ServerStart, now: Instant) {
-        self.heard.borrow_mut().insert(server, now);
+    pub(crate) fn record_heard(&self, server: &ServerStart, now: Instant) {
+        let mut heard = self.heard.borrow_mut();
+        if let Some(at) = heard.get_mut(server) {
+            *at = now;
+        } else {
+            heard.insert(server.clone(), now);
+        }
     }
 
     /// Forgets when a server was last heard: what it sent before a loss says nothing.
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -50,7 +50,7 @@
 /// Asks peers and the store what they know, and then keeps it up to date until dropped.
 pub(crate) async fn maintain_ended(shared: Rc<Shared>) {
     let started_at = Instant::now();
-    load_at_start(&shared).await;
+    let mut is_store_read = load_at_start(&shared).await;
     let mut next_load = started_at + SECOND_LOAD_DELAY;
     let mut next_check = started_at;
     let mut next_cleanup = started_at;
@@ -60,12 +60,10 @@
         let now = Instant::now();
         if now >= next_load {
             load(&shared, peer_count).await;
+            is_store_read = is_store_read || shared.load_requests().await.is_ok();
             next_load = now + RELOAD_INTERVAL;
             peer_count = 1;
         }
-        if let Some(since) = now.checked_sub(RELOAD_INTERVAL) {
-            shared.ended.forget_unheard(since);
-        }
         if now >= next_cleanup {
             forget_expired(&shared, now);
             next_cleanup = now + CLEANUP_INTERVAL;
@@ -87,8 +85,9 @@
 }
 
 /// Loads what peers and the store know, and lets requests go on that wait for it: once the store has
-/// responded or a peer that has loaded it, or if that takes too long.
-async fn load_at_start(shared: &Rc<Shared>) {
+/// responded or a peer that has loaded it, or if that takes too long. Returns whether the store has
+/// responded.
+async fn load_at_start(shared: &Rc<Shared>) -> bool {
     // The peers in the settings may be gone before the list of processes is read.
     wait_for(shared, SETTINGS_WAIT, |directory| {
         !directory.peers.is_empty()
@@ -96,33 +95,35 @@
     .await;
     let mut is_loaded = load(shared, MAX_LOAD_PEERS).await;
     let mut can_serve_since = None;
-    loop {
-        // Each step is a read of the store within its timeout, so that the loop does not spin.
+    let is_store_read = loop {
         let is_read = shared.load_requests().await.is_ok();
         is_loaded |= is_read;
-        let can_serve = shared.directory().config.is_some();
-        if can_serve {
-            can_serve_since.get_or_insert_with(Instant::now);
-        }
-        let has_waited = can_serve_since.is_some_and(|at: Instant| at.elapsed() >= MAX_STORE_WAIT);
-        if is_loaded || has_waited {
+        if is_loaded {
             shared.ended.set_loaded();
         }
-        if is_read {
-            break;
+        if shared.directory().config.is_some() {
+            can_serve_since.get_or_insert_with(Instant::now);
+        }
+        let has_waited = can_serve_since.is_some_and(|at| at.elapsed() >= MAX_STORE_WAIT);
+        if is_read || has_waited {
+            break is_read;
         }
         sleep(LOAD_RETRY_INTERVAL).await;
-    }
+    };
     wait_for(shared, MAX_LOAD_WAIT, |directory| {
         directory.has_read_processes
     })
     .await;
     load(shared, MAX_LOAD_PEERS).await;
     shared.ended.set_loaded();
+    is_store_read
 }
 
 /// Forgets requests that have expired, also in the store.
 fn forget_expired(shared: &Shared, now: Instant) {
+    if let Some(since) = now.checked_sub(CLEANUP_INTERVAL) {
+        shared.ended.forget_unheard(since);
+    }
     let now = shared.now_us(now);
     let mut known = shared.ended.known.borrow_mut();
     known.expire(now);
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -89,6 +89,7 @@
 pub(crate) struct ServerSlot {
     shared: Rc<Shared>,
     pub(crate) server: BackendServer,
+    start: ServerStart,
     /// Why this server was chosen.
     pub(crate) reason: SelectionReason,
 }
@@ -96,8 +97,7 @@
 impl ServerSlot {
     /// Records that the server has sent something.
     pub(crate) fn record_heard(&self) {
-        let server = ServerStart::of(&self.server);
-        self.shared.ended.record_heard(server, Instant::now());
+        self.shared.ended.record_heard(&self.start, Instant::now());
     }
 
     /// Records a failure, so that the server is avoided for a while.
@@ -194,6 +194,7 @@
         drop(choice);
         Some(ServerSlot {
             shared: Rc::clone(shared),
+            start: ServerStart::of(&server),
             server,
             reason,
         })
--- a/clementinepickd/src/gateway_request_log.rs
+++ b/clementinepickd/src/gateway_request_log.rs
@@ -304,24 +304,15 @@
         let mut records = Vec::new();
         let collect = |page: Vec<KeyedRecord>| records.extend(page);
         reader.read_newest(partition, collect).await?;
-        let now_unix_ms = unix_ms();
-        let now = self.now_us(Instant::now());
         let mut expired = Vec::new();
         let mut count = 0;
-        for record in records {
-            match decode(&record, now, now_unix_ms) {
-                Some(loaded) => {
-                    count += loaded.len();
-                    let mut known = self.ended.known.borrow_mut();
-                    for (key, request) in loaded {
-                        known.load(now, key, request);
-                    }
-                }
-                None if is_own_key(&record.key) => expired.push(KeyedRecord {
+        for record in records.into_iter().filter(|r| is_own_key(&r.key)) {
+            match self.load_record(&record) {
+                Some(requests) => count += requests,
+                None => expired.push(KeyedRecord {
                     key: record.key,
                     value: None,
                 }),
-                None => {}
             }
         }
         let event = Event::new(EventKind::RequestsLoaded)
@@ -329,15 +320,23 @@
             .with("expired", expired.len());
         self.log(&event);
         if !expired.is_empty() {
-            let deadline = Instant::now() + APPEND_TIMEOUT;
-            let purpose = StorePurpose::RecordRequests;
-            let append = self
-                .ledger
-                .append(purpose, partition, None, &expired, deadline);
-            append.await?;
+            append(self, &expired).await?;
         }
         Ok(())
     }
+
+    /// Adds what a record says and returns the number of its requests; `None` if it has expired or
+    /// can't be decoded.
+    fn load_record(&self, record: &KeyedRecord) -> Option<usize> {
+        let now = self.now_us(Instant::now());
+        let requests = decode(record, now, unix_ms())?;
+        let count = requests.len();
+        let mut known = self.ended.known.borrow_mut();
+        for (key, request) in requests {
+            known.load(now, key, request);
+        }
+        Some(count)
+    }
 }
 
 /// Returns whether a record of the partition is one of this module.
@@ -409,44 +408,67 @@
     }
 }
 
+/// Limits the appends that record running requests only.
+struct RunAllowance {
+    left: u32,
+    replenished_at: Instant,
+}
+
+impl RunAllowance {
+    fn new(now: Instant) -> Self {
+        Self {
+            left: RUNS_BURST,
+            replenished_at: now,
+        }
+    }
+
+    /// Adds what is due since the last call.
+    fn replenish(&mut self, now: Instant) {
+        while self.left < RUNS_BURST && now >= self.replenished_at + RUNS_INTERVAL {
+            self.left += 1;
+            self.replenished_at += RUNS_INTERVAL;
+        }
+        if self.left == RUNS_BURST {
+            self.replenished_at = now;
+        }
+    }
+}
+
 /// Records what changes until dropped.
 pub(crate) async fn write_requests(shared: Rc<Shared>) {
     let log = &shared.request_log;
-    let mut allowance = RUNS_BURST;
-    let mut replenished_at = Instant::now();
+    let mut allowance = RunAllowance::new(Instant::now());
     loop {
         log.wait_for_work().await;
-        while replenished_at.elapsed() >= RUNS_INTERVAL && allowance < RUNS_BURST {
-            allowance += 1;
-            replenished_at += RUNS_INTERVAL;
-        }
-        if allowance == RUNS_BURST {
-            replenished_at = Instant::now();
-        }
-        let has_changes = !log.changed.borrow().is_empty();
-        if shared.store.is_unavailable() || (!has_changes && allowance == 0) {
+        let now = Instant::now();
+        allowance.replenish(now);
+        let may_write = allowance.left > 0 || !log.changed.borrow().is_empty();
+        if shared.store.is_unavailable() || !may_write {
             sleep(RETRY_INTERVAL).await;
             continue;
         }
-        allowance = allowance.saturating_sub(1);
-        let batch = shared.take_batch(Instant::now());
-        if batch.records.is_empty() {
+        allowance.left = allowance.left.saturating_sub(1);
+        let batch = shared.take_batch(now);
+        if batch.records.is_empty() || append(&shared, &batch.records).await.is_ok() {
             log.record_written(batch);
-            continue;
-        }
-        let partition = shared.ledger.request_partition();
-        let deadline = Instant::now() + APPEND_TIMEOUT;
-        let purpose = StorePurpose::RecordRequests;
-        let append = shared
-            .ledger
-            .append(purpose, partition, None, &batch.records, deadline);
-        match append.await {
-            Ok(reply) if reply.status == 200 => log.record_written(batch),
-            Ok(_) | Err(_) => {
-                // The store client counts the failure.
-                log.restore(batch);
-                sleep(RETRY_INTERVAL).await;
-            }
+        } else {
+            // The store client counts the failure.
+            log.restore(batch);
+            sleep(RETRY_INTERVAL).await;
         }
     }
 }
+
+async fn append(shared: &Shared, records: &[KeyedRecord]) -> Result<(), LedgerError> {
+    let ledger = &shared.ledger;
+    let partition = ledger.request_partition();
+    let deadline = Instant::now() + APPEND_TIMEOUT;
+    let purpose = StorePurpose::RecordRequests;
+    let append = ledger.append(purpose, partition, None, records, deadline);
+    let reply = append.await?;
+    if reply.status == 200 {
+        Ok(())
+    } else {
+        Err(LedgerError::Unavailable)
+    }
+}
--- a/standins/tests/gateway_bounds.rs
+++ b/standins/tests/gateway_bounds.rs
@@ -1,14 +1,16 @@
 //! Tests the limits of a gateway: record retention, buffered bodies, retries, server connections.
 
+use std::net::TcpListener;
 use std::thread;
 use std::time::Duration;
 
 use clementinepick::budget_ledger::{BudgetRecord, SliceRecord};
 use clementinepick::turn_chain::TurnRecord;
 use clementinepick::units::Tokens;
+use clementinepickd::gateway_settings::GatewaySettings;
 use standins::platform_backend::{BackendFault, PlatformBackend};
 use standins::platform_caller::CallerRequest;
-use standins::platform_run::{PlatformRun, config, wait_until};
+use standins::platform_run::{PlatformRun, RunningGateway, config, wait_until};
 
 fn cbor(value: &impl serde::Serialize) -> Vec<u8> {
     let mut bytes = Vec::new();
@@ -207,3 +209,24 @@
     assert!(served <= 1, "turns beyond the budget: {later:?}");
     assert!(later.contains(&402), "{later:?}");
 }
+
+/// Guards against a gateway that does not start because the sockets of the one before it are still
+/// being closed.
+#[test]
+fn a_gateway_starts_on_a_port_that_is_released_soon() {
+    let run = PlatformRun::start(0).expect("a platform run");
+    let store = run.store.open().expect("an address");
+    let held = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let callers = held.local_addr().expect("an address");
+    let releasing = thread::spawn(move || {
+        thread::sleep(Duration::from_millis(150));
+        drop(held);
+    });
+    let settings = GatewaySettings {
+        callers,
+        ..run.settings(store.address, Vec::new())
+    };
+    let gateway = RunningGateway::start(settings);
+    assert_eq!(gateway.addresses.callers, callers);
+    releasing.join().expect("a released port");
+}
