--- a/standins/src/wire_server.rs
+++ b/standins/src/wire_server.rs
@@ -207,6 +207,8 @@
     S: Future<Output = ()> + 'static,
 {
     let mut changed = stop.0.subscribe();
+    // The server may have been ended before this thread ran.
+    changed.mark_changed();
     let listener = TcpListener::from_std(listener).expect("a listener that does not block");
     let mut connections = JoinSet::new();
     loop {
