--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -1,9 +1,9 @@
 //! Shares between gateways which servers ended under which requests, so that a request that ends the
 //! servers which run it is given up wherever its caller returns.
 //!
-//! Each gateway has all of it in memory. It tells its peers of a server that has ended before its
-//! caller hears of the failure, and of a run of such a request before it starts. A gateway that has
-//! just started asks its peers first.
+//! Each gateway has all of it in memory. It tells its peers of a server that has ended, or is silent and
+//! may have, before its caller hears of the failure, and of a run of such a request before it starts. A
+//! gateway that has just started asks its peers first, and reads what is recorded in the store.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -141,7 +141,7 @@
     id: u64,
 }
 
-/// The number of servers that ended under a request.
+/// The number of servers that ended under a request, or are silent and may have.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Display)]
 pub(crate) struct EndCount(usize);
 
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -130,12 +130,12 @@
 
 impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
-        if self.is_finished {
-            return;
-        }
         if let Some(loss) = self.trace.open_run.take() {
             self.handler.shared.abandon_run(loss, Instant::now());
         }
+        if self.is_finished {
+            return;
+        }
         let reason = if thread::panicking() {
             PANICKED
         } else {
