Wait less for what a lost gateway ran, and report its loss once

A request waited up to 400 ms for the records that are read again after the loss of a gateway, which was reported twice: as its call broke, and as it was not reached after that. It waits 150 ms at most now, and the loss is reported once.

--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -41,6 +41,8 @@
 const HOLD_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long requests wait at a process that has just started for what its peers know.
 pub(crate) const MAX_LOAD_WAIT: Duration = Duration::from_millis(400);
+/// How long requests wait for what a lost process ran.
+const MAX_RELOAD_WAIT: Duration = Duration::from_millis(150);
 /// The number of requests that a peer sends, about 100 kB.
 const MAX_LOADED_REQUESTS: usize = 512;
 /// How long a process that has asked is called although it is not listed: lists of processes are
@@ -432,8 +434,14 @@
     routed: &RoutedRequest<'_>,
     trace: &Trace,
 ) -> Result<(), Refusal> {
-    // A failure means that the peers did not respond in time; the request is served without them.
-    let _ = timeout(MAX_LOAD_WAIT, shared.ended.wait_until_loaded()).await;
+    let limit = if shared.ended.is_loaded() {
+        MAX_RELOAD_WAIT
+    } else {
+        MAX_LOAD_WAIT
+    };
+    // A failure means that peers and the store did not respond in time; the request is served without
+    // them.
+    let _ = timeout(limit, shared.ended.wait_until_loaded()).await;
     if shared.has_no_ends() {
         return Ok(());
     }
--- a/clementinepickd/src/gateway_peer_watch.rs
+++ b/clementinepickd/src/gateway_peer_watch.rs
@@ -101,7 +101,7 @@
             false
         }
         WatchEnd::Lost => {
-            unreached.remove(&peer);
+            unreached.insert(peer);
             true
         }
     }
