--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -238,6 +238,11 @@
         self.server.has_ended() || self.server.has_lost_power()
     }
 
+    /// Makes the server refuse new connections and go on with those that are open.
+    pub fn refuse_connections(&self) {
+        self.server.refuse_connections();
+    }
+
     /// Makes the server stand still for a while.
     pub fn suspend(&self, span: Duration) {
         self.server.suspend(span);
--- a/standins/src/wire_server.rs
+++ b/standins/src/wire_server.rs
@@ -71,6 +71,8 @@
 enum ServerPhase {
     #[default]
     Running,
+    /// It accepts no new connections and serves those that are open.
+    Closing,
     /// Its thread stands still for this long.
     Suspended(Duration),
     /// Its thread stands still until the server is dropped.
@@ -149,6 +151,11 @@
         self.stop.has_lost_power()
     }
 
+    /// Makes the server refuse new connections and go on with those that are open.
+    pub fn refuse_connections(&self) {
+        self.stop.0.send_replace(ServerPhase::Closing);
+    }
+
     /// Makes the server stand still for a while, with all its connections open.
     pub fn suspend(&self, span: Duration) {
         self.stop.0.send_if_modified(|phase| {
@@ -224,6 +231,13 @@
                 let phase = *changed.borrow_and_update();
                 match phase {
                     ServerPhase::Running => {}
+                    ServerPhase::Closing => {
+                        drop(listener);
+                        // The sender is a part of this task.
+                        let is_ended = |phase: &ServerPhase| *phase == ServerPhase::Ended;
+                        let _ = changed.wait_for(is_ended).await;
+                        return connections.shutdown().await;
+                    }
                     ServerPhase::Suspended(span) => {
                         thread::sleep(span);
                         stop.resume();
--- a/standins/tests/paused_servers.rs
+++ b/standins/tests/paused_servers.rs
@@ -393,3 +393,46 @@
     assert_eq!(run.plains[1].executions().len(), 1, "the successor's runs");
     assert_eq!(responses[0].status, 502, "{:?}", responses[0]);
 }
+
+/// Guards against taking servers that refuse new connections, pause and go on for ended ones.
+#[test]
+fn answers_of_paused_servers_that_refuse_connections_are_delivered() {
+    let run = PlatformRun::start(1).expect("a platform run");
+    run.store
+        .put("keyed.op", "config", &long_timeout_config(2, 2));
+    let metrics = run.gateways[0].addresses.metrics.expect("an address");
+    let state = b"GET /state HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    let is_used =
+        || exchange(metrics, state).is_ok_and(|state| state.body.contains("\"config_version\":2,"));
+    wait_until(is_used).expect("the configuration in use");
+    let servers = || run.engines.iter().chain(&run.plains);
+    for server in servers() {
+        server.configure(|settings| settings.pause = PAUSE);
+    }
+    let booking = CallerRequest {
+        body: "x".to_owned(),
+        ..CallerRequest::new("POST", "/book/1", "booking")
+    };
+    let requests = [
+        booking,
+        CallerRequest::new("GET", "/look/1", "lookup"),
+        CallerRequest::turn("/chat/1", "turn", "p1", "x"),
+        CallerRequest::turn("/draft/1", "draft", "p2", "x"),
+    ];
+    let callers = run.callers(0);
+    let sent = requests.map(|request| thread::spawn(move || request.send(callers)));
+    let executions = || {
+        servers()
+            .map(|server| server.executions().len())
+            .sum::<usize>()
+    };
+    wait_until(|| executions() >= 4).expect("running requests");
+    for server in servers() {
+        server.refuse_connections();
+    }
+    for request in sent {
+        let response = request.join().expect("a caller").expect("a response");
+        assert_eq!(response.status, 200, "{response:?}");
+        assert!(response.is_complete, "{response:?}");
+    }
+}
