Wait for silent servers that refuse new connections

Callers lost the answers of servers that refuse new connections, as one that is draining may, pause for a second and go on: 502 at once for bookings and turns, since, and for lookups that no other server could take over, as before.

A refused connection was taken for the end of the server while its response was still awaited. It counts under the request, but the gateway leaves the server only for a successor that has taken the request, as it does any silent one.

--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -349,16 +349,15 @@
 
     /// Finds out whether the current server, which has sent nothing for a while, may have ended, and
     /// tells peers if so.
-    pub(crate) async fn share_silence(&self) -> ServerFate {
+    pub(crate) async fn share_silence(&self) {
         let Some(run) = &self.current else {
-            return ServerFate::Alive;
+            return;
         };
         let fate = self.probe(&run.server).await;
-        if fate == ServerFate::Unknown {
+        if fate != ServerFate::Alive {
             let server = ServerStart::of(&run.server);
             self.shared.record_fate(self.key(), server, fate).await;
         }
-        fate
     }
 
     /// Returns the refusal to send to the caller if all attempts fail.
--- a/clementinepickd/src/gateway_handover.rs
+++ b/clementinepickd/src/gateway_handover.rs
@@ -53,8 +53,6 @@
     Unreached,
     /// The successor refused the request or failed.
     Failed,
-    /// The silent server has ended, so that there is nothing to wait for.
-    ServerEnded,
 }
 
 impl NoSuccessor {
@@ -67,7 +65,6 @@
             Self::NoServer => "no_server",
             Self::Unreached => "unreached",
             Self::Failed => "successor_failed",
-            Self::ServerEnded => "ended",
         }
     }
 }
@@ -135,13 +132,10 @@
         if let Ok(received) = timeout(silence_timeout, pending.as_mut()).await {
             return Ok(received?);
         }
-        let fate = tokio::select! {
+        tokio::select! {
             biased;
             received = pending.as_mut() => return Ok(received?),
-            fate = self.share_silence() => fate,
-        };
-        if fate == ServerFate::Ended {
-            return Err(AttemptError::ResponseLost.into());
+            () = self.share_silence() => {}
         }
         if !self.may_repeat {
             return Ok(pending.await?);
@@ -167,7 +161,6 @@
                     }
                     return Err(RunEnd::Moved(sent));
                 }
-                Err(NoSuccessor::ServerEnded) => return Err(AttemptError::ResponseLost.into()),
                 Err(_) if is_kept => {}
                 Err(reason) => {
                     is_kept = true;
@@ -215,7 +208,7 @@
         let slot = self.routed.reserve_server(self.shared, &avoided, input);
         let slot = slot.filter(|slot| !slot.reason.is_in_backoff);
         let slot = slot.ok_or(NoSuccessor::NoServer)?;
-        let fate = self.probe_current().await?;
+        let fate = self.probe_current().await;
         let connection = self.routed.connect(self.shared, &slot).await;
         let connection = connection.map_err(|_| NoSuccessor::Unreached)?;
         let run = self.start_successor(&slot).await?;
@@ -233,16 +226,13 @@
         })
     }
 
-    /// Finds out whether the current server has ended.
-    async fn probe_current(&self) -> Result<ServerFate, NoSuccessor> {
-        let Some(run) = &self.current else {
-            return Err(NoSuccessor::ServerEnded);
-        };
-        let fate = self.probe(&run.server).await;
-        if fate == ServerFate::Ended {
-            return Err(NoSuccessor::ServerEnded);
+    /// Finds out what has become of the current server. One that refuses new connections may still go on
+    /// with this one.
+    async fn probe_current(&self) -> ServerFate {
+        match &self.current {
+            Some(run) => self.probe(&run.server).await,
+            None => ServerFate::Unknown,
         }
-        Ok(fate)
     }
 
     /// Starts a run at the server of `slot`; peers know of it if they must.
