Answer requests at the shutdown limit before their runs are settled

By reading: a process that stops has 200 ms for the answers of the requests that still run, and settling a run at a silent server could take 150 of them.

--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -240,11 +240,15 @@
         () = sleep_until(routed.deadline.into()) => (Refusal::NotSentInTime, Refusal::NoAnswerInTime),
         () = shared.wait_for_stop() => (Refusal::ShuttingDown, Refusal::ShutdownInRun),
     };
+    let is_stopping = not_sent == Refusal::ShuttingDown;
     // The response may have arrived during a pause of the process.
     if let Some(outcome) = poll_after_input(work).await {
         return outcome;
     }
-    settle_open_run(shared, trace.open_run.take()).await;
+    if !is_stopping {
+        // A process that stops has no time left for it: the run is settled behind its answer.
+        settle_open_run(shared, trace.open_run.take()).await;
+    }
     Ok(Err(if trace.may_have_run.get() {
         sent
     } else {
