--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -113,7 +113,7 @@
     ServerResponds = 215, "server_responds", Info;
     /// This process has read from the store which requests ran and which servers ended under them.
     RequestsLoaded = 216, "requests_loaded", Info;
-    /// The process of another gateway was lost; what it ran is read from the store.
+    /// Another gateway was lost or is not reached; what it ran is read from the store.
     GatewayLost = 217, "gateway_lost", Warning;
     /// The log can't be written or read.
     LogDown = 301, "log_down", Warning;
--- a/clementinepickd/src/gateway_peer_watch.rs
+++ b/clementinepickd/src/gateway_peer_watch.rs
@@ -47,26 +47,72 @@
     Lost,
 }
 
+/// The peers that this process is to watch, and those that it does not reach.
+#[derive(Default)]
+struct WatchedPeers {
+    /// All peers when `to_watch` was determined.
+    peers: Vec<SocketAddr>,
+    to_watch: BTreeSet<SocketAddr>,
+    /// Those whose call is in progress, or due.
+    watched: BTreeSet<SocketAddr>,
+    /// Those that were lost, shut down or not reached, and not watched since.
+    unreached: BTreeSet<SocketAddr>,
+}
+
+impl WatchedPeers {
+    fn update(&mut self, peers: Vec<SocketAddr>, own: SocketAddr) {
+        if self.peers == peers {
+            return;
+        }
+        let is_watcher = |peer: &SocketAddr| {
+            let others = peers.iter().copied().filter(|other| other != peer);
+            let watchers = rank_addresses(&peer.to_string(), others.chain([own]), WATCHERS);
+            watchers.contains(&own)
+        };
+        self.to_watch = peers.iter().copied().filter(is_watcher).collect();
+        self.unreached.retain(|peer| self.to_watch.contains(peer));
+        self.peers = peers;
+    }
+
+    /// Returns the peers whose watch is to start, with the time until then.
+    fn start(&mut self) -> Vec<(SocketAddr, Duration)> {
+        let new: Vec<SocketAddr> = self.to_watch.difference(&self.watched).copied().collect();
+        self.watched.extend(&new);
+        let delay = |peer: &SocketAddr| {
+            if self.unreached.contains(peer) {
+                WATCH_INTERVAL
+            } else {
+                Duration::ZERO
+            }
+        };
+        new.iter().map(|peer| (*peer, delay(peer))).collect()
+    }
+
+    /// Records the end of a watch; returns whether it is the first sign that the peer is lost.
+    fn record_end(&mut self, peer: SocketAddr, end: WatchEnd) -> bool {
+        self.watched.remove(&peer);
+        let is_new = self.unreached.insert(peer);
+        match end {
+            WatchEnd::Unreached => is_new,
+            WatchEnd::Answered => false,
+            WatchEnd::Lost => true,
+        }
+    }
+}
+
 /// Watches the peers that this process is to watch until dropped.
 pub(crate) async fn watch_peers(shared: Rc<Shared>) {
     let started_at = Instant::now();
-    let mut watched_peers = BTreeSet::new();
-    let mut unreached = BTreeSet::new();
+    let mut peers = WatchedPeers::default();
     let mut watches = JoinSet::new();
     let mut reads = JoinSet::new();
     loop {
-        for peer in peers_to_watch(&shared, Instant::now()) {
-            if watched_peers.insert(peer) {
-                let delay = if unreached.contains(&peer) {
-                    WATCH_INTERVAL
-                } else {
-                    Duration::ZERO
-                };
-                watches.spawn_local(async move {
-                    sleep(delay).await;
-                    (peer, watch(peer).await)
-                });
-            }
+        peers.update(shared.ended_peers(Instant::now()), shared.peer_address);
+        for (peer, delay) in peers.start() {
+            watches.spawn_local(async move {
+                sleep(delay).await;
+                (peer, watch(peer).await)
+            });
         }
         let interval = if started_at.elapsed() < START_TIME {
             START_INTERVAL
@@ -74,13 +120,9 @@
             WATCH_INTERVAL
         };
         tokio::select! {
-            Some(ended) = watches.join_next() => {
-                // A watch does not panic, and is not aborted.
-                let Ok((peer, end)) = ended else {
-                    continue;
-                };
-                watched_peers.remove(&peer);
-                if is_loss(&mut unreached, peer, end) {
+            // A watch does not panic, and is not aborted.
+            Some(Ok((peer, end))) = watches.join_next() => {
+                if peers.record_end(peer, end) {
                     let event = Event::new(EventKind::GatewayLost).with("peer", peer);
                     shared.log(&event);
                     reads.spawn_local(report_lost(Rc::clone(&shared)));
@@ -92,33 +134,6 @@
     }
 }
 
-/// Returns whether the end of a watch is the first sign that a peer was lost.
-fn is_loss(unreached: &mut BTreeSet<SocketAddr>, peer: SocketAddr, end: WatchEnd) -> bool {
-    match end {
-        WatchEnd::Unreached => unreached.insert(peer),
-        WatchEnd::Answered => {
-            unreached.remove(&peer);
-            false
-        }
-        WatchEnd::Lost => {
-            unreached.insert(peer);
-            true
-        }
-    }
-}
-
-/// Returns the peers of which this process is one of the watchers.
-fn peers_to_watch(shared: &Shared, now: Instant) -> Vec<SocketAddr> {
-    let peers = shared.ended_peers(now);
-    let own = shared.peer_address;
-    let is_watcher = |peer: &SocketAddr| {
-        let others = peers.iter().copied().filter(|other| other != peer);
-        let watchers = rank_addresses(&peer.to_string(), others.chain([own]), WATCHERS);
-        watchers.contains(&own)
-    };
-    peers.iter().copied().filter(is_watcher).collect()
-}
-
 async fn watch(peer: SocketAddr) -> WatchEnd {
     let opened = Connection::open(peer, CALL_TIMEOUT, Instant::now()).await;
     let Ok(mut connection) = opened else {
@@ -167,3 +182,67 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn peer(port: u16) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], port))
+    }
+
+    fn watched(peers: &[SocketAddr]) -> WatchedPeers {
+        let mut watched = WatchedPeers::default();
+        watched.update(peers.to_vec(), peer(1));
+        watched.start();
+        watched
+    }
+
+    #[test]
+    fn a_lost_peer_is_reported_once_until_it_is_watched_again() {
+        let mut peers = watched(&[peer(2)]);
+        assert!(peers.record_end(peer(2), WatchEnd::Lost));
+        assert_eq!(peers.start(), [(peer(2), WATCH_INTERVAL)]);
+        assert!(!peers.record_end(peer(2), WatchEnd::Unreached));
+        peers.start();
+        assert!(peers.record_end(peer(2), WatchEnd::Lost));
+    }
+
+    /// Guards against reading all records at each planned restart.
+    #[test]
+    fn a_peer_that_shuts_down_is_not_lost() {
+        let mut peers = watched(&[peer(2)]);
+        assert!(!peers.record_end(peer(2), WatchEnd::Answered));
+        peers.start();
+        assert!(!peers.record_end(peer(2), WatchEnd::Unreached));
+    }
+
+    #[test]
+    fn a_listed_peer_that_is_not_reached_is_lost() {
+        let mut peers = watched(&[peer(2)]);
+        assert!(peers.record_end(peer(2), WatchEnd::Unreached));
+    }
+
+    /// Guards against a set that grows with each VM that is replaced.
+    #[test]
+    fn peers_that_are_gone_are_forgotten() {
+        let mut peers = watched(&[peer(2), peer(3)]);
+        peers.record_end(peer(2), WatchEnd::Lost);
+        peers.update(vec![peer(3)], peer(1));
+        assert!(peers.unreached.is_empty());
+        assert!(peers.start().is_empty());
+    }
+
+    #[test]
+    fn each_peer_has_a_limited_number_of_watchers() {
+        let all: Vec<SocketAddr> = (1..=20).map(peer).collect();
+        let is_watched_by = |watcher: &SocketAddr| {
+            let mut watched = WatchedPeers::default();
+            let peers = all.iter().copied().filter(|peer| peer != watcher);
+            watched.update(peers.collect(), *watcher);
+            watched.to_watch.contains(&all[0])
+        };
+        let watchers = all[1..].iter().filter(|watcher| is_watched_by(watcher));
+        assert_eq!(watchers.count(), WATCHERS);
+    }
+}
