--- a/clementinepickd/src/framing_limit.rs
+++ b/clementinepickd/src/framing_limit.rs
@@ -25,3 +25,21 @@
         self.framing_bytes <= BASE_BYTES.saturating_add(allowed)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn small_chunks_are_allowed() {
+        let mut limit = FramingLimit::default();
+        assert!((0..100_000).all(|_| limit.allows(6, 1)));
+    }
+
+    #[test]
+    fn framing_without_payload_is_limited() {
+        let mut limit = FramingLimit::default();
+        assert!(limit.allows(BASE_BYTES, 0));
+        assert!(!limit.allows(1, 0));
+    }
+}
--- a/clementinepickd/src/outbound.rs
+++ b/clementinepickd/src/outbound.rs
@@ -146,6 +146,11 @@
         loop {
             let head = codec.decode(&mut self.buffer);
             match head.map_err(|err| OutboundError::Protocol(err.to_string()))? {
+                Some(head) if head.status == StatusCode::SWITCHING_PROTOCOLS => {
+                    return Err(OutboundError::Protocol(
+                        "the server switches protocols unasked".to_owned(),
+                    ));
+                }
                 Some(head) if head.status.is_informational() => {
                     interim_responses += 1;
                     if interim_responses > MAX_INTERIM_RESPONSES {
