Send the origin of a stream before waiting for the record of its version; drop old records of versions

A process that recorded a version as unlisted by an older list, and was lost, left others that list it without a record; they read the records again every 30 s.

--- a/clementinepick/src/listed_versions.rs
+++ b/clementinepick/src/listed_versions.rs
@@ -22,7 +22,7 @@
     pub version: SoftwareVersion,
     /// The time since it was first listed.
     pub known_for: SpanUs,
-    /// The time since it was found to be listed no longer; `None` if nobody has found that.
+    /// The time since it was recorded as unlisted; `None` while it counts as listed.
     pub unlisted_for: Option<SpanUs>,
 }
 
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -388,11 +388,11 @@
             return Ok(delivered.map_err(RunEnd::Failed));
         }
         if reply.state() == ReplyState::Open {
+            let server = &response.slot.server;
+            self.fix_origin(server);
             if self.routed.route.is_resumable {
-                let server = &response.slot.server;
                 self.shared.wait_until_version_recorded(server).await;
             }
-            self.fix_origin(&response.slot.server);
             let headers = platform::response::forwarded_headers(&response.head.headers);
             reply.send_head(StatusCode::OK, headers).await?;
             self.trace.status.set(StatusCode::OK.as_u16());
--- a/clementinepickd/src/gateway_versions.rs
+++ b/clementinepickd/src/gateway_versions.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::time::timeout;
-use clementinepick::listed_versions::RecordedVersion;
+use clementinepick::listed_versions::{RecordedVersion, VERSION_MEMORY_US};
 use clementinepick::server_list::{BackendServer, SoftwareVersion};
 use clementinepick::units::SpanUs;
 use platform::store::KeyedRecord;
@@ -25,6 +25,11 @@
 
 /// How often the list of servers is compared with what is recorded.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the records are read again: another process may have recorded a version as unlisted that is
+/// listed here.
+const READ_INTERVAL: Duration = Duration::from_secs(30);
+/// How long a version is recorded after it was recorded as unlisted; clocks differ by seconds.
+const RECORD_LIFETIME_MS: u64 = 2 * VERSION_MEMORY_US.as_ms();
 /// How long the first event of a stream may wait for the record of its version.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long a call to the store may take.
@@ -40,7 +45,7 @@
     /// When it was first listed.
     #[serde(rename = "f")]
     first_listed_unix_ms: u64,
-    /// When it was found to be listed no longer.
+    /// When it was recorded as unlisted.
     #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
     unlisted_unix_ms: Option<u64>,
 }
@@ -105,6 +110,25 @@
         opened.chain(closed).collect()
     }
 
+    /// Returns the versions whose records are no longer needed.
+    fn expired(&self, now_unix_ms: u64) -> Vec<VersionId> {
+        let records = self.records.borrow();
+        let records = records.iter().flatten();
+        let is_expired = |record: &VersionRecord| {
+            let unlisted = record.unlisted_unix_ms;
+            unlisted.is_some_and(|at| at.saturating_add(RECORD_LIFETIME_MS) < now_unix_ms)
+        };
+        records
+            .filter(|(_, record)| is_expired(record))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    fn replace(&self, read: Vec<VersionRecord>) {
+        self.records.replace(Some(BTreeMap::new()));
+        self.insert_all(read);
+    }
+
     fn insert_all(&self, changes: Vec<VersionRecord>) {
         let mut records = self.records.borrow_mut();
         let records = records.get_or_insert_default();
@@ -113,6 +137,13 @@
         }
         self.written.notify_waiters();
     }
+
+    fn remove_all(&self, expired: &[VersionId]) {
+        let mut records = self.records.borrow_mut();
+        for records in records.iter_mut() {
+            records.retain(|id, _| !expired.contains(id));
+        }
+    }
 }
 
 impl Shared {
@@ -130,14 +161,13 @@
 
 /// Reads what is recorded, and records changes until dropped.
 pub(crate) async fn maintain_versions(shared: Rc<Shared>) {
+    let mut read_at: Option<Instant> = None;
     loop {
-        if shared.versions.are_loaded() {
-            // A failed append is made again with the next check; the store client counts it.
-            let _ = record_changes(&shared).await;
-        } else {
-            // Likewise.
-            let _ = load(&shared).await;
+        if read_at.is_none_or(|at| at.elapsed() >= READ_INTERVAL) && load(&shared).await.is_ok() {
+            read_at = Some(Instant::now());
         }
+        // A failed append is made again with the next check; the store client counts it.
+        let _ = record_changes(&shared).await;
         // It is done again in any case.
         let _ = timeout(CHECK_INTERVAL, shared.versions.needed.notified()).await;
     }
@@ -157,7 +187,7 @@
     for record in &records {
         shared.load_version(&recorded_version(record, now_unix_ms), Instant::now());
     }
-    shared.versions.insert_all(records);
+    shared.versions.replace(records);
     Ok(())
 }
 
@@ -178,11 +208,17 @@
     };
     let servers = list.servers.values();
     let listed = servers.map(|server| (server.service.clone(), server.version.clone()));
-    let changes = shared.versions.changes(&listed.collect(), unix_ms());
-    if changes.is_empty() || shared.store.is_unavailable() {
+    let now_unix_ms = unix_ms();
+    let changes = shared.versions.changes(&listed.collect(), now_unix_ms);
+    let expired = shared.versions.expired(now_unix_ms);
+    let deletions = expired.iter().map(|id| KeyedRecord {
+        key: version_key(id),
+        value: None,
+    });
+    let records: Vec<KeyedRecord> = changes.iter().map(to_record).chain(deletions).collect();
+    if records.is_empty() || shared.store.is_unavailable() {
         return Ok(());
     }
-    let records: Vec<KeyedRecord> = changes.iter().map(to_record).collect();
     let partition = shared.ledger.version_partition();
     let deadline = Instant::now() + CALL_TIMEOUT;
     let purpose = StorePurpose::Versions;
@@ -194,13 +230,75 @@
         return Err(LedgerError::Unavailable);
     }
     shared.versions.insert_all(changes);
+    shared.versions.remove_all(&expired);
     Ok(())
 }
 
 fn to_record(record: &VersionRecord) -> KeyedRecord {
-    let id = to_cbor(&(&record.service, &record.version));
     KeyedRecord {
-        key: format!("v-{:032x}", xxh3_128(&id)),
+        key: version_key(&(record.service.clone(), record.version.clone())),
         value: Some(to_cbor(record)),
     }
 }
+
+fn version_key(id: &VersionId) -> String {
+    format!("v-{:032x}", xxh3_128(&to_cbor(id)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn id(version: &str) -> VersionId {
+        ("models".to_owned(), version.to_owned().into())
+    }
+
+    fn listed(versions: &[&str]) -> BTreeSet<VersionId> {
+        versions.iter().map(|version| id(version)).collect()
+    }
+
+    /// Applies the changes that a list makes necessary; returns their number.
+    fn apply(records: &VersionRecords, versions: &[&str], now_unix_ms: u64) -> usize {
+        let changes = records.changes(&listed(versions), now_unix_ms);
+        let count = changes.len();
+        records.insert_all(changes);
+        count
+    }
+
+    #[test]
+    fn nothing_is_recorded_before_the_records_were_read() {
+        let records = VersionRecords::default();
+        assert!(records.changes(&listed(&["v1"]), 1).is_empty());
+    }
+
+    /// Guards against records that accumulate with each release.
+    #[test]
+    fn records_of_versions_that_left_long_ago_expire() {
+        let records = VersionRecords::default();
+        records.replace(Vec::new());
+        assert_eq!(apply(&records, &["v1"], 1_000), 1);
+        assert_eq!(apply(&records, &["v2"], 2_000), 2);
+        let later = 2_000 + RECORD_LIFETIME_MS;
+        assert!(records.expired(later).is_empty());
+        assert_eq!(records.expired(later + 1), [id("v1")]);
+        records.remove_all(&[id("v1")]);
+        assert!(records.expired(later + 1).is_empty());
+        assert!(records.is_recorded(&id("v2")));
+    }
+
+    /// Guards against a process that recorded a listed version as unlisted and was lost.
+    #[test]
+    fn a_version_that_another_process_recorded_as_unlisted_is_recorded_again() {
+        let records = VersionRecords::default();
+        let unlisted = VersionRecord {
+            service: "models".to_owned(),
+            version: "v1".to_owned().into(),
+            first_listed_unix_ms: 1,
+            unlisted_unix_ms: Some(2),
+        };
+        records.replace(vec![unlisted]);
+        assert!(!records.is_recorded(&id("v1")));
+        assert_eq!(apply(&records, &["v1"], 3), 1);
+        assert!(records.is_recorded(&id("v1")));
+    }
+}
