Bound the records of requests in size and time, and load each run once

By reading: each read of the records, as after the loss of a gateway, made requests remembered for another 300 s; records of an answered request stayed if their writer was lost; a process loaded its own runs, and those of peers under other ids, so that a run which was over was awaited until its deadline, and a request that had lost two servers beside a fatal one was not sent on; a loaded run that had expired was dropped with the next one; more than some 10,000 changes made one append that the store refuses; records of another version of this software were deleted. Tests of the core: loading_does_not_prolong_the_retention, a_loaded_run_is_the_one_that_peers_know.

--- a/clementinepick/src/ended_servers.rs
+++ b/clementinepick/src/ended_servers.rs
@@ -37,7 +37,7 @@
 pub const ISOLATION_THRESHOLD: usize = 2;
 
 /// How long a request is remembered after the last server that ended under it.
-const RETENTION_US: SpanUs = SpanUs::from_s(300);
+pub const RETENTION_US: SpanUs = SpanUs::from_s(300);
 /// The maximum number of requests, about 6 MB.
 const MAX_REQUESTS: usize = 16_384;
 /// The maximum number of servers and of runs that are remembered of one request. A request has more
@@ -191,8 +191,7 @@
         }
     }
 
-    fn add_run(&mut self, now: TimeUs, new: OpenRun) {
-        self.runs.retain(|run| now < run.expires_at);
+    fn add_run(&mut self, new: OpenRun) {
         let has_ended = self.counted().any(|end| end.server == new.server);
         let is_known = self.runs.iter().any(|run| run.id == new.id);
         if !has_ended && !is_known && self.runs.len() < MAX_OF_REQUEST {
@@ -200,8 +199,8 @@
         }
     }
 
-    /// Turns runs whose outcome nobody has reported into losses: those whose server is no longer
-    /// listed, and those whose caller has given up.
+    /// Replaces runs without a reported outcome by losses once their server is no longer listed or their
+    /// caller has given up.
     fn settle_runs(&mut self, now: TimeUs, list: &ServerList) {
         for run in std::mem::take(&mut self.runs) {
             let is_listed = run.server.is_listed(list);
@@ -305,7 +304,7 @@
         if run.is_isolated && self.isolated_servers(now, key).contains(&run.server.id) {
             return false;
         }
-        self.change(now, key, |request| request.add_run(now, run));
+        self.change(now, key, |request| request.add_run(run));
         true
     }
 
@@ -356,16 +355,14 @@
         is_accepted
     }
 
-    /// Adds what was recorded before this process started.
-    pub fn load(&mut self, now: TimeUs, key: RequestKey, recorded: RequestEnds) {
-        self.change(now, key, |request| {
-            for end in recorded.ends {
-                request.add_end(end);
-            }
-            for run in recorded.runs {
-                request.add_run(now, run);
-            }
-        });
+    /// Adds a recorded loss, which is remembered until `expires_at`.
+    pub fn load_end(&mut self, now: TimeUs, key: RequestKey, end: ServerEnd, expires_at: TimeUs) {
+        self.change_until(now, key, expires_at, |request| request.add_end(end));
+    }
+
+    /// Adds a recorded run, which is remembered until `expires_at`.
+    pub fn load_run(&mut self, now: TimeUs, key: RequestKey, run: OpenRun, expires_at: TimeUs) {
+        self.change_until(now, key, expires_at, |request| request.add_run(run));
     }
 
     /// Returns the servers that may have ended under a request and that lost its response at least
@@ -452,7 +449,7 @@
         found
     }
 
-    /// Records that a server responds; it counts no longer if it was silent.
+    /// Records that a server responds and is not silent.
     pub fn mark_responding(&mut self, server: &ServerStart) {
         self.requests.retain(|_, request| {
             let ends = request.ends.iter_mut();
@@ -538,9 +535,21 @@
 
     /// Changes a request and prolongs its retention.
     fn change(&mut self, now: TimeUs, key: RequestKey, change: impl FnOnce(&mut RequestEnds)) {
+        self.change_until(now, key, now.after(RETENTION_US), change);
+    }
+
+    /// Changes a request, which is remembered until `expires_at` at least.
+    fn change_until(
+        &mut self,
+        now: TimeUs,
+        key: RequestKey,
+        expires_at: TimeUs,
+        change: impl FnOnce(&mut RequestEnds),
+    ) {
+        let known = self.requests.get(now, &key);
+        let expires_at = known.map_or(expires_at, |(_, known)| known.max(expires_at));
         let mut request = self.requests.remove(&key).unwrap_or_default();
         change(&mut request);
-        let expires_at = now.after(RETENTION_US);
         self.requests.insert(now, key, request, expires_at);
     }
 }
--- a/clementinepick/tests/ended_servers.rs
+++ b/clementinepick/tests/ended_servers.rs
@@ -200,19 +200,17 @@
     assert!(ended.silent(START).is_empty());
 }
 
-fn loaded(runs: Vec<OpenRun>) -> RequestEnds {
-    RequestEnds {
-        ends: Vec::new(),
-        runs,
-    }
+/// The time until which a record that is loaded at [`START`] is remembered.
+fn loaded_until() -> TimeUs {
+    START.after(SpanUs::from_s(100))
 }
 
 /// Guards against a run whose gateway was lost, so that nobody reports its outcome.
 #[test]
 fn a_loaded_run_counts_once_its_server_is_gone() {
     let mut ended = EndedServers::default();
-    let request = loaded(vec![run(1, server("i-1", 1), false)]);
-    ended.load(START, key("a"), request);
+    let open = run(1, server("i-1", 1), false);
+    ended.load_run(START, key("a"), open, loaded_until());
     assert_eq!(ended.count(START, key("a")), 0);
     assert_eq!(ended.run_servers(START, key("a")).len(), 1);
     ended.apply_list(START, &list(&[server("i-1", 1)]));
@@ -226,7 +224,8 @@
 fn a_loaded_run_that_has_expired_makes_its_server_suspected() {
     let mut ended = EndedServers::default();
     let start = server("i-1", 1);
-    ended.load(START, key("a"), loaded(vec![run(1, start.clone(), false)]));
+    let open = run(1, start.clone(), false);
+    ended.load_run(START, key("a"), open, loaded_until());
     let later = START.after(SpanUs::from_s(4));
     ended.apply_list(later, &list(std::slice::from_ref(&start)));
     assert_eq!(ended.suspected(later).get(&start), Some(&later));
@@ -234,6 +233,30 @@
     assert_eq!(ended.count(later, key("a")), 1);
 }
 
+/// Guards against a request that is remembered for longer with each read of its records.
+#[test]
+fn loading_does_not_prolong_the_retention() {
+    let mut ended = EndedServers::default();
+    for _ in 0..2 {
+        let end = lost(server("i-1", 1), EndState::Ended);
+        ended.load_end(START, key("a"), end, loaded_until());
+    }
+    ended.expire(loaded_until());
+    assert!(ended.is_empty());
+}
+
+/// Guards against a run that is read from the store, reported as over, and awaited until its deadline.
+#[test]
+fn a_loaded_run_is_the_one_that_peers_know() {
+    let mut ended = EndedServers::default();
+    end_servers(&mut ended, key("a"), &["i-1", "i-2"]);
+    let open = run(7, server("i-3", 1), true);
+    assert!(ended.start_run(START, key("a"), open.clone()));
+    ended.load_run(START, key("a"), open, loaded_until());
+    ended.finish_run(START, key("a"), 7);
+    assert!(ended.start_run(START, key("a"), run(8, server("i-4", 1), true)));
+}
+
 /// Guards against giving up a request that met servers which refuse connections for a while.
 #[test]
 fn servers_that_respond_again_no_longer_count() {
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::time::sleep;
-use clementinepick::ended_servers::ServerStart;
+use clementinepick::ended_servers::{OpenRun, ServerStart};
 use clementinepick::refusal::Refusal;
 use clementinepick::request_key::RequestKey;
 use clementinepick::server_list::BackendServer;
@@ -208,11 +208,17 @@
         let time_left = to_span(self.routed.time_left(now));
         let expires_at = self.shared.now_us(now).after(time_left);
         let server = ServerStart::of(&slot.server);
+        let run = OpenRun {
+            id: shared_run.map_or_else(rand::random, SharedRun::id),
+            server,
+            is_isolated: ends.is_isolated(),
+            expires_at,
+        };
         CurrentRun {
             server: slot.server.clone(),
             ended_before: ends,
             shared_run,
-            _running: self.shared.record_run(self.key(), server, expires_at),
+            _running: self.shared.record_run(self.key(), run),
         }
     }
 
--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -143,6 +143,12 @@
     id: u64,
 }
 
+impl SharedRun {
+    pub(crate) fn id(self) -> u64 {
+        self.id
+    }
+}
+
 /// The number of servers that ended under a request, or are silent and may have.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Display)]
 pub(crate) struct EndCount(usize);
@@ -331,8 +337,8 @@
     }
 
     /// Tells all peers which servers have ended under a request, and of a run that is to start, and
-    /// waits until they know and it is recorded; returns false if one of them knows of another request's isolated run
-    /// at the same server.
+    /// waits until they know and it is recorded; returns false if one of them knows of another
+    /// request's isolated run at the same server.
     pub(crate) async fn share_request(&self, key: RequestKey, runs: &[OpenRun]) -> bool {
         let now = Instant::now();
         let Some(request) = self.ended_request(key, runs, now) else {
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -141,8 +141,8 @@
     }
 }
 
-/// Asks up to `count` peers, chosen at random, for all that they know; returns whether one of them
-/// knows what was known before it started.
+/// Asks up to `count` peers, chosen at random, for all that they know; returns whether one of them has
+/// completed its own load.
 async fn load(shared: &Shared, count: usize) -> bool {
     let mut peers = shared.ended_peers(Instant::now());
     while peers.len() > count {
--- a/clementinepickd/src/gateway_request_log.rs
+++ b/clementinepickd/src/gateway_request_log.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::time::{sleep, timeout};
-use clementinepick::ended_servers::{EndState, OpenRun, RequestEnds, ServerEnd, ServerStart};
+use clementinepick::ended_servers::{EndState, OpenRun, RETENTION_US, ServerEnd, ServerStart};
 use clementinepick::event::{Event, EventKind};
 use clementinepick::request_key::RequestKey;
 use clementinepick::units::{SpanUs, TimeUs};
@@ -35,10 +35,14 @@
 /// follow each other without it.
 const RUNS_INTERVAL: Duration = Duration::from_millis(500);
 const RUNS_BURST: u32 = 10;
-/// The maximum number of running requests in a record, about 150 kB.
-const MAX_RUNS: usize = 2_048;
-/// How long records are kept, as long as a request is remembered.
-const RETENTION_MS: u64 = 300_000;
+/// The maximum number of running requests in a record, about 120 kB.
+const MAX_RUNS: usize = 1_024;
+/// The maximum number of requests in an append, about 600 kB with all their servers.
+const MAX_BATCH_REQUESTS: usize = 512;
+
+/// How the keys of the two kinds of records begin.
+const END_PREFIX: &str = "e-";
+const RUNS_PREFIX: &str = "r-";
 
 /// The record of one server that ended under a request.
 #[derive(Debug, Serialize, Deserialize)]
@@ -58,6 +62,11 @@
 struct RunRecord {
     #[serde(rename = "k")]
     key: RequestKey,
+    /// The id by which peers know the run, if they do.
+    #[serde(rename = "r")]
+    id: u64,
+    #[serde(rename = "o")]
+    is_isolated: bool,
     #[serde(rename = "s")]
     server: ServerStart,
     #[serde(rename = "e")]
@@ -76,8 +85,7 @@
 /// A running request of this process.
 struct LocalRun {
     key: RequestKey,
-    server: ServerStart,
-    expires_at: TimeUs,
+    run: OpenRun,
     is_recorded: bool,
 }
 
@@ -90,7 +98,7 @@
     next_run: Cell<u64>,
     /// Requests whose records may have to change.
     changed: RefCell<BTreeSet<RequestKey>>,
-    /// The recorded states of servers.
+    /// The states of servers in the store, as recorded by this process or read by it.
     recorded: RefCell<BTreeMap<EndId, EndState>>,
     /// The number of changes so far, and of those that are recorded.
     queued: Cell<u64>,
@@ -117,7 +125,7 @@
     ends: Vec<(EndId, Option<EndState>)>,
     changed: BTreeSet<RequestKey>,
     runs: Vec<u64>,
-    /// The number of changes when it was made.
+    /// The number of changes that are recorded with it.
     queued: u64,
 }
 
@@ -143,6 +151,14 @@
         self.has_work.notify_one();
     }
 
+    /// Takes as many of the requests whose records may have to change as fit into one append.
+    fn take_changed(&self) -> BTreeSet<RequestKey> {
+        let mut changed = self.changed.borrow_mut();
+        let rest = changed.iter().nth(MAX_BATCH_REQUESTS).copied();
+        let rest = rest.map(|first| changed.split_off(&first));
+        std::mem::replace(&mut *changed, rest.unwrap_or_default())
+    }
+
     fn has_unrecorded_runs(&self) -> bool {
         self.runs.borrow().values().any(|run| !run.is_recorded)
     }
@@ -186,20 +202,14 @@
 }
 
 impl Shared {
-    /// Records that a request runs at a server until dropped; its caller gives up at `expires_at`.
-    pub(crate) fn record_run(
-        self: &Rc<Self>,
-        key: RequestKey,
-        server: ServerStart,
-        expires_at: TimeUs,
-    ) -> RunningRequest {
+    /// Records that a request runs at a server until dropped.
+    pub(crate) fn record_run(self: &Rc<Self>, key: RequestKey, run: OpenRun) -> RunningRequest {
         let log = &self.request_log;
         let id = log.next_run.get();
         log.next_run.set(id + 1);
         let run = LocalRun {
             key,
-            server,
-            expires_at,
+            run,
             is_recorded: false,
         };
         log.runs.borrow_mut().insert(id, run);
@@ -221,13 +231,19 @@
 
     fn take_batch(&self, now: Instant) -> Batch {
         let log = &self.request_log;
-        let changed = std::mem::take(&mut *log.changed.borrow_mut());
+        let changed = log.take_changed();
+        let has_rest = !log.changed.borrow().is_empty();
+        let queued = if has_rest {
+            log.written.get()
+        } else {
+            log.queued.get()
+        };
         let mut batch = Batch {
             records: Vec::new(),
             ends: Vec::new(),
             changed,
             runs: Vec::new(),
-            queued: log.queued.get(),
+            queued,
         };
         for key in &batch.changed {
             let (records, ends) = self.changed_ends(*key, now);
@@ -280,8 +296,11 @@
         for (id, run) in runs.iter_mut().rev().take(MAX_RUNS) {
             run.is_recorded = true;
             recorded.push(*id);
+            let LocalRun { key, run, .. } = run;
             records.push(RunRecord {
-                key: run.key,
+                key: *key,
+                id: run.id,
+                is_isolated: run.is_isolated,
                 server: run.server.clone(),
                 expires_unix_ms: now_unix_ms + run.expires_at.since(now).as_ms(),
             });
@@ -291,11 +310,16 @@
             runs: records,
         };
         KeyedRecord {
-            key: format!("r-{}", self.writer),
+            key: self.runs_key(),
             value: Some(to_cbor(&record)),
         }
     }
 
+    /// Returns the key of the record of this process's running requests.
+    fn runs_key(&self) -> String {
+        format!("{RUNS_PREFIX}{}", self.writer)
+    }
+
     /// Loads all records, and deletes those that are too old.
     pub(crate) async fn load_requests(&self) -> Result<(), LedgerError> {
         let partition = self.ledger.request_partition();
@@ -305,19 +329,26 @@
         let collect = |page: Vec<KeyedRecord>| records.extend(page);
         reader.read_newest(partition, collect).await?;
         let mut expired = Vec::new();
-        let mut count = 0;
-        for record in records.into_iter().filter(|r| is_own_key(&r.key)) {
+        let (mut requests, mut unreadable) = (0, 0);
+        let own = self.runs_key();
+        for record in records {
+            if !is_request_record(&record.key) || record.key == own {
+                continue;
+            }
             match self.load_record(&record) {
-                Some(requests) => count += requests,
-                None => expired.push(KeyedRecord {
+                Loaded::Requests(count) => requests += count,
+                Loaded::Expired => expired.push(KeyedRecord {
                     key: record.key,
                     value: None,
                 }),
+                // Another version of this software may have written it.
+                Loaded::Unreadable => unreadable += 1,
             }
         }
         let event = Event::new(EventKind::RequestsLoaded)
-            .with("requests", count)
-            .with("expired", expired.len());
+            .with("requests", requests)
+            .with("expired", expired.len())
+            .with("unreadable", unreadable);
         self.log(&event);
         if !expired.is_empty() {
             append(self, &expired).await?;
@@ -325,28 +356,83 @@
         Ok(())
     }
 
-    /// Adds what a record says and returns the number of its requests; `None` if it has expired or
-    /// can't be decoded.
-    fn load_record(&self, record: &KeyedRecord) -> Option<usize> {
+    /// Adds what a record says.
+    fn load_record(&self, record: &KeyedRecord) -> Loaded {
+        let Some(value) = &record.value else {
+            return Loaded::Expired;
+        };
+        if record.key.starts_with(END_PREFIX) {
+            from_cbor(value).map_or(Loaded::Unreadable, |end| self.load_end(end))
+        } else {
+            from_cbor(value).map_or(Loaded::Unreadable, |runs| self.load_runs(runs))
+        }
+    }
+
+    fn load_end(&self, record: EndRecord) -> Loaded {
+        let age_us = SpanUs::from_ms(unix_ms().saturating_sub(record.lost_unix_ms));
+        let Some(left) = time_left(age_us) else {
+            return Loaded::Expired;
+        };
+        let id = (record.key, record.server.clone());
+        let recorded = &self.request_log.recorded;
+        recorded.borrow_mut().insert(id, record.state);
         let now = self.now_us(Instant::now());
-        let requests = decode(record, now, unix_ms())?;
-        let count = requests.len();
+        let end = ServerEnd {
+            server: record.server,
+            lost_at: TimeUs(now.0.saturating_sub(age_us.0)),
+            state: record.state,
+        };
         let mut known = self.ended.known.borrow_mut();
-        for (key, request) in requests {
-            known.load(now, key, request);
+        known.load_end(now, record.key, end, now.after(left));
+        Loaded::Requests(1)
+    }
+
+    /// Adds runs whose process may have been lost before their outcome was known.
+    fn load_runs(&self, record: RunsRecord) -> Loaded {
+        let now_unix_ms = unix_ms();
+        let age_us = SpanUs::from_ms(now_unix_ms.saturating_sub(record.recorded_unix_ms));
+        let Some(left) = time_left(age_us) else {
+            return Loaded::Expired;
+        };
+        let now = self.now_us(Instant::now());
+        let count = record.runs.len();
+        let mut known = self.ended.known.borrow_mut();
+        for run in record.runs {
+            let left_ms = run.expires_unix_ms.saturating_sub(now_unix_ms);
+            let open = OpenRun {
+                id: run.id,
+                server: run.server,
+                is_isolated: run.is_isolated,
+                expires_at: now.after(SpanUs::from_ms(left_ms)),
+            };
+            known.load_run(now, run.key, open, now.after(left));
         }
-        Some(count)
+        Loaded::Requests(count)
     }
 }
 
+/// What was read from a record.
+enum Loaded {
+    /// This number of requests.
+    Requests(usize),
+    Expired,
+    Unreadable,
+}
+
+/// Returns how much longer something of this age is remembered; `None` if it is forgotten.
+fn time_left(age: SpanUs) -> Option<SpanUs> {
+    let left = RETENTION_US.0.checked_sub(age.0)?;
+    (left > 0).then_some(SpanUs(left))
+}
+
 /// Returns whether a record of the partition is one of this module.
-fn is_own_key(key: &str) -> bool {
-    key.starts_with("r-") || key.starts_with("e-")
+fn is_request_record(key: &str) -> bool {
+    key.starts_with(RUNS_PREFIX) || key.starts_with(END_PREFIX)
 }
 
 fn end_key(key: RequestKey, server: &ServerStart) -> String {
     let server = xxh3_64(&to_cbor(server));
-    format!("e-{key}-{server:016x}")
+    format!("{END_PREFIX}{key}-{server:016x}")
 }
 
 fn end_record(key: RequestKey, end: &ServerEnd, now: TimeUs) -> KeyedRecord {
@@ -362,52 +448,6 @@
     }
 }
 
-/// Decodes a record; `None` if it has expired or can't be decoded.
-fn decode(
-    record: &KeyedRecord,
-    now: TimeUs,
-    now_unix_ms: u64,
-) -> Option<Vec<(RequestKey, RequestEnds)>> {
-    let value = record.value.as_ref()?;
-    let is_recent = |unix_ms: u64| now_unix_ms < unix_ms.saturating_add(RETENTION_MS);
-    if record.key.starts_with("e-") {
-        let end: EndRecord = from_cbor(value)?;
-        if !is_recent(end.lost_unix_ms) {
-            return None;
-        }
-        let age_us = SpanUs::from_ms(now_unix_ms.saturating_sub(end.lost_unix_ms));
-        let ends = vec![ServerEnd {
-            server: end.server,
-            lost_at: TimeUs(now.0.saturating_sub(age_us.0)),
-            state: end.state,
-        }];
-        let runs = Vec::new();
-        return Some(vec![(end.key, RequestEnds { ends, runs })]);
-    }
-    let runs: RunsRecord = from_cbor(value)?;
-    if !is_recent(runs.recorded_unix_ms) {
-        return None;
-    }
-    let runs = runs.runs.into_iter();
-    let loaded = runs.map(|run| (run.key, unfinished_run(run, now, now_unix_ms)));
-    Some(loaded.collect())
-}
-
-/// Returns a run whose process may have been lost before its outcome was known.
-fn unfinished_run(run: RunRecord, now: TimeUs, now_unix_ms: u64) -> RequestEnds {
-    let left_ms = run.expires_unix_ms.saturating_sub(now_unix_ms);
-    let open = OpenRun {
-        id: rand::random(),
-        server: run.server,
-        is_isolated: false,
-        expires_at: now.after(SpanUs::from_ms(left_ms)),
-    };
-    RequestEnds {
-        ends: Vec::new(),
-        runs: vec![open],
-    }
-}
-
 /// Limits the appends that record running requests only.
 struct RunAllowance {
     left: u32,
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -81,7 +81,7 @@
     ReadTurn,
     /// Write requests that run or under which servers have ended.
     RecordRequests,
-    /// Read them.
+    /// Read requests that ran or under which servers have ended.
     LoadRequests,
     /// Read and write the software versions of services.
     Versions,
