Reproduce ends of servers that return or that callers have left, as failing tests

Callers saw a request go to more servers after three had ended under it; other callers saw a sound request refused with servers_ended.

--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -27,6 +27,8 @@
     Fail,
     /// The request is executed, and the connection is closed without a response.
     LoseResponse,
+    /// The request is executed, and bytes that are no response are sent.
+    Garble,
     /// The request is executed, and nothing is sent.
     Silence,
     /// The stream is truncated in the middle of the event after this number of events.
@@ -118,6 +120,8 @@
     pub events: u64,
     /// Delay before each event, or before the response to a plain request.
     pub pause: Duration,
+    /// Delay before the response to a health check.
+    pub health_delay: Duration,
     /// When it started, in Unix milliseconds, if it reports it.
     pub started_unix_ms: Option<u64>,
     /// The request that ends the server whenever it runs it.
@@ -162,6 +166,7 @@
             names_version: false,
             events: 4,
             pause: Duration::from_millis(2),
+            health_delay: Duration::ZERO,
             started_unix_ms: None,
             fatal_request: None,
         }
@@ -238,6 +243,11 @@
         self.server.has_ended() || self.server.has_lost_power()
     }
 
+    /// Ends the server, if it runs, and returns once its address is free.
+    pub(crate) fn join(&mut self) {
+        self.server.join();
+    }
+
     /// Makes the server refuse new connections and go on with those that are open.
     pub fn refuse_connections(&self) {
         self.server.refuse_connections();
@@ -301,7 +311,10 @@
                 return part.script("health");
             }
             let headers = [("instance-id", self.settings.id.as_str())];
-            return vec![Step::Write(full_response(200, &headers, b""))];
+            return vec![
+                Step::Pause(self.settings.health_delay),
+                Step::Write(full_response(200, &headers, b"")),
+            ];
         }
         let id = header(request, "request-id");
         let expected = header(request, "expect-instance");
@@ -331,6 +344,10 @@
         });
         match fault {
             Some(BackendFault::LoseResponse) => return vec![Step::Close],
+            Some(BackendFault::Garble) => {
+                let garbled = Bytes::from_static(b"\x00\x7f no response\r\n\r\n");
+                return vec![Step::Write(garbled), Step::Close];
+            }
             Some(BackendFault::Silence) => return vec![Step::Silence],
             Some(BackendFault::Endless(part)) => return part.script(&id),
             Some(BackendFault::Fail) => {
--- a/standins/src/server_fleet.rs
+++ b/standins/src/server_fleet.rs
@@ -200,6 +200,7 @@
                 .is_some_and(|at| now.duration_since(at) >= delay)
             {
                 server.is_replaced = true;
+                server.backend.join();
                 due.push((server.id.clone(), server.backend.address));
             }
         }
--- a/standins/src/soak_servers.rs
+++ b/standins/src/soak_servers.rs
@@ -230,6 +230,7 @@
 fn spoils_response(fault: BackendFault) -> bool {
     match fault {
         BackendFault::LoseResponse
+        | BackendFault::Garble
         | BackendFault::CutAfter(_)
         | BackendFault::WrongId
         | BackendFault::Endless(_) => true,
--- a/standins/src/wire_server.rs
+++ b/standins/src/wire_server.rs
@@ -199,6 +199,13 @@
 
 impl Drop for WireServer {
     fn drop(&mut self) {
+        self.join();
+    }
+}
+
+impl WireServer {
+    /// Ends the server, if it runs, and returns once its address is free.
+    pub(crate) fn join(&mut self) {
         self.stop.end_server();
         self.power.take();
         if let Some(thread) = self.thread.take() {
--- a/standins/tests/ending_run/mod.rs
+++ b/standins/tests/ending_run/mod.rs
@@ -181,6 +181,12 @@
         request(kind, "harmless", id).send(self.gateways.callers(gateway))
     }
 
+    /// Begins the request of [`send_beside`](Self::send_beside).
+    pub fn begin_harmless(&self, kind: Kind, gateway: usize, id: &str) -> BegunRequest {
+        let request = request(kind, "harmless", id);
+        self.begin(kind, gateway, id.to_owned(), &request)
+    }
+
     /// Reads the response of a request, which is sent again as its caller does; returns whether it
     /// was served.
     pub fn is_served(&self, mut begun: BegunRequest) -> bool {
@@ -220,6 +226,11 @@
         self.configure(|settings| settings.pause = SLOW_PAUSE);
     }
 
+    /// Makes each response to a health check late.
+    pub fn delay_health_checks(&self, delay: Duration) {
+        self.configure(|settings| settings.health_delay = delay);
+    }
+
     /// Makes `count` servers of each service stand still for a while.
     pub fn suspend_servers(&self, count: usize, span: Duration) {
         for fleet in self.fleets.values() {
