--- a/clementinepick/src/ended_servers.rs
+++ b/clementinepick/src/ended_servers.rs
@@ -16,21 +16,22 @@
 //!     id: "i-1".to_owned(),
 //!     started_unix_ms: None,
 //!     address: "127.0.0.1:1".parse().expect("an address"),
+//!     unlisted_restarts: 0,
 //! };
 //! ended.record_end(TimeUs(0), key, server);
 //! assert_eq!(ended.count(TimeUs(1), key), 1);
 //! ```
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
-
-use serde::{Deserialize, Serialize};
 
 use crate::expiring_map::ExpiringMap;
+use crate::request_ends::LIST_LAG_US;
 use crate::request_key::RequestKey;
 use crate::server_list::{BackendServer, ServerList};
 use crate::units::{SpanUs, TimeUs};
 
+pub use crate::request_ends::{EndState, OpenRun, RequestEnds, ServerEnd, ServerStart};
+
 /// The number of servers after which a request is given up.
 pub const MAX_ENDED_SERVERS: usize = 3;
 /// A request that has ended this many servers is isolated from others that have.
@@ -40,187 +41,6 @@
 pub const RETENTION_US: SpanUs = SpanUs::from_s(300);
 /// The maximum number of requests, about 6 MB.
 const MAX_REQUESTS: usize = 16_384;
-/// The maximum number of servers and of runs that are remembered of one request. A request has more
-/// ended servers than [`MAX_ENDED_SERVERS`] only if copies of it run at the same time.
-const MAX_OF_REQUEST: usize = 8;
-/// How long a server that lost a response stays listed if it has ended, at most: three heartbeats
-/// and the age of the list.
-const ENTRY_EXPIRY_US: SpanUs = SpanUs::from_s(10);
-/// The maximum age of the list of servers. A server that started again under its id is listed with
-/// its new start time after this long.
-const LIST_LAG_US: SpanUs = SpanUs::from_s(2);
-
-/// One start of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct ServerStart {
-    /// The id of the server.
-    #[serde(rename = "i")]
-    pub id: String,
-    /// When it started, in Unix milliseconds, if it reports it.
-    #[serde(rename = "b")]
-    pub started_unix_ms: Option<u64>,
-    /// Where it listens.
-    #[serde(rename = "a")]
-    pub address: SocketAddr,
-}
-
-impl ServerStart {
-    /// Returns the start of a listed server.
-    #[must_use]
-    pub fn of(server: &BackendServer) -> Self {
-        Self {
-            id: server.id.clone(),
-            started_unix_ms: server.started_unix_ms,
-            address: server.address,
-        }
-    }
-
-    /// Returns whether this start of the server is listed.
-    #[must_use]
-    pub fn is_listed(&self, list: &ServerList) -> bool {
-        let server = list.servers.get(&self.id);
-        server.is_some_and(|server| server.started_unix_ms == self.started_unix_ms)
-    }
-}
-
-/// What is known of a server that lost the response to a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum EndState {
-    /// It has responded since, or is not known to be silent, and may yet end. Not counted.
-    Suspected,
-    /// It does not respond, and may have ended.
-    Silent,
-    /// It does not accept connections, or another server does in its place.
-    Ended,
-    /// It is no longer listed.
-    Confirmed,
-}
-
-impl EndState {
-    /// Returns whether it is not known if the server has ended.
-    #[must_use]
-    pub fn is_undecided(self) -> bool {
-        match self {
-            Self::Suspected | Self::Silent => true,
-            Self::Ended | Self::Confirmed => false,
-        }
-    }
-
-    /// Returns whether a report of `new` replaces this state. A peer that knows of no silence may
-    /// have known the server for longer.
-    fn yields_to(self, new: Self) -> bool {
-        match self {
-            Self::Suspected => true,
-            Self::Silent => new != Self::Suspected,
-            Self::Ended | Self::Confirmed => false,
-        }
-    }
-}
-
-/// A server that lost the response to a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ServerEnd {
-    /// The server.
-    pub server: ServerStart,
-    /// When the response was lost.
-    pub lost_at: TimeUs,
-    /// What is known of the server.
-    pub state: EndState,
-}
-
-/// A run of a request under which a server has ended before.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct OpenRun {
-    /// Identifies the run.
-    pub id: u64,
-    /// The server that runs the request.
-    pub server: ServerStart,
-    /// Whether no other isolated run may be at the server.
-    pub is_isolated: bool,
-    /// When its caller gives up.
-    pub expires_at: TimeUs,
-}
-
-/// The servers that ended under one request, and its runs.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct RequestEnds {
-    /// The servers that lost a response to it.
-    pub ends: Vec<ServerEnd>,
-    /// Its runs that are not known to be over.
-    pub runs: Vec<OpenRun>,
-}
-
-impl RequestEnds {
-    fn counted(&self) -> impl Iterator<Item = &ServerEnd> {
-        self.ends
-            .iter()
-            .filter(|end| end.state != EndState::Suspected)
-    }
-
-    /// Returns the number of servers that ended under the request or are silent: until it is known
-    /// which, no further one may be put at risk.
-    #[must_use]
-    pub fn count(&self) -> usize {
-        self.counted().count()
-    }
-
-    /// Returns whether peers must know of the request: a server has ended under it, or it has lost
-    /// several responses, whose servers may yet turn out to have ended.
-    #[must_use]
-    pub fn is_shared(&self) -> bool {
-        self.ends.len() > 1 || self.count() > 0
-    }
-
-    /// Returns whether the request would be given up if the servers of all its runs but `run_id`
-    /// ended.
-    fn awaits_others(&self, now: TimeUs, run_id: u64) -> bool {
-        let others = self.runs.iter();
-        let others = others.filter(|run| run.id != run_id && now < run.expires_at);
-        let (count, open) = (self.count(), others.count());
-        open > 0 && count > 0 && count + open >= MAX_ENDED_SERVERS
-    }
-
-    fn add_end(&mut self, new: ServerEnd) {
-        self.runs.retain(|run| run.server != new.server);
-        if let Some(end) = self.ends.iter_mut().find(|end| end.server == new.server) {
-            if end.state.yields_to(new.state) {
-                *end = new;
-            }
-        } else if self.ends.len() < MAX_OF_REQUEST {
-            self.ends.push(new);
-        }
-    }
-
-    fn add_run(&mut self, new: OpenRun) {
-        let has_ended = self.counted().any(|end| end.server == new.server);
-        let is_known = self.runs.iter().any(|run| run.id == new.id);
-        if !has_ended && !is_known && self.runs.len() < MAX_OF_REQUEST {
-            self.runs.push(new);
-        }
-    }
-
-    /// Replaces runs without a reported outcome by losses once their server is no longer listed or their
-    /// caller has given up.
-    fn settle_runs(&mut self, now: TimeUs, list: &ServerList) {
-        for run in std::mem::take(&mut self.runs) {
-            let is_listed = run.server.is_listed(list);
-            if is_listed && now < run.expires_at {
-                self.runs.push(run);
-                continue;
-            }
-            let state = if is_listed {
-                EndState::Suspected
-            } else {
-                EndState::Confirmed
-            };
-            self.add_end(ServerEnd {
-                server: run.server,
-                lost_at: now,
-                state,
-            });
-        }
-    }
-}
 
 /// The requests under which servers have ended, as one process knows them.
 #[derive(Debug)]
@@ -260,8 +80,8 @@
         ends.map(|end| end.server.id.as_str()).collect()
     }
 
-    /// Returns how long the caller of a given-up request should wait: until it is forgotten, or until
-    /// it is certain that the servers have ended.
+    /// Returns how long the caller of a given-up request should wait: until it is forgotten, until it is
+    /// certain that the servers have ended, or until one of them no longer works on the request.
     #[must_use]
     pub fn retry_after(&self, now: TimeUs, key: RequestKey) -> SpanUs {
         let Some((request, expires_at)) = self.requests.get(now, &key) else {
@@ -273,6 +93,8 @@
             .all(|end| end.state == EndState::Confirmed)
         {
             expires_at.since(now)
+        } else if request.count() < MAX_ENDED_SERVERS {
+            request.confinement_left(now).unwrap_or_default()
         } else {
             LIST_LAG_US
         }
@@ -315,6 +137,20 @@
         }
     }
 
+    /// Returns the start of a listed server that would run a request now.
+    #[must_use]
+    pub fn current_start(
+        &self,
+        now: TimeUs,
+        key: RequestKey,
+        server: &BackendServer,
+    ) -> ServerStart {
+        self.get(now, key).map_or_else(
+            || ServerStart::of(server),
+            |request| request.current_start(server),
+        )
+    }
+
     /// Forgets a request that a server has answered: it does not end the servers that run it.
     pub fn forget(&mut self, key: RequestKey) {
         self.requests.remove(&key);
@@ -366,11 +202,17 @@
     }
 
     /// Returns the servers that may have ended under a request and that lost its response at least
-    /// `age` ago.
+    /// `age` ago; those that were left only if the request may run nowhere else.
     #[must_use]
     pub fn suspected_of(&self, now: TimeUs, key: RequestKey, age: SpanUs) -> Vec<ServerStart> {
-        let ends = self.get(now, key).into_iter().flat_map(|r| &r.ends);
-        let suspected = ends.filter(|end| end.state.is_undecided());
+        let Some(request) = self.get(now, key) else {
+            return Vec::new();
+        };
+        let is_confined = request.confinement(now, None).is_some();
+        let suspected = request.ends.iter().filter(|end| match end.state {
+            EndState::Left => is_confined,
+            state => state.is_undecided(),
+        });
         suspected
             .filter(|end| now.since(end.lost_at) >= age)
             .map(|end| end.server.clone())
@@ -388,14 +230,34 @@
     #[must_use]
     pub fn suspected(&self, now: TimeUs) -> BTreeMap<ServerStart, TimeUs> {
         let mut suspected = BTreeMap::new();
-        let ends = self.requests.iter(now).flat_map(|(_, r)| &r.ends);
-        for end in ends.filter(|end| end.state.is_undecided()) {
+        let ends = self.requests.iter(now).flat_map(|(_, request)| {
+            let ends = request.ends.iter();
+            ends.filter(|end| request.is_worth_asking(end))
+        });
+        for end in ends {
             let lost_at = suspected.entry(end.server.clone()).or_default();
             *lost_at = end.lost_at.max(*lost_at);
         }
         suspected
     }
 
+    /// Returns the servers that were left with a run and are listed no longer: they may have ended, or
+    /// have been removed as planned and go on.
+    #[must_use]
+    pub fn unlisted_left(&self, now: TimeUs, list: &ServerList) -> BTreeSet<ServerStart> {
+        let requests = self.requests.iter(now);
+        let left = requests.flat_map(|(_, request)| request.unlisted_left(list));
+        left.cloned().collect()
+    }
+
+    /// Forgets runs that were left at a server which goes on after it was removed from the list.
+    pub fn remove_left(&mut self, server: &ServerStart) {
+        self.requests.retain(|_, request| {
+            request.remove_left(server);
+            !request.ends.is_empty() || !request.runs.is_empty()
+        });
+    }
+
     /// Returns the servers that are silent.
     #[must_use]
     pub fn silent(&self, now: TimeUs) -> BTreeSet<ServerStart> {
@@ -426,7 +288,7 @@
         let request = self.requests.get_mut(now, &key);
         let ends = request.into_iter().flat_map(|request| &mut request.ends);
         for end in ends.filter(|end| end.server == *server) {
-            if end.state == EndState::Suspected {
+            if end.state.is_undecided() {
                 end.state = EndState::Silent;
             }
         }
@@ -439,7 +301,7 @@
         self.requests.retain(|key, request| {
             let ends = request.ends.iter_mut();
             for end in ends.filter(|end| end.server == *server) {
-                if end.state == EndState::Suspected {
+                if end.state.is_undecided() && end.state != EndState::Silent {
                     end.state = EndState::Silent;
                     found.push(*key);
                 }
@@ -449,13 +311,13 @@
         found
     }
 
-    /// Records that a server responds and is not silent.
+    /// Records that a server responds and is not silent; it may have started again.
     pub fn mark_responding(&mut self, server: &ServerStart) {
         self.requests.retain(|_, request| {
             let ends = request.ends.iter_mut();
             for end in ends.filter(|end| end.server == *server) {
                 if end.state == EndState::Silent {
-                    end.state = EndState::Suspected;
+                    end.state = EndState::Unproven;
                 }
             }
             true
@@ -468,30 +330,22 @@
         let mut found = Vec::new();
         self.requests.retain(|key, request| {
             let is_shared = request.is_shared();
-            request.settle_runs(now, list);
-            for end in &mut request.ends {
-                if !end.server.is_listed(list) {
-                    if end.state.is_undecided() && !is_shared {
-                        found.push(*key);
-                    }
-                    end.state = EndState::Confirmed;
-                }
+            if request.apply_list(now, list) && !is_shared {
+                found.push(*key);
             }
-            request.ends.retain(|end| {
-                !end.state.is_undecided() || now.since(end.lost_at) < ENTRY_EXPIRY_US
-            });
             !request.ends.is_empty() || !request.runs.is_empty()
         });
-        found.dedup();
         found
     }
 
-    /// Returns the servers that are counted as ended and still listed although a list would show
-    /// by now that they have started again.
+    /// Returns the servers that are counted as ended and still listed although the list, current since
+    /// `current_since`, would show by now that they have started again. A list that was not current then
+    /// shows that only of servers that report their start time.
     #[must_use]
-    pub fn doubtful(&self, now: TimeUs) -> BTreeSet<ServerStart> {
+    pub fn doubtful(&self, now: TimeUs, current_since: TimeUs) -> BTreeSet<ServerStart> {
         let ends = self.requests.iter(now).flat_map(|(_, r)| &r.ends);
         ends.filter(|end| end.state == EndState::Ended && now.since(end.lost_at) >= LIST_LAG_US)
+            .filter(|end| end.lost_at >= current_since || end.server.started_unix_ms.is_some())
             .map(|end| end.server.clone())
             .collect()
     }
--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -86,6 +86,7 @@
 mod recovery;
 pub mod refusal;
 pub mod rendezvous;
+mod request_ends;
 pub mod request_key;
 pub mod retry;
 pub mod route;
--- a/clementinepick/src/refusal.rs
+++ b/clementinepick/src/refusal.rs
@@ -34,8 +34,8 @@
     NoServer,
     /// Backend servers refused the request without running it.
     ServersRefused,
-    /// Several backend servers ended, or fell silent, while they ran the request at earlier attempts of
-    /// its caller.
+    /// Several backend servers ended, fell silent or were left while they ran the request at earlier
+    /// attempts of its caller, and no further one may be put at risk.
     ServersEnded,
     /// The deadline passed before the request was sent.
     NotSentInTime,
--- a/clementinepick/tests/ended_servers.rs
+++ b/clementinepick/tests/ended_servers.rs
@@ -24,6 +24,7 @@
         id: id.to_owned(),
         started_unix_ms: Some(started_unix_ms),
         address: "127.0.0.1:1".parse().expect("an address"),
+        unlisted_restarts: 0,
     }
 }
 
@@ -264,9 +265,12 @@
     end_servers(&mut ended, key("a"), &["i-1", "i-2", "i-3"]);
     let listed = list(&[server("i-1", 1), server("i-2", 1)]);
     ended.apply_list(START, &listed);
-    assert!(ended.doubtful(START).is_empty(), "the list may be older");
+    assert!(
+        ended.doubtful(START, START).is_empty(),
+        "the list may be older"
+    );
     let later = START.after(SpanUs::from_s(2));
-    let doubtful: Vec<ServerStart> = ended.doubtful(later).into_iter().collect();
+    let doubtful: Vec<ServerStart> = ended.doubtful(later, START).into_iter().collect();
     assert_eq!(doubtful, [server("i-1", 1), server("i-2", 1)]);
     ended.remove_server(&server("i-2", 1));
     assert_eq!(ended.count(later, key("a")), 2);
--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use clementinepick::server_list::ServerList;
 use clementinepick::traffic_config::TrafficConfig;
@@ -17,6 +17,10 @@
 use crate::server_follower::ServerFollower;
 use crate::store::StoreClient;
 
+/// The maximum age of a server list from which it is concluded that a server or a software version is
+/// absent; a list whose read was lost is read again within this time.
+const MAX_LIST_AGE: Duration = Duration::from_secs(2);
+
 /// A process instance, as registered in the store.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct PeerEntry {
@@ -41,6 +45,8 @@
     pub(crate) config_read_at: Option<Instant>,
     /// When the list of servers was last read, changed or not.
     pub(crate) servers_read_at: Option<Instant>,
+    /// Since when the list of servers has never been older than [`MAX_LIST_AGE`].
+    pub(crate) servers_current_since: Option<Instant>,
 }
 
 impl Directory {
@@ -49,6 +55,21 @@
     pub(crate) fn read_at(&self) -> Option<Instant> {
         Some(self.config_read_at?.min(self.servers_read_at?))
     }
+
+    /// Returns whether the list of servers is new enough to conclude from it that a server is absent.
+    pub(crate) fn has_current_servers(&self, now: Instant) -> bool {
+        let age = |at| now.saturating_duration_since(at);
+        self.servers_read_at
+            .is_some_and(|at| age(at) <= MAX_LIST_AGE)
+    }
+
+    /// Records that the list of servers was read, changed or not.
+    pub(crate) fn record_servers_read(&mut self, now: Instant) {
+        if !self.has_current_servers(now) {
+            self.servers_current_since = Some(now);
+        }
+        self.servers_read_at = Some(now);
+    }
 }
 
 /// This process's identity, for its entry in the store.
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -1,24 +1,25 @@
 //! Tracks the attempts of one request: the servers that were tried, whether another attempt is
 //! allowed, and the refusal if all fail.
 
-use std::cell::OnceCell;
+use std::cell::{OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use actix_rt::time::sleep;
-use clementinepick::ended_servers::{OpenRun, ServerStart};
+use clementinepick::ended_servers::{EndState, OpenRun, ServerStart};
 use clementinepick::refusal::Refusal;
 use clementinepick::request_key::RequestKey;
 use clementinepick::server_list::BackendServer;
 use rand::random_range;
 
 use crate::gateway_ended::{EndCount, SharedRun, probe_runs, start_run};
-use crate::gateway_exchange::{RoutedRequest, RunInput, SentRequest, ServerSlot};
+use crate::gateway_exchange::{RoutedRequest, RunInput, SentRequest, ServerFilter, ServerSlot};
 use crate::gateway_loss::OpenLoss;
 use crate::gateway_request_log::RunningRequest;
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
 use crate::link::to_span;
+use crate::outbound::Connection;
 use crate::server_probe::ServerFate;
 
 /// The shortest and longest wait, in milliseconds, until a request whose run may not start tries
@@ -50,6 +51,10 @@
 /// The run of a request at one server.
 pub(crate) struct CurrentRun {
     pub(crate) server: BackendServer,
+    start: ServerStart,
+    started_at: Instant,
+    /// A connection that shows whether the server is still the same start.
+    witness: RefCell<Option<Connection>>,
     /// The servers that had ended under the request before.
     pub(crate) ended_before: EndCount,
     /// The run as peers know it, if they must.
@@ -161,61 +166,141 @@
                 return None;
             }
             let isolated = self.servers_to_avoid(ends);
-            let avoided = [&self.tried_servers[..], &isolated[..]].concat();
-            let selected = self.routed.select_server(self.shared, &avoided, input);
-            match selected {
-                None if isolated.is_empty() => return None,
-                None => {}
-                Some(slot) if !ends.is_shared() => {
-                    self.set_current(&slot, ends, None);
-                    return Some(slot);
+            let filter = self.server_filter(&isolated, None);
+            let selected = self.routed.select_server(self.shared, &filter, input);
+            let Some(slot) = selected else {
+                if !isolated.is_empty() || self.awaits_runs() {
+                    self.pause_start().await;
+                    continue;
                 }
-                Some(slot) => {
-                    if let Some(run) = self.share_run(&slot, ends).await {
-                        if !isolated.is_empty() {
-                            self.trace.add_field("isolated_from", &isolated.join(","));
-                        }
-                        self.set_current(&slot, ends, Some(run));
-                        return Some(slot);
-                    }
+                if filter.confined_to.is_some() {
+                    self.give_up();
                 }
+                return None;
+            };
+            let witness = self.open_witness(&slot.server).await;
+            if witness.is_none() && self.start_of(&slot.server).unlisted_restarts > 0 {
+                // It has ended, and not started again yet.
+                slot.record_failure();
+                self.tried_servers.push(slot.server.id.clone());
+                continue;
+            }
+            let shared_run = if ends.is_shared() {
+                self.share_run(&slot, ends).await
+            } else {
+                self.announce_run(&slot, ends)
+            };
+            if shared_run.is_none() && ends.is_shared() {
+                self.release_witness(&slot.server, witness);
+                self.pause_start().await;
+                continue;
+            }
+            if !isolated.is_empty() {
+                self.trace.add_field("isolated_from", &isolated.join(","));
             }
-            sleep(Duration::from_millis(random_range(START_RETRY_MS))).await;
-            // The gateway of another run may be lost, and its server may have ended.
-            probe_runs(self.shared, self.key(), self.routed.service).await;
+            let run = self.new_run(&slot, ends, shared_run, witness);
+            self.replace_current(run);
+            return Some(slot);
+        }
+    }
+
+    /// Waits before the request tries again to start a run.
+    async fn pause_start(&self) {
+        sleep(Duration::from_millis(random_range(START_RETRY_MS))).await;
+        // The gateway of another run may be lost, and its server may have ended.
+        probe_runs(self.shared, self.key(), self.routed.service).await;
+    }
+
+    /// Returns a witness to the pool.
+    fn release_witness(&self, server: &BackendServer, witness: Option<Connection>) {
+        if let Some(witness) = witness {
+            let pool = &self.shared.pool;
+            pool.release(server.address, witness, Instant::now());
+        }
+    }
+
+    /// Returns where the next run may be, beside a run at the server `running`.
+    pub(crate) fn server_filter(&self, isolated: &[String], running: Option<&str>) -> ServerFilter {
+        let confined_to = if self.shared.has_no_ends() {
+            None
+        } else {
+            self.shared.confinement(self.key(), running)
+        };
+        if let Some(servers) = &confined_to {
+            let servers: Vec<&str> = servers.iter().map(String::as_str).collect();
+            self.trace.set_field("confined_to", &servers.join(","));
+        }
+        ServerFilter {
+            avoided: [&self.tried_servers[..], isolated].concat(),
+            confined_to,
+        }
+    }
+
+    fn start_of(&self, server: &BackendServer) -> ServerStart {
+        if self.shared.has_no_ends() {
+            return ServerStart::of(server);
         }
+        self.shared.current_start(self.key(), server)
+    }
+
+    /// Opens a witness for the run of a request of which it is known that it lost responses.
+    pub(crate) async fn open_witness(&self, server: &BackendServer) -> Option<Connection> {
+        if self.shared.has_no_ends() || !self.shared.has_ends_of(self.key()) {
+            return None;
+        }
+        self.shared.open_witness(server.address).await
+    }
+
+    /// Returns whether the outcome of other runs of the request decides whether it is given up.
+    fn awaits_runs(&self) -> bool {
+        let runs = self.shared.decisive_runs(self.key(), Instant::now());
+        !runs.is_empty()
+    }
+
+    /// Tells peers of a run of a request of which something is known, if they need not agree.
+    pub(crate) fn announce_run(&self, slot: &ServerSlot, ends: EndCount) -> Option<SharedRun> {
+        if self.shared.has_no_ends() {
+            return None;
+        }
+        let time_left = to_span(self.routed.time_left(Instant::now()));
+        let run = OpenRun {
+            id: rand::random(),
+            server: self.start_of(&slot.server),
+            is_isolated: ends.is_isolated(),
+            expires_at: self.shared.now_us(Instant::now()).after(time_left),
+        };
+        self.shared.announce_run(self.key(), run)
     }
 
     pub(crate) async fn share_run(&self, slot: &ServerSlot, ends: EndCount) -> Option<SharedRun> {
-        let server = ServerStart::of(&slot.server);
+        let server = self.start_of(&slot.server);
         let time_left = self.routed.time_left(Instant::now());
         start_run(self.shared, self.key(), server, ends, time_left).await
     }
 
-    fn set_current(&mut self, slot: &ServerSlot, ends: EndCount, shared_run: Option<SharedRun>) {
-        let run = self.new_run(slot, ends, shared_run);
-        self.replace_current(run);
-    }
-
     /// Describes a run that starts now.
     pub(crate) fn new_run(
         &self,
         slot: &ServerSlot,
         ends: EndCount,
         shared_run: Option<SharedRun>,
+        witness: Option<Connection>,
     ) -> CurrentRun {
+        let start = self.start_of(&slot.server);
         let now = Instant::now();
         let time_left = to_span(self.routed.time_left(now));
         let expires_at = self.shared.now_us(now).after(time_left);
-        let server = ServerStart::of(&slot.server);
         let run = OpenRun {
             id: shared_run.map_or_else(rand::random, SharedRun::id),
-            server,
+            server: start.clone(),
             is_isolated: ends.is_isolated(),
             expires_at,
         };
         CurrentRun {
             server: slot.server.clone(),
+            start,
+            started_at: now,
+            witness: RefCell::new(witness),
             ended_before: ends,
             shared_run,
             _running: self.shared.record_run(self.key(), run),
@@ -224,12 +309,7 @@
 
     /// Makes `run` the current one and returns the one before.
     pub(crate) fn replace_current(&mut self, run: CurrentRun) -> Option<CurrentRun> {
-        self.trace.open_run.replace(Some(OpenLoss {
-            request: self.routed.info.id.clone(),
-            key: self.key(),
-            server: ServerStart::of(&run.server),
-            shared_run: run.shared_run,
-        }));
+        self.trace.open_run.replace(Some(self.open_loss(&run)));
         self.current.replace(run)
     }
 
@@ -279,6 +359,7 @@
     pub(crate) fn record_answered(&mut self) {
         if let Some(run) = self.take_current() {
             self.finish_run(&run);
+            self.release_witness(&run.server, run.witness.take());
         }
         if !self.shared.has_no_ends() {
             self.shared.record_answered(self.key());
@@ -328,20 +409,22 @@
     pub(crate) async fn record_replaced(&self, run: &CurrentRun, fate: ServerFate) {
         let label = AttemptError::ResponseLost.label();
         self.trace.record_error(&run.server.id, label);
-        self.open_loss(run).record(self.shared, fate).await;
+        self.open_loss(run).leave(self.shared, fate).await;
         self.finish_run(run);
     }
 
     /// Finds out what became of a server that lost a response.
     pub(crate) async fn record_loss(&self, run: &CurrentRun) {
-        self.open_loss(run).settle(self.shared).await;
+        let loss = self.open_loss(run);
+        let witness = run.witness.take();
+        loss.settle(self.shared, run.started_at, witness).await;
     }
 
     fn open_loss(&self, run: &CurrentRun) -> OpenLoss {
         OpenLoss {
             request: self.routed.info.id.clone(),
             key: self.key(),
-            server: ServerStart::of(&run.server),
+            server: run.start.clone(),
             shared_run: run.shared_run,
         }
     }
@@ -359,11 +442,14 @@
         let Some(run) = &self.current else {
             return;
         };
-        let fate = self.probe(&run.server).await;
-        if fate != ServerFate::Alive {
-            let server = ServerStart::of(&run.server);
-            self.shared.record_fate(self.key(), server, fate).await;
-        }
+        let state = match self.probe(&run.server).await {
+            ServerFate::Alive | ServerFate::Responding | ServerFate::Accepting => return,
+            ServerFate::Ended => EndState::Ended,
+            ServerFate::Unknown => EndState::Silent,
+        };
+        self.shared
+            .record_state(self.key(), &run.start, state)
+            .await;
     }
 
     /// Returns the refusal to send to the caller if all attempts fail.
--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -62,7 +62,7 @@
     pub(crate) known: RefCell<EndedServers>,
     /// Processes that asked for it and may not be listed yet.
     joined: RefCell<BTreeMap<SocketAddr, Instant>>,
-    /// When each server last sent anything.
+    /// When each listed server last sent anything.
     heard: RefCell<BTreeMap<ServerStart, Instant>>,
     is_loaded: Cell<bool>,
     /// The number of reads of what lost processes ran.
@@ -109,13 +109,15 @@
 
     /// Forgets when a server was last heard: what it sent before a loss says nothing.
     fn forget_heard(&self, server: &ServerStart) {
-        self.heard.borrow_mut().remove(server);
+        self.heard.borrow_mut().remove(&server.as_listed());
     }
 
     /// Returns whether a server has sent something at `since` or later.
     fn was_heard(&self, server: &ServerStart, since: Instant) -> bool {
         let heard = self.heard.borrow();
-        heard.get(server).is_some_and(|at| *at >= since)
+        heard
+            .get(&server.as_listed())
+            .is_some_and(|at| *at >= since)
     }
 
     /// Forgets when servers were last heard that sent nothing since `since`.
@@ -144,6 +146,10 @@
 }
 
 impl SharedRun {
+    pub(crate) fn new(key: RequestKey, run: &OpenRun) -> Self {
+        Self { key, id: run.id }
+    }
+
     pub(crate) fn id(self) -> u64 {
         self.id
     }
@@ -200,34 +206,22 @@
     }
 
     /// Records that a server lost the response to a request; it may have ended.
-    pub(crate) fn record_suspected(&self, key: RequestKey, server: ServerStart) {
-        self.ended.forget_heard(&server);
-        let now = self.now_us(Instant::now());
-        let end = ServerEnd {
-            server,
-            lost_at: now,
-            state: EndState::Suspected,
-        };
-        self.ended.known.borrow_mut().record(now, key, end);
+    pub(crate) fn record_suspected(&self, key: RequestKey, server: &ServerStart) {
+        self.ended.forget_heard(server);
+        self.add_end(key, server, EndState::Suspected);
     }
 
-    /// Records what became of a server that lost the response to a request, and returns when peers
+    /// Records what is known of a server that lost the response to a request, and returns when peers
     /// know, if they must.
-    pub(crate) async fn record_fate(&self, key: RequestKey, server: ServerStart, fate: ServerFate) {
+    pub(crate) async fn record_state(
+        &self,
+        key: RequestKey,
+        server: &ServerStart,
+        state: EndState,
+    ) {
+        self.add_end(key, server, state);
         let now = self.now_us(Instant::now());
         let known = &self.ended.known;
-        match fate {
-            ServerFate::Ended => known.borrow_mut().record_end(now, key, server),
-            ServerFate::Unknown => {
-                let end = ServerEnd {
-                    server,
-                    lost_at: now,
-                    state: EndState::Silent,
-                };
-                known.borrow_mut().record(now, key, end);
-            }
-            ServerFate::Alive => known.borrow_mut().mark_responding(&server),
-        }
         let is_shared = known
             .borrow()
             .get(now, key)
@@ -237,6 +231,16 @@
         }
     }
 
+    pub(crate) fn add_end(&self, key: RequestKey, server: &ServerStart, state: EndState) {
+        let now = self.now_us(Instant::now());
+        let end = ServerEnd {
+            server: server.clone(),
+            lost_at: now,
+            state,
+        };
+        self.ended.known.borrow_mut().record(now, key, end);
+    }
+
     /// Asks the servers that may have ended under a request, or may be running it for a process that
     /// was lost.
     pub(crate) async fn recheck_suspected(&self, key: RequestKey, service: &str) {
@@ -256,7 +260,7 @@
         });
         for (server, fate) in join_all(checks).await {
             if fate == ServerFate::Ended {
-                self.record_fate(key, server.clone(), fate).await;
+                self.record_state(key, server, EndState::Ended).await;
             } else if is_suspected(server) {
                 self.update_suspected(key, server, fate);
             }
@@ -291,7 +295,9 @@
         let now = self.now_us(Instant::now());
         let mut known = self.ended.known.borrow_mut();
         match fate {
-            ServerFate::Alive => known.mark_responding(server),
+            ServerFate::Alive | ServerFate::Responding | ServerFate::Accepting => {
+                known.mark_responding(server);
+            }
             ServerFate::Unknown => known.mark_silent(now, key, server),
             ServerFate::Ended => {}
         }
@@ -359,7 +365,7 @@
         !answers.contains(&Some(false))
     }
 
-    fn ended_request(
+    pub(crate) fn ended_request(
         &self,
         key: RequestKey,
         runs: &[OpenRun],
@@ -371,7 +377,7 @@
         Some(SharedRequest::new(now, key, &request.ends, runs))
     }
 
-    fn start_known_run(&self, key: RequestKey, run: &OpenRun, now: Instant) -> bool {
+    pub(crate) fn start_known_run(&self, key: RequestKey, run: &OpenRun, now: Instant) -> bool {
         let now = self.now_us(now);
         let mut known = self.ended.known.borrow_mut();
         known.start_run(now, key, run.clone())
@@ -379,7 +385,7 @@
 
     /// Returns the runs of a request for whose outcome its next run must wait: they would be the
     /// last ones if their servers have ended.
-    fn decisive_runs(&self, key: RequestKey, now: Instant) -> Vec<OpenRun> {
+    pub(crate) fn decisive_runs(&self, key: RequestKey, now: Instant) -> Vec<OpenRun> {
         let now = self.now_us(now);
         let known = self.ended.known.borrow();
         let mut runs = known.open_runs(now, key);
@@ -426,7 +432,7 @@
     if !shared.start_known_run(key, &run, now) {
         return None;
     }
-    let shared_run = SharedRun { key, id: run.id };
+    let shared_run = SharedRun::new(key, &run);
     if shared.share_request(key, &[run]).await {
         return Some(shared_run);
     }
@@ -479,7 +485,7 @@
         let server = &run.server;
         let fate = probe(server.address, &server.id, health_path.as_deref()).await;
         if fate == ServerFate::Ended {
-            shared.record_fate(key, run.server, fate).await;
+            shared.record_state(key, server, EndState::Ended).await;
         }
     }
 }
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -77,6 +77,7 @@
             continue;
         };
         apply_list(&shared, &list, now).await;
+        check_unlisted(&shared, &list, now).await;
         if now >= next_check {
             check_ended(&shared, now).await;
             next_check = now + CHECK_INTERVAL;
@@ -203,20 +204,42 @@
     match fate {
         ServerFate::Ended => known.mark_ended(server),
         ServerFate::Unknown => known.mark_all_silent(server),
-        ServerFate::Alive => {
+        ServerFate::Alive | ServerFate::Responding | ServerFate::Accepting => {
             known.mark_responding(server);
             Vec::new()
         }
     }
 }
 
+/// Asks the servers that were left with a run and are listed no longer: one that goes on was removed as
+/// planned.
+async fn check_unlisted(shared: &Shared, list: &ServerList, now: Instant) {
+    let now = shared.now_us(now);
+    let left = shared.ended.known.borrow().unlisted_left(now, list);
+    for (server, fate) in find_fates(shared, left.into_iter()).await {
+        let found = match fate {
+            ServerFate::Alive | ServerFate::Responding | ServerFate::Accepting => {
+                shared.ended.known.borrow_mut().remove_left(&server);
+                Vec::new()
+            }
+            ServerFate::Ended | ServerFate::Unknown => {
+                shared.ended.known.borrow_mut().mark_ended(&server)
+            }
+        };
+        for key in found {
+            shared.share_request(key, &[]).await;
+        }
+    }
+}
+
 /// Asks the servers that are counted as ended and still listed; those that respond count no longer.
 async fn check_ended(shared: &Shared, now: Instant) {
-    let doubtful = shared.ended.known.borrow().doubtful(shared.now_us(now));
+    let current_since = shared.directory().servers_current_since.unwrap_or(now);
+    let (now, current_since) = (shared.now_us(now), shared.now_us(current_since));
+    let doubtful = shared.ended.known.borrow().doubtful(now, current_since);
     let fates = find_fates(shared, doubtful.into_iter()).await;
-    let alive = fates
-        .into_iter()
-        .filter(|(_, fate)| *fate == ServerFate::Alive);
+    let is_running = |fate| matches!(fate, ServerFate::Alive | ServerFate::Responding);
+    let alive = fates.into_iter().filter(|(_, fate)| is_running(*fate));
     for (server, _) in alive {
         shared.ended.known.borrow_mut().remove_server(&server);
         let event = Event::new(EventKind::ServerResponds).with("server", &server.id);
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one backend server and reads the head of the response, for calls and streams.
 
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -75,6 +76,22 @@
     pub(crate) origin: Option<StreamOrigin>,
 }
 
+/// Where a request may run.
+#[derive(Debug, Default)]
+pub(crate) struct ServerFilter {
+    /// The servers at which it must not.
+    pub(crate) avoided: Vec<String>,
+    /// The only servers at which it may, if not all others.
+    pub(crate) confined_to: Option<BTreeSet<String>>,
+}
+
+impl ServerFilter {
+    fn allows(&self, server: &str) -> bool {
+        let confined_to = self.confined_to.as_ref();
+        confined_to.is_none_or(|servers| servers.contains(server))
+    }
+}
+
 /// The future head of a server's response.
 pub(crate) type ResponseFuture<'a> =
     Pin<Box<dyn Future<Output = Result<ServerResponse, AttemptError>> + 'a>>;
@@ -151,17 +168,17 @@
         self.deadline.saturating_duration_since(now)
     }
 
-    /// Selects the best server that was not tried and counts the request as in flight there.
+    /// Selects the best server that `filter` allows and counts the request as in flight there.
     ///
     /// A stream with an `origin` is sent only to servers that can continue it: callers can't join
     /// the events of two software versions.
     pub(crate) fn select_server(
         &self,
         shared: &Rc<Shared>,
-        tried_servers: &[String],
+        filter: &ServerFilter,
         input: &RunInput,
     ) -> Option<ServerSlot> {
-        let slot = self.reserve_server(shared, tried_servers, input)?;
+        let slot = self.reserve_server(shared, filter, input)?;
         self.record_prompt(shared, &slot.server, input);
         Some(slot)
     }
@@ -171,7 +188,7 @@
     pub(crate) fn reserve_server(
         &self,
         shared: &Rc<Shared>,
-        tried_servers: &[String],
+        filter: &ServerFilter,
         input: &RunInput,
     ) -> Option<ServerSlot> {
         let directory = shared.directory();
@@ -184,11 +201,12 @@
             .ready(self.service)
             .filter(|server| choice.in_flight(&server.id) < limit)
             .filter(|server| origin.is_none_or(|origin| origin.fits(server)))
+            .filter(|server| filter.allows(&server.id))
             .collect();
         let affinity = self.affinity(input);
         let now = shared.now_us(Instant::now());
         let (server, reason) =
-            choice.choose_with_reason(now, &candidates, tried_servers, affinity)?;
+            choice.choose_with_reason(now, &candidates, &filter.avoided, affinity)?;
         let server = server.clone();
         choice.start_request(&server.id, Affinity::default());
         drop(choice);
--- a/clementinepickd/src/gateway_handover.rs
+++ b/clementinepickd/src/gateway_handover.rs
@@ -204,8 +204,9 @@
         let retry = RetryReservation::withdraw(self.shared, service);
         let retry = retry.ok_or(NoSuccessor::NoRetry)?;
         let isolated = self.servers_to_avoid(self.end_count());
-        let avoided = [&self.tried_servers[..], &isolated[..]].concat();
-        let slot = self.routed.reserve_server(self.shared, &avoided, input);
+        let running = self.current.as_ref().map(|run| run.server.id.as_str());
+        let filter = self.server_filter(&isolated, running);
+        let slot = self.routed.reserve_server(self.shared, &filter, input);
         let slot = slot.filter(|slot| !slot.reason.is_in_backoff);
         let slot = slot.ok_or(NoSuccessor::NoServer)?;
         let fate = self.probe_current().await;
@@ -245,9 +246,10 @@
             let run = self.share_run(slot, ends).await;
             Some(run.ok_or(NoSuccessor::Isolated)?)
         } else {
-            None
+            self.announce_run(slot, ends)
         };
-        Ok(self.new_run(slot, ends, shared_run))
+        let witness = self.open_witness(&slot.server).await;
+        Ok(self.new_run(slot, ends, shared_run, witness))
     }
 
     /// Sends the request to a successor; returns the run that it takes over from.
--- a/clementinepickd/src/gateway_loss.rs
+++ b/clementinepickd/src/gateway_loss.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use actix_rt::time::timeout;
-use clementinepick::ended_servers::ServerStart;
+use clementinepick::ended_servers::{EndState, ServerStart};
 use clementinepick::event::{Event, EventKind};
 use clementinepick::request_key::RequestKey;
 use tokio::sync::mpsc;
@@ -13,6 +13,8 @@
 
 use crate::gateway_ended::SharedRun;
 use crate::gateway_shared::Shared;
+use crate::gateway_witness::BrokenRun;
+use crate::outbound::Connection;
 use crate::server_probe::ServerFate;
 
 /// How long the response to a caller may wait until peers know of a silent server.
@@ -34,14 +36,42 @@
 pub(crate) type LossSender = mpsc::UnboundedSender<OpenLoss>;
 
 impl OpenLoss {
-    /// Asks the server whether it has ended, and records what it finds; returns when peers know, if
-    /// they must.
-    pub(crate) async fn settle(&self, shared: &Shared) {
+    /// Finds out whether the server, which broke off the response, has ended, and records it; returns
+    /// when peers know, if they must.
+    pub(crate) async fn settle(
+        &self,
+        shared: &Shared,
+        started_at: Instant,
+        witness: Option<Connection>,
+    ) {
         // The caller may disconnect during the probe, which ends this attempt.
-        shared.record_suspected(self.key, self.server.clone());
+        shared.record_suspected(self.key, &self.server);
         let health_path = shared.health_path_of(&self.server.id);
-        let fate = shared.find_fate(&self.server, health_path.as_deref()).await;
-        self.record(shared, fate).await;
+        let run = BrokenRun {
+            server: &self.server,
+            started_at,
+            witness,
+            health_path: health_path.as_deref(),
+        };
+        let fate = shared.find_fate_of_broken(run).await;
+        self.log(shared, fate);
+        let state = state_of_broken(fate);
+        shared.record_state(self.key, &self.server, state).await;
+    }
+
+    /// Records that the run is given up while its server may still work on it, and what is known of the
+    /// server; returns when peers know, if it has ended or is silent.
+    pub(crate) async fn leave(&self, shared: &Shared, fate: ServerFate) {
+        match fate {
+            ServerFate::Alive | ServerFate::Responding | ServerFate::Accepting => {
+                shared.record_left(self.key, &self.server);
+            }
+            ServerFate::Ended | ServerFate::Unknown => {
+                self.log(shared, fate);
+                let state = state_of_broken(fate);
+                shared.record_state(self.key, &self.server, state).await;
+            }
+        }
     }
 
     /// Tells peers that the run is over, if they know of it.
@@ -51,20 +81,26 @@
         }
     }
 
-    /// Records what became of the server; returns when peers know, if they must.
-    pub(crate) async fn record(&self, shared: &Shared, fate: ServerFate) {
-        let now = Instant::now();
+    fn log(&self, shared: &Shared, fate: ServerFate) {
         shared.metrics.count_lost_response(fate.label());
         let event = Event::new(EventKind::ResponseLost)
             .with("request", &self.request)
             .with("content", self.key)
             .with("server", &self.server.id)
+            .with("restarts", self.server.unlisted_restarts)
             .with("fate", fate.label())
-            .with("ended_before", shared.end_count(self.key, now));
+            .with("ended_before", shared.end_count(self.key, Instant::now()));
         shared.log(&event);
-        shared.record_suspected(self.key, self.server.clone());
-        let recorded = shared.record_fate(self.key, self.server.clone(), fate);
-        recorded.await;
+    }
+}
+
+/// Returns what is known of a server that broke off a response.
+fn state_of_broken(fate: ServerFate) -> EndState {
+    match fate {
+        ServerFate::Alive => EndState::Suspected,
+        ServerFate::Responding | ServerFate::Accepting => EndState::Unproven,
+        ServerFate::Ended => EndState::Ended,
+        ServerFate::Unknown => EndState::Silent,
     }
 }
 
@@ -72,9 +108,9 @@
     /// Ends a run whose caller has disconnected. A server that has just sent something needs not be
     /// asked whether it has ended.
     pub(crate) fn abandon_run(&self, loss: OpenLoss, now: Instant) {
-        if self.is_heard(&loss.server, now) {
-            loss.finish(self);
-        } else {
+        self.record_left(loss.key, &loss.server);
+        loss.finish(self);
+        if !self.is_heard(&loss.server, now) {
             // The receiver ends only with the process.
             let _ = self.losses.send(loss);
         }
@@ -84,20 +120,18 @@
 /// Settles a run that ends with its deadline or the process, before its caller hears of it.
 pub(crate) async fn settle_open_run(shared: &Shared, open: Option<OpenLoss>) {
     if let Some(loss) = open {
+        shared.record_left(loss.key, &loss.server);
         // What takes longer is found out again by the upkeep.
         let _ = timeout(SETTLE_TIMEOUT, settle_given_up(shared, &loss)).await;
+        loss.finish(shared);
     }
 }
 
-/// Settles a run that its gateway has given up. A server that is alive then is not suspected: it stops
-/// at the deadline that it was given, or as its connection closes.
+/// Finds out whether the server of a run that its gateway has given up has ended.
 async fn settle_given_up(shared: &Shared, loss: &OpenLoss) {
     let health_path = shared.health_path_of(&loss.server.id);
     let fate = shared.find_fate(&loss.server, health_path.as_deref()).await;
-    if fate != ServerFate::Alive {
-        loss.record(shared, fate).await;
-    }
-    loss.finish(shared);
+    loss.leave(shared, fate).await;
 }
 
 /// Settles the runs of callers that have disconnected, until the sender is dropped.
--- a/clementinepickd/src/gateway_peer_updates.rs
+++ b/clementinepickd/src/gateway_peer_updates.rs
@@ -6,10 +6,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
-use crate::gateway_ended_messages::{OVER_PATH, RequestOver};
+use crate::gateway_ended_messages::{HOLD_PATH as ENDED_HOLD_PATH, OVER_PATH, RequestOver};
+use crate::gateway_left::AnnouncedRequest;
 use crate::gateway_origins::{HOLD_PATH, SharedOrigin};
 use crate::gateway_peer::{PeerCall, call_peer};
 use crate::gateway_shared::Shared;
@@ -25,6 +27,8 @@
 pub(crate) enum PeerUpdate {
     /// The origin of a stream that begins.
     Origin(SharedOrigin),
+    /// A request that runs, or may still run at servers which were left.
+    Request(AnnouncedRequest),
     /// A request under which servers have ended, or one of its runs, is over.
     Over(RequestOver),
 }
@@ -36,6 +40,7 @@
 #[derive(Default)]
 struct Batch {
     origins: Vec<SharedOrigin>,
+    requests: Vec<AnnouncedRequest>,
     over: Vec<RequestOver>,
 }
 
@@ -79,6 +84,12 @@
                     batch.origins.push(origin.clone());
                 }
             }
+            PeerUpdate::Request(request) => {
+                for peer in shared.ended_peers(now) {
+                    let batch = batches.entry(peer).or_default();
+                    batch.requests.push(request.clone());
+                }
+            }
             PeerUpdate::Over(over) => {
                 for peer in shared.ended_peers(now) {
                     batches.entry(peer).or_default().over.push(over);
@@ -93,6 +104,11 @@
     if !batch.origins.is_empty() && !send(&shared, peer, HOLD_PATH, to_cbor(&batch.origins)).await {
         shared.metrics.count_lost_origins(batch.origins.len());
     }
+    if !batch.requests.is_empty() {
+        let requests = shared.known_requests(&batch.requests, Instant::now());
+        // A peer that does not hear of it loads what others know.
+        let _ = send_request::<bool>(&shared, peer, ENDED_HOLD_PATH, to_cbor(&requests)).await;
+    }
     if !batch.over.is_empty() {
         // A run that a peer takes for open expires at the deadline of its caller.
         let _ = send(&shared, peer, OVER_PATH, to_cbor(&batch.over)).await;
@@ -100,10 +116,20 @@
 }
 
 async fn send(shared: &Shared, peer: SocketAddr, path: &'static str, body: Bytes) -> bool {
+    let taken = send_request::<()>(shared, peer, path, body).await;
+    taken.is_some()
+}
+
+async fn send_request<T: DeserializeOwned>(
+    shared: &Shared,
+    peer: SocketAddr,
+    path: &'static str,
+    body: Bytes,
+) -> Option<T> {
     let call = PeerCall {
         path,
         body,
         limit: UPDATE_TIMEOUT,
     };
-    call_peer::<()>(shared, peer, call).await.is_some()
+    call_peer(shared, peer, call).await
 }
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -131,6 +131,7 @@
 impl Drop for DisconnectGuard<'_> {
     fn drop(&mut self) {
         if let Some(loss) = self.trace.open_run.take() {
+            self.trace.add_field("content", &loss.key);
             self.handler.shared.abandon_run(loss, Instant::now());
         }
         if self.is_finished {
--- a/clementinepickd/src/gateway_request_log.rs
+++ b/clementinepickd/src/gateway_request_log.rs
@@ -37,6 +37,9 @@
 const RUNS_BURST: u32 = 10;
 /// The maximum number of running requests in a record, about 120 kB.
 const MAX_RUNS: usize = 1_024;
+/// How long a run that was given up stays in the record, and how many of them do at most, about 30 kB.
+const LEFT_RETENTION: Duration = Duration::from_secs(3);
+const MAX_LEFT_RUNS: usize = 256;
 /// The maximum number of requests in an append, about 600 kB with all their servers.
 const MAX_BATCH_REQUESTS: usize = 512;
 
@@ -89,6 +92,13 @@
     is_recorded: bool,
 }
 
+/// A run that this process has given up.
+struct LeftRun {
+    key: RequestKey,
+    server: ServerStart,
+    left_at: Instant,
+}
+
 type EndId = (RequestKey, ServerStart);
 
 /// What this process has recorded, and what it has yet to record.
@@ -96,6 +106,8 @@
 pub(crate) struct RequestLog {
     runs: RefCell<BTreeMap<u64, LocalRun>>,
     next_run: Cell<u64>,
+    /// Runs that were given up lately; their servers may still work on them.
+    left: RefCell<Vec<LeftRun>>,
     /// Requests whose records may have to change.
     changed: RefCell<BTreeSet<RequestKey>>,
     /// The states of servers in the store, as recorded by this process or read by it.
@@ -146,6 +158,33 @@
         }
     }
 
+    /// Keeps a run that is given up in the record of running requests for a while.
+    pub(crate) fn keep_left(&self, key: RequestKey, server: &ServerStart, now: Instant) {
+        let mut left = self.left.borrow_mut();
+        left.retain(|run| now.saturating_duration_since(run.left_at) < LEFT_RETENTION);
+        left.push(LeftRun {
+            key,
+            server: server.clone(),
+            left_at: now,
+        });
+    }
+
+    /// Returns the records of runs that were given up lately.
+    fn left_records(&self, now: Instant, now_unix_ms: u64) -> Vec<RunRecord> {
+        let left = self.left.borrow();
+        let is_recent =
+            |run: &&LeftRun| now.saturating_duration_since(run.left_at) < LEFT_RETENTION;
+        let recent = left.iter().rev().filter(is_recent).take(MAX_LEFT_RUNS);
+        let records = recent.map(|run| RunRecord {
+            key: run.key,
+            id: rand::random(),
+            is_isolated: false,
+            server: run.server.clone(),
+            expires_unix_ms: now_unix_ms,
+        });
+        records.collect()
+    }
+
     fn notify(&self) {
         self.queued.set(self.queued.get() + 1);
         self.has_work.notify_one();
@@ -268,7 +307,8 @@
         let recorded = self.request_log.recorded.borrow();
         let mut records = Vec::new();
         let mut changes = Vec::new();
-        for end in ends {
+        // A run that was left is too short-lived to be recorded.
+        for end in ends.iter().filter(|end| end.state != EndState::Left) {
             let id = (key, end.server.clone());
             if recorded.get(&id) != Some(&end.state) {
                 records.push(end_record(key, end, now));
@@ -289,10 +329,10 @@
 
     /// Returns the record of the running requests, and marks them as recorded.
     fn runs_record(&self, now: Instant, recorded: &mut Vec<u64>) -> KeyedRecord {
-        let now = self.now_us(now);
         let now_unix_ms = unix_ms();
+        let mut records = self.request_log.left_records(now, now_unix_ms);
+        let now = self.now_us(now);
         let mut runs = self.request_log.runs.borrow_mut();
-        let mut records = Vec::new();
         for (id, run) in runs.iter_mut().rev().take(MAX_RUNS) {
             run.is_recorded = true;
             recorded.push(*id);
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -44,9 +44,6 @@
 /// would send requests to servers that have left and refuse new programs, although another process
 /// may have newer ones.
 const MAX_DIRECTORY_AGE: Duration = Duration::from_secs(3);
-/// The maximum age of a server list from which it is concluded that a server or a software version is
-/// absent; a list whose read was lost is read again within this time.
-const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 /// The percentage of requests that may be retried. Faults of single servers affect fewer responses
 /// than this, up to 5 % at six servers in ten; more failures mean that a service fails as a whole.
 const RETRY_PERCENT: u8 = 20;
@@ -250,8 +247,8 @@
     /// Returns the list of servers unless it is too old to conclude from it that a server is absent.
     pub(crate) fn current_servers(&self, now: Instant) -> Option<Arc<ServerList>> {
         let directory = self.directory.borrow();
-        let age = now.saturating_duration_since(directory.servers_read_at?);
-        (age <= MAX_LIST_AGE).then(|| Arc::clone(&directory.servers))
+        let is_current = directory.has_current_servers(now);
+        is_current.then(|| Arc::clone(&directory.servers))
     }
 
     /// Returns the path of health checks of a service's servers.
--- a/clementinepickd/src/gateway_trace.rs
+++ b/clementinepickd/src/gateway_trace.rs
@@ -93,6 +93,12 @@
         self.fields.borrow_mut().push((name, value.to_string()));
     }
 
+    /// Adds a field to the log line, or replaces it.
+    pub(crate) fn set_field(&self, name: &'static str, value: &dyn Display) {
+        self.fields.borrow_mut().retain(|(known, _)| *known != name);
+        self.add_field(name, value);
+    }
+
     /// Adds the fields and the steps to an event; times are in milliseconds after the request's
     /// arrival.
     pub(crate) fn add_to_event(&self, mut event: Event, arrived: Instant) -> Event {
--- a/clementinepickd/src/outbound.rs
+++ b/clementinepickd/src/outbound.rs
@@ -76,6 +76,8 @@
     framing: FramingLimit,
     /// Cleared when the connection can't carry another exchange.
     is_reusable: bool,
+    /// When the connection was opened.
+    pub(crate) opened_at: Instant,
     /// When the connection was last released to the pool.
     pub(crate) idle_since: Instant,
     /// How long the server keeps the connection open while idle, if it announced that.
@@ -98,9 +100,10 @@
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
-            body_state: BodyState::Done(None),
+            body_state: BodyState::Done(Some(ClientCodec::default())),
             framing: FramingLimit::default(),
             is_reusable: true,
+            opened_at: now,
             idle_since: now,
             keep_alive: None,
         })
--- a/clementinepickd/src/outbound_pool.rs
+++ b/clementinepickd/src/outbound_pool.rs
@@ -46,6 +46,27 @@
         None
     }
 
+    /// Takes an idle connection that was opened before `before`, if there is one.
+    pub(crate) fn take_older(&self, address: SocketAddr, before: Instant) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&address)?;
+        let is_older = |c: &Connection| c.opened_at < before && c.is_healthy();
+        let position = connections.iter().position(is_older)?;
+        Some(connections.swap_remove(position))
+    }
+
+    /// Returns whether all idle connections to other addresses that were opened before `before` are
+    /// broken, as after a fault of this process's own links; false if there are none.
+    pub(crate) fn are_others_broken(&self, address: SocketAddr, before: Instant) -> bool {
+        let idle = self.idle.borrow();
+        let others = idle.iter().filter(|(other, _)| **other != address);
+        let mut older = others
+            .flat_map(|(_, connections)| connections)
+            .filter(|connection| connection.opened_at < before)
+            .peekable();
+        older.peek().is_some() && older.all(|connection| !connection.is_healthy())
+    }
+
     /// Returns a connection to the pool, or closes it if it can't be reused.
     pub(crate) fn release(&self, address: SocketAddr, mut connection: Connection, now: Instant) {
         if !connection.can_be_reused() {
@@ -71,7 +92,8 @@
     }
 }
 
-fn is_stale(connection: &Connection, now: Instant) -> bool {
+/// Returns whether the server may soon close an idle connection, or has.
+pub(crate) fn is_stale(connection: &Connection, now: Instant) -> bool {
     let keep_alive = connection.keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE);
     let limit = keep_alive.saturating_sub(KEEP_ALIVE_MARGIN);
     now.saturating_duration_since(connection.idle_since) >= limit
--- a/clementinepickd/src/server_follower.rs
+++ b/clementinepickd/src/server_follower.rs
@@ -66,7 +66,7 @@
             None
         };
         self.context.publish.send_modify(|directory| {
-            directory.servers_read_at = Some(now);
+            directory.record_servers_read(now);
             if let Some(servers) = servers {
                 directory.servers = Arc::new(ServerList { servers });
             }
--- a/clementinepickd/src/server_probe.rs
+++ b/clementinepickd/src/server_probe.rs
@@ -7,6 +7,7 @@
 use actix_http::{Method, ResponseHead, Uri};
 use actix_rt::time::{sleep, timeout};
 use bytes::Bytes;
+use clementinepick::ended_servers::ServerStart;
 
 use crate::outbound::{Connection, OutboundError, OutboundRequest};
 use crate::store::host_header;
@@ -21,19 +22,36 @@
 /// What became of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ServerFate {
-    /// It runs.
+    /// It runs, and has not ended meanwhile.
     Alive,
+    /// A server with its id responds, which may have started again.
+    Responding,
+    /// A server accepts connections that does not say in time which one it is.
+    Accepting,
     /// Nothing listens at its address, or another server does.
     Ended,
     /// It can't be told: the server or the network does not respond.
     Unknown,
 }
 
+/// What a connection to a server that was open during a run shows of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum WitnessState {
+    /// The server has responded on it, and so has not ended.
+    Intact,
+    /// It was closed.
+    Broken,
+    /// It shows nothing.
+    Unclear,
+}
+
 impl ServerFate {
     /// Returns the name used in logs and metrics.
     pub(crate) fn label(self) -> &'static str {
         match self {
             Self::Alive => "alive",
+            Self::Responding => "responding",
+            Self::Accepting => "accepting",
             Self::Ended => "ended",
             Self::Unknown => "unknown",
         }
@@ -62,7 +80,30 @@
             Found::Closed => sleep(RETRY_DELAY).await,
         }
     }
-    ServerFate::Unknown
+    ServerFate::Accepting
+}
+
+/// Sends a health check over a connection that was open when its server lost a response, and so shows
+/// whether the server is still the same start.
+pub(crate) async fn check_witness(
+    connection: Connection,
+    server: &ServerStart,
+    health_path: Option<&str>,
+) -> WitnessState {
+    if !connection.is_healthy() {
+        return WitnessState::Broken;
+    }
+    let Some(target) = health_path.and_then(|path| path.parse().ok()) else {
+        return WitnessState::Unclear;
+    };
+    let check = check_health(connection, server.address, target);
+    match timeout(PROBE_TIMEOUT, check).await {
+        Ok(Some(head)) if fate_by_response(&head, &server.id) == ServerFate::Responding => {
+            WitnessState::Intact
+        }
+        Ok(None) => WitnessState::Broken,
+        Ok(Some(_)) | Err(_) => WitnessState::Unclear,
+    }
 }
 
 async fn try_once(address: SocketAddr, server_id: &str, health_path: Option<&str>) -> Found {
@@ -73,13 +114,13 @@
         Err(_) => return Found::Fate(ServerFate::Unknown),
     };
     let Some(target) = health_path.and_then(|path| path.parse().ok()) else {
-        return Found::Fate(ServerFate::Unknown);
+        return Found::Fate(ServerFate::Accepting);
     };
     let check = check_health(connection, address, target);
     match timeout(PROBE_TIMEOUT, check).await {
         Ok(Some(head)) => Found::Fate(fate_by_response(&head, server_id)),
         Ok(None) => Found::Closed,
-        Err(_) => Found::Fate(ServerFate::Unknown),
+        Err(_) => Found::Fate(ServerFate::Accepting),
     }
 }
 
@@ -93,9 +134,9 @@
 
 fn fate_by_response(head: &ResponseHead, server_id: &str) -> ServerFate {
     match platform::response::server_id(&head.headers) {
-        Some(id) if id == server_id => ServerFate::Alive,
+        Some(id) if id == server_id => ServerFate::Responding,
         Some(_) => ServerFate::Ended,
-        None => ServerFate::Unknown,
+        None => ServerFate::Accepting,
     }
 }
 
--- a/standins/tests/ending_run/mod.rs
+++ b/standins/tests/ending_run/mod.rs
@@ -57,6 +57,8 @@
     pub is_resuming: bool,
     /// The time from the fatal request, or its last event, to the end of its server.
     pub end_delay: Duration,
+    /// The deadline that the caller of the fatal request names, if not the usual one.
+    pub caller_deadline: Option<Duration>,
     pub ending: ServerEnding,
     /// The time from the end of a server to the start of its replacement.
     pub restart_delay: Duration,
@@ -72,6 +74,7 @@
             },
             is_resuming: false,
             end_delay: Duration::ZERO,
+            caller_deadline: None,
             ending: ServerEnding::Exit,
             restart_delay: Duration::from_millis(300),
             restart_id: RestartId::New,
@@ -147,6 +150,9 @@
         let id = format!("attempt-{}", self.sent);
         let kind = self.settings.fatal.kind;
         let mut request = request(kind, FATAL, &id);
+        if let Some(deadline) = self.settings.caller_deadline {
+            request = request.with("Deadline-Ms", &deadline.as_millis().to_string());
+        }
         if let Some(attempt) = &self.resumed_attempt {
             let last_event = self.settings.fatal.events.to_string();
             request = request
--- a/standins/tests/left_runs.rs
+++ b/standins/tests/left_runs.rs
@@ -45,7 +45,7 @@
     leave_attempts(&mut run, patience);
     sleep(SETTLE_TIME);
     let ended = run.ended_servers();
-    assert!(ended.len() <= MAX_ENDED, "{ended:?}");
+    assert!(ended.len() <= MAX_ENDED, "{} ended: {ended:?}", ended.len());
     for gateway in 0..GATEWAYS {
         let sent = run.send_fatal(gateway);
         if run.count_executions(&sent.id) == 0 {
@@ -127,7 +127,51 @@
     }
     sleep(SETTLE_TIME);
     let ended = run.ended_servers();
-    assert!(ended.len() <= MAX_ENDED, "{ended:?}");
+    assert!(ended.len() <= MAX_ENDED, "{} ended: {ended:?}", ended.len());
+}
+
+/// Guards against left runs that no process remembers, beside callers that make the records of runs
+/// change.
+#[test]
+fn a_request_whose_gateways_are_all_killed_after_its_callers_leave_is_given_up() {
+    let settings = ending_later(Kind::Draft, 0, CALLER_DEADLINE + AFTERLIFE);
+    let mut run = EndingRun::start("left-all-killed", settings);
+    for attempt in 0..2 {
+        let begun = run.begin_fatal(attempt % GATEWAYS);
+        sleep(CALLER_DEADLINE);
+        drop(begun);
+    }
+    for number in 0..20 {
+        let id = format!("beside-{number}");
+        let response = run.send_beside(Kind::Call, number % GATEWAYS, &id);
+        assert!(
+            response.is_ok_and(|response| response.status == 200),
+            "{id}"
+        );
+    }
+    run.restart_gateways();
+    leave_attempts(&mut run, CALLER_DEADLINE);
+    sleep(SETTLE_TIME);
+    let ended = run.ended_servers();
+    assert_eq!(ended.len(), MAX_ENDED, "{ended:?}");
+}
+
+/// Guards against a run that is forgotten once its gateway has answered its caller at the deadline.
+#[test]
+fn a_request_whose_servers_end_after_its_deadline_is_given_up() {
+    for kind in [Kind::Draft, Kind::Call, Kind::Booking] {
+        let settings = EndingSettings {
+            caller_deadline: Some(CALLER_DEADLINE),
+            ..ending_later(kind, 0, CALLER_DEADLINE + AFTERLIFE)
+        };
+        let mut run = EndingRun::start(&format!("left-deadline-{kind:?}"), settings);
+        for attempt in 0..ATTEMPTS {
+            run.send_fatal(attempt % GATEWAYS);
+        }
+        sleep(SETTLE_TIME);
+        let ended = run.ended_servers();
+        assert_eq!(ended.len(), MAX_ENDED, "{kind:?}: {ended:?}");
+    }
 }
 
 /// Guards against refusing or delaying a request because impatient callers have left its servers.
--- a/standins/tests/quick_restarts.rs
+++ b/standins/tests/quick_restarts.rs
@@ -19,6 +19,8 @@
 const RESTART_DELAY: Duration = Duration::from_millis(400);
 /// A pause between attempts in which servers are back.
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(450);
+/// The time after which no gateway takes the list that it has for current.
+const MIN_OUTAGE: Duration = Duration::from_millis(2_500);
 /// The time in which a gateway reads the lists of a store that is back.
 const STORE_LAG: Duration = Duration::from_secs(3);
 
@@ -50,6 +52,7 @@
     run.gateways.silence_store();
     send_attempts(&mut run, pause);
     assert_ended(&run);
+    sleep(MIN_OUTAGE);
     run.gateways.restore_store();
     sleep(STORE_LAG);
     send_attempts(&mut run, Duration::ZERO);
--- a/standins/tests/spoiled_answers.rs
+++ b/standins/tests/spoiled_answers.rs
@@ -53,6 +53,12 @@
     check_served("lost", BackendFault::LoseResponse);
 }
 
+/// Guards against taking servers for silent that hang in one request and answer health checks late.
+#[test]
+fn requests_at_which_busy_servers_hang_are_served() {
+    check_served("hang", BackendFault::Silence);
+}
+
 /// Guards against taking servers for silent that send garbage and answer health checks late.
 #[test]
 fn requests_whose_responses_busy_servers_garble_are_served() {
