--- a/clementinepickd/src/followed_topic.rs
+++ b/clementinepickd/src/followed_topic.rs
@@ -88,7 +88,7 @@
             self.end = None;
             return Ok(false);
         };
-        self.end = Some(from + read.records.len() as u64);
+        self.end = Some(from.saturating_add(read.count));
         Ok(apply_records(&mut self.records, read.records))
     }
 
--- a/clementinepickd/src/partition_reader.rs
+++ b/clementinepickd/src/partition_reader.rs
@@ -52,7 +52,7 @@
                 return Ok(None);
             };
             // A response may hold fewer records than there are.
-            from += read.records.len() as u64;
+            from = from.saturating_add(read.count);
             take(read.records);
             if from >= read.end {
                 return Ok(Some(from));
