--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -73,6 +73,11 @@
     }
 }
 
+/// The maximum number of bytes of records in one response, unless the first record is larger.
+const MAX_READ_BYTES: usize = 1_048_576;
+/// The bytes before the records of a response to a read.
+const READ_HEAD_BYTES: usize = 16;
+
 type PartitionId = (String, u32);
 
 /// The state of the store.
@@ -182,12 +187,20 @@
 
     /// Writes a record with any bytes.
     pub fn put_bytes(&self, topic: &str, key: &str, value: &[u8]) {
+        self.put_in(topic, 0, key, value);
+    }
+
+    /// Writes a record with any bytes to a partition.
+    pub fn put_in(&self, topic: &str, partition: u32, key: &str, value: &[u8]) {
         let record = StoredRecord {
             key: key.to_owned(),
             value: Bytes::copy_from_slice(value),
         };
         let mut core = lock(&self.core);
-        let partition = core.partitions.entry((topic.to_owned(), 0)).or_default();
+        let partition = core
+            .partitions
+            .entry((topic.to_owned(), partition))
+            .or_default();
         partition.records.push(record);
     }
 
@@ -358,6 +371,9 @@
         body.put_u64(partition.first);
         let skipped = usize::try_from(from).unwrap_or(usize::MAX);
         for record in partition.records.iter().skip(skipped) {
+            if body.len() + record.value.len() > MAX_READ_BYTES && body.len() > READ_HEAD_BYTES {
+                break;
+            }
             let length = 1 + record.key.len() + record.value.len();
             body.put_u32(u32::try_from(length).unwrap_or(u32::MAX));
             body.put_u8(u8::try_from(record.key.len()).unwrap_or(u8::MAX));
@@ -377,9 +393,15 @@
             .into_iter()
             .filter(|(key, _)| after.is_empty() || *key > after)
             .collect();
+        let mut page_bytes = 0;
         let items: Vec<_> = rest
             .iter()
             .take(self.page_items)
+            .take_while(|(_, (_, value))| {
+                let is_first = page_bytes == 0;
+                page_bytes += value.len() + 1;
+                is_first || page_bytes <= MAX_READ_BYTES
+            })
             .map(|(key, (offset, value))| {
                 json!({ "Key": key, "Value": STANDARD.encode(value), "Offset": offset })
             })
--- a/standins/src/soak_process.rs
+++ b/standins/src/soak_process.rs
@@ -209,6 +209,12 @@
         self.child.is_some()
     }
 
+    /// Returns whether the process was started and has not ended.
+    pub fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Kills the process without a graceful shutdown.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/standins/src/wire_server.rs
+++ b/standins/src/wire_server.rs
@@ -20,6 +20,9 @@
 use tokio::task::{JoinSet, LocalSet};
 use tokio_util::codec::Decoder;
 
+/// The time in which bytes that were written arrive.
+const SEND_TIME: Duration = Duration::from_millis(1);
+
 /// A request as it came.
 #[derive(Debug, Clone, Default)]
 pub struct WireRequest {
@@ -48,6 +51,8 @@
     Retry(Duration),
     /// Close the connection.
     Close,
+    /// Reset the connection, a moment after what was written has been sent.
+    Reset,
     /// Write bytes again and again until the connection is closed.
     Repeat(Bytes),
     /// Say nothing more, and keep the connection open.
@@ -306,6 +311,12 @@
                     return;
                 }
                 Step::Close => return,
+                Step::Reset => {
+                    sleep(SEND_TIME).await;
+                    // A connection that can't be reset is closed.
+                    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    return;
+                }
                 Step::Silence => std::future::pending().await,
                 Step::End(delay) => {
                     sleep(delay).await;
