Tell peers of an unproven end without waiting for them

The retry of a response that a live server had lost waited for peers and the store, up to 100 ms, although nothing had been counted. 24, 9 and 5 tests of ended servers, left runs and spoiled answers pass.

--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -211,8 +211,8 @@
         self.add_end(key, server, EndState::Suspected);
     }
 
-    /// Records what is known of a server that lost the response to a request, and returns when peers
-    /// know, if they must.
+    /// Records what is known of a server that lost the response to a request; returns when peers know, if
+    /// any server counts.
     pub(crate) async fn record_state(
         &self,
         key: RequestKey,
@@ -220,17 +220,20 @@
         state: EndState,
     ) {
         self.add_end(key, server, state);
-        let now = self.now_us(Instant::now());
-        let known = &self.ended.known;
-        let is_shared = known
-            .borrow()
-            .get(now, key)
-            .is_some_and(RequestEnds::is_shared);
-        if is_shared {
+        if self.end_count(key, Instant::now()).is_shared() {
             self.share_request(key, &[]).await;
+        } else if self.is_request_shared(key) {
+            self.announce(key, Vec::new());
         }
     }
 
+    /// Returns whether peers must know of a request.
+    fn is_request_shared(&self, key: RequestKey) -> bool {
+        let now = self.now_us(Instant::now());
+        let known = self.ended.known.borrow();
+        known.get(now, key).is_some_and(RequestEnds::is_shared)
+    }
+
     pub(crate) fn add_end(&self, key: RequestKey, server: &ServerStart, state: EndState) {
         let now = self.now_us(Instant::now());
         let end = ServerEnd {
--- a/clementinepickd/src/gateway_left.rs
+++ b/clementinepickd/src/gateway_left.rs
@@ -42,7 +42,8 @@
         Some(shared_run)
     }
 
-    fn announce(&self, key: RequestKey, runs: Vec<OpenRun>) {
+    /// Tells peers what is known of a request, and of runs of it that start, without waiting for them.
+    pub(crate) fn announce(&self, key: RequestKey, runs: Vec<OpenRun>) {
         let request = AnnouncedRequest { key, runs };
         // The receiver ends only with the process.
         let _ = self.updates.send(PeerUpdate::Request(request));
