--- a/clementinepick/tests/ended_servers.rs
+++ b/clementinepick/tests/ended_servers.rs
@@ -447,3 +447,121 @@
         assert_ne!(content.key(), other.key(), "{other:?}");
     }
 }
+
+/// Guards against a server that starts again unseen and is taken for the one that has ended.
+#[test]
+fn a_server_that_accepts_a_run_after_its_end_is_another_start() {
+    let mut ended = EndedServers::default();
+    let listed = list(&[server("i-1", 1)]);
+    let listed = &listed.servers["i-1"];
+    for restarts in 0..MAX_ENDED_SERVERS {
+        let start = ended.current_start(START, key("a"), listed);
+        assert_eq!(start.unlisted_restarts as usize, restarts);
+        ended.record_end(START, key("a"), start.clone());
+        // A peer reports the same end.
+        ended.record_end(START, key("a"), start);
+        assert_eq!(ended.count(START, key("a")), restarts + 1);
+    }
+}
+
+/// Guards against giving up a request for responses that live servers break off.
+#[test]
+fn one_unproven_end_counts_beside_a_known_one() {
+    let mut ended = EndedServers::default();
+    for id in ["i-1", "i-2", "i-3"] {
+        ended.record(START, key("a"), lost(server(id, 1), EndState::Unproven));
+    }
+    assert_eq!(ended.count(START, key("a")), 0);
+    end_servers(&mut ended, key("a"), &["i-4"]);
+    assert_eq!(ended.count(START, key("a")), 2);
+    let all = ["i-1", "i-2", "i-3", "i-4"].map(|id| server(id, 1));
+    let later = START.after(SpanUs::from_s(2));
+    ended.apply_list(later, &list(&all));
+    assert_eq!(ended.count(later, key("a")), 1, "the list shows no restart");
+}
+
+/// Guards against ends that are not recorded because closed connections fill the memory of a request.
+#[test]
+fn unproven_ends_make_room_for_known_ones() {
+    let mut ended = EndedServers::default();
+    for number in 0..20 {
+        let id = format!("i-{number}");
+        ended.record(START, key("a"), lost(server(&id, 1), EndState::Unproven));
+    }
+    end_servers(&mut ended, key("a"), &["e-1", "e-2", "e-3"]);
+    assert!(ended.count(START, key("a")) >= MAX_ENDED_SERVERS);
+}
+
+fn confinement(ended: &EndedServers, now: TimeUs) -> Option<Vec<String>> {
+    let request = ended.get(now, key("a")).expect("a known request");
+    let confined_to = request.confinement(now, None)?;
+    Some(confined_to.into_iter().collect())
+}
+
+/// Guards against callers that leave servers which end later, one after the other.
+#[test]
+fn a_request_that_left_several_servers_runs_only_there() {
+    let mut ended = EndedServers::default();
+    for id in ["i-1", "i-2"] {
+        ended.record(START, key("a"), lost(server(id, 1), EndState::Left));
+    }
+    assert_eq!(confinement(&ended, START), None);
+    assert!(ended.suspected(START).len() == 2, "they are worth asking");
+    end_servers(&mut ended, key("a"), &["i-3"]);
+    assert_eq!(ended.count(START, key("a")), 1);
+    let only = ["i-1", "i-2"].map(str::to_owned).to_vec();
+    assert_eq!(confinement(&ended, START), Some(only));
+    let wait = ended.retry_after(START, key("a"));
+    let later = START.after(wait);
+    assert!(wait <= SpanUs::from_s(3), "{wait:?}");
+    assert_eq!(
+        confinement(&ended, later),
+        None,
+        "they no longer work on it"
+    );
+}
+
+/// Guards against asking servers whenever a caller leaves one.
+#[test]
+fn a_single_left_server_is_not_asked() {
+    let mut ended = EndedServers::default();
+    ended.record(START, key("a"), lost(server("i-1", 1), EndState::Left));
+    assert!(ended.suspected(START).is_empty());
+    assert!(ended.suspected_of(START, key("a"), SpanUs(0)).is_empty());
+    let peers_know = ended.get(START, key("a")).map(RequestEnds::is_shared);
+    assert_eq!(peers_know, Some(true));
+}
+
+/// Guards against counting a server that was left and is then removed as planned.
+#[test]
+fn a_left_server_that_drains_or_goes_on_unlisted_does_not_count() {
+    let mut ended = EndedServers::default();
+    for id in ["i-1", "i-2", "i-3"] {
+        ended.record(START, key("a"), lost(server(id, 1), EndState::Left));
+    }
+    let mut listed = list(&[server("i-1", 1), server("i-3", 2)]);
+    listed.servers.get_mut("i-1").expect("a server").is_draining = true;
+    ended.apply_list(START, &listed);
+    assert_eq!(ended.count(START, key("a")), 1, "i-3 has started again");
+    let unlisted = ended.unlisted_left(START, &listed);
+    assert_eq!(unlisted.into_iter().collect::<Vec<_>>(), [server("i-2", 1)]);
+    ended.remove_left(&server("i-2", 1));
+    ended.apply_list(START, &listed);
+    assert_eq!(ended.count(START, key("a")), 1);
+}
+
+/// Guards against a health check that takes back an end which no list could show.
+#[test]
+fn an_end_without_a_current_list_stays_unless_start_times_are_listed() {
+    let mut ended = EndedServers::default();
+    let unreported = ServerStart {
+        started_unix_ms: None,
+        ..server("i-1", 1)
+    };
+    ended.record_end(START, key("a"), unreported.clone());
+    end_servers(&mut ended, key("a"), &["i-2"]);
+    let later = START.after(SpanUs::from_s(2));
+    let since = |at| ended.doubtful(later, at).into_iter().collect::<Vec<_>>();
+    assert_eq!(since(START), [unreported, server("i-2", 1)]);
+    assert_eq!(since(later), [server("i-2", 1)]);
+}
