Determine the start of a server once for each run

An end that became known while a run was being shared could change the start under which its own end was recorded, so that one end of a server counted twice.

--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -178,17 +178,19 @@
                 }
                 return None;
             };
+            // Ends that become known later may be those of this run.
+            let start = self.start_of(&slot.server);
             let witness = self.open_witness(&slot.server).await;
-            if witness.is_none() && self.start_of(&slot.server).unlisted_restarts > 0 {
+            if witness.is_none() && start.unlisted_restarts > 0 {
                 // It has ended, and not started again yet.
                 slot.record_failure();
                 self.tried_servers.push(slot.server.id.clone());
                 continue;
             }
             let shared_run = if ends.is_shared() {
-                self.share_run(&slot, ends).await
+                self.share_run(&start, ends).await
             } else {
-                self.announce_run(&slot, ends)
+                self.announce_run(&start, ends)
             };
             if shared_run.is_none() && ends.is_shared() {
                 self.release_witness(&slot.server, witness);
@@ -198,7 +200,7 @@
             if !isolated.is_empty() {
                 self.trace.add_field("isolated_from", &isolated.join(","));
             }
-            let run = self.new_run(&slot, ends, shared_run, witness);
+            let run = self.new_run(&slot, start, ends, shared_run, witness);
             self.replace_current(run);
             return Some(slot);
         }
@@ -236,7 +238,8 @@
         }
     }
 
-    fn start_of(&self, server: &BackendServer) -> ServerStart {
+    /// Returns the start of a server that would run the request now.
+    pub(crate) fn start_of(&self, server: &BackendServer) -> ServerStart {
         if self.shared.has_no_ends() {
             return ServerStart::of(server);
         }
@@ -258,35 +261,34 @@
     }
 
     /// Tells peers of a run of a request of which something is known, if they need not agree.
-    pub(crate) fn announce_run(&self, slot: &ServerSlot, ends: EndCount) -> Option<SharedRun> {
+    pub(crate) fn announce_run(&self, start: &ServerStart, ends: EndCount) -> Option<SharedRun> {
         if self.shared.has_no_ends() {
             return None;
         }
         let time_left = to_span(self.routed.time_left(Instant::now()));
         let run = OpenRun {
             id: rand::random(),
-            server: self.start_of(&slot.server),
+            server: start.clone(),
             is_isolated: ends.is_isolated(),
             expires_at: self.shared.now_us(Instant::now()).after(time_left),
         };
         self.shared.announce_run(self.key(), run)
     }
 
-    pub(crate) async fn share_run(&self, slot: &ServerSlot, ends: EndCount) -> Option<SharedRun> {
-        let server = self.start_of(&slot.server);
+    pub(crate) async fn share_run(&self, start: &ServerStart, ends: EndCount) -> Option<SharedRun> {
         let time_left = self.routed.time_left(Instant::now());
-        start_run(self.shared, self.key(), server, ends, time_left).await
+        start_run(self.shared, self.key(), start.clone(), ends, time_left).await
     }
 
     /// Describes a run that starts now.
     pub(crate) fn new_run(
         &self,
         slot: &ServerSlot,
+        start: ServerStart,
         ends: EndCount,
         shared_run: Option<SharedRun>,
         witness: Option<Connection>,
     ) -> CurrentRun {
-        let start = self.start_of(&slot.server);
         let now = Instant::now();
         let time_left = to_span(self.routed.time_left(now));
         let expires_at = self.shared.now_us(now).after(time_left);
--- a/clementinepickd/src/gateway_handover.rs
+++ b/clementinepickd/src/gateway_handover.rs
@@ -242,14 +242,15 @@
         if ends.is_given_up() {
             return Err(NoSuccessor::Isolated);
         }
+        let start = self.start_of(&slot.server);
         let shared_run = if ends.is_shared() {
-            let run = self.share_run(slot, ends).await;
+            let run = self.share_run(&start, ends).await;
             Some(run.ok_or(NoSuccessor::Isolated)?)
         } else {
-            self.announce_run(slot, ends)
+            self.announce_run(&start, ends)
         };
         let witness = self.open_witness(&slot.server).await;
-        Ok(self.new_run(slot, ends, shared_run, witness))
+        Ok(self.new_run(slot, start, ends, shared_run, witness))
     }
 
     /// Sends the request to a successor; returns the run that it takes over from.
--- a/clementinepickd/src/gateway_peer_updates.rs
+++ b/clementinepickd/src/gateway_peer_updates.rs
@@ -104,8 +104,9 @@
     if !batch.origins.is_empty() && !send(&shared, peer, HOLD_PATH, to_cbor(&batch.origins)).await {
         shared.metrics.count_lost_origins(batch.origins.len());
     }
-    if !batch.requests.is_empty() {
-        let requests = shared.known_requests(&batch.requests, Instant::now());
+    // A request may have been answered meanwhile.
+    let requests = shared.known_requests(&batch.requests, Instant::now());
+    if !requests.is_empty() {
         // A peer that does not hear of it loads what others know.
         let _ = send_request::<bool>(&shared, peer, ENDED_HOLD_PATH, to_cbor(&requests)).await;
     }
