Don't prolong the confinement of a request by further runs at the same servers

A caller that returned within three seconds each time stayed confined to three servers that hung, though others were sound. The time counts from the first run that was left there. Found by reading; the test fails before.

--- a/clementinepick/src/request_ends.rs
+++ b/clementinepick/src/request_ends.rs
@@ -131,7 +131,8 @@
     fn yields_to(self, new: Self) -> bool {
         match self {
             Self::Suspected => true,
-            Self::Left => new != Self::Suspected,
+            // Further runs there don't prolong the time in which the server is at risk.
+            Self::Left => !matches!(new, Self::Suspected | Self::Left),
             Self::Unproven | Self::Silent => !matches!(new, Self::Suspected | Self::Left),
             Self::Ended | Self::Confirmed => false,
         }
--- a/clementinepick/tests/ended_servers.rs
+++ b/clementinepick/tests/ended_servers.rs
@@ -521,6 +521,24 @@
     );
 }
 
+/// Guards against a caller that is confined to servers which hang for as long as it returns.
+#[test]
+fn a_request_is_not_confined_for_longer_by_further_runs() {
+    let mut ended = EndedServers::default();
+    let mut now = START;
+    for _ in 0..4 {
+        for id in ["i-1", "i-2", "i-3"] {
+            let end = ServerEnd {
+                lost_at: now,
+                ..lost(server(id, 1), EndState::Left)
+            };
+            ended.record(now, key("a"), end);
+        }
+        now = now.after(SpanUs::from_s(1));
+    }
+    assert_eq!(confinement(&ended, now), None);
+}
+
 /// Guards against asking servers whenever a caller leaves one.
 #[test]
 fn a_single_left_server_is_not_asked() {
