--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -33,6 +33,9 @@
     Silent,
     /// It sends a chunk size without end; nothing is done.
     Endless,
+    /// It does what is asked and cuts each response one byte later than the one before, by a close and
+    /// a reset in turn.
+    Cut,
 }
 
 /// What becomes of an append instead of its answer.
@@ -95,6 +98,8 @@
     /// The calls that came, by path.
     calls: BTreeMap<String, u64>,
     read_limit: Option<ReadLimit>,
+    /// The number of responses that were cut.
+    cuts: usize,
 }
 
 /// A limit on the reads of each second, from all addresses together.
@@ -171,6 +176,12 @@
                     Step::Write(chunked_head(200, &[])),
                     Step::Repeat("0".repeat(4_096).into()),
                 ],
+                StoreMode::Cut => {
+                    let mut core = lock(&core);
+                    let length = core.cuts / 2;
+                    core.cuts += 1;
+                    cut(core.answer(request), length)
+                }
             }
         }))?;
         Ok(StoreEndpoint {
@@ -250,6 +261,12 @@
         }
     }
 
+    /// Returns the number of responses that were cut.
+    #[must_use]
+    pub fn count_cuts(&self) -> usize {
+        lock(&self.core).cuts
+    }
+
     /// The keys in all partitions of the topics whose names begin so.
     #[must_use]
     pub fn keys(&self, topic_start: &str) -> Vec<String> {
@@ -412,6 +429,20 @@
     }
 }
 
+/// Cuts an answer after `length` bytes; one that is shorter is whole.
+fn cut(answer: Script, length: usize) -> Script {
+    let is_reset = length % 2 == 1;
+    let mut steps = answer.into_iter();
+    match steps.next() {
+        Some(Step::Write(bytes)) if length < bytes.len() => vec![
+            Step::Write(bytes.slice(..length)),
+            if is_reset { Step::Reset } else { Step::Close },
+        ],
+        Some(first) => [first].into_iter().chain(steps).collect(),
+        None => Script::new(),
+    }
+}
+
 fn partition_id(request: &WireRequest) -> Option<PartitionId> {
     let topic = request.query.get("Topic")?.clone();
     Some((topic, request.query.get("part")?.parse().ok()?))
--- a/standins/src/process_gateways.rs
+++ b/standins/src/process_gateways.rs
@@ -94,15 +94,18 @@
 
     /// Makes the store unresponsive for all gateways.
     pub fn silence_store(&self) {
-        for endpoint in &self.endpoints {
-            endpoint.set_mode(StoreMode::Silent);
-        }
+        self.set_store_mode(StoreMode::Silent);
     }
 
     /// Makes the store respond again.
     pub fn restore_store(&self) {
+        self.set_store_mode(StoreMode::Serving);
+    }
+
+    /// Sets how the store treats the calls of all gateways.
+    pub fn set_store_mode(&self, mode: StoreMode) {
         for endpoint in &self.endpoints {
-            endpoint.set_mode(StoreMode::Serving);
+            endpoint.set_mode(mode);
         }
     }
 
--- a/standins/tests/odd_entries.rs
+++ b/standins/tests/odd_entries.rs
@@ -3,12 +3,13 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use standins::platform_backend::{BackendSettings, PlatformBackend};
 use standins::platform_caller::{CallerRequest, read_response};
 use standins::platform_run::{MODEL_SERVICE, PLAIN_SERVICE, config, wait_until};
-use standins::platform_store::PlatformStore;
+use standins::platform_store::{PlatformStore, StoreMode};
 use standins::process_gateways::ProcessGateways;
 
 const GATEWAYS: usize = 2;
@@ -16,6 +17,8 @@
 const DEPTH: usize = 500_000;
 /// Likewise, within the limit of a record.
 const OBJECT_DEPTH: usize = 150_000;
+/// The limit for the calls that bring cut responses.
+const MAX_CUT_TIME: Duration = Duration::from_mins(1);
 /// The partitions of each topic.
 const PARTITIONS: u32 = 24;
 const SERVER: &str = r#"{"Service":"plain","Address":"127.0.0.1:9","Zone":"z","Version":"v","Slots":8,"State":"ready","ColdLeftMs":0,"Seq":1}"#;
@@ -278,3 +281,45 @@
     }
     run.assert_following(3);
 }
+
+/// Guards against responses of the store that are cut at any byte of their heads, and are taken for
+/// whole, end a gateway or stop it from following the lists.
+#[test]
+fn cut_responses_of_the_store_are_rejected() {
+    /// Two for each byte of a head and of what follows it.
+    const CUTS: usize = 500;
+    let mut run = OddRun::start("cut-store");
+    run.assert_following(2);
+    run.gateways.set_store_mode(StoreMode::Cut);
+    let started_at = Instant::now();
+    let mut sent = 0;
+    while run.store.count_cuts() < CUTS {
+        assert!(
+            started_at.elapsed() < MAX_CUT_TIME,
+            "{}",
+            run.store.count_cuts()
+        );
+        let requests = (0..16).map(|number| {
+            sent += 1;
+            let id = format!("cut-{sent}");
+            let turn = CallerRequest::turn(&format!("/chat/{id}"), &id, &id, "x");
+            let address = run.gateways.callers(number % GATEWAYS);
+            let mut connection = TcpStream::connect(address).expect("a connection");
+            let turn = turn.with("Connection", "close").bytes();
+            connection.write_all(&turn).expect("a request");
+            (id, connection)
+        });
+        let requests: Vec<_> = requests.collect();
+        for (id, mut connection) in requests {
+            let response = read_response(&mut connection).expect("a response");
+            let is_whole = response.status == 200 && response.is_complete;
+            assert!(!is_whole || response.body.contains(&id), "{response:?}");
+            assert!(
+                is_whole || response.status >= 500 || !response.is_complete,
+                "{response:?}"
+            );
+        }
+    }
+    run.gateways.restore_store();
+    run.assert_following(3);
+}
