--- a/clementinepick/src/request_ends.rs
+++ b/clementinepick/src/request_ends.rs
@@ -292,10 +292,16 @@
                 end.state = EndState::Suspected;
             }
         }
+        let has_known_end = self.ends.iter().any(|end| end.state.is_known_end());
         self.ends.retain(|end| {
-            let has_left_as_planned = end.state == EndState::Left && end.server.is_draining(list);
-            let is_old = now.since(end.lost_at) >= ENTRY_EXPIRY_US;
-            !end.state.is_undecided() || !is_old && !has_left_as_planned
+            let is_recent = now.since(end.lost_at) < ENTRY_EXPIRY_US;
+            match end.state {
+                EndState::Left => is_recent && !end.server.is_draining(list),
+                EndState::Suspected | EndState::Silent => is_recent,
+                // It counts for as long as the known end.
+                EndState::Unproven => is_recent || has_known_end,
+                EndState::Ended | EndState::Confirmed => true,
+            }
         });
         has_found
     }
--- a/clementinepick/tests/ended_servers.rs
+++ b/clementinepick/tests/ended_servers.rs
@@ -480,6 +480,28 @@
     assert_eq!(ended.count(later, key("a")), 1, "the list shows no restart");
 }
 
+/// Guards against a count that falls once a list is current again.
+#[test]
+fn an_unproven_end_counts_as_long_as_the_known_one() {
+    let mut ended = EndedServers::default();
+    let unreported = ServerStart {
+        started_unix_ms: None,
+        ..server("i-1", 1)
+    };
+    let all = list(&[unreported.clone(), server("i-2", 1)]);
+    let later = START.after(SpanUs::from_s(20));
+    for (request, is_known) in [("a", true), ("b", false)] {
+        let end = lost(unreported.clone(), EndState::Unproven);
+        ended.record(START, key(request), end);
+        if is_known {
+            end_servers(&mut ended, key(request), &["i-2"]);
+        }
+    }
+    ended.apply_list(later, &all);
+    assert_eq!(ended.count(later, key("a")), 2);
+    assert!(ended.get(later, key("b")).is_none());
+}
+
 /// Guards against ends that are not recorded because closed connections fill the memory of a request.
 #[test]
 fn unproven_ends_make_room_for_known_ones() {
