Keep servers without power silent after their replacements have started

The fleet of the stand-ins had ended them since, in order to free the address for a server that returns there: later attempts to connect were refused instead of unanswered, which made the tests of lost power easier than they had been. It does so only where the replacement needs the address. The 11 tests of power_loss.rs and 9 of restarted_gateways.rs pass.

--- a/standins/src/server_fleet.rs
+++ b/standins/src/server_fleet.rs
@@ -200,7 +200,10 @@
                 .is_some_and(|at| now.duration_since(at) >= delay)
             {
                 server.is_replaced = true;
-                server.backend.join();
+                if self.settings.restart_id == RestartId::Unchanged {
+                    // One without power would hold the address.
+                    server.backend.join();
+                }
                 due.push((server.id.clone(), server.backend.address));
             }
         }
