Forget left runs after ten seconds, also while no list is current

A run that a caller left kept its request in the memory of each gateway for 300 s while the store was away. At a hundred a second these exceed its 16,384 requests, and those that had ended servers would have been forgotten first. Found by reading; left_runs_are_forgotten_without_a_list failed before (3 requests for 1).

--- a/clementinepick/src/ended_servers.rs
+++ b/clementinepick/src/ended_servers.rs
@@ -25,7 +25,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::expiring_map::ExpiringMap;
-use crate::request_ends::LIST_LAG_US;
+use crate::request_ends::{ENTRY_EXPIRY_US, LIST_LAG_US};
 use crate::request_key::RequestKey;
 use crate::server_list::{BackendServer, ServerList};
 use crate::units::{SpanUs, TimeUs};
@@ -56,6 +56,16 @@
     }
 }
 
+/// Returns how long a request is remembered because of `ends`: servers that it only left matter for
+/// as long as they may end.
+fn retention(ends: &[ServerEnd]) -> SpanUs {
+    if ends.iter().all(|end| end.state == EndState::Left) {
+        ENTRY_EXPIRY_US
+    } else {
+        RETENTION_US
+    }
+}
+
 impl EndedServers {
     /// Returns what is known of a request.
     #[must_use]
@@ -102,7 +112,8 @@
 
     /// Records that a server lost a response and has ended, or may have.
     pub fn record(&mut self, now: TimeUs, key: RequestKey, end: ServerEnd) {
-        self.change(now, key, |request| request.add_end(end));
+        let expires_at = now.after(retention(std::slice::from_ref(&end)));
+        self.change_until(now, key, expires_at, |request| request.add_end(end));
     }
 
     /// Records that a server has ended under a request.
@@ -179,7 +190,8 @@
         if known.ends.is_empty() && known.runs.is_empty() {
             return true;
         }
-        self.change(now, key, |request| {
+        let expires_at = now.after(retention(&known.ends));
+        self.change_until(now, key, expires_at, |request| {
             for end in known.ends {
                 request.add_end(end);
             }
--- a/clementinepick/src/request_ends.rs
+++ b/clementinepick/src/request_ends.rs
@@ -15,7 +15,7 @@
 const MAX_OF_REQUEST: usize = 8;
 /// How long a server that lost a response stays listed if it has ended, at most: three heartbeats
 /// and the age of the list.
-const ENTRY_EXPIRY_US: SpanUs = SpanUs::from_s(10);
+pub(crate) const ENTRY_EXPIRY_US: SpanUs = SpanUs::from_s(10);
 /// The maximum age of the list of servers. A server that started again under its id is listed with
 /// its new start time after this long.
 pub(crate) const LIST_LAG_US: SpanUs = SpanUs::from_s(2);
--- a/clementinepick/tests/ended_servers.rs
+++ b/clementinepick/tests/ended_servers.rs
@@ -605,3 +605,19 @@
     assert_eq!(since(START), [unreported, server("i-2", 1)]);
     assert_eq!(since(later), [server("i-2", 1)]);
 }
+
+/// Guards against left runs that push counted requests out of the memory while no list is current.
+#[test]
+fn left_runs_are_forgotten_without_a_list() {
+    let mut ended = EndedServers::default();
+    ended.record(START, key("a"), lost(server("i-1", 1), EndState::Left));
+    let from_peer = RequestEnds {
+        ends: vec![lost(server("i-1", 1), EndState::Left)],
+        runs: Vec::new(),
+    };
+    ended.merge(START, key("b"), from_peer);
+    end_servers(&mut ended, key("c"), &["i-1"]);
+    ended.expire(START.after(SpanUs::from_s(10)));
+    assert_eq!(ended.len(), 1);
+    assert_eq!(ended.count(START, key("c")), 1);
+}
--- a/clementinepickd/src/gateway_request_log.rs
+++ b/clementinepickd/src/gateway_request_log.rs
@@ -171,11 +171,9 @@
 
     /// Returns the records of runs that were given up lately.
     fn left_records(&self, now: Instant, now_unix_ms: u64) -> Vec<RunRecord> {
-        let left = self.left.borrow();
-        let is_recent =
-            |run: &&LeftRun| now.saturating_duration_since(run.left_at) < LEFT_RETENTION;
-        let recent = left.iter().rev().filter(is_recent).take(MAX_LEFT_RUNS);
-        let records = recent.map(|run| RunRecord {
+        let mut left = self.left.borrow_mut();
+        left.retain(|run| now.saturating_duration_since(run.left_at) < LEFT_RETENTION);
+        let records = left.iter().rev().take(MAX_LEFT_RUNS).map(|run| RunRecord {
             key: run.key,
             id: rand::random(),
             is_isolated: false,
