Don't take a server that spoiled a response for ended if it leaves the list long afterwards

A server that has not ended within ten seconds, the time in which its entry expires, is neither asked nor confirmed; it counts as before, once. While the store was away, servers were asked for longer than that, too. Found by reading; old_unproven_ends_do_not_become_known_ones failed before.

--- a/clementinepick/src/ended_servers.rs
+++ b/clementinepick/src/ended_servers.rs
@@ -222,8 +222,8 @@
         };
         let is_confined = request.confinement(now, None).is_some();
         let suspected = request.ends.iter().filter(|end| match end.state {
-            EndState::Left => is_confined,
-            state => state.is_undecided(),
+            EndState::Left => is_confined && end.may_end(now),
+            _ => end.may_end(now),
         });
         suspected
             .filter(|end| now.since(end.lost_at) >= age)
@@ -244,7 +244,7 @@
         let mut suspected = BTreeMap::new();
         let ends = self.requests.iter(now).flat_map(|(_, request)| {
             let ends = request.ends.iter();
-            ends.filter(|end| request.is_worth_asking(end))
+            ends.filter(|end| request.is_worth_asking(now, end))
         });
         for end in ends {
             let lost_at = suspected.entry(end.server.clone()).or_default();
--- a/clementinepick/src/request_ends.rs
+++ b/clementinepick/src/request_ends.rs
@@ -150,6 +150,19 @@
     pub state: EndState,
 }
 
+impl ServerEnd {
+    /// Returns whether the server may have ended under the request: one that did not within the time in
+    /// which its entry expires ended for another reason, if at all.
+    pub(crate) fn may_end(&self, now: TimeUs) -> bool {
+        let is_recent = now.since(self.lost_at) < ENTRY_EXPIRY_US;
+        match self.state {
+            EndState::Left | EndState::Suspected | EndState::Unproven => is_recent,
+            EndState::Silent => true,
+            EndState::Ended | EndState::Confirmed => false,
+        }
+    }
+}
+
 /// A run of a request under which a server has ended before.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OpenRun {
@@ -262,13 +275,9 @@
 
     /// Returns whether a server that may have ended has to be asked: one that was left only if the
     /// request has met several such servers.
-    pub(crate) fn is_worth_asking(&self, end: &ServerEnd) -> bool {
+    pub(crate) fn is_worth_asking(&self, now: TimeUs, end: &ServerEnd) -> bool {
         let left = || self.ends.iter().filter(|end| end.state == EndState::Left);
-        match end.state {
-            EndState::Left => self.count() + left().count() > 1,
-            EndState::Suspected | EndState::Unproven | EndState::Silent => true,
-            EndState::Ended | EndState::Confirmed => false,
-        }
+        end.may_end(now) && (end.state != EndState::Left || self.count() + left().count() > 1)
     }
 
     /// Updates the states of the servers by a current list of servers; returns whether one that may
@@ -280,7 +289,8 @@
             let is_absent = !list.servers.contains_key(&end.server.id);
             // A server that works on a run that was left may have gone as planned.
             let may_go_on = end.state == EndState::Left && is_absent;
-            if !may_go_on && !end.server.is_listed(list) {
+            let may_have_ended = end.state.is_known_end() || end.may_end(now);
+            if may_have_ended && !may_go_on && !end.server.is_listed(list) {
                 has_found |= end.state.is_undecided();
                 end.state = EndState::Confirmed;
             }
--- a/clementinepick/tests/ended_servers.rs
+++ b/clementinepick/tests/ended_servers.rs
@@ -621,3 +621,24 @@
     assert_eq!(ended.len(), 1);
     assert_eq!(ended.count(START, key("c")), 1);
 }
+
+/// Guards against refusing a request because servers that spoiled its responses leave as planned later.
+#[test]
+fn old_unproven_ends_do_not_become_known_ones() {
+    let mut ended = EndedServers::default();
+    end_servers(&mut ended, key("a"), &["i-1"]);
+    let unproven = ["i-2", "i-3"].map(|id| ServerStart {
+        started_unix_ms: None,
+        ..server(id, 1)
+    });
+    for start in &unproven {
+        ended.record(START, key("a"), lost(start.clone(), EndState::Unproven));
+    }
+    let all = list(&[server("i-1", 1), unproven[0].clone(), unproven[1].clone()]);
+    let later = START.after(SpanUs::from_s(20));
+    ended.apply_list(later, &all);
+    assert!(ended.suspected_of(later, key("a"), SpanUs(0)).is_empty());
+    assert!(ended.suspected(later).is_empty());
+    ended.apply_list(later, &list(&[server("i-1", 1)]));
+    assert_eq!(ended.count(later, key("a")), 2);
+}
