Don't make requests of the same content wait for each other before any of them has ended a server

Runs of a request that a caller has left are told to peers, and three of them made each further attempt wait for up to 600 ms, though many callers may send the same lookup. They wait only once a server has ended; until then, the request is confined to the servers where it runs. A confined request that is refused is told to return when one of its runs is over, not at once.

--- a/clementinepick/src/request_ends.rs
+++ b/clementinepick/src/request_ends.rs
@@ -253,11 +253,14 @@
         is_confined.then(|| at_risk.into_iter().map(str::to_owned).collect())
     }
 
-    /// Returns how long it takes until one of the servers that may still work on the request no longer
-    /// does.
+    /// Returns how long it takes until one of the servers that run the request, or may still work on it,
+    /// does so no longer.
     #[must_use]
     pub fn confinement_left(&self, now: TimeUs) -> Option<SpanUs> {
-        self.left(now).map(|(_, left)| left).min()
+        let left = self.left(now).map(|(_, left)| left);
+        let runs = self.runs.iter().filter(|run| now < run.expires_at);
+        let runs = runs.map(|run| run.expires_at.since(now));
+        left.chain(runs).min()
     }
 
     /// Returns the servers that were left with a run and are listed no longer.
--- a/clementinepick/tests/ended_servers.rs
+++ b/clementinepick/tests/ended_servers.rs
@@ -642,3 +642,16 @@
     ended.apply_list(later, &list(&[server("i-1", 1)]));
     assert_eq!(ended.count(later, key("a")), 2);
 }
+
+/// Guards against a caller that is told to return at once to a request which still runs.
+#[test]
+fn a_confined_request_waits_for_its_runs() {
+    let mut ended = EndedServers::default();
+    for (id, name) in [(1, "i-1"), (2, "i-2")] {
+        assert!(ended.start_run(START, key("a"), run(id, server(name, 1), false)));
+    }
+    ended.record(START, key("a"), lost(server("i-3", 1), EndState::Suspected));
+    end_servers(&mut ended, key("a"), &["i-4"]);
+    assert!(confinement(&ended, START).is_some());
+    assert_eq!(ended.retry_after(START, key("a")), SpanUs::from_s(4));
+}
--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -386,13 +386,14 @@
         known.start_run(now, key, run.clone())
     }
 
-    /// Returns the runs of a request for whose outcome its next run must wait: they would be the
-    /// last ones if their servers have ended.
+    /// Returns the runs of a request that has ended servers for whose outcome its next run must wait:
+    /// they would be the last ones if their servers have ended.
     pub(crate) fn decisive_runs(&self, key: RequestKey, now: Instant) -> Vec<OpenRun> {
         let now = self.now_us(now);
         let known = self.ended.known.borrow();
         let mut runs = known.open_runs(now, key);
-        if known.count(now, key) + runs.len() < MAX_ENDED_SERVERS {
+        let count = known.count(now, key);
+        if count == 0 || count + runs.len() < MAX_ENDED_SERVERS {
             runs.clear();
         }
         runs
--- a/standins/tests/ending_run/mod.rs
+++ b/standins/tests/ending_run/mod.rs
@@ -174,6 +174,12 @@
         let _ = read_response(&mut request.connection);
     }
 
+    /// Reads the response of a request; returns whether it is whole.
+    pub fn is_complete(mut begun: BegunRequest) -> bool {
+        let response = read_response(&mut begun.connection);
+        response.is_ok_and(|r| r.status == 200 && r.is_complete)
+    }
+
     /// Begins a request that ends no server; the kinds take turns.
     pub fn begin_beside(&self, number: usize) -> BegunRequest {
         let kind = [Kind::Draft, Kind::Turn, Kind::Call][number % 3];
--- a/standins/tests/left_runs.rs
+++ b/standins/tests/left_runs.rs
@@ -197,3 +197,32 @@
         }
     }
 }
+
+/// Guards against requests of the same content that wait for each other after a caller has left one.
+#[test]
+fn requests_of_one_content_run_side_by_side() {
+    const SIDE_BY_SIDE: usize = 12;
+    /// A stream takes 12 pauses of 60 ms.
+    const LIMIT: Duration = Duration::from_millis(1_250);
+    let run = EndingRun::start("left-same", EndingSettings::default());
+    run.slow_down();
+    let left = run.begin_harmless(Kind::Draft, 0, "left");
+    sleep(Duration::from_millis(150));
+    drop(left);
+    sleep(Duration::from_millis(20));
+    let sent_at = Instant::now();
+    let begun: Vec<_> = (0..SIDE_BY_SIDE)
+        .map(|number| {
+            let id = format!("same-{number}");
+            let begun = run.begin_harmless(Kind::Draft, number % GATEWAYS, &id);
+            sleep(Duration::from_millis(20));
+            begun
+        })
+        .collect();
+    for request in begun {
+        let id = request.id.clone();
+        assert!(EndingRun::is_complete(request), "{id} was not served");
+    }
+    let took = sent_at.elapsed();
+    assert!(took < LIMIT, "{took:?}");
+}
