Open witnesses only for requests that have lost responses, and tell their loss from a limit of connections

Each further run of a request that a caller had left opened a second connection to its server, which doubles their number when many callers leave. A left run needs no witness. A server at its limit of connections resets further ones: a witness that is reset before the run, or whose server resets a health check as well, proves no end.

--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -187,25 +187,39 @@
                 self.tried_servers.push(slot.server.id.clone());
                 continue;
             }
-            let shared_run = if ends.is_shared() {
-                self.share_run(&start, ends).await
-            } else {
-                self.announce_run(&start, ends)
-            };
-            if shared_run.is_none() && ends.is_shared() {
-                self.release_witness(&slot.server, witness);
+            let Some(run) = self.begin_run(&slot, start, ends, witness).await else {
                 self.pause_start().await;
                 continue;
-            }
+            };
             if !isolated.is_empty() {
                 self.trace.add_field("isolated_from", &isolated.join(","));
             }
-            let run = self.new_run(&slot, start, ends, shared_run, witness);
             self.replace_current(run);
             return Some(slot);
         }
     }
 
+    /// Tells peers of a run at the server of `slot`, if they must know; `None` if one of them objects.
+    async fn begin_run(
+        &self,
+        slot: &ServerSlot,
+        start: ServerStart,
+        ends: EndCount,
+        witness: Option<Connection>,
+    ) -> Option<CurrentRun> {
+        let shared_run = if ends.is_shared() {
+            let shared_run = self.share_run(&start, ends).await;
+            if shared_run.is_none() {
+                self.release_witness(&slot.server, witness);
+                return None;
+            }
+            shared_run
+        } else {
+            self.announce_run(&start, ends)
+        };
+        Some(self.new_run(slot, start, ends, shared_run, witness))
+    }
+
     /// Waits before the request tries again to start a run.
     async fn pause_start(&self) {
         sleep(Duration::from_millis(random_range(START_RETRY_MS))).await;
@@ -248,7 +262,7 @@
 
     /// Opens a witness for the run of a request of which it is known that it lost responses.
     pub(crate) async fn open_witness(&self, server: &BackendServer) -> Option<Connection> {
-        if self.shared.has_no_ends() || !self.shared.has_ends_of(self.key()) {
+        if self.shared.has_no_ends() || !self.shared.has_lost_responses(self.key()) {
             return None;
         }
         self.shared.open_witness(server.address).await
@@ -302,7 +316,8 @@
             server: slot.server.clone(),
             start,
             started_at: now,
-            witness: RefCell::new(witness),
+            // A server at its limit of connections resets further ones.
+            witness: RefCell::new(witness.filter(Connection::is_healthy)),
             ended_before: ends,
             shared_run,
             _running: self.shared.record_run(self.key(), run),
--- a/clementinepickd/src/gateway_left.rs
+++ b/clementinepickd/src/gateway_left.rs
@@ -61,6 +61,14 @@
         self.ended.known.borrow().get(now, key).is_some()
     }
 
+    /// Returns whether a request has lost responses, as opposed to runs that were only given up.
+    pub(crate) fn has_lost_responses(&self, key: RequestKey) -> bool {
+        let now = self.now_us(Instant::now());
+        let known = self.ended.known.borrow();
+        let ends = known.get(now, key).into_iter().flat_map(|r| &r.ends);
+        ends.into_iter().any(|end| end.state != EndState::Left)
+    }
+
     /// Returns the ids of the only servers at which a request may run, if it must not put another one at
     /// risk; the server `running` is already.
     pub(crate) fn confinement(
--- a/clementinepickd/src/gateway_witness.rs
+++ b/clementinepickd/src/gateway_witness.rs
@@ -30,7 +30,7 @@
     /// none within a short time.
     pub(crate) async fn open_witness(&self, address: SocketAddr) -> Option<Connection> {
         let opened = self.pool.acquire(address, OPEN_TIMEOUT, Instant::now());
-        // Without a witness, the run may be told less certainly from one that ended its server.
+        // A failure costs certainty only: the end of the server may be unproven.
         opened.await.ok()
     }
 
@@ -50,15 +50,17 @@
             Some(witness) => check_witness(witness, server, health_path).await,
             None => WitnessState::Unclear,
         };
-        match state {
-            WitnessState::Intact => return ServerFate::Alive,
-            // The server may have closed a connection that was idle for longer.
-            WitnessState::Broken
-                if is_kept && !self.pool.are_others_broken(address, started_at) =>
-            {
-                return ServerFate::Ended;
-            }
-            WitnessState::Broken | WitnessState::Unclear => {}
+        if state == WitnessState::Intact {
+            return ServerFate::Alive;
+        }
+        // The server may have closed a connection that was idle for longer.
+        let is_broken = state == WitnessState::Broken && is_kept;
+        if is_broken && !self.pool.are_others_broken(address, started_at) {
+            // One that resets further connections, too, is at their limit.
+            return match probe(address, &server.id, health_path).await {
+                ServerFate::Alive | ServerFate::Responding | ServerFate::Ended => ServerFate::Ended,
+                fate @ (ServerFate::Accepting | ServerFate::Unknown) => fate,
+            };
         }
         if self.is_heard(server, Instant::now()) {
             return ServerFate::Responding;
--- a/standins/tests/cut_responses.rs
+++ b/standins/tests/cut_responses.rs
@@ -94,7 +94,7 @@
     }
 }
 
-/// A server that breaks off each response as told.
+/// A server that cuts each response.
 #[derive(Default)]
 struct CuttingServer {
     cut: Mutex<Cut>,
