--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -20,6 +20,7 @@
 use crate::gateway_trace::Trace;
 use crate::link::to_span;
 use crate::outbound::Connection;
+use crate::safeguard::Safeguard;
 use crate::server_probe::ServerFate;
 
 /// The shortest and longest wait, in milliseconds, until a request whose run may not start tries
@@ -237,7 +238,8 @@
 
     /// Returns where the next run may be, beside a run at the server `running`.
     pub(crate) fn server_filter(&self, isolated: &[String], running: Option<&str>) -> ServerFilter {
-        let confined_to = if self.shared.has_no_ends() {
+        let is_disabled = Safeguard::EndedServers.is_disabled();
+        let confined_to = if is_disabled || self.shared.has_no_ends() {
             None
         } else {
             self.shared.confinement(self.key(), running)
