Return unused budget at a planned shutdown

Callers saw: a rolling restart of three gateways ended programs with 402 with about half of their budgets unspent. A gateway reserves slices in advance, and at a planned shutdown recorded only the used parts of standing slices of programs without records; all other unused tokens counted as used for good, and the next gateway reserved anew from what was left.

A gateway that ends now takes all tokens that no turn needs out of its slices and appends, for each program, a slice of no tokens that returns them. What a first home grants beyond its standing slice is counted by no record and is not returned. If the append fails, the tokens count as used, as before.

The property test of budgets has shutdowns among its steps.

--- a/clementinepick/src/budget_ledger.rs
+++ b/clementinepick/src/budget_ledger.rs
@@ -70,6 +70,9 @@
     /// The numbers of the homes that have those standing slices.
     #[serde(rename = "o", default, skip_serializing_if = "BTreeSet::is_empty")]
     pub homes: BTreeSet<u64>,
+    /// The number of tokens that the writer gives back of what the program's records count.
+    #[serde(rename = "u", default, skip_serializing_if = "is_zero")]
+    pub returned: Tokens,
 }
 
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde calls it so")]
@@ -184,8 +187,10 @@
 }
 
 impl ProgramView {
-    fn slice_sum(&self) -> Tokens {
-        self.slices.values().map(|slice| slice.tokens).sum()
+    fn reserved(&self) -> Tokens {
+        let granted: Tokens = self.slices.values().map(|slice| slice.tokens).sum();
+        let returned = self.slices.values().map(|slice| slice.returned).sum();
+        Tokens(granted.0 + self.standing.0).saturating_sub(returned)
     }
 }
 
@@ -193,6 +198,7 @@
 struct Slice {
     tokens: Tokens,
     holder: Option<SocketAddr>,
+    returned: Tokens,
 }
 
 impl BudgetView {
@@ -219,6 +225,7 @@
         let slice = Slice {
             tokens: record.tokens,
             holder: record.holder,
+            returned: record.returned,
         };
         program.slices.insert(key.to_owned(), slice);
     }
@@ -240,6 +247,13 @@
         self.homes.contains_key(key)
     }
 
+    /// Whether the partition has a slice with this key.
+    #[must_use]
+    pub fn has_slice(&self, key: &str) -> bool {
+        let mut programs = self.programs.values();
+        programs.any(|program| program.slices.contains_key(key))
+    }
+
     /// Returns the size of the slice with this key, if the partition has it.
     #[must_use]
     pub fn slice_tokens(&self, program: &str, key: &str) -> Option<Tokens> {
@@ -247,12 +261,12 @@
         Some(slice.tokens)
     }
 
-    /// Returns the reserved part of a program's budget: its slices, and the standing slices of
-    /// homes.
+    /// Returns the reserved part of a program's budget: its slices and the standing slices of homes,
+    /// less what was returned of them.
     #[must_use]
     pub fn reserved(&self, program: &str, budget: Tokens) -> Tokens {
         match self.programs.get(program) {
-            Some(known) => Tokens(known.slice_sum().0 + known.standing.0),
+            Some(known) => known.reserved(),
             None => self.homes.values().map(|home| home.standing(budget)).sum(),
         }
     }
@@ -426,6 +440,9 @@
     /// The tokens taken out of `granted` for turns that other processes run, less what they
     /// returned.
     pub handed_over: Tokens,
+    /// The part of `granted` that no record counts: what a first home grants beyond its standing
+    /// slice.
+    pub uncounted: Tokens,
 }
 
 impl ProgramSlices {
@@ -484,6 +501,22 @@
         used
     }
 
+    /// Adds a home's standing slice, of which records count `counted`.
+    pub fn grant_standing(&mut self, tokens: Tokens, counted: Tokens) {
+        self.standing = tokens;
+        self.granted.0 += tokens.0;
+        self.uncounted.0 += tokens.saturating_sub(counted).0;
+    }
+
+    /// Gives up all tokens that no turn needs, and returns how many of them the program's records
+    /// count.
+    pub fn release_unused(&mut self) -> Tokens {
+        let committed = Tokens(self.spent.0 + self.outstanding.0);
+        let free = self.granted.saturating_sub(committed);
+        self.granted = self.granted.saturating_sub(free);
+        free.saturating_sub(self.uncounted)
+    }
+
     /// Transfers a started turn to another process, which runs it.
     pub fn hand_over(&mut self, turn: Tokens) {
         self.outstanding = self.outstanding.saturating_sub(turn);
--- a/clementinepick/tests/budget_ledger.rs
+++ b/clementinepick/tests/budget_ledger.rs
@@ -2,7 +2,7 @@
 
 use clementinepick::budget_ledger::{
     BudgetRecord, BudgetView, HOME_LEASE_MS, HomeRecord, ProgramSlices, SliceDecision, SliceRecord,
-    expired_keys, first_grant, home_key,
+    expired_keys, first_grant, home_key, standing_slice,
 };
 use clementinepick::units::Tokens;
 use proptest::prelude::*;
@@ -97,8 +97,8 @@
         if self.standing_home != Some(number) && self.view.has_standing_slice("p", number) {
             let tokens = first_grant(budget, halvings, max_turn);
             self.standing_home = Some(number);
-            self.slices.standing = tokens;
-            self.slices.granted.0 += tokens.0;
+            self.slices
+                .grant_standing(tokens, standing_slice(budget, halvings));
         }
     }
 
@@ -137,9 +137,32 @@
     }
 }
 
+impl Process {
+    /// Returns all unused tokens that records count, and stops being a home.
+    fn shut_down(&mut self, name: usize, partition: &mut Partition, budget: Tokens) {
+        let standing_home = self.standing_home;
+        let is_counted = standing_home.is_none_or(|home| self.view.has_standing_slice("p", home));
+        let mut unused = Tokens(0);
+        if self.view.has_program("p") && is_counted {
+            unused = self.slices.release_unused();
+        }
+        self.release(name, partition, budget);
+        if unused > Tokens(0) {
+            partition.read_on(&mut self.view);
+            let record = SliceRecord {
+                returned: unused,
+                ..self.view.slice("p", budget, Tokens(0))
+            };
+            let records = vec![(self.key(name), Some(BudgetRecord::Slice(record)))];
+            assert!(partition.append(self.view.end, records));
+        }
+    }
+}
+
 /// A step of one process.
 #[derive(Debug, Clone)]
 enum Step {
+    ShutDown,
     Turn { percent: u64 },
     LendToNext { percent: u64 },
     Crash,
@@ -153,6 +176,7 @@
         6 => (0_u64..=100).prop_map(|percent| Step::Turn { percent }),
         2 => (0_u64..=100).prop_map(|percent| Step::LendToNext { percent }),
         1 => Just(Step::Crash),
+        2 => Just(Step::ShutDown),
         2 => Just(Step::BecomeHome),
         1 => Just(Step::Release),
         1 => Just(Step::FailToRelease),
@@ -163,8 +187,8 @@
     #![proptest_config(ProptestConfig::with_cases(2_000))]
 
     /// Processes run turns, transfer turns and take back their unused tokens, become homes
-    /// concurrently or repeatedly, stop with or without a record, or are lost. Together they never
-    /// deliver more than the budget and one turn.
+    /// concurrently or repeatedly, stop with or without a record, shut down and return what they
+    /// hold, or are lost. Together they never deliver more than the budget and one turn.
     #[test]
     fn processes_never_exceed_a_budget(
         budget in 1_u64..5_000,
@@ -192,6 +216,10 @@
                         process.slices.take_back(Tokens(max_turn - spent));
                     }
                 }
+                Step::ShutDown => {
+                    process.shut_down(name, &mut partition, program.budget);
+                    *process = Process { sequence: number as u64 * 1_000, ..Process::default() };
+                }
                 Step::Crash => {
                     *process = Process { sequence: number as u64 * 1_000, ..Process::default() };
                 }
@@ -400,3 +428,47 @@
     }
     assert_eq!(turns, 8);
 }
+
+/// Guards against planned restarts that use up a budget.
+#[test]
+fn processes_that_shut_down_return_what_they_have_not_used() {
+    let program = Program {
+        budget: Tokens(4_000),
+        max_turn: Tokens(500),
+    };
+    let mut partition = Partition::default();
+    let mut turns = 0;
+    loop {
+        let mut process = Process {
+            sequence: turns * 1_000,
+            ..Process::default()
+        };
+        process.become_home(0, &mut partition);
+        if !process.turn(0, &mut partition, program, Tokens(250)) {
+            break;
+        }
+        turns += 1;
+        process.shut_down(0, &mut partition, program.budget);
+    }
+    assert_eq!(turns, 16);
+}
+
+/// Guards against a return of tokens that were never reserved, which the program would get twice.
+#[test]
+fn what_a_first_home_grants_beyond_its_standing_slice_is_not_returned() {
+    let program = Program {
+        budget: Tokens(1_000),
+        max_turn: Tokens(500),
+    };
+    let mut partition = Partition::default();
+    let (mut home, mut other) = (Process::default(), Process::default());
+    home.become_home(0, &mut partition);
+    assert!(home.turn(0, &mut partition, program, Tokens(100)));
+    other.view = home.view.clone();
+    assert!(other.turn(1, &mut partition, program, Tokens(500)));
+    partition.read_on(&mut home.view);
+    home.shut_down(0, &mut partition, program.budget);
+    partition.read_on(&mut other.view);
+    let reserved = other.view.reserved("p", program.budget);
+    assert_eq!(reserved, Tokens(500 + 100));
+}
--- a/clementinepickd/src/ledger_budgets.rs
+++ b/clementinepickd/src/ledger_budgets.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use clementinepick::budget_ledger::{
-    BudgetRecord, ProgramSlices, SliceDecision, SliceRecord, first_grant,
+    BudgetRecord, ProgramSlices, SliceDecision, SliceRecord, first_grant, standing_slice,
 };
 use clementinepick::record_expiry::RETENTION_FACTOR;
 use clementinepick::server_selection::PromptPart;
@@ -66,13 +66,13 @@
 }
 
 #[derive(Default)]
-struct ProgramBudget {
-    slices: ProgramSlices,
+pub(crate) struct ProgramBudget {
+    pub(crate) slices: ProgramSlices,
     /// The number of the home of this process whose standing slice is in `slices`.
-    standing_home: Option<u64>,
+    pub(crate) standing_home: Option<u64>,
     used_at: Option<Instant>,
-    retention: Duration,
-    budget: Tokens,
+    pub(crate) retention: Duration,
+    pub(crate) budget: Tokens,
     /// When this process last wrote a record for the program, or started the program without one.
     recorded_at: Option<Instant>,
 }
@@ -84,7 +84,7 @@
     pub(crate) writer: String,
     /// The address at which peers can borrow unused tokens.
     pub(crate) address: SocketAddr,
-    programs: RefCell<BTreeMap<String, ProgramBudget>>,
+    pub(crate) programs: RefCell<BTreeMap<String, ProgramBudget>>,
     pub(crate) partitions: RefCell<BTreeMap<Partition, Rc<PartitionState>>>,
     sequence: Cell<u64>,
     /// The moving average of tokens per turn; `None` before the first turn.
@@ -339,8 +339,8 @@
         let tokens = first_grant(request.budget, home.halvings, request.turn);
         program.budget = request.budget;
         program.standing_home = Some(home.number);
-        program.slices.standing = tokens;
-        program.slices.granted.0 += tokens.0;
+        let counted = standing_slice(request.budget, home.halvings);
+        program.slices.grant_standing(tokens, counted);
         if !view.has_program(request.program) {
             program.recorded_at = Some(now);
         }
@@ -355,7 +355,7 @@
                 .is_some_and(|home| home.has_lease(now))
     }
 
-    fn slice_key(&self, program: &str) -> String {
+    pub(crate) fn slice_key(&self, program: &str) -> String {
         self.sequence.set(self.sequence.get() + 1);
         let sequence = self.sequence.get();
         let key = format!("{program}/{}/{sequence}", self.writer);
@@ -441,31 +441,6 @@
         self.try_start(request, Instant::now())
     }
 
-    /// Ends the standing slices of a partition; returns the programs without a record in it that
-    /// used theirs.
-    pub(crate) fn release_standing(&self, partition: Partition) -> Vec<UsedStanding> {
-        let state = self.partition(partition, Instant::now());
-        let view = state.view.borrow();
-        let mut used = Vec::new();
-        for (name, program) in self.programs.borrow_mut().iter_mut() {
-            let is_in_partition = self.store.budget_partition(name) == partition;
-            if !is_in_partition || program.slices.standing == Tokens(0) {
-                continue;
-            }
-            let tokens = program.slices.release_standing();
-            if tokens > Tokens(0) && !view.has_program(name) {
-                used.push(UsedStanding {
-                    program: name.clone(),
-                    key: self.slice_key(name),
-                    budget: program.budget,
-                    tokens,
-                    retain_ms: u64::try_from(program.retention.as_millis()).unwrap_or(u64::MAX),
-                });
-            }
-        }
-        used
-    }
-
     /// Drops programs and partitions that were not used for long.
     ///
     /// A program is kept as long as its records would be: a home that dropped it earlier would
@@ -495,14 +470,3 @@
         self.programs.borrow().len()
     }
 }
-
-/// The used part of a program's standing slice that no record counts yet.
-#[derive(Debug, Clone)]
-pub(crate) struct UsedStanding {
-    pub(crate) program: String,
-    /// The key for the record.
-    pub(crate) key: String,
-    pub(crate) budget: Tokens,
-    pub(crate) tokens: Tokens,
-    pub(crate) retain_ms: u64,
-}
--- a/clementinepickd/src/ledger_homes.rs
+++ b/clementinepickd/src/ledger_homes.rs
@@ -10,16 +10,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use clementinepick::budget_ledger::{BudgetRecord, BudgetView, HomeRecord, SliceRecord};
+use clementinepick::budget_ledger::{BudgetRecord, BudgetView, HomeRecord};
 use clementinepick::peer_liveness::PeerLiveness;
 use clementinepick::rendezvous::first_address;
 use clementinepick::units::SpanUs;
-use futures_util::future::join_all;
 use platform::store::KeyedRecord;
 
 use crate::directory::PeerEntry;
 use crate::ledger::{LedgerError, Partition, to_cbor};
-use crate::ledger_budgets::{Budgets, UsedStanding};
+use crate::ledger_budgets::Budgets;
 use crate::ledger_partitions::{HeldHome, PartitionState};
 use crate::monotonic_clock::MonotonicClock;
 use crate::unix_time::unix_ms;
@@ -38,8 +37,6 @@
 /// The capacity of the caches of turns' runners and turn chains' servers: half a minute of turns at
 /// the design load, 400 kB each.
 const FIFO_CAPACITY: usize = 2_048;
-/// How often a release is retried when other processes write to the partition at the same time.
-const MAX_RELEASE_ATTEMPTS: u32 = 4;
 
 /// A map of limited size; the oldest entry is evicted first.
 pub(crate) struct FifoCache<V> {
@@ -76,7 +73,7 @@
 
 /// The homes of all partitions as known to this process.
 pub(crate) struct Homes {
-    budgets: Rc<Budgets>,
+    pub(crate) budgets: Rc<Budgets>,
     /// The registered processes at the last step.
     processes: RefCell<Vec<PeerEntry>>,
     /// Those of them that were unreachable then.
@@ -281,73 +278,9 @@
         Ok(())
     }
 
-    /// Stops being the home of a partition: records the used parts of standing slices and deletes
-    /// the home's record in one append.
-    ///
-    /// Without this, each planned restart would cost each program of the partition a standing
-    /// slice. If the append fails, the home's record stays, and its standing slices count as fully
-    /// used.
-    async fn release(
-        &self,
-        partition: Partition,
-        state: &Rc<PartitionState>,
-        deadline: Instant,
-    ) -> Result<(), LedgerError> {
-        let _guard = state.access.lock().await;
-        let Some(held) = state.home.take() else {
-            return Ok(());
-        };
-        let used = self.budgets.release_standing(partition);
-        for _ in 0..MAX_RELEASE_ATTEMPTS {
-            let records = self.release_records(&state.view.borrow(), &held, &used);
-            let append = self
-                .budgets
-                .append_next(partition, state, &records, deadline);
-            append.await?;
-            let key = held.key(&self.budgets.writer);
-            if !state.view.borrow().has_home(&key) {
-                return Ok(());
-            }
-        }
-        Err(LedgerError::Unavailable)
-    }
-
-    /// Returns the slices that replace this home's standing slices, and the deletion of its record.
-    fn release_records(
-        &self,
-        view: &BudgetView,
-        held: &HeldHome,
-        used: &[UsedStanding],
-    ) -> Vec<KeyedRecord> {
-        let key = held.key(&self.budgets.writer);
-        let mut view_after = view.clone();
-        view_after.drop_key(&key);
-        // The records of a program that has any by now count the whole standing slice.
-        let used = used
-            .iter()
-            .filter(|used| !view_after.has_program(&used.program));
-        let slices = used.map(|used| KeyedRecord {
-            key: used.key.clone(),
-            value: Some(to_cbor(&BudgetRecord::Slice(SliceRecord {
-                holder: Some(self.budgets.address),
-                recorded_unix_ms: unix_ms(),
-                retain_ms: used.retain_ms,
-                ..view_after.slice(&used.program, used.budget, used.tokens)
-            }))),
-        });
-        let deletion = KeyedRecord { key, value: None };
-        slices.chain([deletion]).collect()
-    }
-
-    /// Stops being the home of all partitions, before this process ends.
-    pub(crate) async fn release_all(&self, deadline: Instant) {
+    /// Becomes the home of no further partitions.
+    pub(crate) fn stop_acquiring(&self) {
         self.is_shutting_down.set(true);
-        let held = self.budgets.homes();
-        let releases = held
-            .iter()
-            .map(|(partition, state)| self.release(*partition, state, deadline));
-        // If a release fails, the home's record stays, and its standing slices count as fully used.
-        let _ = join_all(releases).await;
     }
 
     /// Returns the peers that were unreachable at the last step.
--- a/clementinepickd/src/ledger_partitions.rs
+++ b/clementinepickd/src/ledger_partitions.rs
@@ -104,6 +104,12 @@
         Rc::clone(state)
     }
 
+    /// Returns the partitions that this process has read or written.
+    pub(crate) fn known_partitions(&self) -> Vec<(Partition, Rc<PartitionState>)> {
+        let partitions = self.partitions.borrow();
+        partitions.iter().map(|(p, s)| (*p, Rc::clone(s))).collect()
+    }
+
     /// Returns the partitions whose home this process is.
     pub(crate) fn homes(&self) -> Vec<(Partition, Rc<PartitionState>)> {
         let partitions = self.partitions.borrow();
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -62,6 +62,7 @@
 mod ledger_holds;
 mod ledger_homes;
 mod ledger_partitions;
+mod ledger_release;
 mod ledger_sweep;
 mod ledger_turn_cache;
 mod ledger_turn_records;
