--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -15,6 +15,8 @@
 
 /// The path of health checks.
 const HEALTH_PATH: &str = "/healthz";
+/// The path at which a server reports on itself.
+const REPORT_PATH: &str = "/clementinepick/report";
 
 /// A fault injected into one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -243,8 +245,8 @@
         self.server.has_ended() || self.server.has_lost_power()
     }
 
-    /// Ends the server, if it runs, and returns once its address is free.
-    pub(crate) fn join(&mut self) {
+    /// Ends the server with all its connections, if it runs, and returns once its address is free.
+    pub fn join(&mut self) {
         self.server.join();
     }
 
@@ -296,8 +298,7 @@
         let address = self.address;
         let core = lock(&self.core);
         let version = &core.settings.version;
-        let started = core.settings.started_unix_ms;
-        let born = started.map_or_else(String::new, |at| format!(r#","born":{at}"#));
+        let born = core.born_field();
         format!(
             r#"{{"Service":"{service}","Address":"{address}","Zone":"z","Version":"{version}","Slots":8,"State":"{state}","ColdLeftMs":0,"Seq":1{born}}}"#
         )
@@ -305,6 +306,17 @@
 }
 
 impl BackendCore {
+    /// Returns the field with the start time, if the server reports it.
+    fn born_field(&self) -> String {
+        let started = self.settings.started_unix_ms;
+        started.map_or_else(String::new, |at| format!(r#","born":{at}"#))
+    }
+
+    fn report(&self) -> String {
+        let born = self.born_field();
+        format!(r#"{{"Stage":"both","Models":[],"Busy":false,"Seq":0{born}}}"#)
+    }
+
     fn respond(&mut self, request: &WireRequest) -> Script {
         if request.path == HEALTH_PATH {
             if let Some(part) = self.endless_health {
@@ -316,6 +328,12 @@
                 Step::Write(full_response(200, &headers, b"")),
             ];
         }
+        if request.path == REPORT_PATH {
+            return vec![
+                Step::Pause(self.settings.health_delay),
+                Step::Write(full_response(200, &[], self.report().as_bytes())),
+            ];
+        }
         let id = header(request, "request-id");
         let expected = header(request, "expect-instance");
         if expected != self.settings.id {
