Send the rest of a stream only to the start that the entry describes

An entry describes one start of a server. While no list showed its replacement, another start under its id and address was taken for it, so that callers got events of v1 and v2 in one stream.

The rest of a stream now needs the server's own word on the connection that carries it: its report has the start time of the entry. A stream that begins is checked likewise, once a connection, while the list is not current or an end of the server was noticed. A connection that was opened before the list was read proves nothing: a server may serve before it has written its entry.

A server without a start time takes no rest of a stream after a connection broke or was refused, until a list that was read two seconds later. What begins there, or at a start which reports another time, gets an origin that no server fits, and while such streams are young, no version counts as the only one. Peers are told.

--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -115,6 +115,8 @@
     RequestsLoaded = 216, "requests_loaded", Info;
     /// Another gateway was lost or is not reached; what it ran is read from the store.
     GatewayLost = 217, "gateway_lost", Warning;
+    /// Another start than the listed one may listen at the address of a server; `reason` says why.
+    ServerStartDoubted = 219, "server_start_doubted", Info;
     /// The log can't be written or read.
     LogDown = 301, "log_down", Warning;
     /// The log is available again.
--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -104,6 +104,7 @@
 mod sidecar_retain;
 mod sidecar_types;
 mod snapshot;
+pub mod start_doubts;
 mod step_budget;
 mod step_dedup;
 mod step_owner;
--- /dev/null
+++ b/clementinepick/src/start_doubts.rs
@@ -0,0 +1,190 @@
+//! Tells whether the server that listens at an address is the start which its entry describes.
+//!
+//! A server may start again under its id and address with another software version before a list shows
+//! it. Its report names the start time of whoever listens on a connection; without it, a server is in
+//! doubt once its end was noticed, until it must have written a new entry.
+//!
+//! ```
+//! use clementinepick::server_list::{BackendServer, ServerList};
+//! use clementinepick::start_doubts::{StartDoubts, StartUse, StartVerdict};
+//! use clementinepick::units::TimeUs;
+//!
+//! let server = BackendServer {
+//!     id: "i-1".to_owned(),
+//!     service: "models".to_owned(),
+//!     address: "127.0.0.1:1".parse().expect("an address"),
+//!     zone: "z".to_owned(),
+//!     version: "v1".to_owned().into(),
+//!     slots: 8,
+//!     is_draining: false,
+//!     started_unix_ms: Some(5),
+//! };
+//! let mut doubts = StartDoubts::default();
+//! assert!(!doubts.must_ask(&server, StartUse::Begin, true));
+//! doubts.record(TimeUs(1), &server);
+//! assert!(doubts.must_ask(&server, StartUse::Begin, true));
+//! assert_eq!(doubts.judge(&server, Some(6)), StartVerdict::Another);
+//! ```
+
+use std::collections::BTreeMap;
+
+use crate::request_ends::LIST_LAG_US;
+use crate::server_list::{BackendServer, ServerList, SoftwareVersion};
+use crate::units::{SpanUs, TimeUs};
+
+/// How long after a notice a further one is no news to peers, whose doubts last for much longer.
+const RENOTICE_US: SpanUs = SpanUs::from_ms(250);
+/// The maximum number of servers in doubt; above it, those that were noticed first are dropped.
+const MAX_SERVERS: usize = 4_096;
+
+/// What a server is to run, as far as its start matters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartUse {
+    /// A request that is never continued elsewhere.
+    Other,
+    /// A stream that begins and may be resumed at another server of the same version.
+    Begin,
+    /// The rest of a stream, which must stay at its version.
+    Rest,
+}
+
+/// Whether the server at an address is the start that its entry describes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartVerdict {
+    /// The server itself says so.
+    Same,
+    /// The list says so, and no end of the server was noticed since.
+    Listed,
+    /// It has ended since, so that another start may listen there.
+    Doubtful,
+    /// The server itself says that it is another start.
+    Another,
+}
+
+/// The entry of a server whose end was noticed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Doubt {
+    noticed_at: TimeUs,
+    started_unix_ms: Option<u64>,
+    version: SoftwareVersion,
+}
+
+impl Doubt {
+    fn of(server: &BackendServer, noticed_at: TimeUs) -> Self {
+        Self {
+            noticed_at,
+            started_unix_ms: server.started_unix_ms,
+            version: server.version.clone(),
+        }
+    }
+
+    fn is_about(&self, server: &BackendServer) -> bool {
+        self.started_unix_ms == server.started_unix_ms && self.version == server.version
+    }
+}
+
+/// The servers whose entries may describe an earlier start than the one that listens at their address.
+#[derive(Debug, Default)]
+pub struct StartDoubts {
+    by_server: BTreeMap<String, Doubt>,
+    /// When a stream last began at a start of unknown version, by service.
+    unproven_streams: BTreeMap<String, TimeUs>,
+}
+
+impl StartDoubts {
+    /// Records that the end of a listed server was noticed; returns whether that is news.
+    pub fn record(&mut self, now: TimeUs, server: &BackendServer) -> bool {
+        let doubt = Doubt::of(server, now);
+        let known = self.by_server.insert(server.id.clone(), doubt);
+        if self.by_server.len() > MAX_SERVERS {
+            self.drop_first();
+        }
+        is_news(now, known.map(|doubt| doubt.noticed_at))
+    }
+
+    fn drop_first(&mut self) {
+        let first = self.by_server.iter().min_by_key(|(_, d)| d.noticed_at);
+        if let Some(id) = first.map(|(id, _)| id.clone()) {
+            self.by_server.remove(&id);
+        }
+    }
+
+    /// Records that a stream has begun at a start of unknown version; returns whether that is
+    /// news.
+    pub fn record_unproven_stream(&mut self, now: TimeUs, service: &str) -> bool {
+        let known = self.unproven_streams.insert(service.to_owned(), now);
+        is_news(now, known)
+    }
+
+    /// Records that a server which was asked at `asked_at` still is the listed start.
+    pub fn resolve(&mut self, server: &str, asked_at: TimeUs) {
+        let is_earlier = |doubt: &Doubt| doubt.noticed_at <= asked_at;
+        if self.by_server.get(server).is_some_and(is_earlier) {
+            self.by_server.remove(server);
+        }
+    }
+
+    /// Drops what the list, as of `list_at`, shows: another entry of the server, none, or one that the
+    /// server has had time to replace.
+    pub fn update(&mut self, list_at: TimeUs, list: &ServerList) {
+        let is_settled = |noticed_at: TimeUs| noticed_at.after(LIST_LAG_US) <= list_at;
+        self.by_server.retain(|id, doubt| {
+            let server = list.servers.get(id);
+            server.is_some_and(|server| doubt.is_about(server)) && !is_settled(doubt.noticed_at)
+        });
+        self.unproven_streams.retain(|_, at| !is_settled(*at));
+    }
+
+    /// Returns whether nothing is in doubt.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_server.is_empty() && self.unproven_streams.is_empty()
+    }
+
+    /// Returns whether a server may have started again since its entry was read.
+    #[must_use]
+    pub fn is_in_doubt(&self, server: &str) -> bool {
+        self.by_server.contains_key(server)
+    }
+
+    /// Returns whether streams of a service have lately begun at a start of unknown version.
+    #[must_use]
+    pub fn has_unproven_streams(&self, service: &str) -> bool {
+        self.unproven_streams.contains_key(service)
+    }
+
+    /// Returns whether the rest of a stream may be sent to a server, if its report confirms the start.
+    #[must_use]
+    pub fn may_continue_at(&self, server: &BackendServer) -> bool {
+        server.started_unix_ms.is_some() || !self.is_in_doubt(&server.id)
+    }
+
+    /// Returns whether a server must be asked for its start time before it is used.
+    #[must_use]
+    pub fn must_ask(&self, server: &BackendServer, usage: StartUse, is_list_current: bool) -> bool {
+        let is_known_from_list = is_list_current && !self.is_in_doubt(&server.id);
+        server.started_unix_ms.is_some()
+            && match usage {
+                StartUse::Other => false,
+                StartUse::Begin => !is_known_from_list,
+                // A server may serve before it has written its entry, so that even a new list may
+                // describe the start before.
+                StartUse::Rest => true,
+            }
+    }
+
+    /// Judges from the start time that a server reports, if it was asked and reports one.
+    #[must_use]
+    pub fn judge(&self, server: &BackendServer, reported_unix_ms: Option<u64>) -> StartVerdict {
+        match (server.started_unix_ms, reported_unix_ms) {
+            (Some(listed), Some(reported)) if listed == reported => StartVerdict::Same,
+            (Some(_), Some(_)) => StartVerdict::Another,
+            _ if self.is_in_doubt(&server.id) => StartVerdict::Doubtful,
+            _ => StartVerdict::Listed,
+        }
+    }
+}
+
+fn is_news(now: TimeUs, noticed_at: Option<TimeUs>) -> bool {
+    noticed_at.is_none_or(|at| at.after(RENOTICE_US) <= now)
+}
--- a/clementinepick/src/stream_origin.rs
+++ b/clementinepick/src/stream_origin.rs
@@ -8,6 +8,7 @@
 //! let origin = StreamOrigin {
 //!     service: "models".to_owned(),
 //!     version: SoftwareVersion::from("v1".to_owned()),
+//!     is_unproven: false,
 //! };
 //! let mut origins = StreamOrigins::default();
 //! origins.record(TimeUs(0), "attempt-1", origin.clone(), TimeUs(4_000_000));
@@ -34,6 +35,10 @@
     /// The software version of the server that generated the first event.
     #[serde(rename = "v")]
     pub version: SoftwareVersion,
+    /// Whether the server may have been another start than the listed one, so that its version is not
+    /// known.
+    #[serde(rename = "u", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_unproven: bool,
 }
 
 impl StreamOrigin {
@@ -43,13 +48,14 @@
         Self {
             service: server.service.clone(),
             version: server.version.clone(),
+            is_unproven: false,
         }
     }
 
     /// Returns whether `server` can continue the stream.
     #[must_use]
     pub fn fits(&self, server: &BackendServer) -> bool {
-        self.service == server.service && self.version == server.version
+        !self.is_unproven && self.service == server.service && self.version == server.version
     }
 }
 
--- /dev/null
+++ b/clementinepick/tests/start_doubts.rs
@@ -0,0 +1,138 @@
+//! Tests when the version of a server's entry is taken for that of the server at its address.
+
+use std::collections::BTreeMap;
+
+use clementinepick::server_list::{BackendServer, ServerList, SoftwareVersion};
+use clementinepick::start_doubts::{StartDoubts, StartUse, StartVerdict};
+use clementinepick::units::{SpanUs, TimeUs};
+
+const NOTICED_AT: TimeUs = TimeUs(1_000);
+/// The time in which a server that has started again writes its entry.
+const LIST_LAG: SpanUs = SpanUs::from_s(2);
+
+fn server(version: &str, started_unix_ms: Option<u64>) -> BackendServer {
+    BackendServer {
+        id: "i-1".to_owned(),
+        service: "models".to_owned(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "z".to_owned(),
+        version: SoftwareVersion::from(version.to_owned()),
+        slots: 8,
+        is_draining: false,
+        started_unix_ms,
+    }
+}
+
+fn list(server: &BackendServer) -> ServerList {
+    ServerList {
+        servers: BTreeMap::from([(server.id.clone(), server.clone())]),
+    }
+}
+
+fn doubting(server: &BackendServer) -> StartDoubts {
+    let mut doubts = StartDoubts::default();
+    assert!(doubts.record(NOTICED_AT, server));
+    doubts
+}
+
+#[test]
+fn a_server_without_a_start_time_takes_no_rest_of_a_stream_while_in_doubt() {
+    let silent = server("v1", None);
+    assert!(StartDoubts::default().may_continue_at(&silent));
+    let doubts = doubting(&silent);
+    assert!(!doubts.may_continue_at(&silent));
+    assert!(!doubts.must_ask(&silent, StartUse::Rest, true));
+    assert_eq!(doubts.judge(&silent, None), StartVerdict::Doubtful);
+}
+
+#[test]
+fn a_server_with_a_start_time_is_asked_before_the_rest_of_a_stream() {
+    let reporting = server("v1", Some(5));
+    let doubts = StartDoubts::default();
+    assert!(doubts.must_ask(&reporting, StartUse::Rest, true));
+    assert!(doubts.must_ask(&reporting, StartUse::Begin, false));
+    assert!(!doubts.must_ask(&reporting, StartUse::Begin, true));
+    assert!(!doubts.must_ask(&reporting, StartUse::Other, false));
+    assert!(doubting(&reporting).must_ask(&reporting, StartUse::Begin, true));
+}
+
+#[test]
+fn the_start_time_that_a_server_reports_decides() {
+    let reporting = server("v1", Some(5));
+    let doubts = doubting(&reporting);
+    assert_eq!(doubts.judge(&reporting, Some(5)), StartVerdict::Same);
+    assert_eq!(doubts.judge(&reporting, Some(6)), StartVerdict::Another);
+    assert_eq!(doubts.judge(&reporting, None), StartVerdict::Doubtful);
+    let none = StartDoubts::default();
+    assert_eq!(none.judge(&reporting, None), StartVerdict::Listed);
+}
+
+#[test]
+fn a_report_resolves_only_earlier_doubts() {
+    let reporting = server("v1", Some(5));
+    let mut doubts = doubting(&reporting);
+    doubts.resolve("i-1", TimeUs(NOTICED_AT.0 - 1));
+    assert!(doubts.is_in_doubt("i-1"));
+    doubts.resolve("i-1", NOTICED_AT);
+    assert!(!doubts.is_in_doubt("i-1"));
+}
+
+/// Guards against a list that still has the entry of the start before.
+#[test]
+fn a_doubt_lasts_until_the_server_has_had_time_to_write_its_entry() {
+    let silent = server("v1", None);
+    let mut doubts = doubting(&silent);
+    doubts.update(TimeUs(NOTICED_AT.after(LIST_LAG).0 - 1), &list(&silent));
+    assert!(doubts.is_in_doubt("i-1"));
+    doubts.update(NOTICED_AT.after(LIST_LAG), &list(&silent));
+    assert!(!doubts.is_in_doubt("i-1"));
+}
+
+#[test]
+fn a_doubt_ends_with_another_entry() {
+    let reporting = server("v1", Some(5));
+    for other in [server("v1", Some(6)), server("v2", Some(5))] {
+        let mut doubts = doubting(&reporting);
+        doubts.update(TimeUs(0), &list(&other));
+        assert!(doubts.is_empty());
+    }
+    let mut doubts = doubting(&reporting);
+    doubts.update(TimeUs(0), &ServerList::default());
+    assert!(doubts.is_empty());
+}
+
+#[test]
+fn streams_of_unknown_version_are_remembered_until_the_list_shows_their_server() {
+    let mut doubts = StartDoubts::default();
+    assert!(doubts.record_unproven_stream(NOTICED_AT, "models"));
+    assert!(!doubts.record_unproven_stream(NOTICED_AT, "models"));
+    doubts.update(NOTICED_AT, &list(&server("v1", None)));
+    assert!(doubts.has_unproven_streams("models"));
+    assert!(!doubts.has_unproven_streams("plain"));
+    doubts.update(NOTICED_AT.after(LIST_LAG), &list(&server("v1", None)));
+    assert!(doubts.is_empty());
+}
+
+/// Guards against peers that take a server for settled which has ended again since they were told.
+#[test]
+fn a_further_end_is_news_after_a_while() {
+    let silent = server("v1", None);
+    let mut doubts = doubting(&silent);
+    assert!(!doubts.record(NOTICED_AT, &silent));
+    assert!(doubts.record(NOTICED_AT.after(SpanUs::from_ms(250)), &silent));
+}
+
+/// Guards against state that grows with the servers that were ever lost.
+#[test]
+fn the_servers_in_doubt_are_bounded() {
+    let mut doubts = StartDoubts::default();
+    for number in 0..5_000_u64 {
+        let lost = BackendServer {
+            id: format!("i-{number:04}"),
+            ..server("v1", None)
+        };
+        doubts.record(TimeUs(number), &lost);
+    }
+    assert!(!doubts.is_in_doubt("i-0000"));
+    assert!(doubts.is_in_doubt("i-4999"));
+}
--- a/clementinepick/tests/stream_origin.rs
+++ b/clementinepick/tests/stream_origin.rs
@@ -10,6 +10,7 @@
     StreamOrigin {
         service: service.to_owned(),
         version: SoftwareVersion::from(version.to_owned()),
+        is_unproven: false,
     }
 }
 
@@ -35,6 +36,15 @@
     assert!(!begun.fits(&server("other", "v1")));
 }
 
+#[test]
+fn no_server_fits_a_stream_of_unknown_version() {
+    let begun = StreamOrigin {
+        is_unproven: true,
+        ..origin("models", "v1")
+    };
+    assert!(!begun.fits(&server("models", "v1")));
+}
+
 /// Guards against a memory that grows with every stream that was ever served.
 #[test]
 fn expired_streams_are_forgotten() {
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -34,6 +34,8 @@
     NotRun,
     /// No connection could be opened, so nothing reached the server.
     ConnectFailed,
+    /// The server at the address is not known to be the listed start, so that nothing was sent.
+    OtherStart,
     /// The response was lost, or the server sent none in time; it may have run the request.
     ResponseLost,
 }
@@ -44,6 +46,7 @@
         match self {
             Self::NotRun => "not_run",
             Self::ConnectFailed => "unreached",
+            Self::OtherStart => "other_start",
             Self::ResponseLost => "lost",
         }
     }
@@ -396,7 +399,10 @@
     ///
     /// Once a response was lost, the request may have run, whatever later attempts return.
     pub(crate) async fn record_error(&mut self, error: AttemptError) {
-        if error == AttemptError::ConnectFailed {
+        if matches!(
+            error,
+            AttemptError::ConnectFailed | AttemptError::OtherStart
+        ) {
             self.sends -= 1;
         }
         if let Some(run) = &self.current {
@@ -405,7 +411,8 @@
         self.refusal = match (self.refusal, error) {
             (Refusal::ServerLost, _) | (_, AttemptError::ResponseLost) => Refusal::ServerLost,
             (_, AttemptError::NotRun) => Refusal::ServersRefused,
-            (refusal, AttemptError::ConnectFailed) => refusal,
+            (Refusal::NoServer, AttemptError::OtherStart) => Refusal::VersionUnavailable,
+            (refusal, AttemptError::ConnectFailed | AttemptError::OtherStart) => refusal,
         };
         let may_have_run = self.refusal == Refusal::ServerLost;
         self.trace.may_have_run.set(may_have_run);
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -1,7 +1,9 @@
 //! Sends a request to one backend server and reads the head of the response, for calls and streams.
 
+use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::future::Future;
+use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -14,6 +16,7 @@
 use clementinepick::request_key::{RequestContent, RequestKey};
 use clementinepick::server_list::BackendServer;
 use clementinepick::server_selection::{Affinity, SelectionReason};
+use clementinepick::start_doubts::StartUse;
 use clementinepick::stream_origin::StreamOrigin;
 use clementinepick::traffic_config::{TrafficConfig, TrafficRoute, TrafficService};
 use clementinepick::units::Tokens;
@@ -22,12 +25,13 @@
 use crate::gateway_attempts::AttemptError;
 use crate::gateway_receive::ReceivedRequest;
 use crate::gateway_shared::Shared;
-use crate::outbound::{Connection, OutboundRequest};
+use crate::gateway_start::{DoubtReason, StartProof};
+use crate::outbound::{Connection, OutboundError, OutboundRequest};
 use crate::safeguard::Safeguard;
 
 /// How long opening a connection to a backend server may take. A lost packet of the handshake is
 /// retransmitted only after a second, so that waiting for longer gains little.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A request with its route and deadline.
 pub(crate) struct RoutedRequest<'a> {
@@ -109,6 +113,10 @@
     start: ServerStart,
     /// Why this server was chosen.
     pub(crate) reason: SelectionReason,
+    /// What the server is to run, as far as its start matters.
+    pub(crate) usage: StartUse,
+    /// How the server was found to be the listed start.
+    pub(crate) proof: Cell<StartProof>,
 }
 
 impl ServerSlot {
@@ -121,6 +129,22 @@
     pub(crate) fn record_failure(&self) {
         self.shared.record_failure(&self.server.id);
     }
+
+    /// Records that a connection broke during the request, as when the server has ended.
+    pub(crate) fn record_broken(&self) {
+        self.record_failure();
+        self.shared.doubt_start(&self.server, DoubtReason::Broken);
+    }
+
+    /// Records that no connection could be opened.
+    pub(crate) fn record_unreached(&self, err: &OutboundError) -> AttemptError {
+        self.record_failure();
+        let is_refused = |err: &io::Error| err.kind() == io::ErrorKind::ConnectionRefused;
+        if matches!(err, OutboundError::Connect(err) if is_refused(err)) {
+            self.shared.doubt_start(&self.server, DoubtReason::Refused);
+        }
+        AttemptError::ConnectFailed
+    }
 }
 
 impl Drop for ServerSlot {
@@ -195,12 +219,15 @@
         let limit = shared.connection_limit(self.service, self.service_config());
         let origin = input.origin.as_ref();
         let origin = origin.filter(|_| !Safeguard::StreamVersion.is_disabled());
+        let doubts = shared.start_doubts();
         let mut choice = shared.choice.borrow_mut();
         let candidates: Vec<&BackendServer> = directory
             .servers
             .ready(self.service)
             .filter(|server| choice.in_flight(&server.id) < limit)
-            .filter(|server| origin.is_none_or(|origin| origin.fits(server)))
+            .filter(|server| {
+                origin.is_none_or(|origin| origin.fits(server) && doubts.may_continue_at(server))
+            })
             .filter(|server| filter.allows(&server.id))
             .collect();
         let affinity = self.affinity(input);
@@ -215,9 +242,24 @@
             start: ServerStart::of(&server),
             server,
             reason,
+            usage: self.start_use(input),
+            proof: Cell::default(),
         })
     }
 
+    /// Returns how far the start of the server matters that runs the request next.
+    fn start_use(&self, input: &RunInput) -> StartUse {
+        if Safeguard::StreamVersion.is_disabled() {
+            StartUse::Other
+        } else if input.origin.is_some() {
+            StartUse::Rest
+        } else if self.route.is_resumable {
+            StartUse::Begin
+        } else {
+            StartUse::Other
+        }
+    }
+
     /// Records that a server reads the request's prompt.
     pub(crate) fn record_prompt(&self, shared: &Shared, server: &BackendServer, input: &RunInput) {
         let mut choice = shared.choice.borrow_mut();
@@ -244,7 +286,8 @@
         exchange.await
     }
 
-    /// Takes an idle connection to the server of `slot`, or opens one.
+    /// Takes an idle connection to the server of `slot`, or opens one. The rest of a stream gets one only
+    /// if the server is the listed start.
     pub(crate) async fn connect(
         &self,
         shared: &Shared,
@@ -255,10 +298,11 @@
             .pool
             .acquire(address, CONNECT_TIMEOUT, Instant::now())
             .await;
-        opened.map_err(|_| {
-            slot.record_failure();
-            AttemptError::ConnectFailed
-        })
+        let connection = opened.map_err(|err| slot.record_unreached(&err))?;
+        match slot.usage {
+            StartUse::Other => Ok(connection),
+            StartUse::Begin | StartUse::Rest => shared.prove_start(slot, connection).await,
+        }
     }
 
     /// Sends the request over a connection to the server of `slot` and reads the head of the
@@ -283,7 +327,7 @@
             body,
         };
         let Ok(head) = connection.exchange(&request).await else {
-            slot.record_failure();
+            slot.record_broken();
             return Err(AttemptError::ResponseLost);
         };
         slot.record_heard();
@@ -313,6 +357,9 @@
         if platform::response::is_not_executed(head.status.as_u16(), &head.headers) {
             let is_another = platform::response::is_misdirected(head.status.as_u16());
             shared.record_refusal(&slot.server.id, is_another);
+            if is_another {
+                shared.doubt_start(&slot.server, DoubtReason::Misdirected);
+            }
             let body = timeout(REFUSAL_BODY_TIMEOUT, connection.body(MAX_REFUSAL_BYTES)).await;
             if matches!(body, Ok(Ok(_))) {
                 let address = slot.server.address;
--- a/clementinepickd/src/gateway_loss.rs
+++ b/clementinepickd/src/gateway_loss.rs
@@ -13,6 +13,7 @@
 
 use crate::gateway_ended::SharedRun;
 use crate::gateway_shared::Shared;
+use crate::gateway_start::DoubtReason;
 use crate::gateway_witness::BrokenRun;
 use crate::outbound::Connection;
 use crate::server_probe::ServerFate;
@@ -54,6 +55,9 @@
             health_path: health_path.as_deref(),
         };
         let fate = shared.find_fate_of_broken(run).await;
+        if fate == ServerFate::Alive {
+            shared.confirm_start(&self.server.id, Instant::now());
+        }
         self.log(shared, fate);
         let state = state_of_broken(fate);
         shared.record_state(self.key, &self.server, state).await;
@@ -67,6 +71,7 @@
                 shared.record_left(self.key, &self.server);
             }
             ServerFate::Ended | ServerFate::Unknown => {
+                shared.doubt_listed_start(&self.server.id, DoubtReason::Lost);
                 self.log(shared, fate);
                 let state = state_of_broken(fate);
                 shared.record_state(self.key, &self.server, state).await;
--- a/clementinepickd/src/gateway_origins.rs
+++ b/clementinepickd/src/gateway_origins.rs
@@ -140,10 +140,16 @@
             return OriginAnswer::Recorded(recorded);
         }
         let service = query.service.clone();
-        self.sole_version(&service, query.min_known_us, now)
-            .map_or(OriginAnswer::Unknown, |version| {
-                OriginAnswer::Sole(StreamOrigin { service, version })
-            })
+        self.sole_version(&service, query.min_known_us, now).map_or(
+            OriginAnswer::Unknown,
+            |version| {
+                OriginAnswer::Sole(StreamOrigin {
+                    service,
+                    version,
+                    is_unproven: false,
+                })
+            },
+        )
     }
 
     /// Returns whether this process lists a server of the same service with another version.
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -22,6 +22,7 @@
 use crate::gateway_receive::ReceivedRequest;
 use crate::gateway_reply::Reply;
 use crate::gateway_shared::Shared;
+use crate::gateway_start::handle_start_call;
 use crate::ledger::{from_cbor, to_cbor};
 use crate::outbound::OutboundRequest;
 use crate::store::{StoreCall, StorePurpose, host_header};
@@ -99,6 +100,8 @@
                 handle_ended_call(&self.shared, &target, &request.body, Instant::now())
             {
                 response
+            } else if let Some(response) = handle_start_call(&self.shared, &target, &request.body) {
+                response
             } else if target == WATCH_PATH {
                 self.shared.wait_for_close().await;
                 (200, to_cbor(&()))
--- a/clementinepickd/src/gateway_peer_updates.rs
+++ b/clementinepickd/src/gateway_peer_updates.rs
@@ -15,6 +15,7 @@
 use crate::gateway_origins::{HOLD_PATH, SharedOrigin};
 use crate::gateway_peer::{PeerCall, call_peer};
 use crate::gateway_shared::Shared;
+use crate::gateway_start::{DOUBT_PATH, StartNotice};
 use crate::ledger::to_cbor;
 
 /// How long a peer may take to take an update, which no caller waits for.
@@ -31,6 +32,8 @@
     Request(AnnouncedRequest),
     /// A request under which servers have ended, or one of its runs, is over.
     Over(RequestOver),
+    /// Another start than the listed one may listen at the address of a server.
+    Start(StartNotice),
 }
 
 /// Sends updates to peers. Unbounded, because its receiver never waits for a peer.
@@ -42,6 +45,7 @@
     origins: Vec<SharedOrigin>,
     requests: Vec<AnnouncedRequest>,
     over: Vec<RequestOver>,
+    starts: Vec<StartNotice>,
 }
 
 /// Sends queued updates to the peers that they are for, until the sender is dropped.
@@ -95,12 +99,22 @@
                     batches.entry(peer).or_default().over.push(over);
                 }
             }
+            PeerUpdate::Start(notice) => {
+                for peer in shared.ended_peers(now) {
+                    let batch = batches.entry(peer).or_default();
+                    batch.starts.push(notice.clone());
+                }
+            }
         }
     }
     batches
 }
 
 async fn send_batch(shared: Rc<Shared>, peer: SocketAddr, batch: Batch) {
+    if !batch.starts.is_empty() {
+        // A peer that does not hear of it asks servers that report their start times.
+        let _ = send(&shared, peer, DOUBT_PATH, to_cbor(&batch.starts)).await;
+    }
     if !batch.origins.is_empty() && !send(&shared, peer, HOLD_PATH, to_cbor(&batch.origins)).await {
         shared.metrics.count_lost_origins(batch.origins.len());
     }
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -14,6 +14,7 @@
 use clementinepick::retry::RetryBudget;
 use clementinepick::server_list::{ServerList, SoftwareVersion};
 use clementinepick::server_selection::ServerSelector;
+use clementinepick::start_doubts::StartDoubts;
 use clementinepick::traffic_config::{CallerLimits, TrafficService};
 use clementinepick::units::{Percent, SpanUs, TimeUs};
 use slog::Logger;
@@ -70,6 +71,7 @@
     pub(crate) peer_address: SocketAddr,
     pub(crate) pool: ConnectionPool,
     pub(crate) choice: RefCell<ServerSelector>,
+    pub(crate) doubts: RefCell<StartDoubts>,
     limits: RefCell<LimitHistory>,
     listed_versions: RefCell<ListedVersions>,
     pub(crate) versions: VersionRecords,
@@ -190,6 +192,7 @@
             ledger,
             pool: ConnectionPool::default(),
             choice: RefCell::default(),
+            doubts: RefCell::default(),
             limits: RefCell::default(),
             listed_versions: RefCell::default(),
             versions: VersionRecords::default(),
@@ -286,7 +289,7 @@
         now: Instant,
     ) -> Option<SoftwareVersion> {
         self.current_servers(now)?;
-        if !self.versions.are_loaded() {
+        if !self.versions.are_loaded() || self.has_unproven_streams(service) {
             return None;
         }
         self.record_versions(now);
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -20,12 +20,13 @@
 
 use crate::gateway_attempts::{AttemptError, Attempts};
 use crate::gateway_budget::{self, Reserved};
-use crate::gateway_exchange::{RoutedRequest, RunInput, SentRequest, ServerResponse};
+use crate::gateway_exchange::{RoutedRequest, RunInput, SentRequest, ServerResponse, ServerSlot};
 use crate::gateway_handover::RunEnd;
 use crate::gateway_origins::{OriginQuery, find_origin};
 use crate::gateway_peer_turns;
 use crate::gateway_reply::{CallerDisconnected, Reply, ReplyState};
 use crate::gateway_shared::Shared;
+use crate::gateway_start::StartProof;
 use crate::gateway_trace::Trace;
 use crate::ledger::LedgerError;
 use crate::ledger_budgets::BudgetRequest;
@@ -160,6 +161,7 @@
         min_known_us: SpanUs(timeout_us.saturating_mul(MIN_KNOWN_TIMEOUTS)),
     };
     let origin = find_origin(shared, trace, &query).await;
+    let origin = origin.filter(|origin| !origin.is_unproven);
     let origin = origin.ok_or(Refusal::StreamUnknown)?;
     let servers = shared.directory().servers;
     let can_continue = routed.route.leads_to(&origin.service)
@@ -388,9 +390,13 @@
             return Ok(delivered.map_err(RunEnd::Failed));
         }
         if reply.state() == ReplyState::Open {
-            let server = &response.slot.server;
-            self.fix_origin(server);
+            let slot = &response.slot;
+            self.fix_origin(slot);
+            if slot.proof.get() == StartProof::Unproven {
+                attempts.may_repeat = false;
+            }
             if self.routed.route.is_resumable {
+                let server = &slot.server;
                 self.shared.wait_until_version_recorded(server).await;
             }
             let headers = platform::response::forwarded_headers(&response.head.headers);
@@ -401,11 +407,24 @@
     }
 
     /// Fixes where the stream begins, so that no event of another software version follows.
-    fn fix_origin(&mut self, server: &BackendServer) {
+    ///
+    /// At a server that may be another start than the listed one, its version is not known.
+    fn fix_origin(&mut self, slot: &ServerSlot) {
+        if self.routed.route.is_resumable {
+            self.trace
+                .set_field("start_proof", &slot.proof.get().label());
+        }
         if self.origin.is_some() {
             return;
         }
-        let origin = StreamOrigin::at(server);
+        let server = &slot.server;
+        let origin = StreamOrigin {
+            is_unproven: slot.proof.get() == StartProof::Unproven,
+            ..StreamOrigin::at(server)
+        };
+        if origin.is_unproven {
+            self.shared.record_unproven_stream(&server.service);
+        }
         if self.routed.route.is_resumable {
             let RoutedRequest { received, info, .. } = self.routed;
             let deadline = received.arrived + info.deadline;
@@ -450,7 +469,7 @@
             let next_chunk = async {
                 let chunk = connection.chunk().await;
                 chunk.map_err(|_| {
-                    slot.record_failure();
+                    slot.record_broken();
                     AttemptError::ResponseLost
                 })
             };
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -46,6 +46,7 @@
 mod gateway_request_log;
 pub mod gateway_settings;
 mod gateway_shared;
+mod gateway_start;
 mod gateway_stream;
 mod gateway_trace;
 mod gateway_versions;
--- a/clementinepickd/src/outbound.rs
+++ b/clementinepickd/src/outbound.rs
@@ -60,6 +60,13 @@
     pub(crate) body: Bytes,
 }
 
+/// What a server says of its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct StartReport {
+    /// When it started, in Unix milliseconds, if it reports it.
+    pub(crate) started_unix_ms: Option<u64>,
+}
+
 enum BodyState {
     Payload(ClientPayloadCodec),
     /// The body has no length and ends with the connection.
@@ -78,6 +85,8 @@
     is_reusable: bool,
     /// When the connection was opened.
     pub(crate) opened_at: Instant,
+    /// What the server said of its start on this connection, which ends with that start.
+    pub(crate) report: Option<StartReport>,
     /// When the connection was last released to the pool.
     pub(crate) idle_since: Instant,
     /// How long the server keeps the connection open while idle, if it announced that.
@@ -104,6 +113,7 @@
             framing: FramingLimit::default(),
             is_reusable: true,
             opened_at: now,
+            report: None,
             idle_since: now,
             keep_alive: None,
         })
--- a/clementinepickd/src/server_probe.rs
+++ b/clementinepickd/src/server_probe.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use clementinepick::ended_servers::ServerStart;
 
-use crate::outbound::{Connection, OutboundError, OutboundRequest};
+use crate::outbound::{Connection, OutboundError, OutboundRequest, StartReport};
 use crate::store::host_header;
 
 /// How long a server may take to accept a connection, and to respond to a health check. A server that
@@ -18,6 +18,8 @@
 /// The number of connections that are opened if each is closed at once, and the pause between them.
 const MAX_TRIES: u32 = 3;
 const RETRY_DELAY: Duration = Duration::from_millis(10);
+/// The largest report of a server, in bytes.
+const MAX_REPORT_BYTES: usize = 65_536;
 
 /// What became of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -106,6 +108,28 @@
     }
 }
 
+/// Asks the server at the other end of a connection for its start time; `None` if it does not respond
+/// in time, after which the connection can't be used.
+pub(crate) async fn ask_start(
+    connection: &mut Connection,
+    address: SocketAddr,
+) -> Option<StartReport> {
+    let request = OutboundRequest {
+        method: Method::GET,
+        target: Uri::from_static(platform::servers::REPORT_PATH),
+        headers: host_header(address),
+        body: Bytes::new(),
+    };
+    let asking = async {
+        let head = connection.exchange(&request).await.ok()?;
+        let body = connection.body(MAX_REPORT_BYTES).await.ok()?;
+        let has_report = head.status.is_success();
+        let started_unix_ms = platform::servers::reported_start(&body).filter(|_| has_report);
+        Some(StartReport { started_unix_ms })
+    };
+    timeout(PROBE_TIMEOUT, asking).await.ok().flatten()
+}
+
 async fn try_once(address: SocketAddr, server_id: &str, health_path: Option<&str>) -> Found {
     let opened = Connection::open(address, PROBE_TIMEOUT, Instant::now()).await;
     let connection = match opened {
