Test that streams begun soon after a replacement are not joined

Nobody has noticed that the server was replaced, and the list is too young to be doubted: the origin of a stream that begins then has the version of the start before.

--- a/standins/tests/replaced_in_place.rs
+++ b/standins/tests/replaced_in_place.rs
@@ -162,6 +162,18 @@
     for_each_case("begun", true, check_begun_at_replaced);
 }
 
+/// Begins streams at a server that was replaced unnoticed, breaks them, and lets their callers resume
+/// them, if their gateway does not.
+fn check_begun_unnoticed(run: &mut ReplacedRun) {
+    run.replace(0);
+    run.inject_faults(0, BackendFault::CutAfter(5), MAX_CUT);
+    for stream in begin_until_at_replaced(run) {
+        let mut cut = stream.finish();
+        run.resume(1, &mut cut, true);
+        cut.assert_one_version(run);
+    }
+}
+
 /// Guards against a stream that begins at a server which was replaced unnoticed long after the last
 /// list was read.
 #[test]
@@ -174,13 +186,33 @@
     let mut run = ReplacedRun::start("begun-unnoticed", settings);
     run.make_list_unreadable();
     sleep(MIN_OUTAGE);
-    run.replace(0);
-    run.inject_faults(0, BackendFault::CutAfter(5), 2);
-    for stream in run.begin(0, "s") {
-        let mut cut = stream.finish();
-        run.resume(1, &mut cut, true);
-        cut.assert_one_version(&run);
-    }
+    check_begun_unnoticed(&mut run);
+}
+
+/// Guards against an origin from a list that is young and yet older than the replacement.
+#[test]
+fn streams_that_begin_soon_after_a_replacement_are_not_joined() {
+    for_each_case("begun-soon", true, |run| {
+        run.make_list_unreadable();
+        check_begun_unnoticed(run);
+    });
+}
+
+/// Guards against the same if the callers disconnect before the streams break.
+#[test]
+fn streams_left_soon_after_a_replacement_are_not_joined() {
+    for_each_case("left-soon", true, |run| {
+        run.make_list_unreadable();
+        run.replace(0);
+        for mut stream in begin_until_at_replaced(run)
+            .into_iter()
+            .map(Stream::disconnect)
+        {
+            run.resume(1, &mut stream, true);
+            run.resume(0, &mut stream, true);
+            stream.assert_one_version(run);
+        }
+    });
 }
 
 fn start_sound(name: &str, has_start_times: bool) -> ReplacedRun {
