Don't lend tokens to peers that have given up waiting, and lend what a home has not granted

Callers saw programs refused with 402 after 8 turns of a budget that suffices for 10, where the home of their partition had been suspended for less than a second while they began.

Calls of peers are handled although the peer has disconnected, for the sake of what they report. A request for tokens that is handled so takes them from the slice for nobody. And a home lends to peers only from slices that it holds: the standing slice of a program that did not ask it before is not lent.

A request for tokens is dropped if its sender has disconnected before it is handled. A request to lend carries the budget and its retention, and a home grants its standing slice first, under the same lease and count as for a turn.

Not covered: a peer whose disconnect does not arrive, since its link is cut.

--- a/clementinepickd/src/budget_messages.rs
+++ b/clementinepickd/src/budget_messages.rs
@@ -94,4 +94,10 @@
     /// The maximum of the turn that needs them.
     #[serde(rename = "t")]
     pub(crate) tokens: Tokens,
+    /// The program's budget, of which a home may not have granted its part yet.
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    pub(crate) budget: Option<Tokens>,
+    /// How long the budget must be kept after the program's last turn.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub(crate) retention: Option<SpanUs>,
 }
--- a/clementinepickd/src/gateway_budget.rs
+++ b/clementinepickd/src/gateway_budget.rs
@@ -294,6 +294,8 @@
     let lend_request = LendRequest {
         program: request.program.to_owned(),
         tokens: request.turn,
+        budget: Some(request.budget),
+        retention: Some(request.retention),
     };
     let body = to_cbor(&lend_request);
     let mut lenders: Vec<SocketAddr> = Vec::new();
--- a/clementinepickd/src/gateway_budget_peer.rs
+++ b/clementinepickd/src/gateway_budget_peer.rs
@@ -77,6 +77,31 @@
     }
 }
 
+/// Lends unused tokens to a peer: of slices held here, and of the standing slice of a program that
+/// did not ask this home for it.
+fn lend(shared: &Shared, lend_request: &LendRequest, now: Instant) -> Tokens {
+    if let (Some(budget), Some(retention)) = (lend_request.budget, lend_request.retention) {
+        let request = BudgetRequest {
+            program: &lend_request.program,
+            budget,
+            turn: lend_request.tokens,
+            retention,
+            turn_id: "-",
+            previous_id: None,
+            keeps_context: false,
+            turn_chains: &[],
+        };
+        shared.budgets.grant_standing(&request, now);
+    }
+    let budgets = &shared.budgets;
+    budgets.lend(&lend_request.program, lend_request.tokens, now)
+}
+
+/// Returns whether a call on this path asks for tokens.
+pub(crate) fn lends_tokens(path: &str) -> bool {
+    [RESERVE_PATH, LEND_PATH].contains(&path)
+}
+
 /// Handles a peer's call on one of the budget paths; `None` for other paths.
 pub(crate) async fn handle_budget_call(
     shared: &Rc<Shared>,
@@ -107,10 +132,7 @@
         },
         LEND_PATH => match from_cbor::<LendRequest>(body) {
             Some(peer_request) => {
-                let now = Instant::now();
-                let lent = shared
-                    .budgets
-                    .lend(&peer_request.program, peer_request.tokens, now);
+                let lent = lend(shared, &peer_request, Instant::now());
                 (200, to_cbor(&lent))
             }
             None => BAD_REQUEST,
--- a/clementinepickd/src/gateway_connection.rs
+++ b/clementinepickd/src/gateway_connection.rs
@@ -38,7 +38,7 @@
 
     /// Returns whether a request is handled up to its first wait although its sender has
     /// disconnected.
-    fn starts_despite_disconnect(&self) -> bool {
+    fn starts_despite_disconnect(&self, _request: &ReceivedRequest<'_>) -> bool {
         false
     }
 
@@ -103,7 +103,7 @@
     reader: &mut Reader<'_>,
 ) -> bool {
     let mut disconnected = pin!(reader.wait_for_disconnect());
-    if !handler.starts_despite_disconnect()
+    if !handler.starts_despite_disconnect(request)
         && poll_after_input(disconnected.as_mut()).await.is_some()
     {
         handler.record_abandoned(request);
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 
-use crate::gateway_budget_peer::handle_budget_call;
+use crate::gateway_budget_peer::{handle_budget_call, lends_tokens};
 use crate::gateway_connection::Handler;
 use crate::gateway_ended::handle_ended_call;
 use crate::gateway_origins::handle_origin_call;
@@ -76,9 +76,10 @@
 
 impl Handler for PeerHandler {
     /// A process that was suspended finds messages of peers that have given up waiting for it. What
-    /// they say of requests that end servers, and of streams, is still of use.
-    fn starts_despite_disconnect(&self) -> bool {
-        true
+    /// they say of requests that end servers, and of streams, is still of use; tokens that are lent
+    /// to them are lost.
+    fn starts_despite_disconnect(&self, request: &ReceivedRequest<'_>) -> bool {
+        !lends_tokens(request.head.uri().path())
     }
 
     fn handle<'a>(
--- a/clementinepickd/src/ledger_budgets.rs
+++ b/clementinepickd/src/ledger_budgets.rs
@@ -317,7 +317,7 @@
     }
 
     /// Grants the standing slice of a program, once for each home, if this process is the home.
-    fn grant_standing(&self, request: &BudgetRequest<'_>, now: Instant) {
+    pub(crate) fn grant_standing(&self, request: &BudgetRequest<'_>, now: Instant) {
         let partition = self.store.budget_partition(request.program);
         let partitions = self.partitions.borrow();
         let Some(state) = partitions.get(&partition) else {
@@ -339,6 +339,8 @@
         let tokens = first_grant(request.budget, home.halvings, request.turn);
         program.budget = request.budget;
         program.standing_home = Some(home.number);
+        program.used_at = Some(now);
+        program.retention = duration(request.retention);
         let counted = standing_slice(request.budget, home.halvings);
         program.slices.grant_standing(tokens, counted);
         if !view.has_program(request.program) {
