Don't answer 402 while a process that may hold tokens of the budget is silent

Callers saw programs ended with 402 by a gateway whose peer was suspended for a second or two: 2 to 9 of 12 programs, each with more than a turn's maximum unspent at the suspended gateway.

A fully reserved budget is borrowed from the processes that may hold tokens of it. The silence of a process counted as if it held none, and 402 ends a program for good.

If a registered process that was asked does not respond, the turn is refused with 503 (`budget_unknown`, retry after a second) instead. A refused connection means that no process runs there and its tokens are lost, and so does an entry that has expired (70 s); then 402 is the response as before.

Not covered: peers beyond the twelve that are asked, and peers that registered since the list of processes was read (20 s).

--- a/clementinepick/src/refusal.rs
+++ b/clementinepick/src/refusal.rs
@@ -21,6 +21,8 @@
     NoRoute,
     /// The program's budget is exhausted.
     BudgetSpent,
+    /// The program's budget is reserved by processes of which one is silent.
+    BudgetUnknown,
     /// The turn to continue from does not exist.
     UnknownTurn,
     /// The software version of the stream to resume, or an earlier part that must be recorded, is
@@ -67,6 +69,8 @@
 const MAX_LEDGER_RETRY_US: SpanUs = SpanUs::from_ms(4_000);
 /// The retry delay without a configuration or a server, about the duration of a start.
 const START_RETRY_US: SpanUs = SpanUs::from_ms(500);
+/// The retry delay while a process that may hold tokens is silent; most silences are shorter.
+const HOLDER_RETRY_US: SpanUs = SpanUs::from_s(1);
 /// The retry delay of a stream that can't be resumed: waiting does not bring its version back, and
 /// its caller can begin anew at once.
 const RESUME_RETRY_US: SpanUs = SpanUs(0);
@@ -98,6 +102,7 @@
             Self::NoConfig => (503, "no_config", Some(START_RETRY_US)),
             Self::NoRoute => (404, "no_route", None),
             Self::BudgetSpent => (402, "budget_spent", None),
+            Self::BudgetUnknown => (503, "budget_unknown", Some(HOLDER_RETRY_US)),
             Self::UnknownTurn => (404, "unknown_turn", None),
             Self::StreamUnknown => (503, "stream_unknown", Some(RESUME_RETRY_US)),
             Self::VersionUnavailable => (503, "version_unavailable", Some(RESUME_RETRY_US)),
--- a/clementinepickd/src/gateway_budget.rs
+++ b/clementinepickd/src/gateway_budget.rs
@@ -16,7 +16,7 @@
     LEND_PATH, LendRequest, RESERVE_PATH, RETURN_PATH, ReserveRequest, ReserveResponse,
     ReturnedTokens,
 };
-use crate::gateway_peer::{PeerCall, call_peer};
+use crate::gateway_peer::{PeerCall, PeerFailure, call_peer, try_call_peer};
 use crate::gateway_prefetch::request_prefetch;
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
@@ -60,6 +60,12 @@
     }
 }
 
+/// The peers lent too little for a turn.
+struct NotBorrowed {
+    /// Those that may have more, but did not respond.
+    silent: Vec<SocketAddr>,
+}
+
 /// Reserves a turn's maximum and adds its origin to the trace.
 pub(crate) async fn reserve(
     shared: &Rc<Shared>,
@@ -158,7 +164,7 @@
     if shared.store.is_unavailable() {
         let peers = shared.directory().peers;
         let borrowed = borrow_budget(shared, request, peers.iter().copied()).await;
-        if let Some(hold) = borrowed {
+        if let Ok(hold) = borrowed {
             trace.add_field("budget_from", &"peers");
             return Ok(hold);
         }
@@ -197,11 +203,19 @@
     // Borrowed tokens are held by processes that the ledger does not name as holders.
     let others = shared.directory().peers;
     let lenders = holders.iter().chain(others.iter()).copied();
-    let borrowed = borrow_budget(shared, request, lenders).await;
-    if borrowed.is_some() {
-        trace.add_field("budget_from", &"peers");
+    match borrow_budget(shared, request, lenders).await {
+        Ok(hold) => {
+            trace.add_field("budget_from", &"peers");
+            Ok(hold)
+        }
+        Err(NotBorrowed { silent }) => Err(match silent.first() {
+            Some(peer) => {
+                trace.add_field("silent_holder", peer);
+                LedgerError::HolderSilent
+            }
+            None => err,
+        }),
     }
-    borrowed.ok_or(err)
 }
 
 pub(crate) fn log_grant(shared: &Shared, request: &BudgetRequest<'_>, grant: SliceGrant) {
@@ -290,7 +304,7 @@
     shared: &Rc<Shared>,
     request: &BudgetRequest<'_>,
     peers: impl IntoIterator<Item = SocketAddr>,
-) -> Option<BudgetHold> {
+) -> Result<BudgetHold, NotBorrowed> {
     let lend_request = LendRequest {
         program: request.program.to_owned(),
         tokens: request.turn,
@@ -304,20 +318,36 @@
             lenders.push(peer);
         }
     }
-    let lend_calls = lenders.into_iter().take(MAX_LENDERS).map(|peer| {
+    lenders.truncate(MAX_LENDERS);
+    let lend_calls = lenders.iter().map(|peer| {
         let call = PeerCall {
             path: LEND_PATH,
             body: body.clone(),
             limit: LEND_TIMEOUT,
         };
-        call_peer::<Tokens>(shared, peer, call)
+        try_call_peer::<Tokens>(shared, *peer, call)
     });
     let lent = join_all(lend_calls).await;
-    let total: Tokens = lent.into_iter().flatten().sum();
-    if total == Tokens(0) {
-        return None;
-    }
-    shared.budgets.start_borrowed(request, total)
+    let total: Tokens = lent.iter().flatten().copied().sum();
+    let hold = if total == Tokens(0) {
+        None
+    } else {
+        shared.budgets.start_borrowed(request, total)
+    };
+    hold.ok_or_else(|| {
+        let failed = lenders.into_iter().zip(lent);
+        let silent = failed.filter(|(_, lent)| *lent == Err(PeerFailure::Silent));
+        let silent = silent.map(|(peer, _)| peer);
+        NotBorrowed {
+            silent: silent.filter(|peer| is_registered(shared, *peer)).collect(),
+        }
+    })
+}
+
+/// Returns whether a peer may still run; the tokens of one whose entry has expired are lost.
+fn is_registered(shared: &Shared, peer: SocketAddr) -> bool {
+    let processes = shared.directory().processes;
+    processes.is_empty() || processes.iter().any(|process| process.address == peer)
 }
 
 /// Returns unused tokens to the homes that lent them, until the sender is dropped.
--- a/clementinepickd/src/gateway_ledger_query.rs
+++ b/clementinepickd/src/gateway_ledger_query.rs
@@ -29,9 +29,9 @@
     match found {
         Ok(found) => (StatusCode::OK, found.to_string()),
         Err(LedgerError::UnknownTurn) => (StatusCode::NOT_FOUND, String::new()),
-        Err(LedgerError::Unavailable | LedgerError::Exhausted { .. }) => {
-            (StatusCode::SERVICE_UNAVAILABLE, String::new())
-        }
+        Err(
+            LedgerError::Unavailable | LedgerError::Exhausted { .. } | LedgerError::HolderSilent,
+        ) => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
     }
 }
 
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -2,6 +2,7 @@
 //! budgets, origins of streams, servers that ended, and turns.
 
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -24,7 +25,7 @@
 use crate::gateway_shared::Shared;
 use crate::gateway_start::handle_start_call;
 use crate::ledger::{from_cbor, to_cbor};
-use crate::outbound::OutboundRequest;
+use crate::outbound::{OutboundError, OutboundRequest};
 use crate::store::{StoreCall, StorePurpose, host_header};
 
 /// The largest response of a peer, in bytes: a turn with the largest body that callers may send.
@@ -39,6 +40,15 @@
     pub(crate) limit: Duration,
 }
 
+/// Why a call to a peer brought nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PeerFailure {
+    /// It did not respond in time, or broke off, and may have what it was asked for.
+    Silent,
+    /// No process runs at its address, or it does not serve the call.
+    Declined,
+}
+
 /// Calls a peer; `None` if no valid response arrives in time. Any response marks the peer as
 /// reachable.
 pub(crate) async fn call_peer<T: DeserializeOwned>(
@@ -46,24 +56,42 @@
     peer: SocketAddr,
     call: PeerCall,
 ) -> Option<T> {
+    try_call_peer(shared, peer, call).await.ok()
+}
+
+/// Calls a peer as [`call_peer`] does, and tells the failures apart.
+pub(crate) async fn try_call_peer<T: DeserializeOwned>(
+    shared: &Shared,
+    peer: SocketAddr,
+    call: PeerCall,
+) -> Result<T, PeerFailure> {
     let limit = call.limit;
     let exchange = async {
         let connection = shared.pool.acquire(peer, limit, Instant::now()).await;
-        let mut connection = connection.ok()?;
+        let mut connection = connection?;
         let request = OutboundRequest {
             method: Method::POST,
             target: Uri::from_static(call.path),
             headers: host_header(peer),
             body: call.body,
         };
-        let head = connection.exchange(&request).await.ok()?;
-        let body = connection.body(MAX_PEER_RESPONSE_BYTES).await.ok()?;
+        let head = connection.exchange(&request).await?;
+        let body = connection.body(MAX_PEER_RESPONSE_BYTES).await?;
         shared.pool.release(peer, connection, Instant::now());
-        Some((head.status, body))
+        Ok((head.status, body))
+    };
+    let (status, body) = match timeout(limit, exchange).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(OutboundError::Connect(err))) if err.kind() == ErrorKind::ConnectionRefused => {
+            return Err(PeerFailure::Declined);
+        }
+        Ok(Err(_)) | Err(_) => return Err(PeerFailure::Silent),
     };
-    let (status, body) = timeout(limit, exchange).await.ok()??;
     shared.homes.record_peer_response(peer);
-    (status == StatusCode::OK).then(|| from_cbor(&body))?
+    let response = (status == StatusCode::OK)
+        .then(|| from_cbor(&body))
+        .flatten();
+    response.ok_or(PeerFailure::Declined)
 }
 
 /// Relays peers' store calls, once each, and handles calls for budgets and turns.
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -260,6 +260,7 @@
     match err {
         LedgerError::Unavailable => Refusal::LedgerUnavailable,
         LedgerError::Exhausted { .. } => Refusal::BudgetSpent,
+        LedgerError::HolderSilent => Refusal::BudgetUnknown,
         LedgerError::UnknownTurn => Refusal::UnknownTurn,
     }
 }
--- a/clementinepickd/src/ledger.rs
+++ b/clementinepickd/src/ledger.rs
@@ -81,6 +81,9 @@
         /// The processes that hold slices.
         holders: BTreeSet<SocketAddr>,
     },
+    /// The budget is fully reserved, and a process that may hold unused tokens of it is silent.
+    #[error("a process that may hold tokens of the budget is silent")]
+    HolderSilent,
     /// The store has no record of the turn.
     #[error("the turn has no record in the store")]
     UnknownTurn,
