--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -151,6 +151,8 @@
     Exit,
     /// Its power is cut: connections fall silent, and new ones get no answer.
     PowerLoss,
+    /// It hangs for good: connections stay open and silent, and new ones are accepted and get no response.
+    Hang,
 }
 
 impl FatalRequest {
@@ -242,7 +244,7 @@
     /// Returns whether a fatal request has ended the server.
     #[must_use]
     pub fn has_ended(&self) -> bool {
-        self.server.has_ended() || self.server.has_lost_power()
+        self.server.has_ended() || self.server.has_lost_power() || self.server.is_hung()
     }
 
     /// Ends the server with all its connections, if it runs, and returns once its address is free.
@@ -402,6 +404,7 @@
         script.push(match fatal.ending {
             ServerEnding::Exit => Step::End(fatal.delay),
             ServerEnding::PowerLoss => Step::LosePower(fatal.delay),
+            ServerEnding::Hang => Step::Hang(fatal.delay),
         });
         script
     }
--- a/standins/src/wire_server.rs
+++ b/standins/src/wire_server.rs
@@ -63,6 +63,9 @@
     /// Cut the server's power after a delay, likewise: its connections stay open and silent, and no new
     /// one is accepted.
     LosePower(Duration),
+    /// Make the server hang after a delay, likewise: the system accepts connections for it, and nothing is
+    /// sent on any.
+    Hang(Duration),
 }
 
 /// The steps of one answer, in order.
@@ -80,8 +83,10 @@
     Closing,
     /// Its thread stands still for this long.
     Suspended(Duration),
-    /// Its thread stands still until the server is dropped.
+    /// Its thread stands still until the server is dropped, and the system answers no attempt to connect.
     PowerLost,
+    /// Its thread stands still until the server is dropped, and the system accepts connections.
+    Hung,
     Ended,
 }
 
@@ -98,6 +103,10 @@
         self.0.send_replace(ServerPhase::PowerLost);
     }
 
+    fn hang(&self) {
+        self.0.send_replace(ServerPhase::Hung);
+    }
+
     fn resume(&self) {
         self.0.send_if_modified(|phase| {
             let was_suspended = matches!(phase, ServerPhase::Suspended(_));
@@ -111,6 +120,10 @@
     fn has_lost_power(&self) -> bool {
         *self.0.borrow() == ServerPhase::PowerLost
     }
+
+    fn is_hung(&self) -> bool {
+        *self.0.borrow() == ServerPhase::Hung
+    }
 }
 
 /// A server on a loopback port; dropped, it ends and is joined.
@@ -156,6 +169,12 @@
         self.stop.has_lost_power()
     }
 
+    /// Returns whether a step has made the server hang.
+    #[must_use]
+    pub fn is_hung(&self) -> bool {
+        self.stop.is_hung()
+    }
+
     /// Makes the server refuse new connections and go on with those that are open.
     pub fn refuse_connections(&self) {
         self.stop.0.send_replace(ServerPhase::Closing);
@@ -260,6 +279,11 @@
                         let _ = dropped.recv();
                         break;
                     }
+                    ServerPhase::Hung => {
+                        // The sender only ever is dropped.
+                        let _ = dropped.recv();
+                        break;
+                    }
                     ServerPhase::Ended => break,
                 }
             }
@@ -329,6 +353,11 @@
                     stop.lose_power();
                     std::future::pending::<()>().await;
                 }
+                Step::Hang(delay) => {
+                    sleep(delay).await;
+                    stop.hang();
+                    std::future::pending::<()>().await;
+                }
             }
         }
     }
