--- a/standins/tests/stopped_gateways.rs
+++ b/standins/tests/stopped_gateways.rs
@@ -72,6 +72,31 @@
     }
 }
 
+/// Stops all gateways but the last one that get the request, sends it to that one, and lets the others go
+/// on.
+fn check_last(ending: ServerEnding, kind: Kind) {
+    const LAST: usize = GATEWAYS - 1;
+    for round in 0..ROUNDS {
+        let name = format!("last-{ending:?}-{kind:?}-{round}");
+        let mut run = EndingRun::start(&name, settings(kind, ending));
+        let mut begun = Vec::new();
+        for gateway in 0..LAST {
+            begun.push(run.begin_fatal(gateway));
+            sleep(STOP_DELAY);
+            run.gateways.processes[gateway].send_signal(Signal::STOP);
+        }
+        for _ in 0..ATTEMPTS {
+            run.send_fatal(LAST);
+        }
+        assert_ended(&run, &name);
+        for gateway in 0..LAST {
+            run.gateways.processes[gateway].send_signal(Signal::CONT);
+        }
+        send_attempts(&mut run);
+        assert_ended(&run, &name);
+    }
+}
+
 /// Kills each gateway that gets the request and starts it again, and sends the request again.
 fn check_killed(ending: ServerEnding, kind: Kind) {
     for round in 0..ROUNDS {
@@ -111,6 +136,21 @@
     check_stopped(ServerEnding::Hang, Kind::Draft);
 }
 
+/// Guards against runs of which the last gateway does not know while the others stand still, and whose
+/// servers exit.
+#[test]
+fn a_request_that_ends_servers_at_the_last_gateway_is_given_up() {
+    check_last(ServerEnding::Exit, Kind::Draft);
+    check_last(ServerEnding::Exit, Kind::Booking);
+}
+
+/// Guards against the same where the servers lose power or hang.
+#[test]
+fn a_request_that_silences_servers_at_the_last_gateway_is_given_up() {
+    check_last(ServerEnding::PowerLoss, Kind::Draft);
+    check_last(ServerEnding::Hang, Kind::Draft);
+}
+
 /// Guards against runs that are lost with their gateway while their servers exit.
 #[test]
 fn a_request_whose_gateways_are_killed_beside_ended_servers_is_given_up() {
