Count servers that accept connections and send nothing until they are heard

Hypotheses, each shown by the tests of hanging_servers.rs and the logs: (1) a server that accepts a connection and does not answer a health check in 50 ms was taken for sound, so that its run counted as left for three seconds and then as nothing; (2) nobody asked it again, if it was the only one that was left; (3) one that left the list could not be asked for lack of a health path, and was taken for removed as planned. Callers saw no refusal; up to 9 servers ended under one request.

A run that is given up at such a server now leaves it `Unheard`: at risk without limit of time, so that the request runs at no more than three servers. Up to three gateways send it health checks that wait a second each. After two without a response it is `Hung`, and counts until it is heard; if it leaves the list, it has ended. What tells it from a busy server is that it sends nothing to anybody: a late response to a health check, or anything that it sends to another request of any gateway after the run was given up, makes it a server that was left, as before; gateways tell each other. A server that had just sent something when its run was given up is asked 250 ms later, and once more as long as it may work on the run.

--- a/clementinepick/src/ended_servers.rs
+++ b/clementinepick/src/ended_servers.rs
@@ -30,7 +30,9 @@
 use crate::server_list::{BackendServer, ServerList};
 use crate::units::{SpanUs, TimeUs};
 
-pub use crate::request_ends::{EndState, OpenRun, RequestEnds, ServerEnd, ServerStart};
+pub use crate::request_ends::{
+    EndState, HANG_CHECK_US, OpenRun, RequestEnds, ServerEnd, ServerStart,
+};
 
 /// The number of servers after which a request is given up.
 pub const MAX_ENDED_SERVERS: usize = 3;
@@ -300,7 +302,7 @@
         let request = self.requests.get_mut(now, &key);
         let ends = request.into_iter().flat_map(|request| &mut request.ends);
         for end in ends.filter(|end| end.server == *server) {
-            if end.state.is_undecided() {
+            if end.state.is_undecided() && end.state != EndState::Hung {
                 end.state = EndState::Silent;
             }
         }
@@ -313,7 +315,8 @@
         self.requests.retain(|key, request| {
             let ends = request.ends.iter_mut();
             for end in ends.filter(|end| end.server == *server) {
-                if end.state.is_undecided() && end.state != EndState::Silent {
+                let is_uncertain = end.state.is_undecided() && end.state != EndState::Hung;
+                if is_uncertain && end.state != EndState::Silent {
                     end.state = EndState::Silent;
                     found.push(*key);
                 }
@@ -323,19 +326,69 @@
         found
     }
 
-    /// Records that a server responds and is not silent; it may have started again.
-    pub fn mark_responding(&mut self, server: &ServerStart) {
+    /// Records that a server responded at `heard_at` and is not silent; it may have started again.
+    /// Returns whether it was known as one that had sent nothing since a run.
+    pub fn mark_responding(&mut self, server: &ServerStart, heard_at: TimeUs) -> bool {
+        let mut was_unheard = false;
+        self.requests.retain(|_, request| {
+            let ends = request.ends.iter_mut();
+            for end in ends.filter(|end| end.server == *server && end.lost_at <= heard_at) {
+                was_unheard |= end.state.is_unheard();
+                end.state = match end.state {
+                    EndState::Silent | EndState::Hung => EndState::Unproven,
+                    EndState::Unheard => EndState::Left,
+                    state => state,
+                };
+            }
+            true
+        });
+        was_unheard
+    }
+
+    /// Returns the servers that have sent nothing since a run was given up, with the time of the last
+    /// one.
+    #[must_use]
+    pub fn unheard(&self, now: TimeUs) -> BTreeMap<ServerStart, TimeUs> {
+        let mut unheard = BTreeMap::new();
+        let ends = self.requests.iter(now).flat_map(|(_, r)| &r.ends);
+        for end in ends.filter(|end| end.state.is_unheard()) {
+            let lost_at = unheard.entry(end.server.clone()).or_default();
+            *lost_at = end.lost_at.max(*lost_at);
+        }
+        unheard
+    }
+
+    /// Records that a server accepts connections and did not respond to a health check in time.
+    pub fn mark_unheard(&mut self, now: TimeUs, server: &ServerStart) {
         self.requests.retain(|_, request| {
             let ends = request.ends.iter_mut();
             for end in ends.filter(|end| end.server == *server) {
-                if end.state == EndState::Silent {
-                    end.state = EndState::Unproven;
+                if matches!(end.state, EndState::Left | EndState::Suspected) {
+                    // What it sent before this health check says nothing.
+                    end.lost_at = now;
+                    end.state = EndState::Unheard;
                 }
             }
             true
         });
     }
 
+    /// Records that a server which was not heard since a run hangs; returns the requests of those runs.
+    pub fn mark_hung(&mut self, server: &ServerStart) -> Vec<RequestKey> {
+        let mut found = Vec::new();
+        self.requests.retain(|key, request| {
+            let ends = request.ends.iter_mut();
+            for end in ends.filter(|end| end.server == *server) {
+                if end.state == EndState::Unheard {
+                    end.state = EndState::Hung;
+                    found.push(*key);
+                }
+            }
+            true
+        });
+        found
+    }
+
     /// Updates the states of the servers by a current list of servers; returns the requests under
     /// which a suspected one turned out to have ended and of which peers may not know.
     pub fn apply_list(&mut self, now: TimeUs, list: &ServerList) -> Vec<RequestKey> {
--- a/clementinepick/src/request_ends.rs
+++ b/clementinepick/src/request_ends.rs
@@ -22,6 +22,9 @@
 /// How long a server may work on a run that its gateway has given up.
 const LEFT_RUN_US: SpanUs = SpanUs::from_s(3);
 
+/// How long it takes to find out whether a server hangs.
+pub const HANG_CHECK_US: SpanUs = SpanUs::from_s(2);
+
 /// One start of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ServerStart {
@@ -86,6 +89,11 @@
 pub enum EndState {
     /// It responded when its run was given up, and may still work on it. Not counted.
     Left,
+    /// It accepted connections and has sent nothing to anyone since its run was given up. Not counted, and
+    /// no further server is put at risk beside it without limit of time.
+    Unheard,
+    /// The same after several health checks: it hangs, and counts until it is heard.
+    Hung,
     /// It has responded since, or is not known to be silent, and may yet end. Not counted.
     Suspected,
     /// It broke off the response, and a server responds under its id: it may be the same start or the
@@ -104,7 +112,12 @@
     #[must_use]
     pub fn is_undecided(self) -> bool {
         match self {
-            Self::Left | Self::Suspected | Self::Unproven | Self::Silent => true,
+            Self::Left
+            | Self::Unheard
+            | Self::Hung
+            | Self::Suspected
+            | Self::Unproven
+            | Self::Silent => true,
             Self::Ended | Self::Confirmed => false,
         }
     }
@@ -114,15 +127,41 @@
     pub fn is_known_end(self) -> bool {
         match self {
             Self::Ended | Self::Confirmed => true,
-            Self::Left | Self::Suspected | Self::Unproven | Self::Silent => false,
+            Self::Left
+            | Self::Unheard
+            | Self::Hung
+            | Self::Suspected
+            | Self::Unproven
+            | Self::Silent => false,
+        }
+    }
+
+    /// Returns whether the server has sent nothing since its run was given up, though it accepts
+    /// connections.
+    #[must_use]
+    pub fn is_unheard(self) -> bool {
+        match self {
+            Self::Unheard | Self::Hung => true,
+            Self::Left
+            | Self::Suspected
+            | Self::Unproven
+            | Self::Silent
+            | Self::Ended
+            | Self::Confirmed => false,
         }
     }
 
+    /// Returns whether the run was only given up, and nothing shows that it was lost.
+    #[must_use]
+    pub fn is_given_up(self) -> bool {
+        matches!(self, Self::Left | Self::Unheard)
+    }
+
     /// Returns whether the server counts, whatever is known of others.
     fn is_counted(self) -> bool {
         match self {
-            Self::Silent | Self::Ended | Self::Confirmed => true,
-            Self::Left | Self::Suspected | Self::Unproven => false,
+            Self::Hung | Self::Silent | Self::Ended | Self::Confirmed => true,
+            Self::Left | Self::Unheard | Self::Suspected | Self::Unproven => false,
         }
     }
 
@@ -133,7 +172,10 @@
             Self::Suspected => true,
             // Further runs there don't prolong the time in which the server is at risk.
             Self::Left => !matches!(new, Self::Suspected | Self::Left),
-            Self::Unproven | Self::Silent => !matches!(new, Self::Suspected | Self::Left),
+            Self::Unheard | Self::Unproven | Self::Silent => {
+                !matches!(new, Self::Suspected | Self::Left | Self::Unheard)
+            }
+            Self::Hung => matches!(new, Self::Unproven | Self::Ended | Self::Confirmed),
             Self::Ended | Self::Confirmed => false,
         }
     }
@@ -157,7 +199,7 @@
         let is_recent = now.since(self.lost_at) < ENTRY_EXPIRY_US;
         match self.state {
             EndState::Left | EndState::Suspected | EndState::Unproven => is_recent,
-            EndState::Silent => true,
+            EndState::Unheard | EndState::Hung | EndState::Silent => true,
             EndState::Ended | EndState::Confirmed => false,
         }
     }
@@ -234,9 +276,12 @@
     /// Returns the servers that may still work on runs which were given up, each with the time that is
     /// left until it no longer does.
     fn left(&self, now: TimeUs) -> impl Iterator<Item = (&ServerStart, SpanUs)> {
-        let left = self.ends.iter().filter(|end| end.state == EndState::Left);
-        left.filter_map(move |end| {
-            let left_us = LEFT_RUN_US.0.checked_sub(now.since(end.lost_at).0)?;
+        self.ends.iter().filter_map(move |end| {
+            let left_us = match end.state {
+                EndState::Left => LEFT_RUN_US.0.checked_sub(now.since(end.lost_at).0)?,
+                EndState::Unheard => HANG_CHECK_US.0,
+                _ => return None,
+            };
             (left_us > 0).then_some((&end.server, SpanUs(left_us)))
         })
     }
@@ -313,7 +358,7 @@
                 EndState::Suspected | EndState::Silent => is_recent,
                 // It counts for as long as the known end.
                 EndState::Unproven => is_recent || has_known_end,
-                EndState::Ended | EndState::Confirmed => true,
+                EndState::Unheard | EndState::Hung | EndState::Ended | EndState::Confirmed => true,
             }
         });
         has_found
--- a/clementinepick/tests/ended_servers.rs
+++ b/clementinepick/tests/ended_servers.rs
@@ -176,7 +176,7 @@
     }
     assert_eq!(ended.count(START, key("a")), MAX_ENDED_SERVERS);
     assert_eq!(ended.retry_after(START, key("a")), SpanUs::from_s(2));
-    ended.mark_responding(&servers[0]);
+    ended.mark_responding(&servers[0], START);
     assert_eq!(ended.count(START, key("a")), 2);
     ended.mark_silent(START, key("a"), &servers[0]);
     assert_eq!(ended.count(START, key("a")), 3);
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::gateway_budget::{maintain_homes, send_token_returns};
 use crate::gateway_connection::{Handler, serve};
 use crate::gateway_ended_upkeep::maintain_ended;
+use crate::gateway_hanging::check_unheard;
 use crate::gateway_loss::settle_losses;
 use crate::gateway_maintenance::run_maintenance;
 use crate::gateway_metrics::{GatewayMetrics, MetricsHandler};
@@ -290,6 +291,7 @@
         tasks.spawn_local(send_token_returns(Rc::clone(&shared), queues.returned));
         tasks.spawn_local(send_updates(Rc::clone(&shared), queues.updates));
         tasks.spawn_local(maintain_ended(Rc::clone(&shared)));
+        tasks.spawn_local(check_unheard(Rc::clone(&shared)));
         tasks.spawn_local(maintain_versions(Rc::clone(&shared)));
         tasks.spawn_local(watch_peers(Rc::clone(&shared)));
         tasks.spawn_local(write_requests(Rc::clone(&shared)));
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -435,8 +435,10 @@
     pub(crate) async fn record_replaced(&self, run: &CurrentRun, fate: ServerFate) {
         let label = AttemptError::ResponseLost.label();
         self.trace.record_error(&run.server.id, label);
-        self.open_loss(run).leave(self.shared, fate).await;
+        let loss = self.open_loss(run);
+        loss.leave(self.shared, fate).await;
         self.finish_run(run);
+        self.shared.check_left(loss);
     }
 
     /// Finds out what became of a server that lost a response.
@@ -470,6 +472,7 @@
         };
         let state = match self.probe(&run.server).await {
             ServerFate::Alive | ServerFate::Responding | ServerFate::Accepting => return,
+            ServerFate::Hanging => EndState::Unheard,
             ServerFate::Ended => EndState::Ended,
             ServerFate::Unknown => EndState::Silent,
         };
--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -113,7 +113,7 @@
     }
 
     /// Returns whether a server has sent something at `since` or later.
-    fn was_heard(&self, server: &ServerStart, since: Instant) -> bool {
+    pub(crate) fn was_heard(&self, server: &ServerStart, since: Instant) -> bool {
         let heard = self.heard.borrow();
         heard
             .get(&server.as_listed())
@@ -281,7 +281,8 @@
         }
         let fate = probe(server.address, &server.id, health_path).await;
         // A busy server may not respond to a health check in time and yet serve other requests.
-        if fate == ServerFate::Unknown && self.is_heard(server, Instant::now()) {
+        let is_unclear = matches!(fate, ServerFate::Unknown | ServerFate::Hanging);
+        if is_unclear && self.is_heard(server, Instant::now()) {
             return ServerFate::Alive;
         }
         fate
@@ -299,8 +300,10 @@
         let mut known = self.ended.known.borrow_mut();
         match fate {
             ServerFate::Alive | ServerFate::Responding | ServerFate::Accepting => {
-                known.mark_responding(server);
+                drop(known);
+                self.record_responding(server, Instant::now());
             }
+            ServerFate::Hanging => known.mark_unheard(now, server),
             ServerFate::Unknown => known.mark_silent(now, key, server),
             ServerFate::Ended => {}
         }
@@ -340,7 +343,7 @@
         peers
     }
 
-    fn report_over(&self, over: RequestOver) {
+    pub(crate) fn report_over(&self, over: RequestOver) {
         // The receiver ends only with the process.
         let _ = self.updates.send(PeerUpdate::Over(over));
     }
@@ -517,6 +520,9 @@
         match over {
             RequestOver::Answered(key) => known.forget(key),
             RequestOver::Run(key, run) => known.finish_run(now, key, run),
+            RequestOver::Responds(server) => {
+                known.mark_responding(&server, now);
+            }
         }
     }
 }
--- a/clementinepickd/src/gateway_ended_messages.rs
+++ b/clementinepickd/src/gateway_ended_messages.rs
@@ -94,13 +94,15 @@
     }
 }
 
-/// Says that a request, or one of its runs, is over.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// Says that a request, one of its runs, or the silence of a server is over.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum RequestOver {
     /// A server has answered the request: it ends no servers.
     Answered(RequestKey),
     /// The run with this id is over, and its server has not ended.
     Run(RequestKey, u64),
+    /// A server that was not heard since a run has just sent something.
+    Responds(ServerStart),
 }
 
 /// Asks a peer for all that it knows, and to share what it learns.
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -199,13 +199,22 @@
 
 /// Records what became of a server that may have ended; returns the requests under which it is newly
 /// counted.
-fn apply_fate(shared: &Shared, server: &ServerStart, fate: ServerFate) -> Vec<RequestKey> {
-    let mut known = shared.ended.known.borrow_mut();
+pub(crate) fn apply_fate(
+    shared: &Shared,
+    server: &ServerStart,
+    fate: ServerFate,
+) -> Vec<RequestKey> {
+    let known = &shared.ended.known;
     match fate {
-        ServerFate::Ended => known.mark_ended(server),
-        ServerFate::Unknown => known.mark_all_silent(server),
+        ServerFate::Ended => known.borrow_mut().mark_ended(server),
+        ServerFate::Unknown => known.borrow_mut().mark_all_silent(server),
+        ServerFate::Hanging => {
+            let now = shared.now_us(Instant::now());
+            known.borrow_mut().mark_unheard(now, server);
+            Vec::new()
+        }
         ServerFate::Alive | ServerFate::Responding | ServerFate::Accepting => {
-            known.mark_responding(server);
+            shared.record_responding(server, Instant::now());
             Vec::new()
         }
     }
@@ -218,7 +227,10 @@
     let left = shared.ended.known.borrow().unlisted_left(now, list);
     for (server, fate) in find_fates(shared, left.into_iter()).await {
         let found = match fate {
-            ServerFate::Alive | ServerFate::Responding | ServerFate::Accepting => {
+            ServerFate::Alive
+            | ServerFate::Responding
+            | ServerFate::Accepting
+            | ServerFate::Hanging => {
                 shared.ended.known.borrow_mut().remove_left(&server);
                 Vec::new()
             }
--- a/clementinepickd/src/gateway_left.rs
+++ b/clementinepickd/src/gateway_left.rs
@@ -26,8 +26,8 @@
 
 impl Shared {
     /// Records that the run of a request at a server is given up and may go on, and tells peers.
-    pub(crate) fn record_left(&self, key: RequestKey, server: &ServerStart) {
-        self.add_end(key, server, EndState::Left);
+    pub(crate) fn record_left(&self, key: RequestKey, server: &ServerStart, state: EndState) {
+        self.add_end(key, server, state);
         self.request_log.keep_left(key, server, Instant::now());
         self.announce(key, Vec::new());
     }
@@ -66,7 +66,7 @@
         let now = self.now_us(Instant::now());
         let known = self.ended.known.borrow();
         let ends = known.get(now, key).into_iter().flat_map(|r| &r.ends);
-        ends.into_iter().any(|end| end.state != EndState::Left)
+        ends.into_iter().any(|end| !end.state.is_given_up())
     }
 
     /// Returns the ids of the only servers at which a request may run, if it must not put another one at
--- a/clementinepickd/src/gateway_loss.rs
+++ b/clementinepickd/src/gateway_loss.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_rt::time::timeout;
+use actix_rt::time::{sleep, timeout};
 use clementinepick::ended_servers::{EndState, ServerStart};
 use clementinepick::event::{Event, EventKind};
 use clementinepick::request_key::RequestKey;
@@ -21,6 +21,10 @@
 /// How long the response to a caller may wait until peers know of a silent server.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// When the server of a run that was given up is asked again, each after the one before: it may have
+/// sent something just before it fell silent, and work on the run for longer.
+const LEFT_CHECK_PAUSES: [Duration; 2] = [Duration::from_millis(250), Duration::from_millis(2_250)];
+
 /// A run whose outcome is not known.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct OpenLoss {
@@ -68,7 +72,11 @@
     pub(crate) async fn leave(&self, shared: &Shared, fate: ServerFate) {
         match fate {
             ServerFate::Alive | ServerFate::Responding | ServerFate::Accepting => {
-                shared.record_left(self.key, &self.server);
+                shared.record_left(self.key, &self.server, EndState::Left);
+            }
+            ServerFate::Hanging => {
+                self.log(shared, fate);
+                shared.record_left(self.key, &self.server, EndState::Unheard);
             }
             ServerFate::Ended | ServerFate::Unknown => {
                 shared.doubt_listed_start(&self.server.id, DoubtReason::Lost);
@@ -103,32 +111,44 @@
 fn state_of_broken(fate: ServerFate) -> EndState {
     match fate {
         ServerFate::Alive => EndState::Suspected,
-        ServerFate::Responding | ServerFate::Accepting => EndState::Unproven,
+        ServerFate::Responding | ServerFate::Accepting | ServerFate::Hanging => EndState::Unproven,
         ServerFate::Ended => EndState::Ended,
         ServerFate::Unknown => EndState::Silent,
     }
 }
 
 impl Shared {
-    /// Ends a run whose caller has disconnected. A server that has just sent something needs not be
-    /// asked whether it has ended.
-    pub(crate) fn abandon_run(&self, loss: OpenLoss, now: Instant) {
-        self.record_left(loss.key, &loss.server);
+    /// Ends a run whose caller has disconnected.
+    pub(crate) fn abandon_run(&self, loss: OpenLoss) {
+        self.record_left(loss.key, &loss.server, EndState::Left);
         loss.finish(self);
-        if !self.is_heard(&loss.server, now) {
-            // The receiver ends only with the process.
-            let _ = self.losses.send(loss);
-        }
+        self.check_left(loss);
+    }
+
+    /// Returns whether nothing else has become known of the server of a run that was given up.
+    fn is_left(&self, loss: &OpenLoss) -> bool {
+        let now = self.now_us(Instant::now());
+        let known = self.ended.known.borrow();
+        let ends = known.get(now, loss.key).into_iter().flat_map(|r| &r.ends);
+        let mut ends = ends.filter(|end| end.server == loss.server);
+        ends.any(|end| end.state == EndState::Left)
+    }
+
+    /// Finds out later whether the server of a run that was given up has ended, or hangs.
+    pub(crate) fn check_left(&self, loss: OpenLoss) {
+        // The receiver ends only with the process.
+        let _ = self.losses.send(loss);
     }
 }
 
 /// Settles a run that ends with its deadline or the process, before its caller hears of it.
 pub(crate) async fn settle_open_run(shared: &Shared, open: Option<OpenLoss>) {
     if let Some(loss) = open {
-        shared.record_left(loss.key, &loss.server);
+        shared.record_left(loss.key, &loss.server, EndState::Left);
         // What takes longer is found out again by the upkeep.
         let _ = timeout(SETTLE_TIMEOUT, settle_given_up(shared, &loss)).await;
         loss.finish(shared);
+        shared.check_left(loss);
     }
 }
 
@@ -139,7 +159,24 @@
     loss.leave(shared, fate).await;
 }
 
-/// Settles the runs of callers that have disconnected, until the sender is dropped.
+/// Asks the server of a run that was given up whether it has ended: now, and as long as it may work on
+/// the run. One that has sent something meanwhile is not asked.
+async fn check_left(shared: &Shared, loss: &OpenLoss) {
+    let mut since = Instant::now();
+    if shared.is_left(loss) && !shared.is_heard(&loss.server, since) {
+        settle_given_up(shared, loss).await;
+    }
+    for pause in LEFT_CHECK_PAUSES {
+        sleep(pause).await;
+        let checked_at = Instant::now();
+        if shared.is_left(loss) && !shared.ended.was_heard(&loss.server, since) {
+            settle_given_up(shared, loss).await;
+        }
+        since = checked_at;
+    }
+}
+
+/// Checks the runs that were given up, until the sender is dropped.
 pub(crate) async fn settle_losses(
     shared: Rc<Shared>,
     mut queue: mpsc::UnboundedReceiver<OpenLoss>,
@@ -152,7 +189,7 @@
                     break;
                 };
                 let shared = Rc::clone(&shared);
-                settling.spawn_local(async move { settle_given_up(&shared, &loss).await });
+                settling.spawn_local(async move { check_left(&shared, &loss).await });
             }
             Some(_) = settling.join_next() => {}
         }
--- a/clementinepickd/src/gateway_peer_updates.rs
+++ b/clementinepickd/src/gateway_peer_updates.rs
@@ -96,7 +96,7 @@
             }
             PeerUpdate::Over(over) => {
                 for peer in shared.ended_peers(now) {
-                    batches.entry(peer).or_default().over.push(over);
+                    batches.entry(peer).or_default().over.push(over.clone());
                 }
             }
             PeerUpdate::Start(notice) => {
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -132,7 +132,7 @@
     fn drop(&mut self) {
         if let Some(loss) = self.trace.open_run.take() {
             self.trace.add_field("content", &loss.key);
-            self.handler.shared.abandon_run(loss, Instant::now());
+            self.handler.shared.abandon_run(loss);
         }
         if self.is_finished {
             return;
--- a/clementinepickd/src/gateway_request_log.rs
+++ b/clementinepickd/src/gateway_request_log.rs
@@ -306,7 +306,7 @@
         let mut records = Vec::new();
         let mut changes = Vec::new();
         // A run that was left is too short-lived to be recorded.
-        for end in ends.iter().filter(|end| end.state != EndState::Left) {
+        for end in ends.iter().filter(|end| !end.state.is_given_up()) {
             let id = (key, end.server.clone());
             if recorded.get(&id) != Some(&end.state) {
                 records.push(end_record(key, end, now));
--- a/clementinepickd/src/gateway_witness.rs
+++ b/clementinepickd/src/gateway_witness.rs
@@ -59,7 +59,7 @@
             // One that resets further connections, too, is at their limit.
             return match probe(address, &server.id, health_path).await {
                 ServerFate::Alive | ServerFate::Responding | ServerFate::Ended => ServerFate::Ended,
-                fate @ (ServerFate::Accepting | ServerFate::Unknown) => fate,
+                fate @ (ServerFate::Accepting | ServerFate::Hanging | ServerFate::Unknown) => fate,
             };
         }
         if self.is_heard(server, Instant::now()) {
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -29,6 +29,7 @@
 mod gateway_ended_upkeep;
 mod gateway_exchange;
 mod gateway_handover;
+mod gateway_hanging;
 mod gateway_ledger_query;
 mod gateway_left;
 mod gateway_loss;
--- a/clementinepickd/src/server_probe.rs
+++ b/clementinepickd/src/server_probe.rs
@@ -28,8 +28,10 @@
     Alive,
     /// A server with its id responds, which may have started again.
     Responding,
-    /// A server accepts connections that does not say in time which one it is.
+    /// A server accepts connections that does not say which one it is.
     Accepting,
+    /// A server accepts connections and sends nothing in time.
+    Hanging,
     /// Nothing listens at its address, or another server does.
     Ended,
     /// It can't be told: the server or the network does not respond.
@@ -54,6 +56,7 @@
             Self::Alive => "alive",
             Self::Responding => "responding",
             Self::Accepting => "accepting",
+            Self::Hanging => "hanging",
             Self::Ended => "ended",
             Self::Unknown => "unknown",
         }
@@ -75,9 +78,19 @@
     address: SocketAddr,
     server_id: &str,
     health_path: Option<&str>,
+) -> ServerFate {
+    probe_for(PROBE_TIMEOUT, address, server_id, health_path).await
+}
+
+/// Asks the address of a server who is there, and waits for the response for `limit`.
+pub(crate) async fn probe_for(
+    limit: Duration,
+    address: SocketAddr,
+    server_id: &str,
+    health_path: Option<&str>,
 ) -> ServerFate {
     for _ in 0..MAX_TRIES {
-        match try_once(address, server_id, health_path).await {
+        match try_once(limit, address, server_id, health_path).await {
             Found::Fate(fate) => return fate,
             Found::Closed => sleep(RETRY_DELAY).await,
         }
@@ -130,7 +143,12 @@
     timeout(PROBE_TIMEOUT, asking).await.ok().flatten()
 }
 
-async fn try_once(address: SocketAddr, server_id: &str, health_path: Option<&str>) -> Found {
+async fn try_once(
+    limit: Duration,
+    address: SocketAddr,
+    server_id: &str,
+    health_path: Option<&str>,
+) -> Found {
     let opened = Connection::open(address, PROBE_TIMEOUT, Instant::now()).await;
     let connection = match opened {
         Ok(connection) => connection,
@@ -141,10 +159,10 @@
         return Found::Fate(ServerFate::Accepting);
     };
     let check = check_health(connection, address, target);
-    match timeout(PROBE_TIMEOUT, check).await {
+    match timeout(limit, check).await {
         Ok(Some(head)) => Found::Fate(fate_by_response(&head, server_id)),
         Ok(None) => Found::Closed,
-        Err(_) => Found::Fate(ServerFate::Accepting),
+        Err(_) => Found::Fate(ServerFate::Hanging),
     }
 }
 
