Leave the run at a successor whose caller disconnects before it takes over

A request that moves away from a silent server waits up to 150 ms for its successor before that becomes the current run. If its caller left in that time, or the silent server went on, the run at the successor was recorded nowhere: a call whose callers leave after 300 ms ended 4 servers, of which three were known (`ended_servers` without the successor that `servers` of the first attempt names). A guard now leaves the run when it is dropped.

--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -448,7 +448,7 @@
         loss.settle(self.shared, run.started_at, witness).await;
     }
 
-    fn open_loss(&self, run: &CurrentRun) -> OpenLoss {
+    pub(crate) fn open_loss(&self, run: &CurrentRun) -> OpenLoss {
         OpenLoss {
             request: self.routed.info.id.clone(),
             key: self.key(),
--- a/clementinepickd/src/gateway_handover.rs
+++ b/clementinepickd/src/gateway_handover.rs
@@ -14,6 +14,7 @@
 
 use crate::gateway_attempts::{AttemptError, Attempts, CurrentRun};
 use crate::gateway_exchange::{ResponseFuture, RunInput, SentRequest, ServerResponse, ServerSlot};
+use crate::gateway_loss::OpenLoss;
 use crate::gateway_shared::Shared;
 use crate::outbound::Connection;
 use crate::server_probe::ServerFate;
@@ -110,6 +111,27 @@
     retry: RetryReservation,
 }
 
+/// A run at a successor that is not the request's current one yet; dropped, it is left.
+struct PendingRun {
+    shared: Rc<Shared>,
+    loss: Option<OpenLoss>,
+}
+
+impl PendingRun {
+    /// Ends the guard: the run is known otherwise.
+    fn resolve(mut self) {
+        self.loss = None;
+    }
+}
+
+impl Drop for PendingRun {
+    fn drop(&mut self) {
+        if let Some(loss) = self.loss.take() {
+            self.shared.abandon_run(loss);
+        }
+    }
+}
+
 /// A request that a successor has taken.
 struct HandedOver<'a> {
     sent: SentRequest<'a>,
@@ -268,6 +290,10 @@
         retry.commit(self.trace.kind.get());
         self.record_send(&slot);
         // If this is dropped, the successor may run the request.
+        let pending = PendingRun {
+            shared: Rc::clone(self.shared),
+            loss: Some(self.open_loss(&run)),
+        };
         let refusal_before = self.replace_refusal(Refusal::ServerLost);
         let (shared, routed) = (self.shared, self.routed);
         routed.record_prompt(shared, &slot.server, input);
@@ -276,6 +302,7 @@
         let mut response: ResponseFuture<'a> = Box::pin(sent);
         let server = run.server.clone();
         let answered = timeout(MAX_OVERLAP, response.as_mut()).await;
+        pending.resolve();
         let answered = answered.map(|response| response.and_then(|r| check_successor(r, input)));
         let response: ResponseFuture<'a> = match answered {
             Err(_) => response,
