Don't take an accepted connection for a sign of life of a server that hangs

By reading: once the entry of a server is gone, its health path is unknown, and a connection that it accepts was taken for a response until the list was applied, 250 ms later at most. A server that hangs would then have counted no longer. An accepted connection now changes nothing for it.

--- a/clementinepick/src/ended_servers.rs
+++ b/clementinepick/src/ended_servers.rs
@@ -345,6 +345,19 @@
         was_unheard
     }
 
+    /// Records that a server accepts connections, which one that hangs does, too.
+    pub fn mark_accepting(&mut self, server: &ServerStart) {
+        self.requests.retain(|_, request| {
+            let ends = request.ends.iter_mut();
+            for end in ends.filter(|end| end.server == *server) {
+                if end.state == EndState::Silent {
+                    end.state = EndState::Unproven;
+                }
+            }
+            true
+        });
+    }
+
     /// Returns the servers that have sent nothing since a run was given up, with the time of the last
     /// one.
     #[must_use]
--- a/clementinepick/tests/hanging_servers.rs
+++ b/clementinepick/tests/hanging_servers.rs
@@ -131,6 +131,15 @@
     assert_eq!(state(&ended, START), EndState::Hung);
 }
 
+/// Guards against a server that is taken for sound once its entry, which names its health check, is gone.
+#[test]
+fn a_server_that_only_accepts_connections_was_not_heard() {
+    let mut ended = EndedServers::default();
+    record(&mut ended, START, "i-1", EndState::Hung);
+    ended.mark_accepting(&server("i-1"));
+    assert_eq!(state(&ended, START), EndState::Hung);
+}
+
 #[test]
 fn a_server_that_hangs_and_is_unlisted_has_ended() {
     let mut ended = EndedServers::default();
--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -299,7 +299,8 @@
         let now = self.now_us(Instant::now());
         let mut known = self.ended.known.borrow_mut();
         match fate {
-            ServerFate::Alive | ServerFate::Responding | ServerFate::Accepting => {
+            ServerFate::Accepting => known.mark_accepting(server),
+            ServerFate::Alive | ServerFate::Responding => {
                 drop(known);
                 self.record_responding(server, Instant::now());
             }
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -213,7 +213,11 @@
             known.borrow_mut().mark_unheard(now, server);
             Vec::new()
         }
-        ServerFate::Alive | ServerFate::Responding | ServerFate::Accepting => {
+        ServerFate::Accepting => {
+            known.borrow_mut().mark_accepting(server);
+            Vec::new()
+        }
+        ServerFate::Alive | ServerFate::Responding => {
             shared.record_responding(server, Instant::now());
             Vec::new()
         }
