Don't answer 404 for a route by a configuration that is out of date

Callers of a gateway whose store was silent saw 404, which they don't repeat, for routes that had been added over two seconds before.

The absence of a route was concluded from a configuration of any age.

If the configuration was last read over two seconds ago, a request that no route matches is refused with 503 (`config_outdated`). A gateway in step answers 404 as before.

--- a/clementinepick/src/refusal.rs
+++ b/clementinepick/src/refusal.rs
@@ -17,6 +17,8 @@
     Overloaded,
     /// No configuration has been loaded yet.
     NoConfig,
+    /// No route of the configuration, which may be outdated, matches the request.
+    ConfigOutdated,
     /// No route matches the request.
     NoRoute,
     /// The program's budget is exhausted.
@@ -100,6 +102,7 @@
             Self::ReceiveTimeout => (408, "receive_timeout", None),
             Self::Overloaded => (503, "overloaded", Some(OVERLOAD_RETRY_US)),
             Self::NoConfig => (503, "no_config", Some(START_RETRY_US)),
+            Self::ConfigOutdated => (503, "config_outdated", Some(START_RETRY_US)),
             Self::NoRoute => (404, "no_route", None),
             Self::BudgetSpent => (402, "budget_spent", None),
             Self::BudgetUnknown => (503, "budget_unknown", Some(HOLDER_RETRY_US)),
--- a/clementinepickd/src/config_follower.rs
+++ b/clementinepickd/src/config_follower.rs
@@ -1,16 +1,28 @@
 //! Follows the configuration in the store and publishes new versions.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use clementinepick::event::{Event, EventKind};
 use clementinepick::traffic_config::TrafficConfig;
 use platform::store::{CONFIG_KEY, Topic};
 
-use crate::directory::FollowerContext;
+use crate::directory::{Directory, FollowerContext};
 use crate::logging::write_event;
 use crate::topic_watch::{LONG_POLL_WAIT, TopicWatch};
 
+/// The maximum age of a configuration from which it is concluded that a route does not exist. A new
+/// one must take effect within this time.
+const MAX_CONFIG_AGE: Duration = Duration::from_secs(2);
+
+/// Returns whether the configuration is new enough to conclude from it that a route does not exist.
+pub(crate) fn has_current_config(directory: &Directory, now: Instant) -> bool {
+    let age = |at| now.saturating_duration_since(at);
+    directory
+        .config_read_at
+        .is_some_and(|at| age(at) <= MAX_CONFIG_AGE)
+}
+
 /// Follows the configuration.
 pub(crate) struct ConfigFollower<'a> {
     context: FollowerContext<'a>,
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -16,6 +16,7 @@
 use rand::RngExt;
 use tokio::time::sleep_until;
 
+use crate::config_follower::has_current_config;
 use crate::gateway_call::{self, CALL};
 use crate::gateway_connection::Handler;
 use crate::gateway_ended::check_request;
@@ -206,14 +207,18 @@
     trace: &Trace,
     reply: &mut Reply<'_>,
 ) -> Result<Result<(), Refusal>, CallerDisconnected> {
-    let Some(config) = shared.directory().config else {
+    let directory = shared.directory();
+    let Some(config) = &directory.config else {
         return Ok(Err(Refusal::NoConfig));
     };
     let Some(info) = info else {
         return Ok(Err(Refusal::Malformed));
     };
-    let routed = match route_request(&config, request, &info) {
+    let routed = match route_request(config, request, &info) {
         Ok(routed) => routed,
+        Err(Refusal::NoRoute) if !has_current_config(&directory, Instant::now()) => {
+            return Ok(Err(Refusal::ConfigOutdated));
+        }
         Err(refusal) => return Ok(Err(refusal)),
     };
     if shared.is_stopping() {
