Release software versions beside gateways that are out of step in the soak

--release is a third plan with random numbers of its own; those of the basic and the extended plan are as before. Services of drafts begin with one version each, and each release begins while a gateway is suspended, cut off from the store, or has its peers suspended. The check of versions also sees runs of resumed attempts whose events never arrived, and says how each attempt was made and where it ran. Drafts without a named attempt must be resumed while there is a sole version and all gateways are in step. A run that resumes fewer than 5 drafts a second fails.

Peers are out of reach by suspending their processes. A proxy before a gateway's address for peers is not possible: the address at which it listens is the one by which it knows itself.

--- a/standins/src/platform_caller.rs
+++ b/standins/src/platform_caller.rs
@@ -72,6 +72,13 @@
         self
     }
 
+    /// Removes a header.
+    #[must_use]
+    pub fn without(mut self, name: &str) -> Self {
+        self.headers.retain(|(header, _)| header != name);
+        self
+    }
+
     /// Encodes the request as HTTP/1.1.
     #[must_use]
     pub fn bytes(&self) -> Vec<u8> {
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -21,11 +21,19 @@
 use crate::platform_caller::CallerRequest;
 use crate::platform_run::{is_ready, wait_until};
 use crate::soak_callers::Callers;
-use crate::soak_faults::{Fault, PlannedFault, plan_extended_faults, plan_faults};
+use crate::soak_faults::{
+    Fault, PlannedFault, plan_extended_faults, plan_faults, plan_release_faults,
+};
 use crate::soak_history::{History, RequestKind, RequestRecord, find_violations};
-use crate::soak_world::{GATEWAYS, SoakWorld, find_daemon};
+use crate::soak_release_checks::DraftCounts;
+use crate::soak_world::{GATEWAYS, SoakPlan, SoakWorld, WorldSettings, find_daemon};
 
 const PROGRAM_CALLERS: usize = 8;
+/// The callers of drafts in runs with releases, which have no callers of programs.
+const DRAFT_CALLERS: usize = 40;
+/// The fewest drafts that a run with releases resumes for each second of faults. A run that resumes
+/// fewer tests nothing.
+const MIN_RESUMED_PER_S: u64 = 5;
 /// The callers of each gateway that keep connections idle, in runs of the extended plan.
 const IDLE_CALLERS: usize = 4;
 /// How often a sleep checks for an interrupt.
@@ -41,7 +49,8 @@
     subcommand,
     name = "soak",
     example = "{command_name} --seeds 0..50",
-    example = "{command_name} --seeds 7..8 --seconds 20 --extended"
+    example = "{command_name} --seeds 7..8 --seconds 20 --extended",
+    example = "{command_name} --seeds 0..5 --seconds 10 --release --gateways 6"
 )]
 pub struct Soak {
     /// seeds to run, as `A..B` (B not included; default 0..5)
@@ -53,6 +62,12 @@
     /// also pause servers, change limits, timeouts and services, and keep connections idle
     #[argh(switch)]
     pub extended: bool,
+    /// release new software versions beside gateways that are out of step, and resume many drafts
+    #[argh(switch)]
+    pub release: bool,
+    /// number of gateways (default 3)
+    #[argh(option, default = "GATEWAYS")]
+    pub gateways: usize,
     /// path of the daemon (default: `clementinepickd` beside this program)
     #[argh(option)]
     pub daemon: Option<PathBuf>,
@@ -74,6 +89,8 @@
     pub resume_count: usize,
     /// Those of them that brought at least one event or the end.
     pub resumed_count: usize,
+    /// What became of the drafts.
+    pub drafts: DraftCounts,
     /// Faults that were injected, by their start.
     pub faults: Vec<PlannedFault>,
 }
@@ -166,6 +183,9 @@
                 end.resume_count,
                 end.violations.len()
             );
+            if self.release {
+                println!("  drafts: {}", end.drafts);
+            }
             for line in &end.violations {
                 println!("  {line}");
             }
@@ -190,6 +210,18 @@
         self.run_one(seed, &Interrupt::default())
     }
 
+    fn plan(&self) -> Result<SoakPlan, Failure> {
+        match (self.extended, self.release) {
+            (false, false) => Ok(SoakPlan::Basic),
+            (true, false) => Ok(SoakPlan::Extended),
+            (false, true) => Ok(SoakPlan::Release),
+            (true, true) => {
+                let detail = "a run has either the extended plan or releases".to_owned();
+                Err(Failure::Check(detail))
+            }
+        }
+    }
+
     fn run_one(&self, seed: u64, interrupt: &Interrupt) -> Result<SoakResult, Failure> {
         let daemon = match &self.daemon {
             Some(daemon) => daemon.clone(),
@@ -198,14 +230,38 @@
         let process_id = std::process::id();
         let root = self.directory.clone().unwrap_or_else(std::env::temp_dir);
         let directory = root.join(format!("soak-{process_id}-{seed}"));
-        let world = SoakWorld::start(&daemon, &directory, self.extended)?;
+        let settings = WorldSettings {
+            gateways: self.gateways,
+            plan: self.plan()?,
+        };
+        let world = SoakWorld::start(&daemon, &directory, settings)?;
         let length = Duration::from_secs(self.seconds);
-        let (planned, idle_callers) = if self.extended {
-            (plan_extended_faults(seed, length), IDLE_CALLERS)
-        } else {
-            (plan_faults(seed, length), 0)
+        let (planned, counts) = match settings.plan {
+            SoakPlan::Basic => (plan_faults(seed, length), CallerCounts::default()),
+            SoakPlan::Extended => {
+                let counts = CallerCounts {
+                    idle: IDLE_CALLERS,
+                    ..CallerCounts::default()
+                };
+                (plan_extended_faults(seed, length), counts)
+            }
+            SoakPlan::Release => {
+                let counts = CallerCounts {
+                    programs: 0,
+                    drafts: DRAFT_CALLERS,
+                    ..CallerCounts::default()
+                };
+                (plan_release_faults(seed, length), counts)
+            }
         };
-        let end = run_under_faults(&world, seed, &planned, idle_callers, interrupt);
+        let mut end = run_under_faults(&world, seed, &planned, counts, interrupt);
+        let min_resumed = MIN_RESUMED_PER_S * self.seconds;
+        if self.release && (end.drafts.resumed as u64) < min_resumed {
+            let resumed = end.drafts.resumed;
+            let line =
+                format!("only {resumed} drafts were resumed, at least {min_resumed} must be");
+            end.violations.push(line);
+        }
         drop(world);
         if end.violations.is_empty() {
             // The files of a successful run are of no use; an error here doesn't matter.
@@ -215,6 +271,25 @@
     }
 }
 
+/// The callers of a run.
+#[derive(Debug, Clone, Copy)]
+struct CallerCounts {
+    programs: usize,
+    /// Those of each gateway that keep connections idle.
+    idle: usize,
+    drafts: usize,
+}
+
+impl Default for CallerCounts {
+    fn default() -> Self {
+        Self {
+            programs: PROGRAM_CALLERS,
+            idle: 0,
+            drafts: 0,
+        }
+    }
+}
+
 fn print_faults(faults: &[PlannedFault]) {
     for PlannedFault {
         offset,
@@ -231,7 +306,7 @@
     world: &SoakWorld,
     seed: u64,
     planned: &[PlannedFault],
-    idle_callers: usize,
+    counts: CallerCounts,
     interrupt: &Interrupt,
 ) -> SoakResult {
     let callers = Callers {
@@ -248,17 +323,22 @@
     if let Err(problem) = check_all_serve(world, seed, "start") {
         record(problem);
     }
+    world.record_ready();
     let started_at = Instant::now();
     thread::scope(|scope| {
-        for number in 0..PROGRAM_CALLERS {
+        for number in 0..counts.programs {
             let callers = &callers;
             scope.spawn(move || callers.run_programs(number));
         }
-        for gateway in 0..GATEWAYS {
+        for number in 0..counts.drafts {
+            let callers = &callers;
+            scope.spawn(move || callers.run_drafts(number));
+        }
+        for gateway in 0..world.gateway_count() {
             let callers = &callers;
             scope.spawn(move || callers.use_open_connections(gateway));
             scope.spawn(move || callers.poll_config_versions(gateway));
-            for number in 0..idle_callers {
+            for number in 0..counts.idle {
                 scope.spawn(move || callers.keep_connections_idle(gateway, number));
             }
         }
@@ -285,8 +365,13 @@
     }
     let history = callers.history.into_inner();
     let history = History {
-        executed: world.servers.executed_requests(),
-        cut_links: world.servers.cut_links(),
+        executed: [
+            world.servers.executed_requests(),
+            world.releases.executed_requests(),
+        ]
+        .concat(),
+        cut_links: [world.servers.cut_links(), world.releases.cut_links()].concat(),
+        releases: world.release_times(),
         ..history.unwrap_or_else(std::sync::PoisonError::into_inner)
     };
     let mut violations = found
@@ -298,6 +383,7 @@
     let resumed: Vec<_> = history.requests.iter().filter(is_resumed).collect();
     SoakResult {
         violations,
+        drafts: DraftCounts::of(&history),
         resume_count: resumed.len(),
         resumed_count: resumed.iter().filter(|r| r.status == 200).count(),
         request_count: history.requests.len(),
@@ -334,7 +420,7 @@
 
 /// Waits until each gateway is ready and completes a turn of a new program.
 fn check_all_serve(world: &SoakWorld, seed: u64, when: &str) -> Result<(), String> {
-    for number in 0..GATEWAYS {
+    for number in 0..world.gateway_count() {
         let ready = world.ready_address(number);
         let failed = |what: &str| format!("gateway {number} {what} at the {when} of seed {seed}");
         wait_until(|| is_ready(ready)).map_err(|_| failed("did not become ready"))?;
--- a/standins/src/soak_callers.rs
+++ b/standins/src/soak_callers.rs
@@ -14,7 +14,7 @@
 use crate::platform_caller::{CallerRequest, CallerResponse, read_response, read_start};
 use crate::soak_answers::Excuse;
 use crate::soak_history::{BUDGET_TOKENS, History, RequestKind, RequestRecord};
-use crate::soak_world::{GATEWAYS, GatewayStatus, SoakWorld};
+use crate::soak_world::{GatewayStatus, SoakWorld};
 
 /// The longest wait before a request is retried.
 const MAX_RETRY_BACKOFF: Duration = Duration::from_millis(300);
@@ -31,12 +31,12 @@
 const MAX_LOOP_TURNS: u64 = 40;
 
 /// What a caller received for a request.
-struct Received {
-    id: String,
-    status: u16,
-    is_complete: bool,
+pub(crate) struct Received {
+    pub(crate) id: String,
+    pub(crate) status: u16,
+    pub(crate) is_complete: bool,
     /// The id of the last whole event.
-    last_event: Option<u64>,
+    pub(crate) last_event: Option<u64>,
 }
 
 impl Received {
@@ -174,7 +174,7 @@
             } else {
                 RequestKind::Booking
             };
-            let gateway = self.random.random_range(0..GATEWAYS);
+            let gateway = self.choose_gateway();
             self.send(gateway, program, tool);
         }
     }
@@ -185,7 +185,7 @@
             if self.shared.is_finished() {
                 return None;
             }
-            let gateway = self.random.random_range(0..GATEWAYS);
+            let gateway = self.choose_gateway();
             let received = self.send(gateway, program, kind.clone());
             match received.status {
                 200 if received.is_complete => return Some(received.id),
@@ -201,7 +201,12 @@
         None
     }
 
-    fn back_off(&mut self) {
+    pub(crate) fn choose_gateway(&mut self) -> usize {
+        self.random
+            .random_range(0..self.shared.world.gateway_count())
+    }
+
+    pub(crate) fn back_off(&mut self) {
         sleep(MAX_RETRY_BACKOFF.mul_f64(self.random.random_range(0.2..1.0)));
     }
 
@@ -210,10 +215,11 @@
         let first = cut.id;
         let mut last_event = cut.last_event?;
         for _ in 0..MAX_TRIES {
-            let gateway = self.random.random_range(0..GATEWAYS);
+            let gateway = self.choose_gateway();
             let kind = RequestKind::Resumed {
                 first: first.clone(),
                 last_event,
+                is_named: true,
             };
             let received = self.send(gateway, program, kind);
             match received.status {
@@ -245,9 +251,18 @@
                 previous: Some(previous),
             } => turn("/chat/1").with("Previous-Turn", previous),
             RequestKind::Draft => turn("/draft/1"),
-            RequestKind::Resumed { first, last_event } => turn("/draft/1")
-                .with("Last-Event-Id", &last_event.to_string())
-                .with("Resumes", first),
+            RequestKind::Resumed {
+                first,
+                last_event,
+                is_named,
+            } => {
+                let rest = turn("/draft/1").with("Last-Event-Id", &last_event.to_string());
+                if *is_named {
+                    rest.with("Resumes", first)
+                } else {
+                    rest
+                }
+            }
             RequestKind::Lookup => CallerRequest::new("GET", "/look/1", &id),
             RequestKind::Booking => CallerRequest::new("POST", "/book/1", &id),
             RequestKind::Version(version) => {
@@ -306,6 +321,7 @@
             || attempt.idle > idle_limit.mul_f64(MAX_IDLE_SHARE);
         self.shared.record(RequestRecord {
             id: attempt.id,
+            path: attempt.request.path,
             program: attempt.program,
             kind: attempt.kind,
             gateway: (attempt.gateway, before.start_count),
@@ -328,17 +344,27 @@
 
     /// Sends a request on a new connection.
     fn send(&mut self, gateway: usize, program: &str, kind: RequestKind) -> Received {
-        let mut attempt = self.start_attempt(gateway, program, kind);
+        let attempt = self.start_attempt(gateway, program, kind);
         let disconnects =
             self.shared.should_disconnect.load(Ordering::Relaxed) && self.random.random_bool(0.3);
         let patience = Duration::from_millis(self.random.random_range(5..=MAX_PATIENCE_MS));
+        self.send_attempt(attempt, disconnects.then_some(patience))
+    }
+
+    /// Sends a prepared request on a new connection; a caller with limited patience closes it after
+    /// that.
+    pub(crate) fn send_attempt(
+        &self,
+        mut attempt: Attempt,
+        patience: Option<Duration>,
+    ) -> Received {
         let connected = TcpStream::connect(attempt.before.callers);
         let is_connected = connected.is_ok();
         let mut is_sent = false;
         let answer = connected.and_then(|mut connection| {
             connection.write_all(&attempt.request.bytes())?;
             is_sent = true;
-            if disconnects {
+            if let Some(patience) = patience {
                 return read_start(&mut connection, patience);
             }
             read_response(&mut connection)
@@ -346,12 +372,12 @@
         let answer = answer.unwrap_or_default();
         if !is_sent {
             attempt.excuse = Some(Excuse::NotSent);
-        } else if disconnects {
+        } else if patience.is_some() {
             attempt.excuse = Some(Excuse::CallerLeft);
         }
         let received = Received::of(attempt.id.clone(), &answer);
         self.finish_attempt(attempt, answer, |after| {
-            is_connected && !disconnects && !after.is_ending
+            is_connected && patience.is_none() && !after.is_ending
         });
         received
     }
--- a/standins/src/soak_config.rs
+++ b/standins/src/soak_config.rs
@@ -28,6 +28,8 @@
     pub model_service: &'static str,
     /// The service of the other routes.
     pub plain_service: &'static str,
+    /// The number of services of drafts, each with a route of its own.
+    pub draft_services: usize,
 }
 
 impl Default for SoakConfig {
@@ -38,6 +40,7 @@
             plain_timeout_ms: 1_200,
             model_service: MODEL_SERVICE,
             plain_service: PLAIN_SERVICE,
+            draft_services: 0,
         }
     }
 }
@@ -87,16 +90,36 @@
             plain_timeout_ms,
             model_service,
             plain_service,
+            draft_services,
         } = self;
         let route = |path: &str, more: &str| {
             format!(r#"{{"Name":"{path}","Host":"{HOST}","PathPrefix":"/{path}/",{more}}}"#)
         };
-        let stream = format!(
-            r#""Kind":"streaming","TimeoutMs":{stream_timeout_ms},"TargetLatencyMs":100,"GapTargetMs":150,"Service":"{model_service}","RetainS":60.0,"Sticky":true,"Attempts":2"#
-        );
+        let stream_at = |service: &str| {
+            format!(
+                r#""Kind":"streaming","TimeoutMs":{stream_timeout_ms},"TargetLatencyMs":100,"GapTargetMs":150,"Service":"{service}","RetainS":60.0,"Sticky":true,"Attempts":2"#
+            )
+        };
+        let engine = |service: &str| {
+            format!(
+                r#"{{"Name":"{service}","HealthPath":"/healthz","MaxConns":50,"Engine":{{"Stride":{TOKENS_PER_EVENT}}}}}"#
+            )
+        };
+        let stream = stream_at(model_service);
         let plain = format!(
             r#""TimeoutMs":{plain_timeout_ms},"TargetLatencyMs":50,"Service":"{plain_service}","Attempts":2"#
         );
+        let drafts = (0..*draft_services).map(draft_service);
+        let draft_routes = drafts.clone().map(|service| {
+            let stream = stream_at(&service);
+            route(&service, &format!(r#"{stream},"Resumable":true"#))
+        });
+        let engines: Vec<String> = [(*model_service).to_owned()]
+            .into_iter()
+            .chain(drafts)
+            .map(|service| engine(&service))
+            .collect();
+        let engines = engines.join(",");
         let routes = [
             route("chat", &format!(r#"{stream},"KeepContext":true"#)),
             route("draft", &format!(r#"{stream},"Resumable":true"#)),
@@ -106,14 +129,21 @@
                 &format!("version-{version}"),
                 &format!(r#""Kind":"idempotent",{plain}"#),
             ),
-        ]
-        .join(",");
+        ];
+        let routes: Vec<String> = routes.into_iter().chain(draft_routes).collect();
+        let routes = routes.join(",");
         format!(
-            r#"{{"Version":{version},"Routes":[{routes}],"Services":[{{"Name":"{model_service}","HealthPath":"/healthz","MaxConns":50,"Engine":{{"Stride":{TOKENS_PER_EVENT}}}}},{{"Name":"{plain_service}","HealthPath":"/healthz","MaxConns":50}}],"Limits":{{"MaxHeaderBytes":4096,"MaxBodyBytes":100000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":{idle_limit_ms}}}}}"#
+            r#"{{"Version":{version},"Routes":[{routes}],"Services":[{engines},{{"Name":"{plain_service}","HealthPath":"/healthz","MaxConns":50}}],"Limits":{{"MaxHeaderBytes":4096,"MaxBodyBytes":100000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":{idle_limit_ms}}}}}"#
         )
     }
 }
 
+/// Returns the name of a service of drafts, which is also that of its route.
+#[must_use]
+pub fn draft_service(number: usize) -> String {
+    format!("drafts-{number}")
+}
+
 /// Returns one of `values` that is not `current`.
 fn choose_other(values: &[u64], current: u64, random_value: u64) -> u64 {
     let others = || values.iter().filter(|value| **value != current);
--- a/standins/src/soak_faults.rs
+++ b/standins/src/soak_faults.rs
@@ -5,6 +5,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::soak_release_servers::DRAFT_SERVICES;
+
 /// A kind of fault; some end after the planned duration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
@@ -46,6 +48,28 @@
     ConfigSeries,
     /// A gateway receives SIGHUP.
     Hangup,
+    /// The next software version of a service of drafts is released.
+    Release,
+    /// A gateway's process is suspended, and the list of servers changes soon after.
+    SuspendOverPoll,
+    /// The store is silent to one gateway, whose peers are suspended for a while meanwhile.
+    Isolate,
+}
+
+impl Fault {
+    /// Returns whether a gateway is out of step while the fault lasts.
+    #[must_use]
+    pub fn puts_out_of_step(self) -> bool {
+        matches!(
+            self,
+            Self::Kill
+                | Self::Terminate
+                | Self::Suspend
+                | Self::SuspendOverPoll
+                | Self::StoreUnavailableForOne
+                | Self::Isolate
+        )
+    }
 }
 
 const FAULT_KINDS: [Fault; 15] = [
@@ -76,6 +100,32 @@
     Fault::Hangup,
     Fault::Terminate,
 ];
+/// The kinds that put a gateway out of step beside a release; a kind is as frequent as it is listed.
+const OUT_OF_STEP_KINDS: [Fault; 6] = [
+    Fault::Suspend,
+    Fault::SuspendOverPoll,
+    Fault::StoreUnavailableForOne,
+    Fault::StoreUnavailableForOne,
+    Fault::Isolate,
+    Fault::Isolate,
+];
+/// The random numbers of the plan with releases.
+const RELEASE_STREAM: u64 = 2;
+/// When a gateway is out of step before any release, and for how long at most.
+const FIRST_OUT_OF_STEP_MS: u64 = 800;
+const MAX_FIRST_OUT_OF_STEP_MS: u64 = 1_000;
+/// When the first release begins: until then, services have a sole version and gateways get back in
+/// step.
+const FIRST_RELEASE_MS: u64 = 3_600;
+const MIN_RELEASE_INTERVAL_MS: u64 = 300;
+const MAX_RELEASE_INTERVAL_MS: u64 = 1_500;
+const MIN_OUT_OF_STEP_MS: u64 = 300;
+const MAX_OUT_OF_STEP_MS: u64 = 3_000;
+/// The longest time from the moment a gateway is out of step to the release.
+const MAX_RELEASE_DELAY_MS: u64 = 500;
+const MAX_RELEASE_MS: u64 = 1_500;
+/// Every how many releases on average a gateway is killed or shut down.
+const RELEASES_PER_RESTART: u32 = 5;
 /// The random numbers of the extended plan, which leave those of the basic plan as they are.
 const EXTENDED_STREAM: u64 = 1;
 /// The mean time between the starts of two faults, short enough that faults overlap.
@@ -123,6 +173,52 @@
     planned
 }
 
+/// Returns the faults for `seed` in a run of `length` with releases: each begins while a gateway is
+/// out of step. Each service is released once before any is released again.
+#[must_use]
+pub fn plan_release_faults(seed: u64, length: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(RELEASE_STREAM);
+    let first_ms = random.random_range(MIN_OUT_OF_STEP_MS..=MAX_FIRST_OUT_OF_STEP_MS);
+    let mut planned = vec![out_of_step(&mut random, FIRST_OUT_OF_STEP_MS, first_ms)];
+    let services = DRAFT_SERVICES as u64;
+    let mut service = random.random_range(0..services);
+    let mut offset_ms = FIRST_RELEASE_MS;
+    while Duration::from_millis(offset_ms) < length {
+        let duration_ms = random.random_range(MIN_OUT_OF_STEP_MS..=MAX_OUT_OF_STEP_MS);
+        planned.push(out_of_step(&mut random, offset_ms, duration_ms));
+        let delay_ms = random.random_range(20..=MAX_RELEASE_DELAY_MS.min(duration_ms / 2));
+        let released_ms = random.random_range(MIN_DURATION_MS..=MAX_RELEASE_MS);
+        let style: u64 = random.random_range(0..u64::MAX / services - 1);
+        planned.push(PlannedFault {
+            offset: Duration::from_millis(offset_ms + delay_ms),
+            duration: Duration::from_millis(released_ms),
+            fault: Fault::Release,
+            random_value: style * services + service,
+        });
+        service = (service + 1) % services;
+        if random.random_ratio(1, RELEASES_PER_RESTART) {
+            let kind = [Fault::Kill, Fault::Terminate][random.random_range(0..2)];
+            planned.push(PlannedFault {
+                fault: kind,
+                ..out_of_step(&mut random, offset_ms, MIN_OUT_OF_STEP_MS)
+            });
+        }
+        offset_ms += random.random_range(MIN_RELEASE_INTERVAL_MS..=MAX_RELEASE_INTERVAL_MS);
+    }
+    planned.sort_by_key(|fault| fault.offset);
+    planned
+}
+
+fn out_of_step(random: &mut ChaCha8Rng, offset_ms: u64, duration_ms: u64) -> PlannedFault {
+    PlannedFault {
+        offset: Duration::from_millis(offset_ms),
+        duration: Duration::from_millis(duration_ms),
+        fault: OUT_OF_STEP_KINDS[random.random_range(0..OUT_OF_STEP_KINDS.len())],
+        random_value: random.random(),
+    }
+}
+
 fn draw_faults(random: &mut ChaCha8Rng, kinds: &[Fault], length: Duration) -> Vec<PlannedFault> {
     let mut planned = Vec::new();
     // The first fault comes once programs are running.
--- a/standins/src/soak_history.rs
+++ b/standins/src/soak_history.rs
@@ -5,6 +5,7 @@
 
 use crate::platform_backend::event_data;
 use crate::soak_answers::{CutLink, Excuse, requests_end_with_an_answer};
+use crate::soak_release_checks::{ReleaseTimes, unnamed_drafts_are_resumed};
 
 /// The number of events of each stream.
 pub const EVENTS_PER_STREAM: u64 = 4;
@@ -31,6 +32,8 @@
         first: String,
         /// The id of the last event received before.
         last_event: u64,
+        /// Whether the caller names the first request.
+        is_named: bool,
     },
     /// A lookup.
     Lookup,
@@ -45,6 +48,8 @@
 pub struct RequestRecord {
     /// The request id.
     pub id: String,
+    /// The path of the request.
+    pub path: String,
     /// The program; empty for requests without one.
     pub program: String,
     /// What the request asks for.
@@ -84,6 +89,8 @@
     pub body: String,
     /// The id of the server.
     pub server: String,
+    /// The software version of the server.
+    pub version: String,
     /// Whether the server answered with a fault.
     pub is_faulty: bool,
 }
@@ -97,6 +104,8 @@
     pub executed: Vec<ExecutedRequest>,
     /// The times in which links to backend servers were cut.
     pub cut_links: Vec<CutLink>,
+    /// The releases, in runs that have some.
+    pub releases: Option<ReleaseTimes>,
 }
 
 /// Returns a description of each violation in a history.
@@ -113,6 +122,7 @@
         config_version_never_decreases,
         required_responses_arrive,
         requests_end_with_an_answer,
+        unnamed_drafts_are_resumed,
     ];
     checks.iter().flat_map(|check| check(history)).collect()
 }
@@ -152,21 +162,95 @@
         .collect()
 }
 
-/// Checks that a caller's stream has the events of one version, over all attempts.
+/// What is known of the software versions of one stream.
+#[derive(Debug, Default)]
+struct StreamVersions<'a> {
+    /// The versions that its events name.
+    of_events: BTreeSet<&'a str>,
+    /// The versions of the servers that alone ran an answered attempt to resume it, if none of them
+    /// has the version of an earlier event.
+    of_other_runs: BTreeSet<&'a str>,
+    attempts: Vec<&'a RequestRecord>,
+}
+
+impl<'a> StreamVersions<'a> {
+    fn add(&mut self, attempt: &'a RequestRecord, runs: &[&'a ExecutedRequest]) {
+        let is_resumed = matches!(attempt.kind, RequestKind::Resumed { .. });
+        let mut ran = runs.iter().map(|run| run.version.as_str());
+        if is_resumed
+            && attempt.status == 200
+            && !self.of_events.is_empty()
+            && ran.all(|version| !self.of_events.contains(version))
+        {
+            self.of_other_runs
+                .extend(runs.iter().map(|run| run.version.as_str()));
+        }
+        self.of_events.extend(versions(&attempt.body));
+        self.attempts.push(attempt);
+    }
+
+    /// Returns what is wrong with the versions, if anything.
+    fn violation(&self, runs: &RunsByRequest<'_>) -> Option<String> {
+        let Self {
+            of_events,
+            of_other_runs,
+            ..
+        } = self;
+        let problem = if of_events.len() > 1 {
+            format!("events of versions {of_events:?}")
+        } else if !of_other_runs.is_empty() {
+            format!("events of version {of_events:?}, resumed at servers of {of_other_runs:?}")
+        } else {
+            return None;
+        };
+        let attempts = self.attempts.iter();
+        let attempts: Vec<String> = attempts.map(|a| describe_attempt(a, runs)).collect();
+        Some(format!("{problem}, {}", attempts.join(", ")))
+    }
+}
+
+type RunsByRequest<'a> = BTreeMap<&'a str, Vec<&'a ExecutedRequest>>;
+
+fn runs_by_request(history: &History) -> RunsByRequest<'_> {
+    let mut runs = RunsByRequest::new();
+    for run in &history.executed {
+        runs.entry(&run.id).or_default().push(run);
+    }
+    runs
+}
+
+fn describe_attempt(attempt: &RequestRecord, runs: &RunsByRequest<'_>) -> String {
+    let what = match attempt.kind {
+        RequestKind::Resumed { is_named: true, .. } => "resumed by name",
+        RequestKind::Resumed { .. } => "resumed without a name",
+        _ => "begun",
+    };
+    let runs = runs.get(attempt.id.as_str()).into_iter().flatten();
+    let runs: Vec<String> = runs
+        .map(|run| format!("{} {}", run.server, run.version))
+        .collect();
+    let (gateway, sent_ms) = (attempt.gateway.0, attempt.sent_at.as_millis());
+    let status = attempt.status;
+    format!("{what} at {sent_ms} ms at gateway {gateway} ({status}, ran at {runs:?})")
+}
+
+/// Checks that a caller's stream has the events of one version and is resumed only at servers of that
+/// version, over all attempts. A run that the gateway gave up for another one does not count.
 fn streams_keep_their_version(history: &History) -> Vec<String> {
-    let mut by_stream: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    let runs = runs_by_request(history);
+    let mut by_stream: BTreeMap<&str, StreamVersions<'_>> = BTreeMap::new();
     for request in history.requests.iter().filter(|r| is_turn(&r.kind)) {
         let first = match &request.kind {
             RequestKind::Resumed { first, .. } => first,
             _ => &request.id,
         };
-        let known = by_stream.entry(first).or_default();
-        known.extend(versions(&request.body));
+        let of_request = runs.get(request.id.as_str()).map_or(&[][..], Vec::as_slice);
+        by_stream.entry(first).or_default().add(request, of_request);
     }
-    let mixed = by_stream.into_iter().filter(|(_, known)| known.len() > 1);
-    mixed
-        .map(|(id, known)| format!("{id}: events of versions {known:?}"))
-        .collect()
+    let mixed = by_stream
+        .iter()
+        .filter_map(|(id, stream)| Some(format!("{id}: {}", stream.violation(&runs)?)));
+    mixed.collect()
 }
 
 /// Checks that each response belongs to its request and has its events in order, and that a
--- a/standins/src/soak_servers.rs
+++ b/standins/src/soak_servers.rs
@@ -36,6 +36,11 @@
         [MODEL_SERVICE, OTHER_MODEL_SERVICE].contains(&self.service)
     }
 
+    /// Returns its id and software version.
+    fn identity(&self) -> (String, String) {
+        (self.id.clone(), self.version.to_owned())
+    }
+
     fn entry(&self, state: &str) -> String {
         let backend = self.backend.entry(self.service, state);
         let address = self.backend.address.to_string();
@@ -82,12 +87,13 @@
     pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
         let executions = self.servers.iter().flat_map(|server| {
             let executions = server.backend.executions().into_iter();
-            executions.map(|execution| (server.id.clone(), execution))
+            executions.map(|execution| (server.identity(), execution))
         });
-        let ran = executions.map(|(server, execution)| ExecutedRequest {
+        let ran = executions.map(|((server, version), execution)| ExecutedRequest {
             id: execution.id,
             body: String::from_utf8_lossy(&execution.request.body).into_owned(),
             server,
+            version,
             is_faulty: execution.fault.is_some_and(spoils_response),
         });
         ran.collect()
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -10,19 +10,71 @@
 use rustix::process::Signal;
 
 use crate::http::lock;
-use crate::platform_run::is_ready;
+use crate::platform_run::{is_ready, wait_until};
 use crate::platform_store::{AppendFault, PlatformStore, StoreEndpoint, StoreMode};
 use crate::soak_config::SoakConfig;
 use crate::soak_faults::{Fault, PlannedFault};
 use crate::soak_process::{GatewayProcess, ProcessPorts, wait_for_exit};
+use crate::soak_release_checks::ReleaseTimes;
+use crate::soak_release_servers::{DRAFT_SERVICES, ReleaseServers};
 use crate::soak_servers::SoakServers;
 
-/// The number of gateways in a run.
+/// The number of gateways in a run, unless its settings say otherwise.
 pub const GATEWAYS: usize = 3;
+/// The timeout of the routes of drafts in runs with releases: a sole version must have been listed for
+/// twice as long.
+const DRAFT_TIMEOUT_MS: u64 = 1_000;
+/// How long all sole versions have been listed at all gateways that are ready.
+const SETTLING_TIME: Duration = Duration::from_millis(2 * DRAFT_TIMEOUT_MS + 300);
+/// The time from the suspension of a gateway to the change of the list for which it has a poll open.
+const POLL_CHANGE_DELAY: Duration = Duration::from_millis(20);
+/// The longest suspension of the peers of an isolated gateway.
+const MAX_PEER_SUSPENSION: Duration = Duration::from_millis(400);
 /// The most configurations that follow each other in one fault.
 const MAX_SERIES_CONFIGS: u64 = 4;
 /// The bits of a fault's random value that select one change of the configuration.
 const BITS_PER_CHANGE: u32 = 8;
+
+/// The faults that a run has, and what they need.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum SoakPlan {
+    /// Faults of gateways, of the store and of servers.
+    #[default]
+    Basic,
+    /// Also pauses of servers and series of configurations.
+    Extended,
+    /// Releases of services of drafts beside gateways that are out of step.
+    Release,
+}
+
+/// What a run starts.
+#[derive(Debug, Clone, Copy)]
+pub struct WorldSettings {
+    /// The number of gateways.
+    pub gateways: usize,
+    /// The faults of the run.
+    pub plan: SoakPlan,
+}
+
+impl Default for WorldSettings {
+    fn default() -> Self {
+        Self {
+            gateways: GATEWAYS,
+            plan: SoakPlan::default(),
+        }
+    }
+}
+
+/// When gateways are out of step.
+#[derive(Debug, Default)]
+struct OutOfStep {
+    /// The gateways that are now.
+    gateways: Vec<usize>,
+    past: Vec<(Duration, Duration)>,
+    /// From when on sole versions have been listed for long enough.
+    settled_at: Duration,
+}
+
 /// A gateway and its faults.
 #[derive(Debug)]
 struct Gateway {
@@ -59,6 +111,9 @@
     doors: Vec<StoreEndpoint>,
     /// The backend servers and the links to them.
     pub servers: SoakServers,
+    /// The servers of drafts, in runs with releases.
+    pub releases: ReleaseServers,
+    out_of_step: Mutex<OutOfStep>,
     gateways: Vec<Mutex<Gateway>>,
     /// The published configurations, of which the first has version 1.
     configs: Mutex<Vec<SoakConfig>>,
@@ -72,24 +127,33 @@
     /// # Errors
     ///
     /// Returns an error if a port, thread, file or process can't be obtained.
-    pub fn start(daemon: &Path, directory: &Path, is_extended: bool) -> io::Result<Self> {
+    pub fn start(daemon: &Path, directory: &Path, settings: WorldSettings) -> io::Result<Self> {
+        let WorldSettings { gateways, plan } = settings;
         fs::create_dir_all(directory)?;
         let store = PlatformStore::default();
-        let config = SoakConfig::default();
+        let config = match plan {
+            SoakPlan::Basic | SoakPlan::Extended => SoakConfig::default(),
+            SoakPlan::Release => SoakConfig {
+                stream_timeout_ms: DRAFT_TIMEOUT_MS,
+                draft_services: DRAFT_SERVICES,
+                ..SoakConfig::default()
+            },
+        };
         store.put("keyed.op", "config", &config.text(1));
         let started_at = Instant::now();
-        let servers = SoakServers::start(&store, started_at, is_extended)?;
+        let servers = SoakServers::start(&store, started_at, plan == SoakPlan::Extended)?;
+        let releases = ReleaseServers::start(&store, started_at, config.draft_services)?;
         let mut doors = Vec::new();
-        for _ in 0..GATEWAYS {
+        for _ in 0..gateways {
             doors.push(store.open()?);
         }
-        let ports = ProcessPorts::find_free(GATEWAYS)?;
+        let ports = ProcessPorts::find_free(gateways)?;
         let seeds: Vec<_> = ports.iter().map(|ports| ports.peers).collect();
-        let mut gateways = Vec::new();
+        let mut processes = Vec::new();
         for (number, (ports, door)) in ports.iter().zip(&doors).enumerate() {
             let process =
                 GatewayProcess::start(daemon, directory, number, *ports, door.address, &seeds)?;
-            gateways.push(Mutex::new(Gateway {
+            processes.push(Mutex::new(Gateway {
                 process,
                 active_faults: 0,
                 disturbance_count: 0,
@@ -101,13 +165,43 @@
             store,
             doors,
             servers,
-            gateways,
+            releases,
+            out_of_step: Mutex::default(),
+            gateways: processes,
             configs: Mutex::new(vec![config]),
             started_at,
             directory: directory.to_owned(),
         })
     }
 
+    /// Returns the number of gateways.
+    #[must_use]
+    pub fn gateway_count(&self) -> usize {
+        self.gateways.len()
+    }
+
+    /// Returns the gateways that a fault has put out of step.
+    #[must_use]
+    pub fn out_of_step(&self) -> Vec<usize> {
+        lock(&self.out_of_step).gateways.clone()
+    }
+
+    /// Records that all gateways are ready.
+    pub fn record_ready(&self) {
+        lock(&self.out_of_step).settled_at = self.started_at.elapsed() + SETTLING_TIME;
+    }
+
+    /// Returns when services were released and gateways out of step; `None` without releases.
+    #[must_use]
+    pub fn release_times(&self) -> Option<ReleaseTimes> {
+        let out_of_step = lock(&self.out_of_step);
+        Some(ReleaseTimes {
+            settled_at: out_of_step.settled_at,
+            out_of_step: out_of_step.past.clone(),
+            ..self.releases.release_times()?
+        })
+    }
+
     /// Returns the current status of a gateway.
     #[must_use]
     pub fn gateway_status(&self, number: usize) -> GatewayStatus {
@@ -169,7 +263,7 @@
     pub fn find_log_line(&self, id: &str) -> io::Result<Option<String>> {
         let name = format!(r#""request":"{id}""#);
         let mut found = None;
-        for number in 0..GATEWAYS {
+        for number in 0..self.gateways.len() {
             let log = fs::read_to_string(self.directory.join(format!("gateway-{number}.log")))?;
             let line = log.lines().rfind(|line| line.contains(&name));
             found = line.map(str::to_owned).or(found);
@@ -183,30 +277,58 @@
     ///
     /// Returns an error if a process can't be restarted or a graceful shutdown fails.
     pub fn inject(&self, planned: &PlannedFault) -> io::Result<()> {
+        let count = self.gateways.len() as u64;
+        let number = usize::try_from(planned.random_value % count).unwrap_or(0);
+        if !planned.fault.puts_out_of_step() {
+            return self.inject_at(number, planned);
+        }
+        let from = self.started_at.elapsed();
+        lock(&self.out_of_step).gateways.push(number);
+        let injected = self.inject_at(number, planned);
+        if matches!(planned.fault, Fault::Kill | Fault::Terminate) {
+            let ready = self.ready_address(number);
+            // One that another fault keeps from becoming ready is out of step by that fault.
+            let _ = wait_until(|| is_ready(ready));
+        }
+        let mut out_of_step = lock(&self.out_of_step);
+        let position = out_of_step.gateways.iter().position(|at| *at == number);
+        if let Some(position) = position {
+            out_of_step.gateways.swap_remove(position);
+        }
+        out_of_step.past.push((from, self.started_at.elapsed()));
+        injected
+    }
+
+    fn inject_at(&self, number: usize, planned: &PlannedFault) -> io::Result<()> {
         let PlannedFault {
             duration,
             random_value,
             ..
         } = *planned;
-        let number = usize::try_from(random_value % GATEWAYS as u64).unwrap_or(0);
         match planned.fault {
             Fault::Kill => self.kill(number, duration),
             Fault::KillAll => {
-                for number in 0..GATEWAYS {
+                for number in 0..self.gateways.len() {
                     self.begin_fault(number, |gateway| gateway.process.kill());
                 }
                 std::thread::sleep(duration);
-                (0..GATEWAYS).try_for_each(|number| self.restart(number))
+                (0..self.gateways.len()).try_for_each(|number| self.restart(number))
             }
             Fault::Terminate => self.terminate(number, duration),
             Fault::Suspend => {
-                self.begin_fault(number, |gateway| gateway.process.send_signal(Signal::STOP));
+                self.suspend(number);
                 std::thread::sleep(duration);
-                self.end_fault(number, |gateway| {
-                    gateway.process.send_signal(Signal::CONT);
-                    Ok(())
-                })
+                self.resume(number)
             }
+            Fault::SuspendOverPoll => {
+                self.suspend(number);
+                std::thread::sleep(POLL_CHANGE_DELAY);
+                self.releases.renew_entry(random_value);
+                std::thread::sleep(duration.saturating_sub(POLL_CHANGE_DELAY));
+                self.resume(number)
+            }
+            Fault::Isolate => self.isolate(number, random_value, duration),
+            Fault::Release => self.releases.release(random_value, duration),
             Fault::StoreUnavailableForOne => {
                 interrupt_store(&self.doors[number..=number], random_value, duration);
                 Ok(())
@@ -303,6 +425,36 @@
         }
     }
 
+    fn suspend(&self, number: usize) {
+        self.begin_fault(number, |gateway| gateway.process.send_signal(Signal::STOP));
+    }
+
+    fn resume(&self, number: usize) -> io::Result<()> {
+        self.end_fault(number, |gateway| {
+            gateway.process.send_signal(Signal::CONT);
+            Ok(())
+        })
+    }
+
+    /// Cuts a gateway off from the store for a time, and from its peers for a part of it; one in four
+    /// keeps the store.
+    fn isolate(&self, number: usize, random_value: u64, duration: Duration) -> io::Result<()> {
+        let mode = match random_value / 7 % 4 {
+            0 => StoreMode::Serving,
+            _ => StoreMode::Silent,
+        };
+        let peers = || (0..self.gateways.len()).filter(|peer| *peer != number);
+        let suspension = MAX_PEER_SUSPENSION.min(duration / 2);
+        self.doors[number].set_mode(mode);
+        std::thread::sleep(duration / 2);
+        peers().for_each(|peer| self.suspend(peer));
+        std::thread::sleep(suspension);
+        let resumed: Vec<_> = peers().map(|peer| self.resume(peer)).collect();
+        std::thread::sleep((duration / 2).saturating_sub(suspension));
+        self.doors[number].set_mode(StoreMode::Serving);
+        resumed.into_iter().collect()
+    }
+
     fn fail_appends(&self, fault: AppendFault, random_value: u64) {
         for _ in 0..=random_value % 3 {
             self.store.inject_append_fault(fault);
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -5,11 +5,15 @@
 
 use standins::soak::Soak;
 use standins::soak_answers::{CutLink, Excuse};
-use standins::soak_faults::{Fault, PlannedFault, plan_extended_faults, plan_faults};
+use standins::soak_faults::{
+    Fault, PlannedFault, plan_extended_faults, plan_faults, plan_release_faults,
+};
 use standins::soak_history::{
     ExecutedRequest, History, RequestKind, RequestRecord, find_violations,
 };
 use standins::soak_process::ProcessPorts;
+use standins::soak_release_checks::{DraftCounts, ReleaseTimes};
+use standins::soak_release_servers::DRAFT_SERVICES;
 
 fn request(id: &str, kind: RequestKind) -> RequestRecord {
     let body = match kind {
@@ -21,6 +25,7 @@
     };
     RequestRecord {
         id: id.to_owned(),
+        path: "/draft/1".to_owned(),
         program: "p".to_owned(),
         kind,
         gateway: (0, 1),
@@ -43,6 +48,7 @@
         id: id.to_owned(),
         body: body.to_owned(),
         server: "s1".to_owned(),
+        version: "v1".to_owned(),
         is_faulty: false,
     }
 }
@@ -68,6 +74,7 @@
             executed("b1", ""),
         ],
         cut_links: Vec::new(),
+        releases: None,
     }
 }
 
@@ -86,16 +93,40 @@
     });
     let first = "d1".to_owned();
     let last_event = 1;
-    let mut rest = request("d2", RequestKind::Resumed { first, last_event });
+    let mut rest = request(
+        "d2",
+        RequestKind::Resumed {
+            first,
+            last_event,
+            is_named: true,
+        },
+    );
     rest.body = rest.body.replacen("id: 1\ndata: d2-1\n\n", "", 1);
     rest.body = rest.body.replacen("data", "event: v2\ndata", 1);
     history.requests.push(rest);
 }
 
+/// Adds a draft that is resumed, without the name of its first attempt, at a server of another version,
+/// and left by its caller before an event.
+fn resume_at_a_server_of_another_version(history: &mut History) {
+    resume_with_another_version(history);
+    let resumed = history.requests.last_mut().expect("an attempt");
+    resumed.body = String::new();
+    resumed.is_complete = false;
+    resumed.excuse = Some(Excuse::CallerLeft);
+    if let RequestKind::Resumed { is_named, .. } = &mut resumed.kind {
+        *is_named = false;
+    }
+    history.executed.push(ExecutedRequest {
+        version: "v2".to_owned(),
+        ..executed("d2", "d2")
+    });
+}
+
 #[test]
 fn each_violation_is_found_by_one_check() {
     type Damage = fn(&mut History);
-    let cases: [(Damage, &str); 13] = [
+    let cases: [(Damage, &str); 14] = [
         (
             |h| h.requests[2].body = "answer to b2".to_owned(),
             "b1: wrong response body",
@@ -150,6 +181,10 @@
             "d1: events of versions",
         ),
         (resume_with_another_version, "d1: events of versions"),
+        (
+            resume_at_a_server_of_another_version,
+            "d1: events of version {\"v1\"}, resumed at servers of {\"v2\"}",
+        ),
         (
             |h| h.executed[1].body = "t1t2".to_owned(),
             "t2: wrong prompt `t1t2`",
@@ -308,6 +343,110 @@
     assert_eq!(basic.iter().find(is_extended), None);
 }
 
+/// An attempt that fails before it reaches a server of the right version joins nothing.
+#[test]
+fn a_run_that_a_gateway_gives_up_for_another_one_is_no_violation() {
+    let mut history = valid_history();
+    resume_at_a_server_of_another_version(&mut history);
+    history.executed.push(executed("d2", "d2"));
+    assert_eq!(find_violations(&history), Vec::<String>::new());
+}
+
+/// Returns a history whose draft is refused four times after 5, 6, 7 and 8 s, without the name of its
+/// first attempt.
+fn history_with_refusals(times: ReleaseTimes) -> History {
+    let mut history = valid_history();
+    for second in 5..9 {
+        let kind = RequestKind::Resumed {
+            first: "d1".to_owned(),
+            last_event: 1,
+            is_named: false,
+        };
+        history.requests.push(RequestRecord {
+            status: 503,
+            body: String::new(),
+            sent_at: Duration::from_secs(second),
+            ..request(&format!("d{second}"), kind)
+        });
+    }
+    history.releases = Some(ReleaseTimes {
+        settled_at: Duration::from_secs(2),
+        ..times
+    });
+    history
+}
+
+fn released_at(first_release: Option<Duration>) -> ReleaseTimes {
+    ReleaseTimes {
+        first_releases: [("/draft/".to_owned(), first_release)].into(),
+        ..ReleaseTimes::default()
+    }
+}
+
+#[test]
+fn a_draft_that_is_refused_for_good_with_a_sole_version_is_a_violation() {
+    let late = Some(Duration::from_millis(7_500));
+    let long_ago = (Duration::from_secs(1), Duration::from_millis(3_700));
+    let out_of_step = ReleaseTimes {
+        out_of_step: vec![long_ago],
+        ..released_at(None)
+    };
+    for times in [released_at(None), released_at(late), out_of_step] {
+        let found = find_violations(&history_with_refusals(times));
+        assert_eq!(found.len(), 1, "{found:?}");
+        assert!(found[0].starts_with("d1: refused"), "{}", found[0]);
+    }
+}
+
+#[test]
+fn a_draft_may_be_refused_while_versions_join_or_gateways_are_out_of_step() {
+    let early = Some(Duration::from_secs(6));
+    let lately = (Duration::from_secs(1), Duration::from_millis(4_900));
+    let out_of_step = ReleaseTimes {
+        out_of_step: vec![lately, (Duration::from_secs(8), Duration::from_secs(9))],
+        ..released_at(None)
+    };
+    for times in [released_at(early), out_of_step] {
+        let found = find_violations(&history_with_refusals(times));
+        assert_eq!(found, Vec::<String>::new());
+    }
+    let mut resumed_later = history_with_refusals(released_at(None));
+    let last = resumed_later.requests.last_mut().expect("an attempt");
+    last.status = 200;
+    last.body = "id: 2\ndata: d8-2\n\nid: 3\ndata: d8-3\n\nid: 4\ndata: d8-4\n\n".to_owned();
+    assert_eq!(find_violations(&resumed_later), Vec::<String>::new());
+    let counts = DraftCounts {
+        broken: 1,
+        resumed: 1,
+        resumed_unnamed: 1,
+        due: 1,
+        refusals: 3,
+    };
+    assert_eq!(DraftCounts::of(&resumed_later), counts);
+}
+
+#[test]
+fn each_release_begins_while_a_gateway_is_out_of_step() {
+    let planned = plan_release_faults(7, Duration::from_secs(20));
+    assert_eq!(planned, plan_release_faults(7, Duration::from_secs(20)));
+    let releases = planned.iter().filter(|f| f.fault == Fault::Release);
+    let releases: Vec<&PlannedFault> = releases.collect();
+    assert!(releases.len() > 10, "{} releases", releases.len());
+    let services = releases.iter().take(DRAFT_SERVICES);
+    let services: BTreeSet<u64> = services
+        .map(|release| release.random_value % DRAFT_SERVICES as u64)
+        .collect();
+    assert_eq!(services.len(), DRAFT_SERVICES);
+    for release in releases {
+        let is_beside = |fault: &&PlannedFault| {
+            fault.fault.puts_out_of_step()
+                && fault.offset < release.offset
+                && release.offset < fault.offset + fault.duration
+        };
+        assert!(planned.iter().any(|fault| is_beside(&fault)), "{release:?}");
+    }
+}
+
 #[test]
 fn a_seed_determines_its_faults() {
     let length = Duration::from_secs(20);
@@ -324,6 +463,8 @@
         seeds: "1..2".to_owned(),
         seconds: 3,
         extended: false,
+        release: false,
+        gateways: 3,
         daemon: None,
         directory: None,
     };
@@ -339,6 +480,8 @@
             seeds: format!("{seed}..{}", seed + 1),
             seconds: 4,
             extended: true,
+            release: false,
+            gateways: 3,
             daemon: None,
             directory: None,
         };
