--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -504,6 +504,26 @@
     check_extended_seeds(&[5, 103]);
 }
 
+/// Software versions are released beside gateways that are out of step. No draft is joined from runs
+/// at two versions, and none is refused for good while there is one.
+#[test]
+fn releases_beside_gateways_out_of_step_cause_no_violations() {
+    for seed in [0, 1] {
+        let soak = Soak {
+            seeds: format!("{seed}..{}", seed + 1),
+            seconds: 8,
+            extended: false,
+            release: true,
+            gateways: 6,
+            daemon: None,
+            directory: None,
+        };
+        let end = soak.run_seed(seed).expect("the run starts");
+        assert_eq!(end.violations, Vec::<String>::new(), "seed {seed}");
+        assert!(end.drafts.due > 0, "seed {seed}: {}", end.drafts);
+    }
+}
+
 /// Two gateways must not get the same port, or one of them can't listen. It happens if the ports of
 /// one are released before those of the next are found.
 #[test]
