Isolate gateways more often and before their lists are old in the soak

Peers of an isolated gateway were suspended at the middle of the fault, often when its list was too old to conclude anything, and faults overlapped so much that callers waited for suspended gateways. Releases are 0.7 to 1.7 s apart now, half of the gateways out of step are isolated, and their peers are suspended 0.6 s after the store at the latest. Callers of drafts have random numbers of their own.

--- a/standins/src/soak_faults.rs
+++ b/standins/src/soak_faults.rs
@@ -101,13 +101,15 @@
     Fault::Terminate,
 ];
 /// The kinds that put a gateway out of step beside a release; a kind is as frequent as it is listed.
-const OUT_OF_STEP_KINDS: [Fault; 6] = [
+const OUT_OF_STEP_KINDS: [Fault; 8] = [
     Fault::Suspend,
     Fault::SuspendOverPoll,
     Fault::StoreUnavailableForOne,
     Fault::StoreUnavailableForOne,
     Fault::Isolate,
     Fault::Isolate,
+    Fault::Isolate,
+    Fault::Isolate,
 ];
 /// The random numbers of the plan with releases.
 const RELEASE_STREAM: u64 = 2;
@@ -117,8 +119,8 @@
 /// When the first release begins: until then, services have a sole version and gateways get back in
 /// step.
 const FIRST_RELEASE_MS: u64 = 3_600;
-const MIN_RELEASE_INTERVAL_MS: u64 = 300;
-const MAX_RELEASE_INTERVAL_MS: u64 = 1_500;
+const MIN_RELEASE_INTERVAL_MS: u64 = 700;
+const MAX_RELEASE_INTERVAL_MS: u64 = 1_700;
 const MIN_OUT_OF_STEP_MS: u64 = 300;
 const MAX_OUT_OF_STEP_MS: u64 = 3_000;
 /// The longest time from the moment a gateway is out of step to the release.
--- a/standins/src/soak_release_callers.rs
+++ b/standins/src/soak_release_callers.rs
@@ -27,6 +27,8 @@
     /// Begins, leaves and resumes drafts, one after the other, until the run is over.
     pub(crate) fn run_drafts(&self, number: usize) {
         let mut caller = self.new_caller(format!("d{number}x"));
+        // Names with the same letters and digits have the same numbers.
+        caller.random.set_stream(number as u64);
         let mut draft: u64 = 0;
         while !self.is_finished() {
             caller.run_draft(&format!("d{number}-{draft}"), draft.is_multiple_of(2));
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -28,8 +28,10 @@
 const SETTLING_TIME: Duration = Duration::from_millis(2 * DRAFT_TIMEOUT_MS + 300);
 /// The time from the suspension of a gateway to the change of the list for which it has a poll open.
 const POLL_CHANGE_DELAY: Duration = Duration::from_millis(20);
-/// The longest suspension of the peers of an isolated gateway.
-const MAX_PEER_SUSPENSION: Duration = Duration::from_millis(400);
+/// When the peers of an isolated gateway are suspended, at the latest, and for how long at most: what a
+/// gateway read before it was isolated counts as current for 2 s.
+const MAX_PEER_DELAY: Duration = Duration::from_millis(600);
+const MAX_PEER_SUSPENSION: Duration = Duration::from_millis(600);
 /// The most configurations that follow each other in one fault.
 const MAX_SERIES_CONFIGS: u64 = 4;
 /// The bits of a fault's random value that select one change of the configuration.
@@ -444,13 +446,14 @@
             _ => StoreMode::Silent,
         };
         let peers = || (0..self.gateways.len()).filter(|peer| *peer != number);
+        let delay = MAX_PEER_DELAY.min(duration / 2);
         let suspension = MAX_PEER_SUSPENSION.min(duration / 2);
         self.doors[number].set_mode(mode);
-        std::thread::sleep(duration / 2);
+        std::thread::sleep(delay);
         peers().for_each(|peer| self.suspend(peer));
         std::thread::sleep(suspension);
         let resumed: Vec<_> = peers().map(|peer| self.resume(peer)).collect();
-        std::thread::sleep((duration / 2).saturating_sub(suspension));
+        std::thread::sleep(duration.saturating_sub(delay + suspension));
         self.doors[number].set_mode(StoreMode::Serving);
         resumed.into_iter().collect()
     }
