--- a/standins/src/soak_release_servers.rs
+++ b/standins/src/soak_release_servers.rs
@@ -122,6 +122,12 @@
         Ok(servers)
     }
 
+    /// Returns whether the run has no services of drafts.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+
     /// Returns the services that are being released.
     #[must_use]
     pub fn releasing(&self) -> Vec<usize> {
@@ -285,7 +291,7 @@
                 )
             })
             .collect();
-        (!released.is_empty()).then_some(ReleaseTimes {
+        (!self.is_empty()).then_some(ReleaseTimes {
             first_releases: released,
             ..ReleaseTimes::default()
         })
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -281,7 +281,7 @@
     pub fn inject(&self, planned: &PlannedFault) -> io::Result<()> {
         let count = self.gateways.len() as u64;
         let number = usize::try_from(planned.random_value % count).unwrap_or(0);
-        if !planned.fault.puts_out_of_step() {
+        if self.releases.is_empty() || !planned.fault.puts_out_of_step() {
             return self.inject_at(number, planned);
         }
         let from = self.started_at.elapsed();
