Cut gateways off from their peers in stand-ins

Tests of gateways that are out of step need one whose peers don't respond to it, one whose store alone is silent, and servers that join later. `SilentPeers` suspends the processes of all other gateways; `set_store_mode_for` sets the mode of one gateway's store; `start_listing` starts gateways while only some versions are listed. No logic of the daemon changes.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod http_platform;
 pub mod load;
 pub mod log_service;
+pub mod peer_links;
 pub mod plain_service;
 pub mod platform_backend;
 pub mod platform_caller;
--- a/standins/src/process_gateways.rs
+++ b/standins/src/process_gateways.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Sets how the store treats the calls of one gateway.
+    pub fn set_store_mode_for(&self, gateway: usize, mode: StoreMode) {
+        self.endpoints[gateway].set_mode(mode);
+    }
+
     /// Returns the state dump of a gateway.
     ///
     /// # Errors
--- a/standins/tests/process_run/mod.rs
+++ b/standins/tests/process_run/mod.rs
@@ -71,12 +71,19 @@
 impl ProcessRun {
     /// Starts `count` gateways that know each other; `name` is unique among tests.
     pub fn start(name: &str, count: usize) -> Self {
+        Self::start_listing(name, count, &["v1", "v2"])
+    }
+
+    /// Starts gateways while only engines of these versions are listed.
+    pub fn start_listing(name: &str, count: usize, versions: &[&str]) -> Self {
         let store = PlatformStore::default();
         store.put("keyed.op", "config", &config(1));
         let start = |(id, version)| Engine::start(id, version).expect("free ports");
         let engines: Vec<Engine> = ENGINES.into_iter().map(start).collect();
-        for (engine, (id, _)) in engines.iter().zip(ENGINES) {
-            store.put("keyed.servers", id, &engine.entry("ready"));
+        for (engine, (id, version)) in engines.iter().zip(ENGINES) {
+            if versions.contains(&version) {
+                store.put("keyed.servers", id, &engine.entry("ready"));
+            }
         }
         let gateways = ProcessGateways::start(name, count, &store).expect("gateways");
         Self {
