--- a/standins/tests/process_run/mod.rs
+++ b/standins/tests/process_run/mod.rs
@@ -203,9 +203,7 @@
 
     /// Resumes a stream whose caller does not name the attempt that began it.
     pub fn resume_unnamed(&self, gateway: usize, id: &str) -> io::Result<CallerResponse> {
-        let request = CallerRequest::turn("/draft/1", &resuming_id(id), id, "x")
-            .with("Last-Event-Id", &LAST_EVENT.to_string());
-        request.send(self.gateways.callers(gateway))
+        resumption(id, None).send(self.gateways.callers(gateway))
     }
 
     fn set_state(&self, engine: usize, state: &str, gateways: &[usize]) {
@@ -230,10 +228,7 @@
 
     /// Resumes a stream that was cut, as its caller does: at `gateway`, with another request id.
     pub fn resume(&self, gateway: usize, id: &str) -> io::Result<CallerResponse> {
-        let request = CallerRequest::turn("/draft/1", &resuming_id(id), id, "x")
-            .with("Last-Event-Id", &LAST_EVENT.to_string())
-            .with("Resumes", id);
-        request.send(self.gateways.callers(gateway))
+        resumption(id, Some(id)).send(self.gateways.callers(gateway))
     }
 
     /// Returns the number of engines that ran a request.
@@ -312,6 +307,16 @@
         .map(|(number, _)| number)
 }
 
+/// Builds the request that resumes a stream; `attempt` is the one that began it, if the caller names it.
+pub fn resumption(id: &str, attempt: Option<&str>) -> CallerRequest {
+    let request = CallerRequest::turn("/draft/1", &resuming_id(id), id, "x")
+        .with("Last-Event-Id", &LAST_EVENT.to_string());
+    match attempt {
+        Some(attempt) => request.with("Resumes", attempt),
+        None => request,
+    }
+}
+
 fn resuming_id(id: &str) -> String {
     format!("{id}-resumed")
 }
