Conclude that a service has one version only from what was read after the question

A stream of unknown origin was resumed at the only version that a list of up to two seconds named. A server that had joined meanwhile can have begun the stream, through another gateway.

- The gateway reads the list of servers and the records of versions anew, by calls that begin after the request; requests that arrive together share them, and reads begin at most every 50 ms.
The thread that follows the store drops a long poll for that.
With several known versions nothing is read.
The answers of gateways of the earlier version, which rested on their lists, are not believed.
- A recorded attempt is still looked up without a read.
If nobody who responds has recorded it, reads decide; a peer that does not respond shows nothing.
- A list is as old as the call that returned it, or the end of the time for which the store held it; the age limit stays two seconds.
A long poll whose records are no longer kept counted as a read that found nothing new; it is a failure now.
- Versions of entries that were replaced or removed between two lists are remembered.
- Records of versions that are read again counted the time since the first list twice.
A list from before the records closes none.

--- a/clementinepick/tests/stream_origin.rs
+++ b/clementinepick/tests/stream_origin.rs
@@ -1,7 +1,9 @@
 //! Tests what is known of the origins of streams: the memory and its bounds, which servers fit, and
 //! what the lists of servers imply.
 
-use clementinepick::listed_versions::{ListedVersions, RecordedVersion};
+use clementinepick::listed_versions::{
+    ListedVersions, RecordedVersion, ServiceVersions, VersionEvidence, VersionQuestion,
+};
 use clementinepick::server_list::{BackendServer, ServerList, SoftwareVersion};
 use clementinepick::stream_origin::{StreamOrigin, StreamOrigins};
 use clementinepick::units::{SpanUs, TimeUs};
@@ -104,9 +106,32 @@
     TimeUs(0).after(SpanUs::from_s(seconds))
 }
 
+/// Asks for the versions of a service by a list and records as of these seconds.
+fn find(
+    listed: &ListedVersions,
+    now_s: u64,
+    service: &str,
+    as_of_s: [Option<u64>; 2],
+) -> ServiceVersions {
+    let question = VersionQuestion {
+        service,
+        min_known: SpanUs::from_s(8),
+        asked_at: at_s(now_s),
+    };
+    let [list_as_of, records_as_of] = as_of_s.map(|as_of_s| as_of_s.map(at_s));
+    let evidence = VersionEvidence {
+        list_as_of,
+        records_as_of,
+    };
+    listed.find(at_s(now_s), &question, evidence)
+}
+
+/// Returns the version by a list and records that were read at once.
 fn sole_version(listed: &ListedVersions, now_s: u64) -> Option<String> {
-    let version = listed.sole_version(at_s(now_s), "models", SpanUs::from_s(8));
-    version.map(ToString::to_string)
+    match find(listed, now_s, "models", [Some(now_s); 2]) {
+        ServiceVersions::Sole(version) => Some(version.to_string()),
+        ServiceVersions::Several | ServiceVersions::Unproven => None,
+    }
 }
 
 /// Guards against a process that has just started and has not seen the versions before.
@@ -119,11 +144,67 @@
     assert_eq!(sole_version(&listed, 8), None);
     assert_eq!(sole_version(&listed, 9), Some("v1".to_owned()));
     assert_eq!(
-        listed.sole_version(at_s(9), "other", SpanUs::from_s(8)),
-        None
+        find(&listed, 9, "other", [Some(9); 2]),
+        ServiceVersions::Unproven
     );
 }
 
+/// Guards against counting the time since the first list twice when the records are read again.
+#[test]
+fn records_that_are_read_again_make_no_version_older() {
+    let mut listed = ListedVersions::default();
+    listed.load(at_s(0), &recorded("v1", 0, None));
+    listed.record(at_s(0), &list(&["v1"]));
+    for second in 1..8 {
+        listed.load(at_s(second), &recorded("v1", second, None));
+        assert_eq!(sole_version(&listed, second), None, "at {second} s");
+    }
+    assert_eq!(sole_version(&listed, 8), Some("v1".to_owned()));
+}
+
+/// Guards against concluding from a list or records that are older than the question.
+#[test]
+fn a_sole_version_is_shown_only_by_what_was_read_after_the_question() {
+    let mut listed = ListedVersions::default();
+    listed.record(at_s(0), &list(&["v1"]));
+    for as_of_s in [
+        [None, None],
+        [Some(20), None],
+        [None, Some(20)],
+        [Some(19), Some(20)],
+        [Some(20), Some(19)],
+    ] {
+        let found = find(&listed, 20, "models", as_of_s);
+        assert_eq!(found, ServiceVersions::Unproven, "{as_of_s:?}");
+    }
+    let found = find(&listed, 20, "models", [Some(20), Some(21)]);
+    assert_eq!(found, ServiceVersions::Sole("v1".to_owned().into()));
+}
+
+/// Guards against reads and waits of a stream that is refused whatever they say.
+#[test]
+fn two_versions_need_no_new_evidence() {
+    let mut listed = ListedVersions::default();
+    listed.record(at_s(0), &list(&["v1", "v2"]));
+    let found = find(&listed, 20, "models", [None, None]);
+    assert_eq!(found, ServiceVersions::Several);
+}
+
+/// Guards against a version that joined and left between two lists.
+#[test]
+fn a_version_that_left_between_two_lists_counts() {
+    let mut listed = ListedVersions::default();
+    listed.record(at_s(0), &list(&["v1"]));
+    listed.record_left(at_s(10), "models", &"v2".to_owned().into());
+    for second in [11, 609] {
+        listed.record(at_s(second), &list(&["v1"]));
+        assert_eq!(sole_version(&listed, second), None, "at {second} s");
+    }
+    assert!(listed.has_other(at_s(609), "models", &"v1".to_owned().into()));
+    listed.record(at_s(610), &list(&["v1"]));
+    assert_eq!(sole_version(&listed, 610), Some("v1".to_owned()));
+}
+
 /// Guards against a stream that is resumed at the version which has replaced its own, however long its
 /// caller has taken.
 #[test]
--- a/clementinepickd/src/config_follower.rs
+++ b/clementinepickd/src/config_follower.rs
@@ -44,12 +44,16 @@
     pub(crate) async fn run(mut self) {
         loop {
             let read = self.watch.next(self.context.store, LONG_POLL_WAIT).await;
-            let Ok(has_changed) = read else {
+            let Ok(read) = read else {
                 // The store client counts the failure; a process with an outdated configuration is
                 // not ready.
                 continue;
             };
-            let new_config = if has_changed { self.new_config() } else { None };
+            let new_config = if read.has_changed {
+                self.new_config()
+            } else {
+                None
+            };
             let now = Instant::now();
             self.context.publish.send_modify(|directory| {
                 directory.config_read_at = Some(now);
--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -3,23 +3,30 @@
 //! One thread follows the store and publishes each change; the thread that serves traffic reads the
 //! newest value without waiting.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use clementinepick::server_list::ServerList;
+use clementinepick::server_list::{ServerList, SoftwareVersion};
 use clementinepick::traffic_config::TrafficConfig;
 use slog::Logger;
 use tokio::sync::watch;
 
 use crate::config_follower::ConfigFollower;
+use crate::list_refresh::RefreshReceiver;
 use crate::process_registry::ProcessRegistry;
 use crate::server_follower::ServerFollower;
 use crate::store::StoreClient;
+use crate::topic_watch::LONG_POLL_WAIT;
 
-/// The maximum age of a server list from which it is concluded that a server or a software version is
-/// absent; a list whose read was lost is read again within this time.
-const MAX_LIST_AGE: Duration = Duration::from_secs(2);
+/// The maximum age of a server list from which it is concluded that a server is absent. A list that the
+/// store held back is as old as the end of the wait: if the response to the next long poll is lost, which
+/// is noticed after the wait and an attempt's timeout, the list is read again within this time.
+const MAX_LIST_AGE: Duration = LONG_POLL_WAIT.saturating_mul(2);
+
+/// Services and software versions, each with a time.
+pub(crate) type LeftVersions = BTreeMap<(String, SoftwareVersion), Instant>;
 
 /// A process instance, as registered in the store.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -45,8 +52,14 @@
     pub(crate) config_read_at: Option<Instant>,
     /// When the list of servers was last read, changed or not.
     pub(crate) servers_read_at: Option<Instant>,
+    /// As of when the list of servers is known, changed or not: by the start of the call that returned
+    /// it, or by the end of the time for which the store held it.
+    pub(crate) servers_as_of: Option<Instant>,
     /// Since when the list of servers has never been older than [`MAX_LIST_AGE`].
     pub(crate) servers_current_since: Option<Instant>,
+    /// The services and software versions of servers whose entries have been replaced or have left, and
+    /// when the last one was.
+    pub(crate) left_versions: Arc<LeftVersions>,
 }
 
 impl Directory {
@@ -59,15 +72,15 @@
     /// Returns whether the list of servers is new enough to conclude from it that a server is absent.
     pub(crate) fn has_current_servers(&self, now: Instant) -> bool {
         let age = |at| now.saturating_duration_since(at);
-        self.servers_read_at
-            .is_some_and(|at| age(at) <= MAX_LIST_AGE)
+        self.servers_as_of.is_some_and(|at| age(at) <= MAX_LIST_AGE)
     }
 
-    /// Records that the list of servers was read, changed or not.
-    pub(crate) fn record_servers_read(&mut self, now: Instant) {
+    /// Records that the list of servers was read, changed or not, as of `as_of`.
+    pub(crate) fn record_servers_read(&mut self, as_of: Instant, now: Instant) {
         if !self.has_current_servers(now) {
             self.servers_current_since = Some(now);
         }
+        self.servers_as_of = self.servers_as_of.max(Some(as_of));
         self.servers_read_at = Some(now);
     }
 }
@@ -99,6 +112,7 @@
     store: StoreClient,
     logger: Logger,
     publish: watch::Sender<Directory>,
+    refresh: RefreshReceiver,
     mut stop: watch::Receiver<bool>,
 ) {
     let now = Instant::now();
@@ -109,7 +123,7 @@
         publish: &publish,
     };
     let config = ConfigFollower::new(context(&config_store), now);
-    let servers = ServerFollower::new(context(&server_store), now);
+    let servers = ServerFollower::new(context(&server_store), refresh, now);
     let processes = ProcessRegistry::new(identity, seeds, context(&store));
     tokio::select! {
         // The sender is dropped only when the process ends.
@@ -119,3 +133,22 @@
         () = processes.run() => {}
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a list that counts as new because its response waited in a socket.
+    #[test]
+    fn a_list_is_as_old_as_the_call_that_returned_it() {
+        let start = Instant::now();
+        let later = start + MAX_LIST_AGE + Duration::from_millis(1);
+        let mut directory = Directory::default();
+        directory.record_servers_read(start, later);
+        assert!(!directory.has_current_servers(later));
+        assert_eq!(directory.servers_read_at, Some(later));
+        directory.record_servers_read(later, later);
+        assert!(directory.has_current_servers(later));
+        assert_eq!(directory.servers_current_since, Some(later));
+    }
+}
--- a/clementinepickd/src/followed_topic.rs
+++ b/clementinepickd/src/followed_topic.rs
@@ -22,6 +22,8 @@
 pub(crate) struct FollowedTopic {
     partition: Partition,
     records: BTreeMap<String, Bytes>,
+    /// The records that the last read replaced or removed, also those that it had only just added.
+    replaced: Vec<(String, Bytes)>,
     end: Option<u64>,
     last_full_read: Option<Instant>,
 }
@@ -31,6 +33,7 @@
         Self {
             partition: Partition { topic, number: 0 },
             records: BTreeMap::new(),
+            replaced: Vec::new(),
             end: None,
             last_full_read: None,
         }
@@ -41,6 +44,11 @@
         &self.records
     }
 
+    /// Returns the records that the last read replaced or removed, with their keys.
+    pub(crate) fn replaced(&self) -> &[(String, Bytes)] {
+        &self.replaced
+    }
+
     /// Reads new records; returns whether there were any. After an error, the local copy is
     /// unchanged or holds some of them.
     pub(crate) async fn poll(
@@ -54,6 +62,7 @@
             purpose: StorePurpose::Follow,
             deadline,
         };
+        self.replaced.clear();
         if let Some(end) = self.end
             && !self.is_full_read_due(now)
             && let Some(changed) = self.read_new(&reader, end).await?
@@ -65,6 +74,27 @@
         Ok(changed)
     }
 
+    /// Reads new records, also while a full read is due, which may take longer than a caller can wait.
+    pub(crate) async fn poll_new(
+        &mut self,
+        store: &StoreClient,
+        now: Instant,
+        deadline: Instant,
+    ) -> Result<bool, StoreUnavailable> {
+        let reader = PartitionReader {
+            client: store,
+            purpose: StorePurpose::Follow,
+            deadline,
+        };
+        self.replaced.clear();
+        if let Some(end) = self.end
+            && let Some(changed) = self.read_new(&reader, end).await?
+        {
+            return Ok(changed);
+        }
+        self.poll(store, now, deadline).await
+    }
+
     /// Returns whether a full read is due.
     pub(crate) fn is_full_read_due(&self, now: Instant) -> bool {
         let is_due = |at: Instant| now.saturating_duration_since(at) >= FULL_READ_INTERVAL;
@@ -72,24 +102,27 @@
     }
 
     /// Long-polls the store directly for new records, for up to `wait`; returns whether there were
-    /// any.
+    /// any. It fails also if records since the last read are no longer kept.
     pub(crate) async fn long_poll(
         &mut self,
         store: &StoreClient,
         wait: Duration,
     ) -> Result<bool, StoreUnavailable> {
         let from = self.end.ok_or(StoreUnavailable)?;
+        self.replaced.clear();
         let Partition { topic, number } = self.partition;
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let target = read_target(&topic, number, from, wait_ms);
         let call = StoreCall::get(StorePurpose::Follow, target);
         let reply = store.call_long_poll(&call, wait).await?;
         let Some(read) = records_from(&reply, from)? else {
+            // Records were missed: the next read is a full one.
             self.end = None;
-            return Ok(false);
+            return Err(StoreUnavailable);
         };
         self.end = Some(from.saturating_add(read.count));
-        Ok(apply_records(&mut self.records, read.records))
+        let (records, replaced) = (&mut self.records, &mut self.replaced);
+        Ok(apply_records(records, replaced, read.records))
     }
 
     /// Reads new records; `None` if the records since the last read are no longer kept.
@@ -98,9 +131,9 @@
         reader: &PartitionReader<'_>,
         from: u64,
     ) -> Result<Option<bool>, StoreUnavailable> {
-        let records = &mut self.records;
+        let (records, replaced) = (&mut self.records, &mut self.replaced);
         let mut changed = false;
-        let apply = |new: Vec<KeyedRecord>| changed |= apply_records(records, new);
+        let apply = |new: Vec<KeyedRecord>| changed |= apply_records(records, replaced, new);
         self.end = reader.read_from(self.partition, from, apply).await?;
         Ok(self.end.map(|_| changed))
     }
@@ -113,20 +146,27 @@
         };
         let end = reader.read_newest(self.partition, collect).await?;
         let changed = records != self.records;
-        self.records = records;
+        let previous = std::mem::replace(&mut self.records, records);
+        self.replaced.extend(previous);
         self.end = Some(end);
         Ok(changed)
     }
 }
 
-/// Applies new records; returns whether there are any.
-fn apply_records(records: &mut BTreeMap<String, Bytes>, new: Vec<KeyedRecord>) -> bool {
+/// Applies new records, and moves those that they replace or remove to `replaced`; returns whether
+/// there are any new ones.
+fn apply_records(
+    records: &mut BTreeMap<String, Bytes>,
+    replaced: &mut Vec<(String, Bytes)>,
+    new: Vec<KeyedRecord>,
+) -> bool {
     let has_new = !new.is_empty();
-    for record in new {
-        match record.value {
-            Some(value) => records.insert(record.key, value),
-            None => records.remove(&record.key),
+    for KeyedRecord { key, value } in new {
+        let previous = match value {
+            Some(value) => records.insert(key.clone(), value),
+            None => records.remove(&key),
         };
+        replaced.extend(previous.map(|value| (key, value)));
     }
     has_new
 }
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -41,6 +41,7 @@
 use crate::gateway_shared::Shared;
 use crate::gateway_versions::maintain_versions;
 use crate::input_first::poll_after_input;
+use crate::list_refresh::{RefreshReceiver, RefreshSender, refresh_channel};
 use crate::logging::{new_logger_to, write_event};
 use crate::safeguard::Safeguard;
 use crate::store::StoreClient;
@@ -212,6 +213,7 @@
         F: Future<Output = io::Result<()>>,
     {
         let (publish, directory) = watch::channel(Directory::default());
+        let (refresh, refreshes) = refresh_channel();
         let (follower_stop, stopped) = watch::channel(false);
         let metrics = Arc::new(GatewayMetrics::new()?);
         let writer = format!("{:016x}", rand::random::<u64>());
@@ -220,10 +222,11 @@
             writer: writer.clone(),
             peer_address: self.settings.peers,
         };
-        let follower = self.start_follower(identity, publish, stopped, Arc::clone(&metrics))?;
+        let follower =
+            self.start_follower(identity, publish, refreshes, stopped, Arc::clone(&metrics))?;
         let served = System::new().block_on(LocalSet::new().run_until(async {
             let stop = stop();
-            self.serve(directory, metrics, writer, stop).await
+            self.serve(directory, refresh, metrics, writer, stop).await
         }));
         follower_stop.send_replace(true);
         // The follower logs its own failures; its panic has already been printed.
@@ -235,6 +238,7 @@
         &self,
         identity: Identity,
         publish: watch::Sender<Directory>,
+        refreshes: RefreshReceiver,
         stopped: watch::Receiver<bool>,
         metrics: Arc<GatewayMetrics>,
     ) -> Result<JoinHandle<()>, GatewayError> {
@@ -243,7 +247,7 @@
         let thread = thread::Builder::new().name("directory".to_owned());
         let follower = thread.spawn(move || {
             let store = StoreClient::new(store, metrics);
-            let follower = follow(identity, seeds, store, logger, publish, stopped);
+            let follower = follow(identity, seeds, store, logger, publish, refreshes, stopped);
             System::new().block_on(follower);
         })?;
         Ok(follower)
@@ -252,13 +256,14 @@
     async fn serve(
         self,
         directory: watch::Receiver<Directory>,
+        refresh: RefreshSender,
         metrics: Arc<GatewayMetrics>,
         writer: String,
         stop: impl Future<Output = io::Result<()>>,
     ) -> Result<(), GatewayError> {
         let settings = &self.settings;
         let logger = self.logger.clone();
-        let (shared, queues) = Shared::new(settings, directory, logger, metrics, writer);
+        let (shared, queues) = Shared::new(settings, directory, refresh, logger, metrics, writer);
         let shared = Rc::new(shared);
         let mut tasks = JoinSet::new();
         let callers: Rc<dyn Handler> = Rc::new(CallerHandler {
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -73,6 +73,14 @@
         });
     }
 
+    /// Counts reads of the list of servers and the versions of services for a stream whose origin is
+    /// unknown.
+    pub(crate) fn count_version_refresh(&self, outcome: &'static str) {
+        with_local_recorder(&self.recorder, || {
+            counter!("clementinepick_version_refreshes_total", "outcome" => outcome).increment(1);
+        });
+    }
+
     /// Counts origins of streams that a peer did not take.
     pub(crate) fn count_lost_origins(&self, count: usize) {
         with_local_recorder(&self.recorder, || {
--- a/clementinepickd/src/gateway_origins.rs
+++ b/clementinepickd/src/gateway_origins.rs
@@ -2,8 +2,8 @@
 //! the software version that began it.
 //!
 //! A stream's gateway keeps its origin and sends it to two peers as the stream begins. A gateway
-//! that does not know the origin of a stream asks the peers that may hold it. If all of them have
-//! lost it, the stream is resumed only if it can have begun at no other version.
+//! that does not know the origin of a stream asks the peers that may hold it. If none responds that
+//! does, the stream is resumed only if it is shown that it can have begun at no other version.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -14,12 +14,14 @@
 use clementinepick::stream_origin::{StreamOrigin, StreamOrigins};
 use clementinepick::units::SpanUs;
 use futures_util::stream::{FuturesUnordered, StreamExt};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::gateway_peer::{PeerCall, call_peer};
 use crate::gateway_peer_updates::PeerUpdate;
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
+use crate::gateway_version_proof::find_sole_origin;
 use crate::ledger::{from_cbor, to_cbor};
 use crate::link::to_span;
 
@@ -63,13 +65,11 @@
     pub(crate) min_known_us: SpanUs,
 }
 
-/// What a process knows about the origin of a stream.
+/// What a process has recorded of the origin of a stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 enum OriginAnswer {
     /// It was recorded when the stream began.
     Recorded(SharedOrigin),
-    /// It can be no other, because all servers of the service have had the same version.
-    Sole(StreamOrigin),
     Unknown,
 }
 
@@ -136,27 +136,8 @@
 
     fn answer_origin(&self, query: &OriginQuery, now: Instant) -> OriginAnswer {
         let attempt = query.attempt.as_deref();
-        if let Some(recorded) = attempt.and_then(|attempt| self.known_origin(attempt, now)) {
-            return OriginAnswer::Recorded(recorded);
-        }
-        let service = query.service.clone();
-        self.sole_version(&service, query.min_known_us, now).map_or(
-            OriginAnswer::Unknown,
-            |version| {
-                OriginAnswer::Sole(StreamOrigin {
-                    service,
-                    version,
-                    is_unproven: false,
-                })
-            },
-        )
-    }
-
-    /// Returns whether this process lists a server of the same service with another version.
-    fn lists_other_version(&self, origin: &StreamOrigin) -> bool {
-        let directory = self.directory();
-        let mut servers = directory.servers.servers.values();
-        servers.any(|server| server.service == origin.service && !origin.fits(server))
+        let recorded = attempt.and_then(|attempt| self.known_origin(attempt, now));
+        recorded.map_or(OriginAnswer::Unknown, OriginAnswer::Recorded)
     }
 
     /// Returns the peers that should hold a copy of an origin.
@@ -169,7 +150,12 @@
     }
 
     /// Returns the first `count` reachable peers that should hold the origin of a stream.
-    fn origin_holders(&self, attempt: &str, count: usize, now: Instant) -> Vec<SocketAddr> {
+    pub(crate) fn origin_holders(
+        &self,
+        attempt: &str,
+        count: usize,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
         let directory = self.directory();
         let own = self.peer_address;
         let peers = directory.peers.iter().copied().filter(|peer| *peer != own);
@@ -180,61 +166,107 @@
 
 /// Finds the origin of a stream: as recorded here or at a peer, else the only one possible.
 ///
-/// A process that has just started knows neither, but its peers do.
+/// A process that has just started knows neither, but its peers do. A peer that does not respond shows
+/// nothing.
 pub(crate) async fn find_origin(
     shared: &Shared,
     trace: &Trace,
     query: &OriginQuery,
 ) -> Option<StreamOrigin> {
-    let mut sole = match shared.answer_origin(query, Instant::now()) {
-        OriginAnswer::Recorded(recorded) => {
-            trace.add_field("origin_from", &"memory");
-            return Some(recorded.origin);
-        }
-        OriginAnswer::Sole(origin) => Some(origin),
-        OriginAnswer::Unknown => None,
+    let asked_at = Instant::now();
+    let mut peers = AskedPeers::default();
+    let recorded = match &query.attempt {
+        Some(attempt) => find_recorded(shared, attempt, query, &mut peers).await,
+        None => None,
     };
-    let may_be_recorded = query.attempt.is_some();
-    if may_be_recorded || sole.is_none() {
-        let mut calls = ask_peers(shared, query);
-        while let Some(answer) = calls.next().await {
-            match answer {
-                Some(OriginAnswer::Recorded(recorded)) => {
-                    shared.hold_origin(&recorded, Instant::now());
-                    trace.add_field("origin_from", &"peer");
-                    return Some(recorded.origin);
-                }
-                Some(OriginAnswer::Sole(origin)) if !shared.lists_other_version(&origin) => {
-                    sole.get_or_insert(origin);
-                    if !may_be_recorded {
-                        break;
-                    }
-                }
-                Some(OriginAnswer::Sole(_) | OriginAnswer::Unknown) | None => {}
-            }
+    let found = match recorded {
+        Some(found) => Some(found),
+        None => find_sole_origin(shared, query, &mut peers, asked_at).await,
+    };
+    if peers.asked > 0 {
+        trace.add_field("origin_peers_asked", &peers.asked);
+        trace.add_field("origin_peers_responded", &peers.responded.len());
+    }
+    let evidence_age = shared.evidence_age(Instant::now());
+    if let Some(age) = evidence_age {
+        trace.add_field("origin_evidence_ms", &age.as_millis());
+    }
+    let (source, origin) = found?;
+    trace.add_field("origin_from", &source.label());
+    Some(origin)
+}
+
+/// Where the origin of a stream was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OriginSource {
+    /// This process has recorded it.
+    Memory,
+    /// A peer has recorded it.
+    Peer,
+    /// There is no other version.
+    SoleVersion,
+}
+
+impl OriginSource {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Memory => "memory",
+            Self::Peer => "peer",
+            Self::SoleVersion => "sole_version",
         }
     }
-    if sole.is_some() {
-        trace.add_field("origin_from", &"sole_version");
+}
+
+/// The peers that were asked for one origin.
+#[derive(Debug, Default)]
+pub(crate) struct AskedPeers {
+    /// The number of calls.
+    pub(crate) asked: usize,
+    /// Those that responded.
+    pub(crate) responded: Vec<SocketAddr>,
+}
+
+/// Looks up a recorded origin, here and at the peers that may hold it.
+async fn find_recorded(
+    shared: &Shared,
+    attempt: &str,
+    query: &OriginQuery,
+    peers: &mut AskedPeers,
+) -> Option<(OriginSource, StreamOrigin)> {
+    if let Some(recorded) = shared.known_origin(attempt, Instant::now()) {
+        return Some((OriginSource::Memory, recorded.origin));
+    }
+    let holders = shared.origin_holders(attempt, MAX_ASKED, Instant::now());
+    peers.asked += holders.len();
+    let mut calls = ask_peers::<OriginAnswer>(shared, holders, FIND_PATH, FIND_TIMEOUT, query);
+    while let Some((peer, answer)) = calls.next().await {
+        let Some(answer) = answer else {
+            continue;
+        };
+        peers.responded.push(peer);
+        if let OriginAnswer::Recorded(recorded) = answer {
+            shared.hold_origin(&recorded, Instant::now());
+            return Some((OriginSource::Peer, recorded.origin));
+        }
     }
-    sole
+    None
 }
 
-/// Calls the peers that may know the origin, all at the same time.
-fn ask_peers(
+/// Calls peers with a query, all at the same time.
+pub(crate) fn ask_peers<T: DeserializeOwned>(
     shared: &Shared,
+    peers: Vec<SocketAddr>,
+    path: &'static str,
+    limit: Duration,
     query: &OriginQuery,
-) -> FuturesUnordered<impl Future<Output = Option<OriginAnswer>>> {
-    let key = query.attempt.as_deref().unwrap_or_default();
-    let holders = shared.origin_holders(key, MAX_ASKED, Instant::now());
+) -> FuturesUnordered<impl Future<Output = (SocketAddr, Option<T>)>> {
     let body = to_cbor(query);
-    let calls = holders.into_iter().map(|peer| {
-        let call = PeerCall {
-            path: FIND_PATH,
-            body: body.clone(),
-            limit: FIND_TIMEOUT,
-        };
-        call_peer::<OriginAnswer>(shared, peer, call)
+    let calls = peers.into_iter().map(|peer| {
+        let body = body.clone();
+        async move {
+            let call = PeerCall { path, body, limit };
+            (peer, call_peer::<T>(shared, peer, call).await)
+        }
     });
     calls.collect()
 }
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -24,6 +24,7 @@
 use crate::gateway_reply::Reply;
 use crate::gateway_shared::Shared;
 use crate::gateway_start::handle_start_call;
+use crate::gateway_version_proof::handle_prove_call;
 use crate::ledger::{from_cbor, to_cbor};
 use crate::outbound::{OutboundError, OutboundRequest};
 use crate::store::{StoreCall, StorePurpose, host_header};
@@ -125,6 +126,10 @@
                 handle_origin_call(&self.shared, &target, &request.body, Instant::now())
             {
                 response
+            } else if let Some(response) =
+                handle_prove_call(&self.shared, &target, &request.body, Instant::now()).await
+            {
+                response
             } else if let Some(response) =
                 handle_ended_call(&self.shared, &target, &request.body, Instant::now())
             {
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -10,11 +10,14 @@
 
 use clementinepick::event::{Event, EventKind};
 use clementinepick::limit_history::LimitHistory;
-use clementinepick::listed_versions::{ListedVersions, RecordedVersion};
+use clementinepick::listed_versions::{
+    ListedVersions, RecordedVersion, ServiceVersions, VersionEvidence, VersionQuestion,
+};
 use clementinepick::retry::RetryBudget;
-use clementinepick::server_list::{ServerList, SoftwareVersion};
+use clementinepick::server_list::ServerList;
 use clementinepick::server_selection::ServerSelector;
 use clementinepick::start_doubts::StartDoubts;
+use clementinepick::stream_origin::StreamOrigin;
 use clementinepick::traffic_config::{CallerLimits, TrafficService};
 use clementinepick::units::{Percent, SpanUs, TimeUs};
 use slog::Logger;
@@ -36,6 +39,7 @@
 use crate::ledger_holds::TokenReturn;
 use crate::ledger_homes::Homes;
 use crate::ledger_turns::Turns;
+use crate::list_refresh::RefreshSender;
 use crate::logging::write_event;
 use crate::monotonic_clock::MonotonicClock;
 use crate::outbound_pool::ConnectionPool;
@@ -81,6 +85,7 @@
     reserved_body_bytes: Cell<usize>,
     body_limit_bytes: usize,
     directory: watch::Receiver<Directory>,
+    list_refresh: RefreshSender,
     logger: Logger,
     log_every: u64,
     clock: MonotonicClock,
@@ -159,6 +164,7 @@
     pub(crate) fn new(
         settings: &GatewaySettings,
         directory: watch::Receiver<Directory>,
+        list_refresh: RefreshSender,
         logger: Logger,
         metrics: Arc<GatewayMetrics>,
         writer: String,
@@ -201,6 +207,7 @@
             reserved_body_bytes: Cell::new(0),
             body_limit_bytes: settings.body_limit_bytes,
             directory,
+            list_refresh,
             logger,
             log_every: settings.log_every,
             clock: MonotonicClock::starting_at(Instant::now()),
@@ -269,9 +276,12 @@
 
     /// Records which software versions are listed now.
     pub(crate) fn record_versions(&self, now: Instant) {
-        let servers = Arc::clone(&self.directory.borrow().servers);
-        let now = self.now_us(now);
-        self.listed_versions.borrow_mut().record(now, &servers);
+        let directory = self.directory();
+        let mut listed = self.listed_versions.borrow_mut();
+        for ((service, version), at) in directory.left_versions.iter() {
+            listed.record_left(self.now_us(*at), service, version);
+        }
+        listed.record(self.now_us(now), &directory.servers);
     }
 
     /// Adds a software version that an earlier process recorded.
@@ -280,23 +290,52 @@
         self.listed_versions.borrow_mut().load(now, recorded);
     }
 
-    /// Returns the software version of all servers that a service has lately had; `None` if there
-    /// were several, if they have not been known for `min_known`, or if it is not certain.
-    pub(crate) fn sole_version(
+    /// Returns the software versions that the servers of a service have had until `asked_at`, if they
+    /// have been known for `min_known`.
+    pub(crate) fn service_versions(
         &self,
         service: &str,
         min_known: SpanUs,
+        asked_at: Instant,
         now: Instant,
-    ) -> Option<SoftwareVersion> {
-        self.current_servers(now)?;
-        if !self.versions.are_loaded() || self.has_unproven_streams(service) {
-            return None;
+    ) -> ServiceVersions {
+        if self.has_unproven_streams(service) {
+            return ServiceVersions::Several;
+        }
+        self.record_versions(now);
+        let question = VersionQuestion {
+            service,
+            min_known,
+            asked_at: self.now_us(asked_at),
+        };
+        let evidence = self.version_evidence();
+        let listed = self.listed_versions.borrow();
+        listed.find(self.now_us(now), &question, evidence)
+    }
+
+    /// Returns as of when the software versions of services are known.
+    pub(crate) fn version_evidence(&self) -> VersionEvidence {
+        let list_as_of = self.directory.borrow().servers_as_of;
+        VersionEvidence {
+            list_as_of: list_as_of.map(|at| self.now_us(at)),
+            records_as_of: self.versions.as_of().map(|at| self.now_us(at)),
         }
+    }
+
+    /// Returns whether a service has lately had another software version.
+    pub(crate) fn has_other_version(&self, origin: &StreamOrigin, now: Instant) -> bool {
         self.record_versions(now);
         let listed = self.listed_versions.borrow();
-        listed
-            .sole_version(self.now_us(now), service, min_known)
-            .cloned()
+        listed.has_other(self.now_us(now), &origin.service, &origin.version)
+    }
+
+    /// Waits for a list of servers by a call that begins at `as_of` or later.
+    pub(crate) async fn wait_for_list(&self, as_of: Instant) {
+        self.list_refresh.request(as_of);
+        let mut directory = self.directory.clone();
+        let is_new = |directory: &Directory| directory.servers_as_of >= Some(as_of);
+        // The sender ends only with the process.
+        let _ = directory.wait_for(is_new).await;
     }
 
     pub(crate) fn now_us(&self, now: Instant) -> TimeUs {
--- a/clementinepickd/src/gateway_versions.rs
+++ b/clementinepickd/src/gateway_versions.rs
@@ -4,22 +4,23 @@
 //! A version counts as listed until a process has recorded that it is not, whether or not any process
 //! ran meanwhile.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_rt::time::timeout;
+use actix_rt::time::{sleep_until, timeout};
 use clementinepick::listed_versions::{RecordedVersion, VERSION_MEMORY_US};
 use clementinepick::server_list::{BackendServer, SoftwareVersion};
 use clementinepick::units::SpanUs;
 use platform::store::KeyedRecord;
 use serde::{Deserialize, Serialize};
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 use xxhash_rust::xxh3::xxh3_128;
 
 use crate::gateway_shared::Shared;
 use crate::ledger::{LedgerError, from_cbor, to_cbor};
+use crate::list_refresh::MIN_REFRESH_INTERVAL;
 use crate::store::StorePurpose;
 use crate::unix_time::unix_ms;
 
@@ -57,15 +58,19 @@
 pub(crate) struct VersionRecords {
     /// `None` before they were read.
     records: RefCell<Option<BTreeMap<VersionId, VersionRecord>>>,
+    /// The start of the call that returned them.
+    as_of: Cell<Option<Instant>>,
+    /// Held during each call to the store; contains the start of the last read.
+    access: Mutex<Option<Instant>>,
     /// Notified when a version is needed that is not recorded.
     needed: Notify,
     written: Notify,
 }
 
 impl VersionRecords {
-    /// Returns whether what earlier processes recorded is known.
-    pub(crate) fn are_loaded(&self) -> bool {
-        self.records.borrow().is_some()
+    /// Returns the start of the call that returned them; `None` before they were read.
+    pub(crate) fn as_of(&self) -> Option<Instant> {
+        self.as_of.get()
     }
 
     fn is_recorded(&self, id: &VersionId) -> bool {
@@ -81,8 +86,14 @@
         }
     }
 
-    /// Returns the records that the listed versions make necessary.
-    fn changes(&self, listed: &BTreeSet<VersionId>, now_unix_ms: u64) -> Vec<VersionRecord> {
+    /// Returns the records that the listed versions make necessary. A list from before the read of the
+    /// records, if `is_older`, does not show that a version has left which another process lists.
+    fn changes(
+        &self,
+        listed: &BTreeSet<VersionId>,
+        is_older: bool,
+        now_unix_ms: u64,
+    ) -> Vec<VersionRecord> {
         let records = self.records.borrow();
         let Some(records) = records.as_ref() else {
             return Vec::new();
@@ -102,6 +113,7 @@
         });
         let gone = records
             .iter()
+            .filter(|_| !is_older)
             .filter(|(id, record)| record.unlisted_unix_ms.is_none() && !listed.contains(*id));
         let closed = gone.map(|(_, record)| VersionRecord {
             unlisted_unix_ms: Some(now_unix_ms),
@@ -163,8 +175,10 @@
 pub(crate) async fn maintain_versions(shared: Rc<Shared>) {
     let mut read_at: Option<Instant> = None;
     loop {
-        if read_at.is_none_or(|at| at.elapsed() >= READ_INTERVAL) && load(&shared).await.is_ok() {
-            read_at = Some(Instant::now());
+        let now = Instant::now();
+        let is_due = read_at.is_none_or(|at| now.duration_since(at) >= READ_INTERVAL);
+        if is_due && refresh_versions(&shared, now, CALL_TIMEOUT).await.is_ok() {
+            read_at = Some(now);
         }
         // A failed append is made again with the next check; the store client counts it.
         let _ = record_changes(&shared).await;
@@ -173,8 +187,27 @@
     }
 }
 
-async fn load(shared: &Shared) -> Result<(), LedgerError> {
-    let deadline = Instant::now() + CALL_TIMEOUT;
+/// Reads what is recorded by a call that begins at `as_of` or later, unless another task has done so.
+pub(crate) async fn refresh_versions(
+    shared: &Shared,
+    as_of: Instant,
+    limit: Duration,
+) -> Result<(), LedgerError> {
+    let mut last_start = shared.versions.access.lock().await;
+    if shared.versions.as_of() >= Some(as_of) {
+        return Ok(());
+    }
+    if let Some(at) = *last_start {
+        sleep_until((at + MIN_REFRESH_INTERVAL).into()).await;
+    }
+    let started_at = Instant::now();
+    *last_start = Some(started_at);
+    load(shared, started_at + limit).await?;
+    shared.versions.as_of.set(Some(started_at));
+    Ok(())
+}
+
+async fn load(shared: &Shared, deadline: Instant) -> Result<(), LedgerError> {
     let reader = shared.ledger.reader(StorePurpose::Versions, deadline);
     let mut records = Vec::new();
     let collect = |page: Vec<KeyedRecord>| {
@@ -202,14 +235,18 @@
 }
 
 async fn record_changes(shared: &Shared) -> Result<(), LedgerError> {
+    let _access = shared.versions.access.lock().await;
     let list = shared.current_servers(Instant::now());
     let Some(list) = list.filter(|list| !list.servers.is_empty()) else {
         return Ok(());
     };
+    let is_older = shared.directory().servers_as_of < shared.versions.as_of();
     let servers = list.servers.values();
     let listed = servers.map(|server| (server.service.clone(), server.version.clone()));
     let now_unix_ms = unix_ms();
-    let changes = shared.versions.changes(&listed.collect(), now_unix_ms);
+    let changes = shared
+        .versions
+        .changes(&listed.collect(), is_older, now_unix_ms);
     let expired = shared.versions.expired(now_unix_ms);
     let deletions = expired.iter().map(|id| KeyedRecord {
         key: version_key(id),
@@ -259,7 +296,7 @@
 
     /// Applies the changes that a list makes necessary; returns their number.
     fn apply(records: &VersionRecords, versions: &[&str], now_unix_ms: u64) -> usize {
-        let changes = records.changes(&listed(versions), now_unix_ms);
+        let changes = records.changes(&listed(versions), false, now_unix_ms);
         let count = changes.len();
         records.insert_all(changes);
         count
@@ -268,7 +305,19 @@
     #[test]
     fn nothing_is_recorded_before_the_records_were_read() {
         let records = VersionRecords::default();
-        assert!(records.changes(&listed(&["v1"]), 1).is_empty());
+        assert!(records.changes(&listed(&["v1"]), false, 1).is_empty());
+    }
+
+    /// Guards against a gateway out of step that records a version as unlisted which it has not listed
+    /// yet.
+    #[test]
+    fn a_list_from_before_the_records_closes_none() {
+        let records = VersionRecords::default();
+        records.replace(Vec::new());
+        assert_eq!(apply(&records, &["v1", "v2"], 1_000), 2);
+        let changes = |is_older| records.changes(&listed(&["v1"]), is_older, 2_000);
+        assert!(changes(true).is_empty());
+        assert_eq!(changes(false).len(), 1);
     }
 
     /// Guards against records that accumulate with each release.
--- /dev/null
+++ b/clementinepickd/src/list_refresh.rs
@@ -0,0 +1,78 @@
+//! Lets the thread that serves traffic ask the one that follows the store for a newer list of servers.
+
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep_until;
+use tokio::sync::watch;
+
+/// The minimum time between the starts of two reads that are asked for: requests that arrive meanwhile
+/// share the second one.
+pub(crate) const MIN_REFRESH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Asks for newer lists.
+#[derive(Debug)]
+pub(crate) struct RefreshSender(watch::Sender<Option<Instant>>);
+
+impl RefreshSender {
+    /// Asks for a list by a call that begins at `as_of` or later.
+    pub(crate) fn request(&self, as_of: Instant) {
+        self.0.send_if_modified(|wanted| {
+            let is_later = *wanted < Some(as_of);
+            if is_later {
+                *wanted = Some(as_of);
+            }
+            is_later
+        });
+    }
+}
+
+/// Receives what is asked for.
+#[derive(Debug)]
+pub(crate) struct RefreshReceiver {
+    wanted: watch::Receiver<Option<Instant>>,
+    /// The start of the last call that was made or was successful.
+    covered: Option<Instant>,
+    last_start: Option<Instant>,
+}
+
+/// Creates both ends.
+pub(crate) fn refresh_channel() -> (RefreshSender, RefreshReceiver) {
+    let (sender, wanted) = watch::channel(None);
+    let receiver = RefreshReceiver {
+        wanted,
+        covered: None,
+        last_start: None,
+    };
+    (RefreshSender(sender), receiver)
+}
+
+impl RefreshReceiver {
+    /// Waits until a newer list is asked for and may be read.
+    pub(crate) async fn wait(&mut self) {
+        loop {
+            let wanted = *self.wanted.borrow_and_update();
+            if wanted > self.covered {
+                break;
+            }
+            if self.wanted.changed().await.is_err() {
+                // The sender ends with the process.
+                std::future::pending::<()>().await;
+            }
+        }
+        if let Some(last_start) = self.last_start {
+            sleep_until((last_start + MIN_REFRESH_INTERVAL).into()).await;
+        }
+    }
+
+    /// Records that the call which was asked for starts; a failed one is made again only if it is asked
+    /// for again.
+    pub(crate) fn record_start(&mut self, now: Instant) {
+        self.last_start = Some(now);
+        self.record_read(now);
+    }
+
+    /// Records that a list was read by a call that began at `as_of`.
+    pub(crate) fn record_read(&mut self, as_of: Instant) {
+        self.covered = self.covered.max(Some(as_of));
+    }
+}
--- a/clementinepickd/src/server_follower.rs
+++ b/clementinepickd/src/server_follower.rs
@@ -5,17 +5,23 @@
 use std::time::{Duration, Instant};
 
 use clementinepick::event::{Event, EventKind};
+use clementinepick::listed_versions::VERSION_MEMORY_US;
 use clementinepick::server_list::{BackendServer, ServerList};
 use platform::store::Topic;
 
-use crate::directory::FollowerContext;
+use crate::directory::{FollowerContext, LeftVersions};
+use crate::link::duration;
+use crate::list_refresh::RefreshReceiver;
 use crate::logging::write_event;
-use crate::topic_watch::{LONG_POLL_WAIT, TopicWatch};
+use crate::topic_watch::{LONG_POLL_WAIT, TopicRead, TopicWatch};
 
 /// Follows the registered servers.
 pub(crate) struct ServerFollower<'a> {
     context: FollowerContext<'a>,
     watch: TopicWatch,
+    refresh: RefreshReceiver,
+    /// Versions of entries that were replaced or have left, as published.
+    left_versions: LeftVersions,
     /// The servers that were published last.
     known: BTreeMap<String, BackendServer>,
     /// Those of them whose entries have expired and that are kept for now.
@@ -25,9 +31,15 @@
 }
 
 impl<'a> ServerFollower<'a> {
-    pub(crate) fn new(context: FollowerContext<'a>, now: Instant) -> Self {
+    pub(crate) fn new(
+        context: FollowerContext<'a>,
+        refresh: RefreshReceiver,
+        now: Instant,
+    ) -> Self {
         Self {
             context,
+            refresh,
+            left_versions: LeftVersions::new(),
             watch: TopicWatch::new(Topic::Servers, now),
             known: BTreeMap::new(),
             kept: BTreeSet::new(),
@@ -40,9 +52,13 @@
         loop {
             let has_kept = !self.kept.is_empty();
             let max_wait = self.max_wait(Instant::now());
+            let store = self.context.store;
+            let read = self
+                .watch
+                .next_or_refresh(store, max_wait, &mut self.refresh);
             // The store client counts a failure; an outage is logged when it ends.
-            if let Ok(has_changed) = self.watch.next(self.context.store, max_wait).await {
-                self.publish_list(has_changed || has_kept, Instant::now());
+            if let Ok(read) = read.await {
+                self.publish_list(read, has_kept, Instant::now());
             }
         }
     }
@@ -58,21 +74,43 @@
     }
 
     /// Publishes the list after a successful read.
-    fn publish_list(&mut self, may_differ: bool, now: Instant) {
+    fn publish_list(&mut self, read: TopicRead, has_kept: bool, now: Instant) {
         self.log_outage_end();
-        let servers = if may_differ {
+        let has_left = self.record_left(now);
+        let servers = if read.has_changed || has_kept {
             self.new_servers(now)
         } else {
             None
         };
         self.context.publish.send_modify(|directory| {
-            directory.record_servers_read(now);
+            directory.record_servers_read(read.as_of, now);
+            if has_left {
+                directory.left_versions = Arc::new(self.left_versions.clone());
+            }
             if let Some(servers) = servers {
                 directory.servers = Arc::new(ServerList { servers });
             }
         });
     }
 
+    /// Records the versions of entries that the last read replaced or removed; returns whether there
+    /// are any.
+    fn record_left(&mut self, now: Instant) -> bool {
+        let replaced = self.watch.topic.replaced().iter();
+        // One that can't be decoded never was a server to send to.
+        let servers =
+            replaced.filter_map(|(key, value)| platform::servers::decode(key, value).ok());
+        let left: Vec<_> = servers
+            .map(|server| (server.service, server.version))
+            .collect();
+        let has_left = !left.is_empty();
+        let left = left.into_iter().map(|version| (version, now));
+        self.left_versions.extend(left);
+        let is_remembered = |at: Instant| now.duration_since(at) < duration(VERSION_MEMORY_US);
+        self.left_versions.retain(|_, at| is_remembered(*at));
+        has_left
+    }
+
     fn log_outage_end(&self) {
         let Some(ended) = self.context.store.take_ended_outage() else {
             return;
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -460,6 +460,11 @@
         self.is_direct_down.set(false);
     }
 
+    /// Makes the next attempt a relayed one, where a peer can be asked.
+    pub(crate) fn avoid_direct(&self) {
+        self.is_direct_down.set(true);
+    }
+
     /// Probes the store directly while direct calls fail, so that no request has to.
     pub(crate) async fn probe(&self) {
         if self.is_direct_down() {
--- a/standins/tests/resume_beside_stale_lists.rs
+++ b/standins/tests/resume_beside_stale_lists.rs
@@ -10,7 +10,7 @@
 use process_run::{EVENTS, LAST_EVENT, ProcessRun, event_ids, resumption};
 use rustix::process::Signal;
 use standins::peer_links::SilentPeers;
-use standins::platform_caller::CallerResponse;
+use standins::platform_caller::{CallerRequest, CallerResponse};
 use standins::platform_run::wait_until;
 use standins::platform_store::StoreMode;
 
@@ -35,6 +35,9 @@
 const SLOW_STORE: Duration = Duration::from_millis(100);
 /// How long callers try again, in tests in which a gateway stays out of step.
 const RETRY_SPAN: Duration = Duration::from_millis(2_500);
+/// The maximum number of calls for each kind of reads, of all streams in a test that arrive together:
+/// two that they share, and those on schedule.
+const SHARED_READS: u64 = 6;
 /// How soon after a gateway is back its callers' streams go on.
 const RECOVERY_LIMIT: Duration = Duration::from_millis(1_200);
 
@@ -279,6 +282,48 @@
     check_for(&run, RETRY_SPAN, &ids, Naming::Unnamed);
 }
 
+/// Returns the attempts of a gateway's calls to the store for a purpose.
+fn store_calls(run: &ProcessRun, gateway: usize, purpose: &str) -> u64 {
+    let metrics = run.gateways.processes[gateway].ports.metrics;
+    let response = CallerRequest::new("GET", "/metrics", "m").send(metrics);
+    let body = response.expect("metrics").body;
+    let label = format!("clementinepick_store_calls_total{{purpose=\"{purpose}\"");
+    let lines = body.lines().filter(|line| line.starts_with(&label));
+    let counts = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+    counts.sum()
+}
+
+/// Guards against callers that make a gateway exceed the store's limits because none of them names its
+/// attempt.
+#[test]
+fn streams_that_are_resumed_together_share_their_reads() {
+    let run = start("shared-reads");
+    let ids = begin_and_drop(&run, IN_STEP);
+    let versions_before = store_calls(&run, STALE, "versions");
+    let lists_before = store_calls(&run, STALE, "follow");
+    let resumptions = resume_all(&run, STALE, &ids, Naming::Unnamed);
+    let versions = store_calls(&run, STALE, "versions") - versions_before;
+    let lists = store_calls(&run, STALE, "follow") - lists_before;
+    for Resumption { id, response, .. } in &resumptions {
+        assert!(is_rest(response), "{id}: {response:?}");
+    }
+    assert!((1..=SHARED_READS).contains(&versions), "{versions} reads");
+    assert!((1..=SHARED_READS).contains(&lists), "{lists} reads");
+}
+
+/// Guards against reads for streams whose callers say what some gateway has recorded.
+#[test]
+fn a_stream_of_a_recorded_attempt_costs_no_read() {
+    let run = start("no-reads");
+    let ids = begin_and_drop(&run, IN_STEP);
+    let before = store_calls(&run, STALE, "versions");
+    let resumptions = resume_all(&run, STALE, &ids, Naming::Named);
+    assert_eq!(store_calls(&run, STALE, "versions"), before);
+    for Resumption { id, response, .. } in &resumptions {
+        assert!(is_rest(response), "{id}: {response:?}");
+    }
+}
+
 /// Guards against refusing streams of the only version because a gateway was suspended.
 #[test]
 fn streams_of_the_only_version_go_on_after_a_suspension() {
