Doubt a server whose connection broke only until the next list

A server that has closed one connection, as under load, took no rest of a stream for two seconds if it reports no start time. Only a server that is gone, or whose address another start has, is doubted for as long as its entry may be old.

--- a/clementinepick/src/start_doubts.rs
+++ b/clementinepick/src/start_doubts.rs
@@ -6,7 +6,7 @@
 //!
 //! ```
 //! use clementinepick::server_list::{BackendServer, ServerList};
-//! use clementinepick::start_doubts::{StartDoubts, StartUse, StartVerdict};
+//! use clementinepick::start_doubts::{EndSign, StartDoubts, StartUse, StartVerdict};
 //! use clementinepick::units::TimeUs;
 //!
 //! let server = BackendServer {
@@ -21,13 +21,15 @@
 //! };
 //! let mut doubts = StartDoubts::default();
 //! assert!(!doubts.must_ask(&server, StartUse::Begin, true));
-//! doubts.record(TimeUs(1), &server);
+//! doubts.record(TimeUs(1), &server, EndSign::Certain);
 //! assert!(doubts.must_ask(&server, StartUse::Begin, true));
 //! assert_eq!(doubts.judge(&server, Some(6)), StartVerdict::Another);
 //! ```
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::request_ends::LIST_LAG_US;
 use crate::server_list::{BackendServer, ServerList, SoftwareVersion};
 use crate::units::{SpanUs, TimeUs};
@@ -61,18 +63,40 @@
     Another,
 }
 
+/// How certain it is that a server has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EndSign {
+    /// A connection broke, which the server may have closed while it goes on.
+    Possible,
+    /// It is gone, or another start responds.
+    Certain,
+}
+
+impl EndSign {
+    /// Returns how long after it a list may still have the entry of the start before.
+    fn list_lag(self) -> SpanUs {
+        match self {
+            Self::Possible => SpanUs(0),
+            Self::Certain => LIST_LAG_US,
+        }
+    }
+}
+
 /// The entry of a server whose end was noticed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Doubt {
     noticed_at: TimeUs,
+    /// A list as of later than this settles it.
+    settled_by: TimeUs,
     started_unix_ms: Option<u64>,
     version: SoftwareVersion,
 }
 
 impl Doubt {
-    fn of(server: &BackendServer, noticed_at: TimeUs) -> Self {
+    fn of(server: &BackendServer, noticed_at: TimeUs, sign: EndSign) -> Self {
         Self {
             noticed_at,
+            settled_by: noticed_at.after(sign.list_lag()),
             started_unix_ms: server.started_unix_ms,
             version: server.version.clone(),
         }
@@ -93,13 +117,17 @@
 
 impl StartDoubts {
     /// Records that the end of a listed server was noticed; returns whether that is news.
-    pub fn record(&mut self, now: TimeUs, server: &BackendServer) -> bool {
-        let doubt = Doubt::of(server, now);
-        let known = self.by_server.insert(server.id.clone(), doubt);
+    pub fn record(&mut self, now: TimeUs, server: &BackendServer, sign: EndSign) -> bool {
+        let mut doubt = Doubt::of(server, now, sign);
+        let known = self.by_server.get(&server.id);
+        let (noticed_at, settled_by) = known.map(|d| (d.noticed_at, d.settled_by)).unzip();
+        let was_short = settled_by == noticed_at;
+        doubt.settled_by = doubt.settled_by.max(settled_by.unwrap_or_default());
+        self.by_server.insert(server.id.clone(), doubt);
         if self.by_server.len() > MAX_SERVERS {
             self.drop_first();
         }
-        is_news(now, known.map(|doubt| doubt.noticed_at))
+        is_news(now, noticed_at) || (was_short && sign == EndSign::Certain)
     }
 
     fn drop_first(&mut self) {
@@ -127,12 +155,12 @@
     /// Drops what the list, as of `list_at`, shows: another entry of the server, none, or one that the
     /// server has had time to replace.
     pub fn update(&mut self, list_at: TimeUs, list: &ServerList) {
-        let is_settled = |noticed_at: TimeUs| noticed_at.after(LIST_LAG_US) <= list_at;
         self.by_server.retain(|id, doubt| {
             let server = list.servers.get(id);
-            server.is_some_and(|server| doubt.is_about(server)) && !is_settled(doubt.noticed_at)
+            server.is_some_and(|server| doubt.is_about(server)) && list_at <= doubt.settled_by
         });
-        self.unproven_streams.retain(|_, at| !is_settled(*at));
+        self.unproven_streams
+            .retain(|_, at| list_at <= at.after(LIST_LAG_US));
     }
 
     /// Returns whether nothing is in doubt.
--- a/clementinepickd/src/gateway_start.rs
+++ b/clementinepickd/src/gateway_start.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::server_list::BackendServer;
-use clementinepick::start_doubts::{StartDoubts, StartUse, StartVerdict};
+use clementinepick::start_doubts::{EndSign, StartDoubts, StartUse, StartVerdict};
 use serde::{Deserialize, Serialize};
 
 use crate::gateway_attempts::AttemptError;
@@ -29,7 +29,7 @@
 pub(crate) enum StartNotice {
     /// Another start than the listed one may listen at the address of this server.
     #[serde(rename = "d")]
-    Doubt(String),
+    Doubt(String, EndSign),
     /// A stream of this service has begun at a start of unknown version.
     #[serde(rename = "u")]
     UnprovenStream(String),
@@ -75,7 +75,7 @@
     /// It reports another start time.
     AnotherStart,
     /// A peer says so.
-    Peer,
+    Peer(EndSign),
 }
 
 impl DoubtReason {
@@ -86,7 +86,15 @@
             Self::Misdirected => "misdirected",
             Self::Lost => "lost",
             Self::AnotherStart => "another_start",
-            Self::Peer => "peer",
+            Self::Peer(_) => "peer",
+        }
+    }
+
+    fn sign(self) -> EndSign {
+        match self {
+            Self::Broken => EndSign::Possible,
+            Self::Refused | Self::Misdirected | Self::Lost | Self::AnotherStart => EndSign::Certain,
+            Self::Peer(sign) => sign,
         }
     }
 }
@@ -107,9 +115,10 @@
     /// Records that another start may listen at the address of a server, and tells peers.
     pub(crate) fn doubt_start(&self, server: &BackendServer, reason: DoubtReason) {
         let now = self.now_us(Instant::now());
-        if self.start_doubts().record(now, server) {
-            if reason != DoubtReason::Peer {
-                self.notify_peers(StartNotice::Doubt(server.id.clone()));
+        let sign = reason.sign();
+        if self.start_doubts().record(now, server, sign) {
+            if !matches!(reason, DoubtReason::Peer(_)) {
+                self.notify_peers(StartNotice::Doubt(server.id.clone(), sign));
             }
             let event = Event::new(EventKind::ServerStartDoubted)
                 .with("server", &server.id)
@@ -148,7 +157,9 @@
 
     fn apply_notice(&self, notice: &StartNotice) {
         match notice {
-            StartNotice::Doubt(server) => self.doubt_listed_start(server, DoubtReason::Peer),
+            StartNotice::Doubt(server, sign) => {
+                self.doubt_listed_start(server, DoubtReason::Peer(*sign));
+            }
             StartNotice::UnprovenStream(service) => {
                 let now = self.now_us(Instant::now());
                 self.start_doubts().record_unproven_stream(now, service);
