Ask a server which start it is while a stream that began there runs

A list that is young may yet be older than the start at the address of a server: nobody has noticed the end of the one before. The origin of a stream that began there had the version of the earlier start, and callers got events of v1 and v2.

The server is asked for its start time beside the stream, on another connection: starts at one address follow each other, so that a stream has begun at the listed start if that responds later. Until then, peers hold an origin that no server fits. What it says holds for the stream's connection, so that further streams on it cost nothing. No event waits for it.

--- a/clementinepickd/src/gateway_start.rs
+++ b/clementinepickd/src/gateway_start.rs
@@ -17,6 +17,7 @@
 use crate::gateway_exchange::{CONNECT_TIMEOUT, ServerSlot};
 use crate::gateway_peer_updates::PeerUpdate;
 use crate::gateway_shared::Shared;
+use crate::gateway_start_check::StartAnswer;
 use crate::ledger::{from_cbor, to_cbor};
 use crate::outbound::{Connection, StartReport};
 use crate::server_probe::ask_start;
@@ -225,6 +226,23 @@
         opened.map_err(|err| slot.record_unreached(&err))
     }
 
+    /// Judges what a server says of its start while it runs a stream.
+    pub(crate) fn judge_answer(&self, server: &BackendServer, answer: StartAnswer) -> StartProof {
+        let reported = match answer {
+            StartAnswer::Report(report) => report.started_unix_ms,
+            StartAnswer::Silent => None,
+        };
+        let verdict = self.start_doubts().judge(server, reported);
+        match verdict {
+            StartVerdict::Same => StartProof::Report,
+            StartVerdict::Listed | StartVerdict::Doubtful => StartProof::List,
+            StartVerdict::Another => {
+                self.doubt_start(server, DoubtReason::AnotherStart);
+                StartProof::Unproven
+            }
+        }
+    }
+
     fn judge_start(
         &self,
         slot: &ServerSlot,
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -16,17 +16,18 @@
 use clementinepick::server_selection::PromptPart;
 use clementinepick::stream_origin::StreamOrigin;
 use clementinepick::turn_chain::{Turn, build_prompt};
-use clementinepick::units::{SpanUs, Tokens};
+use clementinepick::units::Tokens;
 
 use crate::gateway_attempts::{AttemptError, Attempts};
 use crate::gateway_budget::{self, Reserved};
 use crate::gateway_exchange::{RoutedRequest, RunInput, SentRequest, ServerResponse, ServerSlot};
 use crate::gateway_handover::RunEnd;
-use crate::gateway_origins::{OriginQuery, find_origin};
 use crate::gateway_peer_turns;
 use crate::gateway_reply::{CallerDisconnected, Reply, ReplyState};
+use crate::gateway_resumption::find_resumed_origin;
 use crate::gateway_shared::Shared;
 use crate::gateway_start::StartProof;
+use crate::gateway_start_check::{Received, StartAnswer, StartCheck, receive};
 use crate::gateway_trace::Trace;
 use crate::ledger::LedgerError;
 use crate::ledger_budgets::BudgetRequest;
@@ -43,9 +44,6 @@
 /// A resumable stream without an event for this many times the route's gap target is resumed at
 /// another server, if one takes it. An engine that preempts a request pauses for about one gap.
 const IDLE_TIMEOUT_GAPS: u32 = 2;
-/// How long the versions of a service must have been known if a stream is resumed whose origin is not,
-/// in timeouts of its route.
-const MIN_KNOWN_TIMEOUTS: u64 = 2;
 /// How long the store may take to respond.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// The pause after a begun stream could not reserve more tokens.
@@ -136,45 +134,6 @@
     Ok(Ok(()))
 }
 
-/// Finds where the stream began that the request resumes; `None` for a new stream.
-///
-/// A stream that cannot go on is refused before anything is reserved for it, so that its caller can
-/// begin anew at once.
-async fn find_resumed_origin(
-    shared: &Shared,
-    routed: &RoutedRequest<'_>,
-    trace: &Trace,
-) -> Result<Option<StreamOrigin>, Refusal> {
-    let info = routed.info;
-    if info.last_event_id.is_none() && info.resumed_attempt.is_none() {
-        return Ok(None);
-    }
-    if routed.route.keeps_context {
-        // Its record would lack the events of the earlier attempt, and the next turn would continue
-        // from an incomplete one.
-        return Err(Refusal::StreamUnknown);
-    }
-    let timeout_us = routed.route.timeout_us.0;
-    let query = OriginQuery {
-        attempt: info.resumed_attempt.clone(),
-        service: routed.service.to_owned(),
-        min_known_us: SpanUs(timeout_us.saturating_mul(MIN_KNOWN_TIMEOUTS)),
-    };
-    let origin = find_origin(shared, trace, &query).await;
-    let origin = origin.filter(|origin| !origin.is_unproven);
-    let origin = origin.ok_or(Refusal::StreamUnknown)?;
-    let servers = shared.directory().servers;
-    let can_continue = routed.route.leads_to(&origin.service)
-        && servers
-            .ready(&origin.service)
-            .any(|server| origin.fits(server));
-    if can_continue {
-        Ok(Some(origin))
-    } else {
-        Err(Refusal::VersionUnavailable)
-    }
-}
-
 /// Finds the turn that this one continues from; `ran_at` is the peer that ran it, if known.
 async fn find_previous_turn(
     shared: &Rc<Shared>,
@@ -390,27 +349,30 @@
             let delivered = self.deliver_error_response(response, reply).await?;
             return Ok(delivered.map_err(RunEnd::Failed));
         }
+        let mut check = StartCheck::default();
         if reply.state() == ReplyState::Open {
             let slot = &response.slot;
-            self.fix_origin(slot);
+            check = StartCheck::of(self.shared, slot);
+            self.fix_origin(slot, check.is_open());
             if slot.proof.get() == StartProof::Unproven {
                 attempts.may_repeat = false;
             }
             if self.routed.route.is_resumable {
-                let server = &slot.server;
-                self.shared.wait_until_version_recorded(server).await;
+                let recorded = self.shared.wait_until_version_recorded(&slot.server);
+                check.run_beside(recorded).await;
             }
             let headers = platform::response::forwarded_headers(&response.head.headers);
             reply.send_head(StatusCode::OK, headers).await?;
             self.trace.status.set(StatusCode::OK.as_u16());
         }
-        self.deliver_events(attempts, response, reply).await
+        self.deliver_events(attempts, response, reply, check).await
     }
 
     /// Fixes where the stream begins, so that no event of another software version follows.
     ///
-    /// At a server that may be another start than the listed one, its version is not known.
-    fn fix_origin(&mut self, slot: &ServerSlot) {
+    /// At a server that may be another start than the listed one, its version is not known, nor is it
+    /// while the server is asked.
+    fn fix_origin(&mut self, slot: &ServerSlot, is_asked: bool) {
         if self.routed.route.is_resumable {
             self.trace
                 .set_field("start_proof", &slot.proof.get().label());
@@ -418,14 +380,18 @@
         if self.origin.is_some() {
             return;
         }
-        let server = &slot.server;
+        let is_unproven = slot.proof.get() == StartProof::Unproven;
+        if is_unproven {
+            self.shared.record_unproven_stream(&slot.server.service);
+        }
+        self.record_origin(&slot.server, is_unproven || is_asked);
+    }
+
+    fn record_origin(&mut self, server: &BackendServer, is_unproven: bool) {
         let origin = StreamOrigin {
-            is_unproven: slot.proof.get() == StartProof::Unproven,
+            is_unproven,
             ..StreamOrigin::at(server)
         };
-        if origin.is_unproven {
-            self.shared.record_unproven_stream(&server.service);
-        }
         if self.routed.route.is_resumable {
             let RoutedRequest { received, info, .. } = self.routed;
             let deadline = received.arrived + info.deadline;
@@ -454,34 +420,72 @@
         Ok(Ok(()))
     }
 
+    /// Forwards the events of a server, and asks it meanwhile which start it is, if that is not known.
     async fn deliver_events(
+        &mut self,
+        attempts: &mut Attempts<'a>,
+        response: ServerResponse,
+        reply: &mut Reply<'_>,
+        mut check: StartCheck,
+    ) -> Result<Result<(), RunEnd<'a>>, CallerDisconnected> {
+        let server = response.slot.server.clone();
+        // The future is large, and the task of each connection would have room for it.
+        let forwarding = Box::pin(self.forward_events(attempts, response, reply, &mut check));
+        let end = forwarding.await;
+        if !matches!(end, Ok(Ok(())))
+            && let Some(answer) = check.finish().await
+        {
+            // What it proves of the connection is of no use any more.
+            let _ = self.apply_answer(attempts, &server, answer);
+        }
+        end
+    }
+
+    /// Takes into account what a server says of its start after the stream has begun there.
+    fn apply_answer(
+        &mut self,
+        attempts: &mut Attempts<'a>,
+        server: &BackendServer,
+        answer: StartAnswer,
+    ) -> StartProof {
+        let proof = self.shared.judge_answer(server, answer);
+        self.trace.set_field("start_proof", &proof.label());
+        if proof == StartProof::Unproven {
+            attempts.may_repeat = false;
+            self.shared.record_unproven_stream(&server.service);
+        }
+        self.record_origin(server, proof == StartProof::Unproven);
+        proof
+    }
+
+    async fn forward_events(
         &mut self,
         attempts: &mut Attempts<'a>,
         mut response: ServerResponse,
         reply: &mut Reply<'_>,
+        check: &mut StartCheck,
     ) -> Result<Result<(), RunEnd<'a>>, CallerDisconnected> {
         const LOST: RunEnd<'static> = RunEnd::Failed(AttemptError::ResponseLost);
         let mut splitter = EventSplitter::default();
         let mut silence_timeout = self.first_event_timeout();
         loop {
-            let ServerResponse {
-                connection, slot, ..
-            } = &mut response;
-            let next_chunk = async {
-                let chunk = connection.chunk().await;
-                chunk.map_err(|_| {
-                    slot.record_broken();
-                    AttemptError::ResponseLost
-                })
-            };
+            let next = receive(&mut response, check);
             let input = || self.run_input();
-            let chunk = match attempts.wait(silence_timeout, input, next_chunk).await {
-                Ok(Some(chunk)) => chunk,
-                Ok(None) if splitter.is_empty() => {
+            let chunk = match attempts.wait(silence_timeout, input, next).await {
+                Ok(Received::Answer(answer)) => {
+                    let server = &response.slot.server;
+                    let proof = self.apply_answer(attempts, server, answer);
+                    if let (StartProof::Report, StartAnswer::Report(report)) = (proof, answer) {
+                        response.connection.report = Some(report);
+                    }
+                    continue;
+                }
+                Ok(Received::Chunk(Some(chunk))) => chunk,
+                Ok(Received::Chunk(None)) if splitter.is_empty() => {
                     response.release_connection(self.shared);
                     return Ok(Ok(()));
                 }
-                Ok(None) => {
+                Ok(Received::Chunk(None)) => {
                     response.slot.record_failure();
                     return Ok(Err(LOST));
                 }
