Find out what stopped gateways run before a request ends a further server

Hypotheses: (1) what a gateway that is stopped or cut off runs is known to the store at best, and nobody reads it, because nobody notices that the gateway stands still; (2) a gateway that stood still goes on with its attempts, and takes requests of callers that return, before it knows what it missed. The logs showed both: `ended_before=0` at the last gateway beside two stopped ones, no `requests_loaded`, and further ends within milliseconds of the return of stopped gateways. Callers were sent on: 4 and 5 servers ended under one request.

Before a request of which anything is known runs at a further server, its gateway now reads from the store where else it runs; requests that wait share a read, 150 ms at most. A gateway whose periodic work is 300 ms late has stood still: it loads what peers and the store know, and its requests wait 100 ms and for that. A run whose outcome nobody has reported by its deadline leaves its server `Unheard`: at risk until it is heard. The definitions of the records move to a module of their own.

--- a/clementinepick/tests/hanging_servers.rs
+++ b/clementinepick/tests/hanging_servers.rs
@@ -1,7 +1,7 @@
 //! Tests how servers that accept connections and send nothing count for a request.
 
 use clementinepick::ended_servers::{
-    EndState, EndedServers, MAX_ENDED_SERVERS, ServerEnd, ServerStart,
+    EndState, EndedServers, MAX_ENDED_SERVERS, OpenRun, ServerEnd, ServerStart,
 };
 use clementinepick::request_key::{RequestContent, RequestKey};
 use clementinepick::server_list::{BackendServer, ServerList};
@@ -147,3 +147,19 @@
     ended.apply_list(START, &list(&[]));
     assert_eq!(state(&ended, START), EndState::Confirmed);
 }
+
+/// Guards against forgetting a run whose gateway stands still until its deadline is over.
+#[test]
+fn a_run_without_an_outcome_leaves_its_server_at_risk() {
+    let expires_at = START.after(SpanUs::from_s(2));
+    let run = OpenRun {
+        id: 1,
+        server: server("i-1"),
+        is_isolated: false,
+        expires_at,
+    };
+    let mut ended = EndedServers::default();
+    ended.start_run(START, key(), run);
+    ended.apply_list(expires_at, &list(&[server("i-1")]));
+    assert_eq!(state(&ended, expires_at), EndState::Unheard);
+}
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -1,7 +1,7 @@
 //! Tracks the attempts of one request: the servers that were tried, whether another attempt is
 //! allowed, and the refusal if all fail.
 
-use std::cell::{OnceCell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -80,6 +80,8 @@
     pub(crate) current: Option<CurrentRun>,
     /// The servers to which the request was sent; those that were not reached don't count.
     pub(crate) sends: u32,
+    /// The number of sends when it was last loaded where else the request runs.
+    others_loaded: Cell<Option<u32>>,
     refusal: Refusal,
 }
 
@@ -100,6 +102,7 @@
             key: OnceCell::new(),
             current: None,
             sends: 0,
+            others_loaded: Cell::new(None),
             refusal: Refusal::NoServer,
         }
     }
@@ -159,6 +162,7 @@
     /// Selects a server and starts a run there; `None` if there is none, or if the request has ended
     /// too many.
     async fn start_run(&mut self, input: &RunInput) -> Option<ServerSlot> {
+        self.load_other_runs().await;
         if self.sends > 0 {
             let service = self.routed.service;
             self.shared.recheck_suspected(self.key(), service).await;
@@ -203,6 +207,15 @@
         }
     }
 
+    /// Loads where else the request runs, if it may have ended a server; once before each further run.
+    pub(crate) async fn load_other_runs(&self) {
+        self.shared.wait_after_standstill().await;
+        let is_needed = !self.shared.has_no_ends() && self.shared.has_ends_of(self.key());
+        if is_needed && self.others_loaded.replace(Some(self.sends)) != Some(self.sends) {
+            self.shared.load_others(self.key()).await;
+        }
+    }
+
     /// Tells peers of a run at the server of `slot`, if they must know; `None` if one of them objects.
     async fn begin_run(
         &self,
--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -28,6 +28,7 @@
     HOLD_PATH, LOAD_PATH, LoadAnswer, LoadQuery, OVER_PATH, RequestOver, SharedRequest,
 };
 use crate::gateway_exchange::RoutedRequest;
+use crate::gateway_other_runs::{SharedRead, Standstill};
 use crate::gateway_peer::{PeerCall, call_peer};
 use crate::gateway_peer_updates::PeerUpdate;
 use crate::gateway_shared::Shared;
@@ -68,6 +69,9 @@
     /// The number of reads of what lost processes ran.
     reloads: Cell<usize>,
     loaded: Notify,
+    /// What other processes have recorded.
+    pub(crate) others: SharedRead,
+    pub(crate) standstill: Standstill,
 }
 
 /// A read of what lost processes ran, for which requests wait; over when dropped.
@@ -131,7 +135,7 @@
         Reload(self)
     }
 
-    async fn wait_until_loaded(&self) {
+    pub(crate) async fn wait_until_loaded(&self) {
         while !self.is_loaded.get() || self.reloads.get() > 0 {
             self.loaded.notified().await;
         }
@@ -462,6 +466,7 @@
     // A failure means that peers and the store did not respond in time; the request is served without
     // them.
     let _ = timeout(limit, shared.ended.wait_until_loaded()).await;
+    shared.wait_after_standstill().await;
     if shared.has_no_ends() {
         return Ok(());
     }
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -142,6 +142,11 @@
     }
 }
 
+/// Loads what peers and the store know, after this process has stood still; requests wait for it.
+pub(crate) async fn reload_all(shared: Rc<Shared>) {
+    futures_util::join!(load(&shared, MAX_LOAD_PEERS), shared.reload_requests());
+}
+
 /// Asks up to `count` peers, chosen at random, for all that they know; returns whether one of them has
 /// completed its own load.
 async fn load(shared: &Shared, count: usize) -> bool {
--- a/clementinepickd/src/gateway_handover.rs
+++ b/clementinepickd/src/gateway_handover.rs
@@ -222,6 +222,7 @@
         if self.is_isolated() {
             return Err(NoSuccessor::Isolated);
         }
+        self.load_other_runs().await;
         let service = self.routed.service;
         let retry = RetryReservation::withdraw(self.shared, service);
         let retry = retry.ok_or(NoSuccessor::NoRetry)?;
--- /dev/null
+++ b/clementinepickd/src/gateway_other_runs.rs
@@ -0,0 +1,142 @@
+//! Finds out where else a request runs that may have ended a server, before it runs at another one.
+//!
+//! A process that stands still, or is lost, tells its peers nothing of its runs, and they do not notice it
+//! for a while. What it has recorded in the store shows them.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::{sleep, timeout};
+use clementinepick::request_key::RequestKey;
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+
+use crate::gateway_ended_upkeep::reload_all;
+use crate::gateway_request_records::RecordedRequests;
+use crate::gateway_shared::Shared;
+use crate::safeguard::Safeguard;
+
+/// How long a run may wait for what other processes have recorded.
+const MAX_READ_WAIT: Duration = Duration::from_millis(150);
+
+/// A process whose periodic work is this late has stood still.
+const MIN_STANDSTILL: Duration = Duration::from_millis(300);
+/// How long requests wait after a standstill: what became of the runs before it, here and at peers, is known
+/// by then.
+const STANDSTILL_WAIT: Duration = Duration::from_millis(100);
+
+/// How often it is noted that this process runs.
+const ACTIVE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// When this process last stood still.
+#[derive(Debug, Default)]
+pub(crate) struct Standstill {
+    last_active: Cell<Option<Instant>>,
+    ended_at: Cell<Option<Instant>>,
+    /// Whether what happened meanwhile has yet to be loaded.
+    is_load_due: Cell<bool>,
+}
+
+impl Standstill {
+    /// Records that this process runs; called far more often than [`MIN_STANDSTILL`].
+    fn record_active(&self, now: Instant) {
+        let last = self.last_active.replace(Some(now));
+        if last.is_some_and(|last| now.saturating_duration_since(last) >= MIN_STANDSTILL) {
+            self.ended_at.set(Some(now));
+            self.is_load_due.set(true);
+        }
+    }
+
+    /// Returns how much longer requests have to wait because of a standstill.
+    fn time_left(&self, now: Instant) -> Duration {
+        let Some(ended_at) = self.ended_at.get() else {
+            return Duration::ZERO;
+        };
+        STANDSTILL_WAIT.saturating_sub(now.saturating_duration_since(ended_at))
+    }
+}
+
+/// The last read of what other processes have recorded; requests that wait for the same one share it.
+#[derive(Default)]
+pub(crate) struct SharedRead(Mutex<Option<DatedRead>>);
+
+struct DatedRead {
+    started_at: Instant,
+    read: RecordedRequests,
+}
+
+/// Loads what happened while this process stood still, whenever it has, until dropped.
+pub(crate) async fn watch_standstill(shared: Rc<Shared>) {
+    let mut loads = JoinSet::new();
+    loop {
+        let standstill = &shared.ended.standstill;
+        standstill.record_active(Instant::now());
+        if standstill.is_load_due.replace(false) {
+            loads.spawn_local(reload_all(Rc::clone(&shared)));
+        }
+        tokio::select! {
+            Some(_) = loads.join_next() => {}
+            () = sleep(ACTIVE_INTERVAL) => {}
+        }
+    }
+}
+
+impl Shared {
+    /// Waits, if this process has just stood still, until it knows what happened meanwhile.
+    pub(crate) async fn wait_after_standstill(&self) {
+        let now = Instant::now();
+        let standstill = &self.ended.standstill;
+        standstill.record_active(now);
+        let left = standstill.time_left(now);
+        if !left.is_zero() && !Safeguard::EndedServers.is_disabled() {
+            sleep(left).await;
+            // The request goes on without what can't be loaded in time.
+            let _ = timeout(MAX_READ_WAIT, self.ended.wait_until_loaded()).await;
+        }
+    }
+
+    /// Loads what other processes have recorded of a request.
+    pub(crate) async fn load_others(&self, key: RequestKey) {
+        if !Safeguard::EndedServers.is_disabled() && !self.store.is_unavailable() {
+            // The run starts without what can't be read in time; peers are told of it.
+            let _ = timeout(MAX_READ_WAIT, self.read_and_load(key)).await;
+        }
+    }
+
+    async fn read_and_load(&self, key: RequestKey) {
+        let asked_at = Instant::now();
+        let mut last = self.ended.others.0.lock().await;
+        if last.as_ref().is_none_or(|last| last.started_at < asked_at) {
+            let started_at = Instant::now();
+            // The store client counts a failure.
+            let Ok(read) = self.read_others().await else {
+                return;
+            };
+            *last = Some(DatedRead { started_at, read });
+        }
+        if let Some(DatedRead { read, .. }) = &*last {
+            self.load_others_of(key, read);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a request that is sent on by a process which does not know yet what it missed.
+    #[test]
+    fn requests_wait_after_a_standstill_only() {
+        let start = Instant::now();
+        let standstill = Standstill::default();
+        standstill.record_active(start);
+        let late = start + MIN_STANDSTILL / 2;
+        standstill.record_active(late);
+        assert!(standstill.time_left(late).is_zero());
+        let resumed = late + MIN_STANDSTILL;
+        standstill.record_active(resumed);
+        assert_eq!(standstill.time_left(resumed), STANDSTILL_WAIT);
+        assert!(standstill.time_left(resumed + STANDSTILL_WAIT).is_zero());
+    }
+}
--- a/clementinepickd/src/gateway_request_log.rs
+++ b/clementinepickd/src/gateway_request_log.rs
@@ -16,10 +16,12 @@
 use clementinepick::request_key::RequestKey;
 use clementinepick::units::{SpanUs, TimeUs};
 use platform::store::KeyedRecord;
-use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
-use xxhash_rust::xxh3::xxh3_64;
 
+use crate::gateway_request_records::{
+    END_PREFIX, EndRecord, RUNS_PREFIX, RecordedRequests, RunRecord, RunsRecord, end_key,
+    is_request_record,
+};
 use crate::gateway_shared::Shared;
 use crate::ledger::{LedgerError, from_cbor, to_cbor};
 use crate::store::StorePurpose;
@@ -38,53 +40,12 @@
 /// The maximum number of running requests in a record, about 120 kB.
 const MAX_RUNS: usize = 1_024;
 /// How long a run that was given up stays in the record, and how many of them do at most, about 30 kB.
-const LEFT_RETENTION: Duration = Duration::from_secs(3);
+const LEFT_RETENTION: Duration = Duration::from_millis(LEFT_RETENTION_MS);
+const LEFT_RETENTION_MS: u64 = 3_000;
 const MAX_LEFT_RUNS: usize = 256;
 /// The maximum number of requests in an append, about 600 kB with all their servers.
 const MAX_BATCH_REQUESTS: usize = 512;
 
-/// How the keys of the two kinds of records begin.
-const END_PREFIX: &str = "e-";
-const RUNS_PREFIX: &str = "r-";
-
-/// The record of one server that ended under a request.
-#[derive(Debug, Serialize, Deserialize)]
-struct EndRecord {
-    #[serde(rename = "k")]
-    key: RequestKey,
-    #[serde(rename = "s")]
-    server: ServerStart,
-    #[serde(rename = "t")]
-    state: EndState,
-    #[serde(rename = "l")]
-    lost_unix_ms: u64,
-}
-
-/// One running request.
-#[derive(Debug, Serialize, Deserialize)]
-struct RunRecord {
-    #[serde(rename = "k")]
-    key: RequestKey,
-    /// The id by which peers know the run, if they do.
-    #[serde(rename = "r")]
-    id: u64,
-    #[serde(rename = "o")]
-    is_isolated: bool,
-    #[serde(rename = "s")]
-    server: ServerStart,
-    #[serde(rename = "e")]
-    expires_unix_ms: u64,
-}
-
-/// The record of the requests that a process runs.
-#[derive(Debug, Serialize, Deserialize)]
-struct RunsRecord {
-    #[serde(rename = "w")]
-    recorded_unix_ms: u64,
-    #[serde(rename = "r")]
-    runs: Vec<RunRecord>,
-}
-
 /// A running request of this process.
 struct LocalRun {
     key: RequestKey,
@@ -358,14 +319,54 @@
         format!("{RUNS_PREFIX}{}", self.writer)
     }
 
-    /// Loads all records, and deletes those that are too old.
-    pub(crate) async fn load_requests(&self) -> Result<(), LedgerError> {
+    /// Reads all records.
+    async fn read_records(&self) -> Result<Vec<KeyedRecord>, LedgerError> {
         let partition = self.ledger.request_partition();
         let deadline = Instant::now() + READ_TIMEOUT;
         let reader = self.ledger.reader(StorePurpose::LoadRequests, deadline);
         let mut records = Vec::new();
         let collect = |page: Vec<KeyedRecord>| records.extend(page);
         reader.read_newest(partition, collect).await?;
+        Ok(records)
+    }
+
+    /// Reads which requests run, and which servers ended, as other processes have recorded it.
+    pub(crate) async fn read_others(&self) -> Result<RecordedRequests, LedgerError> {
+        let own = self.runs_key();
+        let mut read = RecordedRequests::default();
+        for KeyedRecord { key, value } in self.read_records().await? {
+            let Some(value) = value.filter(|_| key != own) else {
+                continue;
+            };
+            // Another version of this software may have written what can't be decoded.
+            if key.starts_with(END_PREFIX) {
+                read.ends.extend(from_cbor(&value));
+            } else if key.starts_with(RUNS_PREFIX) {
+                read.runs.extend(from_cbor(&value));
+            }
+        }
+        Ok(read)
+    }
+
+    /// Adds what other processes have recorded of one request.
+    pub(crate) fn load_others_of(&self, key: RequestKey, read: &RecordedRequests) {
+        for end in read.ends.iter().filter(|end| end.key == key) {
+            self.load_end(end.clone());
+        }
+        let min_expiry_unix_ms = unix_ms().saturating_sub(LEFT_RETENTION_MS);
+        let may_go_on =
+            |run: &&RunRecord| run.key == key && run.expires_unix_ms >= min_expiry_unix_ms;
+        for record in &read.runs {
+            self.load_runs(RunsRecord {
+                recorded_unix_ms: record.recorded_unix_ms,
+                runs: record.runs.iter().filter(may_go_on).cloned().collect(),
+            });
+        }
+    }
+
+    /// Loads all records, and deletes those that are too old.
+    pub(crate) async fn load_requests(&self) -> Result<(), LedgerError> {
+        let records = self.read_records().await?;
         let mut expired = Vec::new();
         let (mut requests, mut unreadable) = (0, 0);
         let own = self.runs_key();
@@ -463,16 +464,6 @@
     (left > 0).then_some(SpanUs(left))
 }
 
-/// Returns whether a record of the partition is one of this module.
-fn is_request_record(key: &str) -> bool {
-    key.starts_with(RUNS_PREFIX) || key.starts_with(END_PREFIX)
-}
-
-fn end_key(key: RequestKey, server: &ServerStart) -> String {
-    let server = xxh3_64(&to_cbor(server));
-    format!("{END_PREFIX}{key}-{server:016x}")
-}
-
 fn end_record(key: RequestKey, end: &ServerEnd, now: TimeUs) -> KeyedRecord {
     let record = EndRecord {
         key,
