--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -224,6 +224,10 @@
         ends: EndCount,
         witness: Option<Connection>,
     ) -> Option<CurrentRun> {
+        if !self.may_run_at(&slot.server, None) {
+            self.release_witness(&slot.server, witness);
+            return None;
+        }
         let shared_run = if ends.is_shared() {
             let shared_run = self.share_run(&start, ends).await;
             if shared_run.is_none() {
@@ -270,6 +274,14 @@
         }
     }
 
+    /// Returns whether the request may still run at a server: other attempts at it may have put further
+    /// ones at risk since the server was selected.
+    pub(crate) fn may_run_at(&self, server: &BackendServer, running: Option<&str>) -> bool {
+        let filter = self.server_filter(&[], running);
+        let confined_to = filter.confined_to.as_ref();
+        confined_to.is_none_or(|servers| servers.contains(&server.id))
+    }
+
     /// Returns the start of a server that would run the request now.
     pub(crate) fn start_of(&self, server: &BackendServer) -> ServerStart {
         if self.shared.has_no_ends() {
--- a/clementinepickd/src/gateway_handover.rs
+++ b/clementinepickd/src/gateway_handover.rs
@@ -265,6 +265,10 @@
         if ends.is_given_up() {
             return Err(NoSuccessor::Isolated);
         }
+        let running = self.current.as_ref().map(|run| run.server.id.as_str());
+        if !self.may_run_at(&slot.server, running) {
+            return Err(NoSuccessor::Isolated);
+        }
         let start = self.start_of(&slot.server);
         let shared_run = if ends.is_shared() {
             let run = self.share_run(&start, ends).await;
