Reproduce a body refused by an outdated limit, as a failing test

A gateway whose store is silent answers 413, which callers don't repeat, to a body that a configuration of 2.3 s ago allows.

--- a/standins/tests/stale_evidence.rs
+++ b/standins/tests/stale_evidence.rs
@@ -38,6 +38,8 @@
 /// The budget of a program with such turns, and how many of 40 tokens it suffices for.
 const LARGE_BUDGET_TOKENS: u64 = 400;
 const LARGE_BUDGET_TURNS: usize = 9;
+/// The size of a body that only the raised limit allows.
+const LARGE_BODY_BYTES: usize = 150_000;
 /// The number of partitions of budgets.
 const PARTITIONS: usize = 96;
 
@@ -82,6 +84,22 @@
         response.expect("a response").status
     }
 
+    /// Publishes a configuration that allows larger bodies.
+    fn raise_limit(&self) {
+        let raised = config(3).replace("\"MaxBodyBytes\":100000", "\"MaxBodyBytes\":200000");
+        self.store.put("keyed.op", "config", &raised);
+    }
+
+    /// Returns the status of a request with a body between both limits.
+    fn large_body(&self) -> u16 {
+        let request = CallerRequest {
+            body: "x".repeat(LARGE_BODY_BYTES),
+            ..CallerRequest::new("POST", "/look/1", "r")
+        };
+        let response = request.send(self.gateways.callers(0));
+        response.expect("a response").status
+    }
+
     fn suspend(&self, gateway: usize) {
         self.gateways.processes[gateway].send_signal(Signal::STOP);
     }
@@ -183,6 +201,18 @@
     wait_until(|| run.added_route() == 200).expect("the configuration in use");
 }
 
+/// Guards against a body that is refused for good by a limit read long ago.
+#[test]
+fn a_gateway_without_its_store_does_not_deny_a_body() {
+    let run = Run::start("old-limits", 1);
+    run.gateways.silence_store();
+    run.raise_limit();
+    sleep(APPLY_TIME);
+    assert_eq!(run.large_body(), 503);
+    run.gateways.restore_store();
+    wait_until(|| run.large_body() == 200).expect("the configuration in use");
+}
+
 /// Guards against a response that counts as new because it is handled late.
 #[test]
 fn a_gateway_that_was_suspended_over_a_long_poll_does_not_deny_a_route() {
