Don't refuse a request for good by limits that are out of date

Callers of a gateway whose store was silent saw 413 for bodies that a configuration of over two seconds ago allows, and by reading 431 for heads.

Cause and change as for routes: a refusal that callers don't repeat needs a configuration that was read in the last two seconds, else it is 503 (`config_outdated`).

--- a/clementinepick/src/refusal.rs
+++ b/clementinepick/src/refusal.rs
@@ -17,7 +17,7 @@
     Overloaded,
     /// No configuration has been loaded yet.
     NoConfig,
-    /// No route of the configuration, which may be outdated, matches the request.
+    /// No route matches the request, or it exceeds a limit, by a configuration that may be outdated.
     ConfigOutdated,
     /// No route matches the request.
     NoRoute,
--- a/clementinepickd/src/config_follower.rs
+++ b/clementinepickd/src/config_follower.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use clementinepick::event::{Event, EventKind};
+use clementinepick::refusal::Refusal;
 use clementinepick::traffic_config::TrafficConfig;
 use platform::store::{CONFIG_KEY, Topic};
 
@@ -11,16 +12,26 @@
 use crate::logging::write_event;
 use crate::topic_watch::{LONG_POLL_WAIT, TopicWatch};
 
-/// The maximum age of a configuration from which it is concluded that a route does not exist. A new
-/// one must take effect within this time.
+/// The maximum age of a configuration by which a request is refused for good. A new one must take
+/// effect within this time.
 const MAX_CONFIG_AGE: Duration = Duration::from_secs(2);
 
-/// Returns whether the configuration is new enough to conclude from it that a route does not exist.
-pub(crate) fn has_current_config(directory: &Directory, now: Instant) -> bool {
+/// Returns the reason for which a request is refused: if the configuration decides that for good and is
+/// too old for it, the caller is to return.
+pub(crate) fn refusal_by_config(refusal: Refusal, directory: &Directory, now: Instant) -> Refusal {
+    let decides = matches!(
+        refusal,
+        Refusal::NoRoute | Refusal::HeadTooLarge | Refusal::BodyTooLarge
+    );
     let age = |at| now.saturating_duration_since(at);
-    directory
+    let is_current = directory
         .config_read_at
-        .is_some_and(|at| age(at) <= MAX_CONFIG_AGE)
+        .is_some_and(|at| age(at) <= MAX_CONFIG_AGE);
+    if decides && !is_current {
+        Refusal::ConfigOutdated
+    } else {
+        refusal
+    }
 }
 
 /// Follows the configuration.
--- a/clementinepickd/src/gateway_connection.rs
+++ b/clementinepickd/src/gateway_connection.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
 
+use crate::config_follower::refusal_by_config;
 use crate::gateway_receive::{
     InputState, Reader, ReceiveError, ReceivedRequest, UnreadRequest, receive,
 };
@@ -123,7 +124,8 @@
     codec: &mut Codec,
     write: &mut OwnedWriteHalf,
 ) {
-    let response = request.refusal.response();
+    let refusal = refusal_by_config(request.refusal, &shared.directory(), Instant::now());
+    let response = refusal.response();
     let took = request.arrived.elapsed();
     shared.metrics.count_request(UNREAD, response.code, took);
     let headers = request.head.as_ref().map(|head| &head.head().headers);
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -16,7 +16,7 @@
 use rand::RngExt;
 use tokio::time::sleep_until;
 
-use crate::config_follower::has_current_config;
+use crate::config_follower::refusal_by_config;
 use crate::gateway_call::{self, CALL};
 use crate::gateway_connection::Handler;
 use crate::gateway_ended::check_request;
@@ -216,10 +216,10 @@
     };
     let routed = match route_request(config, request, &info) {
         Ok(routed) => routed,
-        Err(Refusal::NoRoute) if !has_current_config(&directory, Instant::now()) => {
-            return Ok(Err(Refusal::ConfigOutdated));
+        Err(refusal) => {
+            let refusal = refusal_by_config(refusal, &directory, Instant::now());
+            return Ok(Err(refusal));
         }
-        Err(refusal) => return Ok(Err(refusal)),
     };
     if shared.is_stopping() {
         return Ok(Err(Refusal::ShuttingDown));
