--- a/standins/src/soak_faults.rs
+++ b/standins/src/soak_faults.rs
@@ -52,7 +52,7 @@
     Release,
     /// A gateway's process is suspended, and the list of servers changes soon after.
     SuspendOverPoll,
-    /// The store is silent to one gateway, whose peers are suspended for a while meanwhile.
+    /// The peers of a gateway are suspended for a while, and mostly the store is silent to it.
     Isolate,
 }
 
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -24,7 +24,7 @@
 /// The timeout of the routes of drafts in runs with releases: a sole version must have been listed for
 /// twice as long.
 const DRAFT_TIMEOUT_MS: u64 = 1_000;
-/// How long all sole versions have been listed at all gateways that are ready.
+/// The time from the moment all gateways are ready until sole versions have been listed for long enough.
 const SETTLING_TIME: Duration = Duration::from_millis(2 * DRAFT_TIMEOUT_MS + 300);
 /// The time from the suspension of a gateway to the change of the list for which it has a poll open.
 const POLL_CHANGE_DELAY: Duration = Duration::from_millis(20);
