Test which reads answer a question for a newer list

A read answers a question only if it began after it, and one that failed is not repeated for requests that no longer wait.

--- a/clementinepickd/src/list_refresh.rs
+++ b/clementinepickd/src/list_refresh.rs
@@ -76,3 +76,39 @@
         self.covered = self.covered.max(Some(as_of));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::pin::pin;
+    use std::task::{Context, Poll, Waker};
+
+    use super::*;
+
+    fn is_due(receiver: &mut RefreshReceiver) -> bool {
+        let mut context = Context::from_waker(Waker::noop());
+        matches!(pin!(receiver.wait()).poll(&mut context), Poll::Ready(()))
+    }
+
+    /// Guards against a read that began before the question and is taken for the answer.
+    #[test]
+    fn only_a_read_that_began_after_the_question_answers_it() {
+        let (sender, mut receiver) = refresh_channel();
+        let asked_at = Instant::now();
+        assert!(!is_due(&mut receiver));
+        sender.request(asked_at);
+        receiver.record_read(asked_at.checked_sub(MIN_REFRESH_INTERVAL).expect("a time"));
+        assert!(is_due(&mut receiver));
+        receiver.record_read(asked_at);
+        assert!(!is_due(&mut receiver));
+    }
+
+    /// Guards against a silent store that is asked again although no request waits any longer.
+    #[test]
+    fn a_read_that_failed_is_not_repeated_unasked() {
+        let (sender, mut receiver) = refresh_channel();
+        sender.request(Instant::now());
+        assert!(is_due(&mut receiver));
+        receiver.record_start(Instant::now());
+        assert!(!is_due(&mut receiver));
+    }
+}
