Take a configuration to be as old as the call that returned it

Callers of a gateway that was suspended over the response of a long poll saw 404 for routes, and the platform saw it ready, by lists whose age was counted from the handling of the response.

The configuration is known as of the start of the call, or of the end of the time for which the store held it, as the list of servers is. Readiness and the age of lists in logs go by it, too.

--- a/clementinepickd/src/config_follower.rs
+++ b/clementinepickd/src/config_follower.rs
@@ -25,7 +25,7 @@
     );
     let age = |at| now.saturating_duration_since(at);
     let is_current = directory
-        .config_read_at
+        .config_as_of
         .is_some_and(|at| age(at) <= MAX_CONFIG_AGE);
     if decides && !is_current {
         Refusal::ConfigOutdated
@@ -65,9 +65,8 @@
             } else {
                 None
             };
-            let now = Instant::now();
             self.context.publish.send_modify(|directory| {
-                directory.config_read_at = Some(now);
+                directory.config_as_of = directory.config_as_of.max(Some(read.as_of));
                 if let Some(config) = new_config {
                     directory.config = Some(Arc::new(config));
                 }
--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -48,8 +48,9 @@
     pub(crate) processes: Arc<Vec<PeerEntry>>,
     /// Whether the list of processes was read; before, `peers` has those of the settings.
     pub(crate) has_read_processes: bool,
-    /// When the configuration was last read, changed or not.
-    pub(crate) config_read_at: Option<Instant>,
+    /// As of when the configuration is known, changed or not: by the start of the call that returned
+    /// it, or by the end of the time for which the store held it.
+    pub(crate) config_as_of: Option<Instant>,
     /// When the list of servers was last read, changed or not.
     pub(crate) servers_read_at: Option<Instant>,
     /// As of when the list of servers is known, changed or not: by the start of the call that returned
@@ -66,7 +67,7 @@
     /// Returns the earlier time of the last reads of the configuration and the servers; `None`
     /// before both were read.
     pub(crate) fn read_at(&self) -> Option<Instant> {
-        Some(self.config_read_at?.min(self.servers_read_at?))
+        Some(self.config_as_of?.min(self.servers_read_at?))
     }
 
     /// Returns whether the list of servers is new enough to conclude from it that a server is absent.
--- a/standins/tests/stale_evidence.rs
+++ b/standins/tests/stale_evidence.rs
@@ -40,6 +40,9 @@
 const LARGE_BUDGET_TURNS: usize = 9;
 /// The size of a body that only the raised limit allows.
 const LARGE_BODY_BYTES: usize = 150_000;
+/// How often a route is denied, over several long polls.
+const DENIALS: u32 = 200;
+const DENIAL_INTERVAL: Duration = Duration::from_millis(20);
 /// The number of partitions of budgets.
 const PARTITIONS: usize = 96;
 
@@ -201,6 +204,16 @@
     wait_until(|| run.added_route() == 200).expect("the configuration in use");
 }
 
+/// Guards against a gateway in step that counts its configuration as outdated between two long polls.
+#[test]
+fn a_gateway_in_step_denies_a_route_that_does_not_exist() {
+    let run = Run::start("in-step", 1);
+    for _ in 0..DENIALS {
+        assert_eq!(run.added_route(), 404);
+        sleep(DENIAL_INTERVAL);
+    }
+}
+
 /// Guards against a body that is refused for good by a limit read long ago.
 #[test]
 fn a_gateway_without_its_store_does_not_deny_a_body() {
