Take a server for the listed start only if it says so

A report without a start time now shows another start, and a stream whose server does not answer can't be resumed. Doubts are settled by a list that was asked for after them. A begun stream also waits for more budget while a possible holder of tokens is silent, instead of ending.

--- a/clementinepick/src/start_doubts.rs
+++ b/clementinepick/src/start_doubts.rs
@@ -23,7 +23,7 @@
 //! assert!(!doubts.must_ask(&server, StartUse::Begin, true));
 //! doubts.record(TimeUs(1), &server, EndSign::Certain);
 //! assert!(doubts.must_ask(&server, StartUse::Begin, true));
-//! assert_eq!(doubts.judge(&server, Some(6)), StartVerdict::Another);
+//! assert_eq!(doubts.judge(&server, ReportedStart::At(6)), StartVerdict::Another);
 //! ```
 
 use std::collections::BTreeMap;
@@ -50,6 +50,17 @@
     Rest,
 }
 
+/// What a server says of its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportedStart {
+    /// It started at this time, in Unix milliseconds.
+    At(u64),
+    /// It reports no start time.
+    Unnamed,
+    /// It was not asked, or gives no report.
+    Unknown,
+}
+
 /// Whether the server at an address is the start that its entry describes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartVerdict {
@@ -201,12 +212,13 @@
             }
     }
 
-    /// Judges from the start time that a server reports, if it was asked and reports one.
+    /// Judges from what a server says of its start. One that is listed with a start time and reports none
+    /// is another.
     #[must_use]
-    pub fn judge(&self, server: &BackendServer, reported_unix_ms: Option<u64>) -> StartVerdict {
-        match (server.started_unix_ms, reported_unix_ms) {
-            (Some(listed), Some(reported)) if listed == reported => StartVerdict::Same,
-            (Some(_), Some(_)) => StartVerdict::Another,
+    pub fn judge(&self, server: &BackendServer, reported: ReportedStart) -> StartVerdict {
+        match (server.started_unix_ms, reported) {
+            (Some(listed), ReportedStart::At(unix_ms)) if listed == unix_ms => StartVerdict::Same,
+            (Some(_), ReportedStart::At(_) | ReportedStart::Unnamed) => StartVerdict::Another,
             _ if self.is_in_doubt(&server.id) => StartVerdict::Doubtful,
             _ => StartVerdict::Listed,
         }
--- a/clementinepick/tests/start_doubts.rs
+++ b/clementinepick/tests/start_doubts.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use clementinepick::server_list::{BackendServer, ServerList, SoftwareVersion};
-use clementinepick::start_doubts::{EndSign, StartDoubts, StartUse, StartVerdict};
+use clementinepick::start_doubts::{EndSign, ReportedStart, StartDoubts, StartUse, StartVerdict};
 use clementinepick::units::{SpanUs, TimeUs};
 
 const NOTICED_AT: TimeUs = TimeUs(1_000);
@@ -42,7 +42,10 @@
     let doubts = doubting(&silent);
     assert!(!doubts.may_continue_at(&silent));
     assert!(!doubts.must_ask(&silent, StartUse::Rest, true));
-    assert_eq!(doubts.judge(&silent, None), StartVerdict::Doubtful);
+    assert_eq!(
+        doubts.judge(&silent, ReportedStart::Unknown),
+        StartVerdict::Doubtful
+    );
 }
 
 #[test]
@@ -60,11 +63,27 @@
 fn the_start_time_that_a_server_reports_decides() {
     let reporting = server("v1", Some(5));
     let doubts = doubting(&reporting);
-    assert_eq!(doubts.judge(&reporting, Some(5)), StartVerdict::Same);
-    assert_eq!(doubts.judge(&reporting, Some(6)), StartVerdict::Another);
-    assert_eq!(doubts.judge(&reporting, None), StartVerdict::Doubtful);
+    assert_eq!(
+        doubts.judge(&reporting, ReportedStart::At(5)),
+        StartVerdict::Same
+    );
+    assert_eq!(
+        doubts.judge(&reporting, ReportedStart::At(6)),
+        StartVerdict::Another
+    );
+    assert_eq!(
+        doubts.judge(&reporting, ReportedStart::Unnamed),
+        StartVerdict::Another
+    );
+    assert_eq!(
+        doubts.judge(&reporting, ReportedStart::Unknown),
+        StartVerdict::Doubtful
+    );
     let none = StartDoubts::default();
-    assert_eq!(none.judge(&reporting, None), StartVerdict::Listed);
+    assert_eq!(
+        none.judge(&reporting, ReportedStart::Unknown),
+        StartVerdict::Listed
+    );
 }
 
 #[test]
--- a/clementinepickd/src/gateway_start.rs
+++ b/clementinepickd/src/gateway_start.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::server_list::BackendServer;
-use clementinepick::start_doubts::{EndSign, StartDoubts, StartUse, StartVerdict};
+use clementinepick::start_doubts::{EndSign, ReportedStart, StartDoubts, StartUse, StartVerdict};
 use serde::{Deserialize, Serialize};
 
 use crate::gateway_attempts::AttemptError;
@@ -19,7 +19,7 @@
 use crate::gateway_shared::Shared;
 use crate::gateway_start_check::StartAnswer;
 use crate::ledger::{from_cbor, to_cbor};
-use crate::outbound::{Connection, StartReport};
+use crate::outbound::Connection;
 use crate::server_probe::ask_start;
 
 /// The path of calls that tell a peer of servers in doubt.
@@ -106,8 +106,8 @@
         let mut doubts = self.doubts.borrow_mut();
         if !doubts.is_empty() {
             let directory = self.directory();
-            if let Some(read_at) = directory.servers_read_at {
-                doubts.update(self.now_us(read_at), &directory.servers);
+            if let Some(as_of) = directory.servers_as_of {
+                doubts.update(self.now_us(as_of), &directory.servers);
             }
         }
         doubts
@@ -185,13 +185,13 @@
         let must_ask = self
             .start_doubts()
             .must_ask(server, slot.usage, is_list_current);
-        if !must_ask {
-            return self.judge_start(slot, None, connection);
-        }
         if let Some(report) = connection.report {
             slot.proof.set(StartProof::Connection);
             return self.judge_start(slot, Some(report), connection);
         }
+        if !must_ask {
+            return self.judge_start(slot, None, connection);
+        }
         self.ask(slot, connection).await
     }
 
@@ -206,7 +206,7 @@
         let Some(report) = connection.report else {
             return self.replace_unanswered(slot).await;
         };
-        if server.started_unix_ms == report.started_unix_ms {
+        if server.started_unix_ms.map(ReportedStart::At) == Some(report) {
             self.confirm_start(&server.id, asked_at);
         }
         slot.proof.set(StartProof::Report);
@@ -228,11 +228,10 @@
 
     /// Judges what a server says of its start while it runs a stream.
     pub(crate) fn judge_answer(&self, server: &BackendServer, answer: StartAnswer) -> StartProof {
-        let reported = match answer {
-            StartAnswer::Report(report) => report.started_unix_ms,
-            StartAnswer::Silent => None,
+        let StartAnswer::Report(report) = answer else {
+            return StartProof::Unproven;
         };
-        let verdict = self.start_doubts().judge(server, reported);
+        let verdict = self.start_doubts().judge(server, report);
         match verdict {
             StartVerdict::Same => StartProof::Report,
             StartVerdict::Listed | StartVerdict::Doubtful => StartProof::List,
@@ -246,11 +245,11 @@
     fn judge_start(
         &self,
         slot: &ServerSlot,
-        report: Option<StartReport>,
+        report: Option<ReportedStart>,
         connection: Connection,
     ) -> Result<Connection, AttemptError> {
         let server = &slot.server;
-        let reported = report.and_then(|report| report.started_unix_ms);
+        let reported = report.unwrap_or(ReportedStart::Unknown);
         let verdict = self.start_doubts().judge(server, reported);
         match verdict {
             StartVerdict::Same => return Ok(connection),
--- a/clementinepickd/src/gateway_start_check.rs
+++ b/clementinepickd/src/gateway_start_check.rs
@@ -10,13 +10,12 @@
 
 use bytes::Bytes;
 use clementinepick::server_list::BackendServer;
-use clementinepick::start_doubts::StartUse;
+use clementinepick::start_doubts::{ReportedStart, StartUse};
 
 use crate::gateway_attempts::AttemptError;
 use crate::gateway_exchange::{ServerResponse, ServerSlot};
 use crate::gateway_shared::Shared;
 use crate::gateway_start::StartProof;
-use crate::outbound::StartReport;
 use crate::server_probe::ask_start;
 
 /// How long opening a connection for the question may take.
@@ -33,7 +32,7 @@
 /// What a server says when it is asked which start it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum StartAnswer {
-    Report(StartReport),
+    Report(ReportedStart),
     /// It does not respond in time.
     Silent,
 }
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -452,7 +452,10 @@
         self.trace.set_field("start_proof", &proof.label());
         if proof == StartProof::Unproven {
             attempts.may_repeat = false;
-            self.shared.record_unproven_stream(&server.service);
+            // Silence shows no other start, for which all streams of the service would be refused.
+            if answer != StartAnswer::Silent {
+                self.shared.record_unproven_stream(&server.service);
+            }
         }
         self.record_origin(server, proof == StartProof::Unproven);
         proof
@@ -524,9 +527,8 @@
         let rest = max_tokens.saturating_sub(self.reserved_total).max(tokens);
         while let Err(refusal) = self.reserve_more(rest).await {
             // The events are there, and dropping them would lose the turn.
-            if refusal != Refusal::LedgerUnavailable
-                || self.routed.time_left(Instant::now()).is_zero()
-            {
+            let may_pass = matches!(refusal, Refusal::LedgerUnavailable | Refusal::BudgetUnknown);
+            if !may_pass || self.routed.time_left(Instant::now()).is_zero() {
                 return false;
             }
             sleep(RESERVE_RETRY_INTERVAL).await;
--- a/clementinepickd/src/outbound.rs
+++ b/clementinepickd/src/outbound.rs
@@ -20,6 +20,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::framing_limit::FramingLimit;
+use clementinepick::start_doubts::ReportedStart;
 
 /// How long sent bytes may stay unacknowledged. Nothing else reveals a network partition or a silent
 /// connection; round trips take a few ms, and queues delay by half a second at most.
@@ -60,13 +61,6 @@
     pub(crate) body: Bytes,
 }
 
-/// What a server says of its start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct StartReport {
-    /// When it started, in Unix milliseconds, if it reports it.
-    pub(crate) started_unix_ms: Option<u64>,
-}
-
 enum BodyState {
     Payload(ClientPayloadCodec),
     /// The body has no length and ends with the connection.
@@ -86,7 +80,7 @@
     /// When the connection was opened.
     pub(crate) opened_at: Instant,
     /// What the server said of its start on this connection, which ends with that start.
-    pub(crate) report: Option<StartReport>,
+    pub(crate) report: Option<ReportedStart>,
     /// When the connection was last released to the pool.
     pub(crate) idle_since: Instant,
     /// How long the server keeps the connection open while idle, if it announced that.
--- a/clementinepickd/src/server_probe.rs
+++ b/clementinepickd/src/server_probe.rs
@@ -8,8 +8,9 @@
 use actix_rt::time::{sleep, timeout};
 use bytes::Bytes;
 use clementinepick::ended_servers::ServerStart;
+use clementinepick::start_doubts::ReportedStart;
 
-use crate::outbound::{Connection, OutboundError, OutboundRequest, StartReport};
+use crate::outbound::{Connection, OutboundError, OutboundRequest};
 use crate::store::host_header;
 
 /// How long a server may take to accept a connection, and to respond to a health check. A server that
@@ -126,7 +127,7 @@
 pub(crate) async fn ask_start(
     connection: &mut Connection,
     address: SocketAddr,
-) -> Option<StartReport> {
+) -> Option<ReportedStart> {
     let request = OutboundRequest {
         method: Method::GET,
         target: Uri::from_static(platform::servers::REPORT_PATH),
@@ -136,9 +137,14 @@
     let asking = async {
         let head = connection.exchange(&request).await.ok()?;
         let body = connection.body(MAX_REPORT_BYTES).await.ok()?;
-        let has_report = head.status.is_success();
-        let started_unix_ms = platform::servers::reported_start(&body).filter(|_| has_report);
-        Some(StartReport { started_unix_ms })
+        if !head.status.is_success() {
+            return Some(ReportedStart::Unknown);
+        }
+        Some(match platform::servers::reported_start(&body) {
+            Ok(Some(unix_ms)) => ReportedStart::At(unix_ms),
+            Ok(None) => ReportedStart::Unnamed,
+            Err(_) => ReportedStart::Unknown,
+        })
     };
     timeout(PROBE_TIMEOUT, asking).await.ok().flatten()
 }
