--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -183,7 +183,7 @@
     let now = Instant::now();
     let directory = shared.directory();
     let age_ms = directory
-        .read_at()
+        .as_of()
         .map(|at| u64::try_from(now.duration_since(at).as_millis()).unwrap_or(u64::MAX));
     let choice = shared.choice.borrow();
     let servers: Vec<_> = directory
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -187,7 +187,7 @@
         let took = request.arrived.elapsed();
         let directory = self.shared.directory();
         let config_version = directory.config.as_ref().map_or(0, |config| config.version);
-        let lists_age = directory.read_at().map_or(0, |at| at.elapsed().as_millis());
+        let lists_age = directory.as_of().map_or(0, |at| at.elapsed().as_millis());
         let event = event
             .with("request", id)
             .with("path", request.head.uri().path())
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -393,7 +393,7 @@
     pub(crate) fn is_ready(&self, now: Instant) -> bool {
         let directory = self.directory.borrow();
         let is_fresh = directory
-            .read_at()
+            .as_of()
             .is_some_and(|at| now.saturating_duration_since(at) < MAX_DIRECTORY_AGE);
         !self.is_draining() && directory.config.is_some() && is_fresh && self.ended.is_loaded()
     }
