--- a/clementinepickd/src/gateway_other_runs.rs
+++ b/clementinepickd/src/gateway_other_runs.rs
@@ -72,7 +72,7 @@
     loop {
         let standstill = &shared.ended.standstill;
         standstill.record_active(Instant::now());
-        if standstill.is_load_due.replace(false) {
+        if loads.is_empty() && standstill.is_load_due.replace(false) {
             loads.spawn_local(reload_all(Rc::clone(&shared)));
         }
         tokio::select! {
