--- a/clementinepick/src/traffic_config.rs
+++ b/clementinepick/src/traffic_config.rs
@@ -134,6 +134,16 @@
         services.any(|(name, weight)| name == service && *weight > 0)
     }
 
+    /// Returns whether the route leads to several services.
+    #[must_use]
+    pub fn is_split(&self) -> bool {
+        self.services
+            .iter()
+            .filter(|(_, weight)| *weight > 0)
+            .count()
+            > 1
+    }
+
     /// Chooses a service by weight, using the uniform random number `draw`.
     #[must_use]
     pub fn choose_service(&self, draw: u64) -> Option<&str> {
--- a/clementinepickd/src/gateway_origins.rs
+++ b/clementinepickd/src/gateway_origins.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use actix_rt::time::timeout;
 use bytes::Bytes;
 use clementinepick::rendezvous::rank_addresses;
 use clementinepick::stream_origin::{StreamOrigin, StreamOrigins};
@@ -37,6 +38,8 @@
 const MAX_ASKED: usize = 8;
 /// How long a peer may take to answer from memory, while the caller waits.
 const FIND_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long after its arrival a request may be refused because its origin was not found.
+const MAX_FIND_TIME: Duration = Duration::from_millis(450);
 
 /// The origin of one stream, as sent to a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -172,7 +175,8 @@
     shared: &Shared,
     trace: &Trace,
     query: &OriginQuery,
-) -> Option<StreamOrigin> {
+    arrived: Instant,
+) -> Option<(OriginSource, StreamOrigin)> {
     let asked_at = Instant::now();
     let mut peers = AskedPeers::default();
     let recorded = match &query.attempt {
@@ -181,7 +185,12 @@
     };
     let found = match recorded {
         Some(found) => Some(found),
-        None => find_sole_origin(shared, query, &mut peers, asked_at).await,
+        None => {
+            let left = (arrived + MAX_FIND_TIME).saturating_duration_since(Instant::now());
+            let finding = find_sole_origin(shared, query, &mut peers, asked_at);
+            // A caller that is refused can begin anew, or try elsewhere.
+            timeout(left, finding).await.ok().flatten()
+        }
     };
     if peers.asked > 0 {
         trace.add_field("origin_peers_asked", &peers.asked);
@@ -193,7 +202,7 @@
     }
     let (source, origin) = found?;
     trace.add_field("origin_from", &source.label());
-    Some(origin)
+    Some((source, origin))
 }
 
 /// Where the origin of a stream was found.
@@ -239,17 +248,23 @@
     let holders = shared.origin_holders(attempt, MAX_ASKED, Instant::now());
     peers.asked += holders.len();
     let mut calls = ask_peers::<OriginAnswer>(shared, holders, FIND_PATH, FIND_TIMEOUT, query);
+    let mut unproven = None;
     while let Some((peer, answer)) = calls.next().await {
         let Some(answer) = answer else {
             continue;
         };
         peers.responded.push(peer);
         if let OriginAnswer::Recorded(recorded) = answer {
+            // Another peer may know by now at which start the stream began.
+            if recorded.origin.is_unproven {
+                unproven = Some((OriginSource::Peer, recorded.origin));
+                continue;
+            }
             shared.hold_origin(&recorded, Instant::now());
             return Some((OriginSource::Peer, recorded.origin));
         }
     }
-    None
+    unproven
 }
 
 /// Calls peers with a query, all at the same time.
--- a/clementinepickd/src/gateway_resumption.rs
+++ b/clementinepickd/src/gateway_resumption.rs
@@ -5,7 +5,7 @@
 use clementinepick::units::SpanUs;
 
 use crate::gateway_exchange::RoutedRequest;
-use crate::gateway_origins::{OriginQuery, find_origin};
+use crate::gateway_origins::{OriginQuery, OriginSource, find_origin};
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
 
@@ -37,9 +37,13 @@
         service: routed.service.to_owned(),
         min_known_us: SpanUs(timeout_us.saturating_mul(MIN_KNOWN_TIMEOUTS)),
     };
-    let origin = find_origin(shared, trace, &query).await;
-    let origin = origin.filter(|origin| !origin.is_unproven);
-    let origin = origin.ok_or(Refusal::StreamUnknown)?;
+    let found = find_origin(shared, trace, &query, routed.received.arrived).await;
+    // The only version of one service says nothing of a stream that may have begun at another one.
+    let is_split = routed.route.is_split();
+    let found = found.filter(|(source, origin)| {
+        !origin.is_unproven && !(is_split && *source == OriginSource::SoleVersion)
+    });
+    let (_, origin) = found.ok_or(Refusal::StreamUnknown)?;
     let servers = shared.directory().servers;
     let can_continue = routed.route.leads_to(&origin.service)
         && servers
--- a/standins/tests/stream_versions.rs
+++ b/standins/tests/stream_versions.rs
@@ -359,6 +359,25 @@
     wait_until(is_used).expect("the configuration in use");
 }
 
+/// Guards against a stream of unknown origin that is resumed at the other service of a route which is
+/// split between two.
+#[test]
+fn a_stream_without_a_named_attempt_is_refused_on_a_split_route() {
+    let run = PlatformRun::start(1).expect("a platform run");
+    wait_until(|| resume_unnamed(&run, 0, "r1") == 200).expect("a sole version");
+    let half = |service: &str| format!(r#"{{"Service":"{service}","Weight":50}}"#);
+    let halves = format!(
+        r#""Backends":[{},{}]"#,
+        half(MODEL_SERVICE),
+        half(PLAIN_SERVICE)
+    );
+    let split = config(2).replace(&format!(r#""Service":"{MODEL_SERVICE}""#), &halves);
+    publish(&run, 2, &split);
+    for number in 0..8 {
+        assert_eq!(resume_unnamed(&run, 0, &format!("s{number}")), 503);
+    }
+}
+
 /// Guards against a stream that is resumed at the other service of a route which is split between
 /// two.
 #[test]
