--- a/standins/src/wire_server.rs
+++ b/standins/src/wire_server.rs
@@ -6,7 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener as StdListener, TcpStream as StdStream};
 use std::sync::{Arc, mpsc};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::HttpMessage;
 use actix_http::h1::{Codec, Message};
@@ -22,6 +22,10 @@
 
 /// The time in which bytes that were written arrive.
 const SEND_TIME: Duration = Duration::from_millis(1);
+/// How long an address that is in use is tried again: a process that is being started may hold a copy
+/// of a listener that was closed.
+const BIND_TIMEOUT: Duration = Duration::from_secs(2);
+const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A request as it came.
 #[derive(Debug, Clone, Default)]
@@ -197,7 +201,7 @@
         F: Fn(TcpStream, Stop) -> S + Send + 'static,
         S: Future<Output = ()> + 'static,
     {
-        let listener = StdListener::bind(address)?;
+        let listener = bind(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let stop = Stop(watch::Sender::default());
@@ -239,6 +243,19 @@
     }
 }
 
+/// Binds an address; one that is in use is tried again for [`BIND_TIMEOUT`].
+fn bind(address: SocketAddr) -> io::Result<StdListener> {
+    let give_up_at = Instant::now() + BIND_TIMEOUT;
+    loop {
+        match StdListener::bind(address) {
+            Err(err) if err.kind() == io::ErrorKind::AddrInUse && Instant::now() < give_up_at => {
+                thread::sleep(BIND_RETRY_INTERVAL);
+            }
+            bound => return bound,
+        }
+    }
+}
+
 async fn accept<F, S>(listener: StdListener, serve: F, stop: Stop, dropped: mpsc::Receiver<()>)
 where
     F: Fn(TcpStream, Stop) -> S,
