Name stalls of a process as the field does, and mend what Clippy rejects

A comment still said that a server which does not answer is taken for the listed start; another one that peers which miss a notice are safe in all cases. No logic changes.

--- a/clementinepick/src/request_ends.rs
+++ b/clementinepick/src/request_ends.rs
@@ -399,7 +399,7 @@
     }
 
     /// Replaces runs without a reported outcome by losses once their server is no longer listed or their
-    /// caller has given up. The gateway of such a run may stand still, or be lost.
+    /// caller has given up. The gateway of such a run may be stalled, or be lost.
     fn settle_runs(&mut self, now: TimeUs, list: &ServerList) {
         for run in std::mem::take(&mut self.runs) {
             let is_listed = run.server.is_listed(list);
--- a/clementinepick/tests/hanging_servers.rs
+++ b/clementinepick/tests/hanging_servers.rs
@@ -148,7 +148,7 @@
     assert_eq!(state(&ended, START), EndState::Confirmed);
 }
 
-/// Guards against forgetting a run whose gateway stands still until its deadline is over.
+/// Guards against forgetting a run whose gateway is stalled until its deadline is over.
 #[test]
 fn a_run_without_an_outcome_leaves_its_server_at_risk() {
     let expires_at = START.after(SpanUs::from_s(2));
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -31,7 +31,7 @@
 use crate::gateway_loss::settle_losses;
 use crate::gateway_maintenance::run_maintenance;
 use crate::gateway_metrics::{GatewayMetrics, MetricsHandler};
-use crate::gateway_other_runs::watch_standstill;
+use crate::gateway_other_runs::watch_stall;
 use crate::gateway_peer::PeerHandler;
 use crate::gateway_peer_updates::send_updates;
 use crate::gateway_peer_watch::watch_peers;
@@ -298,7 +298,7 @@
         tasks.spawn_local(send_updates(Rc::clone(&shared), queues.updates));
         tasks.spawn_local(maintain_ended(Rc::clone(&shared)));
         tasks.spawn_local(check_unheard(Rc::clone(&shared)));
-        tasks.spawn_local(watch_standstill(Rc::clone(&shared)));
+        tasks.spawn_local(watch_stall(Rc::clone(&shared)));
         tasks.spawn_local(maintain_versions(Rc::clone(&shared)));
         tasks.spawn_local(watch_peers(Rc::clone(&shared)));
         tasks.spawn_local(write_requests(Rc::clone(&shared)));
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -209,7 +209,7 @@
 
     /// Loads where else the request runs, if it may have ended a server; once before each further run.
     pub(crate) async fn load_other_runs(&self) {
-        self.shared.wait_after_standstill().await;
+        self.shared.wait_after_stall().await;
         let is_needed = !self.shared.has_no_ends() && self.shared.has_ends_of(self.key());
         if is_needed && self.others_loaded.replace(Some(self.sends)) != Some(self.sends) {
             self.shared.load_others(self.key()).await;
--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -28,7 +28,7 @@
     HOLD_PATH, LOAD_PATH, LoadAnswer, LoadQuery, OVER_PATH, RequestOver, SharedRequest,
 };
 use crate::gateway_exchange::RoutedRequest;
-use crate::gateway_other_runs::{SharedRead, Standstill};
+use crate::gateway_other_runs::{SharedRead, Stall};
 use crate::gateway_peer::{PeerCall, call_peer};
 use crate::gateway_peer_updates::PeerUpdate;
 use crate::gateway_shared::Shared;
@@ -71,7 +71,7 @@
     loaded: Notify,
     /// What other processes have recorded.
     pub(crate) others: SharedRead,
-    pub(crate) standstill: Standstill,
+    pub(crate) stall: Stall,
 }
 
 /// A read of what lost processes ran, for which requests wait; over when dropped.
@@ -466,7 +466,7 @@
     // A failure means that peers and the store did not respond in time; the request is served without
     // them.
     let _ = timeout(limit, shared.ended.wait_until_loaded()).await;
-    shared.wait_after_standstill().await;
+    shared.wait_after_stall().await;
     if shared.has_no_ends() {
         return Ok(());
     }
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -142,7 +142,7 @@
     }
 }
 
-/// Loads what peers and the store know, after this process has stood still; requests wait for it.
+/// Loads what peers and the store know, after this process was stalled; requests wait for it.
 pub(crate) async fn reload_all(shared: Rc<Shared>) {
     futures_util::join!(load(&shared, MAX_LOAD_PEERS), shared.reload_requests());
 }
--- a/clementinepickd/src/gateway_origins.rs
+++ b/clementinepickd/src/gateway_origins.rs
@@ -183,14 +183,13 @@
         Some(attempt) => find_recorded(shared, attempt, query, &mut peers).await,
         None => None,
     };
-    let found = match recorded {
-        Some(found) => Some(found),
-        None => {
-            let left = (arrived + MAX_FIND_TIME).saturating_duration_since(Instant::now());
-            let finding = find_sole_origin(shared, query, &mut peers, asked_at);
-            // A caller that is refused can begin anew, or try elsewhere.
-            timeout(left, finding).await.ok().flatten()
-        }
+    let found = if recorded.is_some() {
+        recorded
+    } else {
+        let left = (arrived + MAX_FIND_TIME).saturating_duration_since(Instant::now());
+        let finding = find_sole_origin(shared, query, &mut peers, asked_at);
+        // A caller that is refused can begin anew, or try elsewhere.
+        timeout(left, finding).await.ok().flatten()
     };
     if peers.asked > 0 {
         trace.add_field("origin_peers_asked", &peers.asked);
--- a/clementinepickd/src/gateway_other_runs.rs
+++ b/clementinepickd/src/gateway_other_runs.rs
@@ -1,6 +1,6 @@
 //! Finds out where else a request runs that may have ended a server, before it runs at another one.
 //!
-//! A process that stands still, or is lost, tells its peers nothing of its runs, and they do not notice it
+//! A process that is stalled, or is lost, tells its peers nothing of its runs, and they do not notice it
 //! for a while. What it has recorded in the store shows them.
 
 use std::cell::Cell;
@@ -20,40 +20,40 @@
 /// How long a run may wait for what other processes have recorded.
 const MAX_READ_WAIT: Duration = Duration::from_millis(150);
 
-/// A process whose periodic work is this late has stood still.
-const MIN_STANDSTILL: Duration = Duration::from_millis(300);
-/// How long requests wait after a standstill: what became of the runs before it, here and at peers, is known
+/// A process whose periodic work is this late was stalled.
+const MIN_STALL: Duration = Duration::from_millis(300);
+/// How long requests wait after a stall: what became of the runs before it, here and at peers, is known
 /// by then.
-const STANDSTILL_WAIT: Duration = Duration::from_millis(100);
+const STALL_WAIT: Duration = Duration::from_millis(100);
 
 /// How often it is noted that this process runs.
 const ACTIVE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// When this process last stood still.
+/// When the last stall of this process ended.
 #[derive(Debug, Default)]
-pub(crate) struct Standstill {
+pub(crate) struct Stall {
     last_active: Cell<Option<Instant>>,
     ended_at: Cell<Option<Instant>>,
     /// Whether what happened meanwhile has yet to be loaded.
     is_load_due: Cell<bool>,
 }
 
-impl Standstill {
-    /// Records that this process runs; called far more often than [`MIN_STANDSTILL`].
+impl Stall {
+    /// Records that this process runs; called far more often than [`MIN_STALL`].
     fn record_active(&self, now: Instant) {
         let last = self.last_active.replace(Some(now));
-        if last.is_some_and(|last| now.saturating_duration_since(last) >= MIN_STANDSTILL) {
+        if last.is_some_and(|last| now.saturating_duration_since(last) >= MIN_STALL) {
             self.ended_at.set(Some(now));
             self.is_load_due.set(true);
         }
     }
 
-    /// Returns how much longer requests have to wait because of a standstill.
+    /// Returns how much longer requests have to wait because of a stall.
     fn time_left(&self, now: Instant) -> Duration {
         let Some(ended_at) = self.ended_at.get() else {
             return Duration::ZERO;
         };
-        STANDSTILL_WAIT.saturating_sub(now.saturating_duration_since(ended_at))
+        STALL_WAIT.saturating_sub(now.saturating_duration_since(ended_at))
     }
 }
 
@@ -66,13 +66,13 @@
     read: RecordedRequests,
 }
 
-/// Loads what happened while this process stood still, whenever it has, until dropped.
-pub(crate) async fn watch_standstill(shared: Rc<Shared>) {
+/// Loads what happened during each stall of this process, until dropped.
+pub(crate) async fn watch_stall(shared: Rc<Shared>) {
     let mut loads = JoinSet::new();
     loop {
-        let standstill = &shared.ended.standstill;
-        standstill.record_active(Instant::now());
-        if loads.is_empty() && standstill.is_load_due.replace(false) {
+        let stall = &shared.ended.stall;
+        stall.record_active(Instant::now());
+        if loads.is_empty() && stall.is_load_due.replace(false) {
             loads.spawn_local(reload_all(Rc::clone(&shared)));
         }
         tokio::select! {
@@ -83,12 +83,12 @@
 }
 
 impl Shared {
-    /// Waits, if this process has just stood still, until it knows what happened meanwhile.
-    pub(crate) async fn wait_after_standstill(&self) {
+    /// Waits, if this process was just stalled, until it knows what happened meanwhile.
+    pub(crate) async fn wait_after_stall(&self) {
         let now = Instant::now();
-        let standstill = &self.ended.standstill;
-        standstill.record_active(now);
-        let left = standstill.time_left(now);
+        let stall = &self.ended.stall;
+        stall.record_active(now);
+        let left = stall.time_left(now);
         if !left.is_zero() && !Safeguard::EndedServers.is_disabled() {
             sleep(left).await;
             // The request goes on without what can't be loaded in time.
@@ -127,16 +127,16 @@
 
     /// Guards against a request that is sent on by a process which does not know yet what it missed.
     #[test]
-    fn requests_wait_after_a_standstill_only() {
+    fn requests_wait_after_a_stall_only() {
         let start = Instant::now();
-        let standstill = Standstill::default();
-        standstill.record_active(start);
-        let late = start + MIN_STANDSTILL / 2;
-        standstill.record_active(late);
-        assert!(standstill.time_left(late).is_zero());
-        let resumed = late + MIN_STANDSTILL;
-        standstill.record_active(resumed);
-        assert_eq!(standstill.time_left(resumed), STANDSTILL_WAIT);
-        assert!(standstill.time_left(resumed + STANDSTILL_WAIT).is_zero());
+        let stall = Stall::default();
+        stall.record_active(start);
+        let late = start + MIN_STALL / 2;
+        stall.record_active(late);
+        assert!(stall.time_left(late).is_zero());
+        let resumed = late + MIN_STALL;
+        stall.record_active(resumed);
+        assert_eq!(stall.time_left(resumed), STALL_WAIT);
+        assert!(stall.time_left(resumed + STALL_WAIT).is_zero());
     }
 }
--- a/clementinepickd/src/gateway_peer_updates.rs
+++ b/clementinepickd/src/gateway_peer_updates.rs
@@ -112,7 +112,8 @@
 
 async fn send_batch(shared: Rc<Shared>, peer: SocketAddr, batch: Batch) {
     if !batch.starts.is_empty() {
-        // A peer that does not hear of it asks servers that report their start times.
+        // A peer that misses it still asks servers that report their start times before it sends them the
+        // rest of a stream.
         let _ = send(&shared, peer, DOUBT_PATH, to_cbor(&batch.starts)).await;
     }
     if !batch.origins.is_empty() && !send(&shared, peer, HOLD_PATH, to_cbor(&batch.origins)).await {
--- a/clementinepickd/src/gateway_resumption.rs
+++ b/clementinepickd/src/gateway_resumption.rs
@@ -40,9 +40,8 @@
     let found = find_origin(shared, trace, &query, routed.received.arrived).await;
     // The only version of one service says nothing of a stream that may have begun at another one.
     let is_split = routed.route.is_split();
-    let found = found.filter(|(source, origin)| {
-        !origin.is_unproven && !(is_split && *source == OriginSource::SoleVersion)
-    });
+    let is_known = |source: OriginSource| !is_split || source != OriginSource::SoleVersion;
+    let found = found.filter(|(source, origin)| is_known(*source) && !origin.is_unproven);
     let (_, origin) = found.ok_or(Refusal::StreamUnknown)?;
     let servers = shared.directory().servers;
     let can_continue = routed.route.leads_to(&origin.service)
--- a/clementinepickd/src/gateway_start_check.rs
+++ b/clementinepickd/src/gateway_start_check.rs
@@ -124,7 +124,6 @@
         .acquire(address, CONNECT_TIMEOUT, Instant::now())
         .await;
     let Ok(mut connection) = acquired else {
-        // The server has ended, and the stream goes on elsewhere as if it had been the listed start.
         return StartAnswer::Silent;
     };
     connection.report = ask_start(&mut connection, address).await;
--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -257,7 +257,7 @@
         self.server.refuse_connections();
     }
 
-    /// Makes the server stand still for a while.
+    /// Makes the server are stalled for a while.
     pub fn suspend(&self, span: Duration) {
         self.server.suspend(span);
     }
--- a/standins/src/server_fleet.rs
+++ b/standins/src/server_fleet.rs
@@ -144,7 +144,7 @@
         }
     }
 
-    /// Makes the first `count` servers that run stand still for a while.
+    /// Makes the first `count` servers that run are stalled for a while.
     pub fn suspend(&self, count: usize, span: Duration) {
         let core = lock(&self.core);
         let running = core.servers.iter().filter(|s| !s.backend.has_ended());
--- a/standins/src/wire_server.rs
+++ b/standins/src/wire_server.rs
@@ -85,11 +85,11 @@
     Running,
     /// It accepts no new connections and serves those that are open.
     Closing,
-    /// Its thread stands still for this long.
+    /// Its thread is stalled for this long.
     Suspended(Duration),
-    /// Its thread stands still until the server is dropped, and the system answers no attempt to connect.
+    /// Its thread is stalled until the server is dropped, and the system answers no attempt to connect.
     PowerLost,
-    /// Its thread stands still until the server is dropped, and the system accepts connections.
+    /// Its thread is stalled until the server is dropped, and the system accepts connections.
     Hung,
     Ended,
 }
@@ -184,7 +184,7 @@
         self.stop.0.send_replace(ServerPhase::Closing);
     }
 
-    /// Makes the server stand still for a while, with all its connections open.
+    /// Makes the server are stalled for a while, with all its connections open.
     pub fn suspend(&self, span: Duration) {
         self.stop.0.send_if_modified(|phase| {
             let is_running = *phase == ServerPhase::Running;
--- a/standins/tests/ending_run/mod.rs
+++ b/standins/tests/ending_run/mod.rs
@@ -243,7 +243,7 @@
         self.configure(|settings| settings.health_delay = delay);
     }
 
-    /// Makes `count` servers of each service stand still for a while.
+    /// Makes `count` servers of each service are stalled for a while.
     pub fn suspend_servers(&self, count: usize, span: Duration) {
         for fleet in self.fleets.values() {
             fleet.suspend(count, span);
--- a/standins/tests/replaced_in_place.rs
+++ b/standins/tests/replaced_in_place.rs
@@ -238,7 +238,7 @@
     }
 }
 
-/// Guards against refusing the streams of servers that have only stood still.
+/// Guards against refusing the streams of servers that were only stalled.
 #[test]
 fn streams_of_servers_that_pause_go_on() {
     for has_start_times in [false, true] {
--- a/standins/tests/replaced_run/mod.rs
+++ b/standins/tests/replaced_run/mod.rs
@@ -162,7 +162,7 @@
         }
     }
 
-    /// Makes a server stand still for a while.
+    /// Makes a server are stalled for a while.
     pub fn suspend(&self, server: usize, span: Duration) {
         self.servers[server].current().suspend(span);
     }
--- a/standins/tests/stopped_gateways.rs
+++ b/standins/tests/stopped_gateways.rs
@@ -117,26 +117,26 @@
     }
 }
 
-/// Guards against runs whose gateway stands still while their servers exit.
+/// Guards against runs whose gateway is stalled while their servers exit.
 #[test]
 fn a_request_whose_gateways_are_stopped_beside_ended_servers_is_given_up() {
     check_stopped(ServerEnding::Exit, Kind::Draft);
     check_stopped(ServerEnding::Exit, Kind::Booking);
 }
 
-/// Guards against runs whose gateway stands still while their servers lose power.
+/// Guards against runs whose gateway is stalled while their servers lose power.
 #[test]
 fn a_request_whose_gateways_are_stopped_beside_silent_servers_is_given_up() {
     check_stopped(ServerEnding::PowerLoss, Kind::Draft);
 }
 
-/// Guards against runs whose gateway stands still while their servers hang.
+/// Guards against runs whose gateway is stalled while their servers hang.
 #[test]
 fn a_request_whose_gateways_are_stopped_beside_hanging_servers_is_given_up() {
     check_stopped(ServerEnding::Hang, Kind::Draft);
 }
 
-/// Guards against runs of which the last gateway does not know while the others stand still, and whose
+/// Guards against runs of which the last gateway does not know while the others are stalled, and whose
 /// servers exit.
 #[test]
 fn a_request_that_ends_servers_at_the_last_gateway_is_given_up() {
