--- a/clementinepick/src/start_doubts.rs
+++ b/clementinepick/src/start_doubts.rs
@@ -6,7 +6,9 @@
 //!
 //! ```
 //! use clementinepick::server_list::{BackendServer, ServerList};
-//! use clementinepick::start_doubts::{EndSign, StartDoubts, StartUse, StartVerdict};
+//! use clementinepick::start_doubts::{
+//!     EndSign, ReportedStart, StartDoubts, StartUse, StartVerdict,
+//! };
 //! use clementinepick::units::TimeUs;
 //!
 //! let server = BackendServer {
