--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -66,11 +66,15 @@
     Trailer,
     /// A body without a length.
     Body,
+    /// A body of valid chunks.
+    Chunks,
+    /// An event stream of valid events.
+    Events,
 }
 
 impl EndlessPart {
-    /// All parts.
-    pub const ALL: [Self; 7] = [
+    /// All parts but events, which a caller may want as they are.
+    pub const ALL: [Self; 8] = [
         Self::Header,
         Self::Interim,
         Self::ChunkSize,
@@ -78,6 +82,7 @@
         Self::ChunkExtensions,
         Self::Trailer,
         Self::Body,
+        Self::Chunks,
     ];
 
     /// Returns a response of which this part never ends.
@@ -105,6 +110,11 @@
                 let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n\r\n");
                 vec![Step::Write(head.into()), repeat("x", 4_096)]
             }
+            Self::Chunks => vec![chunked(), Step::Repeat(chunk(&[b'x'; 4_096]))],
+            Self::Events => {
+                let events = "id: 1\ndata: x\n\n".repeat(256);
+                vec![chunked(), Step::Repeat(chunk(events.as_bytes()))]
+            }
         }
     }
 }
--- a/standins/src/soak_process.rs
+++ b/standins/src/soak_process.rs
@@ -234,6 +234,21 @@
         }
     }
 
+    /// Returns the most memory that the process has had resident, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended or the system does not tell.
+    pub fn peak_memory_bytes(&self) -> io::Result<u64> {
+        let child = self.child.as_ref().ok_or(io::ErrorKind::NotFound)?;
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()))?;
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"));
+        let peak_kb: Option<u64> = peak.and_then(|peak| peak.trim().parse().ok());
+        Ok(peak_kb.ok_or(io::ErrorKind::InvalidData)? * 1_024)
+    }
+
     /// Sends SIGTERM to the process and hands it over for [`wait_for_exit`].
     #[must_use]
     pub fn terminate(&mut self) -> Option<Child> {
