Refuse requests that may outlast a planned shutdown

What callers saw: in a planned stop, requests whose bodies arrived late, that were pipelined or that crossed a response were passed on after the notice; at 7.2 s streams broke off, and bookings that ran got 504.

Cause: between the end of the notice and the answer to all that runs, nothing compared the deadline of a request with the time that is left, and a connection with input was never closed.

Change: after the notice, a request is taken only if its deadline is before that answer (ShutdownSchedule), otherwise refused with 503, while its body is still arriving if its head is known. The refusal ends the connection: what has arrived by then is refused, too, and the last response closes it.

--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -95,6 +95,7 @@
 pub mod sequencer;
 pub mod server_list;
 pub mod server_selection;
+pub mod shutdown_schedule;
 pub mod sidecar;
 mod sidecar_cache;
 mod sidecar_calls;
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -16,6 +16,7 @@
 use actix_rt::time::sleep;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::ids::Incarnation;
+use clementinepick::shutdown_schedule::ShutdownSchedule;
 use slog::Logger;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
@@ -42,6 +43,7 @@
 use crate::gateway_shared::Shared;
 use crate::gateway_versions::maintain_versions;
 use crate::input_first::poll_after_input;
+use crate::link::{duration, to_span};
 use crate::list_refresh::{RefreshReceiver, RefreshSender, refresh_channel};
 use crate::logging::{new_logger_to, write_event};
 use crate::safeguard::Safeguard;
@@ -55,8 +57,6 @@
 /// How long a terminating process may take to record the usage of its standing slices. An append
 /// takes about 10 ms; if it fails, programs lose a part of their budgets.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long before the shutdown limit the requests that still run are answered.
-const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// The maximum number of connections that are accepted as the listener closes, as many as the system
 /// holds for it.
 const MAX_WAITING_CONNECTIONS: usize = 4_096;
@@ -397,7 +397,10 @@
 /// until the shutdown limit.
 async fn drain(shared: &Shared, settings: &GatewaySettings) {
     let started_at = Instant::now();
-    shared.start_draining();
+    let start_us = shared.now_us(started_at);
+    let notice = to_span(settings.drain_delay);
+    let schedule = ShutdownSchedule::new(start_us, notice, to_span(settings.shutdown_limit));
+    shared.start_draining(schedule);
     let event = Event::new(EventKind::ShutdownStarted).with("running", shared.running_requests());
     shared.log(&event);
     if !Safeguard::DrainNotice.is_disabled() {
@@ -406,8 +409,8 @@
     shared.close_idle_connections();
     // Open connections are counted, not running requests: a request that is still being received
     // would otherwise be cut off without a response.
-    let end = started_at + settings.shutdown_limit;
-    let answer_at = started_at + settings.shutdown_limit.saturating_sub(ANSWER_TIME);
+    let end = started_at + duration(schedule.until_end(start_us));
+    let answer_at = started_at + duration(schedule.until_answers(start_us));
     wait_for_connections(shared, answer_at).await;
     let unfinished = shared.running_requests();
     shared.stop_requests();
--- a/clementinepickd/src/gateway_connection.rs
+++ b/clementinepickd/src/gateway_connection.rs
@@ -5,9 +5,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use actix_http::Request;
 use actix_http::h1::Codec;
 use actix_rt::time::timeout;
 use clementinepick::event::{Event, EventKind};
+use clementinepick::refusal::Refusal;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -48,6 +50,12 @@
         false
     }
 
+    /// Returns why a request is refused whose body is not complete at `now`; its first byte was received
+    /// at `arrived`.
+    fn refuse_head(&self, _head: &Request, _arrived: Instant, _now: Instant) -> Option<Refusal> {
+        None
+    }
+
     /// Records a request that is not handled, because its sender has disconnected.
     fn record_abandoned(&self, _request: &ReceivedRequest<'_>) {}
 }
@@ -65,7 +73,14 @@
     let mut codec = Codec::default();
     let mut limits_since = Instant::now();
     loop {
-        let received = receive(&shared, &mut reader, &mut codec, &mut write, limits_since);
+        let received = receive(
+            &shared,
+            &*handler,
+            &mut reader,
+            &mut codec,
+            &mut write,
+            limits_since,
+        );
         let request = match received.await {
             Ok(request) => request,
             Err(ReceiveError::Closed) => return,
@@ -77,7 +92,7 @@
         let close_policy = if codec.keep_alive() {
             ClosePolicy::Draining {
                 shared: &shared,
-                has_input: &state.has_input,
+                input: &state,
                 announces_idle_limit: handler.announces_idle_limit(),
             }
         } else {
--- a/clementinepickd/src/gateway_receive.rs
+++ b/clementinepickd/src/gateway_receive.rs
@@ -16,6 +16,7 @@
 use tokio_util::codec::Decoder;
 
 use crate::framing_limit::FramingLimit;
+use crate::gateway_connection::Handler;
 use crate::gateway_shared::{BodyReservation, Shared};
 use crate::input_first::read_arrived;
 use crate::link::duration;
@@ -70,8 +71,29 @@
 #[derive(Default)]
 pub(crate) struct InputState {
     received_bytes: Cell<u64>,
-    /// Whether bytes of the next request have arrived.
-    pub(crate) has_input: Cell<bool>,
+    /// The received bytes up to the end of the current request.
+    consumed_bytes: Cell<u64>,
+    /// The number of the last byte that still gets a response, if the connection ends.
+    last_byte: Cell<Option<u64>>,
+}
+
+impl InputState {
+    /// Ends the connection after the responses to what has arrived.
+    pub(crate) fn end(&self) {
+        if !self.is_ending() {
+            self.last_byte.set(Some(self.received_bytes.get()));
+        }
+    }
+
+    pub(crate) fn is_ending(&self) -> bool {
+        self.last_byte.get().is_some()
+    }
+
+    /// Returns whether the response to the current request is the last one that is due.
+    pub(crate) fn is_answered(&self) -> bool {
+        let answered = self.last_byte.get();
+        self.consumed_bytes.get() >= answered.unwrap_or(self.received_bytes.get())
+    }
 }
 
 /// Reads a caller's connection.
@@ -118,9 +140,10 @@
     }
 }
 
-/// Reads the next request, within the highest limits in force since `limits_since`.
+/// Reads the next request for `handler`, within the highest limits in force since `limits_since`.
 pub(crate) async fn receive<'a>(
     shared: &'a Shared,
+    handler: &dyn Handler,
     reader: &mut Reader<'_>,
     codec: &mut Codec,
     write: &mut OwnedWriteHalf,
@@ -141,10 +164,11 @@
     };
     let state = reader.state;
     let head = read_head(reader, codec, &limits);
-    let head = in_time(shared, state, || limits.get().head_us, head).await;
+    let head = in_time(state, || limits.get().head_us, wait_for_stop(shared), head).await;
     let head = head.map_err(|error| to_error(error, None))?;
     let body = receive_body(shared, reader, codec, write, &head, &limits);
-    let body = in_time(shared, state, || limits.get().idle_us, body).await;
+    let refusal = wait_for_refusal(shared, handler, &head, arrived);
+    let body = in_time(state, || limits.get().idle_us, refusal, body).await;
     let reserved = body.and_then(|body| {
         if body.is_empty() {
             return Ok((body, None));
@@ -183,11 +207,30 @@
     arrived.unwrap_or(false)
 }
 
-/// Reads a part of a request until its time limit or the stop of running requests.
-async fn in_time<T>(
+async fn wait_for_stop(shared: &Shared) -> Refusal {
+    shared.wait_for_stop().await;
+    Refusal::ShuttingDown
+}
+
+/// Waits until a request whose body is being received is refused by the shutdown.
+async fn wait_for_refusal(
     shared: &Shared,
+    handler: &dyn Handler,
+    head: &Request,
+    arrived: Instant,
+) -> Refusal {
+    shared.wait_for_close().await;
+    match handler.refuse_head(head, arrived, Instant::now()) {
+        Some(refusal) => refusal,
+        None => wait_for_stop(shared).await,
+    }
+}
+
+/// Reads a part of a request until its time limit or a refusal.
+async fn in_time<T>(
     state: &InputState,
     limit: impl Fn() -> SpanUs,
+    refusal: impl Future<Output = Refusal>,
     reading: impl Future<Output = Result<T, ReadError>>,
 ) -> Result<T, ReadError> {
     let mut reading = pin!(reading);
@@ -195,7 +238,7 @@
         biased;
         read = &mut reading => return read,
         () = wait_for_limit(limit) => Refusal::ReceiveTimeout,
-        () = shared.wait_for_stop() => Refusal::ShuttingDown,
+        refusal = refusal => refusal,
     };
     let arrived = read_arrived(reading, &state.received_bytes).await;
     arrived.unwrap_or_else(|| refused(refusal))
@@ -314,7 +357,9 @@
     }
 
     fn update_state(&self) {
-        self.state.has_input.set(!self.buffer.is_empty());
+        let buffered = self.buffer.len() as u64;
+        let received = self.state.received_bytes.get();
+        self.state.consumed_bytes.set(received - buffered);
     }
 
     /// Reads more bytes; returns false once the caller has closed the connection.
--- a/clementinepickd/src/gateway_reply.rs
+++ b/clementinepickd/src/gateway_reply.rs
@@ -1,6 +1,5 @@
 //! Writes the response to one request to the caller's connection.
 
-use std::cell::Cell;
 use std::io;
 
 use actix_http::body::BodySize;
@@ -15,6 +14,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio_util::codec::Encoder;
 
+use crate::gateway_receive::InputState;
 use crate::gateway_shared::Shared;
 
 /// The share of the idle limit that is announced to callers.
@@ -41,11 +41,11 @@
 pub(crate) enum ClosePolicy<'a> {
     /// It is closed.
     Always,
-    /// It is closed if the process is draining when the head is written and nothing of another
-    /// request has arrived, which would stay without a response.
+    /// It is closed if the process is draining when the head is written and no input is left that
+    /// should get a response.
     Draining {
         shared: &'a Shared,
-        has_input: &'a Cell<bool>,
+        input: &'a InputState,
         /// Whether the response says how long the connection stays open otherwise.
         announces_idle_limit: bool,
     },
@@ -55,9 +55,7 @@
     fn closes(self) -> bool {
         match self {
             Self::Always => true,
-            Self::Draining {
-                shared, has_input, ..
-            } => shared.is_draining() && !has_input.get(),
+            Self::Draining { shared, input, .. } => shared.is_draining() && input.is_answered(),
         }
     }
 
@@ -119,6 +117,23 @@
         self.state
     }
 
+    /// Returns whether a request of the connection was refused because the process is shutting down.
+    pub(crate) fn is_connection_ending(&self) -> bool {
+        match self.close_policy {
+            ClosePolicy::Always => false,
+            ClosePolicy::Draining { input, .. } => input.is_ending(),
+        }
+    }
+
+    /// Closes the connection after the responses to the requests that have arrived. They are refused,
+    /// too: what arrives during a longer response would stay without one.
+    pub(crate) fn end_connection(&self) {
+        match self.close_policy {
+            ClosePolicy::Always => {}
+            ClosePolicy::Draining { input, .. } => input.end(),
+        }
+    }
+
     fn encode(
         &mut self,
         message: Message<(Response<()>, BodySize)>,
--- a/clementinepickd/src/gateway_request.rs
+++ b/clementinepickd/src/gateway_request.rs
@@ -7,11 +7,11 @@
 use std::thread;
 use std::time::Instant;
 
-use actix_http::StatusCode;
+use actix_http::{Request, StatusCode};
 use bytes::Bytes;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::refusal::{Refusal, ledger_retry_after};
-use clementinepick::traffic_config::{RequestKind, TrafficConfig};
+use clementinepick::traffic_config::{RequestKind, TrafficConfig, TrafficRoute};
 use platform::request::RequestInfo;
 use rand::RngExt;
 use tokio::time::sleep_until;
@@ -103,6 +103,14 @@
         })
     }
 
+    fn refuse_head(&self, head: &Request, arrived: Instant, now: Instant) -> Option<Refusal> {
+        let directory = self.shared.directory();
+        let route = find_route(directory.config.as_ref()?, head).ok()?;
+        let info = platform::request::parse(&head.head().headers).ok()?;
+        let is_taken = self.shared.takes(now, deadline(route, &info, arrived));
+        (!is_taken).then_some(Refusal::ShuttingDown)
+    }
+
     fn record_abandoned(&self, request: &ReceivedRequest<'_>) {
         drop(DisconnectGuard {
             handler: self,
@@ -168,6 +176,9 @@
             if let Some(retry_after) = trace.retry_after.get() {
                 refusal_response.retry_after_us = Some(retry_after);
             }
+            if refusal == Refusal::ShuttingDown {
+                reply.end_connection();
+            }
             if refusal == Refusal::LedgerUnavailable {
                 let outage = self.shared.store.unavailable_for(Instant::now());
                 refusal_response.retry_after_us = Some(ledger_retry_after(to_span(outage)));
@@ -221,10 +232,12 @@
             return Ok(Err(refusal));
         }
     };
-    if shared.is_stopping() {
+    let now = Instant::now();
+    let is_ending = shared.is_stopping() || reply.is_connection_ending();
+    if is_ending || !shared.takes(now, routed.deadline) {
         return Ok(Err(Refusal::ShuttingDown));
     }
-    if routed.time_left(Instant::now()).is_zero() {
+    if routed.time_left(now).is_zero() {
         return Ok(Err(Refusal::NotSentInTime));
     }
     let is_streaming = routed.route.kind == RequestKind::Streaming;
@@ -267,21 +280,28 @@
     request: &'a ReceivedRequest<'a>,
     info: &'a RequestInfo,
 ) -> Result<RoutedRequest<'a>, Refusal> {
-    let host = request_host(&request.head);
-    let path = request.head.uri().path();
-    let route = config.route(host, path).ok_or(Refusal::NoRoute)?;
+    let route = find_route(config, &request.head)?;
     let service = route.choose_service(rand::rng().random());
-    let timeout = duration(route.timeout_us);
     Ok(RoutedRequest {
         received: request,
         info,
         config,
         route,
         service: service.ok_or(Refusal::NoServer)?,
-        deadline: request.arrived + timeout.min(info.deadline),
+        deadline: deadline(route, info, request.arrived),
     })
 }
 
+fn find_route<'a>(config: &'a TrafficConfig, head: &Request) -> Result<&'a TrafficRoute, Refusal> {
+    let route = config.route(request_host(head), head.uri().path());
+    route.ok_or(Refusal::NoRoute)
+}
+
+/// Returns the earlier of the caller's deadline and the route's timeout.
+fn deadline(route: &TrafficRoute, info: &RequestInfo, arrived: Instant) -> Instant {
+    arrived + duration(route.timeout_us).min(info.deadline)
+}
+
 /// Reports whether this process is ready for requests.
 pub(crate) struct ReadyHandler {
     pub(crate) shared: Rc<Shared>,
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -16,6 +16,7 @@
 use clementinepick::retry::RetryBudget;
 use clementinepick::server_list::ServerList;
 use clementinepick::server_selection::ServerSelector;
+use clementinepick::shutdown_schedule::ShutdownSchedule;
 use clementinepick::start_doubts::StartDoubts;
 use clementinepick::stream_origin::StreamOrigin;
 use clementinepick::traffic_config::{CallerLimits, TrafficService};
@@ -92,7 +93,8 @@
     request_count: Cell<usize>,
     /// The number of open connections to this process.
     connection_count: Cell<usize>,
-    is_draining: Cell<bool>,
+    /// The times of the shutdown, once it has begun.
+    shutdown: Cell<Option<ShutdownSchedule>>,
     /// Set once idle connections are to be closed.
     closing: Signal,
     /// Set once running requests are to be answered, whatever their state.
@@ -213,7 +215,7 @@
             clock: MonotonicClock::starting_at(Instant::now()),
             request_count: Cell::new(0),
             connection_count: Cell::new(0),
-            is_draining: Cell::new(false),
+            shutdown: Cell::new(None),
             closing: Signal::default(),
             stopping: Signal::default(),
         };
@@ -357,8 +359,8 @@
     }
 
     /// Makes this process report not ready and close each connection after its next response.
-    pub(crate) fn start_draining(&self) {
-        self.is_draining.set(true);
+    pub(crate) fn start_draining(&self, schedule: ShutdownSchedule) {
+        self.shutdown.set(Some(schedule));
     }
 
     /// Closes connections as soon as no request runs on them.
@@ -387,7 +389,13 @@
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.is_draining.get()
+        self.shutdown.get().is_some()
+    }
+
+    /// Returns whether a request that is complete at `now` can run until its deadline.
+    pub(crate) fn takes(&self, now: Instant, deadline: Instant) -> bool {
+        let schedule = self.shutdown.get();
+        schedule.is_none_or(|schedule| schedule.takes(self.now_us(now), self.now_us(deadline)))
     }
 
     pub(crate) fn is_ready(&self, now: Instant) -> bool {
--- a/standins/tests/planned_stop.rs
+++ b/standins/tests/planned_stop.rs
@@ -243,7 +243,7 @@
     let stopped_at = run.stopped_at;
     let sender = thread::spawn(move || {
         for number in 0.. {
-            let request = booking(&format!("p{number}")).with("Deadline-Ms", "8000");
+            let request = booking(&format!("p{number}"));
             if sending.write_all(&request.bytes()).is_err()
                 || stopped_at.elapsed() > Duration::from_secs(9)
             {
@@ -263,7 +263,8 @@
     assert!(closed_after < limit, "closed after {closed_after:?}");
     let refused = statuses.iter().position(|status| *status != 200);
     let refused = refused.expect("a refused request");
-    assert!(statuses[refused..].iter().all(|status| *status == 503));
+    let after = &statuses[refused..];
+    assert!(after.iter().all(|status| *status == 503), "{after:?}");
     assert!(run.run_count(&format!("p{refused}")) == 0);
 }
 
