Limit the memory of all responses together, and share the thread between them

What callers saw: beside servers whose bodies don't end, a gateway took 400 MB (valid chunks) and 625 MB (no length, no close) for 240 calls at 8 servers, where VMs have 130 MB; its other callers' requests end with it. Beside 240 such streams none of 20 lookups was served within a second.

Cause: 4 MiB for the body of a call and 256 KiB for an event hold for one response, and nothing limits all together. The event splitter searched an incomplete event from its start for each piece it got, 8 MiB for one event, and a connection whose bytes are always there gave way only when the runtime made it.

Change: a MemoryPool of 16 MB for bodies, events and the output of turns, from the first byte until the caller has the response. A buffer may be as large as what it leaves free, so that many that grow without end all reach their limit early, and small ones find room. The splitter goes on where it stopped; a connection gives way after each 4 KiB, a stream after 16 events, and the events of one read are written at once. Bodies are written in pieces of 64 KiB instead of being copied whole. body_error in the line of a request and response_bytes in the state dump show it.

Both faults come in one commit, since one flood meets both, in the same functions.

--- a/clementinepick/src/event_stream.rs
+++ b/clementinepick/src/event_stream.rs
@@ -13,6 +13,7 @@
 //! ```
 
 use bytes::{Bytes, BytesMut};
+use memchr::memchr;
 
 /// The maximum size of an event, in bytes; limits the memory used by one stream.
 pub const MAX_EVENT_BYTES: usize = 262_144;
@@ -32,6 +33,10 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Where the first line begins that is not known to be complete.
+    line_start: usize,
+    /// The bytes of the buffer that were searched for the end of an event.
+    searched: usize,
 }
 
 impl EventSplitter {
@@ -40,6 +45,12 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Returns the size of the buffer, in bytes.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether the buffer is empty.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -54,8 +65,9 @@
 
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let end = find_event_end(&self.buffer)?;
+        let end = self.find_event_end()?;
         let raw = self.buffer.split_to(end).freeze();
+        (self.line_start, self.searched) = (0, 0);
         let mut id = None;
         let mut data: Option<BytesMut> = None;
         for line in raw.split(|b| *b == b'\n') {
@@ -75,6 +87,21 @@
         let data = data.unwrap_or_default().freeze();
         Some(StreamEvent { raw, id, data })
     }
+
+    /// Returns the length of the first event, including its blank line.
+    fn find_event_end(&mut self) -> Option<usize> {
+        while let Some(length) = memchr(b'\n', &self.buffer[self.searched..]) {
+            let end = self.searched + length;
+            let line = &self.buffer[self.line_start..end];
+            let is_blank = line.is_empty() || line == b"\r";
+            if is_blank && self.line_start > 0 {
+                return Some(end + 1);
+            }
+            (self.line_start, self.searched) = (end + 1, end + 1);
+        }
+        self.searched = self.buffer.len();
+        None
+    }
 }
 
 /// Returns the value of `line` if its key is `name`, without one space after the colon.
@@ -82,20 +109,3 @@
     let value = line.strip_prefix(name)?.strip_prefix(b":")?;
     Some(value.strip_prefix(b" ").unwrap_or(value))
 }
-
-/// Returns the length of the first event, including its blank line.
-fn find_event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (at, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..at];
-        let is_blank = line.is_empty() || line == b"\r";
-        if is_blank && line_start > 0 {
-            return Some(at + 1);
-        }
-        line_start = at + 1;
-    }
-    None
-}
--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod limit_history;
 pub mod listed_versions;
 pub mod membership;
+pub mod memory_pool;
 pub mod message;
 pub mod outage_detector;
 pub mod partition_replay;
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -15,6 +15,7 @@
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
 use crate::link::duration;
+use crate::response_memory::MemoryPart;
 use crate::safeguard::Safeguard;
 
 /// The largest body of a response, in bytes. It is buffered in full, so that a truncated response
@@ -29,10 +30,11 @@
 pub(crate) const CALL: &str = "call";
 
 /// A response that was received in full.
-struct FullResponse {
+struct FullResponse<'a> {
     status: StatusCode,
     headers: actix_http::header::HeaderMap,
     body: Bytes,
+    _memory: MemoryPart<'a>,
 }
 
 /// Forwards the call and sends the response to the caller.
@@ -52,11 +54,11 @@
     Ok(Ok(()))
 }
 
-async fn call(
-    shared: &Rc<Shared>,
+async fn call<'a>(
+    shared: &'a Rc<Shared>,
     routed: &RoutedRequest<'_>,
     trace: &Trace,
-) -> Result<FullResponse, Refusal> {
+) -> Result<FullResponse<'a>, Refusal> {
     let is_idempotent = routed.route.kind == RequestKind::Idempotent;
     let may_repeat = is_idempotent || Safeguard::BookingOnce.is_disabled();
     let mut attempts = Attempts::new(shared, routed, trace, may_repeat);
@@ -86,13 +88,13 @@
     }
 }
 
-async fn exchange<'a>(
-    shared: &Rc<Shared>,
+async fn exchange<'s, 'a>(
+    shared: &'s Rc<Shared>,
     routed: &RoutedRequest<'_>,
     trace: &Trace,
     attempts: &mut Attempts<'a>,
     sent: SentRequest<'a>,
-) -> Result<FullResponse, RunEnd<'a>> {
+) -> Result<FullResponse<'s>, RunEnd<'a>> {
     let silence_timeout = response_timeout(routed);
     let input = || run_input(routed);
     let mut response = attempts.wait(silence_timeout, input, sent.response).await?;
@@ -100,10 +102,13 @@
     let ServerResponse {
         connection, slot, ..
     } = &mut response;
+    let mut memory = shared.response_memory.part();
     let read_body = async {
-        let body = connection.body(MAX_RESPONSE_BYTES).await;
-        body.map_err(|_| {
+        let resize = |bytes| memory.resize(bytes);
+        let body = connection.body_within(MAX_RESPONSE_BYTES, resize).await;
+        body.map_err(|err| {
             slot.record_failure();
+            trace.set_field("body_error", &err);
             AttemptError::ResponseLost
         })
     };
@@ -112,6 +117,7 @@
         status: response.head.status,
         headers: platform::response::forwarded_headers(&response.head.headers),
         body,
+        _memory: memory,
     };
     response.slot.record_heard();
     response.release_connection(shared);
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -219,6 +219,7 @@
         "requests_with_ends": shared.ended.len(),
         "cached_turns": turns,
         "cached_turn_bytes": turn_bytes,
+        "response_bytes": shared.response_memory.used().0,
         "servers": servers,
     });
     state.to_string()
--- a/clementinepickd/src/gateway_reply.rs
+++ b/clementinepickd/src/gateway_reply.rs
@@ -20,6 +20,9 @@
 /// The share of the idle limit that is announced to callers.
 const ANNOUNCED_IDLE_PERCENT: u64 = 80;
 
+/// The largest piece of a body that is copied before it is written.
+const MAX_PIECE_BYTES: usize = 65_536;
+
 /// The caller's connection failed while the response was written.
 #[derive(Debug, Error)]
 #[error("caller disconnected while the response was written: {0}")]
@@ -141,7 +144,8 @@
         Ok(self.codec.encode(message, &mut self.buffer)?)
     }
 
-    async fn flush(&mut self) -> Result<(), CallerDisconnected> {
+    /// Writes what was queued.
+    pub(crate) async fn flush(&mut self) -> Result<(), CallerDisconnected> {
         let buffer = self.buffer.split();
         Ok(self.write.write_all(&buffer).await?)
     }
@@ -178,8 +182,13 @@
         body: Bytes,
     ) -> Result<(), CallerDisconnected> {
         self.encode_head(status, headers, BodySize::Sized(body.len() as u64))?;
-        if !body.is_empty() {
-            self.encode(Message::Chunk(Some(body)))?;
+        let mut rest = body;
+        while !rest.is_empty() {
+            let piece = rest.split_to(rest.len().min(MAX_PIECE_BYTES));
+            self.encode(Message::Chunk(Some(piece)))?;
+            if !rest.is_empty() {
+                self.flush().await?;
+            }
         }
         self.encode(Message::Chunk(None))?;
         self.flush().await?;
@@ -197,14 +206,13 @@
         self.flush().await
     }
 
-    /// Writes a chunk of the body.
-    pub(crate) async fn send_chunk(&mut self, bytes: Bytes) -> Result<(), CallerDisconnected> {
+    /// Queues a chunk of the body, which the next flush writes.
+    pub(crate) fn queue_chunk(&mut self, bytes: Bytes) -> Result<(), CallerDisconnected> {
         if bytes.is_empty() {
             // An empty chunk would end the body.
             return Ok(());
         }
-        self.encode(Message::Chunk(Some(bytes)))?;
-        self.flush().await
+        self.encode(Message::Chunk(Some(bytes)))
     }
 
     /// Ends the body of a response of unknown length.
--- a/clementinepickd/src/gateway_settings.rs
+++ b/clementinepickd/src/gateway_settings.rs
@@ -41,6 +41,8 @@
     /// The maximum number of bytes of request bodies in memory; requests beyond it are refused
     /// without reading their bodies. Callers choose the size of nothing else in memory.
     pub body_limit_bytes: usize,
+    /// The maximum number of bytes of responses in memory; beyond it, the longest ones fail.
+    pub response_limit_bytes: usize,
     /// How long callers are still accepted after the stop signal, so that the balancer can see that
     /// the process is not ready. The default covers two of its checks, which are a second apart.
     pub drain_delay: Duration,
@@ -64,6 +66,7 @@
             seeds: Vec::new(),
             ledger: LedgerSettings::default(),
             body_limit_bytes: 16_777_216,
+            response_limit_bytes: 16_777_216,
             drain_delay: Duration::from_millis(2_500),
             shutdown_limit: Duration::from_millis(7_400),
         }
@@ -91,6 +94,8 @@
     source.read_into("process", "log_every", &mut settings.log_every)?;
     source.read_into("store", "partitions", &mut settings.ledger.partitions)?;
     settings.body_limit_bytes = read_bytes(source, "limits", "bodies", settings.body_limit_bytes)?;
+    settings.response_limit_bytes =
+        read_bytes(source, "limits", "responses", settings.response_limit_bytes)?;
     settings.ledger.record_bytes =
         read_bytes(source, "store", "record", settings.ledger.record_bytes)?;
     settings.ledger.call_bytes = read_bytes(source, "store", "call", settings.ledger.call_bytes)?;
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -44,6 +44,7 @@
 use crate::logging::write_event;
 use crate::monotonic_clock::MonotonicClock;
 use crate::outbound_pool::ConnectionPool;
+use crate::response_memory::ResponseMemory;
 use crate::store::StoreClient;
 
 /// The maximum age of the configuration and the server list of a ready process. With older ones, it
@@ -85,6 +86,8 @@
     /// The bytes of request bodies in memory.
     reserved_body_bytes: Cell<usize>,
     body_limit_bytes: usize,
+    /// The memory of responses that are received or sent.
+    pub(crate) response_memory: ResponseMemory,
     directory: watch::Receiver<Directory>,
     list_refresh: RefreshSender,
     logger: Logger,
@@ -208,6 +211,7 @@
             retries: RefCell::default(),
             reserved_body_bytes: Cell::new(0),
             body_limit_bytes: settings.body_limit_bytes,
+            response_memory: ResponseMemory::new(settings.response_limit_bytes),
             directory,
             list_refresh,
             logger,
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -17,6 +17,7 @@
 use clementinepick::stream_origin::StreamOrigin;
 use clementinepick::turn_chain::{Turn, build_prompt};
 use clementinepick::units::Tokens;
+use tokio::task::yield_now;
 
 use crate::gateway_attempts::{AttemptError, Attempts};
 use crate::gateway_budget::{self, Reserved};
@@ -29,25 +30,26 @@
 use crate::gateway_start::StartProof;
 use crate::gateway_start_check::{Received, StartAnswer, StartCheck, receive};
 use crate::gateway_trace::Trace;
-use crate::ledger::LedgerError;
-use crate::ledger_budgets::BudgetRequest;
+use crate::gateway_turn_budget::{
+    STORE_TIMEOUT, max_turn_tokens, reserve, store_deadline, to_refusal,
+};
 use crate::ledger_holds::BudgetHold;
 use crate::ledger_turns::TurnWait;
 use crate::link::duration;
+use crate::outbound::OutboundError;
+use crate::response_memory::MemoryPart;
 use crate::safeguard::Safeguard;
 use crate::unix_time::unix_ms;
 
-/// The maximum of a turn that names none; it counts as a large turn.
-const DEFAULT_TURN_TOKENS: Tokens = Tokens(1_024);
 /// The largest response of an engine that is no event stream, in bytes.
 const MAX_ERROR_BODY_BYTES: usize = 65_536;
 /// A resumable stream without an event for this many times the route's gap target is resumed at
 /// another server, if one takes it. An engine that preempts a request pauses for about one gap.
 const IDLE_TIMEOUT_GAPS: u32 = 2;
-/// How long the store may take to respond.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// The pause after a begun stream could not reserve more tokens.
 const RESERVE_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// How many events of one read are delivered before other requests get their turn.
+const EVENTS_PER_TURN: u32 = 16;
 /// The minimum timeout for the first event, which waits for a free slot and for the prompt to be
 /// read.
 const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -112,6 +114,7 @@
             last_event_id: routed.info.last_event_id,
             output: BytesMut::new(),
         },
+        memory: shared.response_memory.part(),
     };
     if let Err(refusal) = stream.run(reply).await? {
         return Ok(Err(refusal));
@@ -163,67 +166,6 @@
     Ok(Some(found.turn))
 }
 
-async fn reserve(
-    shared: &Rc<Shared>,
-    routed: &RoutedRequest<'_>,
-    trace: &Trace,
-    tokens: Tokens,
-    deadline: Instant,
-) -> Result<Option<Reserved>, Refusal> {
-    let (Some(program), Some(budget)) = (&routed.info.program, routed.info.budget_tokens) else {
-        return Ok(None);
-    };
-    let keeps_context = routed.route.keeps_context;
-    let request = BudgetRequest {
-        program,
-        budget: Tokens(budget),
-        turn: tokens,
-        retention: routed.route.retention_us,
-        turn_id: &routed.info.id,
-        previous_id: routed
-            .info
-            .previous_turn
-            .as_deref()
-            .filter(|_| keeps_context),
-        keeps_context,
-        turn_chains: routed.info.prompt_parts.get(1..).unwrap_or_default(),
-    };
-    match gateway_budget::reserve(shared, trace, &request, deadline).await {
-        Ok(reserved) => Ok(Some(reserved)),
-        Err(err) => {
-            if let LedgerError::Exhausted { reserved, .. } = &err {
-                trace.add_field("budget", &request.budget);
-                trace.add_field("reserved", reserved);
-            }
-            Err(to_refusal(&err))
-        }
-    }
-}
-
-/// Returns the maximum number of tokens that the turn generates.
-fn max_turn_tokens(routed: &RoutedRequest<'_>) -> Tokens {
-    routed
-        .info
-        .max_output_tokens
-        .map_or(DEFAULT_TURN_TOKENS, Tokens)
-}
-
-/// Returns the deadline of store calls, after which the request is refused. Waiting for longer than
-/// an attempt and a repeat take gains nothing, because a caller that repeats its request is served
-/// by any process that reaches the store.
-fn store_deadline(routed: &RoutedRequest<'_>) -> Instant {
-    routed.deadline.min(Instant::now() + STORE_TIMEOUT)
-}
-
-fn to_refusal(err: &LedgerError) -> Refusal {
-    match err {
-        LedgerError::Unavailable => Refusal::LedgerUnavailable,
-        LedgerError::Exhausted { .. } => Refusal::BudgetSpent,
-        LedgerError::HolderSilent => Refusal::BudgetUnknown,
-        LedgerError::UnknownTurn => Refusal::UnknownTurn,
-    }
-}
-
 struct TurnStream<'a, 'j> {
     shared: &'a Rc<Shared>,
     routed: &'a RoutedRequest<'j>,
@@ -242,6 +184,8 @@
     is_out_of_budget: bool,
     body: Bytes,
     delivered: Delivered,
+    /// The memory of what is held of the response.
+    memory: MemoryPart<'a>,
 }
 
 impl<'a> TurnStream<'a, '_> {
@@ -410,7 +354,10 @@
         if reply.state() != ReplyState::Open {
             return Ok(Err(AttemptError::ResponseLost));
         }
-        let Ok(body) = response.connection.body(MAX_ERROR_BODY_BYTES).await else {
+        let resize = |bytes| self.memory.resize(bytes);
+        let connection = &mut response.connection;
+        let body = connection.body_within(MAX_ERROR_BODY_BYTES, resize).await;
+        let Ok(body) = body else {
             return Ok(Err(AttemptError::ResponseLost));
         };
         let headers = platform::response::forwarded_headers(&response.head.headers);
@@ -496,34 +443,57 @@
             };
             response.slot.record_heard();
             splitter.push(&chunk);
-            if splitter.exceeds_limit() {
+            if splitter.exceeds_limit() || !self.fits_memory(&splitter) {
+                response.slot.record_failure();
                 return Ok(Err(LOST));
             }
+            let mut events = 0;
             while let Some(event) = splitter.next_event() {
-                if !self.reserve_for_event().await {
-                    self.is_out_of_budget = true;
-                    return Ok(Err(LOST));
+                events += 1;
+                if events % EVENTS_PER_TURN == 0 {
+                    yield_now().await;
                 }
-                self.deliver(event, reply).await?;
+                if !self.has_reserved_event() {
+                    reply.flush().await?;
+                    if !self.reserve_for_event().await {
+                        self.is_out_of_budget = true;
+                        return Ok(Err(LOST));
+                    }
+                }
+                self.deliver(event, reply)?;
                 silence_timeout = self.idle_timeout();
             }
+            reply.flush().await?;
+        }
+    }
+
+    /// Counts what is held of the stream; returns false if that is too much.
+    fn fits_memory(&mut self, splitter: &EventSplitter) -> bool {
+        let held_bytes = splitter.buffered_bytes() + self.delivered.output.len();
+        let fits = self.memory.resize(held_bytes.next_power_of_two());
+        if !fits {
+            let error = OutboundError::OutOfMemory;
+            self.trace.set_field("body_error", &error);
         }
+        fits
     }
 
-    /// Ensures that one more event is within the program's budget; returns false if no more tokens
-    /// can be reserved until the deadline.
+    /// Returns whether one more event is within what was reserved.
+    fn has_reserved_event(&self) -> bool {
+        let max_tokens = max_turn_tokens(self.routed);
+        self.hold.as_ref().is_none_or(|hold| {
+            hold.reserved_tokens() >= max_tokens || hold.covers(self.routed.tokens_per_event())
+        })
+    }
+
+    /// Reserves one more event from the program's budget; returns false if no more tokens can be
+    /// reserved until the deadline.
     ///
     /// A turn that started with less than its maximum may use up its reservation. The rest is
     /// reserved then, and its events wait until that is done.
     async fn reserve_for_event(&mut self) -> bool {
         let tokens = self.routed.tokens_per_event();
         let max_tokens = max_turn_tokens(self.routed);
-        let Some(hold) = self.hold.as_ref() else {
-            return true;
-        };
-        if hold.reserved_tokens() >= max_tokens || hold.covers(tokens) {
-            return true;
-        }
         let rest = max_tokens.saturating_sub(self.reserved_total).max(tokens);
         while let Err(refusal) = self.reserve_more(rest).await {
             // The events are there, and dropping them would lose the turn.
@@ -547,7 +517,7 @@
         Ok(())
     }
 
-    async fn deliver(
+    fn deliver(
         &mut self,
         event: StreamEvent,
         reply: &mut Reply<'_>,
@@ -568,7 +538,7 @@
             hold.consume(self.routed.tokens_per_event());
         }
         self.trace.record_first_byte(Instant::now());
-        reply.send_chunk(event.raw).await
+        reply.queue_chunk(event.raw)
     }
 
     fn first_event_timeout(&self) -> Duration {
--- a/clementinepickd/src/outbound.rs
+++ b/clementinepickd/src/outbound.rs
@@ -17,6 +17,7 @@
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::framing_limit::FramingLimit;
@@ -32,6 +33,9 @@
 const READ_BUFFER_BYTES: usize = 4_096;
 /// The largest response head, in bytes.
 const MAX_HEAD_BYTES: usize = 65_536;
+/// How many bytes are read before other connections get their turn. A server that always has bytes to
+/// send would otherwise keep the thread.
+const TURN_BYTES: usize = READ_BUFFER_BYTES;
 /// The maximum number of interim responses before a response.
 const MAX_INTERIM_RESPONSES: u32 = 8;
 
@@ -50,6 +54,9 @@
     /// The response is not valid HTTP or exceeds a limit.
     #[error("invalid HTTP response: {0}")]
     Protocol(String),
+    /// The response does not fit the memory of all responses.
+    #[error("the responses in progress use up their memory")]
+    OutOfMemory,
 }
 
 /// A request to send.
@@ -75,6 +82,8 @@
     buffer: BytesMut,
     body_state: BodyState,
     framing: FramingLimit,
+    /// The bytes that were read since other connections had their turn.
+    turn_bytes: usize,
     /// Cleared when the connection can't carry another exchange.
     is_reusable: bool,
     /// When the connection was opened.
@@ -105,6 +114,7 @@
             buffer: BytesMut::new(),
             body_state: BodyState::Done(Some(ClientCodec::default())),
             framing: FramingLimit::default(),
+            turn_bytes: 0,
             is_reusable: true,
             opened_at: now,
             report: None,
@@ -221,10 +231,17 @@
     }
 
     async fn read_more(&mut self) -> Result<(), OutboundError> {
+        if self.turn_bytes >= TURN_BYTES {
+            self.turn_bytes = 0;
+            yield_now().await;
+        }
         self.buffer.reserve(READ_BUFFER_BYTES);
         match self.stream.read_buf(&mut self.buffer).await {
             Ok(0) => Err(OutboundError::Closed),
-            Ok(_) => Ok(()),
+            Ok(count) => {
+                self.turn_bytes += count;
+                Ok(())
+            }
             Err(err) => Err(OutboundError::Broken(err)),
         }
     }
@@ -287,17 +304,35 @@
 
     /// Reads the whole body; fails if it exceeds `limit_bytes`.
     pub(crate) async fn body(&mut self, limit_bytes: usize) -> Result<Bytes, OutboundError> {
+        self.body_within(limit_bytes, |_| true).await
+    }
+
+    /// Reads the whole body; fails if it exceeds `limit_bytes`, or if `resize` does not allow the number
+    /// of bytes that its buffer takes.
+    pub(crate) async fn body_within(
+        &mut self,
+        limit_bytes: usize,
+        mut resize: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, OutboundError> {
         let mut body = BytesMut::new();
         while let Some(chunk) = self.chunk().await? {
             if body.is_empty() && matches!(self.body_state, BodyState::Done(_)) {
                 return Ok(chunk);
             }
-            body.extend_from_slice(&chunk);
-            if body.len() > limit_bytes {
+            let length = body.len() + chunk.len();
+            if length > limit_bytes {
                 return Err(OutboundError::Protocol(
                     "the response body exceeds the size limit".to_owned(),
                 ));
             }
+            if length > body.capacity() {
+                let capacity = length.next_power_of_two();
+                if !resize(capacity) {
+                    return Err(OutboundError::OutOfMemory);
+                }
+                body.reserve(capacity - body.len());
+            }
+            body.extend_from_slice(&chunk);
         }
         Ok(body.freeze())
     }
--- a/standins/tests/planned_stop.rs
+++ b/standins/tests/planned_stop.rs
@@ -118,7 +118,7 @@
 /// Guards against a request that is passed on although the process stops before its deadline.
 #[test]
 fn requests_whose_bodies_end_late_are_not_cut() {
-    let mut run = Run::start(Duration::from_millis(1_000));
+    let mut run = Run::start(Duration::from_secs(1));
     run.stop();
     run.sleep_until(2_000);
     let mut sent: Vec<_> = requests()
@@ -142,7 +142,7 @@
 /// Guards against a request that can't be served any more and hears so only when its body is complete.
 #[test]
 fn requests_that_cannot_end_in_time_are_refused_before_their_bodies_end() {
-    let mut run = Run::start(Duration::from_millis(1_000));
+    let mut run = Run::start(Duration::from_secs(1));
     run.stop();
     run.sleep_until(2_000);
     let mut connection = run.connect();
@@ -300,7 +300,7 @@
 /// Guards against refusing requests that arrive while callers are still accepted.
 #[test]
 fn requests_during_the_notice_are_served_whole() {
-    let mut run = Run::start(Duration::from_millis(1_000));
+    let mut run = Run::start(Duration::from_secs(1));
     run.stop();
     run.sleep_until(1_800);
     let sent: Vec<_> = requests()
