End streams that have more events than their turn can have

What callers saw: a faulty server that sends valid events without end was read until the deadline; where its events have no ids, all were delivered, far beyond the program's budget. Found while reading the code for the same class as endless bodies.

Cause: a hold that covers the maximum of a turn was taken to cover any number of events.

Change: a stream whose servers have sent more than twice the turn's maximum ends without its end, twice since a server that resumes may repeat. Also documents the new setting in its test.

--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -114,6 +114,7 @@
             last_event_id: routed.info.last_event_id,
             output: BytesMut::new(),
         },
+        received_tokens: Tokens(0),
         memory: shared.response_memory.part(),
     };
     if let Err(refusal) = stream.run(reply).await? {
@@ -184,6 +185,8 @@
     is_out_of_budget: bool,
     body: Bytes,
     delivered: Delivered,
+    /// The tokens of all events that servers have sent.
+    received_tokens: Tokens,
     /// The memory of what is held of the response.
     memory: MemoryPart<'a>,
 }
@@ -453,6 +456,11 @@
                 if events % EVENTS_PER_TURN == 0 {
                     yield_now().await;
                 }
+                if !self.count_event() {
+                    reply.flush().await?;
+                    response.slot.record_failure();
+                    return Ok(Err(LOST));
+                }
                 if !self.has_reserved_event() {
                     reply.flush().await?;
                     if !self.reserve_for_event().await {
@@ -478,6 +486,23 @@
         fits
     }
 
+    /// Counts an event of a server; returns false if there are more than a turn can have.
+    ///
+    /// A server that resumes the stream may repeat what was delivered before.
+    fn count_event(&mut self) -> bool {
+        let tokens = self.routed.tokens_per_event();
+        self.received_tokens.0 = self.received_tokens.0.saturating_add(tokens.0);
+        let Some(max_tokens) = self.routed.info.max_output_tokens else {
+            return true;
+        };
+        let is_possible = self.received_tokens.0 <= max_tokens.saturating_mul(2).max(tokens.0);
+        if !is_possible {
+            self.trace
+                .set_field("body_error", &"more events than the turn can have");
+        }
+        is_possible
+    }
+
     /// Returns whether one more event is within what was reserved.
     fn has_reserved_event(&self) -> bool {
         let max_tokens = max_turn_tokens(self.routed);
--- a/clementinepickd/tests/gateway_settings.rs
+++ b/clementinepickd/tests/gateway_settings.rs
@@ -32,6 +32,7 @@
 
 [limits]
 bodies = 8 MB
+responses = 12 MB
 
 [shutdown]
 notice = 2 s
@@ -54,6 +55,7 @@
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.ledger.record_bytes, 262_144);
     assert_eq!(settings.body_limit_bytes, 8_000_000);
+    assert_eq!(settings.response_limit_bytes, 12_000_000);
     assert_eq!(settings.log_every, 8);
     assert_eq!(settings.drain_delay.as_millis(), 2_000);
 }
--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -68,8 +68,10 @@
     Body,
     /// A body of valid chunks.
     Chunks,
-    /// An event stream of valid events.
+    /// An event stream that repeats an event.
     Events,
+    /// An event stream of events without ids.
+    UnnumberedEvents,
 }
 
 impl EndlessPart {
@@ -115,6 +117,10 @@
                 let events = "id: 1\ndata: x\n\n".repeat(256);
                 vec![chunked(), Step::Repeat(chunk(events.as_bytes()))]
             }
+            Self::UnnumberedEvents => {
+                let events = "data: x\n\n".repeat(256);
+                vec![chunked(), Step::Repeat(chunk(events.as_bytes()))]
+            }
         }
     }
 }
