Answer requests that cross the head of a stream during a planned shutdown

What callers saw: a request that was sent while a stream ran on its connection stayed without an answer for as long as the stream, and the connection closed.

Cause: the head of a stream announced the close if no input was there when it was written. A request that crossed this head was read, and never looked at.

Change: a response in chunks decides at its end whether the connection closes, a response that is written at once decides with its head and announces it, as before. A connection without input closes with the last chunk.

a_request_that_crosses_the_head_of_a_stream_is_answered failed before. The soak with stops (--stops) comes with it: callers that send slowly and pipeline over planned stops, floods of endless responses with a check of each gateway's memory, SIGHUP and series of configurations.

--- a/clementinepickd/src/gateway_reply.rs
+++ b/clementinepickd/src/gateway_reply.rs
@@ -44,8 +44,9 @@
 pub(crate) enum ClosePolicy<'a> {
     /// It is closed.
     Always,
-    /// It is closed if the process is draining when the head is written and no input is left that
-    /// should get a response.
+    /// It is closed if the process is draining at the end of the response and no input is left that
+    /// should get a response. Only a response that is written at once can announce that: what arrives
+    /// while a stream runs would stay without a response.
     Draining {
         shared: &'a Shared,
         input: &'a InputState,
@@ -69,7 +70,7 @@
                 shared,
                 announces_idle_limit: true,
                 ..
-            } if !self.closes() => Some(shared.caller_limits().idle_us),
+            } if !shared.is_draining() => Some(shared.caller_limits().idle_us),
             Self::Draining { .. } | Self::Always => None,
         }
     }
@@ -91,7 +92,7 @@
     codec: &'a mut Codec,
     write: &'a mut OwnedWriteHalf,
     close_policy: ClosePolicy<'a>,
-    /// Whether the connection is closed after this response; decided when its head is written.
+    /// Whether the connection is closed after this response.
     pub(crate) closes: bool,
     /// The status that was written; 0 before that.
     pub(crate) status: u16,
@@ -158,7 +159,8 @@
     ) -> Result<(), CallerDisconnected> {
         let mut response = Response::with_body(status, ());
         *response.headers_mut() = headers;
-        self.closes = self.close_policy.closes();
+        let ends_at_once = matches!(size, BodySize::Sized(_));
+        self.closes = self.close_policy.closes() && (ends_at_once || self.is_always_closed());
         if self.closes {
             response
                 .head_mut()
@@ -220,9 +222,14 @@
         self.encode(Message::Chunk(None))?;
         self.flush().await?;
         self.state = ReplyState::Complete;
+        self.closes = self.closes || self.close_policy.closes();
         Ok(())
     }
 
+    fn is_always_closed(&self) -> bool {
+        matches!(self.close_policy, ClosePolicy::Always)
+    }
+
     /// Writes a refusal, in place of a backend server's response.
     pub(crate) async fn send_refusal(
         &mut self,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod soak_release_checks;
 pub mod soak_release_servers;
 pub mod soak_servers;
+mod soak_stop_callers;
 pub mod soak_world;
 mod step_clock;
 pub mod tool_service;
--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -144,6 +144,8 @@
     pub started_unix_ms: Option<u64>,
     /// The request that ends the server whenever it runs it.
     pub fatal_request: Option<FatalRequest>,
+    /// The part of all responses that never ends.
+    pub endless: Option<EndlessPart>,
 }
 
 /// A request that ends the server which runs it.
@@ -189,6 +191,7 @@
             health_delay: Duration::ZERO,
             started_unix_ms: None,
             fatal_request: None,
+            endless: None,
         }
     }
 }
@@ -363,6 +366,7 @@
         } else {
             Some(self.faults.remove(0))
         };
+        let fault = fault.or(self.settings.endless.map(BackendFault::Endless));
         let refusal_delay = match fault {
             Some(BackendFault::Refuse) => Some(Duration::ZERO),
             Some(BackendFault::RefuseAfter(delay)) => Some(delay),
--- a/standins/src/platform_caller.rs
+++ b/standins/src/platform_caller.rs
@@ -123,25 +123,58 @@
 ///
 /// The connection ends before the response head is complete.
 pub fn read_response(connection: &mut TcpStream) -> io::Result<CallerResponse> {
+    read_next(connection, &mut Vec::new())
+}
+
+/// Reads the responses to requests that were sent one after the other on one connection.
+#[derive(Debug)]
+pub struct ResponseReader {
+    /// The connection.
+    pub connection: TcpStream,
+    /// What was read of later responses.
+    bytes: Vec<u8>,
+}
+
+impl ResponseReader {
+    /// Creates a reader of a connection of which nothing was read.
+    #[must_use]
+    pub fn new(connection: TcpStream) -> Self {
+        Self {
+            connection,
+            bytes: Vec::new(),
+        }
+    }
+
+    /// Reads the next response.
+    ///
+    /// # Errors
+    ///
+    /// The connection ends before the response head is complete.
+    pub fn read(&mut self) -> io::Result<CallerResponse> {
+        read_next(&mut self.connection, &mut self.bytes)
+    }
+}
+
+/// Reads a response of which `bytes` have arrived, and leaves there what follows it.
+fn read_next(connection: &mut TcpStream, bytes: &mut Vec<u8>) -> io::Result<CallerResponse> {
     let started = Instant::now();
     connection.set_read_timeout(Some(READ_TIMEOUT))?;
-    let mut bytes = Vec::new();
     loop {
-        let response = decode(&bytes)?;
-        if let Some(response) = response.as_ref().filter(|response| response.is_complete) {
+        let decoded = decode(bytes)?;
+        let decoded = decoded.map(|(response, length)| {
             let took = started.elapsed();
-            return Ok(CallerResponse {
-                took,
-                ..response.clone()
-            });
+            (CallerResponse { took, ..response }, length)
+        });
+        if let Some((response, length)) = &decoded
+            && response.is_complete
+        {
+            bytes.drain(..*length);
+            return Ok(response.clone());
         }
-        match (read_more(connection, &mut bytes), response) {
+        match (read_more(connection, bytes), decoded) {
             (Ok(1..), _) => {}
             // A broken connection leaves the response incomplete, which callers check.
-            (_, Some(response)) => {
-                let took = started.elapsed();
-                return Ok(CallerResponse { took, ..response });
-            }
+            (_, Some((response, _))) => return Ok(response),
             (Ok(_), None) => return Err(io::ErrorKind::UnexpectedEof.into()),
             (Err(err), None) => return Err(err),
         }
@@ -165,11 +198,12 @@
             Err(err) => return Err(err),
         }
     }
-    Ok(decode(&bytes)?.unwrap_or_default())
+    let decoded = decode(&bytes)?;
+    Ok(decoded.map_or_else(CallerResponse::default, |(response, _)| response))
 }
 
-/// Decodes a response as far as received; `None` before the end of its head.
-fn decode(bytes: &[u8]) -> io::Result<Option<CallerResponse>> {
+/// Decodes a response as far as received, with its length; `None` before the end of its head.
+fn decode(bytes: &[u8]) -> io::Result<Option<(CallerResponse, usize)>> {
     let Some(head_end) = find(bytes, b"\r\n\r\n").map(|at| at + 4) else {
         return Ok(None);
     };
@@ -177,18 +211,19 @@
     let response = parse_head(&String::from_utf8_lossy(head))?;
     let length = response.headers.get("content-length");
     let length: Option<usize> = length.and_then(|length| length.parse().ok());
-    let (body, is_complete) = match length {
+    let (body, end) = match length {
         Some(length) => (
             rest[..rest.len().min(length)].to_vec(),
-            rest.len() >= length,
+            Some(length).filter(|length| rest.len() >= *length),
         ),
         None => decode_chunked(rest),
     };
-    Ok(Some(CallerResponse {
+    let response = CallerResponse {
         body: String::from_utf8_lossy(&body).into_owned(),
-        is_complete,
+        is_complete: end.is_some(),
         ..response
-    }))
+    };
+    Ok(Some((response, head_end + end.unwrap_or(rest.len()))))
 }
 
 fn read_more(connection: &mut TcpStream, received: &mut Vec<u8>) -> io::Result<usize> {
@@ -219,16 +254,19 @@
     })
 }
 
-/// Decodes a chunked body as far as received; the flag is true if the last chunk was received.
-fn decode_chunked(mut bytes: &[u8]) -> (Vec<u8>, bool) {
+/// Decodes a chunked body as far as received, with its length if the last chunk was received.
+fn decode_chunked(all: &[u8]) -> (Vec<u8>, Option<usize>) {
+    const LAST: &[u8] = b"0\r\n\r\n";
     let mut body = Vec::new();
+    let mut bytes = all;
     while let Some(line_end) = find(bytes, b"\r\n") {
         let size = std::str::from_utf8(&bytes[..line_end]).unwrap_or_default();
         let Ok(size) = usize::from_str_radix(size, 16) else {
             break;
         };
         if size == 0 {
-            return (body, true);
+            let end = all.len() - bytes.len() + LAST.len();
+            return (body, Some(end).filter(|end| *end <= all.len()));
         }
         let start = line_end + 2;
         let Some(data) = bytes.get(start..start + size) else {
@@ -238,5 +276,5 @@
         body.extend_from_slice(data);
         bytes = bytes.get(start + size + 2..).unwrap_or_default();
     }
-    (body, false)
+    (body, None)
 }
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -22,7 +22,7 @@
 use crate::platform_run::{is_ready, wait_until};
 use crate::soak_callers::Callers;
 use crate::soak_faults::{
-    Fault, PlannedFault, plan_extended_faults, plan_faults, plan_release_faults,
+    Fault, PlannedFault, plan_extended_faults, plan_faults, plan_release_faults, plan_stop_faults,
 };
 use crate::soak_history::{History, RequestKind, RequestRecord, find_violations};
 use crate::soak_release_checks::DraftCounts;
@@ -36,6 +36,10 @@
 const MIN_RESUMED_PER_S: u64 = 5;
 /// The callers of each gateway that keep connections idle, in runs of the extended plan.
 const IDLE_CALLERS: usize = 4;
+/// The callers of each gateway that send slowly, and those that pipeline, in runs with stops.
+const STOP_CALLERS: usize = 3;
+/// The memory of the smallest VM, in bytes.
+const VM_MEMORY_BYTES: u64 = 88_000_000;
 /// How often a sleep checks for an interrupt.
 const INTERRUPT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long callers go on after the last fault, so that requests in progress can complete.
@@ -50,7 +54,8 @@
     name = "soak",
     example = "{command_name} --seeds 0..50",
     example = "{command_name} --seeds 7..8 --seconds 20 --extended",
-    example = "{command_name} --seeds 0..5 --seconds 10 --release --gateways 6"
+    example = "{command_name} --seeds 0..5 --seconds 10 --release --gateways 6",
+    example = "{command_name} --seeds 0..50 --seconds 8 --stops"
 )]
 pub struct Soak {
     /// seeds to run, as `A..B` (B not included; default 0..5)
@@ -65,6 +70,9 @@
     /// release new software versions beside gateways that are out of step, and resume many drafts
     #[argh(switch)]
     pub release: bool,
+    /// stop gateways beside callers that pipeline or send slowly, floods and changes
+    #[argh(switch)]
+    pub stops: bool,
     /// number of gateways (default 3)
     #[argh(option, default = "GATEWAYS")]
     pub gateways: usize,
@@ -211,12 +219,13 @@
     }
 
     fn plan(&self) -> Result<SoakPlan, Failure> {
-        match (self.extended, self.release) {
-            (false, false) => Ok(SoakPlan::Basic),
-            (true, false) => Ok(SoakPlan::Extended),
-            (false, true) => Ok(SoakPlan::Release),
-            (true, true) => {
-                let detail = "a run has either the extended plan or releases".to_owned();
+        match (self.extended, self.release, self.stops) {
+            (false, false, false) => Ok(SoakPlan::Basic),
+            (true, false, false) => Ok(SoakPlan::Extended),
+            (false, true, false) => Ok(SoakPlan::Release),
+            (false, false, true) => Ok(SoakPlan::Stops),
+            _ => {
+                let detail = "a run has the extended plan, releases or stops".to_owned();
                 Err(Failure::Check(detail))
             }
         }
@@ -245,6 +254,15 @@
                 };
                 (plan_extended_faults(seed, length), counts)
             }
+            SoakPlan::Stops => {
+                let counts = CallerCounts {
+                    idle: 1,
+                    slow: STOP_CALLERS,
+                    pipelining: STOP_CALLERS,
+                    ..CallerCounts::default()
+                };
+                (plan_stop_faults(seed, length), counts)
+            }
             SoakPlan::Release => {
                 let counts = CallerCounts {
                     programs: 0,
@@ -278,6 +296,10 @@
     /// Those of each gateway that keep connections idle.
     idle: usize,
     drafts: usize,
+    /// Those of each gateway that send slowly.
+    slow: usize,
+    /// Those of each gateway that pipeline.
+    pipelining: usize,
 }
 
 impl Default for CallerCounts {
@@ -286,6 +308,8 @@
             programs: PROGRAM_CALLERS,
             idle: 0,
             drafts: 0,
+            slow: 0,
+            pipelining: 0,
         }
     }
 }
@@ -341,6 +365,18 @@
             for number in 0..counts.idle {
                 scope.spawn(move || callers.keep_connections_idle(gateway, number));
             }
+            for number in 0..counts.slow {
+                scope.spawn(move || callers.send_slowly(gateway, number));
+            }
+            for number in 0..counts.pipelining {
+                scope.spawn(move || callers.pipeline(gateway, number));
+            }
+            let record = &record;
+            scope.spawn(move || {
+                if let Some(problem) = watch_memory(callers, gateway) {
+                    record(problem);
+                }
+            });
         }
         thread::scope(|faults| {
             for fault in planned {
@@ -415,9 +451,29 @@
         thread::sleep(fault.duration);
         callers.should_disconnect.store(false, Ordering::Relaxed);
     }
+    if fault.fault == Fault::Flood {
+        let count = callers.world.gateway_count() as u64;
+        let gateway = usize::try_from(fault.random_value % count).unwrap_or(0);
+        callers.flood(gateway, fault.random_value / count);
+    }
     callers.world.inject(fault)
 }
 
+/// Watches the memory of a gateway until the run is over; returns what is wrong with it.
+fn watch_memory(callers: &Callers<'_>, gateway: usize) -> Option<String> {
+    let mut peak_bytes = 0;
+    while !callers.is_finished() {
+        let peak = callers.world.peak_memory_bytes(gateway);
+        peak_bytes = peak_bytes.max(peak.unwrap_or_default());
+        thread::sleep(INTERRUPT_POLL_INTERVAL);
+    }
+    let is_over = peak_bytes > VM_MEMORY_BYTES;
+    is_over.then(|| {
+        let peak_mb = peak_bytes / 1_000_000;
+        format!("gateway {gateway}: {peak_mb} MB of memory, more than its VM has")
+    })
+}
+
 /// Waits until each gateway is ready and completes a turn of a new program.
 fn check_all_serve(world: &SoakWorld, seed: u64, when: &str) -> Result<(), String> {
     for number in 0..world.gateway_count() {
--- a/standins/src/soak_answers.rs
+++ b/standins/src/soak_answers.rs
@@ -68,9 +68,10 @@
 }
 
 fn is_excused(request: &RequestRecord, runs: &[&ExecutedRequest]) -> bool {
+    let waited = request.duration.saturating_sub(request.held);
     match request.excuse {
         Some(Excuse::NotSent | Excuse::CallerLeft | Excuse::GatewayDisturbed) => return true,
-        Some(Excuse::Closing) if runs.is_empty() && request.duration < CLOSE_SLACK => return true,
+        Some(Excuse::Closing) if runs.is_empty() && waited < CLOSE_SLACK => return true,
         Some(Excuse::Closing) | None => {}
     }
     request.duration >= request.timeout
--- a/standins/src/soak_callers.rs
+++ b/standins/src/soak_callers.rs
@@ -88,6 +88,8 @@
     pub(crate) idle: Duration,
     /// The start of the gateway to which the connection was opened.
     pub(crate) connection_start: u32,
+    /// The time from its first to its last byte.
+    pub(crate) held: Duration,
     pub(crate) excuse: Option<Excuse>,
 }
 
@@ -293,6 +295,7 @@
             sent_at: Instant::now(),
             idle: Duration::ZERO,
             connection_start: before.start_count,
+            held: Duration::ZERO,
             excuse: None,
         }
     }
@@ -332,6 +335,7 @@
             requires_response: must_respond(after) && is_undisturbed(before, after),
             sent_at: world.elapsed(attempt.sent_at),
             duration: attempt.sent_at.elapsed(),
+            held: attempt.held,
             idle: attempt.idle,
             idle_limit,
             timeout,
--- a/standins/src/soak_config.rs
+++ b/standins/src/soak_config.rs
@@ -10,6 +10,9 @@
 /// The service to which a configuration may move the other routes.
 pub const OTHER_PLAIN_SERVICE: &str = "plain-b";
 
+/// The service whose responses never end.
+pub const FLOOD_SERVICE: &str = "floods";
+
 /// The idle limits of callers' connections, short enough that a run reaches them.
 const IDLE_LIMITS_MS: [u64; 4] = [800, 1_200, 2_000, 3_000];
 const STREAM_TIMEOUTS_MS: [u64; 3] = [2_500, 3_200, 4_000];
@@ -30,6 +33,8 @@
     pub plain_service: &'static str,
     /// The number of services of drafts, each with a route of its own.
     pub draft_services: usize,
+    /// Whether there are routes to servers whose responses never end.
+    pub has_floods: bool,
 }
 
 impl Default for SoakConfig {
@@ -41,6 +46,7 @@
             model_service: MODEL_SERVICE,
             plain_service: PLAIN_SERVICE,
             draft_services: 0,
+            has_floods: false,
         }
     }
 }
@@ -91,6 +97,7 @@
             model_service,
             plain_service,
             draft_services,
+            has_floods,
         } = self;
         let route = |path: &str, more: &str| {
             format!(r#"{{"Name":"{path}","Host":"{HOST}","PathPrefix":"/{path}/",{more}}}"#)
@@ -117,6 +124,7 @@
         let engines: Vec<String> = [(*model_service).to_owned()]
             .into_iter()
             .chain(drafts)
+            .chain(has_floods.then(|| FLOOD_SERVICE.to_owned()))
             .map(|service| engine(&service))
             .collect();
         let engines = engines.join(",");
@@ -130,7 +138,19 @@
                 &format!(r#""Kind":"idempotent",{plain}"#),
             ),
         ];
-        let routes: Vec<String> = routes.into_iter().chain(draft_routes).collect();
+        let flood_stream = stream_at(FLOOD_SERVICE);
+        let flood_routes = has_floods.then(|| {
+            let call = format!(
+                r#""Kind":"idempotent","TimeoutMs":{plain_timeout_ms},"TargetLatencyMs":50,"Service":"{FLOOD_SERVICE}","Attempts":2"#
+            );
+            let stream = format!(r#"{flood_stream},"KeepContext":true"#);
+            [route("flood", &call), route("flood-chat", &stream)]
+        });
+        let routes: Vec<String> = routes
+            .into_iter()
+            .chain(draft_routes)
+            .chain(flood_routes.into_iter().flatten())
+            .collect();
         let routes = routes.join(",");
         format!(
             r#"{{"Version":{version},"Routes":[{routes}],"Services":[{engines},{{"Name":"{plain_service}","HealthPath":"/healthz","MaxConns":50}}],"Limits":{{"MaxHeaderBytes":4096,"MaxBodyBytes":100000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":{idle_limit_ms}}}}}"#
--- a/standins/src/soak_faults.rs
+++ b/standins/src/soak_faults.rs
@@ -48,6 +48,8 @@
     ConfigSeries,
     /// A gateway receives SIGHUP.
     Hangup,
+    /// Many requests at once reach a gateway that servers answer without end.
+    Flood,
     /// The next software version of a service of drafts is released.
     Release,
     /// A gateway's process is suspended, and the list of servers changes soon after.
@@ -111,6 +113,21 @@
     Fault::Isolate,
     Fault::Isolate,
 ];
+/// The kinds of the plan with stops; a kind is as frequent as it is listed.
+const STOP_FAULT_KINDS: [Fault; 10] = [
+    Fault::Terminate,
+    Fault::Terminate,
+    Fault::Terminate,
+    Fault::Terminate,
+    Fault::Flood,
+    Fault::Flood,
+    Fault::Hangup,
+    Fault::ConfigSeries,
+    Fault::ServersPause,
+    Fault::StoreSlow,
+];
+/// The random numbers of the plan with stops.
+const STOP_STREAM: u64 = 3;
 /// The random numbers of the plan with releases.
 const RELEASE_STREAM: u64 = 2;
 /// When a gateway is out of step before any release, and for how long at most.
@@ -175,6 +192,14 @@
     planned
 }
 
+/// Returns the faults for `seed` in a run of `length` with planned stops, floods and changes.
+#[must_use]
+pub fn plan_stop_faults(seed: u64, length: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(STOP_STREAM);
+    draw_faults(&mut random, &STOP_FAULT_KINDS, length)
+}
+
 /// Returns the faults for `seed` in a run of `length` with releases: each begins while a gateway is
 /// out of step. Each service is released once before any is released again.
 #[must_use]
--- a/standins/src/soak_history.rs
+++ b/standins/src/soak_history.rs
@@ -70,6 +70,8 @@
     pub sent_at: Duration,
     /// The time from sending it to the end of its response.
     pub duration: Duration,
+    /// The time from its first to its last byte.
+    pub held: Duration,
     /// How long its connection had been idle before.
     pub idle: Duration,
     /// The shortest idle limit that may have been in force at its gateway.
--- a/standins/src/soak_idle_callers.rs
+++ b/standins/src/soak_idle_callers.rs
@@ -66,7 +66,7 @@
     }
 
     /// Returns a request and its program.
-    fn choose_request(&mut self, gateway: usize) -> (RequestKind, String) {
+    pub(crate) fn choose_request(&mut self, gateway: usize) -> (RequestKind, String) {
         let kinds = [
             RequestKind::Lookup,
             RequestKind::Booking,
--- a/standins/src/soak_servers.rs
+++ b/standins/src/soak_servers.rs
@@ -6,18 +6,29 @@
 use std::time::{Duration, Instant};
 
 use crate::http::lock;
-use crate::platform_backend::{BackendFault, BackendSettings, PlatformBackend};
+use crate::platform_backend::{BackendFault, BackendSettings, EndlessPart, PlatformBackend};
 use crate::platform_run::{MODEL_SERVICE, PLAIN_SERVICE};
 use crate::platform_store::PlatformStore;
 use crate::soak_answers::CutLink;
-use crate::soak_config::{OTHER_MODEL_SERVICE, OTHER_PLAIN_SERVICE};
+use crate::soak_config::{FLOOD_SERVICE, OTHER_MODEL_SERVICE, OTHER_PLAIN_SERVICE};
 use crate::soak_history::{EVENTS_PER_STREAM, ExecutedRequest};
 use crate::soak_proxy::{Proxy, ProxyMode};
+use crate::soak_world::SoakPlan;
 
 /// The number of backend servers in a run, by service.
 const SERVERS: [(&str, usize); 2] = [(MODEL_SERVICE, 3), (PLAIN_SERVICE, 2)];
 /// The backend servers that only runs of the extended plan have.
 const EXTENDED_SERVERS: [(&str, usize); 2] = [(OTHER_MODEL_SERVICE, 2), (OTHER_PLAIN_SERVICE, 2)];
+/// The pauses of servers in runs with stops, in which a request may outlast the notice.
+const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(250);
+const SLOW_CALL_PAUSE: Duration = Duration::from_millis(90);
+/// What never ends of the responses of servers that floods reach.
+const FLOOD_PARTS: [EndlessPart; 4] = [
+    EndlessPart::Body,
+    EndlessPart::Chunks,
+    EndlessPart::Header,
+    EndlessPart::UnnumberedEvents,
+];
 /// The software versions of the servers of a service, in turn.
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 
@@ -52,6 +63,8 @@
 #[derive(Debug)]
 pub struct SoakServers {
     servers: Vec<Server>,
+    /// Those whose responses never end.
+    _floods: Vec<PlatformBackend>,
     cut_links: Mutex<Vec<CutLink>>,
     /// The start of the run.
     started_at: Instant,
@@ -63,20 +76,32 @@
     /// # Errors
     ///
     /// Returns an error if a port or thread can't be obtained.
-    pub fn start(
-        store: &PlatformStore,
-        started_at: Instant,
-        is_extended: bool,
-    ) -> io::Result<Self> {
-        let extended = is_extended.then_some(EXTENDED_SERVERS);
+    pub fn start(store: &PlatformStore, started_at: Instant, plan: SoakPlan) -> io::Result<Self> {
+        let has_other_services = matches!(plan, SoakPlan::Extended | SoakPlan::Stops);
+        let extended = has_other_services.then_some(EXTENDED_SERVERS);
         let mut servers = Vec::new();
         for (service, count) in SERVERS.into_iter().chain(extended.into_iter().flatten()) {
             for number in 0..count {
                 servers.push(start_server(service, number, store)?);
             }
         }
+        let mut floods = Vec::new();
+        if plan == SoakPlan::Stops {
+            for server in &servers {
+                let pause = if server.runs_turns() {
+                    SLOW_EVENT_PAUSE
+                } else {
+                    SLOW_CALL_PAUSE
+                };
+                server.backend.configure(|settings| settings.pause = pause);
+            }
+            for (number, part) in FLOOD_PARTS.into_iter().enumerate() {
+                floods.push(start_flood(number, part, store)?);
+            }
+        }
         Ok(Self {
             servers,
+            _floods: floods,
             cut_links: Mutex::default(),
             started_at,
         })
@@ -209,6 +234,21 @@
     Ok(server)
 }
 
+fn start_flood(
+    number: usize,
+    part: EndlessPart,
+    store: &PlatformStore,
+) -> io::Result<PlatformBackend> {
+    let id = format!("{FLOOD_SERVICE}-{number}");
+    let server = PlatformBackend::start(BackendSettings {
+        id: id.clone(),
+        endless: Some(part),
+        ..BackendSettings::default()
+    })?;
+    store.put("keyed.servers", &id, &server.entry(FLOOD_SERVICE, "ready"));
+    Ok(server)
+}
+
 fn proxy_mode(random_value: u64) -> ProxyMode {
     match random_value % 4 {
         0 => ProxyMode::Delay(Duration::from_millis(random_value / 4 % 200)),
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -24,6 +24,8 @@
 /// The timeout of the routes of drafts in runs with releases: a sole version must have been listed for
 /// twice as long.
 const DRAFT_TIMEOUT_MS: u64 = 1_000;
+/// The timeouts of routes in runs with stops, longer than a stop takes.
+const LONG_TIMEOUT_MS: u64 = 6_000;
 /// The time from the moment all gateways are ready until sole versions have been listed for long enough.
 const SETTLING_TIME: Duration = Duration::from_millis(2 * DRAFT_TIMEOUT_MS + 300);
 /// The time from the suspension of a gateway to the change of the list for which it has a poll open.
@@ -47,6 +49,8 @@
     Extended,
     /// Releases of services of drafts beside gateways that are out of step.
     Release,
+    /// Planned stops of gateways before slow servers, floods, and changes of configurations.
+    Stops,
 }
 
 /// What a run starts.
@@ -135,6 +139,12 @@
         let store = PlatformStore::default();
         let config = match plan {
             SoakPlan::Basic | SoakPlan::Extended => SoakConfig::default(),
+            SoakPlan::Stops => SoakConfig {
+                stream_timeout_ms: LONG_TIMEOUT_MS,
+                plain_timeout_ms: LONG_TIMEOUT_MS,
+                has_floods: true,
+                ..SoakConfig::default()
+            },
             SoakPlan::Release => SoakConfig {
                 stream_timeout_ms: DRAFT_TIMEOUT_MS,
                 draft_services: DRAFT_SERVICES,
@@ -143,7 +153,7 @@
         };
         store.put("keyed.op", "config", &config.text(1));
         let started_at = Instant::now();
-        let servers = SoakServers::start(&store, started_at, plan == SoakPlan::Extended)?;
+        let servers = SoakServers::start(&store, started_at, plan)?;
         let releases = ReleaseServers::start(&store, started_at, config.draft_services)?;
         let mut doors = Vec::new();
         for _ in 0..gateways {
@@ -217,6 +227,14 @@
         }
     }
 
+    /// Returns the most memory that the current process of a gateway has had resident, in bytes; `None` if
+    /// it has ended.
+    #[must_use]
+    pub fn peak_memory_bytes(&self, number: usize) -> Option<u64> {
+        let gateway = lock(&self.gateways[number]);
+        gateway.process.peak_memory_bytes().ok()
+    }
+
     /// Returns the readiness address of a gateway.
     #[must_use]
     pub fn ready_address(&self, number: usize) -> SocketAddr {
@@ -386,8 +404,8 @@
                 self.hang_up(number);
                 Ok(())
             }
-            // The callers handle this fault.
-            Fault::CallersDisconnect => Ok(()),
+            // The callers handle these faults.
+            Fault::CallersDisconnect | Fault::Flood => Ok(()),
         }
     }
 
--- a/standins/tests/planned_stop.rs
+++ b/standins/tests/planned_stop.rs
@@ -233,6 +233,26 @@
     }
 }
 
+/// Guards against a request that stays without an answer because the head of the stream before it, which
+/// its caller had not read yet, announced the close.
+#[test]
+fn a_request_that_crosses_the_head_of_a_stream_is_answered() {
+    let mut run = Run::start(Duration::from_millis(500));
+    run.stop();
+    run.sleep_until(1_500);
+    let mut connection = run.connect();
+    let first = turn("/chat/1", "first");
+    connection.write_all(&first.bytes()).expect("sent");
+    wait_until(|| run.run_count("first") == 1).expect("a running stream");
+    run.sleep_until(2_800);
+    connection
+        .write_all(&booking("second").bytes())
+        .expect("sent");
+    let (first, second) = read_two(&mut connection);
+    run.check_answer("first", &Ok(first));
+    run.check_answer("second", &second);
+}
+
 /// Guards against a connection that stays open for as long as its caller sends requests.
 #[test]
 fn a_caller_that_always_pipelines_is_told_to_go() {
