--- a/standins/tests/planned_stop.rs
+++ b/standins/tests/planned_stop.rs
@@ -7,7 +7,7 @@
 
 use clementinepickd::gateway_settings::GatewaySettings;
 use standins::platform_backend::PlatformBackend;
-use standins::platform_caller::{CallerRequest, CallerResponse, read_response};
+use standins::platform_caller::{CallerRequest, CallerResponse, ResponseReader, read_response};
 use standins::platform_run::{PlatformRun, config, wait_until};
 
 /// What a caller may take for the answer to a request that was refused in time.
@@ -160,7 +160,7 @@
     let mut run = Run::start(Duration::from_millis(900));
     run.stop();
     run.sleep_until(2_000);
-    let mut sent: Vec<_> = requests()
+    let sent: Vec<_> = requests()
         .into_iter()
         .map(|(id, request)| {
             let mut connection = run.connect();
@@ -170,10 +170,10 @@
             (id, connection)
         })
         .collect();
-    for (id, connection) in &mut sent {
-        let (first, second) = read_two(connection);
-        run.check_answer(&format!("before-{id}"), &Ok(first));
-        run.check_answer(id, &second);
+    for (id, connection) in sent {
+        let mut reader = ResponseReader::new(connection);
+        run.check_answer(&format!("before-{id}"), &reader.read());
+        run.check_answer(id, &reader.read());
     }
 }
 
@@ -200,36 +200,10 @@
     for (_, request, connection) in &mut sent {
         connection.write_all(&request.bytes()).expect("sent");
     }
-    for (id, _, connection) in &mut sent {
-        let (first, second) = read_two(connection);
-        run.check_answer(&format!("before-{id}"), &Ok(first));
-        run.check_answer(id, &second);
-    }
-}
-
-/// Reads two responses, the first of which has chunks and the second of which may follow at once.
-fn read_two(connection: &mut TcpStream) -> (CallerResponse, std::io::Result<CallerResponse>) {
-    let first = read_to_last_chunk(connection);
-    (first, read_response(connection))
-}
-
-/// Reads a chunked response byte by byte, so that nothing of the next one is taken.
-fn read_to_last_chunk(connection: &mut TcpStream) -> CallerResponse {
-    use std::io::Read;
-    const END: &[u8] = b"\r\n0\r\n\r\n";
-    let timeout = Some(Duration::from_secs(10));
-    connection.set_read_timeout(timeout).expect("a socket");
-    let mut bytes = Vec::new();
-    let mut byte = [0_u8; 1];
-    while !bytes.ends_with(END) && matches!(connection.read(&mut byte), Ok(1)) {
-        bytes.push(byte[0]);
-    }
-    let is_served = bytes.starts_with(b"HTTP/1.1 200");
-    CallerResponse {
-        status: if is_served { 200 } else { 0 },
-        body: String::from_utf8_lossy(&bytes).into_owned(),
-        is_complete: bytes.ends_with(END),
-        ..CallerResponse::default()
+    for (id, _, connection) in sent {
+        let mut reader = ResponseReader::new(connection);
+        run.check_answer(&format!("before-{id}"), &reader.read());
+        run.check_answer(id, &reader.read());
     }
 }
 
@@ -248,9 +222,9 @@
     connection
         .write_all(&booking("second").bytes())
         .expect("sent");
-    let (first, second) = read_two(&mut connection);
-    run.check_answer("first", &Ok(first));
-    run.check_answer("second", &second);
+    let mut reader = ResponseReader::new(connection);
+    run.check_answer("first", &reader.read());
+    run.check_answer("second", &reader.read());
 }
 
 /// Guards against a connection that stays open for as long as its caller sends requests.
@@ -258,8 +232,8 @@
 fn a_caller_that_always_pipelines_is_told_to_go() {
     let mut run = Run::start(Duration::from_millis(5));
     run.stop();
-    let mut connection = run.connect();
-    let mut sending = connection.try_clone().expect("a connection");
+    let mut reader = ResponseReader::new(run.connect());
+    let mut sending = reader.connection.try_clone().expect("a connection");
     let stopped_at = run.stopped_at;
     let sender = thread::spawn(move || {
         for number in 0.. {
@@ -273,11 +247,11 @@
         }
     });
     let mut statuses = Vec::new();
-    while let Ok(response) = read_response_alone(&mut connection) {
+    while let Ok(response) = reader.read() {
         statuses.push(response.status);
     }
     let closed_after = run.stopped_at.elapsed();
-    drop(connection);
+    drop(reader);
     sender.join().expect("a sender");
     let limit = Duration::from_secs(4);
     assert!(closed_after < limit, "closed after {closed_after:?}");
@@ -288,35 +262,6 @@
     assert!(run.run_count(&format!("p{refused}")) == 0);
 }
 
-/// Reads a response with a length byte by byte, so that nothing of the next one is taken.
-fn read_response_alone(connection: &mut TcpStream) -> std::io::Result<CallerResponse> {
-    use std::io::Read;
-    connection.set_read_timeout(Some(Duration::from_secs(10)))?;
-    let mut head = Vec::new();
-    let mut byte = [0_u8; 1];
-    while !head.ends_with(b"\r\n\r\n") {
-        connection.read_exact(&mut byte)?;
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
-    let value = |name: &str| {
-        let mut lines = head.lines();
-        lines.find_map(|line| Some(line.strip_prefix(name)?.trim().to_owned()))
-    };
-    let length = value("content-length:").and_then(|length| length.parse().ok());
-    let mut body = vec![0; length.unwrap_or_default()];
-    connection.read_exact(&mut body)?;
-    let status = head
-        .split(' ')
-        .nth(1)
-        .and_then(|status| status.parse().ok());
-    Ok(CallerResponse {
-        status: status.unwrap_or_default(),
-        is_complete: true,
-        ..CallerResponse::default()
-    })
-}
-
 /// Guards against refusing requests that arrive while callers are still accepted.
 #[test]
 fn requests_during_the_notice_are_served_whole() {
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -6,7 +6,7 @@
 use standins::soak::Soak;
 use standins::soak_answers::{CutLink, Excuse};
 use standins::soak_faults::{
-    Fault, PlannedFault, plan_extended_faults, plan_faults, plan_release_faults,
+    Fault, PlannedFault, plan_extended_faults, plan_faults, plan_release_faults, plan_stop_faults,
 };
 use standins::soak_history::{
     ExecutedRequest, History, RequestKind, RequestRecord, find_violations,
@@ -290,7 +290,7 @@
 #[test]
 fn a_fault_of_the_plan_excuses_only_its_request() {
     type Damage = fn(&mut History);
-    let cases: [Damage; 9] = [
+    let cases: [Damage; 10] = [
         |h| h.requests[2].excuse = Some(Excuse::NotSent),
         |h| h.requests[2].excuse = Some(Excuse::CallerLeft),
         |h| h.requests[2].excuse = Some(Excuse::GatewayDisturbed),
@@ -298,6 +298,12 @@
             h.requests[2].excuse = Some(Excuse::Closing);
             h.executed.pop();
         },
+        |h| {
+            h.requests[2].excuse = Some(Excuse::Closing);
+            h.requests[2].duration = Duration::from_millis(900);
+            h.requests[2].held = Duration::from_millis(700);
+            h.executed.pop();
+        },
         |h| h.requests[2].duration = Duration::from_secs(2),
         |h| h.executed[2].is_faulty = true,
         |h| h.cut_links.push(cut_link("s1", 900, 1_001)),
@@ -344,6 +350,18 @@
     assert_eq!(basic.iter().find(is_extended), None);
 }
 
+#[test]
+fn the_plan_with_stops_has_series_of_stops_beside_floods_and_changes() {
+    let length = Duration::from_secs(20);
+    let planned = plan_stop_faults(7, length);
+    assert_eq!(planned, plan_stop_faults(7, length));
+    let count = |fault| planned.iter().filter(|f| f.fault == fault).count();
+    assert!(count(Fault::Terminate) > 10, "{planned:?}");
+    for fault in [Fault::Flood, Fault::Hangup, Fault::ConfigSeries] {
+        assert!(count(fault) > 1, "{fault:?}: {planned:?}");
+    }
+}
+
 /// An attempt that fails before it reaches a server of the right version joins nothing.
 #[test]
 fn a_run_that_a_gateway_gives_up_for_another_one_is_no_violation() {
@@ -507,6 +525,28 @@
     check_extended_seeds(&[5, 103]);
 }
 
+/// Guards against requests that are lost over planned stops, and against memory that endless responses
+/// use up.
+#[test]
+fn stops_beside_callers_that_pipeline_and_floods_cause_no_violations() {
+    let soak = Soak {
+        seeds: "2..3".to_owned(),
+        seconds: 6,
+        extended: false,
+        release: false,
+        stops: true,
+        gateways: 3,
+        daemon: None,
+        directory: None,
+    };
+    let end = soak.run_seed(2).expect("the run starts");
+    assert_eq!(end.violations, Vec::<String>::new());
+    let kinds = end.faults.iter().map(|fault| fault.fault);
+    assert!(kinds.clone().any(|fault| fault == Fault::Flood));
+    assert!(kinds.filter(|fault| *fault == Fault::Terminate).count() > 2);
+    assert!(end.served_count > 100, "{} served", end.served_count);
+}
+
 /// Software versions are released beside gateways that are out of step. No draft is joined from runs
 /// at two versions, and none is refused for good while there is one.
 #[test]
