Reproduce crowds of callers that exceed the memory and the descriptors, as failing tests

Real processes with crowds that stop short of the end of a body or head, send without end, pipeline behind a running request, or don't read.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod balancer;
 pub mod cache;
 pub mod caller;
+pub mod caller_crowd;
 pub mod capacity;
 pub mod chaos;
 pub mod chaos_backend;
--- a/standins/src/process_gateways.rs
+++ b/standins/src/process_gateways.rs
@@ -9,7 +9,7 @@
 use crate::platform_caller::exchange;
 use crate::platform_run::{is_ready, wait_until};
 use crate::platform_store::{PlatformStore, StoreEndpoint, StoreMode};
-use crate::soak_process::{GatewayProcess, ProcessPorts};
+use crate::soak_process::{GatewayProcess, ProcessPorts, ProcessSettings};
 use crate::soak_world::find_daemon;
 
 /// Gateways as processes; dropped, they are killed.
@@ -40,6 +40,20 @@
     /// Returns an error if the daemon is not built, a port, file or process can't be obtained, or a
     /// gateway does not become ready.
     pub fn start(name: &str, count: usize, store: &PlatformStore) -> io::Result<Self> {
+        Self::start_with(name, count, store, &ProcessSettings::default())
+    }
+
+    /// Starts gateways with settings of their own, as [`Self::start`] does.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Self::start`] does.
+    pub fn start_with(
+        name: &str,
+        count: usize,
+        store: &PlatformStore,
+        settings: &ProcessSettings,
+    ) -> io::Result<Self> {
         let directory = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
         std::fs::create_dir_all(&directory)?;
         let daemon = find_daemon()?;
@@ -55,8 +69,14 @@
             let endpoint = store.open()?;
             let address = endpoint.address;
             let directory = &gateways.directory;
-            let process =
-                GatewayProcess::start(&daemon, directory, number, ports, address, &seeds)?;
+            let process = GatewayProcess::start(
+                &daemon,
+                directory,
+                number,
+                ports,
+                (address, &seeds),
+                settings,
+            )?;
             gateways.processes.push(process);
             gateways.endpoints.push(endpoint);
         }
--- a/standins/src/soak_process.rs
+++ b/standins/src/soak_process.rs
@@ -126,6 +126,15 @@
     Err(error)
 }
 
+/// What the settings of a gateway's process have beside its addresses.
+#[derive(Debug, Clone, Default)]
+pub struct ProcessSettings {
+    /// The keys of the section `limits` with their values, one a line.
+    pub limits: String,
+    /// The number of descriptors that the process may have open, if that is lower than the system's.
+    pub max_descriptors: Option<u64>,
+}
+
 /// A gateway's process, which can be restarted on the same ports.
 #[derive(Debug)]
 pub struct GatewayProcess {
@@ -136,6 +145,7 @@
     daemon: PathBuf,
     settings: PathBuf,
     log: PathBuf,
+    max_descriptors: Option<u64>,
     child: Option<Child>,
 }
 
@@ -150,8 +160,8 @@
         directory: &Path,
         number: usize,
         ports: ProcessPorts,
-        store: SocketAddr,
-        seeds: &[SocketAddr],
+        (store, seeds): (SocketAddr, &[SocketAddr]),
+        process: &ProcessSettings,
     ) -> io::Result<Self> {
         let settings = directory.join(format!("gateway-{number}.ini"));
         let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
@@ -162,11 +172,12 @@
             peers,
             metrics,
         } = ports;
+        let limits = &process.limits;
         let text = format!(
             "[process]\nrole = gateway\nvm = vm-{number}\nzone = z\nlog_every = 1\n\n[listen]\n\
              callers = {callers}\nready = {ready}\npeers = {peers}\nmetrics = {metrics}\n\n[peers]\n\
              seeds = {seeds}\n\n[store]\naddress = {store}\n\n[shutdown]\nnotice = {DRAIN_DELAY_MS} ms\n\
-             limit = {SHUTDOWN_LIMIT_MS} ms\n"
+             limit = {SHUTDOWN_LIMIT_MS} ms\n\n[limits]\n{limits}\n"
         );
         fs::write(&settings, text)?;
         let mut gateway = Self {
@@ -175,6 +186,7 @@
             daemon: daemon.to_owned(),
             settings,
             log: directory.join(format!("gateway-{number}.log")),
+            max_descriptors: process.max_descriptors,
             child: None,
         };
         gateway.restart()?;
@@ -191,7 +203,8 @@
             .create(true)
             .append(true)
             .open(&self.log)?;
-        let child = Command::new(&self.daemon)
+        let child = self
+            .command()
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
@@ -203,6 +216,18 @@
         Ok(())
     }
 
+    /// Returns the command of the daemon. Its limit of descriptors is set by a shell, which the daemon
+    /// replaces.
+    fn command(&self) -> Command {
+        let Some(max_descriptors) = self.max_descriptors else {
+            return Command::new(&self.daemon);
+        };
+        let mut command = Command::new("sh");
+        let script = format!("ulimit -n {max_descriptors} && exec \"$0\" \"$@\"");
+        command.arg("-c").arg(script).arg(&self.daemon);
+        command
+    }
+
     /// Returns whether the process was started and has been neither killed nor terminated since.
     #[must_use]
     pub fn is_started(&self) -> bool {
@@ -240,13 +265,51 @@
     ///
     /// Returns an error if the process has ended or the system does not tell.
     pub fn peak_memory_bytes(&self) -> io::Result<u64> {
+        self.status_bytes("VmHWM:")
+    }
+
+    /// Returns the memory that the process has resident now, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended or the system does not tell.
+    pub fn memory_bytes(&self) -> io::Result<u64> {
+        self.status_bytes("VmRSS:")
+    }
+
+    /// Returns how many descriptors the process has open.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended or the system does not tell.
+    pub fn open_descriptors(&self) -> io::Result<usize> {
         let child = self.child.as_ref().ok_or(io::ErrorKind::NotFound)?;
-        let status = fs::read_to_string(format!("/proc/{}/status", child.id()))?;
-        let peak = status
+        Ok(fs::read_dir(format!("/proc/{}/fd", child.id()))?.count())
+    }
+
+    /// Returns how many bytes the system has received for the process that it has not read, over all
+    /// connections to its callers' address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the system does not tell.
+    pub fn unread_bytes(&self) -> io::Result<u64> {
+        let port = format!(":{:04X}", self.ports.callers.port());
+        let table = fs::read_to_string("/proc/net/tcp")?;
+        Ok(table
             .lines()
-            .find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"));
-        let peak_kb: Option<u64> = peak.and_then(|peak| peak.trim().parse().ok());
-        Ok(peak_kb.ok_or(io::ErrorKind::InvalidData)? * 1_024)
+            .filter_map(|line| unread_of(line, &port))
+            .sum())
+    }
+
+    /// Returns a size in the status of the process, in bytes.
+    fn status_bytes(&self, name: &str) -> io::Result<u64> {
+        let child = self.child.as_ref().ok_or(io::ErrorKind::NotFound)?;
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()))?;
+        let mut lines = status.lines();
+        let size = lines.find_map(|line| line.strip_prefix(name)?.strip_suffix("kB"));
+        let size_kb: Option<u64> = size.and_then(|size| size.trim().parse().ok());
+        Ok(size_kb.ok_or(io::ErrorKind::InvalidData)? * 1_024)
     }
 
     /// Sends SIGTERM to the process and hands it over for [`wait_for_exit`].
@@ -257,6 +320,18 @@
     }
 }
 
+/// Returns the unread bytes of a connection at a local port, from a line of the system's table; the
+/// queue of a listener counts connections, not bytes.
+fn unread_of(line: &str, port: &str) -> Option<u64> {
+    const LISTENING: &str = "0A";
+    let mut fields = line.split_whitespace().skip(1);
+    let is_local = fields.next()?.ends_with(port);
+    let state = fields.nth(1)?;
+    let (_, unread) = fields.next()?.split_once(':')?;
+    let unread = u64::from_str_radix(unread, 16).ok()?;
+    (is_local && state != LISTENING).then_some(unread)
+}
+
 /// Waits until a terminated process exits; kills it and returns `None` if it takes too long.
 ///
 /// # Errors
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -14,7 +14,7 @@
 use crate::platform_store::{AppendFault, PlatformStore, StoreEndpoint, StoreMode};
 use crate::soak_config::SoakConfig;
 use crate::soak_faults::{Fault, PlannedFault};
-use crate::soak_process::{GatewayProcess, ProcessPorts, wait_for_exit};
+use crate::soak_process::{GatewayProcess, ProcessPorts, ProcessSettings, wait_for_exit};
 use crate::soak_release_checks::ReleaseTimes;
 use crate::soak_release_servers::{DRAFT_SERVICES, ReleaseServers};
 use crate::soak_servers::SoakServers;
@@ -163,8 +163,14 @@
         let seeds: Vec<_> = ports.iter().map(|ports| ports.peers).collect();
         let mut processes = Vec::new();
         for (number, (ports, door)) in ports.iter().zip(&doors).enumerate() {
-            let process =
-                GatewayProcess::start(daemon, directory, number, *ports, door.address, &seeds)?;
+            let process = GatewayProcess::start(
+                daemon,
+                directory,
+                number,
+                *ports,
+                (door.address, &seeds),
+                &ProcessSettings::default(),
+            )?;
             processes.push(Mutex::new(Gateway {
                 process,
                 active_faults: 0,
