--- a/standins/src/caller_crowd.rs
+++ b/standins/src/caller_crowd.rs
@@ -7,12 +7,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use socket2::SockRef;
+use socket2::{Domain, Socket, Type};
 
 use crate::platform_run::HOST;
 
 /// The bytes that the system holds for a caller of what its gateway has not taken.
 const SEND_BUFFER_BYTES: usize = 65_536;
+/// The bytes that the system takes for a caller, which reads nothing.
+const RECEIVE_BUFFER_BYTES: usize = 4_096;
 /// How long a caller waits for its connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(4);
 /// A crowd has settled once none of its callers could send anything for this long.
@@ -118,8 +120,11 @@
 
 impl Member {
     fn connect(address: SocketAddr, input: CallerInput) -> io::Result<Self> {
-        let connection = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)?;
-        SockRef::from(&connection).set_send_buffer_size(SEND_BUFFER_BYTES)?;
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+        socket.connect_timeout(&address.into(), CONNECT_TIMEOUT)?;
+        let connection = TcpStream::from(socket);
         connection.set_nonblocking(true)?;
         Ok(Self {
             connection,
--- a/standins/tests/caller_crowds.rs
+++ b/standins/tests/caller_crowds.rs
@@ -7,7 +7,9 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use crowd_run::{BODY_LIMIT_BYTES, CrowdRun, HEAD_LIMIT_BYTES, SMALL_LIMITS, booking, lookup};
+use crowd_run::{
+    BODY_LIMIT_BYTES, CrowdRun, HEAD_LIMIT_BYTES, SMALL_LIMITS, booking, lookup, read_continue,
+};
 use standins::caller_crowd::{CallerInput, announced_head, chunk, chunked_head, unfinished_head};
 use standins::platform_backend::BackendFault;
 use standins::platform_caller::{CallerRequest, exchange, read_response};
@@ -308,7 +310,7 @@
         .with("Expect", "100-continue")
         .with("Content-Length", &BODY_LIMIT_BYTES.to_string());
     connection.write_all(&expecting.bytes()).expect("sent");
-    run.read_continue(&mut connection);
+    read_continue(&mut connection);
     connection
         .write_all(&vec![b'x'; BODY_LIMIT_BYTES])
         .expect("sent");
--- a/standins/tests/crowd_run/mod.rs
+++ b/standins/tests/crowd_run/mod.rs
@@ -225,13 +225,13 @@
         let peak_bytes = held.max(resident);
         assert!(peak_bytes < limit_bytes, "{peak_bytes} bytes");
     }
+}
 
-    /// Reads the interim response that asks for the body.
-    pub fn read_continue(&self, connection: &mut TcpStream) {
-        let mut interim = [0; 25];
-        connection.read_exact(&mut interim).expect("a response");
-        assert_eq!(&interim, b"HTTP/1.1 100 Continue\r\n\r\n");
-    }
+/// Reads the interim response that asks for the body.
+pub fn read_continue(connection: &mut TcpStream) {
+    let mut interim = [0; 25];
+    connection.read_exact(&mut interim).expect("a response");
+    assert_eq!(&interim, b"HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 pub fn lookup(id: &str) -> CallerRequest {
@@ -256,7 +256,7 @@
     const RECORD_BYTES: usize = 250_000;
     let record = [
         &u32::try_from(RECORD_BYTES).expect("a length").to_be_bytes()[..],
-        &[b'x'; RECORD_BYTES],
+        &vec![b'x'; RECORD_BYTES],
     ];
     let body = record.concat().repeat(bytes / RECORD_BYTES);
     let length = body.len();
