Limit the system's buffers of callers' connections

What the system has received and the process has not read counts as memory of the VM. They are 8 KiB for input and 64 KiB for responses now, twice that as the system counts.

--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -18,6 +18,7 @@
 use clementinepick::ids::Incarnation;
 use clementinepick::shutdown_schedule::ShutdownSchedule;
 use slog::Logger;
+use socket2::SockRef;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
@@ -51,6 +52,9 @@
 
 /// The backoff after a failed accept, which usually means that file descriptors have run out.
 const ACCEPT_ERROR_BACKOFF: Duration = Duration::from_millis(20);
+/// The sizes of the system's buffers for what a caller sends and for what it is sent, in bytes.
+const RECEIVE_BUFFER_BYTES: usize = 8_192;
+const SEND_BUFFER_BYTES: usize = 65_536;
 /// How long and how often an address that is in use is tried again.
 const BIND_TIMEOUT: Duration = Duration::from_millis(500);
 const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(20);
@@ -279,6 +283,7 @@
         let metrics: Rc<dyn Handler> = Rc::new(MetricsHandler {
             shared: Rc::clone(&shared),
         });
+        limit_socket_buffers(&shared, &self.listeners.callers);
         let mut endpoints = vec![
             (self.listeners.callers, callers),
             (self.listeners.ready, ready),
@@ -316,6 +321,19 @@
     }
 }
 
+/// Limits the bytes that the system holds for each connection before they are read, by this process or by
+/// the caller: they count as memory of the VM.
+fn limit_socket_buffers(shared: &Shared, listener: &StdListener) {
+    let socket = SockRef::from(listener);
+    let limited = socket
+        .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+        .and_then(|()| socket.set_send_buffer_size(SEND_BUFFER_BYTES));
+    if let Err(err) = limited {
+        // The connections work as well with the buffers of the system.
+        shared.log_connection_error(&err);
+    }
+}
+
 /// Accepts connections until idle ones are to be closed, then waits for the remaining ones.
 async fn accept(shared: Rc<Shared>, listener: TcpListener, handler: Rc<dyn Handler>) {
     let mut connections = JoinSet::new();
