Account for what callers' connections hold before it is taken, and let late requests give way

Callers saw the gateway end, out of memory: a crowd that stopped short of the end of its bodies took 311 MB (announced lengths), 295 MB (chunks), 201 MB (small chunks), one with input behind streams 233 MB, with pipelined lookups 110 MB, with unfinished heads 104 MB, where the VM has 88 MB; 5,000 idle connections took 5,023 descriptors, and half heads all of 1,024, so that readiness was not answered.

Cause: memory was claimed once a body was whole, an announced length was checked and given back, and nothing was claimed for heads, for input behind a running request (each further request read more of it) and for connections. Peers shared the limit of callers. A refusal that nobody reads was written for good.

Now one account for each listener (connection_account.rs) has the memory and the connections, and is asked before a buffer grows. At a limit, the request gives way that has held the most for the longest: it gets 503 with Retry-After and has not run. One that arrives at 1 MB a second is not late, one that is complete never gives way, and without a late one the claim itself is refused, so that uploads under way end rather than all giving way to each other. Input behind running requests has a quarter of the memory, small requests the last sixteenth to themselves. Descriptors are divided between the listeners; if they run out all the same, a late caller gives way. Refusals are given up after 1 s. A caller that always sends gives the thread to others every 8 KiB.

--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -175,6 +175,8 @@
     TurnsRead = 416, "turns_read", Info;
     /// A stream is resumed from an event that its caller has, at the server in `server`.
     StreamResumed = 417, "stream_resumed", Info;
+    /// Connections with late requests, or idle ones, gave way to others at a limit.
+    ConnectionsGaveWay = 418, "connections_gave_way", Warning;
     /// A call of an old epoch was refused.
     StaleEpoch = 501, "stale_epoch", Warning;
     /// The engine failed or closed a stream.
--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -41,6 +41,7 @@
 mod call_state;
 pub mod config;
 pub mod config_replay;
+pub mod connection_account;
 pub mod document;
 mod document_check;
 pub mod document_read;
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -25,6 +25,7 @@
 use tokio::sync::watch;
 use tokio::task::{JoinError, JoinSet, LocalSet};
 
+use crate::connections::Connections;
 use crate::directory::{Directory, Identity, follow};
 use crate::gateway_budget::{maintain_homes, send_token_returns};
 use crate::gateway_connection::{Handler, serve};
@@ -284,15 +285,22 @@
             shared: Rc::clone(&shared),
         });
         limit_socket_buffers(&shared, &self.listeners.callers);
+        let connections = &shared.connections;
         let mut endpoints = vec![
-            (self.listeners.callers, callers),
-            (self.listeners.ready, ready),
-            (self.listeners.peers, peers),
+            (self.listeners.callers, callers, &connections.callers),
+            (self.listeners.ready, ready, &connections.ready),
+            (self.listeners.peers, peers, &connections.peers),
         ];
-        endpoints.extend(self.listeners.metrics.map(|listener| (listener, metrics)));
-        for (listener, handler) in endpoints {
+        let metrics_listener = self.listeners.metrics;
+        endpoints.extend(metrics_listener.map(|l| (l, metrics, &connections.metrics)));
+        for (listener, handler, connections) in endpoints {
             let listener = TcpListener::from_std(listener)?;
-            tasks.spawn_local(accept(Rc::clone(&shared), listener, handler));
+            let endpoint = Endpoint {
+                shared: Rc::clone(&shared),
+                handler,
+                connections: Rc::clone(connections),
+            };
+            tasks.spawn_local(endpoint.accept(listener));
         }
         tasks.spawn_local(run_maintenance(Rc::clone(&shared), settings.vm.to_string()));
         tasks.spawn_local(maintain_homes(Rc::clone(&shared)));
@@ -334,38 +342,63 @@
     }
 }
 
-/// Accepts connections until idle ones are to be closed, then waits for the remaining ones.
-async fn accept(shared: Rc<Shared>, listener: TcpListener, handler: Rc<dyn Handler>) {
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => {
-                handle_accepted(&shared, &handler, accepted, &mut connections).await;
+/// What the connections of a listener need.
+struct Endpoint {
+    shared: Rc<Shared>,
+    handler: Rc<dyn Handler>,
+    connections: Rc<Connections>,
+}
+
+impl Endpoint {
+    /// Accepts connections until idle ones are to be closed, then waits for the remaining ones.
+    async fn accept(self, listener: TcpListener) {
+        let mut tasks = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => self.handle_accepted(accepted, &mut tasks).await,
+                Some(ended) = tasks.join_next() => log_panic(&self.shared, ended),
+                () = self.shared.wait_for_close() => break,
             }
-            Some(ended) = connections.join_next() => log_panic(&shared, ended),
-            () = shared.wait_for_close() => break,
+        }
+        self.accept_waiting(&listener, &mut tasks).await;
+        drop(listener);
+        while let Some(ended) = tasks.join_next().await {
+            log_panic(&self.shared, ended);
         }
     }
-    accept_waiting(&shared, &listener, &handler, &mut connections).await;
-    drop(listener);
-    while let Some(ended) = connections.join_next().await {
-        log_panic(&shared, ended);
+
+    /// Accepts the connections that are open already: their callers may have sent requests, which closing
+    /// the listener would reset.
+    async fn accept_waiting(&self, listener: &TcpListener, tasks: &mut JoinSet<()>) {
+        for _ in 0..MAX_WAITING_CONNECTIONS {
+            let Some(accepted) = poll_after_input(pin!(listener.accept())).await else {
+                return;
+            };
+            self.handle_accepted(accepted, tasks).await;
+        }
     }
-}
 
-/// Accepts the connections that are open already: their callers may have sent requests, which closing
-/// the listener would reset.
-async fn accept_waiting(
-    shared: &Rc<Shared>,
-    listener: &TcpListener,
-    handler: &Rc<dyn Handler>,
-    connections: &mut JoinSet<()>,
-) {
-    for _ in 0..MAX_WAITING_CONNECTIONS {
-        let Some(accepted) = poll_after_input(pin!(listener.accept())).await else {
-            return;
-        };
-        handle_accepted(shared, handler, accepted, connections).await;
+    async fn handle_accepted(
+        &self,
+        accepted: io::Result<(TcpStream, SocketAddr)>,
+        tasks: &mut JoinSet<()>,
+    ) {
+        let now = Instant::now();
+        match accepted {
+            Ok((stream, _)) => {
+                // A connection that finds no place is closed before any request of it was read.
+                if let Some(connection) = self.connections.open(now) {
+                    let (shared, handler) = (Rc::clone(&self.shared), Rc::clone(&self.handler));
+                    tasks.spawn_local(serve(shared, handler, stream, connection));
+                }
+                self.connections.wait_for_leaving().await;
+            }
+            Err(err) => {
+                self.shared.log_connection_error(&err);
+                self.shared.connections.callers.make_room(now);
+                sleep(ACCEPT_ERROR_BACKOFF).await;
+            }
+        }
     }
 }
 
@@ -376,23 +409,6 @@
     }
 }
 
-async fn handle_accepted(
-    shared: &Rc<Shared>,
-    handler: &Rc<dyn Handler>,
-    accepted: io::Result<(TcpStream, SocketAddr)>,
-    connections: &mut JoinSet<()>,
-) {
-    match accepted {
-        Ok((stream, _)) => {
-            connections.spawn_local(serve(Rc::clone(shared), Rc::clone(handler), stream));
-        }
-        Err(err) => {
-            shared.log_connection_error(&err);
-            sleep(ACCEPT_ERROR_BACKOFF).await;
-        }
-    }
-}
-
 /// Returns on SIGTERM or SIGINT; SIGHUP is only logged.
 async fn wait_for_signal(logger: Logger) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
--- a/clementinepickd/src/gateway_connection.rs
+++ b/clementinepickd/src/gateway_connection.rs
@@ -15,17 +15,15 @@
 use tokio::net::tcp::OwnedWriteHalf;
 
 use crate::config_follower::refusal_by_config;
-use crate::gateway_receive::{
-    InputState, Reader, ReceiveError, ReceivedRequest, UnreadRequest, receive,
-};
+use crate::connections::OpenConnection;
+use crate::gateway_reader::{InputState, Reader};
+use crate::gateway_receive::{ReceiveError, ReceivedRequest, UnreadRequest, receive};
 use crate::gateway_reply::{ClosePolicy, Reply, ReplyState};
 use crate::gateway_shared::Shared;
 use crate::input_first::poll_after_input;
 
 /// The kind in metrics of requests that were not read in full.
 const UNREAD: &str = "unread";
-/// How long a caller may take to read the refusal of a request.
-const REFUSAL_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long, and for how many bytes, input is discarded until the caller closes its side.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_DISCARDED_BYTES: u64 = 16_777_216;
@@ -56,12 +54,22 @@
         None
     }
 
+    /// Returns the size of bodies that is allowed whatever the configuration says, in bytes.
+    fn min_body_limit_bytes(&self) -> usize {
+        0
+    }
+
     /// Records a request that is not handled, because its sender has disconnected.
     fn record_abandoned(&self, _request: &ReceivedRequest<'_>) {}
 }
 
 /// Serves a connection until either side closes it.
-pub(crate) async fn serve(shared: Rc<Shared>, handler: Rc<dyn Handler>, stream: TcpStream) {
+pub(crate) async fn serve(
+    shared: Rc<Shared>,
+    handler: Rc<dyn Handler>,
+    stream: TcpStream,
+    connection: OpenConnection,
+) {
     if let Err(err) = stream.set_nodelay(true) {
         // The caller may have reset the connection, which reading from it shows.
         shared.log_connection_error(&err);
@@ -69,7 +77,7 @@
     let _open = shared.open_connection();
     let (read, mut write) = stream.into_split();
     let state = InputState::default();
-    let mut reader = Reader::new(read, &state);
+    let mut reader = Reader::new(read, &state, &connection);
     let mut codec = Codec::default();
     let mut limits_since = Instant::now();
     loop {
@@ -85,6 +93,7 @@
             Ok(request) => request,
             Err(ReceiveError::Closed) => return,
             Err(ReceiveError::Refused(request)) => {
+                reader.release();
                 refuse_unread(&shared, &request, &mut codec, &mut write).await;
                 return close(&mut reader, &mut write).await;
             }
@@ -154,17 +163,22 @@
         .with("took_ms", took.as_millis());
     shared.log(&event);
     let mut reply = Reply::new(codec, write, ClosePolicy::Always);
-    let sending = reply.send_refusal(response, id);
     // A failure to write means that the caller has disconnected.
-    let _ = timeout(REFUSAL_WRITE_TIMEOUT, sending).await;
+    let _ = reply.send_refusal(response, id).await;
 }
 
 /// Closes the connection once the caller has closed its side.
 ///
 /// Closing with unread bytes would reset the connection, and the caller could lose what was written.
 async fn close(reader: &mut Reader<'_>, write: &mut OwnedWriteHalf) {
+    let connection = reader.connection;
+    connection.set_closing();
     if write.shutdown().await.is_ok() {
-        // A caller that does not close its side in time is disconnected.
-        let _ = timeout(CLOSE_TIMEOUT, reader.discard(MAX_DISCARDED_BYTES)).await;
+        // A caller that does not close its side in time is disconnected, or earlier if others need the
+        // connection.
+        tokio::select! {
+            _ = timeout(CLOSE_TIMEOUT, reader.discard(MAX_DISCARDED_BYTES)) => {}
+            () = connection.wait_to_give_way() => {}
+        }
     }
 }
--- a/clementinepickd/src/gateway_maintenance.rs
+++ b/clementinepickd/src/gateway_maintenance.rs
@@ -35,6 +35,7 @@
         shared.record_versions(now);
         shared.record_limits(now);
         shared.metrics.aggregate_histograms();
+        report_connections(&shared, now);
         let directory = shared.directory();
         if !directory.peers.is_empty() {
             shared.store.set_relays(directory.peers.to_vec());
@@ -49,6 +50,15 @@
     }
 }
 
+/// Logs which connections gave way at a limit.
+fn report_connections(shared: &Shared, now: Instant) {
+    for (listener, connections) in shared.connections.by_name() {
+        if let Some(event) = connections.report(now) {
+            shared.log(&event.with("listener", listener));
+        }
+    }
+}
+
 /// Passes the registered servers and their start times to the server selection.
 fn update_servers(shared: &Shared, servers: &BTreeMap<String, BackendServer>) {
     let mut choice = shared.choice.borrow_mut();
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -11,6 +11,7 @@
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusRecorder};
 use serde_json::json;
 
+use crate::connections::{Connections, LimitKind};
 use crate::gateway_connection::Handler;
 use crate::gateway_ledger_query;
 use crate::gateway_receive::ReceivedRequest;
@@ -126,14 +127,39 @@
                 "clementinepick_store_away",
                 usize::from(shared.store.is_unavailable()),
             );
+            for (listener, connections) in shared.connections.by_name() {
+                set_connection_metrics(listener, connections);
+            }
         });
         self.recorder.handle().render()
     }
 }
 
-#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^53")]
 fn set_gauge(name: &'static str, count: usize) {
-    gauge!(name).set(count as f64);
+    gauge!(name).set(to_f64(count));
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^53")]
+fn to_f64(count: usize) -> f64 {
+    count as f64
+}
+
+fn set_connection_metrics(listener: &'static str, connections: &Connections) {
+    let used = usize::try_from(connections.used().0).unwrap_or(usize::MAX);
+    gauge!("clementinepick_connections", "listener" => listener)
+        .set(to_f64(connections.open_count()));
+    gauge!("clementinepick_connection_bytes", "listener" => listener).set(to_f64(used));
+    let gave_way = connections.gave_way();
+    for (limit, count) in [
+        (LimitKind::Memory, gave_way.by_memory),
+        (LimitKind::Connections, gave_way.by_connections),
+    ] {
+        let limit = limit.label();
+        counter!("clementinepick_connections_gave_way_total", "listener" => listener, "limit" => limit)
+            .absolute(count);
+    }
+    counter!("clementinepick_connection_claims_refused_total", "listener" => listener)
+        .absolute(gave_way.refused);
 }
 
 /// Serves metrics, the state dump and ledger queries.
@@ -219,6 +245,8 @@
         "requests_with_ends": shared.ended.len(),
         "cached_turns": turns,
         "cached_turn_bytes": turn_bytes,
+        "caller_connections": shared.connections.callers.open_count(),
+        "caller_bytes": shared.connections.callers.used().0,
         "response_bytes": shared.response_memory.used().0,
         "servers": servers,
     });
--- a/clementinepickd/src/gateway_reply.rs
+++ b/clementinepickd/src/gateway_reply.rs
@@ -1,11 +1,13 @@
 //! Writes the response to one request to the caller's connection.
 
 use std::io;
+use std::time::Duration;
 
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{ConnectionType, Response, StatusCode};
+use actix_rt::time::timeout;
 use bytes::{Bytes, BytesMut};
 use clementinepick::refusal::RefusalResponse;
 use clementinepick::units::SpanUs;
@@ -14,12 +16,15 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio_util::codec::Encoder;
 
-use crate::gateway_receive::InputState;
+use crate::gateway_reader::InputState;
 use crate::gateway_shared::Shared;
 
 /// The share of the idle limit that is announced to callers.
 const ANNOUNCED_IDLE_PERCENT: u64 = 80;
 
+/// How long a caller may take to read the refusal of a request.
+const REFUSAL_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The largest piece of a body that is copied before it is written.
 const MAX_PIECE_BYTES: usize = 65_536;
 
@@ -230,7 +235,8 @@
         matches!(self.close_policy, ClosePolicy::Always)
     }
 
-    /// Writes a refusal, in place of a backend server's response.
+    /// Writes a refusal, in place of a backend server's response; a caller that does not read it in time
+    /// counts as disconnected.
     pub(crate) async fn send_refusal(
         &mut self,
         refusal: RefusalResponse,
@@ -253,6 +259,8 @@
         }
         let status = StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::BAD_GATEWAY);
         let body = format!("{{\"error\":\"{}\"}}", refusal.code);
-        self.send_full(status, headers, body.into()).await
+        let sending = self.send_full(status, headers, body.into());
+        let sent = timeout(REFUSAL_WRITE_TIMEOUT, sending).await;
+        sent.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut).into()))
     }
 }
--- a/clementinepickd/src/gateway_settings.rs
+++ b/clementinepickd/src/gateway_settings.rs
@@ -38,9 +38,12 @@
     pub seeds: Vec<SocketAddr>,
     /// The layout and limits of the ledger.
     pub ledger: LedgerSettings,
-    /// The maximum number of bytes of request bodies in memory; requests beyond it are refused
-    /// without reading their bodies. Callers choose the size of nothing else in memory.
+    /// The maximum number of bytes that callers' connections hold: heads, bodies and input behind running
+    /// requests. Beyond it, requests that arrive slowly give way to others.
     pub body_limit_bytes: usize,
+    /// The maximum number of callers' connections. Beyond it, those with requests that arrive slowly,
+    /// and idle ones, give way to new ones.
+    pub connection_limit: usize,
     /// The maximum number of bytes of responses in memory; beyond it, the longest ones fail.
     pub response_limit_bytes: usize,
     /// How long callers are still accepted after the stop signal, so that the balancer can see that
@@ -66,6 +69,7 @@
             seeds: Vec::new(),
             ledger: LedgerSettings::default(),
             body_limit_bytes: 16_777_216,
+            connection_limit: 1_500,
             response_limit_bytes: 16_777_216,
             drain_delay: Duration::from_millis(2_500),
             shutdown_limit: Duration::from_millis(7_400),
@@ -94,6 +98,7 @@
     source.read_into("process", "log_every", &mut settings.log_every)?;
     source.read_into("store", "partitions", &mut settings.ledger.partitions)?;
     settings.body_limit_bytes = read_bytes(source, "limits", "bodies", settings.body_limit_bytes)?;
+    source.read_into("limits", "connections", &mut settings.connection_limit)?;
     settings.response_limit_bytes =
         read_bytes(source, "limits", "responses", settings.response_limit_bytes)?;
     settings.ledger.record_bytes =
@@ -106,6 +111,9 @@
     if settings.drain_delay >= settings.shutdown_limit {
         return Err(source.key_error("shutdown", "notice", "must be shorter than `limit`"));
     }
+    if settings.connection_limit == 0 {
+        return Err(source.key_error("limits", "connections", "must be at least 1"));
+    }
     if settings.ledger.partitions == 0 {
         return Err(source.key_error("store", "partitions", "must be at least 1"));
     }
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -22,9 +22,10 @@
 use clementinepick::traffic_config::{CallerLimits, TrafficService};
 use clementinepick::units::{Percent, SpanUs, TimeUs};
 use slog::Logger;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::connection_limits::ListenerConnections;
 use crate::directory::Directory;
 use crate::gateway_ended::Ended;
 use crate::gateway_loss::{LossSender, OpenLoss};
@@ -45,6 +46,7 @@
 use crate::monotonic_clock::MonotonicClock;
 use crate::outbound_pool::ConnectionPool;
 use crate::response_memory::ResponseMemory;
+use crate::signal::Signal;
 use crate::store::StoreClient;
 
 /// The maximum age of the configuration and the server list of a ready process. With older ones, it
@@ -83,9 +85,8 @@
     pub(crate) versions: VersionRecords,
     pub(crate) metrics: Arc<GatewayMetrics>,
     pub(crate) retries: RefCell<BTreeMap<String, RetryBudget>>,
-    /// The bytes of request bodies in memory.
-    reserved_body_bytes: Cell<usize>,
-    body_limit_bytes: usize,
+    /// What the connections to this process hold, by listener.
+    pub(crate) connections: ListenerConnections,
     /// The memory of responses that are received or sent.
     pub(crate) response_memory: ResponseMemory,
     directory: watch::Receiver<Directory>,
@@ -104,26 +105,6 @@
     stopping: Signal,
 }
 
-/// A condition that becomes true once and for which tasks can wait.
-#[derive(Default)]
-struct Signal {
-    is_set: Cell<bool>,
-    changed: Notify,
-}
-
-impl Signal {
-    fn set(&self) {
-        self.is_set.set(true);
-        self.changed.notify_waiters();
-    }
-
-    async fn wait(&self) {
-        while !self.is_set.get() {
-            self.changed.notified().await;
-        }
-    }
-}
-
 /// Counts a request as running, or a connection as open, until dropped.
 pub(crate) struct CountGuard<'a>(&'a Cell<usize>);
 
@@ -138,18 +119,6 @@
     CountGuard(counter)
 }
 
-/// Counts the bytes of a request's body as in memory until dropped.
-pub(crate) struct BodyReservation<'a> {
-    reserved: &'a Cell<usize>,
-    bytes: usize,
-}
-
-impl Drop for BodyReservation<'_> {
-    fn drop(&mut self) {
-        self.reserved.set(self.reserved.get() - self.bytes);
-    }
-}
-
 /// The queues that background tasks process.
 pub(crate) struct BackgroundQueues {
     /// Tokens to return to the peers that lent them.
@@ -209,8 +178,7 @@
             versions: VersionRecords::default(),
             metrics,
             retries: RefCell::default(),
-            reserved_body_bytes: Cell::new(0),
-            body_limit_bytes: settings.body_limit_bytes,
+            connections: ListenerConnections::new(settings, Instant::now()),
             response_memory: ResponseMemory::new(settings.response_limit_bytes),
             directory,
             list_refresh,
@@ -443,19 +411,6 @@
         may_retry
     }
 
-    /// Reserves memory for a request's body until dropped; `None` if the limit would be exceeded.
-    pub(crate) fn reserve_body(&self, bytes: usize) -> Option<BodyReservation<'_>> {
-        let reserved = self.reserved_body_bytes.get() + bytes;
-        if reserved > self.body_limit_bytes {
-            return None;
-        }
-        self.reserved_body_bytes.set(reserved);
-        Some(BodyReservation {
-            reserved: &self.reserved_body_bytes,
-            bytes,
-        })
-    }
-
     pub(crate) fn start_request(&self) -> CountGuard<'_> {
         increment(&self.request_count)
     }
@@ -471,7 +426,7 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.is_set.get()
+        self.stopping.is_set()
     }
 
     pub(crate) fn log(&self, event: &Event) {
--- a/clementinepickd/tests/gateway_settings.rs
+++ b/clementinepickd/tests/gateway_settings.rs
@@ -31,6 +31,7 @@
 cache = 4 MB
 
 [limits]
+connections = 900
 bodies = 8 MB
 responses = 12 MB
 
@@ -56,6 +57,7 @@
     assert_eq!(settings.ledger.record_bytes, 262_144);
     assert_eq!(settings.body_limit_bytes, 8_000_000);
     assert_eq!(settings.response_limit_bytes, 12_000_000);
+    assert_eq!(settings.connection_limit, 900);
     assert_eq!(settings.log_every, 8);
     assert_eq!(settings.drain_delay.as_millis(), 2_000);
 }
@@ -84,6 +86,10 @@
             ("notice = 2 s", "notice = 9 s"),
             "g.ini: [shutdown] notice: must be shorter than `limit`",
         ),
+        (
+            ("connections = 900", "connections = 0"),
+            "g.ini: [limits] connections: must be at least 1",
+        ),
         (
             ("cache = 4 MB", "cash = 4 MB"),
             "g.ini: [store] cash: unknown key; the section has address, cache, call, partitions, \
