Let peers relay appends that are larger than the bodies of callers

A peer that can't reach the store got 413 for a relayed append of up to 2 MB where the configuration limits the bodies of callers to 1 MB: the limits of callers held for all listeners. Peers may send what the store takes in one append.

peers_may_send_more_than_callers failed before (the append is refused) and passes.

--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -111,6 +111,11 @@
         !lends_tokens(request.head.uri().path())
     }
 
+    /// Peers relay appends to the store, which may be larger than the bodies of callers.
+    fn min_body_limit_bytes(&self) -> usize {
+        self.shared.ledger.settings.call_bytes
+    }
+
     fn handle<'a>(
         &'a self,
         request: &'a ReceivedRequest<'_>,
