Refuse requests on connections beyond the limit, and let unread responses give way

Up to 64 connections beyond the limit are kept now for as long as it takes to refuse a request with 503 and Retry-After. A response that its caller does not take for 250 ms gives way to others, and connections that are not late give way to newer ones, so that a burst keeps nobody out.

--- a/clementinepick/src/connection_account.rs
+++ b/clementinepick/src/connection_account.rs
@@ -2,8 +2,9 @@
 //! is reached.
 //!
 //! Memory is claimed before it is taken. At a limit, the connection gives way that has kept the most for
-//! the longest without completing its request. A request that arrives at a usual rate is not late, and
-//! one that is complete never gives way: without any late one, the claim itself is refused.
+//! the longest without completing its request, or without taking its response. A request that arrives at
+//! a usual rate is not late, and one that runs never gives way: without any late one, the claim itself is
+//! refused.
 //!
 //! ```
 //! use clementinepick::connection_account::{AccountLimits, Claim, ConnectionAccount, ConnectionState};
@@ -11,12 +12,12 @@
 //!
 //! let limits = AccountLimits { memory: Bytes(100_000), connections: 10 };
 //! let mut account = ConnectionAccount::new(limits);
-//! let slow = account.open(TimeUs(0)).id.expect("few connections");
+//! let slow = account.open(TimeUs(0)).id;
 //! account.set_state(slow, ConnectionState::receiving(TimeUs(0), Bytes(0)));
 //! assert_eq!(account.grow(TimeUs(0), slow, Bytes(60_000)), Claim::Granted);
 //!
 //! let now = TimeUs(5_000_000);
-//! let other = account.open(now).id.expect("few connections");
+//! let other = account.open(now).id;
 //! assert_eq!(account.grow(now, other, Bytes(50_000)), Claim::GivesWay(slow));
 //! account.close(slow);
 //! assert_eq!(account.grow(now, other, Bytes(50_000)), Claim::Granted);
@@ -31,6 +32,8 @@
 const GRACE: SpanUs = SpanUs::from_ms(250);
 /// The rate at which a request that is not late arrives, in bytes a second.
 const USUAL_BYTES_PER_S: u64 = 1_048_576;
+/// How many connections beyond the limit are kept open for as long as it takes to refuse a request.
+const MAX_EXCESS: usize = 64;
 /// What a connection may hold beside large ones that use up their part of the memory.
 const SMALL_BYTES: u64 = 65_536;
 /// The part of the memory that only small connections may use is one in this many.
@@ -70,6 +73,11 @@
     },
     /// A complete request runs.
     Running,
+    /// The caller does not take the response to a request.
+    Unread {
+        /// Since when.
+        since: TimeUs,
+    },
     /// It was refused, and is open only until its caller has read that.
     Closing,
 }
@@ -81,10 +89,10 @@
         Self::Receiving { since, received }
     }
 
-    /// Returns for how long the request has been late; `None` if it is not, or is complete.
+    /// Returns for how long the caller has been late; `None` if it is not, or its request runs.
     fn late_for(self, now: TimeUs) -> Option<SpanUs> {
         let (since, received) = match self {
-            Self::Idle { since } => (since, Bytes(0)),
+            Self::Idle { since } | Self::Unread { since } => (since, Bytes(0)),
             Self::Receiving { since, received } => (since, received),
             Self::Running | Self::Closing => return None,
         };
@@ -94,14 +102,19 @@
         (late_us > 0).then_some(SpanUs(late_us))
     }
 
-    /// Returns the order in which connections give way to new ones, last first; `None` if this one does
-    /// not.
+    /// Returns the order in which connections give way to new ones, the highest first; `None` if this one
+    /// does not.
+    ///
+    /// A connection that is not late gives way as well: a caller that sends its request at once is served
+    /// before others have come, however many connect.
     fn slot_rank(self, now: TimeUs) -> Option<(u8, SpanUs)> {
+        let is_late = self.late_for(now).is_some();
         match self {
-            Self::Closing => Some((2, SpanUs(0))),
-            Self::Receiving { .. } => self.late_for(now).map(|late| (1, late)),
-            Self::Idle { .. } => self.late_for(now).map(|late| (0, late)),
-            Self::Running => None,
+            Self::Closing => Some((4, SpanUs(0))),
+            Self::Unread { since } if is_late => Some((3, now.since(since))),
+            Self::Receiving { since, .. } => Some((if is_late { 3 } else { 1 }, now.since(since))),
+            Self::Idle { since } => Some((if is_late { 2 } else { 0 }, now.since(since))),
+            Self::Running | Self::Unread { .. } => None,
         }
     }
 }
@@ -122,8 +135,10 @@
 /// The outcome of opening a connection.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Opened {
-    /// The connection; `None` if there are too many and none of them is late.
-    pub id: Option<ConnectionId>,
+    /// The connection.
+    pub id: ConnectionId,
+    /// Whether requests run on all connections that there may be, so that those of this one are refused.
+    pub is_excess: bool,
     /// The connections that give way now.
     pub give_way: Vec<ConnectionId>,
 }
@@ -131,6 +146,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Connection {
     state: ConnectionState,
+    is_excess: bool,
     held: Bytes,
     /// What is held of input behind a running request, a part of `held`.
     read_ahead: Bytes,
@@ -186,36 +202,64 @@
     /// Adds an idle connection, for which others may have to give way.
     pub fn open(&mut self, now: TimeUs) -> Opened {
         let mut give_way = Vec::new();
-        while self.connections.len() - self.leaving_count >= self.limits.connections {
-            let Some(id) = self.make_room(now) else {
-                return Opened { id: None, give_way };
-            };
-            give_way.push(id);
+        let mut is_excess = false;
+        while self.is_full(is_excess) {
+            match self.first_to_give_way(now, Some(is_excess)) {
+                Some(id) => {
+                    self.give_way(id);
+                    give_way.push(id);
+                }
+                None if is_excess => break,
+                None => is_excess = true,
+            }
         }
         let id = ConnectionId(self.next_id);
         self.next_id += 1;
         let connection = Connection {
             state: ConnectionState::Idle { since: now },
+            is_excess,
             held: Bytes(0),
             read_ahead: Bytes(0),
             gives_way: false,
         };
         self.connections.insert(id, connection);
         Opened {
-            id: Some(id),
+            id,
+            is_excess,
             give_way,
         }
     }
 
-    /// Makes one connection give way to another, if one is closing or late.
+    /// Makes one connection give way to another, if there is one whose request does not run.
     pub fn make_room(&mut self, now: TimeUs) -> Option<ConnectionId> {
-        let ranked = self.staying().filter_map(|(id, connection)| {
+        let id = self.first_to_give_way(now, None)?;
+        self.give_way(id);
+        Some(id)
+    }
+
+    /// Returns whether there are as many connections as there may be, within the limit or beyond it.
+    fn is_full(&self, is_excess: bool) -> bool {
+        if self.connections.len() < self.limits.connections {
+            return false;
+        }
+        let same = self.staying().filter(|(_, c)| c.is_excess == is_excess);
+        let limit = if is_excess {
+            MAX_EXCESS
+        } else {
+            self.limits.connections
+        };
+        same.count() >= limit
+    }
+
+    fn first_to_give_way(&self, now: TimeUs, is_excess: Option<bool>) -> Option<ConnectionId> {
+        let eligible = self
+            .staying()
+            .filter(|(_, c)| is_excess.is_none_or(|is_excess| c.is_excess == is_excess));
+        let ranked = eligible.filter_map(|(id, connection)| {
             let rank = connection.state.slot_rank(now)?;
             Some((rank, *id))
         });
-        let (_, id) = ranked.max()?;
-        self.give_way(id);
-        Some(id)
+        ranked.max().map(|(_, id)| id)
     }
 
     /// Removes a connection and releases what it holds.
@@ -319,13 +363,17 @@
     /// Returns whether a request of `bytes` could be received now, if late ones give way.
     #[must_use]
     pub fn has_room(&self, now: TimeUs, bytes: Bytes) -> bool {
+        let limit = self.limit_for(bytes.0);
+        if self.used.0.saturating_add(bytes.0) <= limit {
+            return true;
+        }
         let late = self.staying().filter(|(_, connection)| {
             let late_for = connection.state.late_for(now);
             late_for.is_some()
         });
         let late_bytes: u64 = late.map(|(_, connection)| connection.held.0).sum();
         let staying = self.used.0 - self.leaving.0 - late_bytes;
-        staying.saturating_add(bytes.0) <= self.limit_for(bytes.0)
+        staying.saturating_add(bytes.0) <= limit
     }
 
     /// Returns the limit of all memory for a connection that holds `held` of it.
--- a/clementinepickd/src/connections.rs
+++ b/clementinepickd/src/connections.rs
@@ -16,8 +16,8 @@
 use crate::monotonic_clock::MonotonicClock;
 use crate::signal::Signal;
 
-/// How many connections that give way may still be open beside those within the limit.
-const MAX_LEAVING: usize = 64;
+/// How many connections that give way, or are refused, may still be open beside those within the limit.
+const MAX_LEAVING: usize = 128;
 /// The shortest interval between two log lines about connections that give way.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -50,7 +50,7 @@
 pub(crate) struct Connections {
     account: RefCell<ConnectionAccount>,
     clock: MonotonicClock,
-    /// Notified when memory or a connection is released.
+    /// Notified when a connection that gives way releases memory, and when one is closed.
     released: Notify,
     signals: RefCell<BTreeMap<ConnectionId, Rc<Signal>>>,
     gave_way: Cell<GaveWay>,
@@ -86,26 +86,27 @@
         self.gave_way.get()
     }
 
-    /// Adds a connection; `None` if there are too many and none gives way.
-    pub(crate) fn open(self: &Rc<Self>, now: Instant) -> Option<OpenConnection> {
+    /// Adds a connection.
+    pub(crate) fn open(self: &Rc<Self>, now: Instant) -> OpenConnection {
         let opened = self.account.borrow_mut().open(self.at(now));
         for id in opened.give_way {
             self.tell(id, LimitKind::Connections);
         }
-        let Some(id) = opened.id else {
+        if opened.is_excess {
             self.count_refused();
-            return None;
-        };
+        }
+        let id = opened.id;
         let gives_way = Rc::new(Signal::default());
         self.signals.borrow_mut().insert(id, Rc::clone(&gives_way));
-        Some(OpenConnection {
+        OpenConnection {
             connections: Rc::clone(self),
             id,
+            is_excess: opened.is_excess,
             gives_way,
-        })
+        }
     }
 
-    /// Makes a connection give way, if one is closing or late, since the process has no descriptors left.
+    /// Makes a connection without a complete request give way, since no descriptors are left.
     pub(crate) fn make_room(&self, now: Instant) {
         let id = self.account.borrow_mut().make_room(self.at(now));
         if let Some(id) = id {
@@ -178,6 +179,8 @@
 pub(crate) struct OpenConnection {
     connections: Rc<Connections>,
     id: ConnectionId,
+    /// Whether its requests are refused, since requests run on all connections that there may be.
+    pub(crate) is_excess: bool,
     gives_way: Rc<Signal>,
 }
 
@@ -212,6 +215,12 @@
         self.set_over(ConnectionState::Running);
     }
 
+    /// Says that the caller does not take a response.
+    pub(crate) fn set_unread(&self, now: Instant) {
+        let since = self.connections.at(now);
+        self.set_state(ConnectionState::Unread { since });
+    }
+
     /// Says that the connection is open only until its caller has read its last response.
     pub(crate) fn set_closing(&self) {
         self.set_over(ConnectionState::Closing);
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -386,11 +386,9 @@
         let now = Instant::now();
         match accepted {
             Ok((stream, _)) => {
-                // A connection that finds no place is closed before any request of it was read.
-                if let Some(connection) = self.connections.open(now) {
-                    let (shared, handler) = (Rc::clone(&self.shared), Rc::clone(&self.handler));
-                    tasks.spawn_local(serve(shared, handler, stream, connection));
-                }
+                let connection = self.connections.open(now);
+                let (shared, handler) = (Rc::clone(&self.shared), Rc::clone(&self.handler));
+                tasks.spawn_local(serve(shared, handler, stream, connection));
                 self.connections.wait_for_leaving().await;
             }
             Err(err) => {
--- a/clementinepickd/src/gateway_connection.rs
+++ b/clementinepickd/src/gateway_connection.rs
@@ -94,7 +94,7 @@
             Err(ReceiveError::Closed) => return,
             Err(ReceiveError::Refused(request)) => {
                 reader.release();
-                refuse_unread(&shared, &request, &mut codec, &mut write).await;
+                refuse_unread(&shared, &request, &mut codec, &mut write, &connection).await;
                 return close(&mut reader, &mut write).await;
             }
         };
@@ -107,7 +107,7 @@
         } else {
             ClosePolicy::Always
         };
-        let mut reply = Reply::new(&mut codec, &mut write, close_policy);
+        let mut reply = Reply::new(&mut codec, &mut write, close_policy, &connection);
         let running_guard = shared.start_request();
         if !handle(&*handler, &request, &mut reply, &mut reader).await {
             return;
@@ -120,13 +120,15 @@
     }
 }
 
-/// Handles a request; returns false if its caller has disconnected before the end.
+/// Handles a request; returns false if its caller has disconnected before the end, or has to give way since
+/// it does not take the response.
 async fn handle(
     handler: &dyn Handler,
     request: &ReceivedRequest<'_>,
     reply: &mut Reply<'_>,
     reader: &mut Reader<'_>,
 ) -> bool {
+    let connection = reader.connection;
     let mut disconnected = pin!(reader.wait_for_disconnect());
     if !handler.starts_despite_disconnect(request)
         && poll_after_input(disconnected.as_mut()).await.is_some()
@@ -138,6 +140,7 @@
         biased;
         () = handler.handle(request, reply) => true,
         () = disconnected => false,
+        () = connection.wait_to_give_way() => false,
     }
 }
 
@@ -147,6 +150,7 @@
     request: &UnreadRequest,
     codec: &mut Codec,
     write: &mut OwnedWriteHalf,
+    connection: &OpenConnection,
 ) {
     let refusal = refusal_by_config(request.refusal, &shared.directory(), Instant::now());
     let response = refusal.response();
@@ -162,7 +166,7 @@
         .with("status", response.status)
         .with("took_ms", took.as_millis());
     shared.log(&event);
-    let mut reply = Reply::new(codec, write, ClosePolicy::Always);
+    let mut reply = Reply::new(codec, write, ClosePolicy::Always, connection);
     // A failure to write means that the caller has disconnected.
     let _ = reply.send_refusal(response, id).await;
 }
--- a/clementinepickd/src/gateway_receive.rs
+++ b/clementinepickd/src/gateway_receive.rs
@@ -142,6 +142,10 @@
     let limit = || limits.get().head_us;
     let head = in_time(connection, state, limit, wait_for_stop(shared), head).await;
     let (head, head_claim) = head.map_err(|error| to_error(error, None))?;
+    if connection.is_excess {
+        let error = ReadError::Refused(Refusal::Overloaded, Some(head));
+        return Err(to_error(error, None));
+    }
     let body = receive_body(reader, codec, write, &head, &limits);
     let refusal = wait_for_refusal(shared, handler, &head, arrived);
     let limit = || limits.get().idle_us;
--- a/clementinepickd/src/gateway_reply.rs
+++ b/clementinepickd/src/gateway_reply.rs
@@ -1,7 +1,8 @@
 //! Writes the response to one request to the caller's connection.
 
 use std::io;
-use std::time::Duration;
+use std::pin::pin;
+use std::time::{Duration, Instant};
 
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
@@ -16,8 +17,10 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio_util::codec::Encoder;
 
+use crate::connections::OpenConnection;
 use crate::gateway_reader::InputState;
 use crate::gateway_shared::Shared;
+use crate::input_first::poll_once;
 
 /// The share of the idle limit that is announced to callers.
 const ANNOUNCED_IDLE_PERCENT: u64 = 80;
@@ -97,6 +100,7 @@
     codec: &'a mut Codec,
     write: &'a mut OwnedWriteHalf,
     close_policy: ClosePolicy<'a>,
+    connection: &'a OpenConnection,
     /// Whether the connection is closed after this response.
     pub(crate) closes: bool,
     /// The status that was written; 0 before that.
@@ -110,11 +114,13 @@
         codec: &'a mut Codec,
         write: &'a mut OwnedWriteHalf,
         close_policy: ClosePolicy<'a>,
+        connection: &'a OpenConnection,
     ) -> Self {
         Self {
             codec,
             write,
             close_policy,
+            connection,
             closes: false,
             status: 0,
             state: ReplyState::Open,
@@ -150,10 +156,17 @@
         Ok(self.codec.encode(message, &mut self.buffer)?)
     }
 
-    /// Writes what was queued.
+    /// Writes what was queued. A caller that does not take it may have to give way to others.
     pub(crate) async fn flush(&mut self) -> Result<(), CallerDisconnected> {
         let buffer = self.buffer.split();
-        Ok(self.write.write_all(&buffer).await?)
+        let mut writing = pin!(self.write.write_all(&buffer));
+        if let Some(written) = poll_once(writing.as_mut()).await {
+            return Ok(written?);
+        }
+        self.connection.set_unread(Instant::now());
+        let written = writing.await;
+        self.connection.set_running();
+        Ok(written?)
     }
 
     fn encode_head(
--- a/clementinepickd/src/gateway_settings.rs
+++ b/clementinepickd/src/gateway_settings.rs
@@ -69,7 +69,7 @@
             seeds: Vec::new(),
             ledger: LedgerSettings::default(),
             body_limit_bytes: 16_777_216,
-            connection_limit: 1_500,
+            connection_limit: 1_000,
             response_limit_bytes: 16_777_216,
             drain_delay: Duration::from_millis(2_500),
             shutdown_limit: Duration::from_millis(7_400),
