Soak crowds of callers that do not behave, beside stops, kills and floods

Ten kinds of crowds (bodies that stop short, in small chunks, without end or announced far too large, input behind streams, pipelined lookups, refusals that nobody reads, half heads, idle connections) keep their connections while gateways are stopped, killed and suspended. The memory with the unread bytes of sockets and the open connections of callers are watched.

--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -22,11 +22,14 @@
 use crate::platform_run::{is_ready, wait_until};
 use crate::soak_callers::Callers;
 use crate::soak_faults::{
-    Fault, PlannedFault, plan_extended_faults, plan_faults, plan_release_faults, plan_stop_faults,
+    Fault, PlannedFault, plan_crowd_faults, plan_extended_faults, plan_faults, plan_release_faults,
+    plan_stop_faults,
 };
 use crate::soak_history::{History, RequestKind, RequestRecord, find_violations};
+use crate::soak_plan::SoakPlan;
 use crate::soak_release_checks::DraftCounts;
-use crate::soak_world::{GATEWAYS, SoakPlan, SoakWorld, WorldSettings, find_daemon};
+use crate::soak_watch::watch_gateway;
+use crate::soak_world::{GATEWAYS, SoakWorld, WorldSettings, find_daemon};
 
 const PROGRAM_CALLERS: usize = 8;
 /// The callers of drafts in runs with releases, which have no callers of programs.
@@ -38,8 +41,6 @@
 const IDLE_CALLERS: usize = 4;
 /// The callers of each gateway that send slowly, and those that pipeline, in runs with stops.
 const STOP_CALLERS: usize = 3;
-/// The memory of the smallest VM, in bytes.
-const VM_MEMORY_BYTES: u64 = 88_000_000;
 /// How often a sleep checks for an interrupt.
 const INTERRUPT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long callers go on after the last fault, so that requests in progress can complete.
@@ -49,13 +50,18 @@
 ///
 /// Exits with 1 when a check fails, and prints the seed; the gateways' logs of that run are kept.
 #[derive(Debug, FromArgs)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a switch of the command line"
+)]
 #[argh(
     subcommand,
     name = "soak",
     example = "{command_name} --seeds 0..50",
     example = "{command_name} --seeds 7..8 --seconds 20 --extended",
     example = "{command_name} --seeds 0..5 --seconds 10 --release --gateways 6",
-    example = "{command_name} --seeds 0..50 --seconds 8 --stops"
+    example = "{command_name} --seeds 0..50 --seconds 8 --stops",
+    example = "{command_name} --seeds 0..50 --seconds 8 --crowds"
 )]
 pub struct Soak {
     /// seeds to run, as `A..B` (B not included; default 0..5)
@@ -73,6 +79,9 @@
     /// stop gateways beside callers that pipeline or send slowly, floods and changes
     #[argh(switch)]
     pub stops: bool,
+    /// send crowds of callers that do not behave, beside stops, kills and changes
+    #[argh(switch)]
+    pub crowds: bool,
     /// number of gateways (default 3)
     #[argh(option, default = "GATEWAYS")]
     pub gateways: usize,
@@ -219,13 +228,18 @@
     }
 
     fn plan(&self) -> Result<SoakPlan, Failure> {
-        match (self.extended, self.release, self.stops) {
-            (false, false, false) => Ok(SoakPlan::Basic),
-            (true, false, false) => Ok(SoakPlan::Extended),
-            (false, true, false) => Ok(SoakPlan::Release),
-            (false, false, true) => Ok(SoakPlan::Stops),
-            _ => {
-                let detail = "a run has the extended plan, releases or stops".to_owned();
+        let chosen = [
+            (self.extended, SoakPlan::Extended),
+            (self.release, SoakPlan::Release),
+            (self.stops, SoakPlan::Stops),
+            (self.crowds, SoakPlan::Crowds),
+        ];
+        let mut chosen = chosen.iter().filter(|(is_chosen, _)| *is_chosen);
+        match (chosen.next(), chosen.next()) {
+            (None, _) => Ok(SoakPlan::Basic),
+            (Some((_, plan)), None) => Ok(*plan),
+            (Some(_), Some(_)) => {
+                let detail = "a run has the extended plan, releases, stops or crowds".to_owned();
                 Err(Failure::Check(detail))
             }
         }
@@ -263,6 +277,14 @@
                 };
                 (plan_stop_faults(seed, length), counts)
             }
+            SoakPlan::Crowds => {
+                let counts = CallerCounts {
+                    slow: 1,
+                    pipelining: 1,
+                    ..CallerCounts::default()
+                };
+                (plan_crowd_faults(seed, length), counts)
+            }
             SoakPlan::Release => {
                 let counts = CallerCounts {
                     programs: 0,
@@ -373,9 +395,7 @@
             }
             let record = &record;
             scope.spawn(move || {
-                if let Some(problem) = watch_memory(callers, gateway) {
-                    record(problem);
-                }
+                watch_gateway(callers, gateway).into_iter().for_each(record);
             });
         }
         thread::scope(|faults| {
@@ -456,22 +476,12 @@
         let gateway = usize::try_from(fault.random_value % count).unwrap_or(0);
         callers.flood(gateway, fault.random_value / count);
     }
-    callers.world.inject(fault)
-}
-
-/// Watches the memory of a gateway until the run is over; returns what is wrong with it.
-fn watch_memory(callers: &Callers<'_>, gateway: usize) -> Option<String> {
-    let mut peak_bytes = 0;
-    while !callers.is_finished() {
-        let peak = callers.world.peak_memory_bytes(gateway);
-        peak_bytes = peak_bytes.max(peak.unwrap_or_default());
-        thread::sleep(INTERRUPT_POLL_INTERVAL);
+    if fault.fault == Fault::Crowd {
+        let count = callers.world.gateway_count() as u64;
+        let gateway = usize::try_from(fault.random_value % count).unwrap_or(0);
+        callers.press(gateway, fault.random_value / count, fault.duration);
     }
-    let is_over = peak_bytes > VM_MEMORY_BYTES;
-    is_over.then(|| {
-        let peak_mb = peak_bytes / 1_000_000;
-        format!("gateway {gateway}: {peak_mb} MB of memory, more than its VM has")
-    })
+    callers.world.inject(fault)
 }
 
 /// Waits until each gateway is ready and completes a turn of a new program.
--- a/standins/src/soak_callers.rs
+++ b/standins/src/soak_callers.rs
@@ -14,6 +14,7 @@
 use crate::platform_caller::{CallerRequest, CallerResponse, read_response, read_start};
 use crate::soak_answers::Excuse;
 use crate::soak_history::{BUDGET_TOKENS, History, RequestKind, RequestRecord};
+use crate::soak_plan::SoakPlan;
 use crate::soak_world::{GatewayStatus, SoakWorld};
 
 /// The longest wait before a request is retried.
@@ -91,6 +92,8 @@
     /// The time from its first to its last byte.
     pub(crate) held: Duration,
     pub(crate) excuse: Option<Excuse>,
+    /// Whether its connection had been idle and may be closed for a crowd.
+    pub(crate) may_give_way: bool,
 }
 
 impl Callers<'_> {
@@ -297,6 +300,7 @@
             connection_start: before.start_count,
             held: Duration::ZERO,
             excuse: None,
+            may_give_way: false,
         }
     }
 
@@ -321,6 +325,7 @@
             || before.start_count != attempt.connection_start;
         let is_closing = before.is_ending
             || after.is_ending
+            || attempt.may_give_way
             || attempt.idle > idle_limit.mul_f64(MAX_IDLE_SHARE);
         self.shared.record(RequestRecord {
             id: attempt.id,
@@ -386,6 +391,10 @@
         received
     }
 
+    pub(crate) fn has_crowds(&self) -> bool {
+        self.shared.world.plan == SoakPlan::Crowds
+    }
+
     /// Sends lookups on one connection until it is closed or its closing is announced.
     fn use_connection(&mut self, gateway: usize) {
         let opened = self.shared.world.gateway_status(gateway);
@@ -398,12 +407,14 @@
             let mut attempt = self.start_attempt(gateway, "", RequestKind::Lookup);
             attempt.connection_start = opened.start_count;
             attempt.idle = idle_since.elapsed();
+            attempt.may_give_way = is_open && self.has_crowds();
             let answer = exchange_on(&mut connection, &mut attempt);
             idle_since = Instant::now();
             let can_continue = keeps_connection(&answer);
             // A graceful shutdown must not cut off a request on an open connection unless it has
             // announced to close it.
-            self.finish_attempt(attempt, answer, |_| is_open);
+            let must_respond = is_open && !self.has_crowds();
+            self.finish_attempt(attempt, answer, |_| must_respond);
             if !can_continue {
                 return;
             }
--- a/standins/src/soak_config.rs
+++ b/standins/src/soak_config.rs
@@ -35,6 +35,8 @@
     pub draft_services: usize,
     /// Whether there are routes to servers whose responses never end.
     pub has_floods: bool,
+    /// The largest body that callers may send, in bytes.
+    pub body_limit_bytes: usize,
 }
 
 impl Default for SoakConfig {
@@ -47,6 +49,7 @@
             plain_service: PLAIN_SERVICE,
             draft_services: 0,
             has_floods: false,
+            body_limit_bytes: 100_000,
         }
     }
 }
@@ -98,6 +101,7 @@
             plain_service,
             draft_services,
             has_floods,
+            body_limit_bytes,
         } = self;
         let route = |path: &str, more: &str| {
             format!(r#"{{"Name":"{path}","Host":"{HOST}","PathPrefix":"/{path}/",{more}}}"#)
@@ -153,7 +157,7 @@
             .collect();
         let routes = routes.join(",");
         format!(
-            r#"{{"Version":{version},"Routes":[{routes}],"Services":[{engines},{{"Name":"{plain_service}","HealthPath":"/healthz","MaxConns":50}}],"Limits":{{"MaxHeaderBytes":4096,"MaxBodyBytes":100000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":{idle_limit_ms}}}}}"#
+            r#"{{"Version":{version},"Routes":[{routes}],"Services":[{engines},{{"Name":"{plain_service}","HealthPath":"/healthz","MaxConns":50}}],"Limits":{{"MaxHeaderBytes":4096,"MaxBodyBytes":{body_limit_bytes},"HeaderTimeoutMs":1000,"IdleTimeoutMs":{idle_limit_ms}}}}}"#
         )
     }
 }
--- a/standins/src/soak_faults.rs
+++ b/standins/src/soak_faults.rs
@@ -50,6 +50,8 @@
     Hangup,
     /// Many requests at once reach a gateway that servers answer without end.
     Flood,
+    /// Many callers that do not behave hold their connections to a gateway.
+    Crowd,
     /// The next software version of a service of drafts is released.
     Release,
     /// A gateway's process is suspended, and the list of servers changes soon after.
@@ -126,6 +128,23 @@
     Fault::ServersPause,
     Fault::StoreSlow,
 ];
+/// The kinds of the plan with crowds; a kind is as frequent as it is listed.
+const CROWD_FAULT_KINDS: [Fault; 12] = [
+    Fault::Crowd,
+    Fault::Crowd,
+    Fault::Crowd,
+    Fault::Crowd,
+    Fault::Crowd,
+    Fault::Terminate,
+    Fault::Kill,
+    Fault::Suspend,
+    Fault::Flood,
+    Fault::ConfigSeries,
+    Fault::ServersPause,
+    Fault::StoreSlow,
+];
+/// The random numbers of the plan with crowds.
+const CROWD_STREAM: u64 = 4;
 /// The random numbers of the plan with stops.
 const STOP_STREAM: u64 = 3;
 /// The random numbers of the plan with releases.
@@ -200,6 +219,15 @@
     draw_faults(&mut random, &STOP_FAULT_KINDS, length)
 }
 
+/// Returns the faults for `seed` in a run of `length` with crowds of callers that do not behave, beside
+/// stops, kills and changes.
+#[must_use]
+pub fn plan_crowd_faults(seed: u64, length: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(CROWD_STREAM);
+    draw_faults(&mut random, &CROWD_FAULT_KINDS, length)
+}
+
 /// Returns the faults for `seed` in a run of `length` with releases: each begins while a gateway is
 /// out of step. Each service is released once before any is released again.
 #[must_use]
--- a/standins/src/soak_process.rs
+++ b/standins/src/soak_process.rs
@@ -294,12 +294,25 @@
     ///
     /// Returns an error if the system does not tell.
     pub fn unread_bytes(&self) -> io::Result<u64> {
+        let sockets = self.caller_sockets()?;
+        Ok(sockets.iter().map(|socket| socket.unread_bytes).sum())
+    }
+
+    /// Returns how many connections of callers the process has open.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the system does not tell.
+    pub fn caller_connections(&self) -> io::Result<usize> {
+        let sockets = self.caller_sockets()?;
+        Ok(sockets.iter().filter(|socket| socket.is_open).count())
+    }
+
+    fn caller_sockets(&self) -> io::Result<Vec<CallerSocket>> {
         let port = format!(":{:04X}", self.ports.callers.port());
         let table = fs::read_to_string("/proc/net/tcp")?;
-        Ok(table
-            .lines()
-            .filter_map(|line| unread_of(line, &port))
-            .sum())
+        let sockets = table.lines().filter_map(|line| parse_socket(line, &port));
+        Ok(sockets.collect())
     }
 
     /// Returns a size in the status of the process, in bytes.
@@ -320,16 +333,25 @@
     }
 }
 
-/// Returns the unread bytes of a connection at a local port, from a line of the system's table; the
-/// queue of a listener counts connections, not bytes.
-fn unread_of(line: &str, port: &str) -> Option<u64> {
+/// A connection to the callers' address of a process.
+struct CallerSocket {
+    unread_bytes: u64,
+    /// Whether the process has it open; the system also has those that are not accepted yet or are closed.
+    is_open: bool,
+}
+
+/// Reads a line of the system's table of sockets; `None` if it is not a connection at this local port.
+fn parse_socket(line: &str, port: &str) -> Option<CallerSocket> {
     const LISTENING: &str = "0A";
-    let mut fields = line.split_whitespace().skip(1);
-    let is_local = fields.next()?.ends_with(port);
-    let state = fields.nth(1)?;
-    let (_, unread) = fields.next()?.split_once(':')?;
-    let unread = u64::from_str_radix(unread, 16).ok()?;
-    (is_local && state != LISTENING).then_some(unread)
+    const NO_INODE: &str = "0";
+    let fields: Vec<&str> = line.split_whitespace().collect();
+    let (address, state) = (fields.get(1)?, fields.get(3)?);
+    let (_, unread) = fields.get(4)?.split_once(':')?;
+    let socket = CallerSocket {
+        unread_bytes: u64::from_str_radix(unread, 16).ok()?,
+        is_open: *fields.get(9)? != NO_INODE,
+    };
+    (address.ends_with(port) && *state != LISTENING).then_some(socket)
 }
 
 /// Waits until a terminated process exits; kills it and returns `None` if it takes too long.
--- a/standins/src/soak_servers.rs
+++ b/standins/src/soak_servers.rs
@@ -12,8 +12,8 @@
 use crate::soak_answers::CutLink;
 use crate::soak_config::{FLOOD_SERVICE, OTHER_MODEL_SERVICE, OTHER_PLAIN_SERVICE};
 use crate::soak_history::{EVENTS_PER_STREAM, ExecutedRequest};
+use crate::soak_plan::SoakPlan;
 use crate::soak_proxy::{Proxy, ProxyMode};
-use crate::soak_world::SoakPlan;
 
 /// The number of backend servers in a run, by service.
 const SERVERS: [(&str, usize); 2] = [(MODEL_SERVICE, 3), (PLAIN_SERVICE, 2)];
@@ -77,7 +77,10 @@
     ///
     /// Returns an error if a port or thread can't be obtained.
     pub fn start(store: &PlatformStore, started_at: Instant, plan: SoakPlan) -> io::Result<Self> {
-        let has_other_services = matches!(plan, SoakPlan::Extended | SoakPlan::Stops);
+        let has_other_services = matches!(
+            plan,
+            SoakPlan::Extended | SoakPlan::Stops | SoakPlan::Crowds
+        );
         let extended = has_other_services.then_some(EXTENDED_SERVERS);
         let mut servers = Vec::new();
         for (service, count) in SERVERS.into_iter().chain(extended.into_iter().flatten()) {
@@ -86,7 +89,7 @@
             }
         }
         let mut floods = Vec::new();
-        if plan == SoakPlan::Stops {
+        if matches!(plan, SoakPlan::Stops | SoakPlan::Crowds) {
             for server in &servers {
                 let pause = if server.runs_turns() {
                     SLOW_EVENT_PAUSE
--- /dev/null
+++ b/standins/src/soak_watch.rs
@@ -0,0 +1,40 @@
+//! Watches what the processes of a soak hold: memory, unread bytes and connections of callers.
+
+use std::thread;
+use std::time::Duration;
+
+use crate::soak_callers::Callers;
+use crate::soak_crowds::CROWD_CONNECTION_LIMIT;
+use crate::soak_plan::SoakPlan;
+
+/// The memory of the smallest VM, in bytes.
+const VM_MEMORY_BYTES: u64 = 88_000_000;
+/// The connections beyond the limit that are open until their callers have read a refusal.
+const MAX_LEAVING: usize = 128;
+const WATCH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Watches a gateway until the run is over; returns what is wrong with it.
+pub(crate) fn watch_gateway(callers: &Callers<'_>, gateway: usize) -> Vec<String> {
+    let (mut held_bytes, mut connections) = (0, 0);
+    while !callers.is_finished() {
+        let held = callers.world.held_bytes(gateway);
+        held_bytes = held_bytes.max(held.unwrap_or_default());
+        let open = callers.world.caller_connections(gateway);
+        connections = connections.max(open.unwrap_or_default());
+        thread::sleep(WATCH_INTERVAL);
+    }
+    let mut found = Vec::new();
+    if held_bytes > VM_MEMORY_BYTES {
+        let held_mb = held_bytes / 1_000_000;
+        found.push(format!(
+            "gateway {gateway}: {held_mb} MB of memory, more than its VM has"
+        ));
+    }
+    let has_limit = callers.world.plan == SoakPlan::Crowds;
+    if has_limit && connections > CROWD_CONNECTION_LIMIT + MAX_LEAVING {
+        found.push(format!(
+            "gateway {gateway}: {connections} connections of callers, more than its limits allow"
+        ));
+    }
+    found
+}
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -14,18 +14,14 @@
 use crate::platform_store::{AppendFault, PlatformStore, StoreEndpoint, StoreMode};
 use crate::soak_config::SoakConfig;
 use crate::soak_faults::{Fault, PlannedFault};
-use crate::soak_process::{GatewayProcess, ProcessPorts, ProcessSettings, wait_for_exit};
+use crate::soak_plan::{DRAFT_TIMEOUT_MS, SoakPlan};
+use crate::soak_process::{GatewayProcess, ProcessPorts, wait_for_exit};
 use crate::soak_release_checks::ReleaseTimes;
-use crate::soak_release_servers::{DRAFT_SERVICES, ReleaseServers};
+use crate::soak_release_servers::ReleaseServers;
 use crate::soak_servers::SoakServers;
 
 /// The number of gateways in a run, unless its settings say otherwise.
 pub const GATEWAYS: usize = 3;
-/// The timeout of the routes of drafts in runs with releases: a sole version must have been listed for
-/// twice as long.
-const DRAFT_TIMEOUT_MS: u64 = 1_000;
-/// The timeouts of routes in runs with stops, longer than a stop takes.
-const LONG_TIMEOUT_MS: u64 = 6_000;
 /// The time from the moment all gateways are ready until sole versions have been listed for long enough.
 const SETTLING_TIME: Duration = Duration::from_millis(2 * DRAFT_TIMEOUT_MS + 300);
 /// The time from the suspension of a gateway to the change of the list for which it has a poll open.
@@ -39,20 +35,6 @@
 /// The bits of a fault's random value that select one change of the configuration.
 const BITS_PER_CHANGE: u32 = 8;
 
-/// The faults that a run has, and what they need.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum SoakPlan {
-    /// Faults of gateways, of the store and of servers.
-    #[default]
-    Basic,
-    /// Also pauses of servers and series of configurations.
-    Extended,
-    /// Releases of services of drafts beside gateways that are out of step.
-    Release,
-    /// Planned stops of gateways before slow servers, floods, and changes of configurations.
-    Stops,
-}
-
 /// What a run starts.
 #[derive(Debug, Clone, Copy)]
 pub struct WorldSettings {
@@ -113,6 +95,8 @@
 /// The gateways, the store and the backend servers of a soak.
 #[derive(Debug)]
 pub struct SoakWorld {
+    /// The plan of the run.
+    pub plan: SoakPlan,
     store: PlatformStore,
     doors: Vec<StoreEndpoint>,
     /// The backend servers and the links to them.
@@ -137,20 +121,7 @@
         let WorldSettings { gateways, plan } = settings;
         fs::create_dir_all(directory)?;
         let store = PlatformStore::default();
-        let config = match plan {
-            SoakPlan::Basic | SoakPlan::Extended => SoakConfig::default(),
-            SoakPlan::Stops => SoakConfig {
-                stream_timeout_ms: LONG_TIMEOUT_MS,
-                plain_timeout_ms: LONG_TIMEOUT_MS,
-                has_floods: true,
-                ..SoakConfig::default()
-            },
-            SoakPlan::Release => SoakConfig {
-                stream_timeout_ms: DRAFT_TIMEOUT_MS,
-                draft_services: DRAFT_SERVICES,
-                ..SoakConfig::default()
-            },
-        };
+        let config = plan.config();
         store.put("keyed.op", "config", &config.text(1));
         let started_at = Instant::now();
         let servers = SoakServers::start(&store, started_at, plan)?;
@@ -169,7 +140,7 @@
                 number,
                 *ports,
                 (door.address, &seeds),
-                &ProcessSettings::default(),
+                &plan.process_settings(),
             )?;
             processes.push(Mutex::new(Gateway {
                 process,
@@ -180,6 +151,7 @@
             }));
         }
         Ok(Self {
+            plan,
             store,
             doors,
             servers,
@@ -233,12 +205,23 @@
         }
     }
 
-    /// Returns the most memory that the current process of a gateway has had resident, in bytes; `None` if
-    /// it has ended.
+    /// Returns the most memory that the current process of a gateway has had resident, or that it holds now
+    /// with its unread bytes, in bytes; `None` if it has ended.
+    #[must_use]
+    pub fn held_bytes(&self, number: usize) -> Option<u64> {
+        let gateway = lock(&self.gateways[number]);
+        let process = &gateway.process;
+        let peak = process.peak_memory_bytes().ok()?;
+        let held = process.memory_bytes().ok()? + process.unread_bytes().ok()?;
+        Some(peak.max(held))
+    }
+
+    /// Returns how many connections of callers the current process of a gateway has open; `None` if the
+    /// system does not tell.
     #[must_use]
-    pub fn peak_memory_bytes(&self, number: usize) -> Option<u64> {
+    pub fn caller_connections(&self, number: usize) -> Option<usize> {
         let gateway = lock(&self.gateways[number]);
-        gateway.process.peak_memory_bytes().ok()
+        gateway.process.caller_connections().ok()
     }
 
     /// Returns the readiness address of a gateway.
@@ -411,7 +394,7 @@
                 Ok(())
             }
             // The callers handle these faults.
-            Fault::CallersDisconnect | Fault::Flood => Ok(()),
+            Fault::CallersDisconnect | Fault::Flood | Fault::Crowd => Ok(()),
         }
     }
 
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -6,7 +6,8 @@
 use standins::soak::Soak;
 use standins::soak_answers::{CutLink, Excuse};
 use standins::soak_faults::{
-    Fault, PlannedFault, plan_extended_faults, plan_faults, plan_release_faults, plan_stop_faults,
+    Fault, PlannedFault, plan_crowd_faults, plan_extended_faults, plan_faults, plan_release_faults,
+    plan_stop_faults,
 };
 use standins::soak_history::{
     ExecutedRequest, History, RequestKind, RequestRecord, find_violations,
@@ -363,6 +364,16 @@
 }
 
 /// An attempt that fails before it reaches a server of the right version joins nothing.
+#[test]
+fn the_plan_with_crowds_has_crowds_beside_stops_and_kills() {
+    let planned = plan_crowd_faults(1, Duration::from_mins(1));
+    let count = |kind: Fault| planned.iter().filter(|fault| fault.fault == kind).count();
+    assert!(count(Fault::Crowd) > planned.len() / 4);
+    for kind in [Fault::Terminate, Fault::Kill, Fault::Suspend, Fault::Flood] {
+        assert!(count(kind) > 0, "{kind:?}");
+    }
+}
+
 #[test]
 fn a_run_that_a_gateway_gives_up_for_another_one_is_no_violation() {
     let mut history = valid_history();
@@ -484,6 +495,7 @@
         extended: false,
         release: false,
         stops: false,
+        crowds: false,
         gateways: 3,
         daemon: None,
         directory: None,
@@ -502,6 +514,7 @@
             extended: true,
             release: false,
             stops: false,
+            crowds: false,
             gateways: 3,
             daemon: None,
             directory: None,
@@ -535,6 +548,7 @@
         extended: false,
         release: false,
         stops: true,
+        crowds: false,
         gateways: 3,
         daemon: None,
         directory: None,
@@ -547,6 +561,28 @@
     assert!(end.served_count > 100, "{} served", end.served_count);
 }
 
+/// Guards against crowds of callers that end a process, take its descriptors or keep others from being
+/// served.
+#[test]
+fn crowds_beside_stops_and_floods_cause_no_violations() {
+    let soak = Soak {
+        seeds: "1..2".to_owned(),
+        seconds: 6,
+        extended: false,
+        release: false,
+        stops: false,
+        crowds: true,
+        gateways: 3,
+        daemon: None,
+        directory: None,
+    };
+    let end = soak.run_seed(1).expect("the run starts");
+    assert_eq!(end.violations, Vec::<String>::new());
+    let kinds = end.faults.iter().map(|fault| fault.fault);
+    assert!(kinds.filter(|fault| *fault == Fault::Crowd).count() > 3);
+    assert!(end.served_count > 100, "{} served", end.served_count);
+}
+
 /// Software versions are released beside gateways that are out of step. No draft is joined from runs
 /// at two versions, and none is refused for good while there is one.
 #[test]
@@ -558,6 +594,7 @@
             extended: false,
             release: true,
             stops: false,
+            crowds: false,
             gateways: 6,
             daemon: None,
             directory: None,
