Refuse requests for whose first bytes there is no memory

Now the request is refused with 503 and Retry-After. The ranks of connections that give way have names.

requests_that_find_no_memory_are_refused failed before (the connection ends) and passes.

--- a/clementinepick/src/connection_account.rs
+++ b/clementinepick/src/connection_account.rs
@@ -33,7 +33,7 @@
 /// The rate at which a request that is not late arrives, in bytes a second.
 const USUAL_BYTES_PER_S: u64 = 1_048_576;
 /// How many connections beyond the limit are kept open for as long as it takes to refuse a request.
-const MAX_EXCESS: usize = 64;
+pub const MAX_EXCESS: usize = 64;
 /// What a connection may hold beside large ones that use up their part of the memory.
 const SMALL_BYTES: u64 = 65_536;
 /// The part of the memory that only small connections may use is one in this many.
@@ -102,23 +102,36 @@
         (late_us > 0).then_some(SpanUs(late_us))
     }
 
-    /// Returns the order in which connections give way to new ones, the highest first; `None` if this one
-    /// does not.
-    ///
-    /// A connection that is not late gives way as well: a caller that sends its request at once is served
-    /// before others have come, however many connect.
-    fn slot_rank(self, now: TimeUs) -> Option<(u8, SpanUs)> {
+    /// Returns when a connection gives its place to a new one: that with the highest rank, and of equal ones
+    /// the one that has waited longest, does first. `None` if it does not.
+    fn rank(self, now: TimeUs) -> Option<(PlaceRank, SpanUs)> {
         let is_late = self.late_for(now).is_some();
-        match self {
-            Self::Closing => Some((4, SpanUs(0))),
-            Self::Unread { since } if is_late => Some((3, now.since(since))),
-            Self::Receiving { since, .. } => Some((if is_late { 3 } else { 1 }, now.since(since))),
-            Self::Idle { since } => Some((if is_late { 2 } else { 0 }, now.since(since))),
-            Self::Running | Self::Unread { .. } => None,
-        }
+        let (rank, since) = match self {
+            Self::Closing => (PlaceRank::Closing, now),
+            Self::Unread { since } if is_late => (PlaceRank::Late, since),
+            Self::Receiving { since, .. } if is_late => (PlaceRank::Late, since),
+            Self::Receiving { since, .. } => (PlaceRank::Receiving, since),
+            Self::Idle { since } if is_late => (PlaceRank::LongIdle, since),
+            Self::Idle { since } => (PlaceRank::Idle, since),
+            Self::Running | Self::Unread { .. } => return None,
+        };
+        Some((rank, now.since(since)))
     }
 }
 
+/// How readily a connection gives its place to a new one, the least readily first.
+///
+/// One that is not late does as well: a caller that sends its request at once is served before others have
+/// come, however many connect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum PlaceRank {
+    Idle,
+    Receiving,
+    LongIdle,
+    Late,
+    Closing,
+}
+
 /// The answer to a claim.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Claim {
@@ -163,7 +176,6 @@
     read_ahead: Bytes,
     /// What connections that give way still hold.
     leaving: Bytes,
-    leaving_count: usize,
 }
 
 impl ConnectionAccount {
@@ -177,7 +189,6 @@
             used: Bytes(0),
             read_ahead: Bytes(0),
             leaving: Bytes(0),
-            leaving_count: 0,
         }
     }
 
@@ -256,7 +267,7 @@
             .staying()
             .filter(|(_, c)| is_excess.is_none_or(|is_excess| c.is_excess == is_excess));
         let ranked = eligible.filter_map(|(id, connection)| {
-            let rank = connection.state.slot_rank(now)?;
+            let rank = connection.state.rank(now)?;
             Some((rank, *id))
         });
         ranked.max().map(|(_, id)| id)
@@ -269,7 +280,6 @@
             self.read_ahead.0 -= connection.read_ahead.0;
             if connection.gives_way {
                 self.leaving.0 -= connection.held.0;
-                self.leaving_count -= 1;
             }
         }
     }
@@ -284,7 +294,6 @@
             if is_over && connection.gives_way {
                 connection.gives_way = false;
                 self.leaving.0 -= connection.held.0;
-                self.leaving_count -= 1;
             }
             if state != ConnectionState::Running {
                 self.read_ahead.0 -= connection.read_ahead.0;
@@ -413,7 +422,6 @@
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.gives_way = true;
             self.leaving.0 += connection.held.0;
-            self.leaving_count += 1;
         }
     }
 }
--- a/clementinepickd/src/connections.rs
+++ b/clementinepickd/src/connections.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use clementinepick::connection_account::{
-    AccountLimits, Claim, ConnectionAccount, ConnectionId, ConnectionState,
+    AccountLimits, Claim, ConnectionAccount, ConnectionId, ConnectionState, MAX_EXCESS,
 };
 use clementinepick::event::{Event, EventKind};
 use clementinepick::units::{Bytes, TimeUs};
@@ -16,8 +16,8 @@
 use crate::monotonic_clock::MonotonicClock;
 use crate::signal::Signal;
 
-/// How many connections that give way, or are refused, may still be open beside those within the limit.
-const MAX_LEAVING: usize = 128;
+/// How many connections that give way may still be open before further ones are accepted.
+const MAX_LEAVING: usize = 64;
 /// The shortest interval between two log lines about connections that give way.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -118,8 +118,8 @@
     pub(crate) async fn wait_for_leaving(&self) {
         loop {
             let released = self.released.notified();
-            let limit = self.account.borrow().limits().connections + MAX_LEAVING;
-            if self.open_count() < limit {
+            let limit = self.account.borrow().limits().connections;
+            if self.open_count() < limit.saturating_add(MAX_EXCESS + MAX_LEAVING) {
                 return;
             }
             released.await;
--- a/clementinepickd/src/gateway_receive.rs
+++ b/clementinepickd/src/gateway_receive.rs
@@ -165,7 +165,8 @@
     }
 }
 
-/// Waits for the first byte of a request; returns false if there is none in time.
+/// Waits for the first byte of a request; returns false if there is none in time. Input for which there is
+/// no memory counts: its request is refused.
 async fn wait_for_input(
     shared: &Shared,
     reader: &mut Reader<'_>,
@@ -175,13 +176,13 @@
     let mut reading = pin!(reader.fill());
     tokio::select! {
         biased;
-        outcome = &mut reading => return outcome == ReadOutcome::Read,
+        outcome = &mut reading => return outcome != ReadOutcome::Closed,
         () = wait_for_limit(|| limits.get().idle_us) => {}
         () = shared.wait_for_close() => {}
         () = connection.wait_to_give_way() => {}
     }
     let arrived = read_arrived(reading, state.received_bytes()).await;
-    arrived == Some(ReadOutcome::Read)
+    arrived.is_some_and(|outcome| outcome != ReadOutcome::Closed)
 }
 
 async fn wait_for_stop(shared: &Shared) -> Refusal {
--- a/standins/tests/caller_crowds.rs
+++ b/standins/tests/caller_crowds.rs
@@ -239,6 +239,37 @@
     run.check_memory(SMALL_MEMORY_BYTES);
 }
 
+/// Guards against connections that are closed without an answer since there is no memory for a request.
+#[test]
+fn requests_that_find_no_memory_are_refused() {
+    /// Each has a buffer of 2 KiB.
+    const FITTING_LOOKUPS: usize = 48;
+    let settings = ProcessSettings {
+        limits: "bodies = 100000 B".to_owned(),
+        ..ProcessSettings::default()
+    };
+    let run = CrowdRun::start("crowd-no-memory", &settings);
+    for _ in 0..100 {
+        run.plain.inject_fault(BackendFault::Silence);
+    }
+    let held: Vec<TcpStream> = (0..100)
+        .map(|number| {
+            let mut connection = run.open();
+            let request = lookup(&format!("h{number}"));
+            connection.write_all(&request.bytes()).expect("sent");
+            connection
+        })
+        .collect();
+    run.wait_for_executions(FITTING_LOOKUPS);
+    for number in 0..20 {
+        let response = lookup(&format!("l{number}")).send(run.callers());
+        let response = response.expect("an answer");
+        assert_eq!(response.status, 503);
+        assert!(response.headers.contains_key("retry-after"));
+    }
+    drop(held);
+}
+
 /// Guards against callers that hold their connections for good by not reading what they are refused.
 #[test]
 fn refusals_that_nobody_reads_end() {
