Reproduce streams that are refused after restarts and beside late reports, as failing tests

What callers saw: streams that they resume are refused with 503 while new ones begin.

Servers of the tests may report later than they answer health checks.

--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -140,6 +140,8 @@
     pub pause: Duration,
     /// Delay before the response to a health check.
     pub health_delay: Duration,
+    /// Delay before a report on itself.
+    pub report_delay: Duration,
     /// When it started, in Unix milliseconds, if it reports it.
     pub started_unix_ms: Option<u64>,
     /// The request that ends the server whenever it runs it.
@@ -189,6 +191,7 @@
             events: 4,
             pause: Duration::from_millis(2),
             health_delay: Duration::ZERO,
+            report_delay: Duration::ZERO,
             started_unix_ms: None,
             fatal_request: None,
             endless: None,
@@ -351,7 +354,7 @@
         }
         if request.path == REPORT_PATH {
             return vec![
-                Step::Pause(self.settings.health_delay),
+                Step::Pause(self.settings.health_delay.max(self.settings.report_delay)),
                 Step::Write(full_response(200, &[], self.report().as_bytes())),
             ];
         }
--- a/standins/tests/process_run/mod.rs
+++ b/standins/tests/process_run/mod.rs
@@ -22,6 +22,8 @@
 const SLOW_PAUSE: Duration = Duration::from_millis(40);
 /// The pause before each event of a resumed stream.
 const FAST_PAUSE: Duration = Duration::from_millis(2);
+/// When engines that report it have started.
+const STARTED_UNIX_MS: u64 = 1_700_000_000_000;
 /// How long an engine's path stays cut, so that its proxy has noticed.
 const CUT: Duration = Duration::from_millis(50);
 /// The engines: ids and software versions.
@@ -34,14 +36,14 @@
 }
 
 impl Engine {
-    /// Starts an engine.
-    fn start(id: &str, version: &str) -> io::Result<Self> {
+    /// Starts an engine with what `settings` have beside its id and version.
+    fn start(id: &str, version: &str, settings: &BackendSettings) -> io::Result<Self> {
         let backend = PlatformBackend::start(BackendSettings {
             id: id.to_owned(),
             version: version.to_owned(),
             events: EVENTS,
             pause: SLOW_PAUSE,
-            ..BackendSettings::default()
+            ..settings.clone()
         })?;
         let proxy = Proxy::start(backend.address)?;
         Ok(Self { backend, proxy })
@@ -76,9 +78,23 @@
 
     /// Starts gateways while only engines of these versions are listed.
     pub fn start_listing(name: &str, count: usize, versions: &[&str]) -> Self {
+        Self::start_with(name, count, versions, &BackendSettings::default())
+    }
+
+    /// Starts gateways before engines that report their start times, each after `report_delay`.
+    pub fn start_reporting(name: &str, count: usize, report_delay: Duration) -> Self {
+        let settings = BackendSettings {
+            started_unix_ms: Some(STARTED_UNIX_MS),
+            report_delay,
+            ..BackendSettings::default()
+        };
+        Self::start_with(name, count, &["v1", "v2"], &settings)
+    }
+
+    fn start_with(name: &str, count: usize, versions: &[&str], settings: &BackendSettings) -> Self {
         let store = PlatformStore::default();
         store.put("keyed.op", "config", &config(1));
-        let start = |(id, version)| Engine::start(id, version).expect("free ports");
+        let start = |(id, version)| Engine::start(id, version, settings).expect("free ports");
         let engines: Vec<Engine> = ENGINES.into_iter().map(start).collect();
         for (engine, (id, version)) in engines.iter().zip(ENGINES) {
             if versions.contains(&version) {
