Say why the origin of a resumed stream was not found

Every refusal had code=stream_unknown, whatever the reason. The line of the request now has origin_missing, and clementinepick_origins_missing_total counts by reason.

--- a/clementinepick/src/stream_origin.rs
+++ b/clementinepick/src/stream_origin.rs
@@ -14,17 +14,21 @@
 //! origins.record(TimeUs(0), "attempt-1", origin.clone(), TimeUs(4_000_000));
 //! assert_eq!(origins.get(TimeUs(3_000_000), "attempt-1"), Some((&origin, TimeUs(4_000_000))));
 //! assert_eq!(origins.get(TimeUs(4_000_000), "attempt-1"), None);
+//! assert!(origins.has_expired(TimeUs(4_000_000), "attempt-1"));
 //! ```
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::expiring_map::ExpiringMap;
 use crate::server_list::{BackendServer, SoftwareVersion};
-use crate::units::TimeUs;
+use crate::units::{SpanUs, TimeUs};
 
 /// The maximum number of remembered streams, about 3 MB; above it, those whose callers give up
 /// first are forgotten.
 const MAX_ORIGINS: usize = 16_384;
+/// How long it is known of a stream that its origin was forgotten.
+const EXPIRY_MEMORY_US: SpanUs = SpanUs::from_s(30);
 
 /// What a stream's first event fixes for the rest of the stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,12 +68,15 @@
 #[derive(Debug)]
 pub struct StreamOrigins {
     by_attempt: ExpiringMap<String, StreamOrigin>,
+    /// The hashes of all attempts that were recorded lately.
+    recorded: ExpiringMap<u64, ()>,
 }
 
 impl Default for StreamOrigins {
     fn default() -> Self {
         Self {
             by_attempt: ExpiringMap::new(MAX_ORIGINS),
+            recorded: ExpiringMap::new(MAX_ORIGINS),
         }
     }
 }
@@ -79,6 +86,16 @@
     pub fn record(&mut self, now: TimeUs, attempt: &str, origin: StreamOrigin, expires_at: TimeUs) {
         self.by_attempt
             .insert(now, attempt.to_owned(), origin, expires_at);
+        let remembered_until = expires_at.after(EXPIRY_MEMORY_US);
+        let hash = xxh3_64(attempt.as_bytes());
+        self.recorded.insert(now, hash, (), remembered_until);
+    }
+
+    /// Returns whether the origin of the stream that began with `attempt` was recorded lately and has expired.
+    #[must_use]
+    pub fn has_expired(&self, now: TimeUs, attempt: &str) -> bool {
+        let hash = xxh3_64(attempt.as_bytes());
+        self.get(now, attempt).is_none() && self.recorded.get(now, &hash).is_some()
     }
 
     /// Returns the origin of the stream that began with `attempt`, and when it expires.
@@ -90,6 +107,7 @@
     /// Forgets all streams that have expired.
     pub fn expire(&mut self, now: TimeUs) {
         self.by_attempt.expire(now);
+        self.recorded.expire(now);
     }
 
     /// Returns the number of remembered streams.
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -82,6 +82,13 @@
         });
     }
 
+    /// Counts a stream that was not resumed because its origin was not found.
+    pub(crate) fn count_missing_origin(&self, reason: &'static str) {
+        with_local_recorder(&self.recorder, || {
+            counter!("clementinepick_origins_missing_total", "reason" => reason).increment(1);
+        });
+    }
+
     /// Counts origins of streams that a peer did not take.
     pub(crate) fn count_lost_origins(&self, count: usize) {
         with_local_recorder(&self.recorder, || {
--- a/clementinepickd/src/gateway_origins.rs
+++ b/clementinepickd/src/gateway_origins.rs
@@ -137,6 +137,18 @@
         })
     }
 
+    /// Returns whether an origin was recorded here whose caller should have given up since.
+    fn has_expired_origin(&self, attempt: &str, now: Instant) -> bool {
+        let now = self.now_us(now);
+        self.origins.known.borrow().has_expired(now, attempt)
+    }
+
+    /// Returns whether no peer counts as silent.
+    fn are_all_reachable(&self, now: Instant) -> bool {
+        let peers = self.directory().peers;
+        !peers.iter().any(|peer| self.homes.is_silent(*peer, now))
+    }
+
     fn answer_origin(&self, query: &OriginQuery, now: Instant) -> OriginAnswer {
         let attempt = query.attempt.as_deref();
         let recorded = attempt.and_then(|attempt| self.known_origin(attempt, now));
@@ -176,20 +188,21 @@
     trace: &Trace,
     query: &OriginQuery,
     arrived: Instant,
-) -> Option<(OriginSource, StreamOrigin)> {
+) -> Result<(OriginSource, StreamOrigin), MissingOrigin> {
     let asked_at = Instant::now();
     let mut peers = AskedPeers::default();
     let recorded = match &query.attempt {
         Some(attempt) => find_recorded(shared, attempt, query, &mut peers).await,
-        None => None,
+        None => Err(MissingOrigin::Unnamed),
     };
-    let found = if recorded.is_some() {
-        recorded
-    } else {
-        let left = (arrived + MAX_FIND_TIME).saturating_duration_since(Instant::now());
-        let finding = find_sole_origin(shared, query, &mut peers, asked_at);
-        // A caller that is refused can begin anew, or try elsewhere.
-        timeout(left, finding).await.ok().flatten()
+    let found = match recorded {
+        Ok(_) | Err(MissingOrigin::Unproven) => recorded,
+        Err(missing) => {
+            let left = (arrived + MAX_FIND_TIME).saturating_duration_since(Instant::now());
+            let finding = find_sole_origin(shared, query, &mut peers, asked_at);
+            // A caller that is refused can begin anew, or try elsewhere.
+            timeout(left, finding).await.ok().flatten().ok_or(missing)
+        }
     };
     if peers.asked > 0 {
         trace.add_field("origin_peers_asked", &peers.asked);
@@ -201,7 +214,7 @@
     }
     let (source, origin) = found?;
     trace.add_field("origin_from", &source.label());
-    Some((source, origin))
+    Ok((source, origin))
 }
 
 /// Where the origin of a stream was found.
@@ -225,6 +238,37 @@
     }
 }
 
+/// Why the origin of a stream was not found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum MissingOrigin {
+    /// The caller names no attempt, and its service has had several versions or may have.
+    Unnamed,
+    /// The caller names no attempt, and its route leads to several services.
+    UnnamedOnSplitRoute,
+    /// Nobody that may hold it has recorded it.
+    NeverRecorded,
+    /// It was recorded here, and its caller should have given up since.
+    Expired,
+    /// It was recorded, but the server may have been another start than the listed one.
+    Unproven,
+    /// Some of the peers that may hold it are gone or do not respond.
+    HoldersSilent,
+}
+
+impl MissingOrigin {
+    /// Returns the name used in logs and metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Self::Unnamed => "unnamed",
+            Self::UnnamedOnSplitRoute => "unnamed_on_split_route",
+            Self::NeverRecorded => "never_recorded",
+            Self::Expired => "expired",
+            Self::Unproven => "unproven",
+            Self::HoldersSilent => "holders_silent",
+        }
+    }
+}
+
 /// The peers that were asked for one origin.
 #[derive(Debug, Default)]
 pub(crate) struct AskedPeers {
@@ -240,14 +284,15 @@
     attempt: &str,
     query: &OriginQuery,
     peers: &mut AskedPeers,
-) -> Option<(OriginSource, StreamOrigin)> {
+) -> Result<(OriginSource, StreamOrigin), MissingOrigin> {
     if let Some(recorded) = shared.known_origin(attempt, Instant::now()) {
-        return Some((OriginSource::Memory, recorded.origin));
+        return proven(OriginSource::Memory, recorded.origin);
     }
     let holders = shared.origin_holders(attempt, MAX_ASKED, Instant::now());
+    let are_all_asked = shared.are_all_reachable(Instant::now());
     peers.asked += holders.len();
     let mut calls = ask_peers::<OriginAnswer>(shared, holders, FIND_PATH, FIND_TIMEOUT, query);
-    let mut unproven = None;
+    let mut is_unproven = false;
     while let Some((peer, answer)) = calls.next().await {
         let Some(answer) = answer else {
             continue;
@@ -256,14 +301,33 @@
         if let OriginAnswer::Recorded(recorded) = answer {
             // Another peer may know by now at which start the stream began.
             if recorded.origin.is_unproven {
-                unproven = Some((OriginSource::Peer, recorded.origin));
+                is_unproven = true;
                 continue;
             }
             shared.hold_origin(&recorded, Instant::now());
-            return Some((OriginSource::Peer, recorded.origin));
+            return Ok((OriginSource::Peer, recorded.origin));
         }
     }
-    unproven
+    Err(if is_unproven {
+        MissingOrigin::Unproven
+    } else if shared.has_expired_origin(attempt, Instant::now()) {
+        MissingOrigin::Expired
+    } else if are_all_asked && peers.responded.len() == peers.asked {
+        MissingOrigin::NeverRecorded
+    } else {
+        MissingOrigin::HoldersSilent
+    })
+}
+
+fn proven(
+    source: OriginSource,
+    origin: StreamOrigin,
+) -> Result<(OriginSource, StreamOrigin), MissingOrigin> {
+    if origin.is_unproven {
+        Err(MissingOrigin::Unproven)
+    } else {
+        Ok((source, origin))
+    }
 }
 
 /// Calls peers with a query, all at the same time.
--- a/clementinepickd/src/gateway_resumption.rs
+++ b/clementinepickd/src/gateway_resumption.rs
@@ -5,7 +5,7 @@
 use clementinepick::units::SpanUs;
 
 use crate::gateway_exchange::RoutedRequest;
-use crate::gateway_origins::{OriginQuery, OriginSource, find_origin};
+use crate::gateway_origins::{MissingOrigin, OriginQuery, OriginSource, find_origin};
 use crate::gateway_shared::Shared;
 use crate::gateway_trace::Trace;
 
@@ -38,11 +38,19 @@
         min_known_us: SpanUs(timeout_us.saturating_mul(MIN_KNOWN_TIMEOUTS)),
     };
     let found = find_origin(shared, trace, &query, routed.received.arrived).await;
-    // The only version of one service says nothing of a stream that may have begun at another one.
-    let is_split = routed.route.is_split();
-    let is_known = |source: OriginSource| !is_split || source != OriginSource::SoleVersion;
-    let found = found.filter(|(source, origin)| is_known(*source) && !origin.is_unproven);
-    let (_, origin) = found.ok_or(Refusal::StreamUnknown)?;
+    let origin = match found {
+        // The only version of one service says nothing of a stream that may have begun at another one.
+        Ok((OriginSource::SoleVersion, _)) if routed.route.is_split() => {
+            Err(MissingOrigin::UnnamedOnSplitRoute)
+        }
+        Ok((_, origin)) => Ok(origin),
+        Err(missing) => Err(missing),
+    };
+    let origin = origin.map_err(|missing| {
+        trace.add_field("origin_missing", &missing.label());
+        shared.metrics.count_missing_origin(missing.label());
+        Refusal::StreamUnknown
+    })?;
     let servers = shared.directory().servers;
     let can_continue = routed.route.leads_to(&origin.service)
         && servers
