Ask servers which start they are until they answer

What callers saw: at servers that take longer than 50 ms to report, as busy or far ones do, no stream could be resumed, with all gateways alive.

Cause: a stream that begins by the list alone counts as unproven until its server has said which start it is. The question was given up after 50 ms and never asked again; it also ended with its request, when the caller left. The same limit held for servers that were to run the rest of a stream.

Silence is no answer: an origin is now unanswered until the server speaks. The origin names the address and the listed start time, so that a gateway which resumes the stream can ask as well: if the listed start responds, the stream has begun there, since the starts at one address follow each other. Another start, or a report without start time, is refused as before.

--- a/clementinepick/src/stream_origin.rs
+++ b/clementinepick/src/stream_origin.rs
@@ -9,6 +9,7 @@
 //!     service: "models".to_owned(),
 //!     version: SoftwareVersion::from("v1".to_owned()),
 //!     is_unproven: false,
+//!     unanswered: None,
 //! };
 //! let mut origins = StreamOrigins::default();
 //! origins.record(TimeUs(0), "attempt-1", origin.clone(), TimeUs(4_000_000));
@@ -17,11 +18,14 @@
 //! assert!(origins.has_expired(TimeUs(4_000_000), "attempt-1"));
 //! ```
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::expiring_map::ExpiringMap;
 use crate::server_list::{BackendServer, SoftwareVersion};
+use crate::start_doubts::ReportedStart;
 use crate::units::{SpanUs, TimeUs};
 
 /// The maximum number of remembered streams, about 3 MB; above it, those whose callers give up
@@ -43,6 +47,31 @@
     /// known.
     #[serde(rename = "u", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_unproven: bool,
+    /// The server to ask whether it is the listed start, if it has not said so yet.
+    #[serde(rename = "q", default, skip_serializing_if = "Option::is_none")]
+    pub unanswered: Option<ListedStart>,
+}
+
+/// The start of a server that its entry describes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedStart {
+    /// The address of the server.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+    /// When it started, in Unix milliseconds by its entry.
+    #[serde(rename = "t")]
+    pub started_unix_ms: u64,
+}
+
+impl ListedStart {
+    /// Returns the start of a listed server; `None` if its entry has no start time.
+    #[must_use]
+    pub fn of(server: &BackendServer) -> Option<Self> {
+        Some(Self {
+            address: server.address,
+            started_unix_ms: server.started_unix_ms?,
+        })
+    }
 }
 
 impl StreamOrigin {
@@ -53,6 +82,41 @@
             service: server.service.clone(),
             version: server.version.clone(),
             is_unproven: false,
+            unanswered: None,
+        }
+    }
+
+    /// Returns the origin of a stream whose server was asked which start it is and has not answered.
+    #[must_use]
+    pub fn unanswered_at(server: &BackendServer) -> Self {
+        Self {
+            is_unproven: true,
+            unanswered: ListedStart::of(server),
+            ..Self::at(server)
+        }
+    }
+
+    /// Returns the origin of a stream whose server may have been another start than the listed one.
+    #[must_use]
+    pub fn unproven_at(server: &BackendServer) -> Self {
+        Self {
+            is_unproven: true,
+            ..Self::at(server)
+        }
+    }
+
+    /// Returns the same origin after its server has said which start it is.
+    ///
+    /// The starts at one address follow each other: if the listed one responds after the stream has
+    /// begun, the stream has begun there.
+    #[must_use]
+    pub fn answered(&self, reported: ReportedStart) -> Self {
+        let listed = self.unanswered.map(|start| start.started_unix_ms);
+        let is_proven = listed.map(ReportedStart::At) == Some(reported);
+        Self {
+            is_unproven: self.is_unproven && !is_proven,
+            unanswered: None,
+            ..self.clone()
         }
     }
 
--- a/clementinepick/tests/stream_origin.rs
+++ b/clementinepick/tests/stream_origin.rs
@@ -5,6 +5,7 @@
     ListedVersions, RecordedVersion, ServiceVersions, VersionEvidence, VersionQuestion,
 };
 use clementinepick::server_list::{BackendServer, ServerList, SoftwareVersion};
+use clementinepick::start_doubts::ReportedStart;
 use clementinepick::stream_origin::{StreamOrigin, StreamOrigins};
 use clementinepick::units::{SpanUs, TimeUs};
 
@@ -13,6 +14,7 @@
         service: service.to_owned(),
         version: SoftwareVersion::from(version.to_owned()),
         is_unproven: false,
+        unanswered: None,
     }
 }
 
@@ -255,3 +257,33 @@
         assert_eq!(sole_version(&listed, 1), expected);
     }
 }
+
+/// Guards against a stream whose version counts as known although another start has answered, or the
+/// server gave no start time.
+#[test]
+fn only_the_answer_of_the_listed_start_proves_an_origin() {
+    let server = BackendServer {
+        started_unix_ms: Some(5),
+        ..server("models", "v1")
+    };
+    let unanswered = StreamOrigin::unanswered_at(&server);
+    assert!(!unanswered.fits(&server));
+    assert_eq!(
+        unanswered.answered(ReportedStart::At(5)),
+        StreamOrigin::at(&server)
+    );
+    for reported in [
+        ReportedStart::At(6),
+        ReportedStart::Unnamed,
+        ReportedStart::Unknown,
+    ] {
+        assert_eq!(
+            unanswered.answered(reported),
+            StreamOrigin::unproven_at(&server)
+        );
+    }
+    let proven = StreamOrigin::at(&server);
+    assert_eq!(proven.answered(ReportedStart::At(6)), proven);
+    let unproven = StreamOrigin::unproven_at(&server);
+    assert_eq!(unproven.answered(ReportedStart::At(5)), unproven);
+}
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -43,6 +43,7 @@
 use crate::gateway_request_log::write_requests;
 use crate::gateway_settings::GatewaySettings;
 use crate::gateway_shared::Shared;
+use crate::gateway_start_questions::ask_starts;
 use crate::gateway_versions::maintain_versions;
 use crate::input_first::poll_after_input;
 use crate::link::{duration, to_span};
@@ -316,6 +317,7 @@
         tasks.spawn_local(watch_peers(Rc::clone(&shared)));
         tasks.spawn_local(write_requests(Rc::clone(&shared)));
         tasks.spawn_local(settle_losses(Rc::clone(&shared), queues.losses));
+        tasks.spawn_local(ask_starts(Rc::clone(&shared), queues.start_questions));
         let mut stop = pin!(stop);
         loop {
             tokio::select! {
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -17,6 +17,7 @@
 use crate::gateway_loss::OpenLoss;
 use crate::gateway_request_log::RunningRequest;
 use crate::gateway_shared::Shared;
+use crate::gateway_start_patience::StartPatience;
 use crate::gateway_trace::Trace;
 use crate::link::to_span;
 use crate::outbound::Connection;
@@ -36,6 +37,8 @@
     ConnectFailed,
     /// The server at the address is not known to be the listed start, so that nothing was sent.
     OtherStart,
+    /// The server has not said in time whether it is the listed start, so that nothing was sent.
+    StartUnanswered,
     /// The response was lost, or the server sent none in time; it may have run the request.
     ResponseLost,
 }
@@ -47,6 +50,7 @@
             Self::NotRun => "not_run",
             Self::ConnectFailed => "unreached",
             Self::OtherStart => "other_start",
+            Self::StartUnanswered => "start_unanswered",
             Self::ResponseLost => "lost",
         }
     }
@@ -82,6 +86,8 @@
     pub(crate) sends: u32,
     /// The number of sends when it was last loaded where else the request runs.
     others_loaded: Cell<Option<u32>>,
+    /// How long servers may take to say which start they are.
+    patience: StartPatience,
     refusal: Refusal,
 }
 
@@ -103,6 +109,7 @@
             current: None,
             sends: 0,
             others_loaded: Cell::new(None),
+            patience: StartPatience::default(),
             refusal: Refusal::NoServer,
         }
     }
@@ -117,6 +124,9 @@
         if !self.has_attempt_left() {
             return self.end_with("last_attempt");
         }
+        if self.patience.is_exhausted() {
+            return self.end_with("start_unanswered");
+        }
         let kind = self.trace.kind.get();
         if self.sends > 0 && !self.shared.withdraw_retry(self.routed.service, kind) {
             return self.end_with("no_retry");
@@ -167,6 +177,9 @@
             let service = self.routed.service;
             self.shared.recheck_suspected(self.key(), service).await;
         }
+        if self.patience.is_due() {
+            self.patience.extend(&mut self.tried_servers);
+        }
         loop {
             let ends = self.end_count();
             if ends.is_given_up() {
@@ -177,6 +190,9 @@
             let filter = self.server_filter(&isolated, None);
             let selected = self.routed.select_server(self.shared, &filter, input);
             let Some(slot) = selected else {
+                if self.patience.extend(&mut self.tried_servers) {
+                    continue;
+                }
                 if !isolated.is_empty() || self.awaits_runs() {
                     self.pause_start().await;
                     continue;
@@ -186,6 +202,7 @@
                 }
                 return None;
             };
+            slot.question_limit.set(self.patience.question_limit());
             // Ends that become known later may be those of this run.
             let start = self.start_of(&slot.server);
             let witness = self.open_witness(&slot.server).await;
@@ -426,18 +443,30 @@
     pub(crate) async fn record_error(&mut self, error: AttemptError) {
         if matches!(
             error,
-            AttemptError::ConnectFailed | AttemptError::OtherStart
+            AttemptError::ConnectFailed | AttemptError::OtherStart | AttemptError::StartUnanswered
         ) {
             self.sends -= 1;
         }
+        if error == AttemptError::StartUnanswered
+            && let Some(run) = &self.current
+        {
+            self.patience.record_unanswered(&run.server.id);
+        }
         if let Some(run) = &self.current {
             self.trace.record_error(&run.server.id, error.label());
         }
         self.refusal = match (self.refusal, error) {
             (Refusal::ServerLost, _) | (_, AttemptError::ResponseLost) => Refusal::ServerLost,
             (_, AttemptError::NotRun) => Refusal::ServersRefused,
-            (Refusal::NoServer, AttemptError::OtherStart) => Refusal::VersionUnavailable,
-            (refusal, AttemptError::ConnectFailed | AttemptError::OtherStart) => refusal,
+            (Refusal::NoServer, AttemptError::OtherStart | AttemptError::StartUnanswered) => {
+                Refusal::VersionUnavailable
+            }
+            (
+                refusal,
+                AttemptError::ConnectFailed
+                | AttemptError::OtherStart
+                | AttemptError::StartUnanswered,
+            ) => refusal,
         };
         let may_have_run = self.refusal == Refusal::ServerLost;
         self.trace.may_have_run.set(may_have_run);
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -28,6 +28,7 @@
 use crate::gateway_start::{DoubtReason, StartProof};
 use crate::outbound::{Connection, OutboundError, OutboundRequest};
 use crate::safeguard::Safeguard;
+use crate::server_probe::PROBE_TIMEOUT;
 
 /// How long opening a connection to a backend server may take. A lost packet of the handshake is
 /// retransmitted only after a second, so that waiting for longer gains little.
@@ -117,6 +118,8 @@
     pub(crate) usage: StartUse,
     /// How the server was found to be the listed start.
     pub(crate) proof: Cell<StartProof>,
+    /// How long it may take to say which start it is before anything is sent to it.
+    pub(crate) question_limit: Cell<Duration>,
 }
 
 impl ServerSlot {
@@ -244,6 +247,7 @@
             reason,
             usage: self.start_use(input),
             proof: Cell::default(),
+            question_limit: Cell::new(PROBE_TIMEOUT),
         })
     }
 
--- a/clementinepickd/src/gateway_origins.rs
+++ b/clementinepickd/src/gateway_origins.rs
@@ -12,6 +12,7 @@
 use actix_rt::time::timeout;
 use bytes::Bytes;
 use clementinepick::rendezvous::rank_addresses;
+use clementinepick::start_doubts::ReportedStart;
 use clementinepick::stream_origin::{StreamOrigin, StreamOrigins};
 use clementinepick::units::SpanUs;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -21,10 +22,11 @@
 use crate::gateway_peer::{PeerCall, call_peer};
 use crate::gateway_peer_updates::PeerUpdate;
 use crate::gateway_shared::Shared;
+use crate::gateway_start_questions::ask_once;
 use crate::gateway_trace::Trace;
 use crate::gateway_version_proof::find_sole_origin;
 use crate::ledger::{from_cbor, to_cbor};
-use crate::link::to_span;
+use crate::link::{duration, to_span};
 
 /// The path of calls that hand origins to a peer.
 pub(crate) const HOLD_PATH: &str = "/origins/hold";
@@ -38,6 +40,9 @@
 const MAX_ASKED: usize = 8;
 /// How long a peer may take to answer from memory, while the caller waits.
 const FIND_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long the server of a stream may take to say which start it is: its caller gives up after a gap of
+/// two seconds.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// How long after its arrival a request may be refused because its origin was not found.
 const MAX_FIND_TIME: Duration = Duration::from_millis(450);
 
@@ -109,6 +114,22 @@
         let _ = self.updates.send(PeerUpdate::Origin(shared_origin));
     }
 
+    /// Records whether a stream whose server was asked has begun at its listed start.
+    pub(crate) fn settle_origin(&self, attempt: &str, is_proven: bool) {
+        let now = Instant::now();
+        let Some(known) = self.known_origin(attempt, now) else {
+            return;
+        };
+        if known.origin.unanswered.is_some() {
+            let origin = StreamOrigin {
+                is_unproven: !is_proven,
+                unanswered: None,
+                ..known.origin
+            };
+            self.record_origin(attempt, origin, now + duration(known.keep_us), now);
+        }
+    }
+
     /// Forgets the origins of streams that can no longer be resumed.
     pub(crate) fn expire_origins(&self, now: Instant) {
         let now = self.now_us(now);
@@ -196,7 +217,7 @@
         None => Err(MissingOrigin::Unnamed),
     };
     let found = match recorded {
-        Ok(_) | Err(MissingOrigin::Unproven) => recorded,
+        Ok(_) | Err(MissingOrigin::Unproven | MissingOrigin::Unanswered) => recorded,
         Err(missing) => {
             let left = (arrived + MAX_FIND_TIME).saturating_duration_since(Instant::now());
             let finding = find_sole_origin(shared, query, &mut peers, asked_at);
@@ -224,6 +245,8 @@
     Memory,
     /// A peer has recorded it.
     Peer,
+    /// It was recorded, and its server has said now which start it is.
+    Server,
     /// There is no other version.
     SoleVersion,
 }
@@ -233,6 +256,7 @@
         match self {
             Self::Memory => "memory",
             Self::Peer => "peer",
+            Self::Server => "server",
             Self::SoleVersion => "sole_version",
         }
     }
@@ -251,6 +275,8 @@
     Expired,
     /// It was recorded, but the server may have been another start than the listed one.
     Unproven,
+    /// It was recorded, but the server has not said yet whether it was the listed start.
+    Unanswered,
     /// Some of the peers that may hold it are gone or do not respond.
     HoldersSilent,
 }
@@ -264,6 +290,7 @@
             Self::NeverRecorded => "never_recorded",
             Self::Expired => "expired",
             Self::Unproven => "unproven",
+            Self::Unanswered => "unanswered",
             Self::HoldersSilent => "holders_silent",
         }
     }
@@ -278,39 +305,67 @@
     pub(crate) responded: Vec<SocketAddr>,
 }
 
+/// What was found of one origin.
+#[derive(Default)]
+struct RecordedOrigins {
+    /// One whose server has not said yet which start it is.
+    unanswered: Option<SharedOrigin>,
+    /// Whether the server was found to be another start.
+    is_unproven: bool,
+}
+
+impl RecordedOrigins {
+    /// Takes one that was found; returns it if the stream can be resumed.
+    fn take(&mut self, found: SharedOrigin) -> Option<SharedOrigin> {
+        if !found.origin.is_unproven {
+            return Some(found);
+        }
+        if found.origin.unanswered.is_some() {
+            self.unanswered = Some(found);
+        } else {
+            self.is_unproven = true;
+        }
+        None
+    }
+}
+
 /// Looks up a recorded origin, here and at the peers that may hold it.
+///
+/// Others may know by now at which start the stream began; else its server is asked.
 async fn find_recorded(
     shared: &Shared,
     attempt: &str,
     query: &OriginQuery,
     peers: &mut AskedPeers,
 ) -> Result<(OriginSource, StreamOrigin), MissingOrigin> {
-    if let Some(recorded) = shared.known_origin(attempt, Instant::now()) {
-        return proven(OriginSource::Memory, recorded.origin);
+    let mut found = RecordedOrigins::default();
+    let known = shared.known_origin(attempt, Instant::now());
+    if let Some(known) = known.and_then(|known| found.take(known)) {
+        return Ok((OriginSource::Memory, known.origin));
     }
     let holders = shared.origin_holders(attempt, MAX_ASKED, Instant::now());
     let are_all_asked = shared.are_all_reachable(Instant::now());
     peers.asked += holders.len();
     let mut calls = ask_peers::<OriginAnswer>(shared, holders, FIND_PATH, FIND_TIMEOUT, query);
-    let mut is_unproven = false;
     while let Some((peer, answer)) = calls.next().await {
         let Some(answer) = answer else {
             continue;
         };
         peers.responded.push(peer);
-        if let OriginAnswer::Recorded(recorded) = answer {
-            // Another peer may know by now at which start the stream began.
-            if recorded.origin.is_unproven {
-                is_unproven = true;
-                continue;
-            }
+        if let OriginAnswer::Recorded(recorded) = answer
+            && let Some(recorded) = found.take(recorded)
+        {
             shared.hold_origin(&recorded, Instant::now());
             return Ok((OriginSource::Peer, recorded.origin));
         }
     }
-    Err(if is_unproven {
-        MissingOrigin::Unproven
-    } else if shared.has_expired_origin(attempt, Instant::now()) {
+    if found.is_unproven {
+        return Err(MissingOrigin::Unproven);
+    }
+    if let Some(unanswered) = found.unanswered {
+        return confirm_origin(shared, unanswered).await;
+    }
+    Err(if shared.has_expired_origin(attempt, Instant::now()) {
         MissingOrigin::Expired
     } else if are_all_asked && peers.responded.len() == peers.asked {
         MissingOrigin::NeverRecorded
@@ -319,14 +374,26 @@
     })
 }
 
-fn proven(
-    source: OriginSource,
-    origin: StreamOrigin,
+/// Asks the server of a stream whether it is the start that was listed when the stream began.
+async fn confirm_origin(
+    shared: &Shared,
+    recorded: SharedOrigin,
 ) -> Result<(OriginSource, StreamOrigin), MissingOrigin> {
+    let SharedOrigin {
+        attempt,
+        origin,
+        keep_us,
+    } = recorded;
+    let start = origin.unanswered.ok_or(MissingOrigin::Unproven)?;
+    let reported = ask_once(shared, start, CONFIRM_TIMEOUT).await;
+    let reported = reported.filter(|reported| *reported != ReportedStart::Unknown);
+    let origin = origin.answered(reported.ok_or(MissingOrigin::Unanswered)?);
+    let now = Instant::now();
+    shared.record_origin(&attempt, origin.clone(), now + duration(keep_us), now);
     if origin.is_unproven {
         Err(MissingOrigin::Unproven)
     } else {
-        Ok((source, origin))
+        Ok((OriginSource::Server, origin))
     }
 }
 
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -35,6 +35,7 @@
 use crate::gateway_prefetch::{PREFETCH_QUEUE_CAPACITY, PrefetchRequest};
 use crate::gateway_request_log::RequestLog;
 use crate::gateway_settings::GatewaySettings;
+use crate::gateway_start_questions::{StartQuestion, StartQuestionSender};
 use crate::gateway_versions::VersionRecords;
 use crate::ledger::LedgerStore;
 use crate::ledger_budgets::Budgets;
@@ -73,6 +74,8 @@
     pub(crate) losses: LossSender,
     /// What peers should know.
     pub(crate) updates: PeerUpdateSender,
+    /// Questions to servers at which streams have begun.
+    pub(crate) start_questions: StartQuestionSender,
     /// Requests for slices that programs may need soon.
     pub(crate) prefetch: mpsc::Sender<PrefetchRequest>,
     /// The address at which peers reach this process.
@@ -131,6 +134,8 @@
     pub(crate) updates: mpsc::UnboundedReceiver<PeerUpdate>,
     /// Runs whose callers have disconnected.
     pub(crate) losses: mpsc::UnboundedReceiver<OpenLoss>,
+    /// Questions to servers at which streams have begun.
+    pub(crate) start_questions: mpsc::UnboundedReceiver<StartQuestion>,
 }
 
 impl Shared {
@@ -156,6 +161,7 @@
         let (turns, unfinished_reads) = Turns::new(Rc::clone(&ledger));
         let (updates, queued_updates) = mpsc::unbounded_channel();
         let (losses, queued_losses) = mpsc::unbounded_channel();
+        let (start_questions, queued_questions) = mpsc::unbounded_channel();
         let shared = Self {
             store,
             prefetch,
@@ -169,6 +175,7 @@
             writer: instance,
             losses,
             updates,
+            start_questions,
             ledger,
             pool: ConnectionPool::default(),
             choice: RefCell::default(),
@@ -197,6 +204,7 @@
             unfinished_reads,
             updates: queued_updates,
             losses: queued_losses,
+            start_questions: queued_questions,
         };
         (shared, queues)
     }
--- a/clementinepickd/src/gateway_start.rs
+++ b/clementinepickd/src/gateway_start.rs
@@ -46,6 +46,8 @@
     Connection,
     /// The server was asked.
     Report,
+    /// The server was asked and has not answered yet.
+    Unanswered,
     /// It was not: the server may have another version.
     Unproven,
 }
@@ -57,6 +59,7 @@
             Self::List => "list",
             Self::Connection => "connection",
             Self::Report => "report",
+            Self::Unanswered => "unanswered",
             Self::Unproven => "none",
         }
     }
@@ -202,7 +205,8 @@
     ) -> Result<Connection, AttemptError> {
         let asked_at = Instant::now();
         let server = &slot.server;
-        connection.report = ask_start(&mut connection, server.address).await;
+        let limit = slot.question_limit.get();
+        connection.report = ask_start(&mut connection, server.address, limit).await;
         let Some(report) = connection.report else {
             return self.replace_unanswered(slot).await;
         };
@@ -217,10 +221,9 @@
     /// begin at any.
     async fn replace_unanswered(&self, slot: &ServerSlot) -> Result<Connection, AttemptError> {
         if slot.usage == StartUse::Rest {
-            slot.record_failure();
-            return Err(AttemptError::OtherStart);
+            return Err(AttemptError::StartUnanswered);
         }
-        slot.proof.set(StartProof::Unproven);
+        slot.proof.set(StartProof::Unanswered);
         let address = slot.server.address;
         let opened = Connection::open_to_server(address, CONNECT_TIMEOUT, Instant::now()).await;
         opened.map_err(|err| slot.record_unreached(&err))
@@ -229,7 +232,7 @@
     /// Judges what a server says of its start while it runs a stream.
     pub(crate) fn judge_answer(&self, server: &BackendServer, answer: StartAnswer) -> StartProof {
         let StartAnswer::Report(report) = answer else {
-            return StartProof::Unproven;
+            return StartProof::Unanswered;
         };
         let verdict = self.start_doubts().judge(server, report);
         match verdict {
--- a/clementinepickd/src/gateway_start_check.rs
+++ b/clementinepickd/src/gateway_start_check.rs
@@ -4,27 +4,24 @@
 //! other: if the listed start responds after the stream has begun, it has begun there.
 
 use std::future::{Future, pending};
-use std::pin::{Pin, pin};
-use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::pin::pin;
+use std::time::Duration;
 
+use actix_rt::time::timeout;
 use bytes::Bytes;
-use clementinepick::server_list::BackendServer;
 use clementinepick::start_doubts::{ReportedStart, StartUse};
+use tokio::sync::oneshot;
 
 use crate::gateway_attempts::AttemptError;
 use crate::gateway_exchange::{ServerResponse, ServerSlot};
 use crate::gateway_shared::Shared;
 use crate::gateway_start::StartProof;
-use crate::server_probe::ask_start;
-
-/// How long opening a connection for the question may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
+use crate::gateway_start_questions::StartQuestion;
 
 /// A question to the server of a stream, which delays no event.
 #[derive(Default)]
 pub(crate) struct StartCheck {
-    asking: Option<Pin<Box<dyn Future<Output = StartAnswer>>>>,
+    asking: Option<oneshot::Receiver<StartAnswer>>,
     /// The answer that was not taken yet.
     answer: Option<StartAnswer>,
 }
@@ -38,14 +35,23 @@
 }
 
 impl StartCheck {
-    /// Asks the server of `slot` if a resumable stream begins there that was sent by the list alone, and
-    /// if it reports its start time.
-    pub(crate) fn of(shared: &Rc<Shared>, slot: &ServerSlot) -> Self {
-        let is_by_list = slot.usage == StartUse::Begin && slot.proof.get() == StartProof::List;
-        let must_ask = is_by_list && slot.server.started_unix_ms.is_some();
-        let ask = || ask(Rc::clone(shared), slot.server.clone());
+    /// Asks the server of `slot` if the resumable stream `attempt` begins there that was sent without its
+    /// word, and if it reports its start time.
+    pub(crate) fn of(shared: &Shared, attempt: &str, slot: &ServerSlot) -> Self {
+        let is_unasked = matches!(slot.proof.get(), StartProof::List | StartProof::Unanswered);
+        if slot.usage != StartUse::Begin || !is_unasked || slot.server.started_unix_ms.is_none() {
+            return Self::default();
+        }
+        let (sender, answer) = oneshot::channel();
+        let question = StartQuestion {
+            attempt: attempt.to_owned(),
+            server: slot.server.clone(),
+            answer: sender,
+        };
+        // The receiver ends only with the process.
+        let _ = shared.start_questions.send(question);
         Self {
-            asking: must_ask.then(|| Box::pin(ask()) as Pin<Box<_>>),
+            asking: Some(answer),
             answer: None,
         }
     }
@@ -75,14 +81,20 @@
     }
 
     /// Waits for the answer; `None` if there is no open question.
-    pub(crate) async fn finish(&mut self) -> Option<StartAnswer> {
+    async fn finish(&mut self) -> Option<StartAnswer> {
         self.settle().await;
         self.answer.take()
     }
 
+    /// Does the same for `limit` at most.
+    pub(crate) async fn finish_within(&mut self, limit: Duration) -> Option<StartAnswer> {
+        timeout(limit, self.finish()).await.ok().flatten()
+    }
+
     async fn settle(&mut self) {
         if let Some(asking) = &mut self.asking {
-            self.answer = Some(asking.await);
+            // A question that was dropped remains unanswered.
+            self.answer = Some(asking.await.unwrap_or(StartAnswer::Silent));
             self.asking = None;
         }
     }
@@ -116,20 +128,3 @@
         answer = check.take_answer() => Ok(Received::Answer(answer)),
     }
 }
-
-async fn ask(shared: Rc<Shared>, server: BackendServer) -> StartAnswer {
-    let address = server.address;
-    let acquired = shared
-        .pool
-        .acquire_server(address, CONNECT_TIMEOUT, Instant::now())
-        .await;
-    let Ok(mut connection) = acquired else {
-        return StartAnswer::Silent;
-    };
-    connection.report = ask_start(&mut connection, address).await;
-    let Some(report) = connection.report else {
-        return StartAnswer::Silent;
-    };
-    shared.pool.release(address, connection, Instant::now());
-    StartAnswer::Report(report)
-}
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -166,6 +166,15 @@
     Ok(Some(found.turn))
 }
 
+/// Returns the origin of a stream that has begun at `server`.
+fn origin_at(server: &BackendServer, proof: StartProof) -> StreamOrigin {
+    match proof {
+        StartProof::List | StartProof::Connection | StartProof::Report => StreamOrigin::at(server),
+        StartProof::Unanswered => StreamOrigin::unanswered_at(server),
+        StartProof::Unproven => StreamOrigin::unproven_at(server),
+    }
+}
+
 struct TurnStream<'a, 'j> {
     shared: &'a Rc<Shared>,
     routed: &'a RoutedRequest<'j>,
@@ -296,7 +305,7 @@
         let mut check = StartCheck::default();
         if reply.state() == ReplyState::Open {
             let slot = &response.slot;
-            check = StartCheck::of(self.shared, slot);
+            check = StartCheck::of(self.shared, &self.routed.info.id, slot);
             self.fix_origin(slot, check.is_open());
             if slot.proof.get() == StartProof::Unproven {
                 attempts.may_repeat = false;
@@ -324,18 +333,16 @@
         if self.origin.is_some() {
             return;
         }
-        let is_unproven = slot.proof.get() == StartProof::Unproven;
-        if is_unproven {
+        let proof = slot.proof.get();
+        if matches!(proof, StartProof::Unproven | StartProof::Unanswered) {
             self.shared.record_unproven_stream(&slot.server.service);
         }
-        self.record_origin(&slot.server, is_unproven || is_asked);
-    }
-
-    fn record_origin(&mut self, server: &BackendServer, is_unproven: bool) {
-        let origin = StreamOrigin {
-            is_unproven,
-            ..StreamOrigin::at(server)
+        let proof = if is_asked {
+            StartProof::Unanswered
+        } else {
+            proof
         };
+        let origin = origin_at(&slot.server, proof);
         if self.routed.route.is_resumable {
             let RoutedRequest { received, info, .. } = self.routed;
             let deadline = received.arrived + info.deadline;
@@ -379,8 +386,8 @@
         // The future is large, and the task of each connection would have room for it.
         let forwarding = Box::pin(self.forward_events(attempts, response, reply, &mut check));
         let end = forwarding.await;
-        if !matches!(end, Ok(Ok(())))
-            && let Some(answer) = check.finish().await
+        if matches!(end, Ok(Err(_)))
+            && let Some(answer) = check.finish_within(self.idle_timeout()).await
         {
             // What it proves of the connection is of no use any more.
             let _ = self.apply_answer(attempts, &server, answer);
@@ -399,12 +406,8 @@
         self.trace.set_field("start_proof", &proof.label());
         if proof == StartProof::Unproven {
             attempts.may_repeat = false;
-            // Silence shows no other start, for which all streams of the service would be refused.
-            if answer != StartAnswer::Silent {
-                self.shared.record_unproven_stream(&server.service);
-            }
         }
-        self.record_origin(server, proof == StartProof::Unproven);
+        self.origin = Some(origin_at(server, proof));
         proof
     }
 
--- a/clementinepickd/src/gateway_version_proof.rs
+++ b/clementinepickd/src/gateway_version_proof.rs
@@ -48,6 +48,7 @@
                 service: service.to_owned(),
                 version,
                 is_unproven: false,
+                unanswered: None,
             }),
             ServiceVersions::Several => Self::Several,
             ServiceVersions::Unproven => Self::Unproven,
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -55,6 +55,8 @@
 mod gateway_shared;
 mod gateway_start;
 mod gateway_start_check;
+mod gateway_start_patience;
+mod gateway_start_questions;
 mod gateway_stream;
 mod gateway_trace;
 mod gateway_turn_budget;
--- a/clementinepickd/src/server_probe.rs
+++ b/clementinepickd/src/server_probe.rs
@@ -15,7 +15,7 @@
 
 /// How long a server may take to accept a connection, and to respond to a health check. A server that
 /// has ended refuses the connection within a round trip, and the retry of the request waits for it.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 /// The number of connections that are opened if each is closed at once, and the pause between them.
 const MAX_TRIES: u32 = 3;
 const RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -123,10 +123,11 @@
 }
 
 /// Asks the server at the other end of a connection for its start time; `None` if it does not respond
-/// in time, after which the connection can't be used.
+/// within `limit`, after which the connection can't be used.
 pub(crate) async fn ask_start(
     connection: &mut Connection,
     address: SocketAddr,
+    limit: Duration,
 ) -> Option<ReportedStart> {
     let request = OutboundRequest {
         method: Method::GET,
@@ -146,7 +147,7 @@
             Err(_) => ReportedStart::Unknown,
         })
     };
-    timeout(PROBE_TIMEOUT, asking).await.ok().flatten()
+    timeout(limit, asking).await.ok().flatten()
 }
 
 async fn try_once(
