Keep the origin of a stream as long as its caller may resume it

What callers saw: a stream that was resumed once was refused at the next attempt, after the deadline of the first. The cause: an origin expired with the attempt that began the stream, though later attempts have deadlines of their own. Each resumption extends it now, and a copy with a shorter time no longer shortens it.

streams_go_on_after_the_deadline_of_their_first_attempt was refused with 503 stream_unknown before, and passes.

--- a/clementinepickd/src/gateway_origins.rs
+++ b/clementinepickd/src/gateway_origins.rs
@@ -27,6 +27,10 @@
 /// can be resumed even if half of the gateways are lost at once.
 const COPIES: usize = 2;
 
+/// How much earlier than its caller gives up an origin may be forgotten: the deadlines of two attempts of
+/// one caller differ by the time on the way.
+const MAX_UNCOVERED_US: SpanUs = SpanUs::from_ms(100);
+
 /// The origin of one stream, as sent to a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct SharedOrigin {
@@ -103,6 +107,22 @@
         let _ = self.updates.send(PeerUpdate::Origin(shared_origin));
     }
 
+    /// Keeps the origin of a stream that its caller resumes and may resume again until `deadline`.
+    pub(crate) fn extend_origin(
+        &self,
+        attempt: &str,
+        origin: &StreamOrigin,
+        deadline: Instant,
+        now: Instant,
+    ) {
+        let keep_us = to_span(deadline.saturating_duration_since(now));
+        let known = self.known_origin(attempt, now);
+        let kept_us = known.map_or(0, |known| known.keep_us.0);
+        if keep_us.0 > kept_us + MAX_UNCOVERED_US.0 {
+            self.record_origin(attempt, origin.clone(), deadline, now);
+        }
+    }
+
     /// Records whether a stream whose server was asked has begun at its listed start.
     pub(crate) fn settle_origin(&self, attempt: &str, is_proven: bool) {
         let now = Instant::now();
@@ -132,8 +152,11 @@
             origin,
             keep_us,
         } = shared_origin;
+        let attempt = key_of(attempt);
         let mut known = self.origins.known.borrow_mut();
-        known.record(now, &key_of(attempt), origin.clone(), now.after(*keep_us));
+        let kept_until = known.get(now, &attempt).map(|(_, expires_at)| expires_at);
+        let expires_at = now.after(*keep_us).max(kept_until.unwrap_or_default());
+        known.record(now, &attempt, origin.clone(), expires_at);
     }
 
     /// Holds an origin, unless what is known of the same stream says more.
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -330,7 +330,13 @@
             self.trace
                 .set_field("start_proof", &slot.proof.get().label());
         }
-        if self.origin.is_some() {
+        let RoutedRequest { received, info, .. } = self.routed;
+        let deadline = received.arrived + info.deadline;
+        if let Some(origin) = &self.origin {
+            if let Some(attempt) = &info.resumed_attempt {
+                self.shared
+                    .extend_origin(attempt, origin, deadline, Instant::now());
+            }
             return;
         }
         let proof = slot.proof.get();
@@ -344,8 +350,6 @@
         };
         let origin = origin_at(&slot.server, proof);
         if self.routed.route.is_resumable {
-            let RoutedRequest { received, info, .. } = self.routed;
-            let deadline = received.arrived + info.deadline;
             self.shared
                 .record_origin(&info.id, origin.clone(), deadline, Instant::now());
         }
--- a/standins/tests/process_run/mod.rs
+++ b/standins/tests/process_run/mod.rs
@@ -138,6 +138,13 @@
         begun
     }
 
+    /// Sends a request for a stream, or for the rest of one, and leaves after its first events.
+    pub fn leave(&self, gateway: usize, request: &CallerRequest) {
+        let mut connection = TcpStream::connect(self.gateways.callers(gateway)).expect("a gateway");
+        connection.write_all(&request.bytes()).expect("a gateway");
+        read_first_events(&mut connection);
+    }
+
     /// Returns the engine that ran a request first.
     fn engine_of(&self, id: &str) -> usize {
         let engine = self.engines.iter().position(|engine| engine.has_run(id));
@@ -305,7 +312,7 @@
 }
 
 /// Builds a request for a resumable stream in a program of its own.
-fn draft(id: &str) -> CallerRequest {
+pub fn draft(id: &str) -> CallerRequest {
     CallerRequest::turn("/draft/1", id, id, "x").with("Connection", "close")
 }
 
--- a/standins/tests/resumed_origins.rs
+++ b/standins/tests/resumed_origins.rs
@@ -8,7 +8,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use process_run::{EVENTS, LAST_EVENT, ProcessRun, event_ids};
+use process_run::{EVENTS, LAST_EVENT, ProcessRun, draft, event_ids, resumption};
 use rustix::process::Signal;
 use standins::soak_process::wait_for_exit;
 
@@ -215,3 +215,24 @@
         assert!(!run.has_resumed(&id), "{id} has run");
     }
 }
+
+/// Guards against origins that are forgotten at the deadline of the first attempt although the caller has
+/// resumed the stream with a later one.
+#[test]
+fn streams_go_on_after_the_deadline_of_their_first_attempt() {
+    let run = ProcessRun::start("first-deadline", 2);
+    // What is recorded there is kept for longer, since clocks differ.
+    run.gateways.silence_store();
+    for number in 0..STREAMS_PER_GATEWAY {
+        let id = format!("s{number}");
+        let begun_at = Instant::now();
+        run.leave(0, &draft(&id).with("Deadline-Ms", "1500"));
+        run.leave(1, &resumption(&id, Some(&id)).with("Deadline-Ms", "8000"));
+        sleep(Duration::from_millis(1_700).saturating_sub(begun_at.elapsed()));
+        for gateway in 0..2 {
+            let response = run.resume(gateway, &id).expect("a response");
+            assert_eq!(response.status, 200, "{id}: {response:?}");
+        }
+        assert_eq!(run.versions_of(&id).len(), 1, "versions of {id}");
+    }
+}
