Soak series of restarts beside late reports, with the rule of resumed streams

The soak had kills and stops of gateways, but never a series of them within the life of a stream, and its callers resumed at once.

Checked: at gateways in touch (undisturbed for 3 s, as the store), the share of named drafts that go on is at least half of that of new ones, also of those that began before a whole series of restarts and are resumed after it; a run with fewer than 16 of these fails.

--- a/standins/src/process_gateways.rs
+++ b/standins/src/process_gateways.rs
@@ -9,8 +9,7 @@
 use crate::platform_caller::exchange;
 use crate::platform_run::{is_ready, wait_until};
 use crate::platform_store::{PlatformStore, StoreEndpoint, StoreMode};
-use crate::soak_process::{GatewayProcess, ProcessPorts, ProcessSettings};
-use crate::soak_world::find_daemon;
+use crate::soak_process::{GatewayProcess, ProcessPorts, ProcessSettings, find_daemon};
 
 /// Gateways as processes; dropped, they are killed.
 #[derive(Debug)]
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -23,17 +23,24 @@
 use crate::soak_callers::Callers;
 use crate::soak_faults::{
     Fault, PlannedFault, plan_crowd_faults, plan_extended_faults, plan_faults, plan_release_faults,
-    plan_stop_faults,
+    plan_restart_faults, plan_stop_faults,
 };
 use crate::soak_history::{History, RequestKind, RequestRecord, find_violations};
 use crate::soak_plan::SoakPlan;
+use crate::soak_process::find_daemon;
 use crate::soak_release_checks::DraftCounts;
+use crate::soak_restart_checks::InTouchCounts;
 use crate::soak_watch::watch_gateway;
-use crate::soak_world::{GATEWAYS, SoakWorld, WorldSettings, find_daemon};
+use crate::soak_world::{GATEWAYS, SoakWorld, WorldSettings};
 
 const PROGRAM_CALLERS: usize = 8;
 /// The callers of drafts in runs with releases, which have no callers of programs.
 const DRAFT_CALLERS: usize = 40;
+/// The callers that resume drafts seconds later, in runs with restarts.
+const ABSENT_CALLERS: usize = 48;
+/// The fewest drafts that callers must try to resume after a series of restarts in a run that has some. A run
+/// with fewer tests nothing.
+const MIN_IN_TOUCH: usize = 16;
 /// The fewest drafts that a run with releases resumes for each second of faults. A run that resumes
 /// fewer tests nothing.
 const MIN_RESUMED_PER_S: u64 = 5;
@@ -43,8 +50,6 @@
 const STOP_CALLERS: usize = 3;
 /// How often a sleep checks for an interrupt.
 const INTERRUPT_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// How long callers go on after the last fault, so that requests in progress can complete.
-const DRAIN_TIME: Duration = Duration::from_millis(1_500);
 
 /// Run gateways as processes under injected faults and check what callers and servers observe.
 ///
@@ -61,7 +66,8 @@
     example = "{command_name} --seeds 7..8 --seconds 20 --extended",
     example = "{command_name} --seeds 0..5 --seconds 10 --release --gateways 6",
     example = "{command_name} --seeds 0..50 --seconds 8 --stops",
-    example = "{command_name} --seeds 0..50 --seconds 8 --crowds"
+    example = "{command_name} --seeds 0..50 --seconds 8 --crowds",
+    example = "{command_name} --seeds 0..50 --seconds 6 --restarts --gateways 6"
 )]
 pub struct Soak {
     /// seeds to run, as `A..B` (B not included; default 0..5)
@@ -82,6 +88,9 @@
     /// send crowds of callers that do not behave, beside stops, kills and changes
     #[argh(switch)]
     pub crowds: bool,
+    /// restart gateways in series before servers that report late, and resume drafts seconds later
+    #[argh(switch)]
+    pub restarts: bool,
     /// number of gateways (default 3)
     #[argh(option, default = "GATEWAYS")]
     pub gateways: usize,
@@ -108,6 +117,8 @@
     pub resumed_count: usize,
     /// What became of the drafts.
     pub drafts: DraftCounts,
+    /// What became of those at gateways in touch, in runs with restarts.
+    pub in_touch: InTouchCounts,
     /// Faults that were injected, by their start.
     pub faults: Vec<PlannedFault>,
 }
@@ -203,6 +214,9 @@
             if self.release {
                 println!("  drafts: {}", end.drafts);
             }
+            if self.restarts {
+                println!("  drafts: {}", end.in_touch);
+            }
             for line in &end.violations {
                 println!("  {line}");
             }
@@ -233,13 +247,15 @@
             (self.release, SoakPlan::Release),
             (self.stops, SoakPlan::Stops),
             (self.crowds, SoakPlan::Crowds),
+            (self.restarts, SoakPlan::Restarts),
         ];
         let mut chosen = chosen.iter().filter(|(is_chosen, _)| *is_chosen);
         match (chosen.next(), chosen.next()) {
             (None, _) => Ok(SoakPlan::Basic),
             (Some((_, plan)), None) => Ok(*plan),
             (Some(_), Some(_)) => {
-                let detail = "a run has the extended plan, releases, stops or crowds".to_owned();
+                let detail =
+                    "a run has the extended plan, releases, stops, crowds or restarts".to_owned();
                 Err(Failure::Check(detail))
             }
         }
@@ -285,6 +301,14 @@
                 };
                 (plan_crowd_faults(seed, length), counts)
             }
+            SoakPlan::Restarts => {
+                let counts = CallerCounts {
+                    programs: 1,
+                    absent: ABSENT_CALLERS,
+                    ..CallerCounts::default()
+                };
+                (plan_restart_faults(seed, length), counts)
+            }
             SoakPlan::Release => {
                 let counts = CallerCounts {
                     programs: 0,
@@ -302,6 +326,10 @@
                 format!("only {resumed} drafts were resumed, at least {min_resumed} must be");
             end.violations.push(line);
         }
+        if self.restarts && end.in_touch.resumptions_after_series < MIN_IN_TOUCH {
+            end.violations
+                .push(format!("too few to judge: {}", end.in_touch));
+        }
         drop(world);
         if end.violations.is_empty() {
             // The files of a successful run are of no use; an error here doesn't matter.
@@ -318,6 +346,8 @@
     /// Those of each gateway that keep connections idle.
     idle: usize,
     drafts: usize,
+    /// Those that resume drafts seconds later.
+    absent: usize,
     /// Those of each gateway that send slowly.
     slow: usize,
     /// Those of each gateway that pipeline.
@@ -330,6 +360,7 @@
             programs: PROGRAM_CALLERS,
             idle: 0,
             drafts: 0,
+            absent: 0,
             slow: 0,
             pipelining: 0,
         }
@@ -380,6 +411,10 @@
             let callers = &callers;
             scope.spawn(move || callers.run_drafts(number));
         }
+        for number in 0..counts.absent {
+            let callers = &callers;
+            scope.spawn(move || callers.resume_later(number));
+        }
         for gateway in 0..world.gateway_count() {
             let callers = &callers;
             scope.spawn(move || callers.use_open_connections(gateway));
@@ -413,7 +448,7 @@
             }
         });
         world.clear_faults();
-        interrupt.sleep_until(Instant::now() + DRAIN_TIME);
+        interrupt.sleep_until(Instant::now() + world.plan.drain_time());
         callers.is_finished.store(true, Ordering::Relaxed);
     });
     if let Err(problem) = check_all_serve(world, seed, "end") {
@@ -428,6 +463,7 @@
         .concat(),
         cut_links: [world.servers.cut_links(), world.releases.cut_links()].concat(),
         releases: world.release_times(),
+        restarts: (world.plan == SoakPlan::Restarts).then(|| world.restart_times()),
         ..history.unwrap_or_else(std::sync::PoisonError::into_inner)
     };
     let mut violations = found
@@ -440,6 +476,7 @@
     SoakResult {
         violations,
         drafts: DraftCounts::of(&history),
+        in_touch: InTouchCounts::of(&history),
         resume_count: resumed.len(),
         resumed_count: resumed.iter().filter(|r| r.status == 200).count(),
         request_count: history.requests.len(),
--- a/standins/src/soak_callers.rs
+++ b/standins/src/soak_callers.rs
@@ -337,7 +337,10 @@
             reports_not_executed: answer.headers.contains_key("retry-after"),
             body: answer.body,
             is_complete: answer.is_complete,
-            requires_response: must_respond(after) && is_undisturbed(before, after),
+            // A connection to an earlier start of the gateway ended with it.
+            requires_response: must_respond(after)
+                && is_undisturbed(before, after)
+                && before.start_count == attempt.connection_start,
             sent_at: world.elapsed(attempt.sent_at),
             duration: attempt.sent_at.elapsed(),
             held: attempt.held,
--- a/standins/src/soak_faults.rs
+++ b/standins/src/soak_faults.rs
@@ -58,6 +58,11 @@
     SuspendOverPoll,
     /// The peers of a gateway are suspended for a while, and mostly the store is silent to it.
     Isolate,
+    /// All gateways are killed or shut down gracefully and restarted, one after the other, in groups or all
+    /// at once.
+    RestartSeries,
+    /// The servers of drafts report late on themselves.
+    LateReports,
 }
 
 impl Fault {
@@ -104,6 +109,27 @@
     Fault::Hangup,
     Fault::Terminate,
 ];
+/// The kinds of the plan with restarts; a kind is as frequent as it is listed.
+const RESTART_FAULT_KINDS: [Fault; 16] = [
+    Fault::RestartSeries,
+    Fault::LateReports,
+    Fault::LateReports,
+    Fault::LateReports,
+    Fault::LateReports,
+    Fault::LateReports,
+    Fault::Kill,
+    Fault::Terminate,
+    Fault::Suspend,
+    Fault::StoreUnavailableForOne,
+    Fault::StoreSlow,
+    Fault::LostAppendResponses,
+    Fault::DelayedAppends,
+    Fault::ForgetHistory,
+    Fault::ConfigUpdate,
+    Fault::Hangup,
+];
+/// When the first series of restarts begins: drafts have been left by then.
+const FIRST_SERIES: Duration = Duration::from_millis(1_500);
 /// The kinds that put a gateway out of step beside a release; a kind is as frequent as it is listed.
 const OUT_OF_STEP_KINDS: [Fault; 8] = [
     Fault::Suspend,
@@ -166,6 +192,8 @@
 const RELEASES_PER_RESTART: u32 = 5;
 /// The random numbers of the extended plan, which leave those of the basic plan as they are.
 const EXTENDED_STREAM: u64 = 1;
+/// The random numbers of the plan with restarts.
+const RESTART_STREAM: u64 = 5;
 /// The mean time between the starts of two faults, short enough that faults overlap.
 const MEAN_INTERVAL_MS: u64 = 350;
 const MIN_DURATION_MS: u64 = 100;
@@ -228,6 +256,24 @@
     draw_faults(&mut random, &CROWD_FAULT_KINDS, length)
 }
 
+/// Returns the faults for `seed` in a run of `length` with series of restarts, of which the last ends the
+/// faults, and late reports.
+#[must_use]
+pub fn plan_restart_faults(seed: u64, length: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(RESTART_STREAM);
+    let mut planned = draw_faults(&mut random, &RESTART_FAULT_KINDS, length);
+    let series = [FIRST_SERIES, length].map(|offset| PlannedFault {
+        offset,
+        duration: Duration::ZERO,
+        fault: Fault::RestartSeries,
+        random_value: random.random(),
+    });
+    planned.extend(series);
+    planned.sort_by_key(|fault| fault.offset);
+    planned
+}
+
 /// Returns the faults for `seed` in a run of `length` with releases: each begins while a gateway is
 /// out of step. Each service is released once before any is released again.
 #[must_use]
--- a/standins/src/soak_history.rs
+++ b/standins/src/soak_history.rs
@@ -6,6 +6,7 @@
 use crate::platform_backend::event_data;
 use crate::soak_answers::{CutLink, Excuse, requests_end_with_an_answer};
 use crate::soak_release_checks::{ReleaseTimes, unnamed_drafts_are_resumed};
+use crate::soak_restart_checks::{RestartTimes, resumed_drafts_go_on};
 
 /// The number of events of each stream.
 pub const EVENTS_PER_STREAM: u64 = 4;
@@ -108,6 +109,8 @@
     pub cut_links: Vec<CutLink>,
     /// The releases, in runs that have some.
     pub releases: Option<ReleaseTimes>,
+    /// When gateways and the store were disturbed, in runs with restarts.
+    pub restarts: Option<RestartTimes>,
 }
 
 /// Returns a description of each violation in a history.
@@ -125,6 +128,7 @@
         required_responses_arrive,
         requests_end_with_an_answer,
         unnamed_drafts_are_resumed,
+        resumed_drafts_go_on,
     ];
     checks.iter().flat_map(|check| check(history)).collect()
 }
--- a/standins/src/soak_plan.rs
+++ b/standins/src/soak_plan.rs
@@ -1,5 +1,7 @@
 //! Defines what each plan of a soak starts.
 
+use std::time::Duration;
+
 use crate::soak_config::SoakConfig;
 use crate::soak_crowds::{CROWD_BODY_BYTES, CROWD_CONNECTION_LIMIT};
 use crate::soak_process::ProcessSettings;
@@ -8,6 +10,13 @@
 /// The timeout of the routes of drafts in runs with releases: a sole version must have been listed for
 /// twice as long.
 pub(crate) const DRAFT_TIMEOUT_MS: u64 = 1_000;
+/// The services of drafts in runs with restarts, and the software versions that each has all the time.
+pub(crate) const RESTART_DRAFT_SERVICES: usize = 2;
+const RESTART_VERSIONS: u32 = 2;
+/// How long callers go on after the last fault, so that requests in progress can complete.
+const DRAIN_TIME: Duration = Duration::from_millis(1_500);
+/// The same in runs with restarts, so that drafts are resumed at gateways in touch.
+const RESTART_DRAIN_TIME: Duration = Duration::from_secs(8);
 /// The timeouts of routes in runs with stops, longer than a stop takes.
 const LONG_TIMEOUT_MS: u64 = 6_000;
 
@@ -25,6 +34,8 @@
     Stops,
     /// Crowds of callers that do not behave, beside stops, kills and changes.
     Crowds,
+    /// Series of restarts and late reports of servers, beside drafts that are resumed seconds later.
+    Restarts,
 }
 
 impl SoakPlan {
@@ -43,6 +54,10 @@
                 draft_services: DRAFT_SERVICES,
                 ..SoakConfig::default()
             },
+            Self::Restarts => SoakConfig {
+                draft_services: RESTART_DRAFT_SERVICES,
+                ..SoakConfig::default()
+            },
             Self::Crowds => SoakConfig {
                 has_floods: true,
                 body_limit_bytes: CROWD_BODY_BYTES,
@@ -51,10 +66,28 @@
         }
     }
 
+    /// Returns the number of software versions that each service of drafts has from the start.
+    pub(crate) fn draft_versions(self) -> u32 {
+        if self == Self::Restarts {
+            RESTART_VERSIONS
+        } else {
+            1
+        }
+    }
+
+    /// Returns how long callers go on after the last fault.
+    pub(crate) fn drain_time(self) -> Duration {
+        if self == Self::Restarts {
+            RESTART_DRAIN_TIME
+        } else {
+            DRAIN_TIME
+        }
+    }
+
     /// Returns the settings of the gateways.
     pub(crate) fn process_settings(self) -> ProcessSettings {
         match self {
-            Self::Basic | Self::Extended | Self::Release | Self::Stops => {
+            Self::Basic | Self::Extended | Self::Release | Self::Stops | Self::Restarts => {
                 ProcessSettings::default()
             }
             Self::Crowds => ProcessSettings {
--- a/standins/src/soak_process.rs
+++ b/standins/src/soak_process.rs
@@ -381,6 +381,23 @@
     (*state != LISTENING).then_some(socket)
 }
 
+/// Returns the path of the daemon beside this program.
+///
+/// # Errors
+///
+/// Returns an error if the file does not exist.
+pub fn find_daemon() -> io::Result<PathBuf> {
+    let program = std::env::current_exe()?;
+    let candidates = program.ancestors().skip(1).take(2);
+    let mut found = candidates.map(|directory| directory.join("clementinepickd"));
+    found.find(|path| path.is_file()).ok_or_else(|| {
+        io::Error::new(
+            io::ErrorKind::NotFound,
+            "no clementinepickd beside this program; build it first",
+        )
+    })
+}
+
 /// Waits until a terminated process exits; kills it and returns `None` if it takes too long.
 ///
 /// # Errors
--- a/standins/src/soak_release_callers.rs
+++ b/standins/src/soak_release_callers.rs
@@ -16,6 +16,8 @@
 /// The longest time between leaving a draft and resuming it.
 const MAX_ABSENCE_MS: u64 = 300;
 const MAX_RESUMPTIONS: u32 = 4;
+/// The longest deadline that a caller may have, as without one.
+const DEADLINE_MS: &str = "600000";
 /// How often a draft is one of a service that is being released, if there is one.
 const RELEASING_SHARE: f64 = 0.75;
 /// How often a draft is resumed at a gateway that is out of step, if there is one.
@@ -41,7 +43,8 @@
     fn run_draft(&mut self, program: &str, is_named: bool) {
         let service = self.choose_service();
         let gateway = self.choose_gateway_in_step();
-        let begun = self.send_draft(service, gateway, program, RequestKind::Draft, true);
+        let draft = RequestKind::Draft;
+        let begun = self.send_draft(service, gateway, program, draft, true, DEADLINE_MS);
         let (first, Some(mut last_event)) = (begun.id, begun.last_event) else {
             self.back_off();
             return;
@@ -63,7 +66,7 @@
                 is_named,
             };
             let leaves = self.random.random_bool(LEAVE_AGAIN_SHARE);
-            let received = self.send_draft(service, gateway, program, kind, leaves);
+            let received = self.send_draft(service, gateway, program, kind, leaves, DEADLINE_MS);
             match received.status {
                 200 if received.is_complete => return,
                 200 => last_event = received.last_event.unwrap_or(last_event),
@@ -72,16 +75,19 @@
         }
     }
 
-    fn send_draft(
+    /// Sends a request for a draft, or for its rest; the caller may leave after some events.
+    pub(crate) fn send_draft(
         &mut self,
         service: usize,
         gateway: usize,
         program: &str,
         kind: RequestKind,
         leaves: bool,
+        deadline_ms: &str,
     ) -> Received {
         let mut attempt = self.start_attempt(gateway, program, kind);
-        attempt.request = attempt.request.without("Token-Budget");
+        let request = attempt.request.without("Token-Budget");
+        attempt.request = request.with("Deadline-Ms", deadline_ms);
         attempt.request.path = format!("/{}/1", draft_service(service));
         let patience = Duration::from_millis(self.random.random_range(PATIENCE_MS));
         self.send_attempt(attempt, leaves.then_some(patience))
--- a/standins/src/soak_release_servers.rs
+++ b/standins/src/soak_release_servers.rs
@@ -97,26 +97,36 @@
     cut_links: Mutex<Vec<CutLink>>,
     started_at: Instant,
     store: PlatformStore,
+    /// The number of versions that each service has from the start.
+    first_versions: u32,
 }
 
 impl ReleaseServers {
-    /// Starts the servers of `count` services and lists them.
+    /// Starts the servers of `count` services, of `versions` software versions each, and lists them.
     ///
     /// # Errors
     ///
     /// Returns an error if a port or thread can't be obtained.
-    pub fn start(store: &PlatformStore, started_at: Instant, count: usize) -> io::Result<Self> {
+    pub fn start(
+        store: &PlatformStore,
+        started_at: Instant,
+        count: usize,
+        versions: u32,
+    ) -> io::Result<Self> {
         let servers = Self {
             services: (0..count).map(|_| Mutex::default()).collect(),
             executed: Mutex::default(),
             cut_links: Mutex::default(),
             started_at,
             store: store.clone(),
+            first_versions: versions,
         };
         for number in 0..count {
-            lock(&servers.services[number]).version = 1;
-            for _ in 0..SERVERS_PER_SERVICE {
-                servers.join(number)?;
+            for version in 1..=versions {
+                lock(&servers.services[number]).version = version;
+                for _ in 0..SERVERS_PER_SERVICE {
+                    servers.join(number)?;
+                }
             }
         }
         Ok(servers)
@@ -180,13 +190,14 @@
     /// Starts a server of the newest version and lists it.
     fn join(&self, number: usize) -> io::Result<()> {
         let mut service = lock(&self.services[number]);
+        let reports_start = self.first_versions > 1 || service.started_count.is_multiple_of(2);
         let settings = BackendSettings {
             id: format!("{}-{}", draft_service(number), service.started_count),
             version: format!("v{}", service.version),
             names_version: true,
             events: EVENTS_PER_STREAM,
             pause: EVENT_PAUSE,
-            started_unix_ms: service.started_count.is_multiple_of(2).then(unix_ms),
+            started_unix_ms: reports_start.then(unix_ms),
             ..BackendSettings::default()
         };
         service.started_count += 1;
@@ -239,6 +250,16 @@
         Ok(())
     }
 
+    /// Makes all servers report late on themselves.
+    pub fn delay_reports(&self, delay: Duration) {
+        for service in &self.services {
+            for server in &lock(service).servers {
+                let backend = &server.backend;
+                backend.configure(|settings| settings.report_delay = delay);
+            }
+        }
+    }
+
     /// Writes the entry of one server again, as servers do from time to time.
     pub fn renew_entry(&self, random_value: u64) {
         let number = usize::try_from(random_value % DRAFT_SERVICES as u64).unwrap_or(0);
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -18,6 +18,7 @@
 use crate::soak_process::{GatewayProcess, ProcessPorts, wait_for_exit};
 use crate::soak_release_checks::ReleaseTimes;
 use crate::soak_release_servers::ReleaseServers;
+use crate::soak_restart_checks::RestartTimes;
 use crate::soak_servers::SoakServers;
 
 /// The number of gateways in a run, unless its settings say otherwise.
@@ -107,6 +108,8 @@
     gateways: Vec<Mutex<Gateway>>,
     /// The published configurations, of which the first has version 1.
     configs: Mutex<Vec<SoakConfig>>,
+    /// When gateways and the store were disturbed, in runs with restarts.
+    pub(crate) disturbed: Mutex<RestartTimes>,
     started_at: Instant,
     directory: PathBuf,
 }
@@ -125,7 +128,8 @@
         store.put("keyed.op", "config", &config.text(1));
         let started_at = Instant::now();
         let servers = SoakServers::start(&store, started_at, plan)?;
-        let releases = ReleaseServers::start(&store, started_at, config.draft_services)?;
+        let (services, versions) = (config.draft_services, plan.draft_versions());
+        let releases = ReleaseServers::start(&store, started_at, services, versions)?;
         let mut doors = Vec::new();
         for _ in 0..gateways {
             doors.push(store.open()?);
@@ -159,6 +163,7 @@
             out_of_step: Mutex::default(),
             gateways: processes,
             configs: Mutex::new(vec![config]),
+            disturbed: Mutex::default(),
             started_at,
             directory: directory.to_owned(),
         })
@@ -266,6 +271,11 @@
     }
 
     /// Returns the time since the start of the run.
+    pub(crate) fn elapsed_now(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
+    /// Returns the time from the start of the run to `at`.
     #[must_use]
     pub fn elapsed(&self, at: Instant) -> Duration {
         at.saturating_duration_since(self.started_at)
@@ -295,10 +305,15 @@
     pub fn inject(&self, planned: &PlannedFault) -> io::Result<()> {
         let count = self.gateways.len() as u64;
         let number = usize::try_from(planned.random_value % count).unwrap_or(0);
+        let from = self.elapsed_now();
+        if self.plan == SoakPlan::Restarts {
+            let injected = self.inject_at(number, planned);
+            self.record_fault(planned.fault, number, from);
+            return injected;
+        }
         if self.releases.is_empty() || !planned.fault.puts_out_of_step() {
             return self.inject_at(number, planned);
         }
-        let from = self.started_at.elapsed();
         lock(&self.out_of_step).gateways.push(number);
         let injected = self.inject_at(number, planned);
         if matches!(planned.fault, Fault::Kill | Fault::Terminate) {
@@ -388,6 +403,14 @@
                 self.servers.drain(&self.store, random_value, duration);
                 Ok(())
             }
+            Fault::RestartSeries => self.restart_in_series(random_value),
+            Fault::LateReports => {
+                self.releases
+                    .delay_reports(Duration::from_millis(60 + random_value % 700));
+                std::thread::sleep(duration);
+                self.releases.delay_reports(Duration::ZERO);
+                Ok(())
+            }
             Fault::ConfigUpdate => {
                 self.publish(|newest| newest);
                 Ok(())
@@ -495,7 +518,7 @@
         change(&mut gateway)
     }
 
-    fn kill(&self, number: usize, duration: Duration) -> io::Result<()> {
+    pub(crate) fn kill(&self, number: usize, duration: Duration) -> io::Result<()> {
         self.begin_fault(number, |gateway| gateway.process.kill());
         std::thread::sleep(duration);
         self.restart(number)
@@ -516,7 +539,7 @@
     ///
     /// One that is not ready is skipped: a process that gets SIGTERM before it handles signals
     /// exits at once and not gracefully, but has not served anyone either.
-    fn terminate(&self, number: usize, duration: Duration) -> io::Result<()> {
+    pub(crate) fn terminate(&self, number: usize, duration: Duration) -> io::Result<()> {
         if !is_ready(self.ready_address(number)) {
             return Ok(());
         }
@@ -561,20 +584,3 @@
         door.set_mode(StoreMode::Serving);
     }
 }
-
-/// Returns the path of the daemon beside this program.
-///
-/// # Errors
-///
-/// Returns an error if the file does not exist.
-pub fn find_daemon() -> io::Result<PathBuf> {
-    let program = std::env::current_exe()?;
-    let candidates = program.ancestors().skip(1).take(2);
-    let mut found = candidates.map(|directory| directory.join("clementinepickd"));
-    found.find(|path| path.is_file()).ok_or_else(|| {
-        io::Error::new(
-            io::ErrorKind::NotFound,
-            "no clementinepickd beside this program; build it first",
-        )
-    })
-}
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -77,6 +77,7 @@
         ],
         cut_links: Vec::new(),
         releases: None,
+        restarts: None,
     }
 }
 
@@ -496,6 +497,7 @@
         release: false,
         stops: false,
         crowds: false,
+        restarts: false,
         gateways: 3,
         daemon: None,
         directory: None,
@@ -515,6 +517,7 @@
             release: false,
             stops: false,
             crowds: false,
+            restarts: false,
             gateways: 3,
             daemon: None,
             directory: None,
@@ -549,6 +552,7 @@
         release: false,
         stops: true,
         crowds: false,
+        restarts: false,
         gateways: 3,
         daemon: None,
         directory: None,
@@ -573,6 +577,7 @@
             release: true,
             stops: false,
             crowds: false,
+            restarts: false,
             gateways: 6,
             daemon: None,
             directory: None,
--- a/standins/tests/soak_crowds.rs
+++ b/standins/tests/soak_crowds.rs
@@ -14,6 +14,7 @@
         release: false,
         stops: false,
         crowds: true,
+        restarts: false,
         gateways: 3,
         daemon: None,
         directory: None,
