Record that streams have begun at starts of unknown version

What callers saw: a stream that had begun at a server replaced in place was joined with events of the version before, when its caller resumed it without naming the attempt after all gateways were killed. The mark that a service has such streams lived in the memory of gateways, for the 2 s in which the list may lack the version; found by looking for state of the same class as the origins.

It is recorded beside the versions now, one record a service, before the first event where the start is known to be unknown by then. A proof that a service has had one version reads it with the versions, after the question.

--- a/clementinepick/src/start_doubts.rs
+++ b/clementinepick/src/start_doubts.rs
@@ -38,6 +38,8 @@
 
 /// How long after a notice a further one is no news to peers, whose doubts last for much longer.
 const RENOTICE_US: SpanUs = SpanUs::from_ms(250);
+/// How long after a stream has begun at a start of unknown version a list may lack that version.
+pub const UNPROVEN_STREAM_MEMORY_US: SpanUs = LIST_LAG_US;
 /// The maximum number of servers in doubt; above it, those that were noticed first are dropped.
 const MAX_SERVERS: usize = 4_096;
 
@@ -173,7 +175,7 @@
             server.is_some_and(|server| doubt.is_about(server)) && list_at <= doubt.settled_by
         });
         self.unproven_streams
-            .retain(|_, at| list_at <= at.after(LIST_LAG_US));
+            .retain(|_, at| list_at <= at.after(UNPROVEN_STREAM_MEMORY_US));
     }
 
     /// Returns whether nothing is in doubt.
--- a/clementinepickd/src/gateway_start.rs
+++ b/clementinepickd/src/gateway_start.rs
@@ -21,6 +21,7 @@
 use crate::ledger::{from_cbor, to_cbor};
 use crate::outbound::Connection;
 use crate::server_probe::ask_start;
+use crate::unix_time::unix_ms;
 
 /// The path of calls that tell a peer of servers in doubt.
 pub(crate) const DOUBT_PATH: &str = "/starts/doubt";
@@ -149,11 +150,19 @@
     /// Records that a stream begins at a start of unknown version.
     pub(crate) fn record_unproven_stream(&self, service: &str) {
         let now = self.now_us(Instant::now());
-        if self.start_doubts().record_unproven_stream(now, service) {
+        let is_news = self.start_doubts().record_unproven_stream(now, service);
+        if is_news {
             self.notify_peers(StartNotice::UnprovenStream(service.to_owned()));
+            self.versions.record_unproven(service, unix_ms());
         }
     }
 
+    /// Applies what an earlier process recorded of such a stream.
+    pub(crate) fn load_unproven_stream(&self, service: &str, now: Instant) {
+        let now = self.now_us(now);
+        self.start_doubts().record_unproven_stream(now, service);
+    }
+
     fn notify_peers(&self, notice: StartNotice) {
         // The receiver ends only with the process.
         let _ = self.updates.send(PeerUpdate::Start(notice));
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -311,7 +311,7 @@
                 attempts.may_repeat = false;
             }
             if self.routed.route.is_resumable {
-                let recorded = self.shared.wait_until_version_recorded(&slot.server);
+                let recorded = self.shared.wait_until_start_recorded(&slot.server);
                 check.run_beside(recorded).await;
             }
             let headers = platform::response::forwarded_headers(&response.head.headers);
--- a/clementinepickd/src/gateway_versions.rs
+++ b/clementinepickd/src/gateway_versions.rs
@@ -12,6 +12,7 @@
 use actix_rt::time::{sleep_until, timeout};
 use clementinepick::listed_versions::{RecordedVersion, VERSION_MEMORY_US};
 use clementinepick::server_list::{BackendServer, SoftwareVersion};
+use clementinepick::start_doubts::UNPROVEN_STREAM_MEMORY_US;
 use clementinepick::units::SpanUs;
 use platform::store::KeyedRecord;
 use serde::{Deserialize, Serialize};
@@ -31,11 +32,17 @@
 const READ_INTERVAL: Duration = Duration::from_secs(30);
 /// How long a version is recorded after it was recorded as unlisted; clocks differ by seconds.
 const RECORD_LIFETIME_MS: u64 = 2 * VERSION_MEMORY_US.as_ms();
+/// How long a start of unknown version is recorded: until the list must have it, by clocks that differ by
+/// seconds.
+const UNPROVEN_MEMORY_MS: u64 = UNPROVEN_STREAM_MEMORY_US.as_ms() + 5_000;
 /// How long the first event of a stream may wait for the record of its version.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(150);
 /// How long a call to the store may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How the keys of streams that have begun at starts of unknown version begin.
+const UNPROVEN_PREFIX: &str = "u-";
+
 /// The record of one version of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct VersionRecord {
@@ -51,6 +58,24 @@
     unlisted_unix_ms: Option<u64>,
 }
 
+/// The record of a stream that has begun at a start of unknown version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct UnprovenRecord {
+    #[serde(rename = "s")]
+    service: String,
+    /// When it began.
+    #[serde(rename = "t")]
+    begun_unix_ms: u64,
+}
+
+impl UnprovenRecord {
+    /// Returns whether the version may still be missing in the list.
+    fn is_recent(&self, now_unix_ms: u64) -> bool {
+        let until = self.begun_unix_ms.saturating_add(UNPROVEN_MEMORY_MS);
+        now_unix_ms < until
+    }
+}
+
 type VersionId = (String, SoftwareVersion);
 
 /// What is recorded of versions.
@@ -58,6 +83,9 @@
 pub(crate) struct VersionRecords {
     /// `None` before they were read.
     records: RefCell<Option<BTreeMap<VersionId, VersionRecord>>>,
+    /// The services with streams that have begun at starts of unknown version and are not recorded, with
+    /// the times of the last ones.
+    unproven: RefCell<BTreeMap<String, u64>>,
     /// The start of the call that returned them.
     as_of: Cell<Option<Instant>>,
     /// Held during each call to the store; contains the start of the last read.
@@ -86,6 +114,43 @@
         }
     }
 
+    /// Records that a stream has begun at a start of unknown version.
+    pub(crate) fn record_unproven(&self, service: &str, now_unix_ms: u64) {
+        let mut unproven = self.unproven.borrow_mut();
+        unproven.insert(service.to_owned(), now_unix_ms);
+        self.needed.notify_one();
+    }
+
+    async fn wait_until_unproven_recorded(&self, service: &str) {
+        while self.unproven.borrow().contains_key(service) {
+            self.needed.notify_one();
+            self.written.notified().await;
+        }
+    }
+
+    fn unproven_records(&self) -> Vec<UnprovenRecord> {
+        let unproven = self.unproven.borrow();
+        let records = unproven
+            .iter()
+            .map(|(service, begun_unix_ms)| UnprovenRecord {
+                service: service.clone(),
+                begun_unix_ms: *begun_unix_ms,
+            });
+        records.collect()
+    }
+
+    /// Drops what was recorded, unless another stream has begun since.
+    fn remove_unproven(&self, recorded: &[UnprovenRecord]) {
+        let mut unproven = self.unproven.borrow_mut();
+        for record in recorded {
+            if unproven.get(&record.service) == Some(&record.begun_unix_ms) {
+                unproven.remove(&record.service);
+            }
+        }
+        drop(unproven);
+        self.written.notify_waiters();
+    }
+
     /// Returns the records that the listed versions make necessary. A list from before the read of the
     /// records, if `is_older`, does not show that a version has left which another process lists.
     fn changes(
@@ -162,13 +227,29 @@
     /// Waits until the version of a server is recorded, so that a stream which begins there can't be
     /// taken for one of another version later. Streams begin without it while the store is
     /// unavailable.
-    pub(crate) async fn wait_until_version_recorded(&self, server: &BackendServer) {
+    async fn wait_until_version_recorded(&self, server: &BackendServer) {
         let id = (server.service.clone(), server.version.clone());
         if !self.versions.is_recorded(&id) && !self.store.is_unavailable() {
             // The record follows as soon as it can be written.
             let _ = timeout(RECORD_TIMEOUT, self.versions.wait_until_recorded(&id)).await;
         }
     }
+
+    /// Waits until the start at which a stream begins is recorded, whether or not its version is known.
+    pub(crate) async fn wait_until_start_recorded(&self, server: &BackendServer) {
+        tokio::join!(
+            self.wait_until_version_recorded(server),
+            self.wait_until_unproven_recorded(&server.service),
+        );
+    }
+
+    async fn wait_until_unproven_recorded(&self, service: &str) {
+        if !self.store.is_unavailable() {
+            let recorded = self.versions.wait_until_unproven_recorded(service);
+            // The record follows as soon as it can be written.
+            let _ = timeout(RECORD_TIMEOUT, recorded).await;
+        }
+    }
 }
 
 /// Reads what is recorded, and records changes until dropped.
@@ -210,9 +291,18 @@
 async fn load(shared: &Shared, deadline: Instant) -> Result<(), LedgerError> {
     let reader = shared.ledger.reader(StorePurpose::Versions, deadline);
     let mut records = Vec::new();
+    let mut unproven = Vec::new();
     let collect = |page: Vec<KeyedRecord>| {
-        let values = page.into_iter().filter_map(|record| record.value);
-        records.extend(values.filter_map(|value| from_cbor::<VersionRecord>(&value)));
+        for KeyedRecord { key, value } in page {
+            let Some(value) = value else {
+                continue;
+            };
+            if key.starts_with(UNPROVEN_PREFIX) {
+                unproven.extend(from_cbor::<UnprovenRecord>(&value));
+            } else {
+                records.extend(from_cbor::<VersionRecord>(&value));
+            }
+        }
     };
     let partition = shared.ledger.version_partition();
     reader.read_newest(partition, collect).await?;
@@ -221,6 +311,9 @@
         shared.load_version(&recorded_version(record, now_unix_ms), Instant::now());
     }
     shared.versions.replace(records);
+    for record in unproven.iter().filter(|r| r.is_recent(now_unix_ms)) {
+        shared.load_unproven_stream(&record.service, Instant::now());
+    }
     Ok(())
 }
 
@@ -236,6 +329,7 @@
 
 async fn record_changes(shared: &Shared) -> Result<(), LedgerError> {
     let _access = shared.versions.access.lock().await;
+    record_unproven_starts(shared).await?;
     let list = shared.current_servers(Instant::now());
     let Some(list) = list.filter(|list| !list.servers.is_empty()) else {
         return Ok(());
@@ -256,19 +350,40 @@
     if records.is_empty() || shared.store.is_unavailable() {
         return Ok(());
     }
+    append(shared, &records).await?;
+    shared.versions.insert_all(changes);
+    shared.versions.remove_all(&expired);
+    Ok(())
+}
+
+/// Records at which services streams have begun at starts of unknown version; one record a service, which
+/// each later one replaces.
+async fn record_unproven_starts(shared: &Shared) -> Result<(), LedgerError> {
+    let unproven = shared.versions.unproven_records();
+    if unproven.is_empty() || shared.store.is_unavailable() {
+        return Ok(());
+    }
+    let records = unproven.iter().map(|record| KeyedRecord {
+        key: unproven_key(&record.service),
+        value: Some(to_cbor(record)),
+    });
+    append(shared, &records.collect::<Vec<_>>()).await?;
+    shared.versions.remove_unproven(&unproven);
+    Ok(())
+}
+
+async fn append(shared: &Shared, records: &[KeyedRecord]) -> Result<(), LedgerError> {
     let partition = shared.ledger.version_partition();
     let deadline = Instant::now() + CALL_TIMEOUT;
     let purpose = StorePurpose::Versions;
     let append = shared
         .ledger
-        .append(purpose, partition, None, &records, deadline);
-    let reply = append.await?;
-    if reply.status != 200 {
-        return Err(LedgerError::Unavailable);
+        .append(purpose, partition, None, records, deadline);
+    if append.await?.status == 200 {
+        Ok(())
+    } else {
+        Err(LedgerError::Unavailable)
     }
-    shared.versions.insert_all(changes);
-    shared.versions.remove_all(&expired);
-    Ok(())
 }
 
 fn to_record(record: &VersionRecord) -> KeyedRecord {
@@ -282,6 +397,10 @@
     format!("v-{:032x}", xxh3_128(&to_cbor(id)))
 }
 
+fn unproven_key(service: &str) -> String {
+    format!("{UNPROVEN_PREFIX}{:032x}", xxh3_128(service.as_bytes()))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/standins/tests/replaced_in_place.rs
+++ b/standins/tests/replaced_in_place.rs
@@ -14,6 +14,8 @@
 const RESTART_DELAYS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(400)];
 /// The age at which no gateway takes the list that it has for current.
 const MIN_OUTAGE: Duration = Duration::from_millis(2_500);
+/// The time after which a sole version counts as known: two timeouts of the route.
+const MIN_KNOWN: Duration = Duration::from_millis(4_300);
 /// The time in which a gateway and its peers notice the end of a server.
 const NOTICE: Duration = Duration::from_millis(100);
 
@@ -215,6 +217,27 @@
     });
 }
 
+/// Guards against starts of unknown version of which only processes know, for callers that do not name
+/// the attempt.
+#[test]
+fn streams_of_unknown_starts_are_not_joined_after_all_gateways_were_killed() {
+    let settings = ReplacedSettings {
+        has_start_times: true,
+        restart_delay: Duration::ZERO,
+        list: ListState::Unwritten,
+    };
+    let mut run = ReplacedRun::start("unknown-killed", settings);
+    sleep(MIN_KNOWN);
+    run.replace(0);
+    let streams = begin_until_at_replaced(&run);
+    let left: Vec<Stream> = streams.into_iter().map(Stream::disconnect).collect();
+    run.restart_gateways();
+    for mut stream in left {
+        run.resume(1, &mut stream, false);
+        stream.assert_one_version(&run);
+    }
+}
+
 fn start_sound(name: &str, has_start_times: bool) -> ReplacedRun {
     let settings = ReplacedSettings {
         has_start_times,
--- a/standins/tests/replaced_run/mod.rs
+++ b/standins/tests/replaced_run/mod.rs
@@ -124,6 +124,19 @@
         }
     }
 
+    /// Kills all gateways at once and starts them again; returns when they are ready.
+    pub fn restart_gateways(&mut self) {
+        for process in &mut self.gateways.processes {
+            process.kill();
+        }
+        for process in &mut self.gateways.processes {
+            process.restart().expect("a process");
+        }
+        for gateway in 0..GATEWAYS {
+            self.gateways.wait_until_ready(gateway).expect("a gateway");
+        }
+    }
+
     /// Ends a server and starts one of the next version under its id and address.
     pub fn replace(&mut self, server: usize) {
         self.end(server);
