Test that streams of programs with budgets are resumed after restarts

A resumption reserves the most of a turn again, while the tokens of the first attempt are lost with its gateway.

--- a/standins/tests/process_run/mod.rs
+++ b/standins/tests/process_run/mod.rs
@@ -130,12 +130,17 @@
             }
         });
         let begun = begun.collect();
+        self.speed_up();
+        begun
+    }
+
+    /// Makes the streams that follow faster, as those are that callers resume.
+    pub fn speed_up(&self) {
         for engine in &self.engines {
             engine
                 .backend
                 .configure(|settings| settings.pause = FAST_PAUSE);
         }
-        begun
     }
 
     /// Sends a request for a stream, or for the rest of one, and leaves after its first events.
--- a/standins/tests/resumed_origins.rs
+++ b/standins/tests/resumed_origins.rs
@@ -5,7 +5,7 @@
 #[allow(dead_code, reason = "each test file uses a part")]
 mod process_run;
 
-use std::thread::sleep;
+use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
 use process_run::{EVENTS, LAST_EVENT, ProcessRun, draft, event_ids, resumption};
@@ -236,3 +236,50 @@
         assert_eq!(run.versions_of(&id).len(), 1, "versions of {id}");
     }
 }
+
+/// The budget of a program, for two turns at their most.
+const BUDGET: &str = "100";
+
+/// Begins one stream of a program with a budget at each gateway, restarts gateways, and resumes the streams;
+/// returns the statuses.
+fn resume_with_budgets(name: &str, groups: &[&[usize]], how: Restart) -> Vec<u16> {
+    let mut run = ProcessRun::start(name, GATEWAYS);
+    let ids: Vec<String> = (0..2 * GATEWAYS)
+        .map(|number| format!("b{number}"))
+        .collect();
+    thread::scope(|scope| {
+        for (number, id) in ids.iter().enumerate() {
+            let run = &run;
+            scope.spawn(move || {
+                run.leave(number % GATEWAYS, &draft(id).with("Token-Budget", BUDGET));
+            });
+        }
+    });
+    run.speed_up();
+    sleep(SETTLED);
+    for group in groups {
+        restart(&mut run, group, how);
+    }
+    let resume = |(number, id): (usize, &String)| {
+        let gateway = (number + 1) % GATEWAYS;
+        let request = resumption(id, Some(id)).with("Token-Budget", BUDGET);
+        let response = request.send(run.gateways.callers(gateway));
+        let response = response.expect("a response");
+        response.status
+    };
+    ids.iter().enumerate().map(resume).collect()
+}
+
+/// Guards against resumed streams that are refused because the tokens of their first attempts are lost.
+#[test]
+fn streams_of_programs_with_budgets_go_on_after_restarts() {
+    for (name, groups, how) in [
+        ("budget-pair", &[&[2, 3][..]][..], Restart::Kill),
+        ("budget-all", &ALL_AT_ONCE[..], Restart::Kill),
+    ] {
+        let statuses = resume_with_budgets(name, groups, how);
+        let resumed = statuses.iter().filter(|status| **status == 200).count();
+        println!("{name}: {resumed} of {}", statuses.len());
+        assert!(2 * resumed >= statuses.len(), "{name}: {statuses:?}");
+    }
+}
