Keep recorded origins few enough to be read in a few calls

Callers without deadline wait for ten minutes: at 35 appends a second their records are some 21,000, 42 pages of the store, which neither the read of a start (400 ms) nor that of a request (200 ms) would get through, and no origin was written before the first read had succeeded.

--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -34,7 +34,7 @@
 use crate::gateway_loss::settle_losses;
 use crate::gateway_maintenance::run_maintenance;
 use crate::gateway_metrics::{GatewayMetrics, MetricsHandler};
-use crate::gateway_origin_log::write_origins;
+use crate::gateway_origin_log::{load_recorded_origins, write_origins};
 use crate::gateway_other_runs::watch_stall;
 use crate::gateway_peer::PeerHandler;
 use crate::gateway_peer_updates::send_updates;
@@ -318,6 +318,7 @@
         tasks.spawn_local(watch_peers(Rc::clone(&shared)));
         tasks.spawn_local(write_requests(Rc::clone(&shared)));
         tasks.spawn_local(write_origins(Rc::clone(&shared)));
+        tasks.spawn_local(load_recorded_origins(Rc::clone(&shared)));
         tasks.spawn_local(settle_losses(Rc::clone(&shared), queues.losses));
         tasks.spawn_local(ask_starts(Rc::clone(&shared), queues.start_questions));
         let mut stop = pin!(stop);
--- a/clementinepickd/src/gateway_origin_log.rs
+++ b/clementinepickd/src/gateway_origin_log.rs
@@ -30,9 +30,9 @@
 
 /// How the keys of records begin.
 const KEY_PREFIX: &str = "o-";
-/// How long an append may take before it is made again, and how long a read may take.
+/// How long an append may take before it is made again, and how long the first read may take.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(400);
-const LOAD_TIMEOUT: Duration = Duration::from_millis(400);
+const LOAD_TIMEOUT: Duration = Duration::from_secs(2);
 /// The pause after a failed call.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// How long the first of some origins waits for those that begin, or whose server answers, just after it.
@@ -47,9 +47,11 @@
 /// The maximum number of origins that wait while the store is unavailable; the oldest attempts by name
 /// beyond it are not recorded.
 const MAX_QUEUED: usize = 16_384;
-/// The maximum number of this process's records that are kept, about ten minutes of streams without
-/// deadline.
-const MAX_OWN_RECORDS: usize = 4_096;
+/// How long an origin is recorded at most, so that a read of all records takes a few calls; callers that
+/// wait for longer need a process that remembers it.
+const MAX_RECORD_TIME: Duration = Duration::from_mins(1);
+/// The maximum number of this process's records that are kept.
+const MAX_OWN_RECORDS: usize = 1_024;
 /// The maximum number of records that one append deletes.
 const MAX_DELETIONS: usize = 256;
 /// How much longer than its stream can be resumed an origin is kept: clocks differ by seconds.
@@ -169,7 +171,14 @@
 
 impl Shared {
     /// Queues the origin of a stream to be recorded in the store.
-    pub(crate) fn log_origin(&self, attempt: &str, origin: StreamOrigin, expires_at: Instant) {
+    pub(crate) fn log_origin(
+        &self,
+        attempt: &str,
+        origin: StreamOrigin,
+        deadline: Instant,
+        now: Instant,
+    ) {
+        let expires_at = deadline.min(now + MAX_RECORD_TIME);
         let queued = QueuedOrigin { origin, expires_at };
         self.origin_log.queue(attempt, queued);
     }
@@ -291,6 +300,14 @@
     Ok(())
 }
 
+/// Reads all records at the start of the process, until it succeeds.
+pub(crate) async fn load_recorded_origins(shared: Rc<Shared>) {
+    while shared.store.is_unavailable() || load(&shared).await.is_err() {
+        // The store client counts the failure.
+        sleep(RETRY_INTERVAL).await;
+    }
+}
+
 /// Reads all records, and deletes those of earlier processes whose streams can no longer be resumed.
 async fn load(shared: &Shared) -> Result<(), LedgerError> {
     let now = Instant::now();
@@ -330,10 +347,6 @@
 
 /// Records origins until dropped.
 pub(crate) async fn write_origins(shared: Rc<Shared>) {
-    while shared.store.is_unavailable() || load(&shared).await.is_err() {
-        // The store client counts the failure. What is queued meanwhile is recorded afterwards.
-        sleep(RETRY_INTERVAL).await;
-    }
     let log = &shared.origin_log;
     let mut allowance = AppendAllowance::new(APPEND_BURST, Instant::now());
     loop {
--- a/clementinepickd/src/gateway_origins.rs
+++ b/clementinepickd/src/gateway_origins.rs
@@ -99,7 +99,7 @@
         deadline: Instant,
         now: Instant,
     ) {
-        self.log_origin(attempt, origin.clone(), deadline);
+        self.log_origin(attempt, origin.clone(), deadline, now);
         let keep_us = to_span(deadline.saturating_duration_since(now));
         let shared_origin = SharedOrigin::new(attempt.to_owned(), origin, keep_us);
         self.hold_origin(&shared_origin, now);
