--- a/standins/tests/resumed_origins.rs
+++ b/standins/tests/resumed_origins.rs
@@ -161,6 +161,17 @@
     assert_share(&run, &ids);
 }
 
+/// Guards against origins that a far store returns too late.
+#[test]
+fn streams_go_on_after_all_gateways_were_killed_before_a_slow_store() {
+    let mut run = ProcessRun::start("killed-slow-store", GATEWAYS);
+    run.store.set_delay(Duration::from_millis(120));
+    let ids = begin_streams(&run, "s");
+    sleep(2 * SETTLED);
+    restart(&mut run, ALL_AT_ONCE[0], Restart::Kill);
+    assert_share(&run, &ids);
+}
+
 /// Lets servers say late which start they are; all gateways stay alive.
 fn check_late_reports(name: &str, report_delay: Duration) {
     let run = ProcessRun::start_reporting(name, GATEWAYS, report_delay);
