Ask servers that refuse connections less often, and record no origins of kept turns

A server that is gone refused some 200 connections in the 10 s for which it was asked; the pause between two questions doubles now. Callers can't resume streams that keep context, so that their origins are not recorded. An origin that is known to be unproven is refused without asking peers, and split_route names a stream that nobody has recorded.

--- a/clementinepickd/src/gateway_origin_search.rs
+++ b/clementinepickd/src/gateway_origin_search.rs
@@ -21,7 +21,7 @@
 use crate::ledger::to_cbor;
 use crate::link::duration;
 
-/// The maximum number of peers asked for an origin. It exceeds [`COPIES`], because the two gateways
+/// The maximum number of peers asked for an origin. It exceeds the number of copies, because two gateways
 /// may differ in which peers they know and find reachable.
 const MAX_ASKED: usize = 8;
 /// How long a peer may take to answer from memory, while the caller waits.
@@ -34,9 +34,7 @@
 /// How long after its arrival a request may be refused because its origin was not found.
 const MAX_FIND_TIME: Duration = Duration::from_millis(450);
 
-/// Finds the origin of a stream: as recorded here or at a peer, else the only one possible.
-///
-/// A process that has just started knows neither, but its peers do. A peer that does not respond shows
+/// Finds the origin of a stream: as recorded, else the only one possible. A peer that does not respond shows
 /// nothing.
 pub(crate) async fn find_origin(
     shared: &Shared,
@@ -104,8 +102,8 @@
 pub(crate) enum MissingOrigin {
     /// The caller names no attempt, and its service has had several versions or may have.
     Unnamed,
-    /// The caller names no attempt, and its route leads to several services.
-    UnnamedOnSplitRoute,
+    /// Nobody has recorded it, and the route leads to several services.
+    SplitRoute,
     /// Nobody that may hold it has recorded it.
     NeverRecorded,
     /// It was recorded here, and its caller should have given up since.
@@ -125,7 +123,7 @@
     pub(crate) fn label(self) -> &'static str {
         match self {
             Self::Unnamed => "unnamed",
-            Self::UnnamedOnSplitRoute => "unnamed_on_split_route",
+            Self::SplitRoute => "split_route",
             Self::NeverRecorded => "never_recorded",
             Self::Expired => "expired",
             Self::Unproven => "unproven",
@@ -169,7 +167,7 @@
     }
 }
 
-/// Looks up a recorded origin, here and at the peers that may hold it.
+/// Looks up a recorded origin: here, at the peers that may hold it, and in the store.
 ///
 /// Others may know by now at which start the stream began; else its server is asked.
 async fn find_recorded(
@@ -184,6 +182,9 @@
     if let Some(known) = known.and_then(|known| found.take(known)) {
         return Ok((OriginSource::Memory, known.origin));
     }
+    if found.is_unproven {
+        return Err(MissingOrigin::Unproven);
+    }
     let holders = shared.origin_holders(attempt, MAX_ASKED, Instant::now());
     let are_all_asked = shared.are_all_reachable(Instant::now());
     peers.asked += holders.len();
--- a/clementinepickd/src/gateway_resumption.rs
+++ b/clementinepickd/src/gateway_resumption.rs
@@ -42,7 +42,7 @@
     let origin = match found {
         // The only version of one service says nothing of a stream that may have begun at another one.
         Ok((OriginSource::SoleVersion, _)) if routed.route.is_split() => {
-            Err(MissingOrigin::UnnamedOnSplitRoute)
+            Err(MissingOrigin::SplitRoute)
         }
         Ok((_, origin)) => Ok(origin),
         Err(missing) => Err(missing),
--- a/clementinepickd/src/gateway_start_questions.rs
+++ b/clementinepickd/src/gateway_start_questions.rs
@@ -22,8 +22,8 @@
 /// How long the first question may take; each further one, on another connection, may take twice as long.
 const FIRST_LIMIT: Duration = Duration::from_millis(400);
 const MAX_LIMIT: Duration = Duration::from_millis(3_200);
-/// The pause between two questions, which matters where connections are refused at once.
-const PAUSE: Duration = Duration::from_millis(50);
+/// The pause after the first question, which matters where connections are refused at once; it grows likewise.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// How long a server is asked in all: gateways that resume the stream later ask it themselves.
 const MAX_TIME: Duration = Duration::from_secs(10);
 /// The maximum number of questions at the same time; a stream beyond it is asked for when it is resumed.
@@ -95,13 +95,14 @@
 
 /// Asks a server which start it is until it answers.
 async fn ask_until(shared: &Shared, start: ListedStart, until: Instant) -> Option<ReportedStart> {
-    let mut limit = FIRST_LIMIT;
+    let (mut limit, mut pause) = (FIRST_LIMIT, FIRST_PAUSE);
     while Instant::now() < until {
         if let Some(report) = ask_once(shared, start, limit).await {
             return Some(report);
         }
-        sleep(PAUSE).await;
+        sleep(pause).await;
         limit = (limit * 2).min(MAX_LIMIT);
+        pause = (pause * 2).min(MAX_LIMIT);
     }
     None
 }
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -349,7 +349,8 @@
             proof
         };
         let origin = origin_at(&slot.server, proof);
-        if self.routed.route.is_resumable {
+        // The callers of streams that keep context can't resume them.
+        if self.routed.route.is_resumable && !self.routed.route.keeps_context {
             self.shared
                 .record_origin(&info.id, origin.clone(), deadline, Instant::now());
         }
