--- a/clementinepickd/src/gateway_origin_log.rs
+++ b/clementinepickd/src/gateway_origin_log.rs
@@ -44,8 +44,8 @@
 const MAX_APPENDS_PER_S: u32 = 250;
 /// The maximum number of origins in a record, about 70 kB.
 const MAX_BATCH: usize = 512;
-/// The maximum number of origins that wait while the store is unavailable; the oldest attempts by name
-/// beyond it are not recorded.
+/// The maximum number of origins that wait while the store is unavailable. Beyond it, those whose attempts
+/// sort first are not recorded.
 const MAX_QUEUED: usize = 16_384;
 /// How long an origin is recorded at most, so that a read of all records takes a few calls; callers that
 /// wait for longer need a process that remembers it.
@@ -350,8 +350,7 @@
     let log = &shared.origin_log;
     let mut allowance = AppendAllowance::new(APPEND_BURST, Instant::now());
     loop {
-        let is_queued = || !log.queued.borrow().is_empty();
-        if !is_queued() {
+        if log.queued.borrow().is_empty() {
             // Expired records are deleted in any case.
             let _ = timeout(CLEANUP_INTERVAL, log.has_work.notified()).await;
         }
