Notice callers who leave while there is no memory for their input

Cause: the end of a connection was seen only by reading ahead, for which memory is claimed. Above fifteen sixteenths of the memory for input the claim was refused, and wait_for_disconnect then waited for ever, also once memory was free and also behind 64 KB of input. The requests kept their memory until their deadlines, so that the state prolonged itself.

Change: without memory, the reader peeks at the socket, looks whether its sending side is closed behind unread input, and claims again every 100 ms.

--- a/clementinepickd/src/gateway_reader.rs
+++ b/clementinepickd/src/gateway_reader.rs
@@ -1,13 +1,17 @@
 //! Reads the bytes of a caller's connection into a buffer whose memory is claimed before it is taken.
 
 use std::cell::Cell;
+use std::pin::pin;
+use std::time::Duration;
 
+use actix_rt::time::sleep;
 use bytes::BytesMut;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::task::yield_now;
 
 use crate::connections::{MemoryClaim, OpenConnection};
+use crate::input_first::poll_once;
 
 /// How many bytes of the next request are buffered while one is served; beyond this, TCP flow
 /// control makes the caller wait.
@@ -17,6 +21,8 @@
 /// How many bytes are read before other connections get their turn. A caller that always has bytes to
 /// send would otherwise keep the thread.
 const TURN_BYTES: usize = 8_192;
+/// How often a caller whose input can't be read is checked for its disconnect.
+const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The state of a caller's input that its reply and its timers look at.
 #[derive(Default)]
@@ -192,11 +198,25 @@
             match self.fill_ahead().await {
                 ReadOutcome::Read => {}
                 ReadOutcome::Closed => return,
-                ReadOutcome::OutOfMemory => std::future::pending::<()>().await,
+                ReadOutcome::OutOfMemory if self.has_closed_unread().await => return,
+                // Memory may be free by then.
+                ReadOutcome::OutOfMemory => sleep(UNREAD_CHECK_INTERVAL).await,
             }
         }
     }
 
+    /// Returns whether the caller has closed its sending side, also behind input for which there is no
+    /// memory.
+    async fn has_closed_unread(&mut self) -> bool {
+        let mut byte = [0];
+        let peeked = poll_once(pin!(self.read.peek(&mut byte))).await;
+        if matches!(peeked, Some(Ok(0) | Err(_))) {
+            return true;
+        }
+        let ready = poll_once(pin!(self.read.ready(Interest::READABLE))).await;
+        ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
+    }
+
     /// Reads and drops what arrives until the caller closes its sending side or `max_bytes` have
     /// arrived.
     pub(crate) async fn discard(&mut self, max_bytes: u64) {
