Keep the records of a chain for as long as its last turn, whatever its routes

Cause: a record is deleted after three times the retention of its own route, and whether a turn is recorded with its whole chain was decided by its age in retentions of the new turn alone.

Change: a turn knows the retention of its record, here and at peers; a chain is written in full if any of its records may be deleted within one retention of the new turn. A record is retained for as long as its predecessor, so that a conversation that alternates between two routes is not written in full at each change.

--- a/clementinepick/src/turn_chain.rs
+++ b/clementinepick/src/turn_chain.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::record_expiry::RETENTION_FACTOR;
+use crate::record_expiry::kept_until_unix_ms;
 
 /// The number of turns in a row with a record each after which one record holds the text of all of
 /// them. Most conversations have fewer.
@@ -27,6 +27,8 @@
     pub output: Bytes,
     /// When its record was written, in Unix milliseconds by the writer's clock.
     pub recorded_unix_ms: u64,
+    /// The retention of its record, in milliseconds.
+    pub retain_ms: u64,
     /// The number of turns whose text it holds; `input` begins with that of the previous ones.
     pub turns: usize,
 }
@@ -78,15 +80,12 @@
         self.input = concatenate(&chain, &self.input);
     }
 
-    /// Returns the time of the oldest record of this chain, in Unix milliseconds.
+    /// Returns until when all records of this chain are kept, in Unix milliseconds.
     #[must_use]
-    pub fn oldest_unix_ms(self: &Arc<Self>) -> u64 {
-        let chain = self.chain();
-        chain
-            .iter()
-            .map(|turn| turn.recorded_unix_ms)
-            .min()
-            .unwrap_or(self.recorded_unix_ms)
+    pub fn kept_until_unix_ms(&self) -> u64 {
+        let chain = std::iter::successors(Some(self), |turn| turn.parent.as_deref());
+        let kept = chain.map(|turn| kept_until_unix_ms(turn.recorded_unix_ms, turn.retain_ms));
+        kept.min().unwrap_or_default()
     }
 }
 
@@ -195,22 +194,29 @@
     pub detail: String,
 }
 
-/// Whether a turn that ends at `now_unix_ms` must be recorded with its whole chain.
+/// Returns whether a turn that ends at `now_unix_ms` and is retained for `retain_ms` must be recorded with
+/// its whole chain.
+///
+/// A chain needs all its records for one retention after its newest turn, whatever the retentions of the
+/// routes on which the previous turns ran.
+#[must_use]
+pub fn needs_whole_chain(previous: &Turn, now_unix_ms: u64, retain_ms: u64) -> bool {
+    previous.kept_until_unix_ms() <= now_unix_ms.saturating_add(retain_ms)
+}
+
+/// Returns the retention of a turn's record on a route that retains turns for `route_ms`.
 ///
-/// A record is kept for [`RETENTION_FACTOR`] times its retention, and a chain needs its oldest
-/// record for one retention after its newest turn. A longer conversation would lose its start;
-/// writing the whole chain again before its oldest record has only one retention left prevents
-/// that.
+/// A conversation that alternates between two routes would otherwise be written in full again at each turn
+/// on the route with the longer retention.
 #[must_use]
-pub fn needs_whole_chain(previous: &Arc<Turn>, now_unix_ms: u64, retain_ms: u64) -> bool {
-    let age_ms = now_unix_ms.saturating_sub(previous.oldest_unix_ms());
-    age_ms >= (RETENTION_FACTOR - 1) * retain_ms
+pub fn record_retention_ms(previous: Option<&Turn>, route_ms: u64) -> u64 {
+    previous.map_or(route_ms, |turn| turn.retain_ms.max(route_ms))
 }
 
 impl TurnRecord {
     /// Creates the record of a turn, without the previous ones.
     #[must_use]
-    pub fn of(turn: &Turn, retain_ms: u64) -> Self {
+    pub fn of(turn: &Turn) -> Self {
         let mut body = BytesMut::with_capacity(turn.own_bytes());
         body.extend_from_slice(&turn.input);
         body.extend_from_slice(&turn.output);
@@ -218,7 +224,7 @@
             parent: turn.parent.as_ref().map(|parent| parent.id.clone()),
             server: turn.server.clone(),
             recorded_unix_ms: turn.recorded_unix_ms,
-            retain_ms,
+            retain_ms: turn.retain_ms,
             input_bytes: turn.input.len(),
             parts: 0,
             turns: turn.turns,
@@ -249,6 +255,7 @@
             input,
             output,
             recorded_unix_ms: self.recorded_unix_ms,
+            retain_ms: self.retain_ms,
             turns: self.turns,
         })
     }
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -15,7 +15,7 @@
 use clementinepick::server_list::BackendServer;
 use clementinepick::server_selection::PromptPart;
 use clementinepick::stream_origin::StreamOrigin;
-use clementinepick::turn_chain::{Turn, build_prompt};
+use clementinepick::turn_chain::{Turn, build_prompt, record_retention_ms};
 use clementinepick::units::Tokens;
 use tokio::task::yield_now;
 
@@ -200,8 +200,10 @@
 impl<'a> TurnStream<'a, '_> {
     /// Records the turn; returns false if the store did not take the record in time.
     async fn record(self) -> bool {
+        let route_ms = self.routed.route.retention_us.as_ms();
         let turn = Turn {
             id: self.routed.info.id.clone(),
+            retain_ms: record_retention_ms(self.previous.as_deref(), route_ms),
             parent: self.previous,
             server: self.server,
             input: self.routed.received.body.clone(),
@@ -209,9 +211,7 @@
             recorded_unix_ms: unix_ms(),
             turns: 1,
         };
-        let retention = self.routed.route.retention_us;
-        let turns = &self.shared.turns;
-        let recorded = turns.record(turn, retention, self.routed.deadline);
+        let recorded = self.shared.turns.record(turn, self.routed.deadline);
         recorded.await.is_ok()
     }
 
--- a/clementinepickd/src/ledger_turns.rs
+++ b/clementinepickd/src/ledger_turns.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use clementinepick::turn_chain::{Turn, TurnRecord, needs_whole_chain};
-use clementinepick::units::SpanUs;
 use platform::store::KeyedRecord;
 use tokio::sync::mpsc;
 
@@ -202,18 +201,16 @@
     pub(crate) async fn record(
         &self,
         mut turn: Turn,
-        retention: SpanUs,
         deadline: Instant,
     ) -> Result<(), LedgerError> {
-        let retain_ms = retention.as_ms();
-        let parent = turn.parent.as_ref();
-        if parent.is_some_and(|p| needs_whole_chain(p, turn.recorded_unix_ms, retain_ms)) {
+        let parent = turn.parent.as_deref();
+        if parent.is_some_and(|p| needs_whole_chain(p, turn.recorded_unix_ms, turn.retain_ms)) {
             turn.merge_chain();
         } else {
             turn.merge_segment(self.store.settings.segment_bytes);
         }
         let partition = self.store.turn_partition(&turn.id);
-        for batch in self.batches(&turn, retain_ms) {
+        for batch in self.batches(&turn) {
             let purpose = StorePurpose::RecordTurn;
             let append = self
                 .store
@@ -229,10 +226,10 @@
 
     /// Returns the appends of a turn. A body larger than a record is split into parts that are
     /// written before the record itself, so that a reader that finds the record finds all parts.
-    fn batches(&self, turn: &Turn, retain_ms: u64) -> Vec<Vec<KeyedRecord>> {
+    fn batches(&self, turn: &Turn) -> Vec<Vec<KeyedRecord>> {
         let settings = &self.store.settings;
         let key = key_of(&turn.id);
-        let mut record = TurnRecord::of(turn, retain_ms);
+        let mut record = TurnRecord::of(turn);
         let part_bytes = settings.record_bytes.saturating_sub(RECORD_OVERHEAD_BYTES);
         let mut batches = Vec::new();
         if record.body.len() > part_bytes {
@@ -259,8 +256,7 @@
     /// Returns the record of a cached turn.
     pub(crate) fn cached_record(&self, id: &str) -> Option<TurnRecord> {
         let turn = self.cache.borrow_mut().get(id)?;
-        // The retention only matters in the store.
-        Some(TurnRecord::of(&turn, 0))
+        Some(TurnRecord::of(&turn))
     }
 
     /// Returns the number of cached turns and their size in bytes.
