Keep the records of a budget for as long as the longest route of its program asks

Cause: whether a program needs a new record was asked by the time since the last one, in retentions of the current turn, while that record is deleted by the retention of the turn that wrote it. A process that borrowed tokens took the loan for a new record.

Change: a process knows until when the records of a program are kept: by what it wrote, by the records it has read, and by what a lender says. A record has the longest retention of the program's turns. Peers lend only tokens of programs whose records outlast the borrower's retention.

--- a/clementinepick/src/budget_ledger.rs
+++ b/clementinepick/src/budget_ledger.rs
@@ -30,8 +30,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::record_expiry::is_expired;
-use crate::units::Tokens;
+use crate::record_expiry::{RETENTION_FACTOR, is_expired, kept_until_unix_ms};
+use crate::units::{SpanUs, Tokens};
 
 /// A slice is the unreserved budget divided by this, and at least one turn. Smaller slices need
 /// more appends; larger ones lose more of the budget with a lost process. With a quarter, half of
@@ -184,6 +184,8 @@
     slices: BTreeMap<String, Slice>,
     standing: Tokens,
     homes: BTreeSet<u64>,
+    /// Until when its newest record is kept.
+    kept_until_unix_ms: u64,
 }
 
 impl ProgramView {
@@ -222,6 +224,8 @@
         let program = self.programs.entry(record.program.clone()).or_default();
         program.standing = program.standing.max(record.standing);
         program.homes.extend(&record.homes);
+        let kept_until = kept_until_unix_ms(record.recorded_unix_ms, record.retain_ms);
+        program.kept_until_unix_ms = program.kept_until_unix_ms.max(kept_until);
         let slice = Slice {
             tokens: record.tokens,
             holder: record.holder,
@@ -277,6 +281,13 @@
         self.programs.contains_key(program)
     }
 
+    /// Returns until when the records of a program are kept, in Unix milliseconds by their writers' clocks.
+    #[must_use]
+    pub fn kept_until_unix_ms(&self, program: &str) -> Option<u64> {
+        let known = self.programs.get(program)?;
+        Some(known.kept_until_unix_ms)
+    }
+
     /// Whether the home with this number has a standing slice of the program: either the program
     /// has no records yet, or they count it.
     #[must_use]
@@ -426,6 +437,16 @@
     obsolete.map(|(key, _)| key.clone()).collect()
 }
 
+/// Returns whether a program needs a new record before a turn whose route retains budgets for `retention`, if
+/// its records are kept for `kept_for` more.
+///
+/// They are needed for one retention after the program's last turn, and for another one by writers that were
+/// paused. The records may be of turns on a route with a shorter retention.
+#[must_use]
+pub fn is_record_due(kept_for: SpanUs, retention: SpanUs) -> bool {
+    kept_for.0 <= retention.0.saturating_mul(RETENTION_FACTOR - 1)
+}
+
 /// The part of a program's budget that one process holds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ProgramSlices {
--- a/clementinepickd/src/budget_messages.rs
+++ b/clementinepickd/src/budget_messages.rs
@@ -100,4 +100,38 @@
     /// How long the budget must be kept after the program's last turn.
     #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
     pub(crate) retention: Option<SpanUs>,
+    /// Whether the response may say how long the program's records are kept.
+    #[serde(rename = "k", default)]
+    pub(crate) takes_loan: bool,
+}
+
+/// The response to a [`LendRequest`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub(crate) enum LendResponse {
+    Loan(Loan),
+    /// The tokens alone, for requests that take no more.
+    Tokens(Tokens),
+}
+
+/// Tokens that a peer lends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Loan {
+    #[serde(rename = "t")]
+    pub(crate) tokens: Tokens,
+    /// How long the program's records are kept.
+    #[serde(rename = "k")]
+    pub(crate) kept_us: SpanUs,
+}
+
+impl LendResponse {
+    pub(crate) fn loan(self) -> Loan {
+        match self {
+            Self::Loan(loan) => loan,
+            Self::Tokens(tokens) => Loan {
+                tokens,
+                kept_us: SpanUs(0),
+            },
+        }
+    }
 }
--- a/clementinepickd/src/gateway_budget.rs
+++ b/clementinepickd/src/gateway_budget.rs
@@ -13,8 +13,8 @@
 use tokio::sync::mpsc;
 
 use crate::budget_messages::{
-    LEND_PATH, LendRequest, RESERVE_PATH, RETURN_PATH, ReserveRequest, ReserveResponse,
-    ReturnedTokens,
+    LEND_PATH, LendRequest, LendResponse, RESERVE_PATH, RETURN_PATH, ReserveRequest,
+    ReserveResponse, ReturnedTokens,
 };
 use crate::gateway_peer::{PeerCall, PeerFailure, call_peer, try_call_peer};
 use crate::gateway_prefetch::request_prefetch;
@@ -23,6 +23,7 @@
 use crate::ledger::{LedgerError, to_cbor};
 use crate::ledger_budgets::BudgetRequest;
 use crate::ledger_holds::{BudgetHold, Lender, SliceGrant, TokenReturn};
+use crate::link::duration;
 
 /// How long a home may take to respond; it may have to append a slice to the store first, which
 /// takes about 10 ms.
@@ -310,6 +311,7 @@
         tokens: request.turn,
         budget: Some(request.budget),
         retention: Some(request.retention),
+        takes_loan: true,
     };
     let body = to_cbor(&lend_request);
     let mut lenders: Vec<SocketAddr> = Vec::new();
@@ -325,15 +327,17 @@
             body: body.clone(),
             limit: LEND_TIMEOUT,
         };
-        try_call_peer::<Tokens>(shared, *peer, call)
+        try_call_peer::<LendResponse>(shared, *peer, call)
     });
     let lent = join_all(lend_calls).await;
-    let total: Tokens = lent.iter().flatten().copied().sum();
-    let hold = if total == Tokens(0) {
-        None
-    } else {
-        shared.budgets.start_borrowed(request, total)
-    };
+    let loans = lent.iter().flatten().map(|response| response.loan());
+    let loans = loans.filter(|loan| loan.tokens > Tokens(0));
+    let kept_us = loans.clone().map(|loan| loan.kept_us).min();
+    let total = loans.map(|loan| loan.tokens).sum();
+    let hold = kept_us.and_then(|kept_us| {
+        let budgets = &shared.budgets;
+        budgets.start_borrowed(request, total, duration(kept_us))
+    });
     hold.ok_or_else(|| {
         let failed = lenders.into_iter().zip(lent);
         let silent = failed.filter(|(_, lent)| *lent == Err(PeerFailure::Silent));
--- a/clementinepickd/src/gateway_budget_peer.rs
+++ b/clementinepickd/src/gateway_budget_peer.rs
@@ -8,14 +8,15 @@
 use clementinepick::units::Tokens;
 
 use crate::budget_messages::{
-    LEND_PATH, LendRequest, RESERVE_PATH, RETURN_PATH, ReserveRequest, ReserveResponse,
-    ReturnedTokens,
+    LEND_PATH, LendRequest, LendResponse, Loan, RESERVE_PATH, RETURN_PATH, ReserveRequest,
+    ReserveResponse, ReturnedTokens,
 };
 use crate::gateway_budget::{chain_server, log_grant, record_runner};
 use crate::gateway_prefetch::request_prefetch;
 use crate::gateway_shared::Shared;
 use crate::ledger::{LedgerError, from_cbor, to_cbor};
 use crate::ledger_budgets::BudgetRequest;
+use crate::link::to_span;
 
 /// How long a home tries to reserve a slice for a peer, which tries the store itself afterwards.
 const HOME_STORE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -79,7 +80,7 @@
 
 /// Lends unused tokens to a peer: of slices held here, and of the standing slice of a program that
 /// did not ask this home for it.
-fn lend(shared: &Shared, lend_request: &LendRequest, now: Instant) -> Tokens {
+fn lend(shared: &Shared, lend_request: &LendRequest, now: Instant) -> LendResponse {
     if let (Some(budget), Some(retention)) = (lend_request.budget, lend_request.retention) {
         let request = BudgetRequest {
             program: &lend_request.program,
@@ -94,7 +95,19 @@
         shared.budgets.grant_standing(&request, now);
     }
     let budgets = &shared.budgets;
-    budgets.lend(&lend_request.program, lend_request.tokens, now)
+    let kept_us = to_span(budgets.kept_for(&lend_request.program, now));
+    // A program whose records may be deleted before its next turn would get its budget again.
+    let is_kept = kept_us > lend_request.retention.unwrap_or_default();
+    let tokens = if is_kept {
+        budgets.lend(&lend_request.program, lend_request.tokens, now)
+    } else {
+        Tokens(0)
+    };
+    if lend_request.takes_loan {
+        LendResponse::Loan(Loan { tokens, kept_us })
+    } else {
+        LendResponse::Tokens(tokens)
+    }
 }
 
 /// Returns whether a call on this path asks for tokens.
--- a/clementinepickd/src/ledger_budgets.rs
+++ b/clementinepickd/src/ledger_budgets.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, Instant};
 
 use clementinepick::budget_ledger::{
-    BudgetRecord, ProgramSlices, SliceDecision, SliceRecord, first_grant, standing_slice,
+    BudgetRecord, ProgramSlices, SliceDecision, SliceRecord, first_grant, is_record_due,
+    standing_slice,
 };
 use clementinepick::record_expiry::RETENTION_FACTOR;
 use clementinepick::server_selection::PromptPart;
@@ -20,7 +21,7 @@
 use crate::ledger::{LedgerError, LedgerStore, Partition, to_cbor};
 use crate::ledger_holds::{BudgetHold, SliceGrant, TokenReturn};
 use crate::ledger_partitions::{HeldHome, PartitionState};
-use crate::link::duration;
+use crate::link::{duration, to_span};
 use crate::safeguard::Safeguard;
 use crate::unix_time::unix_ms;
 
@@ -71,10 +72,28 @@
     /// The number of the home of this process whose standing slice is in `slices`.
     pub(crate) standing_home: Option<u64>,
     used_at: Option<Instant>,
+    /// The longest retention of the program's turns here.
     pub(crate) retention: Duration,
     pub(crate) budget: Tokens,
-    /// When this process last wrote a record for the program, or started the program without one.
-    recorded_at: Option<Instant>,
+    /// Until when what the store records of the program is kept, as far as this process knows.
+    kept_until: Option<Instant>,
+}
+
+impl ProgramBudget {
+    fn record_use(&mut self, request: &BudgetRequest<'_>, now: Instant) {
+        self.used_at = Some(now);
+        self.retention = self.retention.max(duration(request.retention));
+    }
+
+    /// Records that what the store records of the program is kept for `span` more.
+    fn record_kept(&mut self, now: Instant, span: Duration) {
+        self.kept_until = self.kept_until.max(Some(now + span));
+    }
+}
+
+/// Returns how long the record of a program with this retention is kept.
+fn record_lifetime(retention: Duration) -> Duration {
+    retention.saturating_mul(u32::try_from(RETENTION_FACTOR).unwrap_or(u32::MAX))
 }
 
 /// The programs' budgets as known to this process.
@@ -234,6 +253,8 @@
         let key = self.slice_key(request.program);
         for _ in 0..MAX_RESERVE_ATTEMPTS {
             let record = self.next_slice(state, request, purpose)?;
+            let retention = Duration::from_millis(record.retain_ms);
+            let written_at = Instant::now();
             let records = [KeyedRecord {
                 key: key.clone(),
                 value: Some(to_cbor(&BudgetRecord::Slice(record))),
@@ -248,7 +269,12 @@
                     end: known.end,
                 };
                 drop(known);
-                self.grant(request.program, tokens);
+                self.grant(
+                    request.program,
+                    tokens,
+                    written_at,
+                    record_lifetime(retention),
+                );
                 return Ok(grant);
             }
         }
@@ -281,11 +307,20 @@
         Ok(SliceRecord {
             holder: Some(self.address),
             recorded_unix_ms: unix_ms(),
-            retain_ms: request.retention.as_ms(),
+            retain_ms: self.retain_ms(request),
             ..view.slice(request.program, request.budget, tokens)
         })
     }
 
+    /// Returns the retention of a record for the program: the longest of its turns here and this one.
+    fn retain_ms(&self, request: &BudgetRequest<'_>) -> u64 {
+        let programs = self.programs.borrow();
+        let known = programs
+            .get(request.program)
+            .map(|state| to_span(state.retention));
+        known.unwrap_or_default().max(request.retention).as_ms()
+    }
+
     /// Returns whether the held slices suffice for the turn.
     fn is_sufficient(&self, request: &BudgetRequest<'_>, now: Instant) -> bool {
         let programs = self.programs.borrow();
@@ -296,17 +331,33 @@
         })
     }
 
-    /// Returns whether this process wrote a record for the program, or started it, within its
-    /// retention.
+    /// Returns whether the program needs no new record before the turn.
     ///
     /// Slices of programs without a recent record are dropped. Without this check, a program that
     /// uses one slice for long would lose its records in the store and get its full budget again.
     fn is_record_fresh(&self, request: &BudgetRequest<'_>, now: Instant) -> bool {
-        let retention = duration(request.retention);
+        !is_record_due(
+            to_span(self.kept_for(request.program, now)),
+            request.retention,
+        )
+    }
+
+    /// Returns how long the store keeps what it records of a program, as far as this process knows.
+    pub(crate) fn kept_for(&self, program: &str, now: Instant) -> Duration {
         let programs = self.programs.borrow();
-        let state = programs.get(request.program);
-        let recorded_at = state.and_then(|state| state.recorded_at);
-        recorded_at.is_some_and(|at| now.saturating_duration_since(at) < retention)
+        let kept_until = programs.get(program).and_then(|state| state.kept_until);
+        let kept_for = kept_until.map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
+        kept_for.max(self.recorded_kept_for(program))
+    }
+
+    /// Returns the same by the records that were read.
+    fn recorded_kept_for(&self, program: &str) -> Duration {
+        let partition = self.store.budget_partition(program);
+        let partitions = self.partitions.borrow();
+        let state = partitions.get(&partition);
+        let kept_until = state.and_then(|s| s.view.borrow().kept_until_unix_ms(program));
+        let left_ms = kept_until.unwrap_or_default().saturating_sub(unix_ms());
+        Duration::from_millis(left_ms)
     }
 
     /// Returns this process's home of the program's partition, if it is the home.
@@ -339,12 +390,11 @@
         let tokens = first_grant(request.budget, home.halvings, request.turn);
         program.budget = request.budget;
         program.standing_home = Some(home.number);
-        program.used_at = Some(now);
-        program.retention = duration(request.retention);
+        program.record_use(request, now);
         let counted = standing_slice(request.budget, home.halvings);
         program.slices.grant_standing(tokens, counted);
         if !view.has_program(request.program) {
-            program.recorded_at = Some(now);
+            program.record_kept(now, record_lifetime(duration(request.retention)));
         }
     }
 
@@ -374,8 +424,7 @@
         if !self.is_usable(request.program, state, now) {
             return None;
         }
-        state.used_at = Some(now);
-        state.retention = duration(request.retention);
+        state.record_use(request, now);
         let starts = state.slices.try_start(request.turn);
         starts.then(|| BudgetHold::new(self, request, None))
     }
@@ -412,11 +461,12 @@
         }
     }
 
-    fn grant(&self, program: &str, tokens: Tokens) {
+    /// Adds tokens to a program whose records are kept for `kept_for` after `now`.
+    fn grant(&self, program: &str, tokens: Tokens, now: Instant, kept_for: Duration) {
         let mut programs = self.programs.borrow_mut();
         let state = programs.entry(program.to_owned()).or_default();
         state.slices.granted.0 += tokens.0;
-        state.recorded_at = Some(Instant::now());
+        state.record_kept(now, kept_for);
     }
 
     /// Lends unused tokens of a program to another process and returns their number.
@@ -430,17 +480,17 @@
         state.map_or(Tokens(0), |state| state.slices.lend(wanted))
     }
 
-    /// Adds borrowed tokens and starts a turn with them.
-    ///
-    /// The lender wrote a record for the program within one retention, or it could not use its
-    /// slice; so the program's records are kept for two more.
+    /// Adds borrowed tokens of a program whose records are kept for `kept_for`, and starts a turn with
+    /// them.
     pub(crate) fn start_borrowed(
         self: &Rc<Self>,
         request: &BudgetRequest<'_>,
         borrowed: Tokens,
+        kept_for: Duration,
     ) -> Option<BudgetHold> {
-        self.grant(request.program, borrowed);
-        self.try_start(request, Instant::now())
+        let now = Instant::now();
+        self.grant(request.program, borrowed, now, kept_for);
+        self.try_start(request, now)
     }
 
     /// Drops programs and partitions that were not used for long.
@@ -449,9 +499,8 @@
     /// grant its standing slice again.
     pub(crate) fn evict_idle(&self, now: Instant) {
         let idle_for = |at: Option<Instant>| at.map(|at| now.saturating_duration_since(at));
-        let retention_factor = u32::try_from(RETENTION_FACTOR).unwrap_or(u32::MAX);
         self.programs.borrow_mut().retain(|_, state| {
-            let limit = IDLE_RETENTION.max(state.retention.saturating_mul(retention_factor));
+            let limit = IDLE_RETENTION.max(record_lifetime(state.retention));
             state.slices.outstanding > Tokens(0)
                 || idle_for(state.used_at).is_none_or(|idle| idle < limit)
         });
--- a/standins/tests/routes_with_two_retentions.rs
+++ b/standins/tests/routes_with_two_retentions.rs
@@ -11,6 +11,9 @@
 const SHORT_LIFETIME: Duration = Duration::from_millis(11_500);
 /// The interval at which each partition is swept.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
+/// The tokens of a turn, and the most that it may use.
+const TURN_TOKENS: u64 = 40;
+const TURN_LIMIT_TOKENS: u64 = 50;
 /// The budget of a program.
 const BUDGET_TOKENS: u64 = 400;
 
@@ -68,3 +71,27 @@
     restart(&mut run);
     assert_eq!(turn(&run, "/chat/1", "t3", Some("t2")), 200);
 }
+
+/// Guards against a budget that is granted again, since the program's records have the retention of its
+/// first route.
+#[test]
+fn a_budget_is_retained_as_long_as_the_longest_route_of_its_program_asks() {
+    let mut run = start();
+    let mut served = 0;
+    // Some of them need a slice from the store.
+    for number in 0..7 {
+        assert_eq!(turn(&run, "/brief/1", &format!("b{number}"), None), 200);
+        served += 1;
+    }
+    assert_eq!(turn(&run, "/chat/1", "c", None), 200);
+    served += 1;
+    sleep(SHORT_LIFETIME + 2 * SWEEP_PERIOD);
+    restart(&mut run);
+    while turn(&run, "/chat/1", &format!("d{served}"), None) == 200 {
+        served += 1;
+        assert!(
+            served * TURN_TOKENS < BUDGET_TOKENS + TURN_LIMIT_TOKENS,
+            "{served} turns"
+        );
+    }
+}
