Count the chains of running turns, and make no copies of them

Cause: each running turn had a copy of its whole chain as its prompt and another one in the encoded request, and no limit counted them. The cache of turns counted each turn by itself, while a cached turn keeps all its predecessors. On the way to the store a turn was copied four times, and up to 16 pages of 1 MB were decoded at once.

Change: a prompt is a list of parts that share the memory of the turns, and requests are written part by part. Each turn counts for as long as anything refers to it, within one limit for cached turns and those of running requests (34 MB): cached ones give way, then a turn whose chain is not in memory waits for up to 200 ms and is refused with a time to retry. What is written to the store, pages that are read, turns that peers fetch and responses that are relayed have limits of their own.

--- a/clementinepick/src/lib.rs
+++ b/clementinepick/src/lib.rs
@@ -117,6 +117,7 @@
 mod step_start;
 mod step_validate;
 pub mod stream_origin;
+pub mod text_memory;
 pub mod traffic_config;
 pub mod turn_chain;
 pub mod units;
--- a/clementinepick/src/turn_chain.rs
+++ b/clementinepick/src/turn_chain.rs
@@ -7,6 +7,7 @@
 use thiserror::Error;
 
 use crate::record_expiry::kept_until_unix_ms;
+use crate::text_memory::HeldText;
 
 /// The number of turns in a row with a record each after which one record holds the text of all of
 /// them. Most conversations have fewer.
@@ -31,6 +32,8 @@
     pub retain_ms: u64,
     /// The number of turns whose text it holds; `input` begins with that of the previous ones.
     pub turns: usize,
+    /// Counts its text while anything refers to it.
+    pub held: HeldText,
 }
 
 impl Turn {
@@ -45,6 +48,13 @@
         self.input.len() + self.output.len()
     }
 
+    /// Returns the size of this turn and of all previous ones.
+    #[must_use]
+    pub fn chain_bytes(&self) -> usize {
+        let chain = std::iter::successors(Some(self), |turn| turn.parent.as_deref());
+        chain.map(Self::own_bytes).sum()
+    }
+
     /// Includes the text of the latest previous turns, up to `limit_bytes` in all, if at least
     /// [`SEGMENT_TURNS`] turns in a row have a record each.
     ///
@@ -89,13 +99,14 @@
     }
 }
 
-/// Builds the prompt of a new turn: all previous inputs and outputs, oldest first, then `input`.
+/// Builds the prompt of a new turn: all previous inputs and outputs, oldest first, then `input`. The parts
+/// share the memory of the turns.
 #[must_use]
-pub fn build_prompt(previous: Option<&Arc<Turn>>, input: &Bytes) -> Bytes {
-    let Some(previous) = previous else {
-        return input.clone();
-    };
-    concatenate(&previous.chain(), input)
+pub fn build_prompt(previous: Option<&Arc<Turn>>, input: &Bytes) -> Vec<Bytes> {
+    let chain = previous.map(Turn::chain).unwrap_or_default();
+    let turns = chain.iter().rev();
+    let texts = turns.flat_map(|turn| [turn.input.clone(), turn.output.clone()]);
+    texts.chain([input.clone()]).collect()
 }
 
 /// Concatenates the text of turns, given newest first, and `input`.
@@ -257,6 +268,7 @@
             recorded_unix_ms: self.recorded_unix_ms,
             retain_ms: self.retain_ms,
             turns: self.turns,
+            held: HeldText::default(),
         })
     }
 }
--- a/clementinepick/tests/turn_chain.rs
+++ b/clementinepick/tests/turn_chain.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use clementinepick::record_expiry::is_expired;
+use clementinepick::text_memory::HeldText;
 use clementinepick::turn_chain::{
     SEGMENT_TURNS, Turn, TurnRecord, build_prompt, needs_whole_chain, record_retention_ms,
 };
@@ -30,6 +31,7 @@
         recorded_unix_ms,
         retain_ms,
         turns: 1,
+        held: HeldText::default(),
     })
 }
 
@@ -39,14 +41,14 @@
     let second = turn("b", Some(Arc::clone(&first)), 1);
     let other = turn("c", Some(first), 2);
     let input = Bytes::from("new");
-    assert_eq!(build_prompt(None, &input), "new");
+    assert_eq!(build_prompt(None, &input).concat(), b"new");
     assert_eq!(
-        build_prompt(Some(&second), &input),
-        "<a>a-out\n<b>b-out\nnew"
+        build_prompt(Some(&second), &input).concat(),
+        b"<a>a-out\n<b>b-out\nnew"
     );
     assert_eq!(
-        build_prompt(Some(&other), &input),
-        "<a>a-out\n<c>c-out\nnew"
+        build_prompt(Some(&other), &input).concat(),
+        b"<a>a-out\n<c>c-out\nnew"
     );
 }
 
@@ -154,6 +156,7 @@
             recorded_unix_ms: 0,
             retain_ms: RETAIN_MS,
             turns: 1,
+            held: HeldText::default(),
         };
         next.merge_segment(limit_bytes);
         last = Some(Arc::new(next));
@@ -178,7 +181,8 @@
     );
     assert_eq!(links.iter().map(|turn| turn.turns).sum::<usize>(), TURNS);
     let texts: Vec<String> = (0..TURNS).map(|n| format!("<{n}>{n}-out\n")).collect();
-    assert_eq!(build_prompt(Some(&last), &Bytes::new()), texts.concat());
+    let prompt = build_prompt(Some(&last), &Bytes::new()).concat();
+    assert_eq!(prompt, texts.concat().into_bytes());
 }
 
 #[test]
--- a/clementinepickd/src/gateway_call.rs
+++ b/clementinepickd/src/gateway_call.rs
@@ -81,7 +81,7 @@
 
 fn run_input(routed: &RoutedRequest<'_>) -> RunInput {
     RunInput {
-        body: routed.received.body.clone(),
+        body: routed.received.body.clone().into(),
         last_event_id: None,
         last_server: None,
         origin: None,
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -11,7 +11,6 @@
 use actix_http::uri::PathAndQuery;
 use actix_http::{Request, ResponseHead, Uri};
 use actix_rt::time::timeout;
-use bytes::Bytes;
 use clementinepick::ended_servers::ServerStart;
 use clementinepick::request_key::{RequestContent, RequestKey};
 use clementinepick::server_list::BackendServer;
@@ -22,6 +21,7 @@
 use clementinepick::units::Tokens;
 use platform::request::{RequestInfo, SchedulerHeaders, forwarded_headers};
 
+use crate::body_parts::BodyParts;
 use crate::gateway_attempts::AttemptError;
 use crate::gateway_receive::ReceivedRequest;
 use crate::gateway_shared::Shared;
@@ -72,7 +72,7 @@
 
 /// What the next run of a request begins with.
 pub(crate) struct RunInput {
-    pub(crate) body: Bytes,
+    pub(crate) body: BodyParts,
     /// The last event that the caller has of a stream.
     pub(crate) last_event_id: Option<u64>,
     /// The server that ran the previous turn, if known.
@@ -282,7 +282,7 @@
         &self,
         shared: &Shared,
         slot: ServerSlot,
-        body: Bytes,
+        body: BodyParts,
         last_event_id: Option<u64>,
     ) -> Result<ServerResponse, AttemptError> {
         let connection = self.connect(shared, &slot).await?;
@@ -316,7 +316,7 @@
         shared: &Shared,
         slot: ServerSlot,
         mut connection: Connection,
-        body: Bytes,
+        body: BodyParts,
         last_event_id: Option<u64>,
     ) -> Result<ServerResponse, AttemptError> {
         let send = SchedulerHeaders {
--- a/clementinepickd/src/gateway_ledger_query.rs
+++ b/clementinepickd/src/gateway_ledger_query.rs
@@ -30,7 +30,10 @@
         Ok(found) => (StatusCode::OK, found.to_string()),
         Err(LedgerError::UnknownTurn) => (StatusCode::NOT_FOUND, String::new()),
         Err(
-            LedgerError::Unavailable | LedgerError::Exhausted { .. } | LedgerError::HolderSilent,
+            LedgerError::Unavailable
+            | LedgerError::Exhausted { .. }
+            | LedgerError::HolderSilent
+            | LedgerError::OutOfMemory,
         ) => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
     }
 }
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -46,7 +46,7 @@
 pub(crate) enum PeerFailure {
     /// It did not respond in time, or broke off, and may have what it was asked for.
     Silent,
-    /// No process runs at its address, or it does not serve the call.
+    /// No process runs at its address, it does not serve the call, or there is no memory for its response.
     Declined,
 }
 
@@ -67,6 +67,7 @@
     call: PeerCall,
 ) -> Result<T, PeerFailure> {
     let limit = call.limit;
+    let mut memory = shared.response_memory.part();
     let exchange = async {
         let connection = shared.pool.acquire(peer, limit, Instant::now()).await;
         let mut connection = connection?;
@@ -74,10 +75,13 @@
             method: Method::POST,
             target: Uri::from_static(call.path),
             headers: host_header(peer),
-            body: call.body,
+            body: call.body.into(),
         };
         let head = connection.exchange(&request).await?;
-        let body = connection.body(MAX_PEER_RESPONSE_BYTES).await?;
+        let resize = |bytes| memory.resize(bytes);
+        let body = connection
+            .body_within(MAX_PEER_RESPONSE_BYTES, resize)
+            .await?;
         shared.pool.release(peer, connection, Instant::now());
         Ok((head.status, body))
     };
@@ -86,6 +90,7 @@
         Ok(Err(OutboundError::Connect(err))) if err.kind() == ErrorKind::ConnectionRefused => {
             return Err(PeerFailure::Declined);
         }
+        Ok(Err(OutboundError::OutOfMemory)) => return Err(PeerFailure::Declined),
         Ok(Err(_)) | Err(_) => return Err(PeerFailure::Silent),
     };
     shared.homes.record_peer_response(peer);
@@ -124,6 +129,7 @@
         Box::pin(async move {
             let target = request.head.uri().path_and_query();
             let target = target.map(ToString::to_string).unwrap_or_default();
+            let mut memory = self.shared.response_memory.part();
             let response = handle_budget_call(&self.shared, &target, &request.body).await;
             let (status, body) = if let Some(response) = response {
                 response
@@ -148,7 +154,7 @@
                 self.shared.reload_requests().await;
                 (200, to_cbor(&()))
             } else if target == TURN_PATH {
-                gateway_peer_turns::handle_fetch(&self.shared, &request.body)
+                gateway_peer_turns::handle_fetch(&self.shared, &request.body, &mut memory)
             } else if platform::store::is_store_target(&target) {
                 let call = StoreCall {
                     purpose: StorePurpose::Relay,
@@ -157,6 +163,7 @@
                     body: request.body.clone(),
                 };
                 let result = self.shared.store.relay_once(&call).await;
+                let result = result.filter(|reply| memory.resize(reply.body.len()));
                 result.map_or((503, Bytes::new()), |reply| (reply.status, reply.body))
             } else {
                 (404, Bytes::new())
--- a/clementinepickd/src/gateway_peer_turns.rs
+++ b/clementinepickd/src/gateway_peer_turns.rs
@@ -9,14 +9,17 @@
 use bytes::Bytes;
 use clementinepick::turn_chain::TurnRecord;
 
-use crate::gateway_peer::{PeerCall, call_peer};
+use crate::gateway_peer::{PeerCall, PeerFailure, try_call_peer};
 use crate::gateway_shared::Shared;
 use crate::ledger::to_cbor;
+use crate::response_memory::MemoryPart;
 
 /// The path of requests for a turn by its id.
 pub(crate) const TURN_PATH: &str = "/turn";
 /// How long a peer may take; reading from the store takes about 10 ms.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(100);
+/// The number of copies of a turn's text while the response is built.
+const RESPONSE_COPIES: usize = 2;
 
 /// Fetches a turn's record from the peer that ran it; `None` if the peer does not respond or no
 /// longer has it.
@@ -30,15 +33,21 @@
         body: Bytes::copy_from_slice(id.as_bytes()),
         limit: FETCH_TIMEOUT,
     };
-    let response = call_peer::<Option<TurnRecord>>(shared, peer, call).await;
-    if response.is_none() {
+    let response = try_call_peer::<Option<TurnRecord>>(shared, peer, call).await;
+    if response == Err(PeerFailure::Silent) {
         shared.homes.record_peer_timeout(peer, now);
     }
-    response?
+    response.ok()?
 }
 
-/// Handles a peer's request for a turn.
-pub(crate) fn handle_fetch(shared: &Shared, body: &[u8]) -> (u16, Bytes) {
+/// Handles a peer's request for a turn, whose response takes `memory`.
+pub(crate) fn handle_fetch(
+    shared: &Shared,
+    body: &[u8],
+    memory: &mut MemoryPart<'_>,
+) -> (u16, Bytes) {
     let id = String::from_utf8_lossy(body);
-    (200, to_cbor(&shared.turns.cached_record(&id)))
+    let has_memory = memory.resize(RESPONSE_COPIES * shared.turns.cached_bytes(&id));
+    let record = has_memory.then(|| shared.turns.cached_record(&id));
+    (200, to_cbor(&record.flatten()))
 }
--- a/clementinepickd/src/gateway_peer_watch.rs
+++ b/clementinepickd/src/gateway_peer_watch.rs
@@ -10,12 +10,12 @@
 
 use actix_http::{Method, Uri};
 use actix_rt::time::sleep;
-use bytes::Bytes;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::rendezvous::rank_addresses;
 use futures_util::future::join_all;
 use tokio::task::JoinSet;
 
+use crate::body_parts::BodyParts;
 use crate::gateway_peer::{PeerCall, call_peer};
 use crate::gateway_shared::Shared;
 use crate::ledger::to_cbor;
@@ -143,7 +143,7 @@
         method: Method::POST,
         target: Uri::from_static(WATCH_PATH),
         headers: host_header(peer),
-        body: Bytes::new(),
+        body: BodyParts::default(),
     };
     match connection.exchange(&request).await {
         Ok(_) => WatchEnd::Answered,
--- a/clementinepickd/src/gateway_reader.rs
+++ b/clementinepickd/src/gateway_reader.rs
@@ -6,7 +6,7 @@
 
 use actix_rt::time::sleep;
 use bytes::BytesMut;
-use tokio::io::{AsyncReadExt, Interest};
+use tokio::io::{AsyncReadExt, Interest, Ready};
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::task::yield_now;
 
@@ -214,7 +214,7 @@
             return true;
         }
         let ready = poll_once(pin!(self.read.ready(Interest::READABLE))).await;
-        ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
+        ready.is_some_and(|ready| ready.is_ok_and(Ready::is_read_closed))
     }
 
     /// Reads and drops what arrives until the caller closes its sending side or `max_bytes` have
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -8,17 +8,19 @@
 
 use actix_http::StatusCode;
 use actix_rt::time::sleep;
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::event_stream::{EventSplitter, StreamEvent};
 use clementinepick::refusal::Refusal;
 use clementinepick::server_list::BackendServer;
 use clementinepick::server_selection::PromptPart;
 use clementinepick::stream_origin::StreamOrigin;
+use clementinepick::text_memory::HeldText;
 use clementinepick::turn_chain::{Turn, build_prompt, record_retention_ms};
 use clementinepick::units::Tokens;
 use tokio::task::yield_now;
 
+use crate::body_parts::BodyParts;
 use crate::gateway_attempts::{AttemptError, Attempts};
 use crate::gateway_budget::{self, Reserved};
 use crate::gateway_exchange::{RoutedRequest, RunInput, SentRequest, ServerResponse, ServerSlot};
@@ -101,7 +103,7 @@
         trace,
         reserved_total: hold.as_ref().map_or(Tokens(0), BudgetHold::reserved_tokens),
         hold,
-        body: build_prompt(previous.as_ref(), &routed.received.body),
+        body: build_prompt(previous.as_ref(), &routed.received.body).into(),
         last_server: previous
             .as_ref()
             .and_then(|turn| turn.server.clone())
@@ -191,7 +193,7 @@
     origin: Option<StreamOrigin>,
     /// Whether the reserved tokens are used up and no more can be reserved.
     is_out_of_budget: bool,
-    body: Bytes,
+    body: BodyParts,
     delivered: Delivered,
     /// The memory of what is held of the response.
     memory: MemoryPart<'a>,
@@ -210,6 +212,7 @@
             output: self.delivered.output.freeze(),
             recorded_unix_ms: unix_ms(),
             turns: 1,
+            held: HeldText::default(),
         };
         let recorded = self.shared.turns.record(turn, self.routed.deadline);
         recorded.await.is_ok()
--- a/clementinepickd/src/gateway_turn_budget.rs
+++ b/clementinepickd/src/gateway_turn_budget.rs
@@ -78,5 +78,6 @@
         LedgerError::Exhausted { .. } => Refusal::BudgetSpent,
         LedgerError::HolderSilent => Refusal::BudgetUnknown,
         LedgerError::UnknownTurn => Refusal::UnknownTurn,
+        LedgerError::OutOfMemory => Refusal::Overloaded,
     }
 }
--- a/clementinepickd/src/ledger.rs
+++ b/clementinepickd/src/ledger.rs
@@ -35,7 +35,7 @@
     pub record_bytes: usize,
     /// The maximum size of an append, in bytes.
     pub call_bytes: usize,
-    /// The maximum size of the cached turns, in bytes.
+    /// The maximum size of the turns in memory, cached or needed by running requests, in bytes.
     pub cache_bytes: usize,
     /// The maximum size of the records that were read and not yet linked into a chain, in bytes.
     pub unlinked_bytes: usize,
@@ -56,7 +56,7 @@
             partitions: 24,
             record_bytes: 262_144,
             call_bytes: 2_097_152,
-            cache_bytes: 8_388_608,
+            cache_bytes: 33_554_432,
             unlinked_bytes: 8_388_608,
             // The platform's store takes 50 ms for as much.
             segment_bytes: 1_048_576,
@@ -87,6 +87,9 @@
     /// The store has no record of the turn.
     #[error("the turn has no record in the store")]
     UnknownTurn,
+    /// The chain of the turn does not fit beside those of running requests.
+    #[error("the chains of running requests use up the memory for turns")]
+    OutOfMemory,
 }
 
 impl From<StoreUnavailable> for LedgerError {
--- a/clementinepickd/src/ledger_turn_cache.rs
+++ b/clementinepickd/src/ledger_turn_cache.rs
@@ -49,14 +49,20 @@
         let entry = Entry { value, bytes, used };
         self.entries.insert(id.to_owned(), entry);
         while self.bytes > limit_bytes && self.entries.len() > 1 {
-            let Some((_, oldest)) = self.by_use.first_key_value() else {
-                return;
-            };
-            let oldest = oldest.clone();
-            self.remove(&oldest);
+            self.evict_oldest();
         }
     }
 
+    /// Evicts the least recently used value; returns false if there is none.
+    pub(crate) fn evict_oldest(&mut self) -> bool {
+        let oldest = self.by_use.first_key_value();
+        let Some(oldest) = oldest.map(|(_, id)| id.clone()) else {
+            return false;
+        };
+        self.remove(&oldest);
+        true
+    }
+
     pub(crate) fn remove(&mut self, id: &str) {
         if let Some(entry) = self.entries.remove(id) {
             self.by_use.remove(&entry.used);
@@ -64,8 +70,8 @@
         }
     }
 
-    /// Returns the number of values and their size in bytes.
-    pub(crate) fn size(&self) -> (usize, usize) {
-        (self.entries.len(), self.bytes)
+    /// Returns the number of values.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
     }
 }
--- a/clementinepickd/src/ledger_turn_records.rs
+++ b/clementinepickd/src/ledger_turn_records.rs
@@ -11,7 +11,7 @@
 use actix_rt::time::timeout;
 use bytes::Bytes;
 use clementinepick::turn_chain::TurnRecord;
-use platform::store::KeyedRecord;
+use platform::store::{KeyedRecord, NewestPage};
 use tokio::sync::{Mutex, Semaphore, SemaphorePermit};
 use tokio::time::timeout_at;
 
@@ -28,6 +28,15 @@
 const MANY_CHAIN_READS: usize = 8;
 /// The memory of a record beside its body, in bytes.
 const RECORD_MEMORY_BYTES: usize = 512;
+/// The memory that pages of records may take which are read at the same time, in KB.
+const PAGE_MEMORY_KB: usize = 12_288;
+/// The memory of a page while it is decoded, as a multiple of the size of its records: the response in base64,
+/// in a buffer that doubles, and the records.
+const PAGE_COPIES: usize = 4;
+/// The least memory of a page, in KB.
+const MIN_PAGE_KB: usize = 64;
+/// The divisor by which the size that pages are expected to have falls with each smaller one.
+const PAGE_SIZE_DIVISOR: usize = 8;
 
 /// The access to a partition of turns.
 #[derive(Default)]
@@ -45,6 +54,10 @@
     unlinked: RefCell<LruCache<TurnRecord>>,
     partitions: RefCell<BTreeMap<Partition, Rc<PartitionAccess>>>,
     permits: Semaphore,
+    /// Limits the memory of the pages that are read, in KB.
+    page_memory: Semaphore,
+    /// The size of the records of a page, by the pages that were read last.
+    page_bytes: Cell<usize>,
     /// The number of chains being read or waiting.
     chains: Cell<usize>,
     last_read_at: Cell<Option<Instant>>,
@@ -57,6 +70,8 @@
             unlinked: RefCell::default(),
             partitions: RefCell::default(),
             permits: Semaphore::new(MAX_CHAIN_READS),
+            page_memory: Semaphore::new(PAGE_MEMORY_KB),
+            page_bytes: Cell::new(0),
             chains: Cell::new(0),
             last_read_at: Cell::new(None),
         }
@@ -103,8 +118,10 @@
         let mut after = start.clone().filter(|_| !reads_all);
         let mut target = TargetRecord::default();
         loop {
+            let _memory = self.acquire_page_memory(deadline).await?;
             let page = reader.newest_page(partition, after.as_deref()).await?;
             self.last_read_at.set(Some(Instant::now()));
+            self.record_page_size(&page);
             let last = page.records.last().map(|record| record.key.clone());
             for record in page.records {
                 if let Some(neighbour) = target.take(record, &key) {
@@ -125,6 +142,28 @@
         Ok(record)
     }
 
+    /// Waits until the other pages that are being read leave memory for one of the size of the last ones.
+    async fn acquire_page_memory(
+        &self,
+        deadline: Instant,
+    ) -> Result<SemaphorePermit<'_>, LedgerError> {
+        let expected_kb = PAGE_COPIES * self.page_bytes.get() / 1_024;
+        let expected_kb = expected_kb.clamp(MIN_PAGE_KB, PAGE_MEMORY_KB);
+        let expected_kb = u32::try_from(expected_kb).unwrap_or(u32::MAX);
+        let acquiring = self.page_memory.acquire_many(expected_kb);
+        let acquired = timeout_at(deadline.into(), acquiring).await;
+        let acquired = acquired.ok().and_then(Result::ok);
+        acquired.ok_or(LedgerError::Unavailable)
+    }
+
+    fn record_page_size(&self, page: &NewestPage) {
+        let values = page.records.iter().filter_map(|r| r.value.as_ref());
+        let size_bytes: usize = values.map(Bytes::len).sum();
+        let expected_bytes = self.page_bytes.get();
+        let fallen_bytes = expected_bytes - expected_bytes / PAGE_SIZE_DIVISOR;
+        self.page_bytes.set(size_bytes.max(fallen_bytes));
+    }
+
     fn keep_neighbour(&self, neighbour: KeyedRecord) {
         let record: Option<TurnRecord> = neighbour.value.and_then(|value| from_cbor(&value));
         // The parts of a body are complete only with the record that they belong to.
--- a/clementinepickd/src/ledger_turns.rs
+++ b/clementinepickd/src/ledger_turns.rs
@@ -5,10 +5,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use actix_rt::time::sleep;
 use bytes::Bytes;
+use clementinepick::text_memory::{HeldText, TextMemory};
 use clementinepick::turn_chain::{Turn, TurnRecord, needs_whole_chain};
+use clementinepick::units;
 use platform::store::KeyedRecord;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, SemaphorePermit, mpsc};
+use tokio::time::timeout_at;
 
 use crate::ledger::{LedgerError, LedgerStore, key_of, to_cbor};
 use crate::ledger_turn_cache::LruCache;
@@ -22,6 +26,15 @@
 /// The maximum size of a record without its body, in bytes: key, lengths and names of fields.
 const RECORD_OVERHEAD_BYTES: usize = 1_024;
 
+/// The memory of a turn beside its text, in bytes.
+const TURN_OVERHEAD_BYTES: usize = 512;
+/// The text that may be written to the store at the same time, in bytes, of which there are two copies
+/// meanwhile.
+const RECORDING_BYTES: usize = 2_097_152;
+/// How long a request waits for memory, in which several turns of others end, and the pause between two
+/// checks.
+const MEMORY_PATIENCE: Duration = Duration::from_millis(200);
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// The capacity of the queue of chains to read in the background; chains beyond it are read when a
 /// request needs them again.
 const UNFINISHED_QUEUE_CAPACITY: usize = 256;
@@ -31,6 +44,10 @@
     store: Rc<LedgerStore>,
     records: TurnRecordReader,
     cache: RefCell<LruCache<Arc<Turn>>>,
+    /// What the texts of turns take, whether cached or only needed by running requests.
+    texts: TextMemory,
+    /// Limits what is written to the store at the same time, in KB.
+    recording: Semaphore,
     unfinished: mpsc::Sender<String>,
 }
 
@@ -74,6 +91,8 @@
             records: TurnRecordReader::new(Rc::clone(&store)),
             store,
             cache: RefCell::default(),
+            texts: TextMemory::default(),
+            recording: Semaphore::new(to_kb(RECORDING_BYTES)),
             unfinished,
         };
         (turns, unfinished_reads)
@@ -117,7 +136,8 @@
         let mut may_fetch = true;
         let mut fetched = 0;
         let mut read = self.records.start_chain(wait);
-        let mut records: Vec<(String, TurnRecord)> = Vec::new();
+        let mut records: Vec<(String, TurnRecord, HeldText)> = Vec::new();
+        let memory_deadline = wait.deadline.min(Instant::now() + MEMORY_PATIENCE);
         let mut wanted = Some(id.to_owned());
         let mut base = None;
         while let Some(id) = wanted.take() {
@@ -125,6 +145,7 @@
             if base.is_some() {
                 break;
             }
+            self.wait_for_memory(memory_deadline).await?;
             let mut record = self.records.cached(&id);
             if record.is_none() && may_fetch {
                 record = fetch(&id).await;
@@ -146,13 +167,15 @@
                 });
             };
             wanted.clone_from(&record.parent);
-            records.push((id, record));
+            let held = self.texts.hold(to_bytes(record.body.len()));
+            records.push((id, record, held));
             if records.len() > MAX_CHAIN_TURNS {
                 return Err(LedgerError::Unavailable);
             }
         }
         let records_read = records.len() - fetched;
-        for (id, record) in records.into_iter().rev() {
+        while let Some((id, record, held)) = records.pop() {
+            drop(held);
             base = Some(self.link(id, record, base)?);
         }
         let turn = base.ok_or(LedgerError::UnknownTurn)?;
@@ -180,14 +203,41 @@
         // Copied, because the capacity of read buffers is up to twice their length.
         turn.input = Bytes::copy_from_slice(&turn.input);
         turn.output = Bytes::copy_from_slice(&turn.output);
+        let size_bytes = turn.own_bytes();
+        turn.held = self.texts.hold(to_bytes(size_bytes + TURN_OVERHEAD_BYTES));
         let turn = Arc::new(turn);
-        let limit_bytes = self.store.settings.cache_bytes;
         let mut cache = self.cache.borrow_mut();
-        cache.insert(&turn.id, Arc::clone(&turn), turn.own_bytes(), limit_bytes);
+        cache.insert(&turn.id, Arc::clone(&turn), size_bytes, usize::MAX);
         drop(cache);
+        self.fit_memory();
         turn
     }
 
+    /// Evicts cached turns until all turns fit the memory; returns false if running requests need more.
+    ///
+    /// A turn that is evicted is freed only with those that continue from it.
+    fn fit_memory(&self) -> bool {
+        let limit = to_bytes(self.store.settings.cache_bytes);
+        let mut cache = self.cache.borrow_mut();
+        while self.texts.used() > limit {
+            if !cache.evict_oldest() {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Waits until running requests leave memory for a further chain.
+    async fn wait_for_memory(&self, deadline: Instant) -> Result<(), LedgerError> {
+        while !self.fit_memory() {
+            if Instant::now() >= deadline {
+                return Err(LedgerError::OutOfMemory);
+            }
+            sleep(MEMORY_CHECK_INTERVAL).await;
+        }
+        Ok(())
+    }
+
     /// Reads the record of a turn from the store; `None` only if the store says that there is none.
     pub(crate) async fn read(
         &self,
@@ -203,8 +253,16 @@
         mut turn: Turn,
         deadline: Instant,
     ) -> Result<(), LedgerError> {
-        let parent = turn.parent.as_deref();
-        if parent.is_some_and(|p| needs_whole_chain(p, turn.recorded_unix_ms, turn.retain_ms)) {
+        let is_whole = turn.parent.as_deref().is_some_and(|previous| {
+            needs_whole_chain(previous, turn.recorded_unix_ms, turn.retain_ms)
+        });
+        let size_bytes = if is_whole {
+            turn.chain_bytes()
+        } else {
+            turn.own_bytes()
+        };
+        let _permit = self.start_recording(size_bytes, deadline).await?;
+        if is_whole {
             turn.merge_chain();
         } else {
             turn.merge_segment(self.store.settings.segment_bytes);
@@ -224,6 +282,19 @@
         Ok(())
     }
 
+    /// Waits until a text of this size may be written to the store.
+    async fn start_recording(
+        &self,
+        size_bytes: usize,
+        deadline: Instant,
+    ) -> Result<SemaphorePermit<'_>, LedgerError> {
+        let size_kb = to_kb(size_bytes.min(RECORDING_BYTES));
+        let size_kb = u32::try_from(size_kb).unwrap_or(u32::MAX);
+        let permit = timeout_at(deadline.into(), self.recording.acquire_many(size_kb)).await;
+        let permit = permit.ok().and_then(Result::ok);
+        permit.ok_or(LedgerError::Unavailable)
+    }
+
     /// Returns the appends of a turn. A body larger than a record is split into parts that are
     /// written before the record itself, so that a reader that finds the record finds all parts.
     fn batches(&self, turn: &Turn) -> Vec<Vec<KeyedRecord>> {
@@ -239,7 +310,7 @@
                 .enumerate()
                 .map(|(number, part)| KeyedRecord {
                     key: part_key(&key, number),
-                    value: Some(Bytes::copy_from_slice(part)),
+                    value: Some(body.slice_ref(part)),
                 })
                 .collect();
             record.parts = parts.len();
@@ -259,12 +330,28 @@
         Some(TurnRecord::of(&turn))
     }
 
-    /// Returns the number of cached turns and their size in bytes.
+    /// Returns the size of the text of a cached turn in bytes; zero if it is not cached.
+    pub(crate) fn cached_bytes(&self, id: &str) -> usize {
+        let turn = self.cache.borrow_mut().get(id);
+        turn.map_or(0, |turn| turn.own_bytes())
+    }
+
+    /// Returns the number of cached turns, and the size of all turns in memory in bytes.
     pub(crate) fn cache_size(&self) -> (usize, usize) {
-        self.cache.borrow().size()
+        let count = self.cache.borrow().len();
+        let used_bytes = usize::try_from(self.texts.used().0);
+        (count, used_bytes.unwrap_or(usize::MAX))
     }
 }
 
+fn to_kb(bytes: usize) -> usize {
+    bytes.div_ceil(1_024)
+}
+
+fn to_bytes(bytes: usize) -> units::Bytes {
+    units::Bytes(u64::try_from(bytes).unwrap_or(u64::MAX))
+}
+
 /// Returns the key of a part of a turn's body; it sorts right after the turn's own key.
 fn part_key(key: &str, number: usize) -> String {
     format!("{key}!{number:04}")
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod answer_queue;
 mod append_allowance;
+mod body_parts;
 mod budget_messages;
 mod callers;
 mod clients;
--- a/clementinepickd/src/outbound.rs
+++ b/clementinepickd/src/outbound.rs
@@ -16,10 +16,12 @@
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::WriteHalf;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::yield_now;
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::body_parts::BodyParts;
 use crate::framing_limit::FramingLimit;
 use clementinepick::start_doubts::ReportedStart;
 
@@ -31,6 +33,8 @@
 const KEEPALIVE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// The initial capacity of a read buffer, in bytes; response heads are usually smaller.
 const READ_BUFFER_BYTES: usize = 4_096;
+/// The size of what is written at once of a body in small parts, in bytes.
+const WRITE_BUFFER_BYTES: usize = 32_768;
 /// The size of the system's buffer for what a server sends, in bytes.
 const SERVER_RECEIVE_BUFFER_BYTES: u32 = 8_192;
 /// The largest response head, in bytes.
@@ -67,7 +71,7 @@
     pub(crate) method: Method,
     pub(crate) target: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: BodyParts,
 }
 
 enum BodyState {
@@ -183,8 +187,8 @@
         request: &OutboundRequest,
     ) -> Result<ResponseHead, OutboundError> {
         let mut codec = ClientCodec::default();
-        let encoded = encode(&mut codec, request).map_err(OutboundError::Broken)?;
-        let is_fully_sent = self.send_request(&encoded).await?;
+        let head = encode_head(&mut codec, request).map_err(OutboundError::Broken)?;
+        let is_fully_sent = self.send_request(head, &request.body).await?;
         if !is_fully_sent {
             // The server responded before it had the whole request. It would take the next request
             // for the rest of this one, so the connection is not reused.
@@ -222,11 +226,15 @@
     }
 
     /// Writes the request; returns false if response bytes arrived before all of it was written.
-    async fn send_request(&mut self, encoded: &[u8]) -> Result<bool, OutboundError> {
+    async fn send_request(
+        &mut self,
+        head: BytesMut,
+        body: &BodyParts,
+    ) -> Result<bool, OutboundError> {
         let (mut read, mut write) = self.stream.split();
         tokio::select! {
             biased;
-            sent = write.write_all(encoded) => sent.map(|()| true).map_err(OutboundError::Broken),
+            sent = write_parts(&mut write, head, body) => sent.map(|()| true).map_err(OutboundError::Broken),
             received = read.read_buf(&mut self.buffer) => match received {
                 Ok(0) => Err(OutboundError::Closed),
                 Ok(_) => Ok(false),
@@ -379,22 +387,43 @@
     socket.set_tcp_keepalive(&probes.with_retries(2))
 }
 
-fn encode(codec: &mut ClientCodec, request: &OutboundRequest) -> io::Result<BytesMut> {
+fn encode_head(codec: &mut ClientCodec, request: &OutboundRequest) -> io::Result<BytesMut> {
     let mut head = RequestHead::default();
     head.method = request.method.clone();
     head.uri = request.target.clone();
     head.headers = request.headers.clone();
     head.set_connection_type(ConnectionType::KeepAlive);
-    let size = match request.body.len() {
+    let length = request.body.len();
+    let size = match length {
         0 if matches!(request.method, Method::GET | Method::HEAD) => BodySize::None,
         length => BodySize::Sized(length as u64),
     };
     let head = RequestHeadType::Owned(head);
-    let mut encoded = BytesMut::with_capacity(READ_BUFFER_BYTES + request.body.len());
+    let capacity = READ_BUFFER_BYTES + length.min(WRITE_BUFFER_BYTES);
+    let mut encoded = BytesMut::with_capacity(capacity);
     codec.encode(Message::Item((head, size)), &mut encoded)?;
-    if !request.body.is_empty() {
-        codec.encode(Message::Chunk(Some(request.body.clone())), &mut encoded)?;
-    }
-    codec.encode(Message::Chunk(None), &mut encoded)?;
     Ok(encoded)
 }
+
+/// Writes the head of a request, which is `buffer`, and its body. Small parts are copied into the buffer, so
+/// that they take few writes; large ones are not.
+async fn write_parts(
+    write: &mut WriteHalf<'_>,
+    mut buffer: BytesMut,
+    body: &BodyParts,
+) -> io::Result<()> {
+    for part in body.iter() {
+        if buffer.len() + part.len() <= WRITE_BUFFER_BYTES {
+            buffer.extend_from_slice(part);
+            continue;
+        }
+        write.write_all(&buffer).await?;
+        buffer.clear();
+        if part.len() <= WRITE_BUFFER_BYTES {
+            buffer.extend_from_slice(part);
+        } else {
+            write.write_all(part).await?;
+        }
+    }
+    write.write_all(&buffer).await
+}
--- a/clementinepickd/src/server_probe.rs
+++ b/clementinepickd/src/server_probe.rs
@@ -6,10 +6,10 @@
 
 use actix_http::{Method, ResponseHead, Uri};
 use actix_rt::time::{sleep, timeout};
-use bytes::Bytes;
 use clementinepick::ended_servers::ServerStart;
 use clementinepick::start_doubts::ReportedStart;
 
+use crate::body_parts::BodyParts;
 use crate::outbound::{Connection, OutboundError, OutboundRequest};
 use crate::store::host_header;
 
@@ -133,7 +133,7 @@
         method: Method::GET,
         target: Uri::from_static(platform::servers::REPORT_PATH),
         headers: host_header(address),
-        body: Bytes::new(),
+        body: BodyParts::default(),
     };
     let asking = async {
         let head = connection.exchange(&request).await.ok()?;
@@ -198,7 +198,7 @@
         method: Method::GET,
         target,
         headers: host_header(address),
-        body: Bytes::new(),
+        body: BodyParts::default(),
     };
     connection.exchange(&request).await.ok()
 }
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -518,7 +518,7 @@
             method: call.method.clone(),
             target: target.map_err(|err| OutboundError::Protocol(err.to_string()))?,
             headers: host_header(address),
-            body: call.body.clone(),
+            body: call.body.clone().into(),
         };
         let head = connection.exchange(&request).await?;
         let body = connection.body(MAX_RESPONSE_BYTES).await?;
