Show by old connections that a server without a start time goes on

Cause: one broken connection put a server in doubt, all peers heard of it, and a server in doubt that reports no start time took no rest of a stream until the next list. A gateway whose connections were reset so shut all servers to all resumptions everywhere. Streams that began meanwhile had no proof of their version and could not be resumed either.

Change: all connections to a server end with its process. One that works and was opened at least two seconds before the list was read leads to the start that the list describes. The rest of a stream goes over such a connection; a response on one ends the doubt; a gateway that has none asks up to eight peers, once for all requests that wait. Streams that begin at a server in doubt get their proof in the same way. Without any such connection, the doubt of a server that reports no start time lasts until it must have written its entry, not only until the next list: that is how streams joined two versions at servers that were replaced in place.

a_broken_connection_casts_doubt_until_the_next_list said of a server without a start time that the next list settles the doubt, which joins versions. It holds for servers with a start time as before; for those without, the doubt must last for two seconds or until evidence, which is as strict on refusals: evidence comes in a round trip.

--- a/clementinepick/src/start_doubts.rs
+++ b/clementinepick/src/start_doubts.rs
@@ -43,6 +43,16 @@
 /// The maximum number of servers in doubt; above it, those that were noticed first are dropped.
 const MAX_SERVERS: usize = 4_096;
 
+/// Returns the time before which a connection that still works was opened to the start which a list, read
+/// as of `list_at`, describes; `None` if the list has not been current for long enough.
+///
+/// A connection ends with the process at its other end, and that has written its entry within the lag.
+#[must_use]
+pub fn described_before(list_at: TimeUs, current_since: TimeUs) -> Option<TimeUs> {
+    let before = TimeUs(list_at.0.checked_sub(LIST_LAG_US.0)?);
+    (current_since <= before).then_some(before)
+}
+
 /// What a server is to run, as far as its start matters.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartUse {
@@ -87,13 +97,12 @@
     Certain,
 }
 
-impl EndSign {
-    /// Returns how long after it a list may still have the entry of the start before.
-    fn list_lag(self) -> SpanUs {
-        match self {
-            Self::Possible => SpanUs(0),
-            Self::Certain => LIST_LAG_US,
-        }
+/// Returns how long after a sign of its end a list may still have the entry of the start before.
+fn list_lag(server: &BackendServer, sign: EndSign) -> SpanUs {
+    match sign {
+        // The server itself says whether it is the listed start.
+        EndSign::Possible if server.started_unix_ms.is_some() => SpanUs(0),
+        EndSign::Possible | EndSign::Certain => LIST_LAG_US,
     }
 }
 
@@ -111,7 +120,7 @@
     fn of(server: &BackendServer, noticed_at: TimeUs, sign: EndSign) -> Self {
         Self {
             noticed_at,
-            settled_by: noticed_at.after(sign.list_lag()),
+            settled_by: noticed_at.after(list_lag(server, sign)),
             started_unix_ms: server.started_unix_ms,
             version: server.version.clone(),
         }
--- a/clementinepick/tests/start_doubts.rs
+++ b/clementinepick/tests/start_doubts.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use clementinepick::server_list::{BackendServer, ServerList, SoftwareVersion};
-use clementinepick::start_doubts::{EndSign, ReportedStart, StartDoubts, StartUse, StartVerdict};
+use clementinepick::start_doubts::{
+    EndSign, ReportedStart, StartDoubts, StartUse, StartVerdict, described_before,
+};
 use clementinepick::units::{SpanUs, TimeUs};
 
 const NOTICED_AT: TimeUs = TimeUs(1_000);
@@ -109,22 +111,51 @@
 
 /// Guards against refusing streams for long because a server has closed one connection.
 #[test]
-fn a_broken_connection_casts_doubt_until_the_next_list() {
-    let silent = server("v1", None);
+fn a_broken_connection_casts_doubt_until_the_next_list_on_a_server_with_a_start_time() {
+    let reporting = server("v1", Some(5));
     let mut doubts = StartDoubts::default();
-    assert!(doubts.record(NOTICED_AT, &silent, EndSign::Possible));
-    doubts.update(NOTICED_AT, &list(&silent));
+    assert!(doubts.record(NOTICED_AT, &reporting, EndSign::Possible));
+    doubts.update(NOTICED_AT, &list(&reporting));
     assert!(doubts.is_in_doubt("i-1"));
-    assert!(doubts.record(NOTICED_AT, &silent, EndSign::Certain));
-    assert!(!doubts.record(NOTICED_AT, &silent, EndSign::Possible));
-    doubts.update(TimeUs(NOTICED_AT.0 + 1), &list(&silent));
+    assert!(doubts.record(NOTICED_AT, &reporting, EndSign::Certain));
+    assert!(!doubts.record(NOTICED_AT, &reporting, EndSign::Possible));
+    doubts.update(TimeUs(NOTICED_AT.0 + 1), &list(&reporting));
     assert!(doubts.is_in_doubt("i-1"), "it has ended for certain");
     let mut doubts = StartDoubts::default();
-    doubts.record(NOTICED_AT, &silent, EndSign::Possible);
-    doubts.update(TimeUs(NOTICED_AT.0 + 1), &list(&silent));
+    doubts.record(NOTICED_AT, &reporting, EndSign::Possible);
+    doubts.update(TimeUs(NOTICED_AT.0 + 1), &list(&reporting));
     assert!(!doubts.is_in_doubt("i-1"));
 }
 
+/// Guards against a list that still has the entry of the start before, for a server that can't say so, and
+/// against refusing streams once it is known to go on.
+#[test]
+fn a_broken_connection_to_a_server_without_a_start_time_casts_doubt_until_evidence_or_its_entry() {
+    let silent = server("v1", None);
+    let mut doubts = StartDoubts::default();
+    assert!(doubts.record(NOTICED_AT, &silent, EndSign::Possible));
+    doubts.update(NOTICED_AT.after(LIST_LAG), &list(&silent));
+    assert!(!doubts.may_continue_at(&silent));
+    doubts.resolve("i-1", TimeUs(NOTICED_AT.0 + 1));
+    assert!(doubts.may_continue_at(&silent));
+    doubts.record(NOTICED_AT, &silent, EndSign::Possible);
+    doubts.update(TimeUs(NOTICED_AT.after(LIST_LAG).0 + 1), &list(&silent));
+    assert!(doubts.may_continue_at(&silent));
+}
+
+/// Guards against taking a connection for one to the listed start that was opened while the list may have had
+/// the entry of the start before.
+#[test]
+fn only_connections_from_well_before_the_list_lead_to_the_start_that_it_describes() {
+    let list_at = TimeUs(10_000_000);
+    let before = TimeUs(list_at.0 - LIST_LAG.0);
+    assert_eq!(described_before(list_at, TimeUs(0)), Some(before));
+    assert_eq!(described_before(list_at, before), Some(before));
+    let outage_end = TimeUs(before.0 + 1);
+    assert_eq!(described_before(list_at, outage_end), None);
+    assert_eq!(described_before(TimeUs(1), TimeUs(0)), None);
+}
+
 #[test]
 fn a_doubt_ends_with_another_entry() {
     let reporting = server("v1", Some(5));
--- a/clementinepickd/src/gateway_attempts.rs
+++ b/clementinepickd/src/gateway_attempts.rs
@@ -86,6 +86,8 @@
     pub(crate) sends: u32,
     /// The number of sends when it was last loaded where else the request runs.
     others_loaded: Cell<Option<u32>>,
+    /// Whether peers were asked if servers in doubt are their listed starts.
+    has_asked_peers: Cell<bool>,
     /// How long servers may take to say which start they are.
     patience: StartPatience,
     refusal: Refusal,
@@ -109,6 +111,7 @@
             current: None,
             sends: 0,
             others_loaded: Cell::new(None),
+            has_asked_peers: Cell::new(false),
             patience: StartPatience::default(),
             refusal: Refusal::NoServer,
         }
@@ -193,12 +196,19 @@
                 if self.patience.extend(&mut self.tried_servers) {
                     continue;
                 }
+                let doubted = self.routed.doubted_servers(self.shared, &filter, input);
+                if !doubted.is_empty() && !self.has_asked_peers.replace(true) {
+                    self.shared.confirm_starts(&doubted).await;
+                    continue;
+                }
                 if !isolated.is_empty() || self.awaits_runs() {
                     self.pause_start().await;
                     continue;
                 }
                 if filter.confined_to.is_some() {
                     self.give_up();
+                } else if !doubted.is_empty() && self.refusal == Refusal::NoServer {
+                    self.refusal = Refusal::VersionUnavailable;
                 }
                 return None;
             };
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -229,7 +229,11 @@
             .ready(self.service)
             .filter(|server| choice.in_flight(&server.id) < limit)
             .filter(|server| {
-                origin.is_none_or(|origin| origin.fits(server) && doubts.may_continue_at(server))
+                origin.is_none_or(|origin| {
+                    origin.fits(server)
+                        && (doubts.may_continue_at(server)
+                            || shared.has_listed_connection(server.address))
+                })
             })
             .filter(|server| filter.allows(&server.id))
             .collect();
@@ -251,6 +255,24 @@
         })
     }
 
+    /// Returns the servers that could continue the stream of `input` if they were not in doubt.
+    pub(crate) fn doubted_servers(
+        &self,
+        shared: &Shared,
+        filter: &ServerFilter,
+        input: &RunInput,
+    ) -> Vec<BackendServer> {
+        let Some(origin) = &input.origin else {
+            return Vec::new();
+        };
+        let servers = shared.directory().servers;
+        let doubts = shared.start_doubts();
+        let doubted = servers.ready(self.service).filter(|server| {
+            origin.fits(server) && !doubts.may_continue_at(server) && filter.allows(&server.id)
+        });
+        doubted.cloned().collect()
+    }
+
     /// Returns how far the start of the server matters that runs the request next.
     fn start_use(&self, input: &RunInput) -> StartUse {
         if Safeguard::StreamVersion.is_disabled() {
@@ -330,11 +352,13 @@
             headers: forwarded_headers(&self.received.head.head().headers, &send),
             body,
         };
+        let sent_at = Instant::now();
         let Ok(head) = connection.exchange(&request).await else {
             slot.record_broken();
             return Err(AttemptError::ResponseLost);
         };
         slot.record_heard();
+        shared.record_response(&slot.server, &connection, sent_at);
         self.check_response(shared, slot, connection, head).await
     }
 
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -24,6 +24,7 @@
 use crate::gateway_reply::Reply;
 use crate::gateway_shared::Shared;
 use crate::gateway_start::handle_start_call;
+use crate::gateway_start_evidence::handle_confirm_call;
 use crate::gateway_version_proof::handle_prove_call;
 use crate::ledger::{from_cbor, to_cbor};
 use crate::outbound::{OutboundError, OutboundRequest};
@@ -147,6 +148,10 @@
                 response
             } else if let Some(response) = handle_start_call(&self.shared, &target, &request.body) {
                 response
+            } else if let Some(response) =
+                handle_confirm_call(&self.shared, &target, &request.body).await
+            {
+                response
             } else if target == WATCH_PATH {
                 self.shared.wait_for_close().await;
                 (200, to_cbor(&()))
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -36,6 +36,7 @@
 use crate::gateway_prefetch::{PREFETCH_QUEUE_CAPACITY, PrefetchRequest};
 use crate::gateway_request_log::RequestLog;
 use crate::gateway_settings::GatewaySettings;
+use crate::gateway_start_evidence::StartConfirmations;
 use crate::gateway_start_questions::{StartQuestion, StartQuestionSender};
 use crate::gateway_versions::VersionRecords;
 use crate::ledger::LedgerStore;
@@ -85,6 +86,7 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) choice: RefCell<ServerSelector>,
     pub(crate) doubts: RefCell<StartDoubts>,
+    pub(crate) confirmations: StartConfirmations,
     limits: RefCell<LimitHistory>,
     listed_versions: RefCell<ListedVersions>,
     pub(crate) versions: VersionRecords,
@@ -183,6 +185,7 @@
             pool: ConnectionPool::default(),
             choice: RefCell::default(),
             doubts: RefCell::default(),
+            confirmations: StartConfirmations::default(),
             limits: RefCell::default(),
             listed_versions: RefCell::default(),
             versions: VersionRecords::default(),
--- a/clementinepickd/src/gateway_start.rs
+++ b/clementinepickd/src/gateway_start.rs
@@ -201,10 +201,34 @@
             slot.proof.set(StartProof::Connection);
             return self.judge_start(slot, Some(report), connection);
         }
-        if !must_ask {
-            return self.judge_start(slot, None, connection);
+        if must_ask {
+            return self.ask(slot, connection).await;
         }
-        self.ask(slot, connection).await
+        let is_unnamed = server.started_unix_ms.is_none();
+        if is_unnamed && self.start_doubts().is_in_doubt(&server.id) {
+            return self.prove_by_connection(slot, connection).await;
+        }
+        self.judge_start(slot, None, connection)
+    }
+
+    /// Finds a connection to the listed start of a server in doubt that reports no start time, or asks peers
+    /// that may have one.
+    async fn prove_by_connection(
+        &self,
+        slot: &ServerSlot,
+        connection: Connection,
+    ) -> Result<Connection, AttemptError> {
+        let server = &slot.server;
+        if self.leads_to_listed_start(&connection) {
+            return Ok(connection);
+        }
+        if let Some(older) = self.take_listed_connection(server.address) {
+            self.pool
+                .release(server.address, connection, Instant::now());
+            return Ok(older);
+        }
+        self.confirm_starts(std::slice::from_ref(server)).await;
+        self.judge_start(slot, None, connection)
     }
 
     async fn ask(
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -59,6 +59,7 @@
 mod gateway_shared;
 mod gateway_start;
 mod gateway_start_check;
+mod gateway_start_evidence;
 mod gateway_start_patience;
 mod gateway_start_questions;
 mod gateway_stream;
--- a/clementinepickd/src/outbound_pool.rs
+++ b/clementinepickd/src/outbound_pool.rs
@@ -59,6 +59,13 @@
         None
     }
 
+    /// Returns whether there is an idle connection that was opened before `before`.
+    pub(crate) fn has_older(&self, address: SocketAddr, before: Instant) -> bool {
+        let idle = self.idle.borrow();
+        let mut connections = idle.get(&address).into_iter().flatten();
+        connections.any(|c| c.opened_at < before && c.is_healthy())
+    }
+
     /// Takes an idle connection that was opened before `before`, if there is one.
     pub(crate) fn take_older(&self, address: SocketAddr, before: Instant) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
--- a/standins/src/soak_proxy.rs
+++ b/standins/src/soak_proxy.rs
@@ -39,9 +39,27 @@
     pub address: SocketAddr,
     mode: Mode,
     silenced: Silenced,
+    resets: Resets,
     _server: WireServer,
 }
 
+/// Which connections were reset, by their numbers.
+#[derive(Debug, Default)]
+struct ResetState {
+    /// The number of connections that were opened.
+    opened: u64,
+    /// The resets so far: each of those numbered below the first that is a multiple of the second.
+    resets: Vec<(u64, u64)>,
+}
+
+impl ResetState {
+    fn is_reset(&self, number: u64) -> bool {
+        let mut resets = self.resets.iter();
+        resets.any(|(end, one_in)| number < *end && number.is_multiple_of(*one_in))
+    }
+}
+
+type Resets = Arc<Mutex<ResetState>>;
 type Mode = Arc<Mutex<ProxyMode>>;
 /// How often the open connections were silenced.
 type Silenced = Arc<AtomicU64>;
@@ -57,14 +75,18 @@
         let current = Arc::clone(&mode);
         let silenced = Silenced::default();
         let count = Arc::clone(&silenced);
+        let resets = Resets::default();
+        let state = Arc::clone(&resets);
         let handler = move |stream, _| {
-            proxy_connection(stream, target, Arc::clone(&current), Arc::clone(&count))
+            let faults = Faults::new(&current, &count, &state);
+            proxy_connection(stream, target, faults)
         };
         let server = WireServer::start_with(free_port(), handler)?;
         Ok(Self {
             address: server.address,
             mode,
             silenced,
+            resets,
             _server: server,
         })
     }
@@ -75,15 +97,54 @@
         self.silenced.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Closes one in `one_in` of the connections that are open now; new connections work.
+    pub fn reset_open_connections(&self, one_in: u64) {
+        let mut state = lock(&self.resets);
+        let opened = state.opened;
+        state.resets.push((opened, one_in));
+    }
+
     /// Changes the mode, also of open connections.
     pub fn set_mode(&self, mode: ProxyMode) {
         *lock(&self.mode) = mode;
     }
 }
 
-async fn proxy_connection(caller: TcpStream, target: SocketAddr, mode: Mode, silenced: Silenced) {
-    let opened_at = silenced.load(Ordering::Relaxed);
-    let is_silenced = || silenced.load(Ordering::Relaxed) != opened_at;
+/// The faults of one connection.
+struct Faults {
+    mode: Mode,
+    silenced: Silenced,
+    /// How often connections had been silenced when it was opened.
+    silenced_before: u64,
+    resets: Resets,
+    number: u64,
+}
+
+impl Faults {
+    fn new(mode: &Mode, silenced: &Silenced, resets: &Resets) -> Self {
+        let mut state = lock(resets);
+        state.opened += 1;
+        Self {
+            mode: Arc::clone(mode),
+            silenced: Arc::clone(silenced),
+            silenced_before: silenced.load(Ordering::Relaxed),
+            resets: Arc::clone(resets),
+            number: state.opened - 1,
+        }
+    }
+
+    fn is_silenced(&self) -> bool {
+        self.silenced.load(Ordering::Relaxed) != self.silenced_before
+    }
+
+    async fn wait_for_reset(&self) {
+        while *lock(&self.mode) != ProxyMode::Reset && !lock(&self.resets).is_reset(self.number) {
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+}
+
+async fn proxy_connection(caller: TcpStream, target: SocketAddr, faults: Faults) {
     let Ok(server) = TcpStream::connect(target).await else {
         return;
     };
@@ -91,28 +152,27 @@
     let (from_server, to_server) = server.into_split();
     // When either side closes, both are closed, as if the proxy's process had died.
     tokio::select! {
-        () = forward(from_caller, to_server, &mode, &is_silenced, true) => {}
-        () = forward(from_server, to_caller, &mode, &is_silenced, false) => {}
+        () = forward(from_caller, to_server, &faults, true) => {}
+        () = forward(from_server, to_caller, &faults, false) => {}
     }
 }
 
 async fn forward(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    mode: &Mode,
-    is_silenced: &impl Fn() -> bool,
+    faults: &Faults,
     is_request: bool,
 ) {
     let mut buffer = vec![0_u8; 16_384];
     loop {
         let count = tokio::select! {
             read = from.read(&mut buffer) => read.unwrap_or(0),
-            () = wait_for_reset(mode) => return,
+            () = faults.wait_for_reset() => return,
         };
-        if count == 0 || !wait_until_allowed(mode, is_request).await {
+        if count == 0 || !wait_until_allowed(&faults.mode, is_request).await {
             return;
         }
-        if is_silenced() {
+        if faults.is_silenced() {
             continue;
         }
         if to.write_all(&buffer[..count]).await.is_err() {
@@ -121,12 +181,6 @@
     }
 }
 
-async fn wait_for_reset(mode: &Mode) {
-    while *lock(mode) != ProxyMode::Reset {
-        sleep(POLL_INTERVAL).await;
-    }
-}
-
 /// Waits until bytes may be forwarded; returns false if the connection must be closed.
 async fn wait_until_allowed(mode: &Mode, is_request: bool) -> bool {
     loop {
--- a/standins/tests/process_run/mod.rs
+++ b/standins/tests/process_run/mod.rs
@@ -179,6 +179,14 @@
         std::thread::sleep(CUT);
     }
 
+    /// Closes one in `one_in` of the open connections to each engine; returns once that has happened.
+    pub fn reset_connections(&self, one_in: u64) {
+        for engine in &self.engines {
+            engine.proxy.reset_open_connections(one_in);
+        }
+        std::thread::sleep(CUT);
+    }
+
     /// Makes new connections to an engine work again.
     pub fn restore_engine(&self, engine: usize) {
         self.engines[engine].proxy.set_mode(ProxyMode::Forward);
