Charge turns in full at a service that the configuration does not list

Change: an event of a service without a known size counts as the most that the turn may generate.

turns_at_a_service_that_is_not_listed_are_charged_in_full failed before (20 turns) and passes. Two gateways with different configurations share one budget before and after (turns_at_gateways_with_different_configurations_share_one_budget).

--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -26,6 +26,7 @@
 use crate::gateway_receive::ReceivedRequest;
 use crate::gateway_shared::Shared;
 use crate::gateway_start::{DoubtReason, StartProof};
+use crate::gateway_turn_budget::max_turn_tokens;
 use crate::outbound::{Connection, OutboundError, OutboundRequest};
 use crate::safeguard::Safeguard;
 use crate::server_probe::PROBE_TIMEOUT;
@@ -169,10 +170,11 @@
         self.config.services.get(self.service)
     }
 
-    /// Returns the number of tokens in one event of the service.
+    /// Returns the number of tokens in one event of the service. The events of a service that is not listed
+    /// may have any number, so that one counts as a whole turn.
     pub(crate) fn tokens_per_event(&self) -> Tokens {
         let service = self.service_config();
-        service.map_or(Tokens(1), |service| service.tokens_per_event)
+        service.map_or_else(|| max_turn_tokens(self), |s| s.tokens_per_event)
     }
 
     /// Returns the key that all attempts of the caller at this request have in common.
--- a/standins/tests/gateway_bounds.rs
+++ b/standins/tests/gateway_bounds.rs
@@ -8,9 +8,10 @@
 use clementinepick::turn_chain::TurnRecord;
 use clementinepick::units::Tokens;
 use clementinepickd::gateway_settings::GatewaySettings;
-use standins::platform_backend::{BackendFault, PlatformBackend};
+use standins::platform_backend::{BackendFault, BackendSettings, PlatformBackend};
 use standins::platform_caller::CallerRequest;
 use standins::platform_run::{PlatformRun, RunningGateway, config, wait_until};
+use standins::platform_store::StoreMode;
 
 fn cbor(value: &impl serde::Serialize) -> Vec<u8> {
     let mut bytes = Vec::new();
@@ -210,6 +211,93 @@
     assert!(later.contains(&402), "{later:?}");
 }
 
+/// Guards against a program that gets its budget many times, since a route leads to a service of which the
+/// configuration does not say how many tokens an event has.
+#[test]
+fn turns_at_a_service_that_is_not_listed_are_charged_in_full() {
+    const LIMIT_TOKENS: usize = 50;
+    const BUDGET_TOKENS: usize = 400;
+    let run = PlatformRun::start(1).expect("a platform run");
+    let unlisted = config(2).replace(r#""Name":"models""#, r#""Name":"others""#);
+    run.store.put("keyed.op", "config", &unlisted);
+    thread::sleep(Duration::from_millis(1_300));
+    let send = |number: usize| {
+        let turn = CallerRequest::turn("/chat/1", &format!("t{number}"), "p1", "x");
+        let turn = turn.with("Token-Budget", &BUDGET_TOKENS.to_string());
+        turn.send(run.callers(0)).expect("a response").status
+    };
+    let served = (0..20).take_while(|number| send(*number) == 200).count();
+    assert!(
+        served * LIMIT_TOKENS <= BUDGET_TOKENS + LIMIT_TOKENS,
+        "{served} turns"
+    );
+    assert!(served > 0);
+}
+
+/// Guards against a budget that grows while the gateways learn of a configuration one after the other: the home
+/// of a program lends to a gateway that is ahead, and takes back from one that is behind.
+#[test]
+fn turns_at_gateways_with_different_configurations_share_one_budget() {
+    const EVENTS: u64 = 5;
+    const TOKENS_PER_EVENT: u64 = 10;
+    const BUDGET: u64 = 4 * EVENTS * TOKENS_PER_EVENT;
+    let mut run = PlatformRun::start(2).expect("a platform run");
+    let others = PlatformBackend::start(BackendSettings {
+        id: "o-1".to_owned(),
+        events: EVENTS,
+        ..BackendSettings::default()
+    });
+    let others = others.expect("an engine");
+    run.store
+        .put("keyed.servers", "o-1", &others.entry("others", "ready"));
+    run.engines.push(others);
+    for engine in &run.engines {
+        engine.configure(|settings| {
+            settings.events = EVENTS;
+            settings.pause = Duration::from_millis(150);
+        });
+    }
+    thread::sleep(Duration::from_millis(1_500));
+    let addresses = [run.callers(0), run.callers(1)];
+    let send = |gateway: usize, number: u64| {
+        let turn = CallerRequest::turn("/chat/1", &format!("t{number}"), "p1", "x");
+        let turn = turn.with("Token-Budget", &BUDGET.to_string());
+        turn.send(addresses[gateway]).expect("a response")
+    };
+    // One gateway reads the new configuration, the other goes on with the old one.
+    run.store_endpoints[1].set_mode(StoreMode::Silent);
+    run.store.put(
+        "keyed.op",
+        "config",
+        &config(2).replace("\"models\"", "\"others\""),
+    );
+    thread::sleep(Duration::from_millis(300));
+    let served = thread::scope(|scope| {
+        let turns: Vec<_> = (0..4)
+            .map(|number| {
+                scope.spawn(move || send(usize::try_from(number % 2).expect("0 or 1"), number))
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(200));
+        run.store_endpoints[1].set_mode(StoreMode::Serving);
+        let served = turns
+            .into_iter()
+            .map(|turn| turn.join().expect("a response").status);
+        served.filter(|status| *status == 200).count()
+    });
+    thread::sleep(Duration::from_millis(1_500));
+    let later: Vec<u16> = (4..12)
+        .map(|number| send(usize::try_from(number % 2).expect("0 or 1"), number).status)
+        .collect();
+    let served = served + later.iter().filter(|status| **status == 200).count();
+    let tokens = u64::try_from(served).expect("few") * EVENTS * TOKENS_PER_EVENT;
+    assert!(
+        tokens <= BUDGET + EVENTS * TOKENS_PER_EVENT,
+        "{tokens} tokens: {later:?}"
+    );
+    assert!(later.contains(&402), "{later:?}");
+}
+
 /// Guards against a gateway that does not start because the sockets of the one before it are still
 /// being closed.
 #[test]
