Take no answer without a length for whole if its request was not read

Answers whose connections were reset, at once or 150 ms later, did not count as whole before either, nor did resumed streams that break off or have the statuses 000, 099, 101, 20 or 2000.

Cause: an answer without a length ends with its connection, whatever became of the request. A server that gives up a request that it has not read closes the connection just so.

Change: such an answer has no end if the request was not sent in full when it began.

--- a/clementinepickd/src/outbound.rs
+++ b/clementinepickd/src/outbound.rs
@@ -92,6 +92,8 @@
     turn_bytes: usize,
     /// Cleared when the connection can't carry another exchange.
     is_reusable: bool,
+    /// Whether the last request was sent in full before its response began.
+    is_request_sent: bool,
     /// When the connection was opened.
     pub(crate) opened_at: Instant,
     /// What the server said of its start on this connection, which ends with that start.
@@ -151,6 +153,7 @@
             framing: FramingLimit::default(),
             turn_bytes: 0,
             is_reusable: true,
+            is_request_sent: true,
             opened_at: now,
             report: None,
             idle_since: now,
@@ -189,6 +192,7 @@
         let mut codec = ClientCodec::default();
         let head = encode_head(&mut codec, request).map_err(OutboundError::Broken)?;
         let is_fully_sent = self.send_request(head, &request.body).await?;
+        self.is_request_sent = is_fully_sent;
         if !is_fully_sent {
             // The server responded before it had the whole request. It would take the next request
             // for the rest of this one, so the connection is not reused.
@@ -319,12 +323,13 @@
 
     /// Returns the next bytes of a body that ends when the server closes the connection.
     ///
-    /// A reset is an error, since the body may be incomplete.
+    /// A reset is an error, since the body may be incomplete, and so is the end of a response to a request
+    /// that the server has not read: it may have given up both.
     async fn chunk_until_close(&mut self) -> Result<Option<Bytes>, OutboundError> {
         if self.buffer.is_empty() {
             match self.read_more().await {
                 Ok(()) => {}
-                Err(OutboundError::Closed) => {
+                Err(OutboundError::Closed) if self.is_request_sent => {
                     self.body_state = BodyState::Done(None);
                     return Ok(None);
                 }
