Repeat appends whose response breaks off behind its head

Cause: the append of a turn went by the status alone, and an answer without a length is whole when its connection ends.

Change: an answer to an append counts only if it says where the partition ends, for all appends, also those that a peer relays; else the call is repeated.

an_append_whose_response_breaks_off_is_repeated failed before (the turn is not recorded) and passes. Partial answers to reads and of peers did not count before: their bodies do not decode.

--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -14,7 +14,7 @@
 use actix_rt::time::{sleep, timeout};
 use bytes::Bytes;
 use clementinepick::outage_detector::{EndedOutage, FailureKind, OutageDetector};
-use platform::store::{Topic, newest_target};
+use platform::store::{Topic, decode_end, newest_target};
 use rand::RngExt;
 use thiserror::Error;
 use tokio::sync::Notify;
@@ -523,13 +523,27 @@
         let head = connection.exchange(&request).await?;
         let body = connection.body(MAX_RESPONSE_BYTES).await?;
         self.pool.release(address, connection, Instant::now());
-        Ok(StoreReply {
+        let reply = StoreReply {
             status: head.status.as_u16(),
             body,
-        })
+        };
+        if call.method == Method::POST {
+            check_append(&reply)?;
+        }
+        Ok(reply)
+    }
+}
+
+/// Rejects a response to an append that does not say where the partition ends: it may have broken off.
+fn check_append(reply: &StoreReply) -> Result<(), OutboundError> {
+    if matches!(reply.status, STATUS_OK | STATUS_CONFLICT) {
+        decode_end(&reply.body).map_err(|err| OutboundError::Protocol(err.to_string()))?;
     }
+    Ok(())
 }
 
+/// The status of an append that was done.
+const STATUS_OK: u16 = 200;
 /// The status of an append whose condition did not hold.
 const STATUS_CONFLICT: u16 = 412;
 
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -45,6 +45,8 @@
     LoseResponse,
     /// It is done when the next call comes, if its condition still holds, and is not answered.
     Postpone,
+    /// It is not done, and the response breaks off behind a head that has no length.
+    CutResponse,
 }
 
 #[derive(Debug, Clone)]
@@ -324,6 +326,10 @@
                         self.append(request);
                         return vec![Step::Silence];
                     }
+                    Some(AppendFault::CutResponse) => {
+                        script.push(Step::Write("HTTP/1.1 200 OK\r\n\r\n".into()));
+                        script.push(Step::Close);
+                    }
                     None => script.push(Step::Write(self.append(request))),
                 }
             }
--- a/standins/tests/unframed_answers.rs
+++ b/standins/tests/unframed_answers.rs
@@ -1,5 +1,5 @@
 //! Tests that answers without a length, those that break off, and those with an invalid status never count as
-//! whole: of servers to uploads that they have not read, and to resumed streams.
+//! whole: of servers to uploads that they have not read and to resumed streams, and of the store.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -12,6 +12,7 @@
 use standins::platform_backend::BackendFault;
 use standins::platform_caller::{CallerRequest, CallerResponse};
 use standins::platform_run::{MODEL_SERVICE, PLAIN_SERVICE, PlatformRun, config, wait_until};
+use standins::platform_store::AppendFault;
 
 /// The part of a request that a server reads before it answers, in bytes.
 const READ_BYTES: usize = 2_048;
@@ -20,6 +21,9 @@
 /// The time between an answer and the end of its connection.
 const SOON: Duration = Duration::from_millis(150);
 
+/// The number of turns of which some meet a store that breaks off its responses.
+const TURNS: usize = 5;
+
 /// How a server ends the connection of its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Ending {
@@ -201,3 +205,24 @@
     let state = standins::platform_caller::exchange(metrics, request);
     state.map(|response| response.body).unwrap_or_default()
 }
+
+/// Guards against taking a record for written since the head of the response said so before it broke off.
+#[test]
+fn an_append_whose_response_breaks_off_is_repeated() {
+    let mut run = PlatformRun::start(1).expect("a platform run");
+    let turn = |id: &str| CallerRequest::turn("/chat/1", id, "p1", id);
+    for number in 0..TURNS {
+        // Appends of other kinds may take some of them.
+        for _ in 0..3 {
+            run.store.inject_append_fault(AppendFault::CutResponse);
+        }
+        let id = format!("t{number}");
+        let response = turn(&id).send(run.callers(0));
+        let is_recorded = run.store.keys("keyed.turns").contains(&id);
+        assert!(is_recorded || !is_whole(&response), "{id} is not recorded");
+    }
+    run.gateways.clear();
+    run.add_gateway().expect("a gateway");
+    let next = turn("next").with("Previous-Turn", "t0");
+    assert_eq!(next.send(run.callers(0)).expect("a response").status, 200);
+}
