Tell a reset connection to a peer from a lost peer, and share reads after losses

Cause: each gateway is watched by eight others over a connection, and one that broke counted as a lost gateway. Four resets of connections within 1.5 s made 32 gateways read all records of running requests some 7,000 times; the store refused, lists were late, and entries of servers that had left were kept as after an outage.

Change: a watcher whose connection breaks asks over a new one which process instance the peer is. The same instance was not lost, and is watched again. Notices of losses that come while the records are read share the next read.

--- a/clementinepickd/src/gateway_ended.rs
+++ b/clementinepickd/src/gateway_ended.rs
@@ -22,7 +22,7 @@
 use clementinepick::units::SpanUs;
 use derive_more::Display;
 use futures_util::future::join_all;
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 
 use crate::gateway_ended_messages::{
     HOLD_PATH, LOAD_PATH, LoadAnswer, LoadQuery, OVER_PATH, RequestOver, SharedRequest,
@@ -68,6 +68,8 @@
     is_loaded: Cell<bool>,
     /// The number of reads of what lost processes ran.
     reloads: Cell<usize>,
+    /// When the last of them that succeeded began; held during a read.
+    pub(crate) reloaded_at: Mutex<Option<Instant>>,
     loaded: Notify,
     /// What other processes have recorded.
     pub(crate) others: SharedRead,
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -19,7 +19,7 @@
 use crate::gateway_ended::handle_ended_call;
 use crate::gateway_origins::handle_origin_call;
 use crate::gateway_peer_turns::{self, TURN_PATH};
-use crate::gateway_peer_watch::{LOST_PATH, WATCH_PATH};
+use crate::gateway_peer_watch::{INSTANCE_PATH, LOST_PATH, WATCH_PATH};
 use crate::gateway_receive::ReceivedRequest;
 use crate::gateway_reply::Reply;
 use crate::gateway_shared::Shared;
@@ -155,6 +155,8 @@
             } else if target == WATCH_PATH {
                 self.shared.wait_for_close().await;
                 (200, to_cbor(&()))
+            } else if target == INSTANCE_PATH {
+                (200, to_cbor(&self.shared.writer))
             } else if target == LOST_PATH {
                 self.shared.reload_requests().await;
                 (200, to_cbor(&()))
--- a/clementinepickd/src/gateway_peer_watch.rs
+++ b/clementinepickd/src/gateway_peer_watch.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::{Method, Uri};
-use actix_rt::time::sleep;
+use actix_http::{Method, StatusCode, Uri};
+use actix_rt::time::{sleep, timeout};
 use clementinepick::event::{Event, EventKind};
 use clementinepick::rendezvous::rank_addresses;
 use futures_util::future::join_all;
@@ -18,12 +18,14 @@
 use crate::body_parts::BodyParts;
 use crate::gateway_peer::{PeerCall, call_peer};
 use crate::gateway_shared::Shared;
-use crate::ledger::to_cbor;
+use crate::ledger::{from_cbor, to_cbor};
 use crate::outbound::{Connection, OutboundError, OutboundRequest};
 use crate::store::host_header;
 
 /// The path of calls that are answered when the process shuts down.
 pub(crate) const WATCH_PATH: &str = "/peers/watch";
+/// The path of calls that are answered with the id of the process instance.
+pub(crate) const INSTANCE_PATH: &str = "/peers/instance";
 /// The path of calls that report a lost peer.
 pub(crate) const LOST_PATH: &str = "/peers/lost";
 /// The number of processes that watch each process; beyond it, they tell the others.
@@ -33,6 +35,8 @@
 /// The same in the first second, in which the peers become known.
 const START_INTERVAL: Duration = Duration::from_millis(20);
 const START_TIME: Duration = Duration::from_secs(1);
+/// The longest response with the id of an instance, in bytes.
+const MAX_INSTANCE_BYTES: usize = 1_024;
 /// How long connecting to a peer and telling it of a loss may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -43,7 +47,9 @@
     Unreached,
     /// It shut down, or does not know the call.
     Answered,
-    /// The connection broke.
+    /// The connection broke, and the same process instance responds on another one.
+    Reset,
+    /// The connection broke, and the instance does not respond.
     Lost,
 }
 
@@ -91,10 +97,13 @@
     /// Records the end of a watch; returns whether it is the first sign that the peer is lost.
     fn record_end(&mut self, peer: SocketAddr, end: WatchEnd) -> bool {
         self.watched.remove(&peer);
+        if end == WatchEnd::Reset {
+            return false;
+        }
         let is_new = self.unreached.insert(peer);
         match end {
             WatchEnd::Unreached => is_new,
-            WatchEnd::Answered => false,
+            WatchEnd::Answered | WatchEnd::Reset => false,
             WatchEnd::Lost => true,
         }
     }
@@ -139,19 +148,53 @@
     let Ok(mut connection) = opened else {
         return WatchEnd::Unreached;
     };
-    let request = OutboundRequest {
-        method: Method::POST,
-        target: Uri::from_static(WATCH_PATH),
-        headers: host_header(peer),
-        body: BodyParts::default(),
-    };
-    match connection.exchange(&request).await {
+    let instance = ask_instance(&mut connection, peer).await;
+    if instance.is_none() {
+        // One that does not know the question answers it all the same.
+        let reopened = Connection::open(peer, CALL_TIMEOUT, Instant::now()).await;
+        let Ok(reopened) = reopened else {
+            return WatchEnd::Unreached;
+        };
+        connection = reopened;
+    }
+    match connection.exchange(&request(peer, WATCH_PATH)).await {
         Ok(_) => WatchEnd::Answered,
         Err(OutboundError::Connect(_)) => WatchEnd::Unreached,
+        Err(_) if instance.is_some() && find_instance(peer).await == instance => WatchEnd::Reset,
         Err(_) => WatchEnd::Lost,
     }
 }
 
+fn request(peer: SocketAddr, path: &'static str) -> OutboundRequest {
+    OutboundRequest {
+        method: Method::POST,
+        target: Uri::from_static(path),
+        headers: host_header(peer),
+        body: BodyParts::default(),
+    }
+}
+
+/// Asks which process instance a peer is, over a new connection.
+async fn find_instance(peer: SocketAddr) -> Option<String> {
+    let opened = Connection::open(peer, CALL_TIMEOUT, Instant::now()).await;
+    ask_instance(&mut opened.ok()?, peer).await
+}
+
+/// Asks which process instance is at the other end of a connection; `None` if it does not say so in time,
+/// after which the connection can't be used.
+async fn ask_instance(connection: &mut Connection, peer: SocketAddr) -> Option<String> {
+    let asking = async {
+        let head = connection
+            .exchange(&request(peer, INSTANCE_PATH))
+            .await
+            .ok()?;
+        let body = connection.body(MAX_INSTANCE_BYTES).await.ok()?;
+        let is_known = head.status == StatusCode::OK;
+        is_known.then(|| from_cbor::<String>(&body)).flatten()
+    };
+    timeout(CALL_TIMEOUT, asking).await.ok().flatten()
+}
+
 /// Reads what a lost peer ran, and tells the peers that did not watch it.
 async fn report_lost(shared: Rc<Shared>) {
     let peers = shared.ended_peers(Instant::now());
@@ -173,12 +216,19 @@
 }
 
 impl Shared {
-    /// Reads from the store what processes that were lost ran; requests wait for it.
+    /// Reads from the store what processes that were lost ran; requests wait for it. Notices that come
+    /// while it is read share the next read.
     pub(crate) async fn reload_requests(&self) {
+        let noticed_at = Instant::now();
         let _reload = self.ended.start_reload();
-        if !self.store.is_unavailable() {
-            // The store client counts a failure; the record is read again with the next loss.
-            let _ = self.load_requests().await;
+        let mut reloaded_at = self.ended.reloaded_at.lock().await;
+        if *reloaded_at > Some(noticed_at) || self.store.is_unavailable() {
+            return;
+        }
+        let started_at = Instant::now();
+        // The store client counts a failure; the record is read again with the next loss.
+        if self.load_requests().await.is_ok() {
+            *reloaded_at = Some(started_at);
         }
     }
 }
@@ -217,6 +267,15 @@
         assert!(!peers.record_end(peer(2), WatchEnd::Unreached));
     }
 
+    /// Guards against reading all records since a connection between two gateways was reset.
+    #[test]
+    fn a_peer_that_responds_after_a_reset_is_not_lost() {
+        let mut peers = watched(&[peer(2)]);
+        assert!(!peers.record_end(peer(2), WatchEnd::Reset));
+        assert_eq!(peers.start(), [(peer(2), Duration::ZERO)]);
+        assert!(peers.record_end(peer(2), WatchEnd::Lost));
+    }
+
     #[test]
     fn a_listed_peer_that_is_not_reached_is_lost() {
         let mut peers = watched(&[peer(2)]);
