Allow the connections that a test of loans needs at once

a_suspended_gateway_lends_nothing_to_a_peer_that_has_left failed with 503 no_server in 3 of 10 runs side by side. Traced: it begins 48 turns at once at one gateway, and that gateway's share of the 50 connections of the only server is 25. Whether more than 25 run at the same time depends on the machine, and the refusal is true: no connection was left.

Change: the test's configuration allows 200 connections.

--- a/standins/tests/stale_evidence.rs
+++ b/standins/tests/stale_evidence.rs
@@ -93,6 +93,20 @@
         self.store.put("keyed.op", "config", &raised);
     }
 
+    /// Publishes a configuration that allows as many connections to a server as turns of a test begin at once,
+    /// of which each gateway has a share, and waits until all gateways have it.
+    fn raise_connection_limit(&self) {
+        let raised = config(2).replace("\"MaxConns\":50", "\"MaxConns\":200");
+        self.store.put("keyed.op", "config", &raised);
+        for gateway in 0..self.gateways.processes.len() {
+            let has_raised = || {
+                let state = self.gateways.state(gateway);
+                state.is_ok_and(|state| state["config_version"] == 2)
+            };
+            wait_until(has_raised).expect("the configuration in use");
+        }
+    }
+
     /// Returns the status of a request with a body between both limits.
     fn large_body(&self) -> u16 {
         let request = CallerRequest {
@@ -277,6 +291,7 @@
 #[test]
 fn a_suspended_gateway_lends_nothing_to_a_peer_that_has_left() {
     let run = Run::start("late-loans", 2);
+    run.raise_connection_limit();
     wait_until(|| run.home_count() == PARTITIONS).expect("homes of all partitions");
     let address = run.gateways.callers(0);
     run.suspend(1);
