Begin streams where their version can be proven, and play broken connections in the soak

Cause: while a server without a start time is in doubt, streams still began there, without a proof of their version.

Change: a stream begins at a server whose version can be proven, if there is one. A connection that was opened half a second before the first sign of a doubt leads to the listed start, too, since the server was not in doubt then: servers that have just joined have no older ones.

The random numbers of the plans as they were are unchanged; broken connections and spoiled answers of servers of drafts excuse what they cut, as those of other servers do.

--- a/clementinepick/src/start_doubts.rs
+++ b/clementinepick/src/start_doubts.rs
@@ -53,6 +53,10 @@
     (current_since <= before).then_some(before)
 }
 
+/// How long before the first notice of a doubt a connection must have been opened to lead to the start that
+/// was there before: gateways learn of an end within less, even those that a suspension has delayed.
+pub const NOTICE_LAG_US: SpanUs = SpanUs::from_ms(500);
+
 /// What a server is to run, as far as its start matters.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartUse {
@@ -109,6 +113,8 @@
 /// The entry of a server whose end was noticed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Doubt {
+    /// When the first sign was noticed that is not settled.
+    since: TimeUs,
     noticed_at: TimeUs,
     /// A list as of later than this settles it.
     settled_by: TimeUs,
@@ -119,6 +125,7 @@
 impl Doubt {
     fn of(server: &BackendServer, noticed_at: TimeUs, sign: EndSign) -> Self {
         Self {
+            since: noticed_at,
             noticed_at,
             settled_by: noticed_at.after(list_lag(server, sign)),
             started_unix_ms: server.started_unix_ms,
@@ -147,6 +154,7 @@
         let (noticed_at, settled_by) = known.map(|d| (d.noticed_at, d.settled_by)).unzip();
         let was_short = settled_by == noticed_at;
         doubt.settled_by = doubt.settled_by.max(settled_by.unwrap_or_default());
+        doubt.since = known.map_or(now, |known| known.since);
         self.by_server.insert(server.id.clone(), doubt);
         if self.by_server.len() > MAX_SERVERS {
             self.drop_first();
@@ -199,6 +207,15 @@
         self.by_server.contains_key(server)
     }
 
+    /// Returns the time before which a connection that still works was opened to the start that the list
+    /// describes, since the server was not in doubt then.
+    #[must_use]
+    pub fn trusted_before(&self, now: TimeUs, server: &str) -> TimeUs {
+        let doubt = self.by_server.get(server);
+        let since = doubt.map_or(now, |doubt| doubt.since);
+        TimeUs(since.0.saturating_sub(NOTICE_LAG_US.0))
+    }
+
     /// Returns whether streams of a service have lately begun at a start of unknown version.
     #[must_use]
     pub fn has_unproven_streams(&self, service: &str) -> bool {
--- a/clementinepick/tests/start_doubts.rs
+++ b/clementinepick/tests/start_doubts.rs
@@ -156,6 +156,26 @@
     assert_eq!(described_before(TimeUs(1), TimeUs(0)), None);
 }
 
+/// Guards against taking a connection for one to the listed start that was opened while the server was in
+/// doubt, or just before its end was noticed, however often that is noticed again.
+#[test]
+fn only_connections_from_well_before_a_doubt_lead_to_the_listed_start() {
+    let notice_lag = SpanUs::from_ms(500);
+    let silent = server("v1", None);
+    let noticed_at = TimeUs(10_000_000);
+    let mut doubts = StartDoubts::default();
+    doubts.record(noticed_at, &silent, EndSign::Possible);
+    let before = TimeUs(noticed_at.0 - notice_lag.0);
+    let later = TimeUs(noticed_at.0 + 1_000_000);
+    assert_eq!(doubts.trusted_before(later, "i-1"), before);
+    doubts.record(later, &silent, EndSign::Certain);
+    assert_eq!(doubts.trusted_before(later, "i-1"), before);
+    let of_others = TimeUs(later.0 - notice_lag.0);
+    assert_eq!(doubts.trusted_before(later, "i-2"), of_others);
+    doubts.resolve("i-1", later);
+    assert_eq!(doubts.trusted_before(later, "i-1"), of_others);
+}
+
 #[test]
 fn a_doubt_ends_with_another_entry() {
     let reporting = server("v1", Some(5));
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -224,21 +224,23 @@
         let limit = shared.connection_limit(self.service, self.service_config());
         let origin = input.origin.as_ref();
         let origin = origin.filter(|_| !Safeguard::StreamVersion.is_disabled());
-        let doubts = shared.start_doubts();
         let mut choice = shared.choice.borrow_mut();
-        let candidates: Vec<&BackendServer> = directory
+        let mut candidates: Vec<&BackendServer> = directory
             .servers
             .ready(self.service)
             .filter(|server| choice.in_flight(&server.id) < limit)
             .filter(|server| {
                 origin.is_none_or(|origin| {
                     origin.fits(server)
-                        && (doubts.may_continue_at(server)
-                            || shared.has_listed_connection(server.address))
+                        && (shared.start_doubts().may_continue_at(server)
+                            || shared.has_listed_connection(server))
                 })
             })
             .filter(|server| filter.allows(&server.id))
             .collect();
+        if self.start_use(input) == StartUse::Begin {
+            prefer_provable(shared, &mut candidates);
+        }
         let affinity = self.affinity(input);
         let now = shared.now_us(Instant::now());
         let (server, reason) =
@@ -405,6 +407,16 @@
     }
 }
 
+/// Drops the servers at which a stream would begin without a proof of its version, if there are others.
+fn prefer_provable(shared: &Shared, candidates: &mut Vec<&BackendServer>) {
+    let is_provable = |server: &BackendServer| {
+        shared.start_doubts().may_continue_at(server) || shared.has_listed_connection(server)
+    };
+    if candidates.iter().any(|server| is_provable(server)) {
+        candidates.retain(|server| is_provable(server));
+    }
+}
+
 /// The largest body of a server's refusal, in bytes, that is read in order to reuse the connection.
 const MAX_REFUSAL_BYTES: usize = 16_384;
 /// How long the body of a refusal is waited for; the next server does not have to wait for the rest.
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -149,7 +149,7 @@
             } else if let Some(response) = handle_start_call(&self.shared, &target, &request.body) {
                 response
             } else if let Some(response) =
-                handle_confirm_call(&self.shared, &target, &request.body).await
+                handle_confirm_call(&self.shared, &target, &request.body, Instant::now()).await
             {
                 response
             } else if target == WATCH_PATH {
--- a/clementinepickd/src/gateway_peer_updates.rs
+++ b/clementinepickd/src/gateway_peer_updates.rs
@@ -16,6 +16,7 @@
 use crate::gateway_peer::{PeerCall, call_peer};
 use crate::gateway_shared::Shared;
 use crate::gateway_start::{DOUBT_PATH, StartNotice};
+use crate::gateway_start_evidence::{CONFIRMED_PATH, ConfirmedStart};
 use crate::ledger::to_cbor;
 
 /// How long a peer may take to take an update, which no caller waits for.
@@ -34,6 +35,8 @@
     Over(RequestOver),
     /// Another start than the listed one may listen at the address of a server.
     Start(StartNotice),
+    /// A server in doubt was found to be the listed start.
+    Confirmed(ConfirmedStart),
 }
 
 /// Sends updates to peers. Unbounded, because its receiver never waits for a peer.
@@ -46,6 +49,7 @@
     requests: Vec<AnnouncedRequest>,
     over: Vec<RequestOver>,
     starts: Vec<StartNotice>,
+    confirmed: Vec<ConfirmedStart>,
 }
 
 /// Sends queued updates to the peers that they are for, until the sender is dropped.
@@ -105,6 +109,12 @@
                     batch.starts.push(notice.clone());
                 }
             }
+            PeerUpdate::Confirmed(start) => {
+                for peer in shared.ended_peers(now) {
+                    let batch = batches.entry(peer).or_default();
+                    batch.confirmed.push(start.clone());
+                }
+            }
         }
     }
     batches
@@ -116,6 +126,10 @@
         // rest of a stream.
         let _ = send(&shared, peer, DOUBT_PATH, to_cbor(&batch.starts)).await;
     }
+    if !batch.confirmed.is_empty() {
+        // A peer that misses it finds out by itself, or asks.
+        let _ = send(&shared, peer, CONFIRMED_PATH, to_cbor(&batch.confirmed)).await;
+    }
     if !batch.origins.is_empty() && !send(&shared, peer, HOLD_PATH, to_cbor(&batch.origins)).await {
         shared.metrics.count_lost_origins(batch.origins.len());
     }
--- a/clementinepickd/src/gateway_start.rs
+++ b/clementinepickd/src/gateway_start.rs
@@ -219,10 +219,10 @@
         connection: Connection,
     ) -> Result<Connection, AttemptError> {
         let server = &slot.server;
-        if self.leads_to_listed_start(&connection) {
+        if self.leads_to_listed_start(server, &connection) {
             return Ok(connection);
         }
-        if let Some(older) = self.take_listed_connection(server.address) {
+        if let Some(older) = self.take_listed_connection(server) {
             self.pool
                 .release(server.address, connection, Instant::now());
             return Ok(older);
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -453,6 +453,9 @@
                 Err(end) => return Ok(Err(end)),
             };
             response.slot.record_heard();
+            let (slot, connection) = (&response.slot, &response.connection);
+            self.shared
+                .record_progress(&slot.server, connection, Instant::now());
             splitter.push(&chunk);
             if splitter.exceeds_limit() || !self.fits_memory(&splitter) {
                 response.slot.record_failure();
--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -284,6 +284,11 @@
         self.server.suspend(span);
     }
 
+    /// Closes one in `one_in` of the open connections.
+    pub fn break_connections(&self, one_in: usize) {
+        self.server.break_connections(one_in);
+    }
+
     /// Queues a fault; each of the next requests takes one from the queue.
     pub fn inject_fault(&self, fault: BackendFault) {
         lock(&self.core).faults.push(fault);
--- a/standins/src/soak_faults.rs
+++ b/standins/src/soak_faults.rs
@@ -63,6 +63,10 @@
     RestartSeries,
     /// The servers of drafts report late on themselves.
     LateReports,
+    /// The servers of drafts close some of their connections.
+    BrokenConnections,
+    /// The servers of drafts respond to their next requests with bytes that are no response, or with none.
+    SpoiledDrafts,
 }
 
 impl Fault {
@@ -194,6 +198,12 @@
 const EXTENDED_STREAM: u64 = 1;
 /// The random numbers of the plan with restarts.
 const RESTART_STREAM: u64 = 5;
+/// The random numbers of broken connections, which leave those of the plans beside which they come as they
+/// are.
+const BROKEN_STREAM: u64 = 6;
+/// The shortest and the longest time between two faults of connections or answers.
+const MIN_BROKEN_INTERVAL_MS: u64 = 600;
+const MAX_BROKEN_INTERVAL_MS: u64 = 1_800;
 /// The mean time between the starts of two faults, short enough that faults overlap.
 const MEAN_INTERVAL_MS: u64 = 350;
 const MIN_DURATION_MS: u64 = 100;
@@ -270,10 +280,34 @@
         random_value: random.random(),
     });
     planned.extend(series);
+    planned.extend(plan_broken_connections(seed, length));
     planned.sort_by_key(|fault| fault.offset);
     planned
 }
 
+/// Returns faults of connections to the servers of drafts and of their answers.
+fn plan_broken_connections(seed: u64, length: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(BROKEN_STREAM);
+    let mut planned = Vec::new();
+    let mut offset_ms = MAX_BROKEN_INTERVAL_MS;
+    while Duration::from_millis(offset_ms) < length {
+        let fault = [
+            Fault::BrokenConnections,
+            Fault::BrokenConnections,
+            Fault::SpoiledDrafts,
+        ];
+        planned.push(PlannedFault {
+            offset: Duration::from_millis(offset_ms),
+            duration: Duration::ZERO,
+            fault: fault[random.random_range(0..fault.len())],
+            random_value: random.random(),
+        });
+        offset_ms += random.random_range(MIN_BROKEN_INTERVAL_MS..=MAX_BROKEN_INTERVAL_MS);
+    }
+    planned
+}
+
 /// Returns the faults for `seed` in a run of `length` with releases: each begins while a gateway is
 /// out of step. Each service is released once before any is released again.
 #[must_use]
@@ -307,6 +341,7 @@
         }
         offset_ms += random.random_range(MIN_RELEASE_INTERVAL_MS..=MAX_RELEASE_INTERVAL_MS);
     }
+    planned.extend(plan_broken_connections(seed, length));
     planned.sort_by_key(|fault| fault.offset);
     planned
 }
--- a/standins/src/soak_release_servers.rs
+++ b/standins/src/soak_release_servers.rs
@@ -8,12 +8,13 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::lock;
-use crate::platform_backend::{BackendSettings, PlatformBackend};
+use crate::platform_backend::{BackendFault, BackendSettings, PlatformBackend};
 use crate::platform_store::PlatformStore;
 use crate::soak_answers::CutLink;
 use crate::soak_config::draft_service;
 use crate::soak_history::{EVENTS_PER_STREAM, ExecutedRequest};
 use crate::soak_release_checks::ReleaseTimes;
+use crate::soak_servers::spoils_response;
 
 /// The number of services of drafts: a service has a sole version only before its first release.
 pub const DRAFT_SERVICES: usize = 6;
@@ -73,7 +74,7 @@
             body: String::from_utf8_lossy(&execution.request.body).into_owned(),
             server: self.settings.id.clone(),
             version: self.settings.version.clone(),
-            is_faulty: false,
+            is_faulty: execution.fault.is_some_and(spoils_response),
         })
     }
 }
@@ -190,7 +191,12 @@
     /// Starts a server of the newest version and lists it.
     fn join(&self, number: usize) -> io::Result<()> {
         let mut service = lock(&self.services[number]);
-        let reports_start = self.first_versions > 1 || service.started_count.is_multiple_of(2);
+        // Where several versions serve from the start, some services report no start times at all.
+        let reports_start = if self.first_versions > 1 {
+            number.is_multiple_of(2)
+        } else {
+            service.started_count.is_multiple_of(2)
+        };
         let settings = BackendSettings {
             id: format!("{}-{}", draft_service(number), service.started_count),
             version: format!("v{}", service.version),
@@ -260,6 +266,28 @@
         }
     }
 
+    /// Makes all servers close some of their connections, each at least one in three.
+    pub fn break_connections(&self, random_value: u64) {
+        let one_in = [2, 3][usize::from(random_value.is_multiple_of(2))];
+        for service in &self.services {
+            for server in &lock(service).servers {
+                server.backend.break_connections(one_in);
+                self.record_cut(server);
+            }
+        }
+    }
+
+    /// Makes all servers respond to their next requests with bytes that are no response, or with none.
+    pub fn spoil_answers(&self, random_value: u64) {
+        let fault = [BackendFault::Garble, BackendFault::LoseResponse];
+        let fault = fault[usize::from(random_value.is_multiple_of(2))];
+        for service in &self.services {
+            for server in &lock(service).servers {
+                server.backend.inject_fault(fault);
+            }
+        }
+    }
+
     /// Writes the entry of one server again, as servers do from time to time.
     pub fn renew_entry(&self, random_value: u64) {
         let number = usize::try_from(random_value % DRAFT_SERVICES as u64).unwrap_or(0);
@@ -275,6 +303,11 @@
 
     fn record_end(&self, server: &Server) {
         lock(&self.executed).extend(server.executed());
+        self.record_cut(server);
+    }
+
+    /// Records that connections to a server break now.
+    fn record_cut(&self, server: &Server) {
         let from = self.started_at.elapsed();
         lock(&self.cut_links).push(CutLink {
             server: server.settings.id.clone(),
--- a/standins/src/soak_servers.rs
+++ b/standins/src/soak_servers.rs
@@ -276,7 +276,7 @@
 
 /// Returns whether a request that a server runs with a fault has no complete response of its own; a
 /// silent server is no reason to end its answer before the timeout.
-fn spoils_response(fault: BackendFault) -> bool {
+pub(crate) fn spoils_response(fault: BackendFault) -> bool {
     match fault {
         BackendFault::LoseResponse
         | BackendFault::Garble
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -331,11 +331,7 @@
     }
 
     fn inject_at(&self, number: usize, planned: &PlannedFault) -> io::Result<()> {
-        let PlannedFault {
-            duration,
-            random_value,
-            ..
-        } = *planned;
+        let (duration, random_value) = (planned.duration, planned.random_value);
         match planned.fault {
             Fault::Kill => self.kill(number, duration),
             Fault::KillAll => {
@@ -411,6 +407,14 @@
                 self.releases.delay_reports(Duration::ZERO);
                 Ok(())
             }
+            Fault::BrokenConnections => {
+                self.releases.break_connections(random_value);
+                Ok(())
+            }
+            Fault::SpoiledDrafts => {
+                self.releases.spoil_answers(random_value);
+                Ok(())
+            }
             Fault::ConfigUpdate => {
                 self.publish(|newest| newest);
                 Ok(())
--- a/standins/src/wire_server.rs
+++ b/standins/src/wire_server.rs
@@ -17,7 +17,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::{JoinSet, LocalSet};
+use tokio::task::{AbortHandle, JoinSet, LocalSet};
 use tokio_util::codec::Decoder;
 
 /// The time in which bytes that were written arrive.
@@ -87,6 +87,8 @@
     Closing,
     /// Its thread is stalled for this long.
     Suspended(Duration),
+    /// It closes one in this many of its open connections.
+    BreakingConnections(usize),
     /// Its thread is stalled until the server is dropped, and the system answers no attempt to connect.
     PowerLost,
     /// Its thread is stalled until the server is dropped, and the system accepts connections.
@@ -113,11 +115,14 @@
 
     fn resume(&self) {
         self.0.send_if_modified(|phase| {
-            let was_suspended = matches!(phase, ServerPhase::Suspended(_));
-            if was_suspended {
+            let is_passing = matches!(
+                phase,
+                ServerPhase::Suspended(_) | ServerPhase::BreakingConnections(_)
+            );
+            if is_passing {
                 *phase = ServerPhase::Running;
             }
-            was_suspended
+            is_passing
         });
     }
 
@@ -186,10 +191,20 @@
 
     /// Makes the server are stalled for a while, with all its connections open.
     pub fn suspend(&self, span: Duration) {
+        self.interrupt(ServerPhase::Suspended(span));
+    }
+
+    /// Makes the server close one in `one_in` of its open connections, and go on.
+    pub fn break_connections(&self, one_in: usize) {
+        self.interrupt(ServerPhase::BreakingConnections(one_in));
+    }
+
+    /// Puts the server into a phase after which it goes on, if it runs.
+    fn interrupt(&self, interruption: ServerPhase) {
         self.stop.0.send_if_modified(|phase| {
             let is_running = *phase == ServerPhase::Running;
             if is_running {
-                *phase = ServerPhase::Suspended(span);
+                *phase = interruption;
             }
             is_running
         });
@@ -266,11 +281,13 @@
     changed.mark_changed();
     let listener = TcpListener::from_std(listener).expect("a listener that does not block");
     let mut connections = JoinSet::new();
+    let mut open: Vec<AbortHandle> = Vec::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    connections.spawn_local(serve(stream, stop.clone()));
+                    open.retain(|connection| !connection.is_finished());
+                    open.push(connections.spawn_local(serve(stream, stop.clone())));
                 }
             }
             Some(_) = connections.join_next() => {}
@@ -290,6 +307,10 @@
                         thread::sleep(span);
                         stop.resume();
                     }
+                    ServerPhase::BreakingConnections(one_in) => {
+                        open.iter().step_by(one_in).for_each(AbortHandle::abort);
+                        stop.resume();
+                    }
                     ServerPhase::PowerLost => {
                         let _held = block_connections(&listener);
                         // The sender only ever is dropped.
