--- a/clementinepick/src/start_doubts.rs
+++ b/clementinepick/src/start_doubts.rs
@@ -53,6 +53,9 @@
     (current_since <= before).then_some(before)
 }
 
+/// How long after a connection broke a list may have the entry of the start before, if the server can't say
+/// which it is: less than after a certain end, since most servers go on.
+const POSSIBLE_END_LAG_US: SpanUs = SpanUs::from_s(1);
 /// How long before the first notice of a doubt a connection must have been opened to lead to the start that
 /// was there before: gateways learn of an end within less, even those that a suspension has delayed.
 pub const NOTICE_LAG_US: SpanUs = SpanUs::from_ms(500);
@@ -106,7 +109,8 @@
     match sign {
         // The server itself says whether it is the listed start.
         EndSign::Possible if server.started_unix_ms.is_some() => SpanUs(0),
-        EndSign::Possible | EndSign::Certain => LIST_LAG_US,
+        EndSign::Possible => POSSIBLE_END_LAG_US,
+        EndSign::Certain => LIST_LAG_US,
     }
 }
 
--- a/clementinepickd/src/gateway_exchange.rs
+++ b/clementinepickd/src/gateway_exchange.rs
@@ -243,6 +243,10 @@
         }
         let affinity = self.affinity(input);
         let now = shared.now_us(Instant::now());
+        if candidates.is_empty() && origin.is_some() {
+            // The next list may settle a doubt.
+            shared.refresh_list(Instant::now());
+        }
         let (server, reason) =
             choice.choose_with_reason(now, &candidates, &filter.avoided, affinity)?;
         let server = server.clone();
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -317,9 +317,14 @@
         listed.has_other(self.now_us(now), &origin.service, &origin.version)
     }
 
+    /// Makes the list of servers be read by a call that begins at `as_of` or later.
+    pub(crate) fn refresh_list(&self, as_of: Instant) {
+        self.list_refresh.request(as_of);
+    }
+
     /// Waits for a list of servers by a call that begins at `as_of` or later.
     pub(crate) async fn wait_for_list(&self, as_of: Instant) {
-        self.list_refresh.request(as_of);
+        self.refresh_list(as_of);
         let mut directory = self.directory.clone();
         let is_new = |directory: &Directory| directory.servers_as_of >= Some(as_of);
         // The sender ends only with the process.
