--- a/clementinepickd/tests/program.rs
+++ b/clementinepickd/tests/program.rs
@@ -135,3 +135,19 @@
     terminate(&child);
     assert_eq!(child.wait().expect("an end").code(), Some(1));
 }
+
+/// Guards against an entry or sidecar that a change of its settings file ends.
+#[test]
+fn a_hangup_does_not_end_the_process() {
+    let (text, port) = entry_settings("0 ms");
+    let path = write_settings("hangup.ini", &text);
+    let mut child = start(path.to_str().expect("text"));
+    wait_for_stage(port, "Serving");
+    let id = child.id().to_string();
+    let sent = Command::new("kill").args(["-s", "HUP", &id]).status();
+    assert!(sent.expect("kill runs").success());
+    std::thread::sleep(Duration::from_millis(100));
+    wait_for_stage(port, "Serving");
+    terminate(&child);
+    assert_eq!(child.wait().expect("an end").code(), Some(0));
+}
