Let a SIGHUP at any moment, and settings that are being replaced, end no process

Callers of such a machine got no answer until the platform had started the process again. The default action of SIGHUP ends a process; the gateway changed it only after its last address was bound, which takes up to half a second, and entries and sidecars never did. A settings file that is read between two writes was an exit with code 2.

The handler is installed before the settings are read, in all roles.

Between exec and the handler, some 2 ms, SIGHUP still ends the process: only its parent could change that.

--- a/clementinepickd/src/main.rs
+++ b/clementinepickd/src/main.rs
@@ -1,26 +1,30 @@
 //! Runs one process of clementinepick in the role that its settings file names.
 
-use std::path::PathBuf;
+use std::io;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::System;
 use argh::FromArgs;
 use clementinepickd::gateway::Gateway;
 use clementinepickd::gateway_settings::GatewaySettings;
 use clementinepickd::settings::Settings;
-use clementinepickd::settings_file::ProcessSettings;
+use clementinepickd::settings_file::{ProcessSettings, SettingsError};
 use clementinepickd::{Daemon, ShutdownKind, settings_file};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 const INVALID_SETTINGS_EXIT_CODE: u8 = 2;
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// How long and how often invalid settings are read again: the file may be in the middle of a change.
+const SETTINGS_TIMEOUT: Duration = Duration::from_secs(1);
+const SETTINGS_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Run one process of clementinepick: a gateway or an entry, which accept callers' requests, or a
 /// sidecar, which runs next to a backend server.
 ///
 /// SIGTERM and SIGINT begin a graceful shutdown; a second one ends the process at once, and
-/// unfinished calls are answered with what is known of them.
+/// unfinished calls are answered with what is known of them. SIGHUP changes nothing.
 #[derive(FromArgs)]
 #[argh(
     example = "{command_name} --settings examples/entry-a.ini",
@@ -44,7 +48,16 @@
         eprintln!("no settings file given; pass --settings PATH");
         return ExitCode::from(INVALID_SETTINGS_EXIT_CODE);
     };
-    let settings = match settings_file::load_process(&path) {
+    if let Err(err) = keep_running_on_hangups() {
+        eprintln!("cannot install signal handlers: {err}");
+        return ExitCode::FAILURE;
+    }
+    let timeout = if arguments.check {
+        Duration::ZERO
+    } else {
+        SETTINGS_TIMEOUT
+    };
+    let settings = match load_settings(&path, timeout) {
         Ok(settings) => settings,
         Err(err) => {
             eprintln!("{err}");
@@ -66,6 +79,28 @@
     arguments.settings.clone().or(named)
 }
 
+/// Installs a handler of SIGHUP, which would otherwise end the process until it handles signals.
+fn keep_running_on_hangups() -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .build()?;
+    // The handler stays when its receiver and the runtime are dropped.
+    runtime.block_on(async { signal(SignalKind::hangup()).map(drop) })
+}
+
+/// Reads the settings, again until `timeout` has passed if they are missing or invalid.
+fn load_settings(path: &Path, timeout: Duration) -> Result<ProcessSettings, SettingsError> {
+    let started_at = Instant::now();
+    loop {
+        match settings_file::load_process(path) {
+            Err(_) if started_at.elapsed() < timeout => {
+                std::thread::sleep(SETTINGS_RETRY_INTERVAL);
+            }
+            result => return result,
+        }
+    }
+}
+
 fn run_gateway(settings: GatewaySettings) -> ExitCode {
     match Gateway::bind(settings).and_then(Gateway::run) {
         Ok(()) => ExitCode::SUCCESS,
