Go on logging after a line that failed, and end although nobody reads the log

Operators lost all later lines of a process after one that could not be written (its reader was replaced, or a non-blocking pipe was full): the writing thread panicked. A process whose output nobody read did not end at a planned stop, since it waited for that thread; the platform killed it, which cut the answers of its last seconds.

The standard output is waited for 100 ms, then not at all until it takes bytes again.

--- a/clementinepickd/src/daemon.rs
+++ b/clementinepickd/src/daemon.rs
@@ -97,7 +97,7 @@
             shutdown: Arc::clone(&shutdown),
             ready: Arc::new(AtomicBool::new(false)),
             streams: Arc::new(Semaphore::new(settings.limits.streams)),
-            logger: logging::new_logger(settings.log_level, &settings.vm, incarnation),
+            logger: logging::new_logger(settings.log_level, &settings.vm, incarnation)?,
         };
         let (role_logic, peer) = new_role_logic(&settings, incarnation);
 
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -49,6 +49,7 @@
 use crate::input_first::poll_after_input;
 use crate::link::{duration, to_span};
 use crate::list_refresh::{RefreshReceiver, RefreshSender, refresh_channel};
+use crate::log_output::StandardOutput;
 use crate::logging::{new_logger_to, write_event};
 use crate::safeguard::Safeguard;
 use crate::store::StoreClient;
@@ -149,17 +150,17 @@
 }
 
 impl Gateway {
-    /// Binds all addresses and logs to the standard output.
+    /// Binds all addresses and logs to the standard output. If it is slow or blocks, log lines are dropped
+    /// and counted.
     ///
     /// # Errors
     ///
     /// Returns an error if an address cannot be bound.
     pub fn bind(settings: GatewaySettings) -> Result<Self, GatewayError> {
-        Self::bind_logging_to(io::stdout(), settings)
+        Self::bind_logging_to(StandardOutput::open()?, settings)
     }
 
-    /// Binds all addresses and logs to `output`. If `output` is slow or blocks, log lines are
-    /// dropped and counted.
+    /// Binds all addresses and logs to `output`. If `output` is slow, log lines are dropped and counted.
     ///
     /// # Errors
     ///
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -91,6 +91,7 @@
 mod link_queue;
 mod list_refresh;
 mod log_client;
+mod log_output;
 mod logging;
 mod monotonic_clock;
 mod outbound;
--- /dev/null
+++ b/clementinepickd/src/log_output.rs
@@ -0,0 +1,109 @@
+//! Writes log lines whole or not at all, and never waits long for whoever reads them.
+
+use std::fs::File;
+use std::io::{self, ErrorKind, Write};
+use std::os::fd::AsFd;
+use std::time::Duration;
+
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+
+/// The number of bytes that a pipe takes without blocking if it takes any.
+const PIPE_WRITE_BYTES: usize = 4_096;
+/// How long a line waits for a reader that is slow.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// The standard output, which fails a write that would wait for longer than [`WRITE_TIMEOUT`], and any wait
+/// after that until it takes bytes again.
+#[derive(Debug)]
+pub(crate) struct StandardOutput {
+    file: File,
+    is_stalled: bool,
+}
+
+impl StandardOutput {
+    /// Opens the standard output without a buffer.
+    pub(crate) fn open() -> io::Result<Self> {
+        let descriptor = io::stdout().as_fd().try_clone_to_owned()?;
+        Ok(Self {
+            file: File::from(descriptor),
+            is_stalled: false,
+        })
+    }
+
+    /// Waits until the output takes bytes; returns whether it does.
+    fn wait_until_writable(&self) -> io::Result<bool> {
+        let timeout = if self.is_stalled {
+            Duration::ZERO
+        } else {
+            WRITE_TIMEOUT
+        };
+        let timeout = Timespec::try_from(timeout).map_err(io::Error::other)?;
+        let mut descriptors = [PollFd::new(&self.file, PollFlags::OUT)];
+        Ok(poll(&mut descriptors, Some(&timeout))? > 0)
+    }
+}
+
+impl Write for StandardOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.is_stalled = !self.wait_until_writable()?;
+        if self.is_stalled {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        self.file.write(&bytes[..bytes.len().min(PIPE_WRITE_BYTES)])
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.file.flush()
+    }
+}
+
+/// Passes on whole lines; one that fails is given up, and the next one starts on a line of its own.
+#[derive(Debug)]
+pub(crate) struct LineOutput<W> {
+    output: W,
+    line: Vec<u8>,
+    /// Whether a part of the last line was written, without its end.
+    is_torn: bool,
+}
+
+impl<W: Write> LineOutput<W> {
+    pub(crate) fn new(output: W) -> Self {
+        Self {
+            output,
+            line: Vec::new(),
+            is_torn: false,
+        }
+    }
+
+    fn write_line(&mut self) -> io::Result<()> {
+        let mut line = std::mem::take(&mut self.line);
+        if self.is_torn {
+            line.insert(0, b'\n');
+        }
+        let mut rest = &line[..];
+        while !rest.is_empty() {
+            match self.output.write(rest) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(count) => rest = &rest[count..],
+                Err(err) if err.kind() == ErrorKind::Interrupted => {}
+                Err(err) => return Err(err),
+            }
+            self.is_torn = !rest.is_empty();
+        }
+        Ok(())
+    }
+}
+
+impl<W: Write> Write for LineOutput<W> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        if bytes.last() == Some(&b'\n') {
+            self.write_line()?;
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.output.flush()
+    }
+}
