Wait for addresses that are taken or not set up yet, and serve without that of metrics

A gateway that the platform starts before the one that it replaces has ended, or while that one stands still, exited with 1 after 0.5 s, as often as it was started: the machine took no callers and its process ended by itself each time. So did one of which another program has the port for metrics, which serving does not need, and, after 20 ms, one whose address is not set up yet.

The callers' address comes last, so that no caller connects to a process that still waits. Metrics are served once their address is free. Entries and sidecars bind by the same module.

An address that the system does not have can't be tested without root.

--- a/clementinepickd/src/daemon.rs
+++ b/clementinepickd/src/daemon.rs
@@ -14,6 +14,7 @@
 use actix_rt::System;
 use actix_server::ServerHandle;
 use clementinepick::ids::Incarnation;
+use slog::Logger;
 use thiserror::Error;
 use tokio::sync::{Semaphore, mpsc};
 
@@ -23,7 +24,7 @@
 use crate::role_logic::new_role_logic;
 use crate::settings::{Settings, SettingsConflict};
 use crate::telemetry::Telemetry;
-use crate::{clients, http, link_manager, logging};
+use crate::{clients, http, link_manager, listeners, logging};
 
 /// An error that keeps a process from starting.
 #[derive(Debug, Error)]
@@ -78,9 +79,10 @@
     /// can't be started.
     pub fn start(settings: Settings) -> Result<Self, StartError> {
         settings.check()?;
-        let (http_listener, http_address) = listen(settings.http_address)?;
-        let (link_listener, link_address) = listen(settings.link_address)?;
         let incarnation = settings.incarnation.unwrap_or_else(incarnation_from_clock);
+        let logger = logging::new_logger(settings.log_level, &settings.vm, incarnation)?;
+        let (link_listener, link_address) = listen(settings.link_address, &logger)?;
+        let (http_listener, http_address) = listen(settings.http_address, &logger)?;
         let telemetry = Telemetry::new()?;
         let (input_sender, inputs) = mpsc::channel(CONTROL_QUEUE_CAPACITY);
         let (disconnect_sender, gone) = mpsc::unbounded_channel();
@@ -97,7 +99,7 @@
             shutdown: Arc::clone(&shutdown),
             ready: Arc::new(AtomicBool::new(false)),
             streams: Arc::new(Semaphore::new(settings.limits.streams)),
-            logger: logging::new_logger(settings.log_level, &settings.vm, incarnation)?,
+            logger,
         };
         let (role_logic, peer) = new_role_logic(&settings, incarnation);
 
@@ -254,12 +256,14 @@
     Ok((thread, server))
 }
 
-fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
-    let failed = |error| StartError::Listen { address, error };
-    let listener = TcpListener::bind(address).map_err(failed)?;
-    listener.set_nonblocking(true).map_err(failed)?;
-    let address = listener.local_addr().map_err(failed)?;
-    Ok((listener, address))
+fn listen(
+    mut address: SocketAddr,
+    logger: &Logger,
+) -> Result<(TcpListener, SocketAddr), StartError> {
+    match listeners::listen(&mut address, logger) {
+        Ok(listener) => Ok((listener, address)),
+        Err(error) => Err(StartError::Listen { address, error }),
+    }
 }
 
 /// Returns an incarnation greater than all earlier ones on this VM, unless its clock was set back.
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -49,6 +49,7 @@
 use crate::input_first::poll_after_input;
 use crate::link::{duration, to_span};
 use crate::list_refresh::{RefreshReceiver, RefreshSender, refresh_channel};
+use crate::listeners;
 use crate::log_output::StandardOutput;
 use crate::logging::{new_logger_to, write_event};
 use crate::safeguard::Safeguard;
@@ -59,9 +60,8 @@
 /// The sizes of the system's buffers for what a caller sends and for what it is sent, in bytes.
 const RECEIVE_BUFFER_BYTES: usize = 8_192;
 const SEND_BUFFER_BYTES: usize = 65_536;
-/// How long and how often an address that is in use is tried again.
-const BIND_TIMEOUT: Duration = Duration::from_millis(500);
-const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(20);
+/// The interval at which an address for metrics that could not be bound is tried again.
+const METRICS_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a terminating process may take to record the usage of its standing slices and the origins of
 /// its streams. An append takes about 10 ms; if it fails, programs lose a part of their budgets.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -82,7 +82,7 @@
         /// The error of the operating system.
         error: io::Error,
     },
-    /// A thread, a listener or a signal handler could not be set up.
+    /// A thread, an event loop, a listener, a signal handler or the log could not be set up.
     #[error("failed to start the gateway: {0}")]
     Start(#[from] io::Error),
     /// The metrics recorder could not be set up.
@@ -117,35 +117,23 @@
     metrics: Option<StdListener>,
 }
 
-/// Binds an address; one that another process still holds is tried again for a while, since the
-/// sockets of a process may outlive it for a moment.
-fn bind(address: SocketAddr) -> io::Result<StdListener> {
-    let give_up_at = Instant::now() + BIND_TIMEOUT;
-    loop {
-        match StdListener::bind(address) {
-            Err(err) if err.kind() == io::ErrorKind::AddrInUse && Instant::now() < give_up_at => {
-                thread::sleep(BIND_RETRY_INTERVAL);
-            }
-            result => return result,
-        }
-    }
+/// Binds an address that the process needs.
+fn listen(address: &mut SocketAddr, logger: &Logger) -> Result<StdListener, GatewayError> {
+    listeners::listen(address, logger).map_err(|error| GatewayError::Listen {
+        address: *address,
+        error,
+    })
 }
 
-/// Binds a listener and stores the port that the system assigned to port 0.
-fn listen(address: &mut SocketAddr) -> Result<StdListener, GatewayError> {
-    let result = bind(*address).and_then(|listener| {
-        listener.set_nonblocking(true)?;
-        Ok((listener.local_addr()?, listener))
-    });
-    match result {
-        Ok((local_address, listener)) => {
-            *address = local_address;
-            Ok(listener)
+/// Binds the address of metrics, without which the process serves as well.
+fn listen_for_metrics(address: &mut SocketAddr, logger: &Logger) -> Option<StdListener> {
+    match listeners::try_listen(address) {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            let event = listeners::unavailable(*address, &error, Duration::ZERO);
+            write_event(logger, &event);
+            None
         }
-        Err(error) => Err(GatewayError::Listen {
-            address: *address,
-            error,
-        }),
     }
 }
 
@@ -155,27 +143,37 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if an address cannot be bound.
+    /// Returns an error if an address other than that of metrics cannot be bound.
     pub fn bind(settings: GatewaySettings) -> Result<Self, GatewayError> {
         Self::bind_logging_to(StandardOutput::open()?, settings)
     }
 
     /// Binds all addresses and logs to `output`. If `output` is slow, log lines are dropped and counted.
     ///
+    /// Addresses that are in use or not set up yet are waited for; metrics are served later if theirs is.
+    ///
     /// # Errors
     ///
-    /// Returns an error if an address cannot be bound.
+    /// Returns an error if an address other than that of metrics cannot be bound.
     pub fn bind_logging_to<W: io::Write + Send + 'static>(
         output: W,
         mut settings: GatewaySettings,
     ) -> Result<Self, GatewayError> {
         let incarnation = Incarnation(rand::random());
         let logger = new_logger_to(output, settings.log_level, &settings.vm, incarnation);
+        // Callers connect as soon as their address is bound, so that it comes last.
+        let peers = listen(&mut settings.peers, &logger)?;
+        let ready = listen(&mut settings.ready, &logger)?;
+        let metrics = settings
+            .metrics
+            .as_mut()
+            .and_then(|address| listen_for_metrics(address, &logger));
+        let callers = listen(&mut settings.callers, &logger)?;
         let listeners = Listeners {
-            callers: listen(&mut settings.callers)?,
-            ready: listen(&mut settings.ready)?,
-            peers: listen(&mut settings.peers)?,
-            metrics: settings.metrics.as_mut().map(listen).transpose()?,
+            callers,
+            ready,
+            peers,
+            metrics,
         };
         let event = Event::new(EventKind::ProcessStarted)
             .with("role", "gateway")
@@ -289,13 +287,19 @@
         });
         limit_socket_buffers(&shared, &self.listeners.callers);
         let connections = &shared.connections;
-        let mut endpoints = vec![
+        let endpoints = vec![
             (self.listeners.callers, callers, &connections.callers),
             (self.listeners.ready, ready, &connections.ready),
             (self.listeners.peers, peers, &connections.peers),
         ];
-        let metrics_listener = self.listeners.metrics;
-        endpoints.extend(metrics_listener.map(|l| (l, metrics, &connections.metrics)));
+        if let Some(address) = settings.metrics {
+            let endpoint = Endpoint {
+                shared: Rc::clone(&shared),
+                handler: metrics,
+                connections: Rc::clone(&connections.metrics),
+            };
+            tasks.spawn_local(endpoint.accept_once_bound(self.listeners.metrics, address));
+        }
         for (listener, handler, connections) in endpoints {
             let listener = TcpListener::from_std(listener)?;
             let endpoint = Endpoint {
@@ -373,6 +377,23 @@
         }
     }
 
+    /// Accepts connections like [`Self::accept`], after binding `address` if there is no listener yet.
+    async fn accept_once_bound(self, bound: Option<StdListener>, mut address: SocketAddr) {
+        let mut bound = bound.and_then(|listener| TcpListener::from_std(listener).ok());
+        while bound.is_none() {
+            tokio::select! {
+                () = sleep(METRICS_RETRY_INTERVAL) => {}
+                () = self.shared.wait_for_close() => return,
+            }
+            // The first failure has been logged.
+            let listener = listeners::try_listen(&mut address);
+            bound = listener.and_then(TcpListener::from_std).ok();
+        }
+        if let Some(listener) = bound {
+            self.accept(listener).await;
+        }
+    }
+
     /// Accepts the connections that are open already: their callers may have sent requests, which closing
     /// the listener would reset.
     async fn accept_waiting(&self, listener: &TcpListener, tasks: &mut JoinSet<()>) {
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -90,6 +90,7 @@
 mod link_manager;
 mod link_queue;
 mod list_refresh;
+mod listeners;
 mod log_client;
 mod log_output;
 mod logging;
