Start the thread that follows the store again after a panic, and report that it can't be started

A gateway whose thread panicked, or could not create its event loop as too few descriptors were left, went on without a configuration or with an old one for good, and served nobody or by old lists. The panic was only in its standard error.

--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -9,10 +9,8 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use actix_rt::System;
 use actix_rt::time::sleep;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::ids::Incarnation;
@@ -26,7 +24,8 @@
 use tokio::task::{JoinError, JoinSet, LocalSet};
 
 use crate::connections::Connections;
-use crate::directory::{Directory, Identity, follow};
+use crate::directory::{Directory, Identity};
+use crate::directory_thread::{DirectoryThread, new_system};
 use crate::gateway_budget::{maintain_homes, send_token_returns};
 use crate::gateway_connection::{Handler, serve};
 use crate::gateway_ended_upkeep::maintain_ended;
@@ -48,12 +47,11 @@
 use crate::gateway_versions::maintain_versions;
 use crate::input_first::poll_after_input;
 use crate::link::{duration, to_span};
-use crate::list_refresh::{RefreshReceiver, RefreshSender, refresh_channel};
+use crate::list_refresh::{RefreshSender, refresh_channel};
 use crate::listeners;
 use crate::log_output::StandardOutput;
 use crate::logging::{new_logger_to, write_event};
 use crate::safeguard::Safeguard;
-use crate::store::StoreClient;
 
 /// The backoff after a failed accept, which usually means that file descriptors have run out.
 const ACCEPT_ERROR_BACKOFF: Duration = Duration::from_millis(20);
@@ -229,9 +227,18 @@
             writer: writer.clone(),
             peer_address: self.settings.peers,
         };
-        let follower =
-            self.start_follower(identity, publish, refreshes, stopped, Arc::clone(&metrics))?;
-        let served = System::new().block_on(LocalSet::new().run_until(async {
+        let follower = DirectoryThread {
+            identity,
+            seeds: self.settings.seeds.clone(),
+            store: self.settings.store,
+            logger: self.logger.clone(),
+            publish,
+            refreshes,
+            stopped,
+            metrics: Arc::clone(&metrics),
+        };
+        let follower = follower.start()?;
+        let served = new_system()?.block_on(LocalSet::new().run_until(async {
             let stop = stop();
             self.serve(directory, refresh, metrics, writer, stop).await
         }));
@@ -241,25 +248,6 @@
         served
     }
 
-    fn start_follower(
-        &self,
-        identity: Identity,
-        publish: watch::Sender<Directory>,
-        refreshes: RefreshReceiver,
-        stopped: watch::Receiver<bool>,
-        metrics: Arc<GatewayMetrics>,
-    ) -> Result<JoinHandle<()>, GatewayError> {
-        let seeds = self.settings.seeds.clone();
-        let (store, logger) = (self.settings.store, self.logger.clone());
-        let thread = thread::Builder::new().name("directory".to_owned());
-        let follower = thread.spawn(move || {
-            let store = StoreClient::new(store, metrics);
-            let follower = follow(identity, seeds, store, logger, publish, refreshes, stopped);
-            System::new().block_on(follower);
-        })?;
-        Ok(follower)
-    }
-
     async fn serve(
         self,
         directory: watch::Receiver<Directory>,
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -19,6 +19,7 @@
 mod control_messages;
 mod daemon;
 mod directory;
+mod directory_thread;
 mod engine_client;
 mod followed_topic;
 mod framing_limit;
--- a/clementinepickd/src/list_refresh.rs
+++ b/clementinepickd/src/list_refresh.rs
@@ -27,7 +27,7 @@
 }
 
 /// Receives what is asked for.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct RefreshReceiver {
     wanted: watch::Receiver<Option<Instant>>,
     /// The start of the last call that was made or was successful.
