Start gateways of the soak beside the ones that they replace, and watch for processes that end by themselves

In all plans a process that ends by itself, and a log with a panic or a broken invariant, is a violation.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -78,6 +78,7 @@
 mod soak_release_callers;
 pub mod soak_release_checks;
 pub mod soak_release_servers;
+mod soak_replacements;
 mod soak_restart_callers;
 pub mod soak_restart_checks;
 mod soak_restarts;
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -23,7 +23,7 @@
 use crate::soak_callers::Callers;
 use crate::soak_faults::{
     Fault, PlannedFault, plan_crowd_faults, plan_extended_faults, plan_faults, plan_release_faults,
-    plan_restart_faults, plan_stop_faults,
+    plan_restart_faults, plan_start_faults, plan_stop_faults,
 };
 use crate::soak_history::{History, RequestKind, RequestRecord, find_violations};
 use crate::soak_plan::SoakPlan;
@@ -66,6 +66,7 @@
     example = "{command_name} --seeds 7..8 --seconds 20 --extended",
     example = "{command_name} --seeds 0..5 --seconds 10 --release --gateways 6",
     example = "{command_name} --seeds 0..50 --seconds 8 --stops",
+    example = "{command_name} --seeds 0..50 --seconds 8 --starts",
     example = "{command_name} --seeds 0..50 --seconds 8 --crowds",
     example = "{command_name} --seeds 0..50 --seconds 6 --restarts --gateways 6"
 )]
@@ -85,6 +86,9 @@
     /// stop gateways beside callers that pipeline or send slowly, floods and changes
     #[argh(switch)]
     pub stops: bool,
+    /// start gateways beside the ones that they replace, which stop or are suspended
+    #[argh(switch)]
+    pub starts: bool,
     /// send crowds of callers that do not behave, beside stops, kills and changes
     #[argh(switch)]
     pub crowds: bool,
@@ -246,6 +250,7 @@
             (self.extended, SoakPlan::Extended),
             (self.release, SoakPlan::Release),
             (self.stops, SoakPlan::Stops),
+            (self.starts, SoakPlan::Starts),
             (self.crowds, SoakPlan::Crowds),
             (self.restarts, SoakPlan::Restarts),
         ];
@@ -255,7 +260,8 @@
             (Some((_, plan)), None) => Ok(*plan),
             (Some(_), Some(_)) => {
                 let detail =
-                    "a run has the extended plan, releases, stops, crowds or restarts".to_owned();
+                    "a run has the extended plan, releases, stops, starts, crowds or restarts"
+                        .to_owned();
                 Err(Failure::Check(detail))
             }
         }
@@ -293,6 +299,15 @@
                 };
                 (plan_stop_faults(seed, length), counts)
             }
+            SoakPlan::Starts => {
+                let counts = CallerCounts {
+                    idle: 1,
+                    slow: 1,
+                    pipelining: 1,
+                    ..CallerCounts::default()
+                };
+                (plan_start_faults(seed, length), counts)
+            }
             SoakPlan::Crowds => {
                 let counts = CallerCounts {
                     slow: 1,
@@ -466,17 +481,30 @@
         restarts: (world.plan == SoakPlan::Restarts).then(|| world.restart_times()),
         ..history.unwrap_or_else(std::sync::PoisonError::into_inner)
     };
-    let mut violations = found
-        .into_inner()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
-    violations.extend(add_log_lines(world, &history, find_violations(&history)));
+    match world.reported_defects() {
+        Ok(defects) => defects.into_iter().for_each(record),
+        Err(err) => record(format!("a log can't be read: {err}")),
+    }
+    let found = found.into_inner();
+    let found = found.unwrap_or_else(std::sync::PoisonError::into_inner);
+    summarize(world, &history, found, planned)
+}
+
+/// Checks the history of a run in which `found` was seen already.
+fn summarize(
+    world: &SoakWorld,
+    history: &History,
+    mut found: Vec<String>,
+    planned: &[PlannedFault],
+) -> SoakResult {
+    found.extend(add_log_lines(world, history, find_violations(history)));
     let served = history.requests.iter();
     let is_resumed = |r: &&RequestRecord| matches!(r.kind, RequestKind::Resumed { .. });
     let resumed: Vec<_> = history.requests.iter().filter(is_resumed).collect();
     SoakResult {
-        violations,
-        drafts: DraftCounts::of(&history),
-        in_touch: InTouchCounts::of(&history),
+        violations: found,
+        drafts: DraftCounts::of(history),
+        in_touch: InTouchCounts::of(history),
         resume_count: resumed.len(),
         resumed_count: resumed.iter().filter(|r| r.status == 200).count(),
         request_count: history.requests.len(),
--- a/standins/src/soak_faults.rs
+++ b/standins/src/soak_faults.rs
@@ -16,6 +16,10 @@
     KillAll,
     /// A gateway is shut down gracefully and restarted.
     Terminate,
+    /// A gateway is shut down gracefully, and the next one starts beside it.
+    Replace,
+    /// A gateway's process is suspended and later killed, and the next one starts beside it.
+    ReplaceSuspended,
     /// A gateway's process is suspended.
     Suspend,
     /// The store is unavailable for one gateway, in one of several ways.
@@ -173,6 +177,23 @@
     Fault::ServersPause,
     Fault::StoreSlow,
 ];
+/// The kinds of the plan with starts; a kind is as frequent as it is listed.
+const START_FAULT_KINDS: [Fault; 14] = [
+    Fault::Replace,
+    Fault::Replace,
+    Fault::Replace,
+    Fault::ReplaceSuspended,
+    Fault::ReplaceSuspended,
+    Fault::ReplaceSuspended,
+    Fault::Hangup,
+    Fault::Hangup,
+    Fault::Terminate,
+    Fault::Kill,
+    Fault::Suspend,
+    Fault::StoreUnavailableForOne,
+    Fault::StoreSlow,
+    Fault::ConfigSeries,
+];
 /// The random numbers of the plan with crowds.
 const CROWD_STREAM: u64 = 4;
 /// The random numbers of the plan with stops.
@@ -201,6 +222,8 @@
 /// The random numbers of broken connections, which leave those of the plans beside which they come as they
 /// are.
 const BROKEN_STREAM: u64 = 6;
+/// The random numbers of the plan with starts.
+const START_STREAM: u64 = 7;
 /// The shortest and the longest time between two faults of connections or answers.
 const MIN_BROKEN_INTERVAL_MS: u64 = 600;
 const MAX_BROKEN_INTERVAL_MS: u64 = 1_800;
@@ -266,6 +289,15 @@
     draw_faults(&mut random, &CROWD_FAULT_KINDS, length)
 }
 
+/// Returns the faults for `seed` in a run of `length` with gateways that start beside the ones that they
+/// replace.
+#[must_use]
+pub fn plan_start_faults(seed: u64, length: Duration) -> Vec<PlannedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(START_STREAM);
+    draw_faults(&mut random, &START_FAULT_KINDS, length)
+}
+
 /// Returns the faults for `seed` in a run of `length` with series of restarts, of which the last ends the
 /// faults, and late reports.
 #[must_use]
--- a/standins/src/soak_plan.rs
+++ b/standins/src/soak_plan.rs
@@ -34,6 +34,8 @@
     Stops,
     /// Crowds of callers that do not behave, beside stops, kills and changes.
     Crowds,
+    /// Gateways that start beside the ones that they replace.
+    Starts,
     /// Series of restarts and late reports of servers, beside drafts that are resumed seconds later.
     Restarts,
 }
@@ -43,7 +45,7 @@
     pub(crate) fn config(self) -> SoakConfig {
         match self {
             Self::Basic | Self::Extended => SoakConfig::default(),
-            Self::Stops => SoakConfig {
+            Self::Stops | Self::Starts => SoakConfig {
                 stream_timeout_ms: LONG_TIMEOUT_MS,
                 plain_timeout_ms: LONG_TIMEOUT_MS,
                 has_floods: true,
@@ -87,9 +89,12 @@
     /// Returns the settings of the gateways.
     pub(crate) fn process_settings(self) -> ProcessSettings {
         match self {
-            Self::Basic | Self::Extended | Self::Release | Self::Stops | Self::Restarts => {
-                ProcessSettings::default()
-            }
+            Self::Basic
+            | Self::Extended
+            | Self::Release
+            | Self::Stops
+            | Self::Starts
+            | Self::Restarts => ProcessSettings::default(),
             Self::Crowds => ProcessSettings {
                 limits: format!("connections = {CROWD_CONNECTION_LIMIT}"),
                 ..ProcessSettings::default()
--- a/standins/src/soak_process.rs
+++ b/standins/src/soak_process.rs
@@ -25,6 +25,8 @@
 const USABLE_PORTS: u16 = RANGE_PORTS - 1;
 /// The inode of sockets that no process has open.
 const NO_INODE: u64 = 0;
+/// The bit of SIGHUP in a mask of signals.
+const SIGHUP_BIT: u64 = 1;
 /// How much longer than its shutdown limit a process may take to exit.
 const EXIT_GRACE: Duration = Duration::from_secs(2);
 
@@ -342,20 +344,49 @@
 
     /// Returns a size in the status of the process, in bytes.
     fn status_bytes(&self, name: &str) -> io::Result<u64> {
+        let size = self.status_field(name)?;
+        let size = size.strip_suffix("kB").ok_or(io::ErrorKind::InvalidData)?;
+        let size_kb: u64 = size.trim().parse().map_err(io::Error::other)?;
+        Ok(size_kb * 1_024)
+    }
+
+    /// Returns a field in the status of the process.
+    fn status_field(&self, name: &str) -> io::Result<String> {
         let child = self.child.as_ref().ok_or(io::ErrorKind::NotFound)?;
         let status = fs::read_to_string(format!("/proc/{}/status", child.id()))?;
         let mut lines = status.lines();
-        let size = lines.find_map(|line| line.strip_prefix(name)?.strip_suffix("kB"));
-        let size_kb: Option<u64> = size.and_then(|size| size.trim().parse().ok());
-        Ok(size_kb.ok_or(io::ErrorKind::InvalidData)? * 1_024)
+        let value = lines.find_map(|line| line.strip_prefix(name));
+        Ok(value.ok_or(io::ErrorKind::InvalidData)?.trim().to_owned())
     }
 
     /// Sends SIGTERM to the process and hands it over for [`wait_for_exit`].
     #[must_use]
     pub fn terminate(&mut self) -> Option<Child> {
-        self.send_signal(Signal::TERM);
+        self.hand_over(Signal::TERM)
+    }
+
+    /// Sends a signal to the process and hands it over; it is not this gateway's any longer.
+    #[must_use]
+    pub fn hand_over(&mut self, signal: Signal) -> Option<Child> {
+        self.send_signal(signal);
         self.child.take()
     }
+
+    /// Returns how the process ended, if it did without being killed or handed over.
+    pub fn end(&mut self) -> Option<ExitStatus> {
+        self.child.as_mut()?.try_wait().ok().flatten()
+    }
+
+    /// Returns whether the process handles SIGHUP, which ends one that does not.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended or the system does not tell.
+    pub fn handles_hangups(&self) -> io::Result<bool> {
+        let mask = self.status_field("SigCgt:")?;
+        let mask = u64::from_str_radix(&mask, 16).map_err(io::Error::other)?;
+        Ok(mask & SIGHUP_BIT != 0)
+    }
 }
 
 /// A connection in the system's table of sockets.
--- a/standins/src/soak_servers.rs
+++ b/standins/src/soak_servers.rs
@@ -79,7 +79,7 @@
     pub fn start(store: &PlatformStore, started_at: Instant, plan: SoakPlan) -> io::Result<Self> {
         let has_other_services = matches!(
             plan,
-            SoakPlan::Extended | SoakPlan::Stops | SoakPlan::Crowds
+            SoakPlan::Extended | SoakPlan::Stops | SoakPlan::Starts | SoakPlan::Crowds
         );
         let extended = has_other_services.then_some(EXTENDED_SERVERS);
         let mut servers = Vec::new();
@@ -89,7 +89,7 @@
             }
         }
         let mut floods = Vec::new();
-        if matches!(plan, SoakPlan::Stops | SoakPlan::Crowds) {
+        if matches!(plan, SoakPlan::Stops | SoakPlan::Starts | SoakPlan::Crowds) {
             for server in &servers {
                 let pause = if server.runs_turns() {
                     SLOW_EVENT_PAUSE
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -66,16 +66,18 @@
 
 /// A gateway and its faults.
 #[derive(Debug)]
-struct Gateway {
-    process: GatewayProcess,
+pub(crate) struct Gateway {
+    pub(crate) process: GatewayProcess,
     /// The number of faults of its process that have not ended.
-    active_faults: u32,
+    pub(crate) active_faults: u32,
     /// How often it was killed or suspended.
-    disturbance_count: u32,
-    /// Whether it was told to shut down and has not been restarted yet.
-    is_ending: bool,
+    pub(crate) disturbance_count: u32,
+    /// Whether it was told to shut down and has not been restarted, or has not ended, yet.
+    pub(crate) is_ending: bool,
+    /// Whether the start before is still there, so that connections may be to either.
+    pub(crate) is_overlapping: bool,
     /// The newest version of the configuration that this start of it has served.
-    served_version: u64,
+    pub(crate) served_version: u64,
 }
 
 /// The status of a gateway at one moment.
@@ -83,7 +85,7 @@
 pub struct GatewayStatus {
     /// The address for callers.
     pub callers: SocketAddr,
-    /// How often it was started.
+    /// How often it was started, without a start beside the one before.
     pub start_count: u32,
     /// Whether its process is killed or suspended.
     pub has_fault: bool,
@@ -105,13 +107,13 @@
     /// The servers of drafts, in runs with releases.
     pub releases: ReleaseServers,
     out_of_step: Mutex<OutOfStep>,
-    gateways: Vec<Mutex<Gateway>>,
+    pub(crate) gateways: Vec<Mutex<Gateway>>,
     /// The published configurations, of which the first has version 1.
     configs: Mutex<Vec<SoakConfig>>,
     /// When gateways and the store were disturbed, in runs with restarts.
     pub(crate) disturbed: Mutex<RestartTimes>,
     started_at: Instant,
-    directory: PathBuf,
+    pub(crate) directory: PathBuf,
 }
 
 impl SoakWorld {
@@ -151,6 +153,7 @@
                 active_faults: 0,
                 disturbance_count: 0,
                 is_ending: false,
+                is_overlapping: false,
                 served_version: 1,
             }));
         }
@@ -203,7 +206,7 @@
         let gateway = lock(&self.gateways[number]);
         GatewayStatus {
             callers: gateway.process.ports.callers,
-            start_count: gateway.process.start_count,
+            start_count: gateway.process.start_count - u32::from(gateway.is_overlapping),
             has_fault: gateway.active_faults > 0,
             disturbance_count: gateway.disturbance_count,
             is_ending: gateway.is_ending,
@@ -342,6 +345,8 @@
                 (0..self.gateways.len()).try_for_each(|number| self.restart(number))
             }
             Fault::Terminate => self.terminate(number, duration),
+            Fault::Replace => self.replace(number),
+            Fault::ReplaceSuspended => self.replace_suspended(number, duration),
             Fault::Suspend => {
                 self.suspend(number);
                 std::thread::sleep(duration);
@@ -460,10 +465,10 @@
         }
     }
 
-    /// Sends SIGHUP to a gateway that is ready; one that does not handle signals yet would exit.
+    /// Sends SIGHUP to a gateway, ready or not, once its program has begun.
     fn hang_up(&self, number: usize) {
-        if is_ready(self.ready_address(number)) {
-            let gateway = lock(&self.gateways[number]);
+        let gateway = lock(&self.gateways[number]);
+        if gateway.process.handles_hangups().unwrap_or(false) {
             gateway.process.send_signal(Signal::HUP);
         }
     }
@@ -528,7 +533,7 @@
         self.restart(number)
     }
 
-    fn restart(&self, number: usize) -> io::Result<()> {
+    pub(crate) fn restart(&self, number: usize) -> io::Result<()> {
         self.end_fault(number, |gateway| {
             // Another fault may have restarted it already.
             if gateway.process.is_started() || gateway.is_ending {
--- a/standins/tests/soak_crowds.rs
+++ b/standins/tests/soak_crowds.rs
@@ -13,6 +13,7 @@
         extended: false,
         release: false,
         stops: false,
+        starts: false,
         crowds: true,
         restarts: false,
         gateways: 3,
--- a/standins/tests/soak_restarts.rs
+++ b/standins/tests/soak_restarts.rs
@@ -119,6 +119,7 @@
             extended: false,
             release: false,
             stops: false,
+            starts: false,
             crowds: false,
             restarts: true,
             gateways: 6,
