Keep a stopping gateway from registering over its successor

A gateway that is replaced while it drains wrote its entry every 20 s, and 2 s after its start, over that of its successor: peers took the instance that ends for the one that serves, for up to 20 s.

A process that shuts down no longer writes its entry.

--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use clementinepick::server_list::{ServerList, SoftwareVersion};
@@ -90,6 +91,8 @@
     /// A unique id of this process instance; a restart has another one.
     pub(crate) writer: String,
     pub(crate) peer_address: SocketAddr,
+    /// Set when the process shuts down: the entry may belong to its successor by then.
+    pub(crate) is_leaving: Arc<AtomicBool>,
 }
 
 /// The resources of a follower.
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -9,6 +9,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use actix_rt::time::sleep;
@@ -222,10 +223,12 @@
         let (follower_stop, stopped) = watch::channel(false);
         let metrics = Arc::new(GatewayMetrics::new()?);
         let writer = format!("{:016x}", rand::random::<u64>());
+        let is_leaving = Arc::new(AtomicBool::new(false));
         let identity = Identity {
             vm: self.settings.vm.to_string(),
             writer: writer.clone(),
             peer_address: self.settings.peers,
+            is_leaving: Arc::clone(&is_leaving),
         };
         let follower = DirectoryThread {
             identity,
@@ -239,7 +242,11 @@
         };
         let follower = follower.start()?;
         let served = new_system()?.block_on(LocalSet::new().run_until(async {
-            let stop = stop();
+            let stop = async {
+                let stopped = stop().await;
+                is_leaving.store(true, Ordering::Relaxed);
+                stopped
+            };
             self.serve(directory, refresh, metrics, writer, stop).await
         }));
         follower_stop.send_replace(true);
--- a/clementinepickd/src/process_registry.rs
+++ b/clementinepickd/src/process_registry.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use actix_rt::time::sleep;
@@ -100,17 +101,18 @@
         self.announced_at.is_none_or(is_due)
     }
 
-    /// Writes this process's entry and reads those of its peers.
+    /// Writes this process's entry, unless it is leaving, and reads those of its peers.
     async fn announce(&mut self, now: Instant) {
         let deadline = now + POLL_TIMEOUT;
         self.context.store.retry_direct();
-        let is_written = self.write(deadline).await.is_ok();
+        let is_leaving = self.identity.is_leaving.load(Ordering::Relaxed);
+        let is_done = is_leaving || self.write(deadline).await.is_ok();
         let read = self.processes.poll(self.context.store, now, deadline).await;
         if read.is_err() {
             // The next round tries again; the store client counts the failure.
             return;
         }
-        if is_written {
+        if is_done {
             self.announced_at = Some(now);
             self.announcements = self.announcements.saturating_add(1);
         }
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -281,6 +281,15 @@
             .collect()
     }
 
+    /// Returns the newest value of a key in the first partition of a topic.
+    #[must_use]
+    pub fn newest_value(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
+        let core = lock(&self.core);
+        let partition = core.partitions.get(&(topic.to_owned(), 0))?;
+        let (_, value) = partition.newest().remove(key)?;
+        Some(value.to_vec())
+    }
+
     /// How many calls came to a path.
     #[must_use]
     pub fn calls(&self, path: &str) -> u64 {
