--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -81,9 +81,9 @@
     ShutdownForced = 105, "shutdown_forced", Warning;
     /// The settings changed while the process was running; it keeps those that it started with.
     SettingsReloaded = 106, "settings_reloaded", Info;
-    /// An address is in use or not set up yet; it is tried again.
+    /// The process can't listen at `address`, for `error`; it tries again.
     AddressUnavailable = 107, "address_unavailable", Warning;
-    /// Log lines could not be written.
+    /// `count` lines before this one could not be written.
     LogLinesLost = 108, "log_lines_lost", Warning;
     /// A link came up.
     LinkUp = 201, "link_up", Info;
