Count a recorded start of unknown version once, not from each time that its record is read

Callers that name no attempt were refused at a service with one version for up to nine seconds after a stream had begun at a server in doubt: gateways read the records for each such request at any service, and each read renewed what the record says, for as long as it is recent.

A record counts from the moment when it becomes known.

--- a/clementinepickd/src/gateway_versions.rs
+++ b/clementinepickd/src/gateway_versions.rs
@@ -86,6 +86,9 @@
     /// The services with streams that have begun at starts of unknown version and are not recorded, with
     /// the times of the last ones.
     unproven: RefCell<BTreeMap<String, u64>>,
+    /// The recorded streams of this kind that are known here, by service. Each counts from the moment when it
+    /// became known, which reading its record again does not renew.
+    known_unproven: RefCell<BTreeMap<String, u64>>,
     /// The start of the call that returned them.
     as_of: Cell<Option<Instant>>,
     /// Held during each call to the store; contains the start of the last read.
@@ -118,9 +121,25 @@
     pub(crate) fn record_unproven(&self, service: &str, now_unix_ms: u64) {
         let mut unproven = self.unproven.borrow_mut();
         unproven.insert(service.to_owned(), now_unix_ms);
+        let mut known = self.known_unproven.borrow_mut();
+        known.insert(service.to_owned(), now_unix_ms);
         self.needed.notify_one();
     }
 
+    /// Returns the services with streams that were not known, of those that were read.
+    fn take_new_unproven(&self, read: Vec<UnprovenRecord>, now_unix_ms: u64) -> Vec<String> {
+        let recent = read.into_iter().filter(|r| r.is_recent(now_unix_ms));
+        let recent = recent.map(|record| (record.service, record.begun_unix_ms));
+        let recent: BTreeMap<String, u64> = recent.collect();
+        let mut next = self.unproven.borrow().clone();
+        next.extend(recent.clone());
+        let known = self.known_unproven.replace(next);
+        let new = recent
+            .into_iter()
+            .filter(|(service, begun)| known.get(service) != Some(begun));
+        new.map(|(service, _)| service).collect()
+    }
+
     async fn wait_until_unproven_recorded(&self, service: &str) {
         while self.unproven.borrow().contains_key(service) {
             self.needed.notify_one();
@@ -311,8 +330,8 @@
         shared.load_version(&recorded_version(record, now_unix_ms), Instant::now());
     }
     shared.versions.replace(records);
-    for record in unproven.iter().filter(|r| r.is_recent(now_unix_ms)) {
-        shared.load_unproven_stream(&record.service, Instant::now());
+    for service in shared.versions.take_new_unproven(unproven, now_unix_ms) {
+        shared.load_unproven_stream(&service, Instant::now());
     }
     Ok(())
 }
@@ -439,6 +458,31 @@
         assert_eq!(changes(false).len(), 1);
     }
 
+    /// Guards against a start of unknown version that counts from each time its record is read.
+    #[test]
+    fn a_recorded_start_of_unknown_version_is_new_once() {
+        let read = |begun_unix_ms| {
+            let service = "models".to_owned();
+            vec![UnprovenRecord {
+                service,
+                begun_unix_ms,
+            }]
+        };
+        let records = VersionRecords::default();
+        assert_eq!(records.take_new_unproven(read(1_000), 1_100), ["models"]);
+        assert!(records.take_new_unproven(read(1_000), 1_200).is_empty());
+        assert_eq!(records.take_new_unproven(read(1_300), 1_400), ["models"]);
+        records.record_unproven("models", 1_500);
+        assert!(records.take_new_unproven(Vec::new(), 1_500).is_empty());
+        assert!(records.take_new_unproven(read(1_500), 1_600).is_empty());
+        let long_after = 1_500 + UNPROVEN_MEMORY_MS;
+        assert!(
+            records
+                .take_new_unproven(read(1_500), long_after)
+                .is_empty()
+        );
+    }
+
     /// Guards against records that accumulate with each release.
     #[test]
     fn records_of_versions_that_left_long_ago_expire() {
