Settle streams of unknown version by what settles the doubt of their server, and read that list at once

Callers that name no attempt were refused at a service of one version for two to three seconds after one stream had begun without a proof at a server in doubt that tells no start time. The doubt itself lasts for one second after a broken connection, or until a proof, and a newer list settles it; the stream was remembered for two, by a time of its own, and nobody asked for that list.

Such a stream is settled by the evidence that settles its server: the same list, or a connection from before the doubt that works after the stream has begun. Peers take the doubts of the service. Requests read the list once it can settle the stream, if that is soon enough.

Two unit tests are new; a third is stricter.

--- a/clementinepick/src/start_doubts.rs
+++ b/clementinepick/src/start_doubts.rs
@@ -38,7 +38,7 @@
 
 /// How long after a notice a further one is no news to peers, whose doubts last for much longer.
 const RENOTICE_US: SpanUs = SpanUs::from_ms(250);
-/// How long after a stream has begun at a start of unknown version a list may lack that version.
+/// How long after a stream has begun at a start of unknown version a list may lack that version at most.
 pub const UNPROVEN_STREAM_MEMORY_US: SpanUs = LIST_LAG_US;
 /// The maximum number of servers in doubt; above it, those that were noticed first are dropped.
 const MAX_SERVERS: usize = 4_096;
@@ -146,8 +146,28 @@
 #[derive(Debug, Default)]
 pub struct StartDoubts {
     by_server: BTreeMap<String, Doubt>,
-    /// When a stream last began at a start of unknown version, by service.
-    unproven_streams: BTreeMap<String, TimeUs>,
+    /// The last streams that have begun at starts of unknown version, by service and server.
+    unproven_streams: BTreeMap<(String, ServerKey), UnprovenStream>,
+}
+
+/// The server of a stream, if it is known.
+type ServerKey = Option<String>;
+
+/// A stream that has begun at a start of unknown version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct UnprovenStream {
+    begun_at: TimeUs,
+    /// A list as of later than this has the version.
+    settled_by: TimeUs,
+}
+
+impl UnprovenStream {
+    fn new(begun_at: TimeUs) -> Self {
+        Self {
+            begun_at,
+            settled_by: begun_at.after(UNPROVEN_STREAM_MEMORY_US),
+        }
+    }
 }
 
 impl StartDoubts {
@@ -173,19 +193,59 @@
         }
     }
 
-    /// Records that a stream has begun at a start of unknown version; returns whether that is
-    /// news.
-    pub fn record_unproven_stream(&mut self, now: TimeUs, service: &str) -> bool {
-        let known = self.unproven_streams.insert(service.to_owned(), now);
-        is_news(now, known)
+    /// Records that a stream has begun at a start of unknown version; returns whether that is news.
+    ///
+    /// What settles the doubt of a server that reports no start time shows its version, too.
+    pub fn record_unproven_stream(&mut self, now: TimeUs, server: &BackendServer) -> bool {
+        let mut stream = UnprovenStream::new(now);
+        let is_unnamed = server.started_unix_ms.is_none();
+        if let Some(doubt) = self.by_server.get(&server.id).filter(|_| is_unnamed) {
+            stream.settled_by = stream.settled_by.min(doubt.settled_by);
+        }
+        let last = self.unproven_streams_of(&server.service);
+        let is_news = is_news(now, last.map(|(_, stream)| stream.begun_at).max());
+        self.insert_unproven(&server.service, Some(server.id.clone()), stream);
+        is_news
     }
 
-    /// Records that a server which was asked at `asked_at` still is the listed start.
+    /// Records that such a stream has begun elsewhere, at a server in doubt of the service, or at an unknown
+    /// one if none is.
+    pub fn record_unproven_elsewhere(&mut self, now: TimeUs, service: &str, list: &ServerList) {
+        let is_of_service = |server: &&BackendServer| server.service == service;
+        let in_doubt = self.by_server.keys();
+        let in_doubt = in_doubt.filter_map(|id| list.servers.get(id));
+        let in_doubt: Vec<_> = in_doubt.filter(is_of_service).cloned().collect();
+        for server in &in_doubt {
+            self.record_unproven_stream(now, server);
+        }
+        if in_doubt.is_empty() {
+            self.insert_unproven(service, None, UnprovenStream::new(now));
+        }
+    }
+
+    fn insert_unproven(&mut self, service: &str, server: ServerKey, stream: UnprovenStream) {
+        let key = (service.to_owned(), server);
+        self.unproven_streams.insert(key, stream);
+    }
+
+    fn unproven_streams_of(
+        &self,
+        service: &str,
+    ) -> impl Iterator<Item = (&(String, ServerKey), &UnprovenStream)> {
+        let first = (service.to_owned(), None);
+        let rest = self.unproven_streams.range(first..);
+        rest.take_while(move |((of, _), _)| of == service)
+    }
+
+    /// Records that a server which was asked at `asked_at` still is the listed start, as are the starts of
+    /// streams that have begun there before.
     pub fn resolve(&mut self, server: &str, asked_at: TimeUs) {
         let is_earlier = |doubt: &Doubt| doubt.noticed_at <= asked_at;
         if self.by_server.get(server).is_some_and(is_earlier) {
             self.by_server.remove(server);
         }
+        self.unproven_streams
+            .retain(|(_, at), stream| at.as_deref() != Some(server) || asked_at < stream.begun_at);
     }
 
     /// Drops what the list, as of `list_at`, shows: another entry of the server, none, or one that the
@@ -196,7 +256,7 @@
             server.is_some_and(|server| doubt.is_about(server)) && list_at <= doubt.settled_by
         });
         self.unproven_streams
-            .retain(|_, at| list_at <= at.after(UNPROVEN_STREAM_MEMORY_US));
+            .retain(|_, stream| list_at <= stream.settled_by);
     }
 
     /// Returns whether nothing is in doubt.
@@ -223,7 +283,15 @@
     /// Returns whether streams of a service have lately begun at a start of unknown version.
     #[must_use]
     pub fn has_unproven_streams(&self, service: &str) -> bool {
-        self.unproven_streams.contains_key(service)
+        self.unproven_streams_of(service).next().is_some()
+    }
+
+    /// Returns the time after which a list must be read to show the versions of such streams of a service;
+    /// `None` if there are none.
+    #[must_use]
+    pub fn unproven_until(&self, service: &str) -> Option<TimeUs> {
+        let streams = self.unproven_streams_of(service);
+        streams.map(|(_, stream)| stream.settled_by).max()
     }
 
     /// Returns whether the rest of a stream may be sent to a server, if its report confirms the start.
--- a/clementinepick/tests/start_doubts.rs
+++ b/clementinepick/tests/start_doubts.rs
@@ -33,6 +33,10 @@
     }
 }
 
+fn just_after(lag: SpanUs) -> TimeUs {
+    TimeUs(NOTICED_AT.after(lag).0 + 1)
+}
+
 fn doubting(server: &BackendServer) -> StartDoubts {
     let mut doubts = StartDoubts::default();
     assert!(doubts.record(NOTICED_AT, server, EndSign::Certain));
@@ -193,16 +197,59 @@
 
 #[test]
 fn streams_of_unknown_version_are_remembered_until_the_list_shows_their_server() {
+    let silent = server("v1", None);
     let mut doubts = StartDoubts::default();
-    assert!(doubts.record_unproven_stream(NOTICED_AT, "models"));
-    assert!(!doubts.record_unproven_stream(NOTICED_AT, "models"));
-    doubts.update(NOTICED_AT, &list(&server("v1", None)));
+    assert!(doubts.record_unproven_stream(NOTICED_AT, &silent));
+    assert!(!doubts.record_unproven_stream(NOTICED_AT, &silent));
+    doubts.update(NOTICED_AT, &list(&silent));
     assert!(doubts.has_unproven_streams("models"));
     assert!(!doubts.has_unproven_streams("plain"));
-    doubts.update(
-        TimeUs(NOTICED_AT.after(LIST_LAG).0 + 1),
-        &list(&server("v1", None)),
-    );
+    assert!(!doubts.has_unproven_streams("a"));
+    doubts.update(just_after(LIST_LAG), &list(&silent));
+    assert!(doubts.is_empty());
+}
+
+/// Guards against streams that are refused for longer than their server is in doubt.
+#[test]
+fn what_settles_the_doubt_of_a_server_settles_the_streams_that_began_there() {
+    let begun_at = NOTICED_AT.after(SpanUs::from_ms(5));
+    let possible = |server: &BackendServer| {
+        let mut doubts = StartDoubts::default();
+        doubts.record(NOTICED_AT, server, EndSign::Possible);
+        doubts.record_unproven_stream(begun_at, server);
+        doubts
+    };
+    let silent = server("v1", None);
+    let mut listed = possible(&silent);
+    listed.update(just_after(POSSIBLE_LAG), &list(&silent));
+    assert!(listed.is_empty());
+    let settled_by = NOTICED_AT.after(POSSIBLE_LAG);
+    let mut proven = possible(&silent);
+    assert_eq!(proven.unproven_until("models"), Some(settled_by));
+    assert_eq!(proven.unproven_until("others"), None);
+    proven.resolve("i-1", NOTICED_AT);
+    assert!(proven.has_unproven_streams("models"), "it began later");
+    proven.resolve("i-2", begun_at);
+    assert!(proven.has_unproven_streams("models"), "another server");
+    proven.resolve("i-1", begun_at);
+    assert!(proven.is_empty());
+    let mut reporting = possible(&server("v1", Some(5)));
+    reporting.update(just_after(POSSIBLE_LAG), &list(&server("v1", Some(5))));
+    assert!(reporting.has_unproven_streams("models"), "it was not asked");
+}
+
+/// Guards against peers that forget such a stream before the server at which it may have begun is settled.
+#[test]
+fn streams_that_began_elsewhere_last_as_long_as_the_doubts_of_their_service() {
+    let silent = server("v1", None);
+    let mut doubts = StartDoubts::default();
+    doubts.record(NOTICED_AT, &silent, EndSign::Possible);
+    doubts.record_unproven_elsewhere(NOTICED_AT, "models", &list(&silent));
+    doubts.record_unproven_elsewhere(NOTICED_AT, "others", &list(&silent));
+    doubts.update(just_after(POSSIBLE_LAG), &list(&silent));
+    assert!(!doubts.has_unproven_streams("models"));
+    assert!(doubts.has_unproven_streams("others"));
+    doubts.update(just_after(LIST_LAG), &list(&silent));
     assert!(doubts.is_empty());
 }
 
--- a/clementinepickd/src/gateway_start.rs
+++ b/clementinepickd/src/gateway_start.rs
@@ -5,8 +5,9 @@
 //! connection therefore holds for all requests on it.
 
 use std::cell::RefMut;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use actix_rt::time::{sleep, timeout};
 use bytes::Bytes;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::server_list::BackendServer;
@@ -19,6 +20,7 @@
 use crate::gateway_shared::Shared;
 use crate::gateway_start_check::StartAnswer;
 use crate::ledger::{from_cbor, to_cbor};
+use crate::link::duration;
 use crate::outbound::Connection;
 use crate::server_probe::ask_start;
 use crate::unix_time::unix_ms;
@@ -26,6 +28,9 @@
 /// The path of calls that tell a peer of servers in doubt.
 pub(crate) const DOUBT_PATH: &str = "/starts/doubt";
 
+/// How much later than a doubt can be settled a list is read.
+const LIST_MARGIN: Duration = Duration::from_millis(1);
+
 /// What a peer should know of the start of a server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum StartNotice {
@@ -148,19 +153,22 @@
     }
 
     /// Records that a stream begins at a start of unknown version.
-    pub(crate) fn record_unproven_stream(&self, service: &str) {
+    pub(crate) fn record_unproven_stream(&self, server: &BackendServer) {
         let now = self.now_us(Instant::now());
-        let is_news = self.start_doubts().record_unproven_stream(now, service);
+        let is_news = self.start_doubts().record_unproven_stream(now, server);
         if is_news {
-            self.notify_peers(StartNotice::UnprovenStream(service.to_owned()));
+            let service = &server.service;
+            self.notify_peers(StartNotice::UnprovenStream(service.clone()));
             self.versions.record_unproven(service, unix_ms());
         }
     }
 
-    /// Applies what an earlier process recorded of such a stream.
+    /// Applies what another process has told or recorded of such a stream.
     pub(crate) fn load_unproven_stream(&self, service: &str, now: Instant) {
         let now = self.now_us(now);
-        self.start_doubts().record_unproven_stream(now, service);
+        let servers = self.directory().servers;
+        let mut doubts = self.start_doubts();
+        doubts.record_unproven_elsewhere(now, service, &servers);
     }
 
     fn notify_peers(&self, notice: StartNotice) {
@@ -174,8 +182,7 @@
                 self.doubt_listed_start(server, DoubtReason::Peer(*sign));
             }
             StartNotice::UnprovenStream(service) => {
-                let now = self.now_us(Instant::now());
-                self.start_doubts().record_unproven_stream(now, service);
+                self.load_unproven_stream(service, Instant::now());
             }
         }
     }
@@ -185,6 +192,21 @@
         self.start_doubts().has_unproven_streams(service)
     }
 
+    /// Waits until the list shows the versions of such streams, for `limit` at most.
+    pub(crate) async fn wait_until_proven(&self, service: &str, limit: Duration) {
+        let now = Instant::now();
+        let until = self.start_doubts().unproven_until(service);
+        let Some(until) = until else {
+            return;
+        };
+        let wait = duration(until.since(self.now_us(now))) + LIST_MARGIN;
+        if wait < limit {
+            sleep(wait).await;
+            // Without a newer list the streams stay unproven.
+            let _ = timeout(limit.saturating_sub(wait), self.wait_for_list(now + wait)).await;
+        }
+    }
+
     /// Finds out whether the server of `slot`, at the other end of `connection`, is the listed start;
     /// fails if it is not and must be.
     pub(crate) async fn prove_start(
--- a/clementinepickd/src/gateway_start_questions.rs
+++ b/clementinepickd/src/gateway_start_questions.rs
@@ -82,7 +82,7 @@
     match shared.judge_answer(&server, said) {
         StartProof::Unanswered => {}
         StartProof::Unproven => {
-            shared.record_unproven_stream(&server.service);
+            shared.record_unproven_stream(&server);
             shared.settle_origin(&attempt, false);
         }
         StartProof::List | StartProof::Connection | StartProof::Report => {
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -344,7 +344,7 @@
         }
         let proof = slot.proof.get();
         if matches!(proof, StartProof::Unproven | StartProof::Unanswered) {
-            self.shared.record_unproven_stream(&slot.server.service);
+            self.shared.record_unproven_stream(&slot.server);
         }
         let proof = if is_asked {
             StartProof::Unanswered
--- a/clementinepickd/src/gateway_version_proof.rs
+++ b/clementinepickd/src/gateway_version_proof.rs
@@ -75,6 +75,7 @@
             let versions = self.service_versions(service, *min_known_us, asked_at, Instant::now());
             VersionProof::new(service, versions)
         };
+        self.wait_until_proven(&query.service, limit).await;
         // Nothing that is read makes several versions one.
         if find() == VersionProof::Several {
             return VersionProof::Several;
