--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -230,6 +230,7 @@
             peer_address: self.settings.peers,
             is_leaving: Arc::clone(&is_leaving),
         };
+        let system = new_system()?;
         let follower = DirectoryThread {
             identity,
             seeds: self.settings.seeds.clone(),
@@ -241,7 +242,7 @@
             metrics: Arc::clone(&metrics),
         };
         let follower = follower.start()?;
-        let served = new_system()?.block_on(LocalSet::new().run_until(async {
+        let served = system.block_on(LocalSet::new().run_until(async {
             let stop = async {
                 let stopped = stop().await;
                 is_leaving.store(true, Ordering::Relaxed);
@@ -374,18 +375,20 @@
 
     /// Accepts connections like [`Self::accept`], after binding `address` if there is no listener yet.
     async fn accept_once_bound(self, bound: Option<StdListener>, mut address: SocketAddr) {
-        let mut bound = bound.and_then(|listener| TcpListener::from_std(listener).ok());
-        while bound.is_none() {
+        let mut listener = bound.map(TcpListener::from_std);
+        loop {
+            match listener {
+                Some(Ok(listener)) => return self.accept(listener).await,
+                Some(Err(err)) => self.shared.log_connection_error(&err),
+                None => {}
+            }
             tokio::select! {
                 () = sleep(METRICS_RETRY_INTERVAL) => {}
                 () = self.shared.wait_for_close() => return,
             }
-            // The first failure has been logged.
-            let listener = listeners::try_listen(&mut address);
-            bound = listener.and_then(TcpListener::from_std).ok();
-        }
-        if let Some(listener) = bound {
-            self.accept(listener).await;
+            // The first failure was logged when the process started.
+            let bound = listeners::try_listen(&mut address).ok();
+            listener = bound.map(TcpListener::from_std);
         }
     }
 
