Start the background tasks and accept loops of a gateway again after a panic

What callers saw: when one of the 16 background tasks or 4 accept loops of a gateway panicked, the process went on without it for good. Its log had one line, its readiness check still said ready. With an accept loop, the connections in progress on that listener were reset and no new one was accepted.

Cause: the tasks were spawned once into a set of which only the panics were logged. A task owned its listener, its connections and the receiver of its queue, so that they were lost with it.

Change: supervised_tasks.rs runs each task under its name. A panic, or a return of a task that never returns, is logged as 902 task_restarted, counted in clementinepick_task_panics_total{task}, and the work starts again after 10 ms, doubling up to 5 s while it does not run for 5 s. Work borrows its queue, listener and connections, which last from one start to the next. Guards are dropped as a panic unwinds, so that no borrow is held. The process is not ready while its loop for callers has ended four times in a row; it does not end by itself, since open connections are served. gateway_endpoint.rs and gateway_tasks.rs are split off gateway.rs. The soak counts 902 as a defect.

--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -205,6 +205,8 @@
     OutputCut = 509, "output_cut", Warning;
     /// An invariant was violated; the affected work was refused.
     InvariantBroken = 901, "invariant_broken", Error;
+    /// A background task panicked or returned unexpectedly; its work starts again after `pause_ms`.
+    TaskRestarted = 902, "task_restarted", Error;
 }
 
 /// An event with its fields.
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -6,7 +6,6 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
-use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -19,34 +18,16 @@
 use slog::Logger;
 use socket2::SockRef;
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::task::{JoinError, JoinSet, LocalSet};
+use tokio::task::LocalSet;
 
-use crate::connections::Connections;
 use crate::directory::{Directory, Identity};
 use crate::directory_thread::{DirectoryThread, new_system};
-use crate::gateway_budget::{maintain_homes, send_token_returns};
-use crate::gateway_connection::{Handler, serve};
-use crate::gateway_ended_upkeep::maintain_ended;
-use crate::gateway_hanging::check_unheard;
-use crate::gateway_loss::settle_losses;
-use crate::gateway_maintenance::run_maintenance;
-use crate::gateway_metrics::{GatewayMetrics, MetricsHandler};
-use crate::gateway_origin_log::{load_recorded_origins, write_origins};
-use crate::gateway_other_runs::watch_stall;
-use crate::gateway_peer::PeerHandler;
-use crate::gateway_peer_updates::send_updates;
-use crate::gateway_peer_watch::watch_peers;
-use crate::gateway_prefetch::{finish_turn_reads, run_prefetch};
-use crate::gateway_request::{CallerHandler, ReadyHandler};
-use crate::gateway_request_log::write_requests;
+use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_settings::GatewaySettings;
 use crate::gateway_shared::Shared;
-use crate::gateway_start_questions::ask_starts;
-use crate::gateway_versions::maintain_versions;
-use crate::input_first::poll_after_input;
+use crate::gateway_tasks::{GatewayTasks, Listeners};
 use crate::link::{duration, to_span};
 use crate::list_refresh::{RefreshSender, refresh_channel};
 use crate::listeners;
@@ -54,19 +35,12 @@
 use crate::logging::{new_logger_to, write_event};
 use crate::safeguard::Safeguard;
 
-/// The backoff after a failed accept, which usually means that file descriptors have run out.
-const ACCEPT_ERROR_BACKOFF: Duration = Duration::from_millis(20);
 /// The sizes of the system's buffers for what a caller sends and for what it is sent, in bytes.
 const RECEIVE_BUFFER_BYTES: usize = 8_192;
 const SEND_BUFFER_BYTES: usize = 65_536;
-/// The interval at which an address for metrics that could not be bound is tried again.
-const METRICS_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a terminating process may take to record the usage of its standing slices and the origins of
 /// its streams. An append takes about 10 ms; if it fails, programs lose a part of their budgets.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
-/// The maximum number of connections that are accepted as the listener closes, as many as the system
-/// holds for it.
-const MAX_WAITING_CONNECTIONS: usize = 4_096;
 /// The interval at which a draining process checks whether its connections are closed.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -109,13 +83,6 @@
     listeners: Listeners,
 }
 
-struct Listeners {
-    callers: StdListener,
-    ready: StdListener,
-    peers: StdListener,
-    metrics: Option<StdListener>,
-}
-
 /// Binds an address that the process needs.
 fn listen(address: &mut SocketAddr, logger: &Logger) -> Result<StdListener, GatewayError> {
     listeners::listen(address, logger).map_err(|error| GatewayError::Listen {
@@ -268,69 +235,16 @@
         let logger = self.logger.clone();
         let (shared, queues) = Shared::new(settings, directory, refresh, logger, metrics, writer);
         let shared = Rc::new(shared);
-        let mut tasks = JoinSet::new();
-        let callers: Rc<dyn Handler> = Rc::new(CallerHandler {
-            shared: Rc::clone(&shared),
-        });
-        let ready: Rc<dyn Handler> = Rc::new(ReadyHandler {
-            shared: Rc::clone(&shared),
-        });
-        let peers: Rc<dyn Handler> = Rc::new(PeerHandler {
-            shared: Rc::clone(&shared),
-        });
-        let metrics: Rc<dyn Handler> = Rc::new(MetricsHandler {
-            shared: Rc::clone(&shared),
-        });
         limit_socket_buffers(&shared, &self.listeners.callers);
-        let connections = &shared.connections;
-        let endpoints = vec![
-            (self.listeners.callers, callers, &connections.callers),
-            (self.listeners.ready, ready, &connections.ready),
-            (self.listeners.peers, peers, &connections.peers),
-        ];
-        if let Some(address) = settings.metrics {
-            let endpoint = Endpoint {
-                shared: Rc::clone(&shared),
-                handler: metrics,
-                connections: Rc::clone(&connections.metrics),
-            };
-            tasks.spawn_local(endpoint.accept_once_bound(self.listeners.metrics, address));
-        }
-        for (listener, handler, connections) in endpoints {
-            let listener = TcpListener::from_std(listener)?;
-            let endpoint = Endpoint {
-                shared: Rc::clone(&shared),
-                handler,
-                connections: Rc::clone(connections),
-            };
-            tasks.spawn_local(endpoint.accept(listener));
-        }
-        tasks.spawn_local(run_maintenance(Rc::clone(&shared), settings.vm.to_string()));
-        tasks.spawn_local(maintain_homes(Rc::clone(&shared)));
-        tasks.spawn_local(run_prefetch(Rc::clone(&shared), queues.prefetch));
-        let unfinished = queues.unfinished_reads;
-        tasks.spawn_local(finish_turn_reads(Rc::clone(&shared), unfinished));
-        tasks.spawn_local(send_token_returns(Rc::clone(&shared), queues.returned));
-        tasks.spawn_local(send_updates(Rc::clone(&shared), queues.updates));
-        tasks.spawn_local(maintain_ended(Rc::clone(&shared)));
-        tasks.spawn_local(check_unheard(Rc::clone(&shared)));
-        tasks.spawn_local(watch_stall(Rc::clone(&shared)));
-        tasks.spawn_local(maintain_versions(Rc::clone(&shared)));
-        tasks.spawn_local(watch_peers(Rc::clone(&shared)));
-        tasks.spawn_local(write_requests(Rc::clone(&shared)));
-        tasks.spawn_local(write_origins(Rc::clone(&shared)));
-        tasks.spawn_local(load_recorded_origins(Rc::clone(&shared)));
-        tasks.spawn_local(settle_losses(Rc::clone(&shared), queues.losses));
-        tasks.spawn_local(ask_starts(Rc::clone(&shared), queues.start_questions));
-        let mut stop = pin!(stop);
-        loop {
-            tokio::select! {
-                stopped = &mut stop => break stopped?,
-                Some(ended) = tasks.join_next() => log_panic(&shared, ended),
-            }
+        let mut tasks = GatewayTasks::new(&shared);
+        tasks.spawn_endpoints(self.listeners, settings.metrics)?;
+        tasks.spawn_upkeep(queues, settings.vm.to_string());
+        tokio::select! {
+            stopped = stop => stopped?,
+            () = tasks.watch() => {}
         }
         drain(&shared, settings).await;
-        tasks.shutdown().await;
+        tasks.shut_down().await;
         Ok(())
     }
 }
@@ -348,90 +262,6 @@
     }
 }
 
-/// What the connections of a listener need.
-struct Endpoint {
-    shared: Rc<Shared>,
-    handler: Rc<dyn Handler>,
-    connections: Rc<Connections>,
-}
-
-impl Endpoint {
-    /// Accepts connections until idle ones are to be closed, then waits for the remaining ones.
-    async fn accept(self, listener: TcpListener) {
-        let mut tasks = JoinSet::new();
-        loop {
-            tokio::select! {
-                accepted = listener.accept() => self.handle_accepted(accepted, &mut tasks).await,
-                Some(ended) = tasks.join_next() => log_panic(&self.shared, ended),
-                () = self.shared.wait_for_close() => break,
-            }
-        }
-        self.accept_waiting(&listener, &mut tasks).await;
-        drop(listener);
-        while let Some(ended) = tasks.join_next().await {
-            log_panic(&self.shared, ended);
-        }
-    }
-
-    /// Accepts connections like [`Self::accept`], after binding `address` if there is no listener yet.
-    async fn accept_once_bound(self, bound: Option<StdListener>, mut address: SocketAddr) {
-        let mut listener = bound.map(TcpListener::from_std);
-        loop {
-            match listener {
-                Some(Ok(listener)) => return self.accept(listener).await,
-                Some(Err(err)) => self.shared.log_connection_error(&err),
-                None => {}
-            }
-            tokio::select! {
-                () = sleep(METRICS_RETRY_INTERVAL) => {}
-                () = self.shared.wait_for_close() => return,
-            }
-            // The first failure was logged when the process started.
-            let bound = listeners::try_listen(&mut address).ok();
-            listener = bound.map(TcpListener::from_std);
-        }
-    }
-
-    /// Accepts the connections that are open already: their callers may have sent requests, which closing
-    /// the listener would reset.
-    async fn accept_waiting(&self, listener: &TcpListener, tasks: &mut JoinSet<()>) {
-        for _ in 0..MAX_WAITING_CONNECTIONS {
-            let Some(accepted) = poll_after_input(pin!(listener.accept())).await else {
-                return;
-            };
-            self.handle_accepted(accepted, tasks).await;
-        }
-    }
-
-    async fn handle_accepted(
-        &self,
-        accepted: io::Result<(TcpStream, SocketAddr)>,
-        tasks: &mut JoinSet<()>,
-    ) {
-        let now = Instant::now();
-        match accepted {
-            Ok((stream, _)) => {
-                let connection = self.connections.open(now);
-                let (shared, handler) = (Rc::clone(&self.shared), Rc::clone(&self.handler));
-                tasks.spawn_local(serve(shared, handler, stream, connection));
-                self.connections.wait_for_leaving().await;
-            }
-            Err(err) => {
-                self.shared.log_connection_error(&err);
-                self.shared.connections.callers.make_room(now);
-                sleep(ACCEPT_ERROR_BACKOFF).await;
-            }
-        }
-    }
-}
-
-/// Logs the panic of a task, which would otherwise show only by what is missing.
-fn log_panic(shared: &Shared, ended: Result<(), JoinError>) {
-    if let Err(err) = ended {
-        shared.log(&Event::new(EventKind::InvariantBroken).with("detail", err));
-    }
-}
-
 /// Returns on SIGTERM or SIGINT; SIGHUP is only logged.
 async fn wait_for_signal(logger: Logger) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
--- a/clementinepickd/src/gateway_budget.rs
+++ b/clementinepickd/src/gateway_budget.rs
@@ -357,7 +357,7 @@
 /// Returns unused tokens to the homes that lent them, until the sender is dropped.
 pub(crate) async fn send_token_returns(
     shared: Rc<Shared>,
-    mut returned: mpsc::Receiver<TokenReturn>,
+    returned: &mut mpsc::Receiver<TokenReturn>,
 ) {
     let mut batch = Vec::with_capacity(RETURN_BATCH_SIZE);
     while returned.recv_many(&mut batch, RETURN_BATCH_SIZE).await > 0 {
--- a/clementinepickd/src/gateway_loss.rs
+++ b/clementinepickd/src/gateway_loss.rs
@@ -179,7 +179,7 @@
 /// Checks the runs that were given up, until the sender is dropped.
 pub(crate) async fn settle_losses(
     shared: Rc<Shared>,
-    mut queue: mpsc::UnboundedReceiver<OpenLoss>,
+    queue: &mut mpsc::UnboundedReceiver<OpenLoss>,
 ) {
     let mut settling = JoinSet::new();
     loop {
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -96,6 +96,13 @@
         });
     }
 
+    /// Counts a panic or an unexpected end of a task, or of a part of its work.
+    pub(crate) fn count_task_panic(&self, task: &'static str) {
+        with_local_recorder(&self.recorder, || {
+            counter!("clementinepick_task_panics_total", "task" => task).increment(1);
+        });
+    }
+
     /// Counts an attempt of a store call and records its duration.
     pub(crate) fn count_store_call(
         &self,
@@ -240,6 +247,7 @@
     let state = json!({
         "is_ready": shared.is_ready(now),
         "is_draining": shared.is_draining(),
+        "failing_tasks": shared.tasks.failing(now),
         "config_version": directory.config.as_ref().map(|config| config.version),
         "lists_age_ms": age_ms,
         "store": {
--- a/clementinepickd/src/gateway_peer_updates.rs
+++ b/clementinepickd/src/gateway_peer_updates.rs
@@ -58,7 +58,7 @@
 /// no other.
 pub(crate) async fn send_updates(
     shared: Rc<Shared>,
-    mut queue: mpsc::UnboundedReceiver<PeerUpdate>,
+    queue: &mut mpsc::UnboundedReceiver<PeerUpdate>,
 ) {
     let mut calls = JoinSet::new();
     let mut updates = Vec::with_capacity(BATCH_SIZE);
--- a/clementinepickd/src/gateway_prefetch.rs
+++ b/clementinepickd/src/gateway_prefetch.rs
@@ -48,7 +48,7 @@
 }
 
 /// Reserves queued slices one at a time until the sender is dropped.
-pub(crate) async fn run_prefetch(shared: Rc<Shared>, mut queue: mpsc::Receiver<PrefetchRequest>) {
+pub(crate) async fn run_prefetch(shared: Rc<Shared>, queue: &mut mpsc::Receiver<PrefetchRequest>) {
     while let Some(queued) = queue.recv().await {
         let request = BudgetRequest {
             program: &queued.program,
@@ -72,7 +72,7 @@
 ///
 /// A caller that has given up comes back soon. Without this, a chain that takes longer than any of
 /// its tries would be read only during them.
-pub(crate) async fn finish_turn_reads(shared: Rc<Shared>, mut queue: mpsc::Receiver<String>) {
+pub(crate) async fn finish_turn_reads(shared: Rc<Shared>, queue: &mut mpsc::Receiver<String>) {
     let mut reads = JoinSet::new();
     loop {
         tokio::select! {
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -38,6 +38,7 @@
 use crate::gateway_settings::GatewaySettings;
 use crate::gateway_start_evidence::StartConfirmations;
 use crate::gateway_start_questions::{StartQuestion, StartQuestionSender};
+use crate::gateway_tasks::ACCEPT_CALLERS_TASK;
 use crate::gateway_versions::VersionRecords;
 use crate::ledger::LedgerStore;
 use crate::ledger_budgets::Budgets;
@@ -51,6 +52,7 @@
 use crate::response_memory::ResponseMemory;
 use crate::signal::Signal;
 use crate::store::StoreClient;
+use crate::supervised_tasks::TaskSupervisor;
 
 /// The maximum age of the configuration and the server list of a ready process. With older ones, it
 /// would send requests to servers that have left and refuse new programs, although another process
@@ -91,6 +93,8 @@
     listed_versions: RefCell<ListedVersions>,
     pub(crate) versions: VersionRecords,
     pub(crate) metrics: Arc<GatewayMetrics>,
+    /// Restarts the tasks of this thread.
+    pub(crate) tasks: TaskSupervisor,
     pub(crate) retries: RefCell<BTreeMap<String, RetryBudget>>,
     /// What the connections to this process hold, by listener.
     pub(crate) connections: ListenerConnections,
@@ -189,6 +193,7 @@
             limits: RefCell::default(),
             listed_versions: RefCell::default(),
             versions: VersionRecords::default(),
+            tasks: TaskSupervisor::new(logger.clone(), Arc::clone(&metrics)),
             metrics,
             retries: RefCell::default(),
             connections: ListenerConnections::new(settings, Instant::now()),
@@ -394,7 +399,9 @@
         let is_fresh = directory
             .as_of()
             .is_some_and(|at| now.saturating_duration_since(at) < MAX_DIRECTORY_AGE);
-        !self.is_draining() && directory.config.is_some() && is_fresh && self.ended.is_loaded()
+        let has_read = directory.config.is_some() && is_fresh && self.ended.is_loaded();
+        let accepts_callers = !self.tasks.is_failing(ACCEPT_CALLERS_TASK, now);
+        !self.is_draining() && has_read && accepts_callers
     }
 
     /// Returns how many connections this process may open to one server of a service. Its share of
--- a/clementinepickd/src/gateway_start_questions.rs
+++ b/clementinepickd/src/gateway_start_questions.rs
@@ -45,7 +45,7 @@
 /// Asks servers until the sender is dropped.
 pub(crate) async fn ask_starts(
     shared: Rc<Shared>,
-    mut queue: mpsc::UnboundedReceiver<StartQuestion>,
+    queue: &mut mpsc::UnboundedReceiver<StartQuestion>,
 ) {
     let mut questions = JoinSet::new();
     loop {
--- a/standins/src/soak_watch.rs
+++ b/standins/src/soak_watch.rs
@@ -16,9 +16,11 @@
 /// The connections beyond the limit that are open until their callers have read a refusal.
 const MAX_LEAVING: usize = 128;
 const WATCH_INTERVAL: Duration = Duration::from_millis(50);
+/// What lines of a log have in them that report a defect.
+const DEFECTS: [&str; 3] = ["invariant_broken", "task_restarted", " panicked at "];
 
 impl SoakWorld {
-    /// Returns the lines of the gateways' logs that report a panic or a broken invariant.
+    /// Returns the lines of the gateways' logs that report a panic, an ended task or a broken invariant.
     ///
     /// # Errors
     ///
@@ -30,7 +32,7 @@
             let log = std::fs::read_to_string(log)?;
             let defects = log
                 .lines()
-                .filter(|line| line.contains("invariant_broken") || line.contains(" panicked at "));
+                .filter(|line| DEFECTS.iter().any(|defect| line.contains(defect)));
             found.extend(defects.map(|line| format!("gateway {number} reports: {line}")));
         }
         Ok(found)
