Report panics in parts of a gateway's background work, and begin watches, checks and reads again

What operators saw: nothing. A panic in a task that a background task had started (the watch of a peer, the report of a lost one, the check of a server, of a run that was given up, the load after a stall, the read of a chain, a question for a start, a call with updates) was in no log. The peer stayed marked as watched and the server as checked, so that neither was looked at again for as long as the process ran; what the lost peer ran and what a stall had missed was never read.

Cause: the results of 8 sets of tasks were dropped, or only successful ones were looked at.

A watch and a check return their peer or server in any case, after a pause; the report of a loss, the load after a stall and the check of a run are tried 3 times, after 250 and 500 ms. Each joined result is looked at.

--- a/clementinepickd/src/gateway_hanging.rs
+++ b/clementinepickd/src/gateway_hanging.rs
@@ -23,6 +23,8 @@
 const HANG_CHECKS: u32 = 2;
 /// How often servers are looked for that are to be checked, or have been heard.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// The name in logs and metrics of the check of a server.
+const CHECK_PART: &str = "server_check";
 /// The number of processes that check a server; they tell the others.
 const CHECKERS: usize = 3;
 
@@ -32,9 +34,10 @@
     let mut checks = JoinSet::new();
     loop {
         tokio::select! {
-            // A check does not panic, and is not aborted.
-            Some(Ok(server)) = checks.join_next() => {
-                checked.remove(&server);
+            Some(ended) = checks.join_next() => {
+                if let Some(server) = shared.tasks.joined(CHECK_PART, ended) {
+                    checked.remove(&server);
+                }
             }
             () = sleep(CHECK_INTERVAL) => {}
         }
@@ -44,7 +47,10 @@
             }
             let shared = Rc::clone(&shared);
             checks.spawn_local(async move {
-                check(&shared, &server).await;
+                let checked = shared.tasks.contain(CHECK_PART, check(&shared, &server));
+                if checked.await.is_none() {
+                    sleep(duration(HANG_CHECK_US)).await;
+                }
                 server
             });
         }
--- a/clementinepickd/src/gateway_loss.rs
+++ b/clementinepickd/src/gateway_loss.rs
@@ -25,6 +25,9 @@
 /// sent something just before it fell silent, and work on the run for longer.
 const LEFT_CHECK_PAUSES: [Duration; 2] = [Duration::from_millis(250), Duration::from_millis(2_250)];
 
+/// The name in logs and metrics of the check of a run that was given up.
+const CHECK_PART: &str = "left_server";
+
 /// A run whose outcome is not known.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct OpenLoss {
@@ -189,9 +192,14 @@
                     break;
                 };
                 let shared = Rc::clone(&shared);
-                settling.spawn_local(async move { check_left(&shared, &loss).await });
+                settling.spawn_local(async move {
+                    let check = async || check_left(&shared, &loss).await;
+                    shared.tasks.retry(CHECK_PART, check).await;
+                });
+            }
+            Some(ended) = settling.join_next() => {
+                shared.tasks.joined(CHECK_PART, ended);
             }
-            Some(_) = settling.join_next() => {}
         }
     }
     settling.shutdown().await;
--- a/clementinepickd/src/gateway_other_runs.rs
+++ b/clementinepickd/src/gateway_other_runs.rs
@@ -26,6 +26,8 @@
 /// by then.
 const STALL_WAIT: Duration = Duration::from_millis(100);
 
+/// The name in logs and metrics of the load after a stall.
+const LOAD_PART: &str = "stall_load";
 /// How often it is noted that this process runs.
 const ACTIVE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -73,10 +75,16 @@
         let stall = &shared.ended.stall;
         stall.record_active(Instant::now());
         if loads.is_empty() && stall.is_load_due.replace(false) {
-            loads.spawn_local(reload_all(Rc::clone(&shared)));
+            let shared = Rc::clone(&shared);
+            loads.spawn_local(async move {
+                let load = async || reload_all(Rc::clone(&shared)).await;
+                shared.tasks.retry(LOAD_PART, load).await;
+            });
         }
         tokio::select! {
-            Some(_) = loads.join_next() => {}
+            Some(ended) = loads.join_next() => {
+                shared.tasks.joined(LOAD_PART, ended);
+            }
             () = sleep(ACTIVE_INTERVAL) => {}
         }
     }
--- a/clementinepickd/src/gateway_peer_updates.rs
+++ b/clementinepickd/src/gateway_peer_updates.rs
@@ -21,6 +21,8 @@
 
 /// How long a peer may take to take an update, which no caller waits for.
 const UPDATE_TIMEOUT: Duration = Duration::from_millis(250);
+/// The name in logs and metrics of the calls with a batch.
+const CALL_PART: &str = "peer_update_call";
 /// The maximum number of updates in one batch.
 const BATCH_SIZE: usize = 64;
 
@@ -69,10 +71,15 @@
                     break;
                 }
                 for (peer, batch) in group_by_peer(&shared, updates.drain(..)) {
-                    calls.spawn_local(send_batch(Rc::clone(&shared), peer, batch));
+                    let shared = Rc::clone(&shared);
+                    calls.spawn_local(async move {
+                        shared.tasks.contain(CALL_PART, send_batch(&shared, peer, batch)).await;
+                    });
                 }
             }
-            Some(_) = calls.join_next() => {}
+            Some(ended) = calls.join_next() => {
+                shared.tasks.joined(CALL_PART, ended);
+            }
         }
     }
     calls.shutdown().await;
@@ -120,28 +127,28 @@
     batches
 }
 
-async fn send_batch(shared: Rc<Shared>, peer: SocketAddr, batch: Batch) {
+async fn send_batch(shared: &Shared, peer: SocketAddr, batch: Batch) {
     if !batch.starts.is_empty() {
         // A peer that misses it still asks servers that report their start times before it sends them the
         // rest of a stream.
-        let _ = send(&shared, peer, DOUBT_PATH, to_cbor(&batch.starts)).await;
+        let _ = send(shared, peer, DOUBT_PATH, to_cbor(&batch.starts)).await;
     }
     if !batch.confirmed.is_empty() {
         // A peer that misses it finds out by itself, or asks.
-        let _ = send(&shared, peer, CONFIRMED_PATH, to_cbor(&batch.confirmed)).await;
+        let _ = send(shared, peer, CONFIRMED_PATH, to_cbor(&batch.confirmed)).await;
     }
-    if !batch.origins.is_empty() && !send(&shared, peer, HOLD_PATH, to_cbor(&batch.origins)).await {
+    if !batch.origins.is_empty() && !send(shared, peer, HOLD_PATH, to_cbor(&batch.origins)).await {
         shared.metrics.count_lost_origins(batch.origins.len());
     }
     // A request may have been answered meanwhile.
     let requests = shared.known_requests(&batch.requests, Instant::now());
     if !requests.is_empty() {
         // A peer that does not hear of it loads what others know.
-        let _ = send_request::<bool>(&shared, peer, ENDED_HOLD_PATH, to_cbor(&requests)).await;
+        let _ = send_request::<bool>(shared, peer, ENDED_HOLD_PATH, to_cbor(&requests)).await;
     }
     if !batch.over.is_empty() {
         // A run that a peer takes for open expires at the deadline of its caller.
-        let _ = send(&shared, peer, OVER_PATH, to_cbor(&batch.over)).await;
+        let _ = send(shared, peer, OVER_PATH, to_cbor(&batch.over)).await;
     }
 }
 
--- a/clementinepickd/src/gateway_peer_watch.rs
+++ b/clementinepickd/src/gateway_peer_watch.rs
@@ -35,6 +35,9 @@
 /// The same in the first second, in which the peers become known.
 const START_INTERVAL: Duration = Duration::from_millis(20);
 const START_TIME: Duration = Duration::from_secs(1);
+/// The names in logs and metrics of the watch of a peer, and of what is done once it is lost.
+const WATCH_PART: &str = "peer_watch_call";
+const LOST_PART: &str = "lost_peer";
 /// The longest response with the id of an instance, in bytes.
 const MAX_INSTANCE_BYTES: usize = 1_024;
 /// How long connecting to a peer and telling it of a loss may take.
@@ -51,6 +54,8 @@
     Reset,
     /// The connection broke, and the instance does not respond.
     Lost,
+    /// The watch panicked.
+    Panicked,
 }
 
 /// The peers that this process is to watch, and those that it does not reach.
@@ -97,14 +102,17 @@
     /// Records the end of a watch; returns whether it is the first sign that the peer is lost.
     fn record_end(&mut self, peer: SocketAddr, end: WatchEnd) -> bool {
         self.watched.remove(&peer);
-        if end == WatchEnd::Reset {
-            return false;
-        }
-        let is_new = self.unreached.insert(peer);
         match end {
-            WatchEnd::Unreached => is_new,
-            WatchEnd::Answered | WatchEnd::Reset => false,
-            WatchEnd::Lost => true,
+            WatchEnd::Unreached => self.unreached.insert(peer),
+            WatchEnd::Answered => {
+                self.unreached.insert(peer);
+                false
+            }
+            WatchEnd::Lost => {
+                self.unreached.insert(peer);
+                true
+            }
+            WatchEnd::Reset | WatchEnd::Panicked => false,
         }
     }
 }
@@ -118,9 +126,10 @@
     loop {
         peers.update(shared.ended_peers(Instant::now()), shared.peer_address);
         for (peer, delay) in peers.start() {
+            let shared = Rc::clone(&shared);
             watches.spawn_local(async move {
                 sleep(delay).await;
-                (peer, watch(peer).await)
+                (peer, watch_contained(&shared, peer).await)
             });
         }
         let interval = if started_at.elapsed() < START_TIME {
@@ -129,20 +138,32 @@
             WATCH_INTERVAL
         };
         tokio::select! {
-            // A watch does not panic, and is not aborted.
-            Some(Ok((peer, end))) = watches.join_next() => {
-                if peers.record_end(peer, end) {
+            Some(ended) = watches.join_next() => {
+                let ended = shared.tasks.joined(WATCH_PART, ended);
+                let lost = ended.filter(|(peer, end)| peers.record_end(*peer, *end));
+                if let Some((peer, _)) = lost {
                     let event = Event::new(EventKind::GatewayLost).with("peer", peer);
                     shared.log(&event);
                     reads.spawn_local(report_lost(Rc::clone(&shared)));
                 }
             }
-            Some(_) = reads.join_next() => {}
+            Some(ended) = reads.join_next() => {
+                shared.tasks.joined(LOST_PART, ended);
+            }
             () = sleep(interval) => {}
         }
     }
 }
 
+/// Watches a peer; a watch that panics ends after the pause between two watches.
+async fn watch_contained(shared: &Shared, peer: SocketAddr) -> WatchEnd {
+    let watched = shared.tasks.contain(WATCH_PART, watch(peer)).await;
+    if watched.is_none() {
+        sleep(WATCH_INTERVAL).await;
+    }
+    watched.unwrap_or(WatchEnd::Panicked)
+}
+
 async fn watch(peer: SocketAddr) -> WatchEnd {
     let opened = Connection::open(peer, CALL_TIMEOUT, Instant::now()).await;
     let Ok(mut connection) = opened else {
@@ -197,6 +218,11 @@
 
 /// Reads what a lost peer ran, and tells the peers that did not watch it.
 async fn report_lost(shared: Rc<Shared>) {
+    let report = async || tell_and_read(&shared).await;
+    shared.tasks.retry(LOST_PART, report).await;
+}
+
+async fn tell_and_read(shared: &Rc<Shared>) {
     let peers = shared.ended_peers(Instant::now());
     let told = if peers.len() > WATCHERS {
         &peers[..]
@@ -209,7 +235,7 @@
             body: to_cbor(&()),
             limit: CALL_TIMEOUT,
         };
-        call_peer::<()>(&shared, *peer, call)
+        call_peer::<()>(shared, *peer, call)
     });
     let reading = shared.reload_requests();
     futures_util::join!(join_all(calls), reading);
--- a/clementinepickd/src/gateway_prefetch.rs
+++ b/clementinepickd/src/gateway_prefetch.rs
@@ -20,6 +20,8 @@
 /// How long a chain is read that no request waits for, in all and without a response of the store.
 const CHAIN_TIMEOUT: Duration = Duration::from_secs(10);
 const CHAIN_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+/// The name in logs and metrics of the read of a chain.
+const READ_PART: &str = "turn_read";
 /// The maximum number of chains that are read at the same time while no request waits for them.
 const MAX_BACKGROUND_CHAINS: usize = 8;
 
@@ -78,18 +80,23 @@
         tokio::select! {
             queued = queue.recv(), if reads.len() < MAX_BACKGROUND_CHAINS => {
                 let Some(id) = queued else { break };
-                reads.spawn_local(finish_turn_read(Rc::clone(&shared), id));
+                let shared = Rc::clone(&shared);
+                reads.spawn_local(async move {
+                    shared.tasks.contain(READ_PART, finish_turn_read(&shared, &id)).await;
+                });
+            }
+            Some(ended) = reads.join_next() => {
+                shared.tasks.joined(READ_PART, ended);
             }
-            Some(_) = reads.join_next() => {}
         }
     }
     reads.shutdown().await;
 }
 
-async fn finish_turn_read(shared: Rc<Shared>, id: String) {
+async fn finish_turn_read(shared: &Shared, id: &str) {
     let wait = TurnWait {
         idle_limit: CHAIN_IDLE_TIMEOUT,
         deadline: Instant::now() + CHAIN_TIMEOUT,
     };
-    shared.turns.continue_read(&id, wait).await;
+    shared.turns.continue_read(id, wait).await;
 }
--- a/clementinepickd/src/gateway_start_questions.rs
+++ b/clementinepickd/src/gateway_start_questions.rs
@@ -26,6 +26,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// How long a server is asked in all: gateways that resume the stream later ask it themselves.
 const MAX_TIME: Duration = Duration::from_secs(10);
+/// The name in logs and metrics of a question.
+const QUESTION_PART: &str = "start_question";
 /// The maximum number of questions at the same time; a stream beyond it is asked for when it is resumed.
 const MAX_QUESTIONS: usize = 512;
 
@@ -55,17 +57,22 @@
                     break;
                 };
                 if questions.len() < MAX_QUESTIONS {
-                    questions.spawn_local(settle(Rc::clone(&shared), question));
+                    let shared = Rc::clone(&shared);
+                    questions.spawn_local(async move {
+                        shared.tasks.contain(QUESTION_PART, settle(&shared, question)).await;
+                    });
                 }
             }
-            Some(_) = questions.join_next() => {}
+            Some(ended) = questions.join_next() => {
+                shared.tasks.joined(QUESTION_PART, ended);
+            }
         }
     }
     questions.shutdown().await;
 }
 
 /// Asks the server of a stream, and records where the stream began.
-async fn settle(shared: Rc<Shared>, question: StartQuestion) {
+async fn settle(shared: &Shared, question: StartQuestion) {
     let StartQuestion {
         attempt,
         server,
@@ -75,7 +82,7 @@
         return;
     };
     let until = Instant::now() + MAX_TIME;
-    let said = match ask_until(&shared, start, until).await {
+    let said = match ask_until(shared, start, until).await {
         Some(report) => StartAnswer::Report(report),
         None => StartAnswer::Silent,
     };
--- a/clementinepickd/src/gateway_tests.rs
+++ b/clementinepickd/src/gateway_tests.rs
@@ -30,10 +30,10 @@
 
 /// The log of a gateway.
 #[derive(Clone, Default)]
-struct Log(Arc<Mutex<Vec<u8>>>);
+pub(crate) struct Log(Arc<Mutex<Vec<u8>>>);
 
 impl Log {
-    fn text(&self) -> String {
+    pub(crate) fn text(&self) -> String {
         let bytes = self.0.lock().expect("a log").clone();
         String::from_utf8(bytes).expect("a text")
     }
@@ -69,7 +69,7 @@
     log.text()
 }
 
-async fn wait_until(mut is_met: impl FnMut() -> bool) -> bool {
+pub(crate) async fn wait_until(mut is_met: impl FnMut() -> bool) -> bool {
     let until = Instant::now() + WAIT;
     while !is_met() && Instant::now() < until {
         sleep(CHECK_INTERVAL).await;
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -121,6 +121,8 @@
 mod store;
 mod store_attempt;
 mod supervised_tasks;
+#[cfg(test)]
+mod task_parts_tests;
 mod tasks;
 mod telemetry;
 mod topic_watch;
--- a/clementinepickd/src/supervised_tasks.rs
+++ b/clementinepickd/src/supervised_tasks.rs
@@ -17,6 +17,11 @@
 use crate::logging::write_event;
 use crate::restart_pacing::RestartPacing;
 
+/// How often a part of a task's work is begun at most.
+const MAX_TRIES: u32 = 3;
+/// The pause after its first panic; it doubles with each further one.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
 /// Whether a task may return.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Completion {
@@ -96,6 +101,38 @@
         failing.map(|(task, _)| *task).collect()
     }
 
+    /// Runs a part of a task's work; reports its panic and returns `None` then.
+    pub(crate) async fn contain<T>(
+        &self,
+        task: &'static str,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        match catch(task, work).await {
+            Ok(output) => Some(output),
+            Err(detail) => {
+                self.record_panic(task, &detail);
+                None
+            }
+        }
+    }
+
+    /// Runs a part of a task's work like [`Self::contain`], a few times if it panics.
+    pub(crate) async fn retry<T>(
+        &self,
+        task: &'static str,
+        mut work: impl AsyncFnMut() -> T,
+    ) -> Option<T> {
+        let mut pause = RETRY_PAUSE;
+        for _ in 1..MAX_TRIES {
+            if let Some(output) = self.contain(task, work()).await {
+                return Some(output);
+            }
+            sleep(pause).await;
+            pause *= 2;
+        }
+        self.contain(task, work()).await
+    }
+
     /// Returns the output of a joined part of a task's work; reports its panic and returns `None` then.
     pub(crate) fn joined<T>(&self, task: &'static str, ended: Result<T, JoinError>) -> Option<T> {
         match ended {
@@ -216,6 +253,21 @@
         });
     }
 
+    /// Guards against a part of the work that panics each time and is begun for ever.
+    #[test]
+    fn a_part_of_the_work_is_given_up_after_a_few_tries() {
+        let tries = Cell::new(0);
+        System::new().block_on(async {
+            let work = async || {
+                tries.set(tries.get() + 1);
+                panic!("it always panics");
+            };
+            let output: Option<()> = supervisor().retry("part", work).await;
+            assert_eq!(output, None);
+        });
+        assert_eq!(tries.get(), MAX_TRIES);
+    }
+
     #[test]
     fn a_task_that_panics_again_and_again_counts_as_failing() {
         let supervisor = supervisor();
