Write why a process ends by itself as the last line of its log

Operators saw logs that end with process_started, or are empty, of processes that had ended: an error went only to the standard error, as did a panic, and queued lines were lost if a thread still held the log.

With 10 to 18 descriptors a gateway ended with 1 after process_started as the last line, with 16 without any line: the thread that follows the store still held the log as main returned. An entry with 9 to 26 descriptors ended with 1 or 101 and an empty log, with 27 and 28 with 101 after shutdown_finished. Without memory for the thread of the log (ulimit -v 34000) a gateway panicked: 101, no line.

Now process_failed (109) with the error is the last line of each end by itself in all roles, with invalid settings too, and the code is 1 (2 for settings). thread_panicked (110) has the thread, location and message of a panic of any thread or task. The log is closed by a guard that writes the queue whoever holds a clone, lines are written directly if no thread can be had, and a logger whose queue is closed loses lines instead of panicking. The standard output is used without a copy of its descriptor. The soak counts lines of 109 and 110 as defects.

An abort (no memory, a stack overflow), SIGKILL and other signals that end a process leave no line; only what was written before is there.

--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -85,6 +85,10 @@
     AddressUnavailable = 107, "address_unavailable", Warning;
     /// `count` lines before this one could not be written.
     LogLinesLost = 108, "log_lines_lost", Warning;
+    /// The process ends by itself, for `error`.
+    ProcessFailed = 109, "process_failed", Error;
+    /// A thread or a task on it panicked with `message` at `location`.
+    ThreadPanicked = 110, "thread_panicked", Error;
     /// A link came up.
     LinkUp = 201, "link_up", Info;
     /// A link went down.
--- a/clementinepickd/src/daemon.rs
+++ b/clementinepickd/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::control::{Control, Inputs, Outputs, ShutdownRequests};
 use crate::control_messages::{CONTROL_QUEUE_CAPACITY, ControlSender};
 use crate::http::HttpContext;
+use crate::process_log::ProcessLog;
 use crate::role_logic::new_role_logic;
 use crate::settings::{Settings, SettingsConflict};
 use crate::telemetry::Telemetry;
@@ -71,6 +72,12 @@
 }
 
 impl Daemon {
+    /// Opens the log of a new process at the standard output.
+    #[must_use]
+    pub fn open_log(settings: &Settings) -> ProcessLog {
+        ProcessLog::open(settings.log_level, &settings.vm, incarnation(settings))
+    }
+
     /// Starts a process; it is listening when this returns.
     ///
     /// # Errors
@@ -78,9 +85,27 @@
     /// Returns an error when the settings are inconsistent, an address can't be bound, or a thread
     /// can't be started.
     pub fn start(settings: Settings) -> Result<Self, StartError> {
+        let incarnation = incarnation(&settings);
+        let logger = logging::new_logger(settings.log_level, &settings.vm, incarnation);
+        Self::start_with(settings, logger, incarnation)
+    }
+
+    /// Starts a process like [`Self::start`] that logs to `log`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the settings are inconsistent, an address can't be bound, or a thread
+    /// can't be started.
+    pub fn start_logging_to(settings: Settings, log: &ProcessLog) -> Result<Self, StartError> {
+        Self::start_with(settings, log.logger().clone(), log.incarnation())
+    }
+
+    fn start_with(
+        settings: Settings,
+        logger: Logger,
+        incarnation: Incarnation,
+    ) -> Result<Self, StartError> {
         settings.check()?;
-        let incarnation = settings.incarnation.unwrap_or_else(incarnation_from_clock);
-        let logger = logging::new_logger(settings.log_level, &settings.vm, incarnation)?;
         let (link_listener, link_address) = listen(settings.link_address, &logger)?;
         let (http_listener, http_address) = listen(settings.http_address, &logger)?;
         let telemetry = Telemetry::new()?;
@@ -266,6 +291,10 @@
     }
 }
 
+fn incarnation(settings: &Settings) -> Incarnation {
+    settings.incarnation.unwrap_or_else(incarnation_from_clock)
+}
+
 /// Returns an incarnation greater than all earlier ones on this VM, unless its clock was set back.
 fn incarnation_from_clock() -> Incarnation {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -50,8 +50,8 @@
 use crate::link::{duration, to_span};
 use crate::list_refresh::{RefreshSender, refresh_channel};
 use crate::listeners;
-use crate::log_output::StandardOutput;
 use crate::logging::{new_logger_to, write_event};
+use crate::process_log::ProcessLog;
 use crate::safeguard::Safeguard;
 
 /// The backoff after a failed accept, which usually means that file descriptors have run out.
@@ -137,29 +137,45 @@
 }
 
 impl Gateway {
-    /// Binds all addresses and logs to the standard output. If it is slow or blocks, log lines are dropped
+    /// Opens the log of a new process at the standard output. If it is slow or blocks, log lines are dropped
     /// and counted.
+    #[must_use]
+    pub fn open_log(settings: &GatewaySettings) -> ProcessLog {
+        let incarnation = Incarnation(rand::random());
+        ProcessLog::open(settings.log_level, &settings.vm, incarnation)
+    }
+
+    /// Binds all addresses and logs to `log`.
+    ///
+    /// Addresses that are in use or not set up yet are waited for; metrics are served later if theirs is.
     ///
     /// # Errors
     ///
     /// Returns an error if an address other than that of metrics cannot be bound.
-    pub fn bind(settings: GatewaySettings) -> Result<Self, GatewayError> {
-        Self::bind_logging_to(StandardOutput::open()?, settings)
+    pub fn bind(settings: GatewaySettings, log: &ProcessLog) -> Result<Self, GatewayError> {
+        Self::bind_with(settings, log.logger().clone(), log.incarnation())
     }
 
-    /// Binds all addresses and logs to `output`. If `output` is slow, log lines are dropped and counted.
-    ///
-    /// Addresses that are in use or not set up yet are waited for; metrics are served later if theirs is.
+    /// Binds all addresses like [`Self::bind`] and logs to `output`. If `output` is slow, log lines are
+    /// dropped and counted.
     ///
     /// # Errors
     ///
     /// Returns an error if an address other than that of metrics cannot be bound.
     pub fn bind_logging_to<W: io::Write + Send + 'static>(
         output: W,
-        mut settings: GatewaySettings,
+        settings: GatewaySettings,
     ) -> Result<Self, GatewayError> {
         let incarnation = Incarnation(rand::random());
         let logger = new_logger_to(output, settings.log_level, &settings.vm, incarnation);
+        Self::bind_with(settings, logger, incarnation)
+    }
+
+    fn bind_with(
+        mut settings: GatewaySettings,
+        logger: Logger,
+        incarnation: Incarnation,
+    ) -> Result<Self, GatewayError> {
         // Callers connect as soon as their address is bound, so that it comes last.
         let peers = listen(&mut settings.peers, &logger)?;
         let ready = listen(&mut settings.ready, &logger)?;
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -100,6 +100,7 @@
 mod outbound_pool;
 mod partition_reader;
 mod plain_client;
+pub mod process_log;
 mod process_registry;
 mod request_body;
 mod response_body;
--- a/clementinepickd/src/log_output.rs
+++ b/clementinepickd/src/log_output.rs
@@ -1,8 +1,6 @@
 //! Writes log lines whole or not at all, and never waits long for whoever reads them.
 
-use std::fs::File;
-use std::io::{self, ErrorKind, Write};
-use std::os::fd::AsFd;
+use std::io::{self, ErrorKind, Stdout, Write};
 use std::time::Duration;
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -16,18 +14,18 @@
 /// after that until it takes bytes again.
 #[derive(Debug)]
 pub(crate) struct StandardOutput {
-    file: File,
+    /// Only its descriptor is used: writes pass by its buffer.
+    stdout: Stdout,
     is_stalled: bool,
 }
 
 impl StandardOutput {
-    /// Opens the standard output without a buffer.
-    pub(crate) fn open() -> io::Result<Self> {
-        let descriptor = io::stdout().as_fd().try_clone_to_owned()?;
-        Ok(Self {
-            file: File::from(descriptor),
+    /// Returns the standard output without a buffer.
+    pub(crate) fn new() -> Self {
+        Self {
+            stdout: io::stdout(),
             is_stalled: false,
-        })
+        }
     }
 
     /// Waits until the output takes bytes; returns whether it does.
@@ -38,7 +36,7 @@
             WRITE_TIMEOUT
         };
         let timeout = Timespec::try_from(timeout).map_err(io::Error::other)?;
-        let mut descriptors = [PollFd::new(&self.file, PollFlags::OUT)];
+        let mut descriptors = [PollFd::new(&self.stdout, PollFlags::OUT)];
         Ok(poll(&mut descriptors, Some(&timeout))? > 0)
     }
 }
@@ -49,11 +47,12 @@
         if self.is_stalled {
             return Err(ErrorKind::TimedOut.into());
         }
-        self.file.write(&bytes[..bytes.len().min(PIPE_WRITE_BYTES)])
+        let bytes = &bytes[..bytes.len().min(PIPE_WRITE_BYTES)];
+        Ok(rustix::io::write(&self.stdout, bytes)?)
     }
 
     fn flush(&mut self) -> io::Result<()> {
-        self.file.flush()
+        Ok(())
     }
 }
 
--- a/clementinepickd/src/logging.rs
+++ b/clementinepickd/src/logging.rs
@@ -1,15 +1,17 @@
 //! Writes events to the standard output as structured log lines, one JSON object per event.
 
 use std::cell::Cell;
-use std::io::{self, Write};
+use std::io::Write;
+use std::panic::{RefUnwindSafe, UnwindSafe};
+use std::sync::Mutex;
 
 use clementinepick::event::{Event, EventKind, Severity};
 use clementinepick::ids::{Incarnation, VmId};
 use slog::{
-    Drain, KV, Key, Level, LevelFilter, Logger, Never, OwnedKVList, Record, Result, Serializer, b,
-    o, record,
+    Drain, KV, Key, Level, LevelFilter, Logger, Never, OwnedKV, OwnedKVList, Record, Result,
+    SendSyncRefUnwindSafeKV, Serializer, b, o, record,
 };
-use slog_async::Async;
+use slog_async::{Async, AsyncBuilder, AsyncGuard};
 use slog_json::Json;
 
 use crate::log_output::{LineOutput, StandardOutput};
@@ -22,44 +24,85 @@
 
 /// Creates a logger to the standard output whose lines name the process.
 ///
-/// Dropping it writes the queued lines.
-///
-/// # Errors
-///
-/// Returns an error if the standard output can't be opened.
-pub(crate) fn new_logger(
+/// Dropping its last clone writes the queued lines.
+pub(crate) fn new_logger(level: LogLevel, vm: &VmId, incarnation: Incarnation) -> Logger {
+    new_logger_to(StandardOutput::new(), level, vm, incarnation)
+}
+
+/// Creates a logger like [`new_logger`] that writes to `output`.
+pub(crate) fn new_logger_to<W: Write + Send + 'static>(
+    output: W,
     level: LogLevel,
     vm: &VmId,
     incarnation: Incarnation,
-) -> io::Result<Logger> {
-    let output = StandardOutput::open()?;
-    Ok(new_logger_to(output, level, vm, incarnation))
+) -> Logger {
+    let queue = queued_lines(output).build();
+    new_root(queue, level, process_keys(vm, incarnation))
 }
 
-/// Creates a logger like [`new_logger`] that writes to `output`.
-pub(crate) fn new_logger_to<W: Write + Send + 'static>(
+/// Creates a logger like [`new_logger_to`] and a guard that writes the queued lines when it is dropped,
+/// although clones of the logger are left; these lose their lines from then on.
+pub(crate) fn new_guarded_logger<W: Write + Send + 'static>(
+    output: W,
+    level: LogLevel,
+    vm: &VmId,
+    incarnation: Incarnation,
+) -> (Logger, Option<AsyncGuard>) {
+    let (queue, guard) = queued_lines(output).build_with_guard();
+    let logger = new_root(queue, level, process_keys(vm, incarnation));
+    (logger, Some(guard))
+}
+
+/// Creates a logger like [`new_logger_to`] that has written a line when it returns.
+pub(crate) fn new_direct_logger<W: Write + Send + 'static>(
     output: W,
     level: LogLevel,
     vm: &VmId,
     incarnation: Incarnation,
 ) -> Logger {
+    let lines = Mutex::new(lines(output));
+    new_root(lines, level, process_keys(vm, incarnation))
+}
+
+/// Creates a logger like [`new_direct_logger`] whose lines do not name the process.
+pub(crate) fn new_unnamed_logger<W: Write + Send + 'static>(output: W) -> Logger {
+    new_root(Mutex::new(lines(output)), LogLevel::Info, o!())
+}
+
+fn lines<W: Write + Send + 'static>(output: W) -> LossyDrain<Json<LineOutput<W>>> {
+    let json = Json::new(LineOutput::new(output));
+    LossyDrain {
+        drain: json.add_default_keys().build(),
+        lost_lines: Cell::new(0),
+    }
+}
+
+fn queued_lines<W: Write + Send + 'static>(
+    output: W,
+) -> AsyncBuilder<LossyDrain<Json<LineOutput<W>>>> {
+    Async::new(lines(output)).chan_size(QUEUE_CAPACITY_LINES)
+}
+
+fn process_keys(
+    vm: &VmId,
+    incarnation: Incarnation,
+) -> OwnedKV<impl SendSyncRefUnwindSafeKV + use<>> {
+    o!("process" => vm.to_string(), "process_incarnation" => incarnation.0)
+}
+
+/// Creates a logger to `drain`, whose failures lose lines and nothing else.
+fn new_root<D, K>(drain: D, level: LogLevel, keys: OwnedKV<K>) -> Logger
+where
+    D: Drain + Send + Sync + UnwindSafe + RefUnwindSafe + 'static,
+    K: SendSyncRefUnwindSafeKV + 'static,
+{
     let min_level = match level {
         LogLevel::Info => Level::Info,
         LogLevel::Warning => Level::Warning,
         LogLevel::Error => Level::Error,
         LogLevel::Off => return Logger::root(slog::Discard, o!()),
     };
-    let json = Json::new(LineOutput::new(output));
-    let lines = LossyDrain {
-        drain: json.add_default_keys().build(),
-        lost_lines: Cell::new(0),
-    };
-    let queue = Async::new(lines).chan_size(QUEUE_CAPACITY_LINES).build();
-    let drain = LevelFilter::new(queue, min_level).fuse();
-    Logger::root(
-        drain,
-        o!("process" => vm.to_string(), "process_incarnation" => incarnation.0),
-    )
+    Logger::root(LevelFilter::new(drain, min_level).ignore_res(), keys)
 }
 
 /// Counts the lines that can't be written, and reports them with the next one that can.
--- a/clementinepickd/src/main.rs
+++ b/clementinepickd/src/main.rs
@@ -1,6 +1,9 @@
 //! Runs one process of clementinepick in the role that its settings file names.
 
+use std::any::Any;
+use std::error::Error;
 use std::io;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -9,6 +12,7 @@
 use argh::FromArgs;
 use clementinepickd::gateway::Gateway;
 use clementinepickd::gateway_settings::GatewaySettings;
+use clementinepickd::process_log::{ProcessLog, report_early_failure, report_early_panics};
 use clementinepickd::settings::Settings;
 use clementinepickd::settings_file::{ProcessSettings, SettingsError};
 use clementinepickd::{Daemon, ShutdownKind, settings_file};
@@ -45,32 +49,37 @@
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let Some(path) = settings_path(&arguments) else {
-        eprintln!("no settings file given; pass --settings PATH");
+        report_early_failure(&"no settings file given; pass --settings PATH");
         return ExitCode::from(INVALID_SETTINGS_EXIT_CODE);
     };
+    if arguments.check {
+        return check(&path);
+    }
+    report_early_panics();
     if let Err(err) = keep_running_on_hangups() {
-        eprintln!("cannot install signal handlers: {err}");
+        report_early_failure(&format_args!("cannot install signal handlers: {err}"));
         return ExitCode::FAILURE;
     }
-    let timeout = if arguments.check {
-        Duration::ZERO
-    } else {
-        SETTINGS_TIMEOUT
-    };
-    let settings = match load_settings(&path, timeout) {
-        Ok(settings) => settings,
+    match load_settings(&path) {
+        Ok(ProcessSettings::Daemon(settings)) => run_daemon(*settings),
+        Ok(ProcessSettings::Gateway(settings)) => run_gateway(*settings),
         Err(err) => {
-            eprintln!("{err}");
-            return ExitCode::from(INVALID_SETTINGS_EXIT_CODE);
+            report_early_failure(&err);
+            ExitCode::from(INVALID_SETTINGS_EXIT_CODE)
         }
-    };
-    if arguments.check {
-        println!("{}: settings are valid", path.display());
-        return ExitCode::SUCCESS;
     }
-    match settings {
-        ProcessSettings::Daemon(settings) => run_daemon(*settings),
-        ProcessSettings::Gateway(settings) => run_gateway(*settings),
+}
+
+fn check(path: &Path) -> ExitCode {
+    match settings_file::load_process(path) {
+        Ok(_) => {
+            println!("{}: settings are valid", path.display());
+            ExitCode::SUCCESS
+        }
+        Err(err) => {
+            eprintln!("{err}");
+            ExitCode::from(INVALID_SETTINGS_EXIT_CODE)
+        }
     }
 }
 
@@ -81,19 +90,23 @@
 
 /// Installs a handler of SIGHUP, which would otherwise end the process until it handles signals.
 fn keep_running_on_hangups() -> io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_io()
-        .build()?;
-    // The handler stays when its receiver and the runtime are dropped.
-    runtime.block_on(async { signal(SignalKind::hangup()).map(drop) })
+    // Without descriptors, tokio panics.
+    let installed = catch_unwind(|| {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_io()
+            .build()?;
+        // The handler stays when its receiver and the runtime are dropped.
+        runtime.block_on(async { signal(SignalKind::hangup()).map(drop) })
+    });
+    installed.unwrap_or_else(|panic| Err(io::Error::other(message(&*panic))))
 }
 
-/// Reads the settings, again until `timeout` has passed if they are missing or invalid.
-fn load_settings(path: &Path, timeout: Duration) -> Result<ProcessSettings, SettingsError> {
+/// Reads the settings, again until [`SETTINGS_TIMEOUT`] has passed if they are missing or invalid.
+fn load_settings(path: &Path) -> Result<ProcessSettings, SettingsError> {
     let started_at = Instant::now();
     loop {
         match settings_file::load_process(path) {
-            Err(_) if started_at.elapsed() < timeout => {
+            Err(_) if started_at.elapsed() < SETTINGS_TIMEOUT => {
                 std::thread::sleep(SETTINGS_RETRY_INTERVAL);
             }
             result => return result,
@@ -102,36 +115,44 @@
 }
 
 fn run_gateway(settings: GatewaySettings) -> ExitCode {
-    match Gateway::bind(settings).and_then(Gateway::run) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(err) => {
-            eprintln!("{err}");
-            ExitCode::FAILURE
-        }
-    }
+    run_logged(Gateway::open_log(&settings), |log| {
+        Gateway::bind(settings, log)?.run()?;
+        Ok(ShutdownKind::Graceful)
+    })
 }
 
 fn run_daemon(settings: Settings) -> ExitCode {
-    let daemon = match Daemon::start(settings) {
-        Ok(daemon) => daemon,
-        Err(err) => {
-            eprintln!("{err}");
-            return ExitCode::FAILURE;
-        }
-    };
-    match run(daemon) {
-        Ok(ShutdownKind::Graceful) => ExitCode::SUCCESS,
-        Ok(ShutdownKind::Forced) => ExitCode::FAILURE,
-        Err(err) => {
-            eprintln!("cannot install signal handlers: {err}");
-            ExitCode::FAILURE
-        }
+    run_logged(Daemon::open_log(&settings), |log| {
+        let daemon = Daemon::start_logging_to(settings, log)?;
+        run(daemon).map_err(|err| format!("cannot install signal handlers: {err}").into())
+    })
+}
+
+/// Calls `run`, and reports an error or a panic that ends it.
+fn run_logged(
+    log: ProcessLog,
+    run: impl FnOnce(&ProcessLog) -> Result<ShutdownKind, Box<dyn Error>>,
+) -> ExitCode {
+    log.report_panics();
+    match catch_unwind(AssertUnwindSafe(|| run(&log))) {
+        Ok(Ok(ShutdownKind::Graceful)) => return ExitCode::SUCCESS,
+        Ok(Ok(ShutdownKind::Forced)) => {}
+        Ok(Err(err)) => log.close_with(&err),
+        Err(panic) => log.close_with(&format_args!("a thread panicked: {}", message(&*panic))),
     }
+    ExitCode::FAILURE
+}
+
+/// Returns the message of a panic.
+fn message(panic: &(dyn Any + Send)) -> &str {
+    let text = panic.downcast_ref::<&str>().copied();
+    let text = text.or_else(|| panic.downcast_ref::<String>().map(String::as_str));
+    text.unwrap_or("not a text")
 }
 
 /// Waits for the process to end and forwards signals to it: the first begins a graceful shutdown,
 /// the second forces it.
-fn run(daemon: Daemon) -> std::io::Result<ShutdownKind> {
+fn run(daemon: Daemon) -> io::Result<ShutdownKind> {
     System::new().block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
--- /dev/null
+++ b/clementinepickd/tests/process_ends.rs
@@ -0,0 +1,125 @@
+//! Tests that the log of a process says how it ended.
+
+mod recorded_process;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use recorded_process::{ProcessVm, Recorded};
+
+/// How long a process is given to fail.
+const TO_FAIL: Duration = Duration::from_millis(400);
+/// How long a process with invalid settings is given: it reads them again for a second.
+const TO_GIVE_UP: Duration = Duration::from_secs(10);
+/// The exit code of a program that the loader can't load.
+const LOADER_EXIT_CODE: i32 = 127;
+const FAILURE: &str = "\"msg\":\"process_failed\"";
+const PANIC: &str = "\"msg\":\"thread_panicked\"";
+
+/// Guards against a process whose log ends with `process_started` although it has ended.
+#[test]
+fn a_gateway_that_cannot_start_says_why() {
+    let vm = ProcessVm::new(0);
+    vm.write(&vm.gateway());
+    check_ends_for_lack_of_descriptors(&vm);
+}
+
+/// Guards against a panic that is only on the standard error.
+#[test]
+fn a_panic_of_a_thread_is_in_the_log() {
+    let vm = ProcessVm::new(5);
+    vm.write(&vm.entry());
+    let mut threads = BTreeSet::new();
+    for count in 9..32 {
+        let process = vm.start_limited(&format!("ulimit -n {count}"));
+        let recorded = process.recorded_after(TO_FAIL);
+        let panics = recorded.log.lines().filter(|line| line.contains(PANIC));
+        threads.extend(panics.filter_map(thread_name).map(str::to_owned));
+    }
+    assert!(
+        threads.contains("links") && threads.len() > 1,
+        "{threads:?}"
+    );
+}
+
+/// Guards against an entry whose log is empty or ends with `shutdown_finished` after a failure.
+#[test]
+fn an_entry_that_cannot_start_says_why() {
+    let vm = ProcessVm::new(1);
+    vm.write(&vm.entry());
+    check_ends_for_lack_of_descriptors(&vm);
+}
+
+/// Guards against a sidecar whose log is empty after a failure.
+#[test]
+fn a_sidecar_that_cannot_start_says_why() {
+    let vm = ProcessVm::new(2);
+    vm.write(&vm.sidecar());
+    check_ends_for_lack_of_descriptors(&vm);
+}
+
+/// Guards against a process that ends without a line in its log if its threads can't be created.
+#[test]
+fn a_process_without_memory_for_its_threads_says_why() {
+    let vm = ProcessVm::new(3);
+    for text in [vm.gateway(), vm.entry(), vm.sidecar()] {
+        vm.write(&text);
+        let limits = (24_000..44_000).step_by(1_000);
+        check_ends(&vm, limits.map(|max_kib| format!("ulimit -v {max_kib}")));
+    }
+}
+
+/// Guards against a process that leaves no line in its log when its settings are invalid.
+#[test]
+fn a_process_with_invalid_settings_says_why() {
+    let vm = ProcessVm::new(4);
+    vm.write(&vm.gateway().replace("vm = vm-a\n", ""));
+    let recorded = vm.start_limited("true").recorded_after(TO_GIVE_UP);
+    assert_eq!(recorded.end.code(), Some(2), "{recorded:?}");
+    let last = recorded.last_line();
+    assert!(
+        last.contains(FAILURE) && last.contains("[process] vm"),
+        "{recorded:?}"
+    );
+}
+
+/// Returns the name of the thread in a line of the log.
+fn thread_name(line: &str) -> Option<&str> {
+    let (_, rest) = line.split_once("\"thread\":\"")?;
+    rest.split('"').next()
+}
+
+fn check_ends_for_lack_of_descriptors(vm: &ProcessVm) {
+    check_ends(vm, (7..32).map(|count| format!("ulimit -n {count}")));
+}
+
+/// Starts a process with each limit; those that end by themselves must say why, and there must be some.
+fn check_ends(vm: &ProcessVm, limits: impl Iterator<Item = String>) {
+    let mut failures = 0;
+    for limit in limits {
+        let recorded = vm.start_limited(&limit).recorded_after(TO_FAIL);
+        // A process without a code was killed by this test or never ran.
+        match recorded.end.code() {
+            None | Some(LOADER_EXIT_CODE) => {}
+            Some(code) => {
+                assert_eq!(code, 1, "{limit}: {recorded:?}");
+                check_says_why(&recorded, &limit);
+                failures += 1;
+            }
+        }
+    }
+    assert!(failures > 0);
+}
+
+fn check_says_why(recorded: &Recorded, limit: &str) {
+    let last = recorded.last_line();
+    assert!(last.contains(FAILURE), "{limit}: {recorded:?}");
+    assert!(last.contains("\"error\":\""), "{limit}: {recorded:?}");
+    assert!(!recorded.errors.trim().is_empty(), "{limit}: {recorded:?}");
+    // The error of a thread that ended the process by a panic is in a line of its own.
+    let is_ended_by_panic = last.contains("panicked") || last.contains("did not start");
+    assert!(
+        recorded.log.contains(PANIC) || !is_ended_by_panic,
+        "{limit}: {recorded:?}"
+    );
+}
--- a/standins/src/soak_watch.rs
+++ b/standins/src/soak_watch.rs
@@ -17,8 +17,17 @@
 const MAX_LEAVING: usize = 128;
 const WATCH_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Parts of lines that report a panic, a broken invariant, or a process that ended by itself.
+const DEFECTS: [&str; 4] = [
+    "invariant_broken",
+    "thread_panicked",
+    "process_failed",
+    " panicked at ",
+];
+
 impl SoakWorld {
-    /// Returns the lines of the gateways' logs that report a panic or a broken invariant.
+    /// Returns the lines of the gateways' logs that report a panic, a broken invariant or an end
+    /// of their own.
     ///
     /// # Errors
     ///
@@ -30,7 +39,7 @@
             let log = std::fs::read_to_string(log)?;
             let defects = log
                 .lines()
-                .filter(|line| line.contains("invariant_broken") || line.contains(" panicked at "));
+                .filter(|line| DEFECTS.iter().any(|part| line.contains(part)));
             found.extend(defects.map(|line| format!("gateway {number} reports: {line}")));
         }
         Ok(found)
