--- a/standins/src/soak_watch.rs
+++ b/standins/src/soak_watch.rs
@@ -17,10 +17,17 @@
 const MAX_LEAVING: usize = 128;
 const WATCH_INTERVAL: Duration = Duration::from_millis(50);
 /// What lines of a log have in them that report a defect.
-const DEFECTS: [&str; 3] = ["invariant_broken", "task_restarted", " panicked at "];
+const DEFECTS: [&str; 5] = [
+    "invariant_broken",
+    "task_restarted",
+    "thread_panicked",
+    "process_failed",
+    " panicked at ",
+];
 
 impl SoakWorld {
-    /// Returns the lines of the gateways' logs that report a panic, an ended task or a broken invariant.
+    /// Returns the lines of the gateways' logs that report a panic, an ended task or process, or a broken
+    /// invariant.
     ///
     /// # Errors
     ///
