Keep what is to be recorded when its append panics

What callers saw: after a panic in an append, the ends of servers, runs or origins of streams in its batch were in no record, and requests that wait for the record waited for their whole limit, since its number was never reached.

Cause: a batch is taken out of the queue before its append and was dropped with the task that panicked.

Change: the append runs contained, and a batch whose append panicked is queued again like one that failed.

--- a/clementinepickd/src/gateway_origin_log.rs
+++ b/clementinepickd/src/gateway_origin_log.rs
@@ -33,6 +33,8 @@
 /// How long an append may take before it is made again, and how long the first read may take.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(400);
 const LOAD_TIMEOUT: Duration = Duration::from_secs(2);
+/// The name in logs and metrics of an append.
+const APPEND_PART: &str = "origin_append";
 /// The pause after a failed call.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// How long the first of some origins waits for those that begin, or whose server answers, just after it.
@@ -379,7 +381,8 @@
     if !records.is_empty() {
         allowance.take();
         log.is_appending.set(true);
-        let is_written = append(shared, &records).await.is_ok();
+        let append = shared.tasks.contain(APPEND_PART, append(shared, &records));
+        let is_written = append.await.is_some_and(|appended| appended.is_ok());
         log.is_appending.set(false);
         if !is_written {
             // A repeated record has another key; both are deleted when they have expired.
--- a/clementinepickd/src/gateway_request_log.rs
+++ b/clementinepickd/src/gateway_request_log.rs
@@ -32,6 +32,8 @@
 const APPEND_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a read of all records may take.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
+/// The name in logs and metrics of an append.
+const APPEND_PART: &str = "request_append";
 /// The pause after a failed append.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// The average interval of appends that record running requests only, and how many of them may
@@ -493,7 +495,12 @@
         }
         allowance.take();
         let batch = shared.take_batch(now);
-        if batch.records.is_empty() || append(&shared, &batch.records).await.is_ok() {
+        let is_written = batch.records.is_empty() || {
+            let append = append(&shared, &batch.records);
+            let appended = shared.tasks.contain(APPEND_PART, append).await;
+            appended.is_some_and(|appended| appended.is_ok())
+        };
+        if is_written {
             log.record_written(batch);
         } else {
             // The store client counts the failure.
--- a/clementinepickd/src/gateway_tests.rs
+++ b/clementinepickd/src/gateway_tests.rs
@@ -23,7 +23,7 @@
 use crate::list_refresh::refresh_channel;
 
 /// How long a condition is waited for.
-const WAIT: Duration = Duration::from_secs(10);
+pub(crate) const WAIT: Duration = Duration::from_secs(10);
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// The number of background tasks and accept loops of a gateway.
 const TASK_COUNT: usize = 20;
--- a/clementinepickd/src/task_parts_tests.rs
+++ b/clementinepickd/src/task_parts_tests.rs
@@ -4,13 +4,14 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::System;
 use clementinepick::ended_servers::{EndState, ServerStart};
 use clementinepick::ids::Incarnation;
 use clementinepick::request_key::RequestKey;
 use clementinepick::server_list::{BackendServer, SoftwareVersion};
+use clementinepick::stream_origin::StreamOrigin;
 use tokio::sync::{oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
 
@@ -19,14 +20,16 @@
 use crate::gateway_hanging::check_unheard;
 use crate::gateway_loss::{OpenLoss, settle_losses};
 use crate::gateway_metrics::GatewayMetrics;
+use crate::gateway_origin_log::write_origins;
 use crate::gateway_other_runs::watch_stall;
 use crate::gateway_peer_updates::{PeerUpdate, send_updates};
 use crate::gateway_peer_watch::watch_peers;
 use crate::gateway_prefetch::finish_turn_reads;
+use crate::gateway_request_log::write_requests;
 use crate::gateway_settings::GatewaySettings;
 use crate::gateway_shared::{BackgroundQueues, Shared};
 use crate::gateway_start_questions::{StartQuestion, ask_starts};
-use crate::gateway_tests::{Log, wait_until};
+use crate::gateway_tests::{Log, WAIT, wait_until};
 use crate::injected_panics::{inject, remaining};
 use crate::list_refresh::refresh_channel;
 use crate::logging::new_logger_to;
@@ -194,3 +197,41 @@
     });
     assert!(reports(&log, "start_question", 1), "{log}");
 }
+
+/// Guards against a request whose record gets lost and whose sender waits for it.
+#[test]
+fn a_record_of_requests_is_written_after_a_panic_of_its_append() {
+    let log = with_shared(async |shared, _queues| {
+        shared.add_end(loss().key, &server(), EndState::Ended);
+        shared.request_log.queue(loss().key);
+        inject("request_append", 2);
+        spawn_local(keep_running(shared, "request_log", write_requests));
+        assert!(wait_until(|| remaining("request_append") == 0).await);
+    });
+    assert!(reports(&log, "request_append", 2), "{log}");
+}
+
+/// Guards against streams whose origins get lost.
+#[test]
+fn a_record_of_origins_is_written_after_a_panic_of_its_append() {
+    let log = with_shared(async |shared, _queues| {
+        let now = Instant::now();
+        let origin = StreamOrigin {
+            service: "service".to_owned(),
+            version: SoftwareVersion::default(),
+            is_unproven: false,
+            unanswered: None,
+        };
+        shared.log_origin("attempt", origin, now + WAIT, now);
+        inject("origin_append", 2);
+        spawn_local(keep_running(shared, "origin_log", write_origins));
+        assert!(wait_until(|| remaining("origin_append") == 0).await);
+    });
+    assert!(reports(&log, "origin_append", 2), "{log}");
+}
+
+/// Supervises a task as the gateway does.
+async fn keep_running(shared: Rc<Shared>, task: &'static str, work: impl AsyncFn(Rc<Shared>)) {
+    let work = async || work(Rc::clone(&shared)).await;
+    shared.tasks.keep_running(task, work).await;
+}
