Begin each follower of the store anew by itself after a panic, and keep what was published

What callers saw after a panic in one of the three followers (configuration, servers, processes): all three began anew after 200 ms, with nothing known. An older configuration that the store or a peer returned replaced the newer one; the peers and relays were those of the settings until the next read; the versions of servers that had left were forgotten, and servers whose entries had lapsed in an outage were not kept.

Cause: the followers shared one select, so that the panic of one ended all, and a new follower started from nothing.

Change: each follower runs supervised and is begun anew by itself; it starts from the version, the servers, the left versions and the peers that are published.

--- a/clementinepickd/src/config_follower.rs
+++ b/clementinepickd/src/config_follower.rs
@@ -43,11 +43,13 @@
 }
 
 impl<'a> ConfigFollower<'a> {
+    /// Creates a follower that goes on from what is published.
     pub(crate) fn new(context: FollowerContext<'a>, now: Instant) -> Self {
+        let published = context.publish.borrow().config.clone();
         Self {
             context,
             watch: TopicWatch::new(Topic::Config, now),
-            known_version: None,
+            known_version: published.map(|config| config.version),
         }
     }
 
@@ -98,3 +100,23 @@
         Some(config)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::gateway_tests::FollowerFixture;
+
+    /// Guards against a process that goes back to an older configuration.
+    #[test]
+    fn a_follower_that_is_begun_anew_knows_the_version_in_force() {
+        let fixture = FollowerFixture::new(Directory {
+            config: Some(Arc::new(TrafficConfig {
+                version: 5,
+                ..TrafficConfig::default()
+            })),
+            ..Directory::default()
+        });
+        let follower = ConfigFollower::new(fixture.context(), Instant::now());
+        assert_eq!(follower.known_version, Some(5));
+    }
+}
--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -19,6 +19,7 @@
 use crate::process_registry::ProcessRegistry;
 use crate::server_follower::ServerFollower;
 use crate::store::StoreClient;
+use crate::supervised_tasks::TaskSupervisor;
 use crate::topic_watch::LONG_POLL_WAIT;
 
 /// The maximum age of a server list from which it is concluded that a server is absent. A list that the
@@ -106,38 +107,54 @@
 
 /// Follows the store until `stop` becomes true or its sender is dropped.
 ///
-/// The followers run independently, each with a client of its own, so that none waits for another.
+/// The followers run independently, each with a client of its own, so that none waits for another. One that
+/// panics is begun anew, with what was published.
 pub(crate) async fn follow(
     identity: Identity,
     seeds: Vec<SocketAddr>,
     store: StoreClient,
-    logger: Logger,
+    tasks: &TaskSupervisor,
     publish: watch::Sender<Directory>,
     refresh: RefreshReceiver,
     mut stop: watch::Receiver<bool>,
 ) {
-    let now = Instant::now();
     let (config_store, server_store) = (store.independent_client(), store.independent_client());
     let context = |store| FollowerContext {
         store,
-        logger: &logger,
+        logger: tasks.logger(),
         publish: &publish,
     };
-    let config = ConfigFollower::new(context(&config_store), now);
-    let servers = ServerFollower::new(context(&server_store), refresh, now);
-    let processes = ProcessRegistry::new(identity, seeds, context(&store));
+    let config = tasks.keep_running("follow_config", async || {
+        let follower = ConfigFollower::new(context(&config_store), Instant::now());
+        follower.run().await;
+    });
+    let servers = tasks.keep_running("follow_servers", async || {
+        let context = context(&server_store);
+        let follower = ServerFollower::new(context, refresh.clone(), Instant::now());
+        follower.run().await;
+    });
+    let processes = tasks.keep_running("register_process", async || {
+        let registry = ProcessRegistry::new(identity.clone(), seeds.clone(), context(&store));
+        registry.run().await;
+    });
     tokio::select! {
         // The sender is dropped only when the process ends.
         _ = stop.wait_for(|stop| *stop) => {}
-        () = config.run() => {}
-        () = servers.run() => {}
-        () = processes.run() => {}
+        () = config => {}
+        () = servers => {}
+        () = processes => {}
     }
 }
 
 #[cfg(test)]
 mod tests {
+    use actix_rt::System;
+
     use super::*;
+    use crate::gateway_metrics::GatewayMetrics;
+    use crate::gateway_tests::{FollowerFixture, wait_until};
+    use crate::injected_panics::{inject, starts};
+    use crate::list_refresh::refresh_channel;
 
     /// Guards against a list that counts as new because its response waited in a socket.
     #[test]
@@ -151,4 +168,55 @@
         assert!(directory.has_current_servers(later));
         assert_eq!(directory.servers_current_since, Some(later));
     }
+
+    /// Guards against a follower whose panic ends the others or leaves it dead.
+    #[test]
+    fn a_follower_that_panics_is_begun_again_and_the_others_go_on() {
+        let followers = ["follow_config", "follow_servers", "register_process"];
+        System::new().block_on(async {
+            let (_stop, stopped) = watch::channel(false);
+            let following = follow_without_store(stopped);
+            let check = async {
+                assert!(wait_until(|| followers.iter().all(|task| starts(task) == 1)).await);
+                for (index, task) in followers.iter().enumerate() {
+                    inject(task, 2);
+                    assert!(wait_until(|| starts(task) == 3).await, "{task}");
+                    let untouched = &followers[index + 1..];
+                    assert!(untouched.iter().all(|task| starts(task) == 1), "{task}");
+                }
+            };
+            tokio::select! {
+                () = following => unreachable!("it is not stopped"),
+                () = check => {}
+            }
+        });
+    }
+
+    async fn follow_without_store(stopped: watch::Receiver<bool>) {
+        let fixture = FollowerFixture::new(Directory::default());
+        let identity = Identity {
+            vm: "vm".to_owned(),
+            writer: "writer".to_owned(),
+            peer_address: ([127, 0, 0, 1], 1).into(),
+            is_leaving: Arc::default(),
+        };
+        let (_, refresh) = refresh_channel();
+        let FollowerFixture {
+            store,
+            logger,
+            publish,
+        } = fixture;
+        let metrics = Arc::new(GatewayMetrics::new().expect("a recorder"));
+        let tasks = TaskSupervisor::new(logger, metrics);
+        Box::pin(follow(
+            identity,
+            Vec::new(),
+            store,
+            &tasks,
+            publish,
+            refresh,
+            stopped,
+        ))
+        .await;
+    }
 }
--- a/clementinepickd/src/directory_thread.rs
+++ b/clementinepickd/src/directory_thread.rs
@@ -17,6 +17,7 @@
 use crate::list_refresh::RefreshReceiver;
 use crate::logging::write_event;
 use crate::store::StoreClient;
+use crate::supervised_tasks::TaskSupervisor;
 
 /// The pause before the work is started again.
 const RESTART_PAUSE: Duration = Duration::from_millis(200);
@@ -77,15 +78,16 @@
 
     async fn follow(&self) {
         let store = StoreClient::new(self.store, Arc::clone(&self.metrics));
-        follow(
+        let tasks = TaskSupervisor::new(self.logger.clone(), Arc::clone(&self.metrics));
+        Box::pin(follow(
             self.identity.clone(),
             self.seeds.clone(),
             store,
-            self.logger.clone(),
+            &tasks,
             self.publish.clone(),
             self.refreshes.clone(),
             self.stopped.clone(),
-        )
+        ))
         .await;
     }
 }
--- a/clementinepickd/src/gateway_tests.rs
+++ b/clementinepickd/src/gateway_tests.rs
@@ -13,7 +13,7 @@
 use slog::Logger;
 use tokio::sync::watch;
 
-use crate::directory::Directory;
+use crate::directory::{Directory, FollowerContext};
 use crate::gateway::{Gateway, GatewayAddresses};
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_settings::GatewaySettings;
@@ -21,6 +21,7 @@
 use crate::gateway_tasks::ACCEPT_CALLERS_TASK;
 use crate::injected_panics::{inject, remaining, started};
 use crate::list_refresh::refresh_channel;
+use crate::store::StoreClient;
 
 /// How long a condition is waited for.
 pub(crate) const WAIT: Duration = Duration::from_secs(10);
@@ -50,6 +51,33 @@
     }
 }
 
+/// What a follower needs in a test.
+pub(crate) struct FollowerFixture {
+    pub(crate) store: StoreClient,
+    pub(crate) logger: Logger,
+    pub(crate) publish: watch::Sender<Directory>,
+}
+
+impl FollowerFixture {
+    /// Creates a fixture without a store, after `directory` was published.
+    pub(crate) fn new(directory: Directory) -> Self {
+        let metrics = GatewayMetrics::new().expect("a recorder");
+        Self {
+            store: StoreClient::new(([127, 0, 0, 1], 1).into(), Arc::new(metrics)),
+            logger: Logger::root(slog::Discard, slog::o!()),
+            publish: watch::channel(directory).0,
+        }
+    }
+
+    pub(crate) fn context(&self) -> FollowerContext<'_> {
+        FollowerContext {
+            store: &self.store,
+            logger: &self.logger,
+            publish: &self.publish,
+        }
+    }
+}
+
 /// Runs a gateway without a store until `check` completes; returns its log.
 fn run_gateway(check: impl AsyncFnOnce(GatewayAddresses)) -> String {
     let settings = GatewaySettings {
--- a/clementinepickd/src/injected_panics.rs
+++ b/clementinepickd/src/injected_panics.rs
@@ -1,7 +1,7 @@
 //! Lets a test make the tasks of its thread panic.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use actix_rt::time::sleep;
@@ -10,7 +10,7 @@
 
 thread_local! {
     static DUE: RefCell<BTreeMap<&'static str, u32>> = RefCell::default();
-    static STARTED: RefCell<BTreeSet<&'static str>> = RefCell::default();
+    static STARTS: RefCell<BTreeMap<&'static str, u32>> = RefCell::default();
 }
 
 /// Makes a task panic `count` times.
@@ -24,13 +24,18 @@
 }
 
 /// Returns the tasks that have been started on this thread.
-pub(crate) fn started() -> BTreeSet<&'static str> {
-    STARTED.with_borrow(Clone::clone)
+pub(crate) fn started() -> Vec<&'static str> {
+    STARTS.with_borrow(|starts| starts.keys().copied().collect())
+}
+
+/// Returns how often a task has been started on this thread.
+pub(crate) fn starts(task: &str) -> u32 {
+    STARTS.with_borrow(|starts| starts.get(task).copied().unwrap_or(0))
 }
 
 /// Runs a task's work until it completes or a panic is injected.
 pub(crate) async fn run<T>(task: &'static str, work: impl Future<Output = T>) -> T {
-    STARTED.with_borrow_mut(|started| started.insert(task));
+    STARTS.with_borrow_mut(|starts| *starts.entry(task).or_default() += 1);
     tokio::select! {
         biased;
         () = wait_until_due(task) => panic!("injected into {task}"),
--- a/clementinepickd/src/process_registry.rs
+++ b/clementinepickd/src/process_registry.rs
@@ -63,12 +63,16 @@
     ) -> Self {
         let own = identity.peer_address;
         let seeds: Vec<SocketAddr> = seeds.into_iter().filter(|seed| *seed != own).collect();
-        context.store.set_relays(seeds.clone());
-        // A process that starts while the store is unavailable can still ask its seeds.
-        let known = Arc::new(seeds.clone());
-        context
-            .publish
-            .send_modify(|directory| directory.peers = known);
+        context.publish.send_if_modified(|directory| {
+            let is_first = !directory.has_read_processes;
+            if is_first {
+                // A process that starts while the store is unavailable can still ask its seeds.
+                directory.peers = Arc::new(seeds.clone());
+            }
+            is_first
+        });
+        let known = Arc::clone(&context.publish.borrow().peers);
+        context.store.set_relays(known.to_vec());
         Self {
             identity,
             seeds,
@@ -170,3 +174,29 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::directory::Directory;
+    use crate::gateway_tests::FollowerFixture;
+
+    /// Guards against a process that no longer knows its peers.
+    #[test]
+    fn a_registry_that_is_begun_anew_keeps_the_peers_that_were_read() {
+        let peer: SocketAddr = ([127, 0, 0, 1], 2).into();
+        let fixture = FollowerFixture::new(Directory {
+            peers: Arc::new(vec![peer]),
+            has_read_processes: true,
+            ..Directory::default()
+        });
+        let identity = Identity {
+            vm: "vm".to_owned(),
+            writer: "writer".to_owned(),
+            peer_address: ([127, 0, 0, 1], 1).into(),
+            is_leaving: Arc::default(),
+        };
+        ProcessRegistry::new(identity, Vec::new(), fixture.context());
+        assert_eq!(*fixture.publish.borrow().peers, [peer]);
+    }
+}
--- a/clementinepickd/src/server_follower.rs
+++ b/clementinepickd/src/server_follower.rs
@@ -31,17 +31,19 @@
 }
 
 impl<'a> ServerFollower<'a> {
+    /// Creates a follower that goes on from what is published.
     pub(crate) fn new(
         context: FollowerContext<'a>,
         refresh: RefreshReceiver,
         now: Instant,
     ) -> Self {
+        let published = context.publish.borrow().clone();
         Self {
             context,
             refresh,
-            left_versions: LeftVersions::new(),
+            left_versions: (*published.left_versions).clone(),
             watch: TopicWatch::new(Topic::Servers, now),
-            known: BTreeMap::new(),
+            known: published.servers.servers.clone(),
             kept: BTreeSet::new(),
             bad_entries: BTreeMap::new(),
         }
@@ -225,3 +227,43 @@
     }
     kept
 }
+
+#[cfg(test)]
+mod tests {
+    use clementinepick::server_list::SoftwareVersion;
+
+    use super::*;
+    use crate::directory::Directory;
+    use crate::gateway_tests::FollowerFixture;
+    use crate::list_refresh::refresh_channel;
+
+    /// Guards against servers that disappear after an outage, and versions that are forgotten.
+    #[test]
+    fn a_follower_that_is_begun_anew_knows_what_was_published() {
+        let now = Instant::now();
+        let server = BackendServer {
+            id: "server".to_owned(),
+            service: "service".to_owned(),
+            address: ([127, 0, 0, 1], 1).into(),
+            zone: "zone".to_owned(),
+            version: SoftwareVersion::default(),
+            slots: 1,
+            is_draining: false,
+            started_unix_ms: None,
+        };
+        let servers = BTreeMap::from([(server.id.clone(), server)]);
+        let left = (("service".to_owned(), SoftwareVersion::default()), now);
+        let left = LeftVersions::from([left]);
+        let fixture = FollowerFixture::new(Directory {
+            servers: Arc::new(ServerList {
+                servers: servers.clone(),
+            }),
+            left_versions: Arc::new(left.clone()),
+            ..Directory::default()
+        });
+        let (_sender, refresh) = refresh_channel();
+        let follower = ServerFollower::new(fixture.context(), refresh, now);
+        assert_eq!(follower.known, servers);
+        assert_eq!(follower.left_versions, left);
+    }
+}
--- a/clementinepickd/src/supervised_tasks.rs
+++ b/clementinepickd/src/supervised_tasks.rs
@@ -45,6 +45,10 @@
         }
     }
 
+    pub(crate) fn logger(&self) -> &Logger {
+        &self.logger
+    }
+
     /// Starts `work` again whenever it panics or returns, until dropped.
     ///
     /// What `work` borrows, such as the receiver of a queue, lasts from one start to the next.
