Handle SIGTERM and SIGINT from the first moment of a process on

A process that was told to stop while it started, or while it waited for its addresses or settings, was ended by the signal: no line, no exit code 0. The handlers were installed by the tasks that serve, and handlers of one event loop do not show signals that came before it.

Now the handlers are installed before the settings are read, and the waits for settings and addresses end with a signal. The receivers are passed on to the event loop that serves, so that none is lost in between. A gateway that has not been ready and has no connections has no callers to give notice to and ends at once.

--- a/clementinepickd/src/daemon.rs
+++ b/clementinepickd/src/daemon.rs
@@ -21,15 +21,20 @@
 use crate::control::{Control, Inputs, Outputs, ShutdownRequests};
 use crate::control_messages::{CONTROL_QUEUE_CAPACITY, ControlSender};
 use crate::http::HttpContext;
+use crate::listeners::{ListenError, StopWait, wait_unstopped};
 use crate::process_log::ProcessLog;
 use crate::role_logic::new_role_logic;
 use crate::settings::{Settings, SettingsConflict};
+use crate::stop_signals::StopSignals;
 use crate::telemetry::Telemetry;
 use crate::{clients, http, link_manager, listeners, logging};
 
 /// An error that keeps a process from starting.
 #[derive(Debug, Error)]
 pub enum StartError {
+    /// It was told to stop while it waited for an address.
+    #[error("told to stop before it served")]
+    Stopped,
     /// The settings are inconsistent.
     #[error("{0}")]
     Settings(#[from] SettingsConflict),
@@ -87,27 +92,34 @@
     pub fn start(settings: Settings) -> Result<Self, StartError> {
         let incarnation = incarnation(&settings);
         let logger = logging::new_logger(settings.log_level, &settings.vm, incarnation);
-        Self::start_with(settings, logger, incarnation)
+        Self::start_with(settings, logger, incarnation, &mut wait_unstopped)
     }
 
     /// Starts a process like [`Self::start`] that logs to `log`.
     ///
     /// # Errors
     ///
-    /// Returns an error when the settings are inconsistent, an address can't be bound, or a thread
-    /// can't be started.
-    pub fn start_logging_to(settings: Settings, log: &ProcessLog) -> Result<Self, StartError> {
-        Self::start_with(settings, log.logger().clone(), log.incarnation())
+    /// Returns an error when the settings are inconsistent, an address can't be bound, a thread can't be
+    /// started, or the process is told to stop while it waits for an address.
+    pub fn start_logging_to(
+        settings: Settings,
+        log: &ProcessLog,
+        signals: &mut StopSignals,
+    ) -> Result<Self, StartError> {
+        let mut wait = |pause| signals.is_stopped_within(pause);
+        let logger = log.logger().clone();
+        Self::start_with(settings, logger, log.incarnation(), &mut wait)
     }
 
     fn start_with(
         settings: Settings,
         logger: Logger,
         incarnation: Incarnation,
+        wait: StopWait<'_>,
     ) -> Result<Self, StartError> {
         settings.check()?;
-        let (link_listener, link_address) = listen(settings.link_address, &logger)?;
-        let (http_listener, http_address) = listen(settings.http_address, &logger)?;
+        let (link_listener, link_address) = listen(settings.link_address, &logger, wait)?;
+        let (http_listener, http_address) = listen(settings.http_address, &logger, wait)?;
         let telemetry = Telemetry::new()?;
         let (input_sender, inputs) = mpsc::channel(CONTROL_QUEUE_CAPACITY);
         let (disconnect_sender, gone) = mpsc::unbounded_channel();
@@ -284,10 +296,12 @@
 fn listen(
     mut address: SocketAddr,
     logger: &Logger,
+    wait: StopWait<'_>,
 ) -> Result<(TcpListener, SocketAddr), StartError> {
-    match listeners::listen(&mut address, logger) {
+    match listeners::listen(&mut address, logger, wait) {
         Ok(listener) => Ok((listener, address)),
-        Err(error) => Err(StartError::Listen { address, error }),
+        Err(ListenError::Stopped) => Err(StartError::Stopped),
+        Err(ListenError::Failed(error)) => Err(StartError::Listen { address, error }),
     }
 }
 
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -20,7 +20,6 @@
 use socket2::SockRef;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::{JoinError, JoinSet, LocalSet};
 
@@ -49,10 +48,11 @@
 use crate::input_first::poll_after_input;
 use crate::link::{duration, to_span};
 use crate::list_refresh::{RefreshSender, refresh_channel};
-use crate::listeners;
+use crate::listeners::{self, ListenError, StopWait, wait_unstopped};
 use crate::logging::{new_logger_to, write_event};
 use crate::process_log::ProcessLog;
 use crate::safeguard::Safeguard;
+use crate::stop_signals::{ReceivedSignals, SignalMeaning, StopSignals};
 
 /// The backoff after a failed accept, which usually means that file descriptors have run out.
 const ACCEPT_ERROR_BACKOFF: Duration = Duration::from_millis(20);
@@ -73,6 +73,9 @@
 /// The reasons why a gateway cannot run.
 #[derive(Debug, Error)]
 pub enum GatewayError {
+    /// It was told to stop while it waited for an address.
+    #[error("told to stop before it served")]
+    Stopped,
     /// An address could not be bound.
     #[error("can't listen on {address}: {error}")]
     Listen {
@@ -117,10 +120,17 @@
 }
 
 /// Binds an address that the process needs.
-fn listen(address: &mut SocketAddr, logger: &Logger) -> Result<StdListener, GatewayError> {
-    listeners::listen(address, logger).map_err(|error| GatewayError::Listen {
-        address: *address,
-        error,
+fn listen(
+    address: &mut SocketAddr,
+    logger: &Logger,
+    wait: StopWait<'_>,
+) -> Result<StdListener, GatewayError> {
+    listeners::listen(address, logger, wait).map_err(|error| match error {
+        ListenError::Stopped => GatewayError::Stopped,
+        ListenError::Failed(error) => GatewayError::Listen {
+            address: *address,
+            error,
+        },
     })
 }
 
@@ -151,9 +161,16 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if an address other than that of metrics cannot be bound.
-    pub fn bind(settings: GatewaySettings, log: &ProcessLog) -> Result<Self, GatewayError> {
-        Self::bind_with(settings, log.logger().clone(), log.incarnation())
+    /// Returns an error if an address other than that of metrics cannot be bound, or if the process is told
+    /// to stop while it waits for one.
+    pub fn bind(
+        settings: GatewaySettings,
+        log: &ProcessLog,
+        signals: &mut StopSignals,
+    ) -> Result<Self, GatewayError> {
+        let mut wait = |pause| signals.is_stopped_within(pause);
+        let logger = log.logger().clone();
+        Self::bind_with(settings, logger, log.incarnation(), &mut wait)
     }
 
     /// Binds all addresses like [`Self::bind`] and logs to `output`. If `output` is slow, log lines are
@@ -168,22 +185,23 @@
     ) -> Result<Self, GatewayError> {
         let incarnation = Incarnation(rand::random());
         let logger = new_logger_to(output, settings.log_level, &settings.vm, incarnation);
-        Self::bind_with(settings, logger, incarnation)
+        Self::bind_with(settings, logger, incarnation, &mut wait_unstopped)
     }
 
     fn bind_with(
         mut settings: GatewaySettings,
         logger: Logger,
         incarnation: Incarnation,
+        wait: StopWait<'_>,
     ) -> Result<Self, GatewayError> {
         // Callers connect as soon as their address is bound, so that it comes last.
-        let peers = listen(&mut settings.peers, &logger)?;
-        let ready = listen(&mut settings.ready, &logger)?;
+        let peers = listen(&mut settings.peers, &logger, wait)?;
+        let ready = listen(&mut settings.ready, &logger, wait)?;
         let metrics = settings
             .metrics
             .as_mut()
             .and_then(|address| listen_for_metrics(address, &logger));
-        let callers = listen(&mut settings.callers, &logger)?;
+        let callers = listen(&mut settings.callers, &logger, wait)?;
         let listeners = Listeners {
             callers,
             ready,
@@ -218,10 +236,10 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if a thread, a listener or a signal handler cannot be set up.
-    pub fn run(self) -> Result<(), GatewayError> {
+    /// Returns an error if a thread or a listener cannot be set up.
+    pub fn run(self, signals: ReceivedSignals) -> Result<(), GatewayError> {
         let logger = self.logger.clone();
-        self.run_until(move || wait_for_signal(logger))
+        self.run_until(move || wait_for_stop(signals, logger))
     }
 
     /// Serves until the future returned by `stop` completes, then drains and returns.
@@ -448,22 +466,13 @@
     }
 }
 
-/// Returns on SIGTERM or SIGINT; SIGHUP is only logged.
-async fn wait_for_signal(logger: Logger) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => {
-                // There is nothing to reload: addresses are fixed and everything else comes from
-                // the store.
-                write_event(&logger, &Event::new(EventKind::SettingsReloaded));
-            }
-        }
+/// Returns when the process is told to stop; a change of its settings is only logged.
+async fn wait_for_stop(mut signals: ReceivedSignals, logger: Logger) -> io::Result<()> {
+    while signals.next().await != SignalMeaning::Stop {
+        // There is nothing to reload: addresses are fixed and everything else comes from the store.
+        write_event(&logger, &Event::new(EventKind::SettingsReloaded));
     }
+    Ok(())
 }
 
 /// Shuts down gracefully: reports not ready, closes idle connections and waits for running requests
@@ -471,13 +480,14 @@
 async fn drain(shared: &Shared, settings: &GatewaySettings) {
     let started_at = Instant::now();
     let start_us = shared.now_us(started_at);
-    let notice = to_span(settings.drain_delay);
+    let drain_delay = drain_delay(shared, settings);
+    let notice = to_span(drain_delay);
     let schedule = ShutdownSchedule::new(start_us, notice, to_span(settings.shutdown_limit));
     shared.start_draining(schedule);
     let event = Event::new(EventKind::ShutdownStarted).with("running", shared.running_requests());
     shared.log(&event);
     if !Safeguard::DrainNotice.is_disabled() {
-        sleep(settings.drain_delay).await;
+        sleep(drain_delay).await;
     }
     shared.close_idle_connections();
     // Open connections are counted, not running requests: a request that is still being received
@@ -500,6 +510,15 @@
     shared.log(&Event::new(kind).with("running", unfinished));
 }
 
+/// Returns how long callers are given to notice the shutdown: no time if none can know this process.
+fn drain_delay(shared: &Shared, settings: &GatewaySettings) -> Duration {
+    if shared.was_ready() || shared.open_connections() > 0 {
+        settings.drain_delay
+    } else {
+        Duration::ZERO
+    }
+}
+
 /// Waits until all connections are closed or `end` is reached.
 async fn wait_for_connections(shared: &Shared, end: Instant) {
     sleep(DRAIN_CHECK_INTERVAL).await;
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -106,6 +106,8 @@
     connection_count: Cell<usize>,
     /// The times of the shutdown, once it has begun.
     shutdown: Cell<Option<ShutdownSchedule>>,
+    /// Whether this process has been found ready.
+    was_ready: Cell<bool>,
     /// Set once idle connections are to be closed.
     closing: Signal,
     /// Set once running requests are to be answered, whatever their state.
@@ -201,6 +203,7 @@
             request_count: Cell::new(0),
             connection_count: Cell::new(0),
             shutdown: Cell::new(None),
+            was_ready: Cell::new(false),
             closing: Signal::default(),
             stopping: Signal::default(),
         };
@@ -394,7 +397,15 @@
         let is_fresh = directory
             .as_of()
             .is_some_and(|at| now.saturating_duration_since(at) < MAX_DIRECTORY_AGE);
-        !self.is_draining() && directory.config.is_some() && is_fresh && self.ended.is_loaded()
+        let is_ready =
+            !self.is_draining() && directory.config.is_some() && is_fresh && self.ended.is_loaded();
+        self.was_ready.set(self.was_ready.get() || is_ready);
+        is_ready
+    }
+
+    /// Returns whether this process has been found ready.
+    pub(crate) fn was_ready(&self) -> bool {
+        self.was_ready.get()
     }
 
     /// Returns how many connections this process may open to one server of a service. Its share of
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -112,6 +112,7 @@
 pub mod settings;
 pub mod settings_file;
 mod signal;
+pub mod stop_signals;
 mod store;
 mod store_attempt;
 mod tasks;
--- a/clementinepickd/src/main.rs
+++ b/clementinepickd/src/main.rs
@@ -2,7 +2,6 @@
 
 use std::any::Any;
 use std::error::Error;
-use std::io;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -10,13 +9,13 @@
 
 use actix_rt::System;
 use argh::FromArgs;
-use clementinepickd::gateway::Gateway;
+use clementinepickd::gateway::{Gateway, GatewayError};
 use clementinepickd::gateway_settings::GatewaySettings;
 use clementinepickd::process_log::{ProcessLog, report_early_failure, report_early_panics};
 use clementinepickd::settings::Settings;
 use clementinepickd::settings_file::{ProcessSettings, SettingsError};
-use clementinepickd::{Daemon, ShutdownKind, settings_file};
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use clementinepickd::stop_signals::{ReceivedSignals, StopSignals};
+use clementinepickd::{Daemon, ShutdownKind, StartError, settings_file};
 
 const INVALID_SETTINGS_EXIT_CODE: u8 = 2;
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -56,13 +55,20 @@
         return check(&path);
     }
     report_early_panics();
-    if let Err(err) = keep_running_on_hangups() {
-        report_early_failure(&format_args!("cannot install signal handlers: {err}"));
-        return ExitCode::FAILURE;
+    match StopSignals::install() {
+        Ok(signals) => run(&path, signals),
+        Err(err) => {
+            report_early_failure(&format_args!("cannot install signal handlers: {err}"));
+            ExitCode::FAILURE
+        }
     }
-    match load_settings(&path) {
-        Ok(ProcessSettings::Daemon(settings)) => run_daemon(*settings),
-        Ok(ProcessSettings::Gateway(settings)) => run_gateway(*settings),
+}
+
+fn run(path: &Path, mut signals: StopSignals) -> ExitCode {
+    match load_settings(path, &mut signals) {
+        Ok(Some(ProcessSettings::Daemon(settings))) => run_daemon(*settings, signals),
+        Ok(Some(ProcessSettings::Gateway(settings))) => run_gateway(*settings, signals),
+        Ok(None) => ExitCode::SUCCESS,
         Err(err) => {
             report_early_failure(&err);
             ExitCode::from(INVALID_SETTINGS_EXIT_CODE)
@@ -88,44 +94,48 @@
     arguments.settings.clone().or(named)
 }
 
-/// Installs a handler of SIGHUP, which would otherwise end the process until it handles signals.
-fn keep_running_on_hangups() -> io::Result<()> {
-    // Without descriptors, tokio panics.
-    let installed = catch_unwind(|| {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_io()
-            .build()?;
-        // The handler stays when its receiver and the runtime are dropped.
-        runtime.block_on(async { signal(SignalKind::hangup()).map(drop) })
-    });
-    installed.unwrap_or_else(|panic| Err(io::Error::other(message(&*panic))))
-}
-
-/// Reads the settings, again until [`SETTINGS_TIMEOUT`] has passed if they are missing or invalid.
-fn load_settings(path: &Path) -> Result<ProcessSettings, SettingsError> {
+/// Reads the settings, again until [`SETTINGS_TIMEOUT`] has passed if they are missing or invalid; returns none
+/// if the process is told to stop meanwhile.
+fn load_settings(
+    path: &Path,
+    signals: &mut StopSignals,
+) -> Result<Option<ProcessSettings>, SettingsError> {
     let started_at = Instant::now();
     loop {
         match settings_file::load_process(path) {
             Err(_) if started_at.elapsed() < SETTINGS_TIMEOUT => {
-                std::thread::sleep(SETTINGS_RETRY_INTERVAL);
+                if signals.is_stopped_within(SETTINGS_RETRY_INTERVAL) {
+                    return Ok(None);
+                }
             }
-            result => return result,
+            result => return result.map(Some),
         }
     }
 }
 
-fn run_gateway(settings: GatewaySettings) -> ExitCode {
+fn run_gateway(settings: GatewaySettings, mut signals: StopSignals) -> ExitCode {
     run_logged(Gateway::open_log(&settings), |log| {
-        Gateway::bind(settings, log)?.run()?;
+        match Gateway::bind(settings, log, &mut signals) {
+            Ok(gateway) => gateway.run(signals.into_received())?,
+            Err(GatewayError::Stopped) => log.log_early_stop(),
+            Err(err) => return Err(err.into()),
+        }
         Ok(ShutdownKind::Graceful)
     })
 }
 
-fn run_daemon(settings: Settings) -> ExitCode {
-    run_logged(Daemon::open_log(&settings), |log| {
-        let daemon = Daemon::start_logging_to(settings, log)?;
-        run(daemon).map_err(|err| format!("cannot install signal handlers: {err}").into())
-    })
+fn run_daemon(settings: Settings, mut signals: StopSignals) -> ExitCode {
+    run_logged(
+        Daemon::open_log(&settings),
+        |log| match Daemon::start_logging_to(settings, log, &mut signals) {
+            Ok(daemon) => Ok(join(daemon, signals.into_received())),
+            Err(StartError::Stopped) => {
+                log.log_early_stop();
+                Ok(ShutdownKind::Graceful)
+            }
+            Err(err) => Err(err.into()),
+        },
+    )
 }
 
 /// Calls `run`, and reports an error or a panic that ends it.
@@ -152,13 +162,12 @@
 
 /// Waits for the process to end and forwards signals to it: the first begins a graceful shutdown,
 /// the second forces it.
-fn run(daemon: Daemon) -> io::Result<ShutdownKind> {
+fn join(daemon: Daemon, mut signals: ReceivedSignals) -> ShutdownKind {
     System::new().block_on(async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
         let mut is_shutting_down = false;
         while !daemon.is_finished() {
-            if !wait_for_signal(&mut terminate, &mut interrupt).await {
+            let stop = actix_rt::time::timeout(POLL_INTERVAL, signals.stop());
+            if stop.await.is_err() {
                 continue;
             }
             if std::mem::replace(&mut is_shutting_down, true) {
@@ -167,15 +176,6 @@
                 daemon.shutdown();
             }
         }
-        Ok(daemon.join())
+        daemon.join()
     })
 }
-
-/// Returns whether a signal arrived within [`POLL_INTERVAL`].
-async fn wait_for_signal(terminate: &mut Signal, interrupt: &mut Signal) -> bool {
-    tokio::select! {
-        _ = terminate.recv() => true,
-        _ = interrupt.recv() => true,
-        () = actix_rt::time::sleep(POLL_INTERVAL) => false,
-    }
-}
--- a/clementinepickd/src/process_log.rs
+++ b/clementinepickd/src/process_log.rs
@@ -66,6 +66,13 @@
         print_failure(error);
     }
 
+    /// Logs that the process was told to stop before it served.
+    pub fn log_early_stop(&self) {
+        for kind in [EventKind::ShutdownStarted, EventKind::ShutdownFinished] {
+            write_event(&self.logger, &Event::new(kind).with("running", 0));
+        }
+    }
+
     pub(crate) const fn logger(&self) -> &Logger {
         &self.logger
     }
--- a/clementinepickd/tests/process_ends.rs
+++ b/clementinepickd/tests/process_ends.rs
@@ -3,17 +3,24 @@
 mod recorded_process;
 
 use std::collections::BTreeSet;
+use std::net::TcpListener;
+use std::thread::sleep;
 use std::time::Duration;
 
-use recorded_process::{ProcessVm, Recorded};
+use recorded_process::{ProcessVm, Recorded, RecordedProcess, StopSignal};
 
 /// How long a process is given to fail.
 const TO_FAIL: Duration = Duration::from_millis(400);
 /// How long a process with invalid settings is given: it reads them again for a second.
 const TO_GIVE_UP: Duration = Duration::from_secs(10);
+/// How long a process takes to try its addresses.
+const TO_WAIT: Duration = Duration::from_millis(100);
 /// The exit code of a program that the loader can't load.
 const LOADER_EXIT_CODE: i32 = 127;
 const FAILURE: &str = "\"msg\":\"process_failed\"";
+/// How long a process that is told to stop is given: less than an address is waited for.
+const TO_STOP: Duration = Duration::from_secs(20);
+const STOPPED: &str = "\"msg\":\"shutdown_finished\"";
 const PANIC: &str = "\"msg\":\"thread_panicked\"";
 
 /// Guards against a process whose log ends with `process_started` although it has ended.
@@ -62,7 +69,7 @@
 #[test]
 fn a_process_without_memory_for_its_threads_says_why() {
     let vm = ProcessVm::new(3);
-    for text in [vm.gateway(), vm.entry(), vm.sidecar()] {
+    for text in vm.all_roles() {
         vm.write(&text);
         let limits = (24_000..44_000).step_by(1_000);
         check_ends(&vm, limits.map(|max_kib| format!("ulimit -v {max_kib}")));
@@ -74,7 +81,7 @@
 fn a_process_with_invalid_settings_says_why() {
     let vm = ProcessVm::new(4);
     vm.write(&vm.gateway().replace("vm = vm-a\n", ""));
-    let recorded = vm.start_limited("true").recorded_after(TO_GIVE_UP);
+    let recorded = vm.start().recorded_after(TO_GIVE_UP);
     assert_eq!(recorded.end.code(), Some(2), "{recorded:?}");
     let last = recorded.last_line();
     assert!(
@@ -89,6 +96,73 @@
     rest.split('"').next()
 }
 
+/// Guards against a process that a stop ends by the signal, or not at once, since it has just started.
+#[test]
+fn a_stop_as_a_process_starts_ends_it_well() {
+    const DELAYS_MS: [u64; 6] = [0, 1, 2, 5, 10, 20];
+    const STARTS: usize = 10;
+    let vm = ProcessVm::new(6);
+    for text in vm.all_roles() {
+        vm.write(&text);
+        for signal in StopSignal::ALL {
+            let mut process = vm.start();
+            process.wait_until_handling(signal);
+            check_stops(process, signal, "at once");
+        }
+        for delay_ms in DELAYS_MS.into_iter().flat_map(|delay| [delay; STARTS]) {
+            let process = vm.start();
+            sleep(Duration::from_millis(delay_ms));
+            // Without a handler yet, only the system can end it.
+            if process.handles(StopSignal::Terminate) {
+                check_stops(process, StopSignal::Terminate, &format!("{delay_ms} ms"));
+            }
+        }
+    }
+}
+
+/// Guards against a process that a stop ends by the signal while another process has its address.
+#[test]
+fn a_stop_while_an_address_is_waited_for_ends_a_process_well() {
+    let vm = ProcessVm::new(7);
+    let _held = TcpListener::bind(vm.callers()).expect("a free port");
+    for text in vm.all_roles() {
+        vm.write(&text);
+        for signal in StopSignal::ALL {
+            let mut process = vm.start();
+            process.wait_until_handling(signal);
+            sleep(TO_WAIT);
+            check_stops(process, signal, &text);
+        }
+    }
+}
+
+/// Guards against a process that a stop ends by the signal, or with an error, while its settings are missing.
+#[test]
+fn a_stop_while_settings_are_missing_ends_a_process_well() {
+    let vm = ProcessVm::new(8);
+    vm.remove_settings();
+    for signal in StopSignal::ALL {
+        let mut process = vm.start();
+        process.wait_until_handling(signal);
+        process.send(signal);
+        let recorded = process.recorded_after(TO_STOP);
+        assert_eq!(recorded.end.code(), Some(0), "{recorded:?}");
+    }
+}
+
+/// Sends a signal; the process must end with success and say so.
+fn check_stops(process: RecordedProcess, signal: StopSignal, at: &str) {
+    process.send(signal);
+    let recorded = process.recorded_after(TO_STOP);
+    assert_eq!(
+        recorded.end.code(),
+        Some(0),
+        "{signal:?} {at}: {recorded:?}"
+    );
+    let last = recorded.last_line();
+    assert!(last.contains(STOPPED), "{signal:?} {at}: {recorded:?}");
+}
+
 fn check_ends_for_lack_of_descriptors(vm: &ProcessVm) {
     check_ends(vm, (7..32).map(|count| format!("ulimit -n {count}")));
 }
--- a/clementinepickd/tests/recorded_process/mod.rs
+++ b/clementinepickd/tests/recorded_process/mod.rs
@@ -1,7 +1,7 @@
 //! Runs the program in any role, without a store, and keeps what it writes.
 
 use std::fs;
-use std::io::Read;
+use std::io::{ErrorKind, Read};
 use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -11,7 +11,7 @@
 
 /// The settings of a process on a loopback address that no other test has.
 pub struct ProcessVm {
-    pub host: Ipv4Addr,
+    host: Ipv4Addr,
     settings: PathBuf,
 }
 
@@ -29,15 +29,33 @@
         fs::write(&self.settings, text).expect("a file");
     }
 
+    pub fn remove_settings(&self) {
+        match fs::remove_file(&self.settings) {
+            Err(err) if err.kind() != ErrorKind::NotFound => panic!("{err}"),
+            _ => {}
+        }
+    }
+
     /// Returns the settings of a gateway.
     pub fn gateway(&self) -> String {
         let host = self.host;
         format!(
             "[process]\nrole = gateway\nvm = vm-a\nzone = z\n[listen]\ncallers = {host}:8149\n\
-             ready = {host}:8141\npeers = {host}:8144\n[store]\naddress = {host}:1\n"
+             ready = {host}:8141\npeers = {host}:8144\n[store]\naddress = {host}:1\n\
+             [shutdown]\nnotice = 1 h\nlimit = 2 h\n"
         )
     }
 
+    /// Returns the address that a gateway binds last and any other process binds.
+    pub const fn callers(&self) -> (Ipv4Addr, u16) {
+        (self.host, 8149)
+    }
+
+    /// Returns the settings of a gateway, an entry and a sidecar.
+    pub fn all_roles(&self) -> [String; 3] {
+        [self.gateway(), self.entry(), self.sidecar()]
+    }
+
     /// Returns the settings of an entry.
     pub fn entry(&self) -> String {
         let role = "[entry]\nlog = 127.0.0.1:1\nvms = 127.0.0.1:1\n";
@@ -54,17 +72,49 @@
         let host = self.host;
         format!(
             "[process]\nrole = {role}\nvm = vm-b\nzone = z\nhttp = {host}:8149\n\
-             link = {host}:8150\n{section}[links]\nkey = 0123456789abcdef\n"
+             link = {host}:8150\n{section}[links]\nkey = 0123456789abcdef\n\
+             [shutdown]\nnotice = 0 ms\nlinger = 0 ms\n"
         )
     }
 
+    pub fn start(&self) -> RecordedProcess {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_clementinepickd"));
+        command.arg("--settings").arg(&self.settings);
+        RecordedProcess::start(&mut command)
+    }
+
     /// Starts a process with the limits that a command of the shell sets.
     pub fn start_limited(&self, limits: &str) -> RecordedProcess {
         let mut command = Command::new("sh");
         let script = format!("{limits} && exec \"$0\" --settings \"$1\"");
         command.args(["-c", &script, env!("CARGO_BIN_EXE_clementinepickd")]);
-        command.arg(&self.settings).stdout(Stdio::piped());
-        RecordedProcess(command.stderr(Stdio::piped()).spawn().expect("a shell"))
+        RecordedProcess::start(command.arg(&self.settings))
+    }
+}
+
+/// A signal that tells a process to end.
+#[derive(Debug, Clone, Copy)]
+pub enum StopSignal {
+    Terminate,
+    Interrupt,
+}
+
+impl StopSignal {
+    pub const ALL: [Self; 2] = [Self::Terminate, Self::Interrupt];
+
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Terminate => "TERM",
+            Self::Interrupt => "INT",
+        }
+    }
+
+    /// Returns the bit of the signal in a mask of signals.
+    const fn bit(self) -> u64 {
+        match self {
+            Self::Terminate => 1 << 14,
+            Self::Interrupt => 1 << 1,
+        }
     }
 }
 
@@ -86,6 +136,37 @@
 pub struct RecordedProcess(Child);
 
 impl RecordedProcess {
+    fn start(command: &mut Command) -> Self {
+        let command = command.stdout(Stdio::piped()).stderr(Stdio::piped());
+        Self(command.spawn().expect("the program runs"))
+    }
+
+    pub fn send(&self, signal: StopSignal) {
+        let id = self.0.id().to_string();
+        let sent = Command::new("kill")
+            .args(["-s", signal.name(), &id])
+            .status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    /// Returns whether the process has a handler of a signal.
+    pub fn handles(&self, signal: StopSignal) -> bool {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.0.id()));
+        let status = status.expect("a child");
+        let mut lines = status.lines();
+        let mask = lines.find_map(|line| line.strip_prefix("SigCgt:"));
+        let mask = u64::from_str_radix(mask.expect("a mask").trim(), 16);
+        mask.expect("a number") & signal.bit() != 0
+    }
+
+    /// Waits until the process has a handler of a signal, and panics if it ends before.
+    pub fn wait_until_handling(&mut self, signal: StopSignal) {
+        while !self.handles(signal) {
+            let end = self.wait_for_end(CHECK_INTERVAL);
+            assert_eq!(end, None, "the process ended by itself");
+        }
+    }
+
     /// Waits until the process ends, for `limit` at most.
     pub fn wait_for_end(&mut self, limit: Duration) -> Option<ExitStatus> {
         let started = Instant::now();
