--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -110,6 +110,8 @@
     connection_count: Cell<usize>,
     /// The times of the shutdown, once it has begun.
     shutdown: Cell<Option<ShutdownSchedule>>,
+    /// Whether this process has been found ready.
+    was_ready: Cell<bool>,
     /// Set once idle connections are to be closed.
     closing: Signal,
     /// Set once running requests are to be answered, whatever their state.
@@ -206,6 +208,7 @@
             request_count: Cell::new(0),
             connection_count: Cell::new(0),
             shutdown: Cell::new(None),
+            was_ready: Cell::new(false),
             closing: Signal::default(),
             stopping: Signal::default(),
         };
@@ -401,7 +404,14 @@
             .is_some_and(|at| now.saturating_duration_since(at) < MAX_DIRECTORY_AGE);
         let has_read = directory.config.is_some() && is_fresh && self.ended.is_loaded();
         let accepts_callers = !self.tasks.is_failing(ACCEPT_CALLERS_TASK, now);
-        !self.is_draining() && has_read && accepts_callers
+        let is_ready = !self.is_draining() && has_read && accepts_callers;
+        self.was_ready.set(self.was_ready.get() || is_ready);
+        is_ready
+    }
+
+    /// Returns whether this process has been found ready.
+    pub(crate) fn was_ready(&self) -> bool {
+        self.was_ready.get()
     }
 
     /// Returns how many connections this process may open to one server of a service. Its share of
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -119,6 +119,7 @@
 pub mod settings;
 pub mod settings_file;
 mod signal;
+pub mod stop_signals;
 mod store;
 mod store_attempt;
 mod supervised_tasks;
