Hand the configuration and the list of servers to gateways that can't read them

Operators saw gateways that logged process_started and nothing more. One way there: a gateway that starts needs a handful of reads of the store, and the gateways that serve use up the limit for turns, so that it is refused for as long as the callers press. Besides, load_at_start waited for its peers, which hang if they are dark, before it read the store.

A gateway whose lists are missing or over 1.5 s old now asks up to three peers for a copy, beside its reads of the store; peers in touch send theirs if it is at most two seconds old. The receiver counts the age from the start of its call. A version of the configuration never goes back. A handed list serves for routing and readiness; what follows from an unbroken series of reads (servers_as_of: versions, doubts, absent servers) still waits for the store. Lists with kept servers, and those of a VM whose clocks have parted, are not handed over. load_at_start asks peers and the store at the same time.

starved_starts.rs, debug builds, seven gateways, 64 callers, the store takes 40 reads a second of all. An ordinary start makes one call to a peer more; the reads of the store stay the same.

--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -149,6 +149,8 @@
     PeerBack = 311, "peer_back", Info;
     /// The list of backend servers is available again after an outage.
     ServerListBack = 312, "server_list_back", Info;
+    /// A peer has handed over the configuration or the list of backend servers.
+    ListsHandedOver = 313, "lists_handed_over", Info;
     /// This entry became the owner of a partition.
     PartitionOwned = 401, "partition_owned", Info;
     /// This entry no longer owns a partition.
--- a/clementinepickd/src/config_follower.rs
+++ b/clementinepickd/src/config_follower.rs
@@ -1,8 +1,8 @@
 //! Follows the configuration in the store and publishes new versions.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use clementinepick::event::{Event, EventKind};
 use clementinepick::refusal::Refusal;
 use clementinepick::traffic_config::TrafficConfig;
@@ -67,8 +67,8 @@
             };
             self.context.publish.send_modify(|directory| {
                 directory.config_as_of = directory.config_as_of.max(Some(read.as_of));
-                if let Some(config) = new_config {
-                    directory.config = Some(Arc::new(config));
+                if let Some((config, document)) = new_config {
+                    directory.take_config(read.as_of, config, document);
                 }
             });
         }
@@ -76,9 +76,9 @@
 
     /// Returns the configuration that was read, if its version is higher than the last published
     /// one.
-    fn new_config(&mut self) -> Option<TrafficConfig> {
-        let value = self.watch.topic.records().get(CONFIG_KEY)?;
-        let config = match platform::config::decode(value) {
+    fn new_config(&mut self) -> Option<(TrafficConfig, Bytes)> {
+        let value = self.watch.topic.records().get(CONFIG_KEY)?.clone();
+        let config = match platform::config::decode(&value) {
             Ok(config) => config,
             Err(err) => {
                 let event = Event::new(EventKind::DocumentRejected).with("reason", err);
@@ -95,6 +95,6 @@
         self.known_version = Some(config.version);
         let event = Event::new(EventKind::DocumentInForce).with("version", config.version);
         write_event(self.context.logger, &event);
-        Some(config)
+        Some((config, value))
     }
 }
--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use clementinepick::server_list::{ServerList, SoftwareVersion};
 use clementinepick::traffic_config::TrafficConfig;
 use slog::Logger;
@@ -41,8 +42,12 @@
 pub(crate) struct Directory {
     /// The configuration with the highest version that was read.
     pub(crate) config: Option<Arc<TrafficConfig>>,
+    /// The document from which it was decoded.
+    pub(crate) config_document: Option<Bytes>,
     /// The registered servers.
     pub(crate) servers: Arc<ServerList>,
+    /// Whether entries of some of them have expired in an outage.
+    pub(crate) has_kept_servers: bool,
     /// The addresses at which peers take calls.
     pub(crate) peers: Arc<Vec<SocketAddr>>,
     /// The processes with valid entries, including this one, sorted by address.
@@ -55,6 +60,8 @@
     /// As of when the list of servers is known, changed or not: by the start of the call that returned
     /// it, or by the end of the time for which the store held it.
     pub(crate) servers_as_of: Option<Instant>,
+    /// As of when a peer handed over a list of servers that was newer than what was read.
+    pub(crate) handed_as_of: Option<Instant>,
     /// Since when the list of servers has never been older than [`MAX_LIST_AGE`].
     pub(crate) servers_current_since: Option<Instant>,
     /// The services and software versions of servers whose entries have been replaced or have left, and
@@ -64,9 +71,14 @@
 
 impl Directory {
     /// Returns the earlier time as of which the configuration and the servers are known; `None`
-    /// before both were read.
+    /// before both were read or handed over.
     pub(crate) fn as_of(&self) -> Option<Instant> {
-        Some(self.config_as_of?.min(self.servers_as_of?))
+        Some(self.config_as_of?.min(self.list_as_of()?))
+    }
+
+    /// Returns as of when the list of servers was read or handed over.
+    pub(crate) fn list_as_of(&self) -> Option<Instant> {
+        self.servers_as_of.max(self.handed_as_of)
     }
 
     /// Returns whether the list of servers is new enough to conclude from it that a server is absent.
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::directory_thread::{DirectoryThread, new_system};
 use crate::gateway_budget::{maintain_homes, send_token_returns};
 use crate::gateway_connection::{Handler, serve};
+use crate::gateway_directory_copy::maintain_directory;
 use crate::gateway_ended_upkeep::maintain_ended;
 use crate::gateway_hanging::check_unheard;
 use crate::gateway_loss::settle_losses;
@@ -218,7 +219,7 @@
         S: FnOnce() -> F,
         F: Future<Output = io::Result<()>>,
     {
-        let (publish, directory) = watch::channel(Directory::default());
+        let (publish, _) = watch::channel(Directory::default());
         let (refresh, refreshes) = refresh_channel();
         let (follower_stop, stopped) = watch::channel(false);
         let metrics = Arc::new(GatewayMetrics::new()?);
@@ -236,7 +237,7 @@
             seeds: self.settings.seeds.clone(),
             store: self.settings.store,
             logger: self.logger.clone(),
-            publish,
+            publish: publish.clone(),
             refreshes,
             stopped,
             metrics: Arc::clone(&metrics),
@@ -248,7 +249,7 @@
                 is_leaving.store(true, Ordering::Relaxed);
                 stopped
             };
-            self.serve(directory, refresh, metrics, writer, stop).await
+            self.serve(publish, refresh, metrics, writer, stop).await
         }));
         follower_stop.send_replace(true);
         // The follower logs its own failures; its panic has already been printed.
@@ -258,7 +259,7 @@
 
     async fn serve(
         self,
-        directory: watch::Receiver<Directory>,
+        publish: watch::Sender<Directory>,
         refresh: RefreshSender,
         metrics: Arc<GatewayMetrics>,
         writer: String,
@@ -266,7 +267,7 @@
     ) -> Result<(), GatewayError> {
         let settings = &self.settings;
         let logger = self.logger.clone();
-        let (shared, queues) = Shared::new(settings, directory, refresh, logger, metrics, writer);
+        let (shared, queues) = Shared::new(settings, publish, refresh, logger, metrics, writer);
         let shared = Rc::new(shared);
         let mut tasks = JoinSet::new();
         let callers: Rc<dyn Handler> = Rc::new(CallerHandler {
@@ -312,6 +313,7 @@
         tasks.spawn_local(finish_turn_reads(Rc::clone(&shared), unfinished));
         tasks.spawn_local(send_token_returns(Rc::clone(&shared), queues.returned));
         tasks.spawn_local(send_updates(Rc::clone(&shared), queues.updates));
+        tasks.spawn_local(maintain_directory(Rc::clone(&shared)));
         tasks.spawn_local(maintain_ended(Rc::clone(&shared)));
         tasks.spawn_local(check_unheard(Rc::clone(&shared)));
         tasks.spawn_local(watch_stall(Rc::clone(&shared)));
--- /dev/null
+++ b/clementinepickd/src/gateway_directory_copy.rs
@@ -0,0 +1,232 @@
+//! Asks peers for the configuration and the list of servers while this process cannot read them from the
+//! store, and hands its own to peers that ask.
+//!
+//! A process that starts would otherwise depend on reads for which all others compete.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep;
+use bytes::Bytes;
+use clementinepick::event::{Event, EventKind};
+use clementinepick::traffic_config::TrafficConfig;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+
+use crate::directory::Directory;
+use crate::directory_copy::{COPY_PATH, CopyQuery, DirectoryCopy};
+use crate::gateway_peer::{PeerCall, call_peer};
+use crate::gateway_shared::Shared;
+use crate::ledger::{from_cbor, to_cbor};
+use crate::unix_time::unix_ms;
+
+/// The age of a list from which peers are asked: older than a long poll leaves it.
+const DUE_AGE: Duration = Duration::from_millis(1_500);
+/// How long a peer may take.
+const COPY_TIMEOUT: Duration = Duration::from_millis(200);
+/// The number of peers that are asked in one round, and the time after which the next one is asked as
+/// well.
+const MAX_ASKED: usize = 3;
+const NEXT_PEER_DELAY: Duration = Duration::from_millis(30);
+/// The pause between two rounds; it doubles with each one that brings nothing.
+const MIN_PAUSE: Duration = Duration::from_millis(20);
+const MAX_PAUSE: Duration = Duration::from_secs(1);
+/// How often the age of the lists is checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// By how much the wall clock and the clock of ages may part. They part further while the VM is
+/// suspended, which ages do not count.
+const MAX_CLOCK_GAP_MS: i64 = 300;
+/// How long nothing is handed over after that: lists are read again by then.
+const CLOCK_WAIT: Duration = Duration::from_secs(2);
+
+/// Notices that the VM was suspended, by its clocks.
+#[derive(Debug)]
+pub(crate) struct ClockWatch {
+    started_at: Instant,
+    /// How far the wall clock was ahead of the clock of ages when last seen.
+    ahead_ms: Cell<Option<i64>>,
+    parted_at: Cell<Option<Instant>>,
+}
+
+impl ClockWatch {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            started_at: now,
+            ahead_ms: Cell::new(None),
+            parted_at: Cell::new(None),
+        }
+    }
+
+    /// Returns whether ages can be relied on.
+    fn is_sound(&self, now: Instant, now_unix_ms: u64) -> bool {
+        let run_ms = now.saturating_duration_since(self.started_at).as_millis();
+        let run_ms = i64::try_from(run_ms).unwrap_or(i64::MAX);
+        let ahead_ms = i64::try_from(now_unix_ms).unwrap_or(i64::MAX) - run_ms;
+        let last_ms = self.ahead_ms.replace(Some(ahead_ms));
+        if last_ms.is_some_and(|last| (ahead_ms - last).abs() > MAX_CLOCK_GAP_MS) {
+            self.parted_at.set(Some(now));
+        }
+        let parted_at = self.parted_at.get();
+        parted_at.is_none_or(|at| now.saturating_duration_since(at) >= CLOCK_WAIT)
+    }
+}
+
+/// Asks peers whenever the lists of this process are missing or old, until dropped.
+pub(crate) async fn maintain_directory(shared: Rc<Shared>) {
+    let mut pause = MIN_PAUSE;
+    loop {
+        let is_due = is_due(&shared.directory(), Instant::now());
+        if is_due && !ask_peers(&shared).await {
+            sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+            pause = (pause * 2).min(MAX_PAUSE);
+        } else {
+            pause = MIN_PAUSE;
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+}
+
+fn is_due(directory: &Directory, now: Instant) -> bool {
+    let is_old = |at: Instant| now.saturating_duration_since(at) >= DUE_AGE;
+    directory.as_of().is_none_or(is_old)
+}
+
+/// Asks some peers, one soon after the other, until the lists are no longer due; returns whether they
+/// are not.
+async fn ask_peers(shared: &Shared) -> bool {
+    let mut peers = shared.ended_peers(Instant::now());
+    let mut calls = FuturesUnordered::new();
+    for number in 0..MAX_ASKED.min(peers.len()) {
+        let peer = peers.swap_remove(rand::random_range(0..peers.len()));
+        let delay = NEXT_PEER_DELAY * u32::try_from(number).unwrap_or(u32::MAX);
+        calls.push(async move {
+            sleep(delay).await;
+            ask(shared, peer).await;
+        });
+    }
+    while calls.next().await.is_some() {
+        if !is_due(&shared.directory(), Instant::now()) {
+            return true;
+        }
+    }
+    false
+}
+
+async fn ask(shared: &Shared, peer: SocketAddr) {
+    let config = shared.directory().config;
+    let query = CopyQuery {
+        config_version: config.map(|config| config.version),
+    };
+    let call = PeerCall {
+        path: COPY_PATH,
+        body: to_cbor(&query),
+        limit: COPY_TIMEOUT,
+    };
+    let asked_at = Instant::now();
+    if let Some(copy) = call_peer::<DirectoryCopy>(shared, peer, call).await {
+        shared.take_copy(peer, copy, asked_at, Instant::now());
+    }
+}
+
+impl Shared {
+    /// Takes what a peer has handed over as far as it is newer than what this process has.
+    fn take_copy(
+        &self,
+        peer: SocketAddr,
+        mut copy: DirectoryCopy,
+        asked_at: Instant,
+        now: Instant,
+    ) {
+        let config = copy.take_config(asked_at, now);
+        let list = copy.take_list(asked_at, now);
+        let decoded = config.as_ref().and_then(|config| {
+            let document = config.document.clone()?;
+            Some((self.decode_config(&document)?, document))
+        });
+        let mut new_version = None;
+        let mut is_first_list = false;
+        self.publish.send_modify(|directory| {
+            if let Some(config) = &config {
+                directory.confirm_config(config.as_of, config.version);
+            }
+            if let Some((config, (decoded, document))) = config.zip(decoded)
+                && directory.take_config(config.as_of, decoded, document)
+            {
+                new_version = Some(config.version);
+            }
+            let had_list = directory.list_as_of().is_some();
+            is_first_list = list.is_some_and(|list| directory.take_list(list)) && !had_list;
+            if !directory.has_read_processes {
+                add_peers(directory, &copy.peers, self.peer_address);
+            }
+        });
+        if new_version.is_some() || is_first_list {
+            let directory = self.directory();
+            let age_ms = directory.as_of().map_or(0, |at| at.elapsed().as_millis());
+            let event = Event::new(EventKind::ListsHandedOver)
+                .with("peer", peer)
+                .with("version", new_version.unwrap_or_default())
+                .with("servers", directory.servers.servers.len())
+                .with("age_ms", age_ms);
+            self.log(&event);
+        }
+    }
+
+    fn decode_config(&self, document: &Bytes) -> Option<TrafficConfig> {
+        let decoded = platform::config::decode(document);
+        if let Err(err) = &decoded {
+            self.log(&Event::new(EventKind::DocumentRejected).with("reason", err));
+        }
+        decoded.ok()
+    }
+}
+
+fn add_peers(directory: &mut Directory, handed: &[SocketAddr], own: SocketAddr) {
+    let known = directory.peers.iter().chain(handed);
+    let mut peers: Vec<SocketAddr> = known.copied().filter(|peer| *peer != own).collect();
+    peers.sort_unstable();
+    peers.dedup();
+    directory.peers = Arc::new(peers);
+}
+
+/// Handles a peer's request for a copy; `None` for other paths.
+pub(crate) fn handle_copy_call(
+    shared: &Shared,
+    path: &str,
+    body: &[u8],
+    now: Instant,
+) -> Option<(u16, Bytes)> {
+    if path != COPY_PATH {
+        return None;
+    }
+    let Some(query) = from_cbor::<CopyQuery>(body) else {
+        return Some((400, Bytes::new()));
+    };
+    let copy = if shared.clocks.is_sound(now, unix_ms()) {
+        DirectoryCopy::of(&shared.directory(), query, now)
+    } else {
+        DirectoryCopy::default()
+    };
+    Some((200, to_cbor(&copy)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a copy whose age leaves out that its VM was suspended.
+    #[test]
+    fn nothing_is_handed_over_right_after_the_vm_was_suspended() {
+        let start = Instant::now();
+        let clocks = ClockWatch::new(start);
+        assert!(clocks.is_sound(start, 1_000));
+        let second = start + Duration::from_secs(1);
+        assert!(clocks.is_sound(second, 2_000));
+        assert!(!clocks.is_sound(second, 6_000));
+        assert!(!clocks.is_sound(second + CLOCK_WAIT / 2, 7_000));
+        assert!(clocks.is_sound(second + CLOCK_WAIT, 8_000));
+    }
+}
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -10,6 +10,7 @@
 use clementinepick::request_key::RequestKey;
 use clementinepick::server_list::ServerList;
 use futures_util::future::join_all;
+use futures_util::join;
 
 use crate::directory::Directory;
 use crate::gateway_ended::MAX_LOAD_WAIT;
@@ -89,17 +90,35 @@
 /// responded or a peer that has loaded it, or if that takes too long. Returns whether the store has
 /// responded.
 async fn load_at_start(shared: &Rc<Shared>) -> bool {
-    // The peers in the settings may be gone before the list of processes is read.
+    // Peers that have lost power let their calls hang.
+    let (is_store_read, ()) = join!(load_from_store(shared), load_from_first_peers(shared));
+    wait_for(shared, MAX_LOAD_WAIT, |directory| {
+        directory.has_read_processes
+    })
+    .await;
+    load(shared, MAX_LOAD_PEERS).await;
+    shared.ended.set_loaded();
+    is_store_read
+}
+
+/// Loads what the peers in the settings know, which may be gone before the list of processes is read.
+async fn load_from_first_peers(shared: &Rc<Shared>) {
     wait_for(shared, SETTINGS_WAIT, |directory| {
         !directory.peers.is_empty()
     })
     .await;
-    let mut is_loaded = load(shared, MAX_LOAD_PEERS).await;
+    if load(shared, MAX_LOAD_PEERS).await {
+        shared.ended.set_loaded();
+    }
+}
+
+/// Loads what the store knows, until it has responded or requests have waited long enough; returns
+/// whether it has.
+async fn load_from_store(shared: &Rc<Shared>) -> bool {
     let mut can_serve_since = None;
-    let is_store_read = loop {
+    loop {
         let is_read = shared.load_requests().await.is_ok();
-        is_loaded |= is_read;
-        if is_loaded {
+        if is_read {
             shared.ended.set_loaded();
         }
         if shared.directory().config.is_some() {
@@ -107,17 +126,10 @@
         }
         let has_waited = can_serve_since.is_some_and(|at| at.elapsed() >= MAX_STORE_WAIT);
         if is_read || has_waited {
-            break is_read;
+            return is_read;
         }
         sleep(LOAD_RETRY_INTERVAL).await;
-    };
-    wait_for(shared, MAX_LOAD_WAIT, |directory| {
-        directory.has_read_processes
-    })
-    .await;
-    load(shared, MAX_LOAD_PEERS).await;
-    shared.ended.set_loaded();
-    is_store_read
+    }
 }
 
 /// Forgets requests that have expired, also in the store.
--- a/clementinepickd/src/gateway_peer.rs
+++ b/clementinepickd/src/gateway_peer.rs
@@ -16,6 +16,7 @@
 
 use crate::gateway_budget_peer::{handle_budget_call, lends_tokens};
 use crate::gateway_connection::Handler;
+use crate::gateway_directory_copy::handle_copy_call;
 use crate::gateway_ended::handle_ended_call;
 use crate::gateway_origins::handle_origin_call;
 use crate::gateway_peer_turns::{self, TURN_PATH};
@@ -146,6 +147,10 @@
                 handle_ended_call(&self.shared, &target, &request.body, Instant::now())
             {
                 response
+            } else if let Some(response) =
+                handle_copy_call(&self.shared, &target, &request.body, Instant::now())
+            {
+                response
             } else if let Some(response) = handle_start_call(&self.shared, &target, &request.body) {
                 response
             } else if let Some(response) =
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -27,6 +27,7 @@
 
 use crate::connection_limits::ListenerConnections;
 use crate::directory::Directory;
+use crate::gateway_directory_copy::ClockWatch;
 use crate::gateway_ended::Ended;
 use crate::gateway_loss::{LossSender, OpenLoss};
 use crate::gateway_metrics::GatewayMetrics;
@@ -97,6 +98,9 @@
     /// The memory of responses that are received or sent.
     pub(crate) response_memory: ResponseMemory,
     directory: watch::Receiver<Directory>,
+    /// Publishes what peers hand over; the thread that follows the store has the same sender.
+    pub(crate) publish: watch::Sender<Directory>,
+    pub(crate) clocks: ClockWatch,
     list_refresh: RefreshSender,
     logger: Logger,
     log_every: u64,
@@ -146,7 +150,7 @@
     /// Creates the state of a starting gateway and the queues of its background tasks.
     pub(crate) fn new(
         settings: &GatewaySettings,
-        directory: watch::Receiver<Directory>,
+        publish: watch::Sender<Directory>,
         list_refresh: RefreshSender,
         logger: Logger,
         metrics: Arc<GatewayMetrics>,
@@ -193,7 +197,9 @@
             retries: RefCell::default(),
             connections: ListenerConnections::new(settings, Instant::now()),
             response_memory: ResponseMemory::new(settings.response_limit_bytes),
-            directory,
+            directory: publish.subscribe(),
+            publish,
+            clocks: ClockWatch::new(Instant::now()),
             list_refresh,
             logger,
             log_every: settings.log_every,
--- a/clementinepickd/src/server_follower.rs
+++ b/clementinepickd/src/server_follower.rs
@@ -22,7 +22,9 @@
     refresh: RefreshReceiver,
     /// Versions of entries that were replaced or have left, as published.
     left_versions: LeftVersions,
-    /// The servers that were published last.
+    /// The list that was published last.
+    published: Arc<ServerList>,
+    /// Its servers.
     known: BTreeMap<String, BackendServer>,
     /// Those of them whose entries have expired and that are kept for now.
     kept: BTreeSet<String>,
@@ -41,6 +43,7 @@
             refresh,
             left_versions: LeftVersions::new(),
             watch: TopicWatch::new(Topic::Servers, now),
+            published: Arc::default(),
             known: BTreeMap::new(),
             kept: BTreeSet::new(),
             bad_entries: BTreeMap::new(),
@@ -82,13 +85,19 @@
         } else {
             None
         };
+        if let Some(servers) = servers {
+            self.published = Arc::new(ServerList { servers });
+        }
         self.context.publish.send_modify(|directory| {
+            let is_newest = directory.list_as_of() <= Some(read.as_of);
             directory.record_servers_read(read.as_of, now);
             if has_left {
                 directory.left_versions = Arc::new(self.left_versions.clone());
             }
-            if let Some(servers) = servers {
-                directory.servers = Arc::new(ServerList { servers });
+            if is_newest {
+                // A peer may have handed over another list meanwhile.
+                directory.servers = Arc::clone(&self.published);
+                directory.has_kept_servers = !self.kept.is_empty();
             }
         });
     }
--- /dev/null
+++ b/standins/tests/starved_starts.rs
@@ -0,0 +1,246 @@
+//! Tests that a gateway which starts gets what it needs although the gateways that serve use up the reads
+//! of the store. The gateways are processes.
+
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use standins::platform_backend::{BackendSettings, PlatformBackend};
+use standins::platform_caller::{CallerRequest, CallerResponse};
+use standins::platform_run::{MODEL_SERVICE, config, is_ready};
+use standins::platform_store::PlatformStore;
+use standins::process_gateways::ProcessGateways;
+
+const GATEWAYS: usize = 7;
+const CALLERS: usize = 64;
+/// The turns of a program, each at another gateway.
+const TURNS: usize = 4;
+/// The reads of a second that the store takes from all gateways together.
+const READS_PER_S: u32 = 40;
+/// How long the store takes for each answer.
+const STORE_DELAY: Duration = Duration::from_millis(4);
+/// How long the limit has been in force when a gateway is killed.
+const LOAD_LEAD: Duration = Duration::from_secs(3);
+/// The time in which a version of the configuration must be in force at all gateways.
+const CONFIG_LIMIT: Duration = Duration::from_secs(2);
+/// The time in which the system must serve again after all gateways are back.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
+/// How long the turns that are served are counted.
+const COUNT_SPAN: Duration = Duration::from_secs(6);
+/// The pause of a caller after a refusal without a delay.
+const CALLER_PAUSE: Duration = Duration::from_millis(50);
+const MAX_CALLER_PAUSE: Duration = Duration::from_secs(1);
+
+/// Gateways, a store, an engine, and what callers have got.
+struct Run {
+    gateways: ProcessGateways,
+    store: PlatformStore,
+    _engine: PlatformBackend,
+    served: AtomicU64,
+    unknown: AtomicU64,
+    refused: AtomicU64,
+    is_over: AtomicBool,
+}
+
+impl Run {
+    fn start(name: &str) -> Self {
+        let store = PlatformStore::default();
+        let engine = start_engine(&store);
+        let config = config(1).replace("\"MaxConns\":50", "\"MaxConns\":300");
+        store.put("keyed.op", "config", &config);
+        store.set_delay(STORE_DELAY);
+        let gateways = ProcessGateways::start(name, GATEWAYS, &store).expect("gateways");
+        Self {
+            gateways,
+            store,
+            _engine: engine,
+            served: AtomicU64::new(0),
+            unknown: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
+            is_over: AtomicBool::new(false),
+        }
+    }
+
+    /// Sends turns of programs, each to the next gateway, until the run is over.
+    fn converse(&self, addresses: &[std::net::SocketAddr], caller: usize) {
+        let mut program = 0;
+        while !self.is_over.load(Ordering::Relaxed) {
+            program += 1;
+            let name = format!("program-{caller}-{program}");
+            for turn in 0..TURNS {
+                let address = addresses[(caller + program + turn) % addresses.len()];
+                let request = CallerRequest::turn("/chat/1", &format!("{name}-{turn}"), &name, "x")
+                    .with("Token-Budget", "1000000");
+                // The first turn names one that was never recorded: no memory has it.
+                let previous = match turn {
+                    0 => format!("{name}-never"),
+                    1 => String::new(),
+                    _ => format!("{name}-{}", turn - 1),
+                };
+                let request = if previous.is_empty() {
+                    request
+                } else {
+                    request.with("Previous-Turn", &previous)
+                };
+                if !self.record(&request.send(address)) && turn > 0 {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Counts a response, and waits as long as it asks for; returns whether the turn was served.
+    fn record(&self, response: &io::Result<CallerResponse>) -> bool {
+        let status = response.as_ref().map_or(0, |response| response.status);
+        let is_whole = response.as_ref().is_ok_and(|r| r.is_complete);
+        match status {
+            200 if is_whole => {
+                self.served.fetch_add(1, Ordering::Relaxed);
+                return true;
+            }
+            404 => {
+                self.unknown.fetch_add(1, Ordering::Relaxed);
+                return false;
+            }
+            _ => self.refused.fetch_add(1, Ordering::Relaxed),
+        };
+        let retry_after = response
+            .as_ref()
+            .ok()
+            .and_then(|r| r.headers.get("retry-after"));
+        let retry_after = retry_after.and_then(|seconds| seconds.parse::<f64>().ok());
+        let pause = retry_after.map_or(CALLER_PAUSE, Duration::from_secs_f64);
+        thread::sleep(pause.clamp(CALLER_PAUSE, MAX_CALLER_PAUSE));
+        false
+    }
+
+    /// Runs `work` while callers send turns.
+    fn under_load(mut self, work: impl FnOnce(&mut Loaded<'_>)) {
+        let addresses: Vec<_> = (0..GATEWAYS).map(|g| self.gateways.callers(g)).collect();
+        let mut gateways = std::mem::take(&mut self.gateways.processes);
+        let run = &self;
+        thread::scope(|scope| {
+            for caller in 0..CALLERS {
+                let addresses = &addresses;
+                scope.spawn(move || run.converse(addresses, caller));
+            }
+            let _over = OverGuard(&run.is_over);
+            run.store.limit_reads(READS_PER_S);
+            thread::sleep(LOAD_LEAD);
+            work(&mut Loaded {
+                run,
+                processes: &mut gateways,
+            });
+        });
+    }
+}
+
+/// Ends the callers, also after a failure.
+struct OverGuard<'a>(&'a AtomicBool);
+
+impl Drop for OverGuard<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// A run whose callers send turns.
+struct Loaded<'a> {
+    run: &'a Run,
+    processes: &'a mut Vec<standins::soak_process::GatewayProcess>,
+}
+
+impl Loaded<'_> {
+    fn restart(&mut self, gateways: std::ops::Range<usize>) {
+        for gateway in gateways.clone() {
+            self.processes[gateway].kill();
+        }
+        for gateway in gateways {
+            self.processes[gateway].restart().expect("a process");
+        }
+    }
+
+    /// Returns when each gateway became ready; `None` if it did not within `limit`.
+    fn times_until_ready(
+        &self,
+        gateways: std::ops::Range<usize>,
+        limit: Duration,
+    ) -> Vec<Option<Duration>> {
+        let started = Instant::now();
+        let mut times = vec![None; gateways.len()];
+        while started.elapsed() < limit && times.contains(&None) {
+            for (gateway, time) in gateways.clone().zip(&mut times) {
+                if time.is_none() && is_ready(self.processes[gateway].ports.ready) {
+                    *time = Some(started.elapsed()).filter(|time| *time <= limit);
+                }
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        times
+    }
+
+    /// Counts the turns that are served in a span.
+    fn count_served(&self) -> u64 {
+        let count = || self.run.served.load(Ordering::Relaxed);
+        let before = count();
+        let others = || {
+            let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
+            (load(&self.run.unknown), load(&self.run.refused))
+        };
+        let others_before = others();
+        thread::sleep(COUNT_SPAN);
+        let served = count() - before;
+        let (unknown, refused) = others();
+        println!(
+            "in {COUNT_SPAN:?}: {served} served, {} unknown, {} refused",
+            unknown - others_before.0,
+            refused - others_before.1
+        );
+        served
+    }
+}
+
+fn start_engine(store: &PlatformStore) -> PlatformBackend {
+    let settings = BackendSettings {
+        id: "e-1".to_owned(),
+        events: 2,
+        pause: Duration::from_millis(1),
+        ..BackendSettings::default()
+    };
+    let engine = PlatformBackend::start(settings).expect("a free port");
+    let entry = engine.entry(MODEL_SERVICE, "ready");
+    let entry = entry.replace("\"Slots\":8", "\"Slots\":200");
+    store.put("keyed.servers", "e-1", &entry);
+    engine
+}
+
+/// Guards against a gateway that returns alone and is starved by those that serve.
+#[test]
+fn a_gateway_that_returns_alone_is_ready_although_others_use_up_the_reads() {
+    Run::start("starved-one").under_load(|loaded| {
+        loaded.count_served();
+        let times: Vec<_> = (0..GATEWAYS)
+            .flat_map(|gateway| {
+                loaded.restart(gateway..gateway + 1);
+                loaded.times_until_ready(gateway..gateway + 1, CONFIG_LIMIT)
+            })
+            .collect();
+        println!("ready after {times:?}");
+        assert!(!times.contains(&None), "not ready in time: {times:?}");
+    });
+}
+
+/// Guards against gateways that return together and starve each other.
+#[test]
+fn gateways_that_return_together_are_ready_although_callers_use_up_the_reads() {
+    Run::start("starved-all").under_load(|loaded| {
+        for _ in 0..3 {
+            loaded.restart(0..GATEWAYS);
+            let times = loaded.times_until_ready(0..GATEWAYS, RECOVERY_LIMIT);
+            println!("ready after {times:?}");
+            assert!(!times.contains(&None), "not ready in time: {times:?}");
+            loaded.count_served();
+        }
+    });
+}
