--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -219,7 +219,7 @@
         S: FnOnce() -> F,
         F: Future<Output = io::Result<()>>,
     {
-        let (publish, directory) = watch::channel(Directory::default());
+        let (publish, _) = watch::channel(Directory::default());
         let (refresh, refreshes) = refresh_channel();
         let (follower_stop, stopped) = watch::channel(false);
         let metrics = Arc::new(GatewayMetrics::new()?);
@@ -237,7 +237,7 @@
             seeds: self.settings.seeds.clone(),
             store: self.settings.store,
             logger: self.logger.clone(),
-            publish,
+            publish: publish.clone(),
             refreshes,
             stopped,
             metrics: Arc::clone(&metrics),
@@ -249,7 +249,7 @@
                 is_leaving.store(true, Ordering::Relaxed);
                 stopped
             };
-            self.serve(directory, refresh, metrics, writer, stop).await
+            self.serve(publish, refresh, metrics, writer, stop).await
         }));
         follower_stop.send_replace(true);
         // The follower logs its own failures; its panic has already been printed.
@@ -259,7 +259,7 @@
 
     async fn serve(
         self,
-        directory: watch::Receiver<Directory>,
+        publish: watch::Sender<Directory>,
         refresh: RefreshSender,
         metrics: Arc<GatewayMetrics>,
         writer: String,
@@ -267,7 +267,7 @@
     ) -> Result<(), GatewayError> {
         let settings = &self.settings;
         let logger = self.logger.clone();
-        let (shared, queues) = Shared::new(settings, directory, refresh, logger, metrics, writer);
+        let (shared, queues) = Shared::new(settings, publish, refresh, logger, metrics, writer);
         let shared = Rc::new(shared);
         limit_socket_buffers(&shared, &self.listeners.callers);
         let mut tasks = GatewayTasks::new(&shared);
--- a/clementinepickd/src/gateway_tasks.rs
+++ b/clementinepickd/src/gateway_tasks.rs
@@ -10,6 +10,7 @@
 use crate::connections::Connections;
 use crate::gateway_budget::{maintain_homes, send_token_returns};
 use crate::gateway_connection::Handler;
+use crate::gateway_directory_copy::maintain_directory;
 use crate::gateway_ended_upkeep::maintain_ended;
 use crate::gateway_endpoint::Endpoint;
 use crate::gateway_hanging::check_unheard;
@@ -133,6 +134,7 @@
         self.spawn("peer_updates", async move |shared| {
             send_updates(shared, &mut queues.updates).await;
         });
+        self.spawn("directory_copy", maintain_directory);
         self.spawn("ended_servers", maintain_ended);
         self.spawn("unheard_servers", check_unheard);
         self.spawn("stall", watch_stall);
--- a/clementinepickd/src/gateway_tests.rs
+++ b/clementinepickd/src/gateway_tests.rs
@@ -178,7 +178,7 @@
 #[test]
 fn a_process_that_fails_to_accept_callers_is_not_ready() {
     let now = Instant::now();
-    let (_publish, directory) = watch::channel(Directory {
+    let (publish, _) = watch::channel(Directory {
         config: Some(Arc::new(TrafficConfig::default())),
         config_as_of: Some(now),
         servers_as_of: Some(now),
@@ -190,7 +190,7 @@
     let settings = GatewaySettings::default();
     let (shared, _queues) = Shared::new(
         &settings,
-        directory,
+        publish,
         refresh,
         logger,
         metrics,
--- a/clementinepickd/src/task_parts_tests.rs
+++ b/clementinepickd/src/task_parts_tests.rs
@@ -48,14 +48,14 @@
     let settings = GatewaySettings::default();
     let level = settings.log_level;
     let logger = new_logger_to(log.clone(), level, &settings.vm, Incarnation(1));
-    let (_publish, directory) = watch::channel(Directory {
+    let (publish, _) = watch::channel(Directory {
         peers: Arc::new(vec![nowhere()]),
         ..Directory::default()
     });
     let (refresh, _refreshes) = refresh_channel();
     let metrics = Arc::new(GatewayMetrics::new().expect("a recorder"));
     let writer = "writer".to_owned();
-    let (shared, queues) = Shared::new(&settings, directory, refresh, logger, metrics, writer);
+    let (shared, queues) = Shared::new(&settings, publish, refresh, logger, metrics, writer);
     System::new().block_on(LocalSet::new().run_until(check(Rc::new(shared), queues)));
     log.text()
 }
