Pace and count the panics of the thread that follows the store

What operators saw: a thread that panicked on and on began anew every 200 ms, five lines a second, and no metric showed it; its log line did not say what the panic was. A panic that ended the thread was in no log.

Cause: a pause of its own, beside that of the tasks.

The pause ends when the process does. A panic that joining the thread shows is logged.

--- a/clementinepickd/src/directory_thread.rs
+++ b/clementinepickd/src/directory_thread.rs
@@ -5,22 +5,22 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::{Arc, mpsc};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::{Runtime, System, SystemRunner};
-use clementinepick::event::{Event, EventKind};
 use slog::Logger;
 use tokio::sync::watch;
 
 use crate::directory::{Directory, Identity, follow};
 use crate::gateway_metrics::GatewayMetrics;
 use crate::list_refresh::RefreshReceiver;
-use crate::logging::write_event;
 use crate::store::StoreClient;
-use crate::supervised_tasks::TaskSupervisor;
+use crate::supervised_tasks::{TaskSupervisor, message};
 
-/// The pause before the work is started again.
-const RESTART_PAUSE: Duration = Duration::from_millis(200);
+/// The name of the work in logs and metrics.
+const TASK: &str = "directory_thread";
+/// How often it is checked during a pause whether the process ends.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Returns a new event loop for this thread.
 pub(crate) fn new_system() -> io::Result<SystemRunner> {
@@ -69,21 +69,21 @@
         }
         let _ = started.send(Ok(()));
         let stopped = self.stopped.clone();
-        run_until_stopped(&self.logger, &stopped, || {
+        let tasks = TaskSupervisor::new(self.logger.clone(), Arc::clone(&self.metrics));
+        run_until_stopped(&tasks, &stopped, || {
             let system = first.take().unwrap_or_else(new_system)?;
-            system.block_on(self.follow());
+            system.block_on(self.follow(&tasks));
             Ok(())
         });
     }
 
-    async fn follow(&self) {
+    async fn follow(&self, tasks: &TaskSupervisor) {
         let store = StoreClient::new(self.store, Arc::clone(&self.metrics));
-        let tasks = TaskSupervisor::new(self.logger.clone(), Arc::clone(&self.metrics));
         Box::pin(follow(
             self.identity.clone(),
             self.seeds.clone(),
             store,
-            &tasks,
+            tasks,
             self.publish.clone(),
             self.refreshes.clone(),
             self.stopped.clone(),
@@ -94,7 +94,7 @@
 
 /// Calls `run` again after a failure or a panic, until it succeeds or the process is stopped.
 fn run_until_stopped(
-    logger: &Logger,
+    tasks: &TaskSupervisor,
     stopped: &watch::Receiver<bool>,
     mut run: impl FnMut() -> io::Result<()>,
 ) {
@@ -102,13 +102,13 @@
         let detail = match catch_unwind(AssertUnwindSafe(&mut run)) {
             Ok(Ok(())) => return,
             Ok(Err(err)) => err.to_string(),
-            Err(_) => "the thread that follows the store panicked".to_owned(),
+            Err(panic) => message(&*panic),
         };
-        write_event(
-            logger,
-            &Event::new(EventKind::InvariantBroken).with("detail", detail),
-        );
-        thread::sleep(RESTART_PAUSE);
+        let now = Instant::now();
+        let restart_at = now + tasks.record_end(TASK, &detail, now);
+        while Instant::now() < restart_at && !*stopped.borrow() {
+            thread::sleep(STOP_CHECK_INTERVAL);
+        }
         if *stopped.borrow() {
             return;
         }
@@ -119,13 +119,21 @@
 mod tests {
     use super::*;
 
+    const SHORTLY: Duration = Duration::from_millis(200);
+
+    fn supervisor() -> (TaskSupervisor, Arc<GatewayMetrics>) {
+        let metrics = Arc::new(GatewayMetrics::new().expect("a recorder"));
+        let logger = Logger::root(slog::Discard, slog::o!());
+        (TaskSupervisor::new(logger, Arc::clone(&metrics)), metrics)
+    }
+
     /// Guards against a process that goes on without the thread that follows the store.
     #[test]
     fn work_that_panics_or_fails_is_started_again() {
-        let logger = Logger::root(slog::Discard, slog::o!());
+        let (tasks, _) = supervisor();
         let (_stop, stopped) = watch::channel(false);
         let mut runs = 0;
-        run_until_stopped(&logger, &stopped, || {
+        run_until_stopped(&tasks, &stopped, || {
             runs += 1;
             assert_ne!(runs, 1, "the first run panics");
             if runs == 2 {
@@ -139,13 +147,50 @@
     /// Guards against a process that does not end because its thread is started again.
     #[test]
     fn work_is_not_started_again_when_the_process_ends() {
-        let logger = Logger::root(slog::Discard, slog::o!());
+        let (tasks, _) = supervisor();
         let (_stop, stopped) = watch::channel(true);
         let mut runs = 0;
-        run_until_stopped(&logger, &stopped, || {
+        run_until_stopped(&tasks, &stopped, || {
             runs += 1;
             Err(io::Error::other("it always fails"))
         });
         assert_eq!(runs, 1);
     }
+
+    /// Guards against a thread that panics for ever and shows it nowhere but in the log.
+    #[test]
+    fn panics_in_a_row_are_counted_and_paced() {
+        let (tasks, metrics) = supervisor();
+        let (stop, stopped) = watch::channel(false);
+        let mut starts = Vec::new();
+        run_until_stopped(&tasks, &stopped, || {
+            starts.push(Instant::now());
+            if starts.len() == 7 {
+                stop.send_replace(true);
+            }
+            panic!("it always panics");
+        });
+        let pauses: Vec<Duration> = starts.windows(2).map(|pair| pair[1] - pair[0]).collect();
+        assert!(pauses[5] >= Duration::from_millis(320), "{pauses:?}");
+        let counted = "clementinepick_task_panics_total{task=\"directory_thread\"} 7";
+        assert!(metrics.text().contains(counted), "{}", metrics.text());
+    }
+
+    /// Guards against a process that ends late because its thread pauses.
+    #[test]
+    fn a_pause_ends_when_the_process_ends() {
+        let (tasks, _) = supervisor();
+        let now = Instant::now();
+        while tasks.record_end(TASK, "panic", now) < Duration::from_secs(5) {}
+        let (stop, stopped) = watch::channel(false);
+        let stopping = thread::spawn(move || {
+            thread::sleep(SHORTLY);
+            stop.send_replace(true);
+        });
+        run_until_stopped(&tasks, &stopped, || {
+            Err(io::Error::other("it always fails"))
+        });
+        assert!(now.elapsed() < Duration::from_secs(4));
+        stopping.join().expect("a thread");
+    }
 }
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -34,6 +34,7 @@
 use crate::log_output::StandardOutput;
 use crate::logging::{new_logger_to, write_event};
 use crate::safeguard::Safeguard;
+use crate::supervised_tasks::message;
 
 /// The sizes of the system's buffers for what a caller sends and for what it is sent, in bytes.
 const RECEIVE_BUFFER_BYTES: usize = 8_192;
@@ -197,6 +198,7 @@
             peer_address: self.settings.peers,
             is_leaving: Arc::clone(&is_leaving),
         };
+        let logger = self.logger.clone();
         let system = new_system()?;
         let follower = DirectoryThread {
             identity,
@@ -218,8 +220,10 @@
             self.serve(directory, refresh, metrics, writer, stop).await
         }));
         follower_stop.send_replace(true);
-        // The follower logs its own failures; its panic has already been printed.
-        let _ = follower.join();
+        if let Err(panic) = follower.join() {
+            let event = Event::new(EventKind::InvariantBroken);
+            write_event(&logger, &event.with("detail", message(&*panic)));
+        }
         served
     }
 
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -126,6 +126,12 @@
         self.recorder.handle().run_upkeep();
     }
 
+    /// Returns the metrics that are recorded.
+    #[cfg(test)]
+    pub(crate) fn text(&self) -> String {
+        self.recorder.handle().render()
+    }
+
     fn render(&self, shared: &Shared) -> String {
         let counts = shared.store.counts();
         let programs = shared.budgets.program_count();
