Answer, report and begin again what panics in an entry's and a sidecar's clients and links

What callers saw after a panic in a task of the clients' or links' thread, none of which was in the log: a call to the log that nobody answered, so that its stream was neither read nor written any longer; a call or a turn without an outcome; a list of VMs or reports of an engine that were never read again; a link that counted as open for good, so that the limit of links was used up bit by bit; a link that the control thread took for up; a peer that was no longer dialled.

Cause: the results of these tasks were dropped (tasks.rs, link_manager.rs, clients.rs).

Change: each task runs contained; its panic goes to the control thread as event 901 with the name of the task. A call to the log counts as unknown, a call or a turn as one that may have run, a link as closed. Polls and diallers begin again after a pause (902), and a link releases its place when it is dropped.

--- a/clementinepickd/src/clients.rs
+++ b/clementinepickd/src/clients.rs
@@ -19,8 +19,8 @@
 use crate::link::duration;
 use crate::log_client::LogClient;
 use crate::plain_client::PlainClient;
-use crate::settings::{BackendKind, Limits, Role};
-use crate::tasks::Tasks;
+use crate::settings::{BackendKind, EntryRole, Limits, Role};
+use crate::tasks::{Tasks, run_to_end};
 use crate::vm_list_client;
 
 /// How long requests in flight may take when the process shuts down.
@@ -40,14 +40,11 @@
     control: ControlSender,
     mut commands: mpsc::UnboundedReceiver<ClientCommand>,
 ) {
-    let mut tasks = Tasks::default();
+    let mut tasks = Tasks::new(control.clone());
     let mut polls = Vec::new();
     let mut client: Box<dyn CommandClient> = match role {
         Role::Entry(role) => {
-            polls.push(actix_rt::spawn(vm_list_client::poll(
-                role.clone(),
-                control.clone(),
-            )));
+            polls.push(actix_rt::spawn(poll_vms(role.clone(), control.clone())));
             Box::new(LogClient::new(&role, control))
         }
         Role::Sidecar(role) => match role.backend_kind {
@@ -69,6 +66,11 @@
     let _ = timeout(DRAIN_TIMEOUT, tasks.join()).await;
 }
 
+async fn poll_vms(role: EntryRole, control: ControlSender) {
+    let poll = async || vm_list_client::poll(role.clone(), control.clone()).await;
+    run_to_end(&control, "vm_list", poll).await;
+}
+
 /// How long an idle connection is kept: less than servers usually do, since a request fails if the
 /// server closes its connection at that moment.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(3);
--- a/clementinepickd/src/engine_client.rs
+++ b/clementinepickd/src/engine_client.rs
@@ -24,8 +24,11 @@
 use crate::line_splitter::LineSplitter;
 use crate::link::duration;
 use crate::settings::SidecarRole;
-use crate::tasks::Tasks;
+use crate::tasks::{Tasks, contain, run_to_end};
 
+/// The names in logs of a turn and of a release of memory.
+const GENERATE_PART: &str = "generate";
+const RELEASE_PART: &str = "release";
 /// How often an interrupted stream is resumed before the attempt counts as failed.
 const MAX_RESUME_ATTEMPTS: u32 = 5;
 /// The delay before each resume of a stream.
@@ -68,7 +71,12 @@
 
     /// Polls the engine's load, state and cache events.
     pub(crate) fn poller(&self, role: &SidecarRole) -> impl Future<Output = ()> + 'static {
-        poll_reports(self.engine.clone(), duration(role.poll_us))
+        let (engine, interval) = (self.engine.clone(), duration(role.poll_us));
+        async move {
+            let mut after = 0;
+            let poll = async || poll_reports(&engine, interval, &mut after).await;
+            run_to_end(&engine.control, "engine_reports", poll).await;
+        }
     }
 
     fn generate(&mut self, body: GenerateBody, tasks: &mut Tasks) {
@@ -76,9 +84,14 @@
         self.running.retain(|_, stop| !stop.is_closed());
         self.running.insert(body.attempt, stop);
         let engine = self.engine.clone();
-        tasks.spawn(async move {
+        tasks.spawn("generate_command", async move {
+            let attempt = body.attempt;
+            let generated = contain(&engine.control, GENERATE_PART, generate(&engine, body));
             tokio::select! {
-                () = generate(&engine, body) => {}
+                generated = generated => if generated.is_none() {
+                    let detail = "the turn ended by a defect of the sidecar".to_owned();
+                    report_failure(&engine, attempt, detail, false).await;
+                },
                 _ = stopped => {}
             }
         });
@@ -95,34 +108,37 @@
             SidecarAction::Generate(body) => self.generate(*body, tasks),
             SidecarAction::Cancel(attempt) => {
                 self.running.remove(&attempt);
-                tasks.spawn(async move {
+                tasks.spawn("cancel", async move {
                     engine.cancel(attempt).await;
                 });
             }
-            SidecarAction::Release { program, chains } => tasks.spawn(async move {
-                let body = ReleaseBody { chains };
-                let released: Option<ReleaseResponse> =
-                    engine.post("/v1/cache/release", &body).await;
-                if released.is_none() {
-                    actix_rt::time::sleep(RELEASE_FAILURE_BACKOFF).await;
-                }
-                let freed_tokens = released.map(|reply| reply.freed_tokens);
-                engine
-                    .report(SidecarInput::Released {
-                        program,
-                        freed_tokens,
-                    })
-                    .await;
-            }),
-            SidecarAction::Retain { chains } => tasks.spawn(async move {
+            SidecarAction::Release { program, chains } => {
+                tasks.spawn("release_command", async move {
+                    let body = ReleaseBody { chains };
+                    let release = engine.post("/v1/cache/release", &body);
+                    let released = contain(&engine.control, RELEASE_PART, release).await;
+                    let released: Option<ReleaseResponse> = released.flatten();
+                    if released.is_none() {
+                        actix_rt::time::sleep(RELEASE_FAILURE_BACKOFF).await;
+                    }
+                    let freed_tokens = released.map(|reply| reply.freed_tokens);
+                    engine
+                        .report(SidecarInput::Released {
+                            program,
+                            freed_tokens,
+                        })
+                        .await;
+                });
+            }
+            SidecarAction::Retain { chains } => tasks.spawn("retain", async move {
                 let body = RetainBody { chains };
                 // A failure is ignored: the next list replaces this one.
                 let _: Option<ReleaseResponse> = engine.post("/v1/cache/retain", &body).await;
             }),
             SidecarAction::Order { from, order } => {
-                tasks.spawn(async move { engine.send_order(from, order).await });
+                tasks.spawn("order", async move { engine.send_order(from, order).await });
             }
-            SidecarAction::Call { attempt, .. } => tasks.spawn(async move {
+            SidecarAction::Call { attempt, .. } => tasks.spawn("report", async move {
                 let event = BackendEvent::Failed {
                     detail: "the backend server is not a plain service".to_owned(),
                     not_run: true,
@@ -326,8 +342,8 @@
     }
 }
 
-async fn poll_reports(engine: EngineApi, interval: Duration) {
-    let mut after = 0;
+/// Polls until dropped; `after` is the number of cache events that were reported.
+async fn poll_reports(engine: &EngineApi, interval: Duration, after: &mut u64) {
     loop {
         let load: Option<LoadReport> = engine.get("/v1/load").await;
         if let Some(load) = load {
@@ -341,8 +357,8 @@
         let cache: Option<CacheEventsResponse> = engine.get(&path).await;
         if let Some(CacheEventsResponse { first, events }) = cache {
             let next = first + events.len() as u64;
-            if next != after {
-                after = next;
+            if next != *after {
+                *after = next;
                 engine.report(SidecarInput::Cache { first, events }).await;
             }
         }
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -18,6 +18,8 @@
 mod control;
 mod control_messages;
 mod daemon;
+#[cfg(test)]
+mod daemon_tests;
 mod directory;
 mod directory_thread;
 mod engine_client;
--- a/clementinepickd/src/link.rs
+++ b/clementinepickd/src/link.rs
@@ -22,6 +22,7 @@
 };
 use crate::link_queue::{QueueReader, link_queue};
 use crate::settings::LinkSettings;
+use crate::tasks::contain;
 
 /// The largest frame accepted before the peer is authenticated.
 const MAX_HANDSHAKE_BYTES: usize = 4_096;
@@ -228,8 +229,9 @@
     let (sink, stream) = socket.split();
     let reading = Box::pin(read(stream, idle_timeout, link, &vm, control));
     let writing = Box::pin(write(sink, idle_timeout, messages));
-    let end = match select(reading, writing).await {
-        Either::Left((end, _)) | Either::Right((end, _)) => end,
+    let end = match contain(control, "link", select(reading, writing)).await {
+        Some(Either::Left((end, _)) | Either::Right((end, _))) => end,
+        None => LinkEnd::Closed("by a defect of this process".to_owned()),
     };
     control.send(ControlInput::LinkDown { link, vm }).await;
     end
--- a/clementinepickd/src/link_manager.rs
+++ b/clementinepickd/src/link_manager.rs
@@ -19,6 +19,7 @@
 use crate::handshake::HandshakeError;
 use crate::link::{self, LinkEnd, duration};
 use crate::settings::LinkSettings;
+use crate::tasks::{contain, run_to_end};
 
 /// The backoff after the first failed attempt to connect.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
@@ -37,6 +38,22 @@
     open_links: Rc<Cell<usize>>,
 }
 
+/// Counts a link as open until dropped.
+struct OpenLink(Rc<Cell<usize>>);
+
+impl OpenLink {
+    fn new(open_links: &Rc<Cell<usize>>) -> Self {
+        open_links.set(open_links.get() + 1);
+        Self(Rc::clone(open_links))
+    }
+}
+
+impl Drop for OpenLink {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 struct Dialler {
     vm: Vm,
     /// Set to true to close the link and stop reconnecting.
@@ -104,13 +121,18 @@
     });
     for (id, vm) in targets {
         let (stop, stop_signal) = watch::channel(false);
-        let task = actix_rt::spawn(keep_connected(shared.clone(), vm.clone(), stop_signal));
+        let task = actix_rt::spawn(run_dialler(shared.clone(), vm.clone(), stop_signal));
         diallers.insert(id, Dialler { vm, stop, task });
     }
 }
 
+async fn run_dialler(shared: Shared, vm: Vm, mut stop_signal: watch::Receiver<bool>) {
+    let dial = async || Box::pin(keep_connected(&shared, &vm, &mut stop_signal)).await;
+    run_to_end(&shared.control, "dial_link", dial).await;
+}
+
 /// Keeps a link to `vm`, reconnecting with backoff, until it is stopped.
-async fn keep_connected(shared: Shared, vm: Vm, mut stop_signal: watch::Receiver<bool>) {
+async fn keep_connected(shared: &Shared, vm: &Vm, stop_signal: &mut watch::Receiver<bool>) {
     let max_backoff = duration(shared.settings.max_backoff_us);
     let mut backoff = INITIAL_BACKOFF;
     let mut is_refused = false;
@@ -123,12 +145,12 @@
         match authenticated {
             Ok(authenticated) => {
                 (backoff, is_refused) = (INITIAL_BACKOFF, false);
-                run_link(&shared, authenticated).await;
+                run_link(shared, authenticated).await;
             }
             Err(err) => {
                 // Repeated refusals by one peer are reported once, not at each attempt.
                 if !std::mem::replace(&mut is_refused, err.is_refusal()) {
-                    report_refusal(&shared, vm.id.as_str(), &err).await;
+                    report_refusal(shared, vm.id.as_str(), &err).await;
                 }
             }
         }
@@ -146,17 +168,22 @@
         return None;
     }
     let shared = shared.clone();
-    shared.open_links.set(shared.open_links.get() + 1);
+    let open = OpenLink::new(&shared.open_links);
     Some(actix_rt::spawn(async move {
-        let from = stream.peer_addr().map(|address| address.to_string());
-        match link::accept(&shared.settings, &shared.own, stream).await {
-            Ok(authenticated) => run_link(&shared, authenticated).await,
-            Err(err) => report_refusal(&shared, &from.unwrap_or_default(), &err).await,
-        }
-        shared.open_links.set(shared.open_links.get() - 1);
+        let _open = open;
+        let serving = Box::pin(serve_link(&shared, stream));
+        contain(&shared.control, "accept_link", serving).await;
     }))
 }
 
+async fn serve_link(shared: &Shared, stream: TcpStream) {
+    let from = stream.peer_addr().map(|address| address.to_string());
+    match link::accept(&shared.settings, &shared.own, stream).await {
+        Ok(authenticated) => run_link(shared, authenticated).await,
+        Err(err) => report_refusal(shared, &from.unwrap_or_default(), &err).await,
+    }
+}
+
 async fn run_link(shared: &Shared, authenticated: link::AuthenticatedLink) {
     let link = LinkId(shared.next_link.get());
     shared.next_link.set(link.0 + 1);
--- a/clementinepickd/src/log_client.rs
+++ b/clementinepickd/src/log_client.rs
@@ -13,8 +13,10 @@
 use crate::clients::{CommandClient, pooled_client, read_json, url};
 use crate::control_messages::{ClientCommand, ControlInput, ControlSender};
 use crate::settings::EntryRole;
-use crate::tasks::Tasks;
+use crate::tasks::{Tasks, contain};
 
+/// The name in logs of a call to the log service.
+const CALL_PART: &str = "log_call";
 /// The most records that one read returns.
 const MAX_READ_RECORDS: u32 = 512;
 /// The largest response to an append.
@@ -47,22 +49,24 @@
         };
         let (client, address) = (self.client.clone(), self.address);
         let control = self.control.clone();
-        tasks.spawn(async move {
+        tasks.spawn("log_command", async move {
             let input = match action {
                 JournalAction::Append {
                     stream,
                     batch,
                     records,
                 } => {
-                    let outcome = append(&client, address, stream, &records).await;
+                    let append = append(&client, address, stream, &records);
+                    let outcome = contain(&control, CALL_PART, append).await;
                     EntryInput::LogAppended {
                         stream,
                         batch,
-                        outcome,
+                        outcome: outcome.unwrap_or(AppendOutcome::Unknown),
                     }
                 }
                 JournalAction::Read { stream, from } => {
-                    let answer = read(&client, address, stream, from).await;
+                    let read = read(&client, address, stream, from);
+                    let answer = contain(&control, CALL_PART, read).await.flatten();
                     EntryInput::LogRead { stream, answer }
                 }
             };
--- a/clementinepickd/src/plain_client.rs
+++ b/clementinepickd/src/plain_client.rs
@@ -19,7 +19,10 @@
 use crate::control_messages::{ClientCommand, ControlInput, ControlSender};
 use crate::link::duration;
 use crate::settings::{Limits, SidecarRole};
-use crate::tasks::Tasks;
+use crate::tasks::{Tasks, contain};
+
+/// The name in logs of a call to the service.
+const CALL_PART: &str = "plain_call";
 
 /// Executes a sidecar's commands at its plain service.
 pub(crate) struct PlainClient {
@@ -55,16 +58,19 @@
         self.running.insert(attempt, stop);
         let (client, address, limit) = (self.client.clone(), self.address, self.max_body_bytes);
         let control = self.control.clone();
-        tasks.spawn(async move {
-            let outcome = timeout(
-                duration(deadline_left_us),
-                send_call(&client, address, limit, call),
-            );
+        tasks.spawn("plain_command", async move {
+            let call = send_call(&client, address, limit, call);
+            let call = timeout(duration(deadline_left_us), call);
+            let may_have_run = |detail: &str| BackendEvent::Failed {
+                detail: detail.to_owned(),
+                not_run: false,
+            };
             let event = tokio::select! {
-                outcome = outcome => outcome.unwrap_or_else(|_| BackendEvent::Failed {
-                    detail: "the service did not respond within the deadline".to_owned(),
-                    not_run: false,
-                }),
+                outcome = contain(&control, CALL_PART, call) => match outcome {
+                    Some(Ok(event)) => event,
+                    Some(Err(_)) => may_have_run("the service did not respond within the deadline"),
+                    None => may_have_run("the call ended by a defect of the sidecar"),
+                },
                 _ = stopped => return,
             };
             let input = SidecarInput::Backend { attempt, event };
@@ -95,7 +101,7 @@
                     program,
                     freed_tokens,
                 };
-                tasks.spawn(async move {
+                tasks.spawn("report", async move {
                     control.send(ControlInput::Sidecar(input)).await;
                 });
             }
@@ -106,7 +112,7 @@
                 };
                 let attempt = body.attempt;
                 let control = self.control.clone();
-                tasks.spawn(async move {
+                tasks.spawn("report", async move {
                     let input = SidecarInput::Backend { attempt, event };
                     control.send(ControlInput::Sidecar(input)).await;
                 });
--- a/clementinepickd/src/supervised_tasks.rs
+++ b/clementinepickd/src/supervised_tasks.rs
@@ -158,7 +158,10 @@
 }
 
 /// Runs work until it completes or panics; returns what the panic says then.
-async fn catch<T>(task: &'static str, work: impl Future<Output = T>) -> Result<T, String> {
+pub(crate) async fn catch<T>(
+    task: &'static str,
+    work: impl Future<Output = T>,
+) -> Result<T, String> {
     // What the work shares stays consistent: guards are dropped as it unwinds.
     let caught = AssertUnwindSafe(with_injected_panics(task, work)).catch_unwind();
     caught.await.map_err(|panic| message(&*panic))
