--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -34,6 +34,7 @@
 use crate::process_log::ProcessLog;
 use crate::safeguard::Safeguard;
 use crate::stop_signals::{ReceivedSignals, SignalMeaning, StopSignals};
+use crate::supervised_tasks::message;
 
 /// The sizes of the system's buffers for what a caller sends and for what it is sent, in bytes.
 const RECEIVE_BUFFER_BYTES: usize = 8_192;
@@ -231,6 +232,7 @@
             peer_address: self.settings.peers,
             is_leaving: Arc::clone(&is_leaving),
         };
+        let logger = self.logger.clone();
         let system = new_system()?;
         let follower = DirectoryThread {
             identity,
@@ -252,8 +254,10 @@
             self.serve(publish, refresh, metrics, writer, stop).await
         }));
         follower_stop.send_replace(true);
-        // The follower logs its own failures; its panic has already been printed.
-        let _ = follower.join();
+        if let Err(panic) = follower.join() {
+            let event = Event::new(EventKind::InvariantBroken);
+            write_event(&logger, &event.with("detail", message(&*panic)));
+        }
         served
     }
 
