Pass over recorded origins of streams with times beyond the clock

A recorded origin that expires near the largest time ended the task that reads the origins at a start, in a build that checks for overflow; in one that does not, by reading, it counts as expired and is deleted.

Seen before: odd_origins_are_passed_over fails with thread_panicked at gateway_origin_log.rs:244, attempt to add with overflow; the gateway went on without the task. The tests of odd records had no record of origins.

The two additions saturate now; the one in gateway_origins.rs was found by reading and has no test of its own.

--- a/clementinepickd/src/gateway_origin_log.rs
+++ b/clementinepickd/src/gateway_origin_log.rs
@@ -241,7 +241,8 @@
             expires_unix_ms,
         } in origins
         {
-            let left_ms = (expires_unix_ms + margin_ms).saturating_sub(now_unix_ms);
+            let kept_until_unix_ms = expires_unix_ms.saturating_add(margin_ms);
+            let left_ms = kept_until_unix_ms.saturating_sub(now_unix_ms);
             if left_ms > 0 {
                 has_current = true;
                 let keep_us = SpanUs::from_ms(left_ms);
--- a/clementinepickd/src/gateway_origins.rs
+++ b/clementinepickd/src/gateway_origins.rs
@@ -118,7 +118,7 @@
         let keep_us = to_span(deadline.saturating_duration_since(now));
         let known = self.known_origin(attempt, now);
         let kept_us = known.map_or(0, |known| known.keep_us.0);
-        if keep_us.0 > kept_us + MAX_UNCOVERED_US.0 {
+        if keep_us.0 > kept_us.saturating_add(MAX_UNCOVERED_US.0) {
             self.record_origin(attempt, origin.clone(), deadline, now);
         }
     }
--- a/standins/tests/odd_entries.rs
+++ b/standins/tests/odd_entries.rs
@@ -282,6 +282,37 @@
     run.assert_following(3);
 }
 
+/// Guards against origins of streams with times that no clock has, at which a gateway panics.
+#[test]
+fn odd_origins_are_passed_over() {
+    let mut run = OddRun::start("origins");
+    run.assert_following(2);
+    let origin = json!({"s": MODEL_SERVICE, "v": "odd"});
+    for (number, expires) in [0, 1, u64::MAX / 1_000, u64::MAX - 1, u64::MAX]
+        .iter()
+        .enumerate()
+    {
+        let recorded = json!([{"a": format!("odd-{number}"), "o": origin, "e": expires}]);
+        for partition in 0..PARTITIONS {
+            let key = format!("o-odd-{number}");
+            run.store
+                .put_in("keyed.processes", partition, &key, &cbor(&recorded));
+        }
+    }
+    for process in &mut run.gateways.processes {
+        process.kill();
+        process.restart().expect("a process");
+    }
+    for gateway in 0..GATEWAYS {
+        run.gateways.wait_until_ready(gateway).expect("a gateway");
+    }
+    run.assert_following(3);
+    for gateway in 0..GATEWAYS {
+        let log = run.gateways.log(gateway).expect("a log");
+        assert!(!log.contains("panicked"), "{log}");
+    }
+}
+
 /// Guards against responses of the store that are cut at any byte of their heads, and are taken for
 /// whole, end a gateway or stop it from following the lists.
 #[test]
