Log that a gateway is not ready, and what it has not read

The reads failed as they were decoded, where nothing was counted or logged.

Seen before: with `200` and an empty body, process_started was the only line of a gateway that had started, until the test gave up after 10 s.

The metric clementinepick_store_unreadable_total counts these answers by purpose. No call of the store is added.

After: 14 foreign responses of the store as it starts, each at two gateways: all log 111 and serve once the store answers well, none panics; odd_entries.rs 7 of 7, and gateway 18, gateway_lists 16, platform 4 and the unit tests pass.

--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -89,6 +89,8 @@
     ProcessFailed = 109, "process_failed", Error;
     /// A thread or a task on it panicked with `message` at `location`.
     ThreadPanicked = 110, "thread_panicked", Error;
+    /// The process has not been ready for `waited_ms`: it has not read `missing`.
+    ProcessNotReady = 111, "process_not_ready", Warning;
     /// A link came up.
     LinkUp = 201, "link_up", Info;
     /// A link went down.
--- a/clementinepickd/src/followed_topic.rs
+++ b/clementinepickd/src/followed_topic.rs
@@ -115,7 +115,7 @@
         let target = read_target(&topic, number, from, wait_ms);
         let call = StoreCall::get(StorePurpose::Follow, target);
         let reply = store.call_long_poll(&call, wait).await?;
-        let Some(read) = records_from(&reply, from)? else {
+        let Some(read) = records_from(store, StorePurpose::Follow, &reply, from)? else {
             // Records were missed: the next read is a full one.
             self.end = None;
             return Err(StoreUnavailable);
--- a/clementinepickd/src/gateway_maintenance.rs
+++ b/clementinepickd/src/gateway_maintenance.rs
@@ -9,6 +9,7 @@
 use clementinepick::event::{Event, EventKind};
 use clementinepick::server_list::BackendServer;
 
+use crate::gateway_readiness_log::ReadinessLog;
 use crate::gateway_shared::Shared;
 use crate::ledger_sweep::Sweep;
 use crate::unix_time::unix_ms;
@@ -18,16 +19,12 @@
 
 /// Runs maintenance periodically and logs when the process becomes ready.
 pub(crate) async fn run_maintenance(shared: Rc<Shared>, vm: String) {
-    let ready_event = Event::new(EventKind::ProcessReady).with("vm", vm);
-    let mut is_ready_logged = false;
+    let mut readiness_log = ReadinessLog::new(vm);
     let mut store_log = StoreLog::default();
     let mut sweep = Sweep::starting_at(rand::random());
     loop {
         let now = Instant::now();
-        if !is_ready_logged && shared.is_ready(now) {
-            shared.log(&ready_event);
-            is_ready_logged = true;
-        }
+        readiness_log.log_changes(&shared, now);
         shared.pool.close_stale(now);
         shared.store.close_stale(now);
         shared.budgets.evict_idle(now);
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
@@ -27,6 +28,16 @@
 /// one process.
 pub(crate) struct GatewayMetrics {
     recorder: PrometheusRecorder,
+    unreadable: Mutex<UnreadableAnswers>,
+}
+
+/// The answers of the store that can't be read.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct UnreadableAnswers {
+    /// Their number since the start of the process.
+    pub(crate) count: u64,
+    /// The status of the last one; zero before the first.
+    pub(crate) last_status: u16,
 }
 
 impl GatewayMetrics {
@@ -34,9 +45,30 @@
         let builder = PrometheusBuilder::new().set_buckets(LATENCY_BUCKETS_S)?;
         Ok(Self {
             recorder: builder.build_recorder(),
+            unreadable: Mutex::default(),
         })
     }
 
+    /// Counts an answer of the store that can't be read.
+    pub(crate) fn count_unreadable(&self, purpose: &'static str, status: u16) {
+        with_local_recorder(&self.recorder, || {
+            counter!("clementinepick_store_unreadable_total", "purpose" => purpose).increment(1);
+        });
+        let mut unreadable = self.lock_unreadable();
+        unreadable.count += 1;
+        unreadable.last_status = status;
+    }
+
+    pub(crate) fn unreadable_answers(&self) -> UnreadableAnswers {
+        *self.lock_unreadable()
+    }
+
+    fn lock_unreadable(&self) -> MutexGuard<'_, UnreadableAnswers> {
+        self.unreadable
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Counts a finished request and records its duration.
     pub(crate) fn count_request(&self, kind: &'static str, outcome: &'static str, took: Duration) {
         with_local_recorder(&self.recorder, || {
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -392,13 +392,23 @@
         schedule.is_none_or(|schedule| schedule.takes(self.now_us(now), self.now_us(deadline)))
     }
 
-    pub(crate) fn is_ready(&self, now: Instant) -> bool {
+    /// Returns what this process must still read, or read again, to be ready.
+    pub(crate) fn unread(&self, now: Instant) -> Vec<&'static str> {
         let directory = self.directory.borrow();
         let is_fresh = directory
             .as_of()
             .is_some_and(|at| now.saturating_duration_since(at) < MAX_DIRECTORY_AGE);
-        let is_ready =
-            !self.is_draining() && directory.config.is_some() && is_fresh && self.ended.is_loaded();
+        let read = [
+            ("config", directory.config.is_some()),
+            ("lists", is_fresh),
+            ("requests", self.ended.is_loaded()),
+        ];
+        let unread = read.into_iter().filter(|(_, is_read)| !is_read);
+        unread.map(|(name, _)| name).collect()
+    }
+
+    pub(crate) fn is_ready(&self, now: Instant) -> bool {
+        let is_ready = !self.is_draining() && self.unread(now).is_empty();
         self.was_ready.set(self.was_ready.get() || is_ready);
         is_ready
     }
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -50,6 +50,7 @@
 mod gateway_peer_watch;
 mod gateway_prefetch;
 mod gateway_reader;
+mod gateway_readiness_log;
 mod gateway_receive;
 mod gateway_reply;
 mod gateway_request;
--- a/clementinepickd/src/partition_reader.rs
+++ b/clementinepickd/src/partition_reader.rs
@@ -16,13 +16,18 @@
 /// Returns the records of a response to a read from an offset; `None` if the records from there are
 /// no longer kept.
 pub(crate) fn records_from(
+    client: &StoreClient,
+    purpose: StorePurpose,
     reply: &StoreReply,
     from: u64,
 ) -> Result<Option<ReadRecords>, StoreUnavailable> {
     if reply.status != 200 {
         return Ok(None);
     }
-    let read = decode_read(&reply.body).map_err(|_| StoreUnavailable)?;
+    let Ok(read) = decode_read(&reply.body) else {
+        client.count_unreadable(purpose, reply);
+        return Err(StoreUnavailable);
+    };
     // An earlier end means that the partition was replaced.
     Ok((read.end >= from).then_some(read))
 }
@@ -48,7 +53,7 @@
             let target = read_target(&partition.topic, partition.number, from, 0);
             let call = StoreCall::get(self.purpose, target);
             let reply = self.client.call(&call, self.deadline).await?;
-            let Some(read) = records_from(&reply, from)? else {
+            let Some(read) = records_from(self.client, self.purpose, &reply, from)? else {
                 return Ok(None);
             };
             // A response may hold fewer records than there are.
@@ -94,7 +99,10 @@
         let reply = self.client.call(&call, self.deadline).await?;
         match decode_newest(&reply.body) {
             Ok(page) if reply.status == 200 => Ok(page),
-            _ => Err(StoreUnavailable),
+            _ => {
+                self.client.count_unreadable(self.purpose, &reply);
+                Err(StoreUnavailable)
+            }
         }
     }
 }
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -251,6 +251,11 @@
         Duration::from_micros(left.0)
     }
 
+    /// Counts an answer that can't be read.
+    pub(crate) fn count_unreadable(&self, purpose: StorePurpose, reply: &StoreReply) {
+        self.metrics.count_unreadable(purpose.label(), reply.status);
+    }
+
     pub(crate) fn counts(&self) -> StoreCounts {
         self.counts.get()
     }
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -33,6 +33,13 @@
     Silent,
     /// It sends a chunk size without end; nothing is done.
     Endless,
+    /// It sends a response that is none of the store's; nothing is done.
+    Foreign {
+        /// The status.
+        status: u16,
+        /// The body.
+        body: &'static str,
+    },
     /// It does what is asked and cuts each response one byte later than the one before, by a close and
     /// a reset in turn.
     Cut,
@@ -178,6 +185,9 @@
                     Step::Write(chunked_head(200, &[])),
                     Step::Repeat("0".repeat(4_096).into()),
                 ],
+                StoreMode::Foreign { status, body } => {
+                    vec![Step::Write(full_response(status, &[], body.as_bytes()))]
+                }
                 StoreMode::Cut => {
                     let mut core = lock(&core);
                     let length = core.cuts / 2;
--- a/standins/tests/odd_entries.rs
+++ b/standins/tests/odd_entries.rs
@@ -35,6 +35,24 @@
     "/peers/lost",
 ];
 
+/// Responses that the store never sends.
+const FOREIGN: [(u16, &str); 14] = [
+    (200, ""),
+    (200, "{}"),
+    (200, "[]"),
+    (200, "null"),
+    (200, r#"{"error":"starting"}"#),
+    (200, r#"{"Items":[],"End":18446744073709551615}"#),
+    (200, "<html>starting</html>"),
+    (204, ""),
+    (302, ""),
+    (400, "{}"),
+    (401, ""),
+    (404, "not found"),
+    (500, "internal error"),
+    (502, "<html>bad gateway</html>"),
+];
+
 /// Returns texts that are odd entries of servers or configurations.
 fn odd_texts() -> Vec<Vec<u8>> {
     let nested = "[".repeat(DEPTH) + &"]".repeat(DEPTH);
@@ -168,6 +186,14 @@
         }
     }
 
+    /// Returns how many lines each gateway has logged.
+    fn count_lines(&self) -> [usize; GATEWAYS] {
+        std::array::from_fn(|gateway| {
+            let log = self.gateways.log(gateway).expect("a log");
+            log.lines().count()
+        })
+    }
+
     fn send(&self, gateway: usize, version: u64) {
         let id: u64 = rand::random();
         let id = format!("{version}-{id}");
@@ -282,6 +308,42 @@
     run.assert_following(3);
 }
 
+/// Guards against a store that, as it starts, sends what a gateway takes for an empty list, and against a gateway
+/// that waits for such a store and does not say so.
+#[test]
+fn foreign_responses_of_the_store_keep_no_gateway_from_starting() {
+    let mut run = OddRun::start("foreign");
+    run.assert_following(2);
+    for (version, (status, body)) in (3..).zip(FOREIGN) {
+        for process in &mut run.gateways.processes {
+            process.kill();
+        }
+        let mode = StoreMode::Foreign { status, body };
+        run.gateways.set_store_mode(mode);
+        let lines = run.count_lines();
+        for process in &mut run.gateways.processes {
+            process.restart().expect("a process");
+        }
+        let log = |gateway: usize| {
+            let log = run.gateways.log(gateway).expect("a log");
+            let new = log.lines().skip(lines[gateway]).map(str::to_owned);
+            new.collect::<Vec<String>>()
+        };
+        let has = |gateway, part| log(gateway).iter().any(|line| line.contains(part));
+        for gateway in 0..GATEWAYS {
+            let reported = wait_until(|| has(gateway, "process_not_ready"));
+            assert!(reported.is_ok(), "{mode:?}: {:#?}", log(gateway));
+        }
+        run.gateways.restore_store();
+        for gateway in 0..GATEWAYS {
+            let ready = run.gateways.wait_until_ready(gateway);
+            assert!(ready.is_ok(), "{mode:?}: {:#?}", log(gateway));
+            assert!(!has(gateway, "panicked"), "{mode:?}: {:#?}", log(gateway));
+        }
+        run.assert_following(version);
+    }
+}
+
 /// Guards against origins of streams with times that no clock has, at which a gateway panics.
 #[test]
 fn odd_origins_are_passed_over() {
