Don't take refusals by the store's limit of calls for an outage of the list of servers

At a store that refuses reads beyond its limit, gateways logged server_list_back again and again, as for outages of 1.9 to 9.5 s, and kept servers whose entries had gone for two seconds more each time. The kept logs of the red runs of starved_starts.rs before any change have one to five such lines for each gateway. Cause: 429 counted as a sign that the store is unavailable, though it says that the store serves others.

A 429 is now inconclusive for the outage detector, as a lost long poll is, and has the outcome `limited` in the metrics. The test failed before this change (refusals_by_the_limit_of_calls_are_no_outage: 1 failed) and passes with it; it also checks that refusals with 503 do count.

--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -412,6 +412,7 @@
         let outcome = match result {
             Err(_) => AttemptOutcome::Silent,
             Ok(Err(_)) => AttemptOutcome::Broken,
+            Ok(Ok(reply)) if reply.status == STATUS_LIMITED => AttemptOutcome::Limited,
             Ok(Ok(reply)) if is_refusal(reply.status) => AttemptOutcome::Refused,
             Ok(Ok(reply)) if reply.status == STATUS_CONFLICT => AttemptOutcome::Conflict(reply),
             Ok(Ok(reply)) => AttemptOutcome::Answered(reply),
@@ -547,9 +548,12 @@
 /// The status of an append whose condition did not hold.
 const STATUS_CONFLICT: u16 = 412;
 
+/// The status of a call beyond the limit of calls of all processes, or of a process that is turned away.
+const STATUS_LIMITED: u16 = 429;
+
 /// Returns whether a status says that nothing was done and the call may be repeated.
 fn is_refusal(status: u16) -> bool {
-    status == 429 || status >= 500
+    status >= 500
 }
 
 /// Returns headers with only the host.
--- a/clementinepickd/src/store_attempt.rs
+++ b/clementinepickd/src/store_attempt.rs
@@ -19,6 +19,8 @@
     Broken,
     /// The store did nothing, and the call may be repeated.
     Refused,
+    /// The store did nothing, since calls exceed its limit or it turns this process away.
+    Limited,
     /// The condition of an append did not hold.
     Conflict(StoreReply),
     Answered(StoreReply),
@@ -31,6 +33,7 @@
             Self::Silent => "silent",
             Self::Broken => "broken",
             Self::Refused => "refused",
+            Self::Limited => "limited",
             Self::Conflict(_) => "conflict",
             Self::Answered(_) => "answered",
         }
@@ -76,6 +79,7 @@
         let was_running = self.took < self.limit + MAX_TIMER_DELAY;
         match self.outcome {
             AttemptOutcome::Refused => FailureKind::Unavailable,
+            AttemptOutcome::Limited => FailureKind::Inconclusive,
             _ if self.is_new_connection && was_running => FailureKind::Unavailable,
             _ => FailureKind::Inconclusive,
         }
@@ -102,7 +106,10 @@
     pub(crate) fn into_reply(self) -> Option<StoreReply> {
         match self.outcome {
             AttemptOutcome::Conflict(reply) | AttemptOutcome::Answered(reply) => Some(reply),
-            AttemptOutcome::Silent | AttemptOutcome::Broken | AttemptOutcome::Refused => None,
+            AttemptOutcome::Silent
+            | AttemptOutcome::Broken
+            | AttemptOutcome::Refused
+            | AttemptOutcome::Limited => None,
         }
     }
 }
@@ -135,6 +142,14 @@
         assert_eq!(kind(AttemptOutcome::Broken, false), Inconclusive);
     }
 
+    #[test]
+    fn a_refusal_by_the_limit_of_calls_shows_nothing() {
+        let limited = attempt(AttemptOutcome::Limited, true);
+        assert_eq!(limited.failure_kind(), Inconclusive);
+        assert_eq!(limited.long_poll_failure_kind(), Inconclusive);
+        assert_eq!(limited.relay_failure_kind(), Inconclusive);
+    }
+
     /// A process that was suspended during an attempt finds its timeout expired.
     #[test]
     fn a_timeout_that_fires_late_shows_nothing() {
--- a/standins/tests/starved_starts.rs
+++ b/standins/tests/starved_starts.rs
@@ -9,7 +9,7 @@
 use standins::platform_backend::{BackendSettings, PlatformBackend};
 use standins::platform_caller::{CallerRequest, CallerResponse};
 use standins::platform_run::{MODEL_SERVICE, config, is_ready};
-use standins::platform_store::PlatformStore;
+use standins::platform_store::{PlatformStore, StoreMode};
 use standins::process_gateways::ProcessGateways;
 
 const GATEWAYS: usize = 7;
@@ -31,6 +31,10 @@
 /// The pause of a caller after a refusal without a delay.
 const CALLER_PAUSE: Duration = Duration::from_millis(50);
 const MAX_CALLER_PAUSE: Duration = Duration::from_secs(1);
+/// How long the store refuses reads, longer than what makes an outage.
+const REFUSED_SPAN: Duration = Duration::from_secs(3);
+/// The time in which a gateway reads the lists of a store that is back.
+const STORE_LAG: Duration = Duration::from_secs(2);
 
 /// Gateways, a store, an engine, and what callers have got.
 struct Run {
@@ -244,3 +248,48 @@
         }
     });
 }
+
+/// Runs one gateway whose list of servers the store refuses for a while, and returns its log.
+fn log_of_refused_reads(name: &str, mode: StoreMode) -> String {
+    let store = PlatformStore::default();
+    let _engine = start_engine(&store);
+    store.put("keyed.op", "config", &config(1));
+    let gateways = ProcessGateways::start(name, 1, &store).expect("a gateway");
+    gateways.set_store_mode(mode);
+    thread::sleep(REFUSED_SPAN);
+    gateways.restore_store();
+    thread::sleep(STORE_LAG);
+    gateways.log(0).expect("a log")
+}
+
+/// Guards against servers that have left and are kept, since a store at its limit of calls counts as
+/// unavailable.
+#[test]
+fn refusals_by_the_limit_of_calls_are_no_outage() {
+    let is_outage = |log: &str| log.contains("server_list_back");
+    assert!(is_outage(&log_of_refused_reads(
+        "refused-busy",
+        StoreMode::Busy
+    )));
+    let log = log_of_refused_reads("refused-limited", StoreMode::Limited);
+    assert!(!is_outage(&log), "{log}");
+}
+
+/// Guards against a start whose calls the store turns away while its peers are served.
+#[test]
+fn a_gateway_that_the_store_turns_away_is_ready_by_its_peers() {
+    for mode in [StoreMode::Limited, StoreMode::Busy, StoreMode::Silent] {
+        let mut run = Run::start(&format!("turned-away-{mode:?}"));
+        run.gateways.set_store_mode_for(0, mode);
+        let process = &mut run.gateways.processes[0];
+        process.kill();
+        process.restart().expect("a process");
+        let started = Instant::now();
+        let ready = process.ports.ready;
+        while !is_ready(ready) && started.elapsed() < CONFIG_LIMIT {
+            thread::sleep(Duration::from_millis(5));
+        }
+        println!("{mode:?}: ready after {:?}", started.elapsed());
+        assert!(is_ready(ready), "{mode:?}: not ready in time");
+    }
+}
