Start and become a home at a store that is slow, instead of giving up each call

Seven gateways that were killed and started again at a store that takes 300 ms for each answer served few turns, and most of the others were refused with ledger_away or cut at the route's timeout.

Cause: A new client of the store gave up its first attempts after 150 ms, whatever the store usually takes, and so did each list of a start. A step in which a gateway becomes the home of its partitions had 400 ms for all of them, one after the other, while one partition that has records takes an append that fails, a read and an append: no step ever finished one, and each turn had to reserve its budget in the store.

Now the first attempts have the maximum timeout until there is a response time, and the mean begins with that. Partitions are acquired and checked eight at a time, with as long as the calls that depend on each other may take by the mean response time, 400 ms at least as before. At a store whose mean is 75 ms or more, a partition that was never read is read before the first append, which would fail.

A price: the first attempts of a start at a silent store, before there is any response, take 600 ms instead of 150 ms.

--- a/clementinepickd/src/ledger_homes.rs
+++ b/clementinepickd/src/ledger_homes.rs
@@ -14,6 +14,7 @@
 use clementinepick::peer_liveness::PeerLiveness;
 use clementinepick::rendezvous::first_address;
 use clementinepick::units::SpanUs;
+use futures_util::future::join_all;
 use platform::store::KeyedRecord;
 
 use crate::directory::PeerEntry;
@@ -23,10 +24,13 @@
 use crate::monotonic_clock::MonotonicClock;
 use crate::unix_time::unix_ms;
 
-/// How long the store calls for one partition may take.
+/// How long the store calls for one partition may take, unless the store is slow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
-/// The maximum number of partitions handled in one step. With four steps a second, a starting
-/// process becomes the home of its share of 96 partitions within two seconds.
+/// The calls that follow from each other until this process is a home: an append that fails because
+/// others have written, a read of what they wrote, and another append.
+const ACQUIRE_CALLS: u32 = 3;
+/// The maximum number of partitions handled at the same time in one step. With four steps a second, a
+/// starting process becomes the home of its share of 96 partitions within two seconds.
 const PARTITIONS_PER_STEP: usize = 8;
 /// The interval at which a home that writes nothing checks whether it still is the latest: four
 /// times in its lease.
@@ -160,17 +164,9 @@
             return;
         }
         self.update_processes(processes, now);
-        for _ in 0..PARTITIONS_PER_STEP {
-            let Some(partition) = self.pending.borrow_mut().pop() else {
-                break;
-            };
-            let acquired = self.acquire(partition, now + CALL_TIMEOUT).await;
-            if acquired.is_err() {
-                // The store did not respond; the next step tries the partition again.
-                self.pending.borrow_mut().push(partition);
-                return;
-            }
-        }
+        let limit = self.budgets.store.client.time_for(ACQUIRE_CALLS);
+        let deadline = now + limit.max(CALL_TIMEOUT);
+        self.acquire_pending(deadline).await;
         let is_due = |state: &PartitionState| {
             let home = state.home.get();
             home.is_some_and(|home| {
@@ -179,11 +175,29 @@
         };
         let held = self.budgets.homes();
         let due = held.iter().filter(|(_, state)| is_due(state));
-        for (partition, state) in due.take(PARTITIONS_PER_STEP) {
-            // A failed check is repeated in the next step; without a successful one, the lease
-            // expires.
-            let _ = self.check(*partition, state, now + CALL_TIMEOUT).await;
-        }
+        let checks = due.take(PARTITIONS_PER_STEP);
+        let checks = checks.map(|(partition, state)| self.check(*partition, state, deadline));
+        // A failed check is repeated in the next step; without a successful one, the lease expires.
+        join_all(checks).await;
+    }
+
+    /// Takes as many pending partitions as one step handles.
+    fn take_pending(&self) -> Vec<Partition> {
+        let mut pending = self.pending.borrow_mut();
+        let first = pending.len().saturating_sub(PARTITIONS_PER_STEP);
+        pending.split_off(first)
+    }
+
+    /// Becomes the home of some pending partitions. The next step tries those again for which the
+    /// store did not respond.
+    async fn acquire_pending(&self, deadline: Instant) {
+        let batch = self.take_pending();
+        let acquisitions = batch.iter().map(|p| self.acquire(*p, deadline));
+        let acquired = join_all(acquisitions).await;
+        let results = batch.into_iter().zip(acquired);
+        let failed = results.filter(|(_, acquired)| acquired.is_err());
+        let failed = failed.map(|(partition, _)| partition);
+        self.pending.borrow_mut().extend(failed);
     }
 
     fn update_processes(&self, processes: &[PeerEntry], now: Instant) {
@@ -210,6 +224,7 @@
         if state.home.get().is_some() {
             return Ok(());
         }
+        self.budgets.read_first(partition, &state, deadline).await?;
         let mut written_at = None;
         loop {
             let latest = state.view.borrow().latest_home().cloned();
--- a/clementinepickd/src/ledger_partitions.rs
+++ b/clementinepickd/src/ledger_partitions.rs
@@ -96,6 +96,19 @@
         Ok(())
     }
 
+    /// Reads a partition that was never read, if the store is slow: the first append would fail.
+    pub(crate) async fn read_first(
+        &self,
+        partition: Partition,
+        state: &PartitionState,
+        deadline: Instant,
+    ) -> Result<(), LedgerError> {
+        if state.view.borrow().end == 0 && self.store.client.is_slow() {
+            self.catch_up(partition, state, deadline).await?;
+        }
+        Ok(())
+    }
+
     /// Returns the state of a partition and marks it as used.
     pub(crate) fn partition(&self, partition: Partition, now: Instant) -> Rc<PartitionState> {
         let mut partitions = self.partitions.borrow_mut();
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -167,8 +167,8 @@
     failures: Cell<u32>,
     /// Whether the last direct attempt failed.
     is_direct_down: Cell<bool>,
-    /// The mean response time.
-    mean: Cell<Duration>,
+    /// The mean response time; `None` before the first response.
+    mean: Cell<Option<Duration>>,
     /// The number of consecutive direct attempts without a response on new connections.
     timeouts: Cell<u32>,
     clock: MonotonicClock,
@@ -207,7 +207,7 @@
             relay: Cell::new(None),
             failures: Cell::new(0),
             is_direct_down: Cell::new(false),
-            mean: Cell::new(MIN_ATTEMPT_TIMEOUT / TIMEOUT_MEANS),
+            mean: Cell::new(None),
             timeouts: Cell::new(0),
             clock: MonotonicClock::starting_at(Instant::now()),
             outage: RefCell::default(),
@@ -318,21 +318,38 @@
     /// Returns the timeout of a direct attempt, by recent response times.
     ///
     /// Attempts without a response only double it until the next response: a mean of response times
-    /// with timeouts in it would delay the detection of lost responses long after an outage.
+    /// with timeouts in it would delay the detection of lost responses long after an outage. Before
+    /// the first response, a short timeout would give up all calls to a store that is only slow.
     fn attempt_timeout(&self) -> Duration {
-        let by_mean = self.mean.get() * TIMEOUT_MEANS;
+        let Some(mean) = self.mean.get() else {
+            return MAX_ATTEMPT_TIMEOUT;
+        };
+        let by_mean = mean * TIMEOUT_MEANS;
         let doublings = self.timeouts.get().min(MAX_TIMEOUT_DOUBLINGS);
         let timeout = by_mean.clamp(MIN_ATTEMPT_TIMEOUT, MAX_ATTEMPT_TIMEOUT);
         (timeout * (1 << doublings)).min(MAX_ATTEMPT_TIMEOUT)
     }
 
+    /// Returns how long `count` calls may take that follow from each other, by the response times;
+    /// zero before the first response.
+    pub(crate) fn time_for(&self, count: u32) -> Duration {
+        let by_mean = self.mean.get().unwrap_or_default() * TIMEOUT_MEANS;
+        by_mean.min(MAX_ATTEMPT_TIMEOUT) * count
+    }
+
+    /// Returns whether responses take so long that peers are asked first for what they may have.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.time_for(1) >= MAX_ATTEMPT_TIMEOUT
+    }
+
     /// Updates the timeout after a direct response; without a response time, only the doublings end.
     fn record_response_time(&self, response_time: Option<Duration>) {
         self.timeouts.set(0);
         if let Some(response_time) = response_time {
             let response_time = response_time.min(MAX_ATTEMPT_TIMEOUT);
-            let weighted_sum = self.mean.get() * (MEAN_DIVISOR - 1) + response_time;
-            self.mean.set(weighted_sum / MEAN_DIVISOR);
+            let mean = self.mean.get().unwrap_or(response_time);
+            let weighted_sum = mean * (MEAN_DIVISOR - 1) + response_time;
+            self.mean.set(Some(weighted_sum / MEAN_DIVISOR));
         }
     }
 
