Ask peers first at a slow store, and let a turn wait only for the calls that it depends on

Seven gateways that were killed and started again at a store that takes 300 ms for each answer served 186 to 197 turns of 64 callers in 6 s, and did not serve 90 to 97 tries (refused with ledger_away, or cut at the route's timeout before their record was acknowledged).

Cause: what a turn needs was read and reserved in the store, one call after the other, though other gateways had it in memory. A reservation in a partition to which others write takes three calls or five, the previous turn was read only after it, one call for each turn of its chain; and a home had 200 ms to append a slice for a peer, less than the store takes, so that the peer appended a slice of its own, which failed the condition of the next ones.

Now, from a mean response time of 75 ms on, a budget is borrowed from peers before a slice is reserved, and the chain is fetched from the first of 12 peers that has it. The previous turn is looked up while a slice is reserved, unless the budget seems to be fully reserved; a reservation that has begun is awaited, and its tokens go back if the previous turn can't be had. The requester tells the home how long it waits, as long as two attempts may take, 200 ms at least as before. A turn waits for others' calls for its partition only until its own deadline.

--- a/clementinepickd/src/budget_messages.rs
+++ b/clementinepickd/src/budget_messages.rs
@@ -43,6 +43,9 @@
     pub(crate) mean_turn: Option<Tokens>,
     #[serde(rename = "r")]
     pub(crate) retention: SpanUs,
+    /// How long the home may take to reserve a slice, if the requester says so.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub(crate) patience: Option<SpanUs>,
 }
 
 /// A home's response to a reservation.
--- a/clementinepickd/src/gateway_budget.rs
+++ b/clementinepickd/src/gateway_budget.rs
@@ -16,6 +16,7 @@
     LEND_PATH, LendRequest, LendResponse, RESERVE_PATH, RETURN_PATH, ReserveRequest,
     ReserveResponse, ReturnedTokens,
 };
+use crate::gateway_budget_peer::HOME_STORE_TIMEOUT;
 use crate::gateway_peer::{PeerCall, PeerFailure, call_peer, try_call_peer};
 use crate::gateway_prefetch::request_prefetch;
 use crate::gateway_shared::Shared;
@@ -23,11 +24,14 @@
 use crate::ledger::{LedgerError, to_cbor};
 use crate::ledger_budgets::BudgetRequest;
 use crate::ledger_holds::{BudgetHold, Lender, SliceGrant, TokenReturn};
-use crate::link::duration;
+use crate::link::{duration, to_span};
 
-/// How long a home may take to respond; it may have to append a slice to the store first, which
-/// takes about 10 ms.
-const RESERVE_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long the response of a home may take beyond the time in which it may append a slice to the
+/// store.
+const RESPONSE_TIME: Duration = Duration::from_millis(50);
+/// The calls whose timeouts a home may take for a slice. They suffice for the usual time of three, after
+/// another process has written to its partition.
+const SLICE_CALLS: u32 = 2;
 /// How long a peer may take to respond to a request that it serves from memory.
 const LEND_TIMEOUT: Duration = Duration::from_millis(150);
 /// The maximum number of peers asked to lend for one turn: enough to reach most holders of a
@@ -43,8 +47,6 @@
 /// A turn's reserved maximum, with what the home knows of the turn.
 pub(crate) struct Reserved {
     pub(crate) hold: BudgetHold,
-    /// The gateway that ran the previous turn and has it in memory, if the home knows it.
-    pub(crate) previous_at: Option<SocketAddr>,
     /// The server that ran the last turn of this turn chain or of the one it branched off from, if
     /// the home knows it.
     pub(crate) chain_server: Option<String>,
@@ -55,7 +57,6 @@
     fn without_home(hold: BudgetHold) -> Self {
         Self {
             hold,
-            previous_at: None,
             chain_server: None,
         }
     }
@@ -68,31 +69,40 @@
 }
 
 /// Reserves a turn's maximum and adds its origin to the trace.
+///
+/// `runner_found` is told which gateway ran the previous turn and has it in memory, if the home knows
+/// it, before a slice is reserved in the store; if the budget seems to be fully reserved, only once the
+/// turn may run.
 pub(crate) async fn reserve(
     shared: &Rc<Shared>,
     trace: &Trace,
     request: &BudgetRequest<'_>,
+    runner_found: impl FnOnce(Option<SocketAddr>),
     deadline: Instant,
 ) -> Result<Reserved, LedgerError> {
     if shared.budgets.held_home(request.program).is_some() {
         let previous_at = record_runner(shared, request, shared.peer_address);
         let turn_chains = request.turn_chains.iter().map(|part| part.id.as_str());
         let chain_server = chain_server(shared, turn_chains);
-        let hold = reserve_hold(shared, trace, request, deadline).await?;
+        let hold = if shared.budgets.may_have_left(request) {
+            runner_found(previous_at);
+            reserve_hold(shared, trace, request, deadline).await?
+        } else {
+            let hold = reserve_hold(shared, trace, request, deadline).await?;
+            runner_found(previous_at);
+            hold
+        };
         request_prefetch(shared, request);
-        return Ok(Reserved {
-            hold,
-            previous_at,
-            chain_server,
-        });
+        return Ok(Reserved { hold, chain_server });
     }
     if let Some(hold) = shared.budgets.start_held(request, Instant::now()) {
         trace.add_field("budget_from", &"held");
         return Ok(Reserved::without_home(hold));
     }
     match reserve_from_home(shared, request).await {
-        Some(Ok(reserved)) => {
+        Some(Ok((reserved, previous_at))) => {
             trace.add_field("budget_from", &"home");
+            runner_found(previous_at);
             Ok(reserved)
         }
         Some(Err(exhausted)) => {
@@ -100,6 +110,9 @@
             Ok(Reserved::without_home(hold))
         }
         None => {
+            if shared.budgets.may_have_left(request) {
+                runner_found(None);
+            }
             let hold = reserve_hold(shared, trace, request, deadline).await?;
             Ok(Reserved::without_home(hold))
         }
@@ -150,8 +163,8 @@
     }
 }
 
-/// Reserves a turn's maximum from slices held here, from peers during a store outage, or from the
-/// store.
+/// Reserves a turn's maximum from slices held here, from peers while the store is unavailable or slow,
+/// or from the store.
 async fn reserve_hold(
     shared: &Rc<Shared>,
     trace: &Trace,
@@ -162,13 +175,16 @@
         trace.add_field("budget_from", &"held");
         return Ok(hold);
     }
-    if shared.store.is_unavailable() {
+    let is_unavailable = shared.store.is_unavailable();
+    if is_unavailable || shared.store.is_slow() {
         let peers = shared.directory().peers;
         let borrowed = borrow_budget(shared, request, peers.iter().copied()).await;
         if let Ok(hold) = borrowed {
             trace.add_field("budget_from", &"peers");
             return Ok(hold);
         }
+    }
+    if is_unavailable {
         let start = |least| {
             shared
                 .budgets
@@ -230,11 +246,13 @@
     shared.log(&event);
 }
 
-/// Reserves a turn's maximum at the home of the program's partition; `None` if no home can decide.
+/// Reserves a turn's maximum at the home of the program's partition, and returns with it which gateway
+/// ran the previous turn, if the home knows it; `None` if no home can decide.
 async fn reserve_from_home(
     shared: &Rc<Shared>,
     request: &BudgetRequest<'_>,
-) -> Option<Result<Reserved, LedgerError>> {
+) -> Option<Result<(Reserved, Option<SocketAddr>), LedgerError>> {
+    let patience = shared.store.time_for(SLICE_CALLS).max(HOME_STORE_TIMEOUT);
     let reserve_request = ReserveRequest {
         turn_id: request.turn_id.to_owned(),
         previous_id: request.previous_id.map(str::to_owned),
@@ -250,6 +268,7 @@
         turn: request.turn,
         mean_turn: shared.budgets.mean_turn(),
         retention: request.retention,
+        patience: Some(to_span(patience)),
     };
     let body = to_cbor(&reserve_request);
     for _ in 0..MAX_HOMES {
@@ -258,7 +277,7 @@
         let call = PeerCall {
             path: RESERVE_PATH,
             body: body.clone(),
-            limit: RESERVE_TIMEOUT,
+            limit: patience + RESPONSE_TIME,
         };
         let response = call_peer::<ReserveResponse>(shared, address, call).await;
         if response.is_none() {
@@ -275,11 +294,7 @@
                 let turn = tokens.unwrap_or(request.turn);
                 let lent = BudgetRequest { turn, ..*request };
                 let hold = BudgetHold::new(&shared.budgets, &lent, Some(lender));
-                return Some(Ok(Reserved {
-                    hold,
-                    previous_at,
-                    chain_server,
-                }));
+                return Some(Ok((Reserved { hold, chain_server }, previous_at)));
             }
             Some(ReserveResponse::Spent { reserved, holders }) => {
                 return Some(Err(LedgerError::Exhausted { reserved, holders }));
--- a/clementinepickd/src/gateway_budget_peer.rs
+++ b/clementinepickd/src/gateway_budget_peer.rs
@@ -16,10 +16,11 @@
 use crate::gateway_shared::Shared;
 use crate::ledger::{LedgerError, from_cbor, to_cbor};
 use crate::ledger_budgets::BudgetRequest;
-use crate::link::to_span;
+use crate::link::{duration, to_span};
 
-/// How long a home tries to reserve a slice for a peer, which tries the store itself afterwards.
-const HOME_STORE_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long a home tries at least to reserve a slice for a peer, which tries the store itself
+/// afterwards.
+pub(crate) const HOME_STORE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Reserves a turn's maximum for a peer, as the home of the program's partition.
 async fn handle_reserve(shared: &Rc<Shared>, peer_request: &ReserveRequest) -> ReserveResponse {
@@ -62,7 +63,8 @@
                 lent(tokens)
             });
     }
-    let deadline = Instant::now() + HOME_STORE_TIMEOUT;
+    let patience = peer_request.patience.map_or(HOME_STORE_TIMEOUT, duration);
+    let deadline = Instant::now() + patience;
     match shared.budgets.reserve(&request, deadline).await {
         Ok(hold) => {
             if let Some(grant) = hold.grant {
--- a/clementinepickd/src/gateway_peer_turns.rs
+++ b/clementinepickd/src/gateway_peer_turns.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use clementinepick::turn_chain::TurnRecord;
+use futures_util::future::select_ok;
 
 use crate::gateway_peer::{PeerCall, PeerFailure, try_call_peer};
 use crate::gateway_shared::Shared;
@@ -18,6 +19,8 @@
 pub(crate) const TURN_PATH: &str = "/turn";
 /// How long a peer may take; reading from the store takes about 10 ms.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(100);
+/// The maximum number of peers that are asked for one turn.
+const MAX_ASKED_PEERS: usize = 12;
 /// The number of copies of a turn's text while the response is built.
 const RESPONSE_COPIES: usize = 2;
 
@@ -40,6 +43,25 @@
     response.ok()?
 }
 
+/// Fetches a turn's record from any peer, and returns with it the first peer that had it in memory.
+///
+/// A slow store takes long for each turn of a chain; the peer that ran the last one has all of them.
+pub(crate) async fn fetch_from_any(shared: &Shared, id: &str) -> Option<(SocketAddr, TurnRecord)> {
+    let peers = shared.directory().peers;
+    let calls = peers.iter().take(MAX_ASKED_PEERS).map(|peer| {
+        Box::pin(async {
+            let record = fetch(shared, *peer, id).await;
+            record.map(|record| (*peer, record)).ok_or(())
+        })
+    });
+    let calls: Vec<_> = calls.collect();
+    if calls.is_empty() {
+        return None;
+    }
+    let (found, _) = select_ok(calls).await.ok()?;
+    Some(found)
+}
+
 /// Handles a peer's request for a turn, whose response takes `memory`.
 pub(crate) fn handle_fetch(
     shared: &Shared,
--- a/clementinepickd/src/gateway_stream.rs
+++ b/clementinepickd/src/gateway_stream.rs
@@ -1,7 +1,9 @@
 //! Runs turns of programs: event streams with a budget, kept context and resumption at another
 //! server.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -18,6 +20,8 @@
 use clementinepick::text_memory::HeldText;
 use clementinepick::turn_chain::{Turn, build_prompt, record_retention_ms};
 use clementinepick::units::Tokens;
+use futures_util::future::{Either, select};
+use tokio::sync::oneshot;
 use tokio::task::yield_now;
 
 use crate::body_parts::BodyParts;
@@ -32,9 +36,7 @@
 use crate::gateway_start::StartProof;
 use crate::gateway_start_check::{Received, StartAnswer, StartCheck, receive};
 use crate::gateway_trace::Trace;
-use crate::gateway_turn_budget::{
-    STORE_TIMEOUT, max_turn_tokens, reserve, store_deadline, to_refusal,
-};
+use crate::gateway_turn_budget::{STORE_TIMEOUT, max_turn_tokens, reserve, to_refusal};
 use crate::ledger_holds::BudgetHold;
 use crate::ledger_turns::TurnWait;
 use crate::link::duration;
@@ -81,21 +83,14 @@
         .as_ref()
         .map_or(routed.service, |origin| &origin.service);
     let routed = &routed.with_service(service);
-    let deadline = store_deadline(routed);
-    let (hold, previous_at, chain_server) =
-        match reserve(shared, routed, trace, max_turn_tokens(routed), deadline).await {
-            Ok(Some(reserved)) => (
-                Some(reserved.hold),
-                reserved.previous_at,
-                reserved.chain_server,
-            ),
-            Ok(None) => (None, None, None),
-            Err(refusal) => return Ok(Err(refusal)),
-        };
-    let previous = match find_previous_turn(shared, routed, previous_at).await {
-        Ok(previous) => previous,
+    let (reserved, previous) = match admit(shared, routed, trace).await {
+        Ok(admitted) => admitted,
         Err(refusal) => return Ok(Err(refusal)),
     };
+    let (hold, chain_server) = match reserved {
+        Some(reserved) => (Some(reserved.hold), reserved.chain_server),
+        None => (None, None),
+    };
     trace.record_admitted(Instant::now());
     let mut stream = TurnStream {
         shared,
@@ -139,6 +134,34 @@
     Ok(Ok(()))
 }
 
+/// Reserves a turn's maximum and finds the turn that it continues from, at the same time if both need
+/// the store.
+///
+/// A reservation that has begun is awaited also if the previous turn can't be had: its tokens go back
+/// to the budget, while those of an append whose response nobody reads are lost to it.
+async fn admit(
+    shared: &Rc<Shared>,
+    routed: &RoutedRequest<'_>,
+    trace: &Trace,
+) -> Result<(Option<Reserved>, Option<Arc<Turn>>), Refusal> {
+    let (sender, runner) = oneshot::channel();
+    let runner_found = |runner| {
+        // The receiver lasts as long as the reservation.
+        let _ = sender.send(runner);
+    };
+    let tokens = max_turn_tokens(routed);
+    let reservation = pin!(reserve(shared, routed, trace, tokens, runner_found));
+    let previous = pin!(async {
+        // Without a message, the reservation has ended and no runner is known.
+        let ran_at = runner.await.ok().flatten();
+        find_previous_turn(shared, routed, ran_at).await
+    });
+    match select(reservation, previous).await {
+        Either::Left((reserved, previous)) => Ok((reserved?, previous.await?)),
+        Either::Right((previous, reservation)) => Ok((reservation.await?, previous?)),
+    }
+}
+
 /// Finds the turn that this one continues from; `ran_at` is the peer that ran it, if known.
 async fn find_previous_turn(
     shared: &Rc<Shared>,
@@ -151,7 +174,18 @@
     if !routed.route.keeps_context {
         return Ok(None);
     }
-    let fetch = async |id: &str| gateway_peer_turns::fetch(shared, ran_at?, id).await;
+    let ran_at = Cell::new(ran_at);
+    let fetch = async |id: &str| {
+        if let Some(peer) = ran_at.get() {
+            return gateway_peer_turns::fetch(shared, peer, id).await;
+        }
+        if !shared.store.is_slow() {
+            return None;
+        }
+        let (peer, record) = gateway_peer_turns::fetch_from_any(shared, id).await?;
+        ran_at.set(Some(peer));
+        Some(record)
+    };
     let wait = TurnWait {
         idle_limit: STORE_TIMEOUT,
         deadline: routed.deadline,
@@ -522,8 +556,7 @@
 
     /// Replaces the used-up hold by one on `tokens` more.
     async fn reserve_more(&mut self, tokens: Tokens) -> Result<(), Refusal> {
-        let deadline = store_deadline(self.routed);
-        let reserved = reserve(self.shared, self.routed, self.trace, tokens, deadline).await?;
+        let reserved = reserve(self.shared, self.routed, self.trace, tokens, |_| {}).await?;
         if let Some(Reserved { hold, .. }) = reserved {
             self.reserved_total.0 += hold.reserved_tokens().0;
             self.hold = Some(hold);
--- a/clementinepickd/src/gateway_turn_budget.rs
+++ b/clementinepickd/src/gateway_turn_budget.rs
@@ -1,5 +1,6 @@
 //! Reserves the tokens of a turn, and says why they can't be had.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,12 +20,15 @@
 pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Reserves `tokens` for a turn; `None` if its program has no budget.
+///
+/// `runner_found` is told which peer may have run the previous turn, if any is known, before the store
+/// is asked.
 pub(crate) async fn reserve(
     shared: &Rc<Shared>,
     routed: &RoutedRequest<'_>,
     trace: &Trace,
     tokens: Tokens,
-    deadline: Instant,
+    runner_found: impl FnOnce(Option<SocketAddr>),
 ) -> Result<Option<Reserved>, Refusal> {
     let (Some(program), Some(budget)) = (&routed.info.program, routed.info.budget_tokens) else {
         return Ok(None);
@@ -44,7 +48,9 @@
         keeps_context,
         turn_chains: routed.info.prompt_parts.get(1..).unwrap_or_default(),
     };
-    match gateway_budget::reserve(shared, trace, &request, deadline).await {
+    let deadline = store_deadline(routed);
+    let reserved = gateway_budget::reserve(shared, trace, &request, runner_found, deadline);
+    match reserved.await {
         Ok(reserved) => Ok(Some(reserved)),
         Err(err) => {
             if let LedgerError::Exhausted { reserved, .. } = &err {
@@ -67,7 +73,7 @@
 /// Returns the deadline of store calls, after which the request is refused. Waiting for longer than
 /// an attempt and a repeat take gains nothing, because a caller that repeats its request is served
 /// by any process that reaches the store.
-pub(crate) fn store_deadline(routed: &RoutedRequest<'_>) -> Instant {
+fn store_deadline(routed: &RoutedRequest<'_>) -> Instant {
     routed.deadline.min(Instant::now() + STORE_TIMEOUT)
 }
 
--- a/clementinepickd/src/ledger_budgets.rs
+++ b/clementinepickd/src/ledger_budgets.rs
@@ -16,6 +16,7 @@
 use clementinepick::units::{SpanUs, Tokens};
 use platform::store::{KeyedRecord, MAX_KEY_BYTES};
 use tokio::sync::mpsc;
+use tokio::time::timeout_at;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ledger::{LedgerError, LedgerStore, Partition, to_cbor};
@@ -193,7 +194,9 @@
         }
         let partition = self.store.budget_partition(request.program);
         let state = self.partition(partition, Instant::now());
-        let _guard = state.access.lock().await;
+        let locked = timeout_at(deadline.into(), state.access.lock()).await;
+        let _guard = locked.map_err(|_| LedgerError::Unavailable)?;
+        self.read_first(partition, &state, deadline).await?;
         // A turn that held the lock before may have reserved a slice that suffices for both.
         if let Some(hold) = self.start_held(request, Instant::now()) {
             return Ok(hold);
@@ -312,6 +315,17 @@
         })
     }
 
+    /// Returns whether the budget may have tokens left, as far as this process has read.
+    pub(crate) fn may_have_left(&self, request: &BudgetRequest<'_>) -> bool {
+        let partition = self.store.budget_partition(request.program);
+        let partitions = self.partitions.borrow();
+        partitions.get(&partition).is_none_or(|state| {
+            let view = state.view.borrow();
+            let decision = view.decide(request.program, request.budget, request.turn);
+            decision != SliceDecision::Exhausted
+        })
+    }
+
     /// Returns the retention of a record for the program: the longest of its turns here and this one.
     fn retain_ms(&self, request: &BudgetRequest<'_>) -> u64 {
         let programs = self.programs.borrow();
