--- a/clementinepickd/src/gateway_prefetch.rs
+++ b/clementinepickd/src/gateway_prefetch.rs
@@ -82,7 +82,8 @@
                 let Some(id) = queued else { break };
                 let shared = Rc::clone(&shared);
                 reads.spawn_local(async move {
-                    shared.tasks.contain(READ_PART, finish_turn_read(&shared, &id)).await;
+                    let reading = Box::pin(finish_turn_read(&shared, &id));
+                    shared.tasks.contain(READ_PART, reading).await;
                 });
             }
             Some(ended) = reads.join_next() => {
