Let no line follow process_failed, and report ends without a panic

And once in six runs an entry ended by itself after shutdown_forced and shutdown_finished, without 109: a thread of it had ended without a panic.

The log is now closed to all its clones before its last line is written. An entry or sidecar that ends without being told to is reported with 109, whatever ended it, and an error of its HTTP server ends it as a panic (110).

--- a/clementinepickd/src/daemon.rs
+++ b/clementinepickd/src/daemon.rs
@@ -279,7 +279,8 @@
             match http::start(listener, workers, shared) {
                 Ok(server) => {
                     let _ = started.send(Ok(server.handle()));
-                    let _ = server.await;
+                    // A panic ends the process, with the error in its log.
+                    server.await.expect("the HTTP server goes on");
                 }
                 Err(err) => {
                     let _ = started.send(Err(err));
--- a/clementinepickd/src/logging.rs
+++ b/clementinepickd/src/logging.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::io::Write;
 use std::panic::{RefUnwindSafe, UnwindSafe};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use clementinepick::event::{Event, EventKind, Severity};
 use clementinepick::ids::{Incarnation, VmId};
@@ -40,31 +40,95 @@
     new_root(queue, level, process_keys(vm, incarnation))
 }
 
-/// Creates a logger like [`new_logger_to`] and a guard that writes the queued lines when it is dropped,
-/// although clones of the logger are left; these lose their lines from then on.
-pub(crate) fn new_guarded_logger<W: Write + Send + 'static>(
-    output: W,
-    level: LogLevel,
-    vm: &VmId,
-    incarnation: Incarnation,
-) -> (Logger, Option<AsyncGuard>) {
-    let (queue, guard) = queued_lines(output).build_with_guard();
-    let logger = new_root(queue, level, process_keys(vm, incarnation));
-    (logger, Some(guard))
+/// A logger whose last line can be chosen, whoever holds clones of it.
+pub(crate) struct ClosableLogger {
+    /// The logger, which loses its lines once it is closed.
+    pub(crate) logger: Logger,
+    is_closed: Arc<RwLock<bool>>,
+    last: Logger,
+    _queue: Option<AsyncGuard>,
 }
 
-/// Creates a logger like [`new_logger_to`] that has written a line when it returns.
-pub(crate) fn new_direct_logger<W: Write + Send + 'static>(
-    output: W,
-    level: LogLevel,
-    vm: &VmId,
-    incarnation: Incarnation,
-) -> Logger {
-    let lines = Mutex::new(lines(output));
-    new_root(lines, level, process_keys(vm, incarnation))
+impl ClosableLogger {
+    /// Creates a logger like [`new_logger_to`]; dropped, it writes the queued lines, and clones lose theirs
+    /// from then on.
+    pub(crate) fn queued<W: Write + Send + 'static>(
+        output: W,
+        level: LogLevel,
+        vm: &VmId,
+        incarnation: Incarnation,
+    ) -> Self {
+        let (lines, guard) = queued_lines(output).build_with_guard();
+        Self::new(lines, Some(guard), level, vm, incarnation)
+    }
+
+    /// Creates a logger that has written a line when it returns.
+    pub(crate) fn direct<W: Write + Send + 'static>(
+        output: W,
+        level: LogLevel,
+        vm: &VmId,
+        incarnation: Incarnation,
+    ) -> Self {
+        Self::new(Mutex::new(lines(output)), None, level, vm, incarnation)
+    }
+
+    fn new<D>(
+        lines: D,
+        queue: Option<AsyncGuard>,
+        level: LogLevel,
+        vm: &VmId,
+        incarnation: Incarnation,
+    ) -> Self
+    where
+        D: Drain + Send + Sync + UnwindSafe + RefUnwindSafe + 'static,
+    {
+        let (lines, is_closed) = (Arc::new(lines), Arc::default());
+        let open_lines = OpenDrain {
+            drain: Arc::clone(&lines),
+            is_closed: Arc::clone(&is_closed),
+        };
+        Self {
+            logger: new_root(open_lines, level, process_keys(vm, incarnation)),
+            is_closed,
+            last: new_root(lines, level, process_keys(vm, incarnation)),
+            _queue: queue,
+        }
+    }
+
+    /// Logs the last event.
+    pub(crate) fn close_with(self, event: &Event) {
+        *self
+            .is_closed
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = true;
+        write_event(&self.last, event);
+    }
+}
+
+/// Passes lines on until it is closed.
+struct OpenDrain<D> {
+    drain: Arc<D>,
+    is_closed: Arc<RwLock<bool>>,
+}
+
+impl<D: Drain> Drain for OpenDrain<D> {
+    type Ok = ();
+    type Err = D::Err;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> std::result::Result<(), D::Err> {
+        // Held until the line is passed on, so that none follows the last one.
+        let is_closed = self
+            .is_closed
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        if !*is_closed {
+            self.drain.log(record, values)?;
+        }
+        Ok(())
+    }
 }
 
-/// Creates a logger like [`new_direct_logger`] whose lines do not name the process.
+/// Creates a logger that has written a line when it returns and whose lines do not name the process.
 pub(crate) fn new_unnamed_logger<W: Write + Send + 'static>(output: W) -> Logger {
     new_root(Mutex::new(lines(output)), LogLevel::Info, o!())
 }
--- a/clementinepickd/src/main.rs
+++ b/clementinepickd/src/main.rs
@@ -128,7 +128,7 @@
     run_logged(
         Daemon::open_log(&settings),
         |log| match Daemon::start_logging_to(settings, log, &mut signals) {
-            Ok(daemon) => Ok(join(daemon, signals.into_received())),
+            Ok(daemon) => join(daemon, signals.into_received()),
             Err(StartError::Stopped) => {
                 log.log_early_stop();
                 Ok(ShutdownKind::Graceful)
@@ -161,8 +161,8 @@
 }
 
 /// Waits for the process to end and forwards signals to it: the first begins a graceful shutdown,
-/// the second forces it.
-fn join(daemon: Daemon, mut signals: ReceivedSignals) -> ShutdownKind {
+/// the second forces it. Returns an error if it ends by itself.
+fn join(daemon: Daemon, mut signals: ReceivedSignals) -> Result<ShutdownKind, Box<dyn Error>> {
     System::new().block_on(async {
         let mut is_shutting_down = false;
         while !daemon.is_finished() {
@@ -176,6 +176,11 @@
                 daemon.shutdown();
             }
         }
-        daemon.join()
+        let kind = daemon.join();
+        if is_shutting_down {
+            Ok(kind)
+        } else {
+            Err("a thread ended by itself".into())
+        }
     })
 }
--- a/clementinepickd/src/process_log.rs
+++ b/clementinepickd/src/process_log.rs
@@ -3,24 +3,20 @@
 use std::fmt::Display;
 use std::io::{self, Write};
 use std::panic::{self, AssertUnwindSafe, PanicHookInfo, catch_unwind};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 
 use clementinepick::event::{Event, EventKind};
 use clementinepick::ids::{Incarnation, VmId};
 use slog::Logger;
-use slog_async::AsyncGuard;
 
 use crate::log_output::StandardOutput;
-use crate::logging::{new_direct_logger, new_guarded_logger, new_unnamed_logger, write_event};
+use crate::logging::{ClosableLogger, new_unnamed_logger, write_event};
 use crate::settings::LogLevel;
 
 /// The log of a process; dropped, it writes the queued lines.
 pub struct ProcessLog {
-    logger: Logger,
+    log: ClosableLogger,
     incarnation: Incarnation,
-    panic_logger: PanicLogger,
-    _writer: Option<AsyncGuard>,
 }
 
 impl ProcessLog {
@@ -40,41 +36,34 @@
         incarnation: Incarnation,
     ) -> Self {
         // slog-async panics if it can't create its thread.
-        let guarded = catch_unwind(AssertUnwindSafe(|| {
-            new_guarded_logger(output(), level, vm, incarnation)
+        let queued = catch_unwind(AssertUnwindSafe(|| {
+            ClosableLogger::queued(output(), level, vm, incarnation)
         }));
-        let (logger, writer) =
-            guarded.unwrap_or_else(|_| (new_direct_logger(output(), level, vm, incarnation), None));
-        Self {
-            logger,
-            incarnation,
-            panic_logger: PanicLogger::default(),
-            _writer: writer,
-        }
+        let log =
+            queued.unwrap_or_else(|_| ClosableLogger::direct(output(), level, vm, incarnation));
+        Self { log, incarnation }
     }
 
     /// Logs each panic of any thread or task from now on, before it is printed.
     pub fn report_panics(&self) {
-        self.panic_logger.start(self.logger.clone());
+        report_panics_to(self.logger().clone());
     }
 
     /// Writes the error that ends the process to the log, as its last line, and to the standard error.
     pub fn close_with(self, error: &dyn Display) {
-        self.panic_logger.stop();
-        log_failure(&self.logger, error);
-        drop(self);
+        self.log.close_with(&failure(error));
         print_failure(error);
     }
 
     /// Logs that the process was told to stop before it served.
     pub fn log_early_stop(&self) {
         for kind in [EventKind::ShutdownStarted, EventKind::ShutdownFinished] {
-            write_event(&self.logger, &Event::new(kind).with("running", 0));
+            write_event(self.logger(), &Event::new(kind).with("running", 0));
         }
     }
 
     pub(crate) const fn logger(&self) -> &Logger {
-        &self.logger
+        &self.log.logger
     }
 
     pub(crate) const fn incarnation(&self) -> Incarnation {
@@ -84,18 +73,17 @@
 
 /// Logs each panic of a process without valid settings to its standard output, before it is printed.
 pub fn report_early_panics() {
-    PanicLogger::default().start(new_unnamed_logger(StandardOutput::new()));
+    report_panics_to(new_unnamed_logger(StandardOutput::new()));
 }
 
 /// Writes an error that ends a process without valid settings to its log and to the standard error.
 pub fn report_early_failure(error: &dyn Display) {
-    log_failure(&new_unnamed_logger(StandardOutput::new()), error);
+    write_event(&new_unnamed_logger(StandardOutput::new()), &failure(error));
     print_failure(error);
 }
 
-fn log_failure(logger: &Logger, error: &dyn Display) {
-    let event = Event::new(EventKind::ProcessFailed).with("error", error);
-    write_event(logger, &event);
+fn failure(error: &dyn Display) -> Event {
+    Event::new(EventKind::ProcessFailed).with("error", error)
 }
 
 fn print_failure(error: &dyn Display) {
@@ -103,38 +91,14 @@
     let _ = writeln!(io::stderr(), "{error}");
 }
 
-/// The logger of panics, until the log is closed.
-#[derive(Clone, Default)]
-struct PanicLogger(Arc<Mutex<Option<Logger>>>);
-
-impl PanicLogger {
-    /// Logs each panic to `logger` from now on, and to no other.
-    fn start(&self, logger: Logger) {
-        *self.lock() = Some(logger);
-        let panics = self.clone();
-        // The first call removes the hook of an earlier logger, and the second one returns that which prints.
-        drop(panic::take_hook());
-        let print = panic::take_hook();
-        panic::set_hook(Box::new(move |info| {
-            panics.write(info);
-            print(info);
-        }));
-    }
-
-    /// Waits for panics that are being logged, and logs no more.
-    fn stop(&self) {
-        *self.lock() = None;
-    }
-
-    fn write(&self, info: &PanicHookInfo<'_>) {
-        if let Some(logger) = &*self.lock() {
-            write_event(logger, &panic_event(info));
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Option<Logger>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+fn report_panics_to(logger: Logger) {
+    // The first call removes the hook of an earlier logger, and the second one returns that which prints.
+    drop(panic::take_hook());
+    let print = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        write_event(&logger, &panic_event(info));
+        print(info);
+    }));
 }
 
 fn panic_event(info: &PanicHookInfo<'_>) -> Event {
