Notice a suspension before the first copy, wait for peers and the store at a start, and keep newer handed lists

The clocks are compared from the start on, every 250 ms and by the receiver; requests wait for the store and the first peers, which are asked at the same time; lists are compared by the offset up to which they are known.

--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -47,6 +47,8 @@
     pub(crate) config_document: Option<Bytes>,
     /// The registered servers.
     pub(crate) servers: Arc<ServerList>,
+    /// The offset in the topic of servers up to which they are known.
+    pub(crate) servers_end: u64,
     /// Whether entries of some of them have expired in an outage.
     pub(crate) has_kept_servers: bool,
     /// The addresses at which peers take calls.
--- a/clementinepickd/src/directory_copy.rs
+++ b/clementinepickd/src/directory_copy.rs
@@ -69,6 +69,9 @@
 struct ListCopy {
     #[serde(rename = "g")]
     age_us: SpanUs,
+    /// The offset up to which it is known.
+    #[serde(rename = "e")]
+    end: u64,
     #[serde(rename = "s")]
     servers: Vec<ServerCopy>,
 }
@@ -97,6 +100,8 @@
 #[derive(Debug)]
 pub(crate) struct HandedList {
     pub(crate) as_of: Instant,
+    /// The offset up to which it is known; it may be known as of later than `as_of`.
+    pub(crate) end: u64,
     pub(crate) servers: ServerList,
 }
 
@@ -121,6 +126,7 @@
             list: list.and_then(|as_of| {
                 Some(ListCopy {
                     age_us: recent_age(as_of, now)?,
+                    end: directory.servers_end,
                     servers: directory
                         .servers
                         .servers
@@ -154,6 +160,7 @@
         let servers: BTreeMap<_, _> = servers.map(|server| (server.id.clone(), server)).collect();
         Some(HandedList {
             as_of,
+            end: copy.end,
             servers: ServerList { servers },
         })
     }
@@ -193,9 +200,10 @@
     /// What is concluded from a list, such as the versions that servers have had, needs an unbroken
     /// series of reads, so that `servers_as_of` stays.
     pub(crate) fn take_list(&mut self, list: HandedList) -> bool {
-        let is_newer = self.list_as_of() < Some(list.as_of);
+        let is_newer = self.list_as_of() < Some(list.as_of) && self.servers_end <= list.end;
         if is_newer {
             self.handed_as_of = Some(list.as_of);
+            self.servers_end = list.end;
             if *self.servers != list.servers {
                 self.servers = Arc::new(list.servers);
             }
@@ -204,6 +212,18 @@
     }
 }
 
+impl Directory {
+    /// Returns whether a list that was read up to `end` is at least as new as the one that is known.
+    ///
+    /// A handed list may have been read after the time as of which it is known. One that was handed long
+    /// before the read decides nothing: the topic may have been replaced.
+    pub(crate) fn is_newest_list(&self, end: u64, as_of: Instant) -> bool {
+        let is_handed_long_before =
+            |at: Instant| as_of.saturating_duration_since(at) > MAX_COPY_AGE;
+        self.servers_end <= end || self.handed_as_of.is_none_or(is_handed_long_before)
+    }
+}
+
 fn copy_server(server: &BackendServer) -> ServerCopy {
     ServerCopy {
         id: server.id.clone(),
@@ -315,6 +335,25 @@
         assert!(!directory.has_current_servers(now));
     }
 
+    /// Guards against a server that is draining and is sent to again, since an older list was read later.
+    #[test]
+    fn a_read_that_ends_before_the_handed_list_does_not_replace_it() {
+        let now = Instant::now();
+        let mut peer = supplied(now, 7);
+        peer.servers_end = 9;
+        let list = copied(&peer, None, now).take_list(now, now).expect("one");
+        let mut directory = Directory::default();
+        assert!(directory.take_list(list));
+        assert!(!directory.is_newest_list(8, now + CALL));
+        assert!(directory.is_newest_list(9, now + CALL));
+        assert!(directory.is_newest_list(0, now + MAX_COPY_AGE + CALL));
+        peer.servers_end = 8;
+        let later = now + CALL;
+        peer.record_servers_read(later, later);
+        let older = copied(&peer, None, later).take_list(later, later);
+        assert!(!directory.take_list(older.expect("one")));
+    }
+
     /// Guards against a configuration that goes back to an earlier version.
     #[test]
     fn an_earlier_version_is_not_taken() {
--- a/clementinepickd/src/followed_topic.rs
+++ b/clementinepickd/src/followed_topic.rs
@@ -44,6 +44,11 @@
         &self.records
     }
 
+    /// Returns the offset up to which the records are known.
+    pub(crate) fn end(&self) -> Option<u64> {
+        self.end
+    }
+
     /// Returns the records that the last read replaced or removed, with their keys.
     pub(crate) fn replaced(&self) -> &[(String, Bytes)] {
         &self.replaced
--- a/clementinepickd/src/gateway_directory_copy.rs
+++ b/clementinepickd/src/gateway_directory_copy.rs
@@ -38,7 +38,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// By how much the wall clock and the clock of ages may part. They part further while the VM is
 /// suspended, which ages do not count.
-const MAX_CLOCK_GAP_MS: i64 = 300;
+const MAX_CLOCK_GAP_MS: u64 = 300;
 /// How long nothing is handed over after that: lists are read again by then.
 const CLOCK_WAIT: Duration = Duration::from_secs(2);
 
@@ -47,26 +47,26 @@
 pub(crate) struct ClockWatch {
     started_at: Instant,
     /// How far the wall clock was ahead of the clock of ages when last seen.
-    ahead_ms: Cell<Option<i64>>,
+    ahead_ms: Cell<i64>,
     parted_at: Cell<Option<Instant>>,
 }
 
 impl ClockWatch {
-    pub(crate) fn new(now: Instant) -> Self {
+    pub(crate) fn new(now: Instant, now_unix_ms: u64) -> Self {
         Self {
             started_at: now,
-            ahead_ms: Cell::new(None),
+            ahead_ms: Cell::new(to_signed_ms(now_unix_ms)),
             parted_at: Cell::new(None),
         }
     }
 
-    /// Returns whether ages can be relied on.
-    fn is_sound(&self, now: Instant, now_unix_ms: u64) -> bool {
+    /// Compares the clocks; returns whether ages can be relied on.
+    fn check(&self, now: Instant, now_unix_ms: u64) -> bool {
         let run_ms = now.saturating_duration_since(self.started_at).as_millis();
         let run_ms = i64::try_from(run_ms).unwrap_or(i64::MAX);
-        let ahead_ms = i64::try_from(now_unix_ms).unwrap_or(i64::MAX) - run_ms;
-        let last_ms = self.ahead_ms.replace(Some(ahead_ms));
-        if last_ms.is_some_and(|last| (ahead_ms - last).abs() > MAX_CLOCK_GAP_MS) {
+        let ahead_ms = to_signed_ms(now_unix_ms).saturating_sub(run_ms);
+        let last_ms = self.ahead_ms.replace(ahead_ms);
+        if ahead_ms.abs_diff(last_ms) > MAX_CLOCK_GAP_MS {
             self.parted_at.set(Some(now));
         }
         let parted_at = self.parted_at.get();
@@ -74,11 +74,18 @@
     }
 }
 
+fn to_signed_ms(unix_ms: u64) -> i64 {
+    i64::try_from(unix_ms).unwrap_or(i64::MAX)
+}
+
 /// Asks peers whenever the lists of this process are missing or old, until dropped.
 pub(crate) async fn maintain_directory(shared: Rc<Shared>) {
     let mut pause = MIN_PAUSE;
     loop {
-        let is_due = is_due(&shared.directory(), Instant::now());
+        let now = Instant::now();
+        // A suspension is noticed by the first comparison after it.
+        shared.clocks.check(now, unix_ms());
+        let is_due = is_due(&shared.directory(), now);
         if is_due && !ask_peers(&shared).await {
             sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
             pause = (pause * 2).min(MAX_PAUSE);
@@ -126,8 +133,10 @@
         limit: COPY_TIMEOUT,
     };
     let asked_at = Instant::now();
-    if let Some(copy) = call_peer::<DirectoryCopy>(shared, peer, call).await {
-        shared.take_copy(peer, copy, asked_at, Instant::now());
+    let copy = call_peer::<DirectoryCopy>(shared, peer, call).await;
+    let now = Instant::now();
+    if let Some(copy) = copy.filter(|_| shared.clocks.check(now, unix_ms())) {
+        shared.take_copy(peer, copy, asked_at, now);
     }
 }
 
@@ -205,7 +214,7 @@
     let Some(query) = from_cbor::<CopyQuery>(body) else {
         return Some((400, Bytes::new()));
     };
-    let copy = if shared.clocks.is_sound(now, unix_ms()) {
+    let copy = if shared.clocks.check(now, unix_ms()) {
         DirectoryCopy::of(&shared.directory(), query, now)
     } else {
         DirectoryCopy::default()
@@ -217,16 +226,18 @@
 mod tests {
     use super::*;
 
-    /// Guards against a copy whose age leaves out that its VM was suspended.
+    /// Guards against a copy whose age leaves out that its VM was suspended, also before it was first asked.
     #[test]
     fn nothing_is_handed_over_right_after_the_vm_was_suspended() {
         let start = Instant::now();
-        let clocks = ClockWatch::new(start);
-        assert!(clocks.is_sound(start, 1_000));
         let second = start + Duration::from_secs(1);
-        assert!(clocks.is_sound(second, 2_000));
-        assert!(!clocks.is_sound(second, 6_000));
-        assert!(!clocks.is_sound(second + CLOCK_WAIT / 2, 7_000));
-        assert!(clocks.is_sound(second + CLOCK_WAIT, 8_000));
+        let clocks = ClockWatch::new(start, 1_000);
+        assert!(!clocks.check(second, 6_000));
+        let clocks = ClockWatch::new(start, 1_000);
+        assert!(clocks.check(start, 1_000));
+        assert!(clocks.check(second, 2_000));
+        assert!(!clocks.check(second, 6_000));
+        assert!(!clocks.check(second + CLOCK_WAIT / 2, 7_000));
+        assert!(clocks.check(second + CLOCK_WAIT, 8_000));
     }
 }
--- a/clementinepickd/src/gateway_ended_upkeep.rs
+++ b/clementinepickd/src/gateway_ended_upkeep.rs
@@ -86,12 +86,16 @@
     }
 }
 
-/// Loads what peers and the store know, and lets requests go on that wait for it: once the store has
-/// responded or a peer that has loaded it, or if that takes too long. Returns whether the store has
-/// responded.
+/// Loads what peers and the store know, and lets requests go on that wait for it: once the first peers and
+/// the store have responded, or if that takes too long. Returns whether the store has responded.
 async fn load_at_start(shared: &Rc<Shared>) -> bool {
-    // Peers that have lost power let their calls hang.
-    let (is_store_read, ()) = join!(load_from_store(shared), load_from_first_peers(shared));
+    // Peers that have lost power let their calls hang. One that answers late may have learned meanwhile
+    // what the store did not have yet, so that requests wait for both.
+    let (is_store_read, has_peer_loaded) =
+        join!(load_from_store(shared), load_from_first_peers(shared));
+    if is_store_read || has_peer_loaded {
+        shared.ended.set_loaded();
+    }
     wait_for(shared, MAX_LOAD_WAIT, |directory| {
         directory.has_read_processes
     })
@@ -101,15 +105,18 @@
     is_store_read
 }
 
-/// Loads what the peers in the settings know, which may be gone before the list of processes is read.
-async fn load_from_first_peers(shared: &Rc<Shared>) {
+/// Loads what the peers in the settings know, which may be gone before the list of processes is read;
+/// returns whether one of them has completed its own load.
+async fn load_from_first_peers(shared: &Rc<Shared>) -> bool {
     wait_for(shared, SETTINGS_WAIT, |directory| {
         !directory.peers.is_empty()
     })
     .await;
-    if load(shared, MAX_LOAD_PEERS).await {
+    let is_loaded = load(shared, MAX_LOAD_PEERS).await;
+    if is_loaded {
         shared.ended.set_loaded();
     }
+    is_loaded
 }
 
 /// Loads what the store knows, until it has responded or requests have waited long enough; returns
@@ -118,9 +125,6 @@
     let mut can_serve_since = None;
     loop {
         let is_read = shared.load_requests().await.is_ok();
-        if is_read {
-            shared.ended.set_loaded();
-        }
         if shared.directory().config.is_some() {
             can_serve_since.get_or_insert_with(Instant::now);
         }
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -54,6 +54,7 @@
 use crate::signal::Signal;
 use crate::store::StoreClient;
 use crate::supervised_tasks::TaskSupervisor;
+use crate::unix_time::unix_ms;
 
 /// The maximum age of the configuration and the server list of a ready process. With older ones, it
 /// would send requests to servers that have left and refuse new programs, although another process
@@ -206,7 +207,7 @@
             response_memory: ResponseMemory::new(settings.response_limit_bytes),
             directory: publish.subscribe(),
             publish,
-            clocks: ClockWatch::new(Instant::now()),
+            clocks: ClockWatch::new(Instant::now(), unix_ms()),
             list_refresh,
             logger,
             log_every: settings.log_every,
--- a/clementinepickd/src/gateway_tests.rs
+++ b/clementinepickd/src/gateway_tests.rs
@@ -27,7 +27,7 @@
 pub(crate) const WAIT: Duration = Duration::from_secs(10);
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// The number of background tasks and accept loops of a gateway.
-const TASK_COUNT: usize = 20;
+const TASK_COUNT: usize = 21;
 
 /// The log of a gateway.
 #[derive(Clone, Default)]
--- a/clementinepickd/src/server_follower.rs
+++ b/clementinepickd/src/server_follower.rs
@@ -90,8 +90,9 @@
         if let Some(servers) = servers {
             self.published = Arc::new(ServerList { servers });
         }
+        let end = self.watch.topic.end().unwrap_or_default();
         self.context.publish.send_modify(|directory| {
-            let is_newest = directory.list_as_of() <= Some(read.as_of);
+            let is_newest = directory.is_newest_list(end, read.as_of);
             directory.record_servers_read(read.as_of, now);
             if has_left {
                 directory.left_versions = Arc::new(self.left_versions.clone());
@@ -99,6 +100,7 @@
             if is_newest {
                 // A peer may have handed over another list meanwhile.
                 directory.servers = Arc::clone(&self.published);
+                directory.servers_end = end;
                 directory.has_kept_servers = !self.kept.is_empty();
             }
         });
