Give up a standard error that nobody reads

Operators saw a process that had logged `process_failed` and still ran: its standard error was a pipe that nobody read, and it ignored SIGTERM.

Errors and panics were printed with writes that wait for the reader, panics by the hook of the standard library. The thread that printed never went on.

The standard error is now written like the standard output: a write waits for 100 ms at most, and not at all after a stall until bytes are taken again. The panic hook prints thread, place, message and, if it is captured, the backtrace itself. `--check` prints its error in the same way.

--- a/clementinepickd/src/log_output.rs
+++ b/clementinepickd/src/log_output.rs
@@ -1,6 +1,7 @@
 //! Writes log lines whole or not at all, and never waits long for whoever reads them.
 
-use std::io::{self, ErrorKind, Stdout, Write};
+use std::io::{self, ErrorKind, Stderr, Stdout, Write};
+use std::os::fd::AsFd;
 use std::time::Duration;
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -10,20 +11,36 @@
 /// How long a line waits for a reader that is slow.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// The standard output, which fails a write that would wait for longer than [`WRITE_TIMEOUT`], and any wait
-/// after that until it takes bytes again.
+/// A standard output or error, which fails a write that would wait for longer than [`WRITE_TIMEOUT`], and any
+/// wait after that until it takes bytes again.
 #[derive(Debug)]
-pub(crate) struct StandardOutput {
+pub(crate) struct StandardStream<S> {
     /// Only its descriptor is used: writes pass by its buffer.
-    stdout: Stdout,
+    stream: S,
     is_stalled: bool,
 }
 
+pub(crate) type StandardOutput = StandardStream<Stdout>;
+pub(crate) type StandardError = StandardStream<Stderr>;
+
 impl StandardOutput {
     /// Returns the standard output without a buffer.
     pub(crate) fn new() -> Self {
+        Self::over(io::stdout())
+    }
+}
+
+impl StandardError {
+    /// Returns the standard error without a lock.
+    pub(crate) fn new() -> Self {
+        Self::over(io::stderr())
+    }
+}
+
+impl<S: AsFd> StandardStream<S> {
+    const fn over(stream: S) -> Self {
         Self {
-            stdout: io::stdout(),
+            stream,
             is_stalled: false,
         }
     }
@@ -36,19 +53,19 @@
             WRITE_TIMEOUT
         };
         let timeout = Timespec::try_from(timeout).map_err(io::Error::other)?;
-        let mut descriptors = [PollFd::new(&self.stdout, PollFlags::OUT)];
+        let mut descriptors = [PollFd::new(&self.stream, PollFlags::OUT)];
         Ok(poll(&mut descriptors, Some(&timeout))? > 0)
     }
 }
 
-impl Write for StandardOutput {
+impl<S: AsFd> Write for StandardStream<S> {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         self.is_stalled = !self.wait_until_writable()?;
         if self.is_stalled {
             return Err(ErrorKind::TimedOut.into());
         }
         let bytes = &bytes[..bytes.len().min(PIPE_WRITE_BYTES)];
-        Ok(rustix::io::write(&self.stdout, bytes)?)
+        Ok(rustix::io::write(&self.stream, bytes)?)
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/clementinepickd/src/main.rs
+++ b/clementinepickd/src/main.rs
@@ -11,7 +11,9 @@
 use argh::FromArgs;
 use clementinepickd::gateway::{Gateway, GatewayError};
 use clementinepickd::gateway_settings::GatewaySettings;
-use clementinepickd::process_log::{ProcessLog, report_early_failure, report_early_panics};
+use clementinepickd::process_log::{
+    ProcessLog, print_failure, report_early_failure, report_early_panics,
+};
 use clementinepickd::settings::Settings;
 use clementinepickd::settings_file::{ProcessSettings, SettingsError};
 use clementinepickd::stop_signals::{ReceivedSignals, StopSignals};
@@ -83,7 +85,7 @@
             ExitCode::SUCCESS
         }
         Err(err) => {
-            eprintln!("{err}");
+            print_failure(&err);
             ExitCode::from(INVALID_SETTINGS_EXIT_CODE)
         }
     }
--- a/clementinepickd/src/process_log.rs
+++ b/clementinepickd/src/process_log.rs
@@ -1,9 +1,10 @@
 //! Owns the log of a process, which says why the process ends whenever it ends by itself.
 
+use std::backtrace::{Backtrace, BacktraceStatus};
 use std::fmt::Display;
-use std::io::{self, Write};
+use std::io::Write;
 use std::panic::{self, AssertUnwindSafe, PanicHookInfo, catch_unwind};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, LazyLock, Mutex, MutexGuard, PoisonError};
 use std::thread;
 
 use clementinepick::event::{Event, EventKind};
@@ -11,10 +12,14 @@
 use slog::Logger;
 use slog_async::AsyncGuard;
 
-use crate::log_output::StandardOutput;
+use crate::log_output::{LineOutput, StandardError, StandardOutput};
 use crate::logging::{new_direct_logger, new_guarded_logger, new_unnamed_logger, write_event};
 use crate::settings::LogLevel;
 
+/// The standard error, of which a process keeps whether it has stalled.
+static ERRORS: LazyLock<Mutex<LineOutput<StandardError>>> =
+    LazyLock::new(|| Mutex::new(LineOutput::new(StandardError::new())));
+
 /// The log of a process; dropped, it writes the queued lines.
 pub struct ProcessLog {
     logger: Logger,
@@ -98,9 +103,35 @@
     write_event(logger, &event);
 }
 
-fn print_failure(error: &dyn Display) {
-    // The standard error may be closed, which the log shows as well.
-    let _ = writeln!(io::stderr(), "{error}");
+/// Writes an error to the standard error, and gives up if nobody reads it.
+pub fn print_failure(error: &dyn Display) {
+    print_line(&format!("{error}\n"));
+}
+
+fn print_line(line: &str) {
+    let mut errors = ERRORS.lock().unwrap_or_else(PoisonError::into_inner);
+    // Nobody reads it then; what ends or disturbs a running process is in its log.
+    let _ = errors.write(line.as_bytes());
+}
+
+/// Writes a panic to the standard error like the standard library, which would wait for its reader.
+fn print_panic(info: &PanicHookInfo<'_>) {
+    let backtrace = Backtrace::capture();
+    let thread = thread::current();
+    let name = thread.name().unwrap_or("<unnamed>");
+    let location = info.location().map(ToString::to_string);
+    let location = location.as_deref().unwrap_or("an unknown place");
+    let message = panic_message(info);
+    let text = format!("\nthread '{name}' panicked at {location}:\n{message}\n");
+    if backtrace.status() == BacktraceStatus::Captured {
+        print_line(&format!("{text}stack backtrace:\n{backtrace}\n"));
+    } else {
+        print_line(&text);
+    }
+}
+
+fn panic_message<'a>(info: &'a PanicHookInfo<'_>) -> &'a str {
+    info.payload_as_str().unwrap_or("not a text")
 }
 
 /// The logger of panics, until the log is closed.
@@ -112,12 +143,9 @@
     fn start(&self, logger: Logger) {
         *self.lock() = Some(logger);
         let panics = self.clone();
-        // The first call removes the hook of an earlier logger, and the second one returns that which prints.
-        drop(panic::take_hook());
-        let print = panic::take_hook();
         panic::set_hook(Box::new(move |info| {
             panics.write(info);
-            print(info);
+            print_panic(info);
         }));
     }
 
@@ -139,10 +167,9 @@
 
 fn panic_event(info: &PanicHookInfo<'_>) -> Event {
     let thread = thread::current();
-    let message = info.payload_as_str().unwrap_or("not a text");
     let event = Event::new(EventKind::ThreadPanicked)
         .with("thread", thread.name().unwrap_or("unnamed"))
-        .with("message", message);
+        .with("message", panic_message(info));
     match info.location() {
         Some(location) => event.with("location", location),
         None => event,
--- a/clementinepickd/tests/process_ends.rs
+++ b/clementinepickd/tests/process_ends.rs
@@ -90,6 +90,32 @@
     );
 }
 
+/// Guards against a process that hangs because nobody reads its standard error.
+#[test]
+fn a_full_standard_error_does_not_keep_invalid_settings_from_ending_a_process() {
+    let vm = ProcessVm::new(9);
+    vm.write(&vm.gateway().replace("vm = vm-a\n", ""));
+    let recorded = vm.start_limited_unread(":").recorded_after(TO_GIVE_UP);
+    assert_eq!(recorded.end.code(), Some(2), "{recorded:?}");
+    assert!(recorded.last_line().contains(FAILURE), "{recorded:?}");
+}
+
+/// Guards against a process that hangs as it prints a panic or an error that nobody reads.
+#[test]
+fn a_full_standard_error_does_not_keep_a_failure_from_ending_a_process() {
+    let vm = ProcessVm::new(10);
+    for text in vm.all_roles() {
+        vm.write(&text);
+        for count in 10..17 {
+            let process = vm.start_limited_unread(&format!("ulimit -n {count}"));
+            let recorded = process.recorded_after(TO_GIVE_UP);
+            assert_eq!(recorded.end.code(), Some(1), "{count}: {recorded:?}");
+            let last = recorded.last_line();
+            assert!(last.contains(FAILURE), "{count}: {recorded:?}");
+        }
+    }
+}
+
 /// Returns the name of the thread in a line of the log.
 fn thread_name(line: &str) -> Option<&str> {
     let (_, rest) = line.split_once("\"thread\":\"")?;
--- a/clementinepickd/tests/recorded_process/mod.rs
+++ b/clementinepickd/tests/recorded_process/mod.rs
@@ -1,7 +1,7 @@
 //! Runs the program in any role, without a store, and keeps what it writes.
 
 use std::fs;
-use std::io::{ErrorKind, Read};
+use std::io::{ErrorKind, PipeReader, Read, Write, pipe};
 use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -85,10 +85,43 @@
 
     /// Starts a process with the limits that a command of the shell sets.
     pub fn start_limited(&self, limits: &str) -> RecordedProcess {
+        RecordedProcess::start(&mut self.limited(limits))
+    }
+
+    /// Starts a process with limits whose standard error is a full pipe that nobody reads.
+    pub fn start_limited_unread(&self, limits: &str) -> UnreadProcess {
+        let (reader, mut writer) = pipe().expect("a pipe");
+        rustix::io::ioctl_fionbio(&writer, true).expect("a pipe");
+        while writer.write(b"x").is_ok() {}
+        rustix::io::ioctl_fionbio(&writer, false).expect("a pipe");
+        let mut command = self.limited(limits);
+        command.stdout(Stdio::piped()).stderr(writer);
+        let process = RecordedProcess(command.spawn().expect("the program runs"));
+        UnreadProcess {
+            process,
+            _errors: reader,
+        }
+    }
+
+    fn limited(&self, limits: &str) -> Command {
         let mut command = Command::new("sh");
         let script = format!("{limits} && exec \"$0\" --settings \"$1\"");
         command.args(["-c", &script, env!("CARGO_BIN_EXE_clementinepickd")]);
-        RecordedProcess::start(command.arg(&self.settings))
+        command.arg(&self.settings);
+        command
+    }
+}
+
+/// A process whose standard error nobody reads.
+pub struct UnreadProcess {
+    process: RecordedProcess,
+    _errors: PipeReader,
+}
+
+impl UnreadProcess {
+    /// Kills the process if it has not ended after `limit`; its recorded standard error is empty.
+    pub fn recorded_after(self, limit: Duration) -> Recorded {
+        self.process.recorded_after(limit)
     }
 }
 
@@ -189,8 +222,10 @@
         let (stdout, stderr) = (self.0.stdout.take(), self.0.stderr.take());
         let read = stdout.expect("a pipe").read_to_string(&mut log);
         read.expect("a log");
-        let read = stderr.expect("a pipe").read_to_string(&mut errors);
-        read.expect("a standard error");
+        if let Some(mut stderr) = stderr {
+            let read = stderr.read_to_string(&mut errors);
+            read.expect("a standard error");
+        }
         Recorded { end, log, errors }
     }
 }
