Build the recorder of metrics beside the start of a gateway

Operators saw nothing in a log for up to 0.22 s after process_started: the recorder's crate calibrates its clock in a busy loop of up to 200 ms, on the thread that serves, before the thread that follows the store exists.

A thread of its own builds the recorder; updates before that wait for it.

--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use actix_rt::time::sleep;
@@ -23,7 +24,7 @@
 
 use crate::directory::{Directory, Identity};
 use crate::directory_thread::{DirectoryThread, new_system};
-use crate::gateway_metrics::GatewayMetrics;
+use crate::gateway_metrics::{GatewayMetrics, recorder_builder};
 use crate::gateway_settings::GatewaySettings;
 use crate::gateway_shared::Shared;
 use crate::gateway_tasks::{GatewayTasks, Listeners};
@@ -223,7 +224,8 @@
         let (publish, _) = watch::channel(Directory::default());
         let (refresh, refreshes) = refresh_channel();
         let (follower_stop, stopped) = watch::channel(false);
-        let metrics = Arc::new(GatewayMetrics::new()?);
+        let metrics = Arc::new(GatewayMetrics::default());
+        let recorder = start_recorder(&metrics)?;
         let writer = format!("{:016x}", rand::random::<u64>());
         let is_leaving = Arc::new(AtomicBool::new(false));
         let identity = Identity {
@@ -254,9 +256,11 @@
             self.serve(publish, refresh, metrics, writer, stop).await
         }));
         follower_stop.send_replace(true);
-        if let Err(panic) = follower.join() {
-            let event = Event::new(EventKind::InvariantBroken);
-            write_event(&logger, &event.with("detail", message(&*panic)));
+        for thread in [follower, recorder] {
+            if let Err(panic) = thread.join() {
+                let event = Event::new(EventKind::InvariantBroken);
+                write_event(&logger, &event.with("detail", message(&*panic)));
+            }
         }
         served
     }
@@ -287,6 +291,14 @@
     }
 }
 
+/// Builds the recorder of the metrics in a thread of its own, since it takes long on a busy processor.
+fn start_recorder(metrics: &Arc<GatewayMetrics>) -> Result<JoinHandle<()>, GatewayError> {
+    let builder = recorder_builder()?;
+    let metrics = Arc::clone(metrics);
+    let thread = thread::Builder::new().name("metrics".to_owned());
+    Ok(thread.spawn(move || metrics.build_recorder(builder))?)
+}
+
 /// Limits the bytes that the system holds for each connection before they are read, by this process or by
 /// the caller: they count as memory of the VM.
 fn limit_socket_buffers(shared: &Shared, listener: &StdListener) {
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
@@ -24,10 +24,16 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 30.0,
 ];
 
+/// An update of a metric.
+type Update = Box<dyn FnOnce() + Send>;
+
 /// The metrics of one gateway. The recorder is not global, because tests run several gateways in
 /// one process.
+#[derive(Default)]
 pub(crate) struct GatewayMetrics {
-    recorder: PrometheusRecorder,
+    recorder: OnceLock<PrometheusRecorder>,
+    /// The updates from before there was a recorder.
+    pending: Mutex<Vec<Update>>,
     unreadable: Mutex<UnreadableAnswers>,
 }
 
@@ -40,38 +46,61 @@
     pub(crate) last_status: u16,
 }
 
+/// Returns the builder of a recorder.
+pub(crate) fn recorder_builder() -> Result<PrometheusBuilder, BuildError> {
+    PrometheusBuilder::new().set_buckets(LATENCY_BUCKETS_S)
+}
+
 impl GatewayMetrics {
+    #[cfg(test)]
     pub(crate) fn new() -> Result<Self, BuildError> {
-        let builder = PrometheusBuilder::new().set_buckets(LATENCY_BUCKETS_S)?;
-        Ok(Self {
-            recorder: builder.build_recorder(),
-            unreadable: Mutex::default(),
-        })
+        let metrics = Self::default();
+        metrics.build_recorder(recorder_builder()?);
+        Ok(metrics)
+    }
+
+    /// Builds the recorder, and makes the updates that wait for it.
+    ///
+    /// The recorder calibrates its clock in a busy loop, for up to 200 ms on a busy processor.
+    pub(crate) fn build_recorder(&self, builder: PrometheusBuilder) {
+        let recorder = builder.build_recorder();
+        let mut pending = lock(&self.pending);
+        with_local_recorder(&recorder, || {
+            for update in pending.drain(..) {
+                update();
+            }
+        });
+        self.recorder.get_or_init(|| recorder);
+    }
+
+    fn update(&self, update: impl FnOnce() + Send + 'static) {
+        if let Some(recorder) = self.recorder.get() {
+            return with_local_recorder(recorder, update);
+        }
+        let mut pending = lock(&self.pending);
+        match self.recorder.get() {
+            Some(recorder) => with_local_recorder(recorder, update),
+            None => pending.push(Box::new(update)),
+        }
     }
 
     /// Counts an answer of the store that can't be read.
     pub(crate) fn count_unreadable(&self, purpose: &'static str, status: u16) {
-        with_local_recorder(&self.recorder, || {
+        self.update(move || {
             counter!("clementinepick_store_unreadable_total", "purpose" => purpose).increment(1);
         });
-        let mut unreadable = self.lock_unreadable();
+        let mut unreadable = lock(&self.unreadable);
         unreadable.count += 1;
         unreadable.last_status = status;
     }
 
     pub(crate) fn unreadable_answers(&self) -> UnreadableAnswers {
-        *self.lock_unreadable()
-    }
-
-    fn lock_unreadable(&self) -> MutexGuard<'_, UnreadableAnswers> {
-        self.unreadable
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        *lock(&self.unreadable)
     }
 
     /// Counts a finished request and records its duration.
     pub(crate) fn count_request(&self, kind: &'static str, outcome: &'static str, took: Duration) {
-        with_local_recorder(&self.recorder, || {
+        self.update(move || {
             counter!("clementinepick_requests_total", "outcome" => outcome).increment(1);
             histogram!("clementinepick_request_seconds", "kind" => kind, "outcome" => outcome)
                 .record(took.as_secs_f64());
@@ -80,28 +109,28 @@
 
     /// Counts a request that was sent to another server.
     pub(crate) fn count_retry(&self, kind: &'static str) {
-        with_local_recorder(&self.recorder, || {
+        self.update(move || {
             counter!("clementinepick_retries_total", "kind" => kind).increment(1);
         });
     }
 
     /// Counts a silent server: it was `kept`, since no other could take over, or the request `moved`.
     pub(crate) fn count_silence(&self, outcome: &'static str) {
-        with_local_recorder(&self.recorder, || {
+        self.update(move || {
             counter!("clementinepick_silent_servers_total", "outcome" => outcome).increment(1);
         });
     }
 
     /// Counts a lost response by what became of its server.
     pub(crate) fn count_lost_response(&self, fate: &'static str) {
-        with_local_recorder(&self.recorder, || {
+        self.update(move || {
             counter!("clementinepick_lost_responses_total", "fate" => fate).increment(1);
         });
     }
 
     /// Counts a stream that is resumed `by` the gateway within one answer or by its caller.
     pub(crate) fn count_resumed(&self, by: &'static str) {
-        with_local_recorder(&self.recorder, || {
+        self.update(move || {
             counter!("clementinepick_streams_resumed_total", "by" => by).increment(1);
         });
     }
@@ -109,28 +138,28 @@
     /// Counts reads of the list of servers and the versions of services for a stream whose origin is
     /// unknown.
     pub(crate) fn count_version_refresh(&self, outcome: &'static str) {
-        with_local_recorder(&self.recorder, || {
+        self.update(move || {
             counter!("clementinepick_version_refreshes_total", "outcome" => outcome).increment(1);
         });
     }
 
     /// Counts a stream that was not resumed because its origin was not found.
     pub(crate) fn count_missing_origin(&self, reason: &'static str) {
-        with_local_recorder(&self.recorder, || {
+        self.update(move || {
             counter!("clementinepick_origins_missing_total", "reason" => reason).increment(1);
         });
     }
 
     /// Counts origins of streams that a peer did not take.
     pub(crate) fn count_lost_origins(&self, count: usize) {
-        with_local_recorder(&self.recorder, || {
+        self.update(move || {
             counter!("clementinepick_origin_copies_lost_total").increment(count as u64);
         });
     }
 
     /// Counts a panic or an unexpected end of a task, or of a part of its work.
     pub(crate) fn count_task_panic(&self, task: &'static str) {
-        with_local_recorder(&self.recorder, || {
+        self.update(move || {
             counter!("clementinepick_task_panics_total", "task" => task).increment(1);
         });
     }
@@ -142,7 +171,7 @@
         outcome: &'static str,
         took: Duration,
     ) {
-        with_local_recorder(&self.recorder, || {
+        self.update(move || {
             counter!("clementinepick_store_calls_total", "purpose" => purpose, "outcome" => outcome)
                 .increment(1);
             histogram!("clementinepick_store_call_seconds", "outcome" => outcome)
@@ -155,20 +184,27 @@
     /// The recorder keeps each sample until it is scraped; without this, a process that serves 44
     /// requests a second and is not scraped would grow by 30 MB a day.
     pub(crate) fn aggregate_histograms(&self) {
-        self.recorder.handle().run_upkeep();
+        if let Some(recorder) = self.recorder.get() {
+            recorder.handle().run_upkeep();
+        }
     }
 
     /// Returns the metrics that are recorded.
     #[cfg(test)]
     pub(crate) fn text(&self) -> String {
-        self.recorder.handle().render()
+        let recorder = self.recorder.get();
+        recorder.map_or_else(String::new, |recorder| recorder.handle().render())
     }
 
+    /// Returns the metrics as text, which is empty before there is a recorder.
     fn render(&self, shared: &Shared) -> String {
+        let Some(recorder) = self.recorder.get() else {
+            return String::new();
+        };
         let counts = shared.store.counts();
         let programs = shared.budgets.program_count();
         let (turns, turn_bytes) = shared.turns.cache_size();
-        with_local_recorder(&self.recorder, || {
+        with_local_recorder(recorder, || {
             counter!("clementinepick_store_relayed_total").absolute(counts.relayed);
             set_gauge("clementinepick_programs", programs);
             set_gauge("clementinepick_stream_origins", shared.origins.len());
@@ -183,10 +219,14 @@
                 set_connection_metrics(listener, connections);
             }
         });
-        self.recorder.handle().render()
+        recorder.handle().render()
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn set_gauge(name: &'static str, count: usize) {
     gauge!(name).set(to_f64(count));
 }
@@ -305,3 +345,22 @@
     });
     state.to_string()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a start whose first calls are in no metric.
+    #[test]
+    fn updates_from_before_the_recorder_are_counted() {
+        let metrics = GatewayMetrics::default();
+        metrics.count_task_panic("early");
+        metrics.build_recorder(recorder_builder().expect("valid buckets"));
+        metrics.count_task_panic("late");
+        let text = metrics.text();
+        for task in ["early", "late"] {
+            let counted = format!("clementinepick_task_panics_total{{task=\"{task}\"}} 1");
+            assert!(text.contains(&counted), "{text}");
+        }
+    }
+}
