--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -127,6 +127,7 @@
 pub mod stop_signals;
 mod store;
 mod store_attempt;
+mod store_call;
 mod supervised_tasks;
 #[cfg(test)]
 mod task_parts_tests;
