Bound the updates that wait for the recorder, and ask peers at a slow store only where all can be asked

If the thread that builds the recorder panicked, updates of metrics took memory for ever; 16,384 wait now, and updates_without_a_recorder_are_limited checks it. At a slow store each turn asked the first twelve peers by address for its chain and its budget: in a large fleet these would be asked by all, and few have either.

--- a/clementinepickd/src/gateway_budget.rs
+++ b/clementinepickd/src/gateway_budget.rs
@@ -176,8 +176,10 @@
         return Ok(hold);
     }
     let is_unavailable = shared.store.is_unavailable();
-    if is_unavailable || shared.store.is_slow() {
-        let peers = shared.directory().peers;
+    let peers = shared.directory().peers;
+    // Of more peers, few would hold a part of the budget, and the store responds.
+    let can_ask_all = peers.len() <= MAX_LENDERS;
+    if is_unavailable || can_ask_all && shared.store.is_slow() {
         let borrowed = borrow_budget(shared, request, peers.iter().copied()).await;
         if let Ok(hold) = borrowed {
             trace.add_field("budget_from", &"peers");
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -24,6 +24,9 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 30.0,
 ];
 
+/// The maximum number of updates that wait for the recorder; further ones are lost.
+const MAX_PENDING_UPDATES: usize = 16_384;
+
 /// An update of a metric.
 type Update = Box<dyn FnOnce() + Send>;
 
@@ -66,7 +69,7 @@
         let recorder = builder.build_recorder();
         let mut pending = lock(&self.pending);
         with_local_recorder(&recorder, || {
-            for update in pending.drain(..) {
+            for update in std::mem::take(&mut *pending) {
                 update();
             }
         });
@@ -80,7 +83,8 @@
         let mut pending = lock(&self.pending);
         match self.recorder.get() {
             Some(recorder) => with_local_recorder(recorder, update),
-            None => pending.push(Box::new(update)),
+            None if pending.len() < MAX_PENDING_UPDATES => pending.push(Box::new(update)),
+            None => {}
         }
     }
 
@@ -350,6 +354,16 @@
 mod tests {
     use super::*;
 
+    /// Guards against updates that take memory for ever since the recorder was never built.
+    #[test]
+    fn updates_without_a_recorder_are_limited() {
+        let metrics = GatewayMetrics::default();
+        for _ in 0..=MAX_PENDING_UPDATES {
+            metrics.count_task_panic("early");
+        }
+        assert_eq!(lock(&metrics.pending).len(), MAX_PENDING_UPDATES);
+    }
+
     /// Guards against a start whose first calls are in no metric.
     #[test]
     fn updates_from_before_the_recorder_are_counted() {
--- a/clementinepickd/src/gateway_peer_turns.rs
+++ b/clementinepickd/src/gateway_peer_turns.rs
@@ -19,7 +19,7 @@
 pub(crate) const TURN_PATH: &str = "/turn";
 /// How long a peer may take; reading from the store takes about 10 ms.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(100);
-/// The maximum number of peers that are asked for one turn.
+/// The maximum number of peers that are all asked for one turn; of more, few would have it.
 const MAX_ASKED_PEERS: usize = 12;
 /// The number of copies of a turn's text while the response is built.
 const RESPONSE_COPIES: usize = 2;
@@ -48,7 +48,10 @@
 /// A slow store takes long for each turn of a chain; the peer that ran the last one has all of them.
 pub(crate) async fn fetch_from_any(shared: &Shared, id: &str) -> Option<(SocketAddr, TurnRecord)> {
     let peers = shared.directory().peers;
-    let calls = peers.iter().take(MAX_ASKED_PEERS).map(|peer| {
+    if peers.len() > MAX_ASKED_PEERS {
+        return None;
+    }
+    let calls = peers.iter().map(|peer| {
         Box::pin(async {
             let record = fetch(shared, *peer, id).await;
             record.map(|record| (*peer, record)).ok_or(())
