Log a configuration as in force when it takes effect, also one from a peer

A configuration that a peer had handed over was in the log only when it was read from the store later, and one that was read after a later version had been handed over was logged as in force.

--- a/clementinepickd/src/config_follower.rs
+++ b/clementinepickd/src/config_follower.rs
@@ -38,7 +38,7 @@
 pub(crate) struct ConfigFollower<'a> {
     context: FollowerContext<'a>,
     watch: TopicWatch,
-    /// The version that was published last.
+    /// The highest version that was read, or was published when this was created.
     known_version: Option<u64>,
 }
 
@@ -67,17 +67,25 @@
             } else {
                 None
             };
+            let mut new_version = None;
             self.context.publish.send_modify(|directory| {
                 directory.config_as_of = directory.config_as_of.max(Some(read.as_of));
                 if let Some((config, document)) = new_config {
-                    directory.take_config(read.as_of, config, document);
+                    let version = config.version;
+                    // A peer may have handed over this version or a later one.
+                    let is_new = directory.take_config(read.as_of, config, document);
+                    new_version = is_new.then_some(version);
                 }
             });
+            if let Some(version) = new_version {
+                let event = Event::new(EventKind::DocumentInForce).with("version", version);
+                write_event(self.context.logger, &event);
+            }
         }
     }
 
-    /// Returns the configuration that was read, if its version is higher than the last published
-    /// one.
+    /// Returns the configuration that was read, with its document, if its version is higher than those
+    /// before.
     fn new_config(&mut self) -> Option<(TrafficConfig, Bytes)> {
         let value = self.watch.topic.records().get(CONFIG_KEY)?.clone();
         let config = match platform::config::decode(&value) {
@@ -95,8 +103,6 @@
             return None;
         }
         self.known_version = Some(config.version);
-        let event = Event::new(EventKind::DocumentInForce).with("version", config.version);
-        write_event(self.context.logger, &event);
         Some((config, value))
     }
 }
--- a/clementinepickd/src/daemon.rs
+++ b/clementinepickd/src/daemon.rs
@@ -32,7 +32,7 @@
 /// An error that keeps a process from starting.
 #[derive(Debug, Error)]
 pub enum StartError {
-    /// It was told to stop while it waited for an address.
+    /// A signal to stop arrived while it waited for an address.
     #[error("told to stop before it served")]
     Stopped,
     /// The settings are inconsistent.
--- a/clementinepickd/src/daemon_tests.rs
+++ b/clementinepickd/src/daemon_tests.rs
@@ -152,7 +152,7 @@
     assert_eq!(count_events(&inputs, EventKind::InvariantBroken), 1);
 }
 
-/// Guards against a process that no longer learns which VMs or what load there is.
+/// Guards against a process that no longer reads the list of VMs or the reports of its engine.
 #[test]
 fn polls_that_panic_are_begun_again() {
     let polls = [
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -49,7 +49,7 @@
 /// The reasons why a gateway cannot run.
 #[derive(Debug, Error)]
 pub enum GatewayError {
-    /// It was told to stop while it waited for an address.
+    /// A signal to stop arrived while it waited for an address.
     #[error("told to stop before it served")]
     Stopped,
     /// An address could not be bound.
@@ -326,7 +326,7 @@
 async fn drain(shared: &Shared, settings: &GatewaySettings) {
     let started_at = Instant::now();
     let start_us = shared.now_us(started_at);
-    let drain_delay = drain_delay(shared, settings);
+    let drain_delay = drain_delay(shared, settings, started_at);
     let notice = to_span(drain_delay);
     let schedule = ShutdownSchedule::new(start_us, notice, to_span(settings.shutdown_limit));
     shared.start_draining(schedule);
@@ -356,9 +356,10 @@
     shared.log(&Event::new(kind).with("running", unfinished));
 }
 
-/// Returns how long callers are given to notice the shutdown: no time if none can know this process.
-fn drain_delay(shared: &Shared, settings: &GatewaySettings) -> Duration {
-    if shared.was_ready() || shared.open_connections() > 0 {
+/// Returns how long callers are given to notice the shutdown: no time if the process was never ready and has
+/// no connections.
+fn drain_delay(shared: &Shared, settings: &GatewaySettings, now: Instant) -> Duration {
+    if shared.is_ready(now) || shared.was_ready() || shared.open_connections() > 0 {
         settings.drain_delay
     } else {
         Duration::ZERO
--- a/clementinepickd/src/gateway_directory_copy.rs
+++ b/clementinepickd/src/gateway_directory_copy.rs
@@ -101,8 +101,8 @@
     directory.as_of().is_none_or(is_old)
 }
 
-/// Asks some peers, one soon after the other, until the lists are no longer due; returns whether they
-/// are not.
+/// Asks up to [`MAX_ASKED`] peers, each [`NEXT_PEER_DELAY`] after the one before, until the lists are new
+/// enough; returns whether they are.
 async fn ask_peers(shared: &Shared) -> bool {
     let mut peers = shared.ended_peers(Instant::now());
     let mut calls = FuturesUnordered::new();
@@ -172,6 +172,9 @@
                 add_peers(directory, &copy.peers, self.peer_address);
             }
         });
+        if let Some(version) = new_version {
+            self.log(&Event::new(EventKind::DocumentInForce).with("version", version));
+        }
         if new_version.is_some() || is_first_list {
             let directory = self.directory();
             let age_ms = directory.as_of().map_or(0, |at| at.elapsed().as_millis());
--- a/clementinepickd/src/gateway_endpoint.rs
+++ b/clementinepickd/src/gateway_endpoint.rs
@@ -1,4 +1,4 @@
-//! Accepts the connections of a listener, and goes on with both if accepting panics.
+//! Accepts the connections of a listener. The listener and its connections outlast a panic of the loop.
 
 use std::io;
 use std::net::SocketAddr;
