Block stop signals while their handlers are installed

A stop that came in the first moments of a process was lost: the process went on for over 20 s, until its platform would have killed it. a_stop_as_a_process_starts_ends_it_well failed so in 1 of 3, 1 of 8 and 2 of 9 to 11 runs beside 12 busy processes.

Cause: tokio's signal library replaces the handler in the system before it stores its own receiver; a signal in between calls a handler without receivers. It falls into this gap when the process loses its processor there.

SIGTERM, SIGINT and SIGHUP are blocked for the thread while their handlers are installed, so that the system delivers them afterwards. A stop in the gap is handled like any other, and before it the system's default still applies.

--- a/clementinepickd/src/stop_signals.rs
+++ b/clementinepickd/src/stop_signals.rs
@@ -4,6 +4,8 @@
 use std::panic::catch_unwind;
 use std::time::Duration;
 
+use nix::sys::signal::SigSet;
+use nix::sys::signal::Signal::{SIGHUP, SIGINT, SIGTERM};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -20,13 +22,17 @@
     ///
     /// Returns an error if a handler or what it needs can't be created.
     pub fn install() -> io::Result<Self> {
+        // A signal between the change of its handler in the system and that in the library would be lost.
+        let blocked: SigSet = [SIGTERM, SIGINT, SIGHUP].into_iter().collect();
+        blocked.thread_block()?;
         // Without descriptors for its handlers, tokio panics.
-        catch_unwind(|| {
+        let installed = catch_unwind(|| {
             let runtime = Builder::new_current_thread().enable_all().build()?;
             let received = runtime.block_on(async { ReceivedSignals::install() })?;
             Ok(Self { runtime, received })
-        })
-        .unwrap_or_else(|_| Err(io::Error::other("the event loop panicked")))
+        });
+        blocked.thread_unblock()?;
+        installed.unwrap_or_else(|_| Err(io::Error::other("the event loop panicked")))
     }
 
     /// Waits for `pause`, or until the process is told to stop; returns whether it is.
