Log an event loop of a gateway that stands still

The two event loops count their turns, and each looks at the other's count every 200 ms: 112 thread_stalled names a loop that has stood still for a second, 113 thread_resumed says for how long it did. A loop that finds that it was late itself reports nothing, so that a process that was suspended reports nothing.

a_hang_of_the_thread_that_serves_is_in_the_log blocks the thread that serves for 1.5 s; before, the log had no line of it.

--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -91,6 +91,10 @@
     ThreadPanicked = 110, "thread_panicked", Error;
     /// The process has not been ready for `waited_ms`: it has not read `missing`.
     ProcessNotReady = 111, "process_not_ready", Warning;
+    /// The event loop of `thread` has stood still for `stalled_ms`.
+    ThreadStalled = 112, "thread_stalled", Warning;
+    /// The event loop of `thread` goes on after it stood still for `stalled_ms`.
+    ThreadResumed = 113, "thread_resumed", Info;
     /// A link came up.
     LinkUp = 201, "link_up", Info;
     /// A link went down.
--- a/clementinepickd/src/directory_thread.rs
+++ b/clementinepickd/src/directory_thread.rs
@@ -14,9 +14,12 @@
 use crate::directory::{Directory, Identity, follow};
 use crate::gateway_metrics::GatewayMetrics;
 use crate::list_refresh::RefreshReceiver;
+use crate::loop_watch::LoopWatch;
 use crate::store::StoreClient;
 use crate::supervised_tasks::{TaskSupervisor, message};
 
+/// The name of the thread.
+pub(crate) const DIRECTORY_THREAD: &str = "directory";
 /// The name of the work in logs and metrics.
 const TASK: &str = "directory_thread";
 /// How often it is checked during a pause whether the process ends.
@@ -41,6 +44,8 @@
     /// Becomes true when the process ends.
     pub(crate) stopped: watch::Receiver<bool>,
     pub(crate) metrics: Arc<GatewayMetrics>,
+    /// The watch over the thread that serves.
+    pub(crate) watch: LoopWatch,
 }
 
 impl DirectoryThread {
@@ -51,7 +56,7 @@
     /// Returns an error if the thread or its event loop can't be created.
     pub(crate) fn start(self) -> io::Result<JoinHandle<()>> {
         let (started, starting) = mpsc::channel();
-        let builder = thread::Builder::new().name("directory".to_owned());
+        let builder = thread::Builder::new().name(DIRECTORY_THREAD.to_owned());
         let thread = builder.spawn(move || self.run(&started))?;
         match starting.recv() {
             Ok(Ok(())) => Ok(thread),
@@ -72,7 +77,12 @@
         let tasks = TaskSupervisor::new(self.logger.clone(), Arc::clone(&self.metrics));
         run_until_stopped(&tasks, &stopped, || {
             let system = first.take().unwrap_or_else(new_system)?;
-            system.block_on(self.follow(&tasks));
+            system.block_on(async {
+                tokio::select! {
+                    () = self.follow(&tasks) => {}
+                    never = self.watch.run() => match never {},
+                }
+            });
             Ok(())
         });
     }
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -23,7 +23,7 @@
 use tokio::task::LocalSet;
 
 use crate::directory::{Directory, Identity};
-use crate::directory_thread::{DirectoryThread, new_system};
+use crate::directory_thread::{DIRECTORY_THREAD, DirectoryThread, new_system};
 use crate::gateway_metrics::{GatewayMetrics, recorder_builder};
 use crate::gateway_settings::GatewaySettings;
 use crate::gateway_shared::Shared;
@@ -32,11 +32,14 @@
 use crate::list_refresh::{RefreshSender, refresh_channel};
 use crate::listeners::{self, ListenError, StopWait, wait_unstopped};
 use crate::logging::{new_logger_to, write_event};
+use crate::loop_watch::loop_watches;
 use crate::process_log::ProcessLog;
 use crate::safeguard::Safeguard;
 use crate::stop_signals::{ReceivedSignals, SignalMeaning, StopSignals};
 use crate::supervised_tasks::message;
 
+/// The name of the thread that serves: the standard library's for the first one.
+const MAIN_THREAD: &str = "main";
 /// The sizes of the system's buffers for what a caller sends and for what it is sent, in bytes.
 const RECEIVE_BUFFER_BYTES: usize = 8_192;
 const SEND_BUFFER_BYTES: usize = 65_536;
@@ -235,6 +238,7 @@
             is_leaving: Arc::clone(&is_leaving),
         };
         let logger = self.logger.clone();
+        let (watch, follower_watch) = loop_watches(MAIN_THREAD, DIRECTORY_THREAD, &logger);
         let system = new_system()?;
         let follower = DirectoryThread {
             identity,
@@ -245,6 +249,7 @@
             refreshes,
             stopped,
             metrics: Arc::clone(&metrics),
+            watch: follower_watch,
         };
         let follower = follower.start()?;
         let served = system.block_on(LocalSet::new().run_until(async {
@@ -253,7 +258,10 @@
                 is_leaving.store(true, Ordering::Relaxed);
                 stopped
             };
-            self.serve(publish, refresh, metrics, writer, stop).await
+            tokio::select! {
+                served = self.serve(publish, refresh, metrics, writer, stop) => served,
+                never = watch.run() => match never {},
+            }
         }));
         follower_stop.send_replace(true);
         for thread in [follower, recorder] {
--- a/clementinepickd/src/gateway_tests.rs
+++ b/clementinepickd/src/gateway_tests.rs
@@ -208,3 +208,20 @@
     end(ACCEPT_CALLERS_TASK, 9);
     assert!(!shared.is_ready(now), "does not accept callers");
 }
+
+/// Guards against a process whose serving thread hangs while its log says nothing.
+#[test]
+fn a_hang_of_the_thread_that_serves_is_in_the_log() {
+    let log = run_gateway(async |_| {
+        sleep(CHECK_INTERVAL).await;
+        std::thread::sleep(Duration::from_millis(1_500));
+        sleep(Duration::from_millis(500)).await;
+    });
+    for message in ["thread_stalled", "thread_resumed"] {
+        let line = log.lines().find(|line| line.contains(message));
+        assert!(
+            line.is_some_and(|line| line.contains("\"thread\":\"main\"")),
+            "{log}"
+        );
+    }
+}
