Log a hang also to a loop that is late itself, and at the end of a process

Found by review. A loop that was late by 0.5 s forgot how long the other had stood still, so that a hang was never reported beside a processor that is short, which is when it matters; and a thread that hangs kept a process from ending after shutdown_finished, with nothing in the log.

A check counts at most 400 ms of the time since the last one, and keeps what it had counted. LoopWatch is LoopMonitor now, since the process watches peers and topics as well.

--- a/clementinepickd/src/directory_thread.rs
+++ b/clementinepickd/src/directory_thread.rs
@@ -14,7 +14,7 @@
 use crate::directory::{Directory, Identity, follow};
 use crate::gateway_metrics::GatewayMetrics;
 use crate::list_refresh::RefreshReceiver;
-use crate::loop_watch::LoopWatch;
+use crate::loop_monitor::LoopMonitor;
 use crate::store::StoreClient;
 use crate::supervised_tasks::{TaskSupervisor, message};
 
@@ -44,8 +44,8 @@
     /// Becomes true when the process ends.
     pub(crate) stopped: watch::Receiver<bool>,
     pub(crate) metrics: Arc<GatewayMetrics>,
-    /// The watch over the thread that serves.
-    pub(crate) watch: LoopWatch,
+    /// Monitors the thread that serves.
+    pub(crate) monitor: LoopMonitor,
 }
 
 impl DirectoryThread {
@@ -80,7 +80,7 @@
             system.block_on(async {
                 tokio::select! {
                     () = self.follow(&tasks) => {}
-                    never = self.watch.run() => match never {},
+                    never = self.monitor.run() => match never {},
                 }
             });
             Ok(())
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -32,7 +32,7 @@
 use crate::list_refresh::{RefreshSender, refresh_channel};
 use crate::listeners::{self, ListenError, StopWait, wait_unstopped};
 use crate::logging::{new_logger_to, write_event};
-use crate::loop_watch::loop_watches;
+use crate::loop_monitor::loop_monitors;
 use crate::process_log::ProcessLog;
 use crate::safeguard::Safeguard;
 use crate::stop_signals::{ReceivedSignals, SignalMeaning, StopSignals};
@@ -49,6 +49,10 @@
 /// The interval at which a draining process checks whether its connections are closed.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(30);
 
+/// How long the other threads of an ending process may take before that is logged.
+const JOIN_PATIENCE: Duration = Duration::from_secs(1);
+const JOIN_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+
 /// The reasons why a gateway cannot run.
 #[derive(Debug, Error)]
 pub enum GatewayError {
@@ -238,7 +242,7 @@
             is_leaving: Arc::clone(&is_leaving),
         };
         let logger = self.logger.clone();
-        let (watch, follower_watch) = loop_watches(MAIN_THREAD, DIRECTORY_THREAD, &logger);
+        let (monitor, follower_monitor) = loop_monitors(MAIN_THREAD, DIRECTORY_THREAD, &logger);
         let system = new_system()?;
         let follower = DirectoryThread {
             identity,
@@ -249,7 +253,7 @@
             refreshes,
             stopped,
             metrics: Arc::clone(&metrics),
-            watch: follower_watch,
+            monitor: follower_monitor,
         };
         let follower = follower.start()?;
         let served = system.block_on(LocalSet::new().run_until(async {
@@ -260,15 +264,12 @@
             };
             tokio::select! {
                 served = self.serve(publish, refresh, metrics, writer, stop) => served,
-                never = watch.run() => match never {},
+                never = monitor.run() => match never {},
             }
         }));
         follower_stop.send_replace(true);
         for thread in [follower, recorder] {
-            if let Err(panic) = thread.join() {
-                let event = Event::new(EventKind::InvariantBroken);
-                write_event(&logger, &event.with("detail", message(&*panic)));
-            }
+            join(thread, &logger);
         }
         served
     }
@@ -307,6 +308,24 @@
     Ok(thread.spawn(move || metrics.build_recorder(builder))?)
 }
 
+/// Joins a thread that ends; logs one that does not end soon.
+pub(crate) fn join(thread: JoinHandle<()>, logger: &Logger) {
+    let started_at = Instant::now();
+    while !thread.is_finished() && started_at.elapsed() < JOIN_PATIENCE {
+        thread::sleep(JOIN_CHECK_INTERVAL);
+    }
+    if !thread.is_finished() {
+        let event = Event::new(EventKind::ThreadStalled)
+            .with("thread", thread.thread().name().unwrap_or("unnamed"))
+            .with("stalled_ms", started_at.elapsed().as_millis());
+        write_event(logger, &event);
+    }
+    if let Err(panic) = thread.join() {
+        let event = Event::new(EventKind::InvariantBroken);
+        write_event(logger, &event.with("detail", message(&*panic)));
+    }
+}
+
 /// Limits the bytes that the system holds for each connection before they are read, by this process or by
 /// the caller: they count as memory of the VM.
 fn limit_socket_buffers(shared: &Shared, listener: &StdListener) {
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -106,7 +106,7 @@
 mod log_client;
 mod log_output;
 mod logging;
-mod loop_watch;
+mod loop_monitor;
 mod monotonic_clock;
 mod outbound;
 mod outbound_pool;
--- a/clementinepickd/src/loop_watch.rs
+++ b/clementinepickd/src/loop_monitor.rs
@@ -1,4 +1,4 @@
-//! Lets the two event loops of a process watch each other, and logs one that stands still.
+//! Lets the two event loops of a process monitor each other, and logs one that stands still.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -15,9 +15,11 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a loop may stand still before that is logged.
 const STALL_LIMIT: Duration = Duration::from_secs(1);
+/// How much of the time between two checks counts as observed: the rest, the checking loop stood still itself.
+const MAX_OBSERVED: Duration = Duration::from_millis(400);
 
 /// The view that one event loop has of another.
-pub(crate) struct LoopWatch {
+pub(crate) struct LoopMonitor {
     own_turns: Arc<AtomicU64>,
     other_turns: Arc<AtomicU64>,
     /// The thread of the other loop.
@@ -25,21 +27,21 @@
     logger: Logger,
 }
 
-/// Returns the watches of two loops, which run on the threads `first` and `second`.
-pub(crate) fn loop_watches(
+/// Returns the monitors of two loops, which run on the threads `first` and `second`.
+pub(crate) fn loop_monitors(
     first: &'static str,
     second: &'static str,
     logger: &Logger,
-) -> (LoopWatch, LoopWatch) {
+) -> (LoopMonitor, LoopMonitor) {
     let first_turns = Arc::new(AtomicU64::new(0));
     let second_turns = Arc::new(AtomicU64::new(0));
-    let of_first = LoopWatch {
+    let of_first = LoopMonitor {
         own_turns: Arc::clone(&first_turns),
         other_turns: Arc::clone(&second_turns),
         other_thread: second,
         logger: logger.clone(),
     };
-    let of_second = LoopWatch {
+    let of_second = LoopMonitor {
         own_turns: second_turns,
         other_turns: first_turns,
         other_thread: first,
@@ -48,7 +50,7 @@
     (of_first, of_second)
 }
 
-impl LoopWatch {
+impl LoopMonitor {
     /// Counts the turns of this loop, and logs when the other stands still and goes on.
     pub(crate) async fn run(&self) -> Infallible {
         let mut detector = StallDetector::new(Instant::now());
@@ -84,7 +86,7 @@
 /// Decides from the turns of a loop whether it stands still.
 struct StallDetector {
     turns: u64,
-    /// When the loop was last known to run.
+    /// When the loop was last known to run, later by the time that was not observed since.
     ran_at: Instant,
     checked_at: Instant,
     is_stalled: bool,
@@ -101,8 +103,10 @@
     }
 
     fn check(&mut self, turns: u64, now: Instant) -> Option<StallChange> {
-        let unchecked = now.saturating_duration_since(self.checked_at);
+        let unobserved = now.saturating_duration_since(self.checked_at + MAX_OBSERVED);
         self.checked_at = now;
+        // The other loop may have run and stopped again meanwhile, or the whole process stood still.
+        self.ran_at += unobserved;
         let stalled = now.saturating_duration_since(self.ran_at);
         if turns != self.turns {
             self.turns = turns;
@@ -110,22 +114,24 @@
             let was_stalled = std::mem::take(&mut self.is_stalled);
             return was_stalled.then_some(StallChange::Resumed(stalled));
         }
-        if self.is_stalled {
-            return None;
-        }
-        if unchecked >= STALL_LIMIT / 2 {
-            // This loop stood still as well, perhaps with the whole process.
-            self.ran_at = now;
-            return None;
-        }
-        self.is_stalled = stalled >= STALL_LIMIT;
-        self.is_stalled.then_some(StallChange::Stalled(stalled))
+        let is_new = !self.is_stalled && stalled >= STALL_LIMIT;
+        self.is_stalled |= is_new;
+        is_new.then_some(StallChange::Stalled(stalled))
     }
 }
 
 #[cfg(test)]
 mod tests {
+    use std::thread;
+
+    use actix_rt::Runtime;
+
     use super::*;
+    use crate::gateway_tests::Log;
+    use crate::logging::new_unnamed_logger;
+
+    /// How long a thread hangs.
+    const HANG: Duration = Duration::from_secs(3);
 
     /// Returns the changes that a loop sees which checks the other's turns at the given times, in milliseconds.
     fn changes(checks: &[(u64, u64)]) -> Vec<(u64, StallChange)> {
@@ -174,6 +180,55 @@
         assert_eq!(changes(&checks_of_stall(1_000, 1_800)), []);
     }
 
+    /// Guards against a hang that is never reported since the other loop is late now and then.
+    #[test]
+    fn a_stall_is_reported_by_a_loop_that_is_late_itself() {
+        let checks: Vec<(u64, u64)> = (0..8).map(|number| (number * 700, 0)).collect();
+        let expected = [(2_100, StallChange::Stalled(Duration::from_millis(1_200)))];
+        assert_eq!(changes(&checks), expected);
+    }
+
+    /// Guards against a hang of one of the two threads that the other does not log.
+    #[test]
+    fn each_of_two_loops_logs_a_hang_of_the_other() {
+        for hanging in ["one", "two"] {
+            let log = Log::default();
+            let logger = new_unnamed_logger(log.clone());
+            let (one, two) = loop_monitors("one", "two", &logger);
+            let threads = [("one", one), ("two", two)].map(|(name, monitor)| {
+                thread::spawn(move || run_for_a_while(&monitor, name == hanging))
+            });
+            for thread in threads {
+                thread.join().expect("a thread");
+            }
+            for message in ["thread_stalled", "thread_resumed"] {
+                let text = log.text();
+                let lines: Vec<_> = text.lines().filter(|line| line.contains(message)).collect();
+                let named = format!("\"thread\":\"{hanging}\"");
+                assert!(lines.len() == 1 && lines[0].contains(&named), "{text}");
+            }
+        }
+    }
+
+    /// Runs the loop of a thread, which hangs for a part of the time.
+    fn run_for_a_while(monitor: &LoopMonitor, hangs: bool) {
+        let work = async {
+            sleep(CHECK_INTERVAL).await;
+            if hangs {
+                thread::sleep(HANG);
+            } else {
+                sleep(HANG).await;
+            }
+            sleep(STALL_LIMIT / 2).await;
+        };
+        Runtime::new().expect("an event loop").block_on(async {
+            tokio::select! {
+                () = work => {}
+                never = monitor.run() => match never {},
+            }
+        });
+    }
+
     #[test]
     fn a_process_that_was_suspended_is_not_reported() {
         let checks = [(0, 1), (200, 2), (30_200, 2), (30_400, 3), (30_600, 4)];
