Log a stop that comes while settings are missing, and check ends more strictly

Found by review: a process that was told to stop while it waited for valid settings ended with an empty log.

In process_ends.rs, a process that neither serves nor ends had to log process_not_ready, which every gateway without a store does; now it must also log why a listener accepts nobody.

--- a/clementinepickd/src/main.rs
+++ b/clementinepickd/src/main.rs
@@ -12,6 +12,7 @@
 use clementinepickd::gateway_settings::GatewaySettings;
 use clementinepickd::process_log::{
     ProcessLog, caught_message, print_failure, report_early_failure, report_early_panics,
+    report_early_stop,
 };
 use clementinepickd::settings::Settings;
 use clementinepickd::settings_file::{ProcessSettings, SettingsError};
@@ -27,7 +28,7 @@
 /// Run one process of clementinepick: a gateway or an entry, which accept callers' requests, or a
 /// sidecar, which runs next to a backend server.
 ///
-/// SIGTERM and SIGINT begin a graceful shutdown; a second one ends the process at once, and
+/// SIGTERM and SIGINT begin a graceful shutdown; a second one ends an entry or a sidecar at once, and
 /// unfinished calls are answered with what is known of them. SIGHUP changes nothing.
 #[derive(FromArgs)]
 #[argh(
@@ -69,7 +70,10 @@
     match load_settings(path, &mut signals) {
         Ok(Some(ProcessSettings::Daemon(settings))) => run_daemon(*settings, signals),
         Ok(Some(ProcessSettings::Gateway(settings))) => run_gateway(*settings, signals),
-        Ok(None) => ExitCode::SUCCESS,
+        Ok(None) => {
+            report_early_stop();
+            ExitCode::SUCCESS
+        }
         Err(err) => {
             report_early_failure(&err);
             ExitCode::from(INVALID_SETTINGS_EXIT_CODE)
--- a/clementinepickd/src/process_log.rs
+++ b/clementinepickd/src/process_log.rs
@@ -66,9 +66,7 @@
 
     /// Logs that the process was told to stop before it served.
     pub fn log_early_stop(&self) {
-        for kind in [EventKind::ShutdownStarted, EventKind::ShutdownFinished] {
-            write_event(self.logger(), &Event::new(kind).with("running", 0));
-        }
+        write_early_stop(self.logger());
     }
 
     pub(crate) const fn logger(&self) -> &Logger {
@@ -91,6 +89,17 @@
     print_failure(error);
 }
 
+/// Logs that a process without valid settings was told to stop.
+pub fn report_early_stop() {
+    write_early_stop(&new_unnamed_logger(StandardOutput::new()));
+}
+
+fn write_early_stop(logger: &Logger) {
+    for kind in [EventKind::ShutdownStarted, EventKind::ShutdownFinished] {
+        write_event(logger, &Event::new(kind).with("running", 0));
+    }
+}
+
 fn failure(error: &dyn Display) -> Event {
     Event::new(EventKind::ProcessFailed).with("error", error)
 }
--- a/clementinepickd/tests/process_ends.rs
+++ b/clementinepickd/tests/process_ends.rs
@@ -32,6 +32,8 @@
 const TO_STOP: Duration = Duration::from_secs(20);
 const STOPPED: &str = "\"msg\":\"shutdown_finished\"";
 const NOT_READY: &str = "\"msg\":\"process_not_ready\"";
+/// The error of a listener that can't accept.
+const NO_DESCRIPTORS: &str = "Too many open files";
 const PANIC: &str = "\"msg\":\"thread_panicked\"";
 
 /// Guards against a process whose log ends with `process_started` although it has ended.
@@ -185,6 +187,7 @@
         process.send(signal);
         let recorded = process.recorded_after(TO_STOP);
         assert_eq!(recorded.end.code(), Some(0), "{recorded:?}");
+        assert!(recorded.last_line().contains(STOPPED), "{recorded:?}");
     }
 }
 
@@ -228,8 +231,8 @@
     assert!(failures > 0);
 }
 
-/// Waits until a process has ended, or has served and not failed since; one that does neither must log what it
-/// lacks.
+/// Waits until a process has ended, or has served and not failed since; one that does neither must log that it is
+/// not ready, and why it accepts no connection.
 fn recorded_once_settled(mut process: RecordedProcess, vm: &ProcessVm) -> Recorded {
     let started = Instant::now();
     while process.wait_for_end(CHECK_INTERVAL).is_none() {
@@ -238,7 +241,9 @@
         }
         if started.elapsed() >= TO_REPORT {
             let recorded = process.recorded_after(Duration::ZERO);
-            assert!(recorded.log.contains(NOT_READY), "it hangs: {recorded:?}");
+            let lacks = [NOT_READY, NO_DESCRIPTORS];
+            let says_why = lacks.iter().all(|line| recorded.log.contains(line));
+            assert!(says_why, "it hangs: {recorded:?}");
             return recorded;
         }
     }
--- a/clementinepickd/tests/recorded_process/mod.rs
+++ b/clementinepickd/tests/recorded_process/mod.rs
@@ -115,11 +115,8 @@
         rustix::io::ioctl_fionbio(&writer, true).expect("a pipe");
         while writer.write(b"x").is_ok() {}
         rustix::io::ioctl_fionbio(&writer, false).expect("a pipe");
-        let mut command = self.limited(limits);
-        command.stdout(Stdio::piped()).stderr(writer);
-        let process = RecordedProcess(command.spawn().expect("the program runs"));
         UnreadProcess {
-            process,
+            process: RecordedProcess::start_with(&mut self.limited(limits), writer.into()),
             _errors: reader,
         }
     }
@@ -191,9 +188,13 @@
 
 impl RecordedProcess {
     fn start(command: &mut Command) -> Self {
+        Self::start_with(command, Stdio::piped())
+    }
+
+    fn start_with(command: &mut Command, errors: Stdio) -> Self {
         // The platform passes no such variable on.
         let command = command.env_remove("RUST_BACKTRACE");
-        let command = command.stdout(Stdio::piped()).stderr(Stdio::piped());
+        let command = command.stdout(Stdio::piped()).stderr(errors);
         Self(command.spawn().expect("the program runs"))
     }
 
