--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -117,6 +117,7 @@
     reads_per_s: u32,
     second_began: Instant,
     reads: u32,
+    refused: u64,
 }
 
 impl ReadLimit {
@@ -126,7 +127,9 @@
             self.reads = 0;
         }
         self.reads += 1;
-        self.reads <= self.reads_per_s
+        let is_allowed = self.reads <= self.reads_per_s;
+        self.refused += u64::from(!is_allowed);
+        is_allowed
     }
 }
 
@@ -248,9 +251,17 @@
             reads_per_s,
             second_began: Instant::now(),
             reads: 0,
+            refused: 0,
         });
     }
 
+    /// Returns how many reads the current limit has refused.
+    #[must_use]
+    pub fn refused_reads(&self) -> u64 {
+        let core = lock(&self.core);
+        core.read_limit.as_ref().map_or(0, |limit| limit.refused)
+    }
+
     /// Stops answering calls for one topic, or answers all again.
     pub fn silence_topic(&self, topic: Option<&str>) {
         lock(&self.core).silent_topic = topic.map(str::to_owned);
--- a/standins/tests/starved_starts.rs
+++ b/standins/tests/starved_starts.rs
@@ -31,6 +31,8 @@
 const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
 /// How long the turns that are served are counted.
 const COUNT_SPAN: Duration = Duration::from_secs(6);
+/// The time in which the store counts reads.
+const LIMIT_SPAN: Duration = Duration::from_secs(1);
 /// The pause of a caller after a refusal without a delay.
 const CALLER_PAUSE: Duration = Duration::from_millis(50);
 const MAX_CALLER_PAUSE: Duration = Duration::from_secs(1);
@@ -210,8 +212,13 @@
         loaded.count_served();
         let times: Vec<_> = (0..GATEWAYS)
             .flat_map(|gateway| {
+                let refused = loaded.run.store.refused_reads();
                 loaded.restart(gateway..gateway + 1);
-                loaded.times_until_ready(gateway..gateway + 1, CONFIG_LIMIT)
+                let times = loaded.times_until_ready(gateway..gateway + 1, CONFIG_LIMIT);
+                thread::sleep(LIMIT_SPAN);
+                let is_used_up = loaded.run.store.refused_reads() > refused;
+                assert!(is_used_up, "the reads are not used up");
+                times
             })
             .collect();
         println!("ready after {times:?}");
