Excuse in the soak what the users' rule allows: a server at work in the last sixth of a stop

The rule of users does not count a request whose server is still at work in the last sixth of the limit (2.5 to 3 s) if it was sent no later than 3 s after the stop.

The soak records when gateways are told to stop and when servers are done with a request, pauses of their links included, and the check excuses exactly this case: seven unit cases beside it remain violations.

--- a/standins/src/platform_backend.rs
+++ b/standins/src/platform_backend.rs
@@ -3,14 +3,14 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 
 use crate::http::lock;
 use crate::wire_server::{
-    Script, Step, WireRequest, WireServer, chunk, chunked_head, free_port, full_response,
-    last_chunk,
+    EndTime, RunEnd, Script, Step, WireRequest, WireServer, chunk, chunked_head, free_port,
+    full_response, last_chunk,
 };
 
 /// The path of health checks.
@@ -208,6 +208,17 @@
     pub id: String,
     /// The fault of the response, if any.
     pub fault: Option<BackendFault>,
+    /// When the server had sent the response or abandoned it.
+    pub ended_at: EndTime,
+}
+
+impl Execution {
+    /// Returns how long after `start` the server was done, if it was.
+    #[must_use]
+    pub fn ended_after(&self, start: Instant) -> Option<Duration> {
+        let ended_at = self.ended_at.get();
+        ended_at.map(|at| at.saturating_duration_since(start))
+    }
 }
 
 #[derive(Debug, Default)]
@@ -385,11 +396,20 @@
             let refusal = full_response(503, &headers, b"");
             return vec![Step::Pause(delay), Step::Write(refusal)];
         }
+        let ended_at = EndTime::default();
         self.executions.push(Execution {
             request: request.clone(),
             id: id.clone(),
             fault,
+            ended_at: Arc::clone(&ended_at),
         });
+        let mut script = self.execute(request, &id, fault);
+        script.push(Step::RecordEnd(Arc::new(RunEnd(ended_at))));
+        script
+    }
+
+    /// Returns the response to a request that is executed.
+    fn execute(&self, request: &WireRequest, id: &str, fault: Option<BackendFault>) -> Script {
         match fault {
             Some(BackendFault::LoseResponse) => return vec![Step::Close],
             Some(BackendFault::Garble) => {
@@ -397,9 +417,9 @@
                 return vec![Step::Write(garbled), Step::Close];
             }
             Some(BackendFault::Silence) => return vec![Step::Silence],
-            Some(BackendFault::Endless(part)) => return part.script(&id),
+            Some(BackendFault::Endless(part)) => return part.script(id),
             Some(BackendFault::Fail) => {
-                let response = full_response(500, &response_headers(&id), b"");
+                let response = full_response(500, &response_headers(id), b"");
                 return vec![Step::Write(response)];
             }
             _ => {}
@@ -407,17 +427,17 @@
         if let Some(fatal) = &self.settings.fatal_request
             && fatal.matches(request)
         {
-            return self.end(request, &id, fatal);
+            return self.end(request, id, fatal);
         }
         let response_id = if fault == Some(BackendFault::WrongId) {
-            "another".to_owned()
+            "another"
         } else {
-            id.clone()
+            id
         };
         if request.headers.contains_key("token-usage") {
-            self.stream(request, &response_id, fault)
+            self.stream(request, response_id, fault)
         } else {
-            self.plain(&response_id, fault)
+            self.plain(response_id, fault)
         }
     }
 
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -477,6 +477,7 @@
         ]
         .concat(),
         cut_links: [world.servers.cut_links(), world.releases.cut_links()].concat(),
+        stops: world.planned_stops(),
         releases: world.release_times(),
         restarts: (world.plan == SoakPlan::Restarts).then(|| world.restart_times()),
         ..history.unwrap_or_else(std::sync::PoisonError::into_inner)
--- a/standins/src/soak_history.rs
+++ b/standins/src/soak_history.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::platform_backend::event_data;
-use crate::soak_answers::{CutLink, Excuse, requests_end_with_an_answer};
+use crate::soak_answers::{CutLink, Excuse, PlannedStop, requests_end_with_an_answer};
 use crate::soak_release_checks::{ReleaseTimes, unnamed_drafts_are_resumed};
 use crate::soak_restart_checks::{RestartTimes, resumed_drafts_go_on};
 
@@ -96,6 +96,8 @@
     pub version: String,
     /// Whether the server answered with a fault.
     pub is_faulty: bool,
+    /// When the server was done with it, from the start of the run; `None` if it was not before the end.
+    pub ended_at: Option<Duration>,
 }
 
 /// All requests that callers sent and backend servers executed.
@@ -107,6 +109,8 @@
     pub executed: Vec<ExecutedRequest>,
     /// The times in which links to backend servers were cut.
     pub cut_links: Vec<CutLink>,
+    /// The planned stops of gateways.
+    pub stops: Vec<PlannedStop>,
     /// The releases, in runs that have some.
     pub releases: Option<ReleaseTimes>,
     /// When gateways and the store were disturbed, in runs with restarts.
--- a/standins/src/soak_process.rs
+++ b/standins/src/soak_process.rs
@@ -16,7 +16,7 @@
 /// The drain delay and the shutdown limit in the settings of each gateway, short enough that a run
 /// has several graceful shutdowns.
 const DRAIN_DELAY_MS: u64 = 400;
-const SHUTDOWN_LIMIT_MS: u64 = 3_000;
+pub(crate) const SHUTDOWN_LIMIT_MS: u64 = 3_000;
 /// The ports for gateways, in ranges, below those that the system assigns.
 const FIRST_PORT: u16 = 10_000;
 const RANGE_COUNT: u16 = 110;
--- a/standins/src/soak_release_servers.rs
+++ b/standins/src/soak_release_servers.rs
@@ -67,9 +67,10 @@
 }
 
 impl Server {
-    fn executed(&self) -> impl Iterator<Item = ExecutedRequest> {
+    fn executed(&self, started_at: Instant) -> impl Iterator<Item = ExecutedRequest> {
         let executions = self.backend.executions().into_iter();
-        executions.map(|execution| ExecutedRequest {
+        executions.map(move |execution| ExecutedRequest {
+            ended_at: execution.ended_after(started_at),
             id: execution.id,
             body: String::from_utf8_lossy(&execution.request.body).into_owned(),
             server: self.settings.id.clone(),
@@ -302,7 +303,7 @@
     }
 
     fn record_end(&self, server: &Server) {
-        lock(&self.executed).extend(server.executed());
+        lock(&self.executed).extend(server.executed(self.started_at));
         self.record_cut(server);
     }
 
@@ -322,7 +323,9 @@
     pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
         let mut executed = lock(&self.executed).clone();
         for service in &self.services {
-            executed.extend(lock(service).servers.iter().flat_map(Server::executed));
+            let service = lock(service);
+            let servers = service.servers.iter();
+            executed.extend(servers.flat_map(|server| server.executed(self.started_at)));
         }
         executed
     }
--- a/standins/src/soak_replacements.rs
+++ b/standins/src/soak_replacements.rs
@@ -1,14 +1,16 @@
 //! Starts gateways of a soak beside the ones that they replace.
 
 use std::io;
+use std::process::Child;
 use std::thread::sleep;
 use std::time::Duration;
 
 use rustix::process::Signal;
 
 use crate::http::lock;
+use crate::soak_answers::PlannedStop;
 use crate::soak_process::wait_for_exit;
-use crate::soak_world::SoakWorld;
+use crate::soak_world::{Gateway, SoakWorld};
 
 impl SoakWorld {
     /// Shuts a gateway down gracefully and starts the next one at once, unless its process has a fault
@@ -21,7 +23,7 @@
             }
             gateway.is_ending = true;
             gateway.is_overlapping = true;
-            let old = gateway.process.terminate();
+            let old = self.terminate_process(number, &mut gateway);
             gateway.served_version = 1;
             gateway.process.restart()?;
             old
@@ -66,6 +68,21 @@
         self.restart(number)
     }
 
+    /// Sends SIGTERM to the process of a gateway and records when.
+    pub(crate) fn terminate_process(&self, number: usize, gateway: &mut Gateway) -> Option<Child> {
+        lock(&self.stops).push(PlannedStop {
+            gateway: (number, gateway.process.start_count),
+            told_at: self.elapsed_now(),
+        });
+        gateway.process.terminate()
+    }
+
+    /// Returns the planned stops of gateways.
+    #[must_use]
+    pub fn planned_stops(&self) -> Vec<PlannedStop> {
+        lock(&self.stops).clone()
+    }
+
     /// Returns how a gateway ended that was neither killed nor told to, if it did.
     pub(crate) fn own_end(&self, number: usize) -> Option<String> {
         let mut gateway = lock(&self.gateways[number]);
--- a/standins/src/soak_servers.rs
+++ b/standins/src/soak_servers.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use crate::http::lock;
-use crate::platform_backend::{BackendFault, BackendSettings, EndlessPart, PlatformBackend};
+use crate::platform_backend::{
+    BackendFault, BackendSettings, EndlessPart, Execution, PlatformBackend,
+};
 use crate::platform_run::{MODEL_SERVICE, PLAIN_SERVICE};
 use crate::platform_store::PlatformStore;
 use crate::soak_answers::CutLink;
@@ -59,6 +61,14 @@
     }
 }
 
+/// A time in which a server sent nothing.
+#[derive(Debug)]
+struct ServerPause {
+    server: String,
+    from: Duration,
+    until: Duration,
+}
+
 /// The backend servers of a soak.
 #[derive(Debug)]
 pub struct SoakServers {
@@ -66,6 +76,7 @@
     /// Those whose responses never end.
     _floods: Vec<PlatformBackend>,
     cut_links: Mutex<Vec<CutLink>>,
+    pauses: Mutex<Vec<ServerPause>>,
     /// The start of the run.
     started_at: Instant,
 }
@@ -106,6 +117,7 @@
             servers,
             _floods: floods,
             cut_links: Mutex::default(),
+            pauses: Mutex::default(),
             started_at,
         })
     }
@@ -118,6 +130,7 @@
             executions.map(|execution| (server.identity(), execution))
         });
         let ran = executions.map(|((server, version), execution)| ExecutedRequest {
+            ended_at: self.ended_at(&server, &execution),
             id: execution.id,
             body: String::from_utf8_lossy(&execution.request.body).into_owned(),
             server,
@@ -127,6 +140,15 @@
         ran.collect()
     }
 
+    /// Returns when a server was done with a request; what it sends in a pause is held until its end.
+    fn ended_at(&self, server: &str, execution: &Execution) -> Option<Duration> {
+        let ended_at = execution.ended_after(self.started_at)?;
+        let pauses = lock(&self.pauses);
+        let mut pauses = pauses.iter().filter(|pause| pause.server == server);
+        let pause = pauses.find(|pause| pause.from <= ended_at && ended_at <= pause.until);
+        Some(pause.map_or(ended_at, |pause| pause.until))
+    }
+
     /// Returns the times in which links to servers were cut.
     #[must_use]
     pub fn cut_links(&self) -> Vec<CutLink> {
@@ -147,7 +169,15 @@
     /// which they go on with the same responses.
     pub fn pause(&self, random_value: u64, duration: Duration) {
         let servers = self.choose_servers(random_value);
+        let from = self.started_at.elapsed();
         set_mode_for(&servers, ProxyMode::RequestsOnly, duration);
+        let until = self.started_at.elapsed();
+        let pauses = servers.iter().map(|server| ServerPause {
+            server: server.id.clone(),
+            from,
+            until,
+        });
+        lock(&self.pauses).extend(pauses);
     }
 
     /// Lets a server answer its next requests with faults.
--- a/standins/src/soak_world.rs
+++ b/standins/src/soak_world.rs
@@ -12,6 +12,7 @@
 use crate::http::lock;
 use crate::platform_run::{is_ready, wait_until};
 use crate::platform_store::{AppendFault, PlatformStore, StoreEndpoint, StoreMode};
+use crate::soak_answers::PlannedStop;
 use crate::soak_config::SoakConfig;
 use crate::soak_faults::{Fault, PlannedFault};
 use crate::soak_plan::{DRAFT_TIMEOUT_MS, SoakPlan};
@@ -112,6 +113,7 @@
     configs: Mutex<Vec<SoakConfig>>,
     /// When gateways and the store were disturbed, in runs with restarts.
     pub(crate) disturbed: Mutex<RestartTimes>,
+    pub(crate) stops: Mutex<Vec<PlannedStop>>,
     started_at: Instant,
     pub(crate) directory: PathBuf,
 }
@@ -167,6 +169,7 @@
             gateways: processes,
             configs: Mutex::new(vec![config]),
             disturbed: Mutex::default(),
+            stops: Mutex::default(),
             started_at,
             directory: directory.to_owned(),
         })
@@ -558,7 +561,7 @@
                 return Ok(());
             }
             gateway.is_ending = true;
-            gateway.process.terminate()
+            self.terminate_process(number, &mut gateway)
         };
         let status = child.map(wait_for_exit).transpose()?.flatten();
         std::thread::sleep(duration);
--- a/standins/src/wire_server.rs
+++ b/standins/src/wire_server.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener as StdListener, TcpStream as StdStream};
-use std::sync::{Arc, mpsc};
+use std::sync::{Arc, OnceLock, mpsc};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -70,6 +70,22 @@
     /// Make the server hang after a delay, likewise: the system accepts connections for it, and nothing is
     /// sent on any.
     Hang(Duration),
+    /// Record when the answer has ended or was abandoned.
+    RecordEnd(Arc<RunEnd>),
+}
+
+/// When an answer has ended or was abandoned.
+pub type EndTime = Arc<OnceLock<Instant>>;
+
+/// Records the end of an answer when its last clone is dropped.
+#[derive(Debug)]
+pub struct RunEnd(pub EndTime);
+
+impl Drop for RunEnd {
+    fn drop(&mut self) {
+        // The first end counts.
+        let _ = self.0.set(Instant::now());
+    }
 }
 
 /// The steps of one answer, in order.
@@ -380,6 +396,7 @@
                     return;
                 }
                 Step::Silence => std::future::pending().await,
+                Step::RecordEnd(end) => drop(end),
                 Step::End(delay) => {
                     sleep(delay).await;
                     stop.end_server();
--- a/standins/tests/soak.rs
+++ b/standins/tests/soak.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use standins::soak::Soak;
-use standins::soak_answers::{CutLink, Excuse};
+use standins::soak_answers::{CutLink, Excuse, PlannedStop};
 use standins::soak_faults::{
     Fault, PlannedFault, plan_crowd_faults, plan_extended_faults, plan_faults, plan_release_faults,
     plan_stop_faults,
@@ -52,6 +52,7 @@
         server: "s1".to_owned(),
         version: "v1".to_owned(),
         is_faulty: false,
+        ended_at: Some(Duration::from_millis(1_005)),
     }
 }
 
@@ -76,6 +77,7 @@
             executed("b1", ""),
         ],
         cut_links: Vec::new(),
+        stops: Vec::new(),
         releases: None,
         restarts: None,
     }
@@ -321,6 +323,51 @@
     }
 }
 
+/// A history whose booking is cut 2.6 s after its gateway was told to stop, while its server works.
+fn history_with_cut_by_stop(change: impl FnOnce(&mut History)) -> Vec<String> {
+    history_without_answer(|history| {
+        let told_at = Duration::from_millis(900);
+        history.requests[2].timeout = Duration::from_secs(20);
+        history.requests[2].duration = Duration::from_millis(2_500);
+        history.executed[2].ended_at = Some(Duration::from_millis(3_450));
+        history.stops.push(PlannedStop {
+            gateway: (0, 1),
+            told_at,
+        });
+        change(history);
+    })
+}
+
+#[test]
+fn a_server_at_work_in_the_last_sixth_of_a_stop_excuses_a_cut() {
+    let cases: [fn(&mut History); 2] = [|_| {}, |h| h.executed[2].ended_at = None];
+    for (number, change) in cases.into_iter().enumerate() {
+        let found = history_with_cut_by_stop(change);
+        assert_eq!(found, Vec::<String>::new(), "case {number}");
+    }
+}
+
+#[test]
+fn any_other_cut_at_a_stop_is_a_violation() {
+    let cases: [fn(&mut History); 7] = [
+        |h| h.executed[2].ended_at = Some(Duration::from_millis(3_399)),
+        |h| h.requests[2].duration = Duration::from_millis(2_399),
+        |h| h.requests[2].gateway = (1, 1),
+        |h| h.requests[2].gateway = (0, 2),
+        |h| h.stops.clear(),
+        |h| h.executed.truncate(2),
+        |h| {
+            h.requests[2].sent_at = Duration::from_millis(3_901);
+            h.executed[2].ended_at = None;
+        },
+    ];
+    for (number, change) in cases.into_iter().enumerate() {
+        let found = history_with_cut_by_stop(change);
+        assert_eq!(found.len(), 1, "case {number}: {found:?}");
+        assert!(found[0].starts_with("b1: booking"), "{}", found[0]);
+    }
+}
+
 #[test]
 fn the_extended_plan_pauses_servers_and_leaves_the_basic_plan_as_it_is() {
     let length = Duration::from_secs(20);
