--- a/standins/tests/starved_starts.rs
+++ b/standins/tests/starved_starts.rs
@@ -209,6 +209,25 @@
 #[test]
 fn a_gateway_that_returns_alone_is_ready_although_others_use_up_the_reads() {
     Run::start("starved-one").under_load(|loaded| {
+        loaded.count_served();
+        let refused = loaded.run.store.refused_reads();
+        let times: Vec<_> = (0..GATEWAYS)
+            .flat_map(|gateway| {
+                loaded.restart(gateway..gateway + 1);
+                loaded.times_until_ready(gateway..gateway + 1, CONFIG_LIMIT)
+            })
+            .collect();
+        println!("ready after {times:?}");
+        let is_used_up = loaded.run.store.refused_reads() > refused;
+        assert!(is_used_up, "the reads are not used up");
+        assert!(!times.contains(&None), "not ready in time: {times:?}");
+    });
+}
+
+/// Guards against gateways that return one by one and are starved by those that serve, which are starved as well.
+#[test]
+fn gateways_that_return_a_second_apart_are_ready_although_others_use_up_the_reads() {
+    Run::start("starved-apart").under_load(|loaded| {
         loaded.count_served();
         let times: Vec<_> = (0..GATEWAYS)
             .flat_map(|gateway| {
