--- a/clementinepickd/tests/process_ends.rs
+++ b/clementinepickd/tests/process_ends.rs
@@ -1,5 +1,6 @@
 //! Tests that the log of a process says how it ended.
 
+mod process_limits;
 mod recorded_process;
 
 use std::collections::BTreeSet;
--- a/clementinepickd/tests/recorded_process/mod.rs
+++ b/clementinepickd/tests/recorded_process/mod.rs
@@ -1,9 +1,9 @@
 //! Runs the program in any role, without a store, and keeps what it writes.
 
-use std::fs;
+use std::fs::{self, File};
 use std::io::{ErrorKind, PipeReader, Read, Write, pipe};
 use std::net::{Ipv4Addr, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
@@ -38,10 +38,7 @@
     }
 
     pub fn remove_settings(&self) {
-        match fs::remove_file(&self.settings) {
-            Err(err) if err.kind() != ErrorKind::NotFound => panic!("{err}"),
-            _ => {}
-        }
+        remove(&self.settings);
     }
 
     /// Returns the settings of a gateway.
@@ -121,6 +118,24 @@
         }
     }
 
+    /// Starts a process with limits that writes its log to the end of a file.
+    pub fn start_limited_to_file(&self, limits: &str, log: &Path) -> LoggedProcess {
+        let file = File::options().create(true).append(true).open(log);
+        let mut command = self.limited(limits);
+        command
+            .stdout(file.expect("a file"))
+            .stderr(Stdio::null())
+            .env_remove("RUST_BACKTRACE");
+        LoggedProcess(RecordedProcess(command.spawn().expect("the program runs")))
+    }
+
+    /// Returns the path of a file for the log of a process, which does not exist.
+    pub fn log_file(&self) -> PathBuf {
+        let path = self.settings.with_extension("log");
+        remove(&path);
+        path
+    }
+
     fn limited(&self, limits: &str) -> Command {
         let mut command = Command::new("bash");
         let script = format!("{CLOSE_INHERITED}; {limits} && exec \"$0\" --settings \"$1\"");
@@ -130,6 +145,16 @@
     }
 }
 
+fn remove(path: &Path) {
+    match fs::remove_file(path) {
+        Err(err) if err.kind() != ErrorKind::NotFound => panic!("{err}"),
+        _ => {}
+    }
+}
+
+/// A process whose log is in a file.
+pub struct LoggedProcess(pub RecordedProcess);
+
 /// A process whose standard error nobody reads.
 pub struct UnreadProcess {
     process: RecordedProcess,
@@ -199,10 +224,13 @@
     }
 
     pub fn send(&self, signal: StopSignal) {
+        self.send_named(signal.name());
+    }
+
+    /// Sends a signal by its name without `SIG`.
+    pub fn send_named(&self, name: &str) {
         let id = self.0.id().to_string();
-        let sent = Command::new("kill")
-            .args(["-s", signal.name(), &id])
-            .status();
+        let sent = Command::new("kill").args(["-s", name, &id]).status();
         assert!(sent.expect("kill runs").success());
     }
 
