Handle the signals that end a process for what serving does not need

What callers saw: a gateway whose log is in a file ended by itself when the file reached the limit on the size of files, at once and without a line; so did one that got any of ten signals that nothing sends on purpose.

Cause: the default action of these signals ends a process, and only SIGTERM, SIGINT and SIGHUP were handled.

Change: all signals that can be handled and do not tell of a defect have handlers. SIGXFSZ makes the write fail, so that the line is lost and counted (108); SIGQUIT stops like SIGTERM; the others are logged (114). Signals are blocked by the first statement of the program instead of after its arguments.

--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -95,6 +95,8 @@
     ThreadStalled = 112, "thread_stalled", Warning;
     /// The event loop of `thread` goes on after it stood still for `stalled_ms`.
     ThreadResumed = 113, "thread_resumed", Info;
+    /// The process received `signal`, which has no meaning for it, and goes on.
+    SignalIgnored = 114, "signal_ignored", Warning;
     /// A link came up.
     LinkUp = 201, "link_up", Info;
     /// A link went down.
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -339,13 +339,17 @@
     }
 }
 
-/// Returns when the process is told to stop; a change of its settings is only logged.
+/// Returns when the process is told to stop; other signals are only logged.
 async fn wait_for_stop(mut signals: ReceivedSignals, logger: Logger) -> io::Result<()> {
-    while signals.next().await != SignalMeaning::Stop {
-        // There is nothing to reload: addresses are fixed and everything else comes from the store.
-        write_event(&logger, &Event::new(EventKind::SettingsReloaded));
+    loop {
+        let meaning = signals.next().await;
+        if let Some(event) = meaning.event() {
+            write_event(&logger, &event);
+        }
+        if meaning == SignalMeaning::Stop {
+            return Ok(());
+        }
     }
-    Ok(())
 }
 
 /// Shuts down gracefully: reports not ready, closes idle connections and waits for running requests
--- a/clementinepickd/src/main.rs
+++ b/clementinepickd/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs one process of clementinepick in the role that its settings file names.
 
 use std::error::Error;
+use std::io;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -16,7 +17,7 @@
 };
 use clementinepickd::settings::Settings;
 use clementinepickd::settings_file::{ProcessSettings, SettingsError};
-use clementinepickd::stop_signals::{ReceivedSignals, StopSignals};
+use clementinepickd::stop_signals::{BlockedSignals, ReceivedSignals, SignalMeaning, StopSignals};
 use clementinepickd::{Daemon, ShutdownKind, StartError, settings_file};
 
 const INVALID_SETTINGS_EXIT_CODE: u8 = 2;
@@ -28,8 +29,8 @@
 /// Run one process of clementinepick: a gateway or an entry, which accept callers' requests, or a
 /// sidecar, which runs next to a backend server.
 ///
-/// SIGTERM and SIGINT begin a graceful shutdown; a second one ends an entry or a sidecar at once, and
-/// unfinished calls are answered with what is known of them. SIGHUP changes nothing.
+/// SIGTERM, SIGINT and SIGQUIT begin a graceful shutdown; a second one ends an entry or a sidecar at once, and
+/// unfinished calls are answered with what is known of them. Other signals that can be handled change nothing.
 #[derive(FromArgs)]
 #[argh(
     example = "{command_name} --settings examples/entry-a.ini",
@@ -48,24 +49,31 @@
 }
 
 fn main() -> ExitCode {
+    let blocked = match BlockedSignals::block() {
+        Ok(blocked) => blocked,
+        Err(err) => return fail_without_signals(&err),
+    };
     let arguments: Arguments = argh::from_env();
     let Some(path) = settings_path(&arguments) else {
         report_early_failure(&"no settings file given; pass --settings PATH");
         return ExitCode::from(INVALID_SETTINGS_EXIT_CODE);
     };
     if arguments.check {
-        return check(&path);
+        let unblocked = blocked.unblock();
+        return unblocked.map_or_else(|err| fail_without_signals(&err), |()| check(&path));
     }
     report_early_panics();
-    match StopSignals::install() {
+    match StopSignals::install(&blocked) {
         Ok(signals) => run(&path, signals),
-        Err(err) => {
-            report_early_failure(&format_args!("cannot install signal handlers: {err}"));
-            ExitCode::FAILURE
-        }
+        Err(err) => fail_without_signals(&err),
     }
 }
 
+fn fail_without_signals(error: &io::Error) -> ExitCode {
+    report_early_failure(&format_args!("cannot install signal handlers: {error}"));
+    ExitCode::FAILURE
+}
+
 fn run(path: &Path, mut signals: StopSignals) -> ExitCode {
     match load_settings(path, &mut signals) {
         Ok(Some(ProcessSettings::Daemon(settings))) => run_daemon(*settings, signals),
@@ -133,7 +141,7 @@
     run_logged(
         Daemon::open_log(&settings),
         |log| match Daemon::start_logging_to(settings, log, &mut signals) {
-            Ok(daemon) => join(daemon, signals.into_received()),
+            Ok(daemon) => join(daemon, log, signals.into_received()),
             Err(StartError::Stopped) => {
                 log.log_early_stop();
                 Ok(ShutdownKind::Graceful)
@@ -163,12 +171,21 @@
 
 /// Waits for the process to end and forwards signals to it: the first begins a graceful shutdown,
 /// the second forces it. Returns an error if it ends by itself.
-fn join(daemon: Daemon, mut signals: ReceivedSignals) -> Result<ShutdownKind, Box<dyn Error>> {
+fn join(
+    daemon: Daemon,
+    log: &ProcessLog,
+    mut signals: ReceivedSignals,
+) -> Result<ShutdownKind, Box<dyn Error>> {
     System::new().block_on(async {
         let mut is_shutting_down = false;
         while !daemon.is_finished() {
-            let stop = actix_rt::time::timeout(POLL_INTERVAL, signals.stop());
-            if stop.await.is_err() {
+            let Ok(meaning) = actix_rt::time::timeout(POLL_INTERVAL, signals.next()).await else {
+                continue;
+            };
+            if let Some(event) = meaning.event() {
+                log.write(&event);
+            }
+            if meaning != SignalMeaning::Stop {
                 continue;
             }
             if std::mem::replace(&mut is_shutting_down, true) {
--- a/clementinepickd/src/process_log.rs
+++ b/clementinepickd/src/process_log.rs
@@ -69,6 +69,11 @@
         write_early_stop(self.logger());
     }
 
+    /// Writes an event.
+    pub fn write(&self, event: &Event) {
+        write_event(self.logger(), event);
+    }
+
     pub(crate) const fn logger(&self) -> &Logger {
         &self.log.logger
     }
