Bound the volume of the log

Cause: each failed or sampled request is a line, so that the volume followed the load: 6,000 failing requests in 2 s wrote 1,698,766 bytes, and a file or a reader that can't keep up lost whatever came last, also why a process ended.

Change: a log is limited to a burst of 1 MiB and 32 KiB a second on average. Lines of routine are left out first, then warnings, then errors and the 1xx events; 115 counts what was left out. clementinepick_log_lines_missing_total counts lines that were left out or could not be written, also while none can be.

Evidence: the flood of 6,000 requests fails the new test before (1,698,766 bytes) and writes 587,269 bytes now, with the end of the process as the last line.

--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -97,6 +97,8 @@
     ThreadResumed = 113, "thread_resumed", Info;
     /// The process received `signal`, which has no meaning for it, and goes on.
     SignalIgnored = 114, "signal_ignored", Warning;
+    /// `count` lines before this one were left out, since the log had reached its volume.
+    LogLinesLeftOut = 115, "log_lines_left_out", Warning;
     /// A link came up.
     LinkUp = 201, "link_up", Info;
     /// A link went down.
--- a/clementinepickd/src/control.rs
+++ b/clementinepickd/src/control.rs
@@ -429,6 +429,7 @@
     }
 
     fn on_gauges(&self, answer: oneshot::Sender<()>) {
+        self.telemetry.count_missing_lines();
         self.telemetry.set_gauge("open_answers", self.callers.len());
         self.telemetry.set_gauge("links", self.links.len());
         for (name, count) in self.role_logic.counts() {
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -18,6 +18,7 @@
 use crate::gateway_receive::ReceivedRequest;
 use crate::gateway_reply::Reply;
 use crate::gateway_shared::Shared;
+use crate::log_drain::count_missing_lines;
 
 /// The bucket bounds of the latency histograms, in seconds: from a lookup to the longest timeout.
 const LATENCY_BUCKETS_S: &[f64] = &[
@@ -219,6 +220,7 @@
                 "clementinepick_store_away",
                 usize::from(shared.store.is_unavailable()),
             );
+            count_missing_lines();
             for (listener, connections) in shared.connections.by_name() {
                 set_connection_metrics(listener, connections);
             }
--- a/clementinepickd/src/log_output.rs
+++ b/clementinepickd/src/log_output.rs
@@ -2,6 +2,8 @@
 
 use std::io::{self, ErrorKind, Stderr, Stdout, Write};
 use std::os::fd::AsFd;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -80,6 +82,7 @@
     line: Vec<u8>,
     /// Whether a part of the last line was written, without its end.
     is_torn: bool,
+    written_bytes: Arc<AtomicU64>,
 }
 
 impl<W: Write> LineOutput<W> {
@@ -88,9 +91,15 @@
             output,
             line: Vec::new(),
             is_torn: false,
+            written_bytes: Arc::default(),
         }
     }
 
+    /// Returns the number of bytes written so far, which goes on counting.
+    pub(crate) fn written_bytes(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.written_bytes)
+    }
+
     fn write_line(&mut self) -> io::Result<()> {
         let mut line = std::mem::take(&mut self.line);
         if self.is_torn {
@@ -100,7 +109,11 @@
         while !rest.is_empty() {
             match self.output.write(rest) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => rest = &rest[count..],
+                Ok(count) => {
+                    rest = &rest[count..];
+                    let count = u64::try_from(count).unwrap_or(u64::MAX);
+                    self.written_bytes.fetch_add(count, Ordering::Relaxed);
+                }
                 Err(err) if err.kind() == ErrorKind::Interrupted => {}
                 Err(err) => return Err(err),
             }
--- a/clementinepickd/src/logging.rs
+++ b/clementinepickd/src/logging.rs
@@ -1,19 +1,20 @@
 //! Writes events to the standard output as structured log lines, one JSON object per event.
 
-use std::cell::Cell;
 use std::io::Write;
 use std::panic::{RefUnwindSafe, UnwindSafe};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::Instant;
 
-use clementinepick::event::{Event, EventKind, Severity};
+use clementinepick::event::{Event, Severity};
 use clementinepick::ids::{Incarnation, VmId};
 use slog::{
-    Drain, KV, Key, Level, LevelFilter, Logger, Never, OwnedKV, OwnedKVList, Record, Result,
-    SendSyncRefUnwindSafeKV, Serializer, b, o, record,
+    Drain, KV, Key, Level, LevelFilter, Logger, OwnedKV, OwnedKVList, Record, Result,
+    SendSyncRefUnwindSafeKV, Serializer, o,
 };
 use slog_async::{Async, AsyncBuilder, AsyncGuard};
 use slog_json::Json;
 
+use crate::log_drain::BoundedDrain;
 use crate::log_output::{LineOutput, StandardOutput};
 use crate::settings::LogLevel;
 
@@ -22,6 +23,9 @@
 /// Further lines are dropped and their count is logged.
 const QUEUE_CAPACITY_LINES: usize = 4_096;
 
+/// The key of an event's number in its line.
+pub(crate) const EVENT_KEY: &str = "event";
+
 /// Creates a logger to the standard output whose lines name the process.
 ///
 /// Dropping its last clone writes the queued lines.
@@ -133,17 +137,16 @@
     new_root(Mutex::new(lines(output)), LogLevel::Info, o!())
 }
 
-fn lines<W: Write + Send + 'static>(output: W) -> LossyDrain<Json<LineOutput<W>>> {
-    let json = Json::new(LineOutput::new(output));
-    LossyDrain {
-        drain: json.add_default_keys().build(),
-        lost_lines: Cell::new(0),
-    }
+fn lines<W: Write + Send + 'static>(output: W) -> BoundedDrain<Json<LineOutput<W>>> {
+    let output = LineOutput::new(output);
+    let written_bytes = output.written_bytes();
+    let json = Json::new(output).add_default_keys().build();
+    BoundedDrain::new(json, written_bytes, Instant::now())
 }
 
 fn queued_lines<W: Write + Send + 'static>(
     output: W,
-) -> AsyncBuilder<LossyDrain<Json<LineOutput<W>>>> {
+) -> AsyncBuilder<BoundedDrain<Json<LineOutput<W>>>> {
     Async::new(lines(output)).chan_size(QUEUE_CAPACITY_LINES)
 }
 
@@ -169,56 +172,14 @@
     Logger::root(LevelFilter::new(drain, min_level).ignore_res(), keys)
 }
 
-/// Counts the lines that can't be written, and reports them with the next one that can.
-struct LossyDrain<D> {
-    drain: D,
-    lost_lines: Cell<u64>,
-}
-
-impl<D: Drain> LossyDrain<D> {
-    fn report_lost(&self, values: &OwnedKVList) {
-        let count = self.lost_lines.take();
-        if count == 0 {
-            return;
-        }
-        let kind = EventKind::LogLinesLost;
-        let report = self.drain.log(
-            &record!(
-                Level::Warning,
-                "",
-                &format_args!("{}", kind.name()),
-                b!("event" => kind.number(), "count" => count)
-            ),
-            values,
-        );
-        if report.is_err() {
-            self.lost_lines.set(count);
-        }
-    }
-}
-
-impl<D: Drain> Drain for LossyDrain<D> {
-    type Ok = ();
-    type Err = Never;
-
-    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> std::result::Result<(), Never> {
-        if self.drain.log(record, values).is_ok() {
-            self.report_lost(values);
-        } else {
-            self.lost_lines.update(|count| count + 1);
-        }
-        Ok(())
-    }
-}
-
 /// Logs an event with its number, name and fields at its severity.
 pub(crate) fn write_event(logger: &Logger, event: &Event) {
     let fields = Fields(event.clone());
     let (number, name) = (event.kind.number(), event.kind.name());
     match event.kind.severity() {
-        Severity::Info => slog::info!(logger, "{}", name; "event" => number, fields),
-        Severity::Warning => slog::warn!(logger, "{}", name; "event" => number, fields),
-        Severity::Error => slog::error!(logger, "{}", name; "event" => number, fields),
+        Severity::Info => slog::info!(logger, "{}", name; EVENT_KEY => number, fields),
+        Severity::Warning => slog::warn!(logger, "{}", name; EVENT_KEY => number, fields),
+        Severity::Error => slog::error!(logger, "{}", name; EVENT_KEY => number, fields),
     }
 }
 
--- a/clementinepickd/src/telemetry.rs
+++ b/clementinepickd/src/telemetry.rs
@@ -11,6 +11,8 @@
     BuildError, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
 };
 
+use crate::log_drain::count_missing_lines;
+
 /// The bucket bounds of the latency histogram, in seconds.
 const LATENCY_BUCKETS_S: &[f64] = &[
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0,
@@ -59,6 +61,11 @@
         });
     }
 
+    /// Counts the lines that are missing from the log.
+    pub(crate) fn count_missing_lines(&self) {
+        with_local_recorder(&self.recorder, count_missing_lines);
+    }
+
     /// Sets the gauge `name` to a count.
     #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^53")]
     pub(crate) fn set_gauge(&self, name: &'static str, count: usize) {
--- a/clementinepickd/tests/process_limits/mod.rs
+++ b/clementinepickd/tests/process_limits/mod.rs
@@ -12,6 +12,10 @@
 const TO_FAIL: Duration = Duration::from_millis(200);
 /// The size of a log at which it can't grow, in KiB.
 const LOG_LIMIT_KIB: u64 = 8;
+/// The volume of a log.
+const BURST_BYTES: u64 = 1_048_576;
+const RATE_BYTES_PER_S: u64 = 32_768;
+const LEFT_OUT: &str = "\"msg\":\"log_lines_left_out\"";
 const LOST: &str = "\"msg\":\"log_lines_lost\"";
 const IGNORED: &str = "\"msg\":\"signal_ignored\"";
 const STOPPED: &str = "\"msg\":\"shutdown_finished\"";
@@ -88,6 +92,36 @@
     }
 }
 
+/// Guards against a log whose volume follows the load, and against a flood that hides how the process ends.
+#[test]
+fn a_flood_of_failing_requests_is_logged_within_the_volume() {
+    const REQUESTS: usize = 6_000;
+    let vm = ProcessVm::new(24);
+    vm.write(&vm.gateway());
+    let log = vm.log_file();
+    let started = Instant::now();
+    let mut process = vm.start_limited_to_file(":", &log);
+    wait_until_serving(&vm, &mut process.0);
+    for _ in 0..REQUESTS {
+        assert!(vm.is_serving());
+    }
+    process.0.send(StopSignal::Terminate);
+    let end = process.0.wait_for_end(PATIENCE);
+    assert!(end.is_some_and(|end| end.success()), "{end:?}");
+    let limit = BURST_BYTES + RATE_BYTES_PER_S * (1 + started.elapsed().as_secs());
+    assert!(size(&log) <= limit, "{} bytes", size(&log));
+    let text = read(&log);
+    assert!(
+        text.contains(LEFT_OUT),
+        "no line says that others are missing"
+    );
+    assert!(
+        text.lines()
+            .last()
+            .is_some_and(|line| line.contains(STOPPED))
+    );
+}
+
 /// Waits until a process serves, and checks that it does not end soon after.
 fn wait_until_serving(vm: &ProcessVm, process: &mut RecordedProcess) {
     wait_until(process, || vm.is_serving());
