Fit what a gateway holds to the limit on its memory

Cause: the settings allow for 75 MB of bodies, responses and turns, whatever the system allows the process. With 115,000 KiB of address space and turns of 80,000 bytes an allocation failed, which aborts: a line on the standard error, none in the log.

Change: at the start, bodies, responses and cache are reduced in proportion to half of what the address space in use leaves of the limit; 116 says so.

--- a/clementinepick/src/event.rs
+++ b/clementinepick/src/event.rs
@@ -99,6 +99,8 @@
     SignalIgnored = 114, "signal_ignored", Warning;
     /// `count` lines before this one were left out, since the log had reached its volume.
     LogLinesLeftOut = 115, "log_lines_left_out", Warning;
+    /// The process may use only `limit_bytes` of memory, and holds less than its settings say.
+    MemoryReduced = 116, "memory_reduced", Warning;
     /// A link came up.
     LinkUp = 201, "link_up", Info;
     /// A link went down.
--- a/clementinepickd/src/gateway.rs
+++ b/clementinepickd/src/gateway.rs
@@ -33,6 +33,7 @@
 use crate::listeners::{self, ListenError, StopWait, wait_unstopped};
 use crate::logging::{new_logger_to, write_event};
 use crate::loop_monitor::loop_monitors;
+use crate::memory_fit::{address_space, fit_memory, process_limit};
 use crate::process_log::ProcessLog;
 use crate::safeguard::Safeguard;
 use crate::stop_signals::{ReceivedSignals, SignalMeaning, StopSignals};
@@ -170,6 +171,11 @@
         incarnation: Incarnation,
         wait: StopWait<'_>,
     ) -> Result<Self, GatewayError> {
+        if let Some(limit) = process_limit()
+            && let Some(event) = fit_memory(&mut settings, limit, address_space())
+        {
+            write_event(&logger, &event);
+        }
         // Callers connect as soon as their address is bound, so that it comes last.
         let peers = listen(&mut settings.peers, &logger, wait)?;
         let ready = listen(&mut settings.ready, &logger, wait)?;
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -109,6 +109,7 @@
 mod log_output;
 mod logging;
 mod loop_monitor;
+mod memory_fit;
 mod monotonic_clock;
 mod outbound;
 mod outbound_pool;
--- a/standins/src/soak_process.rs
+++ b/standins/src/soak_process.rs
@@ -138,6 +138,18 @@
     pub limits: String,
     /// The number of descriptors that the process may have open, if that is lower than the system's.
     pub max_descriptors: Option<u64>,
+    /// The limit on the address space of the process in KiB, if that is lower than the system's.
+    pub max_address_space_kib: Option<u64>,
+}
+
+impl ProcessSettings {
+    /// Returns the commands of a shell that set the limits of the process.
+    fn limit_commands(&self) -> Vec<String> {
+        let descriptors = self.max_descriptors.map(|max| format!("ulimit -n {max}"));
+        let address_space = self.max_address_space_kib;
+        let address_space = address_space.map(|max| format!("ulimit -v {max}"));
+        descriptors.into_iter().chain(address_space).collect()
+    }
 }
 
 /// A gateway's process, which can be restarted on the same ports.
@@ -150,7 +162,7 @@
     daemon: PathBuf,
     settings: PathBuf,
     log: PathBuf,
-    max_descriptors: Option<u64>,
+    limit_commands: Vec<String>,
     child: Option<Child>,
 }
 
@@ -191,7 +203,7 @@
             daemon: daemon.to_owned(),
             settings,
             log: directory.join(format!("gateway-{number}.log")),
-            max_descriptors: process.max_descriptors,
+            limit_commands: process.limit_commands(),
             child: None,
         };
         gateway.restart()?;
@@ -221,14 +233,14 @@
         Ok(())
     }
 
-    /// Returns the command of the daemon. Its limit of descriptors is set by a shell, which the daemon
-    /// replaces.
+    /// Returns the command of the daemon. Its limits are set by a shell, which the daemon replaces.
     fn command(&self) -> Command {
-        let Some(max_descriptors) = self.max_descriptors else {
+        if self.limit_commands.is_empty() {
             return Command::new(&self.daemon);
-        };
+        }
         let mut command = Command::new("sh");
-        let script = format!("ulimit -n {max_descriptors} && exec \"$0\" \"$@\"");
+        let limits = self.limit_commands.join(" && ");
+        let script = format!("{limits} && exec \"$0\" \"$@\"");
         command.arg("-c").arg(script).arg(&self.daemon);
         command
     }
