--- a/clementinepickd/src/memory_fit.rs
+++ b/clementinepickd/src/memory_fit.rs
@@ -14,8 +14,8 @@
 const PROGRAM_BYTES: u64 = 20_971_520;
 /// The stacks of the threads that the gateway has still to start.
 const STACKS_BYTES: u64 = 4_194_304;
-/// What is held may take one part in this many of the rest: it is copied to be sent, recorded or parsed.
-const HELD_SHARE: u64 = 2;
+/// What is held may take one part in this many of the rest: it is copied to be sent, recorded and parsed.
+const HELD_SHARE: u64 = 3;
 /// The part of a limit that may be held at least, however small it is, is one in this many.
 const MIN_HELD_SHARE: u64 = 8;
 /// What is held under a setting at least: a few requests of a usual size.
@@ -108,7 +108,7 @@
     /// Guards against a process that is ended by an allocation beyond its limit.
     #[test]
     fn settings_are_reduced_to_what_the_limit_leaves() {
-        for limit in (60_000_000..180_000_000).step_by(10_000_000) {
+        for limit in (60_000_000..240_000_000).step_by(10_000_000) {
             let mut settings = GatewaySettings::default();
             let event = fit_memory(&mut settings, Bytes(limit), USED);
             assert!(event.is_some(), "{limit}");
