Begin reads of turns with two pages until their size is known

What callers saw: turns of long conversations were refused with ledger_away 1.2 s after they came, where 1 s is allowed, in a first burst.

Cause, as traced before: while no page has been read, 16 are read at once, of 1 MB each; at a store that serves one after the other they pass their timeout, are asked for again, and the store counts as unavailable.

Change: two pages are read at once until one has shown how large they are; who waits for that asks for memory by the size that is known by then.

--- a/clementinepickd/src/ledger_turn_records.rs
+++ b/clementinepickd/src/ledger_turn_records.rs
@@ -33,6 +33,8 @@
 /// The memory of a page while it is decoded, as a multiple of the size of its records: the response in base64,
 /// in a buffer that doubles, and the records.
 const PAGE_COPIES: usize = 4;
+/// The number of pages that are read at the same time while none has shown how large they are.
+const FIRST_PAGE_READS: usize = 2;
 /// The least memory of a page, in KB.
 const MIN_PAGE_KB: usize = 64;
 /// The divisor by which the size that pages are expected to have falls with each smaller one.
@@ -56,8 +58,10 @@
     permits: Semaphore,
     /// Limits the memory of the pages that are read, in KB.
     page_memory: Semaphore,
+    /// Limits the reads of pages while `page_bytes` is not known.
+    first_reads: Semaphore,
     /// The size of the records of a page, by the pages that were read last.
-    page_bytes: Cell<usize>,
+    page_bytes: Cell<Option<usize>>,
     /// The number of chains being read or waiting.
     chains: Cell<usize>,
     last_read_at: Cell<Option<Instant>>,
@@ -71,7 +75,8 @@
             partitions: RefCell::default(),
             permits: Semaphore::new(MAX_CHAIN_READS),
             page_memory: Semaphore::new(PAGE_MEMORY_KB),
-            page_bytes: Cell::new(0),
+            first_reads: Semaphore::new(FIRST_PAGE_READS),
+            page_bytes: Cell::new(None),
             chains: Cell::new(0),
             last_read_at: Cell::new(None),
         }
@@ -143,25 +148,28 @@
     }
 
     /// Waits until the other pages that are being read leave memory for one of the size of the last ones.
-    async fn acquire_page_memory(
-        &self,
-        deadline: Instant,
-    ) -> Result<SemaphorePermit<'_>, LedgerError> {
-        let expected_kb = PAGE_COPIES * self.page_bytes.get() / 1_024;
+    async fn acquire_page_memory(&self, deadline: Instant) -> Result<PagePermit<'_>, LedgerError> {
+        let mut first = None;
+        if self.page_bytes.get().is_none() {
+            first = Some(acquire(&self.first_reads, 1, deadline).await?);
+        }
+        // Another read may have shown the size meanwhile.
+        let first = first.filter(|_| self.page_bytes.get().is_none());
+        let expected_kb = PAGE_COPIES * self.page_bytes.get().unwrap_or_default() / 1_024;
         let expected_kb = expected_kb.clamp(MIN_PAGE_KB, PAGE_MEMORY_KB);
         let expected_kb = u32::try_from(expected_kb).unwrap_or(u32::MAX);
-        let acquiring = self.page_memory.acquire_many(expected_kb);
-        let acquired = timeout_at(deadline.into(), acquiring).await;
-        let acquired = acquired.ok().and_then(Result::ok);
-        acquired.ok_or(LedgerError::Unavailable)
+        Ok(PagePermit {
+            _memory: acquire(&self.page_memory, expected_kb, deadline).await?,
+            _first: first,
+        })
     }
 
     fn record_page_size(&self, page: &NewestPage) {
         let values = page.records.iter().filter_map(|r| r.value.as_ref());
         let size_bytes: usize = values.map(Bytes::len).sum();
-        let expected_bytes = self.page_bytes.get();
+        let expected_bytes = self.page_bytes.get().unwrap_or_default();
         let fallen_bytes = expected_bytes - expected_bytes / PAGE_SIZE_DIVISOR;
-        self.page_bytes.set(size_bytes.max(fallen_bytes));
+        self.page_bytes.set(Some(size_bytes.max(fallen_bytes)));
     }
 
     fn keep_neighbour(&self, neighbour: KeyedRecord) {
@@ -185,6 +193,22 @@
     }
 }
 
+/// Allows for the read of a page.
+struct PagePermit<'a> {
+    _memory: SemaphorePermit<'a>,
+    _first: Option<SemaphorePermit<'a>>,
+}
+
+async fn acquire(
+    semaphore: &Semaphore,
+    count: u32,
+    deadline: Instant,
+) -> Result<SemaphorePermit<'_>, LedgerError> {
+    let acquired = timeout_at(deadline.into(), semaphore.acquire_many(count)).await;
+    let acquired = acquired.ok().and_then(Result::ok);
+    acquired.ok_or(LedgerError::Unavailable)
+}
+
 /// The wanted record of a read, and the parts of its body.
 #[derive(Default)]
 struct TargetRecord {
