Let reads of turns go on if the first pages do not come, and log an unknown address space

From reading the diff: with the first two reads at partitions that are unavailable, others would have waited for them until their deadlines; they go on after 100 ms now. The line of memory_reduced says if the address space in use could not be read.

--- a/clementinepickd/src/ledger_turn_records.rs
+++ b/clementinepickd/src/ledger_turn_records.rs
@@ -35,6 +35,8 @@
 const PAGE_COPIES: usize = 4;
 /// The number of pages that are read at the same time while none has shown how large they are.
 const FIRST_PAGE_READS: usize = 2;
+/// How long other reads wait for these.
+const FIRST_PAGE_PATIENCE: Duration = Duration::from_millis(100);
 /// The least memory of a page, in KB.
 const MIN_PAGE_KB: usize = 64;
 /// The divisor by which the size that pages are expected to have falls with each smaller one.
@@ -149,12 +151,7 @@
 
     /// Waits until the other pages that are being read leave memory for one of the size of the last ones.
     async fn acquire_page_memory(&self, deadline: Instant) -> Result<PagePermit<'_>, LedgerError> {
-        let mut first = None;
-        if self.page_bytes.get().is_none() {
-            first = Some(acquire(&self.first_reads, 1, deadline).await?);
-        }
-        // Another read may have shown the size meanwhile.
-        let first = first.filter(|_| self.page_bytes.get().is_none());
+        let first = self.wait_for_first_page(deadline).await;
         let expected_kb = PAGE_COPIES * self.page_bytes.get().unwrap_or_default() / 1_024;
         let expected_kb = expected_kb.clamp(MIN_PAGE_KB, PAGE_MEMORY_KB);
         let expected_kb = u32::try_from(expected_kb).unwrap_or(u32::MAX);
@@ -164,6 +161,17 @@
         })
     }
 
+    /// Waits until a page has shown how large they are, and returns none then; or until this read is one of the
+    /// first. Others go on after [`FIRST_PAGE_PATIENCE`]: the partitions that are read first may be unavailable.
+    async fn wait_for_first_page(&self, deadline: Instant) -> Option<SemaphorePermit<'_>> {
+        if self.page_bytes.get().is_some() {
+            return None;
+        }
+        let until = deadline.min(Instant::now() + FIRST_PAGE_PATIENCE);
+        let first = acquire(&self.first_reads, 1, until).await.ok();
+        first.filter(|_| self.page_bytes.get().is_none())
+    }
+
     fn record_page_size(&self, page: &NewestPage) {
         let values = page.records.iter().filter_map(|r| r.value.as_ref());
         let size_bytes: usize = values.map(Bytes::len).sum();
--- a/clementinepickd/src/memory_fit.rs
+++ b/clementinepickd/src/memory_fit.rs
@@ -11,7 +11,7 @@
 use crate::gateway_settings::GatewaySettings;
 
 /// The usual address space of a process that has just started.
-const PROGRAM_BYTES: u64 = 20_971_520;
+const PROGRAM: Bytes = Bytes(20_971_520);
 /// The stacks of the threads that the gateway has still to start.
 const STACKS_BYTES: u64 = 4_194_304;
 /// What is held may take one part in this many of the rest: it is copied to be sent, recorded and parsed.
@@ -27,28 +27,28 @@
     limits.into_iter().flatten().min().map(Bytes)
 }
 
-/// Returns the address space that this process uses, or a usual size where the system does not say.
-pub(crate) fn address_space() -> Bytes {
-    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+/// Returns the address space that this process uses, if the system says so.
+pub(crate) fn address_space() -> Option<Bytes> {
+    let status = fs::read_to_string("/proc/self/status").ok()?;
     let size_kib = status.lines().find_map(|line| {
         let size = line.strip_prefix("VmSize:")?.strip_suffix("kB")?;
         size.trim().parse::<u64>().ok()
     });
-    Bytes(size_kib.map_or(PROGRAM_BYTES, |size_kib| size_kib * 1_024))
+    Some(Bytes(size_kib? * 1_024))
 }
 
-/// Reduces the settings in proportion to each other if they allow for more than `limit` leaves beside what is
-/// `used`; returns the event to log.
+/// Reduces the settings in proportion to each other if they allow for more than `limit` leaves beside the address
+/// space in use, of a usual size if it is not known; returns the event to log.
 pub(crate) fn fit_memory(
     settings: &mut GatewaySettings,
     limit: Bytes,
-    used: Bytes,
+    used: Option<Bytes>,
 ) -> Option<Event> {
     let allowed = to_u64(settings.body_limit_bytes)
         + to_u64(settings.body_limit_bytes / 2)
         + to_u64(settings.response_limit_bytes)
         + to_u64(settings.ledger.cache_bytes);
-    let left = left_by(limit, used);
+    let left = left_by(limit, used.unwrap_or(PROGRAM));
     if allowed <= left {
         return None;
     }
@@ -58,7 +58,10 @@
     fit(&mut settings.ledger.cache_bytes);
     let event = Event::new(EventKind::MemoryReduced)
         .with("limit_bytes", limit.0)
-        .with("used_bytes", used.0)
+        .with(
+            "used_bytes",
+            used.map_or("unknown".to_owned(), |used| used.0.to_string()),
+        )
         .with("bodies_bytes", settings.body_limit_bytes)
         .with("responses_bytes", settings.response_limit_bytes)
         .with("cache_bytes", settings.ledger.cache_bytes);
@@ -100,7 +103,7 @@
         let mut settings = GatewaySettings::default();
         let default = settings.clone();
         let limit = held_bytes(&settings) * HELD_SHARE + USED.0 + STACKS_BYTES;
-        assert!(fit_memory(&mut settings, Bytes(limit), USED).is_none());
+        assert!(fit_memory(&mut settings, Bytes(limit), Some(USED)).is_none());
         assert_eq!(settings.body_limit_bytes, default.body_limit_bytes);
         assert_eq!(settings.ledger.cache_bytes, default.ledger.cache_bytes);
     }
@@ -110,7 +113,7 @@
     fn settings_are_reduced_to_what_the_limit_leaves() {
         for limit in (60_000_000..240_000_000).step_by(10_000_000) {
             let mut settings = GatewaySettings::default();
-            let event = fit_memory(&mut settings, Bytes(limit), USED);
+            let event = fit_memory(&mut settings, Bytes(limit), Some(USED));
             assert!(event.is_some(), "{limit}");
             let left = left_by(Bytes(limit), USED);
             assert!(held_bytes(&settings) <= left, "{limit}");
@@ -121,7 +124,7 @@
     #[test]
     fn each_setting_keeps_a_minimum() {
         let mut settings = GatewaySettings::default();
-        assert!(fit_memory(&mut settings, Bytes(1_000_000), USED).is_some());
+        assert!(fit_memory(&mut settings, Bytes(1_000_000), None).is_some());
         let minimum = usize::try_from(MIN_SETTING_BYTES).expect("a small number");
         assert_eq!(settings.body_limit_bytes, minimum);
         assert_eq!(settings.response_limit_bytes, minimum);
