--- a/clementinepickd/src/ledger_turn_records.rs
+++ b/clementinepickd/src/ledger_turn_records.rs
@@ -36,7 +36,7 @@
 /// The number of pages that are read at the same time while none has shown how large they are.
 const FIRST_PAGE_READS: usize = 2;
 /// How long other reads wait for these.
-const FIRST_PAGE_PATIENCE: Duration = Duration::from_millis(100);
+const FIRST_PAGE_PATIENCE: Duration = Duration::from_millis(400);
 /// The least memory of a page, in KB.
 const MIN_PAGE_KB: usize = 64;
 /// The divisor by which the size that pages are expected to have falls with each smaller one.
