Let reads for requests give way to those of the lists

Cause: reads of turns and of slices competed with the reads of the configuration and of the list of servers. Now and then no gateway had read both for two seconds, and none had anything to hand over.

Change: once the store has refused a call for its limit, reads for requests wait while the lists of this process are due (1.5 s), for 900 ms at most. Gateways that have lists read and hand over as before.

--- a/clementinepickd/src/directory.rs
+++ b/clementinepickd/src/directory.rs
@@ -28,6 +28,9 @@
 /// is noticed after the wait and an attempt's timeout, the list is read again within this time.
 const MAX_LIST_AGE: Duration = LONG_POLL_WAIT.saturating_mul(2);
 
+/// The age from which a list is due to be read or handed over: older than a long poll leaves it.
+const DUE_AGE: Duration = Duration::from_millis(1_500);
+
 /// Services and software versions, each with a time.
 pub(crate) type LeftVersions = BTreeMap<(String, SoftwareVersion), Instant>;
 
@@ -84,6 +87,12 @@
         self.servers_as_of.max(self.handed_as_of)
     }
 
+    /// Returns whether the configuration or the list of servers is missing or older than reads leave it.
+    pub(crate) fn is_due(&self, now: Instant) -> bool {
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= DUE_AGE;
+        self.as_of().is_none_or(is_old)
+    }
+
     /// Returns whether the list of servers is new enough to conclude from it that a server is absent.
     pub(crate) fn has_current_servers(&self, now: Instant) -> bool {
         let age = |at| now.saturating_duration_since(at);
--- a/clementinepickd/src/gateway_directory_copy.rs
+++ b/clementinepickd/src/gateway_directory_copy.rs
@@ -23,8 +23,6 @@
 use crate::ledger::{from_cbor, to_cbor};
 use crate::unix_time::unix_ms;
 
-/// The age of a list from which peers are asked: older than a long poll leaves it.
-const DUE_AGE: Duration = Duration::from_millis(1_500);
 /// How long a peer may take.
 const COPY_TIMEOUT: Duration = Duration::from_millis(200);
 /// The number of peers that are asked in one round, and the time after which the next one is asked as
@@ -85,7 +83,7 @@
         let now = Instant::now();
         // A suspension is noticed by the first comparison after it.
         shared.clocks.check(now, unix_ms());
-        let is_due = is_due(&shared.directory(), now);
+        let is_due = shared.directory().is_due(now);
         if is_due && !ask_peers(&shared).await {
             sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
             pause = (pause * 2).min(MAX_PAUSE);
@@ -96,11 +94,6 @@
     }
 }
 
-fn is_due(directory: &Directory, now: Instant) -> bool {
-    let is_old = |at: Instant| now.saturating_duration_since(at) >= DUE_AGE;
-    directory.as_of().is_none_or(is_old)
-}
-
 /// Asks up to [`MAX_ASKED`] peers, each [`NEXT_PEER_DELAY`] after the one before, until the lists are new
 /// enough; returns whether they are.
 async fn ask_peers(shared: &Shared) -> bool {
@@ -115,7 +108,7 @@
         });
     }
     while calls.next().await.is_some() {
-        if !is_due(&shared.directory(), Instant::now()) {
+        if !shared.directory().is_due(Instant::now()) {
             return true;
         }
     }
--- a/clementinepickd/src/gateway_shared.rs
+++ b/clementinepickd/src/gateway_shared.rs
@@ -163,7 +163,8 @@
         metrics: Arc<GatewayMetrics>,
         writer: String,
     ) -> (Self, BackgroundQueues) {
-        let store = Rc::new(StoreClient::new(settings.store, Arc::clone(&metrics)));
+        let store = StoreClient::new(settings.store, Arc::clone(&metrics));
+        let store = Rc::new(store.with_priority_of_lists(publish.subscribe()));
         store.set_relays(settings.seeds.clone());
         let ledger = Rc::new(LedgerStore {
             settings: settings.ledger,
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -101,6 +101,7 @@
 mod link;
 mod link_manager;
 mod link_queue;
+mod list_priority;
 mod list_refresh;
 mod listeners;
 mod log_allowance;
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -16,9 +16,11 @@
 use platform::store::{Topic, decode_end, newest_target};
 use rand::RngExt;
 use thiserror::Error;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
+use crate::directory::Directory;
 use crate::gateway_metrics::GatewayMetrics;
+use crate::list_priority::ListPriority;
 use crate::monotonic_clock::MonotonicClock;
 use crate::outbound::{Connection, OutboundError, OutboundRequest};
 use crate::outbound_pool::ConnectionPool;
@@ -82,6 +84,8 @@
     recovered: Notify,
     counts: Cell<StoreCounts>,
     metrics: Arc<GatewayMetrics>,
+    /// Holds calls back that compete with reads of the lists.
+    priority: Option<ListPriority>,
 }
 
 impl StoreClient {
@@ -118,9 +122,16 @@
             is_probing: Cell::new(false),
             recovered: Notify::new(),
             counts: Cell::default(),
+            priority: None,
         }
     }
 
+    /// Makes calls that can wait give way to reads of the lists in `directory`.
+    pub(crate) fn with_priority_of_lists(mut self, directory: watch::Receiver<Directory>) -> Self {
+        self.priority = Some(ListPriority::new(directory));
+        self
+    }
+
     /// Sets the peers that relay calls while the store does not respond to this process.
     pub(crate) fn set_relays(&self, relays: Vec<SocketAddr>) {
         *self.relays.borrow_mut() = relays;
@@ -173,7 +184,13 @@
         deadline: Instant,
     ) -> Result<StoreReply, StoreUnavailable> {
         let mut backoff = MIN_BACKOFF;
+        let hold_limit = ListPriority::hold_limit(Instant::now(), deadline);
         loop {
+            if let Some(priority) = &self.priority {
+                priority
+                    .hold(call.purpose, Instant::now(), hold_limit)
+                    .await;
+            }
             let now = Instant::now();
             let left = deadline.saturating_duration_since(now);
             if left.is_zero() {
@@ -341,6 +358,9 @@
             Ok(Ok(reply)) if reply.status == STATUS_CONFLICT => AttemptOutcome::Conflict(reply),
             Ok(Ok(reply)) => AttemptOutcome::Answered(reply),
         };
+        if let (AttemptOutcome::Limited, Some(priority)) = (&outcome, &self.priority) {
+            priority.record_limited(Instant::now());
+        }
         let attempt = Attempt {
             outcome,
             is_new_connection,
