Index the newest records of the stand-in's store

Each page of newest records built a map of the whole partition: 40 pages of 20,000 entries for each of three gateways took longer than a start may in a debug build. Gateways now are ready within the 10 s that the test allows.

--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -67,6 +68,8 @@
     /// The offset of the first record that can still be read.
     first: u64,
     records: Vec<StoredRecord>,
+    /// The newest record of each key that has a value, by key.
+    newest: BTreeMap<String, (u64, Bytes)>,
 }
 
 impl Partition {
@@ -74,14 +77,20 @@
         self.records.len() as u64
     }
 
-    /// The newest record of each key, with its offset.
-    fn newest(&self) -> BTreeMap<&str, (u64, &Bytes)> {
-        let mut newest = BTreeMap::new();
-        for (offset, record) in self.records.iter().enumerate() {
-            newest.insert(record.key.as_str(), (offset as u64, &record.value));
+    fn append(&mut self, record: StoredRecord) {
+        if record.value.is_empty() {
+            self.newest.remove(&record.key);
+        } else {
+            let newest = (self.end(), record.value.clone());
+            self.newest.insert(record.key.clone(), newest);
         }
-        newest.retain(|_, (_, value)| !value.is_empty());
-        newest
+        self.records.push(record);
+    }
+
+    /// The newest records whose keys come after `key`, which may be empty, with their offsets.
+    fn newest_after(&self, key: &str) -> impl Iterator<Item = (&String, &(u64, Bytes))> {
+        let bounds = (Bound::Excluded(key), Bound::Unbounded);
+        self.newest.range::<str, _>(bounds)
     }
 }
 
@@ -227,7 +236,7 @@
             .partitions
             .entry((topic.to_owned(), partition))
             .or_default();
-        partition.records.push(record);
+        partition.append(record);
     }
 
     /// Drops a key as a server that leaves does.
@@ -297,8 +306,7 @@
         let partitions = core.partitions.iter();
         partitions
             .filter(|((topic, _), _)| topic.starts_with(topic_start))
-            .flat_map(|(_, partition)| partition.newest().into_keys())
-            .map(str::to_owned)
+            .flat_map(|(_, partition)| partition.newest.keys().cloned())
             .collect()
     }
 
@@ -307,7 +315,7 @@
     pub fn newest_value(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
         let core = lock(&self.core);
         let partition = core.partitions.get(&(topic.to_owned(), 0))?;
-        let (_, value) = partition.newest().remove(key)?;
+        let (_, value) = partition.newest.get(key)?;
         Some(value.to_vec())
     }
 
@@ -398,7 +406,9 @@
         let Some(records) = split_records(&request.body) else {
             return full_response(400, &[], b"");
         };
-        partition.records.extend(records);
+        for record in records {
+            partition.append(record);
+        }
         json_answer(200, &json!({ "Offset": end, "End": partition.end() }))
     }
 
@@ -441,14 +451,9 @@
         let id = partition_id(request).unwrap_or_default();
         let partition = self.partitions.get(&id).unwrap_or(&empty);
         let after = request.query.get("after").map_or("", String::as_str);
-        let newest = partition.newest();
-        let rest: Vec<_> = newest
-            .into_iter()
-            .filter(|(key, _)| after.is_empty() || *key > after)
-            .collect();
         let mut page_bytes = 0;
-        let items: Vec<_> = rest
-            .iter()
+        let items: Vec<_> = partition
+            .newest_after(after)
             .take(self.page_items)
             .take_while(|(_, (_, value))| {
                 let is_first = page_bytes == 0;
@@ -459,7 +464,7 @@
                 json!({ "Key": key, "Value": STANDARD.encode(value), "Offset": offset })
             })
             .collect();
-        let has_more = rest.len() > items.len();
+        let has_more = partition.newest_after(after).nth(items.len()).is_some();
         let page = json!({ "items": items, "MorePages": has_more, "End": partition.end() });
         json_answer(200, &page)
     }
