End the threads of a test that fails

A failed assertion within a scope of threads left the flag unset that ends them, so that the test hung instead of failing. A guard sets it now.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -87,6 +87,7 @@
 mod soak_watch;
 pub mod soak_world;
 mod step_clock;
+pub mod stop_guard;
 pub mod tool_service;
 pub mod vm_list;
 pub mod weight_store;
--- a/standins/tests/limited_memory.rs
+++ b/standins/tests/limited_memory.rs
@@ -13,6 +13,7 @@
 use standins::platform_store::PlatformStore;
 use standins::process_gateways::ProcessGateways;
 use standins::soak_process::{GatewayProcess, ProcessSettings};
+use standins::stop_guard::StopGuard;
 
 const GATEWAYS: usize = 7;
 const CALLERS: usize = 96;
@@ -47,6 +48,7 @@
     let (stop, served) = (AtomicBool::new(false), AtomicUsize::new(0));
     let mut served_before = 0;
     thread::scope(|scope| {
+        let _stop = StopGuard(&stop);
         for caller in 0..CALLERS {
             let (addresses, stop, served) = (&addresses, &stop, &served);
             scope.spawn(move || run_programs(caller, addresses, stop, served));
@@ -60,7 +62,6 @@
         }
         served_before = served.load(Ordering::Relaxed);
         sleep(LOAD_TIME);
-        stop.store(true, Ordering::Relaxed);
         assert!(ends.iter().all(Option::is_none), "before: {ends:?}");
     });
     let ends = gateways.processes.iter_mut().map(GatewayProcess::end);
@@ -84,6 +85,7 @@
     let addresses: Vec<SocketAddr> = addresses.collect();
     let (stop, served) = (AtomicBool::new(false), AtomicUsize::new(0));
     let most = thread::scope(|scope| {
+        let _stop = StopGuard(&stop);
         for caller in 0..CALLERS {
             let (addresses, stop, served) = (&addresses, &stop, &served);
             scope.spawn(move || run_programs(caller, addresses, stop, served));
@@ -95,9 +97,7 @@
         gateways.processes[0].send_signal(Signal::STOP);
         most = most.max(most_held(&gateways, LOAD_TIME / 2));
         gateways.processes[0].send_signal(Signal::CONT);
-        most = most.max(most_held(&gateways, LOAD_TIME / 4));
-        stop.store(true, Ordering::Relaxed);
-        most
+        most.max(most_held(&gateways, LOAD_TIME / 4))
     });
     assert!(served.into_inner() > 0);
     assert!(most < VM_MEMORY_BYTES, "{most} bytes");
--- a/standins/tests/processor_share.rs
+++ b/standins/tests/processor_share.rs
@@ -12,6 +12,7 @@
 use standins::platform_store::{PlatformStore, StoreMode};
 use standins::process_gateways::ProcessGateways;
 use standins::soak_process::GatewayProcess;
+use standins::stop_guard::StopGuard;
 
 /// How long a gateway waits for its store, and the most processor time that it may use meanwhile: a loop that
 /// does not pause uses all of it.
@@ -81,6 +82,7 @@
     let addresses: Vec<SocketAddr> = addresses.collect();
     let stop = AtomicBool::new(false);
     thread::scope(|scope| {
+        let _stop = StopGuard(&stop);
         for caller in 0..CALLERS {
             let (addresses, stop) = (&addresses, &stop);
             scope.spawn(move || send_lookups(caller, addresses, stop));
@@ -103,7 +105,6 @@
                 );
             }
         }
-        stop.store(true, Ordering::Relaxed);
     });
     for (number, address) in addresses.into_iter().enumerate() {
         let log = gateways.log(number).expect("a log");
--- a/standins/tests/starved_starts.rs
+++ b/standins/tests/starved_starts.rs
@@ -14,6 +14,7 @@
 use standins::platform_store::{PlatformStore, StoreMode};
 use standins::process_gateways::ProcessGateways;
 use standins::soak_process::GatewayProcess;
+use standins::stop_guard::StopGuard;
 
 const GATEWAYS: usize = 7;
 const CALLERS: usize = 64;
@@ -133,7 +134,7 @@
                 let addresses = &addresses;
                 scope.spawn(move || run.converse(addresses, caller));
             }
-            let _over = OverGuard(&run.is_over);
+            let _over = StopGuard(&run.is_over);
             run.store.limit_reads(READS_PER_S);
             thread::sleep(LOAD_LEAD);
             work(&mut Loaded {
@@ -144,15 +145,6 @@
     }
 }
 
-/// Ends the callers, also after a failure.
-struct OverGuard<'a>(&'a AtomicBool);
-
-impl Drop for OverGuard<'_> {
-    fn drop(&mut self) {
-        self.0.store(true, Ordering::Relaxed);
-    }
-}
-
 /// A run whose callers send turns.
 struct Loaded<'a> {
     run: &'a Run,
