Go on with a full read of a list where the last read stopped

What callers saw: a gateway was never ready, or served by an old list for good, where all pages of the list took longer than the 1.5 s of a read: ten pages at a store of 300 ms a call, or 41 pages on half a processor.

Cause: each read began with the first page again.

Change: the pages so far are kept; new records are read before each part, and once more before the pages replace the local copy. A page that does not go on where the last one ended is an error. Reads of one page cost what they did.

--- a/clementinepickd/src/followed_topic.rs
+++ b/clementinepickd/src/followed_topic.rs
@@ -1,4 +1,6 @@
-//! Keeps a local copy of a topic of the store: reads it in full once and then only new records.
+//! Keeps a local copy of a topic of the store: reads it in full now and then and otherwise only new records.
+//!
+//! A full read goes on where the last read stopped: a topic of many pages takes longer than one read may.
 //!
 //! A full read of 3,000 servers is 1 MB. If 300 processes read it twice a second, they would exceed
 //! the store's limits and learn of changes seconds late.
@@ -7,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use platform::store::{KeyedRecord, Topic, read_target};
+use platform::store::{KeyedRecord, NewestPage, Topic, read_target};
 
 use crate::ledger::Partition;
 use crate::partition_reader::{PartitionReader, records_from};
@@ -16,6 +18,8 @@
 /// The interval of full reads, which repair an undetected error in the local copy, at a twentieth
 /// of the cost of full reads alone.
 const FULL_READ_INTERVAL: Duration = Duration::from_secs(10);
+/// How long pages are read before new records are, which must not wait for all pages.
+const FULL_READ_SLICE: Duration = Duration::from_millis(500);
 
 /// A local copy of a topic with one partition.
 #[derive(Debug)]
@@ -26,6 +30,36 @@
     replaced: Vec<(String, Bytes)>,
     end: Option<u64>,
     last_full_read: Option<Instant>,
+    /// The full read that is not complete yet.
+    full_read: Option<FullRead>,
+}
+
+/// The pages of a full read so far.
+#[derive(Debug, Default)]
+struct FullRead {
+    records: BTreeMap<String, Bytes>,
+    /// The last key of the pages.
+    last_key: Option<String>,
+    /// The offset before which no record is missed, by the first page.
+    end: Option<u64>,
+    is_complete: bool,
+}
+
+impl FullRead {
+    /// Adds a page; fails if it does not go on where the last one ended.
+    fn add(&mut self, page: NewestPage) -> Result<(), StoreUnavailable> {
+        let last_key = page.records.last().map(|record| record.key.clone());
+        if page.has_more && last_key <= self.last_key {
+            return Err(StoreUnavailable);
+        }
+        self.is_complete = !page.has_more;
+        self.end.get_or_insert(page.end);
+        self.last_key = last_key;
+        let records = page.records.into_iter();
+        let records = records.filter_map(|record| Some((record.key, record.value?)));
+        self.records.extend(records);
+        Ok(())
+    }
 }
 
 impl FollowedTopic {
@@ -36,6 +70,7 @@
             replaced: Vec::new(),
             end: None,
             last_full_read: None,
+            full_read: None,
         }
     }
 
@@ -68,15 +103,22 @@
             deadline,
         };
         self.replaced.clear();
+        let is_full_read_due = self.is_full_read_due(now);
+        let mut new = None;
         if let Some(end) = self.end
-            && !self.is_full_read_due(now)
-            && let Some(changed) = self.read_new(&reader, end).await?
+            && (!is_full_read_due || self.full_read.is_some())
         {
-            return Ok(changed);
+            new = self.read_new(&reader, end).await?;
+        }
+        if let (Some(has_new), false) = (new, is_full_read_due) {
+            return Ok(has_new);
+        }
+        match (self.read_full(&reader, now).await, new) {
+            (Ok(Some(has_changed)), _) => Ok(has_changed || new == Some(true)),
+            // The client counts a failure; the pages so far are kept.
+            (Ok(None) | Err(_), Some(has_new)) => Ok(has_new),
+            (Ok(None) | Err(_), None) => Err(StoreUnavailable),
         }
-        let changed = self.read_full(&reader).await?;
-        self.last_full_read = Some(now);
-        Ok(changed)
     }
 
     /// Reads new records, also while a full read is due, which may take longer than a caller can wait.
@@ -143,18 +185,64 @@
         Ok(self.end.map(|_| changed))
     }
 
-    async fn read_full(&mut self, reader: &PartitionReader<'_>) -> Result<bool, StoreUnavailable> {
-        let mut records = BTreeMap::new();
-        let collect = |page: Vec<KeyedRecord>| {
-            let page = page.into_iter();
-            records.extend(page.filter_map(|record| Some((record.key, record.value?))));
-        };
-        let end = reader.read_newest(self.partition, collect).await?;
-        let changed = records != self.records;
-        let previous = std::mem::replace(&mut self.records, records);
+    /// Goes on with the full read, or begins one; returns whether the records have changed, and `None` if it is
+    /// not complete yet.
+    async fn read_full(
+        &mut self,
+        reader: &PartitionReader<'_>,
+        now: Instant,
+    ) -> Result<Option<bool>, StoreUnavailable> {
+        let is_continued = self.full_read.is_some();
+        let mut full = self.full_read.take().unwrap_or_default();
+        let pages_read = self.read_pages(reader, &mut full, now).await;
+        if pages_read.is_err() || !full.is_complete {
+            self.full_read = full.end.is_some().then_some(full);
+            return pages_read.map(|()| None);
+        }
+        if is_continued {
+            // Records of the first pages may have been replaced since.
+            let (records, replaced) = (&mut full.records, &mut self.replaced);
+            let apply = |new: Vec<KeyedRecord>| {
+                apply_records(records, replaced, new);
+            };
+            let from = full.end.unwrap_or_default();
+            match reader.read_from(self.partition, from, apply).await {
+                Ok(Some(end)) => full.end = Some(end),
+                Ok(None) => return Ok(None),
+                Err(err) => {
+                    self.full_read = Some(full);
+                    return Err(err);
+                }
+            }
+        }
+        let changed = full.records != self.records;
+        let previous = std::mem::replace(&mut self.records, full.records);
         self.replaced.extend(previous);
-        self.end = Some(end);
-        Ok(changed)
+        self.end = full.end;
+        self.last_full_read = Some(now);
+        Ok(Some(changed))
+    }
+
+    /// Reads pages until the last one, or for [`FULL_READ_SLICE`] if there are records to keep up to date.
+    async fn read_pages(
+        &self,
+        reader: &PartitionReader<'_>,
+        full: &mut FullRead,
+        now: Instant,
+    ) -> Result<(), StoreUnavailable> {
+        let is_unlimited = self.end.is_none();
+        while !full.is_complete {
+            let after = full.last_key.as_deref();
+            let page = reader.newest_page(self.partition, after).await?;
+            if let Err(err) = full.add(page) {
+                *full = FullRead::default();
+                return Err(err);
+            }
+            if !is_unlimited && now.elapsed() >= FULL_READ_SLICE {
+                break;
+            }
+        }
+        Ok(())
     }
 }
 
