--- a/clementinepickd/src/server_follower.rs
+++ b/clementinepickd/src/server_follower.rs
@@ -8,6 +8,7 @@
 use clementinepick::listed_versions::VERSION_MEMORY_US;
 use clementinepick::server_list::{BackendServer, ServerList};
 use platform::store::Topic;
+use tokio::task::yield_now;
 
 use crate::directory::{FollowerContext, LeftVersions};
 use crate::link::duration;
@@ -15,6 +16,9 @@
 use crate::logging::write_event;
 use crate::topic_watch::{LONG_POLL_WAIT, TopicRead, TopicWatch};
 
+/// The number of entries that are decoded or logged before other tasks of the thread run.
+const ENTRIES_PER_TURN: usize = 500;
+
 /// Follows the registered servers.
 pub(crate) struct ServerFollower<'a> {
     context: FollowerContext<'a>,
@@ -63,7 +67,7 @@
                 .next_or_refresh(store, max_wait, &mut self.refresh);
             // The store client counts a failure; an outage is logged when it ends.
             if let Ok(read) = read.await {
-                self.publish_list(read, has_kept, Instant::now());
+                self.publish_list(read, has_kept, Instant::now()).await;
             }
         }
     }
@@ -79,11 +83,11 @@
     }
 
     /// Publishes the list after a successful read.
-    fn publish_list(&mut self, read: TopicRead, has_kept: bool, now: Instant) {
+    async fn publish_list(&mut self, read: TopicRead, has_kept: bool, now: Instant) {
         self.log_outage_end();
         let has_left = self.record_left(now);
         let servers = if read.has_changed || has_kept {
-            self.new_servers(now)
+            self.new_servers(now).await
         } else {
             None
         };
@@ -135,8 +139,8 @@
     }
 
     /// Returns the servers to publish, if they have changed.
-    fn new_servers(&mut self, now: Instant) -> Option<BTreeMap<String, BackendServer>> {
-        let mut servers = self.decode();
+    async fn new_servers(&mut self, now: Instant) -> Option<BTreeMap<String, BackendServer>> {
+        let mut servers = self.decode().await;
         let kept = if self.context.store.grace_left(now).is_zero() {
             BTreeSet::new()
         } else {
@@ -146,15 +150,16 @@
         if servers == self.known {
             return None;
         }
-        self.log_changes(&servers);
+        self.log_changes(&servers).await;
         self.known.clone_from(&servers);
         Some(servers)
     }
 
-    fn decode(&mut self) -> BTreeMap<String, BackendServer> {
+    async fn decode(&mut self) -> BTreeMap<String, BackendServer> {
         let mut servers = BTreeMap::new();
         let mut bad_entries = BTreeMap::new();
-        for (key, value) in self.watch.topic.records() {
+        for (index, (key, value)) in self.watch.topic.records().iter().enumerate() {
+            yield_after_turn(index).await;
             match platform::servers::decode(key, value) {
                 Ok(server) => {
                     servers.insert(key.clone(), server);
@@ -189,8 +194,9 @@
         self.kept = kept;
     }
 
-    fn log_changes(&self, servers: &BTreeMap<String, BackendServer>) {
-        for (id, server) in servers {
+    async fn log_changes(&self, servers: &BTreeMap<String, BackendServer>) {
+        for (index, (id, server)) in servers.iter().enumerate() {
+            yield_after_turn(index).await;
             let previous = self.known.get(id);
             if previous.is_none_or(|previous| previous.is_draining != server.is_draining) {
                 let state = if server.is_draining {
@@ -201,7 +207,8 @@
                 self.log_server(id, state, server);
             }
         }
-        for (id, server) in &self.known {
+        for (index, (id, server)) in self.known.iter().enumerate() {
+            yield_after_turn(index).await;
             if !servers.contains_key(id) {
                 self.log_server(id, "gone", server);
             }
@@ -219,6 +226,13 @@
     }
 }
 
+/// Lets the other tasks of the thread run before each [`ENTRIES_PER_TURN`] entries.
+async fn yield_after_turn(index: usize) {
+    if index.is_multiple_of(ENTRIES_PER_TURN) {
+        yield_now().await;
+    }
+}
+
 /// Keeps servers whose entries expired during a store outage until they had time to register again;
 /// returns those that are kept.
 ///
