Count pages and unlinked records within a limit on address space

What a gateway fits to a limit of its process left out the pages that it reads from the store (12.6 MB), records that are not linked yet (8.4 MB) and texts that are being recorded (4.2 MB). The first two are reduced like the other settings, the third is set aside.

--- a/clementinepickd/src/ledger.rs
+++ b/clementinepickd/src/ledger.rs
@@ -39,6 +39,8 @@
     pub cache_bytes: usize,
     /// The maximum size of the records that were read and not yet linked into a chain, in bytes.
     pub unlinked_bytes: usize,
+    /// The memory that pages of records may take which are read at the same time, in bytes.
+    pub page_memory_bytes: usize,
     /// The maximum size of the text of a record that includes previous turns, in bytes.
     pub segment_bytes: usize,
     /// The period in which each partition is checked for expired records.
@@ -58,6 +60,7 @@
             call_bytes: 2_097_152,
             cache_bytes: 33_554_432,
             unlinked_bytes: 8_388_608,
+            page_memory_bytes: 12_582_912,
             // The platform's store takes 50 ms for as much.
             segment_bytes: 1_048_576,
             // Records are kept for three retention periods, typically three minutes; with this
--- a/clementinepickd/src/ledger_turn_records.rs
+++ b/clementinepickd/src/ledger_turn_records.rs
@@ -17,7 +17,7 @@
 
 use crate::ledger::{LedgerError, LedgerStore, Partition, from_cbor, key_of};
 use crate::ledger_turn_cache::LruCache;
-use crate::ledger_turns::{TurnWait, is_part_of};
+use crate::ledger_turns::{TurnWait, is_part_of, to_kb};
 use crate::store::StorePurpose;
 
 /// The maximum number of chains that are read at the same time; others wait, so that some chains
@@ -28,8 +28,6 @@
 const MANY_CHAIN_READS: usize = 8;
 /// The memory of a record beside its body, in bytes.
 const RECORD_MEMORY_BYTES: usize = 512;
-/// The memory that pages of records may take which are read at the same time, in KB.
-const PAGE_MEMORY_KB: usize = 12_288;
 /// The memory of a page while it is decoded, as a multiple of the size of its records: the response in base64,
 /// in a buffer that doubles, and the records.
 const PAGE_COPIES: usize = 4;
@@ -72,11 +70,11 @@
 impl TurnRecordReader {
     pub(crate) fn new(store: Rc<LedgerStore>) -> Self {
         Self {
-            store,
             unlinked: RefCell::default(),
             partitions: RefCell::default(),
             permits: Semaphore::new(MAX_CHAIN_READS),
-            page_memory: Semaphore::new(PAGE_MEMORY_KB),
+            page_memory: Semaphore::new(to_kb(store.settings.page_memory_bytes)),
+            store,
             first_reads: Semaphore::new(FIRST_PAGE_READS),
             page_bytes: Cell::new(None),
             chains: Cell::new(0),
@@ -153,7 +151,9 @@
     async fn acquire_page_memory(&self, deadline: Instant) -> Result<PagePermit<'_>, LedgerError> {
         let first = self.wait_for_first_page(deadline).await;
         let expected_kb = PAGE_COPIES * self.page_bytes.get().unwrap_or_default() / 1_024;
-        let expected_kb = expected_kb.clamp(MIN_PAGE_KB, PAGE_MEMORY_KB);
+        let expected_kb = expected_kb
+            .max(MIN_PAGE_KB)
+            .min(to_kb(self.store.settings.page_memory_bytes));
         let expected_kb = u32::try_from(expected_kb).unwrap_or(u32::MAX);
         Ok(PagePermit {
             _memory: acquire(&self.page_memory, expected_kb, deadline).await?,
--- a/clementinepickd/src/ledger_turns.rs
+++ b/clementinepickd/src/ledger_turns.rs
@@ -28,9 +28,10 @@
 
 /// The memory of a turn beside its text, in bytes.
 const TURN_OVERHEAD_BYTES: usize = 512;
-/// The text that may be written to the store at the same time, in bytes, of which there are two copies
-/// meanwhile.
+/// The text that may be written to the store at the same time, in bytes.
 const RECORDING_BYTES: usize = 2_097_152;
+/// The memory of that text and its copies, in bytes.
+pub(crate) const RECORDING_MEMORY_BYTES: usize = 2 * RECORDING_BYTES;
 /// How long a request waits for memory, in which several turns of others end, and the pause between two
 /// checks.
 const MEMORY_PATIENCE: Duration = Duration::from_millis(200);
@@ -89,10 +90,10 @@
         let (unfinished, unfinished_reads) = mpsc::channel(UNFINISHED_QUEUE_CAPACITY);
         let turns = Self {
             records: TurnRecordReader::new(Rc::clone(&store)),
-            store,
             cache: RefCell::default(),
             texts: TextMemory::default(),
             recording: Semaphore::new(to_kb(RECORDING_BYTES)),
+            store,
             unfinished,
         };
         (turns, unfinished_reads)
@@ -344,7 +345,7 @@
     }
 }
 
-fn to_kb(bytes: usize) -> usize {
+pub(crate) fn to_kb(bytes: usize) -> usize {
     bytes.div_ceil(1_024)
 }
 
