Decode the queries of calls to the store's stand-in strictly

The stand-in split a query at `&` and `=` and took each part as it came, so that no test could see a target in which a name was not encoded. It now decodes as a server of the field does: `+` is a blank, `%` begins two hexadecimal digits, and a query that is malformed, gives a name twice or has an unknown name gets 400. Keys are bytes. Partitions and their pages move to a module of their own, which can also order pages otherwise, repeat one, or damage an item.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -88,9 +88,11 @@
 pub mod soak_world;
 mod step_clock;
 pub mod stop_guard;
+mod store_partition;
 pub mod tool_service;
 pub mod vm_list;
 pub mod weight_store;
+mod wire_query;
 pub mod wire_server;
 
 pub use failure::Failure;
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -3,16 +3,16 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::ops::Bound;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
 use bytes::{BufMut, Bytes, BytesMut};
 use serde_json::json;
 
 use crate::http::lock;
+pub use crate::store_partition::{ItemDamage, PageOrder};
+use crate::store_partition::{PageSettings, Partition, StoredRecord};
+use crate::wire_query::QueryValues;
 use crate::wire_server::{Script, Step, WireRequest, WireServer, chunked_head, full_response};
 
 /// How often a read that waits looks for something new.
@@ -57,47 +57,8 @@
     CutResponse,
 }
 
-#[derive(Debug, Clone)]
-struct StoredRecord {
-    key: String,
-    value: Bytes,
-}
-
-#[derive(Debug, Default)]
-struct Partition {
-    /// The offset of the first record that can still be read.
-    first: u64,
-    records: Vec<StoredRecord>,
-    /// The newest record of each key that has a value, by key.
-    newest: BTreeMap<String, (u64, Bytes)>,
-}
-
-impl Partition {
-    fn end(&self) -> u64 {
-        self.records.len() as u64
-    }
-
-    fn append(&mut self, record: StoredRecord) {
-        if record.value.is_empty() {
-            self.newest.remove(&record.key);
-        } else {
-            let newest = (self.end(), record.value.clone());
-            self.newest.insert(record.key.clone(), newest);
-        }
-        self.records.push(record);
-    }
-
-    /// The newest records whose keys come after `key`, which may be empty, with their offsets.
-    fn newest_after(&self, key: &str) -> impl Iterator<Item = (&String, &(u64, Bytes))> {
-        let bounds = (Bound::Excluded(key), Bound::Unbounded);
-        self.newest.range::<str, _>(bounds)
-    }
-}
-
-/// The maximum number of bytes of records in one response, unless the first record is larger.
-const MAX_READ_BYTES: usize = 1_048_576;
-/// The bytes before the records of a response to a read.
-const READ_HEAD_BYTES: usize = 16;
+/// The parameters of the store's calls.
+const PARAMETERS: [&str; 6] = ["Topic", "part", "At", "From", "WaitMs", "after"];
 
 type PartitionId = (String, u32);
 
@@ -112,12 +73,14 @@
     silent_topic: Option<String>,
     /// How many of the next reads of each topic are not answered.
     lost_reads: BTreeMap<String, u32>,
-    page_items: usize,
+    pages: PageSettings,
     /// The calls that came, by path.
     calls: BTreeMap<String, u64>,
     read_limit: Option<ReadLimit>,
     /// The number of responses that were cut.
     cuts: usize,
+    /// The number of calls whose query was malformed.
+    malformed: usize,
 }
 
 /// A limit on the reads of each second, from all addresses together.
@@ -143,7 +106,7 @@
 }
 
 /// The store behind one or more addresses, each with a mode of its own.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct PlatformStore {
     core: Arc<Mutex<StoreCore>>,
 }
@@ -164,18 +127,6 @@
     }
 }
 
-impl Default for PlatformStore {
-    fn default() -> Self {
-        let core = StoreCore {
-            page_items: 500,
-            ..StoreCore::default()
-        };
-        Self {
-            core: Arc::new(Mutex::new(core)),
-        }
-    }
-}
-
 impl PlatformStore {
     /// Opens another address of the same store.
     ///
@@ -225,10 +176,19 @@
         self.put_in(topic, 0, key, value);
     }
 
+    /// Writes a record under a key that need not be UTF-8.
+    pub fn put_key(&self, topic: &str, key: &[u8], value: &str) {
+        self.append(topic, 0, key, value.as_bytes());
+    }
+
     /// Writes a record with any bytes to a partition.
     pub fn put_in(&self, topic: &str, partition: u32, key: &str, value: &[u8]) {
+        self.append(topic, partition, key.as_bytes(), value);
+    }
+
+    fn append(&self, topic: &str, partition: u32, key: &[u8], value: &[u8]) {
         let record = StoredRecord {
-            key: key.to_owned(),
+            key: key.to_vec(),
             value: Bytes::copy_from_slice(value),
         };
         let mut core = lock(&self.core);
@@ -283,7 +243,18 @@
 
     /// Sets how many records one page of newest records has.
     pub fn set_page_items(&self, items: usize) {
-        lock(&self.core).page_items = items;
+        lock(&self.core).pages.items = items;
+    }
+
+    /// Sets the order in which pages have the newest records.
+    pub fn set_page_order(&self, order: PageOrder) {
+        lock(&self.core).pages.order = order;
+    }
+
+    /// Damages the item of a key in all pages.
+    pub fn damage_item(&self, key: &str, damage: ItemDamage) {
+        let damaged = &mut lock(&self.core).pages.damaged;
+        damaged.insert(key.as_bytes().to_vec(), damage);
     }
 
     /// Drops the history of all topics; the newest record of each key stays.
@@ -299,6 +270,12 @@
         lock(&self.core).cuts
     }
 
+    /// Returns the number of calls whose query was malformed.
+    #[must_use]
+    pub fn count_malformed(&self) -> usize {
+        lock(&self.core).malformed
+    }
+
     /// The keys in all partitions of the topics whose names begin so.
     #[must_use]
     pub fn keys(&self, topic_start: &str) -> Vec<String> {
@@ -306,7 +283,8 @@
         let partitions = core.partitions.iter();
         partitions
             .filter(|((topic, _), _)| topic.starts_with(topic_start))
-            .flat_map(|(_, partition)| partition.newest.keys().cloned())
+            .flat_map(|(_, partition)| partition.newest.keys())
+            .map(|key| String::from_utf8_lossy(key).into_owned())
             .collect()
     }
 
@@ -315,7 +293,7 @@
     pub fn newest_value(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
         let core = lock(&self.core);
         let partition = core.partitions.get(&(topic.to_owned(), 0))?;
-        let (_, value) = partition.newest.get(key)?;
+        let (_, value) = partition.newest.get(key.as_bytes())?;
         Some(value.to_vec())
     }
 
@@ -341,7 +319,11 @@
         {
             return refuse(429);
         }
-        if self.silent_topic.is_some() && self.silent_topic.as_ref() == request.query.get("Topic") {
+        let Some(query) = request.query.as_ref().filter(|query| is_known(query)) else {
+            self.malformed += 1;
+            return refuse(400);
+        };
+        if self.silent_topic.is_some() && self.silent_topic == text(query, "Topic") {
             return vec![Step::Silence];
         }
         if self.loses_read(request) {
@@ -384,8 +366,11 @@
         if request.method != "GET" {
             return false;
         }
-        let topic = request.query.get("Topic");
-        let left = topic.and_then(|topic| self.lost_reads.get_mut(topic));
+        let topic = request
+            .query
+            .as_ref()
+            .and_then(|query| text(query, "Topic"));
+        let left = topic.and_then(|topic| self.lost_reads.get_mut(&topic));
         let Some(left) = left.filter(|left| **left > 0) else {
             return false;
         };
@@ -432,17 +417,7 @@
         let mut body = BytesMut::new();
         body.put_u64(partition.end());
         body.put_u64(partition.first);
-        let skipped = usize::try_from(from).unwrap_or(usize::MAX);
-        for record in partition.records.iter().skip(skipped) {
-            if body.len() + record.value.len() > MAX_READ_BYTES && body.len() > READ_HEAD_BYTES {
-                break;
-            }
-            let length = 1 + record.key.len() + record.value.len();
-            body.put_u32(u32::try_from(length).unwrap_or(u32::MAX));
-            body.put_u8(u8::try_from(record.key.len()).unwrap_or(u8::MAX));
-            body.put_slice(record.key.as_bytes());
-            body.put_slice(&record.value);
-        }
+        partition.write_from(from, &mut body);
         full_response(200, &[("content-type", "application/octet-stream")], &body)
     }
 
@@ -450,22 +425,9 @@
         let empty = Partition::default();
         let id = partition_id(request).unwrap_or_default();
         let partition = self.partitions.get(&id).unwrap_or(&empty);
-        let after = request.query.get("after").map_or("", String::as_str);
-        let mut page_bytes = 0;
-        let items: Vec<_> = partition
-            .newest_after(after)
-            .take(self.page_items)
-            .take_while(|(_, (_, value))| {
-                let is_first = page_bytes == 0;
-                page_bytes += value.len() + 1;
-                is_first || page_bytes <= MAX_READ_BYTES
-            })
-            .map(|(key, (offset, value))| {
-                json!({ "Key": key, "Value": STANDARD.encode(value), "Offset": offset })
-            })
-            .collect();
-        let has_more = partition.newest_after(after).nth(items.len()).is_some();
-        let page = json!({ "items": items, "MorePages": has_more, "End": partition.end() });
+        let query = request.query.as_ref();
+        let after = query.and_then(|query| query.get("after"));
+        let page = partition.page(&self.pages, after.map(Vec::as_slice));
         json_answer(200, &page)
     }
 }
@@ -485,12 +447,21 @@
 }
 
 fn partition_id(request: &WireRequest) -> Option<PartitionId> {
-    let topic = request.query.get("Topic")?.clone();
-    Some((topic, request.query.get("part")?.parse().ok()?))
+    let query = request.query.as_ref()?;
+    Some((text(query, "Topic")?, text(query, "part")?.parse().ok()?))
 }
 
 fn number(request: &WireRequest, name: &str) -> Option<u64> {
-    request.query.get(name)?.parse().ok()
+    text(request.query.as_ref()?, name)?.parse().ok()
+}
+
+fn text(query: &QueryValues, name: &str) -> Option<String> {
+    String::from_utf8(query.get(name)?.clone()).ok()
+}
+
+/// Returns whether a query has no parameters but those of the store.
+fn is_known(query: &QueryValues) -> bool {
+    query.keys().all(|name| PARAMETERS.contains(&name.as_str()))
 }
 
 fn split_records(mut body: &[u8]) -> Option<Vec<StoredRecord>> {
@@ -500,7 +471,7 @@
         let (key_length, record) = record.split_first()?;
         let (key, value) = record.split_at_checked(usize::from(*key_length))?;
         records.push(StoredRecord {
-            key: String::from_utf8_lossy(key).into_owned(),
+            key: key.to_vec(),
             value: Bytes::copy_from_slice(value),
         });
         body = rest;
--- a/standins/src/wire_server.rs
+++ b/standins/src/wire_server.rs
@@ -20,6 +20,8 @@
 use tokio::task::{AbortHandle, JoinSet, LocalSet};
 use tokio_util::codec::Decoder;
 
+use crate::wire_query::{QueryValues, parse_query};
+
 /// The time in which bytes that were written arrive.
 const SEND_TIME: Duration = Duration::from_millis(1);
 /// How long an address that is in use is tried again: a process that is being started may hold a copy
@@ -34,8 +36,8 @@
     pub method: String,
     /// The path without the query.
     pub path: String,
-    /// The query's values by name.
-    pub query: BTreeMap<String, String>,
+    /// The decoded values of the query by name; `None` if it is malformed.
+    pub query: Option<QueryValues>,
     /// The headers by lower-case name.
     pub headers: BTreeMap<String, String>,
     /// The body.
@@ -468,7 +470,6 @@
 
 fn wire_request(head: &actix_http::Request) -> WireRequest {
     let query = head.uri().query().unwrap_or_default();
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let headers = head.headers().iter().map(|(name, value)| {
         let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
         (name.as_str().to_owned(), value)
@@ -476,7 +477,7 @@
     WireRequest {
         method: head.method().to_string(),
         path: head.uri().path().to_owned(),
-        query: pairs.map(|(k, v)| (k.to_owned(), v.to_owned())).collect(),
+        query: parse_query(query),
         headers: headers.collect(),
         body: Bytes::new(),
         waited: Duration::ZERO,
