--- /dev/null
+++ b/standins/tests/odd_names.rs
@@ -0,0 +1,182 @@
+//! Tests that names with odd characters, of entries and of callers' programs, keep no gateway from reading the
+//! lists and cost no other caller a turn.
+
+use std::thread;
+
+use standins::platform_backend::{BackendSettings, PlatformBackend};
+use standins::platform_caller::CallerRequest;
+use standins::platform_run::{MODEL_SERVICE, PLAIN_SERVICE, PlatformRun};
+
+/// The path of reads of the newest records.
+const PAGE_PATH: &str = "/clementinepick/log-newest";
+/// Parts of names that stand for something else in a target, or may not be in one.
+const ODD_PARTS: [&str; 26] = [
+    "&",
+    "&&&&",
+    "&after=a",
+    "&part=7",
+    "&Topic=keyed.op",
+    "#",
+    "?",
+    "%",
+    "%4",
+    "%zz",
+    "%41",
+    "%00",
+    "+",
+    " ",
+    "\"",
+    "'",
+    "<",
+    "\\",
+    "/../",
+    "\r\n",
+    "\0",
+    "\t",
+    "\u{7f}",
+    "é",
+    "漢字",
+    "\u{10ffff}",
+];
+/// An entry that names no server.
+const UNREADABLE: &str = "{}";
+
+/// Returns names with each odd part at the start, in the middle and at the end, and some of the maximum length.
+fn odd_names() -> Vec<String> {
+    let names = ODD_PARTS.iter().flat_map(|odd| {
+        let long = odd.repeat(255 / odd.len());
+        [
+            format!("{odd}m"),
+            format!("m{odd}m"),
+            format!("m{odd}"),
+            long,
+        ]
+    });
+    names.collect()
+}
+
+/// Sends a request of each kind to a gateway; returns the statuses.
+fn send_all(run: &PlatformRun, gateway: usize) -> Vec<u16> {
+    let id: u64 = rand::random();
+    let requests = [
+        CallerRequest::turn("/chat/1", &format!("{id:x}-c"), &format!("{id:x}"), "x"),
+        CallerRequest::turn("/draft/1", &format!("{id:x}-d"), &format!("{id:x}"), "x"),
+        CallerRequest::new("GET", "/look/1", &format!("{id:x}-l")),
+        CallerRequest::new("POST", "/book/1", &format!("{id:x}-b")),
+    ];
+    let statuses = requests.map(|request| {
+        let response = request.send(run.callers(gateway));
+        response.map_or(0, |response| response.status)
+    });
+    statuses.to_vec()
+}
+
+/// Starts a gateway before a list in which `name` ends a page; returns what went wrong.
+fn start_with_name_at_page_end(name: &str, entry: &str) -> Result<(), String> {
+    let mut run = PlatformRun::start(0).map_err(|err| err.to_string())?;
+    run.store.put("keyed.servers", name, entry);
+    let mut names = run.store.keys("keyed.servers");
+    names.sort();
+    let place = names.iter().position(|listed| listed == name);
+    run.store.set_page_items(place.ok_or("not listed")? + 1);
+    run.add_gateway().map_err(|_| "not ready".to_owned())?;
+    let statuses = send_all(&run, 0);
+    let malformed = run.store.count_malformed();
+    let is_served = statuses.iter().all(|status| *status == 200) && malformed == 0;
+    is_served
+        .then_some(())
+        .ok_or_else(|| format!("{statuses:?}, {malformed} malformed"))
+}
+
+/// Runs a check for each name, a few at a time; returns those that failed, with the reason.
+fn failures(
+    names: &[String],
+    check: impl Fn(&str) -> Result<(), String> + Sync,
+) -> Vec<(String, String)> {
+    const AT_ONCE: usize = 8;
+    let failed = |name: &String| Some((name.clone(), check(name).err()?));
+    thread::scope(|scope| {
+        let parts = names.chunks(names.len().div_ceil(AT_ONCE));
+        let parts: Vec<_> = parts
+            .map(|part| scope.spawn(|| part.iter().filter_map(failed).collect::<Vec<_>>()))
+            .collect();
+        let parts = parts.into_iter().map(|part| part.join().expect("a check"));
+        parts.flatten().collect()
+    })
+}
+
+/// Guards against an entry under an odd name that keeps each gateway which starts from reading the list.
+#[test]
+fn a_list_with_an_odd_name_at_the_end_of_a_page_is_read() {
+    let failed = failures(&odd_names(), |name| {
+        start_with_name_at_page_end(name, UNREADABLE)
+    });
+    assert!(failed.is_empty(), "{}: {failed:#?}", failed.len());
+}
+
+/// Guards against an entry under an odd name, with the fields of a server, to which requests are sent.
+#[test]
+fn an_odd_name_beside_the_server_it_copies_is_passed_over() {
+    let names: Vec<String> = ODD_PARTS.iter().map(|odd| format!("m{odd}m")).collect();
+    let failed = failures(&names, |name| {
+        let backend = PlatformBackend::start(BackendSettings::default());
+        let backend = backend.map_err(|err| err.to_string())?;
+        start_with_name_at_page_end(name, &backend.entry(PLAIN_SERVICE, "ready"))?;
+        start_with_name_at_page_end(name, &backend.entry(MODEL_SERVICE, "ready"))
+    });
+    assert!(failed.is_empty(), "{}: {failed:#?}", failed.len());
+}
+
+/// Returns how many of `count` programs go on after the loss of all gateways and of the history, and how many
+/// pages are read for that.
+fn programs_that_go_on(count: usize, program: impl Fn(usize) -> String) -> (usize, u64) {
+    const GATEWAYS: usize = 3;
+    let mut run = PlatformRun::start(GATEWAYS).expect("gateways");
+    let turn = |run: &PlatformRun, number: usize, turn: usize| {
+        let id = format!("r{number}-{turn}");
+        let request = CallerRequest::turn("/draft/1", &id, &program(number), &id);
+        let request = request.with("Token-Budget", "400");
+        let response = request.send(run.callers(number % GATEWAYS));
+        response.is_ok_and(|response| response.status == 200)
+    };
+    let started = (0..count).filter(|number| turn(&run, *number, 0)).count();
+    assert_eq!(started, count);
+    run.gateways.clear();
+    run.store.discard_history();
+    run.store.set_page_items(4);
+    let reads_before = run.store.calls(PAGE_PATH);
+    for _ in 0..GATEWAYS {
+        run.add_gateway().expect("a gateway");
+    }
+    let going_on = (0..count).filter(|number| turn(&run, *number, 1)).count();
+    assert_eq!(run.store.count_malformed(), 0);
+    (going_on, run.store.calls(PAGE_PATH) - reads_before)
+}
+
+/// Guards against a caller whose ids cost others their turns, and the store reads without end.
+#[test]
+fn odd_program_ids_cost_no_turn() {
+    const PROGRAMS: usize = 64;
+    const ODD: [&str; 6] = [" x", " &+#%=?/{\"<", "&", "#", "+", "%20"];
+    let odd_id = |odd: &str, number: usize| match number % 2 {
+        0 => format!("p{number}"),
+        _ => format!("o{odd}{number}"),
+    };
+    thread::scope(|scope| {
+        let plain = scope.spawn(|| programs_that_go_on(PROGRAMS, |number| format!("p{number}")));
+        let odd = ODD.map(|odd| {
+            scope.spawn(move || programs_that_go_on(PROGRAMS, |number| odd_id(odd, number)))
+        });
+        let (going_on, plain_reads) = plain.join().expect("a run");
+        assert_eq!(going_on, PROGRAMS);
+        for (odd, run) in ODD.iter().zip(odd) {
+            let (going_on, reads) = run.join().expect("a run");
+            assert_eq!(going_on, PROGRAMS, "{odd}");
+            let is_bounded = reads <= 2 * plain_reads;
+            assert!(
+                is_bounded,
+                "{odd}: {reads} reads, {plain_reads} with plain ids"
+            );
+        }
+    });
+}
