Read pages of the store whole in any order, and end a read that gets nowhere

With a store whose pages are not in the order of their keys' bytes no gateway that starts was ever ready: a full read refused a page whose last key was not greater than that of the page before. Turns were searched for by the order of keys, so that a recorded one could count as unknown. Where pages repeat, all other reads asked for them again without a pause until their deadline.

The pages promise no order. What has to hold is progress: a read now goes on while each page ends at a key after which none has begun, and is given up, counted as unreadable and begun anew after the usual pause otherwise. A page that says that more follow and names no key is such an end too; reads of budgets took it for the last one. A turn that is not found by the order of keys is searched for on all pages before it is said to be unknown; the parts of a long one are put together by their keys, and expire with their record wherever they are.

--- a/clementinepickd/src/followed_topic.rs
+++ b/clementinepickd/src/followed_topic.rs
@@ -12,6 +12,7 @@
 use platform::store::{KeyedRecord, NewestPage, Topic, read_target};
 
 use crate::ledger::Partition;
+use crate::page_progress::PageProgress;
 use crate::partition_reader::{PartitionReader, records_from};
 use crate::store::{StoreCall, StoreClient, StorePurpose, StoreUnavailable};
 
@@ -38,27 +39,17 @@
 #[derive(Debug, Default)]
 struct FullRead {
     records: BTreeMap<String, Bytes>,
-    /// The last key of the pages.
-    last_key: Option<String>,
+    pages: PageProgress,
     /// The offset before which no record is missed, by the first page.
     end: Option<u64>,
-    is_complete: bool,
 }
 
 impl FullRead {
-    /// Adds a page; fails if it does not go on where the last one ended.
-    fn add(&mut self, page: NewestPage) -> Result<(), StoreUnavailable> {
-        let last_key = page.records.last().map(|record| record.key.clone());
-        if page.has_more && last_key <= self.last_key {
-            return Err(StoreUnavailable);
-        }
-        self.is_complete = !page.has_more;
+    fn add(&mut self, page: NewestPage) {
         self.end.get_or_insert(page.end);
-        self.last_key = last_key;
         let records = page.records.into_iter();
         let records = records.filter_map(|record| Some((record.key, record.value?)));
         self.records.extend(records);
-        Ok(())
     }
 }
 
@@ -195,8 +186,9 @@
         let is_continued = self.full_read.is_some();
         let mut full = self.full_read.take().unwrap_or_default();
         let pages_read = self.read_pages(reader, &mut full, now).await;
-        if pages_read.is_err() || !full.is_complete {
-            self.full_read = full.end.is_some().then_some(full);
+        if pages_read.is_err() || !full.pages.is_complete() {
+            let can_go_on = full.end.is_some() && !full.pages.is_stuck();
+            self.full_read = can_go_on.then_some(full);
             return pages_read.map(|()| None);
         }
         if is_continued {
@@ -231,13 +223,9 @@
         now: Instant,
     ) -> Result<(), StoreUnavailable> {
         let is_unlimited = self.end.is_none();
-        while !full.is_complete {
-            let after = full.last_key.as_deref();
-            let page = reader.newest_page(self.partition, after).await?;
-            if let Err(err) = full.add(page) {
-                *full = FullRead::default();
-                return Err(err);
-            }
+        while !full.pages.is_complete() {
+            let page = reader.next_page(self.partition, &mut full.pages).await?;
+            full.add(page);
             if !is_unlimited && now.elapsed() >= FULL_READ_SLICE {
                 break;
             }
--- a/clementinepickd/src/ledger_sweep.rs
+++ b/clementinepickd/src/ledger_sweep.rs
@@ -4,6 +4,7 @@
 //! at an interval at which all processes together sweep each partition once in a period. A lost
 //! process leaves no partition unswept.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use clementinepick::budget_ledger::{BudgetRecord, expired_keys};
@@ -12,7 +13,7 @@
 use platform::store::{KeyedRecord, Topic};
 
 use crate::ledger::{LedgerError, LedgerStore, Partition, from_cbor};
-use crate::ledger_turns::is_part_of;
+use crate::ledger_turns::turn_key;
 use crate::store::StorePurpose;
 
 /// How long the sweep of one partition may take.
@@ -123,16 +124,54 @@
 /// record, so that parts without a record may belong to a turn that is being written; they are
 /// kept.
 fn expired_turns(records: &[KeyedRecord], now_unix_ms: u64) -> Vec<String> {
-    let mut expired: Vec<String> = Vec::new();
-    for record in records {
-        let is_part = expired
-            .last()
-            .is_some_and(|key| is_part_of(&record.key, key.split('!').next().unwrap_or(key)));
+    let is_old = |record: &&KeyedRecord| {
         let turn: Option<TurnRecord> = record.value.as_ref().and_then(|value| from_cbor(value));
-        let is_old = turn.is_some_and(|t| is_expired(t.recorded_unix_ms, t.retain_ms, now_unix_ms));
-        if is_part || is_old {
-            expired.push(record.key.clone());
+        turn.is_some_and(|t| is_expired(t.recorded_unix_ms, t.retain_ms, now_unix_ms))
+    };
+    let expired: BTreeSet<&str> = records.iter().filter(is_old).map(|r| &*r.key).collect();
+    let keys = records.iter().map(|record| &record.key);
+    let keys = keys.filter(|key| expired.contains(turn_key(key)));
+    keys.cloned().collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use bytes::Bytes;
+
+    use super::*;
+    use crate::ledger::to_cbor;
+
+    fn record(key: &str, recorded_unix_ms: u64) -> KeyedRecord {
+        let turn = TurnRecord {
+            parent: None,
+            server: None,
+            recorded_unix_ms,
+            retain_ms: 1,
+            input_bytes: 0,
+            parts: 0,
+            turns: 1,
+            body: Bytes::new(),
+        };
+        KeyedRecord {
+            key: key.to_owned(),
+            value: Some(to_cbor(&turn)),
         }
     }
-    expired
+
+    /// Guards against parts that are never deleted, and parts that are taken for records by their text.
+    #[test]
+    fn parts_expire_with_their_record_in_any_order() {
+        const NOW_MS: u64 = 1_000_000;
+        let records = [
+            record("old!0001", NOW_MS),
+            record("new!0000", 0),
+            record("older", 0),
+            record("old", 0),
+            record("new", NOW_MS),
+            record("old!0000", NOW_MS),
+            record("unfinished!0000", 0),
+        ];
+        let expected = ["old!0001", "older", "old", "old!0000"];
+        assert_eq!(expired_turns(&records, NOW_MS), expected);
+    }
 }
--- a/clementinepickd/src/ledger_turn_records.rs
+++ b/clementinepickd/src/ledger_turn_records.rs
@@ -18,6 +18,7 @@
 use crate::ledger::{LedgerError, LedgerStore, Partition, from_cbor, key_of};
 use crate::ledger_turn_cache::LruCache;
 use crate::ledger_turns::{TurnWait, is_part_of, to_kb};
+use crate::page_progress::PageProgress;
 use crate::store::StorePurpose;
 
 /// The maximum number of chains that are read at the same time; others wait, so that some chains
@@ -114,37 +115,59 @@
         id: &str,
         deadline: Instant,
     ) -> Result<Option<TurnRecord>, LedgerError> {
-        let key = key_of(id);
         let partition = self.store.turn_partition(id);
+        let mut target = TargetRecord::new(key_of(id));
+        let exceeds_page = self.access(partition).exceeds_page.get();
+        let reads_all = self.chains.get() >= MANY_CHAIN_READS && !exceeds_page;
+        let start = key_before(&target.key).filter(|_| !reads_all);
+        let is_whole_read = start.is_none();
+        let mut pages = PageProgress::starting_after(start);
+        self.read_pages(partition, &mut pages, &mut target, deadline)
+            .await?;
+        let is_absent = is_whole_read && pages.is_complete();
+        if !target.is_whole() && !is_absent {
+            // The store's order need not be that of the keys, by which the record would have been found.
+            target.is_sought_everywhere = true;
+            let mut pages = PageProgress::default();
+            self.read_pages(partition, &mut pages, &mut target, deadline)
+                .await?;
+        }
+        let key = target.key.clone();
+        let record = target.assemble()?;
+        if let Some(record) = &record {
+            self.keep(&key, record.clone());
+        }
+        Ok(record)
+    }
+
+    /// Reads pages until the target is whole, or until it can't follow.
+    async fn read_pages(
+        &self,
+        partition: Partition,
+        pages: &mut PageProgress,
+        target: &mut TargetRecord,
+        deadline: Instant,
+    ) -> Result<(), LedgerError> {
         let reader = self.store.reader(StorePurpose::ReadTurn, deadline);
-        let start = key_before(&key);
-        let access = self.access(partition);
-        let reads_all = self.chains.get() >= MANY_CHAIN_READS && !access.exceeds_page.get();
-        let mut after = start.clone().filter(|_| !reads_all);
-        let mut target = TargetRecord::default();
-        loop {
+        while !pages.is_complete() {
             let _memory = self.acquire_page_memory(deadline).await?;
-            let page = reader.newest_page(partition, after.as_deref()).await?;
+            let page = reader.next_page(partition, pages).await?;
             self.last_read_at.set(Some(Instant::now()));
             self.record_page_size(&page);
-            let last = page.records.last().map(|record| record.key.clone());
+            let is_past = pages.after().is_some_and(|last| target.is_before(last));
             for record in page.records {
-                if let Some(neighbour) = target.take(record, &key) {
+                if let Some(neighbour) = target.take(record) {
                     self.keep_neighbour(neighbour);
                 }
             }
-            let is_past = |last: &str| last > key.as_str() && !is_part_of(last, &key);
-            if !page.has_more || last.as_deref().is_none_or(is_past) {
+            if target.is_whole() || is_past {
                 break;
             }
-            access.exceeds_page.set(true);
-            after = last.max(start.clone());
-        }
-        let record = target.assemble()?;
-        if let Some(record) = &record {
-            self.keep(&key, record.clone());
+            if !pages.is_complete() {
+                self.access(partition).exceeds_page.set(true);
+            }
         }
-        Ok(record)
+        Ok(())
     }
 
     /// Waits until the other pages that are being read leave memory for one of the size of the last ones.
@@ -218,36 +241,74 @@
 }
 
 /// The wanted record of a read, and the parts of its body.
-#[derive(Default)]
 struct TargetRecord {
-    value: Option<Bytes>,
-    parts: Vec<Bytes>,
+    key: String,
+    found: FoundRecord,
+    /// The parts, by key.
+    parts: BTreeMap<String, Bytes>,
+    /// Whether it may be on any page, and not only before greater keys.
+    is_sought_everywhere: bool,
+}
+
+enum FoundRecord {
+    None,
+    /// It can't be decoded.
+    Unreadable,
+    Decoded(TurnRecord),
 }
 
 impl TargetRecord {
+    fn new(key: String) -> Self {
+        Self {
+            key,
+            found: FoundRecord::None,
+            parts: BTreeMap::new(),
+            is_sought_everywhere: false,
+        }
+    }
+
     /// Takes a record if it is wanted; else returns it if it may be that of another turn.
-    fn take(&mut self, record: KeyedRecord, key: &str) -> Option<KeyedRecord> {
-        if record.key == key {
-            self.value = record.value;
-        } else if is_part_of(&record.key, key) {
-            self.parts.extend(record.value);
+    fn take(&mut self, record: KeyedRecord) -> Option<KeyedRecord> {
+        if record.key == self.key {
+            if let Some(value) = record.value {
+                let decoded = from_cbor(&value);
+                self.found = decoded.map_or(FoundRecord::Unreadable, FoundRecord::Decoded);
+            }
+        } else if is_part_of(&record.key, &self.key) {
+            let part = record.value.map(|value| (record.key, value));
+            self.parts.extend(part);
         } else {
             return Some(record).filter(|record| !record.key.contains('!'));
         }
         None
     }
 
+    /// Returns whether the record and all its parts were read.
+    fn is_whole(&self) -> bool {
+        match &self.found {
+            FoundRecord::Decoded(record) => self.parts.len() >= record.parts,
+            FoundRecord::None | FoundRecord::Unreadable => false,
+        }
+    }
+
+    /// Returns whether, in the order of keys, the record and its parts are before a key.
+    fn is_before(&self, other: &str) -> bool {
+        !self.is_sought_everywhere && *other > *self.key && !is_part_of(other, &self.key)
+    }
+
     /// Returns the record with its body.
     fn assemble(self) -> Result<Option<TurnRecord>, LedgerError> {
-        let Some(value) = self.value else {
-            return Ok(None);
+        let mut record = match self.found {
+            FoundRecord::None => return Ok(None),
+            FoundRecord::Unreadable => return Err(LedgerError::Unavailable),
+            FoundRecord::Decoded(record) => record,
         };
-        let mut record: TurnRecord = from_cbor(&value).ok_or(LedgerError::Unavailable)?;
         if self.parts.len() < record.parts {
             return Err(LedgerError::Unavailable);
         }
         if record.parts > 0 {
-            record.body = self.parts.concat().into();
+            let parts: Vec<Bytes> = self.parts.into_values().collect();
+            record.body = parts.concat().into();
         }
         Ok(Some(record))
     }
--- a/clementinepickd/src/ledger_turns.rs
+++ b/clementinepickd/src/ledger_turns.rs
@@ -353,7 +353,7 @@
     units::Bytes(u64::try_from(bytes).unwrap_or(u64::MAX))
 }
 
-/// Returns the key of a part of a turn's body; it sorts right after the turn's own key.
+/// Returns the key of a part of a turn's body; it sorts right after the turn's own key, and by its number.
 fn part_key(key: &str, number: usize) -> String {
     format!("{key}!{number:04}")
 }
@@ -363,3 +363,8 @@
     part.strip_prefix(key)
         .is_some_and(|rest| rest.starts_with('!'))
 }
+
+/// Returns the key of the turn to which the record or part with a key belongs.
+pub(crate) fn turn_key(key: &str) -> &str {
+    key.split_once('!').map_or(key, |(turn, _)| turn)
+}
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -114,6 +114,7 @@
 mod monotonic_clock;
 mod outbound;
 mod outbound_pool;
+mod page_progress;
 mod partition_reader;
 mod plain_client;
 pub mod process_log;
--- a/clementinepickd/src/partition_reader.rs
+++ b/clementinepickd/src/partition_reader.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::ledger::Partition;
+use crate::page_progress::PageProgress;
 use crate::store::{StoreCall, StoreClient, StorePurpose, StoreReply, StoreUnavailable};
 
 /// The maximum number of responses, of up to 1 MB each, in one read of new records. A reader that
@@ -73,36 +74,33 @@
         partition: Partition,
         mut take: impl FnMut(Vec<KeyedRecord>),
     ) -> Result<u64, StoreUnavailable> {
-        let mut after: Option<String> = None;
+        let mut pages = PageProgress::default();
         let mut first_end = None;
-        loop {
-            let page = self.newest_page(partition, after.as_deref()).await?;
+        while !pages.is_complete() {
+            let page = self.next_page(partition, &mut pages).await?;
             // Records may be written between two pages: only those before the first page's end are
             // certain to have been read.
-            let end = *first_end.get_or_insert(page.end);
-            after = page.records.last().map(|record| record.key.clone());
+            first_end.get_or_insert(page.end);
             take(page.records);
-            if !page.has_more || after.is_none() {
-                return Ok(end);
-            }
         }
+        Ok(first_end.unwrap_or_default())
     }
 
-    /// Returns a page of the newest records, starting after the key `after`.
-    pub(crate) async fn newest_page(
+    /// Returns the next page of the newest records; fails if it brings the read no further.
+    pub(crate) async fn next_page(
         &self,
         partition: Partition,
-        after: Option<&str>,
+        pages: &mut PageProgress,
     ) -> Result<NewestPage, StoreUnavailable> {
-        let target = newest_target(&partition.topic, partition.number, after);
+        let target = newest_target(&partition.topic, partition.number, pages.after());
         let call = StoreCall::get(self.purpose, target);
         let reply = self.client.call(&call, self.deadline).await?;
-        match decode_newest(&reply.body) {
-            Ok(page) if reply.status == 200 => Ok(page),
-            _ => {
-                self.client.count_unreadable(self.purpose, &reply);
-                Err(StoreUnavailable)
-            }
-        }
+        let page = decode_newest(&reply.body).ok();
+        let page = page.filter(|_| reply.status == 200);
+        let Some(page) = pages.advance(page) else {
+            self.client.count_unreadable(self.purpose, &reply);
+            return Err(StoreUnavailable);
+        };
+        Ok(page)
     }
 }
--- /dev/null
+++ b/standins/tests/odd_pages.rs
@@ -0,0 +1,115 @@
+//! Tests that pages of the store are read whole in any order, and not without end if they repeat.
+
+use standins::platform_backend::{PlatformBackend, body_text};
+use standins::platform_caller::{CallerRequest, CallerResponse};
+use standins::platform_run::{PlatformRun, wait_until};
+use standins::platform_store::PageOrder;
+
+/// The path of reads of the newest records.
+const PAGE_PATH: &str = "/clementinepick/log-newest";
+/// An entry that names no server.
+const UNREADABLE: &str = "{}";
+
+fn send_turn(run: &PlatformRun, number: usize, turn: usize, body: &str) -> CallerResponse {
+    let id = turn_id(number, turn);
+    let program = format!("p{number}");
+    let request = CallerRequest::turn("/chat/1", &id, &program, body).with("Token-Budget", "400");
+    let request = match turn {
+        0 => request,
+        _ => request.with("Previous-Turn", &turn_id(number, turn - 1)),
+    };
+    request.send(run.callers(0)).expect("a response")
+}
+
+fn turn_id(number: usize, turn: usize) -> String {
+    format!("r{number}-{turn}")
+}
+
+fn is_served(response: &CallerResponse) -> bool {
+    response.status == 200 && response.is_complete
+}
+
+/// Looks up something at a gateway.
+fn look(run: &PlatformRun, gateway: usize) -> bool {
+    let request = CallerRequest::new("GET", "/look/1", "look");
+    let response = request.send(run.callers(gateway));
+    response.is_ok_and(|response| is_served(&response))
+}
+
+/// Replaces all gateways by one; what was written before is only on pages then.
+fn replace_gateways(run: &mut PlatformRun) {
+    run.gateways.clear();
+    run.store.discard_history();
+    run.add_gateway().expect("a gateway");
+}
+
+/// Returns the prompt that the engines got for a turn.
+fn prompt(run: &PlatformRun, id: &str) -> String {
+    let mut executions = run.engines.iter().flat_map(PlatformBackend::executions);
+    let execution = executions.find(|execution| execution.id == id);
+    execution.map_or_else(String::new, |execution| body_text(&execution.request.body))
+}
+
+/// Guards against a store whose order of pages is not that of the keys, with which no gateway starts, turns are
+/// said to be unknown, and long turns are never read again.
+#[test]
+fn pages_in_another_order_are_read_whole() {
+    const PROGRAMS: usize = 24;
+    let input = |number: usize| {
+        let length = if number.is_multiple_of(8) { 90_000 } else { 10 };
+        format!("{number}-{}", "x".repeat(length))
+    };
+    for order in [PageOrder::ReversedKeys, PageOrder::Offsets] {
+        let mut run = PlatformRun::start(1).expect("a gateway");
+        run.store.set_page_order(order);
+        run.store.set_page_items(2);
+        for number in 0..20 {
+            run.store
+                .put("keyed.servers", &format!("other-{number}"), UNREADABLE);
+        }
+        for number in 0..PROGRAMS {
+            assert!(
+                is_served(&send_turn(&run, number, 0, &input(number))),
+                "{order:?}"
+            );
+        }
+        replace_gateways(&mut run);
+        for number in 0..PROGRAMS {
+            let response = send_turn(&run, number, 1, "next");
+            assert!(is_served(&response), "{order:?}, {number}: {response:?}");
+            let prompt = prompt(&run, &turn_id(number, 1));
+            assert!(prompt.starts_with(&input(number)), "{order:?}, {number}");
+            assert!(prompt.ends_with("next"), "{order:?}, {number}");
+        }
+        let unknown = send_turn(&run, 10_000, 1, "next");
+        assert_eq!(unknown.status, 404, "{order:?}");
+    }
+}
+
+/// Guards against pages that repeat and are read again and again without a pause.
+#[test]
+fn pages_that_repeat_are_read_with_pauses() {
+    /// Two pages every 100 ms of the three lists, the requests, the versions and the origins.
+    const MAX_READS_PER_S: u64 = 2 * 10 * 6;
+    /// How long a gateway is waited for.
+    const SPAN_S: u64 = 10;
+    const PROGRAMS: usize = 8;
+    let mut run = PlatformRun::start(1).expect("a gateway");
+    for number in 0..PROGRAMS {
+        assert!(is_served(&send_turn(&run, number, 0, "x")));
+    }
+    run.gateways.clear();
+    run.store.discard_history();
+    run.store.set_page_items(1);
+    run.store.set_page_order(PageOrder::Repeated);
+    let reads_before = run.store.calls(PAGE_PATH);
+    assert!(run.add_gateway().is_err(), "a gateway without a whole list");
+    for number in 0..PROGRAMS {
+        let status = send_turn(&run, number, 1, "x").status;
+        assert_eq!(status, 503, "{number}");
+    }
+    let reads = run.store.calls(PAGE_PATH) - reads_before;
+    assert!(reads <= MAX_READS_PER_S * SPAN_S, "{reads} reads");
+    run.store.set_page_order(PageOrder::Keys);
+    wait_until(|| look(&run, 0)).expect("a gateway that starts");
+}
