Follow new records of a list also after a full read that fails

A gateway that had served for ten seconds no longer saw any change where the full read of a list failed before its second page was taken: new servers got no requests, and servers that had left were still chosen. A full read that is due goes before the read of new records, and its failure ended the poll.

The poll now reads new records then, from the offset that it knows.

The test, which makes pages repeat, fails on the code before: the new server, the only one left, gets no request in 10 s.

--- a/clementinepickd/src/followed_topic.rs
+++ b/clementinepickd/src/followed_topic.rs
@@ -108,7 +108,11 @@
             (Ok(Some(has_changed)), _) => Ok(has_changed || new == Some(true)),
             // The client counts a failure; the pages so far are kept.
             (Ok(None) | Err(_), Some(has_new)) => Ok(has_new),
-            (Ok(None) | Err(_), None) => Err(StoreUnavailable),
+            (Ok(None) | Err(_), None) => {
+                let end = self.end.ok_or(StoreUnavailable)?;
+                let changed = self.read_new(&reader, end).await?;
+                changed.ok_or(StoreUnavailable)
+            }
         }
     }
 
--- a/standins/tests/odd_pages.rs
+++ b/standins/tests/odd_pages.rs
@@ -1,8 +1,11 @@
 //! Tests that pages of the store are read whole in any order, and not without end if they repeat.
 
-use standins::platform_backend::{PlatformBackend, body_text};
+use std::thread;
+use std::time::Duration;
+
+use standins::platform_backend::{BackendSettings, PlatformBackend, body_text};
 use standins::platform_caller::{CallerRequest, CallerResponse};
-use standins::platform_run::{PlatformRun, wait_until};
+use standins::platform_run::{PLAIN_SERVICE, PlatformRun, wait_until};
 use standins::platform_store::PageOrder;
 
 /// The path of reads of the newest records.
@@ -86,6 +89,28 @@
     }
 }
 
+/// Guards against a gateway that no longer follows the lists since their pages repeat.
+#[test]
+fn a_gateway_goes_on_following_lists_whose_pages_repeat() {
+    /// The interval of full reads, and half as much.
+    const SPAN: Duration = Duration::from_secs(15);
+    let mut run = PlatformRun::start(1).expect("a gateway");
+    run.store.set_page_items(1);
+    run.store.set_page_order(PageOrder::Repeated);
+    thread::sleep(SPAN);
+    let added = PlatformBackend::start(BackendSettings {
+        id: "p-3".to_owned(),
+        ..BackendSettings::default()
+    });
+    run.plains.push(added.expect("a free port"));
+    let entry = run.plains[2].entry(PLAIN_SERVICE, "ready");
+    run.store.put("keyed.servers", "p-3", &entry);
+    for id in ["p-1", "p-2"] {
+        run.store.remove("keyed.servers", id);
+    }
+    wait_until(|| look(&run, 0) && !run.plains[2].executions().is_empty()).expect("a new server");
+}
+
 /// Guards against pages that repeat and are read again and again without a pause.
 #[test]
 fn pages_that_repeat_are_read_with_pauses() {
