Let an item of a page that can't be read cost no other item

One item without a key, or with a value that is not base64, made the whole page unreadable, and so the list or the partition that it belongs to: no gateway that starts was ready, and turns beside it were refused.

Items are now decoded one by one. One that can't be read is counted in a metric of its own, logged if it is in the list of servers, and passed over; the read goes on after the last key that the page names. A turn whose record may be such an item is not said to be unknown, but refused with 503.

Now it serves with five kinds of damage, at three sizes of pages.

--- a/clementinepickd/src/followed_topic.rs
+++ b/clementinepickd/src/followed_topic.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use platform::store::{KeyedRecord, NewestPage, Topic, read_target};
+use platform::store::{KeyedRecord, NewestPage, Topic, UnreadableItem, read_target};
 
 use crate::ledger::Partition;
 use crate::page_progress::PageProgress;
@@ -29,6 +29,8 @@
     records: BTreeMap<String, Bytes>,
     /// The records that the last read replaced or removed, also those that it had only just added.
     replaced: Vec<(String, Bytes)>,
+    /// The items of the last full read that can't be read.
+    unreadable: Vec<UnreadableItem>,
     end: Option<u64>,
     last_full_read: Option<Instant>,
     /// The full read that is not complete yet.
@@ -39,6 +41,7 @@
 #[derive(Debug, Default)]
 struct FullRead {
     records: BTreeMap<String, Bytes>,
+    unreadable: Vec<UnreadableItem>,
     pages: PageProgress,
     /// The offset before which no record is missed, by the first page.
     end: Option<u64>,
@@ -50,6 +53,7 @@
         let records = page.records.into_iter();
         let records = records.filter_map(|record| Some((record.key, record.value?)));
         self.records.extend(records);
+        self.unreadable.extend(page.unreadable);
     }
 }
 
@@ -59,6 +63,7 @@
             partition: Partition { topic, number: 0 },
             records: BTreeMap::new(),
             replaced: Vec::new(),
+            unreadable: Vec::new(),
             end: None,
             last_full_read: None,
             full_read: None,
@@ -70,6 +75,11 @@
         &self.records
     }
 
+    /// Returns the items of the last full read that can't be read.
+    pub(crate) fn unreadable(&self) -> &[UnreadableItem] {
+        &self.unreadable
+    }
+
     /// Returns the offset up to which the records are known.
     pub(crate) fn end(&self) -> Option<u64> {
         self.end
@@ -214,6 +224,7 @@
         let changed = full.records != self.records;
         let previous = std::mem::replace(&mut self.records, full.records);
         self.replaced.extend(previous);
+        self.unreadable = full.unreadable;
         self.end = full.end;
         self.last_full_read = Some(now);
         Ok(Some(changed))
--- a/clementinepickd/src/gateway_metrics.rs
+++ b/clementinepickd/src/gateway_metrics.rs
@@ -99,6 +99,14 @@
         unreadable.last_status = status;
     }
 
+    /// Counts items of a page of the store that can't be read.
+    pub(crate) fn count_unreadable_items(&self, purpose: &'static str, count: usize) {
+        self.update(move || {
+            counter!("clementinepick_store_unreadable_items_total", "purpose" => purpose)
+                .increment(count as u64);
+        });
+    }
+
     pub(crate) fn unreadable_answers(&self) -> UnreadableAnswers {
         *lock(&self.unreadable)
     }
--- a/clementinepickd/src/ledger_turn_records.rs
+++ b/clementinepickd/src/ledger_turn_records.rs
@@ -11,7 +11,7 @@
 use actix_rt::time::timeout;
 use bytes::Bytes;
 use clementinepick::turn_chain::TurnRecord;
-use platform::store::{KeyedRecord, NewestPage};
+use platform::store::{KeyedRecord, NewestPage, UnreadableItem};
 use tokio::sync::{Mutex, Semaphore, SemaphorePermit};
 use tokio::time::timeout_at;
 
@@ -155,6 +155,7 @@
             self.last_read_at.set(Some(Instant::now()));
             self.record_page_size(&page);
             let is_past = pages.after().is_some_and(|last| target.is_before(last));
+            target.take_unreadable(&page.unreadable);
             for record in page.records {
                 if let Some(neighbour) = target.take(record) {
                     self.keep_neighbour(neighbour);
@@ -252,7 +253,7 @@
 
 enum FoundRecord {
     None,
-    /// It can't be decoded.
+    /// There may be one, and it can't be decoded.
     Unreadable,
     Decoded(TurnRecord),
 }
@@ -283,6 +284,15 @@
         None
     }
 
+    /// Takes note of items that can't be read.
+    fn take_unreadable(&mut self, items: &[UnreadableItem]) {
+        let may_be_own =
+            |item: &UnreadableItem| item.key.as_ref().is_none_or(|key| *key == self.key);
+        if matches!(self.found, FoundRecord::None) && items.iter().any(may_be_own) {
+            self.found = FoundRecord::Unreadable;
+        }
+    }
+
     /// Returns whether the record and all its parts were read.
     fn is_whole(&self) -> bool {
         match &self.found {
--- a/clementinepickd/src/page_progress.rs
+++ b/clementinepickd/src/page_progress.rs
@@ -72,6 +72,7 @@
     fn page(last_key: Option<&str>, has_more: bool) -> NewestPage {
         NewestPage {
             records: Vec::new(),
+            unreadable: Vec::new(),
             last_key: last_key.map(str::to_owned),
             has_more,
             end: 0,
--- a/clementinepickd/src/partition_reader.rs
+++ b/clementinepickd/src/partition_reader.rs
@@ -68,7 +68,7 @@
     }
 
     /// Passes the newest record of each key to `take`, page by page, and returns an offset before
-    /// which no record was missed.
+    /// which no record was missed, but for items that can't be read.
     pub(crate) async fn read_newest(
         &self,
         partition: Partition,
@@ -101,6 +101,10 @@
             self.client.count_unreadable(self.purpose, &reply);
             return Err(StoreUnavailable);
         };
+        if !page.unreadable.is_empty() {
+            let count = page.unreadable.len();
+            self.client.count_unreadable_items(self.purpose, count);
+        }
         Ok(page)
     }
 }
--- a/clementinepickd/src/server_follower.rs
+++ b/clementinepickd/src/server_follower.rs
@@ -157,7 +157,12 @@
 
     async fn decode(&mut self) -> BTreeMap<String, BackendServer> {
         let mut servers = BTreeMap::new();
-        let mut bad_entries = BTreeMap::new();
+        let unreadable = self.watch.topic.unreadable().iter();
+        let unreadable = unreadable.map(|item| {
+            let key = item.key.clone().unwrap_or_default();
+            (key, item.error.to_string())
+        });
+        let mut bad_entries: BTreeMap<String, String> = unreadable.collect();
         for (index, (key, value)) in self.watch.topic.records().iter().enumerate() {
             yield_after_turn(index).await;
             match platform::servers::decode(key, value) {
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -169,6 +169,11 @@
         self.metrics.count_unreadable(purpose.label(), reply.status);
     }
 
+    /// Counts items of a page that can't be read.
+    pub(crate) fn count_unreadable_items(&self, purpose: StorePurpose, count: usize) {
+        self.metrics.count_unreadable_items(purpose.label(), count);
+    }
+
     pub(crate) fn counts(&self) -> StoreCounts {
         self.counts.get()
     }
--- a/standins/tests/odd_pages.rs
+++ b/standins/tests/odd_pages.rs
@@ -1,4 +1,5 @@
-//! Tests that pages of the store are read whole in any order, and not without end if they repeat.
+//! Tests that pages of the store in another order, pages that repeat and items that can't be read cost no more than
+//! what they hold.
 
 use std::thread;
 use std::time::Duration;
@@ -6,12 +7,19 @@
 use standins::platform_backend::{BackendSettings, PlatformBackend, body_text};
 use standins::platform_caller::{CallerRequest, CallerResponse};
 use standins::platform_run::{PLAIN_SERVICE, PlatformRun, wait_until};
-use standins::platform_store::PageOrder;
+use standins::platform_store::{ItemDamage, PageOrder};
 
 /// The path of reads of the newest records.
 const PAGE_PATH: &str = "/clementinepick/log-newest";
 /// An entry that names no server.
 const UNREADABLE: &str = "{}";
+const DAMAGES: [ItemDamage; 5] = [
+    ItemDamage::NoKey,
+    ItemDamage::NumberAsKey,
+    ItemDamage::NoValue,
+    ItemDamage::NotBase64,
+    ItemDamage::NoObject,
+];
 
 fn send_turn(run: &PlatformRun, number: usize, turn: usize, body: &str) -> CallerResponse {
     let id = turn_id(number, turn);
@@ -89,6 +97,54 @@
     }
 }
 
+/// Guards against an item that can't be read and costs the entries beside it.
+#[test]
+fn an_item_that_cannot_be_read_costs_no_other() {
+    thread::scope(|scope| {
+        for damage in DAMAGES {
+            // A page that has nothing but an item without a key does not say where to go on.
+            let has_key = matches!(damage, ItemDamage::NoValue | ItemDamage::NotBase64);
+            let min_items = if has_key { 1 } else { 2 };
+            for page_items in [min_items, 3, 500] {
+                scope.spawn(move || check_with_damaged_items(damage, page_items));
+            }
+        }
+    });
+}
+
+fn check_with_damaged_items(damage: ItemDamage, page_items: usize) {
+    let mut run = PlatformRun::start(0).expect("a store");
+    for key in ["a", "f", "z"] {
+        run.store.put("keyed.servers", key, UNREADABLE);
+        run.store.damage_item(key, damage);
+    }
+    run.store.damage_item("p-2", damage);
+    run.store.set_page_items(page_items);
+    let started = run.add_gateway();
+    assert!(started.is_ok(), "{damage:?}, {page_items}");
+    assert!(look(&run, 0), "{damage:?}, {page_items}");
+    let response = send_turn(&run, 0, 0, "x");
+    assert!(
+        is_served(&response),
+        "{damage:?}, {page_items}: {response:?}"
+    );
+}
+
+/// Guards against a turn that counts as unknown since its record can't be read.
+#[test]
+fn a_turn_whose_record_cannot_be_read_is_not_unknown() {
+    for damage in DAMAGES {
+        let mut run = PlatformRun::start(1).expect("a gateway");
+        for number in 0..2 {
+            assert!(is_served(&send_turn(&run, number, 0, "x")));
+        }
+        run.store.damage_item(&turn_id(0, 0), damage);
+        replace_gateways(&mut run);
+        assert_eq!(send_turn(&run, 0, 1, "x").status, 503, "{damage:?}");
+        assert!(is_served(&send_turn(&run, 1, 1, "x")), "{damage:?}");
+    }
+}
+
 /// Guards against a gateway that no longer follows the lists since their pages repeat.
 #[test]
 fn a_gateway_goes_on_following_lists_whose_pages_repeat() {
