--- a/standins/tests/odd_pages.rs
+++ b/standins/tests/odd_pages.rs
@@ -145,6 +145,36 @@
     }
 }
 
+/// Guards against a key that is not UTF-8, which stops the list or takes the place of another one.
+#[test]
+fn keys_that_are_not_utf8_cost_no_other() {
+    let odd: [&[u8]; 6] = [
+        b"a\xff",
+        b"a\x80",
+        b"f\xff\xff",
+        b"f\xc3",
+        b"\xff",
+        b"p-1\xff",
+    ];
+    for page_items in [2, 3, 500] {
+        let mut run = PlatformRun::start(0).expect("a store");
+        let copied = run.plains[0].entry(PLAIN_SERVICE, "ready");
+        for key in odd {
+            run.store.put_key("keyed.servers", key, &copied);
+        }
+        run.store.set_page_items(page_items);
+        run.add_gateway().expect("a gateway");
+        for key in odd {
+            run.store.put_key("keyed.servers", key, UNREADABLE);
+        }
+        for _ in 0..20 {
+            assert!(look(&run, 0), "{page_items}");
+        }
+        assert_eq!(run.plains[0].count_unnamed(), 0);
+        assert_eq!(run.store.count_malformed(), 0);
+    }
+}
+
 /// Guards against a gateway that no longer follows the lists since their pages repeat.
 #[test]
 fn a_gateway_goes_on_following_lists_whose_pages_repeat() {
