Cut long values in log lines

A list with one long entry took the place of all other lines: the reason why an entry can't be used quotes its text, and the fields of one that can are logged as they are. Such a line used up more than the log's volume, and warnings were left out after it.

Each value of a line is cut at 1,024 bytes, and its length is given.

Now no line is longer than what the log may grow by in a second.

--- a/clementinepickd/src/logging.rs
+++ b/clementinepickd/src/logging.rs
@@ -1,5 +1,6 @@
 //! Writes events to the standard output as structured log lines, one JSON object per event.
 
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::panic::{RefUnwindSafe, UnwindSafe};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
@@ -23,6 +24,9 @@
 /// Further lines are dropped and their count is logged.
 const QUEUE_CAPACITY_LINES: usize = 4_096;
 
+/// The longest value of a field, in bytes: some come from callers, servers and other writers of the store.
+const MAX_VALUE_BYTES: usize = 1_024;
+
 /// The key of an event's number in its line.
 pub(crate) const EVENT_KEY: &str = "event";
 
@@ -174,7 +178,7 @@
 
 /// Logs an event with its number, name and fields at its severity.
 pub(crate) fn write_event(logger: &Logger, event: &Event) {
-    let fields = Fields(event.clone());
+    let fields = Fields::of(event);
     let (number, name) = (event.kind.number(), event.kind.name());
     match event.kind.severity() {
         Severity::Info => slog::info!(logger, "{}", name; EVENT_KEY => number, fields),
@@ -184,11 +188,31 @@
 }
 
 /// Serializes the fields of an event as keys of its line.
-struct Fields(Event);
+struct Fields(BTreeMap<String, String>);
+
+impl Fields {
+    /// Copies the fields of an event, of long values only the start.
+    fn of(event: &Event) -> Self {
+        let fields = event.fields.iter();
+        Self(
+            fields
+                .map(|(name, value)| (name.clone(), shortened(value)))
+                .collect(),
+        )
+    }
+}
+
+fn shortened(value: &str) -> String {
+    if value.len() <= MAX_VALUE_BYTES {
+        return value.to_owned();
+    }
+    let start = &value[..value.floor_char_boundary(MAX_VALUE_BYTES)];
+    format!("{start}… ({} bytes)", value.len())
+}
 
 impl KV for Fields {
     fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> Result {
-        for (name, value) in &self.0.fields {
+        for (name, value) in &self.0 {
             serializer.emit_str(Key::from(name.clone()), value)?;
         }
         Ok(())
--- a/standins/tests/odd_names.rs
+++ b/standins/tests/odd_names.rs
@@ -1,11 +1,15 @@
 //! Tests that names with odd characters, of entries and of callers' programs, keep no gateway from reading the
 //! lists and cost no other caller a turn.
 
+use std::collections::BTreeSet;
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
 use std::thread;
 
+use serde_json::{Value, json};
 use standins::platform_backend::{BackendSettings, PlatformBackend};
 use standins::platform_caller::CallerRequest;
-use standins::platform_run::{MODEL_SERVICE, PLAIN_SERVICE, PlatformRun};
+use standins::platform_run::{MODEL_SERVICE, PLAIN_SERVICE, PlatformRun, wait_until};
 
 /// The path of reads of the newest records.
 const PAGE_PATH: &str = "/clementinepick/log-newest";
@@ -224,3 +228,72 @@
         }
     });
 }
+
+/// A log in memory.
+#[derive(Debug, Clone, Default)]
+struct SharedLog(Arc<Mutex<Vec<u8>>>);
+
+impl Write for SharedLog {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("a log").write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against names and texts of entries that break a line of the log, or take the place of all others.
+#[test]
+fn odd_entries_leave_the_log_whole() {
+    /// What a log may grow by in a second.
+    const MAX_LINE_BYTES: usize = 32_768;
+    let mut run = PlatformRun::start(0).expect("a store");
+    let entry = run.plains[0].entry("unused", "ready");
+    let controls = json!("\u{1}".repeat(200_000)).to_string();
+    let with = |field: &str, value: &str| {
+        let mut entry: Value = serde_json::from_str(&entry).expect("an entry");
+        entry[field] = serde_json::from_str(value).expect("a value");
+        entry.to_string()
+    };
+    let texts =
+        ["Service", "Address", "Version", "State", "Slots"].map(|field| with(field, &controls));
+    for (number, text) in texts.iter().enumerate() {
+        run.store
+            .put("keyed.servers", &format!("long-{number}"), text);
+    }
+    let names = odd_names();
+    for name in &names {
+        run.store.put("keyed.servers", name, UNREADABLE);
+    }
+    let log = SharedLog::default();
+    run.add_logging_gateway(log.clone()).expect("a gateway");
+    let logged = || {
+        let log = log.0.lock().expect("a log");
+        String::from_utf8(log.clone()).expect("text")
+    };
+    let lines = |log: &str| -> Vec<Value> {
+        let lines = log.lines().map(|line| {
+            assert!(
+                line.len() <= MAX_LINE_BYTES,
+                "a line of {} bytes",
+                line.len()
+            );
+            serde_json::from_str(line).expect("a line in JSON")
+        });
+        lines.collect()
+    };
+    let count_named = || {
+        let lines = lines(&logged());
+        let unreadable = lines
+            .iter()
+            .filter(|line| line["msg"] == "server_entry_unreadable");
+        let servers: BTreeSet<String> = unreadable.map(|line| line["server"].to_string()).collect();
+        servers.len()
+    };
+    let expected: BTreeSet<&String> = names.iter().collect();
+    // Three of the long fields are in an entry that can't be used.
+    let all = expected.len() + 3;
+    let is_logged = wait_until(|| logged().ends_with('\n') && count_named() >= all);
+    assert!(is_logged.is_ok(), "{} of {all}", count_named());
+}
