Give the slices of a program keys of their own, whatever its id

The keys of slices began with the caller's program id as it came. The id `home` gave keys in the form of those of homes' records, `home/<start>/<number>`, so that a slice could replace the record of a home, and with it the count of what that home has granted; long and odd ids made long and odd keys.

A key now begins with `slice/`, and has the id as the keys of turns do: itself if it is short and plain, else its hash.

--- a/clementinepickd/src/ledger.rs
+++ b/clementinepickd/src/ledger.rs
@@ -194,8 +194,8 @@
     }
 }
 
-/// Returns the record key for an id that a caller chose: the id itself if it is safe in the target
-/// of a call, else its hash.
+/// Returns the record key for an id that a caller chose: the id itself if it is short and plain, else its
+/// hash.
 pub(crate) fn key_of(id: &str) -> String {
     let is_safe = |b: u8| b.is_ascii_alphanumeric() || b == b'-' || b == b'_';
     if !id.is_empty() && id.len() <= MAX_KEY_ID_BYTES && id.bytes().all(is_safe) {
--- a/clementinepickd/src/ledger_budgets.rs
+++ b/clementinepickd/src/ledger_budgets.rs
@@ -14,12 +14,11 @@
 use clementinepick::record_expiry::RETENTION_FACTOR;
 use clementinepick::server_selection::PromptPart;
 use clementinepick::units::{SpanUs, Tokens};
-use platform::store::{KeyedRecord, MAX_KEY_BYTES};
+use platform::store::KeyedRecord;
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
-use xxhash_rust::xxh3::xxh3_64;
 
-use crate::ledger::{LedgerError, LedgerStore, Partition, to_cbor};
+use crate::ledger::{LedgerError, LedgerStore, Partition, key_of, to_cbor};
 use crate::ledger_holds::{BudgetHold, SliceGrant, TokenReturn};
 use crate::ledger_partitions::{HeldHome, PartitionState};
 use crate::link::{duration, to_span};
@@ -421,15 +420,11 @@
                 .is_some_and(|home| home.has_lease(now))
     }
 
+    /// Returns the key of a new slice, which no record of a home and no slice of another program has.
     pub(crate) fn slice_key(&self, program: &str) -> String {
         self.sequence.set(self.sequence.get() + 1);
         let sequence = self.sequence.get();
-        let key = format!("{program}/{}/{sequence}", self.writer);
-        if key.len() <= MAX_KEY_BYTES {
-            return key;
-        }
-        let hash = xxh3_64(program.as_bytes());
-        format!("{hash:016x}/{}/{sequence}", self.writer)
+        format!("slice/{}/{}/{sequence}", key_of(program), self.writer)
     }
 
     fn try_start(self: &Rc<Self>, request: &BudgetRequest<'_>, now: Instant) -> Option<BudgetHold> {
--- a/standins/tests/odd_names.rs
+++ b/standins/tests/odd_names.rs
@@ -229,6 +229,34 @@
     });
 }
 
+/// Guards against a program whose slices take the keys of other records, by which tokens would be spent twice.
+#[test]
+fn slices_of_any_program_have_keys_of_their_own() {
+    let long = "x".repeat(300);
+    let mut programs = vec!["home", "slice", "home/x/1", "h_0", "!", long.as_str()];
+    programs.extend(
+        ODD_PARTS
+            .iter()
+            .filter(|odd| odd.trim() == **odd && odd.is_ascii()),
+    );
+    programs.retain(|program| !program.chars().any(char::is_control));
+    let mut run = PlatformRun::start(1).expect("a gateway");
+    for (number, program) in programs.iter().enumerate() {
+        let request = CallerRequest::turn("/draft/1", &format!("r{number}"), program, "x");
+        let response = request.with("Token-Budget", "400").send(run.callers(0));
+        assert_eq!(response.expect("a response").status, 200, "{program}");
+    }
+    run.gateways.clear();
+    let keys = run.store.keys("keyed.budgets");
+    let slices = keys.iter().filter(|key| key.starts_with("slice/")).count();
+    assert!(slices >= programs.len(), "{slices}: {keys:#?}");
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || "/_-".contains(c);
+    assert!(
+        keys.iter().all(|key| key.chars().all(is_plain)),
+        "{keys:#?}"
+    );
+}
+
 /// A log in memory.
 #[derive(Debug, Clone, Default)]
 struct SharedLog(Arc<Mutex<Vec<u8>>>);
