Test odd names in every topic that gateways read

Odd names beside the configuration, the entries of processes, slices and turns, one record a page, cost no conversation. This holds since the key of a page's end is encoded; nothing else changes.

--- a/standins/tests/odd_names.rs
+++ b/standins/tests/odd_names.rs
@@ -257,6 +257,52 @@
     );
 }
 
+/// Guards against a record under an odd name in a topic of the gateways, or beside the configuration, that keeps a
+/// gateway from starting or a conversation from going on.
+#[test]
+fn odd_names_in_any_topic_cost_no_conversation() {
+    const PARTITIONS: u32 = 24;
+    const PROGRAMS: usize = 8;
+    let topics = [
+        "op",
+        "processes",
+        "budgets0",
+        "budgets1",
+        "budgets2",
+        "budgets3",
+        "turns0",
+        "turns1",
+    ];
+    let mut run = PlatformRun::start(1).expect("a gateway");
+    let turn = |run: &PlatformRun, number: usize, turn: usize| {
+        let id = format!("r{number}-{turn}");
+        let request = CallerRequest::turn("/chat/1", &id, &format!("p{number}"), "x");
+        let request = match turn {
+            0 => request,
+            _ => request.with("Previous-Turn", &format!("r{number}-{}", turn - 1)),
+        };
+        let response = request.with("Token-Budget", "400").send(run.callers(0));
+        response.expect("a response").status
+    };
+    assert!((0..PROGRAMS).all(|number| turn(&run, number, 0) == 200));
+    for topic in topics.map(|name| format!("keyed.{name}")) {
+        for partition in 0..PARTITIONS {
+            for odd in ODD_PARTS {
+                run.store
+                    .put_in(&topic, partition, &format!("m{odd}"), b"{}");
+            }
+        }
+    }
+    run.gateways.clear();
+    run.store.discard_history();
+    run.store.set_page_items(1);
+    run.add_gateway().expect("a gateway");
+    for number in 0..PROGRAMS {
+        assert_eq!(turn(&run, number, 1), 200, "{number}");
+    }
+    assert_eq!(run.store.count_malformed(), 0);
+}
+
 /// A log in memory.
 #[derive(Debug, Clone, Default)]
 struct SharedLog(Arc<Mutex<Vec<u8>>>);
