Tell unknown turns by the order of keys where pages have shown it

Since turns are searched for on all pages before they count as unknown, 40 requests at once for turns of one partition with pages of two records got 503 instead of 404: each unknown one read 20 pages, one after another.

The client now observes the order of all pages that it reads. Once 16 keys have followed a smaller one, and as long as none has followed a greater one, a page that is past the place of a key shows that there is no record with it, as before. In any other case all pages are read.

--- a/clementinepickd/src/ledger_turn_records.rs
+++ b/clementinepickd/src/ledger_turn_records.rs
@@ -122,11 +122,13 @@
         let start = key_before(&target.key).filter(|_| !reads_all);
         let is_whole_read = start.is_none();
         let mut pages = PageProgress::starting_after(start);
-        self.read_pages(partition, &mut pages, &mut target, deadline)
+        let is_past = self
+            .read_pages(partition, &mut pages, &mut target, deadline)
             .await?;
-        let is_absent = is_whole_read && pages.is_complete();
+        let is_absent_by_key = is_past && self.store.client.is_ordered_by_key();
+        let is_absent = is_absent_by_key || is_whole_read && pages.is_complete();
         if !target.is_whole() && !is_absent {
-            // The store's order need not be that of the keys, by which the record would have been found.
+            // The record may be on any page of a store with another order.
             target.is_sought_everywhere = true;
             let mut pages = PageProgress::default();
             self.read_pages(partition, &mut pages, &mut target, deadline)
@@ -140,21 +142,23 @@
         Ok(record)
     }
 
-    /// Reads pages until the target is whole, or until it can't follow.
+    /// Reads pages until the target is whole, or until they are past its place in the order of keys; returns whether
+    /// they are.
     async fn read_pages(
         &self,
         partition: Partition,
         pages: &mut PageProgress,
         target: &mut TargetRecord,
         deadline: Instant,
-    ) -> Result<(), LedgerError> {
+    ) -> Result<bool, LedgerError> {
         let reader = self.store.reader(StorePurpose::ReadTurn, deadline);
         while !pages.is_complete() {
             let _memory = self.acquire_page_memory(deadline).await?;
             let page = reader.next_page(partition, pages).await?;
             self.last_read_at.set(Some(Instant::now()));
             self.record_page_size(&page);
-            let is_past = pages.after().is_some_and(|last| target.is_before(last));
+            let last_key = page.last_key.as_deref();
+            let is_past = last_key.is_some_and(|last| target.is_before(last));
             target.take_unreadable(&page.unreadable);
             for record in page.records {
                 if let Some(neighbour) = target.take(record) {
@@ -162,13 +166,13 @@
                 }
             }
             if target.is_whole() || is_past {
-                break;
+                return Ok(is_past);
             }
             if !pages.is_complete() {
                 self.access(partition).exceeds_page.set(true);
             }
         }
-        Ok(())
+        Ok(false)
     }
 
     /// Waits until the other pages that are being read leave memory for one of the size of the last ones.
--- a/clementinepickd/src/lib.rs
+++ b/clementinepickd/src/lib.rs
@@ -87,6 +87,7 @@
 #[cfg(test)]
 mod injected_panics;
 mod input_first;
+mod key_order;
 mod ledger;
 mod ledger_budgets;
 mod ledger_holds;
--- a/clementinepickd/src/partition_reader.rs
+++ b/clementinepickd/src/partition_reader.rs
@@ -97,6 +97,9 @@
         let reply = self.client.call(&call, self.deadline).await?;
         let page = decode_newest(&reply.body).ok();
         let page = page.filter(|_| reply.status == 200);
+        if let Some(page) = &page {
+            self.client.observe_order(pages.after(), page);
+        }
         let Some(page) = pages.advance(page) else {
             self.client.count_unreadable(self.purpose, &reply);
             return Err(StoreUnavailable);
--- a/clementinepickd/src/store.rs
+++ b/clementinepickd/src/store.rs
@@ -13,13 +13,14 @@
 use actix_http::{Method, Uri};
 use actix_rt::time::{sleep, timeout};
 use clementinepick::outage_detector::{EndedOutage, FailureKind, OutageDetector};
-use platform::store::{Topic, decode_end, newest_target};
+use platform::store::{NewestPage, Topic, decode_end, newest_target};
 use rand::RngExt;
 use thiserror::Error;
 use tokio::sync::{Notify, watch};
 
 use crate::directory::Directory;
 use crate::gateway_metrics::GatewayMetrics;
+use crate::key_order::KeyOrder;
 use crate::list_priority::ListPriority;
 use crate::monotonic_clock::MonotonicClock;
 use crate::outbound::{Connection, OutboundError, OutboundRequest};
@@ -86,6 +87,7 @@
     metrics: Arc<GatewayMetrics>,
     /// Holds calls back that compete with reads of the lists.
     priority: Option<ListPriority>,
+    key_order: Cell<KeyOrder>,
 }
 
 impl StoreClient {
@@ -123,6 +125,7 @@
             recovered: Notify::new(),
             counts: Cell::default(),
             priority: None,
+            key_order: Cell::default(),
         }
     }
 
@@ -169,6 +172,18 @@
         self.metrics.count_unreadable(purpose.label(), reply.status);
     }
 
+    /// Observes the order of a page that was asked for after a key.
+    pub(crate) fn observe_order(&self, after: Option<&str>, page: &NewestPage) {
+        let mut order = self.key_order.get();
+        order.observe(after, page);
+        self.key_order.set(order);
+    }
+
+    /// Returns whether the pages that were read show the order of keys.
+    pub(crate) fn is_ordered_by_key(&self) -> bool {
+        self.key_order.get().is_by_key()
+    }
+
     /// Counts items of a page that can't be read.
     pub(crate) fn count_unreadable_items(&self, purpose: StorePurpose, count: usize) {
         self.metrics.count_unreadable_items(purpose.label(), count);
