--- a/standins/tests/gateway_bounds.rs
+++ b/standins/tests/gateway_bounds.rs
@@ -64,7 +64,7 @@
     let is_old = |key: &String| key.starts_with("old/");
     wait_until(|| !run.store.keys("keyed.budgets").iter().any(is_old))
         .expect("the old slice is deleted");
-    let is_slice = |key: &String| key.starts_with("p1/");
+    let is_slice = |key: &String| key.starts_with("slice/p1/");
     let slices = run.store.keys("keyed.budgets");
     assert_eq!(slices.into_iter().filter(is_slice).count(), 1);
 }
--- a/standins/tests/gateway_homes.rs
+++ b/standins/tests/gateway_homes.rs
@@ -225,7 +225,7 @@
     }
     let has_slice = || {
         let keys = run.store.keys("keyed.budgets");
-        keys.iter().any(|key| key.starts_with("p0/"))
+        keys.iter().any(|key| key.starts_with("slice/p0/"))
     };
     wait_until(has_slice).expect("a slice reserved ahead of demand");
     silence_store(&run);
--- a/standins/tests/stale_evidence.rs
+++ b/standins/tests/stale_evidence.rs
@@ -157,7 +157,7 @@
 
     fn slice_count(&self, program: &str) -> usize {
         let keys = self.store.keys("keyed.budgets");
-        let start = format!("{program}/");
+        let start = format!("slice/{program}/");
         keys.iter().filter(|key| key.starts_with(&start)).count()
     }
 }
